--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,40 @@
+// Package event defines the numbered log events. Each has one definition
+// here and one line in docs/EVENTS.md; a test keeps the two alike.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is a kind of log record with a number that never changes meaning.
+type Event struct {
+	// Number identifies the event in docs/EVENTS.md.
+	Number int
+	// Level is the severity that it is logged at.
+	Level slog.Level
+	// Message is its constant text.
+	Message string
+}
+
+// registry holds every event defined in this package, by number.
+var registry = map[int]Event{}
+
+// define registers an event; a number used twice is a broken invariant.
+func define(number int, level slog.Level, message string) Event {
+	if _, dup := registry[number]; dup {
+		panic("event: number defined twice: " + message)
+	}
+	e := Event{Number: number, Level: level, Message: message}
+	registry[number] = e
+	return e
+}
+
+// All returns every event by number.
+func All() map[int]Event { return registry }
+
+// Log writes the event with attributes to log.
+func (e Event) Log(log *slog.Logger, attrs ...slog.Attr) {
+	attrs = append([]slog.Attr{slog.Int("event", e.Number)}, attrs...)
+	log.LogAttrs(context.Background(), e.Level, e.Message, attrs...)
+}
--- /dev/null
+++ b/event/lifecycle.go
@@ -0,0 +1,16 @@
+package event
+
+import "log/slog"
+
+// Events 100 to 199: life of an entry host.
+var (
+	HostStarted    = define(100, slog.LevelInfo, "entry host started")
+	HostReady      = define(101, slog.LevelInfo, "entry host ready")
+	DrainStarted   = define(102, slog.LevelInfo, "drain started")
+	DrainFinished  = define(103, slog.LevelInfo, "drain finished")
+	OperatorsOpen  = define(104, slog.LevelWarn, "operators' port open without a credential, loopback only")
+	StoreLost      = define(110, slog.LevelWarn, "table service stopped answering")
+	StoreBack      = define(111, slog.LevelInfo, "table service answers again")
+	MembersStale   = define(112, slog.LevelWarn, "membership list is stale")
+	InvariantBroke = define(199, slog.LevelError, "invariant broken, process stops")
+)
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,37 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// Planner is the contract between the owner of a worker shard (package batch)
+// and placement decisions. Implementations are not safe for concurrent use.
+type Planner interface {
+	// SetHost adds a host or updates it.
+	SetHost(h Host)
+	// RemoveHost forgets a host; its runs must have been released.
+	RemoveHost(name string)
+	// Enqueue adds a pending job; one that is already pending is replaced.
+	Enqueue(now time.Time, s task.Spec)
+	// Withdraw drops a pending job.
+	Withdraw(job string)
+	// Adopt records that a job occupies host, as replay or reconciliation
+	// found it. It is recorded even if it does not fit.
+	Adopt(s task.Spec, host string)
+	// Release frees what a job occupies. With done, its run time and usage
+	// are learned from.
+	Release(now time.Time, job string, done bool)
+	// Avoid keeps a job off a host that it failed on.
+	Avoid(job, host string)
+	// Observe takes in a host's usage.
+	Observe(u Usage)
+	// Plan returns at most limit actions for now.
+	Plan(now time.Time, limit int) []Action
+	// Why says why a job is pending or where it runs, for people.
+	Why(job string) string
+	// NeverFits reports whether no known host can ever hold the job, with
+	// the nearest host and what lacks.
+	NeverFits(s task.Spec) (reason string, never bool)
+}
--- /dev/null
+++ b/settings/batch.go
@@ -0,0 +1,24 @@
+package settings
+
+// Batch bounds placement, task leases and the journal.
+type Batch struct {
+	// TaskLease is how long a run goes on without word from its owner.
+	TaskLease Duration `toml:"task_lease"`
+	// Exchange is how often a worker is asked when nothing is urgent.
+	Exchange Duration `toml:"exchange"`
+	// CommitDelay is the longest that a transition waits for its commit.
+	CommitDelay Duration `toml:"commit_delay"`
+	// CommitRows is the largest number of rows in one commit.
+	CommitRows int `toml:"commit_rows"`
+	// Headroom is the share of each worker's processors kept free for
+	// latency-critical tasks.
+	Headroom float64 `toml:"headroom"`
+	// MaxFailures is how many distinct workers a job may fail on before it
+	// is parked.
+	MaxFailures int `toml:"max_failures"`
+	// QuarantineAfter is how many distinct jobs must fail in a row on a
+	// worker before it is quarantined.
+	QuarantineAfter int `toml:"quarantine_after"`
+	// QuarantineFor is how long until a quarantined worker is probed.
+	QuarantineFor Duration `toml:"quarantine_for"`
+}
--- /dev/null
+++ b/settings/default.go
@@ -0,0 +1,47 @@
+package settings
+
+import "time"
+
+// Default returns the settings that hold where a folder says nothing.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{
+			Timeout:         Duration(2 * time.Second),
+			MembersInterval: Duration(500 * time.Millisecond),
+			ConfigInterval:  Duration(time.Second),
+		},
+		Lease: Lease{
+			Session:             Duration(4 * time.Second),
+			Renew:               Duration(time.Second),
+			ClockRate:           0.01,
+			Successors:          2,
+			EndpointShards:      16,
+			WorkerShardsPerZone: 4,
+		},
+		Calls: Calls{
+			Timeout:              Duration(2 * time.Second),
+			MaxRun:               Duration(5 * time.Second),
+			MaxBody:              1 << 20,
+			Queue:                1024,
+			RetryBudget:          0.1,
+			ConnectionsPerCaller: 256,
+			BookingWindow:        Duration(24 * time.Hour),
+		},
+		Batch: Batch{
+			TaskLease:       Duration(30 * time.Second),
+			Exchange:        Duration(time.Second),
+			CommitDelay:     Duration(20 * time.Millisecond),
+			CommitRows:      256,
+			Headroom:        0.1,
+			MaxFailures:     3,
+			QuarantineAfter: 3,
+			QuarantineFor:   Duration(time.Minute),
+		},
+		Colocation: Colocation{
+			UsageLag:              Duration(5 * time.Second),
+			ThrottlePercent:       50,
+			EvictAfter:            Duration(15 * time.Second),
+			MaxEvictionsPerMinute: 10,
+		},
+	}
+}
--- /dev/null
+++ b/settings/host.go
@@ -0,0 +1,21 @@
+package settings
+
+// Host is what one process needs to know of itself.
+type Host struct {
+	// Name is the entry host's name in the membership list.
+	Name string `toml:"name"`
+	// Region and Zone are where it runs.
+	Region string `toml:"region"`
+	Zone   string `toml:"zone"`
+	// Listen is the IP:port for callers.
+	Listen string `toml:"listen"`
+	// Operators is the IP:port for operators, metrics and profiles.
+	Operators string `toml:"operators"`
+	// Peer is the IP:port for other entry hosts.
+	Peer string `toml:"peer"`
+	// Secret is the file that holds the operators' credential; empty allows
+	// a loopback operators' port only.
+	Secret string `toml:"secret"`
+	// TLS names the certificate files; empty for plain TCP.
+	TLS TLS `toml:"tls"`
+}
--- /dev/null
+++ b/settings/objective.go
@@ -0,0 +1,13 @@
+package settings
+
+// Objective is one service-level objective.
+type Objective struct {
+	// Service is the service that it is of.
+	Service string `toml:"service"`
+	// Latency is the time within which a call must be answered to be good.
+	Latency Duration `toml:"latency"`
+	// Target is the share of calls that must be good, such as 0.99.
+	Target float64 `toml:"target"`
+	// Period is what the error budget is for, such as "720h".
+	Period Duration `toml:"period"`
+}
