--- /dev/null
+++ b/configstore/current.go
@@ -0,0 +1,12 @@
+package configstore
+
+import "github.com/fireflygate/fireflygate/settings"
+
+// Current is the configuration in force on this host.
+type Current struct {
+	Head Head
+	// Content is the policy's text; empty for version 0.
+	Content string
+	// Settings is the policy composed with this process's own part.
+	Settings settings.Settings
+}
--- /dev/null
+++ b/configstore/head.go
@@ -0,0 +1,51 @@
+package configstore
+
+import (
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// headKey is the row that holds the newest version.
+const headKey = "config/head"
+
+// versionPrefix begins the keys of the rows that keep each version.
+const versionPrefix = "config/version/"
+
+// Head describes one accepted configuration.
+type Head struct {
+	// Version is its number; 0 when nothing was ever applied.
+	Version uint64 `msgpack:"v"`
+	// Hash is the content's SHA-256 in hexadecimal.
+	Hash string `msgpack:"h"`
+	// Attempt is the unique id of the attempt that was accepted.
+	Attempt string `msgpack:"i"`
+	Author  string `msgpack:"a"`
+	// AppliedUnixMS is when it was accepted, in Unix milliseconds.
+	AppliedUnixMS int64 `msgpack:"t"`
+	// Differs lists the keys that differ from the version before.
+	Differs []string `msgpack:"d,omitempty"`
+}
+
+// versionKey returns the key of a version's row; keys sort newest first.
+func versionKey(version uint64) string {
+	const width = 20
+	text := strconv.FormatUint(^version, 10)
+	for len(text) < width {
+		text = "0" + text
+	}
+	return versionPrefix + text
+}
+
+// decodeHead reads a head from a row; an absent row is version 0.
+func decodeHead(row platform.Row) (Head, error) {
+	var h Head
+	if row.Version == 0 {
+		return h, nil
+	}
+	err := msgpack.Unmarshal(row.Value, &h)
+	return h, errors.Wrap(err, "decode configuration head")
+}
--- /dev/null
+++ b/configstore/watcher.go
@@ -0,0 +1,114 @@
+package configstore
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// Watcher keeps the newest known configuration in force on this host.
+type Watcher struct {
+	store    *Store
+	local    settings.Settings
+	log      *slog.Logger
+	current  atomic.Pointer[Current]
+	mu       sync.Mutex // serializes replacing current, and subscribers' calls
+	onChange []func(Current)
+}
+
+// NewWatcher returns a watcher; local is this process's own folder, whose
+// policy is in force as version 0 when nothing was ever applied.
+func NewWatcher(store *Store, local settings.Settings, log *slog.Logger) *Watcher {
+	return &Watcher{store: store, local: local, log: log}
+}
+
+// Subscribe calls f with each configuration that comes into force. Call it
+// before Run.
+func (w *Watcher) Subscribe(f func(Current)) { w.onChange = append(w.onChange, f) }
+
+// Current returns what is in force; false until the first version was read,
+// since a host that guessed could bring back an older configuration.
+func (w *Watcher) Current() (Current, bool) {
+	c := w.current.Load()
+	if c == nil {
+		return Current{}, false
+	}
+	return *c, true
+}
+
+// Run reads the head at each interval until the context ends.
+func (w *Watcher) Run(ctx context.Context, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		w.Poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Poll reads the head once and takes it into force if it is newer.
+func (w *Watcher) Poll(ctx context.Context) {
+	head, err := w.store.Head(ctx)
+	if err != nil || !w.newer(head) {
+		return
+	}
+	content, err := w.store.Content(ctx, head)
+	if err != nil {
+		event.ConfigUnreadable.Log(w.log, slog.Uint64("version", head.Version), slog.Any("error", err))
+		return
+	}
+	w.Take(Offer{Head: head, Content: content})
+}
+
+// Take brings an offered version into force if it is newer than what is. It
+// reports whether it was.
+func (w *Watcher) Take(o Offer) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.newer(o.Head) {
+		return false
+	}
+	next := Current{Head: o.Head, Content: o.Content, Settings: w.local}
+	if o.Head.Version > 0 {
+		policy, ok := w.read(o)
+		if !ok {
+			return false
+		}
+		next.Settings = settings.Compose(w.local, policy)
+	}
+	w.current.Store(&next)
+	event.ConfigInForce.Log(w.log, slog.Uint64("version", o.Head.Version), slog.String("hash", o.Head.Hash))
+	for _, f := range w.onChange {
+		f(next)
+	}
+	return true
+}
+
+// read parses an offered version and checks it against its hash.
+func (w *Watcher) read(o Offer) (settings.Settings, bool) {
+	if Hash(o.Content) != o.Head.Hash {
+		event.ConfigUnreadable.Log(w.log, slog.Uint64("version", o.Head.Version), slog.String("error", "hash differs"))
+		return settings.Settings{}, false
+	}
+	policy, err := settings.ParsePolicy("config", o.Content)
+	if err != nil {
+		event.ConfigUnreadable.Log(w.log, slog.Uint64("version", o.Head.Version), slog.Any("error", err))
+		return settings.Settings{}, false
+	}
+	return policy, true
+}
+
+// newer reports whether a head is to replace what is in force.
+func (w *Watcher) newer(h Head) bool {
+	c := w.current.Load()
+	return c == nil || h.Version > c.Head.Version
+}
--- a/settings/event.go
+++ b/settings/event.go
@@ -1,5 +1,11 @@
 package settings
 
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
 // Event is a named start with work due by then.
 type Event struct {
 	// Start is its time as RFC 3339, or "15:04" for every day.
@@ -14,3 +20,28 @@
 	Before Duration `toml:"before"`
 	After  Duration `toml:"after"`
 }
+
+// dailyLayout is how a daily start is written.
+const dailyLayout = "15:04"
+
+// Next returns the first start that is not before now. A start given with a
+// date is returned also when it has passed.
+func (e Event) Next(now time.Time) (time.Time, error) {
+	if at, err := time.Parse(time.RFC3339, e.Start); err == nil {
+		return at, nil
+	}
+	daily, err := time.Parse(dailyLayout, e.Start)
+	if err != nil {
+		return time.Time{}, errors.Wrap(err, "event start")
+	}
+	loc, err := time.LoadLocation(e.Location)
+	if err != nil {
+		return time.Time{}, errors.Wrap(err, "event location")
+	}
+	local := now.In(loc)
+	start := time.Date(local.Year(), local.Month(), local.Day(), daily.Hour(), daily.Minute(), 0, 0, loc)
+	if start.Before(now) {
+		start = time.Date(local.Year(), local.Month(), local.Day()+1, daily.Hour(), daily.Minute(), 0, 0, loc)
+	}
+	return start, nil
+}
