--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -69,3 +69,12 @@
 	}
 	return s
 }
+
+// Snapshot returns the sheets as they are.
+func (r *Recorder) Snapshot() []Sheet {
+	out := make([]Sheet, 0, len(r.sheets))
+	for _, s := range r.sheets {
+		out = append(out, *s)
+	}
+	return out
+}
--- /dev/null
+++ b/cli/configs.go
@@ -0,0 +1,64 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"github.com/fireflygate/fireflygate/gen/configs"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// policyOf loads a folder and returns its policy as one text.
+func policyOf(dir string) (string, error) {
+	s, err := settings.Load(dir, settings.Policy)
+	if err != nil {
+		return "", err
+	}
+	return settings.MarshalPolicy(s)
+}
+
+// inForce reads what is in force on the target.
+func inForce(ctx context.Context, t *target) (*configs.ShowResult, error) {
+	c, err := t.configs()
+	if err != nil {
+		return nil, err
+	}
+	res, err := c.Show()(ctx, nil)
+	if err != nil {
+		return nil, err
+	}
+	return res.(*configs.ShowResult), nil
+}
+
+// printVersion prints an accepted version.
+func printVersion(t *target, v *configs.ConfigVersion) subcommands.ExitStatus {
+	if t.json {
+		return printJSON(v)
+	}
+	fmt.Printf("version %d by %s, hash %.12s\n", v.Version, v.Author, v.Hash)
+	for _, key := range v.Differs {
+		fmt.Println("  " + key)
+	}
+	return ExitOK
+}
+
+// failConfig prints a refused change; losing a race has its own exit code.
+func failConfig(err error) subcommands.ExitStatus {
+	name, _ := problemOf(err)
+	code := fail(err)
+	if name == "conflict" {
+		return ExitLost
+	}
+	return code
+}
+
+// versionRow is a version as a row of a table.
+func versionRow(v *configs.ConfigVersion) []string {
+	return []string{
+		fmt.Sprint(v.Version), timeText(v.AppliedUnixMs), v.Author,
+		fmt.Sprintf("%.12s", v.Hash), strings.Join(v.Differs, " "),
+	}
+}
--- /dev/null
+++ b/cli/diff.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"github.com/fireflygate/fireflygate/configstore"
+)
+
+type diffCommand struct{ target }
+
+func (*diffCommand) Name() string     { return "diff" }
+func (*diffCommand) Synopsis() string { return "compare a settings folder with what is in force" }
+func (*diffCommand) Usage() string {
+	return `diff [-to URL] DIR
+  Lists the keys in which DIR differs from the configuration in force.
+  Example: fireflygate diff -to http://127.0.0.1:7101 examples/bergamo
+`
+}
+
+func (c *diffCommand) SetFlags(f *flag.FlagSet) { c.flags(f, localOperators) }
+
+func (c *diffCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		return usage("diff takes one folder")
+	}
+	content, err := policyOf(f.Arg(0))
+	if err != nil {
+		return fail(err)
+	}
+	now, err := inForce(ctx, &c.target)
+	if err != nil {
+		return fail(err)
+	}
+	keys := configstore.Differ(now.Content, content)
+	if c.json {
+		return printJSON(keys)
+	}
+	fmt.Printf("version %d is in force; %d keys differ\n", now.Version, len(keys))
+	for _, key := range keys {
+		fmt.Println("  " + key)
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/cli/events.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/fireflygate/fireflygate/gen/operations"
+)
+
+type eventsCommand struct{ target }
+
+func (*eventsCommand) Name() string     { return "events" }
+func (*eventsCommand) Synopsis() string { return "show events and whether they will be met" }
+func (*eventsCommand) Usage() string {
+	return `events [-to URL] [-json]
+  Shows each named start, the work due by then, and whether it will be met.
+  Example: fireflygate events
+`
+}
+
+func (c *eventsCommand) SetFlags(f *flag.FlagSet) { c.flags(f, localOperators) }
+
+func (c *eventsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	client, err := c.operations()
+	if err != nil {
+		return fail(err)
+	}
+	res, err := client.Events()(ctx, nil)
+	if err != nil {
+		return fail(err)
+	}
+	list := res.([]*operations.EventStatus)
+	if c.json {
+		return printJSON(list)
+	}
+	var rows [][]string
+	for _, e := range list {
+		rows = append(rows, []string{e.Name, timeText(e.StartUnixMs), fmt.Sprint(e.Done, "/", e.Jobs), e.Forecast, e.Reason})
+	}
+	printTable(os.Stdout, []string{"EVENT", "START", "DONE", "FORECAST", "REASON"}, rows)
+	return ExitOK
+}
--- /dev/null
+++ b/cli/print.go
@@ -0,0 +1,64 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+)
+
+// printJSON writes v as one JSON line.
+func printJSON(v any) subcommands.ExitStatus {
+	if err := json.NewEncoder(os.Stdout).Encode(v); err != nil {
+		return fail(err)
+	}
+	return ExitOK
+}
+
+// printTable writes rows under a header, in columns.
+func printTable(w io.Writer, header []string, rows [][]string) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	printRow(t, header)
+	for _, row := range rows {
+		printRow(t, row)
+	}
+	_ = t.Flush()
+}
+
+func printRow(w io.Writer, cells []string) {
+	for i, c := range cells {
+		if i > 0 {
+			_, _ = fmt.Fprint(w, "\t")
+		}
+		_, _ = fmt.Fprint(w, c)
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
+// fail prints an error and returns the exit code for it.
+func fail(err error) subcommands.ExitStatus {
+	_, _ = fmt.Fprintln(os.Stderr, "fireflygate:", err)
+	return exitOfError(err)
+}
+
+// usage prints what is wrong with a command line.
+func usage(format string, args ...any) subcommands.ExitStatus {
+	_, _ = fmt.Fprintf(os.Stderr, "fireflygate: "+format+"\n", args...)
+	return ExitUsage
+}
+
+// timeText shows Unix milliseconds in local time.
+func timeText(unixMS int64) string {
+	return time.UnixMilli(unixMS).Format(time.DateTime)
+}
+
+// sortRows sorts rows by their first cell.
+func sortRows(rows [][]string) {
+	slices.SortFunc(rows, func(a, b []string) int { return strings.Compare(a[0], b[0]) })
+}
--- /dev/null
+++ b/gate/deps.go
@@ -0,0 +1,21 @@
+package gate
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// Deps are the outside systems that an entry host reaches.
+type Deps struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Members platform.Members
+	Workers platform.Workers
+	Log     *slog.Logger
+	// Now is the clock; its readings must be monotonic.
+	Now func() time.Time
+	// Build is the program's version, for status.
+	Build string
+}
--- /dev/null
+++ b/gate/members.go
@@ -0,0 +1,58 @@
+package gate
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// membersStaleAfter is when a list that could not be read anew is logged.
+const membersStaleAfter = 10 * time.Second
+
+// memberPoller reads the membership list at an interval.
+type memberPoller struct {
+	members  platform.Members
+	interval time.Duration
+	timeout  time.Duration
+	log      *slog.Logger
+	now      func() time.Time
+	// onList is called with each newer list, from the poller's goroutine.
+	onList func(platform.MemberList)
+}
+
+// run polls until the context ends. A list older than one already read is
+// dropped: replicas of the service may lag behind each other.
+func (p *memberPoller) run(ctx context.Context) {
+	ticker := time.NewTicker(p.interval)
+	defer ticker.Stop()
+	var revision uint64
+	read, first, stale := p.now(), true, false
+	for {
+		list, err := p.poll(ctx)
+		switch {
+		case err == nil:
+			read, stale = p.now(), false
+			if first || list.Revision > revision {
+				revision, first = list.Revision, false
+				p.onList(list)
+			}
+		case !stale && p.now().Sub(read) > membersStaleAfter:
+			stale = true
+			event.MembersStale.Log(p.log, slog.Any("error", err))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *memberPoller) poll(ctx context.Context) (platform.MemberList, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	return p.members.List(ctx)
+}
--- /dev/null
+++ b/gate/peers.go
@@ -0,0 +1,173 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fireflygate/fireflygate/configstore"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/peer"
+)
+
+// Peer methods of the configuration's anti-entropy.
+const (
+	methodConfigVersion peer.Method = "config.version"
+	methodConfigOffer   peer.Method = "config.offer"
+)
+
+// Spreading of configurations among peers.
+const (
+	// versionInterval is how often a few peers are asked for their version.
+	versionInterval = time.Second
+	// versionFanout is how many are asked at a time.
+	versionFanout = 2
+	// offerFanout is how many peers a host offers a version to that is new
+	// to it; each of them does the same.
+	offerFanout = 4
+	// peerTimeout bounds one exchange with a peer.
+	peerTimeout = 2 * time.Second
+)
+
+// versionMessage tells which configuration is in force on a host.
+type versionMessage struct {
+	Version uint64 `msgpack:"v"`
+}
+
+// spreader brings configurations to peers without the store, and knows which
+// version each peer last told.
+type spreader struct {
+	transport peer.Transport
+	watcher   *configstore.Watcher
+	mu        sync.Mutex // guards the fields below
+	rng       *rand.Rand
+	hosts     []string
+	versions  map[string]uint64
+}
+
+func newSpreader(t peer.Transport, mux peer.Mux, w *configstore.Watcher, rng *rand.Rand) *spreader {
+	s := &spreader{transport: t, watcher: w, rng: rng, versions: map[string]uint64{}}
+	mux.Handle(methodConfigVersion, s.handleVersion)
+	mux.Handle(methodConfigOffer, s.handleOffer)
+	return s
+}
+
+// setHosts replaces the peers' names.
+func (s *spreader) setHosts(hosts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = hosts
+	known := map[string]uint64{}
+	for _, h := range hosts {
+		known[h] = s.versions[h]
+	}
+	s.versions = known
+}
+
+// known returns the version that each peer last told.
+func (s *spreader) known() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]uint64, len(s.versions))
+	for h, v := range s.versions {
+		out[h] = v
+	}
+	return out
+}
+
+// run asks a few peers at each interval and mends differences either way.
+func (s *spreader) run(ctx context.Context) {
+	ticker := time.NewTicker(versionInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, host := range s.pick(versionFanout) {
+			s.compare(ctx, host)
+		}
+	}
+}
+
+// spread offers what is in force to a few peers.
+func (s *spreader) spread(ctx context.Context) {
+	for _, host := range s.pick(offerFanout) {
+		s.offer(ctx, host)
+	}
+}
+
+// compare asks a peer for its version; an older one is offered ours.
+func (s *spreader) compare(ctx context.Context, host string) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	mine := s.version()
+	var theirs versionMessage
+	r := s.transport.Call(ctx, host, methodConfigVersion, versionMessage{Version: mine}, &theirs)
+	if r.Kind != outcome.Answered {
+		return
+	}
+	s.learn(host, theirs.Version)
+	if theirs.Version < mine {
+		s.offer(ctx, host)
+	}
+}
+
+func (s *spreader) offer(ctx context.Context, host string) {
+	current, ok := s.watcher.Current()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var theirs versionMessage
+	o := configstore.Offer{Head: current.Head, Content: current.Content}
+	if r := s.transport.Call(ctx, host, methodConfigOffer, o, &theirs); r.Kind == outcome.Answered {
+		s.learn(host, theirs.Version)
+	}
+}
+
+func (s *spreader) handleVersion(_ context.Context, from string, decode func(any) error) (any, error) {
+	var m versionMessage
+	if err := decode(&m); err != nil {
+		return nil, err
+	}
+	s.learn(from, m.Version)
+	return versionMessage{Version: s.version()}, nil
+}
+
+func (s *spreader) handleOffer(ctx context.Context, from string, decode func(any) error) (any, error) {
+	var o configstore.Offer
+	if err := decode(&o); err != nil {
+		return nil, err
+	}
+	s.learn(from, o.Head.Version)
+	if s.watcher.Take(o) {
+		go s.spread(context.WithoutCancel(ctx))
+	}
+	return versionMessage{Version: s.version()}, nil
+}
+
+func (s *spreader) version() uint64 {
+	current, _ := s.watcher.Current()
+	return current.Head.Version
+}
+
+func (s *spreader) learn(host string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.versions[host]; known {
+		s.versions[host] = max(s.versions[host], version)
+	}
+}
+
+// pick returns up to n different peers at random.
+func (s *spreader) pick(n int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hosts := append([]string{}, s.hosts...)
+	s.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(n, len(hosts))]
+}
--- /dev/null
+++ b/load/config.go
@@ -0,0 +1,35 @@
+package load
+
+import (
+	"net/http"
+	"time"
+)
+
+// Config is what traffic to send.
+type Config struct {
+	// Targets are base URLs of entry hosts; requests go to them in turn, as
+	// the platform's balancer would send them.
+	Targets func() []string
+	// Service and Path are what is called.
+	Service string
+	Path    string
+	// Rate is requests a second, as a function of the time since the start.
+	Rate func(since time.Duration) float64
+	// Duration is how long to send.
+	Duration time.Duration
+	// Bookings is the share of requests that carry an idempotency key; each
+	// of them is sent a second time with probability Repeat.
+	Bookings float64
+	Repeat   float64
+	// Timeout is the deadline of a request.
+	Timeout time.Duration
+	// MaxInFlight bounds unanswered requests; a request that would exceed it
+	// is counted as skipped, never sent late.
+	MaxInFlight int
+	// Seed makes arrivals and choices repeatable.
+	Seed uint64
+	// Headers are added to each request.
+	Headers http.Header
+	// Observe is called with each finished request, from many goroutines.
+	Observe func(Exchange)
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fireflygate/fireflygate/outcome"
+)
+
+// runner sends one Config's traffic.
+type runner struct {
+	config Config
+	client *http.Client
+	mu     sync.Mutex // guards tally
+	tally  *tally
+	wg     sync.WaitGroup
+	slots  chan struct{}
+}
+
+// Run sends the traffic and waits for every answer.
+func Run(ctx context.Context, c Config) Summary {
+	r := &runner{
+		config: c,
+		client: newClient(c),
+		tally:  newTally(),
+		slots:  make(chan struct{}, c.MaxInFlight),
+	}
+	r.send(ctx)
+	r.wg.Wait()
+	r.client.CloseIdleConnections()
+	return r.tally.result()
+}
+
+func newClient(c Config) *http.Client {
+	// A margin over the deadline, so that the entry host's own answer at the
+	// deadline is seen rather than our timeout.
+	const margin = 2 * time.Second
+	transport := &http.Transport{MaxIdleConns: c.MaxInFlight, MaxIdleConnsPerHost: c.MaxInFlight}
+	return &http.Client{Transport: transport, Timeout: c.Timeout + margin}
+}
+
+// send starts each request when it is due; gaps are exponential.
+func (r *runner) send(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.config.Seed, 0))
+	start := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	since := time.Duration(0)
+	for n := 0; ; n++ {
+		rate := r.config.Rate(since)
+		since += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if since >= r.config.Duration {
+			return
+		}
+		timer.Reset(time.Until(start.Add(since)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		r.launch(ctx, r.request(n, rng, start.Add(since)))
+	}
+}
+
+// planned is a request that is due, with the target it goes to.
+type planned struct {
+	exchange Exchange
+	target   string
+	// repeat is the target of a second sending; empty for none.
+	repeat string
+}
+
+func (r *runner) request(n int, rng *rand.Rand, due time.Time) planned {
+	targets := r.config.Targets()
+	id := fmt.Sprintf("%d-%d", r.config.Seed, n)
+	p := planned{
+		exchange: Exchange{ID: id, Due: due, Body: []byte(id)},
+		target:   targets[n%len(targets)],
+	}
+	if rng.Float64() < r.config.Bookings {
+		p.exchange.Key = "booking-" + id
+		if rng.Float64() < r.config.Repeat {
+			p.repeat = targets[rng.IntN(len(targets))]
+		}
+	}
+	return p
+}
+
+// launch sends a request without waiting for earlier ones.
+func (r *runner) launch(ctx context.Context, p planned) {
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		r.mu.Lock()
+		r.tally.summary.Skipped++
+		r.mu.Unlock()
+		return
+	}
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		defer func() { <-r.slots }()
+		r.finish(r.do(ctx, p.exchange, p.target))
+		if p.repeat != "" {
+			again := p.exchange
+			again.Retried = true
+			again.Due = time.Now()
+			r.finish(r.do(ctx, again, p.repeat))
+		}
+	}()
+}
+
+func (r *runner) finish(x Exchange) {
+	r.mu.Lock()
+	r.tally.add(x)
+	r.mu.Unlock()
+	if r.config.Observe != nil {
+		r.config.Observe(x)
+	}
+}
+
+// do sends one request and reads its whole answer.
+func (r *runner) do(ctx context.Context, x Exchange, target string) Exchange {
+	url := strings.TrimSuffix(target, "/") + "/call/" + r.config.Service + "/" + strings.TrimPrefix(r.config.Path, "/")
+	// The traffic's end does not cut off what was sent.
+	ctx = context.WithoutCancel(ctx)
+	method := http.MethodGet
+	if x.Key != "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(x.Body)))
+	if err != nil {
+		panic("load: bad target: " + err.Error())
+	}
+	req.ContentLength = int64(len(x.Body))
+	for name, values := range r.config.Headers {
+		req.Header[name] = values
+	}
+	req.Header.Set("Fireflygate-Timeout-Ms", strconv.FormatInt(r.config.Timeout.Milliseconds(), 10))
+	if x.Key != "" {
+		req.Header.Set("Idempotency-Key", x.Key)
+	}
+	x.Sent = time.Now()
+	resp, err := r.client.Do(req)
+	if err != nil {
+		x.Done, x.Outcome, x.Reason = time.Now(), outcome.Unknown, err.Error()
+		return x
+	}
+	defer func() { _ = resp.Body.Close() }()
+	x.Answer, err = io.ReadAll(resp.Body)
+	x.Done, x.Status, x.Header = time.Now(), resp.StatusCode, resp.Header
+	x.Outcome = outcome.Parse(resp.Header.Get(outcome.Header))
+	if err != nil {
+		x.Outcome, x.Reason = outcome.Unknown, err.Error()
+	}
+	return x
+}
