platform/httpclient and stand-ins: first usable version

Cause: the other packages need something to speak to. Change: httpclient implements table, objects, members and workers over JSON and HTTP; a commit is not applied only if there was no connection yet or the service refused it with its header. Trials: the tests of httpclient fail when a sent commit is called not applied, when any status with the header counts as a refusal, when a redirect is followed and when an answer is not bounded.

--- /dev/null
+++ b/standin/addresses.go
@@ -0,0 +1,11 @@
+package standin
+
+// Addresses says where the stand-ins of a Platform listen.
+type Addresses struct {
+	// Table, Objects and Members are base URLs.
+	Table   string `json:"table"`
+	Objects string `json:"objects"`
+	Members string `json:"members"`
+	// Others holds IP:port by the name of an endpoint or a worker.
+	Others map[string]string `json:"others"`
+}
--- /dev/null
+++ b/standin/machine_exchange.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// exchange processes one exchange that arrived at now.
+func (m *machine) exchange(now time.Time, x platform.Exchange) platform.ExchangeReply {
+	m.advance(now)
+	if x.Owner < m.owner {
+		return platform.ExchangeReply{Refused: true, Seq: m.seq}
+	}
+	m.owner = x.Owner
+	m.leaseUntil = m.now.Add(time.Duration(x.LeaseMS) * time.Millisecond)
+	for _, o := range x.Orders {
+		m.order(o)
+	}
+	m.guardMemory()
+	return m.reply(x.Since)
+}
+
+// reply returns the changes since a sequence number, or the whole list.
+func (m *machine) reply(since uint64) platform.ExchangeReply {
+	whole := since < m.first || since > m.seq
+	reply := platform.ExchangeReply{Seq: m.seq, Whole: whole, LatencyMS: maps.Clone(m.reported)}
+	for _, r := range m.runs {
+		if whole || r.seq > since {
+			reply.Runs = append(reply.Runs, r.report())
+		}
+	}
+	return reply
+}
+
+// order carries out one order; each is idempotent.
+func (m *machine) order(o platform.Order) {
+	r := m.find(o.Run)
+	switch o.Kind {
+	case platform.OrderStart:
+		if r == nil {
+			m.start(o)
+		}
+	case platform.OrderThrottle:
+		if r != nil && r.running() && o.Percent > 0 {
+			r.percent = min(o.Percent, fullPercent)
+		}
+	case platform.OrderCheckpoint:
+		m.stop(o.Run, r, true)
+	case platform.OrderStop:
+		m.stop(o.Run, r, false)
+	case platform.OrderForget:
+		m.forget(r)
+	}
+	m.highest[o.Run.Job] = max(m.highest[o.Run.Job], o.Run.Epoch)
+}
+
+// start begins a run, or lists it as refused.
+func (m *machine) start(o platform.Order) {
+	r := &run{
+		id:         o.Run,
+		class:      o.Class,
+		state:      platform.RunRunning,
+		reserve:    o.Resources,
+		use:        m.config.Behaviour.use(o.Class, o.Resources),
+		workMS:     float64(o.WorkMS) * factor(m.config.Behaviour.Work, o.Class),
+		doneMS:     checkpointProgress(o.Checkpoint),
+		checkpoint: o.Checkpoint,
+		percent:    fullPercent,
+	}
+	m.runs = append(m.runs, r)
+	m.touch(r)
+	if reason := m.refusal(o.Run); reason != "" {
+		r.state = platform.RunRefused
+		r.reason = reason
+		return
+	}
+	m.supersede(o.Run)
+	m.recordBegin(r)
+	// What it resumed from is not progress that it saved.
+	r.checkpoint = ""
+	if m.faults.FailStarts {
+		m.finish(r, platform.RunFailed, reasonStartFailed)
+	}
+}
+
+// refusal returns why a run may not start, empty if it may.
+func (m *machine) refusal(id platform.RunID) string {
+	switch {
+	case m.highest[id.Job] > id.Epoch:
+		return reasonSuperseded
+	case m.closed[id.Job] >= id.Epoch:
+		return reasonStopped
+	case m.faults.RefuseStarts:
+		return reasonRefusing
+	default:
+		return ""
+	}
+}
+
+// supersede stops the runs of lower epochs of a job that is about to start.
+func (m *machine) supersede(id platform.RunID) {
+	for _, r := range m.runs {
+		if r.running() && r.id.Job == id.Job && r.id.Epoch < id.Epoch {
+			m.finish(r, platform.RunStopped, reasonSuperseded)
+		}
+	}
+}
+
+// stop ends a run, with its progress if save is set. A run that is not known
+// is listed as stopped, so that whoever asked learns that it does not run.
+func (m *machine) stop(id platform.RunID, r *run, save bool) {
+	if r == nil {
+		r = &run{id: id, state: platform.RunStopped}
+		m.runs = append(m.runs, r)
+		m.close(id)
+		m.touch(r)
+		return
+	}
+	if !r.running() {
+		return
+	}
+	if save {
+		r.checkpoint = checkpointName(id, r.doneMS)
+	}
+	m.finish(r, platform.RunStopped, "")
+}
+
+// forget drops a finished run. Its epoch stays closed.
+func (m *machine) forget(r *run) {
+	if r == nil || r.running() {
+		return
+	}
+	m.close(r.id)
+	m.runs = slices.DeleteFunc(m.runs, func(other *run) bool { return other == r })
+}
--- /dev/null
+++ b/standin/members_http.go
@@ -0,0 +1,47 @@
+package standin
+
+import (
+	"net/http"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// StateChange is the body of POST /state: an operator's change of a member.
+type StateChange struct {
+	Name  string               `json:"name"`
+	State platform.MemberState `json:"state"`
+}
+
+// Removal is the body of POST /remove.
+type Removal struct {
+	Name string `json:"name"`
+}
+
+// Handler serves the list over HTTP, operators' changes under /put, /state,
+// /remove, /lag and /publish, and the faults under /faults.
+func (m *Members) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
+		var list platform.MemberList
+		d := m.run(r.Context(), func() { list = m.list() })
+		respond(w, d, &list)
+	})
+	serveChange(mux, "POST /put", m.Put)
+	serveChange(mux, "POST /state", func(c StateChange) { m.SetState(c.Name, c.State) })
+	serveChange(mux, "POST /remove", func(c Removal) { m.Remove(c.Name) })
+	serveChange(mux, "POST /lag", m.SetLag)
+	serveChange(mux, "POST /publish", func(struct{}) { m.Publish() })
+	serveFaults(mux, m.Set, m.Faults)
+	return mux
+}
+
+// serveChange handles one kind of operators' change.
+func serveChange[C any](mux *http.ServeMux, pattern string, apply func(C)) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		var c C
+		if readJSON(w, r, &c) {
+			apply(c)
+			respond(w, processed, struct{}{})
+		}
+	})
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// Worker is a stand-in for the agent of one worker host. Time passes only by
+// the times that it is given, so that tests are deterministic; Drive gives it
+// the clock's.
+type Worker struct {
+	config WorkerConfig
+
+	mu      sync.Mutex
+	machine *machine
+	changed chan struct{}
+}
+
+// NewWorker returns an idle worker at the time now.
+func NewWorker(config WorkerConfig, now time.Time) *Worker {
+	return &Worker{config: config, machine: newMachine(config, now), changed: make(chan struct{})}
+}
+
+// Name returns the worker's name in the membership list.
+func (w *Worker) Name() string { return w.config.Name }
+
+// Advance lets time pass until now.
+func (w *Worker) Advance(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machine.advance(now)
+}
+
+// SetAt replaces the faults at the time now.
+func (w *Worker) SetAt(now time.Time, f WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machine.setFaults(now, f)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// Set replaces the faults at the clock's time.
+func (w *Worker) Set(f WorkerFaults) { w.SetAt(time.Now(), f) }
+
+// Faults returns the faults as they are now.
+func (w *Worker) Faults() WorkerFaults {
+	f, _ := w.get()
+	return f
+}
+
+func (w *Worker) get() (WorkerFaults, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.machine.faults, w.changed
+}
+
+// ExchangeAt processes an exchange that arrives at now. A worker that is
+// paused, dead or hanging gives platform.ErrUnavailable at once.
+func (w *Worker) ExchangeAt(now time.Time, x platform.Exchange) (platform.ExchangeReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.machine
+	if m.faults.Paused || m.faults.Dead || m.faults.Hang {
+		return platform.ExchangeReply{}, platform.ErrUnavailable
+	}
+	reply := m.exchange(now, x)
+	if m.faults.LoseNext > 0 {
+		m.faults.LoseNext--
+		return platform.ExchangeReply{}, platform.ErrUnavailable
+	}
+	return reply, nil
+}
+
+// Exchange processes an exchange at the clock's time. It waits while the
+// worker is paused or hangs.
+func (w *Worker) Exchange(ctx context.Context, x platform.Exchange) (platform.ExchangeReply, error) {
+	for {
+		f, changed := w.get()
+		if !f.Paused && !f.Hang {
+			return w.ExchangeAt(time.Now(), x)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return platform.ExchangeReply{}, platform.ErrUnavailable
+		}
+	}
+}
+
+// Runs returns every run that the worker lists, as it is at its last time.
+func (w *Worker) Runs() []platform.RunReport {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.machine.reply(0).Runs
+}
+
+// Drive lets time pass by the clock, in steps, until ctx is done.
+func (w *Worker) Drive(ctx context.Context, step time.Duration) {
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			w.Advance(time.Now())
+		}
+	}
+}
