--- /dev/null
+++ b/peer/serverconn.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// serverConn is one connection from a peer.
+type serverConn struct {
+	server *Server
+	conn   net.Conn
+	from   string
+	// slots bounds the handlers that run at once.
+	slots chan struct{}
+	// replies are frames for the writer.
+	replies chan []byte
+	// handlers counts those that may still send a reply.
+	handlers sync.WaitGroup
+	// broken closes with the connection.
+	broken   chan struct{}
+	breakOne sync.Once
+}
+
+// newServerConn returns a connection whose handshake is over.
+func newServerConn(s *Server, conn net.Conn, from string) *serverConn {
+	return &serverConn{
+		server:  s,
+		conn:    conn,
+		from:    from,
+		slots:   make(chan struct{}, s.opts.MaxInFlight),
+		replies: make(chan []byte, s.opts.WriteQueue),
+		broken:  make(chan struct{}),
+	}
+}
+
+// run serves the connection until it ends, and waits for its handlers.
+func (c *serverConn) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.writeReplies()
+	}()
+	err := c.readRequests(ctx)
+	// Nobody reads the answers any more.
+	cancel()
+	c.abort()
+	c.handlers.Wait()
+	<-written
+	return err
+}
+
+// goodbye asks the peer to send nothing new and to close the connection.
+func (c *serverConn) goodbye() {
+	c.send(&message{Kind: kindGoodbye})
+}
+
+// abort closes the connection now.
+func (c *serverConn) abort() {
+	c.breakOne.Do(func() {
+		close(c.broken)
+		_ = c.conn.Close()
+	})
+}
+
+// readRequests starts handlers until the stream ends or can't be trusted.
+func (c *serverConn) readRequests(ctx context.Context) error {
+	r := newFrameReader(c.conn)
+	for {
+		body, err := readFrame(r, c.server.opts.MaxFrame)
+		if err != nil {
+			return err
+		}
+		m, err := decodeMessage(body)
+		if err != nil {
+			return err
+		}
+		if m.Kind != kindRequest {
+			return errors.Wrap(ErrFrame, "not a request")
+		}
+		c.dispatch(ctx, m)
+	}
+}
+
+// dispatch runs the handler of a request, or refuses it unprocessed.
+func (c *serverConn) dispatch(ctx context.Context, m *message) {
+	h := c.server.handler(m.Method)
+	if h == nil {
+		c.refuse(m, "unknown method")
+		return
+	}
+	if c.server.stopping() {
+		c.refuse(m, "shutting down")
+		return
+	}
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		c.refuse(m, "too many requests in flight")
+		return
+	}
+	c.handlers.Add(1)
+	go func() {
+		defer c.handlers.Done()
+		defer func() { <-c.slots }()
+		c.handle(ctx, h, m)
+	}()
+}
+
+// handle calls one handler and sends its reply.
+func (c *serverConn) handle(ctx context.Context, h Handler, m *message) {
+	if m.RemainingMS > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(m.RemainingMS)*time.Millisecond)
+		defer cancel()
+	}
+	decode := func(into any) error { return errors.Wrap(msgpack.Unmarshal(m.Body, into), "decode request") }
+	value, err := h(ctx, c.from, decode)
+	if err != nil {
+		c.send(&message{Kind: kindReply, ID: m.ID, Status: statusFailed, Error: err.Error()})
+		return
+	}
+	body, err := msgpack.Marshal(value)
+	if err != nil {
+		c.send(&message{Kind: kindReply, ID: m.ID, Status: statusFailed, Error: err.Error()})
+		return
+	}
+	c.send(&message{Kind: kindReply, ID: m.ID, Status: statusAnswered, Body: body})
+}
+
+// refuse answers that no handler was called.
+func (c *serverConn) refuse(m *message, reason string) {
+	c.send(&message{Kind: kindReply, ID: m.ID, Status: statusRefused, Error: reason})
+}
+
+// send queues a reply; it waits while the queue is full, which holds back the
+// peer's further requests.
+func (c *serverConn) send(m *message) {
+	frame, err := encodeMessage(m, c.server.opts.MaxFrame)
+	if err != nil {
+		frame, err = encodeMessage(&message{Kind: kindReply, ID: m.ID, Status: statusFailed, Error: err.Error()}, c.server.opts.MaxFrame)
+		if err != nil {
+			c.abort()
+			return
+		}
+	}
+	select {
+	case c.replies <- frame:
+	case <-c.broken:
+	}
+}
+
+// writeReplies writes queued replies until the connection breaks.
+func (c *serverConn) writeReplies() {
+	for {
+		select {
+		case <-c.broken:
+			return
+		case frame := <-c.replies:
+			if _, err := c.conn.Write(frame); err != nil {
+				c.abort()
+				return
+			}
+		}
+	}
+}
