--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,81 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/fireflygate/fireflygate/gate"
+	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+type serveCommand struct {
+	config  string
+	logJSON bool
+}
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run one entry host" }
+func (*serveCommand) Usage() string {
+	return `serve -config DIR
+  Runs one entry host with the settings in DIR until SIGTERM, then drains: it
+  hands over what it owns, finishes what is in flight and exits 0.
+  Example: fireflygate serve -config /etc/fireflygate
+`
+}
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "", "settings `folder`")
+	f.BoolVar(&c.logJSON, "log-json", true, "log as JSON lines rather than text")
+}
+
+func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.config == "" || f.NArg() > 0 {
+		return usage("serve needs -config and takes no arguments")
+	}
+	s, err := settings.Load(c.config, settings.Process)
+	if err != nil {
+		return fail(err)
+	}
+	g, err := gate.New(s, newDeps(s, newLogger(c.logJSON)))
+	if err != nil {
+		return fail(err)
+	}
+	listeners, err := gate.Listen(s.Host)
+	if err != nil {
+		return fail(err)
+	}
+	if err := g.Run(ctx, listeners); err != nil {
+		return fail(err)
+	}
+	return ExitOK
+}
+
+func newLogger(asJSON bool) *slog.Logger {
+	if asJSON {
+		return slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, nil))
+}
+
+// newDeps returns the platform's services over HTTP.
+func newDeps(s settings.Settings, log *slog.Logger) gate.Deps {
+	const idleConns = 64
+	transport := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns}
+	client := &http.Client{Transport: transport, Timeout: s.Platform.Timeout.D()}
+	return gate.Deps{
+		Table:   httpclient.NewTable(s.Platform.Table, client),
+		Objects: httpclient.NewObjects(s.Platform.Objects, client),
+		Members: httpclient.NewMembers(s.Platform.Members, client),
+		Workers: httpclient.NewWorkers(client),
+		Log:     log,
+		Now:     time.Now,
+		Build:   Version(),
+	}
+}
--- a/design/operations.go
+++ b/design/operations.go
@@ -55,6 +55,7 @@
 	Attribute("target", Float64, "Share of calls that must be good.")
 	Attribute("alert", String, "Alert in force: none, ticket or page.")
 	Attribute("windows", ArrayOf(burnWindow), "Burn by window, shortest first.")
+	Attribute("unseen", ArrayOf(String), "Hosts of whose counts up to one flush interval is missing.")
 	Required("objective", "service", "target", "alert", "windows")
 })
 
--- a/event/lifecycle.go
+++ b/event/lifecycle.go
@@ -9,6 +9,7 @@
 	DrainStarted   = define(102, slog.LevelInfo, "drain started")
 	DrainFinished  = define(103, slog.LevelInfo, "drain finished")
 	OperatorsOpen  = define(104, slog.LevelWarn, "operators' port open without a credential, loopback only")
+	ServerFailed   = define(105, slog.LevelError, "a listening server failed, draining")
 	StoreLost      = define(110, slog.LevelWarn, "table service stopped answering")
 	StoreBack      = define(111, slog.LevelInfo, "table service answers again")
 	MembersStale   = define(112, slog.LevelWarn, "membership list is stale")
--- /dev/null
+++ b/gate/drain.go
@@ -0,0 +1,47 @@
+package gate
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflygate/fireflygate/event"
+)
+
+// drain stops the host without cutting anything off: it tells the balancer,
+// goes on serving until the balancer has noticed, hands over what it owns
+// while peers take over, finishes what is in flight, and writes what is still
+// to be kept.
+func (g *Gate) drain(ctx context.Context, s servers) error {
+	event.DrainStarted.Log(g.deps.Log, slog.String("host", g.local.Host.Name))
+	began := g.deps.Now()
+	g.state.Store(int32(Draining))
+	ctx, cancel := context.WithTimeout(ctx, g.local.Host.DrainTimeout.D())
+	defer cancel()
+	wait(ctx, g.local.Host.DrainDelay.D())
+	handed := g.keeper.HandOver(ctx)
+	shutDown(ctx, s.callers)
+	stopped := g.gateway.Stop(ctx)
+	flushed := g.book.Flush(ctx)
+	g.slo.Close(ctx)
+	err := errors.CombineErrors(errors.CombineErrors(handed, stopped), flushed)
+	if peers := g.peerServer.Shutdown(ctx); peers != nil {
+		err = errors.CombineErrors(err, peers)
+	}
+	g.peers.Close()
+	shutDown(ctx, s.operators)
+	event.DrainFinished.Log(g.deps.Log, slog.Duration("took", g.deps.Now().Sub(began)), slog.Any("error", err))
+	return errors.Wrap(err, "drain")
+}
+
+// wait lets d pass, or less if ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,202 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/fireflygate/fireflygate/access"
+	"github.com/fireflygate/fireflygate/batch"
+	"github.com/fireflygate/fireflygate/booking"
+	"github.com/fireflygate/fireflygate/configstore"
+	"github.com/fireflygate/fireflygate/gateway"
+	"github.com/fireflygate/fireflygate/journal"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/peer"
+	"github.com/fireflygate/fireflygate/placement"
+	"github.com/fireflygate/fireflygate/roster"
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/slo"
+	"github.com/fireflygate/fireflygate/tenure"
+)
+
+// Gate is one entry host.
+type Gate struct {
+	local       settings.Settings
+	deps        Deps
+	incarnation string
+	registry    *prometheus.Registry
+	identity    *access.Identity
+	guard       *access.Guard
+
+	state  atomic.Int32
+	roster atomic.Pointer[roster.Roster]
+	// drained is closed, by drainOnce, when a drain is asked for.
+	drained   chan struct{}
+	drainOnce sync.Once
+
+	peers      *peer.Client
+	peerServer *peer.Server
+	journal    *journal.Journal
+	keeper     *tenure.Keeper
+	gateway    *gateway.Gateway
+	book       *booking.Book
+	batch      *batch.Manager
+	slo        *slo.Keeper
+	store      *configstore.Store
+	watcher    *configstore.Watcher
+	spreader   *spreader
+}
+
+// peerUserTimeout is how long bytes sent to a peer may stay unacknowledged.
+const peerUserTimeout = 2 * time.Second
+
+// New builds an entry host from its own settings; Run starts it.
+func New(local settings.Settings, deps Deps) (*Gate, error) {
+	g := &Gate{
+		local:       local,
+		deps:        deps,
+		incarnation: uuid.NewString(),
+		registry:    prometheus.NewRegistry(),
+		drained:     make(chan struct{}),
+	}
+	g.roster.Store(&roster.Roster{})
+	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if err := g.buildAccess(); err != nil {
+		return nil, err
+	}
+	if err := g.buildPeers(); err != nil {
+		return nil, err
+	}
+	g.store = &configstore.Store{Table: deps.Table, Objects: deps.Objects, Now: time.Now}
+	g.watcher = configstore.NewWatcher(g.store, local, deps.Log)
+	g.spreader = newSpreader(g.peers, g.peerServer, g.watcher, g.rng())
+	g.journal = journal.New(journal.Config{
+		Table: deps.Table, Incarnation: g.incarnation, Settings: local.Batch,
+		Timeout: local.Platform.Timeout.D(), Log: deps.Log, Now: deps.Now, Registerer: g.registry,
+	})
+	g.slo = slo.NewKeeper(local.Host.Name+"#"+g.incarnation, deps.Table, g.journal, deps.Log, time.Now)
+	g.buildKeeper()
+	g.buildGateway()
+	g.buildBatch()
+	return g, nil
+}
+
+// rng returns a new generator for choices that need not repeat.
+func (g *Gate) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (g *Gate) buildAccess() error {
+	var err error
+	if g.local.Host.Secret != "" {
+		if g.guard, err = access.NewGuard(g.local.Host.Secret, g.deps.Now); err != nil {
+			return err
+		}
+	}
+	if t := g.local.Host.TLS; t.Certificate != "" {
+		g.identity, err = access.NewIdentity(t.Certificate, t.Key, t.Authorities, g.deps.Now)
+	}
+	return err
+}
+
+func (g *Gate) buildPeers() error {
+	o := peer.Options{Host: g.local.Host.Name, UserTimeout: peerUserTimeout, Log: g.deps.Log}
+	client, server := o, o
+	if g.identity != nil {
+		c, err := g.identity.Client()
+		if err != nil {
+			return err
+		}
+		client.TLS, server.TLS = c, g.identity.Server(true)
+	}
+	g.peers = peer.NewClient(client, g.rng())
+	g.peerServer = peer.NewServer(server, g.admitPeer)
+	return nil
+}
+
+// admitPeer lets in the entry hosts that the membership list names, from the
+// address that it gives.
+func (g *Gate) admitPeer(name string, remote netip.Addr) bool {
+	m, ok := g.roster.Load().Member(name)
+	if !ok || !g.roster.Load().Listed(name) {
+		return false
+	}
+	address, err := netip.ParseAddrPort(m.Address)
+	return err == nil && address.Addr().Unmap() == remote.Unmap()
+}
+
+func (g *Gate) buildKeeper() {
+	g.keeper = tenure.New(tenure.Config{
+		Host: g.local.Host.Name, Incarnation: g.incarnation,
+		Table: g.deps.Table, Transport: g.peers, Mux: g.peerServer,
+		Lease: g.local.Lease, Calls: g.local.Calls, Log: g.deps.Log, Now: g.deps.Now,
+		Drain: g.drainShard,
+	})
+}
+
+func (g *Gate) buildGateway() {
+	g.book = booking.New(booking.Options{
+		Host: g.local.Host.Name, Incarnation: g.incarnation,
+		Committer: g.journal, Reader: g.deps.Table, Objects: g.deps.Objects, Peers: g.peers,
+		Alive:  g.keeper.Alive,
+		Window: g.local.Calls.BookingWindow.D(), Now: time.Now, Log: g.deps.Log,
+	})
+	g.book.Register(g.peerServer)
+	g.gateway = gateway.New(gateway.Options{
+		Host: g.local.Host.Name, Zone: g.local.Host.Zone, Calls: g.local.Calls,
+		Service: g.serviceSettings, Shares: g.keeper, Peers: g.peers, Book: g.book,
+		Observe: g.observe, Registerer: g.registry, Log: g.deps.Log, Seed: rand.Uint64(),
+	})
+	g.gateway.Register(g.peerServer)
+}
+
+func (g *Gate) buildBatch() {
+	g.batch = batch.New(batch.Config{
+		Host: g.local.Host.Name, Table: g.deps.Table, Journal: g.journal, Workers: g.deps.Workers,
+		Transport: g.peers, Mux: g.peerServer, NewPlanner: g.newPlanner,
+		Settings: g.local.Batch, ClockRate: g.local.Lease.ClockRate, Timeout: g.local.Platform.Timeout.D(),
+		Log: g.deps.Log, Now: g.deps.Now, Rand: g.rng(), Registerer: g.registry,
+	})
+}
+
+// newPlanner returns an empty planner with the policy now in force.
+func (g *Gate) newPlanner(string) placement.Planner {
+	p := g.policy()
+	return placement.New(placement.Options{
+		Seed: rand.Uint64(), Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events, Colocation: p.Colocation,
+	})
+}
+
+// policy returns the settings in force.
+func (g *Gate) policy() settings.Settings {
+	current, ok := g.watcher.Current()
+	if !ok {
+		return g.local
+	}
+	return current.Settings
+}
+
+func (g *Gate) serviceSettings(name string) settings.Service { return g.policy().Services[name] }
+
+// observe counts a finished call against the objectives. What the caller got
+// wrong does not count.
+func (g *Gate) observe(service string, took time.Duration, kind outcome.Kind) {
+	g.slo.Observe(service, took, kind == outcome.Answered)
+}
+
+// drainShard waits until nothing of a shard is in flight, for a hand-over.
+func (g *Gate) drainShard(ctx context.Context, shard string) error {
+	if isWorkerShard(shard) {
+		return g.batch.Release(ctx, shard)
+	}
+	return g.gateway.Drain(ctx, shard)
+}
+
+// State returns where the host is in its life.
+func (g *Gate) State() State { return State(g.state.Load()) }
--- a/gate/members.go
+++ b/gate/members.go
@@ -19,26 +19,21 @@
 	timeout  time.Duration
 	log      *slog.Logger
 	now      func() time.Time
-	// onList is called with each newer list, from the poller's goroutine.
+	// onList is called with each list read, from the poller's goroutine.
 	onList func(platform.MemberList)
 }
 
-// run polls until the context ends. A list older than one already read is
-// dropped: replicas of the service may lag behind each other.
+// run polls until the context ends.
 func (p *memberPoller) run(ctx context.Context) {
 	ticker := time.NewTicker(p.interval)
 	defer ticker.Stop()
-	var revision uint64
-	read, first, stale := p.now(), true, false
+	read, stale := p.now(), false
 	for {
 		list, err := p.poll(ctx)
 		switch {
 		case err == nil:
 			read, stale = p.now(), false
-			if first || list.Revision > revision {
-				revision, first = list.Revision, false
-				p.onList(list)
-			}
+			p.onList(list)
 		case !stale && p.now().Sub(read) > membersStaleAfter:
 			stale = true
 			event.MembersStale.Log(p.log, slog.Any("error", err))
--- /dev/null
+++ b/gate/membership.go
@@ -0,0 +1,77 @@
+package gate
+
+import (
+	"github.com/fireflygate/fireflygate/gateway"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/roster"
+	"github.com/fireflygate/fireflygate/routing"
+)
+
+// takeList feeds every part with a membership list. The poller calls it.
+func (g *Gate) takeList(list platform.MemberList) {
+	r := roster.Build(*g.roster.Load(), list, g.local.Lease)
+	g.roster.Store(&r)
+	g.feedPeers(r)
+	g.gateway.SetEndpoints(g.endpointsOf(r))
+	g.batch.SetWorkers(workersOf(r))
+	g.keeper.SetRoster(r)
+	g.becomeReady()
+}
+
+// feedPeers tells every part of the other entry hosts.
+func (g *Gate) feedPeers(r roster.Roster) {
+	addresses := map[string]string{}
+	var hosts []gateway.PeerHost
+	var names []string
+	for _, m := range r.EntryHosts() {
+		if m.Name == g.local.Host.Name {
+			continue
+		}
+		addresses[m.Name] = m.Address
+		hosts = append(hosts, gateway.PeerHost{Name: m.Name, Zone: m.Zone})
+		names = append(names, m.Name)
+	}
+	g.peers.SetPeers(addresses)
+	g.gateway.SetPeers(hosts)
+	g.spreader.setHosts(names)
+}
+
+// endpointsOf lists all endpoints with their shards. Sizes that the list
+// lacks come from the service's settings.
+func (g *Gate) endpointsOf(r roster.Roster) []routing.Endpoint {
+	var out []routing.Endpoint
+	for _, shard := range r.Shards() {
+		if isWorkerShard(shard) {
+			continue
+		}
+		for _, m := range r.Members(shard) {
+			out = append(out, g.endpointOf(m, shard))
+		}
+	}
+	return out
+}
+
+func (g *Gate) endpointOf(m platform.Member, shard string) routing.Endpoint {
+	e := routing.Endpoint{
+		Name: m.Name, Service: m.Service, Address: m.Address, Zone: m.Zone, Shard: shard,
+		Slots: m.Slots, Connections: m.Connections, Leaving: m.State == platform.Leaving,
+	}
+	s := g.serviceSettings(m.Service)
+	if e.Slots == 0 {
+		e.Slots = s.Slots
+	}
+	if e.Connections == 0 {
+		e.Connections = s.Connections
+	}
+	return e
+}
+
+func workersOf(r roster.Roster) map[string][]platform.Member {
+	out := map[string][]platform.Member{}
+	for _, shard := range r.Shards() {
+		if isWorkerShard(shard) {
+			out[shard] = r.Members(shard)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gate/servers.go
@@ -0,0 +1,84 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	goahttp "goa.design/goa/v3/http"
+
+	"github.com/fireflygate/fireflygate/gateway"
+	"github.com/fireflygate/fireflygate/gen/calls"
+	"github.com/fireflygate/fireflygate/gen/configs"
+	callsserver "github.com/fireflygate/fireflygate/gen/http/calls/server"
+	configsserver "github.com/fireflygate/fireflygate/gen/http/configs/server"
+	jobsserver "github.com/fireflygate/fireflygate/gen/http/jobs/server"
+	operationsserver "github.com/fireflygate/fireflygate/gen/http/operations/server"
+	"github.com/fireflygate/fireflygate/gen/jobs"
+	"github.com/fireflygate/fireflygate/gen/operations"
+)
+
+// operatorTimeout bounds the time in which an operator sends a request.
+const operatorTimeout = 10 * time.Second
+
+// callersHandler serves calls and jobs.
+func (g *Gate) callersHandler() http.Handler {
+	mux := goahttp.NewMuxer()
+	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
+	c := callsserver.New(calls.NewEndpoints(gateway.NewService(g.gateway)), mux, dec, enc, nil, formatProblem)
+	c.Use(gateway.Middleware)
+	c.Mount(mux)
+	service := &jobsService{manager: g.batch, policy: g.policy}
+	j := jobsserver.New(jobs.NewEndpoints(service), mux, dec, enc, nil, formatProblem)
+	j.Mount(mux)
+	g.mountHealth(func(path string, h http.HandlerFunc) { mux.Handle(http.MethodGet, path, h) })
+	return mux
+}
+
+// operatorsHandler serves configuration, status, metrics and profiles.
+func (g *Gate) operatorsHandler() http.Handler {
+	mux := goahttp.NewMuxer()
+	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
+	service := &configsService{store: g.store, watcher: g.watcher, spread: g.spreader.spread, log: g.deps.Log}
+	c := configsserver.New(configs.NewEndpoints(service), mux, dec, enc, nil, formatProblem)
+	c.Mount(mux)
+	o := operationsserver.New(operations.NewEndpoints(&operationsService{gate: g}), mux, dec, enc, nil, formatProblem)
+	o.Mount(mux)
+	top := http.NewServeMux()
+	top.Handle("/", mux)
+	top.Handle("GET /metrics", promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
+	top.HandleFunc("/debug/pprof/", pprof.Index)
+	top.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	top.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	var h http.Handler = top
+	if g.guard != nil {
+		h = g.guard.Wrap(top)
+	}
+	health := http.NewServeMux()
+	g.mountHealth(func(path string, f http.HandlerFunc) { health.HandleFunc("GET "+path, f) })
+	health.Handle("/", h)
+	return health
+}
+
+// mountHealth adds what the balancer asks: alive, and ready for requests.
+func (g *Gate) mountHealth(handle func(path string, h http.HandlerFunc)) {
+	handle("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	handle("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if g.State() != Ready {
+			http.Error(w, g.State().String(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// shutDown stops a server once its requests have been answered.
+func shutDown(ctx context.Context, s *http.Server) {
+	if err := s.Shutdown(ctx); err != nil {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/gate/shards.go
@@ -0,0 +1,11 @@
+package gate
+
+import "strings"
+
+// Prefixes of shard names, by what they hold.
+const (
+	endpointShards = "ep/"
+	workerShards   = "wk/"
+)
+
+func isWorkerShard(shard string) bool { return strings.HasPrefix(shard, workerShards) }
--- a/gen/http/operations/client/encode_decode.go
+++ b/gen/http/operations/client/encode_decode.go
@@ -650,6 +650,12 @@
 		}
 		res.Windows[i] = unmarshalBurnWindowResponseToOperationsBurnWindow(val)
 	}
+	if v.Unseen != nil {
+		res.Unseen = make([]string, len(v.Unseen))
+		for i, val := range v.Unseen {
+			res.Unseen[i] = val
+		}
+	}
 
 	return res
 }
--- a/gen/http/operations/client/types.go
+++ b/gen/http/operations/client/types.go
@@ -439,6 +439,8 @@
 	Alert *string `form:"alert,omitempty" json:"alert,omitempty" xml:"alert,omitempty"`
 	// Burn by window, shortest first.
 	Windows []*BurnWindowResponse `form:"windows,omitempty" json:"windows,omitempty" xml:"windows,omitempty"`
+	// Hosts of whose counts up to one flush interval is missing.
+	Unseen []string `form:"unseen,omitempty" json:"unseen,omitempty" xml:"unseen,omitempty"`
 }
 
 // BurnWindowResponse is used to define fields on response body types.
--- a/gen/http/operations/server/encode_decode.go
+++ b/gen/http/operations/server/encode_decode.go
@@ -486,6 +486,12 @@
 	} else {
 		res.Windows = []*BurnWindowResponse{}
 	}
+	if v.Unseen != nil {
+		res.Unseen = make([]string, len(v.Unseen))
+		for i, val := range v.Unseen {
+			res.Unseen[i] = val
+		}
+	}
 
 	return res
 }
--- a/gen/http/operations/server/types.go
+++ b/gen/http/operations/server/types.go
@@ -446,6 +446,8 @@
 	Alert string `form:"alert" json:"alert" xml:"alert"`
 	// Burn by window, shortest first.
 	Windows []*BurnWindowResponse `form:"windows" json:"windows" xml:"windows"`
+	// Hosts of whose counts up to one flush interval is missing.
+	Unseen []string `form:"unseen,omitempty" json:"unseen,omitempty" xml:"unseen,omitempty"`
 }
 
 // BurnWindowResponse is used to define fields on response body types.
--- a/gen/operations/service.go
+++ b/gen/operations/service.go
@@ -51,6 +51,8 @@
 	Alert string
 	// Burn by window, shortest first.
 	Windows []*BurnWindow
+	// Hosts of whose counts up to one flush interval is missing.
+	Unseen []string
 }
 
 // How fast an error budget is spent over one window.
--- a/settings/default.go
+++ b/settings/default.go
@@ -5,6 +5,10 @@
 // Default returns the settings that hold where a folder says nothing.
 func Default() Settings {
 	return Settings{
+		Host: Host{
+			DrainDelay:   Duration(2 * time.Second),
+			DrainTimeout: Duration(time.Minute),
+		},
 		Platform: Platform{
 			Timeout:         Duration(2 * time.Second),
 			MembersInterval: Duration(500 * time.Millisecond),
--- a/settings/host.go
+++ b/settings/host.go
@@ -16,6 +16,11 @@
 	// Secret is the file that holds the operators' credential; empty allows
 	// a loopback operators' port only.
 	Secret string `toml:"secret"`
+	// DrainDelay is how long a draining host goes on taking requests, until
+	// the balancer has noticed that it is not ready.
+	DrainDelay Duration `toml:"drain_delay"`
+	// DrainTimeout bounds a whole drain.
+	DrainTimeout Duration `toml:"drain_timeout"`
 	// TLS names the certificate files; empty for plain TCP.
 	TLS TLS `toml:"tls"`
 }
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -43,6 +43,10 @@
 	if h.Secret == "" && !loopback(h.Operators) {
 		report("host.secret", "expected a file with the operators' credential, since host.operators is not on loopback")
 	}
+	positive(report, "host.drain_timeout", h.DrainTimeout)
+	if h.DrainDelay < 0 || h.DrainDelay >= h.DrainTimeout {
+		report("host.drain_delay", "expected a duration shorter than host.drain_timeout")
+	}
 	validateTLS(h.TLS, report)
 }
 
