Gateway, routing and booking: calls pass to an endpoint or one peer hop

Interactive requests are admitted, sent to an endpoint that this host owns, forwarded once, or queued by deadline; idempotency keys are claimed before dispatch. The connection wrapper decides whether a byte was written, so that not run is true whatever net/http repeats.

--- /dev/null
+++ b/booking/claim.go
@@ -0,0 +1,130 @@
+package booking
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// settled is an outcome found instead of a claim made.
+type settled struct {
+	answer  Answer
+	refusal outcome.Refusal
+}
+
+// claimTries bounds how often a claim is tried again after a row in its way
+// was removed.
+const claimTries = 3
+
+// claim makes the flight's claim durable. It returns true when the caller must
+// dispatch, and what is known of the key otherwise.
+func (b *Book) claim(ctx context.Context, key string, f *flight) (settled, bool) {
+	value, err := b.claimRow(f).encode()
+	if err != nil {
+		panic(err) // the row holds plain fields only
+	}
+	for range claimTries {
+		res := b.opt.Committer.Commit(ctx, []platform.Condition{{Key: key}}, []platform.Write{{Key: key, Value: value}})
+		if res.Status == platform.CommitUnknown {
+			res = b.readBack(ctx, key, f)
+		}
+		switch res.Status {
+		case platform.CommitApplied:
+			f.version = res.Version
+			return settled{}, true
+		case platform.CommitConflict:
+			again, found := b.resolve(ctx, key, f, res.Conflicts)
+			if !again {
+				return found, false
+			}
+		default:
+			return settled{refusal: notRun(ReasonStoreDown, retrySoon)}, false
+		}
+	}
+	return settled{refusal: notRun(ReasonInProgress, retrySoon)}, false
+}
+
+func (b *Book) claimRow(f *flight) row {
+	return row{
+		Digest:      f.digest,
+		Host:        b.opt.Host,
+		Incarnation: b.opt.Incarnation,
+		ID:          f.id,
+		AtMS:        b.opt.Now().UnixMilli(),
+	}
+}
+
+// readBack settles a claim whose commit's answer was lost. If the row can't
+// be read, or is not there yet, the claim is given up: nothing was dispatched,
+// and a row that appears later is known to be free to remove.
+func (b *Book) readBack(ctx context.Context, key string, f *flight) platform.CommitResult {
+	rows, err := b.opt.Reader.Get(ctx, key)
+	if err != nil || rows[0].Version == 0 {
+		b.giveUp(f.id)
+		return platform.CommitResult{Status: platform.CommitNotApplied}
+	}
+	held, err := decodeRow(rows[0].Value)
+	if err == nil && held.ID == f.id {
+		return platform.CommitResult{Status: platform.CommitApplied, Version: rows[0].Version}
+	}
+	return platform.CommitResult{Status: platform.CommitConflict, Conflicts: rows}
+}
+
+// giveUp notes that the claim with the id will never be dispatched.
+func (b *Book) giveUp(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.undispatched[id] = b.opt.Now()
+}
+
+// resolve decides what the row in a claim's way means. It returns again when
+// the row is gone and the claim may be tried once more.
+func (b *Book) resolve(ctx context.Context, key string, f *flight, conflicts []platform.Row) (again bool, found settled) {
+	current, ok := rowOf(conflicts, key)
+	if !ok {
+		return true, settled{}
+	}
+	held, err := decodeRow(current.Value)
+	if err != nil {
+		return false, settled{refusal: unknownOutcome(ReasonUnreadable, 0)}
+	}
+	if held.ID == f.id {
+		// An earlier try of this claim took effect late.
+		return b.remove(ctx, key, current.Version), settled{refusal: notRun(ReasonStoreDown, retrySoon)}
+	}
+	if !bytes.Equal(held.Digest, f.digest) {
+		return false, settled{refusal: notRun(ReasonKeyReused, 0)}
+	}
+	if held.State != claimed {
+		return false, b.replay(ctx, held)
+	}
+	if b.isUndispatched(held) {
+		return b.remove(ctx, key, current.Version), settled{refusal: notRun(ReasonStoreDown, retrySoon)}
+	}
+	return false, b.claimedElsewhere(ctx, key, held)
+}
+
+func rowOf(rows []platform.Row, key string) (platform.Row, bool) {
+	for _, r := range rows {
+		if r.Key == key && r.Version != 0 {
+			return r, true
+		}
+	}
+	return platform.Row{}, false
+}
+
+func (b *Book) isUndispatched(held row) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.undispatched[held.ID]
+	return ok
+}
+
+// remove deletes a claim that was never dispatched, on its own version.
+func (b *Book) remove(ctx context.Context, key string, version uint64) bool {
+	conds := []platform.Condition{{Key: key, Version: version}}
+	res := b.opt.Committer.Commit(ctx, conds, []platform.Write{{Key: key, Delete: true}})
+	return res.Status == platform.CommitApplied
+}
--- /dev/null
+++ b/booking/wait.go
@@ -0,0 +1,64 @@
+package booking
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/peer"
+)
+
+// MethodWait asks a claimant for the outcome of its claim.
+const MethodWait peer.Method = "booking.wait"
+
+// waitRequest names a claim.
+type waitRequest struct {
+	Key string `msgpack:"k"`
+	ID  string `msgpack:"i"`
+}
+
+// waitReply is the claim's outcome, if it is known.
+type waitReply struct {
+	Known   bool         `msgpack:"y"`
+	Kind    outcome.Kind `msgpack:"o"`
+	Reason  string       `msgpack:"r,omitempty"`
+	RetryMS int64        `msgpack:"m,omitempty"`
+	Answer  Answer       `msgpack:"a"`
+}
+
+func (r waitReply) refusal() outcome.Refusal {
+	after := time.Duration(r.RetryMS) * time.Millisecond
+	return outcome.Refusal{Kind: r.Kind, Reason: r.Reason, RetryAfter: after}
+}
+
+// Register adds the methods that other entry hosts call.
+func (b *Book) Register(mux peer.Mux) {
+	mux.Handle(MethodWait, b.handleWait)
+}
+
+// handleWait answers once the claim's outcome is known or the asker's time is
+// over.
+func (b *Book) handleWait(ctx context.Context, _ string, decode func(any) error) (any, error) {
+	var req waitRequest
+	if err := decode(&req); err != nil {
+		return nil, err
+	}
+	b.mu.Lock()
+	f := b.flights[req.Key]
+	b.mu.Unlock()
+	if f == nil || f.id != req.ID {
+		return waitReply{}, nil
+	}
+	select {
+	case <-f.done:
+	case <-ctx.Done():
+		return waitReply{}, nil
+	}
+	return waitReply{
+		Known:   true,
+		Kind:    f.refusal.Kind,
+		Reason:  f.refusal.Reason,
+		RetryMS: f.refusal.RetryAfter.Milliseconds(),
+		Answer:  f.answer,
+	}, nil
+}
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fireflygate/fireflygate/booking"
+	"github.com/fireflygate/fireflygate/outcome"
+)
+
+// Call serves one request. The response is set if and only if the refusal's
+// kind is Answered; its body may still fail, and then the answer is not whole.
+// A context that ends gives the request up.
+func (g *Gateway) Call(ctx context.Context, req Request) (*Response, outcome.Refusal) {
+	start := time.Now()
+	if r, ok := g.enter(req.Service); !ok {
+		return nil, r
+	}
+	defer g.leave()
+	req.id = uuid.NewString()
+	resp, refusal := g.call(ctx, req)
+	g.finished(req.Service, time.Since(start), refusal)
+	return resp, refusal
+}
+
+// enter counts a request in, unless it must be refused.
+func (g *Gateway) enter(service string) (outcome.Refusal, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.services[service] {
+		return notRun(ReasonUnknownService, 0), false
+	}
+	if g.stopping {
+		return notRun(ReasonStopping, soon), false
+	}
+	g.active++
+	g.budget.Request()
+	return outcome.Refusal{}, true
+}
+
+func (g *Gateway) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.active--
+	g.notify()
+}
+
+func (g *Gateway) finished(service string, took time.Duration, r outcome.Refusal) {
+	g.metrics.finished(service, took, r)
+	if g.opt.Observe != nil {
+		g.opt.Observe(service, took, r.Kind)
+	}
+}
+
+func (g *Gateway) call(ctx context.Context, req Request) (*Response, outcome.Refusal) {
+	if req.Key == "" {
+		return g.try(ctx, req)
+	}
+	if g.opt.Book == nil {
+		return nil, notRun(ReasonNoBookings, 0)
+	}
+	wait, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	id := booking.Request{
+		Service: req.Service,
+		Key:     req.Key,
+		Digest:  booking.Digest(req.Method, req.Target, req.Body),
+	}
+	answer, refusal := g.opt.Book.Do(wait, id, func(run context.Context) (booking.Answer, outcome.Refusal) {
+		return g.runBooked(run, req)
+	})
+	if refusal.Kind != outcome.Answered {
+		return nil, refusal
+	}
+	return fromAnswer(answer), refusal
+}
+
+// runBooked runs a claimed request to its end, which may be later than its
+// caller's deadline.
+func (g *Gateway) runBooked(ctx context.Context, req Request) (booking.Answer, outcome.Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(g.opt.Calls.MaxRun.D()))
+	defer cancel()
+	resp, refusal := g.try(ctx, req)
+	if refusal.Kind != outcome.Answered {
+		return booking.Answer{}, refusal
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return booking.Answer{}, unknownOutcome(ReasonCutOff)
+	}
+	return booking.Answer{Status: resp.Status, Header: resp.Header, Body: body}, whole()
+}
+
+// idempotent reports whether the request may run more than once.
+func (g *Gateway) idempotent(req Request) bool {
+	if req.Key != "" {
+		return false
+	}
+	if g.opt.Service != nil {
+		if m := g.opt.Service(req.Service).IdempotentMethods; m != nil {
+			return slices.Contains(m, req.Method)
+		}
+	}
+	return req.Method == http.MethodGet || req.Method == http.MethodHead
+}
--- /dev/null
+++ b/gateway/endpointclient.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/fireflygate/fireflygate/routing"
+)
+
+const (
+	// dialTimeout bounds one connection attempt.
+	dialTimeout = time.Second
+	// idleTimeout closes idle connections before common servers do, so that
+	// few requests meet a connection that is being closed.
+	idleTimeout = 3 * time.Second
+	// unackedTimeout is how long the kernel keeps trying to deliver bytes: it
+	// bounds how late a request can arrive at an endpoint after a partition.
+	unackedTimeout = 2 * time.Second
+	// maxHeaderBytes bounds the headers of an answer.
+	maxHeaderBytes = 64 << 10
+)
+
+// endpointClient is the connections to one endpoint.
+type endpointClient struct {
+	transport *http.Transport
+	address   string
+}
+
+func newEndpointClient(e routing.Endpoint) *endpointClient {
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &endpointConn{Conn: c}, nil
+	}
+	return &endpointClient{
+		address: e.Address,
+		transport: &http.Transport{
+			DialContext:            dial,
+			MaxConnsPerHost:        e.OwnerConnections(),
+			MaxIdleConnsPerHost:    e.OwnerConnections(),
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			DisableCompression:     true,
+		},
+	}
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT on a connection.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		ms := int(unackedTimeout.Milliseconds())
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fireflygate/fireflygate/routing"
+)
+
+// Gateway serves interactive requests. It is safe for concurrent use.
+type Gateway struct {
+	opt     Options
+	metrics *metrics
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	pool     *routing.Pool
+	peers    *routing.Peers
+	budget   *routing.Budget
+	queues   map[string]*routing.Queue
+	clients  map[string]*endpointClient
+	services map[string]bool
+	hosts    []PeerHost
+	stopping bool
+	// active counts requests of callers that have not ended.
+	active int
+	// changed is closed and replaced whenever a slot is freed or a request
+	// ends, for those who wait for a drain.
+	changed chan struct{}
+
+	// background counts requests that still run at an endpoint.
+	background sync.WaitGroup
+	digests    digestSender
+}
+
+// New returns a gateway without endpoints.
+func New(opt Options) *Gateway {
+	g := &Gateway{
+		opt:      opt,
+		metrics:  newMetrics(opt.Registerer),
+		rng:      rand.New(rand.NewPCG(opt.Seed, 0)),
+		pool:     routing.NewPool(routing.DefaultConfig(opt.Zone)),
+		peers:    routing.NewPeers(opt.Zone),
+		budget:   routing.NewBudget(opt.Calls.RetryBudget),
+		queues:   map[string]*routing.Queue{},
+		clients:  map[string]*endpointClient{},
+		services: map[string]bool{},
+		changed:  make(chan struct{}),
+	}
+	g.metrics.watch(g)
+	return g
+}
+
+// SetEndpoints replaces the list of endpoints, of all shards and services:
+// which of them this host may use is up to the grants.
+func (g *Gateway) SetEndpoints(endpoints []routing.Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Set(time.Now(), endpoints)
+	clear(g.services)
+	keep := map[string]bool{}
+	for _, e := range endpoints {
+		g.services[e.Service] = true
+		keep[e.Name] = true
+		g.setClient(e)
+	}
+	for name, c := range g.clients {
+		if !keep[name] {
+			c.transport.CloseIdleConnections()
+			delete(g.clients, name)
+		}
+	}
+	g.serveQueues()
+}
+
+func (g *Gateway) setClient(e routing.Endpoint) {
+	old := g.clients[e.Name]
+	if old != nil && old.address == e.Address && old.transport.MaxConnsPerHost == e.OwnerConnections() {
+		return
+	}
+	if old != nil {
+		old.transport.CloseIdleConnections()
+	}
+	g.clients[e.Name] = newEndpointClient(e)
+}
+
+// SetPeers replaces the list of other entry hosts, to which digests go and
+// requests may be forwarded.
+func (g *Gateway) SetPeers(hosts []PeerHost) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	keep := map[string]bool{}
+	for _, h := range hosts {
+		keep[h.Name] = true
+	}
+	for _, h := range g.hosts {
+		if !keep[h.Name] {
+			g.peers.Drop(h.Name)
+		}
+	}
+	g.hosts = hosts
+}
+
+// notify wakes those who wait for a drain. It needs the lock.
+func (g *Gateway) notify() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// queue returns the queue of a service. It needs the lock.
+func (g *Gateway) queue(service string) *routing.Queue {
+	q := g.queues[service]
+	if q == nil {
+		q = routing.NewQueue(g.opt.Calls.Queue)
+		g.queues[service] = q
+	}
+	return q
+}
--- /dev/null
+++ b/gateway/middleware.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Middleware goes around the generated handler of calls. It passes the
+// caller's method, headers and target in, and the endpoint's status and
+// headers out, which the design does not describe.
+func Middleware(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		call := &httpCall{
+			request: r,
+			arrived: time.Now(),
+			control: http.NewResponseController(w),
+		}
+		ctx := context.WithValue(r.Context(), httpCallKey{}, call)
+		next.ServeHTTP(&responseWriter{ResponseWriter: w, call: call}, r.WithContext(ctx))
+	})
+}
+
+// responseWriter replaces the status and headers that the generated handler
+// writes by the endpoint's.
+type responseWriter struct {
+	http.ResponseWriter
+	call    *httpCall
+	written bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	if w.written {
+		return
+	}
+	w.written = true
+	w.ResponseWriter.WriteHeader(w.call.writeHeaders(w.Header(), status))
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(b []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController reach the server's writer.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/gateway/options.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/fireflygate/fireflygate/booking"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/peer"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// Book makes requests with an idempotency key run at most once.
+type Book interface {
+	Do(ctx context.Context, r booking.Request, run booking.Run) (booking.Answer, outcome.Refusal)
+}
+
+// Options is what a Gateway works with.
+type Options struct {
+	// Host and Zone are this entry host's.
+	Host string
+	Zone string
+	// Calls bounds requests.
+	Calls settings.Calls
+	// Service returns the settings of a service; nil for defaults only.
+	Service func(name string) settings.Service
+	Shares  Shares
+	// Peers reaches other entry hosts; nil when there are none.
+	Peers peer.Transport
+	// Book handles idempotency keys; nil refuses requests that carry one.
+	Book Book
+	// Observe is told of each finished request; nil for none.
+	Observe func(service string, took time.Duration, kind outcome.Kind)
+	// Registerer takes the metrics; nil for none.
+	Registerer prometheus.Registerer
+	Log        *slog.Logger
+	// Seed makes random choices repeatable.
+	Seed uint64
+}
+
+// PeerHost is another entry host.
+type PeerHost struct {
+	Name string
+	Zone string
+}
--- /dev/null
+++ b/gateway/responsebody.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"io"
+)
+
+// responseBody is an answer's body on its way to the caller. The generated
+// handler writes an error answer when the first read fails, and aborts the
+// connection when a later one does.
+type responseBody struct {
+	call *httpCall
+	body io.ReadCloser
+	some bool // bytes were read
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == nil || err == io.EOF {
+		b.some = b.some || n > 0
+		return n, err
+	}
+	if b.some || n > 0 {
+		return n, err
+	}
+	b.call.response = nil
+	b.call.refusal = unknownOutcome(ReasonCutOff)
+	return 0, problemOf(b.call.refusal)
+}
+
+// Close implements io.Closer.
+func (b *responseBody) Close() error { return b.body.Close() }
--- /dev/null
+++ b/routing/health.go
@@ -0,0 +1,71 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// tailFactor is how far above the mean of a service's latencies its tail is
+// taken to lie.
+const tailFactor = 3
+
+// Observe takes the result of a request in, and returns whether the endpoint
+// was ejected for it.
+func (p *Pool) Observe(now time.Time, s *Slot, r Result) (ejected bool) {
+	b := s.backend
+	g := p.services[b.Service]
+	if g == nil {
+		return false
+	}
+	b.observe(r, tailFactor*g.meanLatency())
+	if b.ejected(now) || !p.outlier(b, g) || !p.mayEject(now, g) {
+		return false
+	}
+	b.eject(now, p.cfg)
+	return true
+}
+
+// outlier reports whether b fails, or is slow, far beyond the others.
+func (p *Pool) outlier(b *backend, g *group) bool {
+	if b.failures >= p.cfg.EjectAfter {
+		return true
+	}
+	if b.samples < minSamples || len(g.backends) < 3 {
+		return false
+	}
+	return b.latency > p.cfg.LatencyOutlier*g.medianLatency()
+}
+
+// mayEject reports whether one more endpoint of g may be ejected.
+func (p *Pool) mayEject(now time.Time, g *group) bool {
+	out := 1
+	for _, b := range g.backends {
+		if b.ejected(now) {
+			out++
+		}
+	}
+	return float64(out) <= p.cfg.MaxEjected*float64(len(g.backends))
+}
+
+func (g *group) meanLatency() float64 {
+	sum, n := 0.0, 0
+	for _, b := range g.backends {
+		if b.samples > 0 {
+			sum += b.latency
+			n++
+		}
+	}
+	if n == 0 {
+		return initialLatency.Seconds()
+	}
+	return sum / float64(n)
+}
+
+func (g *group) medianLatency() float64 {
+	all := make([]float64, 0, len(g.backends))
+	for _, b := range g.backends {
+		all = append(all, b.latency)
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
--- /dev/null
+++ b/routing/ticket.go
@@ -0,0 +1,23 @@
+package routing
+
+import (
+	"container/list"
+	"time"
+)
+
+// Ticket is one request that waits for a slot.
+type Ticket struct {
+	// Since is when it began to wait.
+	Since time.Time
+	// GiveUp is when waiting on is useless.
+	GiveUp time.Time
+	// Wake is closed by the queue's user once the ticket was popped and Slot
+	// or Peer is set.
+	Wake chan struct{}
+	// Slot is the slot that the request was given, if any.
+	Slot *Slot
+	// Peer is the entry host that the request is to be forwarded to, if any.
+	Peer string
+
+	element *list.Element
+}
