--- /dev/null
+++ b/batch/lookup.go
@@ -0,0 +1,147 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// showReply is the answer about one job.
+type showReply struct {
+	Found  bool   `msgpack:"f"`
+	Status Status `msgpack:"s"`
+}
+
+// Cancel asks for the end of a job. Answered means that the job will not start
+// again; its Status says whether a run is still being stopped. The kind is
+// NotRun, with a reason, when nothing was changed.
+func (m *Manager) Cancel(ctx context.Context, id string) (Status, outcome.Kind, string) {
+	shard, reason := m.locate(ctx, id)
+	if shard == "" {
+		return Status{}, outcome.NotRun, reason
+	}
+	request := jobRequest{Shard: shard, ID: id}
+	r, kind := call[cancelReply](ctx, m, shard, methodCancel, request, func(ctx context.Context) (cancelReply, bool) {
+		return m.cancelHere(ctx, request)
+	})
+	if kind != outcome.Answered {
+		return r.Status, kind, lossReason(kind)
+	}
+	switch r.Code {
+	case cancelDone, cancelNeverRan:
+		return r.Status, outcome.Answered, ""
+	case cancelFinished:
+		return r.Status, outcome.NotRun, ReasonFinished
+	case cancelMissing:
+		return r.Status, outcome.NotRun, ReasonNotFound
+	case cancelRefused:
+		return r.Status, outcome.NotRun, ReasonStore
+	case cancelNotReady:
+		return r.Status, outcome.NotRun, ReasonNoShard
+	default:
+		return r.Status, outcome.Unknown, ReasonLost
+	}
+}
+
+// lossReason explains a call to an owner that was not answered.
+func lossReason(kind outcome.Kind) string {
+	if kind == outcome.NotRun {
+		return ReasonNoShard
+	}
+	return ReasonLost
+}
+
+// cancelHere cancels a job of a local shard.
+func (m *Manager) cancelHere(ctx context.Context, r jobRequest) (cancelReply, bool) {
+	return await(ctx, m, func(now time.Time, reply func(cancelReply)) {
+		o := m.shards[r.Shard]
+		if o == nil {
+			reply(cancelReply{Code: cancelNotReady})
+			return
+		}
+		o.cancel(now, r.ID, reply)
+	})
+}
+
+// Show tells of a job: by its owner if that answers, else by its record.
+func (m *Manager) Show(ctx context.Context, id string) (Status, outcome.Kind, string) {
+	shard, reason := m.locate(ctx, id)
+	if shard == "" {
+		return Status{}, outcome.NotRun, reason
+	}
+	request := jobRequest{Shard: shard, ID: id}
+	r, kind := call[showReply](ctx, m, shard, methodShow, request, func(ctx context.Context) (showReply, bool) {
+		return m.showHere(ctx, request)
+	})
+	if kind == outcome.Answered && r.Found {
+		return r.Status, outcome.Answered, ""
+	}
+	return m.recorded(ctx, shard, id)
+}
+
+// showHere tells of a job of a local shard.
+func (m *Manager) showHere(ctx context.Context, r jobRequest) (showReply, bool) {
+	return await(ctx, m, func(_ time.Time, reply func(showReply)) {
+		o := m.shards[r.Shard]
+		if o == nil || o.jobs[r.ID] == nil {
+			reply(showReply{})
+			return
+		}
+		reply(showReply{Found: true, Status: o.status(o.jobs[r.ID])})
+	})
+}
+
+// recorded tells of a job by its record in the table.
+func (m *Manager) recorded(ctx context.Context, shard, id string) (Status, outcome.Kind, string) {
+	row, err := m.get(ctx, jobKey(shard, id))
+	if err != nil {
+		return Status{}, outcome.NotRun, ReasonStore
+	}
+	r, err := decodeRecord(row.Value)
+	if row.Version == 0 || err != nil {
+		return Status{}, outcome.NotRun, ReasonNotFound
+	}
+	return Status{ID: id, Shard: shard, State: r.State, Record: r}, outcome.Answered, ""
+}
+
+// locate returns the shard that holds a job, or why it is not known.
+func (m *Manager) locate(ctx context.Context, id string) (shard, reason string) {
+	row, err := m.get(ctx, refKey(id))
+	if err != nil {
+		if local := m.localShard(ctx, id); local != "" {
+			return local, ""
+		}
+		return "", ReasonStore
+	}
+	if row.Version == 0 {
+		return "", ReasonNotFound
+	}
+	return string(row.Value), ""
+}
+
+// localShard returns the shard owned here that holds a job; empty for none.
+func (m *Manager) localShard(ctx context.Context, id string) string {
+	shard, _ := await(ctx, m, func(_ time.Time, reply func(string)) {
+		for name, o := range m.shards {
+			if o.jobs[id] != nil {
+				reply(name)
+				return
+			}
+		}
+		reply("")
+	})
+	return shard
+}
+
+// get reads one row.
+func (m *Manager) get(ctx context.Context, key string) (platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.config.Timeout)
+	defer cancel()
+	rows, err := m.config.Table.Get(ctx, key)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	return rows[0], nil
+}
--- /dev/null
+++ b/batch/manager.go
@@ -0,0 +1,149 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fireflygate/fireflygate/journal"
+	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// Manager runs the worker shards that this host owns, on one control
+// goroutine, and answers for jobs of shards owned elsewhere. Its exported
+// methods are safe for concurrent use.
+type Manager struct {
+	config  Config
+	metrics *metrics
+	wake    chan struct{}
+
+	mu sync.Mutex
+	// inbox is what the control goroutine has to do.
+	inbox []func(now time.Time)
+	// stopped is set once the control goroutine has ended.
+	stopped chan struct{}
+	// view is the newest ownership.
+	view *ownership.View
+	// loads is the number of waiting jobs by shard, as last heard.
+	loads  map[string]int
+	counts Counts
+
+	// The fields below belong to the control goroutine.
+	shards  map[string]*owned
+	members map[string][]platform.Member
+	tasks   sync.WaitGroup
+	context context.Context
+	// faults break a mechanism on purpose; only tests set them.
+	faults faults
+}
+
+// owned is a shard with the grant that it is held under.
+type owned struct {
+	*Shard
+	grant ownership.Grant
+	// stop ends the replay.
+	stop context.CancelFunc
+	// released is closed once a hand-over has nothing under way.
+	released chan struct{}
+}
+
+// live reports whether leases may be renewed under the grant: past its end
+// another host may have taken over.
+func (o *owned) live(now time.Time) bool {
+	return o.grant.Share != ownership.None && now.Before(o.grant.Until)
+}
+
+// New returns a manager and registers its peer methods; it works once Run is
+// called.
+func New(c Config) *Manager {
+	c = withDefaults(c)
+	m := &Manager{
+		config:  c,
+		metrics: newMetrics(c.Registerer),
+		wake:    make(chan struct{}, 1),
+		stopped: make(chan struct{}),
+		view:    &ownership.View{},
+		loads:   map[string]int{},
+		shards:  map[string]*owned{},
+		members: map[string][]platform.Member{},
+	}
+	m.handle(c.Mux)
+	return m
+}
+
+// SetView takes in the newest ownership of shards.
+func (m *Manager) SetView(v *ownership.View) {
+	m.mu.Lock()
+	m.view = v
+	m.mu.Unlock()
+	m.post(func(now time.Time) { m.apply(now, v) })
+}
+
+// SetWorkers takes in the workers of each worker shard.
+func (m *Manager) SetWorkers(workers map[string][]platform.Member) {
+	m.post(func(now time.Time) {
+		m.members = workers
+		for name, o := range m.shards {
+			o.setMembers(now, workers[name])
+		}
+	})
+}
+
+// Counts returns totals over the shards owned here.
+func (m *Manager) Counts() Counts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counts
+}
+
+// Release stops all work of a shard for a hand-over: no new job, start or
+// exchange. It returns once no commit of the shard is under way; the caller
+// may then give up the shard's row.
+func (m *Manager) Release(ctx context.Context, shard string) error {
+	released := make(chan struct{})
+	m.post(func(now time.Time) { m.release(now, shard, released) })
+	select {
+	case <-released:
+		return nil
+	case <-m.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// post has f run on the control goroutine.
+func (m *Manager) post(f func(now time.Time)) {
+	m.mu.Lock()
+	m.inbox = append(m.inbox, f)
+	m.mu.Unlock()
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drain runs what was posted.
+func (m *Manager) drain(now time.Time) {
+	m.mu.Lock()
+	todo := m.inbox
+	m.inbox = nil
+	m.mu.Unlock()
+	for _, f := range todo {
+		f(now)
+	}
+}
+
+// commit hands a shard's change to the journal.
+func (m *Manager) commit(c change) {
+	m.config.Journal.Append(journal.Entry{
+		Conditions: c.conditions,
+		Writes:     c.writes,
+		Urgent:     c.urgent,
+		Deadline:   c.deadline,
+		Done: func(r platform.CommitResult) {
+			m.post(func(now time.Time) { c.done(now, r) })
+		},
+	})
+}
--- /dev/null
+++ b/batch/planner_test.go
@@ -0,0 +1,116 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflygate/fireflygate/placement"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// firstFit is a small planner: urgent jobs first, then in order, each on the
+// first host by name that holds it.
+type firstFit struct {
+	hosts   map[string]placement.Host
+	free    map[string]platform.Resources
+	pending []task.Spec
+	placed  map[string]placed
+	avoid   map[string][]string
+	// wanted are actions that a test has the next plan return.
+	wanted []placement.Action
+}
+
+type placed struct {
+	host string
+	size platform.Resources
+}
+
+func newFirstFit() *firstFit {
+	return &firstFit{
+		hosts: map[string]placement.Host{}, free: map[string]platform.Resources{},
+		placed: map[string]placed{}, avoid: map[string][]string{},
+	}
+}
+
+func (p *firstFit) SetHost(h placement.Host) {
+	if old, ok := p.hosts[h.Name]; ok {
+		p.free[h.Name] = p.free[h.Name].Sub(old.Capacity)
+	}
+	p.hosts[h.Name] = h
+	p.free[h.Name] = p.free[h.Name].Add(h.Capacity)
+}
+func (p *firstFit) RemoveHost(name string) { delete(p.hosts, name); delete(p.free, name) }
+func (p *firstFit) Enqueue(_ time.Time, s task.Spec) {
+	p.Withdraw(s.ID)
+	p.pending = append(p.pending, s)
+}
+
+func (p *firstFit) Withdraw(job string) {
+	p.pending = slices.DeleteFunc(p.pending, func(s task.Spec) bool { return s.ID == job })
+}
+
+func (p *firstFit) Adopt(s task.Spec, host string) {
+	p.placed[s.ID] = placed{host, s.Resources}
+	p.free[host] = p.free[host].Sub(s.Resources)
+}
+
+func (p *firstFit) Release(_ time.Time, job string, _ bool) {
+	if at, ok := p.placed[job]; ok {
+		p.free[at.host] = p.free[at.host].Add(at.size)
+		delete(p.placed, job)
+	}
+}
+func (p *firstFit) Avoid(job, host string)  { p.avoid[job] = append(p.avoid[job], host) }
+func (p *firstFit) Observe(placement.Usage) {}
+func (p *firstFit) Why(string) string       { return "" }
+
+func (p *firstFit) Plan(_ time.Time, limit int) []placement.Action {
+	out := p.wanted
+	p.wanted = nil
+	slices.SortStableFunc(p.pending, func(a, b task.Spec) int {
+		switch {
+		case a.Urgent == b.Urgent:
+			return 0
+		case a.Urgent:
+			return -1
+		default:
+			return 1
+		}
+	})
+	names := make([]string, 0, len(p.hosts))
+	for name := range p.hosts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var rest []task.Spec
+	for _, s := range p.pending {
+		if host := p.fit(s, names); len(out) < limit && host != "" {
+			p.Adopt(s, host)
+			out = append(out, placement.Action{Kind: placement.Start, Job: s.ID, Host: host})
+			continue
+		}
+		rest = append(rest, s)
+	}
+	p.pending = rest
+	return out
+}
+
+func (p *firstFit) fit(s task.Spec, names []string) string {
+	for _, name := range names {
+		ok := p.hosts[name].Unschedulable == "" && s.Resources.Fits(p.free[name])
+		if ok && !slices.Contains(p.avoid[s.ID], name) {
+			return name
+		}
+	}
+	return ""
+}
+
+func (p *firstFit) NeverFits(s task.Spec) (string, bool) {
+	for _, h := range p.hosts {
+		if s.Resources.Fits(h.Capacity) {
+			return "", false
+		}
+	}
+	return "larger than every host", true
+}
--- /dev/null
+++ b/batch/rig_test.go
@@ -0,0 +1,194 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/journal"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/peer"
+	"github.com/fireflygate/fireflygate/placement"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+const shard = "wk/zone/0"
+
+// net connects the hosts of a test by name.
+type net struct {
+	mu       sync.Mutex
+	handlers map[string]map[peer.Method]peer.Handler
+}
+
+// port is one host's end of the net.
+type port struct {
+	net  *net
+	host string
+}
+
+func (p port) Handle(m peer.Method, h peer.Handler) {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	if p.net.handlers[p.host] == nil {
+		p.net.handlers[p.host] = map[peer.Method]peer.Handler{}
+	}
+	p.net.handlers[p.host][m] = h
+}
+
+func (p port) Call(ctx context.Context, host string, m peer.Method, request, reply any) peer.Result {
+	p.net.mu.Lock()
+	h := p.net.handlers[host][m]
+	p.net.mu.Unlock()
+	if h == nil {
+		return peer.Result{Kind: outcome.NotRun}
+	}
+	answer, err := h(ctx, p.host, func(v any) error { return msgpack.Unmarshal(encode(request), v) })
+	if err != nil {
+		return peer.Result{Err: err}
+	}
+	if err := msgpack.Unmarshal(encode(answer), reply); err != nil {
+		return peer.Result{Err: err}
+	}
+	return peer.Result{Kind: outcome.Answered}
+}
+
+// node is one entry host.
+type node struct {
+	*Manager
+	planner *firstFit
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// kill ends the host's process at once.
+func (n *node) kill() {
+	n.stop()
+	n.done.Wait()
+}
+
+// rig is a small cluster in a synctest bubble.
+type rig struct {
+	t       *testing.T
+	table   *memtable.Table
+	workers *fakeWorkers
+	net     *net
+	nodes   []*node
+	members []platform.Member
+	owner   string
+	epoch   uint64
+	faults  faults
+}
+
+// bubble has f work with a rig on a virtual clock, and checks the history.
+func bubble(t *testing.T, workers int, f func(r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{t: t, table: memtable.New(), net: &net{handlers: map[string]map[peer.Method]peer.Handler{}}}
+		var names []string
+		for i := range workers {
+			name := fmt.Sprint("w", i)
+			names = append(names, name)
+			r.members = append(r.members, platform.Member{
+				Kind: platform.Worker, Name: name, Address: name, Zone: "zone", State: platform.Live,
+				Capacity: platform.Resources{MilliCPU: 4000, MemoryMB: 4000},
+			})
+		}
+		r.workers = newFakeWorkers(names...)
+		f(r)
+		for _, n := range r.nodes {
+			n.kill()
+		}
+		if r.faults == (faults{}) {
+			if wrong := r.workers.overlap(); wrong != "" {
+				t.Error(wrong)
+			}
+		}
+	})
+}
+
+// node starts an entry host.
+func (r *rig) node(name string) *node {
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{planner: newFirstFit(), stop: stop}
+	b := settings.Default().Batch
+	j := journal.New(journal.Config{Table: r.table, Incarnation: fmt.Sprint(name, len(r.nodes)), Settings: b})
+	n.Manager = New(Config{
+		Host: name, Table: r.table, Journal: j, Workers: r.workers,
+		Transport: port{r.net, name}, Mux: port{r.net, name},
+		NewPlanner: func(string) placement.Planner { return n.planner },
+		Settings:   b, ClockRate: 0.01, Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	n.faults = r.faults
+	n.SetWorkers(map[string][]platform.Member{shard: r.members})
+	n.done.Go(func() { j.Run(ctx) })
+	n.done.Go(func() { n.Run(ctx) })
+	r.nodes = append(r.nodes, n)
+	return n
+}
+
+// own makes the host the shard's owner, in the table and in its view.
+func (r *rig) own(n *node) {
+	r.epoch++
+	version := r.table.Put(shardKey(shard), []byte(n.config.Host))
+	r.owner = n.config.Host
+	g := ownership.Grant{Shard: shard, Epoch: r.epoch, Version: version, Share: ownership.Full, Until: time.Now().Add(time.Hour)}
+	r.tell(n, g)
+}
+
+// tell gives a host its view; other hosts learn the owner alone.
+func (r *rig) tell(n *node, grants ...ownership.Grant) {
+	v := &ownership.View{Owners: map[string]string{shard: r.owner}, Grants: map[string]ownership.Grant{}}
+	for _, g := range grants {
+		v.Grants[g.Shard] = g
+	}
+	n.SetView(v)
+	r.settle(0)
+}
+
+// settle lets virtual time pass.
+func (r *rig) settle(d time.Duration) {
+	if d > 0 {
+		<-time.After(d)
+	}
+	synctest.Wait()
+}
+
+// spec returns a job of one core.
+func spec(id string, run time.Duration) task.Spec {
+	return task.Spec{
+		ID: id, Key: "key-" + id, Team: "team", Class: "class",
+		Resources: platform.Resources{MilliCPU: 1000, MemoryMB: 1000}, RunMS: run.Milliseconds(),
+	}
+}
+
+// submit submits and expects the job to be held.
+func (r *rig) submit(n *node, s task.Spec) {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, kind, reason := n.Submit(ctx, s); kind != outcome.Answered {
+		r.t.Fatalf("submit %s: %v %s", s.ID, kind, reason)
+	}
+}
+
+// state expects a job's state.
+func (r *rig) state(n *node, id string, want task.State) task.Record {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s, kind, reason := n.Show(ctx, id)
+	if kind != outcome.Answered || s.State != want {
+		r.t.Errorf("%s is %v (%v %s), want %v", id, s.State, kind, reason, want)
+	}
+	return s.Record
+}
--- /dev/null
+++ b/batch/rows.go
@@ -0,0 +1,74 @@
+package batch
+
+import (
+	"net/url"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// Prefixes of the table's keys.
+const (
+	shardPrefix = "shard/"
+	jobPrefix   = "job/"
+	refPrefix   = "jobref/"
+	keyPrefix   = "jobkey/"
+	// workerShards begins the name of each shard of workers.
+	workerShards = "wk/"
+)
+
+// keyRow is the value of a jobkey row.
+type keyRow struct {
+	ID string `msgpack:"i"`
+	// Hash is of the spec, to tell a repeat from another job under the key.
+	Hash uint64 `msgpack:"h"`
+}
+
+// shardKey returns the key of a shard's row.
+func shardKey(shard string) string { return shardPrefix + shard }
+
+// jobKey returns the key of a job's record.
+func jobKey(shard, id string) string { return jobPrefix + shard + "/" + url.PathEscape(id) }
+
+// refKey returns the key of the row that tells a job's shard.
+func refKey(id string) string { return refPrefix + url.PathEscape(id) }
+
+// idempotencyKey returns the key of the row that tells a key's job.
+func idempotencyKey(team, key string) string {
+	return keyPrefix + url.PathEscape(team) + "/" + url.PathEscape(key)
+}
+
+// zoneOf returns the zone of a worker shard "wk/<zone>/<n>".
+func zoneOf(shard string) string {
+	rest := strings.TrimPrefix(shard, workerShards)
+	zone, _, _ := strings.Cut(rest, "/")
+	return zone
+}
+
+// specHash identifies what was asked for, leaving out what each attempt of a
+// submission gives anew.
+func specHash(s task.Spec) uint64 {
+	s.ID = ""
+	s.SubmittedUnixMS = 0
+	return xxhash.Sum64(encode(s))
+}
+
+// encode returns v as msgpack.
+func encode(v any) []byte {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(errors.Wrap(err, "batch: broken invariant, value does not encode"))
+	}
+	return data
+}
+
+// decodeRecord reads a job's record.
+func decodeRecord(data []byte) (task.Record, error) {
+	var r task.Record
+	err := msgpack.Unmarshal(data, &r)
+	return r, errors.Wrap(err, "batch: job record")
+}
--- /dev/null
+++ b/batch/shard.go
@@ -0,0 +1,165 @@
+package batch
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/placement"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// limits are the settings that a shard's decisions need.
+type limits struct {
+	settings.Batch
+	clockRate float64
+}
+
+// lapse is how long after the last word a run is surely over.
+func (l limits) lapse() time.Duration {
+	lease := float64(l.TaskLease.D())
+	return time.Duration(lease*(1+l.clockRate)) + leaseBuffer
+}
+
+// change is a commit that a shard asks for. done is called on the control
+// goroutine.
+type change struct {
+	conditions []platform.Condition
+	writes     []platform.Write
+	urgent     bool
+	deadline   time.Time
+	done       func(now time.Time, r platform.CommitResult)
+}
+
+// Shard is the state of one worker shard that this host owns. It is pure: its
+// methods leave what is to be done in its outbox.
+type Shard struct {
+	name    string
+	epoch   uint64
+	fence   platform.Condition
+	limits  limits
+	planner placement.Planner
+	log     *slog.Logger
+	metrics *metrics
+
+	jobs    map[string]*job
+	workers map[string]*worker
+	// retries are jobs whose late report waits for another commit.
+	retries map[string]*job
+
+	// changes is the outbox of commits.
+	changes []change
+	// open counts changes that were not answered.
+	open int
+	// starting counts starts that were not answered.
+	starting int
+	// ready is set once the records were replayed.
+	ready bool
+	// fenced is set once a commit was refused because another host owns the
+	// shard; the manager drops it.
+	fenced bool
+	// releasing is set during a hand-over: nothing new begins.
+	releasing bool
+	// dirty asks for a plan.
+	dirty bool
+	// heldUntil keeps plans back while the table refuses commits.
+	heldUntil time.Time
+	nextPlan  time.Time
+	planned   time.Time
+	// look asks for a search for exchanges that are due.
+	look    bool
+	pending int
+	running int
+	starts  uint64
+	// faults break a mechanism on purpose; only tests set them.
+	faults faults
+}
+
+// faults are the mechanisms that tests can break, to see their checks fail.
+type faults struct {
+	// sendBeforeDurable sends a start before its commit is answered.
+	sendBeforeDurable bool
+	// noFence leaves the shard's row out of commits.
+	noFence bool
+	// lapseAtOnce takes a run as over with the first exchange unanswered.
+	lapseAtOnce bool
+	// placeUnreconciled places on workers before reconciliation.
+	placeUnreconciled bool
+}
+
+// newShard returns a shard that waits for its records.
+func newShard(name string, epoch, version uint64, l limits, p placement.Planner, log *slog.Logger, m *metrics) *Shard {
+	return &Shard{
+		name:    name,
+		epoch:   epoch,
+		fence:   platform.Condition{Key: shardKey(name), Version: version},
+		limits:  l,
+		planner: p,
+		log:     log,
+		metrics: m,
+		jobs:    map[string]*job{},
+		workers: map[string]*worker{},
+		retries: map[string]*job{},
+	}
+}
+
+// load takes in the replayed records, as of now.
+func (s *Shard) load(now time.Time, records []task.Record) {
+	for _, r := range records {
+		j := &job{rec: r, queued: now}
+		s.jobs[r.Spec.ID] = j
+		switch {
+		case r.State == task.Pending:
+			s.enqueue(now, j)
+		case r.State.Active():
+			j.sent = true
+			s.occupy(now, j)
+		}
+	}
+	s.ready = true
+	s.dirty = true
+}
+
+// enqueue hands a pending job to the planner.
+func (s *Shard) enqueue(now time.Time, j *job) {
+	s.pending++
+	j.queued = now
+	s.planner.Enqueue(now, j.rec.Sized())
+	s.dirty = true
+}
+
+// occupy records that an active job may run on its worker.
+func (s *Shard) occupy(now time.Time, j *job) {
+	w := s.worker(now, j.rec.Worker)
+	w.jobs[j.rec.Spec.ID] = j
+	s.running++
+	s.show(now, w)
+	s.planner.Adopt(j.rec.Sized(), w.name)
+}
+
+// vacate frees what the job's run occupied.
+func (s *Shard) vacate(now time.Time, j *job, host string, done bool) {
+	id := j.rec.Spec.ID
+	if w := s.workers[host]; w != nil {
+		delete(w.jobs, id)
+	}
+	s.running--
+	s.planner.Release(now, id, done)
+	j.sent, j.evict = false, false
+	j.percent, j.applied, j.doneMS = 0, 0, 0
+	s.dirty = true
+}
+
+// worker returns the worker's view, made when it is new.
+func (s *Shard) worker(now time.Time, name string) *worker {
+	w := s.workers[name]
+	if w == nil {
+		w = newWorker(name, now)
+		s.workers[name] = w
+	}
+	return w
+}
+
+// live reports whether the shard may take on anything.
+func (s *Shard) live() bool { return s.ready && !s.fenced && !s.releasing }
--- /dev/null
+++ b/batch/shard_commit.go
@@ -0,0 +1,92 @@
+package batch
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// put asks for a commit, under the shard's fence.
+func (s *Shard) put(c change) {
+	if !s.faults.noFence {
+		c.conditions = append(c.conditions, s.fence)
+	}
+	done := c.done
+	s.open++
+	c.done = func(now time.Time, r platform.CommitResult) {
+		s.open--
+		s.checkFence(r)
+		done(now, r)
+	}
+	s.changes = append(s.changes, c)
+}
+
+// checkFence notes that another host owns the shard.
+func (s *Shard) checkFence(r platform.CommitResult) {
+	for _, row := range r.Conflicts {
+		if row.Key == s.fence.Key && !s.fenced {
+			s.fenced = true
+			event.ShardFenced.Log(s.log, slog.String("shard", s.name), slog.Uint64("epoch", s.epoch))
+		}
+	}
+	if r.Status == platform.CommitUnknown {
+		// The journal gave up for good: what holds is in the table alone.
+		s.fenced = true
+	}
+}
+
+// advance commits the job's next record. applied or refused is called after.
+func (s *Shard) advance(j *job, next task.Record, applied, refused func(now time.Time)) {
+	j.committing = true
+	s.put(change{
+		writes: []platform.Write{{Key: jobKey(s.name, next.Spec.ID), Value: encode(next)}},
+		urgent: next.Spec.Urgent || len(j.cancels) > 0,
+		done: func(now time.Time, r platform.CommitResult) {
+			j.committing = false
+			if s.fenced {
+				s.answerCancels(j, cancelReply{Code: cancelNotReady})
+				return
+			}
+			if r.Status == platform.CommitApplied {
+				j.rec = next
+				applied(now)
+			} else {
+				s.heldUntil = now.Add(retryCommit)
+				refused(now)
+			}
+			s.settle(now, j)
+		},
+	})
+}
+
+// settle takes up what waited for the job's commit.
+func (s *Shard) settle(now time.Time, j *job) {
+	if j.committing {
+		return
+	}
+	if now.Before(s.heldUntil) && j.late != nil {
+		s.retries[j.rec.Spec.ID] = j
+		return
+	}
+	if late := j.late; late != nil {
+		j.late = nil
+		s.report(now, s.worker(now, j.rec.Worker), *late)
+	}
+	if !j.committing && len(j.cancels) > 0 {
+		s.cancelNow(now, j)
+	}
+}
+
+// retry commits again what was refused, once the hold is over.
+func (s *Shard) retry(now time.Time) {
+	if now.Before(s.heldUntil) {
+		return
+	}
+	for id, j := range s.retries {
+		delete(s.retries, id)
+		s.settle(now, j)
+	}
+}
--- /dev/null
+++ b/batch/submit.go
@@ -0,0 +1,135 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// Submit has a job held by one of the shards of its zones. It is answered only
+// once the job is durable. A repeat under the same key is answered with the
+// job that is there; the kind is NotRun, with a reason, when no job was made.
+// The spec's ID and time are given here if they are not set.
+func (m *Manager) Submit(ctx context.Context, spec task.Spec) (Status, outcome.Kind, string) {
+	if spec.Team == "" || spec.Class == "" || spec.RunMS < 0 {
+		return Status{}, outcome.NotRun, ReasonInvalid
+	}
+	if spec.ID == "" {
+		spec.ID = uuid.NewString()
+	}
+	if spec.SubmittedUnixMS == 0 {
+		spec.SubmittedUnixMS = m.config.Now().UnixMilli()
+	}
+	reason := ReasonNoShard
+	left := m.candidates(spec.Zones)
+	for len(left) > 0 {
+		shard := m.pick(left)
+		left = slices.DeleteFunc(left, func(s string) bool { return s == shard })
+		r, kind := m.submitTo(ctx, shard, spec)
+		if kind == outcome.Unknown {
+			return Status{ID: spec.ID, Shard: shard}, outcome.Unknown, ReasonLost
+		}
+		if done, st, k, why := m.verdict(ctx, shard, r, kind); done {
+			return st, k, why
+		}
+		if r.Code == submitNeverFits && kind == outcome.Answered {
+			reason = ReasonNeverFits + ": " + r.Reason
+		}
+	}
+	return Status{}, outcome.NotRun, reason
+}
+
+// verdict turns a shard's answer into the final one, unless another shard is
+// to be asked.
+func (m *Manager) verdict(ctx context.Context, shard string, r submitReply, kind outcome.Kind) (bool, Status, outcome.Kind, string) {
+	if kind == outcome.NotRun {
+		return false, Status{}, kind, ""
+	}
+	m.heard(shard, r.Load)
+	switch r.Code {
+	case submitAccepted:
+		return true, r.Status, outcome.Answered, ""
+	case submitExisting:
+		return true, m.existing(ctx, r.Status), outcome.Answered, ""
+	case submitKeyConflict:
+		return true, r.Status, outcome.NotRun, ReasonKeyConflict
+	case submitRefused:
+		return true, Status{}, outcome.NotRun, ReasonStore
+	case submitUnknown:
+		return true, r.Status, outcome.Unknown, ReasonLost
+	default:
+		return false, Status{}, outcome.NotRun, ""
+	}
+}
+
+// existing fills in what is known of a job that was there before.
+func (m *Manager) existing(ctx context.Context, s Status) Status {
+	if full, kind, _ := m.Show(ctx, s.ID); kind == outcome.Answered {
+		s = full
+	}
+	s.Existing = true
+	return s
+}
+
+// heard keeps a shard's load.
+func (m *Manager) heard(shard string, load int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loads[shard] = load
+}
+
+// candidates returns the worker shards of the zones that have an owner.
+func (m *Manager) candidates(zones []string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for shard, owner := range m.view.Owners {
+		if owner == "" || !strings.HasPrefix(shard, workerShards) {
+			continue
+		}
+		if len(zones) == 0 || slices.Contains(zones, zoneOf(shard)) {
+			out = append(out, shard)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// pick returns the less loaded of two shards chosen at random.
+func (m *Manager) pick(shards []string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := shards[m.config.Rand.IntN(len(shards))]
+	b := shards[m.config.Rand.IntN(len(shards))]
+	if m.loads[b] < m.loads[a] {
+		return b
+	}
+	return a
+}
+
+// submitTo asks the shard's owner to hold the job.
+func (m *Manager) submitTo(ctx context.Context, shard string, spec task.Spec) (submitReply, outcome.Kind) {
+	request := submitRequest{Shard: shard, Spec: spec}
+	return call[submitReply](ctx, m, shard, methodSubmit, request, func(ctx context.Context) (submitReply, bool) {
+		return m.submitHere(ctx, request)
+	})
+}
+
+// submitHere has the local shard hold the job; false when ctx ended first.
+func (m *Manager) submitHere(ctx context.Context, r submitRequest) (submitReply, bool) {
+	return await(ctx, m, func(now time.Time, reply func(submitReply)) {
+		o := m.shards[r.Shard]
+		if o == nil || !o.live(now) {
+			reply(submitReply{Code: submitNotReady})
+			return
+		}
+		deadline, _ := ctx.Deadline()
+		o.submit(r.Spec, deadline, reply)
+	})
+}
--- /dev/null
+++ b/batch/workers_test.go
@@ -0,0 +1,244 @@
+package batch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// interval is one run as its worker lived it.
+type interval struct {
+	run        platform.RunID
+	worker     string
+	from, to   time.Time
+	checkpoint string
+}
+
+// fakeRun is one run on a fake worker.
+type fakeRun struct {
+	report platform.RunReport
+	seq    uint64
+	ends   time.Time
+	at     int // index in history
+}
+
+// fakeWorker is one worker host.
+type fakeWorker struct {
+	name   string
+	owner  uint64
+	lease  time.Time
+	seq    uint64
+	runs   map[platform.RunID]*fakeRun
+	newest map[string]uint64
+	tombs  map[platform.RunID]bool
+
+	// Faults.
+	cut         bool // does not get exchanges
+	loseReplies int  // exchanges that take effect without a reply
+	paused      bool // neither runs' ends nor the lease are looked at
+	failAll     bool
+	noSave      bool // checkpoints are lost
+}
+
+// fakeWorkers are all worker hosts, by address.
+type fakeWorkers struct {
+	mu      sync.Mutex
+	hosts   map[string]*fakeWorker
+	history []interval
+	refused int
+	// hook is called with each exchange before it takes effect.
+	hook func(address string, x platform.Exchange)
+}
+
+func newFakeWorkers(names ...string) *fakeWorkers {
+	f := &fakeWorkers{hosts: map[string]*fakeWorker{}}
+	for _, n := range names {
+		f.hosts[n] = &fakeWorker{
+			name: n, runs: map[platform.RunID]*fakeRun{}, newest: map[string]uint64{}, tombs: map[platform.RunID]bool{},
+		}
+	}
+	return f
+}
+
+// set changes a worker's faults.
+func (f *fakeWorkers) set(name string, change func(*fakeWorker)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.hosts[name])
+}
+
+func (f *fakeWorkers) Exchange(ctx context.Context, address string, x platform.Exchange) (platform.ExchangeReply, error) {
+	f.mu.Lock()
+	hook := f.hook
+	f.mu.Unlock()
+	if hook != nil {
+		hook(address, x)
+	}
+	f.mu.Lock()
+	w := f.hosts[address]
+	if w.cut || w.paused || ctx.Err() != nil {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return platform.ExchangeReply{}, platform.ErrUnavailable
+	}
+	defer f.mu.Unlock()
+	reply := f.apply(w, x)
+	if w.loseReplies > 0 {
+		w.loseReplies--
+		return platform.ExchangeReply{}, platform.ErrUnavailable
+	}
+	return reply, nil
+}
+
+// apply carries out an exchange that arrived.
+func (f *fakeWorkers) apply(w *fakeWorker, x platform.Exchange) platform.ExchangeReply {
+	now := time.Now()
+	if x.Owner < w.owner {
+		f.refused++
+		return platform.ExchangeReply{Refused: true}
+	}
+	f.advance(w, now)
+	w.owner = x.Owner
+	w.lease = now.Add(time.Duration(x.LeaseMS) * time.Millisecond)
+	for _, o := range x.Orders {
+		f.order(w, o, now)
+	}
+	f.advance(w, now)
+	reply := platform.ExchangeReply{Seq: w.seq, Whole: x.Since == 0}
+	for _, r := range w.runs {
+		if x.Since == 0 || r.seq > x.Since {
+			reply.Runs = append(reply.Runs, r.report)
+		}
+	}
+	slices.SortFunc(reply.Runs, func(a, b platform.RunReport) int { return strings.Compare(a.Run.Job, b.Run.Job) })
+	return reply
+}
+
+// advance ends the runs that are over by now.
+func (f *fakeWorkers) advance(w *fakeWorker, now time.Time) {
+	if w.paused {
+		return
+	}
+	for _, r := range w.runs {
+		if r.report.State != platform.RunRunning {
+			continue
+		}
+		if !r.ends.IsZero() && !now.Before(r.ends) && !r.ends.After(w.lease) {
+			r.report.DoneMS = r.ends.Sub(f.history[r.at].from).Milliseconds()
+			f.end(w, r, platform.RunDone, r.ends)
+		} else if now.After(w.lease) {
+			f.end(w, r, platform.RunExpired, w.lease)
+		}
+	}
+}
+
+// end ends a run at a time.
+func (f *fakeWorkers) end(w *fakeWorker, r *fakeRun, state platform.RunState, at time.Time) {
+	w.seq++
+	r.seq = w.seq
+	r.report.State = state
+	f.history[r.at].to = at
+}
+
+// order carries out one order.
+func (f *fakeWorkers) order(w *fakeWorker, o platform.Order, now time.Time) {
+	r := w.runs[o.Run]
+	running := r != nil && r.report.State == platform.RunRunning
+	switch o.Kind {
+	case platform.OrderStart:
+		f.start(w, r, o, now)
+	case platform.OrderCheckpoint:
+		if running {
+			r.report.DoneMS = now.Sub(f.history[r.at].from).Milliseconds()
+			if !w.noSave {
+				r.report.Checkpoint = o.Run.Job + "@" + now.Format("05.000")
+			}
+			f.end(w, r, platform.RunStopped, now)
+		}
+	case platform.OrderStop:
+		w.tombs[o.Run] = true
+		if running {
+			f.end(w, r, platform.RunStopped, now)
+		}
+	case platform.OrderForget:
+		w.tombs[o.Run] = true
+		delete(w.runs, o.Run)
+	}
+}
+
+// start begins a run unless it is a repeat or superseded.
+func (f *fakeWorkers) start(w *fakeWorker, r *fakeRun, o platform.Order, now time.Time) {
+	if r != nil {
+		return
+	}
+	w.seq++
+	r = &fakeRun{seq: w.seq, report: platform.RunReport{Run: o.Run, State: platform.RunRunning, Resources: o.Resources}}
+	w.runs[o.Run] = r
+	if w.tombs[o.Run] || w.newest[o.Run.Job] > o.Run.Epoch {
+		r.report.State = platform.RunRefused
+		return
+	}
+	w.newest[o.Run.Job] = o.Run.Epoch
+	r.at = len(f.history)
+	f.history = append(f.history, interval{run: o.Run, worker: w.name, from: now, checkpoint: o.Checkpoint})
+	if o.WorkMS > 0 {
+		r.ends = now.Add(time.Duration(o.WorkMS) * time.Millisecond)
+	}
+	if w.failAll {
+		f.end(w, r, platform.RunFailed, now)
+	}
+}
+
+// pass has all workers look at their clocks.
+func (f *fakeWorkers) pass() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.hosts {
+		f.advance(w, time.Now())
+	}
+}
+
+// runsOf returns the intervals of a job.
+func (f *fakeWorkers) runsOf(job string) []interval {
+	f.pass()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []interval
+	for _, i := range f.history {
+		if i.run.Job == job {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// overlap returns what is wrong with the history: a job that ran in two places
+// at once, or an epoch that ran twice; empty if nothing is.
+func (f *fakeWorkers) overlap() string {
+	f.pass()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	byJob := map[string][]interval{}
+	for _, i := range f.history {
+		byJob[i.run.Job] = append(byJob[i.run.Job], i)
+	}
+	for _, job := range slices.Sorted(maps.Keys(byJob)) {
+		list := byJob[job]
+		for i, a := range list {
+			for _, b := range list[i+1:] {
+				if a.run == b.run {
+					return job + ": an epoch ran twice"
+				}
+				if (a.to.IsZero() || a.to.After(b.from)) && (b.to.IsZero() || b.to.After(a.from)) {
+					return job + ": ran on " + a.worker + " and " + b.worker + " at once"
+				}
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/event/batch.go
@@ -0,0 +1,24 @@
+package event
+
+import "log/slog"
+
+// Events 500 to 599: worker shards.
+var (
+	ShardReplaying     = define(500, slog.LevelInfo, "worker shard: replay started")
+	ShardReplayed      = define(501, slog.LevelInfo, "worker shard: replay finished")
+	ShardReplayFailed  = define(502, slog.LevelWarn, "worker shard: replay failed, trying again")
+	ShardDropped       = define(503, slog.LevelInfo, "worker shard: dropped")
+	ShardFenced        = define(504, slog.LevelWarn, "worker shard: commit refused, another host owns it")
+	ShardReleased      = define(505, slog.LevelInfo, "worker shard: released for hand-over")
+	WorkerReconciled   = define(510, slog.LevelInfo, "worker reconciled")
+	WorkerSilent       = define(511, slog.LevelWarn, "worker does not answer")
+	WorkerLost         = define(512, slog.LevelWarn, "worker's runs are over, lease lapsed")
+	WorkerRefused      = define(513, slog.LevelWarn, "worker refused exchange, a newer owner exists")
+	WorkerQuarantined  = define(514, slog.LevelWarn, "worker quarantined, distinct jobs failed in a row")
+	WorkerProbed       = define(515, slog.LevelInfo, "quarantined worker takes one job as a probe")
+	WorkerCleared      = define(516, slog.LevelInfo, "worker out of quarantine")
+	RunStray           = define(520, slog.LevelWarn, "run without a matching record, stopping it")
+	JobParked          = define(521, slog.LevelWarn, "job parked")
+	RecordUnreadable   = define(522, slog.LevelError, "job record cannot be decoded, left alone")
+	TransitionRejected = define(523, slog.LevelError, "transition not legal in this state, ignored")
+)
--- /dev/null
+++ b/internal/memtable/table.go
@@ -0,0 +1,201 @@
+// Package memtable is an in-memory table service with faults, for tests of
+// the packages that write to the table.
+package memtable
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// Table is an in-memory platform.Table. Set the exported fields before use or
+// through Set.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	late    []platform.Transaction
+
+	// Faults are the faults now in force.
+	faults Faults
+	stats  Stats
+}
+
+// Faults are what goes wrong.
+type Faults struct {
+	// Delay is how long each request takes.
+	Delay time.Duration
+	// Down refuses all requests.
+	Down bool
+	// LoseAnswers is how many commits take effect without an answer.
+	LoseAnswers int
+	// HoldCommits is how many commits get no answer and take effect only
+	// with Deliver.
+	HoldCommits int
+}
+
+// Stats counts requests.
+type Stats struct {
+	// Commits counts transactions that arrived while the table was up.
+	Commits int
+	// Refused counts transactions that arrived while it was down.
+	Refused int
+	// Rows counts rows written.
+	Rows int
+	// Reads counts Get and Scan requests.
+	Reads int
+	// LargestRows is the largest number of rows in one transaction.
+	LargestRows int
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{rows: map[string]platform.Row{}} }
+
+// Set changes the faults.
+func (t *Table) Set(f func(*Faults)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(&t.faults)
+}
+
+// Stats returns the counts so far.
+func (t *Table) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
+}
+
+// Deliver has the held commits arrive now.
+func (t *Table) Deliver() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tx := range t.late {
+		t.apply(tx)
+	}
+	t.late = nil
+}
+
+// Put writes a row without conditions and returns its version.
+func (t *Table) Put(key string, value []byte) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.apply(platform.Transaction{Writes: []platform.Write{{Key: key, Value: value}}}).Version
+}
+
+// wait lets the delay pass; false when ctx ended first.
+func (t *Table) wait(ctx context.Context) bool {
+	t.mu.Lock()
+	delay := t.faults.Delay
+	t.mu.Unlock()
+	if delay == 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, tx platform.Transaction) platform.CommitResult {
+	if !t.wait(ctx) {
+		return platform.CommitResult{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.faults.Down:
+		t.stats.Refused++
+		return platform.CommitResult{Status: platform.CommitNotApplied}
+	case t.faults.HoldCommits > 0:
+		t.faults.HoldCommits--
+		t.late = append(t.late, tx)
+		return platform.CommitResult{}
+	case t.faults.LoseAnswers > 0:
+		t.faults.LoseAnswers--
+		t.apply(tx)
+		return platform.CommitResult{}
+	default:
+		return t.apply(tx)
+	}
+}
+
+// apply carries out a transaction.
+func (t *Table) apply(tx platform.Transaction) platform.CommitResult {
+	t.stats.Commits++
+	t.stats.LargestRows = max(t.stats.LargestRows, len(tx.Writes))
+	var conflicts []platform.Row
+	for _, c := range tx.Conditions {
+		if row := t.row(c.Key); row.Version != c.Version {
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return platform.CommitResult{Status: platform.CommitConflict, Conflicts: conflicts}
+	}
+	t.version++
+	for _, w := range tx.Writes {
+		t.stats.Rows++
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.version}
+	}
+	return platform.CommitResult{Status: platform.CommitApplied, Version: t.version}
+}
+
+// row returns a row, or an absent one.
+func (t *Table) row(key string) platform.Row {
+	if row, ok := t.rows[key]; ok {
+		return row
+	}
+	return platform.Row{Key: key}
+}
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if !t.wait(ctx) {
+		return nil, platform.ErrUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Reads++
+	if t.faults.Down {
+		return nil, platform.ErrUnavailable
+	}
+	out := make([]platform.Row, 0, len(keys))
+	for _, key := range keys {
+		out = append(out, t.row(key))
+	}
+	return out, nil
+}
+
+// Scan implements platform.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if !t.wait(ctx) {
+		return nil, platform.ErrUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Reads++
+	if t.faults.Down {
+		return nil, platform.ErrUnavailable
+	}
+	var out []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out[:min(limit, len(out))], nil
+}
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,214 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// rig is a journal over an in-memory table, in a synctest bubble.
+type rig struct {
+	*Journal
+	table   *memtable.Table
+	stop    context.CancelFunc
+	mu      sync.Mutex
+	results map[string]platform.CommitResult
+	done    chan struct{}
+}
+
+// run has f work with a running journal on a virtual clock.
+func run(t *testing.T, f func(r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		r := &rig{table: memtable.New(), stop: stop, results: map[string]platform.CommitResult{}, done: make(chan struct{})}
+		b := settings.Default().Batch
+		r.Journal = New(Config{Table: r.table, Incarnation: "i1", Settings: b, MaxQueue: 1000})
+		go func() {
+			r.Run(ctx)
+			close(r.done)
+		}()
+		f(r)
+		stop()
+		<-r.done
+	})
+}
+
+// put appends a write of one row and notes its result under the name.
+func (r *rig) put(name, key string, c ...platform.Condition) {
+	r.Append(Entry{
+		Conditions: c,
+		Writes:     []platform.Write{{Key: key, Value: []byte(name)}},
+		Done:       func(res platform.CommitResult) { r.note(name, res) },
+	})
+}
+
+// note keeps an entry's result.
+func (r *rig) note(name string, res platform.CommitResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results[name] = res
+}
+
+// after lets d of virtual time pass.
+func after(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
+
+// value reads a row.
+func (r *rig) value(key string) string {
+	rows, err := r.table.Get(context.Background(), key)
+	if err != nil {
+		return err.Error()
+	}
+	return string(rows[0].Value)
+}
+
+func expect(t *testing.T, r *rig, name string, want platform.CommitStatus) {
+	t.Helper()
+	synctest.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	got, ok := r.results[name]
+	if !ok || got.Status != want {
+		t.Errorf("%s: result %v (there: %v), want status %v", name, got, ok, want)
+	}
+}
+
+func TestBusyEntriesShareACommit(t *testing.T) {
+	run(t, func(r *rig) {
+		r.table.Set(func(f *memtable.Faults) { f.Delay = 50 * time.Millisecond })
+		r.put("first", "k")
+		synctest.Wait()
+		for i := range 200 {
+			r.put(fmt.Sprint(i), fmt.Sprint("k", i))
+		}
+		after(101 * time.Millisecond)
+		if got := r.table.Stats().Commits; got != 2 {
+			t.Errorf("%d commits for an idle entry and 200 behind it, want 2", got)
+		}
+		expect(t, r, "199", platform.CommitApplied)
+	})
+}
+
+func TestConflictFailsOnlyItsEntry(t *testing.T) {
+	run(t, func(r *rig) {
+		r.table.Set(func(f *memtable.Faults) { f.Delay = 50 * time.Millisecond })
+		r.put("head", "h")
+		synctest.Wait()
+		r.put("good", "a")
+		r.put("bad", "b", platform.Condition{Key: "b", Version: 77})
+		r.put("also good", "c", platform.Condition{Key: "c"})
+		after(time.Second)
+		expect(t, r, "good", platform.CommitApplied)
+		expect(t, r, "bad", platform.CommitConflict)
+		expect(t, r, "also good", platform.CommitApplied)
+	})
+}
+
+func TestSameRowKeepsOrder(t *testing.T) {
+	run(t, func(r *rig) {
+		r.table.Set(func(f *memtable.Faults) { f.Delay = 50 * time.Millisecond })
+		r.put("head", "h")
+		synctest.Wait()
+		for i := range 5 {
+			r.put(fmt.Sprint("v", i), "same")
+		}
+		r.Append(Entry{
+			Urgent: true, Writes: []platform.Write{{Key: "same", Value: []byte("last")}},
+			Done: func(platform.CommitResult) {},
+		})
+		after(2 * time.Second)
+		if got := r.value("same"); got != "last" {
+			t.Errorf("row is %q, want the entry appended last", got)
+		}
+	})
+}
+
+func TestLostAnswerIsSettled(t *testing.T) {
+	run(t, func(r *rig) {
+		r.table.Set(func(f *memtable.Faults) { f.LoseAnswers = 1 })
+		r.put("lost", "k", platform.Condition{Key: "k"})
+		after(time.Second)
+		expect(t, r, "lost", platform.CommitApplied)
+		if got := r.table.Stats().Commits; got != 1 {
+			t.Errorf("%d commits arrived, want 1: a settled commit is not written again", got)
+		}
+	})
+}
+
+func TestBlindRetryIsSeen(t *testing.T) {
+	run(t, func(r *rig) {
+		r.blind = true
+		r.table.Set(func(f *memtable.Faults) { f.LoseAnswers = 1 })
+		r.put("lost", "k", platform.Condition{Key: "k"})
+		after(time.Second)
+		if res := r.results["lost"]; res.Status == platform.CommitApplied {
+			t.Error("a journal that does not settle lost answers passes the check of settling")
+		}
+	})
+}
+
+func TestLateArrivalTakesEffectOnce(t *testing.T) {
+	run(t, func(r *rig) {
+		r.table.Set(func(f *memtable.Faults) { f.HoldCommits = 1 })
+		r.put("held", "k")
+		synctest.Wait()
+		r.table.Deliver() // arrives after the journal read its row
+		after(time.Second)
+		expect(t, r, "held", platform.CommitApplied)
+		r.put("next", "k")
+		after(time.Second)
+		expect(t, r, "next", platform.CommitApplied)
+		if got := r.table.Stats().Rows; got != 4 {
+			t.Errorf("%d rows written by two commits of two rows, want 4", got)
+		}
+	})
+}
+
+func TestOutage(t *testing.T) {
+	run(t, func(r *rig) {
+		r.table.Set(func(f *memtable.Faults) { f.Down = true })
+		r.put("waits", "w")
+		synctest.Wait()
+		r.Append(Entry{
+			Writes: []platform.Write{{Key: "d"}}, Deadline: time.Now().Add(3 * time.Second),
+			Done: func(res platform.CommitResult) { r.note("late", res) },
+		})
+		for i := range 999 {
+			r.put(fmt.Sprint(i), fmt.Sprint("k", i))
+		}
+		r.put("over", "o")
+		expect(t, r, "over", platform.CommitNotApplied)
+		after(time.Minute)
+		expect(t, r, "late", platform.CommitNotApplied)
+		if got := r.table.Stats().Refused; got > 60 {
+			t.Errorf("%d attempts in a minute of outage, want at most 60", got)
+		}
+		r.table.Set(func(f *memtable.Faults) { f.Down = false })
+		after(5 * time.Second)
+		expect(t, r, "waits", platform.CommitApplied)
+		expect(t, r, "998", platform.CommitApplied)
+	})
+}
+
+func TestStopAnswersEverything(t *testing.T) {
+	run(t, func(r *rig) {
+		r.table.Set(func(f *memtable.Faults) { f.Delay = time.Minute })
+		r.put("sent", "a")
+		synctest.Wait()
+		r.put("queued", "b")
+		r.stop()
+		<-r.done
+		expect(t, r, "queued", platform.CommitNotApplied)
+		expect(t, r, "sent", platform.CommitUnknown)
+	})
+}
--- /dev/null
+++ b/task/record.go
@@ -0,0 +1,79 @@
+package task
+
+import (
+	"slices"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// Record is what the table keeps of a job. The methods that change it return
+// a new record and leave the receiver as it is.
+type Record struct {
+	Spec  Spec  `msgpack:"s"`
+	State State `msgpack:"st"`
+	// Epoch numbers the runs; 0 before the first start. It rises by one with
+	// each start and an epoch has at most one run.
+	Epoch uint64 `msgpack:"e,omitempty"`
+	// Worker is the host of the run of Epoch, while the state is active.
+	Worker string `msgpack:"w,omitempty"`
+	// Checkpoint names the progress that the next start, or the current run,
+	// resumes from.
+	Checkpoint string `msgpack:"cp,omitempty"`
+	// DoneMS is the work that Checkpoint holds, in milliseconds at full
+	// speed, or all the work once done.
+	DoneMS int64 `msgpack:"d,omitempty"`
+	// Failures are the distinct workers that the job failed on.
+	Failures []string `msgpack:"f,omitempty"`
+	// Kills is how often a worker's guard killed it.
+	Kills int `msgpack:"k,omitempty"`
+	// Evictions is how often it was stopped to make room.
+	Evictions int `msgpack:"ev,omitempty"`
+	// LostMS is the work done and lost, in milliseconds at full speed.
+	LostMS int64 `msgpack:"l,omitempty"`
+	// Learned is the size it reserves once the declared one proved small.
+	Learned platform.Resources `msgpack:"g,omitempty"`
+	// Reason explains the last failure or the terminal state.
+	Reason string `msgpack:"r,omitempty"`
+	// FinishedUnixMS is when it became terminal, in Unix milliseconds.
+	FinishedUnixMS int64 `msgpack:"t,omitempty"`
+}
+
+// New returns the record of a job that was just submitted.
+func New(s Spec) Record { return Record{Spec: s} }
+
+// Run returns the run of the record's epoch.
+func (r Record) Run() platform.RunID { return platform.RunID{Job: r.Spec.ID, Epoch: r.Epoch} }
+
+// Sized returns the spec with the size that is to be reserved: the larger of
+// the declared and the learned one.
+func (r Record) Sized() Spec {
+	s := r.Spec
+	s.Resources.MemoryMB = max(s.Resources.MemoryMB, r.Learned.MemoryMB)
+	return s
+}
+
+// over ends the record's run, counting what it did beyond the checkpoint, up
+// to doneMS, as lost.
+func (r Record) over(doneMS int64) Record {
+	r.LostMS += max(0, doneMS-r.DoneMS)
+	r.Worker = ""
+	return r
+}
+
+// finish makes the record terminal.
+func (r Record) finish(s State, reason string, nowMS int64) Record {
+	r.State = s
+	r.Worker = ""
+	r.Reason = reason
+	r.FinishedUnixMS = nowMS
+	return r
+}
+
+// withFailure adds the worker to the failures, once.
+func (r Record) withFailure(worker string) Record {
+	if slices.Contains(r.Failures, worker) {
+		return r
+	}
+	r.Failures = append(slices.Clip(r.Failures), worker)
+	return r
+}
