placement: Scheduler with indexed filter, score, reserve

Cause: the owner of a shard needs a Planner to integrate against. Change: hosts are indexed by free processors and memory per zone; a decision samples a bounded number of feasible hosts and scores them, with an exact search where the sample finds none and a cache of sizes that fit nowhere. Order: urgent, due by latest start, dominant share by weight, submission. Urgent work that fits nowhere evicts least loss first within a budget. Action gains Resources (what a start reserves). Scheduler has Killed, AdoptSized, SetAllotment and TeamUsage beside the Planner interface. estimate learns sizes and run times by class. Broken on purpose and seen to fail: the memory filter let 50 GB too much pass (TestRandomCallsKeepCapacity), the exact search left out (TestExactSearchFindsTheOnlyHost), the cache not told of freed hosts (TestRandomCallsKeepCapacity).

--- a/placement/action.go
+++ b/placement/action.go
@@ -1,5 +1,7 @@
 package placement
 
+import "github.com/fireflygate/fireflygate/platform"
+
 // ActionKind is what a plan asks for.
 type ActionKind uint8
 
@@ -20,6 +22,9 @@
 	Job     string
 	Host    string
 	Percent int
+	// Resources is what a start reserves, which may differ from what the
+	// job declares.
+	Resources platform.Resources
 	// Reason says why, for people.
 	Reason string
 }
--- /dev/null
+++ b/placement/node.go
@@ -0,0 +1,53 @@
+package placement
+
+import "github.com/fireflygate/fireflygate/platform"
+
+// node is a host with what is reserved on it.
+type node struct {
+	host Host
+	// reserved is the sum over runs.
+	reserved platform.Resources
+	// held is kept for urgent jobs that wait for their victims' release.
+	held platform.Resources
+	runs []*run
+	// nominees are the urgent jobs that held is for.
+	nominees []*pending
+	// position is its place in Scheduler.order.
+	position int
+	// cell and slot are where the index holds the node; cell is nil when it
+	// is not indexed.
+	cell *cell
+	slot int
+	// grid and the levels name the cell within the index.
+	grid        *grid
+	levelCPU    uint8
+	levelMemory uint8
+}
+
+// free is what is neither reserved nor held; it may be negative after Adopt.
+func (n *node) free() platform.Resources {
+	return n.host.Capacity.Sub(n.reserved).Sub(n.held)
+}
+
+// add records a run.
+func (n *node) add(r *run) {
+	r.node = n
+	n.runs = append(n.runs, r)
+	n.reserved = n.reserved.Add(r.size)
+}
+
+// remove forgets a run.
+func (n *node) remove(r *run) {
+	for i, other := range n.runs {
+		if other != r {
+			continue
+		}
+		last := len(n.runs) - 1
+		n.runs[i] = n.runs[last]
+		n.runs[last] = nil
+		n.runs = n.runs[:last]
+		n.reserved = n.reserved.Sub(r.size)
+		return
+	}
+	panic("placement: run not on its host: " + r.spec.ID)
+}
--- /dev/null
+++ b/placement/run.go
@@ -0,0 +1,38 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// fullSpeed is the percentage of a run that is not throttled.
+const fullSpeed = 100
+
+// run is a job that occupies a host.
+type run struct {
+	spec task.Spec
+	node *node
+	// size is what was reserved; it does not change during the run.
+	size platform.Resources
+	// peak is the most that it was seen to use since it was last learned.
+	peak platform.Resources
+	// used is what it was last seen to use; it lags.
+	used platform.Resources
+	// reports counts reports since peak was last learned.
+	reports int32
+	// percent is the share of its processors that it has; 100 in full.
+	percent int32
+	// doneMS is the work that it has done.
+	doneMS int64
+	// started is zero when the run was adopted.
+	started time.Time
+	// resumed is set when it went on from an earlier run, so that its own
+	// time is not the job's.
+	resumed bool
+	// requeue is set when the job is to be queued again on release.
+	requeue bool
+	// evicting is when its eviction was asked for; zero if it was not.
+	evicting time.Time
+}
--- /dev/null
+++ b/placement/score_spread.go
@@ -0,0 +1,57 @@
+package placement
+
+// spreadKey counts a class's runs in a rack; with no rack, in a zone; with no
+// zone, in all.
+type spreadKey struct {
+	class string
+	zone  string
+	rack  string
+}
+
+// spread counts latency-critical runs by failure domain.
+type spread struct {
+	runs map[spreadKey]int
+}
+
+func newSpread() spread { return spread{runs: map[spreadKey]int{}} }
+
+// score prefers zones, racks and hosts with fewer runs of the same class.
+func (d *spread) score(q *request, n *node) float64 {
+	class := q.spec.Class
+	zone := d.runs[spreadKey{class: class, zone: n.host.Zone}]
+	rack := d.runs[spreadKey{class: class, zone: n.host.Zone, rack: n.host.Rack}]
+	total := d.runs[spreadKey{class: class}]
+	same := 0
+	for _, r := range n.runs {
+		if r.spec.Class == class {
+			same++
+		}
+	}
+	crowding := 0.5*saturate(same, 1) + 0.3*saturate(rack, rackHalf) + 0.2*ratio(int64(zone), int64(total))
+	empty := ratio(n.free().MilliCPU, n.host.Capacity.MilliCPU)
+	return 1 - crowding + 0.1*empty
+}
+
+// rackHalf is the number of runs in a rack at which its score is halved.
+const rackHalf = 8
+
+// saturate rises from 0 to 1; it is a half at half.
+func saturate(count, half int) float64 {
+	return float64(count) / float64(count+half)
+}
+
+// count adds by to the counts of a run's domains.
+func (d *spread) count(class string, h Host, by int) {
+	d.add(spreadKey{class: class}, by)
+	d.add(spreadKey{class: class, zone: h.Zone}, by)
+	if h.Rack != "" {
+		d.add(spreadKey{class: class, zone: h.Zone, rack: h.Rack}, by)
+	}
+}
+
+func (d *spread) add(key spreadKey, by int) {
+	d.runs[key] += by
+	if d.runs[key] == 0 {
+		delete(d.runs, key)
+	}
+}
--- /dev/null
+++ b/placement/teams.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// team is what one team uses of the shard and may use.
+type team struct {
+	weight    float64
+	used      platform.Resources
+	allotment quota.Amount
+}
+
+// teams holds the teams by name; unknown ones have weight 1 and no quota.
+type teams struct {
+	byName map[string]*team
+}
+
+func newTeams(configured map[string]settings.Team) teams {
+	t := teams{byName: map[string]*team{}}
+	for name, c := range configured {
+		entry := t.get(name)
+		entry.allotment = quota.Of(c.MilliCPU, c.MemoryMB)
+		if c.Weight > 0 {
+			entry.weight = c.Weight
+		}
+	}
+	return t
+}
+
+func (t *teams) get(name string) *team {
+	entry, known := t.byName[name]
+	if !known {
+		entry = &team{weight: 1, allotment: quota.Of(0, 0)}
+		t.byName[name] = entry
+	}
+	return entry
+}
+
+// share is the team's dominant share of capacity over its weight.
+func (t *teams) share(name string, capacity platform.Resources) float64 {
+	entry := t.get(name)
+	dominant := max(
+		ratio(entry.used.MilliCPU, capacity.MilliCPU),
+		ratio(entry.used.MemoryMB, capacity.MemoryMB),
+		ratio(entry.used.Accelerators, capacity.Accelerators),
+	)
+	return dominant / entry.weight
+}
+
+// allows reports whether the team's allotment leaves room for more.
+func (t *teams) allows(name string, more platform.Resources) bool {
+	entry := t.get(name)
+	return entry.allotment.Allows(entry.used, more)
+}
+
+// ratio is part of whole; 0 if there is no whole.
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/placement/why.go
@@ -0,0 +1,71 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Why says why a job is pending or where it runs, for people. It looks at
+// each host, so it is for questions, not for decisions.
+func (s *Scheduler) Why(job string) string {
+	if r, running := s.runs[job]; running {
+		return s.whyRunning(r)
+	}
+	j, waiting := s.queue.jobs[job]
+	if !waiting {
+		return "not known here"
+	}
+	if reason, never := s.NeverFits(j.spec); never {
+		return "pending: " + reason
+	}
+	return "pending: " + s.whyPending(j)
+}
+
+func (s *Scheduler) whyRunning(r *run) string {
+	text := "runs on " + r.node.host.Name
+	switch {
+	case !r.evicting.IsZero():
+		text += ", eviction asked for"
+	case r.percent < fullSpeed:
+		text += fmt.Sprintf(", throttled to %d%% of its processors", r.percent)
+	}
+	return text
+}
+
+func (s *Scheduler) whyPending(j *pending) string {
+	q := s.request(s.now, j)
+	switch {
+	case j.nominated != nil:
+		return "waits for victims on " + j.nominated.host.Name + " to be released"
+	case !s.teams.allows(j.spec.Team, q.size):
+		return "quota of team " + j.spec.Team + " is used up"
+	}
+	counts := s.countRejections(&q)
+	if counts[Feasible] > 0 {
+		return fmt.Sprintf("waits for its turn; %d of %d hosts fit", counts[Feasible], len(s.order))
+	}
+	return "no host fits: " + describe(counts, len(s.order))
+}
+
+// countRejections counts how many hosts each filter turns down.
+func (s *Scheduler) countRejections(q *request) [statuses]int {
+	var counts [statuses]int
+	for _, n := range s.order {
+		counts[q.filter(n)]++
+	}
+	return counts
+}
+
+// describe lists the filters that turned hosts down.
+func describe(counts [statuses]int, hosts int) string {
+	var parts []string
+	for status := RejectedUnschedulable; status < statuses; status++ {
+		if counts[status] > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", counts[status], status))
+		}
+	}
+	if len(parts) == 0 {
+		return "no host is known"
+	}
+	return fmt.Sprintf("of %d hosts %s", hosts, strings.Join(parts, ", "))
+}
--- /dev/null
+++ b/quota/amount.go
@@ -0,0 +1,35 @@
+package quota
+
+import "github.com/fireflygate/fireflygate/platform"
+
+// Unlimited is the amount of a resource without a quota.
+const Unlimited = -1
+
+// Amount is a bound on a team's reservations. A negative field is unlimited;
+// zero allows nothing.
+type Amount struct {
+	// MilliCPU is in thousandths of a core.
+	MilliCPU int64
+	// MemoryMB is in megabytes.
+	MemoryMB int64
+}
+
+// Of turns the settings' quota, where zero is for none, into an Amount.
+func Of(milliCPU, memoryMB int64) Amount {
+	a := Amount{MilliCPU: milliCPU, MemoryMB: memoryMB}
+	if milliCPU <= 0 {
+		a.MilliCPU = Unlimited
+	}
+	if memoryMB <= 0 {
+		a.MemoryMB = Unlimited
+	}
+	return a
+}
+
+// Allows reports whether a team that uses used may use more besides.
+func (a Amount) Allows(used, more platform.Resources) bool {
+	if a.MilliCPU >= 0 && used.MilliCPU+more.MilliCPU > a.MilliCPU {
+		return false
+	}
+	return a.MemoryMB < 0 || used.MemoryMB+more.MemoryMB <= a.MemoryMB
+}
