--- /dev/null
+++ b/demo/host.go
@@ -0,0 +1,118 @@
+package demo
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflygate/fireflygate/check"
+	"github.com/fireflygate/fireflygate/gate"
+	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+// host is one entry host of the demo.
+type host struct {
+	name      string
+	callers   string
+	operators string
+	gate      *gate.Gate
+	listeners gate.Listeners
+	stop      context.CancelFunc
+	// ended is closed when Run has returned; err is what it returned.
+	ended chan struct{}
+	err   error
+}
+
+// newHost builds an entry host and opens its ports on loopback.
+func newHost(s settings.Settings, p *standin.Platform, log *slog.Logger) (*host, error) {
+	const anyPort = "127.0.0.1:0"
+	s.Host.Listen, s.Host.Operators, s.Host.Peer = anyPort, anyPort, anyPort
+	g, err := gate.New(s, depsOf(p, s, log))
+	if err != nil {
+		return nil, err
+	}
+	l, err := gate.Listen(s.Host)
+	if err != nil {
+		return nil, err
+	}
+	h := &host{
+		name:      s.Host.Name,
+		callers:   "http://" + l.Callers.Addr().String(),
+		operators: "http://" + l.Operators.Addr().String(),
+		gate:      g,
+		listeners: l,
+		ended:     make(chan struct{}),
+	}
+	p.PutEntryHost(standin.EntryHostConfig{Name: h.name, Peer: l.Peers.Addr().String(), Zone: s.Host.Zone})
+	return h, nil
+}
+
+func depsOf(p *standin.Platform, s settings.Settings, log *slog.Logger) gate.Deps {
+	const idleConns = 64
+	transport := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns}
+	client := &http.Client{Transport: transport, Timeout: s.Platform.Timeout.D()}
+	a := p.Addresses()
+	return gate.Deps{
+		Table:   httpclient.NewTable(a.Table, client),
+		Objects: httpclient.NewObjects(a.Objects, client),
+		Members: httpclient.NewMembers(a.Members, client),
+		Workers: httpclient.NewWorkers(client),
+		Log:     log.With(slog.String("host", s.Host.Name)),
+		Now:     time.Now,
+		Build:   "demo",
+	}
+}
+
+// start runs the host until stop is called or it drains.
+func (h *host) start(ctx context.Context) {
+	ctx, h.stop = context.WithCancel(ctx)
+	go func() {
+		defer close(h.ended)
+		h.err = h.gate.Run(ctx, h.listeners)
+	}()
+}
+
+// drain stops the host as planned and waits until it has ended.
+func (h *host) drain(recorder *check.Recorder) error {
+	recorder.Add(check.Record{DrainBegan: &check.DrainBegan{Host: h.name}})
+	h.stop()
+	<-h.ended
+	recorder.Add(check.Record{DrainEnded: &check.DrainEnded{Host: h.name}})
+	return errors.Wrap(h.err, h.name)
+}
+
+// balancer is what the platform's balancer knows: the hosts that are ready.
+type balancer struct {
+	mu    sync.Mutex
+	hosts []*host
+}
+
+// targets returns the callers' URLs of the hosts in the balancer.
+func (b *balancer) targets() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]string, len(b.hosts))
+	for i, h := range b.hosts {
+		out[i] = h.callers
+	}
+	return out
+}
+
+// remove takes a host out, as a balancer does that sees it not ready.
+func (b *balancer) remove(h *host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var left []*host
+	for _, one := range b.hosts {
+		if one != h {
+			left = append(left, one)
+		}
+	}
+	b.hosts = left
+}
--- /dev/null
+++ b/demo/result.go
@@ -0,0 +1,61 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/fireflygate/fireflygate/check"
+)
+
+// Result is what a run came to.
+type Result struct {
+	// Violations counts breaches of promises; Breaches says what they were.
+	Violations int      `json:"violations"`
+	Breaches   []string `json:"breaches,omitempty"`
+	// Promises are the promises that were checked.
+	Promises []string `json:"promises"`
+	Answered int64    `json:"answered"`
+	NotRun   int64    `json:"not_run"`
+	Unknown  int64    `json:"unknown"`
+	P50MS    float64  `json:"p50_ms"`
+	P99MS    float64  `json:"p99_ms"`
+	// TasksDone counts jobs whose run ended done on a worker.
+	TasksDone    int `json:"tasks_done"`
+	Evictions    int `json:"evictions"`
+	EventsMet    int `json:"events_met"`
+	EventsMissed int `json:"events_missed"`
+	// JobsSubmitted counts jobs that were acknowledged.
+	JobsSubmitted int `json:"jobs_submitted"`
+}
+
+// breaches keeps what the checks found.
+func (r *Result) breaches(report check.Report) {
+	r.Violations = len(report.Violations)
+	for _, v := range report.Violations {
+		r.Breaches = append(r.Breaches, v.String())
+	}
+	r.Promises = report.Promises
+}
+
+// Print writes the result as a table.
+func (r Result) Print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(t, "%s\t%v\n", name, value) }
+	row("calls answered", r.Answered)
+	row("calls not run", r.NotRun)
+	row("calls unknown", r.Unknown)
+	row("latency p50", fmt.Sprintf("%.1f ms", r.P50MS))
+	row("latency p99", fmt.Sprintf("%.1f ms", r.P99MS))
+	row("jobs submitted", r.JobsSubmitted)
+	row("tasks done", r.TasksDone)
+	row("evictions", r.Evictions)
+	row("events met", r.EventsMet)
+	row("events missed", r.EventsMissed)
+	row("promises checked", len(r.Promises))
+	row("violations", r.Violations)
+	_ = t.Flush()
+	for _, b := range r.Breaches {
+		_, _ = fmt.Fprintln(w, "  breach:", b)
+	}
+}
--- /dev/null
+++ b/demo/run.go
@@ -0,0 +1,259 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflygate/fireflygate/check"
+	"github.com/fireflygate/fireflygate/configstore"
+	"github.com/fireflygate/fireflygate/load"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+// When things happen, as parts of the run's duration.
+const (
+	configAt = 0.2
+	leaveAt  = 0.35
+	burstAt  = 0.5
+	drainAt  = 0.65
+)
+
+// readyTimeout bounds the wait for the hosts to become ready.
+const readyTimeout = 20 * time.Second
+
+// finishTimeout bounds the wait for jobs after the callers have stopped.
+const finishTimeout = 10 * time.Second
+
+// site is a running demo.
+type site struct {
+	options  Options
+	recorder *check.Recorder
+	platform *standin.Platform
+	hosts    []*host
+	balancer *balancer
+	watchers sync.WaitGroup
+	// eventStart is when the event starts.
+	eventStart time.Time
+	// policy is what the hosts have in force at first.
+	policy settings.Settings
+}
+
+// Run runs the demo and checks what was recorded. The error is for what could
+// not be run; breaches of promises are in the result.
+func Run(ctx context.Context, o Options) (Result, error) {
+	s := &site{options: o, recorder: check.NewRecorder(nil), balancer: &balancer{}}
+	defer s.close()
+	if err := s.start(ctx); err != nil {
+		return Result{}, err
+	}
+	jobs := newSubmitter(s.balancer, o.Seed)
+	jobsCtx, stopJobs := context.WithCancel(ctx)
+	defer stopJobs()
+	var work sync.WaitGroup
+	work.Go(func() { jobs.run(jobsCtx) })
+	var scriptErr error
+	work.Go(func() { scriptErr = s.script(ctx) })
+	summary := callers(ctx, o, s.balancer, s.names(), s.recorder, part(o.Duration, burstAt))
+	stopJobs()
+	work.Wait()
+	if err := errors.CombineErrors(scriptErr, s.finish(ctx, jobs)); err != nil {
+		return Result{}, err
+	}
+	return s.result(summary, jobs), nil
+}
+
+// start starts the stand-ins and the entry hosts, and waits until all are
+// ready and the shards have owners.
+func (s *site) start(ctx context.Context) error {
+	p, err := standin.Start(surroundings(s.options.Seed, s.recorder))
+	if err != nil {
+		return err
+	}
+	s.platform = p
+	s.say("stand-ins: %d endpoints of %s, %d workers, table, objects, members", len(p.Endpoints), service, len(p.Workers))
+	s.eventStart = time.Now().Add(2*time.Second + part(s.options.Duration, burstAt))
+	for i := range hostCount {
+		s.policy = hostSettings(fmt.Sprintf("gate-%d", i+1), zones[i%len(zones)], s.eventStart)
+		h, err := newHost(s.policy, p, s.options.Log)
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
+		h.start(context.WithoutCancel(ctx))
+		s.balancer.hosts = append(s.balancer.hosts, h)
+		s.watchers.Go(func() { watchConfig(context.WithoutCancel(ctx), h, s.recorder) })
+	}
+	if err := s.waitReady(ctx); err != nil {
+		return err
+	}
+	s.say("%d entry hosts ready; event %s starts in %.1f s", len(s.hosts), eventName, time.Until(s.eventStart).Seconds())
+	return nil
+}
+
+// waitReady waits until every shard has an owner that may use it in full.
+func (s *site) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		held := 0
+		for _, h := range s.hosts {
+			held += h.gate.HeldInFull()
+		}
+		if shards := s.hosts[0].gate.Shards(); shards > 0 && held >= shards {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("the shards did not all find an owner in time")
+		case <-ticker.C:
+		}
+	}
+}
+
+// script brings about what the demo shows, each at its time.
+func (s *site) script(ctx context.Context) error {
+	start := time.Now()
+	if !until(ctx, start.Add(part(s.options.Duration, configAt))) {
+		return ctx.Err()
+	}
+	if err := s.applyConfig(ctx); err != nil {
+		return err
+	}
+	if !until(ctx, start.Add(part(s.options.Duration, leaveAt))) {
+		return ctx.Err()
+	}
+	leaving := s.platform.Endpoints[0].Name()
+	s.platform.Members.SetState(leaving, platform.Leaving)
+	s.say("endpoint %s is leaving", leaving)
+	if !until(ctx, start.Add(part(s.options.Duration, drainAt))) {
+		return ctx.Err()
+	}
+	h := s.hosts[len(s.hosts)-1]
+	s.say("draining entry host %s", h.name)
+	s.balancer.remove(h)
+	began := time.Now()
+	if err := h.drain(s.recorder); err != nil {
+		return err
+	}
+	s.say("%s drained in %.1f s", h.name, time.Since(began).Seconds())
+	return nil
+}
+
+// applyConfig accepts a new configuration, as an operator's apply does.
+func (s *site) applyConfig(ctx context.Context) error {
+	next := s.policy
+	next.Calls.Queue *= 2
+	content, err := settings.MarshalPolicy(next)
+	if err != nil {
+		return err
+	}
+	a := s.platform.Addresses()
+	client := &http.Client{Timeout: submitTimeout}
+	store := &configstore.Store{
+		Table: httpclient.NewTable(a.Table, client), Objects: httpclient.NewObjects(a.Objects, client), Now: time.Now,
+	}
+	r := store.Apply(ctx, configstore.Change{Base: 0, Author: "demo", Content: content})
+	if r.Status != configstore.Accepted {
+		return errors.Newf("the configuration was not accepted: %v", r.Err)
+	}
+	s.recorder.Add(check.Record{ConfigAccepted: &check.ConfigAccepted{Version: r.Head.Version}})
+	s.say("configuration %d accepted: %s", r.Head.Version, strings.Join(r.Differs[:min(3, len(r.Differs))], " "))
+	return nil
+}
+
+// finish waits for the jobs that were acknowledged, for a while, and drains
+// the hosts that are left.
+func (s *site) finish(ctx context.Context, jobs *submitter) error {
+	s.say("callers done; waiting for jobs")
+	deadline := time.Now().Add(finishTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if len(tallyOf(s.recorder.Records()).done) >= jobs.submitted-agents {
+			break
+		}
+		until(ctx, time.Now().Add(watchInterval))
+	}
+	var err error
+	for _, h := range s.hosts[:len(s.hosts)-1] {
+		s.balancer.remove(h)
+		err = errors.CombineErrors(err, h.drain(s.recorder))
+	}
+	s.watchers.Wait()
+	return err
+}
+
+func (s *site) result(summary load.Summary, jobs *submitter) Result {
+	records := s.recorder.Records()
+	t := tallyOf(records)
+	r := Result{
+		Answered: summary.Answered, NotRun: summary.NotRun, Unknown: summary.Unknown,
+		P50MS: summary.P50MS, P99MS: summary.P99MS,
+		TasksDone: len(t.done), Evictions: t.evictions, JobsSubmitted: jobs.submitted,
+	}
+	if t.met(jobs.eventIDs, s.eventStart) {
+		r.EventsMet = 1
+	} else {
+		r.EventsMissed = 1
+	}
+	r.breaches(check.Run(records))
+	return r
+}
+
+// names returns the hosts' names by their callers' URL.
+func (s *site) names() map[string]string {
+	out := map[string]string{}
+	for _, h := range s.hosts {
+		out[h.callers] = h.name
+	}
+	return out
+}
+
+// close ends whatever still runs, after a failure.
+func (s *site) close() {
+	for _, h := range s.hosts {
+		if h.stop != nil {
+			h.stop()
+			<-h.ended
+		} else {
+			h.listeners.Close()
+		}
+	}
+	if s.platform != nil {
+		_ = s.platform.Close()
+	}
+}
+
+func (s *site) say(format string, args ...any) {
+	if s.options.Progress != nil {
+		_, _ = fmt.Fprintf(s.options.Progress, format+"\n", args...)
+	}
+}
+
+// part returns a share of a duration.
+func part(d time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(d))
+}
+
+// until waits until at; false when ctx ended first.
+func until(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gate/inspect.go
@@ -0,0 +1,18 @@
+package gate
+
+import "github.com/fireflygate/fireflygate/ownership"
+
+// HeldInFull returns how many shards this host may use in full now.
+func (g *Gate) HeldInFull() int {
+	n := 0
+	now := g.deps.Now()
+	for _, grant := range g.keeper.View().Grants {
+		if grant.At(now) == ownership.Full {
+			n++
+		}
+	}
+	return n
+}
+
+// Shards returns how many shards the membership list gives.
+func (g *Gate) Shards() int { return len(g.roster.Load().Shards()) }
--- a/load/config.go
+++ b/load/config.go
@@ -28,8 +28,9 @@
 	MaxInFlight int
 	// Seed makes arrivals and choices repeatable.
 	Seed uint64
-	// Headers are added to each request.
-	Headers http.Header
+	// Prepare, if set, may change each request before it is sent, from many
+	// goroutines.
+	Prepare func(*http.Request, Exchange)
 	// Observe is called with each finished request, from many goroutines.
 	Observe func(Exchange)
 }
--- a/load/exchange.go
+++ b/load/exchange.go
@@ -9,8 +9,10 @@
 
 // Exchange is one request and what became of it.
 type Exchange struct {
-	// ID is unique among requests; the body begins with it.
+	// ID is unique among requests.
 	ID string
+	// Target is the entry host's base URL.
+	Target string
 	// Key is the idempotency key, if any.
 	Key  string
 	Body []byte
--- a/load/run.go
+++ b/load/run.go
@@ -82,11 +82,12 @@
 	targets := r.config.Targets()
 	id := fmt.Sprintf("%d-%d", r.config.Seed, n)
 	p := planned{
-		exchange: Exchange{ID: id, Due: due, Body: []byte(id)},
+		exchange: Exchange{ID: id, Due: due},
 		target:   targets[n%len(targets)],
 	}
 	if rng.Float64() < r.config.Bookings {
 		p.exchange.Key = "booking-" + id
+		p.exchange.Body = []byte(id)
 		if rng.Float64() < r.config.Repeat {
 			p.repeat = targets[rng.IntN(len(targets))]
 		}
@@ -112,6 +113,7 @@
 		if p.repeat != "" {
 			again := p.exchange
 			again.Retried = true
+			again.ID += "-again"
 			again.Due = time.Now()
 			r.finish(r.do(ctx, again, p.repeat))
 		}
@@ -136,19 +138,20 @@
 	if x.Key != "" {
 		method = http.MethodPost
 	}
-	req, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(x.Body)))
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(x.Body))
 	if err != nil {
 		panic("load: bad target: " + err.Error())
 	}
-	req.ContentLength = int64(len(x.Body))
-	for name, values := range r.config.Headers {
-		req.Header[name] = values
-	}
+	// Without it the client can't send the request a second time by itself.
+	req.GetBody = nil
 	req.Header.Set("Fireflygate-Timeout-Ms", strconv.FormatInt(r.config.Timeout.Milliseconds(), 10))
 	if x.Key != "" {
 		req.Header.Set("Idempotency-Key", x.Key)
 	}
-	x.Sent = time.Now()
+	x.Sent, x.Target = time.Now(), target
+	if r.config.Prepare != nil {
+		r.config.Prepare(req, x)
+	}
 	resp, err := r.client.Do(req)
 	if err != nil {
 		x.Done, x.Outcome, x.Reason = time.Now(), outcome.Unknown, err.Error()
