batch: tests with faults; leases renewed before replay

Cause: a successor that can't replay during a store outage let task leases lapse. Change: exchanges go out before the replay, without orders; a confirmation that comes during a commit counts.

--- /dev/null
+++ b/batch/faults_test.go
@@ -0,0 +1,305 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/placement"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// started returns an owner with job "j" running on w0.
+func (r *rig) started(run time.Duration) *node {
+	r.t.Helper()
+	n := r.node("a")
+	r.own(n)
+	r.settle(2 * time.Second)
+	r.submit(n, spec("j", run))
+	r.settle(3 * time.Second)
+	return n
+}
+
+// evict has the planner ask for the job's eviction.
+func (n *node) evict(job string) {
+	n.post(func(time.Time) {
+		n.planner.wanted = append(n.planner.wanted, placement.Action{Kind: placement.Evict, Job: job})
+		if o := n.shards[shard]; o != nil {
+			o.dirty = true
+		}
+	})
+}
+
+// expectRuns expects the number of runs of "j".
+func (r *rig) expectRuns(want int) []interval {
+	r.t.Helper()
+	runs := r.workers.runsOf("j")
+	if len(runs) != want {
+		r.t.Errorf("%d runs, want %d: %+v", len(runs), want, runs)
+	}
+	return runs
+}
+
+// cutOff has w0 lose touch while "j" runs there, and returns what the checker
+// says of the history.
+func cutOff(t *testing.T, f faults) (wrong string) {
+	bubble(t, 2, func(r *rig) {
+		r.faults = f
+		n := r.started(time.Hour)
+		r.workers.set("w0", func(w *fakeWorker) { w.cut = true })
+		r.settle(time.Minute)
+		r.workers.set("w0", func(w *fakeWorker) { w.cut = false })
+		r.settle(5 * time.Second)
+		r.state(n, "j", task.Running)
+		r.expectRuns(2)
+		wrong = r.workers.overlap()
+	})
+	return wrong
+}
+
+func TestLapsedRunStartsAgainElsewhere(t *testing.T) {
+	if wrong := cutOff(t, faults{}); wrong != "" {
+		t.Error(wrong)
+	}
+	if cutOff(t, faults{lapseAtOnce: true}) == "" {
+		t.Error("an owner that does not wait for the lease passes the check")
+	}
+}
+
+// diesBeforeCommit has the owner die with a start's commit on its way, and the
+// next owner unable to reach w0.
+func diesBeforeCommit(t *testing.T, f faults) (wrong string) {
+	bubble(t, 2, func(r *rig) {
+		r.faults = f
+		a := r.node("a")
+		r.own(a)
+		r.settle(2 * time.Second)
+		r.table.Set(func(f *memtable.Faults) { f.Delay = 500 * time.Millisecond })
+		r.submit(a, spec("j", time.Hour))
+		r.settle(100 * time.Millisecond)
+		a.kill()
+		r.workers.set("w0", func(w *fakeWorker) { w.cut = true })
+		b := r.node("b")
+		r.own(b)
+		r.settle(10 * time.Second)
+		if f == (faults{}) {
+			r.state(b, "j", task.Running)
+		}
+		wrong = r.workers.overlap()
+	})
+	return wrong
+}
+
+func TestStartIsDurableBeforeItsOrder(t *testing.T) {
+	if wrong := diesBeforeCommit(t, faults{}); wrong != "" {
+		t.Error(wrong)
+	}
+	if diesBeforeCommit(t, faults{sendBeforeDurable: true}) == "" {
+		t.Error("an owner that sends a start before its commit passes the check")
+	}
+}
+
+func TestOwnerDiesBetweenCommitAndOrder(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		a := r.node("a")
+		r.own(a)
+		r.settle(2 * time.Second)
+		r.workers.set("w0", func(w *fakeWorker) { w.cut = true })
+		r.submit(a, spec("j", 10*time.Second))
+		r.settle(500 * time.Millisecond)
+		r.state(a, "j", task.Starting)
+		a.kill()
+		r.workers.set("w0", func(w *fakeWorker) { w.cut = false })
+		b := r.node("b")
+		r.own(b)
+		r.settle(20 * time.Second)
+		rec := r.state(b, "j", task.Done)
+		if r.expectRuns(1); rec.Epoch != 2 {
+			t.Errorf("epoch %d, want 2: the first start never reached its worker", rec.Epoch)
+		}
+	})
+}
+
+func TestEvictedResumesOnceFromItsCheckpoint(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		n := r.started(time.Hour)
+		r.workers.set("w0", func(w *fakeWorker) { w.loseReplies = 3 })
+		n.evict("j")
+		r.settle(10 * time.Second)
+		rec := r.state(n, "j", task.Running)
+		runs := r.expectRuns(2)
+		if rec.Evictions != 1 || len(runs) == 2 && runs[1].checkpoint == "" {
+			t.Errorf("evictions %d, runs %+v: want one, resumed from a checkpoint", rec.Evictions, runs)
+		}
+	})
+}
+
+func TestCheckpointLost(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		n := r.started(time.Hour)
+		r.workers.set("w0", func(w *fakeWorker) { w.noSave = true })
+		n.evict("j")
+		r.settle(5 * time.Second)
+		if rec := r.state(n, "j", task.Running); rec.LostMS == 0 || rec.Checkpoint != "" {
+			t.Errorf("record %+v: want the work counted as lost", rec)
+		}
+		r.expectRuns(2)
+	})
+}
+
+func TestOwnerDiesDuringEviction(t *testing.T) {
+	for _, wait := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond} {
+		bubble(t, 2, func(r *rig) {
+			a := r.started(time.Hour)
+			r.table.Set(func(f *memtable.Faults) { f.Delay = 20 * time.Millisecond })
+			a.evict("j")
+			r.settle(wait)
+			a.kill()
+			b := r.node("b")
+			r.own(b)
+			r.settle(5 * time.Second)
+			rec := r.state(b, "j", task.Running)
+			r.expectRuns(1 + rec.Evictions)
+		})
+	}
+}
+
+func TestEvictedWhileFinishing(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		n := r.started(5 * time.Second)
+		r.workers.set("w0", func(w *fakeWorker) { w.loseReplies = 4 })
+		r.settle(2100 * time.Millisecond)
+		n.evict("j")
+		r.settle(10 * time.Second)
+		r.state(n, "j", task.Done)
+		r.expectRuns(1)
+	})
+}
+
+func TestLostCommitAnswers(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		r.table.Set(func(f *memtable.Faults) { f.LoseAnswers = 3 })
+		r.submit(n, spec("j", time.Second))
+		r.settle(10 * time.Second)
+		r.state(n, "j", task.Done)
+		r.expectRuns(1)
+	})
+}
+
+// lateSubmit has an owner that was succeeded take a job, and returns what the
+// caller is told.
+func lateSubmit(t *testing.T, f faults) (kind outcome.Kind) {
+	bubble(t, 1, func(r *rig) {
+		r.faults = f
+		a, b := r.node("a"), r.node("b")
+		r.own(a)
+		r.settle(2 * time.Second)
+		r.workers.set("w0", func(w *fakeWorker) { w.cut = true })
+		r.own(b)
+		_, kind, _ = a.Submit(context.Background(), spec("j", time.Second))
+		r.settle(time.Second)
+		if c := a.Counts(); f == (faults{}) && c.Shards != 0 {
+			t.Errorf("the old owner still holds %d shards", c.Shards)
+		}
+	})
+	return kind
+}
+
+func TestLateOwnerWritesNothing(t *testing.T) {
+	if kind := lateSubmit(t, faults{}); kind != outcome.NotRun {
+		t.Errorf("a submission to a late owner: %v, want not run", kind)
+	}
+	if lateSubmit(t, faults{noFence: true}) != outcome.Answered {
+		t.Error("a submission without the fence is refused: the check proves nothing")
+	}
+}
+
+func TestLateOwnerIsRefusedByWorkers(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		a := r.started(time.Hour)
+		b := r.node("b")
+		r.own(b)
+		r.settle(3 * time.Second)
+		if c := a.Counts(); c.Shards != 0 || r.workers.refused == 0 {
+			t.Errorf("old owner: %+v, %d exchanges refused", c, r.workers.refused)
+		}
+		r.state(b, "j", task.Running)
+		r.expectRuns(1)
+	})
+}
+
+func TestLapsedGrantRenewsNoLease(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.started(time.Hour)
+		seen := 0
+		r.tell(n, ownership.Grant{Shard: shard, Epoch: 1, Version: 1, Share: ownership.Full, Until: time.Now(), After: ownership.Half})
+		r.workers.mu.Lock()
+		r.workers.hook = func(string, platform.Exchange) { seen++ }
+		r.workers.mu.Unlock()
+		r.settle(10 * time.Second)
+		if seen != 0 {
+			t.Errorf("%d exchanges after the grant lapsed", seen)
+		}
+	})
+}
+
+func TestStoreOutageAcrossHandOver(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		a := r.started(70 * time.Second)
+		if err := a.Release(context.Background(), shard); err != nil {
+			t.Fatal(err)
+		}
+		r.table.Set(func(f *memtable.Faults) { f.Down = true })
+		b := r.node("b")
+		r.own(b)
+		r.settle(time.Minute)
+		if _, kind, _ := b.Submit(context.Background(), spec("other", 0)); kind != outcome.NotRun {
+			t.Errorf("a submission during the outage: %v", kind)
+		}
+		r.table.Set(func(f *memtable.Faults) { f.Down = false })
+		r.settle(30 * time.Second)
+		r.state(b, "j", task.Done)
+		r.expectRuns(1)
+	})
+}
+
+func TestCancelRacingStart(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		r.table.Set(func(f *memtable.Faults) { f.Delay = 200 * time.Millisecond })
+		r.submit(n, spec("j", time.Hour))
+		r.settle(50 * time.Millisecond) // the start is on its way to the table
+		reply, _ := n.cancelHere(context.Background(), jobRequest{Shard: shard, ID: "j"})
+		if reply.Code != cancelNeverRan {
+			t.Errorf("cancel: %+v, want a job that never ran", reply)
+		}
+		r.settle(3 * time.Second)
+		r.state(n, "j", task.Cancelled)
+		r.expectRuns(0)
+	})
+}
+
+func TestCancelOfARunningJob(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.started(time.Hour)
+		if _, kind, reason := n.Cancel(context.Background(), "j"); kind != outcome.Answered {
+			t.Errorf("cancel: %v %s", kind, reason)
+		}
+		r.settle(3 * time.Second)
+		r.state(n, "j", task.Cancelled)
+		if runs := r.expectRuns(1); runs[0].to.IsZero() {
+			t.Error("the run goes on")
+		}
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/batch/health_test.go
@@ -0,0 +1,81 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+func TestWorkerThatFailsEverythingIsQuarantinedAndProbed(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		r.workers.set("w0", func(w *fakeWorker) { w.failAll = true })
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		for i := range 12 {
+			r.submit(n, spec(fmt.Sprint("j", i), 5*time.Second))
+		}
+		r.settle(40 * time.Second)
+		for i := range 12 {
+			r.state(n, fmt.Sprint("j", i), task.Done)
+		}
+		before := r.countOn("w0")
+		if before > 4 {
+			t.Errorf("%d runs on the failing worker, want no more than it held at once", before)
+		}
+		r.settle(time.Minute)
+		for i := range 6 {
+			r.submit(n, spec(fmt.Sprint("p", i), 5*time.Second))
+		}
+		r.settle(20 * time.Second)
+		if got := r.countOn("w0") - before; got != 1 {
+			t.Errorf("%d jobs used as a probe, want 1", got)
+		}
+	})
+}
+
+// countOn counts runs that a worker began.
+func (r *rig) countOn(worker string) int {
+	r.workers.mu.Lock()
+	defer r.workers.mu.Unlock()
+	n := 0
+	for _, i := range r.workers.history {
+		if i.worker == worker {
+			n++
+		}
+	}
+	return n
+}
+
+func TestJobThatFailsEverywhereIsParked(t *testing.T) {
+	bubble(t, 4, func(r *rig) {
+		for i := range 4 {
+			r.workers.set(fmt.Sprint("w", i), func(w *fakeWorker) { w.failAll = true })
+		}
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		r.submit(n, spec("j", time.Second))
+		r.settle(10 * time.Second)
+		if rec := r.state(n, "j", task.Parked); len(rec.Failures) != 3 {
+			t.Errorf("parked after failures on %v, want three workers", rec.Failures)
+		}
+	})
+}
+
+func TestLeavingWorkerIsEmptied(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		n := r.started(time.Hour)
+		r.members[0].State = platform.Leaving
+		n.SetWorkers(map[string][]platform.Member{shard: r.members})
+		r.settle(5 * time.Second)
+		r.state(n, "j", task.Running)
+		runs := r.expectRuns(2)
+		if last := runs[len(runs)-1]; last.worker != "w1" || last.checkpoint == "" {
+			t.Errorf("run %+v, want one on w1 from a checkpoint", last)
+		}
+	})
+}
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -19,9 +19,10 @@
 	throttles map[string]int
 }
 
-// messages returns the exchanges that are due, one a worker.
+// messages returns the exchanges that are due, one a worker. They go out before
+// the replay too, without orders, so that leases hold while the table is down.
 func (s *Shard) messages(now time.Time) []message {
-	if !s.live() || !s.look {
+	if s.fenced || s.releasing || !s.look {
 		return nil
 	}
 	s.look = false
@@ -117,6 +118,9 @@
 	}
 	w.answered = now
 	w.lost = false
+	if !s.ready {
+		return // nothing to compare the list with yet
+	}
 	w.since = reply.Seq
 	s.acknowledge(w, m)
 	for _, r := range reply.Runs {
--- a/batch/shard_plan.go
+++ b/batch/shard_plan.go
@@ -18,10 +18,10 @@
 
 // tick does what the passing of time asks for.
 func (s *Shard) tick(now time.Time) {
+	s.look = true
 	if !s.live() {
 		return
 	}
-	s.look = true
 	s.watch(now)
 	s.retry(now)
 	s.plan(now)
--- a/batch/shard_report.go
+++ b/batch/shard_report.go
@@ -32,7 +32,7 @@
 // a replay the worker's list says so again.
 func (s *Shard) confirm(now time.Time, j *job) {
 	next, t := j.rec.Confirmed(j.rec.Epoch)
-	if t != task.Applied || j.committing {
+	if t != task.Applied {
 		return
 	}
 	j.rec = next
