--- /dev/null
+++ b/interference/model.go
@@ -0,0 +1,119 @@
+package interference
+
+import (
+	"math"
+)
+
+const (
+	// maxServices bounds the latency-critical classes.
+	maxServices = 64
+	// margin is by how much below its objective a class should stay, as a
+	// logarithm: harm is counted from 0.85 of the objective on.
+	margin = 0.16
+	// certain is the deviation of a weight below which a pair is learned.
+	certain = 0.35
+)
+
+// Model holds what is known of each pair of classes. It is not safe for
+// concurrent use.
+type Model struct {
+	objectives map[string]float64
+	services   map[string]*service
+}
+
+// NewModel returns a Model for latency-critical classes with their objectives
+// in milliseconds; others are ignored.
+func NewModel(objectivesMS map[string]float64) *Model {
+	return &Model{objectives: objectivesMS, services: map[string]*service{}}
+}
+
+// Learn takes in the tail latency that class had while load ran beside it.
+// The caller has allowed for the lag: load is of the time that the latency
+// was measured at, not of when it was reported.
+func (m *Model) Learn(class string, load Load, latencyMS float64) {
+	s := m.service(class)
+	if s == nil || latencyMS <= 0 {
+		return
+	}
+	for _, share := range load.Batch {
+		s.pair(share.Class)
+	}
+	v, _ := s.vector(load)
+	s.model.learn(v, math.Log(latencyMS/s.objectiveMS))
+}
+
+// Excess is by how much the logarithm of the latency is expected to be above
+// the objective less a margin, uncertainty counted in.
+func (m *Model) Excess(class string, load Load) float64 {
+	s := m.service(class)
+	if s == nil {
+		return 0
+	}
+	v, unknown := s.vector(load)
+	mean := v.dot(s.model.mean) + margin
+	return expectedAbove(mean, math.Sqrt(s.model.variance(v)+unknown))
+}
+
+// MeanExcess is Excess as if the estimates were certain. It is for trying a
+// pair out in order to learn it.
+func (m *Model) MeanExcess(class string, load Load) float64 {
+	s := m.service(class)
+	if s == nil {
+		return 0
+	}
+	v, _ := s.vector(load)
+	return max(v.dot(s.model.mean)+margin, 0)
+}
+
+// Blame is what part of a host's processors given to batch class other adds
+// to the logarithm of class's latency: the estimate and its deviation.
+func (m *Model) Blame(class, other string, part float64) (mean, deviation float64) {
+	s := m.service(class)
+	if s == nil {
+		return 0, 0
+	}
+	v := vector{{featureAny, part}}
+	p, known := s.pairs[other]
+	if !known {
+		variance := s.model.variance(v) + part*part*classVariance
+		return v.dot(s.model.mean), math.Sqrt(variance)
+	}
+	v = append(v, entry{p.at, part})
+	return v.dot(s.model.mean), math.Sqrt(s.model.variance(v))
+}
+
+// Uncertain reports whether too little is known of a pair.
+func (m *Model) Uncertain(class, other string) bool {
+	s := m.service(class)
+	if s == nil {
+		return false
+	}
+	_, deviation := m.Blame(class, other, 1)
+	return deviation > certain
+}
+
+// service returns what is known of a class, nil if it has no objective.
+func (m *Model) service(class string) *service {
+	s, known := m.services[class]
+	if known {
+		return s
+	}
+	objective := m.objectives[class]
+	if objective <= 0 || len(m.services) >= maxServices {
+		return nil
+	}
+	s = newService(objective)
+	m.services[class] = s
+	return s
+}
+
+// expectedAbove is the expectation of max(0, X) for a normal X.
+func expectedAbove(mean, deviation float64) float64 {
+	if deviation < 1e-9 {
+		return max(mean, 0)
+	}
+	z := mean / deviation
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	below := 0.5 * math.Erfc(-z/math.Sqrt2)
+	return max(deviation*density+mean*below, 0)
+}
--- /dev/null
+++ b/interference/service.go
@@ -0,0 +1,112 @@
+package interference
+
+// The features of a latency-critical class, in their order: those every class
+// has, then one to a batch class.
+const (
+	featureBase = iota
+	featureSelf
+	featureAny
+	featureClass
+	// maxPairs bounds the batch classes told apart; the one not seen for
+	// longest gives way.
+	maxPairs = 24
+)
+
+// The priors: means and variances of the weights. A weight is what a class
+// that fills the host adds to the logarithm of the latency over its
+// objective.
+const (
+	baseMean      = -0.7
+	baseVariance  = 1.0
+	selfMean      = 0.2
+	selfVariance  = 0.5
+	anyMean       = 0.3
+	anyVariance   = 0.25
+	classVariance = 2.0
+)
+
+// service is what is known of one latency-critical class.
+type service struct {
+	objectiveMS float64
+	model       *regression
+	pairs       map[string]*pair
+	clock       uint64
+	scratch     vector
+}
+
+// pair is one batch class beside the service.
+type pair struct {
+	at   int
+	seen uint64
+}
+
+func newService(objectiveMS float64) *service {
+	size := featureClass + maxPairs
+	means := make([]float64, size)
+	variances := make([]float64, size)
+	means[featureBase], variances[featureBase] = baseMean, baseVariance
+	means[featureSelf], variances[featureSelf] = selfMean, selfVariance
+	means[featureAny], variances[featureAny] = anyMean, anyVariance
+	for i := featureClass; i < size; i++ {
+		variances[i] = classVariance
+	}
+	return &service{
+		objectiveMS: objectiveMS,
+		model:       newRegression(means, variances),
+		pairs:       map[string]*pair{},
+	}
+}
+
+// pair returns the pair with a batch class and begins one if need be.
+func (s *service) pair(class string) *pair {
+	s.clock++
+	p, known := s.pairs[class]
+	if !known {
+		p = &pair{at: s.freeFeature()}
+		s.pairs[class] = p
+	}
+	p.seen = s.clock
+	return p
+}
+
+// freeFeature returns a feature without a class, if need be that of the class
+// not seen for longest.
+func (s *service) freeFeature() int {
+	if len(s.pairs) < maxPairs {
+		return featureClass + len(s.pairs)
+	}
+	oldest := ""
+	for class, p := range s.pairs {
+		if oldest == "" || p.seen < s.pairs[oldest].seen {
+			oldest = class
+		}
+	}
+	at := s.pairs[oldest].at
+	delete(s.pairs, oldest)
+	s.model.forget(at, 0, classVariance)
+	return at
+}
+
+// vector turns a load into features. What is not known of a class yet counts
+// as any class, with extra variance returned besides.
+func (s *service) vector(load Load) (v vector, unknown float64) {
+	v = append(s.scratch[:0], entry{featureBase, 1})
+	if load.Self != 0 {
+		v = append(v, entry{featureSelf, load.Self})
+	}
+	batch := 0.0
+	for _, share := range load.Batch {
+		batch += share.Part
+		p, known := s.pairs[share.Class]
+		if !known {
+			unknown += share.Part * share.Part * classVariance
+			continue
+		}
+		v = append(v, entry{p.at, share.Part})
+	}
+	if batch != 0 {
+		v = append(v, entry{featureAny, batch})
+	}
+	s.scratch = v
+	return v, unknown
+}
