--- /dev/null
+++ b/quota/holder.go
@@ -0,0 +1,28 @@
+package quota
+
+// Holder is what one shard's owner keeps of one team's bound. Snapshots of
+// reports are numbered; each is made once, for all.
+type Holder struct {
+	held     int64
+	reported uint64
+}
+
+// Held is the bound in force.
+func (h *Holder) Held() int64 { return h.held }
+
+// Report returns the bound to report for a snapshot. From then on the results
+// of older snapshots are void, as they would raise what was reported.
+func (h *Holder) Report(snapshot uint64) int64 {
+	h.reported = max(h.reported, snapshot)
+	return h.held
+}
+
+// Apply takes in the result of a snapshot and reports whether it counts. A
+// result that lowers the bound always does.
+func (h *Holder) Apply(snapshot uint64, bound int64) bool {
+	if snapshot < h.reported && bound > h.held {
+		return false
+	}
+	h.held = bound
+	return true
+}
