configstore: tests of races, lost answers and versions that only rise

Cause: a configuration, once accepted, must never revert, and of racing operators just one may win. Change: tests over the stand-in table: 16 racing changes, a lost answer, 200 seeded orders of offers with damaged content and store outages, a starting host with the store down.

--- /dev/null
+++ b/configstore/configstore_test.go
@@ -0,0 +1,173 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+func newStore() (*Store, *standin.Table) {
+	table := standin.NewTable()
+	return &Store{Table: table, Objects: standin.NewObjects(), Now: func() time.Time { return time.Unix(0, 0) }}, table
+}
+
+func content(queue int) string { return fmt.Sprintf("[calls]\nqueue = %d\n", queue) }
+
+// TestRacingOperators checks that of many changes made from one version just
+// one is accepted, and that the losers are told who won and what differs.
+func TestRacingOperators(t *testing.T) {
+	store, _ := newStore()
+	const racers = 16
+	results := make([]Result, racers)
+	var wg sync.WaitGroup
+	for i := range racers {
+		wg.Go(func() {
+			results[i] = store.Apply(t.Context(), Change{Author: fmt.Sprint(i), Content: content(i + 1)})
+		})
+	}
+	wg.Wait()
+	winner := ""
+	for i, r := range results {
+		if r.Status == Accepted {
+			if winner != "" {
+				t.Fatalf("both %s and %d were accepted", winner, i)
+			}
+			winner = fmt.Sprint(i)
+		}
+	}
+	for i, r := range results {
+		if r.Status == Accepted {
+			continue
+		}
+		if r.Status != Lost || r.Head.Author != winner || len(r.Differs) != 1 || r.Differs[0] != "calls.queue" {
+			t.Errorf("racer %d: %+v, want it to have lost to %s over calls.queue", i, r, winner)
+		}
+	}
+}
+
+// TestLostAnswerIsSettled checks that a change whose answer was lost after it
+// took effect is found accepted, once.
+func TestLostAnswerIsSettled(t *testing.T) {
+	store, table := newStore()
+	store.Table = answerLoser{table}
+	r := store.Apply(t.Context(), Change{Author: "a", Content: content(1)})
+	if r.Status != Accepted || r.Head.Version != 1 {
+		t.Fatalf("%+v, want version 1 accepted", r)
+	}
+	versions, err := store.Versions(t.Context(), 10)
+	if err != nil || len(versions) != 1 {
+		t.Fatalf("%d versions (%v), want 1", len(versions), err)
+	}
+}
+
+// TestStoreDownIsNotApplied checks that a refused change is not there later.
+func TestStoreDownIsNotApplied(t *testing.T) {
+	store, table := newStore()
+	table.Set(standin.Faults{Down: true})
+	if r := store.Apply(t.Context(), Change{Content: content(1)}); r.Status != NotApplied {
+		t.Fatalf("%+v, want not applied", r)
+	}
+	table.Set(standin.Faults{})
+	if h, err := store.Head(t.Context()); err != nil || h.Version != 0 {
+		t.Fatalf("head %+v (%v), want none", h, err)
+	}
+}
+
+func TestRollbackIsANewVersion(t *testing.T) {
+	store, _ := newStore()
+	for i := range 3 {
+		store.Apply(t.Context(), Change{Base: uint64(i), Content: content(i + 1)})
+	}
+	text, r := store.Rollback(t.Context(), 3, 1, "b")
+	if r.Status != Accepted || r.Head.Version != 4 || text != content(1) {
+		t.Fatalf("%+v %q, want the content of 1 as version 4", r, text)
+	}
+	list, err := store.Versions(t.Context(), 2)
+	if err != nil || len(list) != 2 || list[0].Version != 4 || list[1].Version != 3 {
+		t.Fatalf("versions %+v (%v), want 4 and 3", list, err)
+	}
+}
+
+// TestNeverReverts offers versions in random orders, among them damaged ones
+// and reads of the store at any time, and checks that what is in force only
+// ever rises and ends at the newest.
+func TestNeverReverts(t *testing.T) {
+	for seed := range uint64(200) {
+		store, table := newStore()
+		offers := offersOf(t, store, 8)
+		local := settings.Default()
+		w := NewWatcher(store, local, slog.New(slog.DiscardHandler))
+		var last uint64
+		w.Subscribe(func(c Current) {
+			if c.Head.Version <= last {
+				t.Fatalf("seed %d: version %d in force after %d", seed, c.Head.Version, last)
+			}
+			last = c.Head.Version
+		})
+		rng := rand.New(rand.NewPCG(seed, 0))
+		rng.Shuffle(len(offers), func(i, j int) { offers[i], offers[j] = offers[j], offers[i] })
+		for i, o := range offers {
+			table.Set(standin.Faults{Down: i%2 == 0})
+			if rng.IntN(3) == 0 {
+				w.Poll(t.Context())
+			}
+			damaged := o
+			damaged.Content += "# damaged"
+			w.Take(damaged)
+			w.Take(o)
+		}
+		if last != uint64(len(offers)) {
+			t.Fatalf("seed %d: version %d in force at the end, want %d", seed, last, len(offers))
+		}
+	}
+}
+
+// offersOf applies n changes and returns each as a peer would offer it.
+func offersOf(t *testing.T, store *Store, n int) []Offer {
+	t.Helper()
+	var offers []Offer
+	for i := range n {
+		r := store.Apply(t.Context(), Change{Base: uint64(i), Content: content(i + 1)})
+		if r.Status != Accepted {
+			t.Fatalf("change %d: %+v", i, r)
+		}
+		offers = append(offers, Offer{Head: r.Head, Content: content(i + 1)})
+	}
+	return offers
+}
+
+// TestStartingHostWaitsForTheHead checks that a host does not fall back to its
+// own folder while the store can't be read: that could revert a version.
+func TestStartingHostWaitsForTheHead(t *testing.T) {
+	store, table := newStore()
+	store.Apply(t.Context(), Change{Content: content(7)})
+	w := NewWatcher(store, settings.Default(), slog.New(slog.DiscardHandler))
+	table.Set(standin.Faults{Down: true})
+	w.Poll(t.Context())
+	if c, ok := w.Current(); ok {
+		t.Fatalf("version %d in force though the head could not be read", c.Head.Version)
+	}
+	table.Set(standin.Faults{})
+	w.Poll(t.Context())
+	if c, ok := w.Current(); !ok || c.Head.Version != 1 || c.Settings.Calls.Queue != 7 {
+		t.Fatalf("%+v, want version 1 in force", c.Head)
+	}
+}
+
+
+
+// answerLoser applies commits and loses their answers.
+type answerLoser struct{ *standin.Table }
+
+func (l answerLoser) Commit(ctx context.Context, tx platform.Transaction) platform.CommitResult {
+	l.Table.Commit(ctx, tx)
+	return platform.CommitResult{Status: platform.CommitUnknown}
+}
