--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -162,8 +162,6 @@
 	}
 }
 
-
-
 // answerLoser applies commits and loses their answers.
 type answerLoser struct{ *standin.Table }
 
