--- /dev/null
+++ b/ownership/action.go
@@ -0,0 +1,74 @@
+package ownership
+
+import "github.com/fireflygate/fireflygate/platform"
+
+// Action is something that a Machine asks its driver to do.
+type Action interface{ action() }
+
+// Commit asks for a transaction. Its result goes to Machine.Committed, once.
+type Commit struct {
+	ID uint64
+	Tx platform.Transaction
+}
+
+// Read asks for a scan of SessionPrefix and one of ShardPrefix. The rows go to
+// Machine.RowsRead, or a failure to Machine.ReadFailed, once.
+type Read struct{ ID uint64 }
+
+// AskPromise asks a peer for a promise. The reply goes to
+// Machine.PromiseReplied, or a failure to Machine.AskFailed, once.
+type AskPromise struct {
+	ID      uint64
+	Host    string
+	Request PromiseRequest
+}
+
+// AskStopped asks a previous owner whether it has stopped. The reply goes to
+// Machine.StoppedReplied, or a failure to Machine.AskFailed, once.
+type AskStopped struct {
+	ID      uint64
+	Host    string
+	Request StoppedRequest
+}
+
+// Notify tells a peer to read the table at once. Nothing depends on it.
+type Notify struct{ Host string }
+
+// Drain asks for Machine.Drained once no request is in flight under a shard
+// whose share is now none.
+type Drain struct {
+	Shard string
+	Epoch uint64
+}
+
+// Report tells what happened, for the log.
+type Report struct {
+	Kind  ReportKind
+	Shard string
+	Epoch uint64
+	// Host is the other host concerned, if any.
+	Host string
+}
+
+// ReportKind is what a Report tells of.
+type ReportKind uint8
+
+// The kinds of reports.
+const (
+	SessionOpened ReportKind = iota + 1
+	SessionReplaced
+	ShardOwned
+	ShardSeized
+	ShardConfirmed
+	ShardLost
+	ShardMoving
+	ShardReleased
+)
+
+func (Commit) action()     {}
+func (Read) action()       {}
+func (AskPromise) action() {}
+func (AskStopped) action() {}
+func (Notify) action()     {}
+func (Drain) action()      {}
+func (Report) action()     {}
--- /dev/null
+++ b/ownership/machine.go
@@ -0,0 +1,198 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflygate/fireflygate/roster"
+)
+
+// Machine decides for one entry host which shards it owns and how much of them
+// it may use. Every method takes the time of the host's monotonic clock and
+// returns what is to be done. It is not safe for concurrent use.
+type Machine struct {
+	cfg     Config
+	flaws   flaws
+	started time.Time
+
+	roster roster.Roster
+	// listedAt is the revision of the newest list that this host stood on.
+	listedAt uint64
+	// absentSince is when hosts were first seen to be dropped from the list.
+	absentSince map[string]time.Time
+
+	session  sessionState
+	sessions map[string]*observed
+	shards   map[string]*shardState
+	// names are the shards' names in order.
+	names []string
+
+	nextID  uint64
+	read    readState
+	commits map[uint64]pendingCommit
+	asks    map[uint64]pendingAsk
+	// askedPromise is when promises were last asked for.
+	askedPromise time.Time
+	// given is until when this host promised not to succeed a process.
+	given map[Holder]time.Time
+
+	// stopping is set once every shard is to be handed over.
+	stopping bool
+	view     *View
+	actions  []Action
+}
+
+// New returns the machine of a process that started at now.
+func New(cfg Config, now time.Time) *Machine {
+	return &Machine{
+		cfg:         cfg,
+		started:     now,
+		absentSince: map[string]time.Time{},
+		sessions:    map[string]*observed{},
+		shards:      map[string]*shardState{},
+		commits:     map[uint64]pendingCommit{},
+		asks:        map[uint64]pendingAsk{},
+		given:       map[Holder]time.Time{},
+		view:        &View{},
+	}
+}
+
+// SetRoster takes a new roster in.
+func (m *Machine) SetRoster(now time.Time, r roster.Roster) []Action {
+	m.roster = r
+	for _, h := range r.EntryHosts() {
+		delete(m.absentSince, h.Name)
+	}
+	if r.Listed(m.cfg.Host) {
+		m.listedAt = r.Revision()
+	}
+	for _, name := range r.Shards() {
+		m.shard(name)
+	}
+	return m.step(now)
+}
+
+// Tick lets time pass. The driver calls it several times per renewal.
+func (m *Machine) Tick(now time.Time) []Action { return m.step(now) }
+
+// HandOver begins a planned stop: every shard is drained and released, and
+// none is taken any more. It cannot be undone.
+func (m *Machine) HandOver(now time.Time) []Action {
+	m.stopping = true
+	m.session.again = true
+	return m.step(now)
+}
+
+// HandedOver reports whether this host owns nothing and uses nothing.
+func (m *Machine) HandedOver() bool {
+	for _, name := range m.names {
+		s := m.shards[name]
+		if m.mine(s) || s.usedEpoch != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// step decides everything that the newest input or the time calls for.
+func (m *Machine) step(now time.Time) []Action {
+	m.renewSession(now)
+	m.readRows(now)
+	claims := m.claimsUnderWay()
+	moves := m.movesUnderWay()
+	for _, name := range m.names {
+		s := m.shards[name]
+		m.stopIfLost(s)
+		m.settleClaim(s)
+		if m.mine(s) {
+			moves += m.tend(now, s, moves)
+			continue
+		}
+		if claims < maxClaims && m.considerClaim(now, s) {
+			claims++
+		}
+	}
+	m.askPromises(now)
+	m.publish(now)
+	actions := m.actions
+	m.actions = nil
+	return actions
+}
+
+// tend looks after a shard that this host owns. It returns how many moves it
+// began.
+func (m *Machine) tend(now time.Time, s *shardState, moves int) int {
+	m.begin(now, s)
+	if s.endpoint {
+		m.confirm(now, s)
+	}
+	if s.move != nil {
+		m.release(now, s)
+		return 0
+	}
+	return m.considerMove(now, s, moves)
+}
+
+// shard returns the state of a shard, new if it was not known.
+func (m *Machine) shard(name string) *shardState {
+	if s, ok := m.shards[name]; ok {
+		return s
+	}
+	s := newShardState(name)
+	m.shards[name] = s
+	at, _ := slices.BinarySearch(m.names, name)
+	m.names = slices.Insert(m.names, at, name)
+	return s
+}
+
+// self names this process.
+func (m *Machine) self() Holder {
+	return Holder{Host: m.cfg.Host, Incarnation: m.cfg.Incarnation, Revision: m.listedAt}
+}
+
+// mine reports whether the newest row known names this process as the owner.
+func (m *Machine) mine(s *shardState) bool {
+	return s.exists() && s.row.Owner.is(m.self())
+}
+
+// verified reports whether the row was seen by a request sent after the
+// session was last opened. While that session lives nobody can have claimed
+// the shard since.
+func (m *Machine) verified(s *shardState) bool {
+	if m.flaws.noReread {
+		return true
+	}
+	return !m.session.openedAt.IsZero() && !s.readAt.Before(m.session.openedAt)
+}
+
+// dropped reports whether the membership list has dropped a host, and since
+// when this machine knows.
+func (m *Machine) dropped(now time.Time, h Holder) (time.Time, bool) {
+	if !m.roster.Known() || m.roster.Listed(h.Host) || m.roster.Revision() <= h.Revision {
+		return time.Time{}, false
+	}
+	since, ok := m.absentSince[h.Host]
+	if !ok {
+		since = now
+		m.absentSince[h.Host] = since
+	}
+	return since, true
+}
+
+// excluded reports whether this process must use nothing: it was replaced, or
+// the list has dropped it.
+func (m *Machine) excluded() bool {
+	if m.session.replaced {
+		return true
+	}
+	return m.listedAt != 0 && !m.roster.Listed(m.cfg.Host)
+}
+
+// emit adds an action.
+func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
+
+// newID returns an identifier for a request.
+func (m *Machine) newID() uint64 {
+	m.nextID++
+	return m.nextID
+}
--- /dev/null
+++ b/ownership/session.go
@@ -0,0 +1,148 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// sessionState is this host's own session.
+type sessionState struct {
+	// known is set once the session row was read.
+	known   bool
+	version uint64
+	counter uint64
+	// liveUntil is when the session lapses, counted from before the newest
+	// acknowledged renewal was sent.
+	liveUntil time.Time
+	// renewedAt is when that renewal was sent.
+	renewedAt time.Time
+	// openedAt is when the session was last found to live after it had not.
+	openedAt time.Time
+	// sentAt is when each renewal without a known result was sent, by its
+	// counter.
+	sentAt map[uint64]time.Time
+	// lastSent is when the newest renewal was sent.
+	lastSent time.Time
+	inFlight bool
+	// again asks for a renewal at once.
+	again bool
+	// stopCounter is the first renewal that told of a planned stop, 0 for
+	// none; stopTold is set once it is known to have taken effect.
+	stopCounter uint64
+	stopTold    bool
+	// written is set once a renewal of this process took effect.
+	written bool
+	// replaced is set when a later process of the same host has taken the
+	// session.
+	replaced bool
+}
+
+// sessionLive reports whether the own session lives.
+func (m *Machine) sessionLive(now time.Time) bool {
+	return !m.session.replaced && now.Before(m.session.liveUntil)
+}
+
+// renewSession sends a renewal when it is due.
+func (m *Machine) renewSession(now time.Time) {
+	s := &m.session
+	if !s.known || s.inFlight || s.replaced {
+		return
+	}
+	if !s.again && !s.lastSent.IsZero() && now.Sub(s.lastSent) < m.cfg.renew() {
+		return
+	}
+	s.counter++
+	s.again = false
+	s.inFlight = true
+	s.lastSent = now
+	if s.sentAt == nil {
+		s.sentAt = map[uint64]time.Time{}
+	}
+	s.sentAt[s.counter] = now
+	key := SessionKey(m.cfg.Host)
+	value := SessionRow{Incarnation: m.cfg.Incarnation, Counter: s.counter, Stopping: m.stopping}
+	if m.stopping && s.stopCounter == 0 {
+		s.stopCounter = s.counter
+	}
+	m.commit(pendingCommit{kind: commitSession, counter: s.counter, sentAt: now}, platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, Version: s.version}},
+		Writes:     []platform.Write{{Key: key, Value: encode(value)}},
+	})
+}
+
+// sessionCommitted takes the result of a renewal.
+func (m *Machine) sessionCommitted(now time.Time, p pendingCommit, result platform.CommitResult) {
+	m.session.inFlight = false
+	switch result.Status {
+	case platform.CommitApplied:
+		m.adoptSession(now, result.Version, p.counter)
+	case platform.CommitConflict:
+		for _, row := range result.Conflicts {
+			m.ownSessionSeen(now, row)
+		}
+	case platform.CommitNotApplied:
+		delete(m.session.sentAt, p.counter)
+	case platform.CommitUnknown:
+		// The row tells, by its counter, when it is next read or when the
+		// next renewal conflicts with it.
+	}
+}
+
+// ownSessionSeen takes the own session row in, as found by a read or as the
+// cause of a conflict.
+func (m *Machine) ownSessionSeen(now time.Time, row platform.Row) {
+	s := &m.session
+	if s.known && row.Version == s.version {
+		return
+	}
+	if row.Version < s.version && row.Version != 0 {
+		return
+	}
+	var value SessionRow
+	if row.Version != 0 {
+		var err error
+		if value, err = DecodeSessionRow(row.Value); err != nil {
+			value = SessionRow{}
+		}
+	}
+	switch {
+	case value.Incarnation == m.cfg.Incarnation:
+		m.adoptSession(now, row.Version, value.Counter)
+	case s.written && row.Version != 0:
+		s.replaced = true
+		m.emit(Report{Kind: SessionReplaced})
+	default:
+		s.version = row.Version
+		s.again = true
+	}
+	s.known = true
+}
+
+// adoptSession takes in that a renewal took effect.
+func (m *Machine) adoptSession(now time.Time, version, counter uint64) {
+	s := &m.session
+	sentAt, ok := s.sentAt[counter]
+	if !ok {
+		return
+	}
+	from := sentAt
+	if m.flaws.expiryFromAnswer {
+		from = now
+	}
+	if !now.Before(s.liveUntil) {
+		s.openedAt = now
+		m.read.wanted = true
+		m.emit(Report{Kind: SessionOpened})
+	}
+	s.version = version
+	s.written = true
+	s.stopTold = s.stopCounter != 0 && counter >= s.stopCounter
+	s.renewedAt = from
+	s.liveUntil = from.Add(m.cfg.Lease.Session.D())
+	for c := range s.sentAt {
+		if c <= counter {
+			delete(s.sentAt, c)
+		}
+	}
+}
--- /dev/null
+++ b/roster/preferred.go
@@ -0,0 +1,72 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Preferred returns the live entry hosts in the order in which they should own
+// a shard: rendezvous hashing, so that the loss or the arrival of a host moves
+// only that host's part. It works for any shard name.
+func (r Roster) Preferred(shard string) []string {
+	if order, ok := r.preferred[shard]; ok {
+		return order
+	}
+	return rendezvous(shard, r.liveHosts)
+}
+
+// Successors returns up to n live entry hosts that should succeed owner: in
+// the order of preference, hosts in zones of their own first, so that one
+// availability zone's loss leaves a successor.
+func (r Roster) Successors(shard, owner string, n int) []string {
+	zones := map[string]bool{r.byName[owner].Zone: true}
+	var apart, rest []string
+	for _, h := range r.Preferred(shard) {
+		zone := r.byName[h].Zone
+		switch {
+		case h == owner:
+		case zones[zone]:
+			rest = append(rest, h)
+		default:
+			zones[zone] = true
+			apart = append(apart, h)
+		}
+	}
+	order := append(apart, rest...)
+	return order[:min(n, len(order))]
+}
+
+// prefer works the order of every shard out, or takes it from the previous
+// roster when neither the hosts nor the shard are new.
+func (r *Roster) prefer(previous Roster) {
+	r.preferred = make(map[string][]string, len(r.shards))
+	same := slices.Equal(r.liveHosts, previous.liveHosts)
+	for _, shard := range r.shards {
+		order, ok := previous.preferred[shard]
+		if !same || !ok {
+			order = rendezvous(shard, r.liveHosts)
+		}
+		r.preferred[shard] = order
+	}
+}
+
+// rendezvous sorts hosts by their weight for a shard, highest first. The
+// library go-rendezvous gives only the first of this order.
+func rendezvous(shard string, hosts []string) []string {
+	type weighed struct {
+		host   string
+		weight uint64
+	}
+	all := make([]weighed, len(hosts))
+	for i, h := range hosts {
+		all[i] = weighed{h, hashPair(h, shard)}
+	}
+	slices.SortFunc(all, func(a, b weighed) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.host, b.host))
+	})
+	order := make([]string, len(all))
+	for i, w := range all {
+		order[i] = w.host
+	}
+	return order
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,85 @@
+package roster
+
+import (
+	"slices"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// Roster is the members as of one revision of the list. The zero Roster knows
+// nobody. Slices and maps that its methods return must not be changed.
+type Roster struct {
+	revision uint64
+	// byName holds every member.
+	byName map[string]platform.Member
+	// hosts, endpoints (by service) and workers are sorted by name.
+	hosts     []platform.Member
+	liveHosts []string
+	endpoints map[string][]platform.Member
+	workers   []platform.Member
+	// members are the endpoints or workers of each shard.
+	members map[string][]platform.Member
+	shards  []string
+	// preferred is the order of live entry hosts for each shard.
+	preferred map[string][]string
+	// doubts counts the lists in a row whose drops were not believed.
+	doubts int
+	// doubted are the members kept though the newest list lacks them.
+	doubted []string
+}
+
+// Known reports whether any list was taken in.
+func (r Roster) Known() bool { return r.byName != nil }
+
+// Revision returns the revision of the newest list taken in.
+func (r Roster) Revision() uint64 { return r.revision }
+
+// Member returns a member by name.
+func (r Roster) Member(name string) (platform.Member, bool) {
+	m, ok := r.byName[name]
+	return m, ok
+}
+
+// Listed reports whether an entry host is on the list, live or leaving.
+func (r Roster) Listed(host string) bool {
+	m, ok := r.byName[host]
+	return ok && m.Kind == platform.EntryHost
+}
+
+// LiveHost reports whether an entry host is on the list and live.
+func (r Roster) LiveHost(host string) bool {
+	return r.Listed(host) && r.byName[host].State == platform.Live
+}
+
+// EntryHosts returns every entry host, live and leaving, by name.
+func (r Roster) EntryHosts() []platform.Member { return r.hosts }
+
+// LiveHosts returns the names of the live entry hosts in order.
+func (r Roster) LiveHosts() []string { return r.liveHosts }
+
+// Endpoints returns the endpoints of a service, live and leaving, by name.
+func (r Roster) Endpoints(service string) []platform.Member { return r.endpoints[service] }
+
+// Services returns the names of the services that have endpoints, in order.
+func (r Roster) Services() []string {
+	names := make([]string, 0, len(r.endpoints))
+	for s := range r.endpoints {
+		names = append(names, s)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Workers returns every worker, live and leaving, by name.
+func (r Roster) Workers() []platform.Member { return r.workers }
+
+// Shards returns the names of the shards that have members, in order.
+func (r Roster) Shards() []string { return r.shards }
+
+// Members returns the endpoints or workers of a shard, live and leaving, by
+// name.
+func (r Roster) Members(shard string) []platform.Member { return r.members[shard] }
+
+// Doubted returns the members that the newest list lacks and that are kept,
+// because too many vanished at once.
+func (r Roster) Doubted() []string { return r.doubted }
--- /dev/null
+++ b/tenure/report.go
@@ -0,0 +1,32 @@
+package tenure
+
+import (
+	"log/slog"
+
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/ownership"
+)
+
+// events are the log events of what the machine reports.
+var events = map[ownership.ReportKind]event.Event{
+	ownership.SessionOpened:   event.SessionOpened,
+	ownership.SessionReplaced: event.SessionReplaced,
+	ownership.ShardOwned:      event.ShardOwned,
+	ownership.ShardSeized:     event.ShardSeized,
+	ownership.ShardConfirmed:  event.ShardConfirmed,
+	ownership.ShardLost:       event.ShardLost,
+	ownership.ShardMoving:     event.ShardMoving,
+	ownership.ShardReleased:   event.ShardReleased,
+}
+
+// report logs what happened.
+func (k *Keeper) report(r ownership.Report) {
+	attrs := []slog.Attr{}
+	if r.Shard != "" {
+		attrs = append(attrs, slog.String("shard", r.Shard), slog.Uint64("epoch", r.Epoch))
+	}
+	if r.Host != "" {
+		attrs = append(attrs, slog.String("peer", r.Host))
+	}
+	events[r.Kind].Log(k.cfg.Log, attrs...)
+}
