Tests of faults for routing, booking and gateway; digests per peer

Digests of free slots go to each peer on their own, so that a slow peer delays no other. A claim that was given up and took effect late is released by asking its claimant.

--- a/booking/claim.go
+++ b/booking/claim.go
@@ -3,6 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
 
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/platform"
@@ -14,9 +18,17 @@
 	refusal outcome.Refusal
 }
 
-// claimTries bounds how often a claim is tried again after a row in its way
-// was removed.
-const claimTries = 3
+const (
+	// claimTries bounds how often a claim is tried again after a row in its
+	// way was removed.
+	claimTries = 3
+	// claimPatience bounds how long a claim waits for a store that refuses.
+	// Its caller is then told when to come back.
+	claimPatience = time.Second
+)
+
+// errRefused makes a refused claim be tried again.
+var errRefused = errors.New("booking: claim refused")
 
 // claim makes the flight's claim durable. It returns true when the caller must
 // dispatch, and what is known of the key otherwise.
@@ -26,10 +38,7 @@
 		panic(err) // the row holds plain fields only
 	}
 	for range claimTries {
-		res := b.opt.Committer.Commit(ctx, []platform.Condition{{Key: key}}, []platform.Write{{Key: key, Value: value}})
-		if res.Status == platform.CommitUnknown {
-			res = b.readBack(ctx, key, f)
-		}
+		res := b.claimOnce(ctx, key, f, value)
 		switch res.Status {
 		case platform.CommitApplied:
 			f.version = res.Version
@@ -46,6 +55,31 @@
 	return settled{refusal: notRun(ReasonInProgress, retrySoon)}, false
 }
 
+// claimOnce commits the claim, and waits a bounded time for a store that
+// refuses to take it.
+func (b *Book) claimOnce(ctx context.Context, key string, f *flight, value []byte) platform.CommitResult {
+	ctx, cancel := context.WithTimeout(ctx, claimPatience)
+	defer cancel()
+	try := func() (platform.CommitResult, error) {
+		res := b.opt.Committer.Commit(ctx, []platform.Condition{{Key: key}}, []platform.Write{{Key: key, Value: value}})
+		switch res.Status {
+		case platform.CommitUnknown:
+			return b.readBack(ctx, key, f), nil
+		case platform.CommitNotApplied:
+			return res, errRefused
+		default:
+			return res, nil
+		}
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 20 * time.Millisecond
+	res, err := backoff.Retry(ctx, try, backoff.WithBackOff(pause))
+	if err != nil {
+		return platform.CommitResult{Status: platform.CommitNotApplied}
+	}
+	return res
+}
+
 func (b *Book) claimRow(f *flight) row {
 	return row{
 		Digest:      f.digest,
@@ -100,10 +134,14 @@
 	if held.State != claimed {
 		return false, b.replay(ctx, held)
 	}
-	if b.isUndispatched(held) {
+	found, neverRan := settled{}, b.isUndispatched(held)
+	if !neverRan {
+		found, neverRan = b.claimedElsewhere(ctx, key, held)
+	}
+	if neverRan {
 		return b.remove(ctx, key, current.Version), settled{refusal: notRun(ReasonStoreDown, retrySoon)}
 	}
-	return false, b.claimedElsewhere(ctx, key, held)
+	return false, found
 }
 
 func rowOf(rows []platform.Row, key string) (platform.Row, bool) {
--- a/booking/replay.go
+++ b/booking/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fireflygate/fireflygate/outcome"
 )
@@ -23,33 +24,38 @@
 }
 
 // claimedElsewhere returns what is known of a claim without an outcome that
-// another process made.
-func (b *Book) claimedElsewhere(ctx context.Context, key string, held row) settled {
+// another process made, or that the claimant never dispatched it.
+func (b *Book) claimedElsewhere(ctx context.Context, key string, held row) (found settled, neverRan bool) {
+	reason, after := ReasonLost, time.Duration(0)
 	if b.opt.Alive(held.Host, held.Incarnation) {
-		return b.ask(ctx, key, held)
+		reason, after = ReasonInProgress, retrySoon
+		reply, ok := b.ask(ctx, key, held)
+		if ok && reply.NeverRan {
+			return settled{}, true
+		}
+		if ok && reply.Known {
+			return settled{reply.Answer, reply.refusal()}, false
+		}
 	}
-	// The claimant may have stored the outcome just before its end.
+	// The outcome may have been stored since the row was read, also just
+	// before the claimant's end.
 	rows, err := b.opt.Reader.Get(ctx, key)
 	if err != nil {
-		return settled{refusal: unknownOutcome(ReasonUnreadable, retrySoon)}
+		return settled{refusal: unknownOutcome(ReasonUnreadable, retrySoon)}, false
 	}
-	if now, err := decodeRow(rows[0].Value); err == nil && rows[0].Version != 0 && now.State != claimed {
-		return b.replay(ctx, now)
+	if now, err := decodeRow(rows[0].Value); err == nil && now.ID == held.ID && now.State != claimed {
+		return b.replay(ctx, now), false
 	}
-	return settled{refusal: unknownOutcome(ReasonLost, 0)}
+	return settled{refusal: unknownOutcome(reason, after)}, false
 }
 
-// ask waits for the outcome at the claimant. Whatever keeps it from coming
-// leaves the outcome unknown: the claimant may be running the request.
-func (b *Book) ask(ctx context.Context, key string, held row) settled {
-	pending := settled{refusal: unknownOutcome(ReasonInProgress, retrySoon)}
+// ask waits for the outcome at the claimant. Without an answer the outcome is
+// unknown: the claimant may be running the request.
+func (b *Book) ask(ctx context.Context, key string, held row) (waitReply, bool) {
 	if held.Host == b.opt.Host || b.opt.Peers == nil {
-		return pending
+		return waitReply{}, false
 	}
 	var reply waitReply
 	res := b.opt.Peers.Call(ctx, held.Host, MethodWait, waitRequest{Key: key, ID: held.ID}, &reply)
-	if res.Kind != outcome.Answered || !reply.Known {
-		return pending
-	}
-	return settled{reply.Answer, reply.refusal()}
+	return reply, res.Kind == outcome.Answered
 }
--- /dev/null
+++ b/booking/table_test.go
@@ -0,0 +1,137 @@
+package booking
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// fault is what a table does to one commit.
+type fault int
+
+const (
+	none       fault = iota
+	loseAnswer       // takes effect, the answer is lost
+	loseCommit       // takes no effect, nobody knows
+	delay            // as loseCommit, but takes effect at late
+	refuse           // takes no effect, and says so
+)
+
+// table is a small table service with faults.
+type table struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]platform.Row
+	// faults are used up by the commits, in order.
+	faults []fault
+	down   bool
+	late   []func()
+	// committed is told of each commit's fault, if set.
+	committed func(fault)
+}
+
+func newTable(faults ...fault) *table {
+	return &table{rows: map[string]platform.Row{}, faults: faults}
+}
+
+func (t *table) Commit(_ context.Context, conds []platform.Condition, writes []platform.Write) platform.CommitResult {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := none
+	if len(t.faults) > 0 {
+		f, t.faults = t.faults[0], t.faults[1:]
+	}
+	if t.down {
+		f = refuse
+	}
+	if t.committed != nil {
+		defer t.committed(f)
+	}
+	switch f {
+	case refuse:
+		return platform.CommitResult{Status: platform.CommitNotApplied}
+	case loseCommit:
+		return platform.CommitResult{}
+	case delay:
+		t.late = append(t.late, func() { t.apply(conds, writes) })
+		return platform.CommitResult{}
+	case loseAnswer:
+		t.apply(conds, writes)
+		return platform.CommitResult{}
+	default:
+		return t.apply(conds, writes)
+	}
+}
+
+// arrive lets delayed commits take effect.
+func (t *table) arrive() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, apply := range t.late {
+		apply()
+	}
+	t.late = nil
+}
+
+func (t *table) apply(conds []platform.Condition, writes []platform.Write) platform.CommitResult {
+	for _, c := range conds {
+		if r := t.rows[c.Key]; r.Version != c.Version {
+			r.Key = c.Key
+			return platform.CommitResult{Status: platform.CommitConflict, Conflicts: []platform.Row{r}}
+		}
+	}
+	t.version++
+	for _, w := range writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.version}
+	}
+	return platform.CommitResult{Status: platform.CommitApplied, Version: t.version}
+}
+
+func (t *table) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for _, k := range keys {
+		r := t.rows[k]
+		r.Key = k
+		rows = append(rows, r)
+	}
+	return rows, nil
+}
+
+func (t *table) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for k, r := range t.rows {
+		if strings.HasPrefix(k, prefix) && k > after && len(rows) < limit {
+			rows = append(rows, r)
+		}
+	}
+	return rows, nil
+}
+
+// objects is an object store.
+type objects struct{ sync.Map }
+
+func (o *objects) Put(_ context.Context, key string, data []byte) error {
+	o.Store(key, data)
+	return nil
+}
+
+func (o *objects) Get(_ context.Context, key string) ([]byte, error) {
+	data, ok := o.Load(key)
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return data.([]byte), nil
+}
--- a/booking/wait.go
+++ b/booking/wait.go
@@ -19,11 +19,14 @@
 
 // waitReply is the claim's outcome, if it is known.
 type waitReply struct {
-	Known   bool         `msgpack:"y"`
-	Kind    outcome.Kind `msgpack:"o"`
-	Reason  string       `msgpack:"r,omitempty"`
-	RetryMS int64        `msgpack:"m,omitempty"`
-	Answer  Answer       `msgpack:"a"`
+	Known bool `msgpack:"y"`
+	// NeverRan is set when the claim was given up before its dispatch: its
+	// row may be removed.
+	NeverRan bool         `msgpack:"n,omitempty"`
+	Kind     outcome.Kind `msgpack:"o"`
+	Reason   string       `msgpack:"r,omitempty"`
+	RetryMS  int64        `msgpack:"m,omitempty"`
+	Answer   Answer       `msgpack:"a"`
 }
 
 func (r waitReply) refusal() outcome.Refusal {
@@ -45,9 +48,10 @@
 	}
 	b.mu.Lock()
 	f := b.flights[req.Key]
+	_, neverRan := b.undispatched[req.ID]
 	b.mu.Unlock()
 	if f == nil || f.id != req.ID {
-		return waitReply{}, nil
+		return waitReply{NeverRan: neverRan}, nil
 	}
 	select {
 	case <-f.done:
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -58,7 +58,7 @@
 	b.SetEndpoints(list)
 	b.shares.set(ownership.Full, "e1")
 	b.SetPeers([]PeerHost{{Name: "a", Zone: "z1"}})
-	b.sendDigests(t.Context())
+	tellPeers(t, b)
 	resp, r := a.Call(t.Context(), post("x"))
 	if r.Kind != outcome.Answered {
 		t.Fatalf("refused: %+v", r)
--- /dev/null
+++ b/gateway/capacity_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/routing"
+)
+
+// TestCapacityIsNeverExceeded drives two hosts, each the owner of one of two
+// endpoints, with far more requests than slots.
+func TestCapacityIsNeverExceeded(t *testing.T) {
+	const slots, requests = 3, 300
+	var over atomic.Int64
+	n := newNetwork()
+	a, b := newHost(t, n, "a", nil), newHost(t, n, "b", nil)
+	var list []routing.Endpoint
+	for _, name := range []string{"e1", "e2"} {
+		var running atomic.Int64
+		list = append(list, endpoint(t, name, slots, func(http.ResponseWriter, *http.Request) {
+			if running.Add(1) > slots {
+				over.Add(1)
+			}
+			<-time.After(time.Millisecond)
+			running.Add(-1)
+		}))
+	}
+	for i, h := range []*host{a, b} {
+		h.SetEndpoints(list)
+		h.shares.set(ownership.Full, list[i].Name)
+	}
+	a.SetPeers([]PeerHost{{Name: "b", Zone: "z1"}})
+	b.SetPeers([]PeerHost{{Name: "a", Zone: "z1"}})
+	tellPeers(t, a)
+	tellPeers(t, b)
+	var answered atomic.Int64
+	var all sync.WaitGroup
+	for i := range requests {
+		all.Go(func() {
+			if _, r := []*host{a, b}[i%2].Call(t.Context(), post("x")); r.Kind == outcome.Answered {
+				answered.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if over.Load() > 0 || answered.Load() != requests {
+		t.Errorf("%d times above capacity, %d of %d answered", over.Load(), answered.Load(), requests)
+	}
+}
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
+	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/peer"
@@ -23,8 +21,6 @@
 	digestRefresh = time.Second
 	// digestTimeout bounds the sending of one digest.
 	digestTimeout = 500 * time.Millisecond
-	// digestFanOut bounds how many digests are sent at once.
-	digestFanOut = 16
 )
 
 // freeDigest is a peer's free slots, or their changes.
@@ -37,19 +33,14 @@
 
 type freeReply struct{}
 
-// digestSender is what Run remembers between digests.
-type digestSender struct {
-	sent   map[string]int
-	whole  time.Time
-	silent map[string]bool
-}
-
 // Run sends digests of free slots to peers, and gives slots that became
 // usable with time (after an ejection, a slow start or a new grant) to
 // requests that wait, until the context ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	tick := time.NewTicker(digestInterval)
 	defer tick.Stop()
+	var sending sync.WaitGroup
+	defer sending.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -58,89 +49,43 @@
 			g.mu.Lock()
 			g.serveQueues()
 			g.mu.Unlock()
-			g.sendDigests(ctx)
+			g.sendDigests(ctx, &sending)
 		}
 	}
 }
 
-// sendDigests sends what changed since the last digest, or all of it now and
-// then, to every peer.
-func (g *Gateway) sendDigests(ctx context.Context) {
+// sendDigests starts to send each peer what changed since its last digest, or
+// all of it now and then. A peer that is slow to answer delays no other.
+func (g *Gateway) sendDigests(ctx context.Context, sending *sync.WaitGroup) {
+	if g.opt.Peers == nil {
+		return
+	}
 	now := time.Now()
 	g.mu.Lock()
 	free := g.pool.Free(now, g.opt.Shares.View())
 	hosts := g.hosts
-	stopping := g.stopping
-	g.mu.Unlock()
-	if g.opt.Peers == nil || len(hosts) == 0 {
-		return
-	}
-	if stopping {
+	if g.stopping {
 		clear(free)
 	}
-	d := g.digests.next(now, g.opt.Zone, free)
-	if d == nil {
-		return
-	}
-	g.broadcast(ctx, hosts, d)
-}
-
-// next returns the digest that is due at now, or nil.
-func (s *digestSender) next(now time.Time, zone string, free map[string]int) *freeDigest {
-	if now.Sub(s.whole) >= digestRefresh {
-		s.whole = now
-		s.sent = free
-		return &freeDigest{Zone: zone, Free: free, Whole: true}
-	}
-	delta := maps.Clone(free)
-	maps.DeleteFunc(delta, func(service string, n int) bool {
-		was, ok := s.sent[service]
-		return ok && was == n
-	})
-	for service := range s.sent {
-		if _, ok := free[service]; !ok && s.sent[service] != 0 {
-			delta[service] = 0
+	g.mu.Unlock()
+	for _, host := range g.digests.turn(hosts, g.opt.DigestFanOut) {
+		d := g.digests.next(now, host, g.opt.Zone, free)
+		if d == nil {
+			continue
 		}
+		sending.Go(func() { g.sendDigest(ctx, host, d) })
 	}
-	s.sent = free
-	if len(delta) == 0 {
-		return nil
-	}
-	return &freeDigest{Zone: zone, Free: delta}
 }
 
-// broadcast sends a digest to the peers, a bounded number at once.
-func (g *Gateway) broadcast(ctx context.Context, hosts []PeerHost, d *freeDigest) {
+func (g *Gateway) sendDigest(ctx context.Context, host string, d *freeDigest) {
 	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 	defer cancel()
-	taken := make([]bool, len(hosts))
-	var all errgroup.Group
-	all.SetLimit(digestFanOut)
-	for i, h := range hosts {
-		all.Go(func() error {
-			res := g.opt.Peers.Call(ctx, h.Name, MethodFree, d, &freeReply{})
-			taken[i] = res.Kind == outcome.Answered
-			return nil
-		})
-	}
-	_ = all.Wait() // its functions return no error
-	for i, h := range hosts {
-		g.digests.note(g.opt.Log, h.Name, taken[i])
-	}
-}
-
-// note logs when a peer stops or resumes taking digests.
-func (s *digestSender) note(log *slog.Logger, host string, taken bool) {
-	if s.silent == nil {
-		s.silent = map[string]bool{}
-	}
-	was := s.silent[host]
-	s.silent[host] = !taken
-	switch {
-	case !taken && !was:
-		event.PeerDigestLost.Log(log, slog.String("host", host))
-	case taken && was:
-		event.PeerDigestTaken.Log(log, slog.String("host", host))
+	res := g.opt.Peers.Call(ctx, host, MethodFree, d, &freeReply{})
+	switch g.digests.done(host, res.Kind == outcome.Answered) {
+	case digestsLost:
+		event.PeerDigestLost.Log(g.opt.Log, slog.String("host", host))
+	case digestsBack:
+		event.PeerDigestTaken.Log(g.opt.Log, slog.String("host", host))
 	}
 }
 
--- /dev/null
+++ b/gateway/fault_test.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/booking"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/routing"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// single returns a host that owns one endpoint.
+func single(t testing.TB, slots int, h http.HandlerFunc, edit func(*Options)) *host {
+	t.Helper()
+	a := newHost(t, nil, "a", edit)
+	a.SetEndpoints([]routing.Endpoint{endpoint(t, "e1", slots, h)})
+	a.shares.set(ownership.Full, "e1")
+	return a
+}
+
+func (h *host) inUse() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pool.InUse("")
+}
+
+// breakOff sends size bytes of a longer answer and cuts the connection.
+func breakOff(size int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "900000")
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestCutOffAnswerIsNeverWhole(t *testing.T) {
+	for _, size := range []int{0, 10, 200_000} {
+		h := single(t, 2, breakOff(size), nil)
+		resp, err := http.Post(callers(t, h.Gateway)+"/call/"+svc+"/", "", strings.NewReader("x"))
+		if err != nil {
+			continue // the connection was cut before a header
+		}
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err == nil && resp.StatusCode != http.StatusGatewayTimeout {
+			t.Errorf("%d bytes sent: %d passed as whole", size, resp.StatusCode)
+		}
+		if err == nil && resp.Header.Get(outcome.Header) != "unknown" {
+			t.Errorf("%d bytes sent: outcome %q", size, resp.Header.Get(outcome.Header))
+		}
+		if h.inUse() != 1 {
+			t.Errorf("%d bytes sent: %d slots in use, the endpoint may still run", size, h.inUse())
+		}
+	}
+}
+
+// direct is a Book that runs everything.
+type direct struct{}
+
+func (direct) Do(ctx context.Context, _ booking.Request, run booking.Run) (booking.Answer, outcome.Refusal) {
+	return run(ctx)
+}
+
+// TestNothingIsSentTwice lets an endpoint read each second request of a
+// connection and close it without an answer. net/http would send a GET, and a
+// POST with an idempotency key, once more by itself.
+func TestNothingIsSentTwice(t *testing.T) {
+	var hits atomic.Int64
+	h := single(t, 4, func(w http.ResponseWriter, _ *http.Request) {
+		if hits.Add(1) == 1 {
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			conn.Close()
+		}
+	}, func(o *Options) { o.Book = direct{}; o.Calls.RetryBudget = 0 })
+	for _, req := range []Request{get("/"), post(""), post("")} {
+		hits.Store(0)
+		if req.Method == http.MethodPost {
+			req.Key = "k"
+			req.Header = http.Header{"Idempotency-Key": {"k"}}
+		}
+		_, first := h.Call(t.Context(), req)
+		_, second := h.Call(t.Context(), req)
+		if first.Kind != outcome.Answered || second.Kind != outcome.Unknown || hits.Load() != 2 {
+			t.Fatalf("%s: %+v, %+v, endpoint saw %d", req.Method, first, second, hits.Load())
+		}
+	}
+}
+
+func TestCallerGoneKeepsItsSlot(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	h := single(t, 1, func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-finish
+	}, func(o *Options) { o.Calls.MaxRun = settings.Duration(time.Minute) })
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	if _, r := h.Call(ctx, post("x")); r.Kind != outcome.Unknown {
+		t.Fatalf("caller gone after the write: %+v", r)
+	}
+	late := post("y")
+	late.Deadline = time.Now().Add(50 * time.Millisecond)
+	if _, r := h.Call(t.Context(), late); r.Kind != outcome.NotRun {
+		t.Fatalf("second call on a busy slot: %+v", r)
+	}
+	close(finish)
+	if err := h.Drain(t.Context(), "e1"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestBrokenConnectionKeepsSlotForLongestRun(t *testing.T) {
+	h := single(t, 1, breakOff(10), func(o *Options) { o.Calls.MaxRun = settings.Duration(300 * time.Millisecond) })
+	before := time.Now()
+	if _, r := h.Call(t.Context(), post("x")); r.Kind != outcome.Unknown {
+		t.Fatalf("%+v", r)
+	}
+	if err := h.Drain(t.Context(), "e1"); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(before); took < 300*time.Millisecond {
+		t.Errorf("slot free after %v, before the longest run was over", took)
+	}
+}
+
+// flip is a View that loses the grant once it was asked n times.
+type flip struct {
+	left atomic.Int64
+	full *ownership.View
+}
+
+func (f *flip) View() *ownership.View {
+	if f.left.Add(-1) < 0 {
+		return &ownership.View{}
+	}
+	return f.full
+}
+
+func TestGrantLostBeforeWrite(t *testing.T) {
+	var hits atomic.Int64
+	f := &flip{full: &ownership.View{Grants: map[string]ownership.Grant{"e1": {Share: ownership.Full, After: ownership.Full}}}}
+	h := newHost(t, nil, "a", func(o *Options) { o.Shares = f; o.Calls.RetryBudget = 0 })
+	h.SetEndpoints([]routing.Endpoint{endpoint(t, "e1", 1, func(http.ResponseWriter, *http.Request) { hits.Add(1) })})
+	f.left.Store(1)
+	if _, r := h.Call(t.Context(), post("x")); r.Kind != outcome.NotRun || r.Reason != ReasonGrantLapsed {
+		t.Errorf("%+v", r)
+	}
+	if hits.Load() != 0 || h.inUse() != 0 {
+		t.Errorf("endpoint saw %d, %d slots in use", hits.Load(), h.inUse())
+	}
+}
+
+func TestUnprocessedIsRetriedWithinBudget(t *testing.T) {
+	var hits atomic.Int64
+	h := single(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		if hits.Add(1) == 1 {
+			w.Header().Set(unprocessedHeader, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}, func(o *Options) { o.Calls.RetryBudget = 1 })
+	if _, r := h.Call(t.Context(), post("x")); r.Kind != outcome.Answered || hits.Load() != 2 {
+		t.Errorf("%+v after %d tries", r, hits.Load())
+	}
+	h = single(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(unprocessedHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}, func(o *Options) { o.Calls.RetryBudget = 0 })
+	if _, r := h.Call(t.Context(), post("x")); r.Kind != outcome.NotRun || r.Reason != ReasonUnprocessed {
+		t.Errorf("without a budget: %+v", r)
+	}
+}
+
+// TestLostForwardAnswer loses a peer's answer: a request that may have run is
+// unknown, and is not sent again.
+func TestLostForwardAnswer(t *testing.T) {
+	var hits atomic.Int64
+	n := newNetwork()
+	a, b := newHost(t, n, "a", func(o *Options) { o.Calls.RetryBudget = 1 }), newHost(t, n, "b", nil)
+	list := []routing.Endpoint{endpoint(t, "e1", 4, func(http.ResponseWriter, *http.Request) { hits.Add(1) })}
+	a.SetEndpoints(list)
+	b.SetEndpoints(list)
+	b.shares.set(ownership.Full, "e1")
+	b.SetPeers([]PeerHost{{Name: "a", Zone: "z1"}})
+	tellPeers(t, b)
+	n.lose[MethodCall] = true
+	if _, r := a.Call(t.Context(), post("x")); r.Kind != outcome.Unknown || hits.Load() != 1 {
+		t.Errorf("%+v, endpoint saw %d", r, hits.Load())
+	}
+}
+
+func TestAnswerTooLarge(t *testing.T) {
+	h := single(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 2000))
+	}, func(o *Options) { o.Calls.MaxBody = 1000 })
+	if _, r := h.Call(t.Context(), post("x")); r.Kind != outcome.Unknown {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestStopFinishesWhatIsInFlight(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	h := single(t, 2, func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-finish
+		_, _ = io.WriteString(w, "whole")
+	}, nil)
+	got := make(chan outcome.Refusal, 1)
+	go func() {
+		_, r := h.Call(t.Context(), post("x"))
+		got <- r
+	}()
+	<-started
+	early, cancel := context.WithCancel(t.Context())
+	cancel()
+	if h.Stop(early) == nil {
+		t.Error("stopped with a request in flight")
+	}
+	if _, r := h.Call(t.Context(), post("y")); r.Kind != outcome.NotRun || r.RetryAfter == 0 {
+		t.Errorf("new request while stopping: %+v", r)
+	}
+	close(finish)
+	if err := h.Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if r := <-got; r.Kind != outcome.Answered {
+		t.Errorf("request in flight: %+v", r)
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -119,6 +119,10 @@
 
 // runForwarded makes one try; its first host decides on another.
 func (g *Gateway) runForwarded(ctx context.Context, req Request) callReply {
+	if !g.enterForwarded() {
+		return callReply{Kind: outcome.NotRun, Reason: ReasonNoSlot}
+	}
+	defer g.leave()
 	resp, refusal := g.once(ctx, req)
 	if refusal.Kind != outcome.Answered {
 		return callReply{
@@ -134,3 +138,14 @@
 	}
 	return callReply{Kind: outcome.Answered, Status: resp.Status, Header: resp.Header, Body: body}
 }
+
+// enterForwarded counts a forwarded request in, unless this host is stopping.
+func (g *Gateway) enterForwarded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping {
+		return false
+	}
+	g.active++
+	return true
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -30,6 +30,9 @@
 	Shares  Shares
 	// Peers reaches other entry hosts; nil when there are none.
 	Peers peer.Transport
+	// DigestFanOut is how many peers, in turn, get each digest of free
+	// slots; 0 for all.
+	DigestFanOut int
 	// Book handles idempotency keys; nil refuses requests that carry one.
 	Book Book
 	// Observe is told of each finished request; nil for none.
--- a/gateway/responsebody.go
+++ b/gateway/responsebody.go
@@ -2,6 +2,9 @@
 
 import (
 	"io"
+	"log/slog"
+
+	"github.com/fireflygate/fireflygate/event"
 )
 
 // responseBody is an answer's body on its way to the caller. The generated
@@ -10,6 +13,7 @@
 type responseBody struct {
 	call *httpCall
 	body io.ReadCloser
+	log  *slog.Logger
 	some bool // bytes were read
 }
 
@@ -21,6 +25,7 @@
 		return n, err
 	}
 	if b.some || n > 0 {
+		event.AnswerCutOff.Log(b.log, slog.String("cause", err.Error()))
 		return n, err
 	}
 	b.call.response = nil
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -171,3 +171,11 @@
 	t.Cleanup(srv.Close)
 	return srv.URL
 }
+
+// tellPeers sends the digests that are due and waits for them.
+func tellPeers(t testing.TB, h *host) {
+	t.Helper()
+	var sending sync.WaitGroup
+	h.sendDigests(t.Context(), &sending)
+	sending.Wait()
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -25,22 +25,22 @@
 // Call implements calls.Service.
 func (s *Service) Call(ctx context.Context, p *calls.CallPayload, body io.ReadCloser) (*calls.CallResult, io.ReadCloser, error) {
 	defer body.Close()
-	http, ok := ctx.Value(httpCallKey{}).(*httpCall)
+	call, ok := ctx.Value(httpCallKey{}).(*httpCall)
 	if !ok {
 		return nil, nil, badRequest("the call did not come over HTTP")
 	}
-	data, err := http.readBody(body, s.gateway.opt.Calls.MaxBody)
+	data, err := call.readBody(body, s.gateway.opt.Calls.MaxBody)
 	if err != nil {
 		return nil, nil, err
 	}
-	resp, refusal := s.gateway.Call(ctx, s.request(http, p, data))
+	resp, refusal := s.gateway.Call(ctx, s.request(call, p, data))
 	if refusal.Kind != outcome.Answered {
-		http.refusal = refusal
+		call.refusal = refusal
 		return nil, nil, problemOf(refusal)
 	}
-	http.response = resp
+	call.response = resp
 	result := &calls.CallResult{Status: resp.Status, Outcome: refusal.Kind.String()}
-	return result, &responseBody{call: http, body: resp.Body}, nil
+	return result, &responseBody{call: call, body: resp.Body, log: s.gateway.opt.Log}, nil
 }
 
 func (s *Service) request(c *httpCall, p *calls.CallPayload, body []byte) Request {
--- /dev/null
+++ b/routing/queue_test.go
@@ -0,0 +1,71 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestQueue runs scripts of tickets: push name at-ms give-up-ms, pop at-ms,
+// remove name.
+func TestQueue(t *testing.T) {
+	q := NewQueue(3)
+	names := map[*Ticket]string{}
+	byName := map[string]*Ticket{}
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	datadriven.RunTest(t, "testdata/queue", func(_ *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			var name string
+			var now, giveUp int
+			switch f := strings.Fields(line); f[0] {
+			case "push":
+				_, _ = fmt.Sscan(strings.Join(f[1:], " "), &name, &now, &giveUp)
+				if q.Full() {
+					fmt.Fprintf(&out, "%s: full\n", name)
+					continue
+				}
+				tk := &Ticket{Since: at(now), GiveUp: at(giveUp)}
+				names[tk], byName[name] = name, tk
+				q.Push(tk)
+			case "pop":
+				_, _ = fmt.Sscan(f[1], &now)
+				if tk := q.Pop(at(now)); tk != nil {
+					fmt.Fprintf(&out, "%d: %s\n", now, names[tk])
+				} else {
+					fmt.Fprintf(&out, "%d: none\n", now)
+				}
+			case "remove":
+				fmt.Fprintf(&out, "remove %s: %v\n", f[1], q.Remove(byName[f[1]]))
+			}
+		}
+		return out.String()
+	})
+}
+
+func TestAdmit(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name      string
+		waiting   int
+		full      bool
+		rate      float64
+		remaining time.Duration
+		wait      bool
+		reason    string
+	}{
+		{"in time", 9, false, 100, 200 * ms, true, ""},
+		{"too late", 9, false, 100, 109 * ms, false, "deadline_unreachable"},
+		{"full", 9, true, 100, time.Second, false, "queue_full"},
+		{"slots elsewhere", 0, false, 0, ms, true, ""},
+		{"slots elsewhere and full", 0, true, 0, ms, false, "queue_full"},
+	} {
+		got := Admit(c.waiting, c.full, c.rate, 10*ms, c.remaining)
+		if got.Wait != c.wait || got.Reason != c.reason || (!got.Wait && got.RetryAfter <= 0) {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
