--- /dev/null
+++ b/forecast/calendar.go
@@ -0,0 +1,101 @@
+package forecast
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// dailyLayout is how a daily start is written.
+const dailyLayout = "15:04"
+
+// Event is a named start with its times read.
+type Event struct {
+	Name     string
+	Services []string
+	// Headroom is the share of processors kept free in the window.
+	Headroom float64
+	before   time.Duration
+	after    time.Duration
+	// once is the start of an event that does not recur, else zero.
+	once time.Time
+	// hour and minute are a daily start in location.
+	hour     int
+	minute   int
+	location *time.Location
+}
+
+// Calendar is every event, by name.
+type Calendar []Event
+
+// NewCalendar reads the events of the settings. Those that can't be read are
+// left out and named in the error, beside a calendar of the others.
+func NewCalendar(configured map[string]settings.Event) (Calendar, error) {
+	var calendar Calendar
+	var failed error
+	for name, c := range configured {
+		e, err := newEvent(name, c)
+		if err != nil {
+			failed = errors.CombineErrors(failed, errors.Wrapf(err, "event %s", name))
+			continue
+		}
+		calendar = append(calendar, e)
+	}
+	slices.SortFunc(calendar, func(a, b Event) int { return strings.Compare(a.Name, b.Name) })
+	return calendar, failed
+}
+
+func newEvent(name string, c settings.Event) (Event, error) {
+	e := Event{
+		Name:     name,
+		Services: c.Services,
+		Headroom: c.Headroom,
+		before:   c.Before.D(),
+		after:    c.After.D(),
+	}
+	if once, err := time.Parse(time.RFC3339, c.Start); err == nil {
+		e.once = once
+		return e, nil
+	}
+	daily, err := time.Parse(dailyLayout, c.Start)
+	if err != nil {
+		return e, errors.Wrap(err, "start is neither RFC 3339 nor a time of day")
+	}
+	e.hour, e.minute = daily.Hour(), daily.Minute()
+	e.location, err = time.LoadLocation(c.Location)
+	return e, errors.Wrap(err, "location")
+}
+
+// Window returns the window that now is in, or else the next one. It reports
+// false when the event is over for good.
+func (e Event) Window(now time.Time) (Window, bool) {
+	if !e.once.IsZero() {
+		w := e.around(e.once)
+		return w, now.Before(w.Until)
+	}
+	local := now.In(e.location)
+	for day := -1; day <= 2; day++ {
+		start := time.Date(local.Year(), local.Month(), local.Day()+day, e.hour, e.minute, 0, 0, e.location)
+		if w := e.around(start); now.Before(w.Until) {
+			return w, true
+		}
+	}
+	return Window{}, false
+}
+
+func (e Event) around(start time.Time) Window {
+	return Window{From: start.Add(-e.before), Start: start, Until: start.Add(e.after)}
+}
+
+// Find returns an event by name.
+func (c Calendar) Find(name string) (Event, bool) {
+	for _, e := range c {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return Event{}, false
+}
