--- /dev/null
+++ b/batch/bench_test.go
@@ -0,0 +1,183 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/journal"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/peer"
+	"github.com/fireflygate/fireflygate/placement"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+const (
+	benchHosts         = 9
+	benchWorkers       = 30 // of each host
+	benchRate          = 320
+	benchSeconds       = 10
+	benchUrgentEvery   = 10
+	benchReplayRecords = 40000
+)
+
+// BenchmarkStarts submits 320 jobs a second to nine hosts, a tenth of them
+// urgent, and reports commits a start and the latency of starts.
+func BenchmarkStarts(b *testing.B) {
+	for _, delay := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
+		b.Run(delay.String(), func(b *testing.B) {
+			for range b.N {
+				starts(b, delay)
+			}
+		})
+	}
+}
+
+// bench is nine hosts, each the owner of one shard.
+type bench struct {
+	table   *memtable.Table
+	workers *fakeWorkers
+	nodes   []*Manager
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func newBench(hosts int, records int) *bench {
+	ctx, stop := context.WithCancel(context.Background())
+	x := &bench{table: memtable.New(), workers: newFakeWorkers(), stop: stop}
+	n := &net{handlers: map[string]map[peer.Method]peer.Handler{}}
+	members := map[string][]platform.Member{}
+	owners := map[string]string{}
+	for h := range hosts {
+		name := fmt.Sprint("wk/z/", h)
+		owners[name] = fmt.Sprint("h", h)
+		for i := range benchWorkers {
+			w := fmt.Sprintf("w%d-%d", h, i)
+			x.workers.hosts[w] = newFakeWorkers(w).hosts[w]
+			members[name] = append(members[name], platform.Member{
+				Name: w, Address: w, Zone: "z", State: platform.Live,
+				Capacity: platform.Resources{MilliCPU: 64000, MemoryMB: 250000},
+			})
+		}
+	}
+	for i := range records {
+		id := fmt.Sprint("old", i)
+		x.table.Put(jobKey("wk/z/0", id), encode(task.New(spec(id, time.Hour))))
+	}
+	for h := range hosts {
+		shard := fmt.Sprint("wk/z/", h)
+		version := x.table.Put(shardKey(shard), nil)
+		b := settings.Default().Batch
+		host := owners[shard]
+		j := journal.New(journal.Config{Table: x.table, Incarnation: host, Settings: b})
+		m := New(Config{
+			Host: host, Table: x.table, Journal: j, Workers: x.workers, Transport: port{n, host}, Mux: port{n, host},
+			NewPlanner: func(string) placement.Planner { return newFirstFit() },
+			Settings:   b, ClockRate: 0.01, Rand: rand.New(rand.NewPCG(uint64(h), 1)),
+		})
+		m.SetWorkers(members)
+		m.SetView(&ownership.View{Owners: owners, Grants: map[string]ownership.Grant{shard: {
+			Shard: shard, Epoch: 1, Version: version, Share: ownership.Full, Until: time.Now().Add(time.Hour),
+		}}})
+		x.done.Go(func() { j.Run(ctx) })
+		x.done.Go(func() { m.Run(ctx) })
+		x.nodes = append(x.nodes, m)
+	}
+	return x
+}
+
+func (x *bench) close() {
+	x.stop()
+	x.done.Wait()
+}
+
+// submitAll submits at the rate and returns when each job was submitted.
+func (x *bench) submitAll(b *testing.B) map[string]time.Time {
+	at := map[string]time.Time{}
+	var calls sync.WaitGroup
+	ticker := time.NewTicker(time.Second / benchRate)
+	defer ticker.Stop()
+	for i := range benchRate * benchSeconds {
+		<-ticker.C
+		s := spec(fmt.Sprint("j", i), 2*time.Second)
+		s.Urgent = i%benchUrgentEvery == 0
+		at[s.ID] = time.Now()
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			if _, kind, reason := x.nodes[i%len(x.nodes)].Submit(ctx, s); kind != outcome.Answered {
+				b.Errorf("%s: %v %s", s.ID, kind, reason)
+			}
+		})
+	}
+	calls.Wait()
+	return at
+}
+
+func starts(b *testing.B, delay time.Duration) {
+	x := newBench(benchHosts, 0)
+	defer x.close()
+	<-time.After(3 * time.Second) // every worker reconciled
+	x.table.Set(func(f *memtable.Faults) { f.Delay = delay })
+	before := x.table.Stats()
+	at := x.submitAll(b)
+	<-time.After(5 * time.Second)
+	after := x.table.Stats()
+	var urgent, normal []float64
+	for _, run := range x.workers.history {
+		ms := run.from.Sub(at[run.run.Job]).Seconds() * 1000
+		n, err := strconv.Atoi(strings.TrimPrefix(run.run.Job, "j"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if n%benchUrgentEvery == 0 {
+			urgent = append(urgent, ms)
+		} else {
+			normal = append(normal, ms)
+		}
+	}
+	count := float64(len(urgent) + len(normal))
+	b.ReportMetric(count, "starts")
+	b.ReportMetric(float64(after.Commits-before.Commits)/count, "commits/start")
+	b.ReportMetric(float64(after.Rows-before.Rows)/count, "rows/start")
+	b.ReportMetric(percentile(urgent, 0.99), "urgent-p99-ms")
+	b.ReportMetric(percentile(normal, 0.99), "normal-p99-ms")
+}
+
+// percentile returns a quantile of the values.
+func percentile(v []float64, q float64) float64 {
+	slices.Sort(v)
+	return v[int(float64(len(v)-1)*q)]
+}
+
+// BenchmarkReplay measures the takeover of a shard of 40,000 records.
+func BenchmarkReplay(b *testing.B) {
+	x := newBench(0, benchReplayRecords)
+	defer x.close()
+	before := x.table.Stats()
+	for range b.N {
+		m := &Manager{config: withDefaults(Config{Table: x.table})}
+		records, err := m.read(context.Background(), "wk/z/0")
+		if err != nil || len(records) != benchReplayRecords {
+			b.Fatal(len(records), err)
+		}
+		s := newShard("wk/z/0", 1, 1, limits{Batch: settings.Default().Batch}, &discard{firstFit: newFirstFit()}, m.config.Log, newMetrics(nil))
+		s.load(time.Now(), records)
+	}
+	b.ReportMetric(float64(x.table.Stats().Reads-before.Reads)/float64(b.N), "reads/op")
+}
+
+// discard is a planner whose queue costs nothing.
+type discard struct{ *firstFit }
+
+func (*discard) Enqueue(time.Time, task.Spec) {}
--- a/batch/faults_test.go
+++ b/batch/faults_test.go
@@ -303,3 +303,45 @@
 		synctest.Wait()
 	})
 }
+
+func TestUrgentJobStartsWithItsSubmission(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		r.table.Set(func(f *memtable.Faults) { f.Delay = 500 * time.Millisecond })
+		s := spec("j", 10*time.Second)
+		s.Urgent = true
+		begin := time.Now()
+		r.submit(n, s)
+		r.settle(time.Second)
+		if runs := r.expectRuns(1); len(runs) == 1 && runs[0].from.Sub(begin) > 600*time.Millisecond {
+			t.Errorf("started after %v, want one commit's time", runs[0].from.Sub(begin))
+		}
+		r.settle(15 * time.Second)
+		r.state(n, "j", task.Done)
+	})
+}
+
+func TestUrgentSubmissionRefusedFreesItsPlace(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		s := spec("j", time.Second)
+		s.Urgent = true
+		s.Resources.MilliCPU = 4000
+		r.table.Set(func(f *memtable.Faults) { f.Down = true })
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if _, kind, _ := n.Submit(ctx, s); kind == outcome.Answered {
+			t.Error("a submission was answered while the table was down")
+		}
+		r.table.Set(func(f *memtable.Faults) { f.Down = false })
+		r.settle(5 * time.Second)
+		r.submit(n, s)
+		r.settle(10 * time.Second)
+		r.state(n, "j", task.Done)
+		r.expectRuns(1)
+	})
+}
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -45,6 +45,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
+	// arriving are urgent jobs whose submission is committed with their start.
+	arriving map[string]struct{}
 	// retries are jobs whose late report waits for another commit.
 	retries map[string]*job
 
@@ -84,23 +86,22 @@
 	noFence bool
 	// lapseAtOnce takes a run as over with the first exchange unanswered.
 	lapseAtOnce bool
-	// placeUnreconciled places on workers before reconciliation.
-	placeUnreconciled bool
 }
 
 // newShard returns a shard that waits for its records.
 func newShard(name string, epoch, version uint64, l limits, p placement.Planner, log *slog.Logger, m *metrics) *Shard {
 	return &Shard{
-		name:    name,
-		epoch:   epoch,
-		fence:   platform.Condition{Key: shardKey(name), Version: version},
-		limits:  l,
-		planner: p,
-		log:     log,
-		metrics: m,
-		jobs:    map[string]*job{},
-		workers: map[string]*worker{},
-		retries: map[string]*job{},
+		name:     name,
+		epoch:    epoch,
+		fence:    platform.Condition{Key: shardKey(name), Version: version},
+		limits:   l,
+		planner:  p,
+		log:      log,
+		metrics:  m,
+		jobs:     map[string]*job{},
+		workers:  map[string]*worker{},
+		retries:  map[string]*job{},
+		arriving: map[string]struct{}{},
 	}
 }
 
--- a/batch/shard_commit.go
+++ b/batch/shard_commit.go
@@ -39,11 +39,13 @@
 }
 
 // advance commits the job's next record. applied or refused is called after.
+// Starts of urgent jobs and cancellations are urgent; the end of a run can
+// wait for the next transaction.
 func (s *Shard) advance(j *job, next task.Record, applied, refused func(now time.Time)) {
 	j.committing = true
 	s.put(change{
 		writes: []platform.Write{{Key: jobKey(s.name, next.Spec.ID), Value: encode(next)}},
-		urgent: next.Spec.Urgent || len(j.cancels) > 0,
+		urgent: next.State == task.Starting && next.Spec.Urgent || len(j.cancels) > 0,
 		done: func(now time.Time, r platform.CommitResult) {
 			j.committing = false
 			if s.fenced {
--- a/batch/shard_plan.go
+++ b/batch/shard_plan.go
@@ -47,6 +47,9 @@
 
 // act carries out one action of a plan.
 func (s *Shard) act(now time.Time, a placement.Action) {
+	if _, ok := s.arriving[a.Job]; ok {
+		return
+	}
 	j := s.jobs[a.Job]
 	if j == nil {
 		s.planner.Release(now, a.Job, false)
--- a/batch/shard_submit.go
+++ b/batch/shard_submit.go
@@ -40,7 +40,7 @@
 
 // submit makes a job durable. reply is called once it is known what became of
 // it; a commit that was not sent by the deadline is refused.
-func (s *Shard) submit(spec task.Spec, deadline time.Time, reply func(submitReply)) {
+func (s *Shard) submit(now time.Time, spec task.Spec, deadline time.Time, reply func(submitReply)) {
 	if !s.live() {
 		reply(submitReply{Code: submitNotReady})
 		return
@@ -53,6 +53,13 @@
 		reply(submitReply{Code: submitNeverFits, Reason: reason, Load: s.pending})
 		return
 	}
+	if _, ok := s.arriving[spec.ID]; ok {
+		reply(submitReply{Code: submitNotReady})
+		return
+	}
+	if spec.Urgent && s.submitStarted(now, spec, deadline, reply) {
+		return
+	}
 	c := submission(s.name, task.New(spec))
 	c.urgent = spec.Urgent
 	c.deadline = deadline
--- /dev/null
+++ b/batch/shard_urgent.go
@@ -0,0 +1,81 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/placement"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// submitStarted makes an urgent job durable together with its first start, if
+// it can be placed now; this saves one commit's time. It reports whether it
+// did.
+func (s *Shard) submitStarted(now time.Time, spec task.Spec, deadline time.Time, reply func(submitReply)) bool {
+	host := s.placeNow(now, spec)
+	if host == "" {
+		return false
+	}
+	next, _ := task.New(spec).Start(host)
+	s.arriving[spec.ID] = struct{}{}
+	s.starting++
+	c := submission(s.name, next)
+	c.urgent = true
+	c.deadline = deadline
+	arrived := now
+	c.done = func(now time.Time, r platform.CommitResult) {
+		delete(s.arriving, spec.ID)
+		s.starting--
+		if r.Status == platform.CommitApplied {
+			reply(s.acceptStarted(now, arrived, next))
+			return
+		}
+		s.planner.Release(now, spec.ID, false)
+		if w := s.workers[host]; w != nil {
+			w.health.ended(spec.ID)
+		}
+		reply(s.submitted(now, spec, r))
+	}
+	s.put(c)
+	return true
+}
+
+// placeNow asks for a plan and returns the host that it gives the job; empty
+// if it has to wait.
+func (s *Shard) placeNow(now time.Time, spec task.Spec) string {
+	if now.Before(s.heldUntil) || s.starting >= maxStartsInFlight {
+		return ""
+	}
+	s.planner.Enqueue(now, spec)
+	host := ""
+	for _, a := range s.planner.Plan(now, planLimit) {
+		if a.Job != spec.ID || a.Kind != placement.Start {
+			s.act(now, a)
+			continue
+		}
+		host = a.Host
+	}
+	s.dirty = true
+	if host == "" {
+		s.planner.Withdraw(spec.ID)
+		return ""
+	}
+	if w := s.workers[host]; w == nil || !w.health.admit(now, spec.ID) {
+		s.planner.Release(now, spec.ID, false)
+		return ""
+	}
+	return host
+}
+
+// acceptStarted adds a job whose first start is durable.
+func (s *Shard) acceptStarted(now, arrived time.Time, r task.Record) submitReply {
+	j := &job{rec: r, queued: arrived}
+	s.jobs[r.Spec.ID] = j
+	w := s.worker(now, r.Worker)
+	w.jobs[r.Spec.ID] = j
+	s.running++
+	s.starts++
+	s.metrics.starts.Inc()
+	s.call(w)
+	return submitReply{Code: submitAccepted, Status: s.status(j), Load: s.pending}
+}
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -39,7 +39,7 @@
 		return "leaving"
 	case w.lost || now.Sub(w.answered) > silentAfter*s.limits.Exchange.D():
 		return "unreachable"
-	case !w.reconciled && !s.faults.placeUnreconciled:
+	case !w.reconciled:
 		return "unreconciled"
 	default:
 		return w.health.unschedulable(now)
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -130,6 +130,6 @@
 			return
 		}
 		deadline, _ := ctx.Deadline()
-		o.submit(r.Spec, deadline, reply)
+		o.submit(now, r.Spec, deadline, reply)
 	})
 }
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -58,6 +58,8 @@
 	number  uint64
 	version uint64
 	started time.Time
+	// took is how long the last attempt took.
+	took time.Duration
 	// out is set while an attempt is out.
 	out     bool
 	retryAt time.Time
@@ -121,11 +123,11 @@
 	}
 }
 
-// Commit appends an entry and waits for its result. The context's deadline is
+// Commit appends an urgent entry and waits for its result. The context's deadline is
 // the entry's. When the context ends first the result is CommitUnknown.
 func (j *Journal) Commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) platform.CommitResult {
 	result := make(chan platform.CommitResult, 1)
-	e := Entry{Conditions: conditions, Writes: writes, Done: func(r platform.CommitResult) { result <- r }}
+	e := Entry{Conditions: conditions, Writes: writes, Urgent: true, Done: func(r platform.CommitResult) { result <- r }}
 	if deadline, ok := ctx.Deadline(); ok {
 		e.Deadline = deadline
 	}
--- a/journal/run.go
+++ b/journal/run.go
@@ -15,6 +15,7 @@
 // answer is what an attempt brought.
 type answer struct {
 	result platform.CommitResult
+	took   time.Duration
 	// settled is set when a lost answer was settled by reading own.
 	settled bool
 	own     platform.Row
@@ -51,9 +52,26 @@
 	return wait
 }
 
+const (
+	// pace is how many times the last transaction's duration lies between two
+	// transactions that hold nothing urgent: the longer the table takes, the
+	// more goes into each.
+	pace = 4
+	// shortestPace and longestPace bound that time.
+	shortestPace = 100 * time.Millisecond
+	longestPace  = 250 * time.Millisecond
+)
+
 // due returns when the next attempt may be sent.
 func (j *Journal) due() time.Time {
-	at := j.started.Add(j.config.Settings.CommitDelay.D())
+	j.mu.Lock()
+	urgent := len(j.queue.urgent) > 0
+	j.mu.Unlock()
+	gap := j.config.Settings.CommitDelay.D()
+	if !urgent && j.inFlight == nil {
+		gap = max(gap, shortestPace, min(j.took*pace, longestPace))
+	}
+	at := j.started.Add(gap)
 	if j.retryAt.After(at) {
 		return j.retryAt
 	}
@@ -121,7 +139,8 @@
 	limited, cancel := context.WithTimeout(ctx, j.config.Timeout)
 	a := answer{result: j.config.Table.Commit(limited, tx)}
 	cancel()
-	j.metrics.latency.Observe(j.config.Now().Sub(begin).Seconds())
+	a.took = j.config.Now().Sub(begin)
+	j.metrics.latency.Observe(a.took.Seconds())
 	j.metrics.rows.Observe(float64(len(tx.Writes)))
 	if a.result.Status == platform.CommitUnknown && !j.blind {
 		limited, cancel = context.WithTimeout(ctx, j.config.Timeout)
@@ -137,6 +156,7 @@
 // take handles the answer to the attempt that was out.
 func (j *Journal) take(a answer) {
 	j.out = false
+	j.took = a.took
 	j.retryAt = time.Time{}
 	j.metrics.commits.WithLabelValues(statusName(a.result.Status)).Inc()
 	switch a.result.Status {
