--- a/batch/shard.go
+++ b/batch/shard.go
@@ -14,12 +14,17 @@
 type limits struct {
 	settings.Batch
 	clockRate float64
+	retention time.Duration
 }
 
-// lapse is how long after the last word a run is surely over.
-func (l limits) lapse() time.Duration {
-	lease := float64(l.TaskLease.D())
-	return time.Duration(lease*(1+l.clockRate)) + leaseBuffer
+// lapseAfter is how long after the last word a run is surely over. The owner counts
+// longer than the worker does, by the clocks' difference and a buffer.
+func (s *Shard) lapseAfter() time.Duration {
+	lease := float64(s.limits.TaskLease.D())
+	if s.faults.noBuffer {
+		return time.Duration(lease)
+	}
+	return time.Duration(lease*(1+s.limits.clockRate)) + leaseBuffer
 }
 
 // change is a commit that a shard asks for. done is called on the control
@@ -70,10 +75,11 @@
 	nextPlan  time.Time
 	planned   time.Time
 	// look asks for a search for exchanges that are due.
-	look    bool
-	pending int
-	running int
-	starts  uint64
+	look      bool
+	pending   int
+	running   int
+	starts    uint64
+	nextSweep time.Time
 	// faults break a mechanism on purpose; only tests set them.
 	faults faults
 }
@@ -84,6 +90,8 @@
 	sendBeforeDurable bool
 	// noFence leaves the shard's row out of commits.
 	noFence bool
+	// noBuffer takes a run as over as soon as its lease is.
+	noBuffer bool
 	// lapseAtOnce takes a run as over with the first exchange unanswered.
 	lapseAtOnce bool
 }
--- a/batch/shard_plan.go
+++ b/batch/shard_plan.go
@@ -24,6 +24,7 @@
 	}
 	s.watch(now)
 	s.retry(now)
+	s.sweep(now)
 	s.plan(now)
 }
 
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -68,7 +68,7 @@
 func (s *Shard) watch(now time.Time) {
 	for name, w := range s.workers {
 		s.show(now, w)
-		if !w.lost && now.Sub(w.answered) > s.limits.lapse() {
+		if !w.lost && now.Sub(w.answered) > s.lapseAfter() {
 			s.loseRuns(now, w)
 		}
 		if w.listed && w.member.State == platform.Leaving {
--- a/batch/workers_test.go
+++ b/batch/workers_test.go
@@ -42,7 +42,10 @@
 	loseReplies int  // exchanges that take effect without a reply
 	paused      bool // neither runs' ends nor the lease are looked at
 	failAll     bool
-	noSave      bool // checkpoints are lost
+	noSave      bool          // checkpoints are lost
+	cutAfter    bool          // is cut off with the next lost reply
+	lag         time.Duration // of an exchange on its way
+	slowStop    time.Duration // from the end of the lease to the run's
 }
 
 // fakeWorkers are all worker hosts, by address.
@@ -81,6 +84,11 @@
 	}
 	f.mu.Lock()
 	w := f.hosts[address]
+	if lag := w.lag; lag > 0 && !w.cut {
+		f.mu.Unlock()
+		<-time.After(lag)
+		f.mu.Lock()
+	}
 	if w.cut || w.paused || ctx.Err() != nil {
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -90,6 +98,7 @@
 	reply := f.apply(w, x)
 	if w.loseReplies > 0 {
 		w.loseReplies--
+		w.cut = w.cut || w.cutAfter
 		return platform.ExchangeReply{}, platform.ErrUnavailable
 	}
 	return reply, nil
@@ -131,8 +140,8 @@
 		if !r.ends.IsZero() && !now.Before(r.ends) && !r.ends.After(w.lease) {
 			r.report.DoneMS = r.ends.Sub(f.history[r.at].from).Milliseconds()
 			f.end(w, r, platform.RunDone, r.ends)
-		} else if now.After(w.lease) {
-			f.end(w, r, platform.RunExpired, w.lease)
+		} else if now.After(w.lease.Add(w.slowStop)) {
+			f.end(w, r, platform.RunExpired, w.lease.Add(w.slowStop))
 		}
 	}
 }
--- a/journal/batcher.go
+++ b/journal/batcher.go
@@ -66,6 +66,9 @@
 // len returns the number of queued entries.
 func (b *batcher) len() int { return len(b.urgent) + len(b.normal) }
 
+// full reports whether the queue fills a transaction.
+func (b *batcher) full() bool { return b.len() >= b.rows }
+
 // next takes the next group off the queue; nil if there is none.
 func (b *batcher) next() *group {
 	if b.len() == 0 {
--- /dev/null
+++ b/journal/bench_test.go
@@ -0,0 +1,53 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+const outstanding = 4096
+
+// BenchmarkEntries keeps the journal busy with entries of one row and reports
+// entries a second and a commit.
+func BenchmarkEntries(b *testing.B) {
+	for _, delay := range []time.Duration{0, 50 * time.Millisecond} {
+		b.Run(delay.String(), func(b *testing.B) {
+			table := memtable.New()
+			table.Set(func(f *memtable.Faults) { f.Delay = delay })
+			j := New(Config{Table: table, Incarnation: "i", Settings: settings.Default().Batch})
+			ctx, stop := context.WithCancel(context.Background())
+			var running, entries sync.WaitGroup
+			running.Go(func() { j.Run(ctx) })
+			room := make(chan struct{}, outstanding)
+			begin := time.Now()
+			for i := range b.N {
+				room <- struct{}{}
+				entries.Add(1)
+				j.Append(Entry{
+					Conditions: []platform.Condition{{Key: "shard/s"}},
+					Writes:     []platform.Write{{Key: fmt.Sprint("job/", i), Value: make([]byte, 200)}},
+					Done: func(r platform.CommitResult) {
+						if r.Status != platform.CommitApplied {
+							b.Error(r)
+						}
+						<-room
+						entries.Done()
+					},
+				})
+			}
+			entries.Wait()
+			took := time.Since(begin).Seconds()
+			stop()
+			running.Wait()
+			b.ReportMetric(float64(b.N)/took, "entries/s")
+			b.ReportMetric(float64(b.N)/float64(table.Stats().Commits), "entries/commit")
+		})
+	}
+}
--- a/journal/run.go
+++ b/journal/run.go
@@ -54,7 +54,7 @@
 
 const (
 	// pace is how many times the last transaction's duration lies between two
-	// transactions that hold nothing urgent: the longer the table takes, the
+	// transactions that are neither urgent nor full: the longer the table takes, the
 	// more goes into each.
 	pace = 4
 	// shortestPace and longestPace bound that time.
@@ -65,10 +65,10 @@
 // due returns when the next attempt may be sent.
 func (j *Journal) due() time.Time {
 	j.mu.Lock()
-	urgent := len(j.queue.urgent) > 0
+	hurry := len(j.queue.urgent) > 0 || j.queue.full()
 	j.mu.Unlock()
 	gap := j.config.Settings.CommitDelay.D()
-	if !urgent && j.inFlight == nil {
+	if !hurry && j.inFlight == nil {
 		gap = max(gap, shortestPace, min(j.took*pace, longestPace))
 	}
 	at := j.started.Add(gap)
