batch: hand waiting jobs over to a shard that is free

Cause: a job could wait in a full shard while another was free. Each change of a record is now conditional on its row's version.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -16,6 +16,8 @@
 	methodSubmit peer.Method = "batch.submit"
 	methodCancel peer.Method = "batch.cancel"
 	methodShow   peer.Method = "batch.show"
+	methodOffer  peer.Method = "batch.offer"
+	methodMoved  peer.Method = "batch.moved"
 )
 
 // submitRequest asks a shard's owner to hold a job.
@@ -38,6 +40,8 @@
 	mux.Handle(methodSubmit, handler(m.submitHere))
 	mux.Handle(methodCancel, handler(m.cancelHere))
 	mux.Handle(methodShow, handler(m.showHere))
+	mux.Handle(methodOffer, handler(m.offerHere))
+	mux.Handle(methodMoved, handler(m.movedHere))
 }
 
 // handler adapts a local operation to a peer method.
--- a/batch/job.go
+++ b/batch/job.go
@@ -11,6 +11,8 @@
 type job struct {
 	// rec is the durable record, but for Running, which is not written.
 	rec task.Record
+	// version is of the record's row, a condition of the next change.
+	version uint64
 	// committing is set while a change of the record is with the journal;
 	// there is at most one.
 	committing bool
@@ -32,5 +34,11 @@
 	queued time.Time
 }
 
+// stored is a record as the table holds it.
+type stored struct {
+	record  task.Record
+	version uint64
+}
+
 // throttling reports whether the worker has to be told of a throttle.
 func (j *job) throttling() bool { return j.percent != 0 && j.percent != j.applied }
--- a/batch/manager_gain.go
+++ b/batch/manager_gain.go
@@ -10,7 +10,6 @@
 
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/task"
 )
 
 // apply takes in a new view: shards no longer held are dropped, new ones are
@@ -60,7 +59,7 @@
 // replay reads the shard's records. The fence is in place: the row changed
 // before, so no earlier owner writes any more.
 func (m *Manager) replay(ctx context.Context, o *owned) {
-	records, err := backoff.Retry(ctx, func() ([]task.Record, error) {
+	records, err := backoff.Retry(ctx, func() ([]stored, error) {
 		records, err := m.read(ctx, o.name)
 		if err != nil {
 			event.ShardReplayFailed.Log(m.config.Log, slog.String("shard", o.name), slog.String("error", err.Error()))
@@ -89,9 +88,9 @@
 }
 
 // read reads all records of a shard, page by page.
-func (m *Manager) read(ctx context.Context, shard string) ([]task.Record, error) {
+func (m *Manager) read(ctx context.Context, shard string) ([]stored, error) {
 	prefix := jobPrefix + shard + "/"
-	var records []task.Record
+	var records []stored
 	after := ""
 	for {
 		rows, err := m.scan(ctx, prefix, after)
@@ -105,7 +104,7 @@
 				event.RecordUnreadable.Log(m.config.Log, slog.String("key", row.Key), slog.String("error", err.Error()))
 				continue
 			}
-			records = append(records, r)
+			records = append(records, stored{record: r, version: row.Version})
 		}
 		if len(rows) < scanPage {
 			return records, nil
--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -39,6 +39,7 @@
 	for _, o := range m.shards {
 		if o.live(now) {
 			o.tick(now)
+			m.move(now, o)
 		}
 	}
 	m.count()
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -54,6 +54,9 @@
 	arriving map[string]struct{}
 	// retries are jobs whose late report waits for another commit.
 	retries map[string]*job
+	// expected are jobs that other shards may hand over, and since when.
+	expected            map[string]time.Time
+	nextMove, nextCheck time.Time
 
 	// changes is the outbox of commits.
 	changes []change
@@ -109,14 +112,16 @@
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
 		retries:  map[string]*job{},
+		expected: map[string]time.Time{},
 		arriving: map[string]struct{}{},
 	}
 }
 
 // load takes in the replayed records, as of now.
-func (s *Shard) load(now time.Time, records []task.Record) {
-	for _, r := range records {
-		j := &job{rec: r, queued: now}
+func (s *Shard) load(now time.Time, records []stored) {
+	for _, row := range records {
+		r := row.record
+		j := &job{rec: r, version: row.version, queued: now}
 		s.jobs[r.Spec.ID] = j
 		switch {
 		case r.State == task.Pending:
--- a/batch/shard_commit.go
+++ b/batch/shard_commit.go
@@ -44,18 +44,25 @@
 func (s *Shard) advance(j *job, next task.Record, applied, refused func(now time.Time)) {
 	j.committing = true
 	s.put(change{
-		writes: []platform.Write{{Key: jobKey(s.name, next.Spec.ID), Value: encode(next)}},
-		urgent: next.State == task.Starting && next.Spec.Urgent || len(j.cancels) > 0,
+		conditions: []platform.Condition{{Key: jobKey(s.name, next.Spec.ID), Version: j.version}},
+		writes:     []platform.Write{{Key: jobKey(s.name, next.Spec.ID), Value: encode(next)}},
+		urgent:     next.State == task.Starting && next.Spec.Urgent || len(j.cancels) > 0,
 		done: func(now time.Time, r platform.CommitResult) {
 			j.committing = false
 			if s.fenced {
 				s.answerCancels(j, cancelReply{Code: cancelNotReady})
 				return
 			}
-			if r.Status == platform.CommitApplied {
+			switch r.Status {
+			case platform.CommitApplied:
 				j.rec = next
+				j.version = r.Version
 				applied(now)
-			} else {
+			case platform.CommitConflict:
+				refused(now)
+				s.disown(now, j)
+				return
+			default:
 				s.heldUntil = now.Add(retryCommit)
 				refused(now)
 			}
@@ -64,6 +71,26 @@
 	})
 }
 
+// disown forgets a job whose row is not as this owner left it: another shard
+// holds it.
+func (s *Shard) disown(now time.Time, j *job) {
+	id := j.rec.Spec.ID
+	event.JobDisowned.Log(s.log, slog.String("job", id), slog.String("shard", s.name))
+	if s.jobs[id] != j {
+		return
+	}
+	switch {
+	case j.rec.State == task.Pending:
+		s.pending--
+		s.planner.Withdraw(id)
+	case j.rec.State.Active():
+		s.vacate(now, j, j.rec.Worker, false)
+	}
+	delete(s.jobs, id)
+	delete(s.retries, id)
+	s.answerCancels(j, cancelReply{Code: cancelMissing})
+}
+
 // settle takes up what waited for the job's commit.
 func (s *Shard) settle(now time.Time, j *job) {
 	if j.committing {
--- a/batch/shard_submit.go
+++ b/batch/shard_submit.go
@@ -99,7 +99,7 @@
 func (s *Shard) submitted(now time.Time, spec task.Spec, r platform.CommitResult) submitReply {
 	switch r.Status {
 	case platform.CommitApplied:
-		return s.accept(now, spec)
+		return s.accept(now, spec, r.Version)
 	case platform.CommitNotApplied:
 		return submitReply{Code: submitRefused, Reason: ReasonStore}
 	case platform.CommitConflict:
@@ -110,8 +110,8 @@
 }
 
 // accept adds a job that is durable.
-func (s *Shard) accept(now time.Time, spec task.Spec) submitReply {
-	j := &job{rec: task.New(spec), queued: now}
+func (s *Shard) accept(now time.Time, spec task.Spec, version uint64) submitReply {
+	j := &job{rec: task.New(spec), version: version, queued: now}
 	s.jobs[spec.ID] = j
 	s.enqueue(now, j)
 	return submitReply{Code: submitAccepted, Status: s.status(j), Load: s.pending}
--- a/batch/shard_sweep.go
+++ b/batch/shard_sweep.go
@@ -44,9 +44,10 @@
 	if spec := j.rec.Spec; spec.Key != "" {
 		writes = append(writes, platform.Write{Key: idempotencyKey(spec.Team, spec.Key), Delete: true})
 	}
-	s.put(change{writes: writes, done: func(now time.Time, r platform.CommitResult) {
+	own := platform.Condition{Key: jobKey(s.name, id), Version: j.version}
+	s.put(change{conditions: []platform.Condition{own}, writes: writes, done: func(now time.Time, r platform.CommitResult) {
 		j.committing = false
-		if r.Status == platform.CommitApplied {
+		if r.Status != platform.CommitNotApplied {
 			delete(s.jobs, id)
 			s.answerCancels(j, cancelReply{Code: cancelMissing})
 			return
--- a/batch/shard_urgent.go
+++ b/batch/shard_urgent.go
@@ -27,7 +27,7 @@
 		delete(s.arriving, spec.ID)
 		s.starting--
 		if r.Status == platform.CommitApplied {
-			reply(s.acceptStarted(now, arrived, next))
+			reply(s.acceptStarted(now, arrived, next, r.Version))
 			return
 		}
 		s.planner.Release(now, spec.ID, false)
@@ -68,8 +68,8 @@
 }
 
 // acceptStarted adds a job whose first start is durable.
-func (s *Shard) acceptStarted(now, arrived time.Time, r task.Record) submitReply {
-	j := &job{rec: r, queued: arrived}
+func (s *Shard) acceptStarted(now, arrived time.Time, r task.Record, version uint64) submitReply {
+	j := &job{rec: r, version: version, queued: arrived}
 	s.jobs[r.Spec.ID] = j
 	w := s.worker(now, r.Worker)
 	w.jobs[r.Spec.ID] = j
--- a/event/batch.go
+++ b/event/batch.go
@@ -20,5 +20,7 @@
 	RunStray           = define(520, slog.LevelWarn, "run without a matching record, stopping it")
 	JobParked          = define(521, slog.LevelWarn, "job parked")
 	RecordUnreadable   = define(522, slog.LevelError, "job record cannot be decoded, left alone")
+	JobDisowned        = define(524, slog.LevelWarn, "job's row was changed by another shard, forgotten here")
+	JobMoved           = define(525, slog.LevelInfo, "pending job moved to another shard")
 	TransitionRejected = define(523, slog.LevelError, "transition not legal in this state, ignored")
 )
