--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
@@ -52,7 +54,7 @@
 	done    sync.WaitGroup
 }
 
-func newBench(hosts int, records int) *bench {
+func newBench(hosts, workers, records int) *bench {
 	ctx, stop := context.WithCancel(context.Background())
 	x := &bench{table: memtable.New(), workers: newFakeWorkers(), stop: stop}
 	n := &net{handlers: map[string]map[peer.Method]peer.Handler{}}
@@ -61,7 +63,7 @@
 	for h := range hosts {
 		name := fmt.Sprint("wk/z/", h)
 		owners[name] = fmt.Sprint("h", h)
-		for i := range benchWorkers {
+		for i := range workers {
 			w := fmt.Sprintf("w%d-%d", h, i)
 			x.workers.hosts[w] = newFakeWorkers(w).hosts[w]
 			members[name] = append(members[name], platform.Member{
@@ -125,7 +127,7 @@
 }
 
 func starts(b *testing.B, delay time.Duration) {
-	x := newBench(benchHosts, 0)
+	x := newBench(benchHosts, benchWorkers, 0)
 	defer x.close()
 	<-time.After(3 * time.Second) // every worker reconciled
 	x.table.Set(func(f *memtable.Faults) { f.Delay = delay })
@@ -162,7 +164,7 @@
 
 // BenchmarkReplay measures the takeover of a shard of 40,000 records.
 func BenchmarkReplay(b *testing.B) {
-	x := newBench(0, benchReplayRecords)
+	x := newBench(0, 0, benchReplayRecords)
 	defer x.close()
 	before := x.table.Stats()
 	for range b.N {
@@ -181,3 +183,33 @@
 type discard struct{ *firstFit }
 
 func (*discard) Enqueue(time.Time, task.Spec) {}
+
+// BenchmarkSteady measures the processor time that the owner of a ninth of
+// 4,300 workers spends on exchanges, with the fake workers' own part.
+func BenchmarkSteady(b *testing.B) {
+	const workers, jobs, seconds = 478, 2400, 10
+	x := newBench(1, workers, 0)
+	defer x.close()
+	<-time.After(3 * time.Second)
+	var calls sync.WaitGroup
+	for i := range jobs {
+		calls.Go(func() { x.nodes[0].Submit(context.Background(), spec(fmt.Sprint("j", i), time.Hour)) })
+	}
+	calls.Wait()
+	<-time.After(5 * time.Second)
+	for range b.N {
+		before := processorTime(b)
+		<-time.After(seconds * time.Second)
+		b.ReportMetric((processorTime(b)-before).Seconds()/seconds*100, "%core")
+		b.ReportMetric(float64(x.nodes[0].Counts().Running), "running")
+	}
+}
+
+// processorTime returns what the process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
