--- a/batch/shard.go
+++ b/batch/shard.go
@@ -14,12 +14,17 @@
 type limits struct {
 	settings.Batch
 	clockRate float64
+	retention time.Duration
 }
 
-// lapse is how long after the last word a run is surely over.
-func (l limits) lapse() time.Duration {
-	lease := float64(l.TaskLease.D())
-	return time.Duration(lease*(1+l.clockRate)) + leaseBuffer
+// lapseAfter is how long after the last word a run is surely over. The owner counts
+// longer than the worker does, by the clocks' difference and a buffer.
+func (s *Shard) lapseAfter() time.Duration {
+	lease := float64(s.limits.TaskLease.D())
+	if s.faults.noBuffer {
+		return time.Duration(lease)
+	}
+	return time.Duration(lease*(1+s.limits.clockRate)) + leaseBuffer
 }
 
 // change is a commit that a shard asks for. done is called on the control
@@ -45,8 +50,13 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
+	// arriving are urgent jobs whose submission is committed with their start.
+	arriving map[string]struct{}
 	// retries are jobs whose late report waits for another commit.
 	retries map[string]*job
+	// expected are jobs that other shards may hand over, and since when.
+	expected            map[string]time.Time
+	nextMove, nextCheck time.Time
 
 	// changes is the outbox of commits.
 	changes []change
@@ -68,10 +78,11 @@
 	nextPlan  time.Time
 	planned   time.Time
 	// look asks for a search for exchanges that are due.
-	look    bool
-	pending int
-	running int
-	starts  uint64
+	look      bool
+	pending   int
+	running   int
+	starts    uint64
+	nextSweep time.Time
 	// faults break a mechanism on purpose; only tests set them.
 	faults faults
 }
@@ -82,32 +93,35 @@
 	sendBeforeDurable bool
 	// noFence leaves the shard's row out of commits.
 	noFence bool
+	// noBuffer takes a run as over as soon as its lease is.
+	noBuffer bool
 	// lapseAtOnce takes a run as over with the first exchange unanswered.
 	lapseAtOnce bool
-	// placeUnreconciled places on workers before reconciliation.
-	placeUnreconciled bool
 }
 
 // newShard returns a shard that waits for its records.
 func newShard(name string, epoch, version uint64, l limits, p placement.Planner, log *slog.Logger, m *metrics) *Shard {
 	return &Shard{
-		name:    name,
-		epoch:   epoch,
-		fence:   platform.Condition{Key: shardKey(name), Version: version},
-		limits:  l,
-		planner: p,
-		log:     log,
-		metrics: m,
-		jobs:    map[string]*job{},
-		workers: map[string]*worker{},
-		retries: map[string]*job{},
+		name:     name,
+		epoch:    epoch,
+		fence:    platform.Condition{Key: shardKey(name), Version: version},
+		limits:   l,
+		planner:  p,
+		log:      log,
+		metrics:  m,
+		jobs:     map[string]*job{},
+		workers:  map[string]*worker{},
+		retries:  map[string]*job{},
+		expected: map[string]time.Time{},
+		arriving: map[string]struct{}{},
 	}
 }
 
 // load takes in the replayed records, as of now.
-func (s *Shard) load(now time.Time, records []task.Record) {
-	for _, r := range records {
-		j := &job{rec: r, queued: now}
+func (s *Shard) load(now time.Time, records []stored) {
+	for _, row := range records {
+		r := row.record
+		j := &job{rec: r, version: row.version, queued: now}
 		s.jobs[r.Spec.ID] = j
 		switch {
 		case r.State == task.Pending:
--- a/batch/shard_plan.go
+++ b/batch/shard_plan.go
@@ -24,6 +24,7 @@
 	}
 	s.watch(now)
 	s.retry(now)
+	s.sweep(now)
 	s.plan(now)
 }
 
@@ -47,6 +48,9 @@
 
 // act carries out one action of a plan.
 func (s *Shard) act(now time.Time, a placement.Action) {
+	if _, ok := s.arriving[a.Job]; ok {
+		return
+	}
 	j := s.jobs[a.Job]
 	if j == nil {
 		s.planner.Release(now, a.Job, false)
--- a/batch/shard_submit.go
+++ b/batch/shard_submit.go
@@ -40,7 +40,7 @@
 
 // submit makes a job durable. reply is called once it is known what became of
 // it; a commit that was not sent by the deadline is refused.
-func (s *Shard) submit(spec task.Spec, deadline time.Time, reply func(submitReply)) {
+func (s *Shard) submit(now time.Time, spec task.Spec, deadline time.Time, reply func(submitReply)) {
 	if !s.live() {
 		reply(submitReply{Code: submitNotReady})
 		return
@@ -53,6 +53,13 @@
 		reply(submitReply{Code: submitNeverFits, Reason: reason, Load: s.pending})
 		return
 	}
+	if _, ok := s.arriving[spec.ID]; ok {
+		reply(submitReply{Code: submitNotReady})
+		return
+	}
+	if spec.Urgent && s.submitStarted(now, spec, deadline, reply) {
+		return
+	}
 	c := submission(s.name, task.New(spec))
 	c.urgent = spec.Urgent
 	c.deadline = deadline
@@ -92,7 +99,7 @@
 func (s *Shard) submitted(now time.Time, spec task.Spec, r platform.CommitResult) submitReply {
 	switch r.Status {
 	case platform.CommitApplied:
-		return s.accept(now, spec)
+		return s.accept(now, spec, r.Version)
 	case platform.CommitNotApplied:
 		return submitReply{Code: submitRefused, Reason: ReasonStore}
 	case platform.CommitConflict:
@@ -103,8 +110,8 @@
 }
 
 // accept adds a job that is durable.
-func (s *Shard) accept(now time.Time, spec task.Spec) submitReply {
-	j := &job{rec: task.New(spec), queued: now}
+func (s *Shard) accept(now time.Time, spec task.Spec, version uint64) submitReply {
+	j := &job{rec: task.New(spec), version: version, queued: now}
 	s.jobs[spec.ID] = j
 	s.enqueue(now, j)
 	return submitReply{Code: submitAccepted, Status: s.status(j), Load: s.pending}
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -39,7 +39,7 @@
 		return "leaving"
 	case w.lost || now.Sub(w.answered) > silentAfter*s.limits.Exchange.D():
 		return "unreachable"
-	case !w.reconciled && !s.faults.placeUnreconciled:
+	case !w.reconciled:
 		return "unreconciled"
 	default:
 		return w.health.unschedulable(now)
@@ -68,7 +68,7 @@
 func (s *Shard) watch(now time.Time) {
 	for name, w := range s.workers {
 		s.show(now, w)
-		if !w.lost && now.Sub(w.answered) > s.limits.lapse() {
+		if !w.lost && now.Sub(w.answered) > s.lapseAfter() {
 			s.loseRuns(now, w)
 		}
 		if w.listed && w.member.State == platform.Leaving {
