placement: colocation, events, quotas and trials join the plan

Change: batch is placed by the harm it is expected to do, with trials of little known pairs bounded by host and in all; watched hosts throttle, evict and lift; headroom of events is kept from jobs that would run into it and drained ahead; Forecast reports whether each event will be met. eviction.Watch decides nothing on stale reports.

--- a/eviction/throttle.go
+++ b/eviction/throttle.go
@@ -8,9 +8,9 @@
 // maxThrottles is how many tasks one step throttles at most.
 const maxThrottles = 3
 
-// chooseThrottles returns throttles of the likeliest culprits, until what is
+// chooseThrottles returns at most limit throttles of the likeliest culprits, until what is
 // estimated to be removed covers what is over the objective.
-func chooseThrottles(suspects []Suspect, over float64, percent int) []Decision {
+func chooseThrottles(suspects []Suspect, over float64, percent, limit int) []Decision {
 	ranked := slices.DeleteFunc(slices.Clone(suspects), func(s Suspect) bool {
 		return s.Percent <= percent || s.Blame+s.Deviation < leastBlame
 	})
@@ -20,7 +20,7 @@
 	})
 	var decisions []Decision
 	for _, s := range ranked {
-		if len(decisions) == maxThrottles || over <= 0 {
+		if len(decisions) == limit || over <= 0 {
 			break
 		}
 		decisions = append(decisions, Decision{Kind: Throttle, Job: s.Job, Percent: percent})
--- a/eviction/watch.go
+++ b/eviction/watch.go
@@ -13,6 +13,8 @@
 	smoothing = 0.4
 	// maxPatience bounds how often the wait before a lift is doubled.
 	maxPatience = 5
+	// staleAfter is after how many lags without a report nothing is decided.
+	staleAfter = 3
 )
 
 // Watch follows one host whose latency-critical classes have objectives. It
@@ -22,7 +24,7 @@
 	// level is the smoothed logarithm of the worst latency over its
 	// objective.
 	level         float64
-	seen          bool
+	lastSeen      time.Time
 	violatedSince time.Time
 	calmSince     time.Time
 	// relief is when a throttle began that is still in force, zero if none.
@@ -44,9 +46,10 @@
 // the host.
 func (w *Watch) Observe(now time.Time, ratio float64) {
 	log := math.Log(max(ratio, 0.01))
-	if !w.seen {
-		w.level, w.seen = log, true
+	if w.lastSeen.IsZero() {
+		w.level = log
 	}
+	w.lastSeen = now
 	w.level += smoothing * (log - w.level)
 	violated := w.level > 0
 	calm := w.level < math.Log(calmBelow)
@@ -77,18 +80,21 @@
 	return !w.violatedSince.IsZero() && now.Sub(w.violatedSince) > w.options.Lag
 }
 
-// Step decides at now about the suspects on the host. With mayEvict false no
-// eviction is decided. It decides nothing until the last step's effect can
-// have been seen.
-func (w *Watch) Step(now time.Time, suspects []Suspect, mayEvict bool) []Decision {
+// Step takes at most limit decisions at now about the suspects on the host.
+// With mayEvict false no eviction is decided. It decides nothing until the last step's effect can
+// have been seen, and nothing without recent reports.
+func (w *Watch) Step(now time.Time, suspects []Suspect, limit int, mayEvict bool) []Decision {
 	w.prune(suspects)
+	if now.Sub(w.lastSeen) > staleAfter*w.options.Lag {
+		return nil
+	}
 	if !w.lastStep.IsZero() && now.Sub(w.lastStep) < w.options.settle() {
 		return nil
 	}
 	var decisions []Decision
 	switch {
 	case w.Violated(now):
-		decisions = w.relieve(now, suspects, mayEvict)
+		decisions = w.relieve(now, suspects, limit, mayEvict)
 	case !w.calmSince.IsZero():
 		decisions = w.lift(now, suspects)
 	}
@@ -118,7 +124,7 @@
 }
 
 // relieve throttles first and evicts what throttling did not relieve.
-func (w *Watch) relieve(now time.Time, suspects []Suspect, mayEvict bool) []Decision {
+func (w *Watch) relieve(now time.Time, suspects []Suspect, limit int, mayEvict bool) []Decision {
 	w.loseTrust(now)
 	if !w.relief.IsZero() && now.Sub(w.relief) >= w.options.EvictAfter && mayEvict {
 		if victim, found := chooseVictim(suspects, w.level); found {
@@ -127,7 +133,7 @@
 			return []Decision{{Kind: Evict, Job: victim.Job}}
 		}
 	}
-	decisions := chooseThrottles(suspects, w.level, w.options.ThrottlePercent)
+	decisions := chooseThrottles(suspects, w.level, w.options.ThrottlePercent, min(limit, maxThrottles))
 	for _, d := range decisions {
 		w.throttled[d.Job] = true
 	}
--- a/eviction/watch_test.go
+++ b/eviction/watch_test.go
@@ -40,7 +40,7 @@
 	lagged := f.log[max(0, at-int(testOpts.Lag/time.Second))]
 	now := epoch.Add(time.Duration(at) * time.Second)
 	f.watch.Observe(now, math.Exp(lagged))
-	decisions := f.watch.Step(now, f.suspects, true)
+	decisions := f.watch.Step(now, f.suspects, 10, true)
 	for _, d := range decisions {
 		f.kinds[d.Kind]++
 		f.apply(d)
@@ -107,6 +107,20 @@
 	}
 }
 
+func TestNothingIsDecidedOnStaleReports(t *testing.T) {
+	w := NewWatch(testOpts)
+	culprit := []Suspect{{Job: "j", Percent: 100, Blame: 0.5}}
+	for at := range 10 {
+		w.Observe(epoch.Add(time.Duration(at)*time.Second), 2)
+	}
+	if got := w.Step(epoch.Add(40*time.Second), culprit, 10, true); len(got) > 0 {
+		t.Errorf("decided %v on a report of 31 s ago", got)
+	}
+	if got := w.Step(epoch.Add(20*time.Second), culprit, 10, true); len(got) != 1 {
+		t.Errorf("decided %v on a report of 11 s ago", got)
+	}
+}
+
 func TestVictimIsLeastLossPerHarm(t *testing.T) {
 	suspects := []Suspect{
 		{Job: "young and harmless", Percent: 100, Blame: 0.01},
--- a/forecast/calendar.go
+++ b/forecast/calendar.go
@@ -86,6 +86,22 @@
 	return Window{}, false
 }
 
+// Next returns the first start after a time. It reports false when there is
+// none.
+func (e Event) Next(after time.Time) (time.Time, bool) {
+	if !e.once.IsZero() {
+		return e.once, e.once.After(after)
+	}
+	local := after.In(e.location)
+	for day := 0; day <= 2; day++ {
+		start := time.Date(local.Year(), local.Month(), local.Day()+day, e.hour, e.minute, 0, 0, e.location)
+		if start.After(after) {
+			return start, true
+		}
+	}
+	return time.Time{}, false
+}
+
 func (e Event) around(start time.Time) Window {
 	return Window{From: start.Add(-e.before), Start: start, Until: start.Add(e.after)}
 }
--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -52,6 +52,31 @@
 	}
 }
 
+func TestNextStart(t *testing.T) {
+	e := rounds(t)
+	tests := map[string]string{
+		"2026-06-01T05:29:59Z": "2026-06-01T05:30:00Z",
+		"2026-06-01T05:30:00Z": "2026-06-02T05:30:00Z",
+		"2026-06-01T22:30:00Z": "2026-06-02T05:30:00Z",
+	}
+	for after, want := range tests {
+		if got, ok := e.Next(at(t, after)); !ok || !got.Equal(at(t, want)) {
+			t.Errorf("next after %s is %s, want %s", after, got.UTC(), want)
+		}
+	}
+}
+
+func TestWindowAcrossMidnight(t *testing.T) {
+	e, err := newEvent("late", settings.Event{Start: "23:30", After: settings.Duration(time.Hour)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, _ := e.Window(at(t, "2026-06-02T00:15:00Z"))
+	if want := at(t, "2026-06-01T23:30:00Z"); !w.Start.Equal(want) {
+		t.Errorf("start %s, want %s", w.Start, want)
+	}
+}
+
 func TestEventOnceIsOver(t *testing.T) {
 	e, err := newEvent("fair", settings.Event{Start: "2026-06-01T08:00:00Z", After: settings.Duration(time.Hour)})
 	if err != nil {
--- a/interference/explorer.go
+++ b/interference/explorer.go
@@ -2,19 +2,34 @@
 
 import "time"
 
-// Explorer bounds how often a pair that is little known is tried out where
-// caution alone would forbid it: at most one trial at a time, each given the
-// lag to show its effect.
+// Explorer bounds how often pairs that are little known are tried out where
+// caution alone would forbid it: some trials an interval in all, and by the
+// caller's Trial one an interval on each host.
 type Explorer struct {
-	// Interval is the least time between trials; longer than the lag.
+	// Interval is how long a trial is given to show its effect; longer than
+	// the lag.
 	Interval time.Duration
-	last     time.Time
+	began    time.Time
+	count    int
 }
 
-// Allowed reports whether a trial may begin at now.
-func (e *Explorer) Allowed(now time.Time) bool {
-	return e.Interval > 0 && now.Sub(e.last) >= e.Interval
+// Trial is when a host last had a trial; the zero value is for never.
+type Trial struct{ at time.Time }
+
+// Allowed reports whether a trial may begin at now on a host, with at most
+// limit in all within the interval.
+func (e *Explorer) Allowed(now time.Time, host Trial, limit int) bool {
+	if e.Interval <= 0 {
+		return false
+	}
+	if now.Sub(e.began) >= e.Interval {
+		e.began, e.count = now, 0
+	}
+	return e.count < limit && now.Sub(host.at) >= e.Interval
 }
 
-// Begin counts a trial.
-func (e *Explorer) Begin(now time.Time) { e.last = now }
+// Begin counts a trial on a host.
+func (e *Explorer) Begin(now time.Time, host *Trial) {
+	host.at = now
+	e.count++
+}
--- /dev/null
+++ b/placement/colocation_test.go
@@ -0,0 +1,107 @@
+package placement
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/eviction"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// TestLagIsAllowedFor checks that a report is held against what ran a lag ago:
+// a run that ended since counts, one that started since does not, and a
+// throttle counts from when it was given.
+func TestLagIsAllowedFor(t *testing.T) {
+	s := New(Options{})
+
+	s.SetHost(testHost(0))
+	n := s.order[0]
+	n.watch = eviction.NewWatch(s.watchOptions())
+	at := func(second int) time.Time { return epoch.Add(time.Duration(second) * time.Second) }
+	start := func(second int, id string) {
+		spec := batchSpec(id, 16, 1)
+		spec.Class = id
+		s.Enqueue(at(second), spec)
+		s.Plan(at(second), 1)
+	}
+	s.options.Colocation.UsageLag = settings.Duration(5 * time.Second)
+	start(0, "old")
+	start(0, "throttled")
+	start(10, "new")
+	s.runs["throttled"].throttle(at(10), 50)
+	s.Release(at(10), "old", false)
+	tests := []struct {
+		second int
+		want   map[string]float64
+	}{
+		{9, map[string]float64{"old": 0.25, "throttled": 0.25}},
+		{11, map[string]float64{"throttled": 0.125, "new": 0.25}},
+	}
+	for _, tt := range tests {
+		load := s.batchAt(n, at(tt.second))
+		if len(load) != len(tt.want) {
+			t.Errorf("at %d s: %v, want %v", tt.second, load, tt.want)
+		}
+		for _, share := range load {
+			if math.Abs(share.Part-tt.want[share.Class]) > 1e-9 {
+				t.Errorf("at %d s: %v, want %v", tt.second, load, tt.want)
+			}
+		}
+	}
+}
+
+// TestCoolingHostIsLastChoice checks that a class is put back where it was
+// evicted only where nothing else fits.
+func TestCoolingHostIsLastChoice(t *testing.T) {
+	s := New(Options{ObjectivesMS: map[string]float64{"dispatch": 100}})
+	s.SetHost(testHost(0))
+	s.SetHost(testHost(1))
+	spec := batchSpec("filler", 32, 125)
+	spec.Class = "other"
+	s.Adopt(spec, testHost(0).Name)
+	s.nodes[testHost(0).Name].cool(epoch, "plan", epoch.Add(time.Minute))
+	place := func(id string, now time.Time) string {
+		spec := batchSpec(id, 4, 1)
+		spec.SubmittedUnixMS = now.Add(-24 * time.Hour).UnixMilli()
+		s.Enqueue(now, spec)
+		s.Plan(now, 1)
+		host := s.runs[id].node.host.Name
+		s.Release(now, id, false)
+		return host
+	}
+	if host := place("early", epoch); host != testHost(1).Name {
+		t.Errorf("put on the cooling host")
+	}
+	if host := place("late", epoch.Add(time.Minute)); host != testHost(0).Name {
+		t.Errorf("kept off after the cooling")
+	}
+}
+
+// TestLearnedSizesReachPlacement checks that learned sizes reach
+// placement and that memory never goes below what is declared.
+func TestLearnedSizesReachPlacement(t *testing.T) {
+	s := New(Options{})
+	s.SetHost(testHost(0))
+	for i := range 40 {
+		spec := batchSpec(string(rune('a'+i)), 8, 8)
+		s.Enqueue(epoch, spec)
+		s.Plan(epoch, 1)
+		s.Observe(Usage{Host: testHost(0).Name, At: epoch, Jobs: []JobUsage{{
+			Job: spec.ID, Used: platform.Resources{MilliCPU: 2000, MemoryMB: 2000},
+		}}})
+		s.Release(epoch.Add(time.Minute), spec.ID, true)
+	}
+	s.Enqueue(epoch, batchSpec("last", 8, 8))
+	got := s.Plan(epoch, 1)[0].Resources
+	if got.MilliCPU > 3000 || got.MemoryMB != 8000 {
+		t.Errorf("reserves %+v", got)
+	}
+	s.Killed("last")
+	s.Release(epoch, "last", false)
+	s.Enqueue(epoch, batchSpec("again", 8, 8))
+	if got := s.Plan(epoch, 1)[0].Resources; got.MemoryMB < 12_000 {
+		t.Errorf("reserves %+v after a kill at 8000 MB", got)
+	}
+}
--- a/placement/jobs.go
+++ b/placement/jobs.go
@@ -10,7 +10,7 @@
 // Enqueue adds a pending job; one that is already pending is replaced. A job
 // that still occupies a host is queued once it is released, so that it is
 // never placed twice.
-func (s *Scheduler) Enqueue(now time.Time, spec task.Spec) {
+func (s *Scheduler) Enqueue(_ time.Time, spec task.Spec) {
 	if r, running := s.runs[spec.ID]; running {
 		r.requeue = true
 		r.spec = s.respecify(r, spec)
@@ -19,7 +19,7 @@
 	if p, waiting := s.queue.jobs[spec.ID]; waiting {
 		s.unqueue(p)
 	}
-	p := &pending{spec: spec, latestStart: s.latestStart(now, spec)}
+	p := &pending{spec: spec, latestStart: s.latestStart(spec)}
 	p.avoid = s.past.avoid(spec.ID)
 	s.queue.add(p)
 }
@@ -34,19 +34,14 @@
 
 // latestStart is when the job must start to be done when it is due, by the
 // learned run time; 0 if it is never due.
-func (s *Scheduler) latestStart(now time.Time, spec task.Spec) int64 {
-	due := s.due(now, spec)
+func (s *Scheduler) latestStart(spec task.Spec) int64 {
+	due := s.dueUnixMS(spec)
 	if due == 0 {
 		return 0
 	}
 	return max(due-s.sizes.RunMS(spec), 1)
 }
 
-// due is when the job must be done, in Unix milliseconds; 0 for never.
-func (s *Scheduler) due(_ time.Time, spec task.Spec) int64 {
-	return spec.DueUnixMS
-}
-
 // Withdraw drops a pending job. What was remembered of it is forgotten.
 func (s *Scheduler) Withdraw(job string) {
 	if r, running := s.runs[job]; running {
@@ -123,8 +118,10 @@
 		return
 	}
 	s.vacate(r)
+	r.node.depart(r, now, s.memory())
 	if done {
 		s.learnRun(now, r)
+		s.countDone(now, r.spec)
 		s.past.forget(job)
 	}
 	if r.requeue && !done {
--- a/placement/node.go
+++ b/placement/node.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/fireflygate/fireflygate/platform"
+import (
+	"github.com/fireflygate/fireflygate/eviction"
+	"github.com/fireflygate/fireflygate/interference"
+	"github.com/fireflygate/fireflygate/platform"
+)
 
 // node is a host with what is reserved on it.
 type node struct {
@@ -12,6 +16,18 @@
 	runs []*run
 	// nominees are the urgent jobs that held is for.
 	nominees []*pending
+	// departed are the batch runs that ended within the lag.
+	departed []departure
+	// watch follows its latency-critical classes; nil if none reported.
+	watch *eviction.Watch
+	// watched is set while the node is in Scheduler.watched.
+	watched bool
+	// worst is the class with the latest worst latency over its objective.
+	worst string
+	// trial is when a little known pair was last tried out here.
+	trial interference.Trial
+	// cooling are the classes that were evicted from here lately.
+	cooling []cooldown
 	// position is its place in Scheduler.order.
 	position int
 	// cell and slot are where the index holds the node; cell is nil when it
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -17,6 +17,9 @@
 			s.observeRun(r, j)
 		}
 	}
+	if len(u.LatencyMS) > 0 {
+		s.observeLatency(n, u)
+	}
 }
 
 // observeRun keeps a run's progress and peak. A throttled run shows less than
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/task"
@@ -24,6 +25,13 @@
 	nominatedUnixMS int64
 }
 
+// pressed reports whether there is so little slack until the job must start
+// that it goes before fair sharing.
+func (p *pending) pressed(now time.Time) bool {
+	slack := time.Duration(p.latestStart-now.UnixMilli()) * time.Millisecond
+	return p.latestStart != 0 && slack <= dueWindow
+}
+
 // groupKey is what alike pending jobs share: where one does not fit, none
 // does.
 type groupKey struct {
@@ -48,6 +56,7 @@
 	overQuota
 	noHostFits
 	waitsForVictims
+	wouldHarm
 	// evicts is for the plan in which the victims are chosen.
 	evicts
 )
@@ -55,6 +64,22 @@
 // endsTurn reports whether the group's other jobs would fare the same.
 func (v verdict) endsTurn() bool { return v != placed && v != evicts }
 
+// String returns the verdict for people.
+func (v verdict) String() string {
+	switch v {
+	case overQuota:
+		return "quota is used up"
+	case noHostFits:
+		return "no host fits"
+	case waitsForVictims, evicts:
+		return "waits for victims to be released"
+	case wouldHarm:
+		return "would slow latency-critical work"
+	default:
+		return "waits for its turn"
+	}
+}
+
 // group is a heap of alike pending jobs.
 type group struct {
 	key     groupKey
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -6,12 +6,16 @@
 	"github.com/fireflygate/fireflygate/task"
 )
 
-// Plan returns at most limit actions for now: starts in the order of rank,
-// and evictions for urgent work that fits nowhere.
+// Plan returns at most limit actions for now: relief for latency-critical
+// work that misses its objective, hosts drained ahead of an event, then starts
+// in the order of rank with evictions for urgent work that fits nowhere.
 func (s *Scheduler) Plan(now time.Time, limit int) []Action {
 	s.now = now
 	p := &plan{now: now, limit: limit}
 	s.expireNominations(now)
+	s.updateWindows(now)
+	s.relieve(p)
+	s.drain(p)
 	s.placePending(p)
 	return p.actions
 }
@@ -58,24 +62,33 @@
 		s.unfit.add(&q)
 		return s.preempt(p, j, &q)
 	}
-	s.start(p, j, &q, s.best(&q, candidates))
+	n, harm := s.best(&q, candidates)
+	reason := startReason(&q)
+	if harm > s.tolerance(p.now, &q) {
+		if n = s.explore(p.now, &q, candidates); n == nil {
+			return wouldHarm
+		}
+		reason = "learns who is slowed"
+	}
+	s.start(p, j, &q, n, reason)
 	return placed
 }
 
 // request sizes a pending job by what is known now.
-func (s *Scheduler) request(_ time.Time, j *pending) request {
+func (s *Scheduler) request(now time.Time, j *pending) request {
 	return request{
 		spec:      j.spec,
 		size:      s.sizes.Size(j.spec),
-		reserve:   s.options.Headroom,
+		reserve:   s.reserve(now, j.spec),
 		avoid:     j.avoid,
+		due:       j.pressed(now),
 		nominated: j.nominated,
 		own:       j.held,
 	}
 }
 
 // start reserves and asks for the job's start.
-func (s *Scheduler) start(p *plan, j *pending, q *request, n *node) {
+func (s *Scheduler) start(p *plan, j *pending, q *request, n *node, reason string) {
 	s.unqueue(j)
 	r := &run{spec: j.spec, size: q.size, percent: fullSpeed, started: p.now}
 	r.resumed = s.past.evictions(j.spec.ID) > 0
@@ -85,7 +98,7 @@
 		Job:       j.spec.ID,
 		Host:      n.host.Name,
 		Resources: q.size,
-		Reason:    startReason(q),
+		Reason:    reason,
 	})
 }
 
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -44,11 +44,10 @@
 func (s *Scheduler) rankOf(now time.Time, g *group) rank {
 	head := g.jobs[0]
 	r := rank{tier: tierFair, submitted: head.spec.SubmittedUnixMS, id: head.spec.ID}
-	slack := time.Duration(head.latestStart-now.UnixMilli()) * time.Millisecond
 	switch {
 	case g.key.urgent:
 		r.tier = tierUrgent
-	case g.key.due && slack <= dueWindow:
+	case head.pressed(now):
 		r.tier = tierDue
 		r.key = float64(head.latestStart)
 	default:
--- a/placement/request.go
+++ b/placement/request.go
@@ -14,6 +14,8 @@
 	// reserve is the share of processors that batch must leave free.
 	reserve float64
 	avoid   map[string]bool
+	// due is set when there is little slack until the job must start.
+	due bool
 	// own is what the node nominated holds for this job.
 	nominated *node
 	own       platform.Resources
--- a/placement/run.go
+++ b/placement/run.go
@@ -24,6 +24,9 @@
 	reports int32
 	// percent is the share of its processors that it has; 100 in full.
 	percent int32
+	// before is the percentage that it had until changed.
+	before  int32
+	changed time.Time
 	// doneMS is the work that it has done.
 	doneMS int64
 	// started is zero when the run was adopted.
@@ -36,3 +39,34 @@
 	// evicting is when its eviction was asked for; zero if it was not.
 	evicting time.Time
 }
+
+// milliCPU is what it was last seen to use, or reserves if it was not seen
+// yet.
+func (r *run) milliCPU() int64 {
+	if r.used.MilliCPU > 0 {
+		return r.used.MilliCPU
+	}
+	return r.size.MilliCPU * int64(r.percent) / fullSpeed
+}
+
+// fullMilliCPU is what it would use if it were not throttled.
+func (r *run) fullMilliCPU() int64 {
+	if r.used.MilliCPU > 0 {
+		return r.used.MilliCPU * fullSpeed / int64(max(r.percent, 1))
+	}
+	return r.size.MilliCPU
+}
+
+// percentAt is the percentage that it had at a time.
+func (r *run) percentAt(when time.Time) int32 {
+	if when.Before(r.changed) {
+		return r.before
+	}
+	return r.percent
+}
+
+// throttle changes its percentage.
+func (r *run) throttle(now time.Time, percent int32) {
+	r.before, r.changed = r.percent, now
+	r.percent = percent
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -6,6 +6,8 @@
 
 	"github.com/fireflygate/fireflygate/estimate"
 	"github.com/fireflygate/fireflygate/eviction"
+	"github.com/fireflygate/fireflygate/forecast"
+	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/quota"
 )
@@ -32,6 +34,19 @@
 	past     histories
 	sizes    *estimate.Book
 	budget   *eviction.Budget
+	calendar forecast.Calendar
+	// windows are the events' windows as of the last plan, in the order of
+	// calendar.
+	windows  []forecast.Window
+	progress map[occurrence]*progress
+	model    *interference.Model
+	explorer interference.Explorer
+	// watched are the nodes on which relief may be due.
+	watched []*node
+	// loads is reused from node to node.
+	loads []interference.Share
+	// drainAt is where the search for hosts to drain goes on.
+	drainAt int
 	// candidates is reused from decision to decision.
 	candidates []*node
 	// victimsOf is reused from host to host.
@@ -44,19 +59,26 @@
 
 // New returns a Scheduler without hosts or jobs.
 func New(o Options) *Scheduler {
+	// Events that can't be read are refused by package settings before.
+	calendar, _ := forecast.NewCalendar(o.Events)
 	return &Scheduler{
-		options: o,
-		random:  rand.New(rand.NewPCG(o.Seed, 0)),
-		nodes:   map[string]*node{},
-		unfit:   newEquivalence(),
-		shapes:  newShapes(),
-		runs:    map[string]*run{},
-		queue:   newQueue(),
-		teams:   newTeams(o.Teams),
-		spread:  newSpread(),
-		past:    newHistories(),
-		sizes:   estimate.NewBook(),
-		budget:  eviction.NewBudget(o.Colocation.MaxEvictionsPerMinute),
+		options:  o,
+		random:   rand.New(rand.NewPCG(o.Seed, 0)),
+		nodes:    map[string]*node{},
+		unfit:    newEquivalence(),
+		shapes:   newShapes(),
+		runs:     map[string]*run{},
+		queue:    newQueue(),
+		teams:    newTeams(o.Teams),
+		spread:   newSpread(),
+		past:     newHistories(),
+		sizes:    estimate.NewBook(),
+		budget:   eviction.NewBudget(o.Colocation.MaxEvictionsPerMinute),
+		calendar: calendar,
+		windows:  make([]forecast.Window, len(calendar)),
+		progress: map[occurrence]*progress{},
+		model:    interference.NewModel(o.ObjectivesMS),
+		explorer: interference.Explorer{Interval: exploreLags * o.Colocation.UsageLag.D()},
 	}
 }
 
--- a/placement/why.go
+++ b/placement/why.go
@@ -41,9 +41,16 @@
 		return "quota of team " + j.spec.Team + " is used up"
 	}
 	counts := s.countRejections(&q)
+	if counts[Feasible] > 0 && j.group.verdict == wouldHarm {
+		return fmt.Sprintf("%d of %d hosts fit, but it would slow latency-critical work there",
+			counts[Feasible], len(s.order))
+	}
 	if counts[Feasible] > 0 {
 		return fmt.Sprintf("waits for its turn; %d of %d hosts fit", counts[Feasible], len(s.order))
 	}
+	if q.reserve > s.options.Headroom {
+		return "waits for the headroom of an event: " + describe(counts, len(s.order))
+	}
 	return "no host fits: " + describe(counts, len(s.order))
 }
 
