--- a/placement/harm.go
+++ b/placement/harm.go
@@ -13,16 +13,19 @@
 	// that the job has waited, so that none starves.
 	toleratedHarm    = 0.03
 	toleranceDoubles = 10 * time.Minute
-	maxDoublings     = 8
+	maxDoublings     = 2
+	// slightHarm is what a job may add to an excess without being blamed.
+	slightHarm = 0.002
 	// maxTolerance is above any harm.
 	maxTolerance = 1e9
 	// typicalSelf is how busy a class is taken to be that does not run yet.
 	typicalSelf = 0.7
 )
 
-// harm is by how much the job is expected to make latency-critical classes
-// miss their objectives on a node; for a latency-critical job, by how much it
-// would miss its own.
+// harm is by how much latency-critical classes that the job slows are expected
+// to miss their objectives on a node once it is there; for a latency-critical
+// job, by how much it would miss its own. It is the whole excess, not what the
+// job adds: many small additions are no better than a large one.
 func (s *Scheduler) harm(q *request, n *node) float64 {
 	return s.harmBy(q, n, s.model.Excess) + n.coolingHarm(s.now, q.spec.Class)
 }
@@ -47,11 +50,13 @@
 		count := len(load)
 		load = load.add(q.spec.Class, part)
 		l.Batch = load
-		harm += excess(r.spec.Class, l) - without
+		if with := excess(r.spec.Class, l); with-without > slightHarm {
+			harm = max(harm, with)
+		}
 		load = load.take(count, q.spec.Class, part)
 	}
 	s.loads = load
-	return max(harm, 0)
+	return harm
 }
 
 // take undoes add; count is the length before.
--- a/placement/options.go
+++ b/placement/options.go
@@ -20,4 +20,9 @@
 	// ObjectivesMS is the tail latency that each latency-critical class
 	// must keep, in milliseconds.
 	ObjectivesMS map[string]float64
+	// TailMargin is by how much below their objectives latency-critical
+	// classes should stay, as a logarithm; 0 for
+	// interference.DefaultMargin. A larger one buys tail latency with batch
+	// throughput.
+	TailMargin float64
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -25,6 +25,22 @@
 	now     time.Time
 	limit   int
 	actions []Action
+	// refused counts by class the jobs refused for the harm they would do.
+	refused map[string]int
+}
+
+// maxRefused is how many jobs of a class are refused for harm before the rest
+// of the class waits for the next plan, so that a long queue of them costs
+// little.
+const maxRefused = 8
+
+// refuse counts a job refused for harm.
+func (p *plan) refuse(class string) verdict {
+	if p.refused == nil {
+		p.refused = map[string]int{}
+	}
+	p.refused[class]++
+	return wouldHarm
 }
 
 // room is how many more actions the plan takes.
@@ -54,6 +70,9 @@
 	if !s.teams.allows(j.spec.Team, q.size) {
 		return overQuota
 	}
+	if p.refused[j.spec.Class] >= maxRefused && s.tolerance(p.now, &q) < maxTolerance {
+		return wouldHarm
+	}
 	if s.unfit.knownUnfit(&q) {
 		return s.preempt(p, j, &q)
 	}
@@ -66,7 +85,7 @@
 	reason := startReason(&q)
 	if harm > s.tolerance(p.now, &q) {
 		if n = s.explore(p.now, &q, candidates); n == nil {
-			return wouldHarm
+			return p.refuse(j.spec.Class)
 		}
 		reason = "learns who is slowed"
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -77,7 +78,7 @@
 		calendar: calendar,
 		windows:  make([]forecast.Window, len(calendar)),
 		progress: map[occurrence]*progress{},
-		model:    interference.NewModel(o.ObjectivesMS),
+		model:    interference.NewModel(o.ObjectivesMS, cmp.Or(o.TailMargin, interference.DefaultMargin)),
 		explorer: interference.Explorer{Interval: exploreLags * o.Colocation.UsageLag.D()},
 	}
 }
--- a/placement/score.go
+++ b/placement/score.go
@@ -11,6 +11,7 @@
 	weightHarm    = 4.0
 	weightSpread  = 1.0
 	weightPacking = 1.0
+	weightQuiet   = 0.5
 )
 
 // best returns the candidate with the highest score, the first by name among
@@ -32,5 +33,5 @@
 	if q.spec.QoS == task.LatencyCritical {
 		return weightSpread * s.spread.score(q, n)
 	}
-	return weightPacking * packing(q, n)
+	return weightPacking*packing(q, n) - weightQuiet*s.quiet(q, n)
 }
