--- a/booking/book_test.go
+++ b/booking/book_test.go
@@ -243,20 +243,77 @@
 }
 
 // TestNotRunReleasesTheClaim lets a retry run on any host once the first run
-// ended as not run.
+// ended as not run, also before its row is gone.
 func TestNotRunReleasesTheClaim(t *testing.T) {
-	r := newRig(none, refuse)
+	r := newRig()
+	r.table.setKeep(true)
 	_, refusal := r.a.Do(t.Context(), ask("x"), func(context.Context) (Answer, outcome.Refusal) {
 		return Answer{}, notRun("no slot", time.Second)
 	})
 	if refusal.Kind != outcome.NotRun {
 		t.Fatalf("got %+v", refusal)
 	}
+	r.do(t, r.a, outcome.NotRun, ReasonStoreDown)
+	r.table.setKeep(false)
+	r.do(t, r.b, outcome.Answered, "")
+	r.flush(t)
+	r.do(t, r.a, outcome.Answered, "")
+	r.ran(t, 1)
+}
+
+// TestRunOutlivesItsCaller keeps the outcome of a request whose caller left.
+func TestRunOutlivesItsCaller(t *testing.T) {
+	r := newRig()
+	started, finish := make(chan struct{}), make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, refusal := r.a.Do(ctx, ask("x"), func(ctx context.Context) (Answer, outcome.Refusal) {
+		close(started)
+		select {
+		case <-finish:
+			return r.answer(ctx)
+		case <-ctx.Done():
+			return Answer{}, unknownOutcome("cancelled", 0)
+		}
+	})
+	if refusal.Kind != outcome.Unknown || refusal.RetryAfter == 0 {
+		t.Fatalf("caller that left: %+v", refusal)
+	}
+	close(finish)
 	r.flush(t)
 	r.do(t, r.b, outcome.Answered, "")
 	r.ran(t, 1)
 }
 
+// TestClaimantReplaced lets a successor of the claimant's name answer while
+// the claimant still counts as alive: it knows nothing, so nothing may run.
+func TestClaimantReplaced(t *testing.T) {
+	r := newRig(none, refuse)
+	hang := make(chan struct{})
+	started := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, _ = r.a.Do(ctx, ask("x"), func(context.Context) (Answer, outcome.Refusal) {
+		close(started)
+		<-hang
+		return Answer{}, unknownOutcome("test over", 0)
+	})
+	old := r.a
+	r.a = New(old.opt)
+	r.do(t, r.b, outcome.Unknown, ReasonInProgress)
+	r.ran(t, 0)
+	close(hang)
+	if err := old.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestSweep(t *testing.T) {
 	r := newRig()
 	r.do(t, r.a, outcome.Answered, "")
--- a/booking/table_test.go
+++ b/booking/table_test.go
@@ -27,9 +27,9 @@
 	// faults are used up by the commits, in order.
 	faults []fault
 	down   bool
-	late   []func()
-	// committed is told of each commit's fault, if set.
-	committed func(fault)
+	// keep makes the table refuse deletions.
+	keep bool
+	late []func()
 }
 
 func newTable(faults ...fault) *table {
@@ -43,12 +43,9 @@
 	if len(t.faults) > 0 {
 		f, t.faults = t.faults[0], t.faults[1:]
 	}
-	if t.down {
+	if t.down || (t.keep && writes[0].Delete) {
 		f = refuse
 	}
-	if t.committed != nil {
-		defer t.committed(f)
-	}
 	switch f {
 	case refuse:
 		return platform.CommitResult{Status: platform.CommitNotApplied}
@@ -65,6 +62,13 @@
 	}
 }
 
+// setKeep makes the table refuse deletions, or take them again.
+func (t *table) setKeep(keep bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.keep = keep
+}
+
 // arrive lets delayed commits take effect.
 func (t *table) arrive() {
 	t.mu.Lock()
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -52,13 +52,18 @@
 
 func TestForwardOnce(t *testing.T) {
 	n := newNetwork()
-	a, b := newHost(t, n, "a", nil), newHost(t, n, "b", nil)
-	list := []routing.Endpoint{endpoint(t, "e1", 2, echo)}
-	a.SetEndpoints(list)
-	b.SetEndpoints(list)
+	a, b, c := newHost(t, n, "a", nil), newHost(t, n, "b", nil), newHost(t, n, "c", nil)
+	list := []routing.Endpoint{endpoint(t, "e1", 2, echo), endpoint(t, "e2", 2, echo)}
+	for _, h := range []*host{a, b, c} {
+		h.SetEndpoints(list)
+	}
 	b.shares.set(ownership.Full, "e1")
 	b.SetPeers([]PeerHost{{Name: "a", Zone: "z1"}})
 	tellPeers(t, b)
+	// Only b knows of the free slots of c.
+	c.shares.set(ownership.Full, "e2")
+	c.SetPeers([]PeerHost{{Name: "b", Zone: "z1"}})
+	tellPeers(t, c)
 	resp, r := a.Call(t.Context(), post("x"))
 	if r.Kind != outcome.Answered {
 		t.Fatalf("refused: %+v", r)
--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -31,10 +31,13 @@
 	return h.pool.InUse("")
 }
 
-// breakOff sends size bytes of a longer answer and cuts the connection.
-func breakOff(size int) http.HandlerFunc {
+// breakOff sends size bytes of a longer answer, of declared length or in
+// chunks, and cuts the connection.
+func breakOff(size int, declared bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", "900000")
+		if declared {
+			w.Header().Set("Content-Length", "900000")
+		}
 		_, _ = io.WriteString(w, strings.Repeat("x", size))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -42,8 +45,9 @@
 }
 
 func TestCutOffAnswerIsNeverWhole(t *testing.T) {
-	for _, size := range []int{0, 10, 200_000} {
-		h := single(t, 2, breakOff(size), nil)
+	for i := range 6 {
+		size := []int{0, 10, 200_000}[i/2]
+		h := single(t, 2, breakOff(size, i%2 == 0), nil)
 		resp, err := http.Post(callers(t, h.Gateway)+"/call/"+svc+"/", "", strings.NewReader("x"))
 		if err != nil {
 			continue // the connection was cut before a header
@@ -123,7 +127,7 @@
 }
 
 func TestBrokenConnectionKeepsSlotForLongestRun(t *testing.T) {
-	h := single(t, 1, breakOff(10), func(o *Options) { o.Calls.MaxRun = settings.Duration(300 * time.Millisecond) })
+	h := single(t, 1, breakOff(10, true), func(o *Options) { o.Calls.MaxRun = settings.Duration(300 * time.Millisecond) })
 	before := time.Now()
 	if _, r := h.Call(t.Context(), post("x")); r.Kind != outcome.Unknown {
 		t.Fatalf("%+v", r)
--- a/routing/choice_test.go
+++ b/routing/choice_test.go
@@ -8,7 +8,8 @@
 )
 
 // shareOf returns the part of 2000 choices that go to endpoint "bad", whose
-// result is given; the others take 10 ms. Two slots are always in use.
+// result is given; the others take 10 ms. Nothing is ejected, so that only the
+// choice keeps traffic away.
 func shareOf(t *testing.T, bad Result) float64 {
 	t.Helper()
 	names := []string{"bad", "a", "b", "c", "d", "e", "f", "g"}
@@ -17,6 +18,7 @@
 		list = append(list, ep(n, 8))
 	}
 	p := newPool(list...)
+	p.cfg.MaxEjected = 0
 	view := grants(ownership.Full, ownership.Full, t0, names...)
 	now, r, hits := t0, rng(), 0
 	const n = 2000
