--- a/batch/calls.go
+++ b/batch/calls.go
@@ -42,6 +42,7 @@
 	mux.Handle(methodShow, handler(m.showHere))
 	mux.Handle(methodOffer, handler(m.offerHere))
 	mux.Handle(methodMoved, handler(m.movedHere))
+	mux.Handle(methodEventWork, handler(m.eventWorkHere))
 }
 
 // handler adapts a local operation to a peer method.
--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -122,7 +122,7 @@
 	if !o.releasing || o.open > 0 || o.exchanging() {
 		return
 	}
-	event.ShardReleased.Log(m.config.Log, slog.String("shard", name))
+	event.WorkerShardReleased.Log(m.config.Log, slog.String("shard", name))
 	m.drop(name, "released")
 }
 
--- a/demo/result.go
+++ b/demo/result.go
@@ -18,8 +18,10 @@
 	Answered int64    `json:"answered"`
 	NotRun   int64    `json:"not_run"`
 	Unknown  int64    `json:"unknown"`
-	P50MS    float64  `json:"p50_ms"`
-	P99MS    float64  `json:"p99_ms"`
+	// Reasons counts calls without an answer by what was said of them.
+	Reasons map[string]int64 `json:"reasons,omitempty"`
+	P50MS   float64          `json:"p50_ms"`
+	P99MS   float64          `json:"p99_ms"`
 	// TasksDone counts jobs whose run ended done on a worker.
 	TasksDone    int `json:"tasks_done"`
 	Evictions    int `json:"evictions"`
@@ -55,6 +57,9 @@
 	row("promises checked", len(r.Promises))
 	row("violations", r.Violations)
 	_ = t.Flush()
+	for reason, n := range r.Reasons {
+		_, _ = fmt.Fprintf(w, "  %d calls %s\n", n, reason)
+	}
 	for _, b := range r.Breaches {
 		_, _ = fmt.Fprintln(w, "  breach:", b)
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -198,7 +198,7 @@
 	records := s.recorder.Records()
 	t := tallyOf(records)
 	r := Result{
-		Answered: summary.Answered, NotRun: summary.NotRun, Unknown: summary.Unknown,
+		Answered: summary.Answered, NotRun: summary.NotRun, Unknown: summary.Unknown, Reasons: summary.Reasons,
 		P50MS: summary.P50MS, P99MS: summary.P99MS,
 		TasksDone: len(t.done), Evictions: t.evictions, JobsSubmitted: jobs.submitted,
 	}
--- a/event/batch.go
+++ b/event/batch.go
@@ -9,7 +9,7 @@
 	ShardReplayFailed  = define(502, slog.LevelWarn, "worker shard: replay failed, trying again")
 	ShardDropped       = define(503, slog.LevelInfo, "worker shard: dropped")
 	ShardFenced        = define(504, slog.LevelWarn, "worker shard: commit refused, another host owns it")
-	ShardReleased      = define(505, slog.LevelInfo, "worker shard: released for hand-over")
+	WorkerShardReleased      = define(505, slog.LevelInfo, "worker shard: released for hand-over")
 	WorkerReconciled   = define(510, slog.LevelInfo, "worker reconciled")
 	WorkerSilent       = define(511, slog.LevelWarn, "worker does not answer")
 	WorkerLost         = define(512, slog.LevelWarn, "worker's runs are over, lease lapsed")
--- a/event/event.go
+++ b/event/event.go
@@ -33,8 +33,16 @@
 // All returns every event by number.
 func All() map[int]Event { return registry }
 
-// Log writes the event with attributes to log.
+// Log writes the event with attributes to log. Errors are written as their
+// message, without the stack that they carry.
 func (e Event) Log(log *slog.Logger, attrs ...slog.Attr) {
-	attrs = append([]slog.Attr{slog.Int("event", e.Number)}, attrs...)
-	log.LogAttrs(context.Background(), e.Level, e.Message, attrs...)
+	all := make([]slog.Attr, 0, len(attrs)+1)
+	all = append(all, slog.Int("event", e.Number))
+	for _, a := range attrs {
+		if err, ok := a.Value.Any().(error); ok {
+			a = slog.String(a.Key, err.Error())
+		}
+		all = append(all, a)
+	}
+	log.LogAttrs(context.Background(), e.Level, e.Message, all...)
 }
--- /dev/null
+++ b/gate/janitor.go
@@ -0,0 +1,152 @@
+package gate
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// Pace of the janitor.
+const (
+	// janitorInterval is the time between two rounds.
+	janitorInterval = time.Minute
+	// janitorScans bounds its scans a second.
+	janitorScans = 2
+	// janitorPage is how many rows one scan reads.
+	janitorPage = 200
+	// journalKeep is how long a journal's row must be seen unchanged, and its
+	// process gone, before it is deleted.
+	journalKeep = time.Hour
+	// janitorDuty is the name by which one host is chosen for the work.
+	janitorDuty = "duty/janitor"
+	// journalPrefix begins the keys of the journals' rows.
+	journalPrefix = "journal/"
+)
+
+// janitor deletes rows that nobody needs any more: old claims, old burn
+// sheets, journals of processes that are gone. One host at a time does it;
+// two would only do the same work twice, since every deletion is safe.
+type janitor struct {
+	gate *Gate
+	pace *rate.Limiter
+	// seen is when each journal row was first seen at its version.
+	seen map[string]sighting
+}
+
+// sighting is a version of a row and when it was first seen.
+type sighting struct {
+	version uint64
+	since   time.Time
+}
+
+func newJanitor(g *Gate) *janitor {
+	return &janitor{gate: g, pace: rate.NewLimiter(janitorScans, 1), seen: map[string]sighting{}}
+}
+
+func (j *janitor) run(ctx context.Context) {
+	ticker := time.NewTicker(janitorInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !j.mine("") {
+			continue
+		}
+		for service := range j.gate.policy().Services {
+			_, _ = j.gate.book.Sweep(ctx, service, j.pace, j.mine)
+		}
+		j.gate.slo.Sweep(ctx)
+		j.sweepJournals(ctx)
+	}
+}
+
+// mine reports whether this host has the duty now.
+func (j *janitor) mine(string) bool {
+	order := j.gate.roster.Load().Preferred(janitorDuty)
+	return len(order) > 0 && order[0] == j.gate.local.Host.Name && j.gate.State() == Ready
+}
+
+// sweepJournals deletes the rows of journals that have not changed for long
+// and whose process has no session.
+func (j *janitor) sweepJournals(ctx context.Context) {
+	live, ok := j.incarnations(ctx)
+	if !ok {
+		return
+	}
+	next := map[string]sighting{}
+	after := ""
+	for {
+		rows, ok := j.page(ctx, journalPrefix, after)
+		if !ok {
+			return
+		}
+		for _, row := range rows {
+			after = row.Key
+			if live[strings.TrimPrefix(row.Key, journalPrefix)] {
+				continue
+			}
+			next[row.Key] = j.sight(row)
+			if j.gate.deps.Now().Sub(next[row.Key].since) > journalKeep {
+				j.remove(ctx, row)
+			}
+		}
+		if len(rows) < janitorPage {
+			j.seen = next
+			return
+		}
+	}
+}
+
+// sight returns since when a row has been seen unchanged.
+func (j *janitor) sight(row platform.Row) sighting {
+	if s, ok := j.seen[row.Key]; ok && s.version == row.Version {
+		return s
+	}
+	return sighting{version: row.Version, since: j.gate.deps.Now()}
+}
+
+func (j *janitor) remove(ctx context.Context, row platform.Row) {
+	j.gate.journal.Commit(ctx,
+		[]platform.Condition{{Key: row.Key, Version: row.Version}},
+		[]platform.Write{{Key: row.Key, Delete: true}})
+}
+
+// incarnations returns the processes that have a session row.
+func (j *janitor) incarnations(ctx context.Context) (map[string]bool, bool) {
+	live := map[string]bool{}
+	after := ""
+	for {
+		rows, ok := j.page(ctx, ownership.SessionPrefix, after)
+		if !ok {
+			return nil, false
+		}
+		for _, row := range rows {
+			after = row.Key
+			if s, err := ownership.DecodeSessionRow(row.Value); err == nil {
+				live[s.Incarnation] = true
+			}
+		}
+		if len(rows) < janitorPage {
+			return live, true
+		}
+	}
+}
+
+// page reads one page of rows at the janitor's pace.
+func (j *janitor) page(ctx context.Context, prefix, after string) ([]platform.Row, bool) {
+	if err := j.pace.Wait(ctx); err != nil {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, j.gate.local.Platform.Timeout.D())
+	defer cancel()
+	rows, err := j.gate.deps.Table.Scan(ctx, prefix, after, janitorPage)
+	return rows, err == nil
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -89,10 +89,11 @@
 	wg.Go(func() { g.journal.Run(ctx) })
 	wg.Go(func() { g.watcher.Run(ctx, g.local.Platform.ConfigInterval.D()) })
 	wg.Go(func() { g.spreader.run(ctx) })
-	wg.Go(func() { g.keeper.Run(ctx) })
+	wg.Go(func() { _ = g.keeper.Run(ctx) })
 	wg.Go(func() { _ = g.gateway.Run(ctx) })
 	wg.Go(func() { g.batch.Run(ctx) })
 	wg.Go(func() { g.slo.Run(ctx) })
+	wg.Go(func() { newJanitor(g).run(ctx) })
 	wg.Go(func() { poller.run(ctx) })
 }
 
--- a/load/run.go
+++ b/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -161,8 +162,22 @@
 	x.Answer, err = io.ReadAll(resp.Body)
 	x.Done, x.Status, x.Header = time.Now(), resp.StatusCode, resp.Header
 	x.Outcome = outcome.Parse(resp.Header.Get(outcome.Header))
-	if err != nil {
+	switch {
+	case err != nil:
 		x.Outcome, x.Reason = outcome.Unknown, err.Error()
+	case x.Outcome != outcome.Answered:
+		x.Reason = reasonOf(x.Answer)
 	}
 	return x
 }
+
+// reasonOf returns the title of a problem body.
+func reasonOf(body []byte) string {
+	var p struct {
+		Title string `json:"title"`
+	}
+	if err := json.Unmarshal(body, &p); err != nil {
+		return "no problem body"
+	}
+	return p.Title
+}
--- a/load/summary.go
+++ b/load/summary.go
@@ -21,6 +21,8 @@
 	MaxMS    float64 `json:"max_ms"`
 	// RefusedP99MS is the 99th percentile of the time to a refusal.
 	RefusedP99MS float64 `json:"refused_p99_ms"`
+	// Reasons counts requests without an answer by what was said of them.
+	Reasons map[string]int64 `json:"reasons,omitempty"`
 }
 
 // maxLatency is the largest latency that the histograms tell apart.
@@ -36,6 +38,7 @@
 func newTally() *tally {
 	const digits = 3
 	return &tally{
+		summary:  Summary{Reasons: map[string]int64{}},
 		answered: hdrhistogram.New(1, maxLatency.Microseconds(), digits),
 		refused:  hdrhistogram.New(1, maxLatency.Microseconds(), digits),
 	}
@@ -56,6 +59,9 @@
 	default:
 		t.summary.Unknown++
 	}
+	if x.Outcome != outcome.Answered {
+		t.summary.Reasons[x.Outcome.String()+": "+x.Reason]++
+	}
 }
 
 // result returns the summary with its quantiles.
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -180,3 +180,6 @@
 	}
 	e.stats.PeakConnections = max(e.stats.PeakConnections, len(e.conns))
 }
+
+// Name returns the endpoint's name in the membership list.
+func (e *Endpoint) Name() string { return e.config.Name }
