Settings: what hosts rely on of each other is not applied to running hosts

Cause: a configuration applied to running hosts could change max_run or the task lease on one host before another, and a successor that waits for the shorter one would begin too early. Change: lease holds session, max_run and task_lease; it is read when a process starts, and apply leaves it alone. Latency-critical classes get a table of their own with the tail latency they must keep.

--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -85,7 +85,7 @@
 		m := New(Config{
 			Host: host, Table: x.table, Journal: j, Workers: x.workers, Transport: port{n, host}, Mux: port{n, host},
 			NewPlanner: func(string) placement.Planner { return newFirstFit() },
-			Settings:   b, ClockRate: 0.01, Rand: rand.New(rand.NewPCG(uint64(h), 1)),
+			Settings:   b, TaskLease: settings.Default().Lease.TaskLease.D(), ClockRate: 0.01, Rand: rand.New(rand.NewPCG(uint64(h), 1)),
 		})
 		m.SetWorkers(members)
 		m.SetView(&ownership.View{Owners: owners, Grants: map[string]ownership.Grant{shard: {
@@ -173,7 +173,7 @@
 		if err != nil || len(records) != benchReplayRecords {
 			b.Fatal(len(records), err)
 		}
-		s := newShard("wk/z/0", 1, 1, limits{Batch: settings.Default().Batch}, &discard{firstFit: newFirstFit()}, m.config.Log, newMetrics(nil))
+		s := newShard("wk/z/0", 1, 1, limits{Batch: settings.Default().Batch, taskLease: settings.Default().Lease.TaskLease.D()}, &discard{firstFit: newFirstFit()}, m.config.Log, newMetrics(nil))
 		s.load(time.Now(), records)
 	}
 	b.ReportMetric(float64(x.table.Stats().Reads-before.Reads)/float64(b.N), "reads/op")
--- a/batch/config.go
+++ b/batch/config.go
@@ -32,6 +32,8 @@
 	// NewPlanner returns an empty planner for a shard.
 	NewPlanner func(shard string) placement.Planner
 	Settings   settings.Batch
+	// TaskLease is how long a run goes on without word from its owner.
+	TaskLease time.Duration
 	// ClockRate is the largest relative difference of two hosts' clocks.
 	ClockRate float64
 	// Timeout bounds one request to the table; 0 for 2 s.
--- a/batch/manager_gain.go
+++ b/batch/manager_gain.go
@@ -35,7 +35,7 @@
 
 // gain takes over a shard.
 func (m *Manager) gain(now time.Time, name string, g ownership.Grant) {
-	l := limits{Batch: m.config.Settings, clockRate: m.config.ClockRate, retention: m.config.Retention}
+	l := limits{Batch: m.config.Settings, taskLease: m.config.TaskLease, clockRate: m.config.ClockRate, retention: m.config.Retention}
 	s := newShard(name, g.Epoch, g.Version, l, m.config.NewPlanner(name), m.config.Log, m.metrics)
 	s.faults = m.faults
 	ctx, cancel := context.WithCancel(m.context)
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -128,7 +128,7 @@
 		Host: name, Table: r.table, Journal: j, Workers: r.workers,
 		Transport: port{r.net, name}, Mux: port{r.net, name},
 		NewPlanner: func(string) placement.Planner { return n.planner },
-		Settings:   b, ClockRate: 0.01, Retention: r.keep, Rand: rand.New(rand.NewPCG(1, 2)),
+		Settings:   b, TaskLease: settings.Default().Lease.TaskLease.D(), ClockRate: 0.01, Retention: r.keep, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 	n.faults = r.faults
 	n.SetWorkers(map[string][]platform.Member{shard: r.members})
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -13,6 +13,8 @@
 // limits are the settings that a shard's decisions need.
 type limits struct {
 	settings.Batch
+	// taskLease is how long a run goes on without word from its owner.
+	taskLease time.Duration
 	clockRate float64
 	retention time.Duration
 }
@@ -20,7 +22,7 @@
 // lapseAfter is how long after the last word a run is surely over. The owner counts
 // longer than the worker does, by the clocks' difference and a buffer.
 func (s *Shard) lapseAfter() time.Duration {
-	lease := float64(s.limits.TaskLease.D())
+	lease := float64(s.limits.taskLease)
 	if s.faults.noBuffer {
 		return time.Duration(lease)
 	}
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -31,9 +31,9 @@
 		if w.busy || w.member.Address == "" || (!w.soon && now.Before(w.next)) {
 			continue
 		}
-		left := w.answered.Add(s.limits.TaskLease.D()).Sub(now)
+		left := w.answered.Add(s.limits.taskLease).Sub(now)
 		if w.lost {
-			left = s.limits.TaskLease.D()
+			left = s.limits.taskLease
 		}
 		if left < time.Millisecond {
 			continue // the runs there are to lapse; nothing may renew them
--- a/demo/site.go
+++ b/demo/site.go
@@ -60,10 +60,10 @@
 	s.Lease.Session = settings.Duration(1500 * time.Millisecond)
 	s.Lease.Renew = settings.Duration(300 * time.Millisecond)
 	s.Lease.EndpointShards, s.Lease.WorkerShardsPerZone = 9, 1
-	s.Calls.MaxRun = settings.Duration(time.Second)
+	s.Lease.MaxRun = settings.Duration(time.Second)
 	s.Calls.Timeout = settings.Duration(time.Second)
 	s.Batch.Exchange = settings.Duration(200 * time.Millisecond)
-	s.Batch.TaskLease = settings.Duration(5 * time.Second)
+	s.Lease.TaskLease = settings.Duration(5 * time.Second)
 	s.Calls.ConnectionsPerCaller = 2 * maxInFlight
 	s.Services = map[string]settings.Service{service: {Slots: 8, Connections: 64, IdempotentMethods: []string{"GET"}}}
 	s.Teams = map[string]settings.Team{}
@@ -74,6 +74,7 @@
 		Start: eventStart.Format(time.RFC3339Nano), Services: []string{service}, Headroom: 0.3,
 		Before: settings.Duration(time.Second), After: settings.Duration(2 * time.Second),
 	}}
+	s.Classes = map[string]settings.Class{serviceClass: {Latency: settings.Duration(60 * time.Millisecond)}}
 	s.Objectives = map[string]settings.Objective{"gate": {
 		Service: service, Latency: settings.Duration(200 * time.Millisecond),
 		Target: 0.99, Period: settings.Duration(720 * time.Hour),
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -135,7 +135,7 @@
 	g.keeper = tenure.New(tenure.Config{
 		Host: g.local.Host.Name, Incarnation: g.incarnation,
 		Table: g.deps.Table, Transport: g.peers, Mux: g.peerServer,
-		Lease: g.local.Lease, Calls: g.local.Calls, Log: g.deps.Log, Now: g.deps.Now,
+		Lease: g.local.Lease, Log: g.deps.Log, Now: g.deps.Now,
 		Drain: g.drainShard,
 	})
 }
@@ -149,7 +149,7 @@
 	})
 	g.book.Register(g.peerServer)
 	g.gateway = gateway.New(gateway.Options{
-		Host: g.local.Host.Name, Zone: g.local.Host.Zone, Calls: g.local.Calls,
+		Host: g.local.Host.Name, Zone: g.local.Host.Zone, Calls: g.local.Calls, MaxRun: g.local.Lease.MaxRun.D(),
 		Service: g.serviceSettings, Shares: g.keeper, Peers: g.peers, Book: g.book,
 		Observe: g.observe, Registerer: g.registry, Log: g.deps.Log, Seed: rand.Uint64(),
 	})
@@ -160,7 +160,7 @@
 	g.batch = batch.New(batch.Config{
 		Host: g.local.Host.Name, Table: g.deps.Table, Journal: g.journal, Workers: g.deps.Workers,
 		Transport: g.peers, Mux: g.peerServer, NewPlanner: g.newPlanner,
-		Settings: g.local.Batch, ClockRate: g.local.Lease.ClockRate, Timeout: g.local.Platform.Timeout.D(),
+		Settings: g.local.Batch, TaskLease: g.local.Lease.TaskLease.D(), ClockRate: g.local.Lease.ClockRate, Timeout: g.local.Platform.Timeout.D(),
 		Log: g.deps.Log, Now: g.deps.Now, Rand: g.rng(), Registerer: g.registry,
 	})
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -83,7 +83,7 @@
 // runBooked runs a claimed request to its end, which may be later than its
 // caller's deadline.
 func (g *Gateway) runBooked(ctx context.Context, req Request) (booking.Answer, outcome.Refusal) {
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(g.opt.Calls.MaxRun.D()))
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(g.opt.MaxRun))
 	defer cancel()
 	resp, refusal := g.try(ctx, req)
 	if refusal.Kind != outcome.Answered {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -59,7 +59,7 @@
 	}
 	g.mu.Unlock()
 	// Not the caller's context: the request goes on without its caller.
-	run, stop := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout+g.opt.Calls.MaxRun.D())
+	run, stop := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout+g.opt.MaxRun)
 	x.stop = stop
 	g.background.Go(func() { x.run(run) })
 	return x.wait(ctx)
@@ -105,7 +105,7 @@
 func (x *exchange) patience() time.Duration {
 	left := time.Until(x.req.Deadline)
 	if x.req.Key != "" {
-		left += x.g.opt.Calls.MaxRun.D()
+		left += x.g.opt.MaxRun
 	}
 	return left
 }
--- a/gateway/exchangeend.go
+++ b/gateway/exchangeend.go
@@ -76,7 +76,7 @@
 	x.g.pool.Written(x.slot)
 	x.g.mu.Unlock()
 	x.g.background.Add(1)
-	left := x.g.opt.Calls.MaxRun.D() - time.Since(x.sentAt)
+	left := x.g.opt.MaxRun - time.Since(x.sentAt)
 	time.AfterFunc(max(left, 0), func() {
 		defer x.g.background.Done()
 		x.end()
--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -13,7 +13,6 @@
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/routing"
-	"github.com/fireflygate/fireflygate/settings"
 )
 
 // single returns a host that owns one endpoint.
@@ -106,7 +105,7 @@
 	h := single(t, 1, func(http.ResponseWriter, *http.Request) {
 		close(started)
 		<-finish
-	}, func(o *Options) { o.Calls.MaxRun = settings.Duration(time.Minute) })
+	}, func(o *Options) { o.MaxRun = time.Minute })
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		<-started
@@ -127,7 +126,7 @@
 }
 
 func TestBrokenConnectionKeepsSlotForLongestRun(t *testing.T) {
-	h := single(t, 1, breakOff(10, true), func(o *Options) { o.Calls.MaxRun = settings.Duration(300 * time.Millisecond) })
+	h := single(t, 1, breakOff(10, true), func(o *Options) { o.MaxRun = 300 * time.Millisecond })
 	before := time.Now()
 	if _, r := h.Call(t.Context(), post("x")); r.Kind != outcome.Unknown {
 		t.Fatalf("%+v", r)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -25,6 +25,8 @@
 	Zone string
 	// Calls bounds requests.
 	Calls settings.Calls
+	// MaxRun is the longest that an endpoint works on a request.
+	MaxRun time.Duration
 	// Service returns the settings of a service; nil for defaults only.
 	Service func(name string) settings.Service
 	Shares  Shares
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -102,9 +102,7 @@
 }
 
 func testCalls() settings.Calls {
-	c := settings.Default().Calls
-	c.MaxRun = settings.Duration(2 * time.Second)
-	return c
+	return settings.Default().Calls
 }
 
 // newHost returns a gateway; change its options with edit.
@@ -116,6 +114,7 @@
 		Host:   name,
 		Zone:   "z1",
 		Calls:  testCalls(),
+		MaxRun: 2 * time.Second,
 		Shares: s,
 		Log:    slog.New(slog.DiscardHandler),
 		Seed:   1,
--- a/settings/batch.go
+++ b/settings/batch.go
@@ -2,8 +2,6 @@
 
 // Batch bounds placement, task leases and the journal.
 type Batch struct {
-	// TaskLease is how long a run goes on without word from its owner.
-	TaskLease Duration `toml:"task_lease"`
 	// Exchange is how often a worker is asked when nothing is urgent.
 	Exchange Duration `toml:"exchange"`
 	// CommitDelay is the longest that a transition waits for its commit.
--- a/settings/calls.go
+++ b/settings/calls.go
@@ -4,9 +4,6 @@
 type Calls struct {
 	// Timeout is the deadline of a request that names none.
 	Timeout Duration `toml:"timeout"`
-	// MaxRun is the longest that an endpoint works on a request, also on one
-	// whose caller is gone.
-	MaxRun Duration `toml:"max_run"`
 	// MaxBody is the largest request or answer, in bytes.
 	MaxBody int64 `toml:"max_body"`
 	// Queue is the largest number of requests waiting for a slot.
--- a/settings/default.go
+++ b/settings/default.go
@@ -18,13 +18,14 @@
 			Session:             Duration(4 * time.Second),
 			Renew:               Duration(time.Second),
 			ClockRate:           0.01,
+			MaxRun:              Duration(5 * time.Second),
+			TaskLease:           Duration(30 * time.Second),
 			Successors:          2,
 			EndpointShards:      16,
 			WorkerShardsPerZone: 4,
 		},
 		Calls: Calls{
 			Timeout:              Duration(2 * time.Second),
-			MaxRun:               Duration(5 * time.Second),
 			MaxBody:              1 << 20,
 			Queue:                1024,
 			RetryBudget:          0.1,
@@ -32,7 +33,6 @@
 			BookingWindow:        Duration(24 * time.Hour),
 		},
 		Batch: Batch{
-			TaskLease:       Duration(30 * time.Second),
 			Exchange:        Duration(time.Second),
 			CommitDelay:     Duration(20 * time.Millisecond),
 			CommitRows:      256,
--- a/settings/lease.go
+++ b/settings/lease.go
@@ -1,6 +1,8 @@
 package settings
 
-// Lease bounds ownership of shards.
+// Lease holds the times and sizes on which hosts rely of each other. They are
+// read when a process starts and are to be alike on all hosts; a configuration
+// that is applied leaves them as they are.
 type Lease struct {
 	// Session is how long an entry host's session lives without renewal.
 	Session Duration `toml:"session"`
@@ -9,6 +11,11 @@
 	// ClockRate is the largest relative difference between two hosts' clock
 	// rates, such as 0.01.
 	ClockRate float64 `toml:"clock_rate"`
+	// MaxRun is the longest that an endpoint works on a request, also on one
+	// whose caller is gone.
+	MaxRun Duration `toml:"max_run"`
+	// TaskLease is how long a run goes on without word from its owner.
+	TaskLease Duration `toml:"task_lease"`
 	// Successors is how many hosts may succeed an owner without the
 	// membership list's word.
 	Successors int `toml:"successors"`
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -5,10 +5,12 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Compose returns the policy with the local process's own host and platform.
+// Compose returns the policy with the local process's own host, platform and
+// lease.
 func Compose(local, policy Settings) Settings {
 	policy.Host = local.Host
 	policy.Platform = local.Platform
+	policy.Lease = local.Lease
 	return policy
 }
 
@@ -16,11 +18,11 @@
 // configstore. Equal policies give equal text.
 func MarshalPolicy(s Settings) (string, error) {
 	tree := map[string]any{
-		"lease":      s.Lease,
 		"calls":      s.Calls,
 		"batch":      s.Batch,
 		"colocation": s.Colocation,
 		"services":   s.Services,
+		"classes":    s.Classes,
 		"teams":      s.Teams,
 		"events":     s.Events,
 		"objectives": s.Objectives,
--- a/settings/scope.go
+++ b/settings/scope.go
@@ -8,7 +8,7 @@
 	// Process: a folder that starts an entry host; host and platform are
 	// required.
 	Process Scope = iota
-	// Policy: what operators apply to all entry hosts; host and platform are
-	// left alone.
+	// Policy: what operators apply to all entry hosts; host, platform and
+	// lease are left alone.
 	Policy
 )
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,7 +6,8 @@
 	Host Host `toml:"host"`
 	// Platform tells where the platform's services are.
 	Platform Platform `toml:"platform"`
-	// Lease bounds ownership of shards.
+	// Lease is what hosts rely on of each other; it is not applied to running
+	// hosts.
 	Lease Lease `toml:"lease"`
 	// Calls bounds interactive requests.
 	Calls Calls `toml:"calls"`
@@ -16,6 +17,8 @@
 	Colocation Colocation `toml:"colocation"`
 	// Services are the interactive services by name.
 	Services map[string]Service `toml:"services"`
+	// Classes are the latency-critical job classes by name.
+	Classes map[string]Class `toml:"classes"`
 	// Teams are the teams that submit jobs by name.
 	Teams map[string]Team `toml:"teams"`
 	// Events are the named starts by name.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -18,11 +18,14 @@
 	}
 	validateLease(s.Lease, report)
 	validateCalls(s.Calls, s.Lease, report)
-	validateBatch(s.Batch, report)
+	validateBatch(s.Batch, s.Lease, report)
 	validateColocation(s.Colocation, report)
 	for _, name := range sortedKeys(s.Services) {
 		validateService("services."+name, s.Services[name], report)
 	}
+	for _, name := range sortedKeys(s.Classes) {
+		positive(report, "classes."+name+".latency", s.Classes[name].Latency)
+	}
 	for _, name := range sortedKeys(s.Teams) {
 		validateTeam("teams."+name, s.Teams[name], report)
 	}
@@ -74,6 +77,8 @@
 	if l.Renew.D() > 0 && l.Session.D() < 3*l.Renew.D() {
 		report("lease.session", "expected at least three times lease.renew, so that one lost renewal does not end the session")
 	}
+	positive(report, "lease.max_run", l.MaxRun)
+	positive(report, "lease.task_lease", l.TaskLease)
 	between(report, "lease.clock_rate", l.ClockRate, 0, 0.5)
 	atLeast(report, "lease.successors", int64(l.Successors), 1)
 	atLeast(report, "lease.endpoint_shards", int64(l.EndpointShards), 1)
@@ -82,7 +87,6 @@
 
 func validateCalls(c Calls, l Lease, report reporter) {
 	positive(report, "calls.timeout", c.Timeout)
-	positive(report, "calls.max_run", c.MaxRun)
 	positive(report, "calls.booking_window", c.BookingWindow)
 	atLeast(report, "calls.max_body", c.MaxBody, 1)
 	atLeast(report, "calls.queue", int64(c.Queue), 0)
@@ -93,11 +97,10 @@
 	}
 }
 
-func validateBatch(b Batch, report reporter) {
-	positive(report, "batch.task_lease", b.TaskLease)
+func validateBatch(b Batch, l Lease, report reporter) {
 	positive(report, "batch.exchange", b.Exchange)
-	if b.Exchange.D() > 0 && b.TaskLease.D() < 3*b.Exchange.D() {
-		report("batch.task_lease", "expected at least three times batch.exchange")
+	if b.Exchange.D() > 0 && l.TaskLease.D() < 3*b.Exchange.D() {
+		report("batch.exchange", "expected at most a third of lease.task_lease")
 	}
 	if b.CommitDelay.D() < 0 {
 		report("batch.commit_delay", "expected a duration of 0 or more")
--- a/tenure/config.go
+++ b/tenure/config.go
@@ -25,8 +25,6 @@
 	Mux peer.Mux
 	// Lease bounds sessions and shards.
 	Lease settings.Lease
-	// Calls gives the longest run of a request.
-	Calls settings.Calls
 	// Drain returns nil once nothing is in flight under a shard of which
 	// this host holds no grant any more. An error leads to another try. Nil
 	// means that nothing ever is.
@@ -60,7 +58,7 @@
 		Host:        c.Host,
 		Incarnation: c.Incarnation,
 		Lease:       c.Lease,
-		MaxRun:      c.Calls.MaxRun.D(),
+		MaxRun:      c.Lease.MaxRun.D(),
 	}
 }
 
--- a/tenure/keeper_test.go
+++ b/tenure/keeper_test.go
@@ -59,7 +59,7 @@
 	end := fakePeer{c.peers, host}
 	k := New(Config{
 		Host: host, Incarnation: host + "-1", Table: c.table, Transport: end, Mux: end,
-		Lease: s.Lease, Calls: s.Calls,
+		Lease: s.Lease,
 		Drain: func(_ context.Context, shard string) error {
 			c.drained <- shard
 			return nil
