--- a/gate/gate.go
+++ b/gate/gate.go
@@ -169,10 +169,21 @@
 func (g *Gate) newPlanner(string) placement.Planner {
 	p := g.policy()
 	return placement.New(placement.Options{
-		Seed: rand.Uint64(), Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events, Colocation: p.Colocation,
+		Seed: rand.Uint64(), Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events,
+		Colocation: p.Colocation, ObjectivesMS: classObjectives(p.Classes),
 	})
 }
 
+// classObjectives returns the tail latency that each class must keep, in
+// milliseconds.
+func classObjectives(classes map[string]settings.Class) map[string]float64 {
+	out := make(map[string]float64, len(classes))
+	for name, c := range classes {
+		out[name] = float64(c.Latency.D()) / float64(time.Millisecond)
+	}
+	return out
+}
+
 // policy returns the settings in force.
 func (g *Gate) policy() settings.Settings {
 	current, ok := g.watcher.Current()
