--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -139,6 +139,27 @@
 	}
 }
 
+// BenchmarkBacklog measures a plan that places nothing, with jobs of all sizes
+// waiting on full hosts.
+func BenchmarkBacklog(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprint("waiting=", waiting), func(b *testing.B) {
+			f := newFleet(4300)
+			for i := range 4300 {
+				f.s.Adopt(batchSpec(fmt.Sprint("whole-", i), 64, 250), testHost(i).Name)
+			}
+			for range waiting {
+				f.s.Enqueue(f.now, f.spec())
+			}
+			for b.Loop() {
+				if got := f.s.Plan(f.now, 100); len(got) > 0 {
+					b.Fatalf("%v placed on full hosts", got)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkMemory measures what a host and a running task cost.
 func BenchmarkMemory(b *testing.B) {
 	for _, hosts := range []int{65, 650, 4300} {
