--- /dev/null
+++ b/check/answers.go
@@ -0,0 +1,40 @@
+package check
+
+import "fmt"
+
+const (
+	outcomeAnswered = "answered"
+	outcomeNotRun   = "not_run"
+	outcomeUnknown  = "unknown"
+)
+
+// checkAnswers matches each answer with its own request.
+func checkAnswers(records []Record, _ Limits) []Violation {
+	var found []Violation
+	sent := map[string]Record{}
+	for _, r := range records {
+		if r.Sent != nil {
+			sent[r.Sent.Call] = r
+		}
+		a := r.Answered
+		if a == nil || a.Outcome != outcomeAnswered {
+			continue
+		}
+		ask, ok := sent[a.Call]
+		var fault string
+		switch {
+		case !ok:
+			fault = "was never sent"
+		case a.EchoCall != a.Call:
+			fault = "got the answer to " + a.EchoCall
+		case a.Echo != ask.Sent.Digest:
+			fault = "got an answer to another body"
+		case a.Length != a.Want || a.BodyDigest != a.WantDigest:
+			fault = fmt.Sprintf("got %d of %d bytes or other bytes", a.Length, a.Want)
+		default:
+			continue
+		}
+		found = append(found, violation(WholeAnswer, fmt.Sprintf("call %s %s", a.Call, fault), ask, r))
+	}
+	return found
+}
--- /dev/null
+++ b/check/at_most_once.go
@@ -0,0 +1,21 @@
+package check
+
+import "fmt"
+
+// checkAtMostOnce looks for booking keys that ran twice.
+func checkAtMostOnce(records []Record, _ Limits) []Violation {
+	var found []Violation
+	first := map[string]Record{}
+	for _, r := range records {
+		if r.RequestBegan == nil || r.RequestBegan.BookingKey == "" {
+			continue
+		}
+		key := r.RequestBegan.BookingKey
+		if before, ok := first[key]; ok {
+			found = append(found, violation(AtMostOnce, fmt.Sprintf("booking %s ran twice", key), before, r))
+			continue
+		}
+		first[key] = r
+	}
+	return found
+}
--- /dev/null
+++ b/check/config.go
@@ -0,0 +1,76 @@
+package check
+
+import "fmt"
+
+// checkConfigMonotonic looks for entry hosts whose version goes down.
+func checkConfigMonotonic(records []Record, _ Limits) []Violation {
+	var found []Violation
+	last := map[string]Record{}
+	for _, r := range records {
+		c := r.ConfigInForce
+		if c == nil {
+			continue
+		}
+		if before, ok := last[c.Host]; ok && c.Version < before.ConfigInForce.Version {
+			found = append(found, violation(ConfigMonotonic,
+				fmt.Sprintf("%s went from version %d to %d", c.Host, before.ConfigInForce.Version, c.Version), before, r))
+		}
+		last[c.Host] = r
+	}
+	return found
+}
+
+// checkConfigInTime checks that each host that was up as a version was
+// accepted has it, or a higher one, in force within the bound, unless the
+// host or the history ended before.
+func checkConfigInTime(records []Record, limits Limits) []Violation {
+	var found []Violation
+	for i, accepted := range records {
+		if accepted.ConfigAccepted == nil {
+			continue
+		}
+		deadline := accepted.At.Add(limits.ConfigBound)
+		behind := hostsBehind(records[:i], accepted.ConfigAccepted.Version)
+		ended := true
+		for _, r := range records[i:] {
+			if r.At.After(deadline) {
+				ended = false
+				break
+			}
+			if c := r.ConfigInForce; c != nil && c.Version >= accepted.ConfigAccepted.Version {
+				delete(behind, c.Host)
+			}
+			if r.ConfigHostEnded != nil {
+				delete(behind, r.ConfigHostEnded.Host)
+			}
+		}
+		if ended {
+			continue
+		}
+		for host, last := range behind {
+			found = append(found, violation(ConfigInTime,
+				fmt.Sprintf("%s had not version %d within %s", host, accepted.ConfigAccepted.Version, limits.ConfigBound), accepted, last))
+		}
+	}
+	return found
+}
+
+// hostsBehind returns the hosts that are up below a version, with the record
+// of the version that they have.
+func hostsBehind(records []Record, version uint64) map[string]Record {
+	hosts := map[string]Record{}
+	for _, r := range records {
+		if r.ConfigInForce != nil {
+			hosts[r.ConfigInForce.Host] = r
+		}
+		if r.ConfigHostEnded != nil {
+			delete(hosts, r.ConfigHostEnded.Host)
+		}
+	}
+	for host, r := range hosts {
+		if r.ConfigInForce.Version >= version {
+			delete(hosts, host)
+		}
+	}
+	return hosts
+}
--- a/faultproxy/proxy_test.go
+++ b/faultproxy/proxy_test.go
@@ -75,7 +75,7 @@
 	p, client, server := link(t)
 	p.Set(faultproxy.Faults{DropToTarget: true})
 	_, _ = io.WriteString(client, "lost")
-	client.(*net.TCPConn).CloseWrite()
+	_ = client.(*net.TCPConn).CloseWrite()
 	if data, err := io.ReadAll(server); err != nil || len(data) != 0 {
 		t.Errorf("server read %q: %v", data, err)
 	}
--- a/standin/addresses.go
+++ b/standin/addresses.go
@@ -6,6 +6,8 @@
 	Table   string `json:"table"`
 	Objects string `json:"objects"`
 	Members string `json:"members"`
+	// Control is the base URL of what concerns several stand-ins at once.
+	Control string `json:"control"`
 	// Others holds IP:port by the name of an endpoint or a worker.
 	Others map[string]string `json:"others"`
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -39,6 +39,7 @@
 	tableServer   = "table"
 	objectsServer = "objects"
 	membersServer = "members"
+	controlServer = "control"
 )
 
 // Start starts a surrounding. Close stops it.
@@ -90,7 +91,10 @@
 	if _, err := p.serve(objectsServer, &server{handler: p.Objects.Handler()}, p.config.ObjectsPort); err != nil {
 		return err
 	}
-	_, err := p.serve(membersServer, &server{handler: p.Members.Handler()}, p.config.MembersPort)
+	if _, err := p.serve(membersServer, &server{handler: p.Members.Handler()}, p.config.MembersPort); err != nil {
+		return err
+	}
+	_, err := p.serve(controlServer, &server{handler: p.controlHandler()}, 0)
 	return err
 }
 
@@ -185,11 +189,12 @@
 		Table:   p.url(tableServer),
 		Objects: p.url(objectsServer),
 		Members: p.url(membersServer),
+		Control: p.url(controlServer),
 		Others:  map[string]string{},
 	}
 	for name, s := range p.servers {
 		switch name {
-		case tableServer, objectsServer, membersServer:
+		case tableServer, objectsServer, membersServer, controlServer:
 		default:
 			a.Others[name] = s.address
 		}
--- /dev/null
+++ b/standin/platform_test.go
@@ -0,0 +1,190 @@
+package standin_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflygate/fireflygate/check"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+// start runs a small surrounding and a client of it.
+func start(t *testing.T) (*standin.Platform, *check.Recorder, *http.Client) {
+	t.Helper()
+	recorder := check.NewRecorder(nil)
+	config := standin.DefaultConfig()
+	config.Recorder = recorder
+	config.Services[0].Endpoints, config.Services[0].Slots = 1, 1
+	config.Workers.Count = 1
+	p, err := standin.Start(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := p.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return p, recorder, &http.Client{Transport: &http.Transport{}}
+}
+
+func TestTableInMemoryAndOverHTTP(t *testing.T) {
+	p, _, client := start(t)
+	for name, table := range map[string]platform.Table{
+		"memory": standin.NewTable(),
+		"http":   httpclient.NewTable(p.Addresses().Table, client),
+	} {
+		t.Run(name, func(t *testing.T) { testTable(t, table) })
+	}
+}
+
+func testTable(t *testing.T, table platform.Table) {
+	ctx := t.Context()
+	put := func(key string, version uint64) platform.CommitResult {
+		return table.Commit(ctx, platform.Transaction{
+			Conditions: []platform.Condition{{Key: key, Version: version}},
+			Writes:     []platform.Write{{Key: key, Value: []byte(key)}, {Key: "x" + key, Value: []byte("x")}},
+		})
+	}
+	first := put("a", 0)
+	if first.Status != platform.CommitApplied || first.Version == 0 {
+		t.Fatalf("first: %+v", first)
+	}
+	again := put("a", 0)
+	if again.Status != platform.CommitConflict || len(again.Conflicts) != 1 || again.Conflicts[0].Version != first.Version {
+		t.Errorf("conflict: %+v", again)
+	}
+	put("b", 0)
+	rows, err := table.Scan(ctx, "x", "xa", 9)
+	if err != nil || len(rows) != 1 || rows[0].Key != "xb" {
+		t.Errorf("scan: %+v: %v", rows, err)
+	}
+	table.Commit(ctx, platform.Transaction{Writes: []platform.Write{{Key: "a", Delete: true}}})
+	rows, err = table.Get(ctx, "b", "a")
+	if err != nil || len(rows) != 2 || string(rows[0].Value) != "b" || rows[1].Version != 0 {
+		t.Errorf("get: %+v: %v", rows, err)
+	}
+}
+
+func TestTableFaults(t *testing.T) {
+	p, _, client := start(t)
+	remote := httpclient.NewTable(p.Addresses().Table, client)
+	tx := platform.Transaction{Writes: []platform.Write{{Key: "k"}}}
+	given, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, tc := range []struct {
+		faults  standin.Faults
+		ctx     context.Context
+		want    platform.CommitStatus
+		applied uint64
+	}{
+		{standin.Faults{Down: true}, t.Context(), platform.CommitNotApplied, 0},
+		{standin.Faults{LoseNext: 1}, t.Context(), platform.CommitUnknown, 1},
+		{standin.Faults{LoseShare: 1}, t.Context(), platform.CommitUnknown, 1},
+		{standin.Faults{Hang: true}, given, platform.CommitUnknown, 0},
+	} {
+		p.Table.Set(tc.faults)
+		before := p.Table.Commits()
+		var got platform.CommitResult
+		if tc.ctx == given {
+			got = p.Table.Commit(tc.ctx, tx)
+		} else {
+			got = remote.Commit(tc.ctx, tx)
+		}
+		if got.Status != tc.want || p.Table.Commits()-before != tc.applied {
+			t.Errorf("%+v: status %d, %d applied", tc.faults, got.Status, p.Table.Commits()-before)
+		}
+	}
+}
+
+func TestEndpointEchoesAndRecordsOverrun(t *testing.T) {
+	p, recorder, client := start(t)
+	endpoint := p.Endpoints[0]
+	endpoint.Set(standin.EndpointFaults{Hang: true})
+	url := "http://" + p.Addresses().Others["dispatch-0"] + "/plan"
+	answers := make(chan string)
+	for _, call := range []string{"a", "b"} {
+		go func() {
+			r, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader("body "+call))
+			r.Header.Set(standin.CallHeader, call)
+			r.Header.Set(standin.WorkHeader, "0")
+			resp, err := client.Do(r)
+			if err != nil {
+				answers <- err.Error()
+				return
+			}
+			defer resp.Body.Close()
+			body, _ := io.ReadAll(resp.Body)
+			answers <- resp.Header.Get(standin.CallHeader) + ":" + string(body)
+		}()
+	}
+	for endpoint.Stats().Running < 2 {
+		<-immediately()
+	}
+	endpoint.Set(standin.EndpointFaults{})
+	got := map[string]bool{<-answers: true, <-answers: true}
+	if !got["a:body a"] || !got["b:body b"] {
+		t.Errorf("answers %v", got)
+	}
+	if n := endpoint.Stats().Overruns; n != 1 {
+		t.Errorf("%d overruns", n)
+	}
+	report := check.Run(recorder.Records())
+	if len(report.Violations) != 1 || report.Violations[0].Promise != check.SlotsHeld {
+		t.Errorf("violations %+v", report.Violations)
+	}
+}
+
+// immediately yields to other goroutines.
+func immediately() <-chan struct{} {
+	done := make(chan struct{})
+	go close(done)
+	return done
+}
+
+func TestKilledWorkerRefusesConnections(t *testing.T) {
+	p, _, client := start(t)
+	workers := httpclient.NewWorkers(client)
+	address := p.Addresses().Others["worker-0"]
+	x := platform.Exchange{Owner: 1, LeaseMS: 60000, Orders: []platform.Order{order(platform.OrderStart, "a", 1, "")}}
+	if reply, err := workers.Exchange(t.Context(), address, x); err != nil || len(reply.Runs) != 1 {
+		t.Fatalf("%+v: %v", reply, err)
+	}
+	if err := p.KillWorker("worker-0"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := workers.Exchange(t.Context(), address, x); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("dead worker: %v", err)
+	}
+	if err := p.ReviveWorker("worker-0"); err != nil {
+		t.Fatal(err)
+	}
+	reply, err := workers.Exchange(t.Context(), address, platform.Exchange{Owner: 1, LeaseMS: 60000})
+	if err != nil || len(reply.Runs) != 0 {
+		t.Errorf("revived worker: %+v: %v", reply, err)
+	}
+}
+
+func TestMembersLag(t *testing.T) {
+	p, _, client := start(t)
+	members := httpclient.NewMembers(p.Addresses().Members, client)
+	before, err := members.List(t.Context())
+	if err != nil || len(before.Members) != 2 {
+		t.Fatalf("%+v: %v", before, err)
+	}
+	p.Members.SetLag(standin.Lag{Held: true})
+	p.Members.Remove("dispatch-0")
+	held, _ := members.List(t.Context())
+	p.Members.Publish()
+	after, _ := members.List(t.Context())
+	if held.Revision != before.Revision || after.Revision <= before.Revision || len(after.Members) != 1 {
+		t.Errorf("revisions %d, %d, %d", before.Revision, held.Revision, after.Revision)
+	}
+}
