demo: checked on what stand-ins and callers recorded; a replayed booking may echo its first sending

Cause: the demo had no checks, and the check of answers would have called the replay of a booking an answer to somebody else's request. Change: the demo runs every check; a booked call may get the answer to another sending of the same key, which is what a replay is.

--- a/check/answers.go
+++ b/check/answers.go
@@ -8,7 +8,8 @@
 	outcomeUnknown  = "unknown"
 )
 
-// checkAnswers matches each answer with its own request.
+// checkAnswers matches each answer with its own request. A booking that is
+// sent again gets the answer to its first sending, which echoes that one.
 func checkAnswers(records []Record, _ Limits) []Violation {
 	var found []Violation
 	sent := map[string]Record{}
@@ -25,7 +26,7 @@
 		switch {
 		case !ok:
 			fault = "was never sent"
-		case a.EchoCall != a.Call:
+		case a.EchoCall != a.Call && !sameBooking(ask, sent[a.EchoCall]):
 			fault = "got the answer to " + a.EchoCall
 		case a.Echo != ask.Sent.Digest:
 			fault = "got an answer to another body"
@@ -38,3 +39,8 @@
 	}
 	return found
 }
+
+// sameBooking reports whether two calls were sent under one booking key.
+func sameBooking(a, b Record) bool {
+	return b.Sent != nil && a.Sent.BookingKey != "" && a.Sent.BookingKey == b.Sent.BookingKey
+}
--- a/demo/result.go
+++ b/demo/result.go
@@ -13,8 +13,9 @@
 	// Violations counts breaches of promises; Breaches says what they were.
 	Violations int      `json:"violations"`
 	Breaches   []string `json:"breaches,omitempty"`
-	// Promises are the promises that were checked.
-	Promises []string `json:"promises"`
+	// Promises are the promises that were checked, on Records records.
+	Promises []check.Promise `json:"promises"`
+	Records  int             `json:"records"`
 	Answered int64    `json:"answered"`
 	NotRun   int64    `json:"not_run"`
 	Unknown  int64    `json:"unknown"`
@@ -35,9 +36,10 @@
 func (r *Result) breaches(report check.Report) {
 	r.Violations = len(report.Violations)
 	for _, v := range report.Violations {
-		r.Breaches = append(r.Breaches, v.String())
+		r.Breaches = append(r.Breaches, fmt.Sprintf("%s: %s", v.Promise, v.Detail))
 	}
-	r.Promises = report.Promises
+	r.Records = report.Records
+	r.Promises = check.Promises()
 }
 
 // Print writes the result as a table.
