faultproxy, standin: tests that trials had passed by

Cause: of 24 trials that each broke one mechanism (put back afterwards), the tests let two pass: a freeze that held nothing and an endless LoseNext. Change: Proxy.Held tells what a freeze holds, and the test waits for it; the test of LoseNext also wants the next answer.

--- a/faultproxy/link.go
+++ b/faultproxy/link.go
@@ -88,14 +88,24 @@
 		if !f.Freeze {
 			return f, l.delay(f.Delay)
 		}
-		select {
-		case <-changed:
-		case <-l.ended:
+		if !l.frozen(changed) {
 			return f, false
 		}
 	}
 }
 
+// frozen waits for a change of faults; false if the link ended.
+func (l *link) frozen(changed <-chan struct{}) bool {
+	l.proxy.addHeld(1)
+	defer l.proxy.addHeld(-1)
+	select {
+	case <-changed:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
 func (l *link) delay(d time.Duration) bool {
 	if d <= 0 {
 		return true
--- a/faultproxy/proxy.go
+++ b/faultproxy/proxy.go
@@ -19,6 +19,7 @@
 	faults  Faults
 	changed chan struct{}
 	links   map[*link]struct{}
+	held    int
 }
 
 // New listens on listen, such as "127.0.0.1:0", and passes connections on to
@@ -72,6 +73,20 @@
 	return err
 }
 
+// Held returns how many pieces of bytes a freeze holds now, an end of stream
+// counting as one.
+func (p *Proxy) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
+func (p *Proxy) addHeld(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held += n
+}
+
 func (p *Proxy) get() (Faults, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/faultproxy/proxy_test.go
+++ b/faultproxy/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"runtime"
 	"testing"
 
 	"github.com/fireflygate/fireflygate/faultproxy"
@@ -87,16 +88,19 @@
 	p, client, server := link(t)
 	p.Set(faultproxy.Faults{Freeze: true})
 	_, _ = io.WriteString(client, "held")
-	got := make(chan byte)
+	got := make(chan byte, 1)
 	go func() {
 		b := make([]byte, 1)
 		_, _ = server.Read(b)
 		got <- b[0]
 	}()
-	select {
-	case <-got:
-		t.Fatal("a byte passed a frozen proxy")
-	default:
+	for p.Held() == 0 {
+		select {
+		case <-got:
+			t.Fatal("a byte passed a frozen proxy")
+		default:
+			runtime.Gosched()
+		}
 	}
 	p.Set(faultproxy.Faults{})
 	if b := <-got; b != 'h' {
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -101,6 +102,11 @@
 		if got.Status != tc.want || p.Table.Commits()-before != tc.applied {
 			t.Errorf("%+v: status %d, %d applied", tc.faults, got.Status, p.Table.Commits()-before)
 		}
+		if tc.faults.LoseNext > 0 {
+			if got := remote.Commit(t.Context(), tx); got.Status != platform.CommitApplied {
+				t.Errorf("after the lost answer: status %d", got.Status)
+			}
+		}
 	}
 }
 
@@ -126,7 +132,7 @@
 		}()
 	}
 	for endpoint.Stats().Running < 2 {
-		<-immediately()
+		runtime.Gosched()
 	}
 	endpoint.Set(standin.EndpointFaults{})
 	got := map[string]bool{<-answers: true, <-answers: true}
@@ -142,13 +148,6 @@
 	}
 }
 
-// immediately yields to other goroutines.
-func immediately() <-chan struct{} {
-	done := make(chan struct{})
-	go close(done)
-	return done
-}
-
 func TestKilledWorkerRefusesConnections(t *testing.T) {
 	p, _, client := start(t)
 	workers := httpclient.NewWorkers(client)
