--- a/cli/problem.go
+++ b/cli/problem.go
@@ -19,10 +19,10 @@
 		return ExitUsage
 	}
 	name, text := problemOf(err)
-	switch {
-	case name == "":
+	switch name {
+	case "":
 		return ExitFailed
-	case name == "bad_request":
+	case "bad_request":
 		return ExitUsage
 	default:
 		return exitOf(outcome.Parse(text))
--- a/demo/result.go
+++ b/demo/result.go
@@ -16,9 +16,9 @@
 	// Promises are the promises that were checked, on Records records.
 	Promises []check.Promise `json:"promises"`
 	Records  int             `json:"records"`
-	Answered int64    `json:"answered"`
-	NotRun   int64    `json:"not_run"`
-	Unknown  int64    `json:"unknown"`
+	Answered int64           `json:"answered"`
+	NotRun   int64           `json:"not_run"`
+	Unknown  int64           `json:"unknown"`
 	// Reasons counts calls without an answer by what was said of them.
 	Reasons map[string]int64 `json:"reasons,omitempty"`
 	P50MS   float64          `json:"p50_ms"`
