--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -57,7 +57,12 @@
 	if now.Sub(s.wantedAt) < wait {
 		return false
 	}
-	m.sendClaim(now, s, ShardRow{}, nil)
+	// A release to nobody may have left an earlier owner to wait for.
+	row := ShardRow{Seized: s.row.Seized}
+	if !m.previousCleared(now, s) {
+		row.Unconfirmed = s.row.Unconfirmed
+	}
+	m.sendClaim(now, s, row, nil)
 	return true
 }
 
--- a/ownership/flaws.go
+++ b/ownership/flaws.go
@@ -15,10 +15,10 @@
 	noSessionCondition bool
 	// ignorePromises claims without regard to promises given.
 	ignorePromises bool
+	// neverPromise gives no promises, for the measurement of their worth.
+	neverPromise bool
 	// noSecondWait seizes a shard whose previous owner is unconfirmed.
 	noSecondWait bool
-	// noWorkerExpiry uses worker shards past the session.
-	noWorkerExpiry bool
 	// noDrainOnMove releases a shard without waiting for what is in flight.
 	noDrainOnMove bool
 }
--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -69,10 +69,6 @@
 // workerGrant completes the grant of a worker shard: full while the session
 // lives, nothing after.
 func (m *Machine) workerGrant(now time.Time, s *shardState, g Grant) (Grant, bool) {
-	if m.flaws.noWorkerExpiry {
-		g.Share, g.After = Full, Full
-		return g, true
-	}
 	if !m.sessionLive(now) || !m.verified(s) {
 		return Grant{}, false
 	}
--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -87,7 +87,7 @@
 			m.observe(now, host, platform.Row{})
 		}
 	}
-	if !m.session.inFlight {
+	if own.Version != 0 || !m.session.inFlight {
 		m.ownSessionSeen(now, own)
 	}
 }
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -100,7 +100,7 @@
 // succeeded the asker.
 func (m *Machine) PromiseAsked(now time.Time, req PromiseRequest) (PromiseReply, []Action) {
 	_, gone := m.dropped(now, req.Owner)
-	if !m.read.done || m.excluded() || gone {
+	if !m.read.done || m.excluded() || gone || m.flaws.neverPromise {
 		return PromiseReply{}, m.step(now)
 	}
 	reply := PromiseReply{Promised: true}
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -124,6 +124,9 @@
 	s := &m.session
 	sentAt, ok := s.sentAt[counter]
 	if !ok {
+		// An old renewal, taken in before: only the version is news.
+		s.version = version
+		s.again = true
 		return
 	}
 	from := sentAt
--- /dev/null
+++ b/ownership/simhost_test.go
@@ -0,0 +1,227 @@
+package ownership
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/roster"
+)
+
+// simHost is one entry host: a machine, its clock, and a traffic path that
+// always has more to send than it may.
+type simHost struct {
+	w    *world
+	name string
+	zone string
+	rate float64
+
+	alive       bool
+	incarnation int
+	machine     *Machine
+	roster      roster.Roster
+	newest      platform.MemberList
+	// pausedUntil is when a pause ends.
+	pausedUntil time.Time
+	storeCut    bool
+	readsCut    bool
+	// deaf is the chance in percent that an answer to a write is lost.
+	deaf int
+	// open counts requests that this process knows to be in its window or
+	// at endpoints; writing those in the window alone.
+	open, writing map[string]int
+}
+
+// clock is this host's monotonic clock.
+func (h *simHost) clock() time.Time {
+	past := h.w.now.Sub(time.Unix(0, 0))
+	return time.Unix(0, 0).Add(time.Duration(float64(past) * h.rate))
+}
+
+// start starts a new process.
+func (h *simHost) start() {
+	h.alive = true
+	h.incarnation++
+	h.pausedUntil = time.Time{}
+	h.open, h.writing = map[string]int{}, map[string]int{}
+	h.roster = roster.Roster{}
+	h.machine = New(Config{
+		Host: h.name, Incarnation: fmt.Sprintf("%s-%d", h.name, h.incarnation),
+		Lease: h.w.lease, MaxRun: h.w.maxRun,
+	}, h.clock())
+	h.machine.flaws = h.w.flaws
+	h.readList(0, h.newest)
+	h.tick()
+	h.traffic()
+}
+
+// readList has the host read a list after a lag.
+func (h *simHost) readList(lag time.Duration, list platform.MemberList) {
+	h.w.after(lag, func() {
+		if list.Revision < h.newest.Revision {
+			return
+		}
+		h.newest = list
+		h.later(0, func() {
+			h.roster = roster.Build(h.roster, h.newest, h.w.lease)
+			h.do(h.machine.SetRoster(h.clock(), h.roster))
+		})
+	})
+}
+
+// later has this process do something, after its pause if it is paused, and
+// not at all if it dies before.
+func (h *simHost) later(d time.Duration, do func()) {
+	incarnation := h.incarnation
+	h.w.after(d, func() {
+		if !h.alive || h.incarnation != incarnation {
+			return
+		}
+		if h.w.now.Before(h.pausedUntil) {
+			h.later(h.pausedUntil.Sub(h.w.now), do)
+			return
+		}
+		do()
+	})
+}
+
+// tick lets time pass for the machine, again and again.
+func (h *simHost) tick() {
+	h.later(h.w.lease.Renew.D()/4, func() {
+		h.do(h.machine.Tick(h.clock()))
+		h.tick()
+	})
+}
+
+// do carries actions out.
+func (h *simHost) do(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Commit:
+			h.commit(a.Tx, func(r platform.CommitResult) { h.do(h.machine.Committed(h.clock(), a.ID, r)) })
+		case Read:
+			h.read(a.ID)
+		case AskPromise:
+			var reply PromiseReply
+			h.call(a.Host, func(p *simHost) { reply = p.promise(a.Request) },
+				func() { h.do(h.machine.PromiseReplied(h.clock(), a.ID, reply)) },
+				func() { h.do(h.machine.AskFailed(h.clock(), a.ID)) })
+		case AskStopped:
+			var reply StoppedReply
+			h.call(a.Host, func(p *simHost) { reply = p.stopped(a.Request) },
+				func() { h.do(h.machine.StoppedReplied(h.clock(), a.ID, reply)) },
+				func() { h.do(h.machine.AskFailed(h.clock(), a.ID)) })
+		case Notify:
+			h.call(a.Host, func(p *simHost) { p.do(p.machine.ReadNow(p.clock())) }, func() {}, func() {})
+		case Drain:
+			h.drain(a)
+		case Report:
+			if a.Kind == ShardSeized {
+				h.w.seizures++
+			}
+		}
+	}
+}
+
+func (h *simHost) promise(r PromiseRequest) PromiseReply {
+	reply, actions := h.machine.PromiseAsked(h.clock(), r)
+	h.do(actions)
+	return reply
+}
+
+func (h *simHost) stopped(r StoppedRequest) StoppedReply {
+	reply, actions := h.machine.StoppedAsked(h.clock(), r)
+	h.do(actions)
+	return reply
+}
+
+// storeFails decides what becomes of a request to the table.
+func (h *simHost) storeFails() bool { return h.w.storeDown || h.storeCut }
+
+// delay is the time of one way to the table or a peer, sometimes long.
+func (h *simHost) delay() time.Duration {
+	if h.w.chance(2) {
+		return h.w.between(100, 3000)
+	}
+	return h.w.between(1, 20)
+}
+
+// once passes the first of a result and a timeout on.
+func (h *simHost) once(timeout time.Duration, expired func()) func(func()) {
+	done := false
+	h.later(timeout, func() {
+		if !done {
+			done = true
+			expired()
+		}
+	})
+	return func(do func()) {
+		if !done {
+			done = true
+			do()
+		}
+	}
+}
+
+// commit sends a transaction. It may take effect though the answer is lost or
+// comes too late.
+func (h *simHost) commit(tx platform.Transaction, done func(platform.CommitResult)) {
+	h.w.writes++
+	first := h.once(time.Second, func() { done(platform.CommitResult{}) })
+	h.w.after(h.delay(), func() {
+		if h.storeFails() {
+			if h.w.chance(50) {
+				h.later(0, func() { first(func() { done(platform.CommitResult{Status: platform.CommitNotApplied}) }) })
+			}
+			return
+		}
+		result := h.w.table.commit(tx)
+		if h.w.chance(h.w.lossy) || h.w.chance(h.deaf) {
+			return
+		}
+		h.later(h.delay(), func() { first(func() { done(result) }) })
+	})
+}
+
+// read scans the sessions, then the shards.
+func (h *simHost) read(id uint64) {
+	h.w.reads += 2
+	first := h.once(time.Second, func() { h.do(h.machine.ReadFailed(h.clock(), id)) })
+	h.w.after(h.delay(), func() {
+		sessions := h.w.table.scan(SessionPrefix)
+		h.w.after(h.delay(), func() {
+			shards := h.w.table.scan(ShardPrefix)
+			if h.storeFails() || h.readsCut || h.w.readsDown || h.w.chance(h.w.lossy) {
+				return
+			}
+			h.later(h.delay(), func() {
+				first(func() { h.do(h.machine.RowsRead(h.clock(), id, sessions, shards)) })
+			})
+		})
+	})
+}
+
+// call asks a peer.
+func (h *simHost) call(to string, handle func(*simHost), answered, failed func()) {
+	first := h.once(time.Second, failed)
+	for _, p := range h.w.hosts {
+		if p.name != to {
+			continue
+		}
+		h.w.after(h.delay(), func() {
+			if h.w.isCut(h.name, p.name) {
+				return
+			}
+			p.later(0, func() {
+				handle(p)
+				if h.w.isCut(h.name, p.name) || h.w.chance(h.w.lossy) {
+					return
+				}
+				h.later(h.delay(), func() { first(answered) })
+			})
+		})
+	}
+}
+
+// isCut reports whether two hosts cannot talk.
+func (w *world) isCut(a, b string) bool { return w.cut[[2]string{min(a, b), max(a, b)}] }
--- a/peer/clientconn.go
+++ b/peer/clientconn.go
@@ -17,6 +17,8 @@
 	late     *atomic.Uint64
 	queue    chan *call
 	closed   chan struct{}
+	// onClose is told why the connection ended.
+	onClose func(error)
 
 	mu sync.Mutex
 	// nextID only rises, so an id is never used twice in a connection.
@@ -29,7 +31,7 @@
 
 // newClientConn starts the reader and the writer of a connection whose
 // handshake is over.
-func newClientConn(conn net.Conn, o Options, late *atomic.Uint64) *clientConn {
+func newClientConn(conn net.Conn, o Options, late *atomic.Uint64, onClose func(error)) *clientConn {
 	c := &clientConn{
 		conn:     conn,
 		maxFrame: o.MaxFrame,
@@ -37,6 +39,7 @@
 		late:     late,
 		queue:    make(chan *call, o.WriteQueue),
 		closed:   make(chan struct{}),
+		onClose:  onClose,
 		pending:  map[uint64]*call{},
 	}
 	go c.readReplies()
@@ -166,12 +169,13 @@
 		c.mu.Unlock()
 		return
 	}
-	c.err = errors.Mark(cause, ErrClosed)
+	c.err = errors.Wrapf(ErrClosed, "%v", cause)
 	orphans := c.pending
 	c.pending = nil
 	close(c.closed)
 	c.mu.Unlock()
 	_ = c.conn.Close()
+	c.onClose(cause)
 	for _, ca := range orphans {
 		ca.done <- answer{err: c.err}
 	}
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -57,7 +57,7 @@
 		return h, errors.Wrap(ErrHandshake, "no hello")
 	}
 	if err := msgpack.Unmarshal(m.Body, &h); err != nil {
-		return h, errors.Mark(errors.Wrap(err, "decode hello"), ErrHandshake)
+		return h, errors.Wrapf(ErrHandshake, "decode hello: %v", err)
 	}
 	if commonVersion(supportedVersions, h.Versions) == 0 {
 		return h, errors.Wrapf(ErrHandshake, "no common version with %v", h.Versions)
--- a/peer/link.go
+++ b/peer/link.go
@@ -98,11 +98,16 @@
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
 	l.wait.Reset()
-	l.conn = newClientConn(raw, l.client.opts, &l.client.late)
+	l.conn = newClientConn(raw, l.client.opts, &l.client.late, l.lost)
 	event.PeerConnected.Log(l.client.opts.Log, slog.String("peer", l.host))
 	return l.conn, nil
 }
 
+// lost logs the end of a connection.
+func (l *link) lost(cause error) {
+	event.PeerLost.Log(l.client.opts.Log, slog.String("peer", l.host), slog.Any("cause", cause))
+}
+
 // connect dials, secures and shakes hands within the handshake's limit.
 func (l *link) connect(ctx context.Context) (net.Conn, error) {
 	o := l.client.opts
--- a/peer/message.go
+++ b/peer/message.go
@@ -77,7 +77,7 @@
 func decodeMessage(body []byte) (*message, error) {
 	var m message
 	if err := msgpack.Unmarshal(body, &m); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrFrame)
+		return nil, errors.Wrapf(ErrFrame, "decode message: %v", err)
 	}
 	return &m, nil
 }
--- a/peer/socket.go
+++ b/peer/socket.go
@@ -40,7 +40,7 @@
 		return errors.Wrap(ErrHandshake, "no certificate")
 	}
 	if err := certs[0].VerifyHostname(host); err != nil {
-		return errors.Mark(errors.Wrap(err, "certificate"), ErrHandshake)
+		return errors.Wrapf(ErrHandshake, "certificate: %v", err)
 	}
 	return nil
 }
