--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -57,7 +57,7 @@
 func newWorld(seed uint64, n, shards int, f flaws) *world {
 	w := &world{
 		rand: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), cut: map[[2]string]bool{},
-		lease: settings.Default().Lease, maxRun: settings.Default().Calls.MaxRun.D(),
+		lease: settings.Default().Lease, maxRun: settings.Default().Lease.MaxRun.D(),
 		flaws: f, endpoints: map[string]*simShard{},
 	}
 	w.lease.EndpointShards, w.lease.WorkerShardsPerZone = 1, 1
