--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -67,12 +67,12 @@
 		return place{peer: p}, outcome.Refusal{}
 	}
 	perSecond, each := g.pool.Rate(now, req.Service, view)
-	a := routing.Admit(q.Len(), q.Full(), perSecond, each, req.Deadline.Sub(now))
+	a := q.Admit(now, perSecond, each, req.Deadline.Sub(now))
 	if !a.Wait {
 		g.mu.Unlock()
 		return place{}, notRun(a.Reason, a.RetryAfter)
 	}
-	t := &routing.Ticket{Since: now, GiveUp: req.Deadline.Add(-each), Wake: make(chan struct{})}
+	t := &routing.Ticket{Since: now, GiveUp: routing.GiveUp(req.Deadline, each), Wake: make(chan struct{})}
 	q.Push(t)
 	g.serveQueue(now, req.Service)
 	g.mu.Unlock()
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/routing"
 )
 
 const (
@@ -47,7 +48,7 @@
 // once, and when to come back.
 func final(reason string) bool {
 	switch reason {
-	case "queue_full", "deadline_unreachable", ReasonDeadline, ReasonStopping, ReasonTooLarge:
+	case routing.ReasonQueueFull, routing.ReasonDeadlineUnreachable, routing.ReasonOverloaded, ReasonDeadline, ReasonStopping, ReasonTooLarge:
 		return true
 	default:
 		return false
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -8,6 +8,16 @@
 	maxRetryAfter = 5 * time.Second
 )
 
+// Reasons of refusals.
+const (
+	// ReasonQueueFull: the queue has its largest length.
+	ReasonQueueFull = "queue_full"
+	// ReasonDeadlineUnreachable: the wait would be longer than the time left.
+	ReasonDeadlineUnreachable = "deadline_unreachable"
+	// ReasonOverloaded: the queue does not drain, so a wait helps nobody.
+	ReasonOverloaded = "overloaded"
+)
+
 // Admission is the answer to whether a request may wait.
 type Admission struct {
 	// Wait is whether it may.
@@ -18,28 +28,65 @@
 	Reason string
 }
 
-// Admit decides whether a request with the time remaining may join a queue of
-// length waiting, where slots free up perSecond and one request takes each.
-// The limit follows the measured latency, since both estimates come from it.
-func Admit(waiting int, full bool, perSecond float64, each, remaining time.Duration) Admission {
+const (
+	// standingFor is how long the queue must have been long for its length to
+	// count as standing: a burst is waited for, a standing queue only makes
+	// every answer late.
+	standingFor = 500 * time.Millisecond
+	// standingWork is how many times the work of one request a wait may be
+	// while the queue is standing.
+	standingWork = 5
+	// deadlineMargin is how many times the mean work of one request must be
+	// left of its time when it is dispatched, since much work takes longer
+	// than the mean.
+	deadlineMargin = 2
+)
+
+// GiveUp returns until when a request with the deadline may wait, where one
+// takes each.
+func GiveUp(deadline time.Time, each time.Duration) time.Time {
+	return deadline.Add(-deadlineMargin * each)
+}
+
+// Admit decides whether a request with the time remaining may join the queue,
+// where slots free up perSecond and one request takes each. Both come from
+// the measured latency, so the queue's limit follows it. A request that is
+// refused is refused now, not when its time is over.
+func (q *Queue) Admit(now time.Time, perSecond float64, each, remaining time.Duration) Admission {
 	if perSecond <= 0 {
-		return admitBlind(full)
+		return q.admitBlind()
+	}
+	wait := time.Duration(float64(q.Len()+1) / perSecond * float64(time.Second))
+	long := wait > standingWork*each
+	standing := q.standing(now, long)
+	switch {
+	case q.Full():
+		return Admission{RetryAfter: clamp(wait), Reason: ReasonQueueFull}
+	case wait+deadlineMargin*each > remaining:
+		return Admission{RetryAfter: clamp(wait), Reason: ReasonDeadlineUnreachable}
+	case standing && long:
+		return Admission{RetryAfter: clamp(wait), Reason: ReasonOverloaded}
+	default:
+		return Admission{Wait: true}
 	}
-	wait := time.Duration(float64(waiting+1) / perSecond * float64(time.Second))
-	retry := clamp(wait)
-	if full {
-		return Admission{RetryAfter: retry, Reason: "queue_full"}
+}
+
+// standing notes whether the queue is long at now, and reports whether it has
+// been, on and off, for so long that it does not drain by itself.
+func (q *Queue) standing(now time.Time, long bool) bool {
+	if q.longSince.IsZero() || now.Sub(q.longLast) > standingFor {
+		q.longSince = now
 	}
-	if wait+each > remaining {
-		return Admission{RetryAfter: retry, Reason: "deadline_unreachable"}
+	if long {
+		q.longLast = now
 	}
-	return Admission{Wait: true}
+	return now.Sub(q.longSince) > standingFor
 }
 
 // admitBlind decides where no rate is known since all slots are elsewhere.
-func admitBlind(full bool) Admission {
-	if full {
-		return Admission{RetryAfter: time.Second, Reason: "queue_full"}
+func (q *Queue) admitBlind() Admission {
+	if q.Full() {
+		return Admission{RetryAfter: time.Second, Reason: ReasonQueueFull}
 	}
 	return Admission{Wait: true}
 }
