--- a/booking/store.go
+++ b/booking/store.go
@@ -15,6 +15,10 @@
 // storeTimeout bounds one try to store an outcome.
 const storeTimeout = 5 * time.Second
 
+// storePause is the first pause between tries; it grows while the store is
+// down.
+const storePause = 100 * time.Millisecond
+
 // errNotStored makes a try be repeated.
 var errNotStored = errors.New("booking: outcome not stored")
 
@@ -28,7 +32,10 @@
 		defer cancel()
 		return struct{}{}, b.storeOnce(ctx, key, f, object)
 	}
-	if _, err := backoff.Retry(context.Background(), try, backoff.WithMaxElapsedTime(b.opt.Window)); err == nil {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = storePause
+	_, err := backoff.Retry(context.Background(), try, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(b.opt.Window))
+	if err == nil {
 		b.forget(key, f)
 	}
 }
--- a/gateway/capacity_test.go
+++ b/gateway/capacity_test.go
@@ -52,3 +52,23 @@
 		t.Errorf("%d times above capacity, %d of %d answered", over.Load(), answered.Load(), requests)
 	}
 }
+
+// TestAllSlotsAreUsed lets two requests, of which one at a time is in the
+// write window, run at the same time.
+func TestAllSlotsAreUsed(t *testing.T) {
+	var both sync.WaitGroup
+	both.Add(2)
+	h := single(t, 2, func(http.ResponseWriter, *http.Request) {
+		both.Done()
+		both.Wait()
+	}, nil)
+	var all sync.WaitGroup
+	for range 2 {
+		all.Go(func() {
+			if _, r := h.Call(t.Context(), post("x")); r.Kind != outcome.Answered {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+	all.Wait()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +57,7 @@
 // SetEndpoints replaces the list of endpoints, of all shards and services:
 // which of them this host may use is up to the grants.
 func (g *Gateway) SetEndpoints(endpoints []routing.Endpoint) {
+	endpoints = g.sized(endpoints)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pool.Set(time.Now(), endpoints)
@@ -74,6 +77,21 @@
 	g.serveQueues()
 }
 
+// sized returns the endpoints with the service's sizes where the membership
+// list gives none.
+func (g *Gateway) sized(endpoints []routing.Endpoint) []routing.Endpoint {
+	if g.opt.Service == nil {
+		return endpoints
+	}
+	out := slices.Clone(endpoints)
+	for i, e := range out {
+		s := g.opt.Service(e.Service)
+		out[i].Slots = cmp.Or(e.Slots, s.Slots)
+		out[i].Connections = cmp.Or(e.Connections, s.Connections)
+	}
+	return out
+}
+
 func (g *Gateway) setClient(e routing.Endpoint) {
 	old := g.clients[e.Name]
 	if old != nil && old.address == e.Address && old.transport.MaxConnsPerHost == e.OwnerConnections() {
