batch: own row written anew, overtaken grants, jobs that outgrow every host

Cause: a host that wrote its shard's row anew while commits were under way took itself for succeeded; an overtaken grant was taken up again with each view; a job killed by guards could grow past every host and wait for good. Change: such commits count as not applied; overtaken grants are remembered; such jobs are parked.

--- a/batch/health_test.go
+++ b/batch/health_test.go
@@ -66,6 +66,22 @@
 	})
 }
 
+func TestKilledJobGrowsUntilItFitsNowhere(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		for i := range 2 {
+			r.workers.set(fmt.Sprint("w", i), func(w *fakeWorker) { w.killAll = true })
+		}
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		r.submit(n, spec("j", time.Second))
+		r.settle(10 * time.Second)
+		if rec := r.state(n, "j", task.Parked); rec.Kills != 4 || len(rec.Failures) != 0 {
+			t.Errorf("parked after %d kills and failures on %v, want 4 and none", rec.Kills, rec.Failures)
+		}
+	})
+}
+
 func TestLeavingWorkerIsEmptied(t *testing.T) {
 	bubble(t, 2, func(r *rig) {
 		n := r.started(time.Hour)
--- a/batch/lookup.go
+++ b/batch/lookup.go
@@ -34,11 +34,9 @@
 		return r.Status, outcome.Answered, ""
 	case cancelFinished:
 		return r.Status, outcome.NotRun, ReasonFinished
-	case cancelMissing:
-		return r.Status, outcome.NotRun, ReasonNotFound
 	case cancelRefused:
 		return r.Status, outcome.NotRun, ReasonStore
-	case cancelNotReady:
+	case cancelMissing, cancelNotReady: // the job exists, but is on its way
 		return r.Status, outcome.NotRun, ReasonNoShard
 	default:
 		return r.Status, outcome.Unknown, ReasonLost
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -32,6 +32,9 @@
 	// The fields below belong to the control goroutine.
 	shards  map[string]*owned
 	members map[string][]platform.Member
+	// lost are grants under which a shard was dropped because another host
+	// owns it; they are not taken up again.
+	lost    map[string]ownership.Grant
 	tasks   sync.WaitGroup
 	context context.Context
 	// faults break a mechanism on purpose; only tests set them.
@@ -67,6 +70,7 @@
 		loads:   map[string]int{},
 		shards:  map[string]*owned{},
 		members: map[string][]platform.Member{},
+		lost:    map[string]ownership.Grant{},
 	}
 	m.handle(c.Mux)
 	return m
--- a/batch/manager_gain.go
+++ b/batch/manager_gain.go
@@ -27,12 +27,20 @@
 		o.fence.Version = g.Version
 	}
 	for name, g := range v.Grants {
-		if m.shards[name] == nil && strings.HasPrefix(name, workerShards) && g.At(now) != ownership.None {
+		if m.shards[name] == nil && m.mayGain(now, name, g) {
 			m.gain(now, name, g)
 		}
 	}
 }
 
+// mayGain reports whether the grant is of a worker shard and was not found to
+// be overtaken.
+func (m *Manager) mayGain(now time.Time, name string, g ownership.Grant) bool {
+	lost, ok := m.lost[name]
+	overtaken := ok && lost.Epoch == g.Epoch && lost.Version == g.Version
+	return strings.HasPrefix(name, workerShards) && g.At(now) != ownership.None && !overtaken
+}
+
 // gain takes over a shard.
 func (m *Manager) gain(now time.Time, name string, g ownership.Grant) {
 	l := limits{Batch: m.config.Settings, clockRate: m.config.ClockRate, retention: m.config.Retention}
--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -49,6 +49,7 @@
 func (m *Manager) flush(now time.Time) {
 	for name, o := range m.shards {
 		if o.fenced {
+			m.lost[name] = o.grant
 			m.drop(name, "another owner")
 			continue
 		}
--- a/batch/shard_commit.go
+++ b/batch/shard_commit.go
@@ -18,16 +18,20 @@
 	s.open++
 	c.done = func(now time.Time, r platform.CommitResult) {
 		s.open--
-		s.checkFence(r)
-		done(now, r)
+		done(now, s.checkFence(r))
 	}
 	s.changes = append(s.changes, c)
 }
 
-// checkFence notes that another host owns the shard.
-func (s *Shard) checkFence(r platform.CommitResult) {
+// checkFence notes that another host owns the shard. A commit that was under
+// way while this host wrote the shard's row anew counts as not applied.
+func (s *Shard) checkFence(r platform.CommitResult) platform.CommitResult {
 	for _, row := range r.Conflicts {
-		if row.Key == s.fence.Key && !s.fenced {
+		switch {
+		case row.Key != s.fence.Key || s.fenced:
+		case row.Version == s.fence.Version:
+			return platform.CommitResult{Status: platform.CommitNotApplied}
+		default:
 			s.fenced = true
 			event.ShardFenced.Log(s.log, slog.String("shard", s.name), slog.Uint64("epoch", s.epoch))
 		}
@@ -36,6 +40,7 @@
 		// The journal gave up for good: what holds is in the table alone.
 		s.fenced = true
 	}
+	return r
 }
 
 // advance commits the job's next record. applied or refused is called after.
--- a/batch/shard_report.go
+++ b/batch/shard_report.go
@@ -82,7 +82,7 @@
 	}
 	switch j.rec.State {
 	case task.Pending:
-		s.enqueue(now, j)
+		s.again(now, j, r.State)
 	case task.Parked:
 		event.JobParked.Log(s.log, slog.String("job", id), slog.String("reason", j.rec.Reason))
 	}
@@ -94,6 +94,20 @@
 	}
 }
 
+// again queues a job whose run has ended, or parks it if it grew too large for
+// every host.
+func (s *Shard) again(now time.Time, j *job, state platform.RunState) {
+	reason, never := s.planner.NeverFits(j.rec.Sized())
+	if state != platform.RunKilled || !never {
+		s.enqueue(now, j)
+		return
+	}
+	next, _ := j.rec.ParkedWith(reason, now.UnixMilli())
+	s.advance(j, next, func(time.Time) {
+		event.JobParked.Log(s.log, slog.String("job", next.Spec.ID), slog.String("reason", reason))
+	}, func(now time.Time) { s.enqueue(now, j) })
+}
+
 // judge keeps the worker's health.
 func (s *Shard) judge(now time.Time, w *worker, id string, state platform.RunState) {
 	switch state {
--- a/batch/workers_test.go
+++ b/batch/workers_test.go
@@ -42,6 +42,7 @@
 	loseReplies int  // exchanges that take effect without a reply
 	paused      bool // neither runs' ends nor the lease are looked at
 	failAll     bool
+	killAll     bool          // its guard kills everything
 	noSave      bool          // checkpoints are lost
 	cutAfter    bool          // is cut off with the next lost reply
 	lag         time.Duration // of an exchange on its way
@@ -198,6 +199,9 @@
 	if o.WorkMS > 0 {
 		r.ends = now.Add(time.Duration(o.WorkMS) * time.Millisecond)
 	}
+	if w.killAll {
+		f.end(w, r, platform.RunKilled, now)
+	}
 	if w.failAll {
 		f.end(w, r, platform.RunFailed, now)
 	}
