--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -114,3 +114,24 @@
 		r.state(n, "j", task.Running)
 	})
 }
+
+func TestSubmissionDuringOutageIsNotRun(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.started(time.Hour)
+		r.table.Set(func(f *memtable.Faults) { f.Down = true })
+		for _, urgent := range []bool{false, true, false} {
+			s := spec("k", time.Second)
+			s.Urgent = urgent
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			if _, kind, reason := n.Submit(ctx, s); kind != outcome.NotRun || reason != ReasonStore {
+				t.Errorf("submission during an outage: %v %s", kind, reason)
+			}
+			cancel()
+		}
+		r.table.Set(func(f *memtable.Faults) { f.Down = false })
+		r.settle(10 * time.Second)
+		if _, kind, reason := n.Show(context.Background(), "k"); kind == outcome.Answered {
+			t.Errorf("a job that was refused is held (%s)", reason)
+		}
+	})
+}
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -129,7 +130,6 @@
 			reply(submitReply{Code: submitNotReady})
 			return
 		}
-		deadline, _ := ctx.Deadline()
-		o.submit(now, r.Spec, deadline, reply)
+		o.submit(now, r.Spec, journal.SendBy(ctx, now), reply)
 	})
 }
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -123,14 +123,13 @@
 	}
 }
 
-// Commit appends an urgent entry and waits for its result. The context's deadline is
-// the entry's. When the context ends first the result is CommitUnknown.
+// Commit appends an urgent entry and waits for its result. An entry that was
+// not sent by SendBy of the context fails as not applied. When the context ends
+// before the result is known it is CommitUnknown.
 func (j *Journal) Commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) platform.CommitResult {
 	result := make(chan platform.CommitResult, 1)
 	e := Entry{Conditions: conditions, Writes: writes, Urgent: true, Done: func(r platform.CommitResult) { result <- r }}
-	if deadline, ok := ctx.Deadline(); ok {
-		e.Deadline = deadline
-	}
+	e.Deadline = SendBy(ctx, j.config.Now())
 	j.Append(e)
 	select {
 	case r := <-result:
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -212,3 +212,17 @@
 		expect(t, r, "sent", platform.CommitUnknown)
 	})
 }
+
+func TestCommitDuringOutageIsNotApplied(t *testing.T) {
+	run(t, func(r *rig) {
+		r.table.Set(func(f *memtable.Faults) { f.Down = true })
+		for range 5 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			res := r.Commit(ctx, nil, []platform.Write{{Key: "k"}})
+			cancel()
+			if res.Status != platform.CommitNotApplied {
+				t.Errorf("commit during an outage: status %v, want not applied", res.Status)
+			}
+		}
+	})
+}
--- a/journal/run.go
+++ b/journal/run.go
@@ -43,7 +43,7 @@
 
 // pause returns how long nothing needs to be done.
 func (j *Journal) pause() time.Duration {
-	const idle = 100 * time.Millisecond
+	const idle = 50 * time.Millisecond
 	now := j.config.Now()
 	wait := idle
 	if at := j.due(); at.After(now) {
