--- a/batch/move_test.go
+++ b/batch/move_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/task"
@@ -38,13 +40,20 @@
 	}
 }
 
+// loseMoved has b never hear of jobs that were handed over to it.
+func (r *rig) loseMoved() {
+	r.net.mu.Lock()
+	defer r.net.mu.Unlock()
+	delete(r.net.handlers["b"], methodMoved)
+}
+
 func TestWaitingJobsMoveToAFreeShard(t *testing.T) {
 	for _, lost := range []bool{false, true} {
 		t.Run(fmt.Sprint("word lost ", lost), func(t *testing.T) {
 			bubble(t, 2, func(r *rig) {
 				a, _ := r.twoShards()
 				if lost {
-					delete(r.net.handlers["b"], methodMoved)
+					r.loseMoved()
 				}
 				r.fill(a, 8)
 				r.settle(25 * time.Second)
@@ -74,3 +83,40 @@
 		}
 	})
 }
+
+// TestMovesUnderFaults has jobs move while commits, answers and words to the
+// new owner are lost: each ends once.
+func TestMovesUnderFaults(t *testing.T) {
+	const seeds, steps, jobs = 10, 40, 10
+	for seed := range uint64(seeds) {
+		bubble(t, 2, func(r *rig) {
+			rnd := rand.New(rand.NewPCG(seed, 0))
+			a, b := r.twoShards()
+			r.fill(a, jobs)
+			for range steps {
+				switch rnd.IntN(5) {
+				case 0:
+					r.table.Set(func(f *memtable.Faults) { f.LoseAnswers = 1 + rnd.IntN(2) })
+				case 1:
+					r.table.Set(func(f *memtable.Faults) { f.Down = !f.Down })
+				case 2:
+					r.table.Set(func(f *memtable.Faults) { f.HoldCommits = 1 })
+				case 3:
+					r.table.Deliver()
+				case 4:
+					r.loseMoved()
+				}
+				r.settle(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+			}
+			r.table.Set(func(f *memtable.Faults) { *f = memtable.Faults{} })
+			r.table.Deliver()
+			r.settle(4 * time.Minute)
+			for i := range jobs {
+				r.state(b, fmt.Sprint("j", i), task.Done)
+				if runs := r.workers.runsOf(fmt.Sprint("j", i)); len(runs) != 1 {
+					t.Errorf("seed %d: j%d has %d runs, want 1", seed, i, len(runs))
+				}
+			}
+		})
+	}
+}
