batch: a cancelled start that never arrived ends

Change: once the stop is taken without a report the whole list is asked for, and a run that is not on it is over.

--- a/batch/faults_test.go
+++ b/batch/faults_test.go
@@ -266,3 +266,22 @@
 		r.expectRuns(1)
 	})
 }
+
+func TestCancelOfAStartThatNeverArrived(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		r.workers.set("w0", func(w *fakeWorker) { w.cut = true })
+		r.submit(n, spec("j", time.Hour))
+		r.settle(500 * time.Millisecond)
+		if _, kind, reason := n.Cancel(context.Background(), "j"); kind != outcome.Answered {
+			t.Errorf("cancel: %v %s", kind, reason)
+		}
+		r.settle(2 * time.Second)
+		r.workers.set("w0", func(w *fakeWorker) { w.cut = false })
+		r.settle(5 * time.Second)
+		r.state(n, "j", task.Cancelled)
+		r.expectRuns(0)
+	})
+}
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -128,11 +128,25 @@
 	}
 	if reply.Whole {
 		s.reconcile(now, w, reply.Runs)
+	} else {
+		s.askWhole(w, m)
 	}
 	s.observe(now, w, reply)
 	s.show(now, w)
 }
 
+// askWhole asks for the whole list when a stop was taken and its run was not
+// reported: the start may never have arrived, and now can't any more.
+func (s *Shard) askWhole(w *worker, m message) {
+	for _, o := range m.exchange.Orders {
+		j := w.jobs[o.Run.Job]
+		if o.Kind == platform.OrderStop && j != nil && j.rec.State == task.Stopping && !j.committing {
+			w.since = 0
+			s.call(w)
+		}
+	}
+}
+
 // unanswered keeps the worker's backlog for the next attempt.
 func (s *Shard) unanswered(now time.Time, w *worker) {
 	if s.faults.lapseAtOnce {
