batch: what a run reserves is ordered, recorded and adopted

Cause: Action.Resources, what the planner reserves by learned sizes, was dropped: the order and the record carried the declared size, and a new owner adopted runs at that size by an empty estimate. A worker's own sum and the planner's differed, and after a change of owner a host could be given more than it holds. Guard kills were not told to the planner.

Change: Record.Reserved is durable with the start, ordered, and adopted on replay (Planner.AdoptSized); Planner.Killed before Release. The job's own learned size becomes Spec.Floor, so that it is not multiplied with the class's estimate. Order.Declared lets the stand-in worker keep its hidden truth a multiple of what was declared.

TestKilledGrows and the planner double now check the floor apart from the declared size, and that kills are told before the release.

--- a/batch/health_test.go
+++ b/batch/health_test.go
@@ -79,6 +79,9 @@
 		if rec := r.state(n, "j", task.Parked); rec.Kills != 4 || len(rec.Failures) != 0 {
 			t.Errorf("parked after %d kills and failures on %v, want 4 and none", rec.Kills, rec.Failures)
 		}
+		if n.planner.killed != 4 {
+			t.Errorf("the planner was told of %d kills before their release, want 4", n.planner.killed)
+		}
 	})
 }
 
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -17,6 +17,8 @@
 	pending []task.Spec
 	placed  map[string]placed
 	avoid   map[string][]string
+	// killed counts the kills told while the run was still adopted.
+	killed int
 	// wanted are actions that a test has the next plan return.
 	wanted []placement.Action
 }
@@ -50,9 +52,9 @@
 	p.pending = slices.DeleteFunc(p.pending, func(s task.Spec) bool { return s.ID == job })
 }
 
-func (p *firstFit) Adopt(s task.Spec, host string) {
-	p.placed[s.ID] = placed{host, s.Resources}
-	p.free[host] = p.free[host].Sub(s.Resources)
+func (p *firstFit) AdoptSized(s task.Spec, host string, size platform.Resources) {
+	p.placed[s.ID] = placed{host, size}
+	p.free[host] = p.free[host].Sub(size)
 }
 
 func (p *firstFit) Release(_ time.Time, job string, _ bool) {
@@ -61,6 +63,12 @@
 		delete(p.placed, job)
 	}
 }
+
+func (p *firstFit) Killed(job string) {
+	if _, ok := p.placed[job]; ok {
+		p.killed++
+	}
+}
 func (p *firstFit) Avoid(job, host string)  { p.avoid[job] = append(p.avoid[job], host) }
 func (p *firstFit) Observe(placement.Usage) {}
 func (p *firstFit) Why(string) string       { return "" }
@@ -86,8 +94,9 @@
 	var rest []task.Spec
 	for _, s := range p.pending {
 		if host := p.fit(s, names); len(out) < limit && host != "" {
-			p.Adopt(s, host)
-			out = append(out, placement.Action{Kind: placement.Start, Job: s.ID, Host: host})
+			size := sizeOf(s)
+			p.AdoptSized(s, host, size)
+			out = append(out, placement.Action{Kind: placement.Start, Job: s.ID, Host: host, Resources: size})
 			continue
 		}
 		rest = append(rest, s)
@@ -96,9 +105,15 @@
 	return out
 }
 
+// sizeOf is what firstFit reserves for a job.
+func sizeOf(s task.Spec) platform.Resources {
+	s.Resources.MemoryMB = max(s.Resources.MemoryMB, s.Floor.MemoryMB)
+	return s.Resources
+}
+
 func (p *firstFit) fit(s task.Spec, names []string) string {
 	for _, name := range names {
-		ok := p.hosts[name].Unschedulable == "" && s.Resources.Fits(p.free[name])
+		ok := p.hosts[name].Unschedulable == "" && sizeOf(s).Fits(p.free[name])
 		if ok && !slices.Contains(p.avoid[s.ID], name) {
 			return name
 		}
@@ -108,7 +123,7 @@
 
 func (p *firstFit) NeverFits(s task.Spec) (string, bool) {
 	for _, h := range p.hosts {
-		if s.Resources.Fits(h.Capacity) {
+		if sizeOf(s).Fits(h.Capacity) {
 			return "", false
 		}
 	}
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -87,6 +87,9 @@
 	owner   string
 	epoch   uint64
 	faults  faults
+	// reach and newPlanner stand in for the fakes, unless they are nil.
+	reach      platform.Workers
+	newPlanner func() placement.Planner
 	// keep is the retention of terminal jobs; 0 for the default.
 	keep time.Duration
 }
@@ -123,11 +126,19 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{planner: newFirstFit(), stop: stop}
 	b := settings.Default().Batch
+	newPlanner := r.newPlanner
+	if newPlanner == nil {
+		newPlanner = func() placement.Planner { return n.planner }
+	}
+	var reach platform.Workers = r.workers
+	if r.reach != nil {
+		reach = r.reach
+	}
 	j := journal.New(journal.Config{Table: r.table, Incarnation: fmt.Sprint(name, len(r.nodes)), Settings: b})
 	n.Manager = New(Config{
-		Host: name, Table: r.table, Journal: j, Workers: r.workers,
+		Host: name, Table: r.table, Journal: j, Workers: reach,
 		Transport: port{r.net, name}, Mux: port{r.net, name},
-		NewPlanner: func(string) placement.Planner { return n.planner },
+		NewPlanner: func(string) placement.Planner { return newPlanner() },
 		Settings:   b, TaskLease: settings.Default().Lease.TaskLease.D(), ClockRate: 0.01, Retention: r.keep, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 	n.faults = r.faults
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -97,6 +97,8 @@
 	noFence bool
 	// noBuffer takes a run as over as soon as its lease is.
 	noBuffer bool
+	// adoptDeclared takes a run to reserve what its job declares.
+	adoptDeclared bool
 	// lapseAtOnce takes a run as over with the first exchange unanswered.
 	lapseAtOnce bool
 }
@@ -151,7 +153,11 @@
 	w.jobs[j.rec.Spec.ID] = j
 	s.running++
 	s.show(now, w)
-	s.planner.Adopt(j.rec.Sized(), w.name)
+	size := j.rec.Reserves()
+	if s.faults.adoptDeclared {
+		size = j.rec.Spec.Resources
+	}
+	s.planner.AdoptSized(j.rec.Sized(), w.name, size)
 }
 
 // vacate frees what the job's run occupied.
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -85,9 +85,9 @@
 	switch {
 	case j.rec.State == task.Starting && (!j.committing || s.faults.sendBeforeDurable):
 		j.sent = true
-		spec := j.rec.Sized()
+		spec := j.rec.Spec
 		return platform.Order{
-			Kind: platform.OrderStart, Run: run, Resources: spec.Resources,
+			Kind: platform.OrderStart, Run: run, Resources: j.rec.Reserves(), Declared: spec.Resources,
 			Class: spec.Class, WorkMS: spec.RunMS, Checkpoint: j.rec.Checkpoint,
 		}, true
 	case j.rec.State == task.Stopping:
--- a/batch/shard_plan.go
+++ b/batch/shard_plan.go
@@ -58,7 +58,7 @@
 	}
 	switch a.Kind {
 	case placement.Start:
-		s.start(now, j, a.Host)
+		s.start(now, j, a)
 	case placement.Throttle:
 		s.throttle(j, a.Percent)
 	case placement.Evict:
@@ -68,9 +68,10 @@
 
 // start commits the start of a pending job; the order follows once it is
 // durable.
-func (s *Shard) start(now time.Time, j *job, host string) {
+func (s *Shard) start(now time.Time, j *job, a placement.Action) {
+	host := a.Host
 	w := s.workers[host]
-	next, t := j.rec.Start(host)
+	next, t := j.rec.Start(host, a.Resources)
 	if w == nil || t != task.Applied || j.committing || !w.health.admit(now, j.rec.Spec.ID) {
 		s.giveBack(now, j)
 		return
--- a/batch/shard_report.go
+++ b/batch/shard_report.go
@@ -74,6 +74,9 @@
 // ended carries out what follows from the durable end of a run.
 func (s *Shard) ended(now time.Time, w *worker, j *job, r platform.RunReport) {
 	id := j.rec.Spec.ID
+	if r.State == platform.RunKilled {
+		s.planner.Killed(id)
+	}
 	s.vacate(now, j, w.name, r.State == platform.RunDone)
 	s.judge(now, w, id, r.State)
 	s.metrics.ended(r.State)
--- a/batch/shard_urgent.go
+++ b/batch/shard_urgent.go
@@ -12,11 +12,12 @@
 // it can be placed now; this saves one commit's time. It reports whether it
 // did.
 func (s *Shard) submitStarted(now time.Time, spec task.Spec, deadline time.Time, reply func(submitReply)) bool {
-	host := s.placeNow(now, spec)
-	if host == "" {
+	placed, ok := s.placeNow(now, spec)
+	if !ok {
 		return false
 	}
-	next, _ := task.New(spec).Start(host)
+	host := placed.Host
+	next, _ := task.New(spec).Start(host, placed.Resources)
 	s.arriving[spec.ID] = struct{}{}
 	s.starting++
 	c := submission(s.name, next)
@@ -40,31 +41,30 @@
 	return true
 }
 
-// placeNow asks for a plan and returns the host that it gives the job; empty
-// if it has to wait.
-func (s *Shard) placeNow(now time.Time, spec task.Spec) string {
+// placeNow asks for a plan and returns its start of the job; false if it has
+// to wait.
+func (s *Shard) placeNow(now time.Time, spec task.Spec) (start placement.Action, ok bool) {
 	if now.Before(s.heldUntil) || s.starting >= maxStartsInFlight {
-		return ""
+		return start, false
 	}
 	s.planner.Enqueue(now, spec)
-	host := ""
 	for _, a := range s.planner.Plan(now, planLimit) {
 		if a.Job != spec.ID || a.Kind != placement.Start {
 			s.act(now, a)
 			continue
 		}
-		host = a.Host
+		start = a
 	}
 	s.dirty = true
-	if host == "" {
+	if start.Host == "" {
 		s.planner.Withdraw(spec.ID)
-		return ""
+		return start, false
 	}
-	if w := s.workers[host]; w == nil || !w.health.admit(now, spec.ID) {
+	if w := s.workers[start.Host]; w == nil || !w.health.admit(now, spec.ID) {
 		s.planner.Release(now, spec.ID, false)
-		return ""
+		return start, false
 	}
-	return host
+	return start, true
 }
 
 // acceptStarted adds a job whose first start is durable.
--- a/estimate/book.go
+++ b/estimate/book.go
@@ -37,14 +37,21 @@
 
 // Size is what to reserve for a job: processors by a learned high quantile,
 // weighed against the declared value by the number of runs seen; memory by
-// the larger of declared and learned. Latency-critical work reserves at least
-// the processors that it declares.
+// the larger of declared and learned, and at least the job's own floor.
+// Latency-critical work reserves at least the processors that it declares.
 func (b *Book) Size(s task.Spec) platform.Resources {
+	size := b.classSize(s)
+	size.MemoryMB = max(size.MemoryMB, s.Floor.MemoryMB)
+	return size
+}
+
+// classSize is the size by what is known of the job's class.
+func (b *Book) classSize(s task.Spec) platform.Resources {
+	size := s.Resources
 	c, known := b.classes[s.Class]
 	if !known {
-		return s.Resources
+		return size
 	}
-	size := s.Resources
 	cpu := blend(c.cpu)
 	if cpu > permille || s.QoS != task.LatencyCritical {
 		size.MilliCPU = scale(s.Resources.MilliCPU, cpu, cpuStep)
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -41,6 +41,7 @@
 	class     string
 	qos       task.QoS
 	resources platform.Resources
+	floor     platform.Resources
 	zones     string
 	// alone is the job's id if it avoids hosts or has a node nominated, and
 	// so is like no other.
@@ -97,6 +98,7 @@
 		class:     p.spec.Class,
 		qos:       p.spec.QoS,
 		resources: p.spec.Resources,
+		floor:     p.spec.Floor,
 		zones:     strings.Join(p.spec.Zones, "\x00"),
 	}
 	if len(p.avoid) > 0 || p.nominated != nil {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -17,12 +18,15 @@
 	Enqueue(now time.Time, s task.Spec)
 	// Withdraw drops a pending job.
 	Withdraw(job string)
-	// Adopt records that a job occupies host, as replay or reconciliation
-	// found it. It is recorded even if it does not fit.
-	Adopt(s task.Spec, host string)
+	// AdoptSized records that a job occupies host, where it reserves size, as
+	// replay found it. It is recorded even if it does not fit.
+	AdoptSized(s task.Spec, host string, size platform.Resources)
 	// Release frees what a job occupies. With done, its run time and usage
 	// are learned from.
 	Release(now time.Time, job string, done bool)
+	// Killed records that the worker's guard killed a job's run for the
+	// memory that it used. Call it before Release.
+	Killed(job string)
 	// Avoid keeps a job off a host that it failed on.
 	Avoid(job, host string)
 	// Observe takes in a host's usage.
--- a/standin/machine_exchange.go
+++ b/standin/machine_exchange.go
@@ -64,7 +64,7 @@
 		class:      o.Class,
 		state:      platform.RunRunning,
 		reserve:    o.Resources,
-		use:        m.config.Behaviour.use(o.Class, o.Resources),
+		use:        m.config.Behaviour.use(o.Class, declared(o)),
 		workMS:     float64(o.WorkMS) * factor(m.config.Behaviour.Work, o.Class),
 		doneMS:     checkpointProgress(o.Checkpoint),
 		checkpoint: o.Checkpoint,
@@ -86,6 +86,14 @@
 	}
 }
 
+// declared is what a start's job was declared to need.
+func declared(o platform.Order) platform.Resources {
+	if o.Declared == (platform.Resources{}) {
+		return o.Resources
+	}
+	return o.Declared
+}
+
 // refusal returns why a run may not start, empty if it may.
 func (m *machine) refusal(id platform.RunID) string {
 	switch {
--- a/task/life.go
+++ b/task/life.go
@@ -1,19 +1,23 @@
 package task
 
+import "github.com/fireflygate/fireflygate/platform"
+
 // growth of the memory reserved after the guard killed a run, in quarters.
 const (
 	growthNumerator   = 6
 	growthDenominator = 4
 )
 
-// Start begins the run of the next epoch on worker. Legal when pending.
-func (r Record) Start(worker string) (Record, Transition) {
+// Start begins the run of the next epoch on worker, where it reserves what is
+// given; zero stands for the declared size. Legal when pending.
+func (r Record) Start(worker string, reserved platform.Resources) (Record, Transition) {
 	if r.State != Pending {
 		return r, Illegal
 	}
 	r.State = Starting
 	r.Epoch++
 	r.Worker = worker
+	r.Reserved = reserved
 	r.Reason = ""
 	return r, Applied
 }
@@ -61,7 +65,7 @@
 		return r, t
 	}
 	r.Kills++
-	r.Learned.MemoryMB = r.Sized().Resources.MemoryMB * growthNumerator / growthDenominator
+	r.Learned.MemoryMB = r.Reserves().MemoryMB * growthNumerator / growthDenominator
 	if r.State != Stopping && r.Kills >= maxKills {
 		return r.over(doneMS).finish(Parked, reason, nowMS), Applied
 	}
--- a/task/record.go
+++ b/task/record.go
@@ -16,6 +16,9 @@
 	Epoch uint64 `msgpack:"e,omitempty"`
 	// Worker is the host of the run of Epoch, while the state is active.
 	Worker string `msgpack:"w,omitempty"`
+	// Reserved is what the run of Epoch reserves on Worker, while the state is
+	// active. It may differ from what the job declares.
+	Reserved platform.Resources `msgpack:"rv,omitempty"`
 	// Checkpoint names the progress that the next start, or the current run,
 	// resumes from.
 	Checkpoint string `msgpack:"cp,omitempty"`
@@ -30,7 +33,7 @@
 	Evictions int `msgpack:"ev,omitempty"`
 	// LostMS is the work done and lost, in milliseconds at full speed.
 	LostMS int64 `msgpack:"l,omitempty"`
-	// Learned is the size it reserves once the declared one proved small.
+	// Learned is the size it reserves at the least once one proved small.
 	Learned platform.Resources `msgpack:"g,omitempty"`
 	// Reason explains the last failure or the terminal state.
 	Reason string `msgpack:"r,omitempty"`
@@ -44,19 +47,30 @@
 // Run returns the run of the record's epoch.
 func (r Record) Run() platform.RunID { return platform.RunID{Job: r.Spec.ID, Epoch: r.Epoch} }
 
-// Sized returns the spec with the size that is to be reserved: the larger of
-// the declared and the learned one.
+// Sized returns the spec with what was learned of the job's own size as its
+// floor.
 func (r Record) Sized() Spec {
 	s := r.Spec
-	s.Resources.MemoryMB = max(s.Resources.MemoryMB, r.Learned.MemoryMB)
+	s.Floor = r.Learned
 	return s
 }
 
+// Reserves returns what the run of the record's epoch reserves.
+func (r Record) Reserves() platform.Resources {
+	if r.Reserved != (platform.Resources{}) {
+		return r.Reserved
+	}
+	size := r.Spec.Resources
+	size.MemoryMB = max(size.MemoryMB, r.Learned.MemoryMB)
+	return size
+}
+
 // over ends the record's run, counting what it did beyond the checkpoint, up
 // to doneMS, as lost.
 func (r Record) over(doneMS int64) Record {
 	r.LostMS += max(0, doneMS-r.DoneMS)
 	r.Worker = ""
+	r.Reserved = platform.Resources{}
 	return r
 }
 
@@ -64,6 +78,7 @@
 func (r Record) finish(s State, reason string, nowMS int64) Record {
 	r.State = s
 	r.Worker = ""
+	r.Reserved = platform.Resources{}
 	r.Reason = reason
 	r.FinishedUnixMS = nowMS
 	return r
--- a/task/spec.go
+++ b/task/spec.go
@@ -26,6 +26,9 @@
 	Urgent bool `msgpack:"u,omitempty"`
 	// Resources is the declared size, often far off.
 	Resources platform.Resources `msgpack:"r"`
+	// Floor is what is reserved at the least, once a run was killed for using
+	// more than was reserved. It is not submitted; see Record.Sized.
+	Floor platform.Resources `msgpack:"fl,omitempty"`
 	// RunMS is the declared run time in milliseconds; 0 for a standing job.
 	RunMS int64 `msgpack:"d,omitempty"`
 	// DueUnixMS is when it must be done, in Unix milliseconds; 0 for never.
