batch, standin: a start is for one life of a worker, and for a short time

Cause: a restarted worker forgets stops and the owner's epoch, so a start that was on its way since before could run a second copy of a job moved meanwhile; so could one that lay in a paused worker's buffer for longer than its lease, without any restart.

Change: replies name the agent's incarnation and its clock; an exchange names both, valid for the word's age and 1 s; the worker refuses what is for another life, late, or a start without a life (Stale), and the owner makes it again at once, reconciling a new life first.

The stand-in's other tests now name the life, since a start needs it.

--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -19,6 +19,7 @@
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -90,6 +91,8 @@
 	// reach and newPlanner stand in for the fakes, unless they are nil.
 	reach      platform.Workers
 	newPlanner func() placement.Planner
+	// stands are the stand-in workers by address, if they are used.
+	stands map[string]*standin.Worker
 	// keep is the retention of terminal jobs; 0 for the default.
 	keep time.Duration
 }
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -53,6 +53,10 @@
 		throttles: map[string]int{},
 		exchange:  platform.Exchange{Owner: s.epoch, LeaseMS: lease.Milliseconds(), Since: w.since},
 	}
+	if w.incarnation != "" {
+		m.exchange.Incarnation = w.incarnation
+		m.exchange.ValidUntilMS = w.validUntilMS(now, s.limits.clockRate)
+	}
 	if w.reconciled {
 		m.exchange.Orders = s.orders(w, m.throttles)
 	}
@@ -116,6 +120,11 @@
 		s.fenced = true
 		return
 	}
+	w.hear(now, reply)
+	if reply.Stale {
+		s.look = true
+		return
+	}
 	w.answered = now
 	w.lost = false
 	if !s.ready {
--- a/batch/sizes_test.go
+++ b/batch/sizes_test.go
@@ -24,12 +24,14 @@
 func (r *rig) real(ctx context.Context, done *sync.WaitGroup) *check.Recorder {
 	recorder := check.NewRecorder(nil)
 	workers := standin.NewWorkers()
+	r.stands = map[string]*standin.Worker{}
 	for _, m := range r.members {
 		w := standin.NewWorker(standin.WorkerConfig{
 			Name: m.Name, Capacity: m.Capacity, Lag: time.Second,
 			Behaviour: standin.Behaviour{Size: realSizes}, Recorder: recorder,
 		}, time.Now())
 		workers.Add(m.Address, w)
+		r.stands[m.Address] = w
 		done.Go(func() { w.Drive(ctx, 100*time.Millisecond) })
 	}
 	r.reach = workers
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -19,6 +19,11 @@
 	// over: no lease was renewed by anyone after it, but for exchanges that
 	// carry what is left of the lease as of then.
 	answered time.Time
+	// incarnation is the worker's life as of the last reply, clockMS its own
+	// clock then, and heard when that was read.
+	incarnation string
+	clockMS     int64
+	heard       time.Time
 	// since is the sequence number of the last reply that was read.
 	since uint64
 	// reconciled is set once the whole list was compared with the records.
--- a/batch/workers_test.go
+++ b/batch/workers_test.go
@@ -30,6 +30,7 @@
 // fakeWorker is one worker host.
 type fakeWorker struct {
 	name   string
+	born   time.Time
 	owner  uint64
 	lease  time.Time
 	seq    uint64
@@ -63,7 +64,7 @@
 	f := &fakeWorkers{hosts: map[string]*fakeWorker{}}
 	for _, n := range names {
 		f.hosts[n] = &fakeWorker{
-			name: n, runs: map[platform.RunID]*fakeRun{}, newest: map[string]uint64{}, tombs: map[platform.RunID]bool{},
+			name: n, born: time.Now(), runs: map[platform.RunID]*fakeRun{}, newest: map[string]uint64{}, tombs: map[platform.RunID]bool{},
 		}
 	}
 	return f
@@ -108,6 +109,10 @@
 // apply carries out an exchange that arrived.
 func (f *fakeWorkers) apply(w *fakeWorker, x platform.Exchange) platform.ExchangeReply {
 	now := time.Now()
+	clockMS := now.Sub(w.born).Milliseconds()
+	if x.Incarnation == "" && x.Starts() || x.Incarnation != "" && clockMS > x.ValidUntilMS {
+		return platform.ExchangeReply{Stale: true, Incarnation: w.name, ClockMS: clockMS}
+	}
 	if x.Owner < w.owner {
 		f.refused++
 		return platform.ExchangeReply{Refused: true}
@@ -119,7 +124,7 @@
 		f.order(w, o, now)
 	}
 	f.advance(w, now)
-	reply := platform.ExchangeReply{Seq: w.seq, Whole: x.Since == 0}
+	reply := platform.ExchangeReply{Seq: w.seq, Whole: x.Since == 0, Incarnation: w.name, ClockMS: clockMS}
 	for _, r := range w.runs {
 		if x.Since == 0 || r.seq > x.Since {
 			reply.Runs = append(reply.Runs, r.report)
--- a/standin/machine.go
+++ b/standin/machine.go
@@ -32,8 +32,10 @@
 	// is the highest that may not start any more.
 	highest map[string]uint64
 	closed  map[string]uint64
-	// first is seq at the last restart; a Since before it is unknown.
+	// first is seq at the last restart; a Since before it is unknown. born is
+	// when that was.
 	first      uint64
+	born       time.Time
 	nextSample time.Time
 	// sampled and reported are tail latencies, which lag as usage does.
 	sampled, reported map[string]float64
@@ -48,6 +50,7 @@
 		now:        now,
 		seq:        seq,
 		first:      seq,
+		born:       now,
 		highest:    map[string]uint64{},
 		closed:     map[string]uint64{},
 		nextSample: now.Add(config.Lag),
--- a/standin/machine_exchange.go
+++ b/standin/machine_exchange.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/fireflygate/fireflygate/platform"
@@ -12,7 +13,10 @@
 func (m *machine) exchange(now time.Time, x platform.Exchange) platform.ExchangeReply {
 	m.advance(now)
 	if x.Owner < m.owner {
-		return platform.ExchangeReply{Refused: true, Seq: m.seq}
+		return m.head(platform.ExchangeReply{Refused: true})
+	}
+	if m.stale(x) {
+		return m.head(platform.ExchangeReply{Stale: true})
 	}
 	m.owner = x.Owner
 	m.leaseUntil = m.now.Add(time.Duration(x.LeaseMS) * time.Millisecond)
@@ -23,10 +27,31 @@
 	return m.reply(x.Since)
 }
 
+// stale reports whether the exchange was made for an earlier life or came after
+// its time. A start needs to name the life that it is for.
+func (m *machine) stale(x platform.Exchange) bool {
+	if x.Incarnation == "" {
+		return x.Starts()
+	}
+	return x.Incarnation != m.incarnation() || m.clockMS() > x.ValidUntilMS
+}
+
+// incarnation names this life.
+func (m *machine) incarnation() string { return strconv.FormatUint(m.first, 36) }
+
+// clockMS is the time since the machine was born.
+func (m *machine) clockMS() int64 { return m.now.Sub(m.born).Milliseconds() }
+
+// head fills in what every reply tells.
+func (m *machine) head(r platform.ExchangeReply) platform.ExchangeReply {
+	r.Seq, r.Incarnation, r.ClockMS = m.seq, m.incarnation(), m.clockMS()
+	return r
+}
+
 // reply returns the changes since a sequence number, or the whole list.
 func (m *machine) reply(since uint64) platform.ExchangeReply {
 	whole := since < m.first || since > m.seq
-	reply := platform.ExchangeReply{Seq: m.seq, Whole: whole, LatencyMS: maps.Clone(m.reported)}
+	reply := m.head(platform.ExchangeReply{Whole: whole, LatencyMS: maps.Clone(m.reported)})
 	for _, r := range m.runs {
 		if whole || r.seq > since {
 			reply.Runs = append(reply.Runs, r.report())
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -152,7 +152,13 @@
 	p, _, client := start(t)
 	workers := httpclient.NewWorkers(client)
 	address := p.Addresses().Others["worker-0"]
-	x := platform.Exchange{Owner: 1, LeaseMS: 60000, Orders: []platform.Order{order(platform.OrderStart, "a", 1, "")}}
+	x := platform.Exchange{Owner: 1, LeaseMS: 60000}
+	first, err := workers.Exchange(t.Context(), address, x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.Incarnation, x.ValidUntilMS = first.Incarnation, first.ClockMS+60000
+	x.Orders = []platform.Order{order(platform.OrderStart, "a", 1, "")}
 	if reply, err := workers.Exchange(t.Context(), address, x); err != nil || len(reply.Runs) != 1 {
 		t.Fatalf("%+v: %v", reply, err)
 	}
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -30,10 +30,21 @@
 	}
 }
 
+// named has an exchange name the worker's life and be valid for a second.
+func named(t *testing.T, w *standin.Worker, now time.Time, x platform.Exchange) platform.Exchange {
+	t.Helper()
+	reply, err := w.ExchangeAt(now, platform.Exchange{Owner: x.Owner, LeaseMS: x.LeaseMS})
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.Incarnation, x.ValidUntilMS = reply.Incarnation, reply.ClockMS+1000
+	return x
+}
+
 // exchange sends orders of owner 1 with a lease of 5 s and returns the list.
 func exchange(t *testing.T, w *standin.Worker, now time.Time, orders ...platform.Order) map[platform.RunID]platform.RunReport {
 	t.Helper()
-	reply, err := w.ExchangeAt(now, platform.Exchange{Owner: 1, LeaseMS: 5000, Orders: orders})
+	reply, err := w.ExchangeAt(now, named(t, w, now, platform.Exchange{Owner: 1, LeaseMS: 5000, Orders: orders}))
 	if err != nil || reply.Refused || !reply.Whole {
 		t.Fatalf("reply %+v: %v", reply, err)
 	}
@@ -82,6 +93,35 @@
 	}
 }
 
+// TestWorkerRefusesStartsForAnotherLife delivers one exchange with a start
+// again, late or to a life of the worker that remembers nothing.
+func TestWorkerRefusesStartsForAnotherLife(t *testing.T) {
+	for name, spoil := range map[string]func(*standin.Worker, *platform.Exchange) int64{
+		"restarted": func(w *standin.Worker, _ *platform.Exchange) int64 {
+			w.SetAt(at(1), standin.WorkerFaults{Dead: true})
+			w.SetAt(at(2), standin.WorkerFaults{})
+			return 3
+		},
+		"late":    func(*standin.Worker, *platform.Exchange) int64 { return 1001 },
+		"unnamed": func(_ *standin.Worker, x *platform.Exchange) int64 { x.Incarnation = ""; return 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker()
+			x := named(t, w, at(0), platform.Exchange{
+				Owner: 1, LeaseMS: 5000, Orders: []platform.Order{order(platform.OrderStart, "a", 1, "")},
+			})
+			reply, _ := w.ExchangeAt(at(spoil(w, &x)), x)
+			if !reply.Stale || len(w.Runs()) != 0 {
+				t.Errorf("reply %+v, runs %v", reply, w.Runs())
+			}
+			again, _ := w.ExchangeAt(at(1002), named(t, w, at(1002), x))
+			if again.Stale || len(w.Runs()) != 1 {
+				t.Errorf("made again: reply %+v, runs %v", again, w.Runs())
+			}
+		})
+	}
+}
+
 func TestWorkerResumesFromCheckpoint(t *testing.T) {
 	w := newWorker()
 	exchange(t, w, at(0), order(platform.OrderStart, "a", 1, ""))
@@ -101,10 +141,10 @@
 
 func TestWorkerDiffsGuardAndSlowdown(t *testing.T) {
 	w := newWorker()
-	first, _ := w.ExchangeAt(at(0), platform.Exchange{
+	first, _ := w.ExchangeAt(at(0), named(t, w, at(0), platform.Exchange{
 		Owner: 1, LeaseMS: 5000,
 		Orders: []platform.Order{order(platform.OrderStart, "v", 1, "victim"), order(platform.OrderStart, "n", 1, "noisy")},
-	})
+	}))
 	none, _ := w.ExchangeAt(at(0), platform.Exchange{Owner: 1, LeaseMS: 5000, Since: first.Seq})
 	if none.Whole || len(none.Runs) != 0 {
 		t.Errorf("no change: %+v", none)
