--- a/batch/manager.go
+++ b/batch/manager.go
@@ -7,7 +7,9 @@
 
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
 )
 
 // Manager runs the worker shards that this host owns, on one control
@@ -84,6 +86,17 @@
 	m.post(func(now time.Time) { m.apply(now, v) })
 }
 
+// SetPolicy brings other settings into force in the shards owned here and in
+// their planners, which keep what they learned.
+func (m *Manager) SetPolicy(b settings.Batch, o placement.Options) {
+	m.post(func(time.Time) {
+		m.config.Settings = b
+		for _, shard := range m.shards {
+			shard.setPolicy(b, o)
+		}
+	})
+}
+
 // SetWorkers takes in the workers of each worker shard.
 func (m *Manager) SetWorkers(workers map[string][]platform.Member) {
 	m.post(func(now time.Time) {
--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -18,10 +18,14 @@
 	defer close(m.stopped)
 	m.context = ctx
 	defer m.tasks.Wait()
-	interval := max(m.config.Settings.Exchange.D()/ticksPerExchange, time.Millisecond)
+	interval := m.tickInterval()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
+		if next := m.tickInterval(); next != interval {
+			interval = next
+			ticker.Reset(interval)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -34,6 +38,11 @@
 	}
 }
 
+// tickInterval is how often the shards look at what is due.
+func (m *Manager) tickInterval() time.Duration {
+	return max(m.config.Settings.Exchange.D()/ticksPerExchange, time.Millisecond)
+}
+
 // tick lets each shard do what the passing of time asks for.
 func (m *Manager) tick(now time.Time) {
 	for _, o := range m.shards {
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -35,6 +35,7 @@
 	}
 }
 
+func (p *firstFit) SetPolicy(placement.Options) {}
 func (p *firstFit) SetHost(h placement.Host) {
 	if old, ok := p.hosts[h.Name]; ok {
 		p.free[h.Name] = p.free[h.Name].Sub(old.Capacity)
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -121,6 +121,13 @@
 	}
 }
 
+// setPolicy brings other settings into force.
+func (s *Shard) setPolicy(b settings.Batch, o placement.Options) {
+	s.limits.Batch = b
+	s.planner.SetPolicy(o)
+	s.dirty = true
+}
+
 // load takes in the replayed records, as of now.
 func (s *Shard) load(now time.Time, records []stored) {
 	for _, row := range records {
--- a/batch/sizes_test.go
+++ b/batch/sizes_test.go
@@ -87,6 +87,37 @@
 	return wrong
 }
 
+func TestPolicyReachesRunningPlanners(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		ctx, stop := context.WithCancel(context.Background())
+		var done sync.WaitGroup
+		r.real(ctx, &done)
+		n := r.node("a")
+		r.own(n)
+		r.settle(2 * time.Second)
+		b := settings.Default().Batch
+		b.Exchange *= 2
+		n.SetPolicy(b, placement.Options{Teams: map[string]settings.Team{"team": {MilliCPU: 2000}}})
+		for i := range 6 {
+			r.submit(n, spec(fmt.Sprint("j", i), time.Hour))
+		}
+		r.settle(10 * time.Second)
+		if c := n.Counts(); c.Running != 2 || c.Pending != 4 {
+			t.Errorf("%+v under a quota of two cores", c)
+		}
+		n.SetPolicy(b, placement.Options{Teams: map[string]settings.Team{"team": {MilliCPU: 5000}}})
+		r.settle(10 * time.Second)
+		if c := n.Counts(); c.Running != 5 {
+			t.Errorf("%+v under a quota of five cores", c)
+		}
+		if got := n.shards[shard].limits.Exchange; got != b.Exchange {
+			t.Errorf("exchanges each %v, want %v", got.D(), b.Exchange.D())
+		}
+		stop()
+		done.Wait()
+	})
+}
+
 func TestReservationsAgreeWithWorkers(t *testing.T) {
 	if wrong := sizedRun(t, faults{}); len(wrong) > 0 {
 		t.Errorf("%d violations, the first: %s", len(wrong), wrong[0].Detail)
--- a/eviction/budget.go
+++ b/eviction/budget.go
@@ -12,6 +12,9 @@
 // NewBudget returns a Budget of limit evictions a minute.
 func NewBudget(limit int) *Budget { return &Budget{limit: limit} }
 
+// SetLimit replaces the limit; evictions of the last minute still count.
+func (b *Budget) SetLimit(limit int) { b.limit = limit }
+
 // Available is how many more evictions may happen at now.
 func (b *Budget) Available(now time.Time) int {
 	expired := 0
--- a/eviction/watch.go
+++ b/eviction/watch.go
@@ -42,6 +42,9 @@
 	return &Watch{options: o, throttled: map[string]bool{}}
 }
 
+// SetOptions replaces the bounds; what was observed stays.
+func (w *Watch) SetOptions(o Options) { w.options = o }
+
 // Observe takes in the largest latency over its objective of the classes on
 // the host.
 func (w *Watch) Observe(now time.Time, ratio float64) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -167,11 +167,17 @@
 
 // newPlanner returns an empty planner with the policy now in force.
 func (g *Gate) newPlanner(string) placement.Planner {
-	p := g.policy()
-	return placement.New(placement.Options{
-		Seed: rand.Uint64(), Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events,
+	o := planning(g.policy())
+	o.Seed = rand.Uint64()
+	return placement.New(o)
+}
+
+// planning returns what planners take of a policy.
+func planning(p settings.Settings) placement.Options {
+	return placement.Options{
+		Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events,
 		Colocation: p.Colocation, ObjectivesMS: classObjectives(p.Classes),
-	})
+	}
 }
 
 // classObjectives returns the tail latency that each class must keep, in
--- a/gate/run.go
+++ b/gate/run.go
@@ -100,6 +100,8 @@
 // takeConfig brings a configuration into force in every part.
 func (g *Gate) takeConfig(c configstore.Current) {
 	g.slo.SetObjectives(c.Settings.Objectives)
+	g.journal.SetSettings(c.Settings.Batch)
+	g.batch.SetPolicy(c.Settings.Batch, planning(c.Settings))
 	g.becomeReady()
 }
 
--- a/interference/model.go
+++ b/interference/model.go
@@ -29,6 +29,12 @@
 	return &Model{objectives: objectivesMS, margin: margin, services: map[string]*service{}}
 }
 
+// SetObjectives replaces the objectives, in milliseconds, and the margin. What
+// was learned stays; a class without an objective is not judged meanwhile.
+func (m *Model) SetObjectives(objectivesMS map[string]float64, margin float64) {
+	m.objectives, m.margin = objectivesMS, margin
+}
+
 // Learn takes in the tail latency that class had while load ran beside it.
 // The caller has allowed for the lag: load is of the time that the latency
 // was measured at, not of when it was reported.
@@ -109,12 +115,15 @@
 
 // service returns what is known of a class, nil if it has no objective.
 func (m *Model) service(class string) *service {
+	objective := m.objectives[class]
 	s, known := m.services[class]
-	if known {
+	switch {
+	case objective <= 0:
+		return nil
+	case known:
+		s.rebase(objective)
 		return s
-	}
-	objective := m.objectives[class]
-	if objective <= 0 || len(m.services) >= maxServices {
+	case len(m.services) >= maxServices:
 		return nil
 	}
 	s = newService(objective)
--- a/interference/service.go
+++ b/interference/service.go
@@ -1,5 +1,7 @@
 package interference
 
+import "math"
+
 // The features of a latency-critical class, in their order: those every class
 // has, then one to a batch class.
 const (
@@ -57,6 +59,16 @@
 	}
 }
 
+// rebase moves what was learned to another objective: latencies are counted as
+// logarithms over it, so only the base moves.
+func (s *service) rebase(objectiveMS float64) {
+	if s.objectiveMS == objectiveMS {
+		return
+	}
+	s.model.mean[featureBase] += math.Log(s.objectiveMS / objectiveMS)
+	s.objectiveMS = objectiveMS
+}
+
 // pair returns the pair with a batch class and begins one if need be.
 func (s *service) pair(class string) *pair {
 	s.clock++
--- a/journal/batcher.go
+++ b/journal/batcher.go
@@ -29,6 +29,14 @@
 	return &batcher{maxRows: maxRows, maxQueue: maxQueue, rows: maxRows, waiting: map[string]int{}}
 }
 
+// setMaxRows changes the largest number of rows in one transaction.
+func (b *batcher) setMaxRows(rows int) {
+	if b.rows == b.maxRows || b.rows > rows {
+		b.rows = rows
+	}
+	b.maxRows = rows
+}
+
 // push queues the entry, or reports that the queue is full.
 func (b *batcher) push(e *Entry) bool {
 	if b.len() >= b.maxQueue {
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -105,6 +105,14 @@
 	return c
 }
 
+// SetSettings brings other bounds into force from the next commit on.
+func (j *Journal) SetSettings(b settings.Batch) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.config.Settings = b
+	j.queue.setMaxRows(b.CommitRows)
+}
+
 // Append queues an entry. If the queue is full or the journal has stopped, the
 // entry fails at once as not applied.
 func (j *Journal) Append(e Entry) {
--- a/journal/run.go
+++ b/journal/run.go
@@ -66,8 +66,8 @@
 func (j *Journal) due() time.Time {
 	j.mu.Lock()
 	hurry := len(j.queue.urgent) > 0 || j.queue.full()
-	j.mu.Unlock()
 	gap := j.config.Settings.CommitDelay.D()
+	j.mu.Unlock()
 	if !hurry && j.inFlight == nil {
 		gap = max(gap, shortestPace, min(j.took*pace, longestPace))
 	}
--- a/placement/options.go
+++ b/placement/options.go
@@ -1,6 +1,10 @@
 package placement
 
 import (
+	"cmp"
+	"time"
+
+	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -26,3 +30,8 @@
 	// throughput.
 	TailMargin float64
 }
+
+func (o Options) tailMargin() float64 { return cmp.Or(o.TailMargin, interference.DefaultMargin) }
+
+// exploreInterval is how long a trial is given.
+func (o Options) exploreInterval() time.Duration { return exploreLags * o.Colocation.UsageLag.D() }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -10,6 +10,9 @@
 // Planner is the contract between the owner of a worker shard (package batch)
 // and placement decisions. Implementations are not safe for concurrent use.
 type Planner interface {
+	// SetPolicy replaces the policy. What was learned stays, but for the seed
+	// of random choices, which is not taken in.
+	SetPolicy(o Options)
 	// SetHost adds a host or updates it.
 	SetHost(h Host)
 	// RemoveHost forgets a host; its runs must have been released.
--- /dev/null
+++ b/placement/policy.go
@@ -0,0 +1,38 @@
+package placement
+
+import "github.com/fireflygate/fireflygate/forecast"
+
+// SetPolicy implements Planner.
+func (s *Scheduler) SetPolicy(o Options) {
+	o.Seed = s.options.Seed
+	s.options = o
+	s.teams.configure(o.Teams)
+	s.budget.SetLimit(o.Colocation.MaxEvictionsPerMinute)
+	s.model.SetObjectives(o.ObjectivesMS, o.tailMargin())
+	s.explorer.Interval = o.exploreInterval()
+	for _, n := range s.order {
+		if n.watch != nil {
+			n.watch.SetOptions(s.watchOptions())
+		}
+	}
+	// Headroom may have shrunk, so what fitted nowhere may fit now.
+	s.unfit = newEquivalence()
+	s.setEvents(o)
+}
+
+// setEvents replaces the calendar and ranks the pending jobs by it.
+func (s *Scheduler) setEvents(o Options) {
+	// Events that can't be read are refused by package settings before.
+	s.calendar, _ = forecast.NewCalendar(o.Events)
+	s.windows = make([]forecast.Window, len(s.calendar))
+	s.updateWindows(s.now)
+	waiting := make([]*pending, 0, len(s.queue.jobs))
+	for _, p := range s.queue.jobs {
+		waiting = append(waiting, p)
+	}
+	for _, p := range waiting {
+		s.queue.remove(p)
+		p.latestStart = s.latestStart(p.spec)
+		s.queue.add(p)
+	}
+}
--- /dev/null
+++ b/placement/policy_change_test.go
@@ -0,0 +1,84 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/interference"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// starts counts the starts of one plan.
+func starts(s *Scheduler, now time.Time) int {
+	count := 0
+	for _, a := range s.Plan(now, 1000) {
+		if a.Kind == Start {
+			count++
+		}
+	}
+	return count
+}
+
+func TestPolicyChangeIsInForceAndKeepsWhatWasLearned(t *testing.T) {
+	o := Options{
+		Teams:        map[string]settings.Team{"routes": {MilliCPU: 32_000, Weight: 1}},
+		Colocation:   settings.Default().Colocation,
+		ObjectivesMS: map[string]float64{"haggle": 20},
+	}
+	s := New(o)
+	now := epoch
+	s.SetHost(testHost(0))
+	for i := range 10 {
+		spec := batchSpec(fmt.Sprint("learn-", i), 4, 1)
+		s.AdoptSized(spec, testHost(0).Name, spec.Resources)
+		s.Observe(Usage{Host: testHost(0).Name, At: now, Jobs: []JobUsage{{Job: spec.ID, Used: platform.Resources{MilliCPU: 2000, MemoryMB: 1000}}}})
+		s.Release(now, spec.ID, true)
+		s.model.Learn("haggle", interference.Load{Batch: []interference.Share{{Class: "plan", Part: 0.5}}}, 10)
+	}
+	learned := s.sizes.Size(batchSpec("x", 4, 1))
+	loud := s.model.Loudest("plan")
+	for i := range 20 {
+		s.Enqueue(now, batchSpec(fmt.Sprint("j-", i), 4, 1))
+	}
+	before := starts(s, now)
+	if learned.MilliCPU >= 4000 || before != int(32_000/learned.MilliCPU) {
+		t.Fatalf("learned %+v, %d starts under the first quota", learned, before)
+	}
+
+	o.Teams = map[string]settings.Team{"routes": {MilliCPU: 8000, Weight: 1}}
+	s.SetPolicy(o)
+	if n := starts(s, now); n != 0 {
+		t.Errorf("%d starts above the lowered quota", n)
+	}
+	o.Teams = nil
+	o.Events = map[string]settings.Event{"opening": {
+		Start: now.Add(time.Minute).Format(time.RFC3339), Headroom: 0.5,
+		Before: settings.Duration(time.Hour), After: settings.Duration(time.Hour),
+	}}
+	s.SetPolicy(o)
+	starts(s, now)
+	if free := s.nodes[testHost(0).Name].free().MilliCPU; free < 32_000 {
+		t.Errorf("%d thousandths of a core free, want half the host for the event", free)
+	}
+	// The margin keeps both excesses above zero.
+	o.Events, o.ObjectivesMS, o.TailMargin = nil, map[string]float64{"haggle": 10}, 5
+	s.SetPolicy(o)
+	if got := s.sizes.Size(batchSpec("x", 4, 1)); got != learned {
+		t.Errorf("learned size %+v became %+v", learned, got)
+	}
+	if got := s.model.Loudest("plan"); got != loud {
+		t.Errorf("learned harm %f became %f", loud, got)
+	}
+	raised := s.model.MeanExcess("haggle", interference.Load{})
+	o.ObjectivesMS = map[string]float64{"haggle": 20}
+	s.SetPolicy(o)
+	if again := s.model.MeanExcess("haggle", interference.Load{}); math.Abs(raised-again-math.Log(2)) > 1e-9 {
+		t.Errorf("half the objective: excess %f after %f", raised, again)
+	}
+	if n := starts(s, now); n == 0 {
+		t.Error("nothing starts once quota and event are gone")
+	}
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -78,8 +77,8 @@
 		calendar: calendar,
 		windows:  make([]forecast.Window, len(calendar)),
 		progress: map[occurrence]*progress{},
-		model:    interference.NewModel(o.ObjectivesMS, cmp.Or(o.TailMargin, interference.DefaultMargin)),
-		explorer: interference.Explorer{Interval: exploreLags * o.Colocation.UsageLag.D()},
+		model:    interference.NewModel(o.ObjectivesMS, o.tailMargin()),
+		explorer: interference.Explorer{Interval: o.exploreInterval()},
 	}
 }
 
--- a/placement/teams.go
+++ b/placement/teams.go
@@ -8,8 +8,10 @@
 
 // team is what one team uses of the shard and may use.
 type team struct {
-	weight    float64
-	used      platform.Resources
+	weight float64
+	used   platform.Resources
+	// quota bounds the team in all shards together, allotment in this one.
+	quota     quota.Amount
 	allotment quota.Amount
 }
 
@@ -20,20 +22,28 @@
 
 func newTeams(configured map[string]settings.Team) teams {
 	t := teams{byName: map[string]*team{}}
+	t.configure(configured)
+	return t
+}
+
+// configure replaces weights and quotas; what is used and allotted stays.
+func (t *teams) configure(configured map[string]settings.Team) {
+	for _, entry := range t.byName {
+		entry.weight, entry.quota = 1, quota.Of(0, 0)
+	}
 	for name, c := range configured {
 		entry := t.get(name)
-		entry.allotment = quota.Of(c.MilliCPU, c.MemoryMB)
+		entry.quota = quota.Of(c.MilliCPU, c.MemoryMB)
 		if c.Weight > 0 {
 			entry.weight = c.Weight
 		}
 	}
-	return t
 }
 
 func (t *teams) get(name string) *team {
 	entry, known := t.byName[name]
 	if !known {
-		entry = &team{weight: 1, allotment: quota.Of(0, 0)}
+		entry = &team{weight: 1, quota: quota.Of(0, 0), allotment: quota.Of(0, 0)}
 		t.byName[name] = entry
 	}
 	return entry
@@ -50,10 +60,11 @@
 	return dominant / entry.weight
 }
 
-// allows reports whether the team's allotment leaves room for more.
+// allows reports whether the team's quota and its part of it here leave room
+// for more.
 func (t *teams) allows(name string, more platform.Resources) bool {
 	entry := t.get(name)
-	return entry.allotment.Allows(entry.used, more)
+	return entry.quota.Allows(entry.used, more) && entry.allotment.Allows(entry.used, more)
 }
 
 // ratio is part of whole; 0 if there is no whole.
--- a/settings/batch.go
+++ b/settings/batch.go
@@ -4,7 +4,10 @@
 type Batch struct {
 	// Exchange is how often a worker is asked when nothing is urgent.
 	Exchange Duration `toml:"exchange"`
-	// CommitDelay is the longest that a transition waits for its commit.
+	// CommitDelay is the shortest time between two commits that carry urgent
+	// entries or as many rows as a commit takes. Other entries wait until
+	// 100 to 250 ms have passed since the last commit, the longer the more
+	// time the table takes.
 	CommitDelay Duration `toml:"commit_delay"`
 	// CommitRows is the largest number of rows in one commit.
 	CommitRows int `toml:"commit_rows"`
