batch, quota: a team's quota holds over all shards

Cause: each shard's planner took the whole quota, so the sum over shards could reach it once for each.

Change: one row a team holds each shard's bound. The host that rendezvous hashing gives a team asks the owners what they use, ask for and hold, and replaces the row by compare-and-swap, on condition of the shard rows of the owners that came down. Owners take no word older than their last report (quota.Allotment).

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -42,6 +42,8 @@
 	mux.Handle(methodShow, handler(m.showHere))
 	mux.Handle(methodOffer, handler(m.offerHere))
 	mux.Handle(methodMoved, handler(m.movedHere))
+	mux.Handle(methodQuotaWant, handler(m.wantHere))
+	mux.Handle(methodQuota, handler(m.quotaHere))
 	mux.Handle(methodEventWork, handler(m.eventWorkHere))
 }
 
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -9,6 +9,7 @@
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -39,6 +40,12 @@
 	lost    map[string]ownership.Grant
 	tasks   sync.WaitGroup
 	context context.Context
+	// quotas are the teams' quotas, and divisions those that this host
+	// divides.
+	quotas    map[string]quota.Amount
+	divisions map[string]*division
+	// dividers are the hosts that divide, by team.
+	dividers map[string]string
 	// faults break a mechanism on purpose; only tests set them.
 	faults faults
 }
@@ -73,6 +80,10 @@
 		shards:  map[string]*owned{},
 		members: map[string][]platform.Member{},
 		lost:    map[string]ownership.Grant{},
+
+		quotas:    map[string]quota.Amount{},
+		divisions: map[string]*division{},
+		dividers:  map[string]string{},
 	}
 	m.handle(c.Mux)
 	return m
@@ -91,8 +102,10 @@
 func (m *Manager) SetPolicy(b settings.Batch, o placement.Options) {
 	m.post(func(time.Time) {
 		m.config.Settings = b
+		m.quotas = quotasOf(o.Teams)
+		m.assignDuties()
 		for _, shard := range m.shards {
-			shard.setPolicy(b, o)
+			shard.setPolicy(b, o, m.quotas)
 		}
 	})
 }
--- a/batch/manager_gain.go
+++ b/batch/manager_gain.go
@@ -31,6 +31,7 @@
 			m.gain(now, name, g)
 		}
 	}
+	m.assignDuties()
 }
 
 // mayGain reports whether the grant is of a worker shard and was not found to
@@ -46,6 +47,7 @@
 	l := limits{Batch: m.config.Settings, taskLease: m.config.TaskLease, clockRate: m.config.ClockRate, retention: m.config.Retention}
 	s := newShard(name, g.Epoch, g.Version, l, m.config.NewPlanner(name), m.config.Log, m.metrics)
 	s.faults = m.faults
+	s.setQuotas(m.quotas)
 	ctx, cancel := context.WithCancel(m.context)
 	o := &owned{Shard: s, grant: g, stop: cancel}
 	m.shards[name] = o
@@ -67,8 +69,12 @@
 // replay reads the shard's records. The fence is in place: the row changed
 // before, so no earlier owner writes any more.
 func (m *Manager) replay(ctx context.Context, o *owned) {
+	var divisions map[string]storedDivision
 	records, err := backoff.Retry(ctx, func() ([]stored, error) {
 		records, err := m.read(ctx, o.name)
+		if err == nil {
+			divisions, err = m.readDivisions(ctx)
+		}
 		if err != nil {
 			event.ShardReplayFailed.Log(m.config.Log, slog.String("shard", o.name), slog.String("error", err.Error()))
 		}
@@ -81,6 +87,7 @@
 		if !m.holds(o) {
 			return
 		}
+		o.beginAllotments(divisions)
 		o.load(now, records)
 		event.ShardReplayed.Log(m.config.Log, slog.String("shard", o.name), slog.Int("records", len(records)))
 	})
--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -51,6 +51,8 @@
 			m.move(now, o)
 		}
 	}
+	m.askForMore(now)
+	m.divide(now)
 	m.count()
 }
 
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -65,6 +66,11 @@
 	}
 }
 
+func (p *firstFit) SetAllotment(string, quota.Amount) {}
+func (p *firstFit) Capacity() platform.Resources      { return platform.Resources{} }
+
+func (p *firstFit) TeamUsage(string) (used, pending platform.Resources) { return used, pending }
+
 func (p *firstFit) Killed(job string) {
 	if _, ok := p.placed[job]; ok {
 		p.killed++
--- /dev/null
+++ b/batch/quota_round.go
@@ -0,0 +1,163 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fireflygate/fireflygate/journal"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
+)
+
+// round is one division of one team's quota, on a goroutine of its own.
+type round struct {
+	manager *Manager
+	team    string
+	quota   quota.Amount
+	// shards are the worker shards by owner.
+	shards map[string][]string
+	// stored is the division that this one replaces; known is set if it was
+	// read.
+	stored  storedDivision
+	known   bool
+	targets map[string]quota.Amount
+	// moved is set when bounds changed.
+	moved bool
+}
+
+// run divides the quota once: it asks the owners what they hold, and commits
+// the division that follows if it differs.
+func (r *round) run(ctx context.Context) {
+	if !r.known && !r.read(ctx) {
+		return
+	}
+	answers := r.ask(ctx)
+	reports := r.reports(answers)
+	next, targets := r.stored.division.Next(r.quota, reports)
+	r.targets = targets
+	if next.Equal(r.stored.division) {
+		return
+	}
+	version, ok := r.commit(ctx, next, answers)
+	r.known = ok
+	if !ok {
+		return // what the table holds is read again
+	}
+	r.moved = true
+	r.stored = storedDivision{division: next, version: version}
+	r.ask(ctx)
+}
+
+// read reads the division from the table.
+func (r *round) read(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.manager.config.Timeout)
+	defer cancel()
+	rows, err := r.manager.config.Table.Get(ctx, quotaKey(r.team))
+	if err != nil || len(rows) != 1 {
+		return false
+	}
+	r.stored = storedDivision{version: rows[0].Version}
+	if rows[0].Version != 0 && msgpack.Unmarshal(rows[0].Value, &r.stored.division) != nil {
+		return false
+	}
+	r.known = true
+	return true
+}
+
+// ask tells all owners of the division and returns their reports by shard.
+func (r *round) ask(ctx context.Context) map[string]shardReport {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answers := map[string]shardReport{}
+	for host, shards := range r.shards {
+		wg.Go(func() {
+			reply := r.askHost(ctx, host, shards)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, report := range reply.Reports {
+				answers[report.Shard] = report
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+func (r *round) askHost(ctx context.Context, host string, shards []string) quotaReply {
+	request := quotaRequest{Team: r.team, Version: r.stored.version}
+	for _, shard := range shards {
+		target, ok := r.targets[shard]
+		if !ok {
+			target = quota.Of(0, 0)
+		}
+		request.Shards = append(request.Shards, shardBound{
+			Shard: shard, Bound: r.stored.division.Bounds[shard], Target: target,
+		})
+	}
+	if host == r.manager.config.Host {
+		reply, _ := r.manager.quotaHere(ctx, request)
+		return reply
+	}
+	var reply quotaReply
+	if r.manager.config.Transport.Call(ctx, host, methodQuota, request, &reply).Kind != outcome.Answered {
+		return quotaReply{}
+	}
+	return reply
+}
+
+// reports returns the reports to divide by. Where more bounds came down than
+// one commit lowers, the rest count as before.
+func (r *round) reports(answers map[string]shardReport) map[string]quota.Report {
+	out := make(map[string]quota.Report, len(answers))
+	lowered := 0
+	for shard, a := range answers {
+		report := a.Report
+		bound := r.stored.division.Bounds[shard]
+		if report.Held.MilliCPU < bound.MilliCPU || report.Held.MemoryMB < bound.MemoryMB {
+			lowered++
+			if lowered > maxLowered {
+				report.Held = bound
+			}
+		}
+		out[shard] = report
+	}
+	return out
+}
+
+// commit replaces the division, on condition that the owners that came down
+// still own their shards: a later owner has read the bound as it was.
+func (r *round) commit(ctx context.Context, next quota.Division, answers map[string]shardReport) (version uint64, ok bool) {
+	conditions := []platform.Condition{{Key: quotaKey(r.team), Version: r.stored.version}}
+	if !r.manager.faults.looseQuota {
+		for _, shard := range r.stored.division.Lowered(next) {
+			conditions = append(conditions, platform.Condition{Key: shardKey(shard), Version: answers[shard].Fence})
+		}
+	}
+	result := make(chan platform.CommitResult, 1)
+	r.manager.config.Journal.Append(journal.Entry{
+		Conditions: conditions,
+		Writes:     []platform.Write{{Key: quotaKey(r.team), Value: encode(next)}},
+		Deadline:   r.manager.config.Now().Add(r.manager.config.Timeout),
+		Done:       func(c platform.CommitResult) { result <- c },
+	})
+	select {
+	case c := <-result:
+		return c.Version, c.Status == platform.CommitApplied
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+// wait is how long until the next division.
+func (r *round) wait() time.Duration {
+	if r.moved || !r.known {
+		return divideSoon
+	}
+	return divideEvery
+}
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -29,6 +29,8 @@
 type net struct {
 	mu       sync.Mutex
 	handlers map[string]map[peer.Method]peer.Handler
+	// cut are the hosts that reach no other and are reached by none.
+	cut map[string]bool
 }
 
 // port is one host's end of the net.
@@ -49,6 +51,9 @@
 func (p port) Call(ctx context.Context, host string, m peer.Method, request, reply any) peer.Result {
 	p.net.mu.Lock()
 	h := p.net.handlers[host][m]
+	if p.net.cut[host] || p.net.cut[p.host] {
+		h = nil
+	}
 	p.net.mu.Unlock()
 	if h == nil {
 		return peer.Result{Kind: outcome.NotRun}
@@ -91,6 +96,8 @@
 	// reach and newPlanner stand in for the fakes, unless they are nil.
 	reach      platform.Workers
 	newPlanner func() placement.Planner
+	// wrap goes round the table that journals commit to, unless it is nil.
+	wrap func(platform.Table) platform.Table
 	// stands are the stand-in workers by address, if they are used.
 	stands map[string]*standin.Worker
 	// keep is the retention of terminal jobs; 0 for the default.
@@ -137,7 +144,11 @@
 	if r.reach != nil {
 		reach = r.reach
 	}
-	j := journal.New(journal.Config{Table: r.table, Incarnation: fmt.Sprint(name, len(r.nodes)), Settings: b})
+	var table platform.Table = r.table
+	if r.wrap != nil {
+		table = r.wrap(table)
+	}
+	j := journal.New(journal.Config{Table: table, Incarnation: fmt.Sprint(name, len(r.nodes)), Settings: b})
 	n.Manager = New(Config{
 		Host: name, Table: r.table, Journal: j, Workers: reach,
 		Transport: port{r.net, name}, Mux: port{r.net, name},
--- a/batch/rows.go
+++ b/batch/rows.go
@@ -17,6 +17,7 @@
 	jobPrefix   = "job/"
 	refPrefix   = "jobref/"
 	keyPrefix   = "jobkey/"
+	quotaPrefix = "quota/"
 	// workerShards begins the name of each shard of workers.
 	workerShards = "wk/"
 )
@@ -42,6 +43,15 @@
 	return keyPrefix + url.PathEscape(team) + "/" + url.PathEscape(key)
 }
 
+// quotaKey returns the key of the division of a team's quota.
+func quotaKey(team string) string { return quotaPrefix + url.PathEscape(team) }
+
+// quotaTeam returns the team of a quota key.
+func quotaTeam(key string) (team string, ok bool) {
+	team, err := url.PathUnescape(strings.TrimPrefix(key, quotaPrefix))
+	return team, err == nil
+}
+
 // zoneOf returns the zone of a worker shard "wk/<zone>/<n>".
 func zoneOf(shard string) string {
 	rest := strings.TrimPrefix(shard, workerShards)
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -56,9 +57,14 @@
 	arriving map[string]struct{}
 	// retries are jobs whose late report waits for another commit.
 	retries map[string]*job
+	// quotas are the teams' quotas and allotments what this shard holds of
+	// them.
+	quotas     map[string]quota.Amount
+	allotments map[string]*quota.Allotment
 	// expected are jobs that other shards may hand over, and since when.
 	expected            map[string]time.Time
 	nextMove, nextCheck time.Time
+	nextWant            time.Time
 
 	// changes is the outbox of commits.
 	changes []change
@@ -99,6 +105,9 @@
 	noBuffer bool
 	// adoptDeclared takes a run to reserve what its job declares.
 	adoptDeclared bool
+	// wholeQuota lets each shard take the whole of every quota, and looseQuota
+	// divides without regard to changes of owner.
+	wholeQuota, looseQuota bool
 	// lapseAtOnce takes a run as over with the first exchange unanswered.
 	lapseAtOnce bool
 }
@@ -118,13 +127,16 @@
 		retries:  map[string]*job{},
 		expected: map[string]time.Time{},
 		arriving: map[string]struct{}{},
+
+		allotments: map[string]*quota.Allotment{},
 	}
 }
 
 // setPolicy brings other settings into force.
-func (s *Shard) setPolicy(b settings.Batch, o placement.Options) {
+func (s *Shard) setPolicy(b settings.Batch, o placement.Options, quotas map[string]quota.Amount) {
 	s.limits.Batch = b
 	s.planner.SetPolicy(o)
+	s.setQuotas(quotas)
 	s.dirty = true
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -163,6 +163,7 @@
 		Settings: g.local.Batch, TaskLease: g.local.Lease.TaskLease.D(), ClockRate: g.local.Lease.ClockRate, Timeout: g.local.Platform.Timeout.D(),
 		Log: g.deps.Log, Now: g.deps.Now, Rand: g.rng(), Registerer: g.registry,
 	})
+	g.batch.SetPolicy(g.local.Batch, planning(g.local))
 }
 
 // newPlanner returns an empty planner with the policy now in force.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -36,6 +37,13 @@
 	Observe(u Usage)
 	// Plan returns at most limit actions for now.
 	Plan(now time.Time, limit int) []Action
+	// SetAllotment bounds what team may reserve in this shard.
+	SetAllotment(team string, allotment quota.Amount)
+	// TeamUsage is what team reserves in this shard and what its pending jobs
+	// ask for besides.
+	TeamUsage(team string) (used, pending platform.Resources)
+	// Capacity is what all hosts hold together.
+	Capacity() platform.Resources
 	// Why says why a job is pending or where it runs, for people.
 	Why(job string) string
 	// NeverFits reports whether no known host can ever hold the job, with
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -82,6 +82,9 @@
 	}
 }
 
+// Capacity implements Planner.
+func (s *Scheduler) Capacity() platform.Resources { return s.capacity }
+
 // SetAllotment bounds what team may reserve in this shard, as package quota
 // divided it.
 func (s *Scheduler) SetAllotment(team string, allotment quota.Amount) {
--- a/quota/amount.go
+++ b/quota/amount.go
@@ -9,9 +9,9 @@
 // zero allows nothing.
 type Amount struct {
 	// MilliCPU is in thousandths of a core.
-	MilliCPU int64
+	MilliCPU int64 `msgpack:"c"`
 	// MemoryMB is in megabytes.
-	MemoryMB int64
+	MemoryMB int64 `msgpack:"m"`
 }
 
 // Of turns the settings' quota, where zero is for none, into an Amount.
@@ -26,6 +26,9 @@
 	return a
 }
 
+// Bounded reports whether any resource is bounded.
+func (a Amount) Bounded() bool { return a.MilliCPU >= 0 || a.MemoryMB >= 0 }
+
 // Allows reports whether a team that uses used may use more besides.
 func (a Amount) Allows(used, more platform.Resources) bool {
 	if a.MilliCPU >= 0 && used.MilliCPU+more.MilliCPU > a.MilliCPU {
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -22,12 +22,13 @@
 		raises += max(targets[i]-s.Held, 0)
 	}
 	pool = max(pool, 0)
+	tight := isTight(quota, pool, shards)
 	bounds := make([]int64, len(shards))
 	for i, s := range shards {
 		raise := targets[i] - s.Held
 		switch {
 		case raise <= 0:
-			bounds[i] = lowered(s, targets[i], quota)
+			bounds[i] = lowered(s, targets[i], quota, band(quota, len(shards), tight), tight)
 		case raises <= pool:
 			bounds[i] = targets[i]
 		default:
@@ -37,14 +38,36 @@
 	return bounds
 }
 
-// lowered moves half of the way down to the target, and not at all within the
-// dead band, but never keeps more than the quota.
-func lowered(s Shard, target, quota int64) int64 {
+// isTight reports whether more of the demand goes unmet than the dead band is
+// worth, for want of what other shards hold and don't need.
+func isTight(quota, pool int64, shards []Shard) bool {
+	unmet := -pool
+	for _, s := range shards {
+		unmet += max(s.want()-s.Held, 0)
+	}
+	return unmet > quota/deadBand
+}
+
+// band is by how much one bound may be off its target. While demand goes unmet
+// all shards together may be off by what otherwise one may: with many shards the
+// bands of the idle ones would add up to the whole quota.
+func band(quota int64, shards int, tight bool) int64 {
+	if tight {
+		return quota / deadBand / int64(shards)
+	}
+	return quota / deadBand
+}
+
+// lowered moves half of the way down to the target, or all of it where little is
+// left and others need it, and not at all within the band unless the shard is
+// idle and others need it; but never keeps more than the quota.
+func lowered(s Shard, target, quota, band int64, tight bool) int64 {
 	surplus := s.Held - target
-	if surplus > quota/deadBand {
-		surplus = surplus / 2
-	} else {
+	switch {
+	case surplus <= band && (!tight || s.want() > 0):
 		surplus = 0
+	case !tight || surplus > quota/deadBand:
+		surplus = surplus / 2
 	}
 	return min(s.Held-surplus, quota)
 }
--- a/quota/divide_test.go
+++ b/quota/divide_test.go
@@ -139,6 +139,25 @@
 	}
 }
 
+// TestIdleShardsDoNotHoldTheQuota has one of many shards need all of a quota
+// that lies spread over them.
+func TestIdleShardsDoNotHoldTheQuota(t *testing.T) {
+	const quota, many = 60_000, 600
+	shards := make([]Shard, many)
+	for i := range shards {
+		shards[i] = Shard{Capacity: quota, Held: quota / many}
+	}
+	shards[0].Demand = quota
+	for range 8 {
+		for i, bound := range Divide(quota, shards) {
+			shards[i].Held = bound
+		}
+	}
+	if shards[0].Held < quota*9/10 {
+		t.Errorf("after 8 snapshots %d of %d", shards[0].Held, quota)
+	}
+}
+
 func TestAmountAllows(t *testing.T) {
 	used := platform.Resources{MilliCPU: 800, MemoryMB: 100}
 	more := platform.Resources{MilliCPU: 200, MemoryMB: 100}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -10,6 +10,9 @@
 // Held is the bound in force.
 func (h *Holder) Held() int64 { return h.held }
 
+// Lower gives up what is held above a bound.
+func (h *Holder) Lower(bound int64) { h.held = min(h.held, bound) }
+
 // Report returns the bound to report for a snapshot. From then on the results
 // of older snapshots are void, as they would raise what was reported.
 func (h *Holder) Report(snapshot uint64) int64 {
