batch, gate: events are judged by learned run times and by records

Cause: events judged with declared run times at the host that was asked, and nothing was kept of a start that had passed.

Change: EventWork counts by event and start, from records, with what the shards' planners foresee of the work left (Planner.Forecast, merged); judge takes records first. A listing shows past starts while their records are kept.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
@@ -40,6 +41,8 @@
 	lost    map[string]ownership.Grant
 	tasks   sync.WaitGroup
 	context context.Context
+	// calendar holds the events in force.
+	calendar forecast.Calendar
 	// quotas are the teams' quotas, and divisions those that this host
 	// divides.
 	quotas    map[string]quota.Amount
@@ -102,6 +105,8 @@
 func (m *Manager) SetPolicy(b settings.Batch, o placement.Options) {
 	m.post(func(time.Time) {
 		m.config.Settings = b
+		// Events that can't be read are refused by package settings before.
+		m.calendar, _ = forecast.NewCalendar(o.Events)
 		m.quotas = quotasOf(o.Teams)
 		m.assignDuties()
 		for _, shard := range m.shards {
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/quota"
@@ -71,6 +72,8 @@
 
 func (p *firstFit) TeamUsage(string) (used, pending platform.Resources) { return used, pending }
 
+func (p *firstFit) Forecast(time.Time) []forecast.Report { return nil }
+
 func (p *firstFit) Killed(job string) {
 	if _, ok := p.placed[job]; ok {
 		p.killed++
--- a/batch/sizes_test.go
+++ b/batch/sizes_test.go
@@ -28,7 +28,7 @@
 	for _, m := range r.members {
 		w := standin.NewWorker(standin.WorkerConfig{
 			Name: m.Name, Capacity: m.Capacity, Lag: time.Second,
-			Behaviour: standin.Behaviour{Size: realSizes}, Recorder: recorder,
+			Behaviour: standin.Behaviour{Size: realSizes, Work: map[string]float64{"slow": 3}}, Recorder: recorder,
 		}, time.Now())
 		workers.Add(m.Address, w)
 		r.stands[m.Address] = w
--- a/gate/events.go
+++ b/gate/events.go
@@ -1,45 +1,31 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/fireflygate/fireflygate/batch"
+	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/gen/operations"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
-// Forecasts of an event, as they are shown.
-const (
-	forecastMet      = "met"
-	forecastMissed   = "missed"
-	forecastWillMeet = "will_meet"
-	forecastAtRisk   = "at_risk"
-)
-
-// events returns every event of the policy with the work due by it, over all
-// entry hosts that answer.
+// events returns the next start of every event of the policy, and those before
+// it whose work is still on record, over all entry hosts that answer.
 func (g *Gate) events(ctx context.Context) []*operations.EventStatus {
 	work, silent := g.eventWork(ctx)
-	now := time.Now()
-	policy := g.policy()
-	out := []*operations.EventStatus{}
-	for name, e := range policy.Events {
-		out = append(out, eventStatus(now, name, e, work[name], silent))
-	}
-	sortEvents(out)
-	return out
+	return eventStatuses(time.Now(), g.policy().Events, work, silent)
 }
 
-// eventWork sums the work by event and lists the hosts that did not answer.
-func (g *Gate) eventWork(ctx context.Context) (map[string]batch.EventWork, []string) {
-	work := map[string]batch.EventWork{}
+// eventWork sums the work by start and lists the hosts that did not answer.
+func (g *Gate) eventWork(ctx context.Context) (map[batch.EventStart]batch.EventWork, []string) {
+	work := map[batch.EventStart]batch.EventWork{}
 	add := func(list []batch.EventWork) {
 		for _, w := range list {
-			work[w.Event] = work[w.Event].Add(w)
+			work[w.Start()] = work[w.Start()].Add(w)
 		}
 	}
 	own, _ := g.batch.EventWork(ctx)
@@ -55,43 +41,64 @@
 		}
 		add(list)
 	}
+	slices.Sort(silent)
 	return work, silent
 }
 
-// eventStatus judges one event at now.
-func eventStatus(now time.Time, name string, e settings.Event, w batch.EventWork, silent []string) *operations.EventStatus {
-	s := &operations.EventStatus{Name: name, Jobs: w.Jobs, Done: w.Done}
-	start, err := e.Next(now)
-	if err != nil {
-		s.Forecast, s.Reason = forecastAtRisk, err.Error()
-		return s
+// eventStatuses judges each start at now.
+func eventStatuses(now time.Time, events map[string]settings.Event, work map[batch.EventStart]batch.EventWork, silent []string) []*operations.EventStatus {
+	out := []*operations.EventStatus{}
+	for name, e := range events {
+		next, err := e.Next(now)
+		if err != nil {
+			out = append(out, &operations.EventStatus{Name: name, Forecast: string(forecast.AtRisk), Reason: err.Error()})
+			continue
+		}
+		start := batch.EventStart{Event: name, UnixMS: next.UnixMilli()}
+		if _, ok := work[start]; !ok {
+			out = append(out, eventStatus(now, start, batch.EventWork{}, silent))
+		}
+	}
+	for start, w := range work {
+		if _, ok := events[start.Event]; ok {
+			out = append(out, eventStatus(now, start, w, silent))
+		}
 	}
-	s.StartUnixMs = start.UnixMilli()
-	s.Forecast, s.Reason = judge(now, start, w)
+	slices.SortFunc(out, func(a, b *operations.EventStatus) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.StartUnixMs, b.StartUnixMs))
+	})
+	return out
+}
+
+// eventStatus judges one start at now.
+func eventStatus(now time.Time, start batch.EventStart, w batch.EventWork, silent []string) *operations.EventStatus {
+	s := &operations.EventStatus{Name: start.Event, StartUnixMs: start.UnixMS, Jobs: w.Jobs, Done: w.Done}
+	var verdict forecast.Verdict
+	verdict, s.Reason = judge(now, time.UnixMilli(start.UnixMS), w)
+	s.Forecast = string(verdict)
 	if len(silent) > 0 {
 		s.Reason += fmt.Sprintf("; not heard from %v", silent)
 	}
 	return s
 }
 
-// judge says whether the work will be done by the start, and why.
-func judge(now, start time.Time, w batch.EventWork) (forecast, reason string) {
-	left := w.Jobs - w.Done - w.Ended
-	need := time.Duration(w.LongestMS) * time.Millisecond
+// judge says whether the work will be, or was, done by the start, and why.
+func judge(now, start time.Time, w batch.EventWork) (forecast.Verdict, string) {
+	passed := now.After(start)
 	switch {
-	case left == 0 && w.Ended == 0 && w.LastDoneUnixMS <= start.UnixMilli():
-		return forecastMet, "all work is done"
-	case now.After(start):
-		return forecastMissed, fmt.Sprintf("%d of %d jobs were not done by the start", max(left+w.Ended, 1), w.Jobs)
-	case w.Ended > 0:
-		return forecastAtRisk, fmt.Sprintf("%d jobs were cancelled or parked", w.Ended)
-	case now.Add(need).After(start):
-		return forecastAtRisk, fmt.Sprintf("%d jobs have not started and the longest takes %s", w.Unstarted, need)
+	case w.Late > 0:
+		return forecast.Missed, fmt.Sprintf("%d of %d jobs were done after they were due", w.Late, w.Jobs)
+	case passed && w.Left()+w.Parked > 0:
+		return forecast.Missed, fmt.Sprintf("%d of %d jobs were not done by the start", w.Left()+w.Parked, w.Jobs)
+	case w.Parked > 0:
+		return forecast.AtRisk, fmt.Sprintf("%d of %d jobs are parked", w.Parked, w.Jobs)
+	case w.Jobs == w.Cancelled && !passed:
+		return forecast.WillMeet, "no work is due"
+	case w.Left() == 0:
+		return forecast.Met, "all work is done"
+	case w.Verdict == "":
+		return forecast.AtRisk, fmt.Sprintf("%d jobs left, and their shards foresee nothing yet", w.Left())
 	default:
-		return forecastWillMeet, fmt.Sprintf("%d jobs left, %s until the start", left, start.Sub(now).Round(time.Second))
+		return w.Verdict, w.Reason
 	}
 }
-
-func sortEvents(list []*operations.EventStatus) {
-	slices.SortFunc(list, func(a, b *operations.EventStatus) int { return strings.Compare(a.Name, b.Name) })
-}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/task"
@@ -44,6 +45,9 @@
 	TeamUsage(team string) (used, pending platform.Resources)
 	// Capacity is what all hosts hold together.
 	Capacity() platform.Resources
+	// Forecast foresees every event as far as this shard goes, by learned run
+	// times.
+	Forecast(now time.Time) []forecast.Report
 	// Why says why a job is pending or where it runs, for people.
 	Why(job string) string
 	// NeverFits reports whether no known host can ever hold the job, with
