placement: gather latency-critical work when batch waits for its sake

Cause, measured by switching moves off: with services on 8 of 12 hosts the batch that hurts them fits on 4 and the rest waits; with services everywhere nearly all of it waits. Margins, caps and the order of batch were ruled out, see docs/decisions/placement-gathering.md.

Change: latency-critical work is placed on, and one instance at a time moved to, hosts that have some, within bounds; margin 0.22 to 0.45.

--- a/interference/model.go
+++ b/interference/model.go
@@ -8,8 +8,8 @@
 	// maxServices bounds the latency-critical classes.
 	maxServices = 64
 	// DefaultMargin is by how much below its objective a class should stay,
-	// as a logarithm: harm is counted from 0.8 of the objective on.
-	DefaultMargin = 0.22
+	// as a logarithm: harm is counted from 0.64 of the objective on.
+	DefaultMargin = 0.45
 	// certain is the deviation of a weight below which a pair is learned.
 	certain = 0.35
 )
--- a/placement/colocation.go
+++ b/placement/colocation.go
@@ -118,9 +118,7 @@
 	n.watch = eviction.NewWatch(s.watchOptions())
 }
 
-func (n *node) hasCritical() bool {
-	return slices.ContainsFunc(n.runs, func(r *run) bool { return r.spec.QoS == task.LatencyCritical })
-}
+func (n *node) hasCritical() bool { return n.criticals > 0 }
 
 // suspects are the batch runs of a node with what they are estimated to add
 // to the worst class's latency.
--- a/placement/fake_test.go
+++ b/placement/fake_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -17,7 +18,6 @@
 	fakeCores   = 64
 	fakeClasses = 5
 	fakeServing = 8
-	fakeSeparat = 4
 	fakeSave    = 60
 )
 
@@ -30,10 +30,17 @@
 	lag int
 	// seconds is how long it takes.
 	seconds int
+	// serving is on how many hosts the services run; 0 for fakeServing.
+	serving int
 	// declared is what is declared of the true sizes, as a factor.
 	declared float64
 }
 
+func (sc scenario) hostsServing() int { return cmp.Or(sc.serving, fakeServing) }
+
+// separated is on how many hosts separation has the services.
+func (sc scenario) separated() int { return sc.hostsServing() / 2 }
+
 // fakeTask is a batch job in the fake, with its true size.
 type fakeTask struct {
 	spec    task.Spec
@@ -51,12 +58,23 @@
 
 // fakeHost holds the tasks of a host and how its services fared.
 type fakeHost struct {
-	tasks    []*fakeTask
-	services int
+	tasks []*fakeTask
+	// instances counts the instances of each service.
+	instances [2]int
 	// past holds the reports that are still under way.
 	past []Usage
 }
 
+// total counts the instances on a host.
+func (h *fakeHost) total() int64 { return int64(h.instances[0] + h.instances[1]) }
+
+// fakeMove is an instance of a service that moves.
+type fakeMove struct {
+	service int
+	host    int
+	until   int
+}
+
 // score is what came out of a trial.
 type score struct {
 	tails     []float64
@@ -64,6 +82,7 @@
 	lost      float64
 	evictions int
 	kills     int
+	moved     int
 }
 
 // fake is a handful of hosts with a hidden table of slowdowns.
@@ -76,6 +95,10 @@
 	tasks   map[string]*fakeTask
 	score   score
 	next    int
+	// moves are under way; away counts them by service.
+	moves []fakeMove
+	away  [2]int
+	moved int
 }
 
 func newFake(sc scenario, separate bool) *fake {
@@ -88,10 +111,10 @@
 	}
 	for i := range f.hosts {
 		switch {
-		case separate && i < fakeSeparat:
-			f.hosts[i].services = fakeServing / fakeSeparat
-		case !separate && i < fakeServing:
-			f.hosts[i].services = 1
+		case separate && i < sc.separated():
+			f.hosts[i].instances = [2]int{2, 2}
+		case !separate && i < sc.hostsServing():
+			f.hosts[i].instances = [2]int{1, 1}
 		}
 	}
 	return f
@@ -100,8 +123,8 @@
 // free is what is left of a host by declared sizes.
 func (f *fake) free(host int) platform.Resources {
 	left := platform.Resources{MilliCPU: fakeCores * 1000, MemoryMB: 250_000}
-	left.MilliCPU -= int64(f.hosts[host].services) * 16_000
-	left.MemoryMB -= int64(f.hosts[host].services) * 32_000
+	left.MilliCPU -= f.hosts[host].total() * 8000
+	left.MemoryMB -= f.hosts[host].total() * 16_000
 	for _, t := range f.hosts[host].tasks {
 		left = left.Sub(t.spec.Resources)
 	}
@@ -162,8 +185,8 @@
 // those that the guard killed for memory.
 func (f *fake) second(host, second int) (ended, killed []*fakeTask) {
 	h := &f.hosts[host]
-	used := 16 * float64(h.services) * 0.7
-	memory := 32_000 * float64(h.services)
+	used := 8 * float64(h.total()) * 0.7
+	memory := 16_000 * float64(h.total())
 	for _, t := range h.tasks {
 		used += t.cores * t.percent
 		memory += t.memory
@@ -192,12 +215,14 @@
 
 // latencies draws the latencies of a host's services.
 func (f *fake) latencies(h *fakeHost, second int, overload float64) map[string]float64 {
-	if h.services == 0 {
-		return nil
-	}
 	latency := map[string]float64{}
 	for service, hurts := range f.hurts {
+		if h.instances[service] == 0 {
+			continue
+		}
 		load := 0.7 + 0.3*math.Sin(float64(second)/900+float64(service))
+		// While an instance moves the others carry its load.
+		load *= float64(f.hostsServing()) / float64(f.hostsServing()-f.away[service])
 		log := -0.8 + 0.3*load + 2*overload + 0.08*f.rng.NormFloat64()
 		for _, t := range h.tasks {
 			log += hurts[t.class] * t.cores * t.percent / fakeCores
--- a/placement/node.go
+++ b/placement/node.go
@@ -4,6 +4,7 @@
 	"github.com/fireflygate/fireflygate/eviction"
 	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/task"
 )
 
 // node is a host with what is reserved on it.
@@ -11,6 +12,10 @@
 	host Host
 	// reserved is the sum over runs.
 	reserved platform.Resources
+	// criticals counts the latency-critical runs, which reserve critical of
+	// the processors.
+	criticals int
+	critical  int64
 	// held is kept for urgent jobs that wait for their victims' release.
 	held platform.Resources
 	runs []*run
@@ -50,6 +55,15 @@
 	r.node = n
 	n.runs = append(n.runs, r)
 	n.reserved = n.reserved.Add(r.size)
+	n.countCritical(r, 1)
+}
+
+// countCritical counts a run if it is latency-critical.
+func (n *node) countCritical(r *run, by int) {
+	if r.spec.QoS == task.LatencyCritical {
+		n.criticals += by
+		n.critical += int64(by) * r.size.MilliCPU
+	}
 }
 
 // remove forgets a run.
@@ -63,6 +77,7 @@
 		n.runs[last] = nil
 		n.runs = n.runs[:last]
 		n.reserved = n.reserved.Sub(r.size)
+		n.countCritical(r, -1)
 		return
 	}
 	panic("placement: run not on its host: " + r.spec.ID)
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -17,6 +17,7 @@
 	s.relieve(p)
 	s.drain(p)
 	s.placePending(p)
+	s.gather(p)
 	return p.actions
 }
 
@@ -103,6 +104,8 @@
 		due:       j.pressed(now),
 		nominated: j.nominated,
 		own:       j.held,
+
+		mostGathered: s.mostGathered(j.spec),
 	}
 }
 
--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -40,7 +40,7 @@
 	chosen, least := -1, int64(0)
 	for host := range f.hosts {
 		free := f.free(host)
-		if p.separate && host < fakeSeparat || !t.spec.Resources.Fits(free) {
+		if p.separate && host < f.separated() || !t.spec.Resources.Fits(free) {
 			continue
 		}
 		if !p.best {
@@ -59,13 +59,13 @@
 	t testing.TB
 }
 
-func newSchedulerPolicy(t testing.TB) schedulerPolicy {
+func newSchedulerPolicy(t testing.TB, sc scenario) schedulerPolicy {
 	p := schedulerPolicy{s: New(fakeOptions()), t: t}
 	for host := range fakeHosts {
 		h := testHost(host)
 		p.s.SetHost(h)
 		for service := range 2 {
-			if host >= fakeServing {
+			if host >= sc.hostsServing() {
 				break
 			}
 			p.s.Adopt(task.Spec{
@@ -101,8 +101,50 @@
 	}
 }
 
+// fakeRestart is how many seconds an instance of a service that moves is away.
+const fakeRestart = 10
+
+// move takes an instance of a service from its host, or has it begin to start
+// on one.
+func (p schedulerPolicy) move(f *fake, now time.Time, a Action) {
+	var service int
+	if _, err := fmt.Sscanf(a.Job, "service-%d-", &service); err != nil {
+		p.t.Fatalf("%s: %v", a.Job, err)
+	}
+	host := p.s.nodes[a.Host].position
+	second := int(now.Sub(epoch) / time.Second)
+	if a.Kind == Start {
+		f.moves = append(f.moves, fakeMove{service: service, host: host, until: second + fakeRestart})
+		return
+	}
+	f.hosts[host].instances[service]--
+	if f.away[service]++; f.away[service] > 1 {
+		p.t.Fatalf("two instances of %s on the move", fakeService(service))
+	}
+	f.moved++
+	spec := p.s.runs[a.Job].spec
+	p.s.Release(now, a.Job, false)
+	p.s.Enqueue(now, spec)
+}
+
+// started puts the instances that started in their places.
+func (f *fake) started(second int) {
+	f.moves = slices.DeleteFunc(f.moves, func(m fakeMove) bool {
+		if second < m.until {
+			return false
+		}
+		f.hosts[m.host].instances[m.service]++
+		f.away[m.service]--
+		return true
+	})
+}
+
 func (p schedulerPolicy) act(f *fake, now time.Time, a Action) {
 	t := f.tasks[a.Job]
+	if t == nil {
+		p.move(f, now, a)
+		return
+	}
 	switch a.Kind {
 	case Start:
 		if t.host >= 0 {
@@ -123,6 +165,7 @@
 func (f *fake) run(p policy, check func()) score {
 	for second := range f.seconds {
 		now := epoch.Add(time.Duration(second) * time.Second)
+		f.started(second)
 		var ended, killed []*fakeTask
 		for host := range f.hosts {
 			e, k := f.second(host, second)
@@ -144,6 +187,7 @@
 	for _, t := range f.tasks {
 		f.score.work += t.saved * t.cores
 	}
+	f.score.moved = f.moved
 	slices.Sort(f.score.tails)
 	return f.score
 }
@@ -169,7 +213,7 @@
 	case "separation":
 		return f.run(fitPolicy{best: true, separate: true}, func() {})
 	}
-	p := newSchedulerPolicy(t)
+	p := newSchedulerPolicy(t, sc)
 	return f.run(p, func() { requireWithinCapacity(t, p.s) })
 }
 
@@ -194,6 +238,7 @@
 func BenchmarkColocation(b *testing.B) {
 	scenarios := []scenario{
 		{name: "as declared", lag: 5, declared: 1},
+		{name: "12 of 12 serving", lag: 5, declared: 1, serving: fakeHosts},
 		{name: "lag doubled", lag: 10, declared: 1},
 		{name: "declared x4", lag: 5, declared: 4},
 		{name: "declared /4", lag: 5, declared: 0.25},
@@ -213,6 +258,7 @@
 					b.ReportMetric(float64(got.evictions), "evictions")
 					b.ReportMetric(got.lost/3600, "lost-core-hours")
 					b.ReportMetric(float64(got.kills), "kills")
+					b.ReportMetric(float64(got.moved), "moved")
 				})
 			}
 		}
--- a/placement/request.go
+++ b/placement/request.go
@@ -19,6 +19,8 @@
 	// own is what the node nominated holds for this job.
 	nominated *node
 	own       platform.Resources
+	// mostGathered is how many of its class may be gathered on one host.
+	mostGathered int
 }
 
 // filter asks the filters in their order.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -47,6 +47,8 @@
 	loads []interference.Share
 	// drainAt is where the search for hosts to drain goes on.
 	drainAt int
+	// nextGather is when latency-critical work may next be moved.
+	nextGather time.Time
 	// candidates is reused from decision to decision.
 	candidates []*node
 	// victimsOf is reused from host to host.
--- a/placement/score.go
+++ b/placement/score.go
@@ -12,6 +12,7 @@
 	weightSpread  = 1.0
 	weightPacking = 1.0
 	weightQuiet   = 0.5
+	weightGather  = 2.0
 )
 
 // best returns the candidate with the highest score, the first by name among
@@ -31,7 +32,11 @@
 // score weighs all but harm; each part lies between about -1 and 1.
 func (s *Scheduler) score(q *request, n *node) float64 {
 	if q.spec.QoS == task.LatencyCritical {
-		return weightSpread * s.spread.score(q, n)
+		score := weightSpread * s.spread.score(q, n)
+		if q.gathers(n) {
+			score += weightGather * q.gathered(n)
+		}
+		return score
 	}
 	return weightPacking*packing(q, n) - weightQuiet*s.quiet(q, n)
 }
