batch: a rescan finds jobs that were handed over unheard

Cause: when the word on a hand-over was lost and the new owner's wait for it was over, the job waited for the next change of owner.

Test: TestRescanFindsWhatNobodyToldOf; fails without the rescan.

--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -49,6 +49,7 @@
 		if o.live(now) {
 			o.tick(now)
 			m.move(now, o)
+			m.rescan(now, o)
 		}
 	}
 	m.askForMore(now)
--- a/batch/move_test.go
+++ b/batch/move_test.go
@@ -120,3 +120,27 @@
 		})
 	}
 }
+
+// TestRescanFindsWhatNobodyToldOf has a job handed over with the word on it
+// lost for good, and the owner's own wait for it over.
+func TestRescanFindsWhatNobodyToldOf(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.started(2 * time.Minute)
+		lost := task.New(spec("lost", time.Second))
+		r.table.Put(jobKey(shard, "lost"), encode(lost))
+		r.table.Put(refKey("lost"), []byte(shard))
+		for range 20 {
+			r.settle(3 * time.Second)
+			id := fmt.Sprint("k", time.Now().UnixMilli())
+			r.submit(n, spec(id, time.Second))
+		}
+		r.settle(time.Minute)
+		r.state(n, "lost", task.Done)
+		if runs := r.workers.runsOf("lost"); len(runs) != 1 {
+			t.Errorf("%d runs, want 1", len(runs))
+		}
+		if c := n.Counts(); c.Pending != 0 {
+			t.Errorf("%+v: something is counted twice", c)
+		}
+	})
+}
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -65,6 +65,10 @@
 	expected            map[string]time.Time
 	nextMove, nextCheck time.Time
 	nextWant            time.Time
+	// unknown are rows that the last rescan found of jobs not known here.
+	unknown    map[string]uint64
+	nextRescan time.Time
+	rescanning bool
 
 	// changes is the outbox of commits.
 	changes []change
--- a/batch/shard_move.go
+++ b/batch/shard_move.go
@@ -117,7 +117,7 @@
 
 // overdue returns the jobs that were accepted and not heard of, and gives up
 // those that were expected for long. A job whose hand-over took effect after
-// that is found by the next replay.
+// that is found by a rescan.
 func (s *Shard) overdue(now time.Time) []string {
 	var out []string
 	for id, since := range s.expected {
