integration: harness with real processes behind fault proxies

A Site runs the stand-ins and entry hosts as processes, each entry host behind proxies of its own, with callers in the test process, and checks the merged history.

--- /dev/null
+++ b/integration/history.go
@@ -0,0 +1,62 @@
+package integration
+
+import (
+	"os"
+
+	"github.com/fireflygate/fireflygate/check"
+)
+
+// shownBreaches is how many breaches a failing test prints.
+const shownBreaches = 10
+
+// History returns all records so far, of the stand-ins and of the test
+// process. It is whole once the traffic has ended and the endpoints are idle.
+func (s *Site) History() []check.Record {
+	s.t.Helper()
+	file, err := os.Open(s.recordsFile())
+	s.must(err)
+	defer file.Close()
+	records, err := check.Read(file)
+	s.must(err)
+	return append(records, s.Recorder.Records()...)
+}
+
+// Check checks the history against every promise, and fails the test for
+// breaches.
+func (s *Site) Check() {
+	s.t.Helper()
+	s.CheckLimits(check.DefaultLimits())
+}
+
+// CheckLimits is Check with other limits.
+func (s *Site) CheckLimits(limits check.Limits) {
+	s.t.Helper()
+	report := check.RunLimits(s.settled(), limits)
+	for i, v := range report.Violations {
+		if i == shownBreaches {
+			s.t.Errorf("and %d more", len(report.Violations)-i)
+			break
+		}
+		s.t.Errorf("breach: %s: %s", v.Promise, v.Detail)
+	}
+}
+
+// settled waits until the endpoints are idle and returns the history.
+func (s *Site) settled() []check.Record {
+	s.t.Helper()
+	var records []check.Record
+	s.Until("the endpoints are idle", func() bool {
+		records = s.History()
+		busy := 0
+		for _, r := range records {
+			switch {
+			case r.RequestBegan != nil:
+				busy++
+			case r.RequestEnded != nil:
+				busy--
+			}
+		}
+		return busy == 0
+	})
+	return records
+}
--- /dev/null
+++ b/integration/traffic.go
@@ -0,0 +1,168 @@
+package integration
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fireflygate/fireflygate/check"
+	"github.com/fireflygate/fireflygate/load"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+// TrafficOptions is what callers send.
+type TrafficOptions struct {
+	// Rate is requests a second; 200 if 0.
+	Rate float64
+	// Bookings is the share with an idempotency key, Repeat the share of
+	// those that are sent again, to any host.
+	Bookings, Repeat float64
+	// Timeout is the deadline of a request; 1 s if 0.
+	Timeout time.Duration
+	// AllHosts sends to every host, ready or not; otherwise to those that
+	// the balancer found ready.
+	AllHosts bool
+}
+
+// Traffic is callers that send until Stop.
+type Traffic struct {
+	site    *Site
+	cancel  context.CancelFunc
+	stop    chan struct{}
+	ended   chan struct{}
+	summary load.Summary
+	running sync.WaitGroup
+
+	mu        sync.Mutex
+	exchanges []load.Exchange
+}
+
+// Callers starts callers. The test must Stop them.
+func (s *Site) Callers(o TrafficOptions) *Traffic {
+	s.callers++
+	ctx, cancel := context.WithCancel(context.Background())
+	tr := &Traffic{site: s, cancel: cancel, stop: make(chan struct{}), ended: make(chan struct{})}
+	s.t.Cleanup(func() { tr.Stop() })
+	config := tr.config(o, uint64(s.callers))
+	b := newBalancer(s.Hosts)
+	config.Targets = b.targets
+	if !o.AllHosts {
+		tr.running.Go(func() { b.run(s.Hosts, tr.stop) })
+	}
+	go func() {
+		defer close(tr.ended)
+		tr.summary = load.Run(ctx, config)
+	}()
+	return tr
+}
+
+// config returns the traffic for package load.
+func (tr *Traffic) config(o TrafficOptions, seed uint64) load.Config {
+	const (
+		usualRate    = 200
+		usualTimeout = time.Second
+		inFlight     = 2048
+	)
+	if o.Rate == 0 {
+		o.Rate = usualRate
+	}
+	if o.Timeout == 0 {
+		o.Timeout = usualTimeout
+	}
+	names := map[string]string{}
+	for _, h := range tr.site.Hosts {
+		names[h.Callers] = h.Name
+	}
+	return load.Config{
+		Service: Service, Path: "/plan", Seed: seed,
+		Rate:     func(time.Duration) float64 { return o.Rate },
+		Duration: time.Hour,
+		Bookings: o.Bookings, Repeat: o.Repeat, Timeout: o.Timeout, MaxInFlight: inFlight,
+		Prepare: func(r *http.Request, x load.Exchange) {
+			r.Header.Set(standin.CallHeader, x.ID)
+			tr.site.Recorder.Add(check.Record{Sent: &check.Sent{
+				Call: x.ID, Host: names[x.Target], Digest: check.Digest(x.Body), BookingKey: x.Key,
+			}})
+		},
+		Observe: tr.observe,
+	}
+}
+
+func (tr *Traffic) observe(x load.Exchange) {
+	tr.site.Recorder.Add(check.Record{Answered: answered(x)})
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.exchanges = append(tr.exchanges, x)
+}
+
+// Stop ends the traffic and waits for all answers.
+func (tr *Traffic) Stop() load.Summary {
+	tr.cancel()
+	<-tr.ended
+	select {
+	case <-tr.stop:
+	default:
+		close(tr.stop)
+	}
+	tr.running.Wait()
+	return tr.summary
+}
+
+// Ended returns the exchanges that have ended so far.
+func (tr *Traffic) Ended() []load.Exchange {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return tr.exchanges[:len(tr.exchanges):len(tr.exchanges)]
+}
+
+// Await waits until n more requests than now have ended that match.
+func (tr *Traffic) Await(what string, n int, match func(load.Exchange) bool) {
+	tr.site.t.Helper()
+	seen := len(tr.Ended())
+	tr.site.Until(what, func() bool { return Count(tr.Ended()[seen:], match) >= n })
+}
+
+// Count returns how many exchanges match.
+func Count(exchanges []load.Exchange, match func(load.Exchange) bool) int {
+	n := 0
+	for _, x := range exchanges {
+		if match(x) {
+			n++
+		}
+	}
+	return n
+}
+
+// Any matches all, Booking those with an idempotency key, Call the others,
+// Answered those that were answered.
+func Any(load.Exchange) bool { return true }
+
+// Booking matches requests with an idempotency key.
+func Booking(x load.Exchange) bool { return x.Key != "" }
+
+// Call matches requests without one.
+func Call(x load.Exchange) bool { return x.Key == "" }
+
+// Answered matches requests that were answered.
+func Answered(x load.Exchange) bool { return x.Outcome == outcome.Answered }
+
+// answered returns what a caller saw of its request's end.
+func answered(x load.Exchange) *check.Answered {
+	a := &check.Answered{Call: x.ID, Outcome: x.Outcome.String()}
+	if x.Outcome != outcome.Answered {
+		return a
+	}
+	a.Echo = x.Header.Get(standin.EchoHeader)
+	a.EchoCall = x.Header.Get(standin.CallHeader)
+	a.Length = int64(len(x.Answer))
+	a.BodyDigest = check.Digest(x.Answer)
+	a.WantDigest = x.Header.Get(standin.AnswerDigestHeader)
+	a.Want = a.Length
+	if n, err := strconv.ParseInt(x.Header.Get("Content-Length"), 10, 64); err == nil {
+		a.Want = n
+	}
+	return a
+}
