--- a/integration/control.go
+++ b/integration/control.go
@@ -152,9 +152,9 @@
 	return readMembers(req, s.at.Members, s.client)
 }
 
-// countShards returns how many shards a list gives.
-func countShards(lease settings.Lease, list platform.MemberList) int {
-	return len(roster.Build(roster.Roster{}, list, lease).Shards())
+// shardsOf returns the shards that a list gives.
+func shardsOf(lease settings.Lease, list platform.MemberList) []string {
+	return roster.Build(roster.Roster{}, list, lease).Shards()
 }
 
 // post sends a value as JSON to a stand-in.
--- /dev/null
+++ b/integration/partition_test.go
@@ -0,0 +1,89 @@
+package integration
+
+import (
+	"testing"
+
+	"github.com/fireflygate/fireflygate/load"
+)
+
+// TestCutOffFromStore parts an entry host from the store alone. It keeps its
+// shards in full while its successors promise not to take over.
+func TestCutOffFromStore(t *testing.T) {
+	t.Parallel()
+	s := New(t, Options{})
+	tr := s.Callers(TrafficOptions{Bookings: 0.2, Repeat: 0.3})
+	tr.Await("requests before", 300, Any)
+	h := s.Hosts[0]
+	held := s.HeldBy(h, "ep/")
+	s.Cut(h.Name, Table, Objects)
+	s.Until("the host knows that the store is gone", func() bool {
+		status, err := h.Status()
+		return err == nil && !status.StoreOK
+	})
+	from := len(tr.Ended())
+	// Far more than a session's worth of requests.
+	tr.Await("requests meanwhile", 1000, Any)
+	meanwhile := tr.Ended()[from:]
+	if now := s.HeldBy(h, "ep/"); now != held {
+		t.Errorf("holds %d shards in full, %d before", now, held)
+	}
+	calls := TallyOf(meanwhile, Call)
+	t.Log("calls meanwhile:", calls)
+	if calls.Answered == 0 || calls.NotRun+calls.Unknown > 0 {
+		t.Errorf("calls: %s", calls)
+	}
+	if elsewhere := TallyOf(meanwhile, both(Booking, not(at(h)))); elsewhere.NotRun+elsewhere.Unknown > 0 {
+		t.Errorf("bookings at other hosts: %s", elsewhere)
+	}
+	t.Log("bookings there:", TallyOf(meanwhile, both(Booking, at(h))))
+	s.Join(h.Name, Table, Objects)
+	tr.Await("bookings there again", 20, both(both(Booking, at(h)), Answered))
+	tr.Stop()
+	s.WaitHeld()
+	s.Check()
+}
+
+// TestCutOffFromPeers parts an entry host from its peers alone, under
+// saturating traffic.
+func TestCutOffFromPeers(t *testing.T) {
+	t.Parallel()
+	s := New(t, Options{StandIns: saturated})
+	tr := s.Callers(saturating)
+	tr.Await("requests before", 300, Answered)
+	h := s.Hosts[0]
+	s.CutPeers(h.Name)
+	tr.Await("requests meanwhile", 1500, Any)
+	s.JoinPeers(h.Name)
+	finishPartition(t, s, tr)
+}
+
+// TestCutOffFromBoth parts an entry host from the store and its peers, so
+// that others take over while it still reaches the endpoints.
+func TestCutOffFromBoth(t *testing.T) {
+	t.Parallel()
+	s := New(t, Options{StandIns: saturated})
+	tr := s.Callers(saturating)
+	tr.Await("requests before", 300, Answered)
+	h := s.Hosts[2]
+	s.CutPeers(h.Name)
+	s.Cut(h.Name, Table, Objects, Members)
+	s.Until("others own all endpoints", s.ownedWithout(h))
+	tr.Await("requests meanwhile", 800, Any)
+	s.JoinPeers(h.Name)
+	s.Join(h.Name, Table, Objects, Members)
+	finishPartition(t, s, tr)
+}
+
+func finishPartition(t *testing.T, s *Site, tr *Traffic) {
+	t.Helper()
+	s.WaitHeld()
+	tr.Await("requests after", 300, Answered)
+	tr.Stop()
+	t.Log(TallyOf(tr.Ended(), Any))
+	s.Check()
+}
+
+// not matches what a condition does not.
+func not(a func(load.Exchange) bool) func(load.Exchange) bool {
+	return func(x load.Exchange) bool { return !a(x) }
+}
--- /dev/null
+++ b/integration/tally.go
@@ -0,0 +1,46 @@
+package integration
+
+import (
+	"fmt"
+
+	"github.com/fireflygate/fireflygate/load"
+	"github.com/fireflygate/fireflygate/outcome"
+)
+
+// Tally counts exchanges by outcome.
+type Tally struct {
+	Answered, NotRun, Unknown int
+	// Reasons counts those without an answer by what was said of them.
+	Reasons map[string]int
+}
+
+// TallyOf counts the exchanges that match.
+func TallyOf(exchanges []load.Exchange, match func(load.Exchange) bool) Tally {
+	t := Tally{Reasons: map[string]int{}}
+	for _, x := range exchanges {
+		if !match(x) {
+			continue
+		}
+		switch x.Outcome {
+		case outcome.Answered:
+			t.Answered++
+			continue
+		case outcome.NotRun:
+			t.NotRun++
+		default:
+			t.Unknown++
+		}
+		t.Reasons[x.Outcome.String()+": "+x.Reason]++
+	}
+	return t
+}
+
+// Share returns the share that was answered, 0 of none.
+func (t Tally) Share() float64 {
+	return float64(t.Answered) / float64(max(1, t.Answered+t.NotRun+t.Unknown))
+}
+
+// String is for a test's log.
+func (t Tally) String() string {
+	return fmt.Sprintf("answered %d, not run %d, unknown %d, share %.4f, %v", t.Answered, t.NotRun, t.Unknown, t.Share(), t.Reasons)
+}
--- a/integration/traffic.go
+++ b/integration/traffic.go
@@ -30,6 +30,7 @@
 // Traffic is callers that send until Stop.
 type Traffic struct {
 	site    *Site
+	options TrafficOptions
 	cancel  context.CancelFunc
 	stop    chan struct{}
 	ended   chan struct{}
@@ -44,9 +45,10 @@
 func (s *Site) Callers(o TrafficOptions) *Traffic {
 	s.callers++
 	ctx, cancel := context.WithCancel(context.Background())
-	tr := &Traffic{site: s, cancel: cancel, stop: make(chan struct{}), ended: make(chan struct{})}
+	tr := &Traffic{site: s, options: o, cancel: cancel, stop: make(chan struct{}), ended: make(chan struct{})}
 	s.t.Cleanup(func() { tr.Stop() })
-	config := tr.config(o, uint64(s.callers))
+	config := s.traffic(o)
+	config.Seed, config.Observe = uint64(s.callers), tr.observe
 	b := newBalancer(s.Hosts)
 	config.Targets = b.targets
 	if !o.AllHosts {
@@ -59,8 +61,8 @@
 	return tr
 }
 
-// config returns the traffic for package load.
-func (tr *Traffic) config(o TrafficOptions, seed uint64) load.Config {
+// traffic returns what package load is to send.
+func (s *Site) traffic(o TrafficOptions) load.Config {
 	const (
 		usualRate    = 200
 		usualTimeout = time.Second
@@ -73,21 +75,20 @@
 		o.Timeout = usualTimeout
 	}
 	names := map[string]string{}
-	for _, h := range tr.site.Hosts {
+	for _, h := range s.Hosts {
 		names[h.Callers] = h.Name
 	}
 	return load.Config{
-		Service: Service, Path: "/plan", Seed: seed,
+		Service: Service, Path: "/plan",
 		Rate:     func(time.Duration) float64 { return o.Rate },
 		Duration: time.Hour,
 		Bookings: o.Bookings, Repeat: o.Repeat, Timeout: o.Timeout, MaxInFlight: inFlight,
 		Prepare: func(r *http.Request, x load.Exchange) {
 			r.Header.Set(standin.CallHeader, x.ID)
-			tr.site.Recorder.Add(check.Record{Sent: &check.Sent{
+			s.Recorder.Add(check.Record{Sent: &check.Sent{
 				Call: x.ID, Host: names[x.Target], Digest: check.Digest(x.Body), BookingKey: x.Key,
 			}})
 		},
-		Observe: tr.observe,
 	}
 }
 
--- a/integration/wait.go
+++ b/integration/wait.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return 0
 	}
-	return countShards(s.Hosts[0].settings.Lease, list)
+	return len(shardsOf(s.Hosts[0].settings.Lease, list))
 }
 
 func (s *Site) allReady() bool {
--- a/load/run.go
+++ b/load/run.go
@@ -1,19 +1,12 @@
 package load
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/fireflygate/fireflygate/outcome"
 )
 
 // runner sends one Config's traffic.
@@ -132,52 +125,5 @@
 
 // do sends one request and reads its whole answer.
 func (r *runner) do(ctx context.Context, x Exchange, target string) Exchange {
-	url := strings.TrimSuffix(target, "/") + "/call/" + r.config.Service + "/" + strings.TrimPrefix(r.config.Path, "/")
-	// The traffic's end does not cut off what was sent.
-	ctx = context.WithoutCancel(ctx)
-	method := http.MethodGet
-	if x.Key != "" {
-		method = http.MethodPost
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(x.Body))
-	if err != nil {
-		panic("load: bad target: " + err.Error())
-	}
-	// Without it the client can't send the request a second time by itself.
-	req.GetBody = nil
-	req.Header.Set("Fireflygate-Timeout-Ms", strconv.FormatInt(r.config.Timeout.Milliseconds(), 10))
-	if x.Key != "" {
-		req.Header.Set("Idempotency-Key", x.Key)
-	}
-	x.Sent, x.Target = time.Now(), target
-	if r.config.Prepare != nil {
-		r.config.Prepare(req, x)
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		x.Done, x.Outcome, x.Reason = time.Now(), outcome.Unknown, err.Error()
-		return x
-	}
-	defer func() { _ = resp.Body.Close() }()
-	x.Answer, err = io.ReadAll(resp.Body)
-	x.Done, x.Status, x.Header = time.Now(), resp.StatusCode, resp.Header
-	x.Outcome = outcome.Parse(resp.Header.Get(outcome.Header))
-	switch {
-	case err != nil:
-		x.Outcome, x.Reason = outcome.Unknown, err.Error()
-	case x.Outcome != outcome.Answered:
-		x.Reason = reasonOf(x.Answer)
-	}
-	return x
-}
-
-// reasonOf returns the title of a problem body.
-func reasonOf(body []byte) string {
-	var p struct {
-		Title string `json:"title"`
-	}
-	if err := json.Unmarshal(body, &p); err != nil {
-		return "no problem body"
-	}
-	return p.Title
+	return Send(ctx, r.client, r.config, x, target)
 }
