gateway: a request whose first try may have run is never told not run

Cause: an idempotent request whose first try ended unknown (a peer's answer lost) was tried again, and when that try was refused as overloaded its caller was told of the last try alone: not run, though the first had run. Ruled out: the peer protocol's withdrawal of queued frames and the write permit, by a unit test with one endpoint and no peer that fails the same way (not_run after 2 sendings). Now the outcome is of all tries; whether to try again is still decided on the last one, so that a request that was given up is answered at once.

--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -242,3 +242,20 @@
 		t.Errorf("request in flight: %+v", r)
 	}
 }
+
+// TestUnknownStaysUnknown lets a first try run without an answer and refuses
+// all later ones: the request ran, so its caller is not told otherwise.
+func TestUnknownStaysUnknown(t *testing.T) {
+	var hits atomic.Int64
+	h := single(t, 4, func(w http.ResponseWriter, _ *http.Request) {
+		if hits.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(unprocessedHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}, func(o *Options) { o.Calls.RetryBudget = 1 })
+	_, r := h.Call(t.Context(), get("/"))
+	if r.Kind != outcome.Unknown || hits.Load() < 2 {
+		t.Errorf("%+v after %d sendings", r, hits.Load())
+	}
+}
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -18,18 +18,32 @@
 
 // try runs the request, again where that is safe and within the budget.
 func (g *Gateway) try(ctx context.Context, req Request) (*Response, outcome.Refusal) {
+	ran := ""
 	for n := 1; ; n++ {
 		resp, refusal := g.once(ctx, req)
 		if refusal.Kind == outcome.Answered || n == maxTries || !g.mayRetry(ctx, req, refusal) {
-			return resp, refusal
+			return resp, ofAllTries(refusal, ran)
+		}
+		if refusal.Kind == outcome.Unknown {
+			ran = refusal.Reason
 		}
 		if !g.pause(ctx, req.Deadline) {
-			return resp, refusal
+			return resp, ofAllTries(refusal, ran)
 		}
 		g.metrics.retries.Inc()
 	}
 }
 
+// ofAllTries returns the refusal of a request's last try as its caller may be
+// told it: once an earlier try may have run, for the reason ran, a last one
+// that did not run says nothing of the request.
+func ofAllTries(r outcome.Refusal, ran string) outcome.Refusal {
+	if r.Kind == outcome.NotRun && ran != "" {
+		r.Kind, r.Reason = outcome.Unknown, ran
+	}
+	return r
+}
+
 // mayRetry reports whether another try is safe and useful, and spends the
 // budget for it.
 func (g *Gateway) mayRetry(ctx context.Context, req Request, r outcome.Refusal) bool {
