--- /dev/null
+++ b/integration/endpoint_test.go
@@ -0,0 +1,102 @@
+package integration
+
+import (
+	"testing"
+
+	"github.com/fireflygate/fireflygate/load"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+// endpointFault is something that goes wrong at an endpoint and is put right.
+type endpointFault struct {
+	name  string
+	begin func(s *Site, endpoint string)
+	end   func(s *Site, endpoint string)
+	// least is the share of calls that must be answered meanwhile, once the
+	// first ones have met the fault.
+	least float64
+}
+
+// faultOf is a fault that the endpoint itself shows.
+func faultOf(name string, f standin.EndpointFaults, least float64) endpointFault {
+	return endpointFault{
+		name:  name,
+		begin: func(s *Site, e string) { s.EndpointFaults(e, f) },
+		end:   func(s *Site, e string) { s.EndpointFaults(e, standin.EndpointFaults{}) },
+		least: least,
+	}
+}
+
+func endpointFaults() []endpointFault {
+	return []endpointFault{
+		{
+			"Leaving",
+			func(s *Site, e string) { s.Control("leave", standin.Target{Name: e}) },
+			func(s *Site, e string) { s.Control("return", standin.Target{Name: e}) },
+			1,
+		},
+		{
+			"CutOff",
+			func(s *Site, e string) {
+				for _, h := range s.Hosts {
+					s.Drop(h.Name, e)
+				}
+			},
+			func(s *Site, e string) {
+				for _, h := range s.Hosts {
+					s.Join(h.Name, e)
+				}
+			},
+			0.9,
+		},
+		faultOf("Hangs", standin.EndpointFaults{Hang: true, RefuseOverrun: true}, 0.9),
+		faultOf("CutsAnswers", standin.EndpointFaults{CutNext: 1000}, 0.9),
+		faultOf("Slow", standin.EndpointFaults{SlowFactor: 10}, 0.99),
+		faultOf("FailsAll", standin.EndpointFaults{FailAll: true}, 0.9),
+	}
+}
+
+// TestEndpointFaults lets one endpoint of six go wrong in each way under load.
+// The others answer, and no answer is passed on by halves.
+func TestEndpointFaults(t *testing.T) {
+	for _, f := range endpointFaults() {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			s := New(t, Options{StandIns: func(c *standin.Config) { c.Services[0].Work.Sigma = 0.2 }})
+			tr := s.Callers(TrafficOptions{Bookings: 0.2, Repeat: 0.3})
+			tr.Await("requests before", 300, Any)
+			const victim = "dispatch-2"
+			f.begin(s, victim)
+			tr.Await("requests that meet the fault", 300, Any)
+			from := len(tr.Ended())
+			tr.Await("requests meanwhile", 800, Any)
+			good := TallyOf(tr.Ended()[from:], wellAnswered)
+			meanwhile := TallyOf(tr.Ended()[from:], Any)
+			t.Logf("meanwhile: %s, well answered %d", meanwhile, good.Answered)
+			if share := float64(good.Answered) / float64(len(tr.Ended()[from:])); share < f.least {
+				t.Errorf("share answered %.4f", share)
+			}
+			f.end(s, victim)
+			had := s.began(victim)
+			s.Until("the endpoint gets requests again", func() bool { return s.began(victim) > had })
+			tr.Await("requests after", 300, Answered)
+			tr.Stop()
+			s.Check()
+		})
+	}
+}
+
+// wellAnswered matches answers that are not the endpoint's own failure.
+func wellAnswered(x load.Exchange) bool { return x.Outcome == outcome.Answered && x.Status < 500 }
+
+// began counts the requests that an endpoint has begun to work on.
+func (s *Site) began(endpoint string) int {
+	n := 0
+	for _, r := range s.History() {
+		if r.RequestBegan != nil && r.RequestBegan.Endpoint == endpoint {
+			n++
+		}
+	}
+	return n
+}
