--- a/integration/control.go
+++ b/integration/control.go
@@ -136,8 +136,14 @@
 	s.must(s.post(s.at.Members+"/remove", standin.Removal{Name: member}))
 }
 
-// List puts an entry host on the membership list again.
-func (s *Site) List(h *Host) {
+// List changes what the membership list says of a member.
+func (s *Site) List(member string, state platform.MemberState) {
+	s.t.Helper()
+	s.must(s.post(s.at.Members+"/state", standin.StateChange{Name: member, State: state}))
+}
+
+// ListHost puts an entry host on the membership list again.
+func (s *Site) ListHost(h *Host) {
 	s.t.Helper()
 	s.must(s.post(s.at.Control+"/entry-host",
 		standin.EntryHostConfig{Name: h.Name, Peer: h.peer, Zone: h.settings.Host.Zone}))
--- a/integration/endpoint_test.go
+++ b/integration/endpoint_test.go
@@ -1,10 +1,12 @@
 package integration
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/fireflygate/fireflygate/load"
 	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/standin"
 )
 
@@ -32,8 +34,9 @@
 	return []endpointFault{
 		{
 			"Leaving",
-			func(s *Site, e string) { s.Control("leave", standin.Target{Name: e}) },
-			func(s *Site, e string) { s.Control("return", standin.Target{Name: e}) },
+			// The endpoint itself would refuse, and hide what it is sent.
+			func(s *Site, e string) { s.List(e, platform.Leaving) },
+			func(s *Site, e string) { s.List(e, platform.Live) },
 			1,
 		},
 		{
@@ -71,10 +74,10 @@
 			tr.Await("requests that meet the fault", 300, Any)
 			from := len(tr.Ended())
 			tr.Await("requests meanwhile", 800, Any)
-			good := TallyOf(tr.Ended()[from:], wellAnswered)
-			meanwhile := TallyOf(tr.Ended()[from:], Any)
-			t.Logf("meanwhile: %s, well answered %d", meanwhile, good.Answered)
-			if share := float64(good.Answered) / float64(len(tr.Ended()[from:])); share < f.least {
+			seen := tr.Ended()[from:]
+			good := TallyOf(seen, wellAnswered)
+			t.Logf("meanwhile: %s, well answered %d", TallyOf(seen, Any), good.Answered)
+			if share := float64(good.Answered) / float64(len(seen)); share < f.least {
 				t.Errorf("share answered %.4f", share)
 			}
 			f.end(s, victim)
@@ -87,6 +90,26 @@
 	}
 }
 
+// TestEndpointLinksCut resets all connections to endpoints again and again
+// under saturating traffic. The endpoints go on with what they run.
+func TestEndpointLinksCut(t *testing.T) {
+	t.Parallel()
+	s := New(t, Options{StandIns: saturated})
+	tr := s.Callers(saturating)
+	for range 6 {
+		tr.Await("answers", 150, Answered)
+		for _, h := range s.Hosts {
+			for i := range 6 {
+				s.Link(h.Name, fmt.Sprintf("%s-%d", Service, i)).Cut()
+			}
+		}
+	}
+	tr.Await("answers after", 300, Answered)
+	tr.Stop()
+	t.Log(TallyOf(tr.Ended(), Any))
+	s.Check()
+}
+
 // wellAnswered matches answers that are not the endpoint's own failure.
 func wellAnswered(x load.Exchange) bool { return x.Outcome == outcome.Answered && x.Status < 500 }
 
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 // TestMain builds the programs once.
@@ -20,9 +22,22 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	if built, err = Build(dir); err != nil {
+	if built, err = build(dir); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
 }
+
+// build builds the programs as they are, or with the mutation that was asked
+// for.
+func build(dir string) (Programs, error) {
+	if *mutationName == "" {
+		return Build(dir)
+	}
+	m, ok := mutationNamed(*mutationName)
+	if !ok {
+		return Programs{}, errors.Newf("no mutation is named %q", *mutationName)
+	}
+	return BuildMutant(dir, m)
+}
--- /dev/null
+++ b/integration/mutations_interactive.go
@@ -0,0 +1,75 @@
+package integration
+
+// interactiveMutations break the mechanisms of calls and bookings.
+var interactiveMutations = []Mutation{
+	{
+		Name: "half-shares",
+		File: "ownership/grants.go",
+		Old:  "if m.flaws.noHalfShare {", New: "if true {",
+		Test: "^TestCutOffFromBoth$", Breach: "endpoint slots are never exceeded",
+	},
+	{
+		Name: "promises",
+		File: "ownership/claim.go",
+		Old:  "if m.flaws.ignorePromises {", New: "if true {",
+		Test: "^TestCutOffFromStore$", Breach: "shards in full",
+	},
+	{
+		Name: "claim-condition",
+		File: "booking/claim.go",
+		Old:  "b.opt.Committer.Commit(ctx, []platform.Condition{{Key: key}}, ",
+		New:  "b.opt.Committer.Commit(ctx, nil, ",
+		Test: "^TestWholePath$", Breach: "a booking runs at most once",
+	},
+	{
+		Name: "drain-delay",
+		File: "gate/drain.go",
+		Old:  "wait(ctx, g.local.Host.DrainDelay.D())", New: "",
+		Test: "^TestRollingDrain$", Breach: "requests were lost",
+	},
+	{
+		Name: "drain-in-flight",
+		File: "gate/drain.go",
+		Old:  "shutDown(ctx, s.callers)", New: "_ = s.callers.Close()",
+		Test: "^TestRollingDrain$", Breach: "a planned stop cuts off no request",
+	},
+	{
+		Name: "outcome-of-all-tries",
+		File: "gateway/retry.go",
+		Old:  `if r.Kind == outcome.NotRun && ran != "" {`, New: `if false {`,
+		Test: "^TestCutOffFromPeers$", Breach: "not run is true",
+	},
+	{
+		Name: "withdrawal-of-written-frames",
+		File: "peer/call.go",
+		Old:  "return Result{Kind: outcome.Unknown, Err: err}\n}\n\n// resolve",
+		New:  "return Result{Kind: outcome.NotRun, Err: err}\n}\n\n// resolve",
+		Test: "^TestCutOffFromPeers$", Breach: "not run is true",
+	},
+	{
+		Name: "leaving",
+		File: "gate/membership.go",
+		Old:  "Leaving: m.State == platform.Leaving,", New: "Leaving: false,",
+		Test: "^TestEndpointFaults$/^Leaving$", Breach: "a leaving endpoint gets no new work",
+	},
+	{
+		Name: "whole-answers",
+		File: "gateway/answer.go",
+		Old:  "head, err := io.ReadAll(io.LimitReader(body, wholeAnswer))\n\tif err != nil {",
+		New:  "head, err := io.ReadAll(io.LimitReader(body, wholeAnswer))\n\tif err != nil && len(head) == 0 {",
+		Test: "^TestEndpointFaults$/^CutsAnswers$", Breach: "every caller gets the whole answer",
+	},
+	{
+		Name: "own-answers",
+		File: "peer/clientconn.go",
+		Old:  "ca := c.pending[m.ID]",
+		New:  "ca := c.pending[m.ID]\n\tfor _, other := range c.pending {\n\t\tca, m.ID = other, other.id\n\t}",
+		Test: "^TestCutOffFromPeers$", Breach: "every caller gets the whole answer",
+	},
+	{
+		Name: "slot-until-longest-run",
+		File: "gateway/exchangeend.go",
+		Old:  "left := x.g.opt.MaxRun - time.Since(x.sentAt)", New: "left := time.Duration(0)",
+		Test: "^TestEndpointLinksCut$", Breach: "endpoint slots are never exceeded",
+	},
+}
--- a/integration/partition_test.go
+++ b/integration/partition_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/fireflygate/fireflygate/load"
+	"github.com/fireflygate/fireflygate/standin"
 )
 
 // TestCutOffFromStore parts an entry host from the store alone. It keeps its
@@ -44,16 +45,19 @@
 }
 
 // TestCutOffFromPeers parts an entry host from its peers alone, under
-// saturating traffic.
+// saturating traffic, while an endpoint cuts answers off.
 func TestCutOffFromPeers(t *testing.T) {
 	t.Parallel()
 	s := New(t, Options{StandIns: saturated})
 	tr := s.Callers(saturating)
 	tr.Await("requests before", 300, Answered)
 	h := s.Hosts[0]
+	s.EndpointFaults("dispatch-0", standin.EndpointFaults{CutNext: 300})
+	tr.Await("answers cut off", 200, Any)
 	s.CutPeers(h.Name)
-	tr.Await("requests meanwhile", 1500, Any)
+	tr.Await("requests meanwhile", 1200, Any)
 	s.JoinPeers(h.Name)
+	s.EndpointFaults("dispatch-0", standin.EndpointFaults{})
 	finishPartition(t, s, tr)
 }
 
