peer: a drain does not wait for a peer that is paused

Cause: a host that stops asks its peers to close their connections and waits for that; a peer whose process is stopped (SIGSTOP) never does, so a drain with nothing in flight took the whole drain_timeout and exited with 1. Ruled out: requests in flight there (the peer server's handlers were idle). Now a peer has 2 s to close once asked; after that its connection is closed as soon as no handler runs for it and no reply is unsent. A handler that runs is still waited for.

integration: schedules of two faults at once (TestTwoFaultsAtOnce, TestSoak); TestRollingDrain keeps requests in flight through each drain.

--- a/integration/drain_test.go
+++ b/integration/drain_test.go
@@ -1,20 +1,27 @@
 package integration
 
-import "testing"
+import (
+	"testing"
 
-// TestRollingDrain drains and restarts each entry host in turn under load.
-// No request is lost.
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+// TestRollingDrain drains and restarts each entry host in turn under load. The
+// requests take longer than the balancer needs to notice, so that each drain
+// begins and ends with some in flight. None is lost.
 func TestRollingDrain(t *testing.T) {
 	t.Parallel()
-	s := New(t, Options{})
-	tr := s.Callers(TrafficOptions{Bookings: 0.3, Repeat: 0.3})
-	tr.Await("requests before", 200, Any)
+	s := New(t, Options{StandIns: func(c *standin.Config) {
+		c.Services[0].Slots, c.Services[0].Work = 16, standin.WorkTime{MedianMS: 500, Sigma: 0.1, Seed: 1}
+	}})
+	tr := s.Callers(TrafficOptions{Rate: 80, Bookings: 0.3, Repeat: 0.3, Timeout: 2000e6})
+	tr.Await("requests before", 80, Any)
 	for _, h := range s.Hosts {
 		s.Drain(h)
-		tr.Await("requests without "+h.Name, 100, Any)
+		tr.Await("requests without "+h.Name, 40, Any)
 		s.Restart(h)
 		s.WaitHeld()
-		tr.Await("requests with it again", 100, Any)
+		tr.Await("requests with it again", 40, Any)
 	}
 	tr.Stop()
 	all := TallyOf(tr.Ended(), Any)
--- a/integration/mutations_interactive.go
+++ b/integration/mutations_interactive.go
@@ -22,15 +22,15 @@
 		Test: "^TestWholePath$", Breach: "a booking runs at most once",
 	},
 	{
-		Name: "drain-delay",
+		Name: "drain-order",
 		File: "gate/drain.go",
-		Old:  "wait(ctx, g.local.Host.DrainDelay.D())", New: "",
+		Old:  "wait(ctx, g.local.Host.DrainDelay.D())", New: "shutDown(ctx, s.callers)",
 		Test: "^TestRollingDrain$", Breach: "requests were lost",
 	},
 	{
 		Name: "drain-in-flight",
 		File: "gate/drain.go",
-		Old:  "shutDown(ctx, s.callers)", New: "_ = s.callers.Close()",
+		Old:  "wait(ctx, g.local.Host.DrainDelay.D())", New: "wait(ctx, g.local.Host.DrainDelay.D())\n\t_ = s.callers.Close()",
 		Test: "^TestRollingDrain$", Breach: "a planned stop cuts off no request",
 	},
 	{
--- /dev/null
+++ b/integration/soak_test.go
@@ -0,0 +1,192 @@
+package integration
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/fireflygate/fireflygate/gen/jobs"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/standin"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+var (
+	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of TestSoak")
+	soakCount = flag.Int("soak.count", 0, "how many seeds TestSoak runs, one after the other")
+)
+
+// victims are what one fault of a schedule strikes.
+type victims struct {
+	host             *Host
+	endpoint, worker string
+}
+
+// siteFault is something that goes wrong and is put right.
+type siteFault struct {
+	name       string
+	begin, end func(s *Site, v victims)
+	// restarts is set when its end needs a healthy site.
+	restarts bool
+}
+
+func tableFault(name string, f standin.Faults) siteFault {
+	return siteFault{
+		name:  name,
+		begin: func(s *Site, _ victims) { s.TableFaults(f) },
+		end:   func(s *Site, _ victims) { s.TableFaults(standin.Faults{}) },
+	}
+}
+
+func workerFault(name string, f standin.WorkerFaults) siteFault {
+	return siteFault{
+		name:  name,
+		begin: func(s *Site, v victims) { s.WorkerFaults(v.worker, f) },
+		end:   func(s *Site, v victims) { s.WorkerFaults(v.worker, standin.WorkerFaults{}) },
+	}
+}
+
+// hostFaults strike an entry host.
+func hostFaults() []siteFault {
+	return []siteFault{
+		{"host killed", func(s *Site, v victims) { s.Kill(v.host) }, func(s *Site, v victims) { s.Restart(v.host) }, true},
+		{"host drained", func(s *Site, v victims) { s.Drain(v.host) }, func(s *Site, v victims) { s.Restart(v.host) }, true},
+		{"host paused", func(s *Site, v victims) { s.Pause(v.host) }, func(s *Site, v victims) { s.Resume(v.host) }, false},
+		{
+			"host cut off from the store",
+			func(s *Site, v victims) { s.Cut(v.host.Name, Table, Objects) },
+			func(s *Site, v victims) { s.Join(v.host.Name, Table, Objects) },
+			false,
+		},
+		{"host cut off from peers", func(s *Site, v victims) { s.CutPeers(v.host.Name) }, func(s *Site, v victims) { s.JoinPeers(v.host.Name) }, false},
+		{
+			"host cut off from all but endpoints",
+			func(s *Site, v victims) { s.CutPeers(v.host.Name); s.Cut(v.host.Name, Table, Objects, Members) },
+			func(s *Site, v victims) { s.JoinPeers(v.host.Name); s.Join(v.host.Name, Table, Objects, Members) },
+			false,
+		},
+		{
+			"host listed as leaving",
+			func(s *Site, v victims) { s.List(v.host.Name, platform.Leaving) },
+			func(s *Site, v victims) { s.List(v.host.Name, platform.Live) },
+			false,
+		},
+	}
+}
+
+// otherFaults strike the store, endpoints and workers.
+func otherFaults() []siteFault {
+	faults := []siteFault{
+		tableFault("table down", standin.Faults{Down: true}),
+		tableFault("table hangs", standin.Faults{Hang: true}),
+		tableFault("table paused", standin.Faults{Paused: true}),
+		tableFault("table slow", standin.Faults{DelayMS: 300}),
+		tableFault("table loses answers", standin.Faults{LoseShare: 0.3, Seed: 1}),
+		workerFault("worker paused", standin.WorkerFaults{Paused: true}),
+		workerFault("worker hangs", standin.WorkerFaults{Hang: true}),
+		workerFault("worker fails starts", standin.WorkerFaults{FailStarts: true}),
+		workerFault("worker loses answers", standin.WorkerFaults{LoseNext: 20}),
+	}
+	for _, f := range endpointFaults() {
+		faults = append(faults, siteFault{
+			name:  "endpoint " + f.name,
+			begin: func(s *Site, v victims) { f.begin(s, v.endpoint) },
+			end:   func(s *Site, v victims) { f.end(s, v.endpoint) },
+		})
+	}
+	return faults
+}
+
+// runSchedule lets two faults at once come and go, twice, under load, as a
+// seed says.
+func runSchedule(t *testing.T, seed uint64) {
+	const rounds = 2
+	rng := rand.New(rand.NewPCG(seed, 0))
+	options := Options{StandIns: func(c *standin.Config) { c.Services[0].Work.Sigma = 0.2 }}
+	traffic := TrafficOptions{Rate: 300, Bookings: 0.3, Repeat: 0.3}
+	if rng.IntN(2) == 0 {
+		options, traffic = Options{StandIns: saturated}, saturating
+	}
+	s := New(t, options)
+	tr := s.Callers(traffic)
+	tr.Await("requests before", 200, Any)
+	for round := range rounds {
+		s.submitSome(rng, round)
+		first, second := pickFaults(rng)
+		a, b := pickVictims(s, rng)
+		t.Logf("seed %d: %s (%s, %s, %s), %s (%s, %s, %s)", seed,
+			first.name, a.host.Name, a.endpoint, a.worker, second.name, b.host.Name, b.endpoint, b.worker)
+		first.begin(s, a)
+		tr.Await("requests with the first fault", 100+rng.IntN(400), Any)
+		second.begin(s, b)
+		tr.Await("requests with both faults", 200+rng.IntN(800), Any)
+		if first.restarts {
+			second.end(s, b)
+			first.end(s, a)
+		} else {
+			first.end(s, a)
+			second.end(s, b)
+		}
+		s.WaitHeld()
+	}
+	tr.Await("answers at the end", 100, Answered)
+	tr.Stop()
+	t.Log(TallyOf(tr.Ended(), Any))
+	s.Check()
+}
+
+// pickFaults returns two faults, the first at an entry host.
+func pickFaults(rng *rand.Rand) (first, second siteFault) {
+	hosts := hostFaults()
+	first = hosts[rng.IntN(len(hosts))]
+	all := append(otherFaults(), hosts...)
+	second = all[rng.IntN(len(all))]
+	return first, second
+}
+
+// pickVictims returns what the two strike: never the same.
+func pickVictims(s *Site, rng *rand.Rand) (first, second victims) {
+	hosts, endpoints, workers := rng.Perm(len(s.Hosts)), rng.Perm(6), rng.Perm(4)
+	of := func(i int) victims {
+		return victims{
+			host:     s.Hosts[hosts[i]],
+			endpoint: fmt.Sprintf("%s-%d", Service, endpoints[i]),
+			worker:   fmt.Sprintf("worker-%d", workers[i]),
+		}
+	}
+	return of(0), of(1)
+}
+
+// submitSome submits a few jobs; those that are not taken are not missed.
+func (s *Site) submitSome(rng *rand.Rand, round int) {
+	const count = 12
+	for i := range count {
+		run := int64(200 + rng.IntN(3000))
+		_, _ = s.Submit(s.Hosts[rng.IntN(len(s.Hosts))], &jobs.JobSpec{
+			Key: fmt.Sprintf("soak-%d-%d", round, i), Team: "rounds", Class: "route-plan", Qos: string(task.Batch),
+			Resources: &jobs.ResourceList{MilliCPU: int64(1000 * (4 + rng.IntN(28))), MemoryMb: 8000}, RunMs: &run,
+		})
+	}
+}
+
+// TestTwoFaultsAtOnce runs schedules of fixed seeds.
+func TestTwoFaultsAtOnce(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSchedule(t, seed)
+		})
+	}
+}
+
+// TestSoak runs as many schedules as were asked for, and tells how to run the
+// first that fails again.
+func TestSoak(t *testing.T) {
+	for i := range *soakCount {
+		seed := *soakSeed + uint64(i)
+		if !t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed) }) {
+			t.Fatalf("again: make soak SEED=%d COUNT=1", seed)
+		}
+	}
+}
--- a/peer/faults_test.go
+++ b/peer/faults_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -269,3 +270,45 @@
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
 }
+
+// TestFarewellToSilentPeer lets a peer take the goodbye and do nothing, as a
+// paused process does: it is waited for only while something of it runs here.
+func TestFarewellToSilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		s := NewServer(Options{}, anyone)
+		running, finish := make(chan struct{}), make(chan struct{})
+		s.Handle("m", func(context.Context, string, func(any) error) (any, error) {
+			close(running)
+			<-finish
+			return struct{}{}, nil
+		})
+		c := newServerConn(s, near, "paused")
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = c.run(t.Context())
+		}()
+		frame, err := encodeMessage(&message{Kind: kindRequest, ID: 1, Method: "m"}, 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := far.Write(frame); err != nil {
+			t.Fatal(err)
+		}
+		<-running
+		began := time.Now()
+		go c.farewell()
+		if m := receive(t, far); m.Kind != kindGoodbye {
+			t.Fatalf("got %+v", m)
+		}
+		time.AfterFunc(3*goodbyePatience, func() { close(finish) })
+		if m := receive(t, far); m.Kind != kindReply {
+			t.Fatalf("got %+v", m)
+		}
+		<-ended
+		if took := time.Since(began); took < 3*goodbyePatience || took > 4*goodbyePatience {
+			t.Errorf("closed after %s", took)
+		}
+	})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -187,7 +187,7 @@
 // context ends first the rest is cut off and its error returned.
 func (s *Server) Shutdown(ctx context.Context) error {
 	for _, c := range s.beginStop() {
-		go c.goodbye()
+		go c.farewell()
 	}
 	done := make(chan struct{})
 	go func() {
--- a/peer/serverconn.go
+++ b/peer/serverconn.go
@@ -4,12 +4,17 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// goodbyePatience is how long a peer has to close its connection once it was
+// asked to.
+const goodbyePatience = 2 * time.Second
+
 // serverConn is one connection from a peer.
 type serverConn struct {
 	server *Server
@@ -21,6 +26,8 @@
 	replies chan []byte
 	// handlers counts those that may still send a reply.
 	handlers sync.WaitGroup
+	// unsent counts the replies that are queued or being written.
+	unsent atomic.Int64
 	// broken closes with the connection.
 	broken   chan struct{}
 	breakOne sync.Once
@@ -56,9 +63,24 @@
 	return err
 }
 
-// goodbye asks the peer to send nothing new and to close the connection.
-func (c *serverConn) goodbye() {
+// farewell asks the peer to send nothing new and to close the connection. One
+// that does not, because its process is paused, is not waited for once nothing
+// of it is in flight here.
+func (c *serverConn) farewell() {
 	c.send(&message{Kind: kindGoodbye})
+	patience := time.NewTicker(goodbyePatience)
+	defer patience.Stop()
+	for {
+		select {
+		case <-c.broken:
+			return
+		case <-patience.C:
+		}
+		if len(c.slots) == 0 && c.unsent.Load() == 0 {
+			c.abort()
+			return
+		}
+	}
 }
 
 // abort closes the connection now.
@@ -150,6 +172,7 @@
 			return
 		}
 	}
+	c.unsent.Add(1)
 	select {
 	case c.replies <- frame:
 	case <-c.broken:
@@ -167,6 +190,7 @@
 				c.abort()
 				return
 			}
+			c.unsent.Add(-1)
 		}
 	}
 }
