routing: a request that waits without a known rate is given up before its deadline

Cause: a host without endpoints of its own admits requests blindly; with no measured work they were given up at the deadline itself, so whoever waited for a booking lost the race and was told unknown (in_progress) of a request that was never dispatched. Now 10 ms stand for the unknown work, as twice the measured work does elsewhere.

--- a/routing/admission.go
+++ b/routing/admission.go
@@ -40,12 +40,15 @@
 	// left of its time when it is dispatched, since much work takes longer
 	// than the mean.
 	deadlineMargin = 2
+	// leastWork is taken for the mean work where none was measured, so that
+	// whoever waits for the request hears that it was given up.
+	leastWork = 10 * time.Millisecond
 )
 
 // GiveUp returns until when a request with the deadline may wait, where one
-// takes each.
+// takes each, 0 if that is not known.
 func GiveUp(deadline time.Time, each time.Duration) time.Time {
-	return deadline.Add(-deadlineMargin * each)
+	return deadline.Add(-deadlineMargin * max(each, leastWork))
 }
 
 // Admit decides whether a request with the time remaining may join the queue,
