Bounds of requests follow the configuration in force

Cause: an accepted configuration is to be in force within seconds; the gateway, the booking window and the limit of connections took their values at start. Change: gateway.SetCalls, called when a configuration comes into force; the booking window and the connection limit are asked where they are used. Measured: TestSetCallsTakesEffect fails without SetCalls' store (200 after) and passes with it.

--- a/booking/book_test.go
+++ b/booking/book_test.go
@@ -31,7 +31,7 @@
 			Host: host, Incarnation: host + "-1", Committer: r.table, Reader: r.table, Objects: store,
 			Peers:  r,
 			Alive:  func(h, _ string) bool { return h != "a" || !r.dead.Load() },
-			Window: time.Hour,
+			Window: func() time.Duration { return time.Hour },
 			Now:    func() time.Time { return time.UnixMilli(r.now.Load()) },
 		})
 	}
--- a/booking/options.go
+++ b/booking/options.go
@@ -35,8 +35,8 @@
 	// Alive reports whether a claimant's session may still be live. It may
 	// say yes for a while after its end, never no before it.
 	Alive func(host, incarnation string) bool
-	// Window is how long the outcome of a key is kept.
-	Window time.Duration
+	// Window returns how long the outcome of a key is kept.
+	Window func() time.Duration
 	// InlineBody is the largest body kept in the row, in bytes; larger ones
 	// become objects. 0 means 16 KiB.
 	InlineBody int
--- a/booking/store.go
+++ b/booking/store.go
@@ -34,7 +34,7 @@
 	}
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = storePause
-	_, err := backoff.Retry(context.Background(), try, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(b.opt.Window))
+	_, err := backoff.Retry(context.Background(), try, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(b.opt.Window()))
 	if err == nil {
 		b.forget(key, f)
 	}
--- a/booking/sweep.go
+++ b/booking/sweep.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return false
 	}
-	return b.opt.Now().Sub(time.UnixMilli(held.AtMS)) > b.opt.Window
+	return b.opt.Now().Sub(time.UnixMilli(held.AtMS)) > b.opt.Window()
 }
 
 // pruneUndispatched forgets given-up claims whose row would be swept by now.
@@ -71,6 +71,6 @@
 	defer b.mu.Unlock()
 	now := b.opt.Now()
 	maps.DeleteFunc(b.undispatched, func(_ string, at time.Time) bool {
-		return now.Sub(at) > b.opt.Window
+		return now.Sub(at) > b.opt.Window()
 	})
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -145,7 +145,7 @@
 		Host: g.local.Host.Name, Incarnation: g.incarnation,
 		Committer: g.journal, Reader: g.deps.Table, Objects: g.deps.Objects, Peers: g.peers,
 		Alive:  g.alive,
-		Window: g.local.Calls.BookingWindow.D(), Now: time.Now, Log: g.deps.Log,
+		Window: func() time.Duration { return g.policy().Calls.BookingWindow.D() }, Now: time.Now, Log: g.deps.Log,
 	})
 	g.book.Register(g.peerServer)
 	g.gateway = gateway.New(gateway.Options{
--- a/gate/membership.go
+++ b/gate/membership.go
@@ -12,7 +12,7 @@
 	r := roster.Build(*g.roster.Load(), list, g.local.Lease)
 	g.roster.Store(&r)
 	g.feedPeers(r)
-	g.gateway.SetEndpoints(g.endpointsOf(r))
+	g.gateway.SetEndpoints(endpointsOf(r))
 	g.batch.SetWorkers(workersOf(r))
 	g.keeper.SetRoster(r)
 	g.becomeReady()
@@ -36,36 +36,23 @@
 	g.spreader.setHosts(names)
 }
 
-// endpointsOf lists all endpoints with their shards. Sizes that the list
-// lacks come from the service's settings.
-func (g *Gate) endpointsOf(r roster.Roster) []routing.Endpoint {
+// endpointsOf lists all endpoints with their shards.
+func endpointsOf(r roster.Roster) []routing.Endpoint {
 	var out []routing.Endpoint
 	for _, shard := range r.Shards() {
 		if isWorkerShard(shard) {
 			continue
 		}
 		for _, m := range r.Members(shard) {
-			out = append(out, g.endpointOf(m, shard))
+			out = append(out, routing.Endpoint{
+				Name: m.Name, Service: m.Service, Address: m.Address, Zone: m.Zone, Shard: shard,
+				Slots: m.Slots, Connections: m.Connections, Leaving: m.State == platform.Leaving,
+			})
 		}
 	}
 	return out
 }
 
-func (g *Gate) endpointOf(m platform.Member, shard string) routing.Endpoint {
-	e := routing.Endpoint{
-		Name: m.Name, Service: m.Service, Address: m.Address, Zone: m.Zone, Shard: shard,
-		Slots: m.Slots, Connections: m.Connections, Leaving: m.State == platform.Leaving,
-	}
-	s := g.serviceSettings(m.Service)
-	if e.Slots == 0 {
-		e.Slots = s.Slots
-	}
-	if e.Connections == 0 {
-		e.Connections = s.Connections
-	}
-	return e
-}
-
 func workersOf(r roster.Roster) map[string][]platform.Member {
 	out := map[string][]platform.Member{}
 	for _, shard := range r.Shards() {
--- a/gate/run.go
+++ b/gate/run.go
@@ -54,7 +54,7 @@
 	if g.guard == nil {
 		event.OperatorsOpen.Log(g.deps.Log, slog.String("address", l.Operators.Addr().String()))
 	}
-	callers := gateway.LimitCallers(l.Callers, g.local.Calls.ConnectionsPerCaller)
+	callers := gateway.LimitCallers(l.Callers, func() int { return g.policy().Calls.ConnectionsPerCaller })
 	g.goServe(wg, func() error { return s.callers.Serve(g.secure(callers)) })
 	g.goServe(wg, func() error { return s.operators.Serve(g.secure(l.Operators)) })
 	g.goServe(wg, func() error { return g.peerServer.Serve(ctx, l.Peers) })
@@ -100,6 +100,7 @@
 // takeConfig brings a configuration into force in every part.
 func (g *Gate) takeConfig(c configstore.Current) {
 	g.slo.SetObjectives(c.Settings.Objectives)
+	g.gateway.SetCalls(c.Settings.Calls)
 	g.becomeReady()
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -34,7 +34,7 @@
 // length that ends with its connection can't be told from one that was cut
 // off.
 func (x *exchange) unacceptable(resp *http.Response) string {
-	if resp.ContentLength > x.g.opt.Calls.MaxBody {
+	if resp.ContentLength > x.g.calls().MaxBody {
 		return ReasonTooLarge
 	}
 	chunked := len(resp.TransferEncoding) > 0
@@ -68,7 +68,7 @@
 	n, err := b.resp.Body.Read(p)
 	b.size += int64(n)
 	switch {
-	case b.size > b.x.g.opt.Calls.MaxBody:
+	case b.size > b.x.g.calls().MaxBody:
 		b.fail()
 		return 0, errTooLarge
 	case err == io.EOF:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,15 +5,19 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflygate/fireflygate/routing"
+	"github.com/fireflygate/fireflygate/settings"
 )
 
 // Gateway serves interactive requests. It is safe for concurrent use.
 type Gateway struct {
 	opt     Options
 	metrics *metrics
+	// settings are the newest bounds of requests.
+	settings atomic.Pointer[settings.Calls]
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -50,10 +54,25 @@
 		services: map[string]bool{},
 		changed:  make(chan struct{}),
 	}
+	g.settings.Store(&opt.Calls)
 	g.metrics.watch(g)
 	return g
 }
 
+// calls returns the bounds of requests now in force.
+func (g *Gateway) calls() *settings.Calls { return g.settings.Load() }
+
+// SetCalls brings other bounds into force, for the requests that come next.
+func (g *Gateway) SetCalls(c settings.Calls) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settings.Store(&c)
+	g.budget.SetRatio(c.RetryBudget)
+	for _, q := range g.queues {
+		q.SetLimit(c.Queue)
+	}
+}
+
 // SetEndpoints replaces the list of endpoints, of all shards and services:
 // which of them this host may use is up to the grants.
 func (g *Gateway) SetEndpoints(endpoints []routing.Endpoint) {
@@ -130,7 +149,7 @@
 func (g *Gateway) queue(service string) *routing.Queue {
 	q := g.queues[service]
 	if q == nil {
-		q = routing.NewQueue(g.opt.Calls.Queue)
+		q = routing.NewQueue(g.calls().Queue)
 		g.queues[service] = q
 	}
 	return q
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -8,15 +8,16 @@
 // callerListener limits the open connections of one caller's address.
 type callerListener struct {
 	net.Listener
-	limit int
+	limit func() int
 
 	mu   sync.Mutex
 	open map[string]int
 }
 
 // LimitCallers returns a listener that closes at once what exceeds limit
-// connections from one IP address. Zero is no limit.
-func LimitCallers(l net.Listener, limit int) net.Listener {
+// connections from one IP address. Zero is no limit. The limit is asked at
+// each new connection.
+func LimitCallers(l net.Listener, limit func() int) net.Listener {
 	return &callerListener{Listener: l, limit: limit, open: map[string]int{}}
 }
 
@@ -38,7 +39,7 @@
 func (l *callerListener) take(ip string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limit > 0 && l.open[ip] >= l.limit {
+	if limit := l.limit(); limit > 0 && l.open[ip] >= limit {
 		return false
 	}
 	l.open[ip]++
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -23,7 +23,7 @@
 	// Host and Zone are this entry host's.
 	Host string
 	Zone string
-	// Calls bounds requests.
+	// Calls bounds requests; SetCalls replaces it.
 	Calls settings.Calls
 	// MaxRun is the longest that an endpoint works on a request.
 	MaxRun time.Duration
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -164,7 +164,7 @@
 	s.Use(Middleware)
 	s.Mount(mux)
 	srv := httptest.NewUnstartedServer(nil)
-	srv.Listener = LimitCallers(srv.Listener, g.opt.Calls.ConnectionsPerCaller)
+	srv.Listener = LimitCallers(srv.Listener, func() int { return g.opt.Calls.ConnectionsPerCaller })
 	srv.Config = NewServer(mux)
 	srv.Start()
 	t.Cleanup(srv.Close)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -29,7 +29,7 @@
 	if !ok {
 		return nil, nil, badRequest("the call did not come over HTTP")
 	}
-	data, err := call.readBody(body, s.gateway.opt.Calls.MaxBody)
+	data, err := call.readBody(body, s.gateway.calls().MaxBody)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -44,7 +44,7 @@
 }
 
 func (s *Service) request(c *httpCall, p *calls.CallPayload, body []byte) Request {
-	timeout := s.gateway.opt.Calls.Timeout.D()
+	timeout := s.gateway.calls().Timeout.D()
 	if p.TimeoutMs != nil {
 		timeout = time.Duration(*p.TimeoutMs) * time.Millisecond
 	}
--- a/gateway/strict_test.go
+++ b/gateway/strict_test.go
@@ -135,3 +135,28 @@
 		t.Errorf("%d %v %s", resp.StatusCode, resp.Header, body)
 	}
 }
+
+// TestSetCallsTakesEffect checks that bounds which an operator changes hold
+// for the next request, without a restart.
+func TestSetCallsTakesEffect(t *testing.T) {
+	var hits atomic.Int64
+	h := single(t, 4, counting(&hits), func(*Options) {})
+	url := callers(t, h.Gateway) + "/call/" + svc + "/"
+	send := func() int {
+		resp, err := http.Post(url, "", strings.NewReader(strings.Repeat("x", 100)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if status := send(); status != http.StatusOK {
+		t.Fatalf("before: %d", status)
+	}
+	c := testCalls()
+	c.MaxBody = 10
+	h.SetCalls(c)
+	if status := send(); status != http.StatusBadRequest || hits.Load() != 1 {
+		t.Fatalf("after: %d, endpoint saw %d", status, hits.Load())
+	}
+}
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -16,6 +16,9 @@
 	return &Budget{ratio: ratio, limit: budgetBurst}
 }
 
+// SetRatio changes the share of requests that may be retried.
+func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
+
 // Request counts one first attempt.
 func (b *Budget) Request() {
 	b.tokens = min(b.limit, b.tokens+b.ratio)
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -19,6 +19,9 @@
 	return &Queue{limit: limit}
 }
 
+// SetLimit changes how many tickets may wait. Those that wait already stay.
+func (q *Queue) SetLimit(limit int) { q.limit = limit }
+
 // Len returns how many tickets wait.
 func (q *Queue) Len() int { return q.tickets.Len() }
 
