--- a/gateway/burst_test.go
+++ b/gateway/burst_test.go
@@ -47,7 +47,7 @@
 				s.overrun.Add(1)
 			}
 			slots <- struct{}{}
-			serve(time.Duration((0.5 + rand.Float64()) * float64(burstWork)))(w, r)
+			serve(time.Duration((0.5+rand.Float64())*float64(burstWork)))(w, r)
 			<-slots
 			running.Add(-1)
 		}))
