--- a/cli/demo.go
+++ b/cli/demo.go
@@ -58,7 +58,12 @@
 	if c.json {
 		printJSON(result)
 	}
-	if result.Violations > 0 {
+	return exitOfDemo(result)
+}
+
+// exitOfDemo is a failure when a promise was broken.
+func exitOfDemo(r demo.Result) subcommands.ExitStatus {
+	if r.Violations > 0 {
 		return ExitFailed
 	}
 	return ExitOK
--- a/demo/result.go
+++ b/demo/result.go
@@ -32,6 +32,13 @@
 	JobsSubmitted int `json:"jobs_submitted"`
 }
 
+// Judge returns a result that holds what the checks found in a history.
+func Judge(records []check.Record) Result {
+	var r Result
+	r.breaches(check.Run(records))
+	return r
+}
+
 // breaches keeps what the checks found.
 func (r *Result) breaches(report check.Report) {
 	r.Violations = len(report.Violations)
--- a/demo/run.go
+++ b/demo/run.go
@@ -197,17 +197,15 @@
 func (s *site) result(summary load.Summary, jobs *submitter) Result {
 	records := s.recorder.Records()
 	t := tallyOf(records)
-	r := Result{
-		Answered: summary.Answered, NotRun: summary.NotRun, Unknown: summary.Unknown, Reasons: summary.Reasons,
-		P50MS: summary.P50MS, P99MS: summary.P99MS,
-		TasksDone: len(t.done), Evictions: t.evictions, JobsSubmitted: jobs.submitted,
-	}
+	r := Judge(records)
+	r.Answered, r.NotRun, r.Unknown, r.Reasons = summary.Answered, summary.NotRun, summary.Unknown, summary.Reasons
+	r.P50MS, r.P99MS = summary.P50MS, summary.P99MS
+	r.TasksDone, r.Evictions, r.JobsSubmitted = len(t.done), t.evictions, jobs.submitted
 	if t.met(jobs.eventIDs, s.eventStart) {
 		r.EventsMet = 1
 	} else {
 		r.EventsMissed = 1
 	}
-	r.breaches(check.Run(records))
 	return r
 }
 
