gate: configurations reach all hosts in time also when a third of the peers is dead

Cause: peers were asked one after the other with a timeout of 2 s each, two a second, and a dead one used up its turn: with the store down, a version could miss the 4 s. Ruled out: the store's poll, which is not there in an outage. Change: rounds of 0.5 s; peers are asked at once, others in place of those that do not answer; a peer that asks with an older version is offered ours. The commands print what an entry host said of a refused request, with the field, and say of version 1 that it is the first.

--- a/cli/apply.go
+++ b/cli/apply.go
@@ -60,7 +60,7 @@
 		Base: c.base, Author: c.author, DryRun: &c.dryRun, Content: content,
 	})
 	if err != nil {
-		return failConfig(err)
+		return fail(err)
 	}
 	return printVersion(&c.target, res.(*configs.ConfigVersion))
 }
--- a/cli/configs.go
+++ b/cli/configs.go
@@ -39,26 +39,23 @@
 		return printJSON(v)
 	}
 	fmt.Printf("version %d by %s, hash %.12s\n", v.Version, v.Author, v.Hash)
+	if v.Version == 1 {
+		fmt.Println("  the first configuration")
+		return ExitOK
+	}
 	for _, key := range v.Differs {
 		fmt.Println("  " + key)
 	}
 	return ExitOK
 }
 
-// failConfig prints a refused change; losing a race has its own exit code.
-func failConfig(err error) subcommands.ExitStatus {
-	name, _ := problemOf(err)
-	code := fail(err)
-	if name == "conflict" {
-		return ExitLost
-	}
-	return code
-}
-
 // versionRow is a version as a row of a table.
 func versionRow(v *configs.ConfigVersion) []string {
+	differs := strings.Join(v.Differs, " ")
+	if v.Version == 1 {
+		differs = "the first configuration"
+	}
 	return []string{
-		fmt.Sprint(v.Version), timeText(v.AppliedUnixMs), v.Author,
-		fmt.Sprintf("%.12s", v.Hash), strings.Join(v.Differs, " "),
+		fmt.Sprint(v.Version), timeText(v.AppliedUnixMs), v.Author, fmt.Sprintf("%.12s", v.Hash), differs,
 	}
 }
--- a/cli/print.go
+++ b/cli/print.go
@@ -43,7 +43,11 @@
 
 // fail prints an error and returns the exit code for it.
 func fail(err error) subcommands.ExitStatus {
-	_, _ = fmt.Fprintln(os.Stderr, "fireflygate:", err)
+	var what any = err
+	if p, ok := problemOf(err); ok {
+		what = p
+	}
+	_, _ = fmt.Fprintln(os.Stderr, "fireflygate:", what)
 	return exitOfError(err)
 }
 
--- a/cli/problem.go
+++ b/cli/problem.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"fmt"
+
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
@@ -11,37 +13,62 @@
 	"github.com/fireflygate/fireflygate/settings"
 )
 
-// exitOfError returns the exit code for an error: that of its outcome where
-// the entry host named one.
-func exitOfError(err error) subcommands.ExitStatus {
-	var settingsProblems settings.Problems
-	if errors.As(err, &settingsProblems) {
-		return ExitUsage
-	}
-	name, text := problemOf(err)
-	switch name {
-	case "":
-		return ExitFailed
-	case "bad_request":
-		return ExitUsage
-	default:
-		return exitOf(outcome.Parse(text))
+// problem is what an entry host said of a request that it refused.
+type problem struct {
+	name, title, field string
+	outcome            outcome.Kind
+}
+
+// String says what is wrong, with what, and whether the request ran.
+func (p problem) String() string {
+	if p.field == "" {
+		return fmt.Sprintf("%s (%s)", p.title, p.outcome)
 	}
+	return fmt.Sprintf("%s: %s (%s)", p.field, p.title, p.outcome)
 }
 
-// problemOf returns the name and outcome of a problem sent by an entry host.
-func problemOf(err error) (name, text string) {
+// problemOf returns the problem that an entry host sent; false for any other
+// error.
+func problemOf(err error) (problem, bool) {
 	var j *jobs.Problem
 	var c *configs.Problem
 	var o *operations.Problem
 	switch {
 	case errors.As(err, &j):
-		return j.Name, j.Outcome
+		return problemFrom(j.Name, j.Title, j.Field, j.Outcome), true
 	case errors.As(err, &c):
-		return c.Name, c.Outcome
+		return problemFrom(c.Name, c.Title, c.Field, c.Outcome), true
 	case errors.As(err, &o):
-		return o.Name, o.Outcome
+		return problemFrom(o.Name, o.Title, o.Field, o.Outcome), true
+	default:
+		return problem{}, false
+	}
+}
+
+func problemFrom(name, title string, field *string, result string) problem {
+	p := problem{name: name, title: title, outcome: outcome.Parse(result)}
+	if field != nil {
+		p.field = *field
+	}
+	return p
+}
+
+// exitOfError returns the exit code for an error: that of its outcome where
+// the entry host named one.
+func exitOfError(err error) subcommands.ExitStatus {
+	var mistakes settings.Problems
+	if errors.As(err, &mistakes) {
+		return ExitUsage
+	}
+	p, ok := problemOf(err)
+	switch {
+	case !ok:
+		return ExitFailed
+	case p.name == "bad_request":
+		return ExitUsage
+	case p.name == "conflict":
+		return ExitLost
 	default:
-		return "", ""
+		return exitOf(p.outcome)
 	}
 }
--- a/cli/rollback.go
+++ b/cli/rollback.go
@@ -44,7 +44,7 @@
 	}
 	res, err := client.Rollback()(ctx, &configs.RollbackPayload{Base: now.Version, To: c.version, Author: c.author})
 	if err != nil {
-		return failConfig(err)
+		return fail(err)
 	}
 	return printVersion(&c.target, res.(*configs.ConfigVersion))
 }
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -20,14 +20,16 @@
 // Spreading of configurations among peers.
 const (
 	// versionInterval is how often a few peers are asked for their version.
-	versionInterval = time.Second
-	// versionFanout is how many are asked at a time.
-	versionFanout = 2
+	versionInterval = 500 * time.Millisecond
+	// versionFanout is how many are asked at a time; for each that does not
+	// answer, up to versionRetries others are asked.
+	versionFanout  = 2
+	versionRetries = 2
 	// offerFanout is how many peers a host offers a version to that is new
 	// to it; each of them does the same.
 	offerFanout = 4
 	// peerTimeout bounds one exchange with a peer.
-	peerTimeout = 2 * time.Second
+	peerTimeout = time.Second
 )
 
 // versionMessage tells which configuration is in force on a host.
@@ -86,33 +88,58 @@
 			return
 		case <-ticker.C:
 		}
-		for _, host := range s.pick(versionFanout) {
-			s.compare(ctx, host)
-		}
+		s.round(ctx)
+	}
+}
+
+// round compares versions with a few random peers.
+func (s *spreader) round(ctx context.Context) {
+	hosts := s.pick(versionFanout * (1 + versionRetries))
+	lanes := min(versionFanout, len(hosts))
+	var wg sync.WaitGroup
+	for lane := range lanes {
+		wg.Go(func() {
+			for i := lane; i < len(hosts); i += versionFanout {
+				if s.compare(ctx, hosts[i]) {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// each calls f for all hosts at once and waits, so that one that does not
+// answer holds up no other.
+func (s *spreader) each(hosts []string, f func(host string)) {
+	var wg sync.WaitGroup
+	for _, host := range hosts {
+		wg.Go(func() { f(host) })
 	}
+	wg.Wait()
 }
 
 // spread offers what is in force to a few peers.
 func (s *spreader) spread(ctx context.Context) {
-	for _, host := range s.pick(offerFanout) {
-		s.offer(ctx, host)
-	}
+	s.each(s.pick(offerFanout), func(host string) { s.offer(ctx, host) })
 }
 
-// compare asks a peer for its version; an older one is offered ours.
-func (s *spreader) compare(ctx context.Context, host string) {
+// compare asks a peer for its version; an older one is offered ours, and a
+// newer one sends its own. It reports whether the peer answered.
+func (s *spreader) compare(ctx context.Context, host string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	mine := s.version()
 	var theirs versionMessage
 	r := s.transport.Call(ctx, host, methodConfigVersion, versionMessage{Version: mine}, &theirs)
 	if r.Kind != outcome.Answered {
-		return
+		return false
 	}
 	s.learn(host, theirs.Version)
 	if theirs.Version < mine {
 		s.offer(ctx, host)
 	}
+	return true
 }
 
 func (s *spreader) offer(ctx context.Context, host string) {
@@ -129,13 +156,17 @@
 	}
 }
 
-func (s *spreader) handleVersion(_ context.Context, from string, decode func(any) error) (any, error) {
+func (s *spreader) handleVersion(ctx context.Context, from string, decode func(any) error) (any, error) {
 	var m versionMessage
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
 	s.learn(from, m.Version)
-	return versionMessage{Version: s.version()}, nil
+	mine := s.version()
+	if m.Version < mine {
+		go s.offer(context.WithoutCancel(ctx), from)
+	}
+	return versionMessage{Version: mine}, nil
 }
 
 func (s *spreader) handleOffer(ctx context.Context, from string, decode func(any) error) (any, error) {
