gateway: a request that waited keeps its turn when a peer had no slot after all

Cause: at 1.5 times capacity refusals had a p99 of 247 ms. 567 of 6,205 refused had waited in the queue, been sent to a peer by a stale digest, and were then admitted anew at the end of a queue too long for what was left of their time. Ruled out: the timer that gives up waiting requests (10 of the 6,205). Change: such a request goes back to the front of the queue; two peers at most are tried for it from there.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -12,34 +12,53 @@
 // said that they had no slot.
 const maxForwards = 2
 
-// place is where a request goes: one of the two is set.
+// place is where a request goes: a slot or a peer.
 type place struct {
 	slot *routing.Slot
 	peer string
+	// ticket is set when the request waited for the place.
+	ticket *routing.Ticket
 }
 
 // once makes one try: here, at a peer, or after a wait in the queue.
 func (g *Gateway) once(ctx context.Context, req Request) (*Response, outcome.Refusal) {
 	var asked []string
+	at, refusal := g.admit(ctx, req, asked)
 	for {
-		at, refusal := g.admit(ctx, req, asked)
 		if at.slot != nil {
 			return g.dispatch(ctx, req, at.slot)
 		}
 		if at.peer == "" {
 			return nil, refusal
 		}
-		resp, refusal := g.forward(ctx, req, at.peer)
-		if refusal.Reason != ReasonNoSlot && refusal.Reason != ReasonPeerUnreachable {
-			return resp, refusal
+		resp, answer := g.forward(ctx, req, at.peer)
+		if answer.Reason != ReasonNoSlot && answer.Reason != ReasonPeerUnreachable {
+			return resp, answer
+		}
+		if at.ticket != nil {
+			at, refusal = g.waitOn(ctx, req, at.ticket)
+			continue
 		}
 		asked = append(asked, at.peer)
 		if len(asked) == maxForwards {
 			asked = append(asked, anyPeer)
 		}
+		at, refusal = g.admit(ctx, req, asked)
 	}
 }
 
+// waitOn puts a request that waited, and was sent to a peer in vain, back in
+// its place in the queue: it was admitted, and keeps its turn.
+func (g *Gateway) waitOn(ctx context.Context, req Request, t *routing.Ticket) (place, outcome.Refusal) {
+	g.mu.Lock()
+	t.Forwards++
+	q := g.queue(req.Service)
+	q.Return(t)
+	g.serveQueue(time.Now(), req.Service)
+	g.mu.Unlock()
+	return g.await(ctx, q, t)
+}
+
 // anyPeer in the list of peers asked stands for all of them.
 const anyPeer = "*"
 
@@ -91,9 +110,10 @@
 func (g *Gateway) await(ctx context.Context, q *routing.Queue, t *routing.Ticket) (place, outcome.Refusal) {
 	timer := time.NewTimer(time.Until(t.GiveUp))
 	defer timer.Stop()
+	wake := t.Wake
 	select {
-	case <-t.Wake:
-		return place{t.Slot, t.Peer}, outcome.Refusal{}
+	case <-wake:
+		return place{t.Slot, t.Peer, t}, outcome.Refusal{}
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -103,7 +123,7 @@
 		return place{}, notRun(ReasonDeadline, g.retryAfter(q))
 	}
 	if ctx.Err() == nil {
-		return place{t.Slot, t.Peer}, outcome.Refusal{}
+		return place{t.Slot, t.Peer, t}, outcome.Refusal{}
 	}
 	if t.Slot != nil {
 		g.release(t.Slot)
@@ -150,7 +170,7 @@
 		if !ok {
 			return
 		}
-		t := q.Pop(now)
+		t := q.PopForward(now, maxForwards)
 		if t == nil {
 			return
 		}
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -33,6 +33,14 @@
 	t.element = q.tickets.PushBack(t)
 }
 
+// Return puts a popped ticket back in its place, the first, since what it was
+// given came to nothing.
+func (q *Queue) Return(t *Ticket) {
+	t.Slot, t.Peer = nil, ""
+	t.Wake = make(chan struct{})
+	t.element = q.tickets.PushFront(t)
+}
+
 // Remove takes a ticket out and reports whether it was still there.
 func (q *Queue) Remove(t *Ticket) bool {
 	if t.element == nil {
@@ -46,9 +54,19 @@
 // Pop takes out the oldest ticket, or returns nil. Tickets that have given up
 // are left to their own timers.
 func (q *Queue) Pop(now time.Time) *Ticket {
+	return q.pop(now, func(*Ticket) bool { return true })
+}
+
+// PopForward takes out the oldest ticket that was sent to fewer than limit
+// peers in vain, or returns nil.
+func (q *Queue) PopForward(now time.Time, limit int) *Ticket {
+	return q.pop(now, func(t *Ticket) bool { return t.Forwards < limit })
+}
+
+func (q *Queue) pop(now time.Time, fits func(*Ticket) bool) *Ticket {
 	for e := q.tickets.Front(); e != nil; e = e.Next() {
 		t := e.Value.(*Ticket)
-		if now.Before(t.GiveUp) {
+		if now.Before(t.GiveUp) && fits(t) {
 			q.Remove(t)
 			return t
 		}
--- a/routing/ticket.go
+++ b/routing/ticket.go
@@ -18,6 +18,8 @@
 	Slot *Slot
 	// Peer is the entry host that the request is to be forwarded to, if any.
 	Peer string
+	// Forwards counts the peers that it was sent to from the queue in vain.
+	Forwards int
 
 	element *list.Element
 }
