ownership: worker shards go on through an outage of the table

Cause: a worker shard's grant ended with the session, so in an outage longer than session + lease.task_lease the workers stopped every running task.

Change: worker shards name successors and are held on their promises, as endpoint shards are. A successor claims after session and own promise have lapsed; another host two sessions after the list's drop at the earliest. An exchange has its second from the check of the grant, so that none of an old owner is sent late after a pause.

Tried and taken out: ending all use on being dropped; the drain does it.

--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -63,19 +63,26 @@
 		}
 		if o.live(now) {
 			for _, msg := range o.messages(now) {
-				m.exchange(o, msg)
+				m.exchange(now, o, msg)
 			}
 		}
 		m.finishRelease(name, o)
 	}
 }
 
-// exchange sends one message on a goroutine of its own.
-func (m *Manager) exchange(o *owned, msg message) {
+// exchange sends one message on a goroutine of its own. Its time counts from
+// the check of the grant at now: a process that was paused in between must not
+// renew leases of a shard that has another owner since.
+func (m *Manager) exchange(now time.Time, o *owned, msg message) {
+	left := exchangeTimeout - m.config.Now().Sub(now)
+	ctx, cancel := context.WithTimeout(m.context, left)
 	m.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(m.context, exchangeTimeout)
-		reply, err := m.config.Workers.Exchange(ctx, msg.address, msg.exchange)
-		cancel()
+		defer cancel()
+		var reply platform.ExchangeReply
+		err := ctx.Err()
+		if err == nil {
+			reply, err = m.config.Workers.Exchange(ctx, msg.address, msg.exchange)
+		}
 		m.post(func(now time.Time) {
 			if m.holds(o) {
 				o.answer(now, msg, reply, err)
--- /dev/null
+++ b/batch/pause_test.go
@@ -0,0 +1,34 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// TestExchangeAfterPauseIsNotSent has the process pause between the check of
+// the grant and the sending of an exchange.
+func TestExchangeAfterPauseIsNotSent(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.started(time.Hour)
+		for pause, want := range map[time.Duration]int{0: 1, exchangeTimeout: 0} {
+			sent := 0
+			r.workers.mu.Lock()
+			r.workers.hook = func(_ string, x platform.Exchange) {
+				if x.LeaseMS == 1 {
+					sent++
+				}
+			}
+			r.workers.mu.Unlock()
+			n.post(func(now time.Time) {
+				o := n.shards[shard]
+				n.exchange(now.Add(-pause), o, message{worker: "w0", address: o.workers["w0"].member.Address, exchange: platform.Exchange{Owner: o.epoch, LeaseMS: 1}})
+			})
+			r.settle(100 * time.Millisecond)
+			if sent != want {
+				t.Errorf("after a pause of %v %d exchanges were sent, want %d", pause, sent, want)
+			}
+		}
+	})
+}
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -88,13 +88,6 @@
 	if !ok {
 		return false
 	}
-	if !s.endpoint {
-		if now.Before(l.at.Add(m.turn(m.rank(s)))) {
-			return false
-		}
-		m.sendClaim(now, s, ShardRow{Seized: true}, l.condition)
-		return true
-	}
 	if !m.previousCleared(now, s) && !m.flaws.noSecondWait {
 		m.askPrevious(now, s)
 		return false
@@ -108,8 +101,12 @@
 
 // seizure returns the row of a shard taken over without a release.
 func (m *Machine) seizure(now time.Time, s *shardState, l lapse) ShardRow {
+	if !s.endpoint {
+		// Nothing of a worker shard is shared with the previous owner.
+		return ShardRow{Seized: true}
+	}
 	since, gone := m.dropped(now, s.row.Owner)
-	if gone && now.Sub(since) >= m.cfg.drained() {
+	if gone && now.Sub(since) >= m.goneAfter() {
 		return ShardRow{}
 	}
 	if l.superseded {
@@ -119,11 +116,11 @@
 	return ShardRow{Seized: true, Unconfirmed: &previous}
 }
 
-// entitled reports whether this host may succeed the owner of an endpoint
-// shard now: as a named successor whose promise has lapsed, or on the word of
-// the membership list.
+// entitled reports whether this host may succeed a shard's owner now: as a
+// named successor whose promise has lapsed, or on the word of the membership
+// list.
 func (m *Machine) entitled(now time.Time, s *shardState, l lapse) bool {
-	if _, gone := m.dropped(now, s.row.Owner); gone {
+	if since, gone := m.dropped(now, s.row.Owner); gone && !now.Before(since.Add(m.forgotten())) {
 		return !now.Before(l.at.Add(m.turn(m.rank(s))))
 	}
 	place := slices.Index(s.row.Successors, m.cfg.Host)
@@ -137,6 +134,17 @@
 	return !now.Before(m.started.Add(m.cfg.lapse())) && !now.Before(m.given[s.row.Owner.process()])
 }
 
+// forgotten is how long after the list has dropped the owner of a shard anyone
+// may succeed it. The owner and its successors may read the list later than
+// this host, for which one session is allowed; the newest promise to the owner,
+// or a short pause of its process, lasts for another.
+func (m *Machine) forgotten() time.Duration {
+	if m.flaws.noDropWait {
+		return 0
+	}
+	return 2 * m.cfg.lapse()
+}
+
 // lapse is the finding that an owner's session has lapsed.
 type lapse struct {
 	// at is since when.
@@ -202,12 +210,8 @@
 	}
 }
 
-// successors returns who may succeed a shard's owner without the list's word;
-// worker shards need none.
+// successors returns who may succeed a shard's owner without the list's word.
 func (m *Machine) successors(s *shardState, owner string) []string {
-	if !s.endpoint {
-		return nil
-	}
 	return m.roster.Successors(s.name, owner, m.cfg.Lease.Successors)
 }
 
--- a/ownership/confirm.go
+++ b/ownership/confirm.go
@@ -15,13 +15,20 @@
 	if u.Host == m.cfg.Host {
 		return m.stoppedSelf(now, s, *u, s.row.Epoch)
 	}
-	if since, gone := m.dropped(now, *u); gone && now.Sub(since) >= m.cfg.drained() {
+	if since, gone := m.dropped(now, *u); gone && now.Sub(since) >= m.goneAfter() {
 		return true
 	}
 	o := m.sessions[u.Host]
 	return o != nil && o.supersedes(*u, s.version) && now.Sub(o.incarnationSince) >= m.cfg.drained()
 }
 
+// goneAfter is how long after the list has dropped a host nothing of it is in
+// flight any more. It may run on until it reads the list itself: a session is
+// allowed for the list's lag, and one for a pause that it takes no notice of.
+func (m *Machine) goneAfter() time.Duration {
+	return m.forgotten() + m.cfg.drained()
+}
+
 // stoppedSelf reports whether a process of this host has nothing in flight
 // under an epoch below the one given.
 func (m *Machine) stoppedSelf(now time.Time, s *shardState, h Holder, epoch uint64) bool {
--- a/ownership/flaws.go
+++ b/ownership/flaws.go
@@ -19,6 +19,10 @@
 	neverPromise bool
 	// noSecondWait seizes a shard whose previous owner is unconfirmed.
 	noSecondWait bool
+	// noDropWait does not allow for hosts that read the list later.
+	noDropWait bool
+	// resumePaused uses shards at once after a pause.
+	resumePaused bool
 	// noDrainOnMove releases a shard without waiting for what is in flight.
 	noDrainOnMove bool
 }
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -18,6 +18,9 @@
 	Until time.Time
 	// After is what may be used once Until has passed.
 	After Share
+	// Ends is when After lapses too, unless the process shows by a newer
+	// grant that it was not paused; zero for never.
+	Ends time.Time
 }
 
 // At returns the share that may be used at now.
@@ -25,5 +28,8 @@
 	if now.Before(g.Until) {
 		return g.Share
 	}
+	if !g.Ends.IsZero() && !now.Before(g.Ends) {
+		return None
+	}
 	return g.After
 }
--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -53,6 +53,7 @@
 	}
 	g.Share = Half
 	g.After = Half
+	g.Ends = m.awakeUntil
 	if m.flaws.noHalfShare {
 		g.Share, g.After = Full, Full
 	}
@@ -66,19 +67,20 @@
 	return g, true
 }
 
-// workerGrant completes the grant of a worker shard: full while the session
-// lives, nothing after.
+// workerGrant completes the grant of a worker shard: full while nobody can
+// succeed this host, nothing after.
 func (m *Machine) workerGrant(now time.Time, s *shardState, g Grant) (Grant, bool) {
-	if !m.sessionLive(now) || !m.verified(s) {
+	until := m.fullUntil(now, s)
+	if !now.Before(until) {
 		return Grant{}, false
 	}
 	g.Share = Full
-	g.Until = m.session.liveUntil
+	g.Until = until
 	return g, true
 }
 
-// fullUntil returns until when nobody can succeed this host on an endpoint
-// shard: by its session, or by the promises of all who may.
+// fullUntil returns until when nobody can succeed this host on a shard: by its
+// session, or by the promises of all who may.
 func (m *Machine) fullUntil(now time.Time, s *shardState) time.Time {
 	var until time.Time
 	if m.verified(s) {
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -18,8 +18,8 @@
 	roster roster.Roster
 	// listedAt is the revision of the newest list that this host stood on.
 	listedAt uint64
-	// absentSince is when hosts were first seen to be dropped from the list.
-	absentSince map[string]time.Time
+	// absent are the hosts that the list has dropped.
+	absent map[string]absence
 
 	session  sessionState
 	sessions map[string]*observed
@@ -36,6 +36,10 @@
 	// given is until when this host promised not to succeed a process.
 	given map[Holder]time.Time
 
+	// steppedAt is when the machine last decided; awakeUntil is when its
+	// process counts as paused unless it decides again.
+	steppedAt, awakeUntil time.Time
+
 	// stopping is set once every shard is to be handed over.
 	stopping bool
 	view     *View
@@ -45,15 +49,15 @@
 // New returns the machine of a process that started at now.
 func New(cfg Config, now time.Time) *Machine {
 	return &Machine{
-		cfg:         cfg,
-		started:     now,
-		absentSince: map[string]time.Time{},
-		sessions:    map[string]*observed{},
-		shards:      map[string]*shardState{},
-		commits:     map[uint64]pendingCommit{},
-		asks:        map[uint64]pendingAsk{},
-		given:       map[Holder]time.Time{},
-		view:        &View{},
+		cfg:      cfg,
+		started:  now,
+		absent:   map[string]absence{},
+		sessions: map[string]*observed{},
+		shards:   map[string]*shardState{},
+		commits:  map[uint64]pendingCommit{},
+		asks:     map[uint64]pendingAsk{},
+		given:    map[Holder]time.Time{},
+		view:     &View{},
 	}
 }
 
@@ -61,7 +65,12 @@
 func (m *Machine) SetRoster(now time.Time, r roster.Roster) []Action {
 	m.roster = r
 	for _, h := range r.EntryHosts() {
-		delete(m.absentSince, h.Name)
+		delete(m.absent, h.Name)
+	}
+	for host := range m.sessions {
+		if _, ok := m.absent[host]; !ok && !r.Listed(host) {
+			m.absent[host] = absence{since: now, revision: r.Revision()}
+		}
 	}
 	if r.Listed(m.cfg.Host) {
 		m.listedAt = r.Revision()
@@ -96,6 +105,7 @@
 
 // step decides everything that the newest input or the time calls for.
 func (m *Machine) step(now time.Time) []Action {
+	m.noticePause(now)
 	m.renewSession(now)
 	m.readRows(now)
 	claims := m.claimsUnderWay()
@@ -119,13 +129,30 @@
 	return actions
 }
 
+// noticePause ends the use of every shard after a pause of a session or more:
+// the list may have dropped this host meanwhile, and others may count on that,
+// though it has it again.
+func (m *Machine) noticePause(now time.Time) {
+	session := m.cfg.Lease.Session.D()
+	paused := !m.steppedAt.IsZero() && now.Sub(m.steppedAt) >= session
+	m.steppedAt = now
+	if m.awakeUntil.Sub(now) < session/2 {
+		m.awakeUntil = now.Add(session)
+	}
+	if !paused || m.flaws.resumePaused {
+		return
+	}
+	for _, s := range m.shards {
+		// It begins again once its row was read under a session.
+		s.begun = false
+	}
+}
+
 // tend looks after a shard that this host owns. It returns how many moves it
 // began.
 func (m *Machine) tend(now time.Time, s *shardState, moves int) int {
 	m.begin(now, s)
-	if s.endpoint {
-		m.confirm(now, s)
-	}
+	m.confirm(now, s)
 	if s.move != nil {
 		m.release(now, s)
 		return 0
@@ -171,12 +198,20 @@
 	if !m.roster.Known() || m.roster.Listed(h.Host) || m.roster.Revision() <= h.Revision {
 		return time.Time{}, false
 	}
-	since, ok := m.absentSince[h.Host]
-	if !ok {
-		since = now
-		m.absentSince[h.Host] = since
+	a, ok := m.absent[h.Host]
+	if !ok || a.revision <= h.Revision {
+		// An earlier drop says nothing of a process that was listed since.
+		a = absence{since: now, revision: m.roster.Revision()}
+		m.absent[h.Host] = a
 	}
-	return since, true
+	return a.since, true
+}
+
+// absence is the finding that the membership list lacks a host.
+type absence struct {
+	since time.Time
+	// revision is that of the list that lacked it.
+	revision uint64
 }
 
 // excluded reports whether this process must use nothing: it was replaced, or
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -39,12 +39,12 @@
 	m.askedPromise = now
 }
 
-// heldBySuccessor lists the endpoint shards in use by each successor.
+// heldBySuccessor lists the shards in use by each successor.
 func (m *Machine) heldBySuccessor() map[string][]Held {
 	held := map[string][]Held{}
 	for _, name := range m.names {
 		s := m.shards[name]
-		if !s.endpoint || !m.mine(s) || !s.begun || s.move != nil {
+		if !m.mine(s) || !s.begun || s.move != nil {
 			continue
 		}
 		for _, h := range s.mustPromise() {
--- a/ownership/row.go
+++ b/ownership/row.go
@@ -62,7 +62,7 @@
 	// Unconfirmed is the previous owner while it is not known to have
 	// stopped; nil otherwise.
 	Unconfirmed *Holder `msgpack:"u"`
-	// Successors may take an endpoint shard over without the membership
+	// Successors may take the shard over without the membership
 	// list's word, in this order.
 	Successors []string `msgpack:"s"`
 }
--- a/ownership/simhost_test.go
+++ b/ownership/simhost_test.go
@@ -176,6 +176,9 @@
 			return
 		}
 		result := h.w.table.commit(tx)
+		if result.Status == platform.CommitApplied {
+			h.w.ownersChanged(tx)
+		}
 		if h.w.chance(h.w.lossy) || h.w.chance(h.deaf) {
 			return
 		}
--- a/ownership/simtraffic_test.go
+++ b/ownership/simtraffic_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"strings"
 	"time"
 
 	"github.com/fireflygate/fireflygate/platform"
@@ -77,11 +78,58 @@
 	})
 }
 
+// simSendTime bounds the time from the check of a grant to the sending of the
+// task leases that it lets renew.
+const simSendTime = time.Second
+
+// leasesRenewed begins the finding of a late renewal.
+const leasesRenewed = "task leases renewed"
+
+// renewTasks sends a renewal of a worker shard's task leases to its workers,
+// who know nothing of owners that they have not heard of.
+func (h *simHost) renewTasks(g Grant) {
+	deadline := h.clock().Add(simSendTime)
+	h.open[g.Shard]++
+	h.later(h.w.between(0, 5), func() {
+		h.open[g.Shard]--
+		if h.clock().After(deadline) {
+			return
+		}
+		truth := h.w.truth(g.Shard)
+		late := time.Duration(float64(simSendTime) * (1 + h.w.lease.ClockRate))
+		if g.Epoch < truth.owned && h.w.now.Sub(truth.ownedAt) > late {
+			h.w.fail("%s: %s under epoch %d, %v after that of %d began", g.Shard, leasesRenewed, g.Epoch, h.w.now.Sub(truth.ownedAt), truth.owned)
+		}
+		if g.Epoch < truth.owned {
+			h.w.lateRenewals++
+		}
+		h.w.renewals++
+		truth.gap = max(truth.gap, h.w.now.Sub(truth.renewedAt))
+		truth.renewedAt = h.w.now
+	})
+}
+
+// ownersChanged notes the owners that a transaction has given shards.
+func (w *world) ownersChanged(tx platform.Transaction) {
+	for _, wr := range tx.Writes {
+		row, err := DecodeShardRow(wr.Value)
+		if err != nil || !strings.HasPrefix(wr.Key, ShardPrefix) {
+			continue
+		}
+		truth := w.truth(shardOfKey(wr.Key))
+		if row.Epoch > truth.owned {
+			truth.owned = row.Epoch
+			truth.ownedAt = w.now
+		}
+	}
+}
+
 // work commits to the table as the owner of a worker shard.
 func (h *simHost) work(g Grant) {
 	if g.At(h.clock()) != Full {
 		return
 	}
+	h.renewTasks(g)
 	tx := platform.Transaction{Conditions: []platform.Condition{{Key: ShardKey(g.Shard), Version: g.Version}}}
 	if h.w.unfenced {
 		tx.Conditions = nil
