ownership: a rolling restart with other lease settings is safe

Cause: observers judged a session, a promise and a drain by their own settings, so a host with a shorter session succeeded one that still lived.

Change: session rows and holders carry the session's length and max_run; others go by the larger of these and their own; the row of a seized shard carries the longest run of its owners so far.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -106,7 +106,7 @@
 		return ShardRow{Seized: true}
 	}
 	since, gone := m.dropped(now, s.row.Owner)
-	if gone && now.Sub(since) >= m.goneAfter() {
+	if gone && now.Sub(since) >= m.goneAfter(s.row.Owner) {
 		return ShardRow{}
 	}
 	if l.superseded {
@@ -120,7 +120,7 @@
 // named successor whose promise has lapsed, or on the word of the membership
 // list.
 func (m *Machine) entitled(now time.Time, s *shardState, l lapse) bool {
-	if since, gone := m.dropped(now, s.row.Owner); gone && !now.Before(since.Add(m.forgotten())) {
+	if since, gone := m.dropped(now, s.row.Owner); gone && !now.Before(since.Add(m.forgotten(s.row.Owner))) {
 		return !now.Before(l.at.Add(m.turn(m.rank(s))))
 	}
 	place := slices.Index(s.row.Successors, m.cfg.Host)
@@ -131,18 +131,35 @@
 		return true
 	}
 	// An earlier process of this host may have promised.
-	return !now.Before(m.started.Add(m.cfg.lapse())) && !now.Before(m.given[s.row.Owner.process()])
+	return !now.Before(m.started.Add(m.lapseOf(s.row.Owner))) && !now.Before(m.given[s.row.Owner.process()])
 }
 
 // forgotten is how long after the list has dropped the owner of a shard anyone
 // may succeed it. The owner and its successors may read the list later than
 // this host, for which one session is allowed; the newest promise to the owner,
 // or a short pause of its process, lasts for another.
-func (m *Machine) forgotten() time.Duration {
+func (m *Machine) forgotten(owner Holder) time.Duration {
 	if m.flaws.noDropWait {
 		return 0
 	}
-	return 2 * m.cfg.lapse()
+	return 2 * m.lapseOf(owner)
+}
+
+// lapseOf is how long a process lives, and promises to it last, without a sign
+// of life.
+func (m *Machine) lapseOf(h Holder) time.Duration {
+	if m.flaws.ownBounds {
+		return m.cfg.lapse(Bounds{})
+	}
+	return m.cfg.lapse(h.Bounds)
+}
+
+// drainedOf is how long after a process stopped nothing of it is in flight.
+func (m *Machine) drainedOf(maxRun time.Duration) time.Duration {
+	if m.flaws.ownBounds {
+		return m.cfg.drained(0)
+	}
+	return m.cfg.drained(maxRun)
 }
 
 // lapse is the finding that an owner's session has lapsed.
@@ -167,10 +184,10 @@
 		return lapse{}, false
 	}
 	if o.supersedes(owner, s.version) {
-		l := lapse{at: o.incarnationSince.Add(m.cfg.lapse()), superseded: true}
+		l := lapse{at: o.incarnationSince.Add(m.lapseOf(owner)), superseded: true}
 		return l, !now.Before(l.at)
 	}
-	l := lapse{at: o.since.Add(m.cfg.lapse())}
+	l := lapse{at: o.since.Add(m.lapseOf(owner))}
 	if !m.flaws.noSessionCondition {
 		l.condition = &platform.Condition{Key: SessionKey(owner.Host), Version: o.version}
 	}
@@ -186,6 +203,9 @@
 // sendClaim sends a claim. Seized and Unconfirmed are taken from row.
 func (m *Machine) sendClaim(now time.Time, s *shardState, row ShardRow, condition *platform.Condition) {
 	row.Owner = m.self()
+	if row.Seized {
+		row.MaxRun = s.inFlightBound()
+	}
 	row.Epoch = s.row.Epoch + 1
 	row.Successors = m.successors(s, m.cfg.Host)
 	doubtful := s.claim != nil && s.claim.doubtful
--- a/ownership/config.go
+++ b/ownership/config.go
@@ -26,16 +26,26 @@
 	maxClaims = 8
 )
 
-// lapse is how long an observer waits for a sign of life: a session by the
-// observer's own clock, which may run fast.
-func (c Config) lapse() time.Duration {
-	session := c.Lease.Session.D()
-	return session + time.Duration(float64(session)*c.Lease.ClockRate)
+// bounds returns what others rely on of this process.
+func (c Config) bounds() Bounds {
+	return Bounds{Session: c.Lease.Session.D(), MaxRun: c.MaxRun}
 }
 
-// drained is how long after a host stopped its last request is surely over.
-func (c Config) drained() time.Duration {
-	return c.MaxRun + time.Duration(float64(c.MaxRun)*c.Lease.ClockRate)
+// lapse is how long an observer waits for a sign of life of a process with
+// these bounds: a session by the observer's own clock, which may run fast.
+func (c Config) lapse(of Bounds) time.Duration {
+	return c.widen(max(c.Lease.Session.D(), of.Session))
+}
+
+// drained is how long after a host stopped its last request is surely over,
+// when none runs longer than maxRun or this host's own bound.
+func (c Config) drained(maxRun time.Duration) time.Duration {
+	return c.widen(max(c.MaxRun, maxRun))
+}
+
+// widen adds the difference of two clocks to a time.
+func (c Config) widen(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*c.Lease.ClockRate)
 }
 
 // renew is how often the session is renewed and the table is read.
--- a/ownership/confirm.go
+++ b/ownership/confirm.go
@@ -15,18 +15,18 @@
 	if u.Host == m.cfg.Host {
 		return m.stoppedSelf(now, s, *u, s.row.Epoch)
 	}
-	if since, gone := m.dropped(now, *u); gone && now.Sub(since) >= m.goneAfter() {
+	if since, gone := m.dropped(now, *u); gone && now.Sub(since) >= m.goneAfter(*u) {
 		return true
 	}
 	o := m.sessions[u.Host]
-	return o != nil && o.supersedes(*u, s.version) && now.Sub(o.incarnationSince) >= m.cfg.drained()
+	return o != nil && o.supersedes(*u, s.version) && now.Sub(o.incarnationSince) >= m.drainedOf(u.MaxRun)
 }
 
 // goneAfter is how long after the list has dropped a host nothing of it is in
 // flight any more. It may run on until it reads the list itself: a session is
 // allowed for the list's lag, and one for a pause that it takes no notice of.
-func (m *Machine) goneAfter() time.Duration {
-	return m.forgotten() + m.cfg.drained()
+func (m *Machine) goneAfter(h Holder) time.Duration {
+	return m.forgotten(h) + m.drainedOf(h.MaxRun)
 }
 
 // stoppedSelf reports whether a process of this host has nothing in flight
@@ -35,7 +35,7 @@
 	if h.Incarnation == m.cfg.Incarnation {
 		return s.usedEpoch == 0 || s.usedEpoch >= epoch
 	}
-	return m.sessionLive(now) && now.Sub(m.started) >= m.cfg.drained()
+	return m.sessionLive(now) && now.Sub(m.started) >= m.drainedOf(h.MaxRun)
 }
 
 // askPrevious asks the unconfirmed previous owner whether it has stopped.
--- a/ownership/flaws.go
+++ b/ownership/flaws.go
@@ -23,6 +23,8 @@
 	noDropWait bool
 	// resumePaused uses shards at once after a pause.
 	resumePaused bool
+	// ownBounds goes by this host's own settings alone.
+	ownBounds bool
 	// noDrainOnMove releases a shard without waiting for what is in flight.
 	noDrainOnMove bool
 }
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -174,7 +174,7 @@
 
 // self names this process.
 func (m *Machine) self() Holder {
-	return Holder{Host: m.cfg.Host, Incarnation: m.cfg.Incarnation, Revision: m.listedAt}
+	return Holder{Host: m.cfg.Host, Incarnation: m.cfg.Incarnation, Revision: m.listedAt, Bounds: m.cfg.bounds()}
 }
 
 // mine reports whether the newest row known names this process as the owner.
--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -12,6 +12,7 @@
 	version     uint64
 	// stopping is set once it hands its shards over.
 	stopping bool
+	bounds   Bounds
 	// since is when this version was first seen.
 	since time.Time
 	// incarnationSince is when this incarnation was first seen.
@@ -108,6 +109,7 @@
 		return
 	}
 	o.stopping = value.Stopping
+	o.bounds = value.Bounds
 	if value.Incarnation == o.incarnation {
 		return
 	}
@@ -158,7 +160,7 @@
 func (m *Machine) owned(now time.Time, s *shardState) {
 	s.startAt = now
 	if s.endpoint && s.row.Seized && !m.flaws.noDrainWait {
-		s.startAt = now.Add(m.cfg.drained())
+		s.startAt = now.Add(m.drainedOf(s.row.MaxRun))
 	}
 	kind := ShardOwned
 	if s.row.Seized {
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -116,6 +116,6 @@
 			delete(m.given, h)
 		}
 	}
-	m.given[req.Owner.process()] = now.Add(m.cfg.lapse())
+	m.given[req.Owner.process()] = now.Add(m.lapseOf(req.Owner))
 	return reply, m.step(now)
 }
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -114,13 +114,18 @@
 	if !m.previousCleared(now, s) {
 		row.Unconfirmed = s.row.Unconfirmed
 	}
+	if row.Seized {
+		row.MaxRun = s.inFlightBound()
+	}
 	if s.move.to == "" {
 		return row
 	}
+	to := m.sessions[s.move.to]
 	row.Owner = Holder{
 		Host:        s.move.to,
-		Incarnation: m.sessions[s.move.to].incarnation,
+		Incarnation: to.incarnation,
 		Revision:    m.roster.Revision(),
+		Bounds:      to.bounds,
 	}
 	row.Successors = m.successors(s, s.move.to)
 	return row
--- a/ownership/row.go
+++ b/ownership/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -28,6 +29,16 @@
 	// Stopping is set once the process hands its shards over, so that it is
 	// given none.
 	Stopping bool `msgpack:"t"`
+	Bounds   `msgpack:",inline"`
+}
+
+// Bounds are the times of a process that others count on. Hosts with other
+// settings go by the larger of these and their own.
+type Bounds struct {
+	// Session is how long its session and promises to it last.
+	Session time.Duration `msgpack:"l,omitempty"`
+	// MaxRun is the longest that an endpoint works on a request of its.
+	MaxRun time.Duration `msgpack:"m,omitempty"`
 }
 
 // Holder names one process of one entry host.
@@ -37,6 +48,7 @@
 	// Revision is that of a membership list on which the host stood; only a
 	// newer list can drop it.
 	Revision uint64 `msgpack:"r"`
+	Bounds   `msgpack:",inline"`
 }
 
 // is reports whether both name the same process.
@@ -44,7 +56,7 @@
 	return h.Host == o.Host && h.Incarnation == o.Incarnation
 }
 
-// process returns the holder without the revision, for use as a key.
+// process returns the holder without all else, for use as a key.
 func (h Holder) process() Holder {
 	return Holder{Host: h.Host, Incarnation: h.Incarnation}
 }
@@ -59,6 +71,8 @@
 	// Seized is set when the owner took the shard from one that may still
 	// have requests in flight, rather than being given it.
 	Seized bool `msgpack:"z"`
+	// MaxRun is the longest that these requests may run.
+	MaxRun time.Duration `msgpack:"m,omitempty"`
 	// Unconfirmed is the previous owner while it is not known to have
 	// stopped; nil otherwise.
 	Unconfirmed *Holder `msgpack:"u"`
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -61,7 +61,7 @@
 	}
 	s.sentAt[s.counter] = now
 	key := SessionKey(m.cfg.Host)
-	value := SessionRow{Incarnation: m.cfg.Incarnation, Counter: s.counter, Stopping: m.stopping}
+	value := SessionRow{Incarnation: m.cfg.Incarnation, Counter: s.counter, Stopping: m.stopping, Bounds: m.cfg.bounds()}
 	if m.stopping && s.stopCounter == 0 {
 		s.stopCounter = s.counter
 	}
--- a/ownership/shardstate.go
+++ b/ownership/shardstate.go
@@ -85,5 +85,14 @@
 	}
 }
 
+// inFlightBound is the longest that requests of owners so far may run.
+func (s *shardState) inFlightBound() time.Duration {
+	bound := s.row.Owner.MaxRun
+	if s.row.Seized {
+		bound = max(bound, s.row.MaxRun)
+	}
+	return bound
+}
+
 // exists reports whether the shard's row is known.
 func (s *shardState) exists() bool { return s.version != 0 }
--- a/ownership/simhost_test.go
+++ b/ownership/simhost_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/roster"
+	"github.com/fireflygate/fireflygate/settings"
 )
 
 // simHost is one entry host: a machine, its clock, and a traffic path that
@@ -15,6 +16,9 @@
 	name string
 	zone string
 	rate float64
+	// lease and maxRun are this host's settings.
+	lease  settings.Lease
+	maxRun time.Duration
 
 	alive       bool
 	incarnation int
@@ -47,7 +51,7 @@
 	h.roster = roster.Roster{}
 	h.machine = New(Config{
 		Host: h.name, Incarnation: fmt.Sprintf("%s-%d", h.name, h.incarnation),
-		Lease: h.w.lease, MaxRun: h.w.maxRun,
+		Lease: h.lease, MaxRun: h.maxRun,
 	}, h.clock())
 	h.machine.flaws = h.w.flaws
 	h.readList(0, h.newest)
@@ -63,7 +67,7 @@
 		}
 		h.newest = list
 		h.later(0, func() {
-			h.roster = roster.Build(h.roster, h.newest, h.w.lease)
+			h.roster = roster.Build(h.roster, h.newest, h.lease)
 			h.do(h.machine.SetRoster(h.clock(), h.roster))
 		})
 	})
@@ -87,7 +91,7 @@
 
 // tick lets time pass for the machine, again and again.
 func (h *simHost) tick() {
-	h.later(h.w.lease.Renew.D()/4, func() {
+	h.later(h.lease.Renew.D()/4, func() {
 		h.do(h.machine.Tick(h.clock()))
 		h.tick()
 	})
--- a/ownership/simtraffic_test.go
+++ b/ownership/simtraffic_test.go
@@ -55,9 +55,9 @@
 	if truth.running > simSlots {
 		h.w.fail("%s runs %d requests, capacity %d", shard, truth.running, simSlots)
 	}
-	runs := h.w.maxRun
+	runs := h.maxRun
 	if !h.w.bursts && h.w.chance(50) {
-		runs = time.Duration(h.w.rand.Int64N(int64(h.w.maxRun)))
+		runs = time.Duration(h.w.rand.Int64N(int64(h.maxRun)))
 	}
 	h.w.after(runs, func() {
 		truth.running--
@@ -96,7 +96,7 @@
 			return
 		}
 		truth := h.w.truth(g.Shard)
-		late := time.Duration(float64(simSendTime) * (1 + h.w.lease.ClockRate))
+		late := time.Duration(float64(simSendTime) * (1 + h.lease.ClockRate))
 		if g.Epoch < truth.owned && h.w.now.Sub(truth.ownedAt) > late {
 			h.w.fail("%s: %s under epoch %d, %v after that of %d began", g.Shard, leasesRenewed, g.Epoch, h.w.now.Sub(truth.ownedAt), truth.owned)
 		}
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -111,6 +111,9 @@
 // shard must have one full owner.
 func simulate(seed uint64, f flaws, unfenced bool) *world {
 	w := newWorld(seed, 3+int(seed%3), 2, f)
+	if seed%5 == 4 {
+		w.mixSettings()
+	}
 	w.unfenced = unfenced
 	w.lossy = 3
 	w.bursts = seed%2 == 0
@@ -125,6 +128,18 @@
 	return w
 }
 
+// mixSettings gives every second host, from its next process on, shorter
+// bounds, as in a rolling restart.
+func (w *world) mixSettings() {
+	for i, h := range w.hosts {
+		if i%2 == 1 {
+			h.lease.Session = settings.Duration(2 * time.Second)
+			h.lease.Renew = settings.Duration(500 * time.Millisecond)
+			h.maxRun = 2 * time.Second
+		}
+	}
+}
+
 // settled checks that each shard has one full owner for some part of a calm
 // time; it has none while it moves to its preferred host.
 func (w *world) settled(over time.Duration) {
@@ -203,6 +218,7 @@
 		"second succession does not wait":         {flaws: flaws{noSecondWait: true}},
 		"a dropped owner has no time to learn it": {flaws: flaws{noDropWait: true}},
 		"task leases renewed on a lapsed promise": {flaws: flaws{ignorePromises: true}, tasks: true},
+		"bounds of others ignored":                {flaws: flaws{ownBounds: true}},
 		"move without drain":                      {flaws: flaws{noDrainOnMove: true}},
 		"commits without the row's condition":     {unfenced: true},
 	}
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -71,7 +71,7 @@
 			platform.Member{Kind: platform.Worker, Name: fmt.Sprint("w", i), Zone: fmt.Sprint("z", i), State: platform.Live})
 	}
 	for i := range n {
-		h := &simHost{w: w, name: fmt.Sprint("h", i), zone: fmt.Sprint(i % 3)}
+		h := &simHost{w: w, name: fmt.Sprint("h", i), zone: fmt.Sprint(i % 3), lease: w.lease, maxRun: w.maxRun}
 		// Two clocks differ by at most the rate that is allowed.
 		h.rate = 1 + w.lease.ClockRate*(w.rand.Float64()-0.5)
 		w.hosts = append(w.hosts, h)
