--- a/batch/shard.go
+++ b/batch/shard.go
@@ -97,6 +97,8 @@
 	noFence bool
 	// noBuffer takes a run as over as soon as its lease is.
 	noBuffer bool
+	// adoptDeclared takes a run to reserve what its job declares.
+	adoptDeclared bool
 	// lapseAtOnce takes a run as over with the first exchange unanswered.
 	lapseAtOnce bool
 }
@@ -119,6 +121,13 @@
 	}
 }
 
+// setPolicy brings other settings into force.
+func (s *Shard) setPolicy(b settings.Batch, o placement.Options) {
+	s.limits.Batch = b
+	s.planner.SetPolicy(o)
+	s.dirty = true
+}
+
 // load takes in the replayed records, as of now.
 func (s *Shard) load(now time.Time, records []stored) {
 	for _, row := range records {
@@ -151,7 +160,11 @@
 	w.jobs[j.rec.Spec.ID] = j
 	s.running++
 	s.show(now, w)
-	s.planner.Adopt(j.rec.Sized(), w.name)
+	size := j.rec.Reserves()
+	if s.faults.adoptDeclared {
+		size = j.rec.Spec.Resources
+	}
+	s.planner.AdoptSized(j.rec.Sized(), w.name, size)
 }
 
 // vacate frees what the job's run occupied.
--- a/gate/run.go
+++ b/gate/run.go
@@ -101,6 +101,8 @@
 func (g *Gate) takeConfig(c configstore.Current) {
 	g.slo.SetObjectives(c.Settings.Objectives)
 	g.gateway.SetCalls(c.Settings.Calls)
+	g.journal.SetSettings(c.Settings.Batch)
+	g.batch.SetPolicy(c.Settings.Batch, planning(c.Settings))
 	g.becomeReady()
 }
 
