Peers: a renewed certificate is shown from the next connection on

Cause: gate took the identity's client settings once at start, so a host that runs on after a renewal was refused by its peers once the old certificate had expired. The server's side asked for each connection already.

Change: peer.Options.TLS is a function, asked for each new connection.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -72,9 +73,7 @@
 	if err := g.buildAccess(); err != nil {
 		return nil, err
 	}
-	if err := g.buildPeers(); err != nil {
-		return nil, err
-	}
+	g.buildPeers()
 	g.store = &configstore.Store{Table: deps.Table, Objects: deps.Objects, Now: time.Now}
 	g.watcher = configstore.NewWatcher(g.store, local, deps.Log)
 	g.spreader = newSpreader(g.peers, g.peerServer, g.watcher, g.rng())
@@ -105,19 +104,15 @@
 	return err
 }
 
-func (g *Gate) buildPeers() error {
+func (g *Gate) buildPeers() {
 	o := peer.Options{Host: g.local.Host.Name, UserTimeout: peerUserTimeout, Log: g.deps.Log}
 	client, server := o, o
 	if g.identity != nil {
-		c, err := g.identity.Client()
-		if err != nil {
-			return err
-		}
-		client.TLS, server.TLS = c, g.identity.Server(true)
+		client.TLS = g.identity.Client
+		server.TLS = func() (*tls.Config, error) { return g.identity.Server(true), nil }
 	}
 	g.peers = peer.NewClient(client, g.rng())
 	g.peerServer = peer.NewServer(server, g.admitPeer)
-	return nil
 }
 
 // admitPeer lets in the entry hosts that the membership list names, from the
--- /dev/null
+++ b/gate/rig_test.go
@@ -0,0 +1,68 @@
+package gate
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+// startGate runs one entry host over stand-ins until the test ends.
+func startGate(t *testing.T, edit func(*settings.Settings)) (*standin.Platform, Listeners) {
+	t.Helper()
+	c := standin.DefaultConfig()
+	c.Services, c.Workers.Count = nil, 0
+	p, err := standin.Start(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Close() })
+	s := settings.Default()
+	s.Host.Name, s.Host.Region, s.Host.Zone = "gate-1", c.Region, c.Zones[0]
+	s.Host.Listen, s.Host.Operators, s.Host.Peer = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Host.DrainDelay = settings.Duration(time.Millisecond)
+	s.Platform.MembersInterval = settings.Duration(50 * time.Millisecond)
+	edit(&s)
+	g, err := New(s, Deps{
+		Table: p.Table, Objects: p.Objects, Members: p.Members,
+		Log: slog.New(slog.DiscardHandler), Now: time.Now, Build: "test",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := Listen(s.Host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.PutEntryHost(standin.EntryHostConfig{Name: s.Host.Name, Peer: l.Peers.Addr().String(), Zone: s.Host.Zone})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx, l) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Errorf("the host's drain: %v", err)
+		}
+	})
+	return p, l
+}
+
+// eventually polls until ok holds, for at most a limit that only a hang
+// reaches.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			t.Fatal("never seen: " + what)
+		case <-ticker.C:
+		}
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -135,7 +135,11 @@
 	}
 	conn := raw
 	if o.TLS != nil {
-		secure := tls.Client(raw, clientTLS(o.TLS, host))
+		config, err := o.TLS()
+		if err != nil {
+			return nil, errors.Wrap(err, "tls")
+		}
+		secure := tls.Client(raw, clientTLS(config, host))
 		if err := secure.HandshakeContext(ctx); err != nil {
 			return nil, errors.Wrap(err, "tls")
 		}
--- a/peer/options.go
+++ b/peer/options.go
@@ -26,8 +26,10 @@
 	Handshake time.Duration
 	// MinBackoff and MaxBackoff bound the wait between failed dials.
 	MinBackoff, MaxBackoff time.Duration
-	// TLS, if set, encrypts and authenticates both directions.
-	TLS *tls.Config
+	// TLS, if set, encrypts and authenticates both directions. It is asked
+	// for the settings of each new connection, so a renewed certificate is
+	// used from the next connection on.
+	TLS func() (*tls.Config, error)
 	// Log takes events; nil discards them.
 	Log *slog.Logger
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -150,7 +150,11 @@
 	}
 	conn := raw
 	if s.opts.TLS != nil {
-		secure := tls.Server(raw, s.opts.TLS)
+		config, err := s.opts.TLS()
+		if err != nil {
+			return nil, "", errors.Wrap(err, "tls")
+		}
+		secure := tls.Server(raw, config)
 		if err := secure.HandshakeContext(ctx); err != nil {
 			return nil, "", errors.Wrap(err, "tls")
 		}
