report -html: the burn report as a page that stands alone

Change: BurnReport carries rules and history; package burnpage draws SVG plots within one HTML page. go-echarts needs a script from outside, so gonum.org/v1/plot takes its place (docs/decisions/burn-page.md).

Proof: burnpage's test failed on the SVG name spaces' addresses before they were cut out, and on a report without windows.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -35,6 +35,13 @@
 	if want := 119*time.Minute + 59*time.Second; r.Windows[2].Covered != want {
 		t.Errorf("six hours covered %s, want %s", r.Windows[2].Covered, want)
 	}
+	first, last := r.History[len(r.History)-24], r.History[len(r.History)-1]
+	if want := (Point{Start: start, Good: 10_000, Total: 10_000}); !first.Start.Equal(want.Start) || first.Good != want.Good || first.Total != want.Total {
+		t.Errorf("history two hours ago %+v, want %+v", first, want)
+	}
+	if last.Good != 5*1980 || last.Total != 10_000 || r.History[len(r.History)-25].Total != 0 {
+		t.Errorf("history ends with %+v", last)
+	}
 	if r.Alert != NoAlert {
 		t.Errorf("alert %s, want none", r.Alert)
 	}
--- a/burn/report.go
+++ b/burn/report.go
@@ -21,6 +21,8 @@
 	// Unseen lists hosts that stopped without closing their sheet: up to one
 	// flush interval of their calls is missing.
 	Unseen []string
+	// History is the calls of the last HistoryLength, oldest first.
+	History []Point
 }
 
 // Evaluate reports one objective at now from the sheets of all hosts. A sheet
@@ -31,6 +33,7 @@
 		r.Windows = append(r.Windows, window(o, sheets, now, length))
 	}
 	r.Alert = alertOf(r.Windows)
+	r.History = history(o, sheets, now)
 	oldest := now.Add(-Windows[len(Windows)-1]).UnixMilli()
 	for _, s := range sheets {
 		lost := !s.Closed && now.UnixMilli()-s.LastUnixMS > stale.Milliseconds()
--- a/cli/report.go
+++ b/cli/report.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -9,23 +10,29 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/fireflygate/fireflygate/burnpage"
 	"github.com/fireflygate/fireflygate/gen/operations"
 )
 
 type reportCommand struct {
 	target
+	html string
 }
 
 func (*reportCommand) Name() string     { return "report" }
 func (*reportCommand) Synopsis() string { return "report the burn of service-level objectives" }
 func (*reportCommand) Usage() string {
-	return `report [-to URL] [-json]
+	return `report [-to URL] [-json] [-html FILE]
   Reports how fast each objective's error budget is spent over several windows.
-  Example: fireflygate report
+  With -html it writes a page with plots, which needs nothing else to be read.
+  Example: fireflygate report -html burn.html
 `
 }
 
-func (c *reportCommand) SetFlags(f *flag.FlagSet) { c.flags(f, localOperators) }
+func (c *reportCommand) SetFlags(f *flag.FlagSet) {
+	c.flags(f, localOperators)
+	f.StringVar(&c.html, "html", "", "`file` to write the report to as a page")
+}
 
 func (c *reportCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	client, err := c.operations()
@@ -37,9 +44,31 @@
 		return fail(err)
 	}
 	list := res.([]*operations.BurnReport)
-	if c.json {
+	switch {
+	case c.html != "":
+		return writePage(c.html, list)
+	case c.json:
 		return printJSON(list)
+	default:
+		printReports(list)
+		return ExitOK
+	}
+}
+
+// writePage writes the reports to a file as a page.
+func writePage(path string, list []*operations.BurnReport) subcommands.ExitStatus {
+	var page bytes.Buffer
+	if err := burnpage.Write(&page, list, time.Now()); err != nil {
+		return fail(err)
 	}
+	const mode = 0o644
+	if err := os.WriteFile(path, page.Bytes(), mode); err != nil {
+		return fail(err)
+	}
+	return ExitOK
+}
+
+func printReports(list []*operations.BurnReport) {
 	var rows [][]string
 	for _, r := range list {
 		for _, w := range r.Windows {
@@ -51,5 +80,4 @@
 		}
 	}
 	printTable(os.Stdout, []string{"OBJECTIVE", "SERVICE", "TARGET", "ALERT", "WINDOW", "GOOD", "TOTAL", "BURN", "COVERED"}, rows)
-	return ExitOK
 }
--- a/design/operations.go
+++ b/design/operations.go
@@ -48,6 +48,23 @@
 	Required("window_ms", "good", "total", "burn", "covered_ms")
 })
 
+var burnRule = Type("BurnRule", func() {
+	Description("An alert that is raised while two windows both burn at a rate.")
+	Attribute("alert", String, "The alert: ticket or page.")
+	Attribute("long_ms", Int64, "Length of the longer window in milliseconds.")
+	Attribute("short_ms", Int64, "Length of the shorter window in milliseconds.")
+	Attribute("burn", Float64, "Burn rate that both must reach.")
+	Required("alert", "long_ms", "short_ms", "burn")
+})
+
+var burnPoint = Type("BurnPoint", func() {
+	Description("Calls of a few minutes.")
+	Attribute("start_unix_ms", Int64, "Start, in Unix milliseconds.")
+	Attribute("good", Int64, "Calls that met the objective.")
+	Attribute("total", Int64, "All calls that count.")
+	Required("start_unix_ms", "good", "total")
+})
+
 var burnReport = Type("BurnReport", func() {
 	Description("Burn of one service-level objective.")
 	Attribute("objective", String, "Name of the objective.")
@@ -56,6 +73,8 @@
 	Attribute("alert", String, "Alert in force: none, ticket or page.")
 	Attribute("windows", ArrayOf(burnWindow), "Burn by window, shortest first.")
 	Attribute("unseen", ArrayOf(String), "Hosts of whose counts up to one flush interval is missing.")
+	Attribute("rules", ArrayOf(burnRule), "Rules that raise alerts.")
+	Attribute("history", ArrayOf(burnPoint), "Calls of the last hours in steps of the shortest window, oldest first.")
 	Required("objective", "service", "target", "alert", "windows")
 })
 
--- a/gate/operations.go
+++ b/gate/operations.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 
-	"github.com/fireflygate/fireflygate/burn"
 	"github.com/fireflygate/fireflygate/gen/operations"
 	"github.com/fireflygate/fireflygate/outcome"
 )
@@ -87,23 +86,3 @@
 	s.gate.BeginDrain()
 	return nil
 }
-
-func reportOf(r burn.Report, failed error) *operations.BurnReport {
-	out := &operations.BurnReport{
-		Objective: r.Objective.Name,
-		Service:   r.Objective.Service,
-		Target:    r.Objective.Target,
-		Alert:     string(r.Alert),
-		Unseen:    r.Unseen,
-	}
-	if failed != nil {
-		out.Unseen = append(out.Unseen, "all other hosts: "+failed.Error())
-	}
-	for _, w := range r.Windows {
-		out.Windows = append(out.Windows, &operations.BurnWindow{
-			WindowMs: w.Length.Milliseconds(), Good: w.Good, Total: w.Total,
-			Burn: w.Burn, CoveredMs: w.Covered.Milliseconds(),
-		})
-	}
-	return out
-}
--- a/gen/http/cli/fireflygate/cli.go
+++ b/gen/http/cli/fireflygate/cli.go
@@ -35,9 +35,9 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "calls call --service \"b\" --path \"Rem dignissimos voluptates esse.\" --idempotency-key \"i3\" --timeout-ms 573731 --stream \"goa.png\"" + "\n" +
-		os.Args[0] + " " + "jobs submit --body '{\n      \"class\": \"z7\",\n      \"due_unix_ms\": 4499715580651426599,\n      \"event\": \"Et praesentium autem itaque.\",\n      \"key\": \"ec1\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5943586400215435162,\n         \"memory_mb\": 2268540366639915135,\n         \"milli_cpu\": 1819962274400557582\n      },\n      \"run_ms\": 3722395794259038907,\n      \"team\": \"fts\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Voluptatem est.\",\n         \"Iste quas.\"\n      ]\n   }'" + "\n" +
-		os.Args[0] + " " + "configs apply --body '{\n      \"author\": \"Quisquam enim.\",\n      \"base\": 8786922565044239282,\n      \"content\": \"Autem et est voluptatem ullam qui.\",\n      \"dry_run\": true\n   }'" + "\n" +
+	return os.Args[0] + " " + "calls call --service \"p\" --path \"Repellat qui esse est.\" --idempotency-key \"2tv\" --timeout-ms 322926 --stream \"goa.png\"" + "\n" +
+		os.Args[0] + " " + "jobs submit --body '{\n      \"class\": \"rd\",\n      \"due_unix_ms\": 8275909494761671192,\n      \"event\": \"Cumque iste quas sed numquam reprehenderit.\",\n      \"key\": \"785\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5544269771039854563,\n         \"memory_mb\": 1034598865937597676,\n         \"milli_cpu\": 2726557299593587810\n      },\n      \"run_ms\": 61350973199039225,\n      \"team\": \"3a\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Sed sed modi.\",\n         \"Excepturi accusantium vel autem magnam laborum.\",\n         \"Libero similique nisi modi.\"\n      ]\n   }'" + "\n" +
+		os.Args[0] + " " + "configs apply --body '{\n      \"author\": \"Excepturi hic amet et neque similique.\",\n      \"base\": 6184942773702916873,\n      \"content\": \"Quidem sint.\",\n      \"dry_run\": false\n   }'" + "\n" +
 		os.Args[0] + " " + "operations status" + "\n" +
 		""
 }
@@ -315,7 +315,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "calls call --service \"b\" --path \"Rem dignissimos voluptates esse.\" --idempotency-key \"i3\" --timeout-ms 573731 --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "calls call --service \"p\" --path \"Repellat qui esse est.\" --idempotency-key \"2tv\" --timeout-ms 322926 --stream \"goa.png\"")
 }
 
 // jobsUsage displays the usage of the jobs command and its subcommands.
@@ -345,7 +345,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs submit --body '{\n      \"class\": \"z7\",\n      \"due_unix_ms\": 4499715580651426599,\n      \"event\": \"Et praesentium autem itaque.\",\n      \"key\": \"ec1\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5943586400215435162,\n         \"memory_mb\": 2268540366639915135,\n         \"milli_cpu\": 1819962274400557582\n      },\n      \"run_ms\": 3722395794259038907,\n      \"team\": \"fts\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Voluptatem est.\",\n         \"Iste quas.\"\n      ]\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs submit --body '{\n      \"class\": \"rd\",\n      \"due_unix_ms\": 8275909494761671192,\n      \"event\": \"Cumque iste quas sed numquam reprehenderit.\",\n      \"key\": \"785\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5544269771039854563,\n         \"memory_mb\": 1034598865937597676,\n         \"milli_cpu\": 2726557299593587810\n      },\n      \"run_ms\": 61350973199039225,\n      \"team\": \"3a\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Sed sed modi.\",\n         \"Excepturi accusantium vel autem magnam laborum.\",\n         \"Libero similique nisi modi.\"\n      ]\n   }'")
 }
 
 func jobsCancelUsage() {
@@ -363,7 +363,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs cancel --id \"Ea aliquid dolorem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs cancel --id \"Amet iste culpa.\"")
 }
 
 func jobsShowUsage() {
@@ -381,7 +381,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs show --id \"Illum voluptatem est modi in.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs show --id \"At exercitationem distinctio doloribus.\"")
 }
 
 // configsUsage displays the usage of the configs command and its subcommands.
@@ -412,7 +412,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs apply --body '{\n      \"author\": \"Quisquam enim.\",\n      \"base\": 8786922565044239282,\n      \"content\": \"Autem et est voluptatem ullam qui.\",\n      \"dry_run\": true\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs apply --body '{\n      \"author\": \"Excepturi hic amet et neque similique.\",\n      \"base\": 6184942773702916873,\n      \"content\": \"Quidem sint.\",\n      \"dry_run\": false\n   }'")
 }
 
 func configsShowUsage() {
@@ -462,7 +462,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs rollback --body '{\n      \"author\": \"Amet beatae sit tempora numquam beatae.\",\n      \"base\": 2541174475292227535,\n      \"to\": 5650091857344445244\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs rollback --body '{\n      \"author\": \"Doloribus pariatur amet velit perferendis repellat ad.\",\n      \"base\": 6712096137868985624,\n      \"to\": 3331442997061550624\n   }'")
 }
 
 // operationsUsage displays the usage of the operations command and its
--- a/gen/http/configs/client/cli.go
+++ b/gen/http/configs/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(configsApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Quisquam enim.\",\n      \"base\": 8786922565044239282,\n      \"content\": \"Autem et est voluptatem ullam qui.\",\n      \"dry_run\": true\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Excepturi hic amet et neque similique.\",\n      \"base\": 6184942773702916873,\n      \"content\": \"Quidem sint.\",\n      \"dry_run\": false\n   }'")
 		}
 		if body.Base < 0 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.base", body.Base, 0, true))
@@ -50,7 +50,7 @@
 	{
 		err = json.Unmarshal([]byte(configsRollbackBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Amet beatae sit tempora numquam beatae.\",\n      \"base\": 2541174475292227535,\n      \"to\": 5650091857344445244\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Doloribus pariatur amet velit perferendis repellat ad.\",\n      \"base\": 6712096137868985624,\n      \"to\": 3331442997061550624\n   }'")
 		}
 	}
 	v := &configs.RollbackPayload{
--- a/gen/http/jobs/client/cli.go
+++ b/gen/http/jobs/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(jobsSubmitBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"z7\",\n      \"due_unix_ms\": 4499715580651426599,\n      \"event\": \"Et praesentium autem itaque.\",\n      \"key\": \"ec1\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5943586400215435162,\n         \"memory_mb\": 2268540366639915135,\n         \"milli_cpu\": 1819962274400557582\n      },\n      \"run_ms\": 3722395794259038907,\n      \"team\": \"fts\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Voluptatem est.\",\n         \"Iste quas.\"\n      ]\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"rd\",\n      \"due_unix_ms\": 8275909494761671192,\n      \"event\": \"Cumque iste quas sed numquam reprehenderit.\",\n      \"key\": \"785\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5544269771039854563,\n         \"memory_mb\": 1034598865937597676,\n         \"milli_cpu\": 2726557299593587810\n      },\n      \"run_ms\": 61350973199039225,\n      \"team\": \"3a\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Sed sed modi.\",\n         \"Excepturi accusantium vel autem magnam laborum.\",\n         \"Libero similique nisi modi.\"\n      ]\n   }'")
 		}
 		if body.Resources == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("resources", "body"))
--- a/gen/http/operations/client/encode_decode.go
+++ b/gen/http/operations/client/encode_decode.go
@@ -656,6 +656,26 @@
 			res.Unseen[i] = val
 		}
 	}
+	if v.Rules != nil {
+		res.Rules = make([]*operations.BurnRule, len(v.Rules))
+		for i, val := range v.Rules {
+			if val == nil {
+				res.Rules[i] = nil
+				continue
+			}
+			res.Rules[i] = unmarshalBurnRuleResponseToOperationsBurnRule(val)
+		}
+	}
+	if v.History != nil {
+		res.History = make([]*operations.BurnPoint, len(v.History))
+		for i, val := range v.History {
+			if val == nil {
+				res.History[i] = nil
+				continue
+			}
+			res.History[i] = unmarshalBurnPointResponseToOperationsBurnPoint(val)
+		}
+	}
 
 	return res
 }
@@ -673,3 +693,34 @@
 
 	return res
 }
+
+// unmarshalBurnRuleResponseToOperationsBurnRule builds a value of type
+// *operations.BurnRule from a value of type *BurnRuleResponse.
+func unmarshalBurnRuleResponseToOperationsBurnRule(v *BurnRuleResponse) *operations.BurnRule {
+	if v == nil {
+		return nil
+	}
+	res := &operations.BurnRule{
+		Alert:   *v.Alert,
+		LongMs:  *v.LongMs,
+		ShortMs: *v.ShortMs,
+		Burn:    *v.Burn,
+	}
+
+	return res
+}
+
+// unmarshalBurnPointResponseToOperationsBurnPoint builds a value of type
+// *operations.BurnPoint from a value of type *BurnPointResponse.
+func unmarshalBurnPointResponseToOperationsBurnPoint(v *BurnPointResponse) *operations.BurnPoint {
+	if v == nil {
+		return nil
+	}
+	res := &operations.BurnPoint{
+		StartUnixMs: *v.StartUnixMs,
+		Good:        *v.Good,
+		Total:       *v.Total,
+	}
+
+	return res
+}
--- a/gen/http/operations/client/types.go
+++ b/gen/http/operations/client/types.go
@@ -441,6 +441,10 @@
 	Windows []*BurnWindowResponse `form:"windows,omitempty" json:"windows,omitempty" xml:"windows,omitempty"`
 	// Hosts of whose counts up to one flush interval is missing.
 	Unseen []string `form:"unseen,omitempty" json:"unseen,omitempty" xml:"unseen,omitempty"`
+	// Rules that raise alerts.
+	Rules []*BurnRuleResponse `form:"rules,omitempty" json:"rules,omitempty" xml:"rules,omitempty"`
+	// Calls of the last hours in steps of the shortest window, oldest first.
+	History []*BurnPointResponse `form:"history,omitempty" json:"history,omitempty" xml:"history,omitempty"`
 }
 
 // BurnWindowResponse is used to define fields on response body types.
@@ -457,6 +461,28 @@
 	CoveredMs *int64 `form:"covered_ms,omitempty" json:"covered_ms,omitempty" xml:"covered_ms,omitempty"`
 }
 
+// BurnRuleResponse is used to define fields on response body types.
+type BurnRuleResponse struct {
+	// The alert: ticket or page.
+	Alert *string `form:"alert,omitempty" json:"alert,omitempty" xml:"alert,omitempty"`
+	// Length of the longer window in milliseconds.
+	LongMs *int64 `form:"long_ms,omitempty" json:"long_ms,omitempty" xml:"long_ms,omitempty"`
+	// Length of the shorter window in milliseconds.
+	ShortMs *int64 `form:"short_ms,omitempty" json:"short_ms,omitempty" xml:"short_ms,omitempty"`
+	// Burn rate that both must reach.
+	Burn *float64 `form:"burn,omitempty" json:"burn,omitempty" xml:"burn,omitempty"`
+}
+
+// BurnPointResponse is used to define fields on response body types.
+type BurnPointResponse struct {
+	// Start, in Unix milliseconds.
+	StartUnixMs *int64 `form:"start_unix_ms,omitempty" json:"start_unix_ms,omitempty" xml:"start_unix_ms,omitempty"`
+	// Calls that met the objective.
+	Good *int64 `form:"good,omitempty" json:"good,omitempty" xml:"good,omitempty"`
+	// All calls that count.
+	Total *int64 `form:"total,omitempty" json:"total,omitempty" xml:"total,omitempty"`
+}
+
 // NewStatusHostStatusOK builds a "operations" service "status" endpoint result
 // from a HTTP "OK" response.
 func NewStatusHostStatusOK(body *StatusResponseBody) *operations.HostStatus {
@@ -1441,6 +1467,20 @@
 			}
 		}
 	}
+	for _, e := range body.Rules {
+		if e != nil {
+			if err2 := ValidateBurnRuleResponse(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.History {
+		if e != nil {
+			if err2 := ValidateBurnPointResponse(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
 	return
 }
 
@@ -1463,3 +1503,34 @@
 	}
 	return
 }
+
+// ValidateBurnRuleResponse runs the validations defined on BurnRuleResponse
+func ValidateBurnRuleResponse(body *BurnRuleResponse) (err error) {
+	if body.Alert == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("alert", "body"))
+	}
+	if body.LongMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("long_ms", "body"))
+	}
+	if body.ShortMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("short_ms", "body"))
+	}
+	if body.Burn == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("burn", "body"))
+	}
+	return
+}
+
+// ValidateBurnPointResponse runs the validations defined on BurnPointResponse
+func ValidateBurnPointResponse(body *BurnPointResponse) (err error) {
+	if body.StartUnixMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("start_unix_ms", "body"))
+	}
+	if body.Good == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("good", "body"))
+	}
+	if body.Total == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("total", "body"))
+	}
+	return
+}
--- a/gen/http/operations/server/encode_decode.go
+++ b/gen/http/operations/server/encode_decode.go
@@ -492,6 +492,26 @@
 			res.Unseen[i] = val
 		}
 	}
+	if v.Rules != nil {
+		res.Rules = make([]*BurnRuleResponse, len(v.Rules))
+		for i, val := range v.Rules {
+			if val == nil {
+				res.Rules[i] = nil
+				continue
+			}
+			res.Rules[i] = marshalOperationsBurnRuleToBurnRuleResponse(val)
+		}
+	}
+	if v.History != nil {
+		res.History = make([]*BurnPointResponse, len(v.History))
+		for i, val := range v.History {
+			if val == nil {
+				res.History[i] = nil
+				continue
+			}
+			res.History[i] = marshalOperationsBurnPointToBurnPointResponse(val)
+		}
+	}
 
 	return res
 }
@@ -509,3 +529,34 @@
 
 	return res
 }
+
+// marshalOperationsBurnRuleToBurnRuleResponse builds a value of type
+// *BurnRuleResponse from a value of type *operations.BurnRule.
+func marshalOperationsBurnRuleToBurnRuleResponse(v *operations.BurnRule) *BurnRuleResponse {
+	if v == nil {
+		return nil
+	}
+	res := &BurnRuleResponse{
+		Alert:   v.Alert,
+		LongMs:  v.LongMs,
+		ShortMs: v.ShortMs,
+		Burn:    v.Burn,
+	}
+
+	return res
+}
+
+// marshalOperationsBurnPointToBurnPointResponse builds a value of type
+// *BurnPointResponse from a value of type *operations.BurnPoint.
+func marshalOperationsBurnPointToBurnPointResponse(v *operations.BurnPoint) *BurnPointResponse {
+	if v == nil {
+		return nil
+	}
+	res := &BurnPointResponse{
+		StartUnixMs: v.StartUnixMs,
+		Good:        v.Good,
+		Total:       v.Total,
+	}
+
+	return res
+}
--- a/gen/http/operations/server/types.go
+++ b/gen/http/operations/server/types.go
@@ -448,6 +448,10 @@
 	Windows []*BurnWindowResponse `form:"windows" json:"windows" xml:"windows"`
 	// Hosts of whose counts up to one flush interval is missing.
 	Unseen []string `form:"unseen,omitempty" json:"unseen,omitempty" xml:"unseen,omitempty"`
+	// Rules that raise alerts.
+	Rules []*BurnRuleResponse `form:"rules,omitempty" json:"rules,omitempty" xml:"rules,omitempty"`
+	// Calls of the last hours in steps of the shortest window, oldest first.
+	History []*BurnPointResponse `form:"history,omitempty" json:"history,omitempty" xml:"history,omitempty"`
 }
 
 // BurnWindowResponse is used to define fields on response body types.
@@ -464,6 +468,28 @@
 	CoveredMs int64 `form:"covered_ms" json:"covered_ms" xml:"covered_ms"`
 }
 
+// BurnRuleResponse is used to define fields on response body types.
+type BurnRuleResponse struct {
+	// The alert: ticket or page.
+	Alert string `form:"alert" json:"alert" xml:"alert"`
+	// Length of the longer window in milliseconds.
+	LongMs int64 `form:"long_ms" json:"long_ms" xml:"long_ms"`
+	// Length of the shorter window in milliseconds.
+	ShortMs int64 `form:"short_ms" json:"short_ms" xml:"short_ms"`
+	// Burn rate that both must reach.
+	Burn float64 `form:"burn" json:"burn" xml:"burn"`
+}
+
+// BurnPointResponse is used to define fields on response body types.
+type BurnPointResponse struct {
+	// Start, in Unix milliseconds.
+	StartUnixMs int64 `form:"start_unix_ms" json:"start_unix_ms" xml:"start_unix_ms"`
+	// Calls that met the objective.
+	Good int64 `form:"good" json:"good" xml:"good"`
+	// All calls that count.
+	Total int64 `form:"total" json:"total" xml:"total"`
+}
+
 // NewStatusResponseBody builds the HTTP response body from the result of the
 // "status" endpoint of the "operations" service.
 func NewStatusResponseBody(res *operations.HostStatus) *StatusResponseBody {
--- a/gen/operations/service.go
+++ b/gen/operations/service.go
@@ -39,6 +39,16 @@
 // MethodKey key.
 var MethodNames = [4]string{"status", "events", "report", "drain"}
 
+// Calls of a few minutes.
+type BurnPoint struct {
+	// Start, in Unix milliseconds.
+	StartUnixMs int64
+	// Calls that met the objective.
+	Good int64
+	// All calls that count.
+	Total int64
+}
+
 // Burn of one service-level objective.
 type BurnReport struct {
 	// Name of the objective.
@@ -53,6 +63,22 @@
 	Windows []*BurnWindow
 	// Hosts of whose counts up to one flush interval is missing.
 	Unseen []string
+	// Rules that raise alerts.
+	Rules []*BurnRule
+	// Calls of the last hours in steps of the shortest window, oldest first.
+	History []*BurnPoint
+}
+
+// An alert that is raised while two windows both burn at a rate.
+type BurnRule struct {
+	// The alert: ticket or page.
+	Alert string
+	// Length of the longer window in milliseconds.
+	LongMs int64
+	// Length of the shorter window in milliseconds.
+	ShortMs int64
+	// Burn rate that both must reach.
+	Burn float64
 }
 
 // How fast an error budget is spent over one window.
--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -10,7 +10,6 @@
 	_ "github.com/cockroachdb/datadriven"
 	_ "github.com/cockroachdb/errors"
 	_ "github.com/dgryski/go-rendezvous"
-	_ "github.com/go-echarts/go-echarts/v2/charts"
 	_ "github.com/google/subcommands"
 	_ "github.com/google/uuid"
 	_ "github.com/pelletier/go-toml/v2"
