--- a/cli/main.go
+++ b/cli/main.go
@@ -30,6 +30,7 @@
 	c.Register(c.FlagsCommand(), help)
 	c.Register(c.CommandsCommand(), help)
 	c.Register(&versionCommand{}, help)
+	c.Register(&completionCommand{commander: c}, help)
 	c.Register(&serveCommand{}, run)
 	c.Register(&demoCommand{}, run)
 	c.Register(&loadCommand{}, run)
