--- a/gate/gate.go
+++ b/gate/gate.go
@@ -81,10 +81,11 @@
 		Table: deps.Table, Incarnation: g.incarnation, Settings: local.Batch,
 		Timeout: local.Platform.Timeout.D(), Log: deps.Log, Now: deps.Now, Registerer: g.registry,
 	})
-	g.slo = slo.NewKeeper(local.Host.Name+"#"+g.incarnation, deps.Table, g.journal, deps.Log, time.Now)
+	g.slo = slo.NewKeeper(local.Host.Name+"#"+g.incarnation, deps.Table, g.journal, g.registry, deps.Log, time.Now)
 	g.buildKeeper()
 	g.buildGateway()
 	g.buildBatch()
+	g.registerMetrics()
 	return g, nil
 }
 
--- a/gate/rig_test.go
+++ b/gate/rig_test.go
@@ -11,7 +11,7 @@
 )
 
 // startGate runs one entry host over stand-ins until the test ends.
-func startGate(t *testing.T, edit func(*settings.Settings)) (*standin.Platform, Listeners) {
+func startGate(t *testing.T, edit func(*settings.Settings)) (*Gate, *standin.Platform, Listeners) {
 	t.Helper()
 	c := standin.DefaultConfig()
 	c.Services, c.Workers.Count = nil, 0
@@ -47,7 +47,7 @@
 			t.Errorf("the host's drain: %v", err)
 		}
 	})
-	return p, l
+	return g, p, l
 }
 
 // eventually polls until ok holds, for at most a limit that only a hang
--- a/gate/tls_test.go
+++ b/gate/tls_test.go
@@ -67,7 +67,7 @@
 	if err := os.WriteFile(secret, []byte(testCredential), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p, l := startGate(t, func(s *settings.Settings) { s.Host.TLS, s.Host.Secret = files, secret })
+	_, p, l := startGate(t, func(s *settings.Settings) { s.Host.TLS, s.Host.Secret = files, secret })
 	other := newFakePeer(t, trusted)
 	p.PutEntryHost(standin.EntryHostConfig{Name: "gate-2", Peer: other.listener.Addr().String(), Zone: "z"})
 
--- a/slo/keeper.go
+++ b/slo/keeper.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/fireflygate/fireflygate/burn"
@@ -46,6 +47,7 @@
 	log       *slog.Logger
 	now       func() time.Time
 	counters  atomic.Pointer[counters]
+	metrics   *metrics
 
 	mu         sync.Mutex // guards the fields below
 	objectives map[string]settings.Objective
@@ -53,8 +55,12 @@
 }
 
 // NewKeeper returns a keeper; host names this process among all that ever ran.
-func NewKeeper(host string, table platform.Table, committer Committer, log *slog.Logger, now func() time.Time) *Keeper {
-	k := &Keeper{host: host, table: table, committer: committer, log: log, now: now, recorder: burn.NewRecorder(host)}
+// Its metrics go to r, which may be nil.
+func NewKeeper(host string, table platform.Table, committer Committer, r prometheus.Registerer, log *slog.Logger, now func() time.Time) *Keeper {
+	k := &Keeper{
+		host: host, table: table, committer: committer, log: log, now: now,
+		metrics: newMetrics(r), recorder: burn.NewRecorder(host),
+	}
 	k.counters.Store((*counters)(nil).next(nil))
 	return k
 }
@@ -109,6 +115,7 @@
 	for name, c := range k.counters.Load().byName {
 		good, total := c.drain()
 		k.recorder.Add(now, name, good, total)
+		k.metrics.add(name, good, total)
 	}
 }
 
--- /dev/null
+++ b/slo/metrics.go
@@ -0,0 +1,30 @@
+package slo
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the counts of this host by objective. The configuration bounds
+// the objectives.
+type metrics struct {
+	good, total *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		good: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflygate_objective_good_calls_total", Help: "Calls that met the objective.",
+		}, []string{"objective"}),
+		total: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflygate_objective_calls_total", Help: "Calls that count for the objective.",
+		}, []string{"objective"}),
+	}
+	if r != nil {
+		r.MustRegister(m.good, m.total)
+	}
+	return m
+}
+
+// add counts calls of an objective.
+func (m *metrics) add(objective string, good, total int64) {
+	m.good.WithLabelValues(objective).Add(float64(good))
+	m.total.WithLabelValues(objective).Add(float64(total))
+}
