--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -39,7 +39,19 @@
 	for _, delay := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
 		b.Run(delay.String(), func(b *testing.B) {
 			for range b.N {
-				starts(b, delay)
+				starts(b, delay, benchHosts, benchRate)
+			}
+		})
+	}
+}
+
+// BenchmarkStartsBySize measures commits and rows a start by the rate and by
+// the number of hosts, with a table that takes 50 ms.
+func BenchmarkStartsBySize(b *testing.B) {
+	for _, size := range []struct{ hosts, rate int }{{9, 80}, {9, 160}, {9, 320}, {18, 320}, {40, 320}} {
+		b.Run(fmt.Sprintf("%dhosts-%dstarts", size.hosts, size.rate), func(b *testing.B) {
+			for range b.N {
+				starts(b, 50*time.Millisecond, size.hosts, size.rate)
 			}
 		})
 	}
@@ -104,12 +116,12 @@
 }
 
 // submitAll submits at the rate and returns when each job was submitted.
-func (x *bench) submitAll(b *testing.B) map[string]time.Time {
+func (x *bench) submitAll(b *testing.B, rate int) map[string]time.Time {
 	at := map[string]time.Time{}
 	var calls sync.WaitGroup
-	ticker := time.NewTicker(time.Second / benchRate)
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
-	for i := range benchRate * benchSeconds {
+	for i := range rate * benchSeconds {
 		<-ticker.C
 		s := spec(fmt.Sprint("j", i), 2*time.Second)
 		s.Urgent = i%benchUrgentEvery == 0
@@ -126,13 +138,13 @@
 	return at
 }
 
-func starts(b *testing.B, delay time.Duration) {
-	x := newBench(benchHosts, benchWorkers, 0)
+func starts(b *testing.B, delay time.Duration, hosts, rate int) {
+	x := newBench(hosts, benchHosts*benchWorkers/hosts, 0)
 	defer x.close()
 	<-time.After(3 * time.Second) // every worker reconciled
 	x.table.Set(func(f *memtable.Faults) { f.Delay = delay })
 	before := x.table.Stats()
-	at := x.submitAll(b)
+	at := x.submitAll(b, rate)
 	<-time.After(5 * time.Second)
 	after := x.table.Stats()
 	var urgent, normal []float64
--- /dev/null
+++ b/capacity/members_test.go
@@ -0,0 +1,106 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/roster"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// site is how many members of each kind a membership list holds.
+type site struct{ hosts, workers, endpoints int }
+
+// sites are a trial below today's size, Bergamo today, ten times that, and the
+// size to come with one endpoint a worker and with each latency-critical task
+// an endpoint.
+var sites = []site{{9, 65, 65}, {20, 650, 650}, {40, 4300, 4300}, {40, 4300, 18000}}
+
+func (s site) String() string {
+	return fmt.Sprintf("%dhosts-%dworkers-%dendpoints", s.hosts, s.workers, s.endpoints)
+}
+
+// list returns the site's membership list over ten zones of four regions.
+func (s site) list(revision uint64) platform.MemberList {
+	l := platform.MemberList{Revision: revision}
+	add := func(n int, kind platform.MemberKind, name string, fill func(*platform.Member)) {
+		for i := range n {
+			m := platform.Member{
+				Kind: kind, Name: fmt.Sprintf("%s-%05d", name, i), Address: fmt.Sprintf("10.%d.%d.%d:7000", i/65536, i/256%256, i%256),
+				Region: fmt.Sprint("region-", i%10/3), Zone: fmt.Sprint("zone-", i%10), Rack: fmt.Sprintf("zone-%d-rack-%d", i%10, i/80),
+				State: platform.Live,
+			}
+			fill(&m)
+			l.Members = append(l.Members, m)
+		}
+	}
+	add(s.hosts, platform.EntryHost, "gate", func(*platform.Member) {})
+	add(s.workers, platform.Worker, "worker", func(m *platform.Member) {
+		m.Capacity = platform.Resources{MilliCPU: 64000, MemoryMB: 250000}
+	})
+	add(s.endpoints, platform.Endpoint, "dispatch", func(m *platform.Member) {
+		m.Service, m.Slots, m.Connections = "dispatch-"+m.Name[len(m.Name)-1:], 8, 64
+	})
+	return l
+}
+
+// BenchmarkMembers measures one reading of the membership list over HTTP and
+// the roster that comes of it.
+func BenchmarkMembers(b *testing.B) {
+	for _, s := range sites {
+		b.Run(s.String(), func(b *testing.B) {
+			body, err := json.Marshal(s.list(1))
+			if err != nil {
+				b.Fatal(err)
+			}
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
+			defer server.Close()
+			members := httpclient.NewMembers(server.URL, server.Client())
+			lease := settings.Default().Lease
+			var r roster.Roster
+			for b.Loop() {
+				list, err := members.List(context.Background())
+				if err != nil {
+					b.Fatal(err)
+				}
+				r = roster.Build(r, list, lease)
+			}
+			b.ReportMetric(float64(len(body)), "bytes")
+			b.ReportMetric(b.Elapsed().Seconds()*1000/float64(b.N), "ms/read")
+			rosterMemory(b, s, lease)
+			runtime.KeepAlive(r)
+		})
+	}
+}
+
+// rosterMemory reports the heap that one roster holds, and the time of a list
+// that changes nothing.
+func rosterMemory(b *testing.B, s site, lease settings.Lease) {
+	before := heap()
+	r := roster.Build(roster.Roster{}, s.list(1), lease)
+	b.ReportMetric(heap()-before, "heap-B")
+	same := s.list(1)
+	at := time.Now()
+	const rounds = 5
+	for range rounds {
+		r = roster.Build(r, same, lease)
+	}
+	b.ReportMetric(time.Since(at).Seconds()*1000/rounds, "ms/build")
+	runtime.KeepAlive(r)
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc)
+}
