Members: a list that did not change is neither sent nor taken in again

Cause: each host reads the whole membership list twice a second and builds a roster of it. BenchmarkMembers: at 4,300 workers and 4,300 endpoints 1.75 MB and 46 ms a reading, 3.5 MB/s and 9% of a core; with 18,000 endpoints 4.5 MB and 120 ms, 8.9 MB/s and 24% of a core. Control may use 2 KB/s and 4.4%. Ruled out: reading less often (absences would be believed later). The stand-in gives tags, with an id of its process, since revisions begin anew with it. After (BenchmarkMembersUnchanged): 0.28 ms and 0.65 ms a reading; bytes are those of a header.

--- a/capacity/members_test.go
+++ b/capacity/members_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,39 @@
 	return l
 }
 
+// BenchmarkMembersUnchanged measures one reading of a list that did not change,
+// from a service that gives entity tags, and finding that it is the same.
+func BenchmarkMembersUnchanged(b *testing.B) {
+	for _, s := range sites {
+		b.Run(s.String(), func(b *testing.B) {
+			body, err := json.Marshal(s.list(1))
+			if err != nil {
+				b.Fatal(err)
+			}
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("ETag", `"1"`)
+				if r.Header.Get("If-None-Match") == `"1"` {
+					w.WriteHeader(http.StatusNotModified)
+					return
+				}
+				_, _ = w.Write(body)
+			}))
+			defer server.Close()
+			members := httpclient.NewMembers(server.URL, server.Client())
+			first, err := members.List(b.Context())
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				list, err := members.List(b.Context())
+				if err != nil || !slices.Equal(list.Members, first.Members) {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkMembers measures one reading of the membership list over HTTP and
 // the roster that comes of it.
 func BenchmarkMembers(b *testing.B) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -38,6 +38,8 @@
 
 	state  atomic.Int32
 	roster atomic.Pointer[roster.Roster]
+	// taken belongs to the goroutine that polls the members.
+	taken takenList
 	// drained is closed, by drainOnce, when a drain is asked for.
 	drained   chan struct{}
 	drainOnce sync.Once
--- a/gate/membership.go
+++ b/gate/membership.go
@@ -1,15 +1,37 @@
 package gate
 
 import (
+	"slices"
+
 	"github.com/fireflygate/fireflygate/gateway"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/routing"
 )
 
-// takeList feeds every part with a membership list. The poller calls it.
+// takenList is the membership list, and the version of the configuration, that
+// every part was last fed with.
+type takenList struct {
+	list   platform.MemberList
+	config uint64
+}
+
+// same reports whether feeding the parts again would change nothing. Members
+// are compared too: a service that lost its state may count revisions anew.
+func (t takenList) same(list platform.MemberList, config uint64) bool {
+	return t.config == config && t.list.Revision == list.Revision && slices.Equal(t.list.Members, list.Members)
+}
+
+// takeList feeds every part with a membership list. The poller calls it. While
+// a roster doubts absences each reading counts, changed or not.
 func (g *Gate) takeList(list platform.MemberList) {
-	r := roster.Build(*g.roster.Load(), list, g.local.Lease)
+	before := g.roster.Load()
+	current, _ := g.watcher.Current()
+	if before.Known() && !before.Doubting() && g.taken.same(list, current.Head.Version) {
+		return
+	}
+	g.taken = takenList{list: list, config: current.Head.Version}
+	r := roster.Build(*before, list, g.local.Lease)
 	g.roster.Store(&r)
 	g.feedPeers(r)
 	g.gateway.SetEndpoints(g.endpointsOf(r))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -31,6 +31,9 @@
 // Known reports whether any list was taken in.
 func (r Roster) Known() bool { return r.byName != nil }
 
+// Doubting reports whether it keeps members that the newest list lacks.
+func (r Roster) Doubting() bool { return r.doubts > 0 }
+
 // Revision returns the revision of the newest list taken in.
 func (r Roster) Revision() uint64 { return r.revision }
 
--- a/standin/members.go
+++ b/standin/members.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/platform"
 )
@@ -17,6 +19,8 @@
 type Members struct {
 	*injector
 	recorder *check.Recorder
+	// instance tells this list from that of another process in entity tags.
+	instance string
 
 	mu        sync.Mutex
 	truth     map[string]platform.Member
@@ -31,6 +35,7 @@
 	return &Members{
 		injector:  newInjector(),
 		recorder:  recorder,
+		instance:  uuid.NewString(),
 		truth:     map[string]platform.Member{},
 		published: platform.MemberList{Revision: 1},
 	}
--- a/standin/members_http.go
+++ b/standin/members_http.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/fireflygate/fireflygate/platform"
@@ -24,6 +25,12 @@
 	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
 		var list platform.MemberList
 		d := m.run(r.Context(), func() { list = m.list() })
+		etag := fmt.Sprintf("%q", fmt.Sprint(m.instance, "-", list.Revision))
+		if d == processed && r.Header.Get("If-None-Match") == etag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("ETag", etag)
 		respond(w, d, &list)
 	})
 	serveChange(mux, "POST /put", m.Put)
