--- a/batch/workers_test.go
+++ b/batch/workers_test.go
@@ -30,6 +30,7 @@
 // fakeWorker is one worker host.
 type fakeWorker struct {
 	name   string
+	born   time.Time
 	owner  uint64
 	lease  time.Time
 	seq    uint64
@@ -42,6 +43,7 @@
 	loseReplies int  // exchanges that take effect without a reply
 	paused      bool // neither runs' ends nor the lease are looked at
 	failAll     bool
+	killAll     bool          // its guard kills everything
 	noSave      bool          // checkpoints are lost
 	cutAfter    bool          // is cut off with the next lost reply
 	lag         time.Duration // of an exchange on its way
@@ -62,7 +64,7 @@
 	f := &fakeWorkers{hosts: map[string]*fakeWorker{}}
 	for _, n := range names {
 		f.hosts[n] = &fakeWorker{
-			name: n, runs: map[platform.RunID]*fakeRun{}, newest: map[string]uint64{}, tombs: map[platform.RunID]bool{},
+			name: n, born: time.Now(), runs: map[platform.RunID]*fakeRun{}, newest: map[string]uint64{}, tombs: map[platform.RunID]bool{},
 		}
 	}
 	return f
@@ -107,6 +109,10 @@
 // apply carries out an exchange that arrived.
 func (f *fakeWorkers) apply(w *fakeWorker, x platform.Exchange) platform.ExchangeReply {
 	now := time.Now()
+	clockMS := now.Sub(w.born).Milliseconds()
+	if x.Incarnation == "" && x.Starts() || x.Incarnation != "" && clockMS > x.ValidUntilMS {
+		return platform.ExchangeReply{Stale: true, Incarnation: w.name, ClockMS: clockMS}
+	}
 	if x.Owner < w.owner {
 		f.refused++
 		return platform.ExchangeReply{Refused: true}
@@ -118,7 +124,7 @@
 		f.order(w, o, now)
 	}
 	f.advance(w, now)
-	reply := platform.ExchangeReply{Seq: w.seq, Whole: x.Since == 0}
+	reply := platform.ExchangeReply{Seq: w.seq, Whole: x.Since == 0, Incarnation: w.name, ClockMS: clockMS}
 	for _, r := range w.runs {
 		if x.Since == 0 || r.seq > x.Since {
 			reply.Runs = append(reply.Runs, r.report)
@@ -198,6 +204,9 @@
 	if o.WorkMS > 0 {
 		r.ends = now.Add(time.Duration(o.WorkMS) * time.Millisecond)
 	}
+	if w.killAll {
+		f.end(w, r, platform.RunKilled, now)
+	}
 	if w.failAll {
 		f.end(w, r, platform.RunFailed, now)
 	}
--- a/journal/run.go
+++ b/journal/run.go
@@ -43,7 +43,7 @@
 
 // pause returns how long nothing needs to be done.
 func (j *Journal) pause() time.Duration {
-	const idle = 100 * time.Millisecond
+	const idle = 50 * time.Millisecond
 	now := j.config.Now()
 	wait := idle
 	if at := j.due(); at.After(now) {
@@ -66,8 +66,8 @@
 func (j *Journal) due() time.Time {
 	j.mu.Lock()
 	hurry := len(j.queue.urgent) > 0 || j.queue.full()
-	j.mu.Unlock()
 	gap := j.config.Settings.CommitDelay.D()
+	j.mu.Unlock()
 	if !hurry && j.inFlight == nil {
 		gap = max(gap, shortestPace, min(j.took*pace, longestPace))
 	}
