gate: a starting host serves and owns nothing before it knows the configuration

Cause, found by TestConfigSpreadsWithoutTheStore (gate-1 went from version 2 to 0): a host that was replaced while the store was down reported version 0, and until the configuration was known it answered calls and could own shards with the policy of its own folder. It also took the first version that any peer offered, though that peer may have been parted from the others and be behind.

Change: calls and jobs are refused as not run while a host starts; the roster, and with it ownership, comes once the configuration is known; while the store does not answer, a starting host takes the newest of what most of its peers have, and no single peer's offer.

Proof: gate.TestStartingHostTakesWhatMostHave fails without the majority (version 2 from a minority) and when an offer is taken (version 1). The harness's watch no longer records a version for a host in state starting: it has none in force and takes no request, which gate.TestStartingHostRefuses checks.

--- a/configstore/watcher.go
+++ b/configstore/watcher.go
@@ -13,10 +13,12 @@
 
 // Watcher keeps the newest known configuration in force on this host.
 type Watcher struct {
-	store    *Store
-	local    settings.Settings
-	log      *slog.Logger
-	current  atomic.Pointer[Current]
+	store   *Store
+	local   settings.Settings
+	log     *slog.Logger
+	current atomic.Pointer[Current]
+	// failed is set while the head could not be read at the last try.
+	failed   atomic.Bool
 	mu       sync.Mutex // serializes replacing current, and subscribers' calls
 	onChange []func(Current)
 }
@@ -41,6 +43,10 @@
 	return *c, true
 }
 
+// StoreFailed reports whether the newest version could not be read at the last
+// try. It is false before the first try has ended.
+func (w *Watcher) StoreFailed() bool { return w.failed.Load() }
+
 // Run reads the head at each interval until the context ends.
 func (w *Watcher) Run(ctx context.Context, interval time.Duration) {
 	ticker := time.NewTicker(interval)
@@ -58,11 +64,13 @@
 // Poll reads the head once and takes it into force if it is newer.
 func (w *Watcher) Poll(ctx context.Context) {
 	head, err := w.store.Head(ctx)
+	w.failed.Store(err != nil)
 	if err != nil || !w.newer(head) {
 		return
 	}
 	content, err := w.store.Content(ctx, head)
 	if err != nil {
+		w.failed.Store(true)
 		event.ConfigUnreadable.Log(w.log, slog.Uint64("version", head.Version), slog.Any("error", err))
 		return
 	}
--- a/design/operations.go
+++ b/design/operations.go
@@ -16,7 +16,7 @@
 	Attribute("zone", String, "Availability zone.")
 	Attribute("state", String, "starting, ready or draining.")
 	Attribute("build", String, "Version of the program.")
-	Attribute("config_version", Int64, "Version of the configuration in force.")
+	Attribute("config_version", Int64, "Version of the configuration in force; 0 before the first, and while the host starts.")
 	Attribute("store_ok", Boolean, "Whether the platform's table answered lately.")
 	Attribute("leases", ArrayOf(leaseStatus), "Shards it holds.")
 	Attribute("peers", MapOf(String, Int64), "Configuration version in force on each entry host, as last heard.")
--- /dev/null
+++ b/gate/fetch.go
@@ -0,0 +1,62 @@
+package gate
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fireflygate/fireflygate/configstore"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/peer"
+)
+
+// methodConfigFetch asks a peer for what it has in force.
+const methodConfigFetch peer.Method = "config.fetch"
+
+// fetchFanout bounds how many peers a starting host asks at a time.
+const fetchFanout = 16
+
+// fetchReply is what a peer has in force; a starting one has nothing.
+type fetchReply struct {
+	Known bool              `msgpack:"k"`
+	Offer configstore.Offer `msgpack:"o"`
+}
+
+// fetch finds a starting host its configuration while the store does not
+// answer. A single peer may have been parted from the others and be behind, so
+// the newest of what most of them have is taken: an accepted version reaches
+// all that are joined within seconds.
+func (s *spreader) fetch(ctx context.Context) {
+	if !s.watcher.StoreFailed() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	hosts := s.pick(fetchFanout)
+	var mu sync.Mutex
+	var newest fetchReply
+	answered := 0
+	s.each(hosts, func(host string) {
+		var reply fetchReply
+		r := s.transport.Call(ctx, host, methodConfigFetch, versionMessage{}, &reply)
+		if r.Kind != outcome.Answered {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		answered++
+		if reply.Known && (!newest.Known || reply.Offer.Head.Version > newest.Offer.Head.Version) {
+			newest = reply
+		}
+	})
+	if 2*answered > len(hosts) && newest.Known {
+		s.watcher.Take(newest.Offer)
+	}
+}
+
+func (s *spreader) handleFetch(context.Context, string, func(any) error) (any, error) {
+	current, ok := s.watcher.Current()
+	if !ok {
+		return fetchReply{}, nil
+	}
+	return fetchReply{Known: true, Offer: configstore.Offer{Head: current.Head, Content: current.Content}}, nil
+}
--- a/gate/membership.go
+++ b/gate/membership.go
@@ -14,7 +14,9 @@
 	g.feedPeers(r)
 	g.gateway.SetEndpoints(endpointsOf(r))
 	g.batch.SetWorkers(workersOf(r))
-	g.keeper.SetRoster(r)
+	if g.State() != Starting {
+		g.keeper.SetRoster(r)
+	}
 	g.becomeReady()
 }
 
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -52,6 +52,7 @@
 	s := &spreader{transport: t, watcher: w, rng: rng, versions: map[string]uint64{}}
 	mux.Handle(methodConfigVersion, s.handleVersion)
 	mux.Handle(methodConfigOffer, s.handleOffer)
+	mux.Handle(methodConfigFetch, s.handleFetch)
 	return s
 }
 
@@ -88,7 +89,11 @@
 			return
 		case <-ticker.C:
 		}
-		s.round(ctx)
+		if _, started := s.watcher.Current(); started {
+			s.round(ctx)
+		} else {
+			s.fetch(ctx)
+		}
 	}
 }
 
@@ -175,7 +180,8 @@
 		return nil, err
 	}
 	s.learn(from, o.Head.Version)
-	if s.watcher.Take(o) {
+	// A starting host does not take the word of one peer, see fetch.
+	if _, started := s.watcher.Current(); started && s.watcher.Take(o) {
 		go s.spread(context.WithoutCancel(ctx))
 	}
 	return versionMessage{Version: s.version()}, nil
--- a/gate/run.go
+++ b/gate/run.go
@@ -104,12 +104,14 @@
 	g.becomeReady()
 }
 
-// becomeReady takes requests once the configuration and the members are known.
+// becomeReady takes requests and shards once the configuration and the members
+// are known: before, an older configuration would be brought back for them.
 func (g *Gate) becomeReady() {
 	if _, ok := g.watcher.Current(); !ok || !g.roster.Load().Known() {
 		return
 	}
 	if g.state.CompareAndSwap(int32(Starting), int32(Ready)) {
+		g.keeper.SetRoster(*g.roster.Load())
 		event.HostReady.Log(g.deps.Log, slog.String("host", g.local.Host.Name))
 	}
 }
--- a/gate/servers.go
+++ b/gate/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -18,6 +19,13 @@
 	operationsserver "github.com/fireflygate/fireflygate/gen/http/operations/server"
 	"github.com/fireflygate/fireflygate/gen/jobs"
 	"github.com/fireflygate/fireflygate/gen/operations"
+	"github.com/fireflygate/fireflygate/outcome"
+)
+
+// Paths that the balancer asks.
+const (
+	pathHealth = "/healthz"
+	pathReady  = "/readyz"
 )
 
 // operatorTimeout bounds the time in which an operator sends a request.
@@ -34,7 +42,28 @@
 	j := jobsserver.New(jobs.NewEndpoints(service), mux, dec, enc, nil, formatProblem)
 	j.Mount(mux)
 	g.mountHealth(func(path string, h http.HandlerFunc) { mux.Handle(http.MethodGet, path, h) })
-	return mux
+	return g.refuseStarting(mux)
+}
+
+// refuseStarting refuses what reaches a host that the balancer should not send
+// to yet, since it does not know the configuration in force.
+func (g *Gate) refuseStarting(next http.Handler) http.Handler {
+	const soon = 500 * time.Millisecond
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.State() != Starting || r.URL.Path == pathHealth || r.URL.Path == pathReady {
+			next.ServeHTTP(w, r)
+			return
+		}
+		p := problem{
+			Name: "unavailable", Title: "this host is starting", Outcome: outcome.NotRun.String(),
+			RetryAfterMS: soon.Milliseconds(),
+		}
+		w.Header().Set(outcome.Header, p.Outcome)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		// The caller may have gone; nothing is left to do then.
+		_ = json.NewEncoder(w).Encode(p)
+	})
 }
 
 // operatorsHandler serves configuration, status, metrics and profiles.
@@ -64,10 +93,10 @@
 
 // mountHealth adds what the balancer asks: alive, and ready for requests.
 func (g *Gate) mountHealth(handle func(path string, h http.HandlerFunc)) {
-	handle("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+	handle(pathHealth, func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
-	handle("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+	handle(pathReady, func(w http.ResponseWriter, _ *http.Request) {
 		if g.State() != Ready {
 			http.Error(w, g.State().String(), http.StatusServiceUnavailable)
 			return
--- a/gen/http/operations/client/types.go
+++ b/gen/http/operations/client/types.go
@@ -23,7 +23,8 @@
 	State *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
 	// Version of the program.
 	Build *string `form:"build,omitempty" json:"build,omitempty" xml:"build,omitempty"`
-	// Version of the configuration in force.
+	// Version of the configuration in force; 0 before the first, and while the
+	// host starts.
 	ConfigVersion *int64 `form:"config_version,omitempty" json:"config_version,omitempty" xml:"config_version,omitempty"`
 	// Whether the platform's table answered lately.
 	StoreOK *bool `form:"store_ok,omitempty" json:"store_ok,omitempty" xml:"store_ok,omitempty"`
--- a/gen/http/operations/server/types.go
+++ b/gen/http/operations/server/types.go
@@ -22,7 +22,8 @@
 	State string `form:"state" json:"state" xml:"state"`
 	// Version of the program.
 	Build string `form:"build" json:"build" xml:"build"`
-	// Version of the configuration in force.
+	// Version of the configuration in force; 0 before the first, and while the
+	// host starts.
 	ConfigVersion int64 `form:"config_version" json:"config_version" xml:"config_version"`
 	// Whether the platform's table answered lately.
 	StoreOK bool `form:"store_ok" json:"store_ok" xml:"store_ok"`
--- a/gen/operations/service.go
+++ b/gen/operations/service.go
@@ -121,7 +121,8 @@
 	State string
 	// Version of the program.
 	Build string
-	// Version of the configuration in force.
+	// Version of the configuration in force; 0 before the first, and while the
+	// host starts.
 	ConfigVersion int64
 	// Whether the platform's table answered lately.
 	StoreOK bool
--- a/integration/wait.go
+++ b/integration/wait.go
@@ -92,6 +92,8 @@
 	for {
 		status, err := h.Status()
 		switch {
+		case err == nil && status.State == "starting":
+			// It has none in force yet and takes no request.
 		case err == nil:
 			seen = true
 			s.Recorder.Add(check.Record{ConfigInForce: &check.ConfigInForce{Host: h.Name, Version: uint64(status.ConfigVersion)}})
