--- a/integration/batch_cancel_test.go
+++ b/integration/batch_cancel_test.go
@@ -11,62 +11,100 @@
 	"github.com/fireflygate/fireflygate/gen/jobs"
 )
 
-// TestCancelRacesStart cancels jobs at random moments about their starts, some
-// of them at hosts that don't own them. One that is cancelled at epoch 0 never
-// ran; one that is cancelled later ran and runs no more.
+// TestCancelRacesStart submits more jobs than fit, and cancels all in random
+// order at random hosts: each cancel of a run makes room, for jobs that are
+// being cancelled at that moment. One that is cancelled at epoch 0 never ran.
 func TestCancelRacesStart(t *testing.T) {
 	t.Parallel()
 	s := batchSite(t)
-	var mu sync.Mutex
-	cancelled := map[string]int64{}
+	const rounds, submitters, each = 2, 4, 20
+	epochs := map[string]int64{}
+	for round := range rounds {
+		ids := s.submitMany(submitters, each, round)
+		s.Until("some run", func() bool { return s.running() > 0 })
+		for id, epoch := range s.cancelAll(ids, uint64(round)) {
+			epochs[id] = epoch
+		}
+	}
+	s.Until("nothing runs", func() bool { return s.running() == 0 })
+	s.checkCancelled(epochs)
+	s.Check()
+}
+
+// running counts the runs that have begun and not ended.
+func (s *Site) running() int {
+	n := 0
+	for _, r := range s.runsOf(func(check.Record) bool { return true }) {
+		if r.RunBegan != nil {
+			n++
+		} else {
+			n--
+		}
+	}
+	return n
+}
+
+// submitMany submits long jobs of which a worker holds three.
+func (s *Site) submitMany(submitters, each, round int) []string {
+	s.t.Helper()
+	ids := make([]string, submitters*each)
+	runMS := int64(60_000)
 	var work sync.WaitGroup
-	for i := range 4 {
+	for i := range submitters {
 		work.Go(func() {
-			rng := rand.New(rand.NewPCG(23, uint64(i)))
-			for n := range 40 {
-				st := s.cancelOne(rng, fmt.Sprintf("c-%d-%d", i, n))
-				if st == nil || st.State != "cancelled" {
+			for n := range each {
+				st, err := s.Submit(s.Hosts[(i+n)%len(s.Hosts)], &jobs.JobSpec{
+					Key: fmt.Sprintf("c-%d-%d-%d", round, i, n), Team: "rounds", Class: "route-plan", Qos: "batch", RunMs: &runMS,
+					Resources: &jobs.ResourceList{MilliCPU: 20_000, MemoryMb: 1000},
+				})
+				if err != nil {
+					s.t.Errorf("submit: %v", err)
 					continue
 				}
-				mu.Lock()
-				cancelled[st.ID] = st.Epoch
-				mu.Unlock()
+				ids[i*each+n] = st.ID
 			}
 		})
 	}
 	work.Wait()
-	s.Until("nothing runs", func() bool {
-		records := s.runsOf(func(check.Record) bool { return true })
-		return len(records)%2 == 0 && len(s.runsOf(began)) == len(records)/2
-	})
-	s.checkCancelled(cancelled)
-	s.Check()
+	return ids
 }
 
-// cancelOne submits a job and cancels it a little later.
-func (s *Site) cancelOne(rng *rand.Rand, key string) *jobs.JobStatus {
-	runMS := int64(30_000)
-	urgent := rng.IntN(2) == 0
-	st, err := s.Submit(s.Hosts[rng.IntN(len(s.Hosts))], &jobs.JobSpec{
-		Key: key, Team: "rounds", Class: "route-plan", Qos: "batch", RunMs: &runMS, Urgent: &urgent,
-		Resources: &jobs.ResourceList{MilliCPU: 1000, MemoryMb: 1000},
-	})
-	if err != nil {
-		s.t.Errorf("submit %s: %v", key, err)
-		return nil
-	}
-	if rng.IntN(2) == 0 {
-		pause(time.Duration(rng.IntN(40)) * time.Millisecond)
+// cancelAll cancels jobs, several at once, and returns the epoch at which each
+// was.
+func (s *Site) cancelAll(ids []string, seed uint64) map[string]int64 {
+	rng := rand.New(rand.NewPCG(23, seed))
+	rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	var mu sync.Mutex
+	epochs := map[string]int64{}
+	var work sync.WaitGroup
+	const lanes = 4
+	for lane := range lanes {
+		work.Go(func() {
+			for i := lane; i < len(ids); i += lanes {
+				if st := s.cancelOne(ids[i], i); st != nil {
+					mu.Lock()
+					epochs[st.ID] = st.Epoch
+					mu.Unlock()
+				}
+			}
+		})
 	}
+	work.Wait()
+	return epochs
+}
+
+// cancelOne cancels a job until that is answered.
+func (s *Site) cancelOne(id string, first int) *jobs.JobStatus {
 	again := time.NewTicker(pollInterval)
 	defer again.Stop()
-	for end := time.Now().Add(Patience); time.Now().Before(end); <-again.C {
-		got, err := s.Cancel(s.Hosts[rng.IntN(len(s.Hosts))], st.ID)
+	for n, end := first, time.Now().Add(Patience); time.Now().Before(end); n++ {
+		got, err := s.Cancel(s.Hosts[n%len(s.Hosts)], id)
 		if err == nil && got.State == "cancelled" {
 			return got
 		}
+		<-again.C
 	}
-	s.t.Errorf("%s was never cancelled", key)
+	s.t.Errorf("%s was never cancelled", id)
 	return nil
 }
 
