--- a/gate/gate.go
+++ b/gate/gate.go
@@ -39,6 +39,8 @@
 
 	state  atomic.Int32
 	roster atomic.Pointer[roster.Roster]
+	// taken belongs to the goroutine that polls the members.
+	taken takenList
 	// drained is closed, by drainOnce, when a drain is asked for.
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -163,11 +165,17 @@
 
 // newPlanner returns an empty planner with the policy now in force.
 func (g *Gate) newPlanner(string) placement.Planner {
-	p := g.policy()
-	return placement.New(placement.Options{
-		Seed: rand.Uint64(), Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events,
+	o := planning(g.policy())
+	o.Seed = rand.Uint64()
+	return placement.New(o)
+}
+
+// planning returns what planners take of a policy.
+func planning(p settings.Settings) placement.Options {
+	return placement.Options{
+		Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events,
 		Colocation: p.Colocation, ObjectivesMS: classObjectives(p.Classes),
-	})
+	}
 }
 
 // classObjectives returns the tail latency that each class must keep, in
