Idle connections to workers are not bounded as a whole

Cause: the client of the platform kept 64 idle connections in all, and each worker is one address that is asked every second. Change: idle connections are bounded for each address, and closed after a minute. Ruled out: the bound for each address, which was 64 all along.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -66,8 +66,10 @@
 
 // newDeps returns the platform's services over HTTP.
 func newDeps(s settings.Settings, log *slog.Logger) gate.Deps {
+	// Idle connections are bounded for each address only: a worker is asked
+	// every second, and a bound on all would open a connection for each.
 	const idleConns = 64
-	transport := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: time.Minute}
 	client := &http.Client{Transport: transport, Timeout: s.Platform.Timeout.D()}
 	return gate.Deps{
 		Table:   httpclient.NewTable(s.Platform.Table, client),
--- a/demo/host.go
+++ b/demo/host.go
@@ -54,8 +54,10 @@
 }
 
 func depsOf(p *standin.Platform, s settings.Settings, log *slog.Logger) gate.Deps {
+	// Idle connections are bounded for each address only: a worker is asked
+	// every second, and a bound on all would open a connection for each.
 	const idleConns = 64
-	transport := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: time.Minute}
 	client := &http.Client{Transport: transport, Timeout: s.Platform.Timeout.D()}
 	a := p.Addresses()
 	return gate.Deps{
