Configuration spreads by version first, and compressed

Cause: each host that learned of a version sent its whole content to four peers at random, most of which had it. The slowest of 40 hosts took 1.6 s, since four offers went one after another. Content is compressed in the message and bounded when unpacked.

--- a/gate/capacity_bench_test.go
+++ b/gate/capacity_bench_test.go
@@ -25,6 +25,7 @@
 type spreadNet struct {
 	handlers map[string]map[peer.Method]peer.Handler
 	messages atomic.Int64
+	offers   atomic.Int64
 	bytes    atomic.Int64
 }
 
@@ -55,6 +56,9 @@
 		return peer.Result{Err: err}
 	}
 	p.net.messages.Add(1)
+	if m == methodConfigOffer {
+		p.net.offers.Add(1)
+	}
 	p.net.bytes.Add(int64(len(in) + len(out)))
 	<-time.After(hopDelay)
 	return peer.Result{Kind: outcome.Answered, Err: msgpack.Unmarshal(out, reply)}
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,8 +24,8 @@
 	versionInterval = time.Second
 	// versionFanout is how many are asked at a time.
 	versionFanout = 2
-	// offerFanout is how many peers a host offers a version to that is new
-	// to it; each of them does the same.
+	// offerFanout is how many peers a host tells of a version that is new to
+	// it; each of them does the same.
 	offerFanout = 4
 	// peerTimeout bounds one exchange with a peer.
 	peerTimeout = 2 * time.Second
@@ -86,17 +87,21 @@
 			return
 		case <-ticker.C:
 		}
-		for _, host := range s.pick(versionFanout) {
+		for _, host := range s.pick(versionFanout, math.MaxUint64) {
 			s.compare(ctx, host)
 		}
 	}
 }
 
-// spread offers what is in force to a few peers.
+// spread tells a few peers at once that are not known to have what is in force.
+// Each is asked for its version first: most offers would come second, and an
+// offer carries the whole content.
 func (s *spreader) spread(ctx context.Context) {
-	for _, host := range s.pick(offerFanout) {
-		s.offer(ctx, host)
+	var telling sync.WaitGroup
+	for _, host := range s.pick(offerFanout, s.version()) {
+		telling.Go(func() { s.compare(ctx, host) })
 	}
+	telling.Wait()
 }
 
 // compare asks a peer for its version; an older one is offered ours.
@@ -120,27 +125,38 @@
 	if !ok {
 		return
 	}
+	o, err := packOffer(configstore.Offer{Head: current.Head, Content: current.Content})
+	if err != nil {
+		return // the table's copy reaches the peer
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var theirs versionMessage
-	o := configstore.Offer{Head: current.Head, Content: current.Content}
 	if r := s.transport.Call(ctx, host, methodConfigOffer, o, &theirs); r.Kind == outcome.Answered {
 		s.learn(host, theirs.Version)
 	}
 }
 
-func (s *spreader) handleVersion(_ context.Context, from string, decode func(any) error) (any, error) {
+func (s *spreader) handleVersion(ctx context.Context, from string, decode func(any) error) (any, error) {
 	var m versionMessage
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
 	s.learn(from, m.Version)
-	return versionMessage{Version: s.version()}, nil
+	mine := s.version()
+	if m.Version < mine {
+		go s.offer(context.WithoutCancel(ctx), from)
+	}
+	return versionMessage{Version: mine}, nil
 }
 
 func (s *spreader) handleOffer(ctx context.Context, from string, decode func(any) error) (any, error) {
-	var o configstore.Offer
-	if err := decode(&o); err != nil {
+	var m offerMessage
+	if err := decode(&m); err != nil {
+		return nil, err
+	}
+	o, err := m.offer()
+	if err != nil {
 		return nil, err
 	}
 	s.learn(from, o.Head.Version)
@@ -163,11 +179,17 @@
 	}
 }
 
-// pick returns up to n different peers at random.
-func (s *spreader) pick(n int) []string {
+// pick returns up to n different peers at random, of those that are not known
+// to have the version.
+func (s *spreader) pick(n int, version uint64) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hosts := append([]string{}, s.hosts...)
+	var hosts []string
+	for _, h := range s.hosts {
+		if s.versions[h] < version {
+			hosts = append(hosts, h)
+		}
+	}
 	s.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return hosts[:min(n, len(hosts))]
 }
