Digests of free slots go to at most eight peers at a time

Cause: every host told every other of each change twenty times a second. BenchmarkDigests, ten services whose counts always change: 36 KB/s to 8 peers, 175 KB/s to 39, 446 KB/s and 20% of a core (both ends) to 99. Change: eight peers in turn; each of 39 is told every 250 ms, of 99 every 620 ms, within the 2 s for which a digest is believed. Up to nine hosts nothing changes. Ruled out: a fan-out of four (18 KB/s), which would tell the hosts of today half as often. A partial mesh is not built.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -60,6 +60,11 @@
 // peerUserTimeout is how long bytes sent to a peer may stay unacknowledged.
 const peerUserTimeout = 2 * time.Second
 
+// digestFanOut is how many peers are told of free slots at a time. Up to nine
+// hosts that is all of them; beyond, each is told in turn, and messages no
+// longer grow with the square of the hosts.
+const digestFanOut = 8
+
 // New builds an entry host from its own settings; Run starts it.
 func New(local settings.Settings, deps Deps) (*Gate, error) {
 	g := &Gate{
@@ -152,7 +157,7 @@
 	g.book.Register(g.peerServer)
 	g.gateway = gateway.New(gateway.Options{
 		Host: g.local.Host.Name, Zone: g.local.Host.Zone, Calls: g.local.Calls, MaxRun: g.local.Lease.MaxRun.D(),
-		Service: g.serviceSettings, Shares: g.keeper, Peers: g.peers, Book: g.book,
+		Service: g.serviceSettings, Shares: g.keeper, Peers: g.peers, DigestFanOut: digestFanOut, Book: g.book,
 		Observe: g.observe, Registerer: g.registry, Log: g.deps.Log, Seed: rand.Uint64(),
 	})
 	g.gateway.Register(g.peerServer)
--- a/gateway/capacity_bench_test.go
+++ b/gateway/capacity_bench_test.go
@@ -56,7 +56,7 @@
 func BenchmarkDigests(b *testing.B) {
 	for _, busy := range []bool{false, true} {
 		for _, peers := range []int{8, 39, 99} {
-			for _, fanOut := range []int{0, 4} {
+			for _, fanOut := range []int{0, 4, 8} {
 				b.Run(fmt.Sprintf("busy=%v/%dpeers/fanout%d", busy, peers, fanOut), func(b *testing.B) {
 					for range b.N {
 						digestCost(b, peers, fanOut, busy)
