--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -143,10 +143,11 @@
 	defer x.close()
 	<-time.After(3 * time.Second) // every worker reconciled
 	x.table.Set(func(f *memtable.Faults) { f.Delay = delay })
-	before := x.table.Stats()
+	before, cpu := x.table.Stats(), processorTime(b)
 	at := x.submitAll(b, rate)
 	<-time.After(5 * time.Second)
 	after := x.table.Stats()
+	b.ReportMetric((processorTime(b)-cpu).Seconds()*1e6/float64(len(at)), "µs/start")
 	var urgent, normal []float64
 	for _, run := range x.workers.history {
 		ms := run.from.Sub(at[run.run.Job]).Seconds() * 1000
