--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -18,10 +18,14 @@
 	defer close(m.stopped)
 	m.context = ctx
 	defer m.tasks.Wait()
-	interval := max(m.config.Settings.Exchange.D()/ticksPerExchange, time.Millisecond)
+	interval := m.tickInterval()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
+		if next := m.tickInterval(); next != interval {
+			interval = next
+			ticker.Reset(interval)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -34,6 +38,11 @@
 	}
 }
 
+// tickInterval is how often the shards look at what is due.
+func (m *Manager) tickInterval() time.Duration {
+	return max(m.config.Settings.Exchange.D()/ticksPerExchange, time.Millisecond)
+}
+
 // tick lets each shard do what the passing of time asks for.
 func (m *Manager) tick(now time.Time) {
 	for _, o := range m.shards {
@@ -49,6 +58,7 @@
 func (m *Manager) flush(now time.Time) {
 	for name, o := range m.shards {
 		if o.fenced {
+			m.lost[name] = o.grant
 			m.drop(name, "another owner")
 			continue
 		}
@@ -62,19 +72,26 @@
 		}
 		if o.live(now) {
 			for _, msg := range o.messages(now) {
-				m.exchange(o, msg)
+				m.exchange(now, o, msg)
 			}
 		}
 		m.finishRelease(name, o)
 	}
 }
 
-// exchange sends one message on a goroutine of its own.
-func (m *Manager) exchange(o *owned, msg message) {
+// exchange sends one message on a goroutine of its own. Its time counts from
+// the check of the grant at now: a process that was paused in between must not
+// renew leases of a shard that has another owner since.
+func (m *Manager) exchange(now time.Time, o *owned, msg message) {
+	left := exchangeTimeout - m.config.Now().Sub(now)
+	ctx, cancel := context.WithTimeout(m.context, left)
 	m.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(m.context, exchangeTimeout)
-		reply, err := m.config.Workers.Exchange(ctx, msg.address, msg.exchange)
-		cancel()
+		defer cancel()
+		var reply platform.ExchangeReply
+		err := ctx.Err()
+		if err == nil {
+			reply, err = m.config.Workers.Exchange(ctx, msg.address, msg.exchange)
+		}
 		m.post(func(now time.Time) {
 			if m.holds(o) {
 				o.answer(now, msg, reply, err)
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -53,6 +53,10 @@
 		throttles: map[string]int{},
 		exchange:  platform.Exchange{Owner: s.epoch, LeaseMS: lease.Milliseconds(), Since: w.since},
 	}
+	if w.incarnation != "" {
+		m.exchange.Incarnation = w.incarnation
+		m.exchange.ValidUntilMS = w.validUntilMS(now, s.limits.clockRate)
+	}
 	if w.reconciled {
 		m.exchange.Orders = s.orders(w, m.throttles)
 	}
@@ -85,9 +89,9 @@
 	switch {
 	case j.rec.State == task.Starting && (!j.committing || s.faults.sendBeforeDurable):
 		j.sent = true
-		spec := j.rec.Sized()
+		spec := j.rec.Spec
 		return platform.Order{
-			Kind: platform.OrderStart, Run: run, Resources: spec.Resources,
+			Kind: platform.OrderStart, Run: run, Resources: j.rec.Reserves(), Declared: spec.Resources,
 			Class: spec.Class, WorkMS: spec.RunMS, Checkpoint: j.rec.Checkpoint,
 		}, true
 	case j.rec.State == task.Stopping:
@@ -116,6 +120,11 @@
 		s.fenced = true
 		return
 	}
+	w.hear(now, reply)
+	if reply.Stale {
+		s.look = true
+		return
+	}
 	w.answered = now
 	w.lost = false
 	if !s.ready {
@@ -128,11 +137,25 @@
 	}
 	if reply.Whole {
 		s.reconcile(now, w, reply.Runs)
+	} else {
+		s.askWhole(w, m)
 	}
 	s.observe(now, w, reply)
 	s.show(now, w)
 }
 
+// askWhole asks for the whole list when a stop was taken and its run was not
+// reported: the start may never have arrived, and now can't any more.
+func (s *Shard) askWhole(w *worker, m message) {
+	for _, o := range m.exchange.Orders {
+		j := w.jobs[o.Run.Job]
+		if o.Kind == platform.OrderStop && j != nil && j.rec.State == task.Stopping && !j.committing {
+			w.since = 0
+			s.call(w)
+		}
+	}
+}
+
 // unanswered keeps the worker's backlog for the next attempt.
 func (s *Shard) unanswered(now time.Time, w *worker) {
 	if s.faults.lapseAtOnce {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -79,9 +80,7 @@
 	if err := g.buildAccess(); err != nil {
 		return nil, err
 	}
-	if err := g.buildPeers(); err != nil {
-		return nil, err
-	}
+	g.buildPeers()
 	g.store = &configstore.Store{Table: deps.Table, Objects: deps.Objects, Now: time.Now}
 	g.watcher = configstore.NewWatcher(g.store, local, deps.Log)
 	g.spreader = newSpreader(g.peers, g.peerServer, g.watcher, g.rng())
@@ -89,10 +88,11 @@
 		Table: deps.Table, Incarnation: g.incarnation, Settings: local.Batch,
 		Timeout: local.Platform.Timeout.D(), Log: deps.Log, Now: deps.Now, Registerer: g.registry,
 	})
-	g.slo = slo.NewKeeper(local.Host.Name+"#"+g.incarnation, deps.Table, g.journal, deps.Log, time.Now)
+	g.slo = slo.NewKeeper(local.Host.Name+"#"+g.incarnation, deps.Table, g.journal, g.registry, deps.Log, time.Now)
 	g.buildKeeper()
 	g.buildGateway()
 	g.buildBatch()
+	g.registerMetrics()
 	return g, nil
 }
 
@@ -112,19 +112,15 @@
 	return err
 }
 
-func (g *Gate) buildPeers() error {
+func (g *Gate) buildPeers() {
 	o := peer.Options{Host: g.local.Host.Name, UserTimeout: peerUserTimeout, Log: g.deps.Log}
 	client, server := o, o
 	if g.identity != nil {
-		c, err := g.identity.Client()
-		if err != nil {
-			return err
-		}
-		client.TLS, server.TLS = c, g.identity.Server(true)
+		client.TLS = g.identity.Client
+		server.TLS = func() (*tls.Config, error) { return g.identity.Server(true), nil }
 	}
 	g.peers = peer.NewClient(client, g.rng())
 	g.peerServer = peer.NewServer(server, g.admitPeer)
-	return nil
 }
 
 // admitPeer lets in the entry hosts that the membership list names, from the
@@ -152,7 +148,7 @@
 		Host: g.local.Host.Name, Incarnation: g.incarnation,
 		Committer: g.journal, Reader: g.deps.Table, Objects: g.deps.Objects, Peers: g.peers,
 		Alive:  g.alive,
-		Window: g.local.Calls.BookingWindow.D(), Now: time.Now, Log: g.deps.Log,
+		Window: func() time.Duration { return g.policy().Calls.BookingWindow.D() }, Now: time.Now, Log: g.deps.Log,
 	})
 	g.book.Register(g.peerServer)
 	g.gateway = gateway.New(gateway.Options{
@@ -174,11 +170,17 @@
 
 // newPlanner returns an empty planner with the policy now in force.
 func (g *Gate) newPlanner(string) placement.Planner {
-	p := g.policy()
-	return placement.New(placement.Options{
-		Seed: rand.Uint64(), Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events,
+	o := planning(g.policy())
+	o.Seed = rand.Uint64()
+	return placement.New(o)
+}
+
+// planning returns what planners take of a policy.
+func planning(p settings.Settings) placement.Options {
+	return placement.Options{
+		Headroom: p.Batch.Headroom, Teams: p.Teams, Events: p.Events,
 		Colocation: p.Colocation, ObjectivesMS: classObjectives(p.Classes),
-	})
+	}
 }
 
 // classObjectives returns the tail latency that each class must keep, in
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -21,14 +21,16 @@
 // Spreading of configurations among peers.
 const (
 	// versionInterval is how often a few peers are asked for their version.
-	versionInterval = time.Second
-	// versionFanout is how many are asked at a time.
-	versionFanout = 2
+	versionInterval = 500 * time.Millisecond
+	// versionFanout is how many are asked at a time; for each that does not
+	// answer, up to versionRetries others are asked.
+	versionFanout  = 2
+	versionRetries = 2
 	// offerFanout is how many peers a host tells of a version that is new to
 	// it; each of them does the same.
 	offerFanout = 4
 	// peerTimeout bounds one exchange with a peer.
-	peerTimeout = 2 * time.Second
+	peerTimeout = time.Second
 )
 
 // versionMessage tells which configuration is in force on a host.
@@ -87,37 +89,60 @@
 			return
 		case <-ticker.C:
 		}
-		for _, host := range s.pick(versionFanout, math.MaxUint64) {
-			s.compare(ctx, host)
-		}
+		s.round(ctx)
 	}
 }
 
-// spread tells a few peers at once that are not known to have what is in force.
-// Each is asked for its version first: most offers would come second, and an
-// offer carries the whole content.
-func (s *spreader) spread(ctx context.Context) {
-	var telling sync.WaitGroup
-	for _, host := range s.pick(offerFanout, s.version()) {
-		telling.Go(func() { s.compare(ctx, host) })
+// round compares versions with a few random peers.
+func (s *spreader) round(ctx context.Context) {
+	hosts := s.pick(versionFanout*(1+versionRetries), math.MaxUint64)
+	lanes := min(versionFanout, len(hosts))
+	var wg sync.WaitGroup
+	for lane := range lanes {
+		wg.Go(func() {
+			for i := lane; i < len(hosts); i += versionFanout {
+				if s.compare(ctx, hosts[i]) {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// each calls f for all hosts at once and waits, so that one that does not
+// answer holds up no other.
+func (s *spreader) each(hosts []string, f func(host string)) {
+	var wg sync.WaitGroup
+	for _, host := range hosts {
+		wg.Go(func() { f(host) })
 	}
-	telling.Wait()
+	wg.Wait()
 }
 
-// compare asks a peer for its version; an older one is offered ours.
-func (s *spreader) compare(ctx context.Context, host string) {
+// spread tells a few peers that are not known to have what is in force. Each is
+// asked for its version first: most offers would come second, and an offer
+// carries the whole content.
+func (s *spreader) spread(ctx context.Context) {
+	s.each(s.pick(offerFanout, s.version()), func(host string) { s.compare(ctx, host) })
+}
+
+// compare asks a peer for its version; an older one is offered ours, and a
+// newer one sends its own. It reports whether the peer answered.
+func (s *spreader) compare(ctx context.Context, host string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	mine := s.version()
 	var theirs versionMessage
 	r := s.transport.Call(ctx, host, methodConfigVersion, versionMessage{Version: mine}, &theirs)
 	if r.Kind != outcome.Answered {
-		return
+		return false
 	}
 	s.learn(host, theirs.Version)
 	if theirs.Version < mine {
 		s.offer(ctx, host)
 	}
+	return true
 }
 
 func (s *spreader) offer(ctx context.Context, host string) {
