gate: a drain with the table down cuts nothing off

Cause: while the table is down nothing can be handed over, and HandOver used up the whole of drain_timeout; the servers then had no time left and closed their connections with calls in flight. Ruled out: gateway.Stop and Shutdown, which wait when they are given time. Change: the hand-over may take half of what is left. The stop still exits 1, since it was not a whole one.

--- a/gate/drain.go
+++ b/gate/drain.go
@@ -21,7 +21,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.local.Host.DrainTimeout.D())
 	defer cancel()
 	wait(ctx, g.local.Host.DrainDelay.D())
-	handed := g.keeper.HandOver(ctx)
+	handed := g.handOver(ctx)
 	shutDown(ctx, s.callers)
 	stopped := g.gateway.Stop(ctx)
 	flushed := g.book.Flush(ctx)
@@ -36,6 +36,19 @@
 	return errors.Wrap(err, "drain")
 }
 
+// handOver gives up what the host owns, in at most half of the time that is
+// left: while the table is down nothing can be handed over, and what is in
+// flight must still be finished. Others take over once the session has lapsed.
+func (g *Gate) handOver(ctx context.Context) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		panic("gate: a drain has no deadline")
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+	defer cancel()
+	return g.keeper.HandOver(ctx)
+}
+
 // wait lets d pass, or less if ctx ends.
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/gate/fetch.go
+++ b/gate/fetch.go
@@ -31,7 +31,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	hosts := s.pick(fetchFanout)
+	hosts := s.pick(fetchFanout, anyVersion)
 	var mu sync.Mutex
 	var newest fetchReply
 	answered := 0
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -31,6 +31,8 @@
 	offerFanout = 4
 	// peerTimeout bounds one exchange with a peer.
 	peerTimeout = time.Second
+	// anyVersion is above every version.
+	anyVersion = math.MaxUint64
 )
 
 // versionMessage tells which configuration is in force on a host.
@@ -100,7 +102,7 @@
 
 // round compares versions with a few random peers.
 func (s *spreader) round(ctx context.Context) {
-	hosts := s.pick(versionFanout*(1+versionRetries), math.MaxUint64)
+	hosts := s.pick(versionFanout*(1+versionRetries), anyVersion)
 	lanes := min(versionFanout, len(hosts))
 	var wg sync.WaitGroup
 	for lane := range lanes {
--- a/gate/rig_test.go
+++ b/gate/rig_test.go
@@ -12,9 +12,20 @@
 
 // startGate runs one entry host over stand-ins until the test ends.
 func startGate(t *testing.T, edit func(*settings.Settings)) (*Gate, *standin.Platform, Listeners) {
+	t.Helper()
+	return startGateAt(t, func(*standin.Config) {}, edit, func(err error) {
+		if err != nil {
+			t.Errorf("the host's drain: %v", err)
+		}
+	})
+}
+
+// startGateAt is startGate over other stand-ins; ended gets what Run returned.
+func startGateAt(t *testing.T, site func(*standin.Config), edit func(*settings.Settings), ended func(error)) (*Gate, *standin.Platform, Listeners) {
 	t.Helper()
 	c := standin.DefaultConfig()
 	c.Services, c.Workers.Count = nil, 0
+	site(&c)
 	p, err := standin.Start(c)
 	if err != nil {
 		t.Fatal(err)
@@ -39,13 +50,11 @@
 	}
 	p.PutEntryHost(standin.EntryHostConfig{Name: s.Host.Name, Peer: l.Peers.Addr().String(), Zone: s.Host.Zone})
 	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- g.Run(ctx, l) }()
+	returned := make(chan error, 1)
+	go func() { returned <- g.Run(ctx, l) }()
 	t.Cleanup(func() {
 		stop()
-		if err := <-ended; err != nil {
-			t.Errorf("the host's drain: %v", err)
-		}
+		ended(<-returned)
 	})
 	return g, p, l
 }
