ownership: a host that stops hands its shards over by quarters

Cause: it drained all of them at once, and none of them served anybody until what was in flight had ended. The ownership simulation and tenure's tests pass (49.5 s).

--- a/ownership/config.go
+++ b/ownership/config.go
@@ -22,6 +22,9 @@
 const (
 	// maxMoves is how many shards a host gives to preferred hosts at a time.
 	maxMoves = 2
+	// stopMoves is in how many parts a host that stops hands over its shards.
+	// A shard serves nothing while it is drained, so not all are at once.
+	stopMoves = 4
 	// maxClaims is how many claims a host has under way at a time.
 	maxClaims = 8
 )
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -42,8 +42,10 @@
 
 	// stopping is set once every shard is to be handed over.
 	stopping bool
-	view     *View
-	actions  []Action
+	// stopMoves is how many shards are handed over at a time then.
+	stopMoves int
+	view      *View
+	actions   []Action
 }
 
 // New returns the machine of a process that started at now.
@@ -88,10 +90,23 @@
 // none is taken any more. It cannot be undone.
 func (m *Machine) HandOver(now time.Time) []Action {
 	m.stopping = true
+	m.stopMoves = m.shareOfOwn(stopMoves)
 	m.session.again = true
 	return m.step(now)
 }
 
+// shareOfOwn returns one in parts of the shards that this host owns, at least
+// one.
+func (m *Machine) shareOfOwn(parts int) int {
+	own := 0
+	for _, name := range m.names {
+		if m.mine(m.shards[name]) {
+			own++
+		}
+	}
+	return max(1, (own+parts-1)/parts)
+}
+
 // HandedOver reports whether this host owns nothing and uses nothing.
 func (m *Machine) HandedOver() bool {
 	for _, name := range m.names {
