--- a/integration/traffic.go
+++ b/integration/traffic.go
@@ -137,8 +137,7 @@
 	return n
 }
 
-// Any matches all, Booking those with an idempotency key, Call the others,
-// Answered those that were answered.
+// Any matches all requests.
 func Any(load.Exchange) bool { return true }
 
 // Booking matches requests with an idempotency key.
@@ -147,6 +146,9 @@
 // Call matches requests without one.
 func Call(x load.Exchange) bool { return x.Key == "" }
 
+// Repeat matches bookings that were sent again.
+func Repeat(x load.Exchange) bool { return x.Retried }
+
 // Answered matches requests that were answered.
 func Answered(x load.Exchange) bool { return x.Outcome == outcome.Answered }
 
--- a/load/run.go
+++ b/load/run.go
@@ -68,8 +68,10 @@
 type planned struct {
 	exchange Exchange
 	target   string
-	// repeat is the target of a second sending; empty for none.
-	repeat string
+	// repeat is set to send it a second time, to the target that pick draws
+	// from those there are by then.
+	repeat bool
+	pick   int
 }
 
 func (r *runner) request(n int, rng *rand.Rand, due time.Time) planned {
@@ -83,7 +85,7 @@
 		p.exchange.Key = "booking-" + id
 		p.exchange.Body = []byte(id)
 		if rng.Float64() < r.config.Repeat {
-			p.repeat = targets[rng.IntN(len(targets))]
+			p.repeat, p.pick = true, rng.Int()
 		}
 	}
 	return p
@@ -104,12 +106,13 @@
 		defer r.wg.Done()
 		defer func() { <-r.slots }()
 		r.finish(r.do(ctx, p.exchange, p.target))
-		if p.repeat != "" {
+		if p.repeat {
 			again := p.exchange
 			again.Retried = true
 			again.ID += "-again"
 			again.Due = time.Now()
-			r.finish(r.do(ctx, again, p.repeat))
+			targets := r.config.Targets()
+			r.finish(r.do(ctx, again, targets[p.pick%len(targets)]))
 		}
 	}()
 }
