--- a/placement/planner.go
+++ b/placement/planner.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -36,6 +38,16 @@
 	Observe(u Usage)
 	// Plan returns at most limit actions for now.
 	Plan(now time.Time, limit int) []Action
+	// SetAllotment bounds what team may reserve in this shard.
+	SetAllotment(team string, allotment quota.Amount)
+	// TeamUsage is what team reserves in this shard and what its pending jobs
+	// ask for besides.
+	TeamUsage(team string) (used, pending platform.Resources)
+	// Capacity is what all hosts hold together.
+	Capacity() platform.Resources
+	// Forecast foresees every event as far as this shard goes, by learned run
+	// times.
+	Forecast(now time.Time) []forecast.Report
 	// Why says why a job is pending or where it runs, for people.
 	Why(job string) string
 	// NeverFits reports whether no known host can ever hold the job, with
