--- a/batch/manager.go
+++ b/batch/manager.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -39,6 +41,14 @@
 	lost    map[string]ownership.Grant
 	tasks   sync.WaitGroup
 	context context.Context
+	// calendar holds the events in force.
+	calendar forecast.Calendar
+	// quotas are the teams' quotas, and divisions those that this host
+	// divides.
+	quotas    map[string]quota.Amount
+	divisions map[string]*division
+	// dividers are the hosts that divide, by team.
+	dividers map[string]string
 	// faults break a mechanism on purpose; only tests set them.
 	faults faults
 }
@@ -73,6 +83,10 @@
 		shards:  map[string]*owned{},
 		members: map[string][]platform.Member{},
 		lost:    map[string]ownership.Grant{},
+
+		quotas:    map[string]quota.Amount{},
+		divisions: map[string]*division{},
+		dividers:  map[string]string{},
 	}
 	m.handle(c.Mux)
 	return m
@@ -91,8 +105,12 @@
 func (m *Manager) SetPolicy(b settings.Batch, o placement.Options) {
 	m.post(func(time.Time) {
 		m.config.Settings = b
+		// Events that can't be read are refused by package settings before.
+		m.calendar, _ = forecast.NewCalendar(o.Events)
+		m.quotas = quotasOf(o.Teams)
+		m.assignDuties()
 		for _, shard := range m.shards {
-			shard.setPolicy(b, o)
+			shard.setPolicy(b, o, m.quotas)
 		}
 	})
 }
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -4,8 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -65,6 +67,13 @@
 	}
 }
 
+func (p *firstFit) SetAllotment(string, quota.Amount) {}
+func (p *firstFit) Capacity() platform.Resources      { return platform.Resources{} }
+
+func (p *firstFit) TeamUsage(string) (used, pending platform.Resources) { return used, pending }
+
+func (p *firstFit) Forecast(time.Time) []forecast.Report { return nil }
+
 func (p *firstFit) Killed(job string) {
 	if _, ok := p.placed[job]; ok {
 		p.killed++
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,8 +26,8 @@
 	// answer, up to versionRetries others are asked.
 	versionFanout  = 2
 	versionRetries = 2
-	// offerFanout is how many peers a host offers a version to that is new
-	// to it; each of them does the same.
+	// offerFanout is how many peers a host tells of a version that is new to
+	// it; each of them does the same.
 	offerFanout = 4
 	// peerTimeout bounds one exchange with a peer.
 	peerTimeout = time.Second
@@ -99,7 +100,7 @@
 
 // round compares versions with a few random peers.
 func (s *spreader) round(ctx context.Context) {
-	hosts := s.pick(versionFanout * (1 + versionRetries))
+	hosts := s.pick(versionFanout*(1+versionRetries), math.MaxUint64)
 	lanes := min(versionFanout, len(hosts))
 	var wg sync.WaitGroup
 	for lane := range lanes {
@@ -124,9 +125,11 @@
 	wg.Wait()
 }
 
-// spread offers what is in force to a few peers.
+// spread tells a few peers that are not known to have what is in force. Each is
+// asked for its version first: most offers would come second, and an offer
+// carries the whole content.
 func (s *spreader) spread(ctx context.Context) {
-	s.each(s.pick(offerFanout), func(host string) { s.offer(ctx, host) })
+	s.each(s.pick(offerFanout, s.version()), func(host string) { s.compare(ctx, host) })
 }
 
 // compare asks a peer for its version; an older one is offered ours, and a
@@ -152,10 +155,13 @@
 	if !ok {
 		return
 	}
+	o, err := packOffer(configstore.Offer{Head: current.Head, Content: current.Content})
+	if err != nil {
+		return // the table's copy reaches the peer
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var theirs versionMessage
-	o := configstore.Offer{Head: current.Head, Content: current.Content}
 	if r := s.transport.Call(ctx, host, methodConfigOffer, o, &theirs); r.Kind == outcome.Answered {
 		s.learn(host, theirs.Version)
 	}
@@ -175,8 +181,12 @@
 }
 
 func (s *spreader) handleOffer(ctx context.Context, from string, decode func(any) error) (any, error) {
-	var o configstore.Offer
-	if err := decode(&o); err != nil {
+	var m offerMessage
+	if err := decode(&m); err != nil {
+		return nil, err
+	}
+	o, err := m.offer()
+	if err != nil {
 		return nil, err
 	}
 	s.learn(from, o.Head.Version)
@@ -200,11 +210,17 @@
 	}
 }
 
-// pick returns up to n different peers at random.
-func (s *spreader) pick(n int) []string {
+// pick returns up to n different peers at random, of those that are not known
+// to have the version.
+func (s *spreader) pick(n int, version uint64) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hosts := append([]string{}, s.hosts...)
+	var hosts []string
+	for _, h := range s.hosts {
+		if s.versions[h] < version {
+			hosts = append(hosts, h)
+		}
+	}
 	s.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return hosts[:min(n, len(hosts))]
 }
