--- a/gate/fetch.go
+++ b/gate/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"github.com/fireflygate/fireflygate/configstore"
@@ -17,8 +18,8 @@
 
 // fetchReply is what a peer has in force; a starting one has nothing.
 type fetchReply struct {
-	Known bool              `msgpack:"k"`
-	Offer configstore.Offer `msgpack:"o"`
+	Known bool         `msgpack:"k"`
+	Offer offerMessage `msgpack:"o"`
 }
 
 // fetch finds a starting host its configuration while the store does not
@@ -31,7 +32,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	hosts := s.pick(fetchFanout)
+	hosts := s.pick(fetchFanout, math.MaxUint64)
 	var mu sync.Mutex
 	var newest fetchReply
 	answered := 0
@@ -48,8 +49,11 @@
 			newest = reply
 		}
 	})
-	if 2*answered > len(hosts) && newest.Known {
-		s.watcher.Take(newest.Offer)
+	if 2*answered <= len(hosts) || !newest.Known {
+		return
+	}
+	if o, err := newest.Offer.offer(); err == nil {
+		s.watcher.Take(o)
 	}
 }
 
@@ -58,5 +62,9 @@
 	if !ok {
 		return fetchReply{}, nil
 	}
-	return fetchReply{Known: true, Offer: configstore.Offer{Head: current.Head, Content: current.Content}}, nil
+	packed, err := packOffer(configstore.Offer{Head: current.Head, Content: current.Content})
+	if err != nil {
+		return nil, err
+	}
+	return fetchReply{Known: true, Offer: packed}, nil
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -37,8 +37,9 @@
 	identity    *access.Identity
 	guard       *access.Guard
 
-	state  atomic.Int32
-	roster atomic.Pointer[roster.Roster]
+	state   atomic.Int32
+	roster  atomic.Pointer[roster.Roster]
+	feeding sync.Mutex // serializes feedKeeper
 	// taken belongs to the goroutine that polls the members.
 	taken takenList
 	// drained is closed, by drainOnce, when a drain is asked for.
--- a/gate/membership.go
+++ b/gate/membership.go
@@ -36,9 +36,7 @@
 	g.feedPeers(r)
 	g.gateway.SetEndpoints(endpointsOf(r))
 	g.batch.SetWorkers(workersOf(r))
-	if g.State() != Starting {
-		g.keeper.SetRoster(r)
-	}
+	g.feedKeeper()
 	g.becomeReady()
 }
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -106,6 +106,16 @@
 	g.becomeReady()
 }
 
+// feedKeeper gives the newest roster to whoever owns shards, once the host is
+// no longer starting. The lock keeps an older one from coming second.
+func (g *Gate) feedKeeper() {
+	g.feeding.Lock()
+	defer g.feeding.Unlock()
+	if g.State() != Starting {
+		g.keeper.SetRoster(*g.roster.Load())
+	}
+}
+
 // becomeReady takes requests and shards once the configuration and the members
 // are known: before, an older configuration would be brought back for them.
 func (g *Gate) becomeReady() {
@@ -113,7 +123,7 @@
 		return
 	}
 	if g.state.CompareAndSwap(int32(Starting), int32(Ready)) {
-		g.keeper.SetRoster(*g.roster.Load())
+		g.feedKeeper()
 		event.HostReady.Log(g.deps.Log, slog.String("host", g.local.Host.Name))
 	}
 }
