Workers are owned in their zone, or else in their region

Cause: shards of workers fell to entry hosts by hash alone. Ruled out: hosts of the zone only, since a zone without one would stand still. Change: for worker shards hosts of the zone come first, then of the region. Test seen to fail without the change. The ownership package's tests pass (60 s).

--- a/roster/preferred.go
+++ b/roster/preferred.go
@@ -3,11 +3,15 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/fireflygate/fireflygate/platform"
 )
 
 // Preferred returns the live entry hosts in the order in which they should own
 // a shard: rendezvous hashing, so that the loss or the arrival of a host moves
-// only that host's part. It works for any shard name.
+// only that host's part. For a shard of workers hosts in the workers' zone come
+// first, then those in their region, so that zones and regions that lose each
+// other leave runs with an owner that reaches them. It works for any shard name.
 func (r Roster) Preferred(shard string) []string {
 	if order, ok := r.preferred[shard]; ok {
 		return order
@@ -45,11 +49,37 @@
 		order, ok := previous.preferred[shard]
 		if !same || !ok {
 			order = rendezvous(shard, r.liveHosts)
+			r.nearFirst(shard, order)
 		}
 		r.preferred[shard] = order
 	}
 }
 
+// nearFirst moves the hosts near the workers of a shard to the front of their
+// order. Endpoint shards span zones and have no place.
+func (r *Roster) nearFirst(shard string, order []string) {
+	members := r.members[shard]
+	if IsEndpointShard(shard) || len(members) == 0 {
+		return
+	}
+	place := members[0]
+	slices.SortStableFunc(order, func(a, b string) int {
+		return cmp.Compare(distance(place, r.byName[a]), distance(place, r.byName[b]))
+	})
+}
+
+// distance is 0 within a zone, 1 within a region and 2 beyond.
+func distance(a, b platform.Member) int {
+	switch {
+	case a.Region != b.Region:
+		return 2
+	case a.Zone != b.Zone:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // rendezvous sorts hosts by their weight for a shard, highest first. The
 // library go-rendezvous gives only the first of this order.
 func rendezvous(shard string, hosts []string) []string {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -113,3 +113,36 @@
 		}
 	}
 }
+
+// TestWorkersAreOwnedNearby checks the order of hosts for shards of workers,
+// and that endpoint shards still spread over all of them.
+func TestWorkersAreOwnedNearby(t *testing.T) {
+	l := platform.MemberList{Revision: 1}
+	for i := range 12 {
+		region, zone := fmt.Sprint("r", i%4/2), fmt.Sprint("z", i%4)
+		for kind, name := range map[platform.MemberKind]string{platform.EntryHost: "h", platform.Worker: "w", platform.Endpoint: "e"} {
+			l.Members = append(l.Members, platform.Member{
+				Kind: kind, Name: fmt.Sprint(name, i), Region: region, Zone: zone, Rack: fmt.Sprint("k", i), Service: "s", State: platform.Live,
+			})
+		}
+	}
+	r := Build(Roster{}, l, lease)
+	firsts := map[string]bool{}
+	for _, shard := range r.Shards() {
+		order := r.Preferred(shard)
+		if IsEndpointShard(shard) {
+			firsts[zoneOf(r, order[0])] = true
+			continue
+		}
+		for i, h := range order {
+			host, _ := r.Member(h)
+			want := min(i/3, 2)
+			if got := distance(r.Members(shard)[0], host); got != want {
+				t.Errorf("%s: %s in place %d is at distance %d, want %d", shard, h, i, got, want)
+			}
+		}
+	}
+	if len(firsts) != 4 {
+		t.Errorf("endpoint shards prefer the zones %v alone", firsts)
+	}
+}
