--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -36,8 +37,11 @@
 	identity    *access.Identity
 	guard       *access.Guard
 
-	state  atomic.Int32
-	roster atomic.Pointer[roster.Roster]
+	state   atomic.Int32
+	roster  atomic.Pointer[roster.Roster]
+	feeding sync.Mutex // serializes feedKeeper
+	// taken belongs to the goroutine that polls the members.
+	taken takenList
 	// drained is closed, by drainOnce, when a drain is asked for.
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -58,6 +62,11 @@
 // peerUserTimeout is how long bytes sent to a peer may stay unacknowledged.
 const peerUserTimeout = 2 * time.Second
 
+// digestFanOut is how many peers are told of free slots at a time. Up to nine
+// hosts that is all of them; beyond, each is told in turn, and messages no
+// longer grow with the square of the hosts.
+const digestFanOut = 8
+
 // New builds an entry host from its own settings; Run starts it.
 func New(local settings.Settings, deps Deps) (*Gate, error) {
 	g := &Gate{
@@ -72,9 +81,7 @@
 	if err := g.buildAccess(); err != nil {
 		return nil, err
 	}
-	if err := g.buildPeers(); err != nil {
-		return nil, err
-	}
+	g.buildPeers()
 	g.store = &configstore.Store{Table: deps.Table, Objects: deps.Objects, Now: time.Now}
 	g.watcher = configstore.NewWatcher(g.store, local, deps.Log)
 	g.spreader = newSpreader(g.peers, g.peerServer, g.watcher, g.rng())
@@ -82,10 +89,11 @@
 		Table: deps.Table, Incarnation: g.incarnation, Settings: local.Batch,
 		Timeout: local.Platform.Timeout.D(), Log: deps.Log, Now: deps.Now, Registerer: g.registry,
 	})
-	g.slo = slo.NewKeeper(local.Host.Name+"#"+g.incarnation, deps.Table, g.journal, deps.Log, time.Now)
+	g.slo = slo.NewKeeper(local.Host.Name+"#"+g.incarnation, deps.Table, g.journal, g.registry, deps.Log, time.Now)
 	g.buildKeeper()
 	g.buildGateway()
 	g.buildBatch()
+	g.registerMetrics()
 	return g, nil
 }
 
@@ -105,19 +113,15 @@
 	return err
 }
 
-func (g *Gate) buildPeers() error {
+func (g *Gate) buildPeers() {
 	o := peer.Options{Host: g.local.Host.Name, UserTimeout: peerUserTimeout, Log: g.deps.Log}
 	client, server := o, o
 	if g.identity != nil {
-		c, err := g.identity.Client()
-		if err != nil {
-			return err
-		}
-		client.TLS, server.TLS = c, g.identity.Server(true)
+		client.TLS = g.identity.Client
+		server.TLS = func() (*tls.Config, error) { return g.identity.Server(true), nil }
 	}
 	g.peers = peer.NewClient(client, g.rng())
 	g.peerServer = peer.NewServer(server, g.admitPeer)
-	return nil
 }
 
 // admitPeer lets in the entry hosts that the membership list names, from the
@@ -145,12 +149,12 @@
 		Host: g.local.Host.Name, Incarnation: g.incarnation,
 		Committer: g.journal, Reader: g.deps.Table, Objects: g.deps.Objects, Peers: g.peers,
 		Alive:  g.alive,
-		Window: g.local.Calls.BookingWindow.D(), Now: time.Now, Log: g.deps.Log,
+		Window: func() time.Duration { return g.policy().Calls.BookingWindow.D() }, Now: time.Now, Log: g.deps.Log,
 	})
 	g.book.Register(g.peerServer)
 	g.gateway = gateway.New(gateway.Options{
 		Host: g.local.Host.Name, Zone: g.local.Host.Zone, Calls: g.local.Calls, MaxRun: g.local.Lease.MaxRun.D(),
-		Service: g.serviceSettings, Shares: g.keeper, Peers: g.peers, Book: g.book,
+		Service: g.serviceSettings, Shares: g.keeper, Peers: g.peers, DigestFanOut: digestFanOut, Book: g.book,
 		Observe: g.observe, Registerer: g.registry, Log: g.deps.Log, Seed: rand.Uint64(),
 	})
 	g.gateway.Register(g.peerServer)
--- a/gate/run.go
+++ b/gate/run.go
@@ -54,7 +54,7 @@
 	if g.guard == nil {
 		event.OperatorsOpen.Log(g.deps.Log, slog.String("address", l.Operators.Addr().String()))
 	}
-	callers := gateway.LimitCallers(l.Callers, g.local.Calls.ConnectionsPerCaller)
+	callers := gateway.LimitCallers(l.Callers, func() int { return g.policy().Calls.ConnectionsPerCaller })
 	g.goServe(wg, func() error { return s.callers.Serve(g.secure(callers)) })
 	g.goServe(wg, func() error { return s.operators.Serve(g.secure(l.Operators)) })
 	g.goServe(wg, func() error { return g.peerServer.Serve(ctx, l.Peers) })
@@ -100,17 +100,30 @@
 // takeConfig brings a configuration into force in every part.
 func (g *Gate) takeConfig(c configstore.Current) {
 	g.slo.SetObjectives(c.Settings.Objectives)
+	g.gateway.SetCalls(c.Settings.Calls)
 	g.journal.SetSettings(c.Settings.Batch)
 	g.batch.SetPolicy(c.Settings.Batch, planning(c.Settings))
 	g.becomeReady()
 }
 
-// becomeReady takes requests once the configuration and the members are known.
+// feedKeeper gives the newest roster to whoever owns shards, once the host is
+// no longer starting. The lock keeps an older one from coming second.
+func (g *Gate) feedKeeper() {
+	g.feeding.Lock()
+	defer g.feeding.Unlock()
+	if g.State() != Starting {
+		g.keeper.SetRoster(*g.roster.Load())
+	}
+}
+
+// becomeReady takes requests and shards once the configuration and the members
+// are known: before, an older configuration would be brought back for them.
 func (g *Gate) becomeReady() {
 	if _, ok := g.watcher.Current(); !ok || !g.roster.Load().Known() {
 		return
 	}
 	if g.state.CompareAndSwap(int32(Starting), int32(Ready)) {
+		g.feedKeeper()
 		event.HostReady.Log(g.deps.Log, slog.String("host", g.local.Host.Name))
 	}
 }
