--- /dev/null
+++ b/gate/policy_test.go
@@ -0,0 +1,73 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/configstore"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin"
+	"github.com/fireflygate/fireflygate/task"
+)
+
+// apply brings a change of the policy in force.
+func apply(t *testing.T, g *Gate, base uint64, change func(*settings.Settings)) {
+	t.Helper()
+	s := g.policy()
+	change(&s)
+	content, err := settings.MarshalPolicy(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := g.store.Apply(t.Context(), configstore.Change{Base: base, Author: "test", Content: content})
+	if r.Status != configstore.Accepted {
+		t.Fatalf("apply: %+v", r)
+	}
+}
+
+// TestAppliedQuotaReachesPlanners applies a quota to running planners, then a
+// larger one.
+func TestAppliedQuotaReachesPlanners(t *testing.T) {
+	site := func(c *standin.Config) { c.Workers.Count = 2 }
+	edit := func(s *settings.Settings) {
+		s.Platform.ConfigInterval = settings.Duration(50 * time.Millisecond)
+		s.Teams = map[string]settings.Team{"routes": {Weight: 1}}
+	}
+	g, _, _ := startGateAt(t, site, edit, func(error) {})
+	running := func(want int) func() bool { return func() bool { return g.batch.Counts().Running == want } }
+	submit := func(from, to int) {
+		for i := from; i < to; i++ {
+			spec := task.Spec{
+				ID: fmt.Sprint("job-", i), Key: fmt.Sprint("key-", i), Team: "routes", Class: "plan", QoS: task.Batch,
+				Resources: platform.Resources{MilliCPU: 1000, MemoryMB: 100}, RunMS: time.Hour.Milliseconds(),
+			}
+			eventually(t, spec.ID+" held", func() bool {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, kind, _ := g.batch.Submit(ctx, spec)
+				return kind == outcome.Answered
+			})
+		}
+	}
+	submit(0, 4)
+	eventually(t, "four jobs run without a quota", running(4))
+	apply(t, g, 0, func(s *settings.Settings) { s.Teams["routes"] = settings.Team{Weight: 1, MilliCPU: 2000} })
+	eventually(t, "the quota in force", func() bool { return g.policy().Teams["routes"].MilliCPU == 2000 })
+	submit(4, 8)
+	eventually(t, "a job waits for the quota", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		s, kind, _ := g.batch.Show(ctx, "job-4")
+		return kind == outcome.Answered && strings.Contains(s.Why, "quota of team routes is used up")
+	})
+	apply(t, g, 1, func(s *settings.Settings) { s.Teams["routes"] = settings.Team{Weight: 1, MilliCPU: 6000} })
+	eventually(t, "six jobs under a quota of six", running(6))
+	if c := g.batch.Counts(); c.Pending != 2 {
+		t.Errorf("%+v", c)
+	}
+}
--- a/gate/rig_test.go
+++ b/gate/rig_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/platform/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 )
@@ -38,7 +40,7 @@
 	s.Platform.MembersInterval = settings.Duration(50 * time.Millisecond)
 	edit(&s)
 	g, err := New(s, Deps{
-		Table: p.Table, Objects: p.Objects, Members: p.Members,
+		Table: p.Table, Objects: p.Objects, Members: p.Members, Workers: httpclient.NewWorkers(http.DefaultClient),
 		Log: slog.New(slog.DiscardHandler), Now: time.Now, Build: "test",
 	})
 	if err != nil {
