--- a/integration/endpoint_test.go
+++ b/integration/endpoint_test.go
@@ -70,7 +70,7 @@
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
 			s := New(t, Options{StandIns: func(c *standin.Config) { c.Services[0].Work.Sigma = 0.2 }})
-			tr := s.Callers(TrafficOptions{Bookings: 0.2, Repeat: 0.3})
+			tr := s.Callers(TrafficOptions{Rate: 300, Bookings: 0.2, Repeat: 0.3})
 			tr.Await("requests before", 300, Any)
 			const victim = "dispatch-2"
 			f.begin(s, victim)
--- a/integration/mutations_interactive.go
+++ b/integration/mutations_interactive.go
@@ -37,7 +37,7 @@
 		Name: "outcome-of-all-tries",
 		File: "gateway/retry.go",
 		Old:  `if r.Kind == outcome.NotRun && ran != "" {`, New: `if false {`,
-		Test: "^TestCutOffFromPeers$", Breach: "not run is true",
+		Test: "^TestEndpointLinksCut$", Breach: "not run is true",
 	},
 	{
 		Name: "withdrawal-of-written-frames",
