--- a/gate/fetch.go
+++ b/gate/fetch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 
 	"github.com/fireflygate/fireflygate/configstore"
@@ -32,7 +31,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	hosts := s.pick(fetchFanout, math.MaxUint64)
+	hosts := s.pick(fetchFanout, anyVersion)
 	var mu sync.Mutex
 	var newest fetchReply
 	answered := 0
