ownership: hosts read the rows that concern them, and a page of the rest

Change: a full read only at the start, when the session is opened and before a planned stop. Else every second renewal the sessions of those whom this host may succeed, rows that were said to have changed or may have, and a page of the slow scan. New owners are told to every entry host; successors are reminded each ten renewals. A promise also holds the shard itself, so that a later process of the promising host does not take it up before.

Keeper.Alive answers from these reads, in place of a table read for each question; session rows of hosts that left the list are deleted after an hour without a change.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -144,7 +144,7 @@
 	g.book = booking.New(booking.Options{
 		Host: g.local.Host.Name, Incarnation: g.incarnation,
 		Committer: g.journal, Reader: g.deps.Table, Objects: g.deps.Objects, Peers: g.peers,
-		Alive:  g.alive,
+		Alive:  g.keeper.Alive,
 		Window: g.local.Calls.BookingWindow.D(), Now: time.Now, Log: g.deps.Log,
 	})
 	g.book.Register(g.peerServer)
--- a/gate/janitor.go
+++ b/gate/janitor.go
@@ -22,6 +22,9 @@
 	// journalKeep is how long a journal's row must be seen unchanged, and its
 	// process gone, before it is deleted.
 	journalKeep = time.Hour
+	// sessionKeep is the same for the session row of a host that left the
+	// membership list.
+	sessionKeep = time.Hour
 	// janitorDuty is the name by which one host is chosen for the work.
 	janitorDuty = "duty/janitor"
 	// journalPrefix begins the keys of the journals' rows.
@@ -34,8 +37,9 @@
 type janitor struct {
 	gate *Gate
 	pace *rate.Limiter
-	// seen is when each journal row was first seen at its version.
-	seen map[string]sighting
+	// seen is when each row of a process that is gone was first seen at its
+	// version, of journals and of sessions.
+	seen, seenSessions map[string]sighting
 }
 
 // sighting is a version of a row and when it was first seen.
@@ -74,13 +78,33 @@
 	return len(order) > 0 && order[0] == j.gate.local.Host.Name && j.gate.State() == Ready
 }
 
+// sweepSessions deletes the rows of hosts that left the membership list, once
+// they have not changed for long. A process that runs after all finds its row
+// gone and opens its session anew.
+func (j *janitor) sweepSessions(ctx context.Context, rows []platform.Row) {
+	r := j.gate.roster.Load()
+	next := map[string]sighting{}
+	for _, row := range rows {
+		if !r.Known() || r.Listed(strings.TrimPrefix(row.Key, ownership.SessionPrefix)) {
+			continue
+		}
+		next[row.Key] = j.sight(j.seenSessions, row)
+		if j.gate.deps.Now().Sub(next[row.Key].since) > sessionKeep {
+			j.remove(ctx, row)
+		}
+	}
+	j.seenSessions = next
+}
+
 // sweepJournals deletes the rows of journals that have not changed for long
 // and whose process has no session.
 func (j *janitor) sweepJournals(ctx context.Context) {
-	live, ok := j.incarnations(ctx)
+	sessions, ok := j.sessions(ctx)
 	if !ok {
 		return
 	}
+	j.sweepSessions(ctx, sessions)
+	live := incarnations(sessions)
 	next := map[string]sighting{}
 	after := ""
 	for {
@@ -93,7 +117,7 @@
 			if live[strings.TrimPrefix(row.Key, journalPrefix)] {
 				continue
 			}
-			next[row.Key] = j.sight(row)
+			next[row.Key] = j.sight(j.seen, row)
 			if j.gate.deps.Now().Sub(next[row.Key].since) > journalKeep {
 				j.remove(ctx, row)
 			}
@@ -106,8 +130,8 @@
 }
 
 // sight returns since when a row has been seen unchanged.
-func (j *janitor) sight(row platform.Row) sighting {
-	if s, ok := j.seen[row.Key]; ok && s.version == row.Version {
+func (j *janitor) sight(seen map[string]sighting, row platform.Row) sighting {
+	if s, ok := seen[row.Key]; ok && s.version == row.Version {
 		return s
 	}
 	return sighting{version: row.Version, since: j.gate.deps.Now()}
@@ -119,25 +143,32 @@
 		[]platform.Write{{Key: row.Key, Delete: true}})
 }
 
-// incarnations returns the processes that have a session row.
-func (j *janitor) incarnations(ctx context.Context) (map[string]bool, bool) {
-	live := map[string]bool{}
+// sessions returns every session row.
+func (j *janitor) sessions(ctx context.Context) ([]platform.Row, bool) {
+	var all []platform.Row
 	after := ""
 	for {
 		rows, ok := j.page(ctx, ownership.SessionPrefix, after)
 		if !ok {
 			return nil, false
 		}
-		for _, row := range rows {
-			after = row.Key
-			if s, err := ownership.DecodeSessionRow(row.Value); err == nil {
-				live[s.Incarnation] = true
-			}
-		}
+		all = append(all, rows...)
 		if len(rows) < janitorPage {
-			return live, true
+			return all, true
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// incarnations returns the processes that have a session row.
+func incarnations(rows []platform.Row) map[string]bool {
+	live := map[string]bool{}
+	for _, row := range rows {
+		if s, err := ownership.DecodeSessionRow(row.Value); err == nil {
+			live[s.Incarnation] = true
 		}
 	}
+	return live
 }
 
 // page reads one page of rows at the janitor's pace.
--- /dev/null
+++ b/gate/janitor_test.go
@@ -0,0 +1,57 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/journal"
+	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/roster"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// TestDepartedSessionsAreDeleted sweeps until long after a host has left.
+func TestDepartedSessionsAreDeleted(t *testing.T) {
+	table := memtable.New()
+	now := time.Unix(1000, 0)
+	member := platform.Member{Kind: platform.EntryHost, Name: "here", State: platform.Live}
+	r := roster.Build(roster.Roster{}, platform.MemberList{Revision: 1, Members: []platform.Member{member}}, settings.Default().Lease)
+	g := &Gate{deps: Deps{Table: table, Now: func() time.Time { return now }}}
+	g.journal = journal.New(journal.Config{Table: table, Incarnation: "j", Settings: settings.Default().Batch, Timeout: time.Second})
+	g.roster.Store(&r)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.journal.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	j := newJanitor(g)
+	for _, host := range []string{"here", "gone", "back"} {
+		table.Put(ownership.SessionKey(host), []byte(host))
+	}
+	sweep := func() {
+		rows, err := table.Scan(ctx, ownership.SessionPrefix, "", janitorPage)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if now.After(time.Unix(1000, 0)) {
+			// A process that renews between the scan and the deletion.
+			table.Put(ownership.SessionKey("back"), []byte("back"))
+		}
+		j.sweepSessions(ctx, rows)
+	}
+	sweep()
+	now = now.Add(sessionKeep + time.Second)
+	sweep()
+	rows, err := table.Get(ctx, ownership.SessionKey("here"), ownership.SessionKey("gone"), ownership.SessionKey("back"))
+	if err != nil || rows[0].Version == 0 || rows[1].Version != 0 || rows[2].Version == 0 {
+		t.Errorf("rows left: %+v: %v", rows, err)
+	}
+}
--- a/ownership/action.go
+++ b/ownership/action.go
@@ -11,9 +11,17 @@
 	Tx platform.Transaction
 }
 
-// Read asks for a scan of SessionPrefix and one of ShardPrefix. The rows go to
-// Machine.RowsRead, or a failure to Machine.ReadFailed, once.
-type Read struct{ ID uint64 }
+// Read asks for rows. If Full is set: for a scan of SessionPrefix and one of
+// ShardPrefix, whose rows go to Machine.RowsRead. Otherwise: for the rows of
+// Keys and for Limit rows of ShardPrefix after the key After, which go to
+// Machine.KeysRead. A failure goes to Machine.ReadFailed. All happen once.
+type Read struct {
+	ID    uint64
+	Full  bool
+	Keys  []string
+	After string
+	Limit int
+}
 
 // AskPromise asks a peer for a promise. The reply goes to
 // Machine.PromiseReplied, or a failure to Machine.AskFailed, once.
@@ -31,8 +39,12 @@
 	Request StoppedRequest
 }
 
-// Notify tells a peer to read the table at once. Nothing depends on it.
-type Notify struct{ Host string }
+// Notify tells a peer of owners, for its Machine.Notified. No bound depends on
+// its arrival.
+type Notify struct {
+	Host  string
+	Owned []Owned
+}
 
 // Drain asks for Machine.Drained once no request is in flight under a shard
 // whose share is now none.
--- /dev/null
+++ b/ownership/alive_test.go
@@ -0,0 +1,52 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/settings"
+)
+
+// TestAlive asks after processes of another host, whose row is read again and
+// again.
+func TestAlive(t *testing.T) {
+	start := time.Unix(1000, 0)
+	lease := settings.Default().Lease
+	m, c := renewal(t, start, flaws{})
+	m.Committed(start, c.ID, platform.CommitResult{Status: platform.CommitApplied, Version: 1})
+	row := platform.Row{Key: SessionKey("b"), Value: encode(SessionRow{Incarnation: "b-2", Counter: 1}), Version: 2}
+	m.RowsRead(start, m.read.id, []platform.Row{row}, nil)
+	now := start
+	want := func(incarnation string, alive bool) {
+		t.Helper()
+		if got, _ := m.Alive(now, "b", incarnation); got != alive {
+			t.Errorf("after %v %s is alive: %v", now.Sub(start), incarnation, got)
+		}
+	}
+	read := func(wait time.Duration) {
+		m.KeysRead(now, m.read.id, nil, nil, 1)
+		now = now.Add(wait)
+		m.Tick(now)
+		if m.read.id == 0 {
+			t.Fatal("nothing is read")
+		}
+		m.KeysRead(now, m.read.id, []platform.Row{row}, nil, 1)
+	}
+	now = now.Add(time.Millisecond)
+	want("b-1", true) // What was read before the question does not count.
+	m.KeysRead(now, m.read.id, []platform.Row{row}, nil, 1)
+	want("b-1", false)
+	want("b-2", true)
+	read(2 * time.Second)
+	want("b-2", true)
+	now = now.Add(10 * lease.Session.D())
+	want("b-2", true) // Only this host's own reads stopped.
+	row.Version++
+	read(2 * time.Second)
+	want("b-2", true)
+	read(lease.Session.D() + time.Second)
+	want("b-2", false)
+	now = now.Add(time.Millisecond)
+	want("b-3", true) // Not asked after before.
+}
--- a/ownership/bench_test.go
+++ b/ownership/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/roster"
 )
 
@@ -59,23 +60,61 @@
 				w := newWorld(uint64(i), size.hosts, size.shards/2, flaws{})
 				w.idle = true
 				w.run(time.Minute)
-				w.reads, w.writes = 0, 0
+				w.reads, w.writes, w.readBytes, w.told = 0, 0, 0, 0
 				w.run(time.Minute)
 				b.ReportMetric(float64(w.reads)/60, "reads/s")
 				b.ReportMetric(float64(w.writes)/60, "writes/s")
-				b.ReportMetric(float64(rowBytes(w))/float64(size.hosts), "B/s-read/host")
+				b.ReportMetric(float64(w.readBytes)/60/float64(size.hosts), "B/s-read/host")
+				b.ReportMetric(float64(w.told)/60/float64(size.hosts), "B/s-told/host")
 			}
 		})
 	}
 }
 
-// rowBytes is the size of all rows that a host reads in each renewal interval.
-func rowBytes(w *world) int {
+// sizeOf is the size of rows, keys and values.
+func sizeOf(rows []platform.Row) int {
 	n := 0
-	for _, row := range append(w.table.scan(SessionPrefix), w.table.scan(ShardPrefix)...) {
+	for _, row := range rows {
 		n += len(row.Key) + len(row.Value)
 	}
-	return n * len(w.hosts)
+	return n
+}
+
+// takeOver kills a host and returns how long it takes until each of its shards
+// has another owner.
+func (w *world) takeOver(h *simHost) time.Duration {
+	const step, longest = 50 * time.Millisecond, 2 * time.Minute
+	h.alive = false
+	died := w.now
+	for w.now.Sub(died) < longest && w.owns(h.name) {
+		w.run(step)
+	}
+	return w.now.Sub(died)
+}
+
+// owns reports whether a shard's row names a host as the owner.
+func (w *world) owns(host string) bool {
+	for _, row := range w.table.scan(ShardPrefix) {
+		if value, err := DecodeShardRow(row.Value); err == nil && value.Owner.Host == host {
+			return true
+		}
+	}
+	return false
+}
+
+// BenchmarkTakeOver measures the time from a crash to the last change of owner.
+func BenchmarkTakeOver(b *testing.B) {
+	var sum, worst time.Duration
+	for i := range b.N {
+		w := newWorld(uint64(i), 9, 32, flaws{})
+		w.idle = true
+		w.run(time.Minute + w.between(0, 3000))
+		took := w.takeOver(w.hosts[i%len(w.hosts)])
+		sum += took
+		worst = max(worst, took)
+	}
+	b.ReportMetric(sum.Seconds()/float64(b.N), "s-mean")
+	b.ReportMetric(worst.Seconds(), "s-worst")
 }
 
 func nameOf(hosts, shards int) string {
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -32,6 +32,8 @@
 		return false
 	case !m.sessionLive(now), !m.verified(s):
 		return false
+	case now.Before(s.givenUntil) && !m.flaws.ignorePromises:
+		return false
 	case s.commit != 0, s.row.Epoch < s.stoppedBelow:
 		return false
 	case s.claim != nil && !s.readAt.After(s.claim.sentAt):
@@ -57,6 +59,11 @@
 	if now.Sub(s.wantedAt) < wait {
 		return false
 	}
+	if now.Sub(s.readAt) > renewalsPerRead*m.cfg.renew() {
+		// Another host may have claimed it; a read costs less than a write.
+		m.look(now, s)
+		return false
+	}
 	// A release to nobody may have left an earlier owner to wait for.
 	row := ShardRow{Seized: s.row.Seized}
 	if !m.previousCleared(now, s) {
@@ -178,9 +185,8 @@
 func (m *Machine) lapsed(now time.Time, s *shardState) (lapse, bool) {
 	owner := s.row.Owner
 	o := m.sessions[owner.Host]
-	if o == nil {
-		// The row was not in the newest read: its absence counts from now.
-		m.observe(now, owner.Host, platform.Row{})
+	if o == nil || now.Sub(o.lookedAt) > 2*renewalsPerRead*m.cfg.renew() {
+		// Nothing is known of it yet.
 		return lapse{}, false
 	}
 	if o.supersedes(owner, s.version) {
--- a/ownership/commit.go
+++ b/ownership/commit.go
@@ -71,14 +71,14 @@
 	case platform.CommitNotApplied:
 		m.notWritten(s, p)
 	case platform.CommitUnknown:
-		m.doubt(s, p)
+		m.doubt(now, s, p)
 	}
 }
 
 // doubt takes in that a write may or may not have taken effect, or may do so
 // later. The row tells when it is read again.
-func (m *Machine) doubt(s *shardState, p pendingCommit) {
-	m.read.wanted = true
+func (m *Machine) doubt(now time.Time, s *shardState, p pendingCommit) {
+	m.look(now, s)
 	switch p.kind {
 	case commitClaim:
 		if s.claim != nil {
@@ -106,7 +106,7 @@
 	if p.kind == commitRelease {
 		m.emit(Report{Kind: ShardReleased, Shard: s.name, Epoch: p.row.Epoch, Host: p.row.Owner.Host})
 		if p.row.Owner.Host != "" {
-			m.emit(Notify{Host: p.row.Owner.Host})
+			m.news = append(m.news, s.told())
 		}
 	}
 }
@@ -123,7 +123,7 @@
 		case row.Key == ShardKey(s.name):
 			m.shardSeen(now, p.sentAt, row)
 		case row.Key != SessionKey(m.cfg.Host):
-			m.observe(now, hostOfKey(row.Key), row)
+			m.observe(now, p.sentAt, hostOfKey(row.Key), row)
 		}
 	}
 }
--- a/ownership/confirm.go
+++ b/ownership/confirm.go
@@ -72,16 +72,16 @@
 // StoppedAsked answers a peer's StoppedRequest.
 func (m *Machine) StoppedAsked(now time.Time, req StoppedRequest) (StoppedReply, []Action) {
 	s := m.shard(req.Shard)
-	m.succeeded(s, req.Epoch)
+	m.succeeded(now, s, req.Epoch)
 	actions := m.step(now)
 	stopped := req.Previous.Host == m.cfg.Host && m.stoppedSelf(now, s, req.Previous, req.Epoch)
 	return StoppedReply{Stopped: stopped}, actions
 }
 
 // succeeded takes in that a shard has an owner of this epoch or a later one.
-func (m *Machine) succeeded(s *shardState, epoch uint64) {
+func (m *Machine) succeeded(now time.Time, s *shardState, epoch uint64) {
 	if epoch > s.row.Epoch {
-		m.read.wanted = true
+		m.look(now, s)
 	}
 	s.stoppedBelow = max(s.stoppedBelow, epoch)
 }
--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -16,8 +16,8 @@
 		if g, ok := m.grant(now, s); ok {
 			next.Grants[name] = g
 		}
-		if s.exists() && s.row.Owner.Host != "" {
-			next.Owners[name] = s.row.Owner.Host
+		if owner := s.owner(); owner != "" {
+			next.Owners[name] = owner
 		}
 	}
 	if maps.Equal(next.Grants, m.view.Grants) && maps.Equal(next.Owners, m.view.Owners) {
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -41,23 +41,31 @@
 	steppedAt, awakeUntil time.Time
 
 	// stopping is set once every shard is to be handed over.
-	stopping bool
-	view     *View
-	actions  []Action
+	stopping   bool
+	stoppingAt time.Time
+	// news are owners to be told to every entry host; remindedAt is when the
+	// successors were last reminded.
+	news       []Owned
+	remindedAt time.Time
+	// inquiries are the processes that somebody asks after.
+	inquiries map[Holder]inquiry
+	view      *View
+	actions   []Action
 }
 
 // New returns the machine of a process that started at now.
 func New(cfg Config, now time.Time) *Machine {
 	return &Machine{
-		cfg:      cfg,
-		started:  now,
-		absent:   map[string]absence{},
-		sessions: map[string]*observed{},
-		shards:   map[string]*shardState{},
-		commits:  map[uint64]pendingCommit{},
-		asks:     map[uint64]pendingAsk{},
-		given:    map[Holder]time.Time{},
-		view:     &View{},
+		cfg:       cfg,
+		started:   now,
+		absent:    map[string]absence{},
+		sessions:  map[string]*observed{},
+		shards:    map[string]*shardState{},
+		commits:   map[uint64]pendingCommit{},
+		asks:      map[uint64]pendingAsk{},
+		given:     map[Holder]time.Time{},
+		inquiries: map[Holder]inquiry{},
+		view:      &View{},
 	}
 }
 
@@ -76,7 +84,9 @@
 		m.listedAt = r.Revision()
 	}
 	for _, name := range r.Shards() {
-		m.shard(name)
+		if s := m.shard(name); s.readAt.IsZero() && s.lookAfter.IsZero() {
+			m.look(now, s)
+		}
 	}
 	return m.step(now)
 }
@@ -88,7 +98,10 @@
 // none is taken any more. It cannot be undone.
 func (m *Machine) HandOver(now time.Time) []Action {
 	m.stopping = true
+	m.stoppingAt = now
 	m.session.again = true
+	// Any host may be an heir.
+	m.read.full = true
 	return m.step(now)
 }
 
@@ -123,6 +136,7 @@
 		}
 	}
 	m.askPromises(now)
+	m.announce(now)
 	m.publish(now)
 	actions := m.actions
 	m.actions = nil
--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -17,61 +17,12 @@
 	since time.Time
 	// incarnationSince is when this incarnation was first seen.
 	incarnationSince time.Time
-}
-
-// readState is the reading of the table.
-type readState struct {
-	// id is the read under way, 0 for none.
-	id     uint64
-	sentAt time.Time
-	// wanted asks for a read at once.
-	wanted bool
-	// done is set once a read succeeded.
-	done bool
-}
-
-// readRows asks for the table's rows when it is time or when something waits
-// for them.
-func (m *Machine) readRows(now time.Time) {
-	r := &m.read
-	if r.id != 0 {
-		return
-	}
-	if !r.wanted && !r.sentAt.IsZero() && now.Sub(r.sentAt) < m.cfg.renew() {
-		return
-	}
-	r.id = m.newID()
-	r.sentAt = now
-	r.wanted = false
-	m.emit(Read{ID: r.id})
-}
-
-// ReadFailed takes in that a read had no answer.
-func (m *Machine) ReadFailed(now time.Time, id uint64) []Action {
-	if m.read.id == id {
-		m.read.id = 0
-	}
-	return m.step(now)
-}
-
-// RowsRead takes in the rows of a read.
-func (m *Machine) RowsRead(now time.Time, id uint64, sessions, shards []platform.Row) []Action {
-	if m.read.id != id {
-		return m.step(now)
-	}
-	sentAt := m.read.sentAt
-	m.read.id = 0
-	m.read.done = true
-	m.observeSessions(now, sessions)
-	for _, row := range shards {
-		m.shardSeen(now, sentAt, row)
-	}
-	m.settleAbsent(sentAt, shards)
-	return m.step(now)
+	// lookedAt is when the row was last read, by a request sent at readSent.
+	lookedAt, readSent time.Time
 }
 
 // observeSessions takes the session rows in.
-func (m *Machine) observeSessions(now time.Time, rows []platform.Row) {
+func (m *Machine) observeSessions(now, sentAt time.Time, rows []platform.Row) {
 	own := platform.Row{}
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
@@ -81,11 +32,11 @@
 			own = row
 			continue
 		}
-		m.observe(now, host, row)
+		m.observe(now, sentAt, host, row)
 	}
 	for host := range m.sessions {
 		if !present[host] {
-			m.observe(now, host, platform.Row{})
+			m.observe(now, sentAt, host, platform.Row{})
 		}
 	}
 	if own.Version != 0 || !m.session.inFlight {
@@ -93,13 +44,16 @@
 	}
 }
 
-// observe takes one host's session row in; version 0 for its absence.
-func (m *Machine) observe(now time.Time, host string, row platform.Row) {
+// observe takes one host's session row in, as found by a request sent at
+// sentAt; version 0 for its absence.
+func (m *Machine) observe(now, sentAt time.Time, host string, row platform.Row) {
 	o := m.sessions[host]
 	if o == nil {
 		o = &observed{since: now, incarnationSince: now, version: row.Version}
 		m.sessions[host] = o
 	}
+	o.lookedAt = now
+	o.readSent = sentAt
 	if row.Version != o.version {
 		o.version = row.Version
 		o.since = now
@@ -153,6 +107,7 @@
 	s.promised = map[string]time.Time{}
 	if m.mine(s) {
 		m.owned(now, s)
+		m.news = append(m.news, s.told())
 	}
 }
 
@@ -186,9 +141,3 @@
 		}
 	}
 }
-
-// ReadNow asks for a read at once, because a peer said that something changed.
-func (m *Machine) ReadNow(now time.Time) []Action {
-	m.read.wanted = true
-	return m.step(now)
-}
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -73,7 +73,7 @@
 	for _, h := range reply.Refused {
 		refused[h.Shard] = true
 		if s := m.shard(h.Shard); m.mine(s) && h.Epoch > s.row.Epoch {
-			m.succeeded(s, h.Epoch)
+			m.succeeded(now, s, h.Epoch)
 		}
 	}
 	if !reply.Promised {
@@ -109,7 +109,9 @@
 		newest := max(s.row.Epoch, s.stoppedBelow)
 		if newest > h.Epoch || s.claim != nil {
 			reply.Refused = append(reply.Refused, Held{Shard: h.Shard, Epoch: newest})
+			continue
 		}
+		s.givenUntil = now.Add(m.lapseOf(req.Owner))
 	}
 	for h, until := range m.given {
 		if !now.Before(until) {
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -13,7 +13,7 @@
 	}
 	to := ""
 	if m.stopping {
-		if !m.session.stopTold {
+		if !m.session.stopTold || (m.read.full && now.Sub(m.stoppingAt) < m.cfg.Lease.Session.D()) {
 			return 0
 		}
 		to = m.heir(now, s)
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -135,7 +135,7 @@
 	}
 	if !now.Before(s.liveUntil) {
 		s.openedAt = now
-		m.read.wanted = true
+		m.read.full = true
 		m.emit(Report{Kind: SessionOpened})
 	}
 	s.version = version
--- a/ownership/session_test.go
+++ b/ownership/session_test.go
@@ -48,8 +48,8 @@
 		t.Fatal("a session lives by a renewal of unknown result")
 	}
 	row := platform.Row{Key: SessionKey("a"), Value: c.Tx.Writes[0].Value, Version: 9}
-	m.ReadNow(start.Add(time.Second))
-	m.RowsRead(start.Add(2*time.Second), m.read.id, []platform.Row{row}, nil)
+	m.Tick(start.Add(2 * time.Second))
+	m.KeysRead(start.Add(2*time.Second), m.read.id, []platform.Row{row}, nil, 1)
 	if want := start.Add(settings.Default().Lease.Session.D()); !m.session.liveUntil.Equal(want) || m.session.version != 9 {
 		t.Errorf("lives until %v with version %d", m.session.liveUntil, m.session.version)
 	}
@@ -60,7 +60,6 @@
 	m, c := renewal(t, start, flaws{})
 	m.Committed(start, c.ID, platform.CommitResult{Status: platform.CommitApplied, Version: 1})
 	other := platform.Row{Key: SessionKey("a"), Value: encode(SessionRow{Incarnation: "a-2", Counter: 1}), Version: 5}
-	m.ReadNow(start)
 	m.RowsRead(start, m.read.id, []platform.Row{other}, nil)
 	if !m.excluded() || m.sessionLive(start) {
 		t.Error("goes on beside a later process of its host")
--- a/ownership/shardstate.go
+++ b/ownership/shardstate.go
@@ -19,6 +19,13 @@
 	// is known.
 	readAt time.Time
 
+	// lookAfter asks for a read sent no earlier.
+	lookAfter time.Time
+	// hint is what a peer told of the shard's owner.
+	hint Owned
+	// givenUntil is until when this host promised not to claim the shard.
+	givenUntil time.Time
+
 	// wantedAt is when the shard was first seen without an owner.
 	wantedAt time.Time
 	// startAt is the earliest use under the epoch owned.
--- a/ownership/simhost_test.go
+++ b/ownership/simhost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/platform"
@@ -50,7 +51,7 @@
 	h.open, h.writing = map[string]int{}, map[string]int{}
 	h.roster = roster.Roster{}
 	h.machine = New(Config{
-		Host: h.name, Incarnation: fmt.Sprintf("%s-%d", h.name, h.incarnation),
+		Host: h.name, Incarnation: fmt.Sprintf("%s-%033d", h.name, h.incarnation),
 		Lease: h.lease, MaxRun: h.maxRun,
 	}, h.clock())
 	h.machine.flaws = h.w.flaws
@@ -104,7 +105,7 @@
 		case Commit:
 			h.commit(a.Tx, func(r platform.CommitResult) { h.do(h.machine.Committed(h.clock(), a.ID, r)) })
 		case Read:
-			h.read(a.ID)
+			h.read(a)
 		case AskPromise:
 			var reply PromiseReply
 			h.call(a.Host, func(p *simHost) { reply = p.promise(a.Request) },
@@ -116,7 +117,7 @@
 				func() { h.do(h.machine.StoppedReplied(h.clock(), a.ID, reply)) },
 				func() { h.do(h.machine.AskFailed(h.clock(), a.ID)) })
 		case Notify:
-			h.call(a.Host, func(p *simHost) { p.do(p.machine.ReadNow(p.clock())) }, func() {}, func() {})
+			h.call(a.Host, func(p *simHost) { h.w.told += len(a.Owned) * 60; p.do(p.machine.Notified(p.clock(), a.Owned)) }, func() {}, func() {})
 		case Drain:
 			h.drain(a)
 		case Report:
@@ -190,19 +191,38 @@
 	})
 }
 
-// read scans the sessions, then the shards.
-func (h *simHost) read(id uint64) {
-	h.w.reads += 2
-	first := h.once(time.Second, func() { h.do(h.machine.ReadFailed(h.clock(), id)) })
+// read scans the sessions, then the shards; or gets rows, then scans a page.
+func (h *simHost) read(a Read) {
+	first := h.once(time.Second, func() { h.do(h.machine.ReadFailed(h.clock(), a.ID)) })
 	h.w.after(h.delay(), func() {
-		sessions := h.w.table.scan(SessionPrefix)
+		var one, two []platform.Row
+		if a.Full {
+			one = h.w.table.scan(SessionPrefix)
+		} else {
+			one = h.w.table.get(a.Keys)
+		}
+		if len(one) > 0 {
+			h.w.reads++
+		}
 		h.w.after(h.delay(), func() {
-			shards := h.w.table.scan(ShardPrefix)
+			h.w.reads++
+			two = h.w.table.scan(ShardPrefix)
+			if !a.Full {
+				two = slices.DeleteFunc(two, func(r platform.Row) bool { return r.Key <= a.After })
+				two = two[:min(a.Limit, len(two))]
+			}
+			h.w.readBytes += sizeOf(one) + sizeOf(two)
 			if h.storeFails() || h.readsCut || h.w.readsDown || h.w.chance(h.w.lossy) {
 				return
 			}
 			h.later(h.delay(), func() {
-				first(func() { h.do(h.machine.RowsRead(h.clock(), id, sessions, shards)) })
+				first(func() {
+					if a.Full {
+						h.do(h.machine.RowsRead(h.clock(), a.ID, one, two))
+						return
+					}
+					h.do(h.machine.KeysRead(h.clock(), a.ID, one, two, a.Limit))
+				})
 			})
 		})
 	})
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -44,6 +44,9 @@
 	wrong, stuck string
 	reads        int
 	writes       int
+	// readBytes is the size of the rows read, and told about that of what
+	// hosts tell each other.
+	readBytes, told int
 	// dispatches counts requests written to endpoints; commits those of
 	// worker shards that took effect.
 	dispatches, commits int
@@ -178,6 +181,16 @@
 	return platform.CommitResult{Status: platform.CommitApplied, Version: t.version}
 }
 
+// get returns rows by key, version 0 for absent ones.
+func (t *simTable) get(keys []string) []platform.Row {
+	rows := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = t.rows[key]
+		rows[i].Key = key
+	}
+	return rows
+}
+
 // scan returns the rows under a prefix.
 func (t *simTable) scan(prefix string) []platform.Row {
 	var rows []platform.Row
--- a/tenure/execute.go
+++ b/tenure/execute.go
@@ -48,24 +48,51 @@
 	})
 }
 
-// read scans the sessions, then the shards, and brings the rows back.
+// read brings rows back: everything, or those asked for.
 func (k *Keeper) read(ctx context.Context, a ownership.Read) {
 	ctx, cancel := context.WithTimeout(ctx, k.cfg.tableTimeout())
 	defer cancel()
-	sessions, err := k.scan(ctx, ownership.SessionPrefix)
-	var shards []platform.Row
-	if err == nil {
-		shards, err = k.scan(ctx, ownership.ShardPrefix)
+	take := k.readKeys
+	if a.Full {
+		take = k.readAll
 	}
+	rows, err := take(ctx, a)
 	k.post(func(now time.Time, m *ownership.Machine) []ownership.Action {
 		k.answered(now, err == nil)
 		if err != nil {
 			return m.ReadFailed(now, a.ID)
 		}
-		return m.RowsRead(now, a.ID, sessions, shards)
+		return rows(now, m)
 	})
 }
 
+// readAll scans the sessions, then the shards.
+func (k *Keeper) readAll(ctx context.Context, a ownership.Read) (input, error) {
+	sessions, err := k.scan(ctx, ownership.SessionPrefix)
+	if err != nil {
+		return nil, err
+	}
+	shards, err := k.scan(ctx, ownership.ShardPrefix)
+	return func(now time.Time, m *ownership.Machine) []ownership.Action {
+		return m.RowsRead(now, a.ID, sessions, shards)
+	}, err
+}
+
+// readKeys gets the rows named, then a page of the shards' rows.
+func (k *Keeper) readKeys(ctx context.Context, a ownership.Read) (input, error) {
+	var rows []platform.Row
+	if len(a.Keys) > 0 {
+		var err error
+		if rows, err = k.cfg.Table.Get(ctx, a.Keys...); err != nil {
+			return nil, err
+		}
+	}
+	page, err := k.cfg.Table.Scan(ctx, ownership.ShardPrefix, a.After, a.Limit)
+	return func(now time.Time, m *ownership.Machine) []ownership.Action {
+		return m.KeysRead(now, a.ID, rows, page, a.Limit)
+	}, err
+}
+
 // scan reads every row under a prefix.
 func (k *Keeper) scan(ctx context.Context, prefix string) ([]platform.Row, error) {
 	var all []platform.Row
@@ -119,11 +146,11 @@
 	})
 }
 
-// notify tells a peer to read the table.
+// notify tells a peer of owners.
 func (k *Keeper) notify(ctx context.Context, a ownership.Notify) {
 	ctx, cancel := context.WithTimeout(ctx, k.cfg.Lease.Renew.D())
 	defer cancel()
-	k.cfg.Transport.Call(ctx, a.Host, methodReadNow, readNow{}, nil)
+	k.cfg.Transport.Call(ctx, a.Host, methodOwned, ownedMessage{Owned: a.Owned}, nil)
 }
 
 // drain waits until nothing is in flight under a shard, however long it takes.
--- a/tenure/fake_test.go
+++ b/tenure/fake_test.go
@@ -52,8 +52,18 @@
 	return platform.CommitResult{Status: platform.CommitApplied, Version: f.version}
 }
 
-func (f *fakeTable) Get(context.Context, ...string) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
+func (f *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	rows := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = f.rows[key]
+		rows[i].Key = key
+	}
+	return rows, nil
 }
 
 func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
--- a/tenure/handlers.go
+++ b/tenure/handlers.go
@@ -14,11 +14,13 @@
 const (
 	methodPromise peer.Method = "ownership.promise"
 	methodStopped peer.Method = "ownership.stopped"
-	methodReadNow peer.Method = "ownership.read_now"
+	methodOwned   peer.Method = "ownership.owned"
 )
 
-// readNow is the request and the answer of methodReadNow.
-type readNow struct{}
+// ownedMessage is the request of methodOwned; the answer is an empty one.
+type ownedMessage struct {
+	Owned []ownership.Owned `msgpack:"o"`
+}
 
 // handlePeers registers the handlers.
 func (k *Keeper) handlePeers() {
@@ -43,9 +45,13 @@
 			return m.StoppedAsked(now, req)
 		})
 	})
-	k.cfg.Mux.Handle(methodReadNow, func(context.Context, string, func(any) error) (any, error) {
-		k.post(func(now time.Time, m *ownership.Machine) []ownership.Action { return m.ReadNow(now) })
-		return readNow{}, nil
+	k.cfg.Mux.Handle(methodOwned, func(_ context.Context, _ string, decode func(any) error) (any, error) {
+		var told ownedMessage
+		if err := decode(&told); err != nil {
+			return nil, err
+		}
+		k.post(func(now time.Time, m *ownership.Machine) []ownership.Action { return m.Notified(now, told.Owned) })
+		return ownedMessage{}, nil
 	})
 }
 
