--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -43,7 +43,14 @@
 	// stopping is set once every shard is to be handed over.
 	stopping bool
 	// stopMoves is how many shards are handed over at a time then.
-	stopMoves int
+	stopMoves  int
+	stoppingAt time.Time
+	// news are owners to be told to every entry host; remindedAt is when the
+	// successors were last reminded.
+	news       []Owned
+	remindedAt time.Time
+	// inquiries are the processes that somebody asks after.
+	inquiries map[Holder]inquiry
 	view      *View
 	actions   []Action
 }
@@ -51,15 +58,16 @@
 // New returns the machine of a process that started at now.
 func New(cfg Config, now time.Time) *Machine {
 	return &Machine{
-		cfg:      cfg,
-		started:  now,
-		absent:   map[string]absence{},
-		sessions: map[string]*observed{},
-		shards:   map[string]*shardState{},
-		commits:  map[uint64]pendingCommit{},
-		asks:     map[uint64]pendingAsk{},
-		given:    map[Holder]time.Time{},
-		view:     &View{},
+		cfg:       cfg,
+		started:   now,
+		absent:    map[string]absence{},
+		sessions:  map[string]*observed{},
+		shards:    map[string]*shardState{},
+		commits:   map[uint64]pendingCommit{},
+		asks:      map[uint64]pendingAsk{},
+		given:     map[Holder]time.Time{},
+		inquiries: map[Holder]inquiry{},
+		view:      &View{},
 	}
 }
 
@@ -78,7 +86,9 @@
 		m.listedAt = r.Revision()
 	}
 	for _, name := range r.Shards() {
-		m.shard(name)
+		if s := m.shard(name); s.readAt.IsZero() && s.lookAfter.IsZero() {
+			m.look(now, s)
+		}
 	}
 	return m.step(now)
 }
@@ -91,7 +101,10 @@
 func (m *Machine) HandOver(now time.Time) []Action {
 	m.stopping = true
 	m.stopMoves = m.shareOfOwn(stopMoves)
+	m.stoppingAt = now
 	m.session.again = true
+	// Any host may be an heir.
+	m.read.full = true
 	return m.step(now)
 }
 
@@ -138,6 +151,7 @@
 		}
 	}
 	m.askPromises(now)
+	m.announce(now)
 	m.publish(now)
 	actions := m.actions
 	m.actions = nil
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -16,6 +16,9 @@
 		if !m.session.stopTold || moves >= m.stopMoves {
 			return 0
 		}
+		if m.read.full && now.Sub(m.stoppingAt) < m.cfg.Lease.Session.D() {
+			return 0
+		}
 		to = m.heir(now, s)
 	} else {
 		if moves >= maxMoves || !s.begun || s.row.Unconfirmed != nil {
