--- a/batch/manager.go
+++ b/batch/manager.go
@@ -5,9 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/quota"
+	"github.com/fireflygate/fireflygate/settings"
 )
 
 // Manager runs the worker shards that this host owns, on one control
@@ -37,6 +41,14 @@
 	lost    map[string]ownership.Grant
 	tasks   sync.WaitGroup
 	context context.Context
+	// calendar holds the events in force.
+	calendar forecast.Calendar
+	// quotas are the teams' quotas, and divisions those that this host
+	// divides.
+	quotas    map[string]quota.Amount
+	divisions map[string]*division
+	// dividers are the hosts that divide, by team.
+	dividers map[string]string
 	// faults break a mechanism on purpose; only tests set them.
 	faults faults
 }
@@ -71,6 +83,10 @@
 		shards:  map[string]*owned{},
 		members: map[string][]platform.Member{},
 		lost:    map[string]ownership.Grant{},
+
+		quotas:    map[string]quota.Amount{},
+		divisions: map[string]*division{},
+		dividers:  map[string]string{},
 	}
 	m.handle(c.Mux)
 	return m
@@ -84,6 +100,21 @@
 	m.post(func(now time.Time) { m.apply(now, v) })
 }
 
+// SetPolicy brings other settings into force in the shards owned here and in
+// their planners, which keep what they learned.
+func (m *Manager) SetPolicy(b settings.Batch, o placement.Options) {
+	m.post(func(time.Time) {
+		m.config.Settings = b
+		// Events that can't be read are refused by package settings before.
+		m.calendar, _ = forecast.NewCalendar(o.Events)
+		m.quotas = quotasOf(o.Teams)
+		m.assignDuties()
+		for _, shard := range m.shards {
+			shard.setPolicy(b, o, m.quotas)
+		}
+	})
+}
+
 // SetWorkers takes in the workers of each worker shard.
 func (m *Manager) SetWorkers(workers map[string][]platform.Member) {
 	m.post(func(now time.Time) {
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -19,6 +19,7 @@
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -28,6 +29,8 @@
 type net struct {
 	mu       sync.Mutex
 	handlers map[string]map[peer.Method]peer.Handler
+	// cut are the hosts that reach no other and are reached by none.
+	cut map[string]bool
 }
 
 // port is one host's end of the net.
@@ -48,6 +51,9 @@
 func (p port) Call(ctx context.Context, host string, m peer.Method, request, reply any) peer.Result {
 	p.net.mu.Lock()
 	h := p.net.handlers[host][m]
+	if p.net.cut[host] || p.net.cut[p.host] {
+		h = nil
+	}
 	p.net.mu.Unlock()
 	if h == nil {
 		return peer.Result{Kind: outcome.NotRun}
@@ -87,6 +93,13 @@
 	owner   string
 	epoch   uint64
 	faults  faults
+	// reach and newPlanner stand in for the fakes, unless they are nil.
+	reach      platform.Workers
+	newPlanner func() placement.Planner
+	// wrap goes round the table that journals commit to, unless it is nil.
+	wrap func(platform.Table) platform.Table
+	// stands are the stand-in workers by address, if they are used.
+	stands map[string]*standin.Worker
 	// keep is the retention of terminal jobs; 0 for the default.
 	keep time.Duration
 }
@@ -123,11 +136,23 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{planner: newFirstFit(), stop: stop}
 	b := settings.Default().Batch
-	j := journal.New(journal.Config{Table: r.table, Incarnation: fmt.Sprint(name, len(r.nodes)), Settings: b})
+	newPlanner := r.newPlanner
+	if newPlanner == nil {
+		newPlanner = func() placement.Planner { return n.planner }
+	}
+	var reach platform.Workers = r.workers
+	if r.reach != nil {
+		reach = r.reach
+	}
+	var table platform.Table = r.table
+	if r.wrap != nil {
+		table = r.wrap(table)
+	}
+	j := journal.New(journal.Config{Table: table, Incarnation: fmt.Sprint(name, len(r.nodes)), Settings: b})
 	n.Manager = New(Config{
-		Host: name, Table: r.table, Journal: j, Workers: r.workers,
+		Host: name, Table: r.table, Journal: j, Workers: reach,
 		Transport: port{r.net, name}, Mux: port{r.net, name},
-		NewPlanner: func(string) placement.Planner { return n.planner },
+		NewPlanner: func(string) placement.Planner { return newPlanner() },
 		Settings:   b, TaskLease: settings.Default().Lease.TaskLease.D(), ClockRate: 0.01, Retention: r.keep, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 	n.faults = r.faults
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,14 +21,18 @@
 // Spreading of configurations among peers.
 const (
 	// versionInterval is how often a few peers are asked for their version.
-	versionInterval = time.Second
-	// versionFanout is how many are asked at a time.
-	versionFanout = 2
-	// offerFanout is how many peers a host offers a version to that is new
-	// to it; each of them does the same.
+	versionInterval = 500 * time.Millisecond
+	// versionFanout is how many are asked at a time; for each that does not
+	// answer, up to versionRetries others are asked.
+	versionFanout  = 2
+	versionRetries = 2
+	// offerFanout is how many peers a host tells of a version that is new to
+	// it; each of them does the same.
 	offerFanout = 4
 	// peerTimeout bounds one exchange with a peer.
-	peerTimeout = 2 * time.Second
+	peerTimeout = time.Second
+	// anyVersion is above every version.
+	anyVersion = math.MaxUint64
 )
 
 // versionMessage tells which configuration is in force on a host.
@@ -50,6 +55,7 @@
 	s := &spreader{transport: t, watcher: w, rng: rng, versions: map[string]uint64{}}
 	mux.Handle(methodConfigVersion, s.handleVersion)
 	mux.Handle(methodConfigOffer, s.handleOffer)
+	mux.Handle(methodConfigFetch, s.handleFetch)
 	return s
 }
 
@@ -86,33 +92,64 @@
 			return
 		case <-ticker.C:
 		}
-		for _, host := range s.pick(versionFanout) {
-			s.compare(ctx, host)
+		if _, started := s.watcher.Current(); started {
+			s.round(ctx)
+		} else {
+			s.fetch(ctx)
 		}
 	}
 }
 
-// spread offers what is in force to a few peers.
-func (s *spreader) spread(ctx context.Context) {
-	for _, host := range s.pick(offerFanout) {
-		s.offer(ctx, host)
+// round compares versions with a few random peers.
+func (s *spreader) round(ctx context.Context) {
+	hosts := s.pick(versionFanout*(1+versionRetries), anyVersion)
+	lanes := min(versionFanout, len(hosts))
+	var wg sync.WaitGroup
+	for lane := range lanes {
+		wg.Go(func() {
+			for i := lane; i < len(hosts); i += versionFanout {
+				if s.compare(ctx, hosts[i]) {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// each calls f for all hosts at once and waits, so that one that does not
+// answer holds up no other.
+func (s *spreader) each(hosts []string, f func(host string)) {
+	var wg sync.WaitGroup
+	for _, host := range hosts {
+		wg.Go(func() { f(host) })
 	}
+	wg.Wait()
 }
 
-// compare asks a peer for its version; an older one is offered ours.
-func (s *spreader) compare(ctx context.Context, host string) {
+// spread tells a few peers that are not known to have what is in force. Each is
+// asked for its version first: most offers would come second, and an offer
+// carries the whole content.
+func (s *spreader) spread(ctx context.Context) {
+	s.each(s.pick(offerFanout, s.version()), func(host string) { s.compare(ctx, host) })
+}
+
+// compare asks a peer for its version; an older one is offered ours, and a
+// newer one sends its own. It reports whether the peer answered.
+func (s *spreader) compare(ctx context.Context, host string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	mine := s.version()
 	var theirs versionMessage
 	r := s.transport.Call(ctx, host, methodConfigVersion, versionMessage{Version: mine}, &theirs)
 	if r.Kind != outcome.Answered {
-		return
+		return false
 	}
 	s.learn(host, theirs.Version)
 	if theirs.Version < mine {
 		s.offer(ctx, host)
 	}
+	return true
 }
 
 func (s *spreader) offer(ctx context.Context, host string) {
@@ -120,31 +157,43 @@
 	if !ok {
 		return
 	}
+	o, err := packOffer(configstore.Offer{Head: current.Head, Content: current.Content})
+	if err != nil {
+		return // the table's copy reaches the peer
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var theirs versionMessage
-	o := configstore.Offer{Head: current.Head, Content: current.Content}
 	if r := s.transport.Call(ctx, host, methodConfigOffer, o, &theirs); r.Kind == outcome.Answered {
 		s.learn(host, theirs.Version)
 	}
 }
 
-func (s *spreader) handleVersion(_ context.Context, from string, decode func(any) error) (any, error) {
+func (s *spreader) handleVersion(ctx context.Context, from string, decode func(any) error) (any, error) {
 	var m versionMessage
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
 	s.learn(from, m.Version)
-	return versionMessage{Version: s.version()}, nil
+	mine := s.version()
+	if m.Version < mine {
+		go s.offer(context.WithoutCancel(ctx), from)
+	}
+	return versionMessage{Version: mine}, nil
 }
 
 func (s *spreader) handleOffer(ctx context.Context, from string, decode func(any) error) (any, error) {
-	var o configstore.Offer
-	if err := decode(&o); err != nil {
+	var m offerMessage
+	if err := decode(&m); err != nil {
+		return nil, err
+	}
+	o, err := m.offer()
+	if err != nil {
 		return nil, err
 	}
 	s.learn(from, o.Head.Version)
-	if s.watcher.Take(o) {
+	// A starting host does not take the word of one peer, see fetch.
+	if _, started := s.watcher.Current(); started && s.watcher.Take(o) {
 		go s.spread(context.WithoutCancel(ctx))
 	}
 	return versionMessage{Version: s.version()}, nil
@@ -163,11 +212,17 @@
 	}
 }
 
-// pick returns up to n different peers at random.
-func (s *spreader) pick(n int) []string {
+// pick returns up to n different peers at random, of those that are not known
+// to have the version.
+func (s *spreader) pick(n int, version uint64) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hosts := append([]string{}, s.hosts...)
+	var hosts []string
+	for _, h := range s.hosts {
+		if s.versions[h] < version {
+			hosts = append(hosts, h)
+		}
+	}
 	s.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return hosts[:min(n, len(hosts))]
 }
--- a/load/run.go
+++ b/load/run.go
@@ -1,19 +1,12 @@
 package load
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/fireflygate/fireflygate/outcome"
 )
 
 // runner sends one Config's traffic.
@@ -75,8 +68,10 @@
 type planned struct {
 	exchange Exchange
 	target   string
-	// repeat is the target of a second sending; empty for none.
-	repeat string
+	// repeat is set to send it a second time, to the target that pick draws
+	// from those there are by then.
+	repeat bool
+	pick   int
 }
 
 func (r *runner) request(n int, rng *rand.Rand, due time.Time) planned {
@@ -90,7 +85,7 @@
 		p.exchange.Key = "booking-" + id
 		p.exchange.Body = []byte(id)
 		if rng.Float64() < r.config.Repeat {
-			p.repeat = targets[rng.IntN(len(targets))]
+			p.repeat, p.pick = true, rng.Int()
 		}
 	}
 	return p
@@ -111,12 +106,13 @@
 		defer r.wg.Done()
 		defer func() { <-r.slots }()
 		r.finish(r.do(ctx, p.exchange, p.target))
-		if p.repeat != "" {
+		if p.repeat {
 			again := p.exchange
 			again.Retried = true
 			again.ID += "-again"
 			again.Due = time.Now()
-			r.finish(r.do(ctx, again, p.repeat))
+			targets := r.config.Targets()
+			r.finish(r.do(ctx, again, targets[p.pick%len(targets)]))
 		}
 	}()
 }
@@ -132,52 +128,5 @@
 
 // do sends one request and reads its whole answer.
 func (r *runner) do(ctx context.Context, x Exchange, target string) Exchange {
-	url := strings.TrimSuffix(target, "/") + "/call/" + r.config.Service + "/" + strings.TrimPrefix(r.config.Path, "/")
-	// The traffic's end does not cut off what was sent.
-	ctx = context.WithoutCancel(ctx)
-	method := http.MethodGet
-	if x.Key != "" {
-		method = http.MethodPost
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(x.Body))
-	if err != nil {
-		panic("load: bad target: " + err.Error())
-	}
-	// Without it the client can't send the request a second time by itself.
-	req.GetBody = nil
-	req.Header.Set("Fireflygate-Timeout-Ms", strconv.FormatInt(r.config.Timeout.Milliseconds(), 10))
-	if x.Key != "" {
-		req.Header.Set("Idempotency-Key", x.Key)
-	}
-	x.Sent, x.Target = time.Now(), target
-	if r.config.Prepare != nil {
-		r.config.Prepare(req, x)
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		x.Done, x.Outcome, x.Reason = time.Now(), outcome.Unknown, err.Error()
-		return x
-	}
-	defer func() { _ = resp.Body.Close() }()
-	x.Answer, err = io.ReadAll(resp.Body)
-	x.Done, x.Status, x.Header = time.Now(), resp.StatusCode, resp.Header
-	x.Outcome = outcome.Parse(resp.Header.Get(outcome.Header))
-	switch {
-	case err != nil:
-		x.Outcome, x.Reason = outcome.Unknown, err.Error()
-	case x.Outcome != outcome.Answered:
-		x.Reason = reasonOf(x.Answer)
-	}
-	return x
-}
-
-// reasonOf returns the title of a problem body.
-func reasonOf(body []byte) string {
-	var p struct {
-		Title string `json:"title"`
-	}
-	if err := json.Unmarshal(body, &p); err != nil {
-		return "no problem body"
-	}
-	return p.Title
+	return Send(ctx, r.client, r.config, x, target)
 }
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -61,7 +61,7 @@
 	}
 	if now.Sub(s.readAt) > renewalsPerRead*m.cfg.renew() {
 		// Another host may have claimed it; a read costs less than a write.
-		m.look(now, s)
+		m.look(s)
 		return false
 	}
 	// A release to nobody may have left an earlier owner to wait for.
--- a/ownership/commit.go
+++ b/ownership/commit.go
@@ -71,14 +71,14 @@
 	case platform.CommitNotApplied:
 		m.notWritten(s, p)
 	case platform.CommitUnknown:
-		m.doubt(now, s, p)
+		m.doubt(s, p)
 	}
 }
 
 // doubt takes in that a write may or may not have taken effect, or may do so
 // later. The row tells when it is read again.
-func (m *Machine) doubt(now time.Time, s *shardState, p pendingCommit) {
-	m.look(now, s)
+func (m *Machine) doubt(s *shardState, p pendingCommit) {
+	m.look(s)
 	switch p.kind {
 	case commitClaim:
 		if s.claim != nil {
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -43,6 +43,8 @@
 	// stopping is set once every shard is to be handed over.
 	stopping   bool
 	stoppingAt time.Time
+	// stopMoves is how many shards are handed over at a time then.
+	stopMoves int
 	// news are owners to be told to every entry host; remindedAt is when the
 	// successors were last reminded.
 	news       []Owned
@@ -84,8 +86,8 @@
 		m.listedAt = r.Revision()
 	}
 	for _, name := range r.Shards() {
-		if s := m.shard(name); s.readAt.IsZero() && s.lookAfter.IsZero() {
-			m.look(now, s)
+		if s := m.shard(name); s.readAt.IsZero() && s.lookFrom == 0 {
+			m.look(s)
 		}
 	}
 	return m.step(now)
@@ -99,12 +101,25 @@
 func (m *Machine) HandOver(now time.Time) []Action {
 	m.stopping = true
 	m.stoppingAt = now
+	m.stopMoves = m.shareOfOwn(stopMoves)
 	m.session.again = true
 	// Any host may be an heir.
 	m.read.full = true
 	return m.step(now)
 }
 
+// shareOfOwn returns one in parts of the shards that this host owns, at least
+// one.
+func (m *Machine) shareOfOwn(parts int) int {
+	own := 0
+	for _, name := range m.names {
+		if m.mine(m.shards[name]) {
+			own++
+		}
+	}
+	return max(1, (own+parts-1)/parts)
+}
+
 // HandedOver reports whether this host owns nothing and uses nothing.
 func (m *Machine) HandedOver() bool {
 	for _, name := range m.names {
--- a/ownership/read.go
+++ b/ownership/read.go
@@ -15,7 +15,7 @@
 	// pageRows and pagesPerCycle bound the slow scan of the shards' rows: a
 	// read takes at least pageRows of them, and so many that a cycle takes
 	// no more than pagesPerCycle reads.
-	pageRows      = 4
+	pageRows      = 2
 	pagesPerCycle = 300
 	// keysAtOnce is how many rows one read asks for by key.
 	keysAtOnce = 200
@@ -110,9 +110,13 @@
 		}
 		return hosts
 	}
-	if order := m.roster.Preferred(s.name); len(order) > 0 {
-		hosts = append(hosts, order[0])
+	heirs := 1
+	if m.stopping {
+		heirs = 1 + m.cfg.Lease.Successors
+		hosts = append(hosts, s.row.Successors...)
 	}
+	order := m.roster.Preferred(s.name)
+	hosts = append(hosts, order[:min(heirs, len(order))]...)
 	if s.move != nil {
 		hosts = append(hosts, s.move.to)
 	}
@@ -123,15 +127,23 @@
 // have changed or a write of it may have taken effect.
 func (s *shardState) unsettled() bool {
 	doubtful := (s.claim != nil && s.commit == 0) || s.renameDoubtful || (s.move != nil && s.move.sent)
-	return doubtful || s.readAt.Before(s.lookAfter)
+	return doubtful || s.lookFrom != 0
 }
 
-// look asks for a shard's row to be read at once.
-func (m *Machine) look(now time.Time, s *shardState) {
-	s.lookAfter = now
+// look asks for a shard's row to be read at once, by a read that is not under
+// way yet.
+func (m *Machine) look(s *shardState) {
+	s.lookFrom = m.nextID + 1
 	m.read.wanted = true
 }
 
+// looked notes that a read covered a shard's row.
+func (s *shardState) looked(id uint64) {
+	if id >= s.lookFrom {
+		s.lookFrom = 0
+	}
+}
+
 // ReadFailed takes in that a read had no answer.
 func (m *Machine) ReadFailed(now time.Time, id uint64) []Action {
 	if m.read.id == id {
@@ -155,6 +167,9 @@
 		m.shardSeen(now, sentAt, row)
 	}
 	m.settleAbsent(sentAt, shards)
+	for _, s := range m.shards {
+		s.looked(id)
+	}
 	return m.step(now)
 }
 
@@ -169,6 +184,7 @@
 		switch {
 		case strings.HasPrefix(row.Key, ShardPrefix):
 			m.shardSeen(now, sentAt, row)
+			m.shard(shardOfKey(row.Key)).looked(id)
 		case hostOfKey(row.Key) != m.cfg.Host:
 			m.observe(now, sentAt, hostOfKey(row.Key), row)
 		case row.Version != 0 || !m.session.inFlight:
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -224,6 +224,7 @@
 	}
 	for name, b := range broken {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(runs) {
 				w := simulate(seed, b.flaws, b.unfenced)
 				if w.wrong != "" && (!b.tasks || strings.Contains(w.wrong, leasesRenewed)) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -150,7 +150,11 @@
 	}
 	conn := raw
 	if s.opts.TLS != nil {
-		secure := tls.Server(raw, s.opts.TLS)
+		config, err := s.opts.TLS()
+		if err != nil {
+			return nil, "", errors.Wrap(err, "tls")
+		}
+		secure := tls.Server(raw, config)
 		if err := secure.HandshakeContext(ctx); err != nil {
 			return nil, "", errors.Wrap(err, "tls")
 		}
@@ -187,7 +191,7 @@
 // context ends first the rest is cut off and its error returned.
 func (s *Server) Shutdown(ctx context.Context) error {
 	for _, c := range s.beginStop() {
-		go c.goodbye()
+		go c.farewell()
 	}
 	done := make(chan struct{})
 	go func() {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -78,11 +77,14 @@
 		calendar: calendar,
 		windows:  make([]forecast.Window, len(calendar)),
 		progress: map[occurrence]*progress{},
-		model:    interference.NewModel(o.ObjectivesMS, cmp.Or(o.TailMargin, interference.DefaultMargin)),
-		explorer: interference.Explorer{Interval: exploreLags * o.Colocation.UsageLag.D()},
+		model:    interference.NewModel(o.ObjectivesMS, o.tailMargin()),
+		explorer: interference.Explorer{Interval: o.exploreInterval()},
 	}
 }
 
+// Capacity implements Planner.
+func (s *Scheduler) Capacity() platform.Resources { return s.capacity }
+
 // SetAllotment bounds what team may reserve in this shard, as package quota
 // divided it.
 func (s *Scheduler) SetAllotment(team string, allotment quota.Amount) {
