peer: the outcomes of a refusal and of a failed handler, said and tested

Both were as wished: a request that the peer refused before a handler saw it is not run, a handler's error is unknown with ErrRemote. The comment lacked it, and the second had no test.

--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/fireflygate/fireflygate/outcome"
@@ -66,6 +67,18 @@
 	}
 }
 
+func TestHandlerErrorIsUnknown(t *testing.T) {
+	_, address := serve(t, Options{Host: "b"}, anyone, func(s *Server) {
+		s.Handle("fail", func(context.Context, string, func(any) error) (any, error) {
+			return nil, errors.New("halfway")
+		})
+	})
+	r := dialer(t, Options{Host: "a"}, address).Call(t.Context(), "b", "fail", text{}, nil)
+	if r.Kind != outcome.Unknown || !errors.Is(r.Err, ErrRemote) || !strings.Contains(r.Err.Error(), "halfway") {
+		t.Errorf("a handler that failed: %+v", r)
+	}
+}
+
 func TestCallNotRun(t *testing.T) {
 	_, address := serve(t, Options{Host: "b"}, anyone, nil)
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -14,7 +14,8 @@
 // Result says what became of a request to a peer.
 type Result struct {
 	// Kind is Answered when the peer's whole answer was read; NotRun when no
-	// byte of the request was sent; Unknown otherwise.
+	// byte of the request was sent or the peer refused it before any handler
+	// saw it; Unknown otherwise, also when the handler returned an error.
 	Kind outcome.Kind
 	// Err is the transport's or the handler's error, nil when answered.
 	Err error
