--- a/ownership/announce.go
+++ b/ownership/announce.go
@@ -81,7 +81,7 @@
 		}
 		concerned := slices.Contains(o.Successors, m.cfg.Host) || slices.Contains(s.row.Successors, m.cfg.Host)
 		if concerned || m.mine(s) || o.Owner == m.cfg.Host {
-			m.look(now, s)
+			m.look(s)
 		}
 	}
 	return m.step(now)
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -41,10 +41,10 @@
 	steppedAt, awakeUntil time.Time
 
 	// stopping is set once every shard is to be handed over.
-	stopping bool
-	// stopMoves is how many shards are handed over at a time then.
-	stopMoves  int
+	stopping   bool
 	stoppingAt time.Time
+	// stopMoves is how many shards are handed over at a time then.
+	stopMoves int
 	// news are owners to be told to every entry host; remindedAt is when the
 	// successors were last reminded.
 	news       []Owned
@@ -86,8 +86,8 @@
 		m.listedAt = r.Revision()
 	}
 	for _, name := range r.Shards() {
-		if s := m.shard(name); s.readAt.IsZero() && s.lookAfter.IsZero() {
-			m.look(now, s)
+		if s := m.shard(name); s.readAt.IsZero() && s.lookFrom == 0 {
+			m.look(s)
 		}
 	}
 	return m.step(now)
@@ -100,8 +100,8 @@
 // none is taken any more. It cannot be undone.
 func (m *Machine) HandOver(now time.Time) []Action {
 	m.stopping = true
-	m.stopMoves = m.shareOfOwn(stopMoves)
 	m.stoppingAt = now
+	m.stopMoves = m.shareOfOwn(stopMoves)
 	m.session.again = true
 	// Any host may be an heir.
 	m.read.full = true
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -73,7 +73,7 @@
 	for _, h := range reply.Refused {
 		refused[h.Shard] = true
 		if s := m.shard(h.Shard); m.mine(s) && h.Epoch > s.row.Epoch {
-			m.succeeded(now, s, h.Epoch)
+			m.succeeded(s, h.Epoch)
 		}
 	}
 	if !reply.Promised {
--- a/ownership/shardstate.go
+++ b/ownership/shardstate.go
@@ -19,8 +19,9 @@
 	// is known.
 	readAt time.Time
 
-	// lookAfter asks for a read sent no earlier.
-	lookAfter time.Time
+	// lookFrom asks for a read of the row with this identifier or a later
+	// one; 0 for none.
+	lookFrom uint64
 	// hint is what a peer told of the shard's owner.
 	hint Owned
 	// givenUntil is until when this host promised not to claim the shard.
