batch: a job that was done in its worker's silence does not run again

Cause: as soon as a worker's leases had surely lapsed its runs were given up and queued again, before the worker was asked; a run that had ended done while the answers were lost was then started a second time. Ruled out: two owners (one epoch throughout) and a forgotten run (the worker still listed it). Now the worker is asked once its leases have lapsed, and its runs are given up half a lease later, or at once when the list drops it. What it costs: a worker that died and stays listed gives its jobs back half a lease later. The fault noBuffer, which gives runs up as soon as their lease is over, passes over the new wait too, so that TestLeaseBuffer can still fail.

--- a/batch/lease_test.go
+++ b/batch/lease_test.go
@@ -59,3 +59,23 @@
 		r.submit(n, spec("j", time.Second))
 	})
 }
+
+// TestDoneInSilence loses every answer of a worker for longer than its lease,
+// while its run comes to its end. Once the worker is heard again the job is
+// done, and does not run a second time.
+func TestDoneInSilence(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		n := r.started(10 * time.Second)
+		lose := func(replies int) {
+			for _, name := range []string{"w0", "w1"} {
+				r.workers.set(name, func(w *fakeWorker) { w.loseReplies = replies })
+			}
+		}
+		lose(1 << 30)
+		r.settle(38 * time.Second)
+		lose(0)
+		r.settle(10 * time.Second)
+		r.state(n, "j", task.Done)
+		r.expectRuns(1)
+	})
+}
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -30,6 +30,15 @@
 	return time.Duration(lease*(1+s.limits.clockRate)) + leaseBuffer
 }
 
+// giveUpAfter is how long after the last word of a worker its runs are given
+// up without knowing how they ended.
+func (s *Shard) giveUpAfter() time.Duration {
+	if s.faults.noBuffer {
+		return s.lapseAfter()
+	}
+	return s.lapseAfter() + s.limits.taskLease/wordWithin
+}
+
 // change is a commit that a shard asks for. done is called on the control
 // goroutine.
 type change struct {
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -30,6 +30,10 @@
 	s.dirty = true
 }
 
+// wordWithin is the part of a task lease for which the word of a worker is
+// waited for once its leases have lapsed.
+const wordWithin = 2
+
 // unschedulable says why no new job goes to the worker; empty if it may.
 func (s *Shard) unschedulable(now time.Time, w *worker) string {
 	switch {
@@ -68,9 +72,7 @@
 func (s *Shard) watch(now time.Time) {
 	for name, w := range s.workers {
 		s.show(now, w)
-		if !w.lost && now.Sub(w.answered) > s.lapseAfter() {
-			s.loseRuns(now, w)
-		}
+		s.watchLeases(now, w)
 		if w.listed && w.member.State == platform.Leaving {
 			s.empty(w)
 		}
@@ -81,6 +83,24 @@
 	}
 }
 
+// watchLeases looks whether the leases of a worker's runs have surely lapsed.
+// Its word is still asked for then: a run that was done before its lease lapsed
+// must not run again. Without it the runs are given up for lost after a while,
+// or as soon as the membership list drops the worker.
+func (s *Shard) watchLeases(now time.Time, w *worker) {
+	silent := now.Sub(w.answered)
+	if !w.lost && silent > s.lapseAfter() {
+		w.lost, w.reconciled, w.since = true, false, 0
+		s.call(w)
+	}
+	if !w.lost || len(w.jobs) == 0 {
+		return
+	}
+	if !w.listed || silent > s.giveUpAfter() {
+		s.loseRuns(now, w)
+	}
+}
+
 // loseRuns ends all runs on a worker whose leases have surely lapsed. What it
 // runs if it comes back is found by a new reconciliation.
 func (s *Shard) loseRuns(now time.Time, w *worker) {
