--- a/ownership/confirm.go
+++ b/ownership/confirm.go
@@ -81,7 +81,7 @@
 // succeeded takes in that a shard has an owner of this epoch or a later one.
 func (m *Machine) succeeded(s *shardState, epoch uint64) {
 	if epoch > s.row.Epoch {
-		m.read.wanted = true
+		m.look(s)
 	}
 	s.stoppedBelow = max(s.stoppedBelow, epoch)
 }
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -109,7 +109,9 @@
 		newest := max(s.row.Epoch, s.stoppedBelow)
 		if newest > h.Epoch || s.claim != nil {
 			reply.Refused = append(reply.Refused, Held{Shard: h.Shard, Epoch: newest})
+			continue
 		}
+		s.givenUntil = now.Add(m.lapseOf(req.Owner))
 	}
 	for h, until := range m.given {
 		if !now.Before(until) {
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -13,7 +13,7 @@
 	}
 	to := ""
 	if m.stopping {
-		if !m.session.stopTold || moves >= m.stopMoves {
+		if !m.session.stopTold || moves >= m.stopMoves || m.awaitsHeirs(now) {
 			return 0
 		}
 		to = m.heir(now, s)
@@ -41,6 +41,12 @@
 	return 1
 }
 
+// awaitsHeirs reports whether the sessions of possible heirs are still being
+// read, for a bounded time.
+func (m *Machine) awaitsHeirs(now time.Time) bool {
+	return m.read.full && now.Sub(m.stoppingAt) < m.cfg.Lease.Session.D()
+}
+
 // betterOwner returns the preferred host of a shard if it is another one that
 // has been there for a while; empty otherwise.
 func (m *Machine) betterOwner(now time.Time, s *shardState) string {
--- a/ownership/shardstate.go
+++ b/ownership/shardstate.go
@@ -19,6 +19,14 @@
 	// is known.
 	readAt time.Time
 
+	// lookFrom asks for a read of the row with this identifier or a later
+	// one; 0 for none.
+	lookFrom uint64
+	// hint is what a peer told of the shard's owner.
+	hint Owned
+	// givenUntil is until when this host promised not to claim the shard.
+	givenUntil time.Time
+
 	// wantedAt is when the shard was first seen without an owner.
 	wantedAt time.Time
 	// startAt is the earliest use under the epoch owned.
