--- a/integration/batch_load_test.go
+++ b/integration/batch_load_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -39,6 +40,8 @@
 type jobMix struct {
 	// pace is how long a submitter waits between jobs.
 	pace time.Duration
+	// submitters is how many submit at once; 4 if 0.
+	submitters int
 	// runMS is the range of run times, milliCPU that of declared sizes.
 	runMS, milliCPU [2]int64
 }
@@ -50,9 +53,9 @@
 
 // startJobs starts submitting; the test must call finish.
 func (s *Site) startJobs(seed uint64, mix jobMix) *jobLoad {
-	const submitters = 4
+	const usual = 4
 	l := &jobLoad{jobMix: mix, site: s, stop: make(chan struct{}), ids: map[string]string{}}
-	for i := range submitters {
+	for i := range cmp.Or(mix.submitters, usual) {
 		l.work.Go(func() { l.submitter(rand.New(rand.NewPCG(seed, uint64(i))), i) })
 	}
 	return l
--- a/integration/batch_owner_test.go
+++ b/integration/batch_owner_test.go
@@ -19,12 +19,15 @@
 			t.Parallel()
 			s := batchSite(t)
 			rng := rand.New(rand.NewPCG(seed, 0))
-			// A slow store leaves time between a start and its commit.
-			s.TableFaults(standin.Faults{DelayMS: 25})
-			l := s.startJobs(seed, small([2]int64{100, 1200}))
+			// A slow store leaves time between a start and its commit,
+			// and many submitters have starts wait for it.
+			s.TableFaults(standin.Faults{DelayMS: 100})
+			mix := small([2]int64{500, 1500})
+			mix.submitters, mix.milliCPU = 16, [2]int64{500, 2000}
+			l := s.startJobs(seed, mix)
 			const kills = 3
 			for range kills {
-				l.await(10 + rng.IntN(20))
+				l.await(30 + rng.IntN(30))
 				pause(time.Duration(rng.IntN(200)) * time.Millisecond)
 				dead := s.owner(rng)
 				s.Kill(dead)
@@ -34,6 +37,7 @@
 				l.await(5)
 				s.Restart(dead)
 			}
+			s.TableFaults(standin.Faults{})
 			l.finish()
 			s.Check()
 		})
