batch: what a worker says can't grow the metrics

Cause: the label of fireflygate_batch_ends_total was the state that a worker reported, so a faulty worker could make up any number of time series. Change: states that no worker should report count as other. Conclusion: labels are bounded, as docs/METRICS.md says.

--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -56,7 +56,16 @@
 	m.latency.WithLabelValues(label).Observe(d.Seconds())
 }
 
-// ended notes the end of a run.
+// otherEnd is the label of an end that no worker should report.
+const otherEnd = "other"
+
+// ended notes the end of a run. What a worker says is no label by itself: a
+// faulty one could make up any number.
 func (m *metrics) ended(state platform.RunState) {
-	m.ends.WithLabelValues(string(state)).Inc()
+	label := otherEnd
+	switch state {
+	case platform.RunDone, platform.RunFailed, platform.RunKilled, platform.RunStopped, platform.RunExpired, platform.RunRefused:
+		label = string(state)
+	}
+	m.ends.WithLabelValues(label).Inc()
 }
