One way to let time pass

Cause: five packages had the same timer and select. Change: internal/pause.For. Conclusion: no behaviour changed.

--- a/configstore/store.go
+++ b/configstore/store.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/platform"
 )
 
@@ -164,7 +165,7 @@
 		case err == nil:
 			return s.lost(ctx, at, c)
 		}
-		if !pause(ctx, settlePause) {
+		if !pause.For(ctx, settlePause) {
 			break
 		}
 	}
@@ -187,15 +188,3 @@
 }
 
 func objectKey(hash string) string { return "config-" + hash }
-
-// pause waits for d; false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/demo/jobs.go
+++ b/demo/jobs.go
@@ -12,6 +12,7 @@
 
 	jobsclient "github.com/fireflygate/fireflygate/gen/http/jobs/client"
 	"github.com/fireflygate/fireflygate/gen/jobs"
+	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -81,12 +82,7 @@
 			s.submitted++
 			return res.(*jobs.JobStatus).ID, true
 		}
-		timer := time.NewTimer(resubmitAfter)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause.For(ctx, resubmitAfter)
 	}
 	return "", false
 }
--- a/demo/run.go
+++ b/demo/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/configstore"
+	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/load"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/platform/httpclient"
@@ -246,12 +247,5 @@
 
 // until waits until at; false when ctx ended first.
 func until(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, time.Until(at))
 }
--- a/gate/drain.go
+++ b/gate/drain.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/internal/pause"
 )
 
 // drain stops the host without cutting anything off: it tells the balancer,
@@ -20,7 +21,7 @@
 	g.state.Store(int32(Draining))
 	ctx, cancel := context.WithTimeout(ctx, g.local.Host.DrainTimeout.D())
 	defer cancel()
-	wait(ctx, g.local.Host.DrainDelay.D())
+	pause.For(ctx, g.local.Host.DrainDelay.D())
 	handed := g.handOver(ctx)
 	shutDown(ctx, s.callers)
 	stopped := g.gateway.Stop(ctx)
@@ -48,13 +49,3 @@
 	defer cancel()
 	return g.keeper.HandOver(ctx)
 }
-
-// wait lets d pass, or less if ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/routing"
 )
@@ -77,12 +78,5 @@
 	if time.Until(deadline) <= d {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, d)
 }
--- a/internal/memtable/table.go
+++ b/internal/memtable/table.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/platform"
 )
 
@@ -94,14 +95,7 @@
 	if delay == 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, delay)
 }
 
 // Commit implements platform.Table.
