integration: -keep saves the history and the logs of a failed test's site

Cause: a breach of endpoint slots was reported twice in runs of the whole suite on a machine shared by several sets of tests, and nothing of those sites was left to look at. Change: -keep DIR, in place of -soak.keep, which saved the history alone and of the soak alone. Conclusion: the next failure can be looked into.

--- a/integration/site.go
+++ b/integration/site.go
@@ -163,6 +163,7 @@
 // close ends all processes and proxies.
 func (s *Site) close() {
 	defer func() { <-running }()
+	defer s.keep()
 	close(s.stop)
 	for _, h := range s.Hosts {
 		if p := h.current(); p != nil {
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -19,7 +17,6 @@
 var (
 	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of TestSoak")
 	soakCount = flag.Int("soak.count", 0, "how many seeds TestSoak runs, one after the other")
-	soakKeep  = flag.String("soak.keep", "", "folder for the histories of schedules that failed")
 )
 
 // victims are what one fault of a schedule strikes.
@@ -115,7 +112,6 @@
 		options, traffic = Options{StandIns: saturated}, saturating
 	}
 	s := New(t, options)
-	t.Cleanup(func() { s.keep(seed) })
 	tr := s.Callers(traffic)
 	tr.Await("requests before", 200, Any)
 	beside := false
@@ -149,21 +145,6 @@
 	s.Check()
 }
 
-// keep writes the history of a schedule that failed, if a folder was named.
-func (s *Site) keep(seed uint64) {
-	if *soakKeep == "" || !s.t.Failed() {
-		return
-	}
-	file, err := os.Create(filepath.Join(*soakKeep, fmt.Sprintf("history-%d.jsonl", seed)))
-	s.must(err)
-	defer file.Close()
-	recorder := check.NewRecorder(file)
-	for _, r := range s.History() {
-		recorder.Add(r)
-	}
-	s.must(recorder.Err())
-}
-
 // checkBesideDrain checks a schedule in which a host was drained while another
 // host failed. What the draining host had forwarded there may be unknown, which
 // package check can't tell from a request that was cut off; so the promise of
