integration: stand-ins of a site have an IP number of their own

Cause: not proved. All stand-ins shared 127.0.0.1: the port of a killed worker, or of an ended site, is free for anybody, and an exchange that comes to an endpoint in its place takes a slot there and is recorded (seen in a trial with one endpoint). Change: each site's stand-ins listen on its own block, and a request at an endpoint that no caller of the site sent fails the test by that name, so that the next such run tells. No check is eased. witness: what callers record, once. Conclusion: if a breach is seen again without a stranger, it is the product's.

--- a/demo/callers.go
+++ b/demo/callers.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
+	"github.com/fireflygate/fireflygate/internal/witness"
 	"github.com/fireflygate/fireflygate/load"
-	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/standin"
 )
 
 // Traffic of the callers.
@@ -44,29 +42,8 @@
 		MaxInFlight: maxInFlight,
 		Seed:        o.Seed,
 		Prepare: func(r *http.Request, x load.Exchange) {
-			r.Header.Set(standin.CallHeader, x.ID)
-			recorder.Add(check.Record{Sent: &check.Sent{
-				Call: x.ID, Host: names[x.Target], Digest: check.Digest(x.Body), BookingKey: x.Key,
-			}})
+			recorder.Add(witness.Sent(r, x, names[x.Target]))
 		},
-		Observe: func(x load.Exchange) { recorder.Add(check.Record{Answered: answered(x)}) },
+		Observe: func(x load.Exchange) { recorder.Add(witness.Answered(x)) },
 	})
 }
-
-// answered returns what a caller saw of its request's end.
-func answered(x load.Exchange) *check.Answered {
-	a := &check.Answered{Call: x.ID, Outcome: x.Outcome.String()}
-	if x.Outcome != outcome.Answered {
-		return a
-	}
-	a.Echo = x.Header.Get(standin.EchoHeader)
-	a.EchoCall = x.Header.Get(standin.CallHeader)
-	a.Length = int64(len(x.Answer))
-	a.BodyDigest = check.Digest(x.Answer)
-	a.WantDigest = x.Header.Get(standin.AnswerDigestHeader)
-	a.Want = a.Length
-	if n, err := strconv.ParseInt(x.Header.Get("Content-Length"), 10, 64); err == nil {
-		a.Want = n
-	}
-	return a
-}
--- a/integration/addresses.go
+++ b/integration/addresses.go
@@ -42,6 +42,11 @@
 	return block{}, errors.New("no free range of loopback addresses")
 }
 
+// standIns returns the IP number of the site's stand-ins. Their ports are any
+// free ones, and are free again once they end: on a number of their own, what
+// another site still sends to its old stand-ins never comes to these.
+func (b block) standIns() string { return b.prefix + ".2" }
+
 // address returns IP:port of an entry host.
 func (b block) address(host, port int) string {
 	return fmt.Sprintf("%s.%d:%d", b.prefix, 10+host, port)
--- a/integration/history.go
+++ b/integration/history.go
@@ -31,7 +31,22 @@
 // CheckLimits is Check with other limits.
 func (s *Site) CheckLimits(limits check.Limits) {
 	s.t.Helper()
-	s.report(check.RunLimits(s.settled(), limits))
+	records := s.settled()
+	s.reportStrangers(records)
+	s.report(check.RunLimits(records, limits))
+}
+
+// reportStrangers fails the test for requests at endpoints that no caller of
+// the site sent. They would count against the slots, and are no fault of the
+// site's entry hosts.
+func (s *Site) reportStrangers(records []check.Record) {
+	s.t.Helper()
+	for _, r := range records {
+		if b := r.RequestBegan; b != nil && b.Call == "" {
+			s.t.Errorf("a stranger's %s request %q at %s", b.Method, b.Request, b.Endpoint)
+			return
+		}
+	}
 }
 
 // report fails the test for the breaches that a check found.
--- a/integration/site.go
+++ b/integration/site.go
@@ -96,6 +96,7 @@
 
 // startStandIns starts their process and reads its addresses.
 func (s *Site) startStandIns(c standin.Config) error {
+	c.Listen = s.block.standIns()
 	data, err := toml.Marshal(c)
 	if err != nil {
 		return errors.Wrap(err, "stand-ins")
--- a/integration/traffic.go
+++ b/integration/traffic.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/fireflygate/fireflygate/check"
+	"github.com/fireflygate/fireflygate/internal/witness"
 	"github.com/fireflygate/fireflygate/load"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/standin"
 )
 
 // TrafficOptions is what callers send.
@@ -84,16 +82,13 @@
 		Duration: time.Hour,
 		Bookings: o.Bookings, Repeat: o.Repeat, Timeout: o.Timeout, MaxInFlight: inFlight,
 		Prepare: func(r *http.Request, x load.Exchange) {
-			r.Header.Set(standin.CallHeader, x.ID)
-			s.Recorder.Add(check.Record{Sent: &check.Sent{
-				Call: x.ID, Host: names[x.Target], Digest: check.Digest(x.Body), BookingKey: x.Key,
-			}})
+			s.Recorder.Add(witness.Sent(r, x, names[x.Target]))
 		},
 	}
 }
 
 func (tr *Traffic) observe(x load.Exchange) {
-	tr.site.Recorder.Add(check.Record{Answered: answered(x)})
+	tr.site.Recorder.Add(witness.Answered(x))
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.exchanges = append(tr.exchanges, x)
@@ -151,21 +146,3 @@
 
 // Answered matches requests that were answered.
 func Answered(x load.Exchange) bool { return x.Outcome == outcome.Answered }
-
-// answered returns what a caller saw of its request's end.
-func answered(x load.Exchange) *check.Answered {
-	a := &check.Answered{Call: x.ID, Outcome: x.Outcome.String()}
-	if x.Outcome != outcome.Answered {
-		return a
-	}
-	a.Echo = x.Header.Get(standin.EchoHeader)
-	a.EchoCall = x.Header.Get(standin.CallHeader)
-	a.Length = int64(len(x.Answer))
-	a.BodyDigest = check.Digest(x.Answer)
-	a.WantDigest = x.Header.Get(standin.AnswerDigestHeader)
-	a.Want = a.Length
-	if n, err := strconv.ParseInt(x.Header.Get("Content-Length"), 10, 64); err == nil {
-		a.Want = n
-	}
-	return a
-}
--- /dev/null
+++ b/internal/witness/witness.go
@@ -0,0 +1,40 @@
+// Package witness records what callers see of their requests, for package
+// check. The demonstration and the integration tests share it.
+package witness
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/fireflygate/fireflygate/check"
+	"github.com/fireflygate/fireflygate/load"
+	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/standin"
+)
+
+// Sent names the request to the endpoint that gets it, and returns the record
+// of its sending to an entry host.
+func Sent(r *http.Request, x load.Exchange, host string) check.Record {
+	r.Header.Set(standin.CallHeader, x.ID)
+	return check.Record{Sent: &check.Sent{
+		Call: x.ID, Host: host, Digest: check.Digest(x.Body), BookingKey: x.Key,
+	}}
+}
+
+// Answered returns the record of how a request ended for its caller.
+func Answered(x load.Exchange) check.Record {
+	a := &check.Answered{Call: x.ID, Outcome: x.Outcome.String()}
+	if x.Outcome != outcome.Answered {
+		return check.Record{Answered: a}
+	}
+	a.Echo = x.Header.Get(standin.EchoHeader)
+	a.EchoCall = x.Header.Get(standin.CallHeader)
+	a.Length = int64(len(x.Answer))
+	a.BodyDigest = check.Digest(x.Answer)
+	a.WantDigest = x.Header.Get(standin.AnswerDigestHeader)
+	a.Want = a.Length
+	if n, err := strconv.ParseInt(x.Header.Get("Content-Length"), 10, 64); err == nil {
+		a.Want = n
+	}
+	return check.Record{Answered: a}
+}
