batch: a clearer name

Cause: a list of posted functions was called todo, which reads as a mark of unfinished work. Change: it is called posted. Measured: builds. Conclusion: no behaviour changed.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -162,10 +162,10 @@
 // drain runs what was posted.
 func (m *Manager) drain(now time.Time) {
 	m.mu.Lock()
-	todo := m.inbox
+	posted := m.inbox
 	m.inbox = nil
 	m.mu.Unlock()
-	for _, f := range todo {
+	for _, f := range posted {
 		f(now)
 	}
 }
