One in-process network of entry hosts for tests

Cause: gate, gateway, tenure and batch each had their own copy, with their own ways of failing. Change: internal/peernet, whose user decides the fate of each request: arrives, unreachable, answer lost. Conclusion: no check changed.

--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -14,10 +14,10 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/settings"
@@ -69,7 +69,7 @@
 func newBench(hosts, workers, records int) *bench {
 	ctx, stop := context.WithCancel(context.Background())
 	x := &bench{table: memtable.New(), workers: newFakeWorkers(), stop: stop}
-	n := &net{handlers: map[string]map[peer.Method]peer.Handler{}}
+	n := peernet.New()
 	members := map[string][]platform.Member{}
 	owners := map[string]string{}
 	for h := range hosts {
@@ -95,7 +95,7 @@
 		host := owners[shard]
 		j := journal.New(journal.Config{Table: x.table, Incarnation: host, Settings: b})
 		m := New(Config{
-			Host: host, Table: x.table, Journal: j, Workers: x.workers, Transport: port{n, host}, Mux: port{n, host},
+			Host: host, Table: x.table, Journal: j, Workers: x.workers, Transport: n.Port(host), Mux: n.Port(host),
 			NewPlanner: func(string) placement.Planner { return newFirstFit() },
 			Settings:   b, TaskLease: settings.Default().Lease.TaskLease.D(), ClockRate: 0.01, Rand: rand.New(rand.NewPCG(uint64(h), 1)),
 		})
--- a/batch/capacity_bench_test.go
+++ b/batch/capacity_bench_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/platform/httpclient"
@@ -130,12 +130,12 @@
 // owner starts the manager that owns the fleet, and returns how to stop it.
 func (f *fleet) owner(w platform.Workers) (*Manager, func()) {
 	ctx, stop := context.WithCancel(context.Background())
-	n := &net{handlers: map[string]map[peer.Method]peer.Handler{}}
+	n := peernet.New()
 	version := f.table.Put(shardKey("wk/z/0"), nil)
 	b := settings.Default().Batch
 	j := journal.New(journal.Config{Table: f.table, Incarnation: "h", Settings: b})
 	m := New(Config{
-		Host: "h", Table: f.table, Journal: j, Workers: w, Transport: port{n, "h"}, Mux: port{n, "h"},
+		Host: "h", Table: f.table, Journal: j, Workers: w, Transport: n.Port("h"), Mux: n.Port("h"),
 		NewPlanner: func(string) placement.Planner {
 			return placement.New(placement.Options{Seed: 1, Headroom: b.Headroom, Colocation: settings.Default().Colocation})
 		},
--- a/batch/move_test.go
+++ b/batch/move_test.go
@@ -42,9 +42,7 @@
 
 // loseMoved has b never hear of jobs that were handed over to it.
 func (r *rig) loseMoved() {
-	r.net.mu.Lock()
-	defer r.net.mu.Unlock()
-	delete(r.net.handlers["b"], methodMoved)
+	r.net.Remove("b", methodMoved)
 }
 
 func TestWaitingJobsMoveToAFreeShard(t *testing.T) {
--- a/batch/quota_test.go
+++ b/batch/quota_test.go
@@ -131,9 +131,7 @@
 	shard := quotaShard(rnd.IntN(quotaShards))
 	switch rnd.IntN(8) {
 	case 0:
-		q.net.mu.Lock()
-		q.net.cut = map[string]bool{q.nodes[rnd.IntN(len(q.nodes))].config.Host: rnd.IntN(2) == 0}
-		q.net.mu.Unlock()
+		q.cut(q.nodes[rnd.IntN(len(q.nodes))].config.Host, rnd.IntN(2) == 0)
 	case 1:
 		q.table.Set(func(f *memtable.Faults) { f.Down = !f.Down })
 	case 2:
@@ -187,9 +185,7 @@
 			q.settle(time.Duration(rnd.IntN(4000)) * time.Millisecond)
 		}
 		q.table.Set(func(f *memtable.Faults) { *f = memtable.Faults{} })
-		q.net.mu.Lock()
-		q.net.cut = nil
-		q.net.mu.Unlock()
+		q.cut("", false)
 		q.tellAll(nil)
 		q.settle(time.Minute)
 	})
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -9,9 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
@@ -25,47 +24,14 @@
 
 const shard = "wk/zone/0"
 
-// net connects the hosts of a test by name.
-type net struct {
-	mu       sync.Mutex
-	handlers map[string]map[peer.Method]peer.Handler
-	// cut are the hosts that reach no other and are reached by none.
-	cut map[string]bool
-}
-
-// port is one host's end of the net.
-type port struct {
-	net  *net
-	host string
-}
-
-func (p port) Handle(m peer.Method, h peer.Handler) {
-	p.net.mu.Lock()
-	defer p.net.mu.Unlock()
-	if p.net.handlers[p.host] == nil {
-		p.net.handlers[p.host] = map[peer.Method]peer.Handler{}
-	}
-	p.net.handlers[p.host][m] = h
-}
-
-func (p port) Call(ctx context.Context, host string, m peer.Method, request, reply any) peer.Result {
-	p.net.mu.Lock()
-	h := p.net.handlers[host][m]
-	if p.net.cut[host] || p.net.cut[p.host] {
-		h = nil
-	}
-	p.net.mu.Unlock()
-	if h == nil {
-		return peer.Result{Kind: outcome.NotRun}
-	}
-	answer, err := h(ctx, p.host, func(v any) error { return msgpack.Unmarshal(encode(request), v) })
-	if err != nil {
-		return peer.Result{Err: err}
-	}
-	if err := msgpack.Unmarshal(encode(answer), reply); err != nil {
-		return peer.Result{Err: err}
-	}
-	return peer.Result{Kind: outcome.Answered}
+// cut parts one host from all others, if parted; all others reach each other.
+func (r *rig) cut(host string, parted bool) {
+	r.net.SetFate(func(from, to string, _ peer.Method) peernet.Fate {
+		if parted && (from == host || to == host) {
+			return peernet.Unreachable
+		}
+		return peernet.Arrives
+	})
 }
 
 // node is one entry host.
@@ -87,7 +53,7 @@
 	t       *testing.T
 	table   *memtable.Table
 	workers *fakeWorkers
-	net     *net
+	net     *peernet.Network
 	nodes   []*node
 	members []platform.Member
 	owner   string
@@ -108,7 +74,7 @@
 func bubble(t *testing.T, workers int, f func(r *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &rig{t: t, table: memtable.New(), net: &net{handlers: map[string]map[peer.Method]peer.Handler{}}}
+		r := &rig{t: t, table: memtable.New(), net: peernet.New()}
 		var names []string
 		for i := range workers {
 			name := fmt.Sprint("w", i)
@@ -151,7 +117,7 @@
 	j := journal.New(journal.Config{Table: table, Incarnation: fmt.Sprint(name, len(r.nodes)), Settings: b})
 	n.Manager = New(Config{
 		Host: name, Table: r.table, Journal: j, Workers: reach,
-		Transport: port{r.net, name}, Mux: port{r.net, name},
+		Transport: r.net.Port(name), Mux: r.net.Port(name),
 		NewPlanner: func(string) placement.Planner { return newPlanner() },
 		Settings:   b, TaskLease: settings.Default().Lease.TaskLease.D(), ClockRate: 0.01, Retention: r.keep, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
--- a/gate/peers_test.go
+++ b/gate/peers_test.go
@@ -1,75 +1,44 @@
 package gate
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/fireflygate/fireflygate/configstore"
-	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
 // crowd is entry hosts that know of configurations only through each other.
 type crowd struct {
-	mu       sync.Mutex
-	handlers map[string]map[peer.Method]peer.Handler
-	dead     map[string]bool
-	calls    atomic.Int64
-	hosts    map[string]*spreader
-}
-
-// seat is one host's transport and mux.
-type seat struct {
-	crowd *crowd
-	host  string
-}
-
-func (s seat) Handle(m peer.Method, h peer.Handler) {
-	s.crowd.handlers[s.host][m] = h
-}
-
-func (s seat) Call(ctx context.Context, host string, m peer.Method, request, reply any) peer.Result {
-	s.crowd.mu.Lock()
-	s.crowd.calls.Add(1)
-	dead := s.crowd.dead[host] || s.crowd.dead[s.host]
-	s.crowd.mu.Unlock()
-	if dead {
-		return peer.Result{Kind: outcome.NotRun, Err: peer.ErrUnreachable}
-	}
-	data, err := msgpack.Marshal(request)
-	if err != nil {
-		panic(err)
-	}
-	answer, err := s.crowd.handlers[host][m](ctx, s.host, func(v any) error { return msgpack.Unmarshal(data, v) })
-	if err != nil {
-		return peer.Result{Kind: outcome.Unknown, Err: err}
-	}
-	if data, err = msgpack.Marshal(answer); err != nil {
-		panic(err)
-	}
-	return peer.Result{Kind: outcome.Answered, Err: msgpack.Unmarshal(data, reply)}
+	dead  map[string]bool
+	calls atomic.Int64
+	hosts map[string]*spreader
 }
 
 func newCrowd(n int) *crowd {
-	c := &crowd{handlers: map[string]map[peer.Method]peer.Handler{}, dead: map[string]bool{}, hosts: map[string]*spreader{}}
+	c := &crowd{dead: map[string]bool{}, hosts: map[string]*spreader{}}
+	network := peernet.New()
+	network.SetFate(func(from, to string, _ peer.Method) peernet.Fate {
+		c.calls.Add(1)
+		if c.dead[from] || c.dead[to] {
+			return peernet.Unreachable
+		}
+		return peernet.Arrives
+	})
 	var names []string
 	for i := range n {
 		names = append(names, fmt.Sprint("h", i))
 	}
 	for i, name := range names {
-		c.handlers[name] = map[peer.Method]peer.Handler{}
 		w := configstore.NewWatcher(nil, settings.Default(), slog.New(slog.DiscardHandler))
 		w.Take(configstore.Offer{})
-		c.hosts[name] = newSpreader(seat{c, name}, seat{c, name}, w, rand.New(rand.NewPCG(uint64(i), 0)))
+		c.hosts[name] = newSpreader(network.Port(name), network.Port(name), w, rand.New(rand.NewPCG(uint64(i), 0)))
 		c.hosts[name].setHosts(append(append([]string{}, names[:i]...), names[i+1:]...))
 	}
 	return c
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/routing"
@@ -62,7 +63,7 @@
 func BenchmarkAddedLatency(b *testing.B) {
 	const callerCount = 4
 	e := endpoint(b, "e1", 8, serve(time.Millisecond))
-	n := newNetwork()
+	n := peernet.New()
 	owner, other := newHost(b, n, "a", nil), newHost(b, n, "b", nil)
 	for _, h := range []*host{owner, other} {
 		h.SetEndpoints([]routing.Endpoint{e})
--- a/gateway/burst_test.go
+++ b/gateway/burst_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/routing"
@@ -134,7 +135,7 @@
 
 // burstGateways is our own: each host owns a part of the endpoints.
 func burstGateways(b *testing.B, site *burstSite) strategy {
-	n := newNetwork()
+	n := peernet.New()
 	hosts := make([]*host, burstHosts)
 	var peers []PeerHost
 	for i := range hosts {
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/routing"
@@ -51,7 +52,7 @@
 }
 
 func TestForwardOnce(t *testing.T) {
-	n := newNetwork()
+	n := peernet.New()
 	a, b, c := newHost(t, n, "a", nil), newHost(t, n, "b", nil), newHost(t, n, "c", nil)
 	list := []routing.Endpoint{endpoint(t, "e1", 2, echo), endpoint(t, "e2", 2, echo)}
 	for _, h := range []*host{a, b, c} {
--- a/gateway/capacity_test.go
+++ b/gateway/capacity_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/routing"
@@ -17,7 +18,7 @@
 func TestCapacityIsNeverExceeded(t *testing.T) {
 	const slots, requests = 3, 300
 	var over atomic.Int64
-	n := newNetwork()
+	n := peernet.New()
 	a, b := newHost(t, n, "a", nil), newHost(t, n, "b", nil)
 	var list []routing.Endpoint
 	for _, name := range []string{"e1", "e2"} {
--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/booking"
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
+	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/routing"
 )
 
@@ -190,7 +192,7 @@
 // unknown, and is not sent again.
 func TestLostForwardAnswer(t *testing.T) {
 	var hits atomic.Int64
-	n := newNetwork()
+	n := peernet.New()
 	a, b := newHost(t, n, "a", func(o *Options) { o.Calls.RetryBudget = 1 }), newHost(t, n, "b", nil)
 	list := []routing.Endpoint{endpoint(t, "e1", 4, func(http.ResponseWriter, *http.Request) { hits.Add(1) })}
 	a.SetEndpoints(list)
@@ -198,7 +200,12 @@
 	b.shares.set(ownership.Full, "e1")
 	b.SetPeers([]PeerHost{{Name: "a", Zone: "z1"}})
 	tellPeers(t, b)
-	n.lose[MethodCall] = true
+	n.SetFate(func(_, _ string, m peer.Method) peernet.Fate {
+		if m == MethodCall {
+			return peernet.AnswerLost
+		}
+		return peernet.Arrives
+	})
 	if _, r := a.Call(t.Context(), post("x")); r.Kind != outcome.Unknown || hits.Load() != 1 {
 		t.Errorf("%+v, endpoint saw %d", r, hits.Load())
 	}
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -10,15 +9,12 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	goahttp "goa.design/goa/v3/http"
 
 	"github.com/fireflygate/fireflygate/gen/calls"
 	"github.com/fireflygate/fireflygate/gen/http/calls/server"
-	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/routing"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -40,60 +36,6 @@
 	s.view.Store(v)
 }
 
-// network joins gateways in one process, through msgpack as over TCP.
-type network struct {
-	mu    sync.Mutex
-	hosts map[string]map[peer.Method]peer.Handler
-	// lose drops the answer of a method after it took effect.
-	lose map[peer.Method]bool
-}
-
-func newNetwork() *network {
-	return &network{hosts: map[string]map[peer.Method]peer.Handler{}, lose: map[peer.Method]bool{}}
-}
-
-type link struct {
-	n    *network
-	from string
-}
-
-type hostMux struct {
-	n    *network
-	name string
-}
-
-func (m hostMux) Handle(method peer.Method, h peer.Handler) {
-	m.n.mu.Lock()
-	defer m.n.mu.Unlock()
-	if m.n.hosts[m.name] == nil {
-		m.n.hosts[m.name] = map[peer.Method]peer.Handler{}
-	}
-	m.n.hosts[m.name][method] = h
-}
-
-func (l link) Call(ctx context.Context, host string, method peer.Method, request, reply any) peer.Result {
-	l.n.mu.Lock()
-	h := l.n.hosts[host][method]
-	lose := l.n.lose[method]
-	l.n.mu.Unlock()
-	if h == nil {
-		return peer.Result{Kind: outcome.NotRun}
-	}
-	data, err := msgpack.Marshal(request)
-	if err != nil {
-		panic(err)
-	}
-	answer, err := h(ctx, l.from, func(v any) error { return msgpack.Unmarshal(data, v) })
-	if err != nil || lose || ctx.Err() != nil {
-		return peer.Result{Kind: outcome.Unknown, Err: err}
-	}
-	back, err := msgpack.Marshal(answer)
-	if err != nil {
-		panic(err)
-	}
-	return peer.Result{Kind: outcome.Answered, Err: msgpack.Unmarshal(back, reply)}
-}
-
 // host is one gateway under test.
 type host struct {
 	*Gateway
@@ -106,7 +48,7 @@
 }
 
 // newHost returns a gateway; change its options with edit.
-func newHost(t testing.TB, n *network, name string, edit func(*Options)) *host {
+func newHost(t testing.TB, n *peernet.Network, name string, edit func(*Options)) *host {
 	t.Helper()
 	s := &shares{}
 	s.set(ownership.None)
@@ -120,14 +62,14 @@
 		Seed:   1,
 	}
 	if n != nil {
-		opt.Peers = link{n, name}
+		opt.Peers = n.Port(name)
 	}
 	if edit != nil {
 		edit(&opt)
 	}
 	g := New(opt)
 	if n != nil {
-		g.Register(hostMux{n, name})
+		g.Register(n.Port(name))
 	}
 	return &host{g, s, opt}
 }
--- a/tenure/fake_test.go
+++ b/tenure/fake_test.go
@@ -6,10 +6,6 @@
 	"strings"
 	"sync"
 
-	"github.com/vmihailenco/msgpack/v5"
-
-	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/platform"
 )
 
@@ -81,49 +77,3 @@
 	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
-
-// fakePeers is a Transport and a Mux for each host of one process.
-type fakePeers struct {
-	mu       sync.Mutex
-	handlers map[string]map[peer.Method]peer.Handler
-}
-
-// fakePeer is the end of one host.
-type fakePeer struct {
-	net  *fakePeers
-	host string
-}
-
-func (p fakePeer) Handle(method peer.Method, h peer.Handler) {
-	p.net.mu.Lock()
-	defer p.net.mu.Unlock()
-	if p.net.handlers[p.host] == nil {
-		p.net.handlers[p.host] = map[peer.Method]peer.Handler{}
-	}
-	p.net.handlers[p.host][method] = h
-}
-
-func (p fakePeer) Call(ctx context.Context, host string, method peer.Method, request, reply any) peer.Result {
-	p.net.mu.Lock()
-	h := p.net.handlers[host][method]
-	p.net.mu.Unlock()
-	if h == nil {
-		return peer.Result{Kind: outcome.NotRun, Err: peer.ErrUnknownPeer}
-	}
-	body, err := msgpack.Marshal(request)
-	if err != nil {
-		return peer.Result{Kind: outcome.NotRun, Err: err}
-	}
-	value, err := h(ctx, p.host, func(into any) error { return msgpack.Unmarshal(body, into) })
-	if err != nil {
-		return peer.Result{Err: err}
-	}
-	body, err = msgpack.Marshal(value)
-	if err == nil && reply != nil {
-		err = msgpack.Unmarshal(body, reply)
-	}
-	if err != nil {
-		return peer.Result{Err: err}
-	}
-	return peer.Result{Kind: outcome.Answered}
-}
--- a/tenure/keeper_test.go
+++ b/tenure/keeper_test.go
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/platform"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
@@ -19,7 +19,7 @@
 type cluster struct {
 	t       *testing.T
 	table   *fakeTable
-	peers   *fakePeers
+	peers   *peernet.Network
 	list    platform.MemberList
 	keepers map[string]*Keeper
 	cancel  map[string]context.CancelFunc
@@ -29,7 +29,7 @@
 
 func newCluster(t *testing.T, hosts ...string) *cluster {
 	c := &cluster{
-		t: t, table: newFakeTable(), peers: &fakePeers{handlers: map[string]map[peer.Method]peer.Handler{}},
+		t: t, table: newFakeTable(), peers: peernet.New(),
 		keepers: map[string]*Keeper{}, cancel: map[string]context.CancelFunc{}, drained: make(chan string, 100),
 	}
 	for i := range 16 {
@@ -56,7 +56,7 @@
 
 func (c *cluster) start(host string) {
 	s := settings.Default()
-	end := fakePeer{c.peers, host}
+	end := c.peers.Port(host)
 	k := New(Config{
 		Host: host, Incarnation: host + "-1", Table: c.table, Transport: end, Mux: end,
 		Lease: s.Lease,
