--- a/check/run_test.go
+++ b/check/run_test.go
@@ -59,6 +59,8 @@
 		{"one place", check.OnePlace, records{start("w", 1, ""), stop("w", 1, "stopped"), start("v", 2, "")}, records{start("w", 1, ""), start("v", 2, "")}},
 		{"epochs", check.ResumedOnce, records{start("w", 1, ""), stop("w", 1, "stopped"), start("w", 2, "")}, records{start("w", 2, ""), stop("w", 2, "stopped"), start("w", 2, "")}},
 		{"checkpoint", check.ResumedOnce, records{start("w", 2, "c"), stop("w", 2, "stopped"), start("w", 3, "d")}, records{start("w", 2, "c"), stop("w", 2, "stopped"), start("w", 3, "c")}},
+		{"checkpoint of a run that failed", check.ResumedOnce, records{start("w", 2, "c"), stop("w", 2, "failed"), start("v", 3, "c")}, records{start("w", 2, "c"), start("v", 3, "c"), stop("w", 2, "failed")}},
+		{"checkpoint of a run that was done", check.ResumedOnce, records{start("w", 2, "c"), stop("w", 2, "expired"), start("v", 3, "c"), stop("v", 3, "done")}, records{start("w", 2, "c"), stop("w", 2, "done"), start("v", 3, "c")}},
 		{"done", check.ResumedOnce, records{start("w", 1, ""), stop("w", 1, "done")}, records{start("w", 1, ""), stop("w", 1, "done"), start("w", 2, "")}},
 		{"crossed", check.WholeAnswer, records{sent("c"), answered(whole)}, records{sent("c"), answered(crossed)}},
 		{"other body", check.WholeAnswer, records{sent("c"), unknown}, records{sent("c"), answered(other)}},
