cli: a call that could connect to nobody did not run

Cause: fireflygate call to a host that is not there exited 4, unknown, though no byte was sent: found by starting it as a new user would. Change: a failed dial is not run, exit 3; everything else stays unknown. Conclusion: not run stays true. The load generator still counts it as unknown, since the checks of integration rest on that.

--- a/cli/call.go
+++ b/cli/call.go
@@ -5,11 +5,13 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
 	"github.com/fireflygate/fireflygate/outcome"
@@ -58,7 +60,7 @@
 	resp, err := client.Do(req)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fireflygate:", err)
-		return ExitUnknown
+		return exitOf(outcomeOfFailure(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if _, err := io.Copy(os.Stdout, resp.Body); err != nil {
@@ -67,3 +69,13 @@
 	}
 	return exitOf(outcome.Parse(resp.Header.Get(outcome.Header)))
 }
+
+// outcomeOfFailure says whether a request without an answer ran: where nobody
+// could be connected to, no byte of it was sent.
+func outcomeOfFailure(err error) outcome.Kind {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return outcome.NotRun
+	}
+	return outcome.Unknown
+}
