--- a/cli/check.go
+++ b/cli/check.go
@@ -5,17 +5,18 @@
 	"flag"
 	"fmt"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
 	"github.com/fireflygate/fireflygate/settings"
 )
 
-type checkCommand struct{ process bool }
+type checkCommand struct{ process, json bool }
 
 func (*checkCommand) Name() string     { return "check" }
 func (*checkCommand) Synopsis() string { return "check a settings folder" }
 func (*checkCommand) Usage() string {
-	return `check [-process] DIR
+	return `check [-process] [-json] DIR
   Merges the TOML files of DIR in the order of their names and lists every
   mistake as file:line:column: key: what was expected. Exits 2 if there is one.
   Example: fireflygate check examples/bergamo
@@ -24,6 +25,7 @@
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.process, "process", false, "also require what one entry host needs to start")
+	f.BoolVar(&c.json, "json", false, "print the mistakes as one JSON list")
 }
 
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -34,10 +36,26 @@
 	if c.process {
 		scope = settings.Process
 	}
-	if _, err := settings.Load(f.Arg(0), scope); err != nil {
-		fmt.Println(err)
+	_, err := settings.Load(f.Arg(0), scope)
+	var mistakes settings.Problems
+	if err != nil && !errors.As(err, &mistakes) {
+		return fail(err)
+	}
+	return c.report(mistakes)
+}
+
+// report prints what was found; a mistake is an error of usage.
+func (c *checkCommand) report(mistakes settings.Problems) subcommands.ExitStatus {
+	switch {
+	case c.json:
+		printJSON(append(settings.Problems{}, mistakes...))
+	case len(mistakes) > 0:
+		fmt.Println(mistakes)
+	default:
+		fmt.Println("ok")
+	}
+	if len(mistakes) > 0 {
 		return ExitUsage
 	}
-	fmt.Println("ok")
 	return ExitOK
 }
