--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -19,7 +19,7 @@
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -70,7 +70,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	x := &bench{table: memtable.New(), workers: newFakeWorkers(), stop: stop}
 	n := peernet.New()
-	members := map[string][]platform.Member{}
+	members := map[string][]infra.Member{}
 	owners := map[string]string{}
 	for h := range hosts {
 		name := fmt.Sprint("wk/z/", h)
@@ -78,9 +78,9 @@
 		for i := range workers {
 			w := fmt.Sprintf("w%d-%d", h, i)
 			x.workers.hosts[w] = newFakeWorkers(w).hosts[w]
-			members[name] = append(members[name], platform.Member{
-				Name: w, Address: w, Zone: "z", State: platform.Live,
-				Capacity: platform.Resources{MilliCPU: 64000, MemoryMB: 250000},
+			members[name] = append(members[name], infra.Member{
+				Name: w, Address: w, Zone: "z", State: infra.Live,
+				Capacity: infra.Resources{MilliCPU: 64000, MemoryMB: 250000},
 			})
 		}
 	}
--- a/batch/capacity_bench_test.go
+++ b/batch/capacity_bench_test.go
@@ -19,8 +19,8 @@
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -41,17 +41,17 @@
 	mu        sync.Mutex
 	seq       uint64
 	exchanges int
-	runs      []platform.RunReport
+	runs      []infra.RunReport
 	// started takes a token for an order to start a run.
 	started chan struct{}
 }
 
-func (w *fleetWorker) exchange(x platform.Exchange) platform.ExchangeReply {
+func (w *fleetWorker) exchange(x infra.Exchange) infra.ExchangeReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.exchanges++
 	w.take(x.Orders)
-	reply := platform.ExchangeReply{Whole: x.Since == 0}
+	reply := infra.ExchangeReply{Whole: x.Since == 0}
 	sample := w.exchanges%fleetSample == 0
 	if sample && len(w.runs) > 0 {
 		w.seq++
@@ -74,12 +74,12 @@
 }
 
 // take starts the runs that are ordered.
-func (w *fleetWorker) take(orders []platform.Order) {
+func (w *fleetWorker) take(orders []infra.Order) {
 	for _, o := range orders {
-		if o.Kind != platform.OrderStart {
+		if o.Kind != infra.OrderStart {
 			continue
 		}
-		w.runs = append(w.runs, platform.RunReport{Run: o.Run, State: platform.RunRunning, Resources: o.Resources, Class: o.Class})
+		w.runs = append(w.runs, infra.RunReport{Run: o.Run, State: infra.RunRunning, Resources: o.Resources, Class: o.Class})
 		select {
 		case w.started <- struct{}{}:
 		default:
@@ -90,7 +90,7 @@
 // fleet is all workers and the table of one owner.
 type fleet struct {
 	workers map[string]*fleetWorker
-	members []platform.Member
+	members []infra.Member
 	table   *memtable.Table
 	count   atomic.Int64
 	started chan struct{}
@@ -103,9 +103,9 @@
 	for i := range workers {
 		name := fmt.Sprintf("worker-%04d", i)
 		f.workers[name] = &fleetWorker{started: f.started}
-		f.members = append(f.members, platform.Member{
-			Kind: platform.Worker, Name: name, Address: name, Region: "bergamo", Zone: "z", Rack: fmt.Sprint("rack-", i/8),
-			State: platform.Live, Capacity: platform.Resources{MilliCPU: 64000, MemoryMB: 250000},
+		f.members = append(f.members, infra.Member{
+			Kind: infra.Worker, Name: name, Address: name, Region: "bergamo", Zone: "z", Rack: fmt.Sprint("rack-", i/8),
+			State: infra.Live, Capacity: infra.Resources{MilliCPU: 64000, MemoryMB: 250000},
 		})
 	}
 	for i := range tasks {
@@ -113,22 +113,22 @@
 		r := task.New(spec(fmt.Sprintf("0192f0c1-7a5e-7cc3-98c4-%012d", i), time.Hour))
 		r.State, r.Epoch, r.Worker = task.Running, 1, name
 		f.table.Put(jobKey("wk/z/0", r.Spec.ID), encode(r))
-		f.workers[name].runs = append(f.workers[name].runs, platform.RunReport{
-			Run: r.Run(), State: platform.RunRunning, Resources: r.Spec.Resources, Class: r.Spec.Class,
-			Usage: platform.Resources{MilliCPU: 2500, MemoryMB: 3900},
+		f.workers[name].runs = append(f.workers[name].runs, infra.RunReport{
+			Run: r.Run(), State: infra.RunRunning, Resources: r.Spec.Resources, Class: r.Spec.Class,
+			Usage: infra.Resources{MilliCPU: 2500, MemoryMB: 3900},
 		})
 	}
 	return f
 }
 
-// Exchange implements platform.Workers without a network.
-func (f *fleet) Exchange(_ context.Context, address string, x platform.Exchange) (platform.ExchangeReply, error) {
+// Exchange implements infra.Workers without a network.
+func (f *fleet) Exchange(_ context.Context, address string, x infra.Exchange) (infra.ExchangeReply, error) {
 	f.count.Add(1)
 	return f.workers[address].exchange(x), nil
 }
 
 // owner starts the manager that owns the fleet, and returns how to stop it.
-func (f *fleet) owner(w platform.Workers) (*Manager, func()) {
+func (f *fleet) owner(w infra.Workers) (*Manager, func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	n := peernet.New()
 	version := f.table.Put(shardKey("wk/z/0"), nil)
@@ -141,7 +141,7 @@
 		},
 		Settings: b, TaskLease: settings.Default().Lease.TaskLease.D(), ClockRate: 0.01, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
-	m.SetWorkers(map[string][]platform.Member{"wk/z/0": f.members})
+	m.SetWorkers(map[string][]infra.Member{"wk/z/0": f.members})
 	m.SetView(&ownership.View{Owners: map[string]string{"wk/z/0": "h"}, Grants: map[string]ownership.Grant{"wk/z/0": {
 		Shard: "wk/z/0", Epoch: 1, Version: version, Share: ownership.Full, Until: time.Now().Add(time.Hour),
 	}}})
@@ -324,7 +324,7 @@
 
 func (f *fleet) handler(w *fleetWorker) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
-		var x platform.Exchange
+		var x infra.Exchange
 		if err := json.NewDecoder(r.Body).Decode(&x); err != nil {
 			http.Error(rw, err.Error(), http.StatusBadRequest)
 			return
--- a/batch/config.go
+++ b/batch/config.go
@@ -10,7 +10,7 @@
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -23,10 +23,10 @@
 type Config struct {
 	// Host is this entry host's name.
 	Host  string
-	Table platform.Table
+	Table infra.Table
 	// Journal commits the changes of all shards owned here.
 	Journal   Appender
-	Workers   platform.Workers
+	Workers   infra.Workers
 	Transport peer.Transport
 	Mux       peer.Mux
 	// NewPlanner returns an empty planner for a shard.
--- a/batch/health_test.go
+++ b/batch/health_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -88,8 +88,8 @@
 func TestLeavingWorkerIsEmptied(t *testing.T) {
 	bubble(t, 2, func(r *rig) {
 		n := r.started(time.Hour)
-		r.members[0].State = platform.Leaving
-		n.SetWorkers(map[string][]platform.Member{shard: r.members})
+		r.members[0].State = infra.Leaving
+		n.SetWorkers(map[string][]infra.Member{shard: r.members})
 		r.settle(5 * time.Second)
 		r.state(n, "j", task.Running)
 		runs := r.expectRuns(2)
--- a/batch/job.go
+++ b/batch/job.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -25,7 +25,7 @@
 	percent, applied int
 	// late is the last report that came while a commit was under way, or whose
 	// commit was refused.
-	late *platform.RunReport
+	late *infra.RunReport
 	// cancels wait for the job to be cancelled durably.
 	cancels []func(cancelReply)
 	// doneMS is the progress last reported.
--- a/batch/lookup.go
+++ b/batch/lookup.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // showReply is the answer about one job.
@@ -134,12 +134,12 @@
 }
 
 // get reads one row.
-func (m *Manager) get(ctx context.Context, key string) (platform.Row, error) {
+func (m *Manager) get(ctx context.Context, key string) (infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timeout)
 	defer cancel()
 	rows, err := m.config.Table.Get(ctx, key)
 	if err != nil {
-		return platform.Row{}, err
+		return infra.Row{}, err
 	}
 	return rows[0], nil
 }
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -9,7 +9,7 @@
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -35,7 +35,7 @@
 
 	// The fields below belong to the control goroutine.
 	shards  map[string]*owned
-	members map[string][]platform.Member
+	members map[string][]infra.Member
 	// lost are grants under which a shard was dropped because another host
 	// owns it; they are not taken up again.
 	lost    map[string]ownership.Grant
@@ -81,7 +81,7 @@
 		view:    &ownership.View{},
 		loads:   map[string]int{},
 		shards:  map[string]*owned{},
-		members: map[string][]platform.Member{},
+		members: map[string][]infra.Member{},
 		lost:    map[string]ownership.Grant{},
 
 		quotas:    map[string]quota.Amount{},
@@ -116,7 +116,7 @@
 }
 
 // SetWorkers takes in the workers of each worker shard.
-func (m *Manager) SetWorkers(workers map[string][]platform.Member) {
+func (m *Manager) SetWorkers(workers map[string][]infra.Member) {
 	m.post(func(now time.Time) {
 		m.members = workers
 		for name, o := range m.shards {
@@ -177,7 +177,7 @@
 		Writes:     c.writes,
 		Urgent:     c.urgent,
 		Deadline:   c.deadline,
-		Done: func(r platform.CommitResult) {
+		Done: func(r infra.CommitResult) {
 			m.post(func(now time.Time) { c.done(now, r) })
 		},
 	})
--- a/batch/manager_move.go
+++ b/batch/manager_move.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -66,7 +66,7 @@
 		return
 	}
 	m.heard(to, r.Load)
-	condition := platform.Condition{Key: shardKey(to), Version: r.Version}
+	condition := infra.Condition{Key: shardKey(to), Version: r.Version}
 	for _, id := range r.IDs {
 		m.post(func(now time.Time) {
 			o.moveOut(now, id, condition, to, func(ok bool) {
--- a/batch/manager_run.go
+++ b/batch/manager_run.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // ticksPerExchange is how often in an exchange interval a shard looks at what
@@ -90,7 +90,7 @@
 	ctx, cancel := context.WithTimeout(m.context, left)
 	m.tasks.Go(func() {
 		defer cancel()
-		var reply platform.ExchangeReply
+		var reply infra.ExchangeReply
 		err := ctx.Err()
 		if err == nil {
 			reply, err = m.config.Workers.Exchange(ctx, msg.address, msg.exchange)
@@ -181,7 +181,7 @@
 }
 
 // scan reads one page of rows.
-func (m *Manager) scan(ctx context.Context, prefix, after string) ([]platform.Row, error) {
+func (m *Manager) scan(ctx context.Context, prefix, after string) ([]infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timeout)
 	defer cancel()
 	return m.config.Table.Scan(ctx, prefix, after, scanPage)
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // metrics are the manager's metrics; labels are bounded.
@@ -61,10 +61,10 @@
 
 // ended notes the end of a run. What a worker says is no label by itself: a
 // faulty one could make up any number.
-func (m *metrics) ended(state platform.RunState) {
+func (m *metrics) ended(state infra.RunState) {
 	label := otherEnd
 	switch state {
-	case platform.RunDone, platform.RunFailed, platform.RunKilled, platform.RunStopped, platform.RunExpired, platform.RunRefused:
+	case infra.RunDone, infra.RunFailed, infra.RunKilled, infra.RunStopped, infra.RunExpired, infra.RunRefused:
 		label = string(state)
 	}
 	m.ends.WithLabelValues(label).Inc()
--- a/batch/move_test.go
+++ b/batch/move_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -20,7 +20,7 @@
 	owners := map[string]string{shard: "a", otherShard: "b"}
 	for i, n := range []*node{a, b} {
 		name := []string{shard, otherShard}[i]
-		n.SetWorkers(map[string][]platform.Member{shard: r.members[:1], otherShard: r.members[1:]})
+		n.SetWorkers(map[string][]infra.Member{shard: r.members[:1], otherShard: r.members[1:]})
 		n.SetView(&ownership.View{Owners: owners, Grants: map[string]ownership.Grant{name: {
 			Shard: name, Epoch: 1, Version: r.table.Put(shardKey(name), nil),
 			Share: ownership.Full, Until: time.Now().Add(time.Hour),
--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -9,7 +9,7 @@
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -61,7 +61,7 @@
 		seen := 0
 		r.tell(n, ownership.Grant{Shard: shard, Epoch: 1, Version: 1, Share: ownership.Full, Until: time.Now(), After: ownership.Half})
 		r.workers.mu.Lock()
-		r.workers.hook = func(string, platform.Exchange) { seen++ }
+		r.workers.hook = func(string, infra.Exchange) { seen++ }
 		r.workers.mu.Unlock()
 		r.settle(10 * time.Second)
 		if seen != 0 {
--- a/batch/pause_test.go
+++ b/batch/pause_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // TestExchangeAfterPauseIsNotSent has the process pause between the check of
@@ -15,7 +15,7 @@
 		for pause, want := range map[time.Duration]int{0: 1, exchangeTimeout: 0} {
 			sent := 0
 			r.workers.mu.Lock()
-			r.workers.hook = func(_ string, x platform.Exchange) {
+			r.workers.hook = func(_ string, x infra.Exchange) {
 				if x.LeaseMS == 1 {
 					sent++
 				}
@@ -23,7 +23,7 @@
 			r.workers.mu.Unlock()
 			n.post(func(now time.Time) {
 				o := n.shards[shard]
-				n.exchange(now.Add(-pause), o, message{worker: "w0", address: o.workers["w0"].member.Address, exchange: platform.Exchange{Owner: o.epoch, LeaseMS: 1}})
+				n.exchange(now.Add(-pause), o, message{worker: "w0", address: o.workers["w0"].member.Address, exchange: infra.Exchange{Owner: o.epoch, LeaseMS: 1}})
 			})
 			r.settle(100 * time.Millisecond)
 			if sent != want {
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -15,7 +15,7 @@
 // first host by name that holds it.
 type firstFit struct {
 	hosts   map[string]placement.Host
-	free    map[string]platform.Resources
+	free    map[string]infra.Resources
 	pending []task.Spec
 	placed  map[string]placed
 	avoid   map[string][]string
@@ -27,12 +27,12 @@
 
 type placed struct {
 	host string
-	size platform.Resources
+	size infra.Resources
 }
 
 func newFirstFit() *firstFit {
 	return &firstFit{
-		hosts: map[string]placement.Host{}, free: map[string]platform.Resources{},
+		hosts: map[string]placement.Host{}, free: map[string]infra.Resources{},
 		placed: map[string]placed{}, avoid: map[string][]string{},
 	}
 }
@@ -55,7 +55,7 @@
 	p.pending = slices.DeleteFunc(p.pending, func(s task.Spec) bool { return s.ID == job })
 }
 
-func (p *firstFit) AdoptSized(s task.Spec, host string, size platform.Resources) {
+func (p *firstFit) AdoptSized(s task.Spec, host string, size infra.Resources) {
 	p.placed[s.ID] = placed{host, size}
 	p.free[host] = p.free[host].Sub(size)
 }
@@ -68,9 +68,9 @@
 }
 
 func (p *firstFit) SetAllotment(string, quota.Amount) {}
-func (p *firstFit) Capacity() platform.Resources      { return platform.Resources{} }
+func (p *firstFit) Capacity() infra.Resources      { return infra.Resources{} }
 
-func (p *firstFit) TeamUsage(string) (used, pending platform.Resources) { return used, pending }
+func (p *firstFit) TeamUsage(string) (used, pending infra.Resources) { return used, pending }
 
 func (p *firstFit) Forecast(time.Time) []forecast.Report { return nil }
 
@@ -116,7 +116,7 @@
 }
 
 // sizeOf is what firstFit reserves for a job.
-func sizeOf(s task.Spec) platform.Resources {
+func sizeOf(s task.Spec) infra.Resources {
 	s.Resources.MemoryMB = max(s.Resources.MemoryMB, s.Floor.MemoryMB)
 	return s.Resources
 }
--- a/batch/quota_round.go
+++ b/batch/quota_round.go
@@ -9,7 +9,7 @@
 
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 )
 
@@ -68,7 +68,7 @@
 // waits reports whether a shard asks for more than a division gives it.
 func waits(reports map[string]quota.Report, next quota.Division) bool {
 	for shard, r := range reports {
-		asks := r.Demand != (platform.Resources{})
+		asks := r.Demand != (infra.Resources{})
 		if asks && !next.Bounds[shard].Allows(r.Used, r.Demand) {
 			return true
 		}
@@ -168,23 +168,23 @@
 // commit replaces the division, on condition that the owners that came down
 // still own their shards: a later owner has read the bound as it was.
 func (r *round) commit(ctx context.Context, next quota.Division, answers map[string]shardReport) (version uint64, ok bool) {
-	conditions := []platform.Condition{{Key: quotaKey(r.team), Version: r.stored.version}}
+	conditions := []infra.Condition{{Key: quotaKey(r.team), Version: r.stored.version}}
 	if !r.manager.faults.looseQuota {
 		for _, shard := range r.stored.division.Lowered(next) {
-			conditions = append(conditions, platform.Condition{Key: shardKey(shard), Version: answers[shard].Fence})
+			conditions = append(conditions, infra.Condition{Key: shardKey(shard), Version: answers[shard].Fence})
 		}
 	}
-	result := make(chan platform.CommitResult, 1)
+	result := make(chan infra.CommitResult, 1)
 	r.manager.config.Journal.Append(journal.Entry{
 		Conditions: conditions,
-		Writes:     []platform.Write{{Key: quotaKey(r.team), Value: encode(next)}},
+		Writes:     []infra.Write{{Key: quotaKey(r.team), Value: encode(next)}},
 		Urgent:     true, // urgent work may wait for it
 		Deadline:   r.manager.config.Now().Add(r.manager.config.Timeout),
-		Done:       func(c platform.CommitResult) { result <- c },
+		Done:       func(c infra.CommitResult) { result <- c },
 	})
 	select {
 	case c := <-result:
-		return c.Version, c.Status == platform.CommitApplied
+		return c.Version, c.Status == infra.CommitApplied
 	case <-ctx.Done():
 		return 0, false
 	}
--- a/batch/quota_test.go
+++ b/batch/quota_test.go
@@ -16,7 +16,7 @@
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -33,7 +33,7 @@
 	owners  map[string]*node
 	epochs  uint64
 	nodes   []*node
-	members map[string][]platform.Member
+	members map[string][]infra.Member
 	jobs    int
 }
 
@@ -48,9 +48,9 @@
 		var done sync.WaitGroup
 		for i := range r.members {
 			r.members[i].Zone = fmt.Sprint("z", i/2)
-			r.members[i].Capacity = platform.Resources{MilliCPU: 8000, MemoryMB: 80_000}
+			r.members[i].Capacity = infra.Resources{MilliCPU: 8000, MemoryMB: 80_000}
 		}
-		q := &quotaRig{rig: r, owners: map[string]*node{}, members: map[string][]platform.Member{}}
+		q := &quotaRig{rig: r, owners: map[string]*node{}, members: map[string][]infra.Member{}}
 		for i, m := range r.members {
 			q.members[quotaShard(i/2)] = append(q.members[quotaShard(i/2)], m)
 		}
@@ -160,7 +160,7 @@
 // mostReserved is the most that all runs together reserved, in cores.
 func mostReserved(records []check.Record) int64 {
 	var held, most int64
-	runs := map[platform.RunID]int64{}
+	runs := map[infra.RunID]int64{}
 	for _, r := range records {
 		switch {
 		case r.RunBegan != nil:
@@ -214,13 +214,13 @@
 
 // heldTable keeps back one division.
 type heldTable struct {
-	platform.Table
-	keeps   func(platform.Transaction) bool
+	infra.Table
+	keeps   func(infra.Transaction) bool
 	reached chan struct{}
 	release chan struct{}
 }
 
-func (h *heldTable) Commit(ctx context.Context, tx platform.Transaction) platform.CommitResult {
+func (h *heldTable) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
 	if h.keeps(tx) {
 		close(h.reached)
 		<-h.release
@@ -234,9 +234,9 @@
 func overtaken(t *testing.T, f faults) int64 {
 	return quotas(t, f, func(q *quotaRig) {
 		held := &heldTable{reached: make(chan struct{}), release: make(chan struct{})}
-		q.wrap = func(table platform.Table) platform.Table { held.Table = table; return held }
+		q.wrap = func(table infra.Table) infra.Table { held.Table = table; return held }
 		armed := false
-		held.keeps = func(tx platform.Transaction) bool {
+		held.keeps = func(tx infra.Transaction) bool {
 			for _, w := range tx.Writes {
 				var d quota.Division
 				if !armed || w.Key != quotaKey("team") || msgpack.Unmarshal(w.Value, &d) != nil {
--- a/batch/restart_test.go
+++ b/batch/restart_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/standin"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -15,14 +15,14 @@
 // slowPath keeps the first exchange with a start on its way, and can cut off
 // the worker that it goes to.
 type slowPath struct {
-	platform.Workers
+	infra.Workers
 	mu      sync.Mutex
 	address string
-	held    platform.Exchange
+	held    infra.Exchange
 	cut     bool
 }
 
-func (p *slowPath) Exchange(ctx context.Context, address string, x platform.Exchange) (platform.ExchangeReply, error) {
+func (p *slowPath) Exchange(ctx context.Context, address string, x infra.Exchange) (infra.ExchangeReply, error) {
 	p.mu.Lock()
 	hold := p.address == "" && x.Starts()
 	if hold {
@@ -32,7 +32,7 @@
 	p.mu.Unlock()
 	if hold {
 		<-ctx.Done()
-		return platform.ExchangeReply{}, platform.ErrUnavailable
+		return infra.ExchangeReply{}, infra.ErrUnavailable
 	}
 	return p.Workers.Exchange(ctx, address, x)
 }
@@ -42,7 +42,7 @@
 func (p *slowPath) deliver(t *testing.T, fresh bool) {
 	x := p.held
 	if fresh {
-		reply, err := p.Workers.Exchange(t.Context(), p.address, platform.Exchange{Owner: x.Owner, LeaseMS: x.LeaseMS})
+		reply, err := p.Workers.Exchange(t.Context(), p.address, infra.Exchange{Owner: x.Owner, LeaseMS: x.LeaseMS})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -16,7 +16,7 @@
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 	"github.com/fireflygate/fireflygate/task"
@@ -55,15 +55,15 @@
 	workers *fakeWorkers
 	net     *peernet.Network
 	nodes   []*node
-	members []platform.Member
+	members []infra.Member
 	owner   string
 	epoch   uint64
 	faults  faults
 	// reach and newPlanner stand in for the fakes, unless they are nil.
-	reach      platform.Workers
+	reach      infra.Workers
 	newPlanner func() placement.Planner
 	// wrap goes round the table that journals commit to, unless it is nil.
-	wrap func(platform.Table) platform.Table
+	wrap func(infra.Table) infra.Table
 	// stands are the stand-in workers by address, if they are used.
 	stands map[string]*standin.Worker
 	// keep is the retention of terminal jobs; 0 for the default.
@@ -79,9 +79,9 @@
 		for i := range workers {
 			name := fmt.Sprint("w", i)
 			names = append(names, name)
-			r.members = append(r.members, platform.Member{
-				Kind: platform.Worker, Name: name, Address: name, Zone: "zone", State: platform.Live,
-				Capacity: platform.Resources{MilliCPU: 4000, MemoryMB: 4000},
+			r.members = append(r.members, infra.Member{
+				Kind: infra.Worker, Name: name, Address: name, Zone: "zone", State: infra.Live,
+				Capacity: infra.Resources{MilliCPU: 4000, MemoryMB: 4000},
 			})
 		}
 		r.workers = newFakeWorkers(names...)
@@ -106,11 +106,11 @@
 	if newPlanner == nil {
 		newPlanner = func() placement.Planner { return n.planner }
 	}
-	var reach platform.Workers = r.workers
+	var reach infra.Workers = r.workers
 	if r.reach != nil {
 		reach = r.reach
 	}
-	var table platform.Table = r.table
+	var table infra.Table = r.table
 	if r.wrap != nil {
 		table = r.wrap(table)
 	}
@@ -122,7 +122,7 @@
 		Settings:   b, TaskLease: settings.Default().Lease.TaskLease.D(), ClockRate: 0.01, Retention: r.keep, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 	n.faults = r.faults
-	n.SetWorkers(map[string][]platform.Member{shard: r.members})
+	n.SetWorkers(map[string][]infra.Member{shard: r.members})
 	n.done.Go(func() { j.Run(ctx) })
 	n.done.Go(func() { n.Run(ctx) })
 	r.nodes = append(r.nodes, n)
@@ -160,7 +160,7 @@
 func spec(id string, run time.Duration) task.Spec {
 	return task.Spec{
 		ID: id, Key: "key-" + id, Team: "team", Class: "class",
-		Resources: platform.Resources{MilliCPU: 1000, MemoryMB: 1000}, RunMS: run.Milliseconds(),
+		Resources: infra.Resources{MilliCPU: 1000, MemoryMB: 1000}, RunMS: run.Milliseconds(),
 	}
 }
 
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
@@ -42,11 +42,11 @@
 // change is a commit that a shard asks for. done is called on the control
 // goroutine.
 type change struct {
-	conditions []platform.Condition
-	writes     []platform.Write
+	conditions []infra.Condition
+	writes     []infra.Write
 	urgent     bool
 	deadline   time.Time
-	done       func(now time.Time, r platform.CommitResult)
+	done       func(now time.Time, r infra.CommitResult)
 }
 
 // Shard is the state of one worker shard that this host owns. It is pure: its
@@ -54,7 +54,7 @@
 type Shard struct {
 	name    string
 	epoch   uint64
-	fence   platform.Condition
+	fence   infra.Condition
 	limits  limits
 	planner placement.Planner
 	log     *slog.Logger
@@ -130,7 +130,7 @@
 	return &Shard{
 		name:     name,
 		epoch:    epoch,
-		fence:    platform.Condition{Key: shardKey(name), Version: version},
+		fence:    infra.Condition{Key: shardKey(name), Version: version},
 		limits:   l,
 		planner:  p,
 		log:      log,
--- a/batch/shard_commit.go
+++ b/batch/shard_commit.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -16,7 +16,7 @@
 	}
 	done := c.done
 	s.open++
-	c.done = func(now time.Time, r platform.CommitResult) {
+	c.done = func(now time.Time, r infra.CommitResult) {
 		s.open--
 		done(now, s.checkFence(r))
 	}
@@ -25,18 +25,18 @@
 
 // checkFence notes that another host owns the shard. A commit that was under
 // way while this host wrote the shard's row anew counts as not applied.
-func (s *Shard) checkFence(r platform.CommitResult) platform.CommitResult {
+func (s *Shard) checkFence(r infra.CommitResult) infra.CommitResult {
 	for _, row := range r.Conflicts {
 		switch {
 		case row.Key != s.fence.Key || s.fenced:
 		case row.Version == s.fence.Version:
-			return platform.CommitResult{Status: platform.CommitNotApplied}
+			return infra.CommitResult{Status: infra.CommitNotApplied}
 		default:
 			s.fenced = true
 			event.ShardFenced.Log(s.log, slog.String("shard", s.name), slog.Uint64("epoch", s.epoch))
 		}
 	}
-	if r.Status == platform.CommitUnknown {
+	if r.Status == infra.CommitUnknown {
 		// The journal gave up for good: what holds is in the table alone.
 		s.fenced = true
 	}
@@ -49,21 +49,21 @@
 func (s *Shard) advance(j *job, next task.Record, applied, refused func(now time.Time)) {
 	j.committing = true
 	s.put(change{
-		conditions: []platform.Condition{{Key: jobKey(s.name, next.Spec.ID), Version: j.version}},
-		writes:     []platform.Write{{Key: jobKey(s.name, next.Spec.ID), Value: encode(next)}},
+		conditions: []infra.Condition{{Key: jobKey(s.name, next.Spec.ID), Version: j.version}},
+		writes:     []infra.Write{{Key: jobKey(s.name, next.Spec.ID), Value: encode(next)}},
 		urgent:     next.State == task.Starting && next.Spec.Urgent || len(j.cancels) > 0,
-		done: func(now time.Time, r platform.CommitResult) {
+		done: func(now time.Time, r infra.CommitResult) {
 			j.committing = false
 			if s.fenced {
 				s.answerCancels(j, cancelReply{Code: cancelNotReady})
 				return
 			}
 			switch r.Status {
-			case platform.CommitApplied:
+			case infra.CommitApplied:
 				j.rec = next
 				j.version = r.Version
 				applied(now)
-			case platform.CommitConflict:
+			case infra.CommitConflict:
 				refused(now)
 				s.disown(now, j)
 				return
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -6,7 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -14,7 +14,7 @@
 type message struct {
 	worker   string
 	address  string
-	exchange platform.Exchange
+	exchange infra.Exchange
 	// throttles are the limits that the orders carry, by job.
 	throttles map[string]int
 }
@@ -51,7 +51,7 @@
 		worker:    w.name,
 		address:   w.member.Address,
 		throttles: map[string]int{},
-		exchange:  platform.Exchange{Owner: s.epoch, LeaseMS: lease.Milliseconds(), Since: w.since},
+		exchange:  infra.Exchange{Owner: s.epoch, LeaseMS: lease.Milliseconds(), Since: w.since},
 	}
 	if w.incarnation != "" {
 		m.exchange.Incarnation = w.incarnation
@@ -66,10 +66,10 @@
 }
 
 // orders returns what the worker still has to be told.
-func (s *Shard) orders(w *worker, throttles map[string]int) []platform.Order {
-	var out []platform.Order
+func (s *Shard) orders(w *worker, throttles map[string]int) []infra.Order {
+	var out []infra.Order
 	for run, kind := range w.extra {
-		out = append(out, platform.Order{Kind: kind, Run: run})
+		out = append(out, infra.Order{Kind: kind, Run: run})
 	}
 	for id, j := range w.jobs {
 		if o, ok := s.orderFor(j); ok {
@@ -77,34 +77,34 @@
 		}
 		if j.rec.State == task.Running && j.throttling() {
 			throttles[id] = j.percent
-			out = append(out, platform.Order{Kind: platform.OrderThrottle, Run: j.rec.Run(), Percent: j.percent})
+			out = append(out, infra.Order{Kind: infra.OrderThrottle, Run: j.rec.Run(), Percent: j.percent})
 		}
 	}
 	return out
 }
 
 // orderFor returns the order that brings the job's run where it should be.
-func (s *Shard) orderFor(j *job) (platform.Order, bool) {
+func (s *Shard) orderFor(j *job) (infra.Order, bool) {
 	run := j.rec.Run()
 	switch {
 	case j.rec.State == task.Starting && (!j.committing || s.faults.sendBeforeDurable):
 		j.sent = true
 		spec := j.rec.Spec
-		return platform.Order{
-			Kind: platform.OrderStart, Run: run, Resources: j.rec.Reserves(), Declared: spec.Resources,
+		return infra.Order{
+			Kind: infra.OrderStart, Run: run, Resources: j.rec.Reserves(), Declared: spec.Resources,
 			Class: spec.Class, WorkMS: spec.RunMS, Checkpoint: j.rec.Checkpoint,
 		}, true
 	case j.rec.State == task.Stopping:
-		return platform.Order{Kind: platform.OrderStop, Run: run}, true
+		return infra.Order{Kind: infra.OrderStop, Run: run}, true
 	case j.rec.State == task.Running && j.evict:
-		return platform.Order{Kind: platform.OrderCheckpoint, Run: run}, true
+		return infra.Order{Kind: infra.OrderCheckpoint, Run: run}, true
 	default:
-		return platform.Order{}, false
+		return infra.Order{}, false
 	}
 }
 
 // answer takes in the outcome of an exchange.
-func (s *Shard) answer(now time.Time, m message, reply platform.ExchangeReply, err error) {
+func (s *Shard) answer(now time.Time, m message, reply infra.ExchangeReply, err error) {
 	w := s.workers[m.worker]
 	if w == nil {
 		return
@@ -149,7 +149,7 @@
 func (s *Shard) askWhole(w *worker, m message) {
 	for _, o := range m.exchange.Orders {
 		j := w.jobs[o.Run.Job]
-		if o.Kind == platform.OrderStop && j != nil && j.rec.State == task.Stopping && !j.committing {
+		if o.Kind == infra.OrderStop && j != nil && j.rec.State == task.Stopping && !j.committing {
 			w.since = 0
 			s.call(w)
 		}
@@ -180,8 +180,8 @@
 
 // reconcile compares the worker's whole list with the records: a run that was
 // sent and is not on the list is over.
-func (s *Shard) reconcile(now time.Time, w *worker, runs []platform.RunReport) {
-	present := make(map[platform.RunID]struct{}, len(runs))
+func (s *Shard) reconcile(now time.Time, w *worker, runs []infra.RunReport) {
+	present := make(map[infra.RunID]struct{}, len(runs))
 	for _, r := range runs {
 		present[r.Run] = struct{}{}
 	}
@@ -201,10 +201,10 @@
 }
 
 // observe passes usage on to the planner.
-func (s *Shard) observe(now time.Time, w *worker, reply platform.ExchangeReply) {
+func (s *Shard) observe(now time.Time, w *worker, reply infra.ExchangeReply) {
 	u := placement.Usage{Host: w.name, At: now, LatencyMS: reply.LatencyMS}
 	for _, r := range reply.Runs {
-		if r.State == platform.RunRunning {
+		if r.State == infra.RunRunning {
 			u.Jobs = append(u.Jobs, placement.JobUsage{Job: r.Run.Job, Used: r.Usage, DoneMS: r.DoneMS})
 		}
 	}
--- a/batch/shard_move.go
+++ b/batch/shard_move.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -68,7 +68,7 @@
 // moveOut commits the hand-over of a job to another shard, on condition that
 // the owner that accepted it still owns that shard. done takes whether it took
 // effect.
-func (s *Shard) moveOut(now time.Time, id string, to platform.Condition, shard string, done func(bool)) {
+func (s *Shard) moveOut(now time.Time, id string, to infra.Condition, shard string, done func(bool)) {
 	j := s.jobs[id]
 	if j == nil || !s.live() || !s.movable(j) {
 		done(false)
@@ -78,16 +78,16 @@
 	s.pending--
 	s.planner.Withdraw(id)
 	s.put(change{
-		conditions: []platform.Condition{to, {Key: jobKey(s.name, id), Version: j.version}},
-		writes: []platform.Write{
+		conditions: []infra.Condition{to, {Key: jobKey(s.name, id), Version: j.version}},
+		writes: []infra.Write{
 			{Key: jobKey(s.name, id), Delete: true},
 			{Key: jobKey(shard, id), Value: encode(j.rec)},
 			{Key: refKey(id), Value: []byte(shard)},
 		},
 		deadline: now.Add(checkAfter),
-		done: func(now time.Time, r platform.CommitResult) {
+		done: func(now time.Time, r infra.CommitResult) {
 			j.committing = false
-			if r.Status == platform.CommitApplied {
+			if r.Status == infra.CommitApplied {
 				delete(s.jobs, id)
 				s.answerCancels(j, cancelReply{Code: cancelNotReady})
 				event.JobMoved.Log(s.log, slog.String("job", id), slog.String("from", s.name), slog.String("to", shard))
--- a/batch/shard_quota.go
+++ b/batch/shard_quota.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 )
 
@@ -84,7 +84,7 @@
 	var out []string
 	for team := range s.quotas {
 		used, pending := s.planner.TeamUsage(team)
-		more := pending != (platform.Resources{})
+		more := pending != (infra.Resources{})
 		if more && !s.allotment(team).Held().Allows(used, pending) {
 			out = append(out, team)
 		}
--- a/batch/shard_report.go
+++ b/batch/shard_report.go
@@ -5,19 +5,19 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
 // report takes in a worker's word on one run.
-func (s *Shard) report(now time.Time, w *worker, r platform.RunReport) {
+func (s *Shard) report(now time.Time, w *worker, r infra.RunReport) {
 	j := s.jobs[r.Run.Job]
 	if j == nil || r.Run.Epoch != j.rec.Epoch || j.rec.Worker != w.name || !j.rec.State.Active() {
 		s.stray(w, r)
 		return
 	}
 	j.doneMS = max(j.doneMS, r.DoneMS)
-	if r.State == platform.RunRunning {
+	if r.State == infra.RunRunning {
 		s.confirm(now, j)
 		return
 	}
@@ -40,7 +40,7 @@
 }
 
 // over commits the end of a run.
-func (s *Shard) over(now time.Time, w *worker, j *job, r platform.RunReport) {
+func (s *Shard) over(now time.Time, w *worker, j *job, r infra.RunReport) {
 	next, t := s.ending(j, r, now.UnixMilli())
 	if t != task.Applied {
 		event.TransitionRejected.Log(s.log, slog.String("job", r.Run.Job), slog.String("state", j.rec.State.String()))
@@ -48,23 +48,23 @@
 	}
 	s.advance(j, next, func(now time.Time) {
 		s.ended(now, w, j, r)
-		w.extra[r.Run] = platform.OrderForget
+		w.extra[r.Run] = infra.OrderForget
 	}, func(time.Time) { j.late = &r })
 }
 
 // ending returns the record after the run's end.
-func (s *Shard) ending(j *job, r platform.RunReport, nowMS int64) (task.Record, task.Transition) {
+func (s *Shard) ending(j *job, r infra.RunReport, nowMS int64) (task.Record, task.Transition) {
 	epoch := r.Run.Epoch
 	switch r.State {
-	case platform.RunDone:
+	case infra.RunDone:
 		return j.rec.Finished(epoch, r.DoneMS, nowMS)
-	case platform.RunFailed:
+	case infra.RunFailed:
 		return j.rec.Failed(epoch, r.Reason, r.DoneMS, s.limits.MaxFailures, nowMS)
-	case platform.RunKilled:
+	case infra.RunKilled:
 		return j.rec.Killed(epoch, r.Reason, r.DoneMS, maxKills, nowMS)
-	case platform.RunStopped:
+	case infra.RunStopped:
 		return j.rec.Stopped(epoch, r.Checkpoint, r.DoneMS, nowMS)
-	case platform.RunRefused:
+	case infra.RunRefused:
 		return j.rec.Refused(epoch, r.Reason, nowMS)
 	default:
 		return j.rec.LeaseLapsed(epoch, max(r.DoneMS, j.doneMS), nowMS)
@@ -72,15 +72,15 @@
 }
 
 // ended carries out what follows from the durable end of a run.
-func (s *Shard) ended(now time.Time, w *worker, j *job, r platform.RunReport) {
+func (s *Shard) ended(now time.Time, w *worker, j *job, r infra.RunReport) {
 	id := j.rec.Spec.ID
-	if r.State == platform.RunKilled {
+	if r.State == infra.RunKilled {
 		s.planner.Killed(id)
 	}
-	s.vacate(now, j, w.name, r.State == platform.RunDone)
+	s.vacate(now, j, w.name, r.State == infra.RunDone)
 	s.judge(now, w, id, r.State)
 	s.metrics.ended(r.State)
-	if r.State == platform.RunFailed || r.State == platform.RunRefused {
+	if r.State == infra.RunFailed || r.State == infra.RunRefused {
 		s.planner.Avoid(id, w.name)
 	}
 	switch j.rec.State {
@@ -99,9 +99,9 @@
 
 // again queues a job whose run has ended, or parks it if it grew too large for
 // every host.
-func (s *Shard) again(now time.Time, j *job, state platform.RunState) {
+func (s *Shard) again(now time.Time, j *job, state infra.RunState) {
 	reason, never := s.planner.NeverFits(j.rec.Sized())
-	if state != platform.RunKilled || !never {
+	if state != infra.RunKilled || !never {
 		s.enqueue(now, j)
 		return
 	}
@@ -112,13 +112,13 @@
 }
 
 // judge keeps the worker's health.
-func (s *Shard) judge(now time.Time, w *worker, id string, state platform.RunState) {
+func (s *Shard) judge(now time.Time, w *worker, id string, state infra.RunState) {
 	switch state {
-	case platform.RunFailed:
+	case infra.RunFailed:
 		if w.health.failure(now, id, s.limits.QuarantineAfter, s.limits.QuarantineFor.D()) {
 			event.WorkerQuarantined.Log(s.log, slog.String("worker", w.name))
 		}
-	case platform.RunDone:
+	case infra.RunDone:
 		if w.health.success() {
 			event.WorkerCleared.Log(s.log, slog.String("worker", w.name))
 		}
@@ -130,21 +130,21 @@
 
 // stray deals with a run that no record stands for: it is stopped, or dropped
 // from the worker's list if it is over.
-func (s *Shard) stray(w *worker, r platform.RunReport) {
-	if r.State != platform.RunRunning {
-		w.extra[r.Run] = platform.OrderForget
+func (s *Shard) stray(w *worker, r infra.RunReport) {
+	if r.State != infra.RunRunning {
+		w.extra[r.Run] = infra.OrderForget
 		return
 	}
-	if w.extra[r.Run] != platform.OrderStop {
+	if w.extra[r.Run] != infra.OrderStop {
 		event.RunStray.Log(s.log, slog.String("worker", w.name), slog.String("job", r.Run.Job), slog.Uint64("epoch", r.Run.Epoch))
 	}
-	w.extra[r.Run] = platform.OrderStop
+	w.extra[r.Run] = infra.OrderStop
 	s.call(w)
 }
 
 // lapse ends a run that is surely over without a report.
 func (s *Shard) lapse(now time.Time, w *worker, j *job) {
-	r := platform.RunReport{Run: j.rec.Run(), State: platform.RunExpired, DoneMS: j.doneMS}
+	r := infra.RunReport{Run: j.rec.Run(), State: infra.RunExpired, DoneMS: j.doneMS}
 	if j.committing {
 		j.late = &r
 		return
--- a/batch/shard_rescan.go
+++ b/batch/shard_rescan.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -46,9 +46,9 @@
 }
 
 // rows reads all rows of a shard; false if the table did not answer.
-func (m *Manager) rows(ctx context.Context, shard string) ([]platform.Row, bool) {
+func (m *Manager) rows(ctx context.Context, shard string) ([]infra.Row, bool) {
 	prefix := jobPrefix + shard + "/"
-	var out []platform.Row
+	var out []infra.Row
 	after := ""
 	for {
 		page, err := m.scan(ctx, prefix, after)
@@ -66,7 +66,7 @@
 // rescanned takes in pending jobs that this shard does not know. A row counts
 // once two scans found it unchanged, since one alone may be of a job that is
 // just being submitted, or that was handed over or dropped meanwhile.
-func (s *Shard) rescanned(now time.Time, rows []platform.Row) {
+func (s *Shard) rescanned(now time.Time, rows []infra.Row) {
 	before := s.unknown
 	s.unknown = map[string]uint64{}
 	prefix := jobPrefix + s.name + "/"
--- a/batch/shard_submit.go
+++ b/batch/shard_submit.go
@@ -5,7 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -63,7 +63,7 @@
 	c := submission(s.name, task.New(spec))
 	c.urgent = spec.Urgent
 	c.deadline = deadline
-	c.done = func(now time.Time, r platform.CommitResult) { reply(s.submitted(now, spec, r)) }
+	c.done = func(now time.Time, r infra.CommitResult) { reply(s.submitted(now, spec, r)) }
 	s.put(c)
 }
 
@@ -79,8 +79,8 @@
 func submission(shard string, r task.Record) change {
 	ref := refKey(r.Spec.ID)
 	c := change{
-		conditions: []platform.Condition{{Key: ref}},
-		writes: []platform.Write{
+		conditions: []infra.Condition{{Key: ref}},
+		writes: []infra.Write{
 			{Key: jobKey(shard, r.Spec.ID), Value: encode(r)},
 			{Key: ref, Value: []byte(shard)},
 		},
@@ -90,19 +90,19 @@
 	}
 	key := idempotencyKey(r.Spec.Team, r.Spec.Key)
 	row := keyRow{ID: r.Spec.ID, Hash: specHash(r.Spec)}
-	c.conditions = append(c.conditions, platform.Condition{Key: key})
-	c.writes = append(c.writes, platform.Write{Key: key, Value: encode(row)})
+	c.conditions = append(c.conditions, infra.Condition{Key: key})
+	c.writes = append(c.writes, infra.Write{Key: key, Value: encode(row)})
 	return c
 }
 
 // submitted takes in the result of a submission's commit.
-func (s *Shard) submitted(now time.Time, spec task.Spec, r platform.CommitResult) submitReply {
+func (s *Shard) submitted(now time.Time, spec task.Spec, r infra.CommitResult) submitReply {
 	switch r.Status {
-	case platform.CommitApplied:
+	case infra.CommitApplied:
 		return s.accept(now, spec, r.Version)
-	case platform.CommitNotApplied:
+	case infra.CommitNotApplied:
 		return submitReply{Code: submitRefused, Reason: ReasonStore}
-	case platform.CommitConflict:
+	case infra.CommitConflict:
 		return s.taken(spec, r.Conflicts)
 	default:
 		return submitReply{Code: submitUnknown, Status: Status{ID: spec.ID, Shard: s.name}, Reason: ReasonLost}
@@ -118,7 +118,7 @@
 }
 
 // taken answers a submission whose conditions did not hold.
-func (s *Shard) taken(spec task.Spec, conflicts []platform.Row) submitReply {
+func (s *Shard) taken(spec task.Spec, conflicts []infra.Row) submitReply {
 	for _, row := range conflicts {
 		if spec.Key == "" || row.Key != idempotencyKey(spec.Team, spec.Key) {
 			continue
--- a/batch/shard_sweep.go
+++ b/batch/shard_sweep.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 const (
@@ -37,17 +37,17 @@
 // forget deletes a job's rows.
 func (s *Shard) forget(id string, j *job) {
 	j.committing = true
-	writes := []platform.Write{
+	writes := []infra.Write{
 		{Key: jobKey(s.name, id), Delete: true},
 		{Key: refKey(id), Delete: true},
 	}
 	if spec := j.rec.Spec; spec.Key != "" {
-		writes = append(writes, platform.Write{Key: idempotencyKey(spec.Team, spec.Key), Delete: true})
+		writes = append(writes, infra.Write{Key: idempotencyKey(spec.Team, spec.Key), Delete: true})
 	}
-	own := platform.Condition{Key: jobKey(s.name, id), Version: j.version}
-	s.put(change{conditions: []platform.Condition{own}, writes: writes, done: func(now time.Time, r platform.CommitResult) {
+	own := infra.Condition{Key: jobKey(s.name, id), Version: j.version}
+	s.put(change{conditions: []infra.Condition{own}, writes: writes, done: func(now time.Time, r infra.CommitResult) {
 		j.committing = false
-		if r.Status != platform.CommitNotApplied {
+		if r.Status != infra.CommitNotApplied {
 			delete(s.jobs, id)
 			s.answerCancels(j, cancelReply{Code: cancelMissing})
 			return
--- a/batch/shard_urgent.go
+++ b/batch/shard_urgent.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -24,10 +24,10 @@
 	c.urgent = true
 	c.deadline = deadline
 	arrived := now
-	c.done = func(now time.Time, r platform.CommitResult) {
+	c.done = func(now time.Time, r infra.CommitResult) {
 		delete(s.arriving, spec.ID)
 		s.starting--
-		if r.Status == platform.CommitApplied {
+		if r.Status == infra.CommitApplied {
 			reply(s.acceptStarted(now, arrived, next, r.Version))
 			return
 		}
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -6,11 +6,11 @@
 
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // setMembers takes in the workers that the membership list gives the shard.
-func (s *Shard) setMembers(now time.Time, members []platform.Member) {
+func (s *Shard) setMembers(now time.Time, members []infra.Member) {
 	listed := make(map[string]struct{}, len(members))
 	for _, m := range members {
 		listed[m.Name] = struct{}{}
@@ -39,7 +39,7 @@
 	switch {
 	case !w.listed:
 		return "gone"
-	case w.member.State == platform.Leaving:
+	case w.member.State == infra.Leaving:
 		return "leaving"
 	case w.lost || now.Sub(w.answered) > silentAfter*s.limits.Exchange.D():
 		return "unreachable"
@@ -73,7 +73,7 @@
 	for name, w := range s.workers {
 		s.show(now, w)
 		s.watchLeases(now, w)
-		if w.listed && w.member.State == platform.Leaving {
+		if w.listed && w.member.State == infra.Leaving {
 			s.empty(w)
 		}
 		if !w.listed && len(w.jobs) == 0 && !w.busy {
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // worker is a shard's view of one worker host.
 type worker struct {
 	name   string
-	member platform.Member
+	member infra.Member
 	// listed is set while the membership list has the worker.
 	listed bool
 	// jobs are the jobs whose active run is here.
@@ -34,7 +34,7 @@
 	busy, soon bool
 	next       time.Time
 	// extra are orders for runs that no record stands for.
-	extra map[platform.RunID]platform.OrderKind
+	extra map[infra.RunID]infra.OrderKind
 	// health quarantines a worker that fails everything.
 	health health
 	// shown is what the planner was last told.
@@ -48,7 +48,7 @@
 		name:     name,
 		jobs:     map[string]*job{},
 		answered: now,
-		extra:    map[platform.RunID]platform.OrderKind{},
+		extra:    map[infra.RunID]infra.OrderKind{},
 		next:     now,
 	}
 }
--- a/batch/worker_life.go
+++ b/batch/worker_life.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // hear takes in which life of the worker's agent answered. A new one is
 // reconciled again, since it knows nothing of what earlier ones were told. A
 // stale exchange is made again at once.
-func (w *worker) hear(now time.Time, reply platform.ExchangeReply) {
+func (w *worker) hear(now time.Time, reply infra.ExchangeReply) {
 	if w.incarnation != "" && w.incarnation != reply.Incarnation {
 		w.reconciled, w.since = false, 0
 	}
--- a/batch/workers_test.go
+++ b/batch/workers_test.go
@@ -8,12 +8,12 @@
 	"sync"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // interval is one run as its worker lived it.
 type interval struct {
-	run        platform.RunID
+	run        infra.RunID
 	worker     string
 	from, to   time.Time
 	checkpoint string
@@ -21,7 +21,7 @@
 
 // fakeRun is one run on a fake worker.
 type fakeRun struct {
-	report platform.RunReport
+	report infra.RunReport
 	seq    uint64
 	ends   time.Time
 	at     int // index in history
@@ -34,9 +34,9 @@
 	owner  uint64
 	lease  time.Time
 	seq    uint64
-	runs   map[platform.RunID]*fakeRun
+	runs   map[infra.RunID]*fakeRun
 	newest map[string]uint64
-	tombs  map[platform.RunID]bool
+	tombs  map[infra.RunID]bool
 
 	// Faults.
 	cut         bool // does not get exchanges
@@ -57,14 +57,14 @@
 	history []interval
 	refused int
 	// hook is called with each exchange before it takes effect.
-	hook func(address string, x platform.Exchange)
+	hook func(address string, x infra.Exchange)
 }
 
 func newFakeWorkers(names ...string) *fakeWorkers {
 	f := &fakeWorkers{hosts: map[string]*fakeWorker{}}
 	for _, n := range names {
 		f.hosts[n] = &fakeWorker{
-			name: n, born: time.Now(), runs: map[platform.RunID]*fakeRun{}, newest: map[string]uint64{}, tombs: map[platform.RunID]bool{},
+			name: n, born: time.Now(), runs: map[infra.RunID]*fakeRun{}, newest: map[string]uint64{}, tombs: map[infra.RunID]bool{},
 		}
 	}
 	return f
@@ -77,7 +77,7 @@
 	change(f.hosts[name])
 }
 
-func (f *fakeWorkers) Exchange(ctx context.Context, address string, x platform.Exchange) (platform.ExchangeReply, error) {
+func (f *fakeWorkers) Exchange(ctx context.Context, address string, x infra.Exchange) (infra.ExchangeReply, error) {
 	f.mu.Lock()
 	hook := f.hook
 	f.mu.Unlock()
@@ -94,28 +94,28 @@
 	if w.cut || w.paused || ctx.Err() != nil {
 		f.mu.Unlock()
 		<-ctx.Done()
-		return platform.ExchangeReply{}, platform.ErrUnavailable
+		return infra.ExchangeReply{}, infra.ErrUnavailable
 	}
 	defer f.mu.Unlock()
 	reply := f.apply(w, x)
 	if w.loseReplies > 0 {
 		w.loseReplies--
 		w.cut = w.cut || w.cutAfter
-		return platform.ExchangeReply{}, platform.ErrUnavailable
+		return infra.ExchangeReply{}, infra.ErrUnavailable
 	}
 	return reply, nil
 }
 
 // apply carries out an exchange that arrived.
-func (f *fakeWorkers) apply(w *fakeWorker, x platform.Exchange) platform.ExchangeReply {
+func (f *fakeWorkers) apply(w *fakeWorker, x infra.Exchange) infra.ExchangeReply {
 	now := time.Now()
 	clockMS := now.Sub(w.born).Milliseconds()
 	if x.Incarnation == "" && x.Starts() || x.Incarnation != "" && clockMS > x.ValidUntilMS {
-		return platform.ExchangeReply{Stale: true, Incarnation: w.name, ClockMS: clockMS}
+		return infra.ExchangeReply{Stale: true, Incarnation: w.name, ClockMS: clockMS}
 	}
 	if x.Owner < w.owner {
 		f.refused++
-		return platform.ExchangeReply{Refused: true}
+		return infra.ExchangeReply{Refused: true}
 	}
 	f.advance(w, now)
 	w.owner = x.Owner
@@ -124,13 +124,13 @@
 		f.order(w, o, now)
 	}
 	f.advance(w, now)
-	reply := platform.ExchangeReply{Seq: w.seq, Whole: x.Since == 0, Incarnation: w.name, ClockMS: clockMS}
+	reply := infra.ExchangeReply{Seq: w.seq, Whole: x.Since == 0, Incarnation: w.name, ClockMS: clockMS}
 	for _, r := range w.runs {
 		if x.Since == 0 || r.seq > x.Since {
 			reply.Runs = append(reply.Runs, r.report)
 		}
 	}
-	slices.SortFunc(reply.Runs, func(a, b platform.RunReport) int { return strings.Compare(a.Run.Job, b.Run.Job) })
+	slices.SortFunc(reply.Runs, func(a, b infra.RunReport) int { return strings.Compare(a.Run.Job, b.Run.Job) })
 	return reply
 }
 
@@ -140,20 +140,20 @@
 		return
 	}
 	for _, r := range w.runs {
-		if r.report.State != platform.RunRunning {
+		if r.report.State != infra.RunRunning {
 			continue
 		}
 		if !r.ends.IsZero() && !now.Before(r.ends) && !r.ends.After(w.lease) {
 			r.report.DoneMS = r.ends.Sub(f.history[r.at].from).Milliseconds()
-			f.end(w, r, platform.RunDone, r.ends)
+			f.end(w, r, infra.RunDone, r.ends)
 		} else if now.After(w.lease.Add(w.slowStop)) {
-			f.end(w, r, platform.RunExpired, w.lease.Add(w.slowStop))
+			f.end(w, r, infra.RunExpired, w.lease.Add(w.slowStop))
 		}
 	}
 }
 
 // end ends a run at a time.
-func (f *fakeWorkers) end(w *fakeWorker, r *fakeRun, state platform.RunState, at time.Time) {
+func (f *fakeWorkers) end(w *fakeWorker, r *fakeRun, state infra.RunState, at time.Time) {
 	w.seq++
 	r.seq = w.seq
 	r.report.State = state
@@ -161,41 +161,41 @@
 }
 
 // order carries out one order.
-func (f *fakeWorkers) order(w *fakeWorker, o platform.Order, now time.Time) {
+func (f *fakeWorkers) order(w *fakeWorker, o infra.Order, now time.Time) {
 	r := w.runs[o.Run]
-	running := r != nil && r.report.State == platform.RunRunning
+	running := r != nil && r.report.State == infra.RunRunning
 	switch o.Kind {
-	case platform.OrderStart:
+	case infra.OrderStart:
 		f.start(w, r, o, now)
-	case platform.OrderCheckpoint:
+	case infra.OrderCheckpoint:
 		if running {
 			r.report.DoneMS = now.Sub(f.history[r.at].from).Milliseconds()
 			if !w.noSave {
 				r.report.Checkpoint = o.Run.Job + "@" + now.Format("05.000")
 			}
-			f.end(w, r, platform.RunStopped, now)
+			f.end(w, r, infra.RunStopped, now)
 		}
-	case platform.OrderStop:
+	case infra.OrderStop:
 		w.tombs[o.Run] = true
 		if running {
-			f.end(w, r, platform.RunStopped, now)
+			f.end(w, r, infra.RunStopped, now)
 		}
-	case platform.OrderForget:
+	case infra.OrderForget:
 		w.tombs[o.Run] = true
 		delete(w.runs, o.Run)
 	}
 }
 
 // start begins a run unless it is a repeat or superseded.
-func (f *fakeWorkers) start(w *fakeWorker, r *fakeRun, o platform.Order, now time.Time) {
+func (f *fakeWorkers) start(w *fakeWorker, r *fakeRun, o infra.Order, now time.Time) {
 	if r != nil {
 		return
 	}
 	w.seq++
-	r = &fakeRun{seq: w.seq, report: platform.RunReport{Run: o.Run, State: platform.RunRunning, Resources: o.Resources}}
+	r = &fakeRun{seq: w.seq, report: infra.RunReport{Run: o.Run, State: infra.RunRunning, Resources: o.Resources}}
 	w.runs[o.Run] = r
 	if w.tombs[o.Run] || w.newest[o.Run.Job] > o.Run.Epoch {
-		r.report.State = platform.RunRefused
+		r.report.State = infra.RunRefused
 		return
 	}
 	w.newest[o.Run.Job] = o.Run.Epoch
@@ -205,10 +205,10 @@
 		r.ends = now.Add(time.Duration(o.WorkMS) * time.Millisecond)
 	}
 	if w.killAll {
-		f.end(w, r, platform.RunKilled, now)
+		f.end(w, r, infra.RunKilled, now)
 	}
 	if w.failAll {
-		f.end(w, r, platform.RunFailed, now)
+		f.end(w, r, infra.RunFailed, now)
 	}
 }
 
--- a/booking/claim.go
+++ b/booking/claim.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // settled is an outcome found instead of a claim made.
@@ -40,10 +40,10 @@
 	for range claimTries {
 		res := b.claimOnce(ctx, key, f, value)
 		switch res.Status {
-		case platform.CommitApplied:
+		case infra.CommitApplied:
 			f.version = res.Version
 			return settled{}, true
-		case platform.CommitConflict:
+		case infra.CommitConflict:
 			again, found := b.resolve(ctx, key, f, res.Conflicts)
 			if !again {
 				return found, false
@@ -57,15 +57,15 @@
 
 // claimOnce commits the claim, and waits a bounded time for a store that
 // refuses to take it.
-func (b *Book) claimOnce(ctx context.Context, key string, f *flight, value []byte) platform.CommitResult {
+func (b *Book) claimOnce(ctx context.Context, key string, f *flight, value []byte) infra.CommitResult {
 	ctx, cancel := context.WithTimeout(ctx, claimPatience)
 	defer cancel()
-	try := func() (platform.CommitResult, error) {
-		res := b.opt.Committer.Commit(ctx, []platform.Condition{{Key: key}}, []platform.Write{{Key: key, Value: value}})
+	try := func() (infra.CommitResult, error) {
+		res := b.opt.Committer.Commit(ctx, []infra.Condition{{Key: key}}, []infra.Write{{Key: key, Value: value}})
 		switch res.Status {
-		case platform.CommitUnknown:
+		case infra.CommitUnknown:
 			return b.readBack(ctx, key, f), nil
-		case platform.CommitNotApplied:
+		case infra.CommitNotApplied:
 			return res, errRefused
 		default:
 			return res, nil
@@ -75,7 +75,7 @@
 	pause.InitialInterval = 20 * time.Millisecond
 	res, err := backoff.Retry(ctx, try, backoff.WithBackOff(pause))
 	if err != nil {
-		return platform.CommitResult{Status: platform.CommitNotApplied}
+		return infra.CommitResult{Status: infra.CommitNotApplied}
 	}
 	return res
 }
@@ -93,17 +93,17 @@
 // readBack settles a claim whose commit's answer was lost. If the row can't
 // be read, or is not there yet, the claim is given up: nothing was dispatched,
 // and a row that appears later is known to be free to remove.
-func (b *Book) readBack(ctx context.Context, key string, f *flight) platform.CommitResult {
+func (b *Book) readBack(ctx context.Context, key string, f *flight) infra.CommitResult {
 	rows, err := b.opt.Reader.Get(ctx, key)
 	if err != nil || rows[0].Version == 0 {
 		b.giveUp(f.id)
-		return platform.CommitResult{Status: platform.CommitNotApplied}
+		return infra.CommitResult{Status: infra.CommitNotApplied}
 	}
 	held, err := decodeRow(rows[0].Value)
 	if err == nil && held.ID == f.id {
-		return platform.CommitResult{Status: platform.CommitApplied, Version: rows[0].Version}
+		return infra.CommitResult{Status: infra.CommitApplied, Version: rows[0].Version}
 	}
-	return platform.CommitResult{Status: platform.CommitConflict, Conflicts: rows}
+	return infra.CommitResult{Status: infra.CommitConflict, Conflicts: rows}
 }
 
 // giveUp notes that the claim with the id will never be dispatched.
@@ -115,7 +115,7 @@
 
 // resolve decides what the row in a claim's way means. It returns again when
 // the row is gone and the claim may be tried once more.
-func (b *Book) resolve(ctx context.Context, key string, f *flight, conflicts []platform.Row) (again bool, found settled) {
+func (b *Book) resolve(ctx context.Context, key string, f *flight, conflicts []infra.Row) (again bool, found settled) {
 	current, ok := rowOf(conflicts, key)
 	if !ok {
 		return true, settled{}
@@ -144,13 +144,13 @@
 	return false, found
 }
 
-func rowOf(rows []platform.Row, key string) (platform.Row, bool) {
+func rowOf(rows []infra.Row, key string) (infra.Row, bool) {
 	for _, r := range rows {
 		if r.Key == key && r.Version != 0 {
 			return r, true
 		}
 	}
-	return platform.Row{}, false
+	return infra.Row{}, false
 }
 
 func (b *Book) isUndispatched(held row) bool {
@@ -162,7 +162,7 @@
 
 // remove deletes a claim that was never dispatched, on its own version.
 func (b *Book) remove(ctx context.Context, key string, version uint64) bool {
-	conds := []platform.Condition{{Key: key, Version: version}}
-	res := b.opt.Committer.Commit(ctx, conds, []platform.Write{{Key: key, Delete: true}})
-	return res.Status == platform.CommitApplied
+	conds := []infra.Condition{{Key: key, Version: version}}
+	res := b.opt.Committer.Commit(ctx, conds, []infra.Write{{Key: key, Delete: true}})
+	return res.Status == infra.CommitApplied
 }
--- a/booking/options.go
+++ b/booking/options.go
@@ -6,19 +6,19 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/peer"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Committer commits to the table and settles lost answers. It returns
-// platform.CommitUnknown only when it could not settle within the context.
+// infra.CommitUnknown only when it could not settle within the context.
 type Committer interface {
-	Commit(ctx context.Context, conds []platform.Condition, writes []platform.Write) platform.CommitResult
+	Commit(ctx context.Context, conds []infra.Condition, writes []infra.Write) infra.CommitResult
 }
 
 // Reader reads the table.
 type Reader interface {
-	Get(ctx context.Context, keys ...string) ([]platform.Row, error)
-	Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error)
+	Get(ctx context.Context, keys ...string) ([]infra.Row, error)
+	Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error)
 }
 
 // Options is what a Book works with.
@@ -29,7 +29,7 @@
 	Committer   Committer
 	Reader      Reader
 	// Objects keeps large answers.
-	Objects platform.Objects
+	Objects infra.Objects
 	// Peers asks claimants on other entry hosts; nil when there are none.
 	Peers peer.Transport
 	// Alive reports whether a claimant's session may still be live. It may
--- a/booking/store.go
+++ b/booking/store.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // storeTimeout bounds one try to store an outcome.
@@ -50,17 +50,17 @@
 }
 
 func (b *Book) storeOnce(ctx context.Context, key string, f *flight, object string) error {
-	write := platform.Write{Key: key, Delete: true}
+	write := infra.Write{Key: key, Delete: true}
 	if f.refusal.Kind != outcome.NotRun {
 		value, err := b.outcomeRow(ctx, f, object)
 		if err != nil {
 			return err
 		}
-		write = platform.Write{Key: key, Value: value}
+		write = infra.Write{Key: key, Value: value}
 	}
-	conds := []platform.Condition{{Key: key, Version: f.version}}
-	switch b.opt.Committer.Commit(ctx, conds, []platform.Write{write}).Status {
-	case platform.CommitApplied, platform.CommitConflict:
+	conds := []infra.Condition{{Key: key, Version: f.version}}
+	switch b.opt.Committer.Commit(ctx, conds, []infra.Write{write}).Status {
+	case infra.CommitApplied, infra.CommitConflict:
 		// Nobody else writes a live claim's row, so a conflict means that
 		// an earlier try took effect, or that the row was swept as too old.
 		return nil
--- a/booking/sweep.go
+++ b/booking/sweep.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // sweepPage is how many rows one scan reads and one commit deletes at most.
@@ -40,24 +40,24 @@
 
 // sweepPage deletes the old rows of one page; a row that changed meanwhile
 // makes the page wait for the next sweep.
-func (b *Book) sweepPage(ctx context.Context, rows []platform.Row) int {
-	var conds []platform.Condition
-	var writes []platform.Write
+func (b *Book) sweepPage(ctx context.Context, rows []infra.Row) int {
+	var conds []infra.Condition
+	var writes []infra.Write
 	for _, r := range rows {
 		if !b.old(r) {
 			continue
 		}
-		conds = append(conds, platform.Condition{Key: r.Key, Version: r.Version})
-		writes = append(writes, platform.Write{Key: r.Key, Delete: true})
+		conds = append(conds, infra.Condition{Key: r.Key, Version: r.Version})
+		writes = append(writes, infra.Write{Key: r.Key, Delete: true})
 	}
-	if len(writes) == 0 || b.opt.Committer.Commit(ctx, conds, writes).Status != platform.CommitApplied {
+	if len(writes) == 0 || b.opt.Committer.Commit(ctx, conds, writes).Status != infra.CommitApplied {
 		return 0
 	}
 	return len(writes)
 }
 
 // old reports whether a claim is past the window.
-func (b *Book) old(r platform.Row) bool {
+func (b *Book) old(r infra.Row) bool {
 	held, err := decodeRow(r.Value)
 	if err != nil {
 		return false
--- a/booking/table_test.go
+++ b/booking/table_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"sync"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // fault is what a table does to one commit.
@@ -23,7 +23,7 @@
 type table struct {
 	mu      sync.Mutex
 	version uint64
-	rows    map[string]platform.Row
+	rows    map[string]infra.Row
 	// faults are used up by the commits, in order.
 	faults []fault
 	down   bool
@@ -33,10 +33,10 @@
 }
 
 func newTable(faults ...fault) *table {
-	return &table{rows: map[string]platform.Row{}, faults: faults}
+	return &table{rows: map[string]infra.Row{}, faults: faults}
 }
 
-func (t *table) Commit(_ context.Context, conds []platform.Condition, writes []platform.Write) platform.CommitResult {
+func (t *table) Commit(_ context.Context, conds []infra.Condition, writes []infra.Write) infra.CommitResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f := none
@@ -48,15 +48,15 @@
 	}
 	switch f {
 	case refuse:
-		return platform.CommitResult{Status: platform.CommitNotApplied}
+		return infra.CommitResult{Status: infra.CommitNotApplied}
 	case loseCommit:
-		return platform.CommitResult{}
+		return infra.CommitResult{}
 	case delay:
 		t.late = append(t.late, func() { t.apply(conds, writes) })
-		return platform.CommitResult{}
+		return infra.CommitResult{}
 	case loseAnswer:
 		t.apply(conds, writes)
-		return platform.CommitResult{}
+		return infra.CommitResult{}
 	default:
 		return t.apply(conds, writes)
 	}
@@ -79,11 +79,11 @@
 	t.late = nil
 }
 
-func (t *table) apply(conds []platform.Condition, writes []platform.Write) platform.CommitResult {
+func (t *table) apply(conds []infra.Condition, writes []infra.Write) infra.CommitResult {
 	for _, c := range conds {
 		if r := t.rows[c.Key]; r.Version != c.Version {
 			r.Key = c.Key
-			return platform.CommitResult{Status: platform.CommitConflict, Conflicts: []platform.Row{r}}
+			return infra.CommitResult{Status: infra.CommitConflict, Conflicts: []infra.Row{r}}
 		}
 	}
 	t.version++
@@ -92,18 +92,18 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.version}
+		t.rows[w.Key] = infra.Row{Key: w.Key, Value: w.Value, Version: t.version}
 	}
-	return platform.CommitResult{Status: platform.CommitApplied, Version: t.version}
+	return infra.CommitResult{Status: infra.CommitApplied, Version: t.version}
 }
 
-func (t *table) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (t *table) Get(_ context.Context, keys ...string) ([]infra.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
-	var rows []platform.Row
+	var rows []infra.Row
 	for _, k := range keys {
 		r := t.rows[k]
 		r.Key = k
@@ -112,10 +112,10 @@
 	return rows, nil
 }
 
-func (t *table) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *table) Scan(_ context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []infra.Row
 	for k, r := range t.rows {
 		if strings.HasPrefix(k, prefix) && k > after && len(rows) < limit {
 			rows = append(rows, r)
@@ -135,7 +135,7 @@
 func (o *objects) Get(_ context.Context, key string) ([]byte, error) {
 	data, ok := o.Load(key)
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, infra.ErrNotFound
 	}
 	return data.([]byte), nil
 }
--- a/capacity/members_test.go
+++ b/capacity/members_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -30,24 +30,24 @@
 }
 
 // list returns the site's membership list over ten zones of four regions.
-func (s site) list(revision uint64) platform.MemberList {
-	l := platform.MemberList{Revision: revision}
-	add := func(n int, kind platform.MemberKind, name string, fill func(*platform.Member)) {
+func (s site) list(revision uint64) infra.MemberList {
+	l := infra.MemberList{Revision: revision}
+	add := func(n int, kind infra.MemberKind, name string, fill func(*infra.Member)) {
 		for i := range n {
-			m := platform.Member{
+			m := infra.Member{
 				Kind: kind, Name: fmt.Sprintf("%s-%05d", name, i), Address: fmt.Sprintf("10.%d.%d.%d:7000", i/65536, i/256%256, i%256),
 				Region: fmt.Sprint("region-", i%10/3), Zone: fmt.Sprint("zone-", i%10), Rack: fmt.Sprintf("zone-%d-rack-%d", i%10, i/80),
-				State: platform.Live,
+				State: infra.Live,
 			}
 			fill(&m)
 			l.Members = append(l.Members, m)
 		}
 	}
-	add(s.hosts, platform.EntryHost, "gate", func(*platform.Member) {})
-	add(s.workers, platform.Worker, "worker", func(m *platform.Member) {
-		m.Capacity = platform.Resources{MilliCPU: 64000, MemoryMB: 250000}
+	add(s.hosts, infra.EntryHost, "gate", func(*infra.Member) {})
+	add(s.workers, infra.Worker, "worker", func(m *infra.Member) {
+		m.Capacity = infra.Resources{MilliCPU: 64000, MemoryMB: 250000}
 	})
-	add(s.endpoints, platform.Endpoint, "dispatch", func(m *platform.Member) {
+	add(s.endpoints, infra.Endpoint, "dispatch", func(m *infra.Member) {
 		m.Service, m.Slots, m.Connections = "dispatch-"+m.Name[len(m.Name)-1:], 8, 64
 	})
 	return l
--- a/capacity/worker_test.go
+++ b/capacity/worker_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/standin"
 )
 
@@ -18,14 +18,14 @@
 			now := time.Unix(1764700000, 0)
 			config := standin.WorkerConfig{
 				Name: "worker", Zone: "z", Rack: "r", Lag: 5 * time.Second,
-				Capacity: platform.Resources{MilliCPU: 64000, MemoryMB: 250000},
+				Capacity: infra.Resources{MilliCPU: 64000, MemoryMB: 250000},
 			}
 			w := standin.NewWorker(config, now)
-			x := platform.Exchange{Owner: 1, LeaseMS: 30000}
+			x := infra.Exchange{Owner: 1, LeaseMS: 30000}
 			for i := range runs {
-				x.Orders = append(x.Orders, platform.Order{
-					Kind: platform.OrderStart, Run: platform.RunID{Job: fmt.Sprintf("0192f0c1-7a5e-7cc3-98c4-%012d", i), Epoch: 1},
-					Resources: platform.Resources{MilliCPU: 1000, MemoryMB: 4000}, Class: "route-plan", WorkMS: 1 << 40,
+				x.Orders = append(x.Orders, infra.Order{
+					Kind: infra.OrderStart, Run: infra.RunID{Job: fmt.Sprintf("0192f0c1-7a5e-7cc3-98c4-%012d", i), Epoch: 1},
+					Resources: infra.Resources{MilliCPU: 1000, MemoryMB: 4000}, Class: "route-plan", WorkMS: 1 << 40,
 				})
 			}
 			bytes := 0
@@ -35,7 +35,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				var in platform.Exchange
+				var in infra.Exchange
 				if err := json.Unmarshal(request, &in); err != nil {
 					b.Fatal(err)
 				}
--- a/check/capacity.go
+++ b/check/capacity.go
@@ -3,20 +3,20 @@
 import (
 	"fmt"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // placed is a run on a worker.
 type placed struct {
 	worker string
-	run    platform.RunID
+	run    infra.RunID
 }
 
 // checkCapacity sums the reservations of the runs on each worker.
 func checkCapacity(records []Record, _ Limits) []Violation {
 	var found []Violation
-	held := map[string]platform.Resources{}
-	runs := map[placed]platform.Resources{}
+	held := map[string]infra.Resources{}
+	runs := map[placed]infra.Resources{}
 	for _, r := range records {
 		switch {
 		case r.RunBegan != nil:
--- a/check/record.go
+++ b/check/record.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Record is one observed event. Just one of its pointers is set; it tells
@@ -87,9 +87,9 @@
 // RunBegan says that a worker began a run.
 type RunBegan struct {
 	Worker    string             `json:"worker"`
-	Run       platform.RunID     `json:"run"`
-	Resources platform.Resources `json:"resources"`
-	Capacity  platform.Resources `json:"capacity"`
+	Run       infra.RunID     `json:"run"`
+	Resources infra.Resources `json:"resources"`
+	Capacity  infra.Resources `json:"capacity"`
 	// Checkpoint is what it resumed from, if anything.
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
@@ -97,8 +97,8 @@
 // RunEnded says that a run no longer works on its worker.
 type RunEnded struct {
 	Worker string            `json:"worker"`
-	Run    platform.RunID    `json:"run"`
-	State  platform.RunState `json:"state"`
+	Run    infra.RunID    `json:"run"`
+	State  infra.RunState `json:"state"`
 	// Checkpoint is the progress saved, if any.
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
--- a/check/resumed_once.go
+++ b/check/resumed_once.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // checkResumedOnce checks that the epochs of a job strictly rise, that each
@@ -16,10 +16,10 @@
 	last := map[string]Record{}
 	resumed := map[string]Record{}
 	done := map[string]Record{}
-	brokenOff := map[platform.RunID]bool{}
+	brokenOff := map[infra.RunID]bool{}
 	for _, r := range records {
 		if e := r.RunEnded; e != nil {
-			if e.State == platform.RunDone {
+			if e.State == infra.RunDone {
 				done[e.Run.Job] = r
 			}
 			if brokeOff(e) {
@@ -53,7 +53,7 @@
 // brokeOff reports whether a run ended without its work or a checkpoint.
 func brokeOff(e *RunEnded) bool {
 	switch e.State {
-	case platform.RunFailed, platform.RunKilled, platform.RunExpired:
+	case infra.RunFailed, infra.RunKilled, infra.RunExpired:
 		return e.Checkpoint == ""
 	default:
 		return false
--- a/check/run_test.go
+++ b/check/run_test.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
-var cpu = platform.Resources{MilliCPU: 1}
+var cpu = infra.Resources{MilliCPU: 1}
 
 func began(call, key string) check.Record {
 	return check.Record{RequestBegan: &check.RequestBegan{Endpoint: "e", Call: call, BookingKey: key, Slots: 1}}
@@ -24,12 +24,12 @@
 
 func start(worker string, epoch uint64, checkpoint string) check.Record {
 	return check.Record{RunBegan: &check.RunBegan{
-		Worker: worker, Run: platform.RunID{Job: "j", Epoch: epoch}, Resources: cpu, Capacity: cpu, Checkpoint: checkpoint,
+		Worker: worker, Run: infra.RunID{Job: "j", Epoch: epoch}, Resources: cpu, Capacity: cpu, Checkpoint: checkpoint,
 	}}
 }
 
-func stop(worker string, epoch uint64, state platform.RunState) check.Record {
-	return check.Record{RunEnded: &check.RunEnded{Worker: worker, Run: platform.RunID{Job: "j", Epoch: epoch}, State: state}}
+func stop(worker string, epoch uint64, state infra.RunState) check.Record {
+	return check.Record{RunEnded: &check.RunEnded{Worker: worker, Run: infra.RunID{Job: "j", Epoch: epoch}, State: state}}
 }
 
 func force(host string, version uint64) check.Record {
--- a/cli/demo_test.go
+++ b/cli/demo_test.go
@@ -5,17 +5,17 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/demo"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // TestDemoFailsOnABrokenPromise gives the checks a history in which a job
 // runs in two places, and one in which it moves.
 func TestDemoFailsOnABrokenPromise(t *testing.T) {
 	began := func(worker string, epoch uint64) check.Record {
-		return check.Record{RunBegan: &check.RunBegan{Worker: worker, Run: platform.RunID{Job: "j", Epoch: epoch}}}
+		return check.Record{RunBegan: &check.RunBegan{Worker: worker, Run: infra.RunID{Job: "j", Epoch: epoch}}}
 	}
 	ended := func(worker string, epoch uint64) check.Record {
-		return check.Record{RunEnded: &check.RunEnded{Worker: worker, Run: platform.RunID{Job: "j", Epoch: epoch}, State: platform.RunStopped}}
+		return check.Record{RunEnded: &check.RunEnded{Worker: worker, Run: infra.RunID{Job: "j", Epoch: epoch}, State: infra.RunStopped}}
 	}
 	moved := []check.Record{began("a", 1), ended("a", 1), began("b", 2), ended("b", 2)}
 	if code := exitOfDemo(demo.Judge(numbered(moved))); code != ExitOK {
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -11,7 +11,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/fireflygate/fireflygate/gate"
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 )
@@ -165,7 +165,7 @@
 // answerLoser applies commits and loses their answers.
 type answerLoser struct{ *standin.Table }
 
-func (l answerLoser) Commit(ctx context.Context, tx platform.Transaction) platform.CommitResult {
+func (l answerLoser) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
 	l.Table.Commit(ctx, tx)
-	return platform.CommitResult{Status: platform.CommitUnknown}
+	return infra.CommitResult{Status: infra.CommitUnknown}
 }
--- a/configstore/head.go
+++ b/configstore/head.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // headKey is the row that holds the newest version.
@@ -41,7 +41,7 @@
 }
 
 // decodeHead reads a head from a row; an absent row is version 0.
-func decodeHead(row platform.Row) (Head, error) {
+func decodeHead(row infra.Row) (Head, error) {
 	var h Head
 	if row.Version == 0 {
 		return h, nil
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -11,7 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/fireflygate/fireflygate/internal/pause"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // settleReads bounds how often a lost answer is looked up.
@@ -22,8 +22,8 @@
 
 // Store reads and changes the configuration in the platform's services.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   infra.Table
+	Objects infra.Objects
 	// Now returns the time of day, for the record only.
 	Now func() time.Time
 }
@@ -82,7 +82,7 @@
 		return Head{}, err
 	}
 	if rows[0].Version == 0 {
-		return Head{}, platform.ErrNotFound
+		return Head{}, infra.ErrNotFound
 	}
 	return decodeHead(rows[0])
 }
@@ -134,21 +134,21 @@
 	if err != nil {
 		return Result{Status: NotApplied, Err: errors.Wrap(err, "encode configuration head")}
 	}
-	result := s.Table.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: headKey, Version: rowVersion}},
-		Writes:     []platform.Write{{Key: headKey, Value: value}, {Key: versionKey(next.Version), Value: value}},
+	result := s.Table.Commit(ctx, infra.Transaction{
+		Conditions: []infra.Condition{{Key: headKey, Version: rowVersion}},
+		Writes:     []infra.Write{{Key: headKey, Value: value}, {Key: versionKey(next.Version), Value: value}},
 	})
 	switch result.Status {
-	case platform.CommitApplied:
+	case infra.CommitApplied:
 		return Result{Status: Accepted, Head: next, Differs: next.Differs}
-	case platform.CommitConflict:
+	case infra.CommitConflict:
 		winner, err := s.Head(ctx)
 		if err != nil {
 			return Result{Status: NotApplied, Err: err}
 		}
 		return s.lost(ctx, winner, c)
-	case platform.CommitNotApplied:
-		return Result{Status: NotApplied, Err: platform.ErrUnavailable}
+	case infra.CommitNotApplied:
+		return Result{Status: NotApplied, Err: infra.ErrUnavailable}
 	default:
 		return s.settle(ctx, next, c)
 	}
--- a/demo/host.go
+++ b/demo/host.go
@@ -11,7 +11,7 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/gate"
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 )
--- a/demo/outcome.go
+++ b/demo/outcome.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // tally is what the workers' records say of jobs.
@@ -20,9 +20,9 @@
 	for _, r := range records {
 		switch {
 		case r.RunEnded == nil:
-		case r.RunEnded.State == platform.RunDone:
+		case r.RunEnded.State == infra.RunDone:
 			t.done[r.RunEnded.Run.Job] = r.At
-		case r.RunEnded.State == platform.RunStopped && r.RunEnded.Checkpoint != "":
+		case r.RunEnded.State == infra.RunStopped && r.RunEnded.Checkpoint != "":
 			t.evictions++
 		}
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -14,8 +14,8 @@
 	"github.com/fireflygate/fireflygate/configstore"
 	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/load"
-	"github.com/fireflygate/fireflygate/platform"
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 )
@@ -137,7 +137,7 @@
 		return ctx.Err()
 	}
 	leaving := s.platform.Endpoints[0].Name()
-	s.platform.Members.SetState(leaving, platform.Leaving)
+	s.platform.Members.SetState(leaving, infra.Leaving)
 	s.say("endpoint %s is leaving", leaving)
 	if !until(ctx, start.Add(part(s.options.Duration, drainAt))) {
 		return ctx.Err()
--- a/estimate/book.go
+++ b/estimate/book.go
@@ -1,7 +1,7 @@
 package estimate
 
 import (
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -39,14 +39,14 @@
 // weighed against the declared value by the number of runs seen; memory by
 // the larger of declared and learned, and at least the job's own floor.
 // Latency-critical work reserves at least the processors that it declares.
-func (b *Book) Size(s task.Spec) platform.Resources {
+func (b *Book) Size(s task.Spec) infra.Resources {
 	size := b.classSize(s)
 	size.MemoryMB = max(size.MemoryMB, s.Floor.MemoryMB)
 	return size
 }
 
 // classSize is the size by what is known of the job's class.
-func (b *Book) classSize(s task.Spec) platform.Resources {
+func (b *Book) classSize(s task.Spec) infra.Resources {
 	size := s.Resources
 	c, known := b.classes[s.Class]
 	if !known {
@@ -73,7 +73,7 @@
 }
 
 // LearnSize takes in the peak of what one run used.
-func (b *Book) LearnSize(s task.Spec, peak platform.Resources) {
+func (b *Book) LearnSize(s task.Spec, peak infra.Resources) {
 	c := b.class(s.Class)
 	if s.Resources.MilliCPU > 0 && peak.MilliCPU > 0 {
 		c.cpu.record(peak.MilliCPU * permille / s.Resources.MilliCPU)
@@ -94,7 +94,7 @@
 
 // Killed raises the class's memory at once, after a run was killed for
 // exceeding reserved.
-func (b *Book) Killed(s task.Spec, reserved platform.Resources) {
+func (b *Book) Killed(s task.Spec, reserved infra.Resources) {
 	if s.Resources.MemoryMB <= 0 {
 		return
 	}
--- a/estimate/book_test.go
+++ b/estimate/book_test.go
@@ -4,14 +4,14 @@
 	"fmt"
 	"testing"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
 func spec(qos task.QoS) task.Spec {
 	return task.Spec{
 		Class: "plan", QoS: qos, RunMS: 60_000,
-		Resources: platform.Resources{MilliCPU: 4000, MemoryMB: 8000},
+		Resources: infra.Resources{MilliCPU: 4000, MemoryMB: 8000},
 	}
 }
 
@@ -33,7 +33,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			b, s := NewBook(), spec(tt.qos)
 			for range 100 {
-				b.LearnSize(s, platform.Resources{
+				b.LearnSize(s, infra.Resources{
 					MilliCPU: int64(tt.ratio * 4000),
 					MemoryMB: int64(tt.ratio * 8000),
 				})
@@ -52,7 +52,7 @@
 	if b.Size(s) != s.Resources || b.RunMS(s) != s.RunMS {
 		t.Error("a class never seen is not taken as declared")
 	}
-	b.LearnSize(s, platform.Resources{MilliCPU: 1000, MemoryMB: 1000})
+	b.LearnSize(s, infra.Resources{MilliCPU: 1000, MemoryMB: 1000})
 	if got := b.Size(s).MilliCPU; got < 3000 || got >= 4000 {
 		t.Errorf("one sample of 1000 moved 4000 to %d", got)
 	}
@@ -70,7 +70,7 @@
 		t.Fatalf("%d MB after a second kill at %d", got, reserved.MemoryMB)
 	}
 	for range 200 {
-		b.LearnSize(s, platform.Resources{MemoryMB: 6000})
+		b.LearnSize(s, infra.Resources{MemoryMB: 6000})
 		b.LearnRun(s, 60_000)
 	}
 	if got := b.Size(s).MemoryMB; got != 8000 {
@@ -82,7 +82,7 @@
 	b, s := NewBook(), spec(task.Batch)
 	for _, used := range []int64{16_000, 1000} {
 		for range 2 * windowSamples {
-			b.LearnSize(s, platform.Resources{MilliCPU: used})
+			b.LearnSize(s, infra.Resources{MilliCPU: used})
 		}
 		if got := b.Size(s).MilliCPU; !within(got, used) {
 			t.Errorf("%d after samples of %d", got, used)
--- a/gate/configs.go
+++ b/gate/configs.go
@@ -12,7 +12,7 @@
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/gen/configs"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -47,7 +47,7 @@
 // Rollback implements configs.Service.
 func (s *configsService) Rollback(ctx context.Context, p *configs.RollbackPayload) (*configs.ConfigVersion, error) {
 	content, result := s.store.Rollback(ctx, uint64(p.Base), uint64(p.To), p.Author)
-	if errors.Is(result.Err, platform.ErrNotFound) {
+	if errors.Is(result.Err, infra.ErrNotFound) {
 		return nil, configProblem("not_found", result.Err.Error(), "to")
 	}
 	return s.answer(ctx, content, result)
--- a/gate/deps.go
+++ b/gate/deps.go
@@ -4,15 +4,15 @@
 	"log/slog"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Deps are the outside systems that an entry host reaches.
 type Deps struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Members platform.Members
-	Workers platform.Workers
+	Table   infra.Table
+	Objects infra.Objects
+	Members infra.Members
+	Workers infra.Workers
 	Log     *slog.Logger
 	// Now is the clock; its readings must be monotonic.
 	Now func() time.Time
--- a/gate/janitor.go
+++ b/gate/janitor.go
@@ -8,7 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Pace of the janitor.
@@ -81,7 +81,7 @@
 // sweepSessions deletes the rows of hosts that left the membership list, once
 // they have not changed for long. A process that runs after all finds its row
 // gone and opens its session anew.
-func (j *janitor) sweepSessions(ctx context.Context, rows []platform.Row) {
+func (j *janitor) sweepSessions(ctx context.Context, rows []infra.Row) {
 	r := j.gate.roster.Load()
 	next := map[string]sighting{}
 	for _, row := range rows {
@@ -130,22 +130,22 @@
 }
 
 // sight returns since when a row has been seen unchanged.
-func (j *janitor) sight(seen map[string]sighting, row platform.Row) sighting {
+func (j *janitor) sight(seen map[string]sighting, row infra.Row) sighting {
 	if s, ok := seen[row.Key]; ok && s.version == row.Version {
 		return s
 	}
 	return sighting{version: row.Version, since: j.gate.deps.Now()}
 }
 
-func (j *janitor) remove(ctx context.Context, row platform.Row) {
+func (j *janitor) remove(ctx context.Context, row infra.Row) {
 	j.gate.journal.Commit(ctx,
-		[]platform.Condition{{Key: row.Key, Version: row.Version}},
-		[]platform.Write{{Key: row.Key, Delete: true}})
+		[]infra.Condition{{Key: row.Key, Version: row.Version}},
+		[]infra.Write{{Key: row.Key, Delete: true}})
 }
 
 // sessions returns every session row.
-func (j *janitor) sessions(ctx context.Context) ([]platform.Row, bool) {
-	var all []platform.Row
+func (j *janitor) sessions(ctx context.Context) ([]infra.Row, bool) {
+	var all []infra.Row
 	after := ""
 	for {
 		rows, ok := j.page(ctx, ownership.SessionPrefix, after)
@@ -161,7 +161,7 @@
 }
 
 // incarnations returns the processes that have a session row.
-func incarnations(rows []platform.Row) map[string]bool {
+func incarnations(rows []infra.Row) map[string]bool {
 	live := map[string]bool{}
 	for _, row := range rows {
 		if s, err := ownership.DecodeSessionRow(row.Value); err == nil {
@@ -172,7 +172,7 @@
 }
 
 // page reads one page of rows at the janitor's pace.
-func (j *janitor) page(ctx context.Context, prefix, after string) ([]platform.Row, bool) {
+func (j *janitor) page(ctx context.Context, prefix, after string) ([]infra.Row, bool) {
 	if err := j.pace.Wait(ctx); err != nil {
 		return nil, false
 	}
--- a/gate/janitor_test.go
+++ b/gate/janitor_test.go
@@ -8,7 +8,7 @@
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -17,8 +17,8 @@
 func TestDepartedSessionsAreDeleted(t *testing.T) {
 	table := memtable.New()
 	now := time.Unix(1000, 0)
-	member := platform.Member{Kind: platform.EntryHost, Name: "here", State: platform.Live}
-	r := roster.Build(roster.Roster{}, platform.MemberList{Revision: 1, Members: []platform.Member{member}}, settings.Default().Lease)
+	member := infra.Member{Kind: infra.EntryHost, Name: "here", State: infra.Live}
+	r := roster.Build(roster.Roster{}, infra.MemberList{Revision: 1, Members: []infra.Member{member}}, settings.Default().Lease)
 	g := &Gate{deps: Deps{Table: table, Now: func() time.Time { return now }}}
 	g.journal = journal.New(journal.Config{Table: table, Incarnation: "j", Settings: settings.Default().Batch, Timeout: time.Second})
 	g.roster.Store(&r)
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -7,7 +7,7 @@
 	"github.com/fireflygate/fireflygate/batch"
 	"github.com/fireflygate/fireflygate/gen/jobs"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -81,7 +81,7 @@
 		Class: p.Class,
 		QoS:   task.QoS(p.Qos),
 		Zones: p.Zones,
-		Resources: platform.Resources{
+		Resources: infra.Resources{
 			MilliCPU: p.Resources.MilliCPU,
 			MemoryMB: p.Resources.MemoryMb,
 		},
--- a/gate/members.go
+++ b/gate/members.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // membersStaleAfter is when a list that could not be read anew is logged.
@@ -14,13 +14,13 @@
 
 // memberPoller reads the membership list at an interval.
 type memberPoller struct {
-	members  platform.Members
+	members  infra.Members
 	interval time.Duration
 	timeout  time.Duration
 	log      *slog.Logger
 	now      func() time.Time
 	// onList is called with each list read, from the poller's goroutine.
-	onList func(platform.MemberList)
+	onList func(infra.MemberList)
 }
 
 // run polls until the context ends.
@@ -46,7 +46,7 @@
 	}
 }
 
-func (p *memberPoller) poll(ctx context.Context) (platform.MemberList, error) {
+func (p *memberPoller) poll(ctx context.Context) (infra.MemberList, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	return p.members.List(ctx)
--- a/gate/membership.go
+++ b/gate/membership.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/gateway"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/routing"
 )
@@ -17,20 +17,20 @@
 // takenList is the membership list, and the version of the configuration, that
 // every part was last fed with.
 type takenList struct {
-	list   platform.MemberList
+	list   infra.MemberList
 	config uint64
 	at     time.Time
 }
 
 // same reports whether feeding the parts again would change nothing. Members
 // are compared too: a service that lost its state may count revisions anew.
-func (t takenList) same(list platform.MemberList, config uint64) bool {
+func (t takenList) same(list infra.MemberList, config uint64) bool {
 	return t.config == config && t.list.Revision == list.Revision && slices.Equal(t.list.Members, list.Members)
 }
 
 // takeList feeds every part with a membership list. The poller calls it. While
 // a roster doubts absences each reading counts, changed or not.
-func (g *Gate) takeList(list platform.MemberList) {
+func (g *Gate) takeList(list infra.MemberList) {
 	before := g.roster.Load()
 	current, _ := g.watcher.Current()
 	now := g.deps.Now()
@@ -76,15 +76,15 @@
 		for _, m := range r.Members(shard) {
 			out = append(out, routing.Endpoint{
 				Name: m.Name, Service: m.Service, Address: m.Address, Zone: m.Zone, Shard: shard,
-				Slots: m.Slots, Connections: m.Connections, Leaving: m.State == platform.Leaving,
+				Slots: m.Slots, Connections: m.Connections, Leaving: m.State == infra.Leaving,
 			})
 		}
 	}
 	return out
 }
 
-func workersOf(r roster.Roster) map[string][]platform.Member {
-	out := map[string][]platform.Member{}
+func workersOf(r roster.Roster) map[string][]infra.Member {
+	out := map[string][]infra.Member{}
 	for _, shard := range r.Shards() {
 		if isWorkerShard(shard) {
 			out[shard] = r.Members(shard)
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/fireflygate/fireflygate/configstore"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 	"github.com/fireflygate/fireflygate/task"
@@ -44,7 +44,7 @@
 		for i := from; i < to; i++ {
 			spec := task.Spec{
 				ID: fmt.Sprint("job-", i), Key: fmt.Sprint("key-", i), Team: "routes", Class: "plan", QoS: task.Batch,
-				Resources: platform.Resources{MilliCPU: 1000, MemoryMB: 100}, RunMS: time.Hour.Milliseconds(),
+				Resources: infra.Resources{MilliCPU: 1000, MemoryMB: 100}, RunMS: time.Hour.Milliseconds(),
 			}
 			eventually(t, spec.ID+" held", func() bool {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/gate/rig_test.go
+++ b/gate/rig_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 )
--- a/platform/errors.go
+++ b/infra/errors.go
@@ -1,11 +1,11 @@
-package platform
+package infra
 
 import "github.com/cockroachdb/errors"
 
 var (
 	// ErrNotFound is returned when the thing asked for does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("infra: not found")
 	// ErrUnavailable is returned when the platform's service does not answer
 	// or refuses.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("infra: unavailable")
 )
--- a/platform/resources.go
+++ b/infra/resources.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 // Resources is an amount of each resource of a host.
 type Resources struct {
--- a/platform/workers.go
+++ b/infra/workers.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/integration/batch_load_test.go
+++ b/integration/batch_load_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/gen/jobs"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 )
@@ -142,7 +142,7 @@
 	l.site.untilDone(left)
 	done := map[string]int{}
 	for _, r := range l.site.History() {
-		if r.RunEnded != nil && r.RunEnded.State == platform.RunDone {
+		if r.RunEnded != nil && r.RunEnded.State == infra.RunDone {
 			done[r.RunEnded.Run.Job]++
 		}
 	}
--- a/integration/batch_store_test.go
+++ b/integration/batch_store_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/gen/jobs"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/standin"
 )
 
@@ -46,7 +46,7 @@
 
 // unfinished matches runs that ended before they were done.
 func unfinished(r check.Record) bool {
-	return r.RunEnded != nil && r.RunEnded.State != platform.RunDone
+	return r.RunEnded != nil && r.RunEnded.State != infra.RunDone
 }
 
 // TestJobsAndLostCommits loses answers of the store after the writes took
--- a/integration/batch_worker_test.go
+++ b/integration/batch_worker_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/standin"
 )
 
@@ -73,7 +73,7 @@
 
 // interrupted matches runs at the victim that its lease or its death ended.
 func interrupted(r check.Record) bool {
-	return r.RunEnded != nil && r.RunEnded.Worker == victim && r.RunEnded.State == platform.RunExpired
+	return r.RunEnded != nil && r.RunEnded.Worker == victim && r.RunEnded.State == infra.RunExpired
 }
 
 // begun counts the runs that a worker began.
@@ -101,7 +101,7 @@
 	s.WorkerFaults(victim, standin.WorkerFaults{})
 	s.Until("runs at the healed worker", func() bool {
 		return len(s.runsOf(func(r check.Record) bool {
-			return r.RunEnded != nil && r.RunEnded.Worker == victim && r.RunEnded.State == platform.RunDone
+			return r.RunEnded != nil && r.RunEnded.Worker == victim && r.RunEnded.State == infra.RunDone
 		})) > 0
 	})
 	t.Logf("%d starts failed", failed)
@@ -117,7 +117,7 @@
 	s := batchSite(t)
 	l := s.startJobs(17, small([2]int64{1500, 4000}))
 	s.Until("runs at the victim", func() bool { return s.begun(victim) >= 3 })
-	s.must(s.post(s.at.Members+"/state", standin.StateChange{Name: victim, State: platform.Leaving}))
+	s.must(s.post(s.at.Members+"/state", standin.StateChange{Name: victim, State: infra.Leaving}))
 	// A start may be under way as the list says so.
 	pause(check.DefaultLimits().LeavingGrace)
 	at := s.begun(victim)
@@ -133,7 +133,7 @@
 		}
 	}
 	for _, r := range s.runsOf(func(r check.Record) bool { return r.RunEnded != nil && r.RunEnded.Worker == victim }) {
-		if r.RunEnded.State != platform.RunStopped {
+		if r.RunEnded.State != infra.RunStopped {
 			continue
 		}
 		saved++
--- a/integration/control.go
+++ b/integration/control.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflygate/fireflygate/faultproxy"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
@@ -137,7 +137,7 @@
 }
 
 // List changes what the membership list says of a member.
-func (s *Site) List(member string, state platform.MemberState) {
+func (s *Site) List(member string, state infra.MemberState) {
 	s.t.Helper()
 	s.must(s.post(s.at.Members+"/state", standin.StateChange{Name: member, State: state}))
 }
@@ -150,16 +150,16 @@
 }
 
 // MemberList reads the true addresses and states of all members.
-func (s *Site) MemberList() (platform.MemberList, error) {
+func (s *Site) MemberList() (infra.MemberList, error) {
 	req, err := http.NewRequest(http.MethodGet, "/members", nil)
 	if err != nil {
-		return platform.MemberList{}, errors.Wrap(err, "members")
+		return infra.MemberList{}, errors.Wrap(err, "members")
 	}
 	return readMembers(req, s.at.Members, s.client)
 }
 
 // shardsOf returns the shards that a list gives.
-func shardsOf(lease settings.Lease, list platform.MemberList) []string {
+func shardsOf(lease settings.Lease, list infra.MemberList) []string {
 	return roster.Build(roster.Roster{}, list, lease).Shards()
 }
 
--- a/integration/endpoint_test.go
+++ b/integration/endpoint_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/fireflygate/fireflygate/load"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/standin"
 )
 
@@ -48,8 +48,8 @@
 		{
 			"Leaving",
 			// The endpoint itself would refuse, and hide what it is sent.
-			func(s *Site, e string) { s.List(e, platform.Leaving) },
-			func(s *Site, e string) { s.List(e, platform.Live) },
+			func(s *Site, e string) { s.List(e, infra.Leaving) },
+			func(s *Site, e string) { s.List(e, infra.Live) },
 			1, true,
 		},
 		{
--- a/integration/memberview.go
+++ b/integration/memberview.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // newMemberView serves the membership list as one entry host sees it: with
@@ -31,8 +31,8 @@
 	}))
 }
 
-func readMembers(r *http.Request, upstream string, client *http.Client) (platform.MemberList, error) {
-	var list platform.MemberList
+func readMembers(r *http.Request, upstream string, client *http.Client) (infra.MemberList, error) {
+	var list infra.MemberList
 	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, upstream+"/members", nil)
 	if err != nil {
 		return list, errors.Wrap(err, "members")
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/gen/jobs"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/standin"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -71,8 +71,8 @@
 		},
 		{
 			"host listed as leaving",
-			func(s *Site, v victims) { s.List(v.host.Name, platform.Leaving) },
-			func(s *Site, v victims) { s.List(v.host.Name, platform.Live) },
+			func(s *Site, v victims) { s.List(v.host.Name, infra.Leaving) },
+			func(s *Site, v victims) { s.List(v.host.Name, infra.Live) },
 			true, false, false,
 		},
 	}
--- a/internal/memtable/table.go
+++ b/internal/memtable/table.go
@@ -10,16 +10,16 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/internal/pause"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
-// Table is an in-memory platform.Table. Set the exported fields before use or
+// Table is an in-memory infra.Table. Set the exported fields before use or
 // through Set.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]infra.Row
 	version uint64
-	late    []platform.Transaction
+	late    []infra.Transaction
 
 	// Faults are the faults now in force.
 	faults Faults
@@ -54,7 +54,7 @@
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{rows: map[string]platform.Row{}} }
+func New() *Table { return &Table{rows: map[string]infra.Row{}} }
 
 // Set changes the faults.
 func (t *Table) Set(f func(*Faults)) {
@@ -84,7 +84,7 @@
 func (t *Table) Put(key string, value []byte) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.apply(platform.Transaction{Writes: []platform.Write{{Key: key, Value: value}}}).Version
+	return t.apply(infra.Transaction{Writes: []infra.Write{{Key: key, Value: value}}}).Version
 }
 
 // wait lets the delay pass; false when ctx ended first.
@@ -98,42 +98,42 @@
 	return pause.For(ctx, delay)
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, tx platform.Transaction) platform.CommitResult {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
 	if !t.wait(ctx) {
-		return platform.CommitResult{}
+		return infra.CommitResult{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case t.faults.Down:
 		t.stats.Refused++
-		return platform.CommitResult{Status: platform.CommitNotApplied}
+		return infra.CommitResult{Status: infra.CommitNotApplied}
 	case t.faults.HoldCommits > 0:
 		t.faults.HoldCommits--
 		t.late = append(t.late, tx)
-		return platform.CommitResult{}
+		return infra.CommitResult{}
 	case t.faults.LoseAnswers > 0:
 		t.faults.LoseAnswers--
 		t.apply(tx)
-		return platform.CommitResult{}
+		return infra.CommitResult{}
 	default:
 		return t.apply(tx)
 	}
 }
 
 // apply carries out a transaction.
-func (t *Table) apply(tx platform.Transaction) platform.CommitResult {
+func (t *Table) apply(tx infra.Transaction) infra.CommitResult {
 	t.stats.Commits++
 	t.stats.LargestRows = max(t.stats.LargestRows, len(tx.Writes))
-	var conflicts []platform.Row
+	var conflicts []infra.Row
 	for _, c := range tx.Conditions {
 		if row := t.row(c.Key); row.Version != c.Version {
 			conflicts = append(conflicts, row)
 		}
 	}
 	if len(conflicts) > 0 {
-		return platform.CommitResult{Status: platform.CommitConflict, Conflicts: conflicts}
+		return infra.CommitResult{Status: infra.CommitConflict, Conflicts: conflicts}
 	}
 	t.version++
 	for _, w := range tx.Writes {
@@ -142,54 +142,54 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.version}
+		t.rows[w.Key] = infra.Row{Key: w.Key, Value: w.Value, Version: t.version}
 	}
-	return platform.CommitResult{Status: platform.CommitApplied, Version: t.version}
+	return infra.CommitResult{Status: infra.CommitApplied, Version: t.version}
 }
 
 // row returns a row, or an absent one.
-func (t *Table) row(key string) platform.Row {
+func (t *Table) row(key string) infra.Row {
 	if row, ok := t.rows[key]; ok {
 		return row
 	}
-	return platform.Row{Key: key}
+	return infra.Row{Key: key}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]infra.Row, error) {
 	if !t.wait(ctx) {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
 	if t.faults.Down {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
-	out := make([]platform.Row, 0, len(keys))
+	out := make([]infra.Row, 0, len(keys))
 	for _, key := range keys {
 		out = append(out, t.row(key))
 	}
 	return out, nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	if !t.wait(ctx) {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
 	if t.faults.Down {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
-	var out []platform.Row
+	var out []infra.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			out = append(out, row)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b infra.Row) int { return strings.Compare(a.Key, b.Key) })
 	return out[:min(limit, len(out))], nil
 }
--- a/journal/batch.go
+++ b/journal/batch.go
@@ -1,6 +1,6 @@
 package journal
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // group is a set of entries that go into one transaction.
 type group struct {
@@ -85,10 +85,10 @@
 }
 
 // transaction returns the group's transaction with the journal's own row.
-func (g *group) transaction(own platform.Condition, mark platform.Write) platform.Transaction {
-	tx := platform.Transaction{Conditions: []platform.Condition{own}}
+func (g *group) transaction(own infra.Condition, mark infra.Write) infra.Transaction {
+	tx := infra.Transaction{Conditions: []infra.Condition{own}}
 	for key, version := range g.required {
-		tx.Conditions = append(tx.Conditions, platform.Condition{Key: key, Version: version})
+		tx.Conditions = append(tx.Conditions, infra.Condition{Key: key, Version: version})
 	}
 	for _, e := range g.entries {
 		tx.Writes = append(tx.Writes, e.Writes...)
--- a/journal/bench_test.go
+++ b/journal/bench_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/internal/memtable"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -31,10 +31,10 @@
 				room <- struct{}{}
 				entries.Add(1)
 				j.Append(Entry{
-					Conditions: []platform.Condition{{Key: "shard/s"}},
-					Writes:     []platform.Write{{Key: fmt.Sprint("job/", i), Value: make([]byte, 200)}},
-					Done: func(r platform.CommitResult) {
-						if r.Status != platform.CommitApplied {
+					Conditions: []infra.Condition{{Key: "shard/s"}},
+					Writes:     []infra.Write{{Key: fmt.Sprint("job/", i), Value: make([]byte, 200)}},
+					Done: func(r infra.CommitResult) {
+						if r.Status != infra.CommitApplied {
 							b.Error(r)
 						}
 						<-room
--- a/journal/entry.go
+++ b/journal/entry.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Entry is one change, applied whole or not at all.
 type Entry struct {
 	// Conditions must all hold.
-	Conditions []platform.Condition
+	Conditions []infra.Condition
 	// Writes all take effect, or none.
-	Writes []platform.Write
+	Writes []infra.Write
 	// Urgent entries go before others, unless an earlier entry that waits
 	// touches one of the same rows.
 	Urgent bool
@@ -19,7 +19,7 @@
 	// sent; zero for never.
 	Deadline time.Time
 	// Done takes the result, on the journal's goroutine; it must not block.
-	Done func(platform.CommitResult)
+	Done func(infra.CommitResult)
 }
 
 // size returns the bytes that the entry writes.
--- a/journal/faults_test.go
+++ b/journal/faults_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/internal/memtable"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 const (
@@ -31,7 +31,7 @@
 		switch {
 		case !ok:
 			t.Errorf("entry %s has no result", name)
-		case r.written(name) != (res.Status == platform.CommitApplied):
+		case r.written(name) != (res.Status == infra.CommitApplied):
 			t.Errorf("entry %s: status %v, but written: %v", name, res.Status, r.written(name))
 		}
 	}
@@ -46,11 +46,11 @@
 			for i := range faultEntries {
 				r.mishap(rnd)
 				e := Entry{
-					Writes: []platform.Write{{Key: fmt.Sprint(i)}}, Urgent: rnd.IntN(3) == 0,
-					Done: func(res platform.CommitResult) { r.note(fmt.Sprint(i), res) },
+					Writes: []infra.Write{{Key: fmt.Sprint(i)}}, Urgent: rnd.IntN(3) == 0,
+					Done: func(res infra.CommitResult) { r.note(fmt.Sprint(i), res) },
 				}
 				if rnd.IntN(4) == 0 {
-					e.Conditions = []platform.Condition{{Key: "shard", Version: uint64(rnd.IntN(2))}}
+					e.Conditions = []infra.Condition{{Key: "shard", Version: uint64(rnd.IntN(2))}}
 				}
 				if rnd.IntN(3) == 0 {
 					e.Deadline = time.Now().Add(time.Duration(rnd.IntN(2000)) * time.Millisecond)
--- a/journal/finish.go
+++ b/journal/finish.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // stop ends the journal: what is out gets its answer, the rest was not sent.
@@ -17,29 +17,29 @@
 	j.queue.urgent, j.queue.normal = nil, nil
 	j.mu.Unlock()
 	if g := j.inFlight; g != nil {
-		finish(g.entries, platform.CommitResult{Status: unsettled(g)})
+		finish(g.entries, infra.CommitResult{Status: unsettled(g)})
 	}
-	finish(rest, platform.CommitResult{Status: platform.CommitNotApplied})
+	finish(rest, infra.CommitResult{Status: infra.CommitNotApplied})
 }
 
 // unsettled returns what can be said of a group that was given up.
-func unsettled(g *group) platform.CommitStatus {
+func unsettled(g *group) infra.CommitStatus {
 	if g.tainted {
-		return platform.CommitUnknown
+		return infra.CommitUnknown
 	}
-	return platform.CommitNotApplied
+	return infra.CommitNotApplied
 }
 
 // finish hands the result to all entries.
-func finish(entries []*Entry, r platform.CommitResult) {
+func finish(entries []*Entry, r infra.CommitResult) {
 	for _, e := range entries {
 		e.Done(r)
 	}
 }
 
 // conflictsOf returns the rows that failed a condition of the entry.
-func conflictsOf(e *Entry, failed map[string]platform.Row) []platform.Row {
-	var rows []platform.Row
+func conflictsOf(e *Entry, failed map[string]infra.Row) []infra.Row {
+	var rows []infra.Row
 	for _, c := range e.Conditions {
 		if row, ok := failed[c.Key]; ok {
 			rows = append(rows, row)
@@ -67,13 +67,13 @@
 }
 
 // statusName is the metric label of a result.
-func statusName(s platform.CommitStatus) string {
+func statusName(s infra.CommitStatus) string {
 	switch s {
-	case platform.CommitApplied:
+	case infra.CommitApplied:
 		return "applied"
-	case platform.CommitConflict:
+	case infra.CommitConflict:
 		return "conflict"
-	case platform.CommitNotApplied:
+	case infra.CommitNotApplied:
 		return "not_applied"
 	default:
 		return "unknown"
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -10,14 +10,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
 // Config is what a journal needs. Zero values of the optional fields have
 // defaults.
 type Config struct {
-	Table platform.Table
+	Table infra.Table
 	// Incarnation names the journal's own row; no two journals share one.
 	Incarnation string
 	Settings    settings.Batch
@@ -122,7 +122,7 @@
 	j.mu.Unlock()
 	if !ok {
 		event.JournalOverflow.Log(j.config.Log)
-		e.Done(platform.CommitResult{Status: platform.CommitNotApplied})
+		e.Done(infra.CommitResult{Status: infra.CommitNotApplied})
 		return
 	}
 	select {
@@ -134,15 +134,15 @@
 // Commit appends an urgent entry and waits for its result. An entry that was
 // not sent by SendBy of the context fails as not applied. When the context ends
 // before the result is known it is CommitUnknown.
-func (j *Journal) Commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) platform.CommitResult {
-	result := make(chan platform.CommitResult, 1)
-	e := Entry{Conditions: conditions, Writes: writes, Urgent: true, Done: func(r platform.CommitResult) { result <- r }}
+func (j *Journal) Commit(ctx context.Context, conditions []infra.Condition, writes []infra.Write) infra.CommitResult {
+	result := make(chan infra.CommitResult, 1)
+	e := Entry{Conditions: conditions, Writes: writes, Urgent: true, Done: func(r infra.CommitResult) { result <- r }}
 	e.Deadline = SendBy(ctx, j.config.Now())
 	j.Append(e)
 	select {
 	case r := <-result:
 		return r
 	case <-ctx.Done():
-		return platform.CommitResult{}
+		return infra.CommitResult{}
 	}
 }
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/internal/memtable"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -19,7 +19,7 @@
 	table   *memtable.Table
 	stop    context.CancelFunc
 	mu      sync.Mutex
-	results map[string]platform.CommitResult
+	results map[string]infra.CommitResult
 	done    chan struct{}
 }
 
@@ -28,7 +28,7 @@
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
-		r := &rig{table: memtable.New(), stop: stop, results: map[string]platform.CommitResult{}, done: make(chan struct{})}
+		r := &rig{table: memtable.New(), stop: stop, results: map[string]infra.CommitResult{}, done: make(chan struct{})}
 		b := settings.Default().Batch
 		r.Journal = New(Config{Table: r.table, Incarnation: "i1", Settings: b, MaxQueue: 1000})
 		go func() {
@@ -42,16 +42,16 @@
 }
 
 // put appends a write of one row and notes its result under the name.
-func (r *rig) put(name, key string, c ...platform.Condition) {
+func (r *rig) put(name, key string, c ...infra.Condition) {
 	r.Append(Entry{
 		Conditions: c,
-		Writes:     []platform.Write{{Key: key, Value: []byte(name)}},
-		Done:       func(res platform.CommitResult) { r.note(name, res) },
+		Writes:     []infra.Write{{Key: key, Value: []byte(name)}},
+		Done:       func(res infra.CommitResult) { r.note(name, res) },
 	})
 }
 
 // note keeps an entry's result.
-func (r *rig) note(name string, res platform.CommitResult) {
+func (r *rig) note(name string, res infra.CommitResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.results[name] = res
@@ -72,7 +72,7 @@
 	return string(rows[0].Value)
 }
 
-func expect(t *testing.T, r *rig, name string, want platform.CommitStatus) {
+func expect(t *testing.T, r *rig, name string, want infra.CommitStatus) {
 	t.Helper()
 	synctest.Wait()
 	r.mu.Lock()
@@ -95,7 +95,7 @@
 		if got := r.table.Stats().Commits; got != 2 {
 			t.Errorf("%d commits for an idle entry and 200 behind it, want 2", got)
 		}
-		expect(t, r, "199", platform.CommitApplied)
+		expect(t, r, "199", infra.CommitApplied)
 	})
 }
 
@@ -105,12 +105,12 @@
 		r.put("head", "h")
 		synctest.Wait()
 		r.put("good", "a")
-		r.put("bad", "b", platform.Condition{Key: "b", Version: 77})
-		r.put("also good", "c", platform.Condition{Key: "c"})
+		r.put("bad", "b", infra.Condition{Key: "b", Version: 77})
+		r.put("also good", "c", infra.Condition{Key: "c"})
 		after(time.Second)
-		expect(t, r, "good", platform.CommitApplied)
-		expect(t, r, "bad", platform.CommitConflict)
-		expect(t, r, "also good", platform.CommitApplied)
+		expect(t, r, "good", infra.CommitApplied)
+		expect(t, r, "bad", infra.CommitConflict)
+		expect(t, r, "also good", infra.CommitApplied)
 	})
 }
 
@@ -123,8 +123,8 @@
 			r.put(fmt.Sprint("v", i), "same")
 		}
 		r.Append(Entry{
-			Urgent: true, Writes: []platform.Write{{Key: "same", Value: []byte("last")}},
-			Done: func(platform.CommitResult) {},
+			Urgent: true, Writes: []infra.Write{{Key: "same", Value: []byte("last")}},
+			Done: func(infra.CommitResult) {},
 		})
 		after(2 * time.Second)
 		if got := r.value("same"); got != "last" {
@@ -136,9 +136,9 @@
 func TestLostAnswerIsSettled(t *testing.T) {
 	run(t, func(r *rig) {
 		r.table.Set(func(f *memtable.Faults) { f.LoseAnswers = 1 })
-		r.put("lost", "k", platform.Condition{Key: "k"})
+		r.put("lost", "k", infra.Condition{Key: "k"})
 		after(time.Second)
-		expect(t, r, "lost", platform.CommitApplied)
+		expect(t, r, "lost", infra.CommitApplied)
 		if got := r.table.Stats().Commits; got != 1 {
 			t.Errorf("%d commits arrived, want 1: a settled commit is not written again", got)
 		}
@@ -149,9 +149,9 @@
 	run(t, func(r *rig) {
 		r.blind = true
 		r.table.Set(func(f *memtable.Faults) { f.LoseAnswers = 1 })
-		r.put("lost", "k", platform.Condition{Key: "k"})
+		r.put("lost", "k", infra.Condition{Key: "k"})
 		after(time.Second)
-		if res := r.results["lost"]; res.Status == platform.CommitApplied {
+		if res := r.results["lost"]; res.Status == infra.CommitApplied {
 			t.Error("a journal that does not settle lost answers passes the check of settling")
 		}
 	})
@@ -164,10 +164,10 @@
 		synctest.Wait()
 		r.table.Deliver() // arrives after the journal read its row
 		after(time.Second)
-		expect(t, r, "held", platform.CommitApplied)
+		expect(t, r, "held", infra.CommitApplied)
 		r.put("next", "k")
 		after(time.Second)
-		expect(t, r, "next", platform.CommitApplied)
+		expect(t, r, "next", infra.CommitApplied)
 		if got := r.table.Stats().Rows; got != 4 {
 			t.Errorf("%d rows written by two commits of two rows, want 4", got)
 		}
@@ -180,23 +180,23 @@
 		r.put("waits", "w")
 		synctest.Wait()
 		r.Append(Entry{
-			Writes: []platform.Write{{Key: "d"}}, Deadline: time.Now().Add(3 * time.Second),
-			Done: func(res platform.CommitResult) { r.note("late", res) },
+			Writes: []infra.Write{{Key: "d"}}, Deadline: time.Now().Add(3 * time.Second),
+			Done: func(res infra.CommitResult) { r.note("late", res) },
 		})
 		for i := range 999 {
 			r.put(fmt.Sprint(i), fmt.Sprint("k", i))
 		}
 		r.put("over", "o")
-		expect(t, r, "over", platform.CommitNotApplied)
+		expect(t, r, "over", infra.CommitNotApplied)
 		after(time.Minute)
-		expect(t, r, "late", platform.CommitNotApplied)
+		expect(t, r, "late", infra.CommitNotApplied)
 		if got := r.table.Stats().Refused; got > 60 {
 			t.Errorf("%d attempts in a minute of outage, want at most 60", got)
 		}
 		r.table.Set(func(f *memtable.Faults) { f.Down = false })
 		after(5 * time.Second)
-		expect(t, r, "waits", platform.CommitApplied)
-		expect(t, r, "998", platform.CommitApplied)
+		expect(t, r, "waits", infra.CommitApplied)
+		expect(t, r, "998", infra.CommitApplied)
 	})
 }
 
@@ -208,8 +208,8 @@
 		r.put("queued", "b")
 		r.stop()
 		<-r.done
-		expect(t, r, "queued", platform.CommitNotApplied)
-		expect(t, r, "sent", platform.CommitUnknown)
+		expect(t, r, "queued", infra.CommitNotApplied)
+		expect(t, r, "sent", infra.CommitUnknown)
 	})
 }
 
@@ -218,9 +218,9 @@
 		r.table.Set(func(f *memtable.Faults) { f.Down = true })
 		for range 5 {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			res := r.Commit(ctx, nil, []platform.Write{{Key: "k"}})
+			res := r.Commit(ctx, nil, []infra.Write{{Key: "k"}})
 			cancel()
-			if res.Status != platform.CommitNotApplied {
+			if res.Status != infra.CommitNotApplied {
 				t.Errorf("commit during an outage: status %v, want not applied", res.Status)
 			}
 		}
--- a/journal/run.go
+++ b/journal/run.go
@@ -9,16 +9,16 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // answer is what an attempt brought.
 type answer struct {
-	result platform.CommitResult
+	result infra.CommitResult
 	took   time.Duration
 	// settled is set when a lost answer was settled by reading own.
 	settled bool
-	own     platform.Row
+	own     infra.Row
 }
 
 // Run commits until ctx ends. Entries that were not sent by then fail as not
@@ -115,7 +115,7 @@
 		g.entries = split(g.entries, now, func(e *Entry) { late = append(late, e) })
 		j.regroup()
 	}
-	finish(late, platform.CommitResult{Status: platform.CommitNotApplied})
+	finish(late, infra.CommitResult{Status: infra.CommitNotApplied})
 }
 
 // regroup forms the group in flight anew after entries left it.
@@ -134,7 +134,7 @@
 // attempt sends the group as commit number n and, if the answer is lost, reads
 // the journal's row. It runs on its own goroutine.
 func (j *Journal) attempt(ctx context.Context, g *group, n, version uint64) {
-	tx := g.transaction(platform.Condition{Key: j.key, Version: version}, platform.Write{Key: j.key, Value: encodeNumber(n)})
+	tx := g.transaction(infra.Condition{Key: j.key, Version: version}, infra.Write{Key: j.key, Value: encodeNumber(n)})
 	begin := j.config.Now()
 	limited, cancel := context.WithTimeout(ctx, j.config.Timeout)
 	a := answer{result: j.config.Table.Commit(limited, tx)}
@@ -142,7 +142,7 @@
 	a.took = j.config.Now().Sub(begin)
 	j.metrics.latency.Observe(a.took.Seconds())
 	j.metrics.rows.Observe(float64(len(tx.Writes)))
-	if a.result.Status == platform.CommitUnknown && !j.blind {
+	if a.result.Status == infra.CommitUnknown && !j.blind {
 		limited, cancel = context.WithTimeout(ctx, j.config.Timeout)
 		rows, err := j.config.Table.Get(limited, j.key)
 		cancel()
@@ -160,11 +160,11 @@
 	j.retryAt = time.Time{}
 	j.metrics.commits.WithLabelValues(statusName(a.result.Status)).Inc()
 	switch a.result.Status {
-	case platform.CommitApplied:
+	case infra.CommitApplied:
 		j.applied(a.result)
-	case platform.CommitConflict:
+	case infra.CommitConflict:
 		j.conflicted(a.result)
-	case platform.CommitNotApplied:
+	case infra.CommitNotApplied:
 		j.delay()
 	default:
 		j.lost(a)
@@ -172,7 +172,7 @@
 }
 
 // applied finishes the group.
-func (j *Journal) applied(r platform.CommitResult) {
+func (j *Journal) applied(r infra.CommitResult) {
 	g := j.inFlight
 	j.inFlight = nil
 	j.number++
@@ -189,7 +189,7 @@
 	j.inFlight.tainted = !j.blind
 	if a.settled && decodeNumber(a.own.Value) == j.number+1 {
 		event.JournalSettled.Log(j.config.Log, slog.Uint64("number", j.number+1))
-		j.applied(platform.CommitResult{Status: platform.CommitApplied, Version: a.own.Version})
+		j.applied(infra.CommitResult{Status: infra.CommitApplied, Version: a.own.Version})
 		return
 	}
 	j.delay()
@@ -197,8 +197,8 @@
 
 // conflicted fails the entries whose conditions did not hold; the rest go
 // again at once.
-func (j *Journal) conflicted(r platform.CommitResult) {
-	failed := map[string]platform.Row{}
+func (j *Journal) conflicted(r infra.CommitResult) {
+	failed := map[string]infra.Row{}
 	for _, row := range r.Conflicts {
 		failed[row.Key] = row
 	}
@@ -212,7 +212,7 @@
 	kept := j.inFlight.entries[:0:0]
 	for _, e := range j.inFlight.entries {
 		if rows := conflictsOf(e, failed); rows != nil {
-			e.Done(platform.CommitResult{Status: platform.CommitConflict, Conflicts: rows})
+			e.Done(infra.CommitResult{Status: infra.CommitConflict, Conflicts: rows})
 			continue
 		}
 		kept = append(kept, e)
@@ -220,7 +220,7 @@
 	j.inFlight.entries = kept
 	if len(kept) == before {
 		event.JournalOddReply.Log(j.config.Log)
-		finish(kept, platform.CommitResult{Status: platform.CommitNotApplied})
+		finish(kept, infra.CommitResult{Status: infra.CommitNotApplied})
 		j.inFlight.entries = nil
 	}
 	j.regroup()
@@ -229,9 +229,9 @@
 
 // ownConflict handles a journal row other than expected: an earlier attempt of
 // this very commit took effect late, or nothing is known of the row yet.
-func (j *Journal) ownConflict(own platform.Row) {
+func (j *Journal) ownConflict(own infra.Row) {
 	if decodeNumber(own.Value) == j.number+1 && j.inFlight.tainted {
-		j.applied(platform.CommitResult{Status: platform.CommitApplied, Version: own.Version})
+		j.applied(infra.CommitResult{Status: infra.CommitApplied, Version: own.Version})
 		return
 	}
 	j.number = decodeNumber(own.Value)
--- a/ownership/action.go
+++ b/ownership/action.go
@@ -1,6 +1,6 @@
 package ownership
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // Action is something that a Machine asks its driver to do.
 type Action interface{ action() }
@@ -8,7 +8,7 @@
 // Commit asks for a transaction. Its result goes to Machine.Committed, once.
 type Commit struct {
 	ID uint64
-	Tx platform.Transaction
+	Tx infra.Transaction
 }
 
 // Read asks for rows. If Full is set: for a scan of SessionPrefix and one of
--- a/ownership/alive_test.go
+++ b/ownership/alive_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -14,9 +14,9 @@
 	start := time.Unix(1000, 0)
 	lease := settings.Default().Lease
 	m, c := renewal(t, start, flaws{})
-	m.Committed(start, c.ID, platform.CommitResult{Status: platform.CommitApplied, Version: 1})
-	row := platform.Row{Key: SessionKey("b"), Value: encode(SessionRow{Incarnation: "b-2", Counter: 1}), Version: 2}
-	m.RowsRead(start, m.read.id, []platform.Row{row}, nil)
+	m.Committed(start, c.ID, infra.CommitResult{Status: infra.CommitApplied, Version: 1})
+	row := infra.Row{Key: SessionKey("b"), Value: encode(SessionRow{Incarnation: "b-2", Counter: 1}), Version: 2}
+	m.RowsRead(start, m.read.id, []infra.Row{row}, nil)
 	now := start
 	want := func(incarnation string, alive bool) {
 		t.Helper()
@@ -31,11 +31,11 @@
 		if m.read.id == 0 {
 			t.Fatal("nothing is read")
 		}
-		m.KeysRead(now, m.read.id, []platform.Row{row}, nil, 1)
+		m.KeysRead(now, m.read.id, []infra.Row{row}, nil, 1)
 	}
 	now = now.Add(time.Millisecond)
 	want("b-1", true) // What was read before the question does not count.
-	m.KeysRead(now, m.read.id, []platform.Row{row}, nil, 1)
+	m.KeysRead(now, m.read.id, []infra.Row{row}, nil, 1)
 	want("b-1", false)
 	want("b-2", true)
 	read(2 * time.Second)
--- a/ownership/bench_test.go
+++ b/ownership/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 )
 
@@ -72,7 +72,7 @@
 }
 
 // sizeOf is the size of rows, keys and values.
-func sizeOf(rows []platform.Row) int {
+func sizeOf(rows []infra.Row) int {
 	n := 0
 	for _, row := range rows {
 		n += len(row.Key) + len(row.Value)
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // considerClaim claims a shard that this host does not own, if it may. It
@@ -84,7 +84,7 @@
 		return false
 	}
 	// A still later process of this host must win.
-	own := platform.Condition{Key: SessionKey(m.cfg.Host), Version: m.session.version}
+	own := infra.Condition{Key: SessionKey(m.cfg.Host), Version: m.session.version}
 	m.sendClaim(now, s, ShardRow{Seized: true}, &own)
 	return true
 }
@@ -175,7 +175,7 @@
 	at time.Time
 	// condition holds as long as the owner has not renewed it since; nil
 	// when the owner's process was superseded and cannot.
-	condition *platform.Condition
+	condition *infra.Condition
 	// superseded is set when a later process of the owner's host runs.
 	superseded bool
 }
@@ -195,7 +195,7 @@
 	}
 	l := lapse{at: o.since.Add(m.lapseOf(owner))}
 	if !m.flaws.noSessionCondition {
-		l.condition = &platform.Condition{Key: SessionKey(owner.Host), Version: o.version}
+		l.condition = &infra.Condition{Key: SessionKey(owner.Host), Version: o.version}
 	}
 	return l, !now.Before(l.at)
 }
@@ -207,7 +207,7 @@
 }
 
 // sendClaim sends a claim. Seized and Unconfirmed are taken from row.
-func (m *Machine) sendClaim(now time.Time, s *shardState, row ShardRow, condition *platform.Condition) {
+func (m *Machine) sendClaim(now time.Time, s *shardState, row ShardRow, condition *infra.Condition) {
 	row.Owner = m.self()
 	if row.Seized {
 		row.MaxRun = s.inFlightBound()
@@ -216,7 +216,7 @@
 	row.Successors = m.successors(s, m.cfg.Host)
 	doubtful := s.claim != nil && s.claim.doubtful
 	s.claim = &claim{sentAt: now, doubtful: doubtful, condition: condition}
-	var also []platform.Condition
+	var also []infra.Condition
 	if condition != nil {
 		also = append(also, *condition)
 	}
--- a/ownership/commit.go
+++ b/ownership/commit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // commitKind is what a transaction is for.
@@ -26,7 +26,7 @@
 }
 
 // commit asks for a transaction.
-func (m *Machine) commit(p pendingCommit, tx platform.Transaction) uint64 {
+func (m *Machine) commit(p pendingCommit, tx infra.Transaction) uint64 {
 	id := m.newID()
 	m.commits[id] = p
 	m.emit(Commit{ID: id, Tx: tx})
@@ -35,18 +35,18 @@
 
 // writeShard asks for a transaction that writes a shard's row over the version
 // known, under further conditions.
-func (m *Machine) writeShard(now time.Time, s *shardState, kind commitKind, row ShardRow, also ...platform.Condition) {
+func (m *Machine) writeShard(now time.Time, s *shardState, kind commitKind, row ShardRow, also ...infra.Condition) {
 	key := ShardKey(s.name)
 	s.triedAt = now
-	conditions := append([]platform.Condition{{Key: key, Version: s.version}}, also...)
-	s.commit = m.commit(pendingCommit{kind: kind, sentAt: now, shard: s.name, row: row}, platform.Transaction{
+	conditions := append([]infra.Condition{{Key: key, Version: s.version}}, also...)
+	s.commit = m.commit(pendingCommit{kind: kind, sentAt: now, shard: s.name, row: row}, infra.Transaction{
 		Conditions: conditions,
-		Writes:     []platform.Write{{Key: key, Value: encode(row)}},
+		Writes:     []infra.Write{{Key: key, Value: encode(row)}},
 	})
 }
 
 // Committed takes the result of a transaction in.
-func (m *Machine) Committed(now time.Time, id uint64, result platform.CommitResult) []Action {
+func (m *Machine) Committed(now time.Time, id uint64, result infra.CommitResult) []Action {
 	p, ok := m.commits[id]
 	if !ok {
 		return m.step(now)
@@ -61,16 +61,16 @@
 }
 
 // shardCommitted takes the result of a write of a shard's row in.
-func (m *Machine) shardCommitted(now time.Time, s *shardState, p pendingCommit, result platform.CommitResult) {
+func (m *Machine) shardCommitted(now time.Time, s *shardState, p pendingCommit, result infra.CommitResult) {
 	s.commit = 0
 	switch result.Status {
-	case platform.CommitApplied:
+	case infra.CommitApplied:
 		m.shardWritten(now, s, p, result.Version)
-	case platform.CommitConflict:
+	case infra.CommitConflict:
 		m.shardConflict(now, s, p, result.Conflicts)
-	case platform.CommitNotApplied:
+	case infra.CommitNotApplied:
 		m.notWritten(s, p)
-	case platform.CommitUnknown:
+	case infra.CommitUnknown:
 		m.doubt(s, p)
 	}
 }
@@ -114,7 +114,7 @@
 // shardConflict takes in that a condition of a write no longer holds. Earlier
 // attempts had the same condition or an older one, so none can take effect any
 // more; but one may have, which the row tells.
-func (m *Machine) shardConflict(now time.Time, s *shardState, p pendingCommit, rows []platform.Row) {
+func (m *Machine) shardConflict(now time.Time, s *shardState, p pendingCommit, rows []infra.Row) {
 	if p.kind == commitClaim {
 		s.claim = nil
 	}
--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // observed is another host's session as this machine sees it.
@@ -22,8 +22,8 @@
 }
 
 // observeSessions takes the session rows in.
-func (m *Machine) observeSessions(now, sentAt time.Time, rows []platform.Row) {
-	own := platform.Row{}
+func (m *Machine) observeSessions(now, sentAt time.Time, rows []infra.Row) {
+	own := infra.Row{}
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		host := hostOfKey(row.Key)
@@ -36,7 +36,7 @@
 	}
 	for host := range m.sessions {
 		if !present[host] {
-			m.observe(now, sentAt, host, platform.Row{})
+			m.observe(now, sentAt, host, infra.Row{})
 		}
 	}
 	if own.Version != 0 || !m.session.inFlight {
@@ -46,7 +46,7 @@
 
 // observe takes one host's session row in, as found by a request sent at
 // sentAt; version 0 for its absence.
-func (m *Machine) observe(now, sentAt time.Time, host string, row platform.Row) {
+func (m *Machine) observe(now, sentAt time.Time, host string, row infra.Row) {
 	o := m.sessions[host]
 	if o == nil {
 		o = &observed{since: now, incarnationSince: now, version: row.Version}
@@ -72,7 +72,7 @@
 }
 
 // shardSeen takes a shard's row in, as found by a request sent at sentAt.
-func (m *Machine) shardSeen(now, sentAt time.Time, row platform.Row) {
+func (m *Machine) shardSeen(now, sentAt time.Time, row infra.Row) {
 	s := m.shard(shardOfKey(row.Key))
 	if row.Version < s.version {
 		return
@@ -129,7 +129,7 @@
 }
 
 // settleAbsent notes that shards without a row were looked for.
-func (m *Machine) settleAbsent(sentAt time.Time, rows []platform.Row) {
+func (m *Machine) settleAbsent(sentAt time.Time, rows []infra.Row) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[shardOfKey(row.Key)] = true
--- a/ownership/read.go
+++ b/ownership/read.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Bounds on a regular read.
@@ -155,7 +155,7 @@
 }
 
 // RowsRead takes in the rows of a full read.
-func (m *Machine) RowsRead(now time.Time, id uint64, sessions, shards []platform.Row) []Action {
+func (m *Machine) RowsRead(now time.Time, id uint64, sessions, shards []infra.Row) []Action {
 	if m.read.id != id {
 		return m.step(now)
 	}
@@ -175,7 +175,7 @@
 
 // KeysRead takes in the rows of a read by key, version 0 for those that are
 // absent, and of a page of the slow scan.
-func (m *Machine) KeysRead(now time.Time, id uint64, rows, page []platform.Row, limit int) []Action {
+func (m *Machine) KeysRead(now time.Time, id uint64, rows, page []infra.Row, limit int) []Action {
 	if m.read.id != id {
 		return m.step(now)
 	}
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // sessionState is this host's own session.
@@ -65,25 +65,25 @@
 	if m.stopping && s.stopCounter == 0 {
 		s.stopCounter = s.counter
 	}
-	m.commit(pendingCommit{kind: commitSession, counter: s.counter, sentAt: now}, platform.Transaction{
-		Conditions: []platform.Condition{{Key: key, Version: s.version}},
-		Writes:     []platform.Write{{Key: key, Value: encode(value)}},
+	m.commit(pendingCommit{kind: commitSession, counter: s.counter, sentAt: now}, infra.Transaction{
+		Conditions: []infra.Condition{{Key: key, Version: s.version}},
+		Writes:     []infra.Write{{Key: key, Value: encode(value)}},
 	})
 }
 
 // sessionCommitted takes the result of a renewal.
-func (m *Machine) sessionCommitted(now time.Time, p pendingCommit, result platform.CommitResult) {
+func (m *Machine) sessionCommitted(now time.Time, p pendingCommit, result infra.CommitResult) {
 	m.session.inFlight = false
 	switch result.Status {
-	case platform.CommitApplied:
+	case infra.CommitApplied:
 		m.adoptSession(now, result.Version, p.counter)
-	case platform.CommitConflict:
+	case infra.CommitConflict:
 		for _, row := range result.Conflicts {
 			m.ownSessionSeen(now, row)
 		}
-	case platform.CommitNotApplied:
+	case infra.CommitNotApplied:
 		delete(m.session.sentAt, p.counter)
-	case platform.CommitUnknown:
+	case infra.CommitUnknown:
 		// The row tells, by its counter, when it is next read or when the
 		// next renewal conflicts with it.
 	}
@@ -91,7 +91,7 @@
 
 // ownSessionSeen takes the own session row in, as found by a read or as the
 // cause of a conflict.
-func (m *Machine) ownSessionSeen(now time.Time, row platform.Row) {
+func (m *Machine) ownSessionSeen(now time.Time, row infra.Row) {
 	s := &m.session
 	if s.known && row.Version == s.version {
 		return
--- a/ownership/session_test.go
+++ b/ownership/session_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -33,7 +33,7 @@
 	const answer = 3 * time.Second
 	for late, f := range map[time.Duration]flaws{0: {}, answer: {expiryFromAnswer: true}} {
 		m, c := renewal(t, start, f)
-		m.Committed(start.Add(answer), c.ID, platform.CommitResult{Status: platform.CommitApplied, Version: 1})
+		m.Committed(start.Add(answer), c.ID, infra.CommitResult{Status: infra.CommitApplied, Version: 1})
 		if got := m.session.liveUntil.Sub(start); got != session+late {
 			t.Errorf("flaws %+v: the session lives for %v after sending", f, got)
 		}
@@ -43,13 +43,13 @@
 func TestLostRenewalIsReadBack(t *testing.T) {
 	start := time.Unix(1000, 0)
 	m, c := renewal(t, start, flaws{})
-	m.Committed(start.Add(time.Second), c.ID, platform.CommitResult{})
+	m.Committed(start.Add(time.Second), c.ID, infra.CommitResult{})
 	if m.sessionLive(start.Add(time.Second)) {
 		t.Fatal("a session lives by a renewal of unknown result")
 	}
-	row := platform.Row{Key: SessionKey("a"), Value: c.Tx.Writes[0].Value, Version: 9}
+	row := infra.Row{Key: SessionKey("a"), Value: c.Tx.Writes[0].Value, Version: 9}
 	m.Tick(start.Add(2 * time.Second))
-	m.KeysRead(start.Add(2*time.Second), m.read.id, []platform.Row{row}, nil, 1)
+	m.KeysRead(start.Add(2*time.Second), m.read.id, []infra.Row{row}, nil, 1)
 	if want := start.Add(settings.Default().Lease.Session.D()); !m.session.liveUntil.Equal(want) || m.session.version != 9 {
 		t.Errorf("lives until %v with version %d", m.session.liveUntil, m.session.version)
 	}
@@ -58,9 +58,9 @@
 func TestLaterProcessReplaces(t *testing.T) {
 	start := time.Unix(1000, 0)
 	m, c := renewal(t, start, flaws{})
-	m.Committed(start, c.ID, platform.CommitResult{Status: platform.CommitApplied, Version: 1})
-	other := platform.Row{Key: SessionKey("a"), Value: encode(SessionRow{Incarnation: "a-2", Counter: 1}), Version: 5}
-	m.RowsRead(start, m.read.id, []platform.Row{other}, nil)
+	m.Committed(start, c.ID, infra.CommitResult{Status: infra.CommitApplied, Version: 1})
+	other := infra.Row{Key: SessionKey("a"), Value: encode(SessionRow{Incarnation: "a-2", Counter: 1}), Version: 5}
+	m.RowsRead(start, m.read.id, []infra.Row{other}, nil)
 	if !m.excluded() || m.sessionLive(start) {
 		t.Error("goes on beside a later process of its host")
 	}
--- a/ownership/shardstate.go
+++ b/ownership/shardstate.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 )
 
@@ -71,7 +71,7 @@
 	doubtful bool
 	// condition is the lapsed session that the newest attempt depends on,
 	// nil if none.
-	condition *platform.Condition
+	condition *infra.Condition
 }
 
 // move is a planned release of a shard.
--- a/ownership/simhost_test.go
+++ b/ownership/simhost_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -25,7 +25,7 @@
 	incarnation int
 	machine     *Machine
 	roster      roster.Roster
-	newest      platform.MemberList
+	newest      infra.MemberList
 	// pausedUntil is when a pause ends.
 	pausedUntil time.Time
 	storeCut    bool
@@ -61,7 +61,7 @@
 }
 
 // readList has the host read a list after a lag.
-func (h *simHost) readList(lag time.Duration, list platform.MemberList) {
+func (h *simHost) readList(lag time.Duration, list infra.MemberList) {
 	h.w.after(lag, func() {
 		if list.Revision < h.newest.Revision {
 			return
@@ -103,7 +103,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Commit:
-			h.commit(a.Tx, func(r platform.CommitResult) { h.do(h.machine.Committed(h.clock(), a.ID, r)) })
+			h.commit(a.Tx, func(r infra.CommitResult) { h.do(h.machine.Committed(h.clock(), a.ID, r)) })
 		case Read:
 			h.read(a)
 		case AskPromise:
@@ -170,18 +170,18 @@
 
 // commit sends a transaction. It may take effect though the answer is lost or
 // comes too late.
-func (h *simHost) commit(tx platform.Transaction, done func(platform.CommitResult)) {
+func (h *simHost) commit(tx infra.Transaction, done func(infra.CommitResult)) {
 	h.w.writes++
-	first := h.once(time.Second, func() { done(platform.CommitResult{}) })
+	first := h.once(time.Second, func() { done(infra.CommitResult{}) })
 	h.w.after(h.delay(), func() {
 		if h.storeFails() {
 			if h.w.chance(50) {
-				h.later(0, func() { first(func() { done(platform.CommitResult{Status: platform.CommitNotApplied}) }) })
+				h.later(0, func() { first(func() { done(infra.CommitResult{Status: infra.CommitNotApplied}) }) })
 			}
 			return
 		}
 		result := h.w.table.commit(tx)
-		if result.Status == platform.CommitApplied {
+		if result.Status == infra.CommitApplied {
 			h.w.ownersChanged(tx)
 		}
 		if h.w.chance(h.w.lossy) || h.w.chance(h.deaf) {
@@ -195,7 +195,7 @@
 func (h *simHost) read(a Read) {
 	first := h.once(time.Second, func() { h.do(h.machine.ReadFailed(h.clock(), a.ID)) })
 	h.w.after(h.delay(), func() {
-		var one, two []platform.Row
+		var one, two []infra.Row
 		if a.Full {
 			one = h.w.table.scan(SessionPrefix)
 		} else {
@@ -208,7 +208,7 @@
 			h.w.reads++
 			two = h.w.table.scan(ShardPrefix)
 			if !a.Full {
-				two = slices.DeleteFunc(two, func(r platform.Row) bool { return r.Key <= a.After })
+				two = slices.DeleteFunc(two, func(r infra.Row) bool { return r.Key <= a.After })
 				two = two[:min(a.Limit, len(two))]
 			}
 			h.w.readBytes += sizeOf(one) + sizeOf(two)
--- a/ownership/simtraffic_test.go
+++ b/ownership/simtraffic_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 )
 
@@ -110,7 +110,7 @@
 }
 
 // ownersChanged notes the owners that a transaction has given shards.
-func (w *world) ownersChanged(tx platform.Transaction) {
+func (w *world) ownersChanged(tx infra.Transaction) {
 	for _, wr := range tx.Writes {
 		row, err := DecodeShardRow(wr.Value)
 		if err != nil || !strings.HasPrefix(wr.Key, ShardPrefix) {
@@ -130,13 +130,13 @@
 		return
 	}
 	h.renewTasks(g)
-	tx := platform.Transaction{Conditions: []platform.Condition{{Key: ShardKey(g.Shard), Version: g.Version}}}
+	tx := infra.Transaction{Conditions: []infra.Condition{{Key: ShardKey(g.Shard), Version: g.Version}}}
 	if h.w.unfenced {
 		tx.Conditions = nil
 	}
 	h.later(h.w.between(0, 5), func() {
 		h.w.after(h.delay(), func() {
-			if h.storeFails() || h.w.table.commit(tx).Status != platform.CommitApplied {
+			if h.storeFails() || h.w.table.commit(tx).Status != infra.CommitApplied {
 				return
 			}
 			h.w.commits++
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -31,7 +31,7 @@
 	// idle leaves the traffic out.
 	idle  bool
 	hosts []*simHost
-	list  platform.MemberList
+	list  infra.MemberList
 	// cut holds the pairs of hosts that cannot talk.
 	cut map[[2]string]bool
 	// lossy is the chance in percent that an answer is lost.
@@ -67,11 +67,11 @@
 		flaws: f, endpoints: map[string]*simShard{},
 	}
 	w.lease.EndpointShards, w.lease.WorkerShardsPerZone = 1, 1
-	w.table.rows = map[string]platform.Row{}
+	w.table.rows = map[string]infra.Row{}
 	for i := range shards {
 		w.list.Members = append(w.list.Members,
-			platform.Member{Kind: platform.Endpoint, Name: fmt.Sprint("e", i), Service: fmt.Sprint("s", i), State: platform.Live},
-			platform.Member{Kind: platform.Worker, Name: fmt.Sprint("w", i), Zone: fmt.Sprint("z", i), State: platform.Live})
+			infra.Member{Kind: infra.Endpoint, Name: fmt.Sprint("e", i), Service: fmt.Sprint("s", i), State: infra.Live},
+			infra.Member{Kind: infra.Worker, Name: fmt.Sprint("w", i), Zone: fmt.Sprint("z", i), State: infra.Live})
 	}
 	for i := range n {
 		h := &simHost{w: w, name: fmt.Sprint("h", i), zone: fmt.Sprint(i % 3), lease: w.lease, maxRun: w.maxRun}
@@ -87,10 +87,10 @@
 // enlist puts a host on the list or drops it, and tells everyone with a lag.
 func (w *world) enlist(h *simHost, on bool) {
 	w.list.Revision++
-	w.list.Members = slices.DeleteFunc(slices.Clone(w.list.Members), func(m platform.Member) bool { return m.Name == h.name })
+	w.list.Members = slices.DeleteFunc(slices.Clone(w.list.Members), func(m infra.Member) bool { return m.Name == h.name })
 	if on {
-		w.list.Members = append(w.list.Members, platform.Member{
-			Kind: platform.EntryHost, Name: h.name, Zone: h.zone, State: platform.Live,
+		w.list.Members = append(w.list.Members, infra.Member{
+			Kind: infra.EntryHost, Name: h.name, Zone: h.zone, State: infra.Live,
 		})
 	}
 	list := w.list
@@ -158,13 +158,13 @@
 
 // simTable is the table service.
 type simTable struct {
-	rows    map[string]platform.Row
+	rows    map[string]infra.Row
 	version uint64
 }
 
 // commit applies a transaction.
-func (t *simTable) commit(tx platform.Transaction) platform.CommitResult {
-	var conflicts []platform.Row
+func (t *simTable) commit(tx infra.Transaction) infra.CommitResult {
+	var conflicts []infra.Row
 	for _, c := range tx.Conditions {
 		if row := t.rows[c.Key]; row.Version != c.Version {
 			row.Key = c.Key
@@ -172,18 +172,18 @@
 		}
 	}
 	if conflicts != nil {
-		return platform.CommitResult{Status: platform.CommitConflict, Conflicts: conflicts}
+		return infra.CommitResult{Status: infra.CommitConflict, Conflicts: conflicts}
 	}
 	t.version++
 	for _, wr := range tx.Writes {
-		t.rows[wr.Key] = platform.Row{Key: wr.Key, Value: wr.Value, Version: t.version}
+		t.rows[wr.Key] = infra.Row{Key: wr.Key, Value: wr.Value, Version: t.version}
 	}
-	return platform.CommitResult{Status: platform.CommitApplied, Version: t.version}
+	return infra.CommitResult{Status: infra.CommitApplied, Version: t.version}
 }
 
 // get returns rows by key, version 0 for absent ones.
-func (t *simTable) get(keys []string) []platform.Row {
-	rows := make([]platform.Row, len(keys))
+func (t *simTable) get(keys []string) []infra.Row {
+	rows := make([]infra.Row, len(keys))
 	for i, key := range keys {
 		rows[i] = t.rows[key]
 		rows[i].Key = key
@@ -192,14 +192,14 @@
 }
 
 // scan returns the rows under a prefix.
-func (t *simTable) scan(prefix string) []platform.Row {
-	var rows []platform.Row
+func (t *simTable) scan(prefix string) []infra.Row {
+	var rows []infra.Row
 	for key, row := range t.rows {
 		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return cmpString(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b infra.Row) int { return cmpString(a.Key, b.Key) })
 	return rows
 }
 
--- a/placement/action.go
+++ b/placement/action.go
@@ -1,6 +1,6 @@
 package placement
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // ActionKind is what a plan asks for.
 type ActionKind uint8
@@ -24,7 +24,7 @@
 	Percent int
 	// Resources is what a start reserves, which may differ from what the
 	// job declares.
-	Resources platform.Resources
+	Resources infra.Resources
 	// Reason says why, for people.
 	Reason string
 }
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -43,7 +43,7 @@
 	s := task.Spec{
 		ID: fmt.Sprint("job-", f.next), Team: fmt.Sprint("team-", f.rng.IntN(46)),
 		Class: fmt.Sprint("class-", f.rng.IntN(8)), QoS: task.Batch, RunMS: 600_000,
-		Resources: platform.Resources{MilliCPU: cores * 1000, MemoryMB: cores * (2000 + f.rng.Int64N(3000))},
+		Resources: infra.Resources{MilliCPU: cores * 1000, MemoryMB: cores * (2000 + f.rng.Int64N(3000))},
 		// Waited long enough to be placed in spite of harm: what is
 		// measured is the search.
 		SubmittedUnixMS: f.now.Add(-24 * time.Hour).UnixMilli(),
--- a/placement/colocation_test.go
+++ b/placement/colocation_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/eviction"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -89,7 +89,7 @@
 		s.Enqueue(epoch, spec)
 		s.Plan(epoch, 1)
 		s.Observe(Usage{Host: testHost(0).Name, At: epoch, Jobs: []JobUsage{{
-			Job: spec.ID, Used: platform.Resources{MilliCPU: 2000, MemoryMB: 2000},
+			Job: spec.ID, Used: infra.Resources{MilliCPU: 2000, MemoryMB: 2000},
 		}}})
 		s.Release(epoch.Add(time.Minute), spec.ID, true)
 	}
--- a/placement/fake_test.go
+++ b/placement/fake_test.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -121,8 +121,8 @@
 }
 
 // free is what is left of a host by declared sizes.
-func (f *fake) free(host int) platform.Resources {
-	left := platform.Resources{MilliCPU: fakeCores * 1000, MemoryMB: 250_000}
+func (f *fake) free(host int) infra.Resources {
+	left := infra.Resources{MilliCPU: fakeCores * 1000, MemoryMB: 250_000}
 	left.MilliCPU -= f.hosts[host].total() * 8000
 	left.MemoryMB -= f.hosts[host].total() * 16_000
 	for _, t := range f.hosts[host].tasks {
@@ -149,7 +149,7 @@
 		t.spec = task.Spec{
 			ID: fmt.Sprint("job-", f.next), Team: "routes", Class: fmt.Sprint("class-", class), QoS: task.Batch,
 			RunMS: int64(1000 * t.work),
-			Resources: platform.Resources{
+			Resources: infra.Resources{
 				MilliCPU: int64(1000 * t.cores * f.declared), MemoryMB: int64(t.memory * f.declared),
 			},
 			SubmittedUnixMS: epoch.Add(time.Duration(second) * time.Second).UnixMilli(),
@@ -196,7 +196,7 @@
 	for _, t := range h.tasks {
 		usage.Jobs = append(usage.Jobs, JobUsage{
 			Job: t.spec.ID, DoneMS: int64(1000 * t.done),
-			Used: platform.Resources{MilliCPU: int64(1000 * t.cores * t.percent * speed), MemoryMB: int64(t.memory)},
+			Used: infra.Resources{MilliCPU: int64(1000 * t.cores * t.percent * speed), MemoryMB: int64(t.memory)},
 		})
 		t.done += t.percent * speed
 		if t.done-t.saved >= fakeSave {
--- a/placement/host.go
+++ b/placement/host.go
@@ -1,6 +1,6 @@
 package placement
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // Host is a worker host as the planner knows it.
 type Host struct {
@@ -8,7 +8,7 @@
 	Zone string
 	Rack string
 	// Capacity is what the host holds.
-	Capacity platform.Resources
+	Capacity infra.Resources
 	// Unschedulable is why no new task goes there, such as "leaving",
 	// "unreachable" or "quarantined"; empty if it may.
 	Unschedulable string
--- a/placement/jobs.go
+++ b/placement/jobs.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -67,7 +67,7 @@
 }
 
 // AdoptSized is Adopt where it is known what the run reserves.
-func (s *Scheduler) AdoptSized(spec task.Spec, host string, size platform.Resources) {
+func (s *Scheduler) AdoptSized(spec task.Spec, host string, size infra.Resources) {
 	if r, running := s.runs[spec.ID]; running {
 		s.vacate(r)
 	}
--- a/placement/never_fits.go
+++ b/placement/never_fits.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -26,7 +26,7 @@
 			continue
 		}
 		lack := q.lack(kind.capacity)
-		if lack == (platform.Resources{}) {
+		if lack == (infra.Resources{}) {
 			return "", false
 		}
 		distance := shortfall(lack, q.size)
@@ -42,20 +42,20 @@
 }
 
 // lack is what an empty host of a capacity is short of, in each resource.
-func (q *request) lack(capacity platform.Resources) platform.Resources {
+func (q *request) lack(capacity infra.Resources) infra.Resources {
 	usable := capacity
 	usable.MilliCPU -= q.headroom(capacity.MilliCPU)
-	return larger(q.size.Sub(usable), platform.Resources{})
+	return larger(q.size.Sub(usable), infra.Resources{})
 }
 
 // shortfall sums what lacks as shares of what is asked for.
-func shortfall(lack, asked platform.Resources) float64 {
+func shortfall(lack, asked infra.Resources) float64 {
 	return ratio(lack.MilliCPU, asked.MilliCPU) +
 		ratio(lack.MemoryMB, asked.MemoryMB) +
 		ratio(lack.Accelerators, asked.Accelerators)
 }
 
-func lackText(lack platform.Resources) string {
+func lackText(lack infra.Resources) string {
 	var parts []string
 	if lack.MilliCPU > 0 {
 		parts = append(parts, fmt.Sprintf("%d thousandths of a core", lack.MilliCPU))
@@ -96,7 +96,7 @@
 	return list
 }
 
-func compareResources(a, b platform.Resources) int {
+func compareResources(a, b infra.Resources) int {
 	switch {
 	case a.MilliCPU != b.MilliCPU:
 		return cmp.Compare(a.MilliCPU, b.MilliCPU)
--- a/placement/node.go
+++ b/placement/node.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/fireflygate/fireflygate/eviction"
 	"github.com/fireflygate/fireflygate/interference"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -11,13 +11,13 @@
 type node struct {
 	host Host
 	// reserved is the sum over runs.
-	reserved platform.Resources
+	reserved infra.Resources
 	// criticals counts the latency-critical runs, which reserve critical of
 	// the processors.
 	criticals int
 	critical  int64
 	// held is kept for urgent jobs that wait for their victims' release.
-	held platform.Resources
+	held infra.Resources
 	runs []*run
 	// nominees are the urgent jobs that held is for.
 	nominees []*pending
@@ -46,7 +46,7 @@
 }
 
 // free is what is neither reserved nor held; it may be negative after Adopt.
-func (n *node) free() platform.Resources {
+func (n *node) free() infra.Resources {
 	return n.host.Capacity.Sub(n.reserved).Sub(n.held)
 }
 
--- a/placement/nominate.go
+++ b/placement/nominate.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // nominationLimit is how long an urgent job waits for its victims before it
@@ -12,7 +12,7 @@
 const nominationLimit = 30 * time.Second
 
 // nominate holds size on n for a job until its victims are released.
-func (s *Scheduler) nominate(now time.Time, j *pending, n *node, size platform.Resources) {
+func (s *Scheduler) nominate(now time.Time, j *pending, n *node, size infra.Resources) {
 	s.queue.remove(j)
 	j.nominated, j.held = n, size
 	j.nominatedUnixMS = now.UnixMilli()
@@ -33,7 +33,7 @@
 	n.nominees = without(n.nominees, j)
 	s.nominees = without(s.nominees, j)
 	s.queue.remove(j)
-	j.nominated, j.held = nil, platform.Resources{}
+	j.nominated, j.held = nil, infra.Resources{}
 	s.queue.add(j)
 	s.refresh(n)
 }
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -1,6 +1,6 @@
 package placement
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // learnEvery is after how many reports a long run's peak is learned from and
 // begun anew.
@@ -36,12 +36,12 @@
 		return
 	}
 	s.sizes.LearnSize(r.spec, r.peak)
-	r.peak, r.reports = platform.Resources{}, 0
+	r.peak, r.reports = infra.Resources{}, 0
 }
 
 // larger is the larger of each resource.
-func larger(a, b platform.Resources) platform.Resources {
-	return platform.Resources{
+func larger(a, b infra.Resources) infra.Resources {
+	return infra.Resources{
 		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
 		MemoryMB:     max(a.MemoryMB, b.MemoryMB),
 		Accelerators: max(a.Accelerators, b.Accelerators),
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -20,7 +20,7 @@
 	avoid       map[string]bool
 	// nominated is the node that victims are leaving for its sake.
 	nominated *node
-	held      platform.Resources
+	held      infra.Resources
 	// nominatedUnixMS is since when.
 	nominatedUnixMS int64
 }
@@ -40,8 +40,8 @@
 	team      string
 	class     string
 	qos       task.QoS
-	resources platform.Resources
-	floor     platform.Resources
+	resources infra.Resources
+	floor     infra.Resources
 	zones     string
 	// alone is the job's id if it avoids hosts or has a node nominated, and
 	// so is like no other.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/forecast"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -25,7 +25,7 @@
 	Withdraw(job string)
 	// AdoptSized records that a job occupies host, where it reserves size, as
 	// replay found it. It is recorded even if it does not fit.
-	AdoptSized(s task.Spec, host string, size platform.Resources)
+	AdoptSized(s task.Spec, host string, size infra.Resources)
 	// Release frees what a job occupies. With done, its run time and usage
 	// are learned from.
 	Release(now time.Time, job string, done bool)
@@ -42,9 +42,9 @@
 	SetAllotment(team string, allotment quota.Amount)
 	// TeamUsage is what team reserves in this shard and what its pending jobs
 	// ask for besides.
-	TeamUsage(team string) (used, pending platform.Resources)
+	TeamUsage(team string) (used, pending infra.Resources)
 	// Capacity is what all hosts hold together.
-	Capacity() platform.Resources
+	Capacity() infra.Resources
 	// Forecast foresees every event as far as this shard goes, by learned run
 	// times.
 	Forecast(now time.Time) []forecast.Report
--- a/placement/policy_change_test.go
+++ b/placement/policy_change_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/interference"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -34,7 +34,7 @@
 	for i := range 10 {
 		spec := batchSpec(fmt.Sprint("learn-", i), 4, 1)
 		s.AdoptSized(spec, testHost(0).Name, spec.Resources)
-		s.Observe(Usage{Host: testHost(0).Name, At: now, Jobs: []JobUsage{{Job: spec.ID, Used: platform.Resources{MilliCPU: 2000, MemoryMB: 1000}}}})
+		s.Observe(Usage{Host: testHost(0).Name, At: now, Jobs: []JobUsage{{Job: spec.ID, Used: infra.Resources{MilliCPU: 2000, MemoryMB: 1000}}}})
 		s.Release(now, spec.ID, true)
 		s.model.Learn("haggle", interference.Load{Batch: []interference.Share{{Class: "plan", Part: 0.5}}}, 10)
 	}
--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -70,7 +70,7 @@
 			}
 			p.s.Adopt(task.Spec{
 				ID: fmt.Sprint(fakeService(service), "-", host), Class: fakeService(service), QoS: task.LatencyCritical,
-				Resources: platform.Resources{MilliCPU: 8000, MemoryMB: 16_000},
+				Resources: infra.Resources{MilliCPU: 8000, MemoryMB: 16_000},
 			}, h.Name)
 		}
 	}
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -94,7 +94,7 @@
 	candidates := s.evictable(now, n)
 	var chosen []*run
 	for _, r := range candidates {
-		if missing.Fits(platform.Resources{}) {
+		if missing.Fits(infra.Resources{}) {
 			break
 		}
 		if helps(r.size, missing) {
@@ -102,7 +102,7 @@
 			missing = missing.Sub(r.size)
 		}
 	}
-	if !missing.Fits(platform.Resources{}) {
+	if !missing.Fits(infra.Resources{}) {
 		return nil, 0
 	}
 	chosen = spare(chosen, missing)
@@ -117,7 +117,7 @@
 }
 
 // helps reports whether size frees something that is missing.
-func helps(size, missing platform.Resources) bool {
+func helps(size, missing infra.Resources) bool {
 	return missing.MilliCPU > 0 && size.MilliCPU > 0 ||
 		missing.MemoryMB > 0 && size.MemoryMB > 0 ||
 		missing.Accelerators > 0 && size.Accelerators > 0
@@ -125,10 +125,10 @@
 
 // spare drops victims that turned out not to be needed, the greatest loss
 // first. What is missing is negative where more is freed than needed.
-func spare(chosen []*run, missing platform.Resources) []*run {
+func spare(chosen []*run, missing infra.Resources) []*run {
 	for i := len(chosen) - 1; i >= 0; i-- {
 		without := missing.Add(chosen[i].size)
-		if without.Fits(platform.Resources{}) {
+		if without.Fits(infra.Resources{}) {
 			missing = without
 			chosen = slices.Delete(chosen, i, i+1)
 		}
--- a/placement/request.go
+++ b/placement/request.go
@@ -3,14 +3,14 @@
 import (
 	"slices"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
 // request is what a pending job asks of a host, with sizes as estimated now.
 type request struct {
 	spec task.Spec
-	size platform.Resources
+	size infra.Resources
 	// reserve is the share of processors that batch must leave free.
 	reserve float64
 	avoid   map[string]bool
@@ -18,7 +18,7 @@
 	due bool
 	// own is what the node nominated holds for this job.
 	nominated *node
-	own       platform.Resources
+	own       infra.Resources
 	// mostGathered is how many of its class may be gathered on one host.
 	mostGathered int
 }
--- a/placement/run.go
+++ b/placement/run.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -15,11 +15,11 @@
 	spec task.Spec
 	node *node
 	// size is what was reserved; it does not change during the run.
-	size platform.Resources
+	size infra.Resources
 	// peak is the most that it was seen to use since it was last learned.
-	peak platform.Resources
+	peak infra.Resources
 	// used is what it was last seen to use; it lags.
-	used platform.Resources
+	used infra.Resources
 	// reports counts reports since peak was last learned.
 	reports int32
 	// percent is the share of its processors that it has; 100 in full.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -8,7 +8,7 @@
 	"github.com/fireflygate/fireflygate/eviction"
 	"github.com/fireflygate/fireflygate/forecast"
 	"github.com/fireflygate/fireflygate/interference"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 )
 
@@ -23,7 +23,7 @@
 	index    index
 	unfit    equivalence
 	shapes   shapes
-	capacity platform.Resources
+	capacity infra.Resources
 	runs     map[string]*run
 	queue    queue
 	turns    turns
@@ -85,7 +85,7 @@
 }
 
 // Capacity implements Planner.
-func (s *Scheduler) Capacity() platform.Resources { return s.capacity }
+func (s *Scheduler) Capacity() infra.Resources { return s.capacity }
 
 // SetAllotment bounds what team may reserve in this shard, as package quota
 // divided it.
@@ -95,7 +95,7 @@
 
 // TeamUsage is what team reserves in this shard and what its pending jobs ask
 // for besides, for dividing quotas by demand.
-func (s *Scheduler) TeamUsage(team string) (used, pending platform.Resources) {
+func (s *Scheduler) TeamUsage(team string) (used, pending infra.Resources) {
 	used = s.teams.get(team).used
 	for _, g := range s.queue.groups {
 		if g.key.team != team {
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -7,13 +7,13 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
 var epoch = time.Unix(1_800_000_000, 0)
 
-var wholeHost = platform.Resources{MilliCPU: 64_000, MemoryMB: 250_000}
+var wholeHost = infra.Resources{MilliCPU: 64_000, MemoryMB: 250_000}
 
 func testHost(i int) Host {
 	return Host{
@@ -27,7 +27,7 @@
 func batchSpec(id string, cores, gigabytes int64) task.Spec {
 	return task.Spec{
 		ID: id, Team: "routes", Class: "plan", QoS: task.Batch, RunMS: 60_000,
-		Resources: platform.Resources{MilliCPU: cores * 1000, MemoryMB: gigabytes * 1000},
+		Resources: infra.Resources{MilliCPU: cores * 1000, MemoryMB: gigabytes * 1000},
 	}
 }
 
@@ -36,7 +36,7 @@
 func requireWithinCapacity(t testing.TB, s *Scheduler) {
 	t.Helper()
 	for _, n := range s.order {
-		var sum platform.Resources
+		var sum infra.Resources
 		for _, r := range n.runs {
 			sum = sum.Add(r.size)
 		}
@@ -98,7 +98,7 @@
 		}
 		s.SetHost(h)
 	case 4:
-		use := platform.Resources{MilliCPU: rng.Int64N(30_000), MemoryMB: rng.Int64N(90_000)}
+		use := infra.Resources{MilliCPU: rng.Int64N(30_000), MemoryMB: rng.Int64N(90_000)}
 		s.Observe(Usage{Host: testHost(rng.IntN(12)).Name, At: now, Jobs: []JobUsage{{Job: id, Used: use}}})
 	default:
 		spec := batchSpec(fmt.Sprintf("job-%d", step), 1+rng.Int64N(30), 1+rng.Int64N(100))
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
@@ -117,7 +117,7 @@
 func (sc *script) host(d *datadriven.TestData) Host {
 	return Host{
 		Name: sc.text(d, "name"), Zone: sc.optional(d, "zone"), Rack: sc.optional(d, "rack"),
-		Capacity: platform.Resources{
+		Capacity: infra.Resources{
 			MilliCPU:     sc.number(d, "cpu", 64) * 1000,
 			MemoryMB:     sc.number(d, "mem", 256) * 1000,
 			Accelerators: sc.number(d, "acc", 0),
@@ -161,7 +161,7 @@
 	if d.HasArg("id") {
 		u.Jobs = []JobUsage{{
 			Job:    sc.text(d, "id"),
-			Used:   platform.Resources{MilliCPU: sc.number(d, "cpu", 4) * 1000, MemoryMB: 1000},
+			Used:   infra.Resources{MilliCPU: sc.number(d, "cpu", 4) * 1000, MemoryMB: 1000},
 			DoneMS: sc.number(d, "done", 0) * 1000,
 		}}
 	}
--- a/placement/shapes.go
+++ b/placement/shapes.go
@@ -1,11 +1,11 @@
 package placement
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // shape is a kind of host: those of one shape hold the same when empty.
 type shape struct {
 	zone     string
-	capacity platform.Resources
+	capacity infra.Resources
 }
 
 // shapes counts the known hosts by shape, so that a job that can never run is
--- a/placement/teams.go
+++ b/placement/teams.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -9,7 +9,7 @@
 // team is what one team uses of the shard and may use.
 type team struct {
 	weight float64
-	used   platform.Resources
+	used   infra.Resources
 	// quota bounds the team in all shards together, allotment in this one.
 	quota     quota.Amount
 	allotment quota.Amount
@@ -50,7 +50,7 @@
 }
 
 // share is the team's dominant share of capacity over its weight.
-func (t *teams) share(name string, capacity platform.Resources) float64 {
+func (t *teams) share(name string, capacity infra.Resources) float64 {
 	entry := t.get(name)
 	dominant := max(
 		ratio(entry.used.MilliCPU, capacity.MilliCPU),
@@ -62,7 +62,7 @@
 
 // allows reports whether the team's quota and its part of it here leave room
 // for more.
-func (t *teams) allows(name string, more platform.Resources) bool {
+func (t *teams) allows(name string, more infra.Resources) bool {
 	entry := t.get(name)
 	return entry.quota.Allows(entry.used, more) && entry.allotment.Allows(entry.used, more)
 }
--- a/placement/usage.go
+++ b/placement/usage.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // JobUsage is what one run used.
 type JobUsage struct {
 	Job  string
-	Used platform.Resources
+	Used infra.Resources
 	// DoneMS is the work done so far, in milliseconds at full speed.
 	DoneMS int64
 }
--- a/quota/allotment.go
+++ b/quota/allotment.go
@@ -1,6 +1,6 @@
 package quota
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // Allotment is what one shard's owner keeps of one team: the part of the
 // team's quota that it may reserve. Versions are those of the team's division
@@ -47,7 +47,7 @@
 }
 
 // Lower gives up what is held above target and not used.
-func (a *Allotment) Lower(target Amount, used platform.Resources) {
+func (a *Allotment) Lower(target Amount, used infra.Resources) {
 	if target.MilliCPU >= 0 {
 		a.milliCPU.Lower(max(target.MilliCPU, used.MilliCPU))
 	}
--- a/quota/amount.go
+++ b/quota/amount.go
@@ -1,6 +1,6 @@
 package quota
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // Unlimited is the amount of a resource without a quota.
 const Unlimited = -1
@@ -30,7 +30,7 @@
 func (a Amount) Bounded() bool { return a.MilliCPU >= 0 || a.MemoryMB >= 0 }
 
 // Allows reports whether a team that uses used may use more besides.
-func (a Amount) Allows(used, more platform.Resources) bool {
+func (a Amount) Allows(used, more infra.Resources) bool {
 	if a.MilliCPU >= 0 && used.MilliCPU+more.MilliCPU > a.MilliCPU {
 		return false
 	}
--- a/quota/divide_test.go
+++ b/quota/divide_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 func TestDivide(t *testing.T) {
@@ -159,8 +159,8 @@
 }
 
 func TestAmountAllows(t *testing.T) {
-	used := platform.Resources{MilliCPU: 800, MemoryMB: 100}
-	more := platform.Resources{MilliCPU: 200, MemoryMB: 100}
+	used := infra.Resources{MilliCPU: 800, MemoryMB: 100}
+	more := infra.Resources{MilliCPU: 200, MemoryMB: 100}
 	tests := []struct {
 		amount Amount
 		want   bool
--- a/quota/division.go
+++ b/quota/division.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Division is the table's word on one team: what each shard may hold of its
@@ -71,17 +71,17 @@
 // resource reads one resource of each kind of amount.
 type resource struct {
 	amount func(Amount) int64
-	of     func(platform.Resources) int64
+	of     func(infra.Resources) int64
 }
 
 var (
 	milliCPUOf = resource{
 		amount: func(a Amount) int64 { return a.MilliCPU },
-		of:     func(r platform.Resources) int64 { return r.MilliCPU },
+		of:     func(r infra.Resources) int64 { return r.MilliCPU },
 	}
 	memoryMBOf = resource{
 		amount: func(a Amount) int64 { return a.MemoryMB },
-		of:     func(r platform.Resources) int64 { return r.MemoryMB },
+		of:     func(r infra.Resources) int64 { return r.MemoryMB },
 	}
 )
 
--- a/quota/division_test.go
+++ b/quota/division_test.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"testing"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 const (
@@ -57,12 +57,12 @@
 // deliver has a word reach the shard's present owner and returns its report.
 func (m *model) deliver(i int, w tell) Report {
 	s := &m.shards[i]
-	used := platform.Resources{MilliCPU: s.used}
+	used := infra.Resources{MilliCPU: s.used}
 	s.allotment.Apply(w.version, w.bound)
 	s.allotment.Lower(w.target, used)
 	return Report{
-		Capacity: platform.Resources{MilliCPU: 3000}, Used: used,
-		Demand: platform.Resources{MilliCPU: s.demand}, Held: s.allotment.Report(w.version),
+		Capacity: infra.Resources{MilliCPU: 3000}, Used: used,
+		Demand: infra.Resources{MilliCPU: s.demand}, Held: s.allotment.Report(w.version),
 	}
 }
 
@@ -169,7 +169,7 @@
 func TestUnlimitedResourceIsNotDivided(t *testing.T) {
 	var d Division
 	q := Amount{MilliCPU: 1000, MemoryMB: Unlimited}
-	next, _ := d.Next(q, map[string]Report{"s": {Capacity: platform.Resources{MilliCPU: 1, MemoryMB: 1}}})
+	next, _ := d.Next(q, map[string]Report{"s": {Capacity: infra.Resources{MilliCPU: 1, MemoryMB: 1}}})
 	if want := map[string]Amount{"s": {MilliCPU: 1000, MemoryMB: Unlimited}}; !maps.Equal(next.Bounds, want) {
 		t.Errorf("%+v, want %+v", next.Bounds, want)
 	}
--- a/roster/build.go
+++ b/roster/build.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -18,11 +18,11 @@
 
 // Build returns the roster after one more list was read. A list older than the
 // previous one is passed over. The zero previous Roster believes any list.
-func Build(previous Roster, list platform.MemberList, lease settings.Lease) Roster {
+func Build(previous Roster, list infra.MemberList, lease settings.Lease) Roster {
 	if previous.Known() && list.Revision < previous.revision {
 		return previous
 	}
-	r := Roster{revision: list.Revision, byName: make(map[string]platform.Member, len(list.Members))}
+	r := Roster{revision: list.Revision, byName: make(map[string]infra.Member, len(list.Members))}
 	for _, m := range list.Members {
 		r.byName[m.Name] = m
 	}
@@ -34,7 +34,7 @@
 
 // keepDoubted adds the members whose absence is not believed.
 func (r *Roster) keepDoubted(previous Roster) {
-	for _, kind := range []platform.MemberKind{platform.EntryHost, platform.Endpoint, platform.Worker} {
+	for _, kind := range []infra.MemberKind{infra.EntryHost, infra.Endpoint, infra.Worker} {
 		gone, before := r.vanished(previous, kind)
 		if 2*len(gone) <= before {
 			continue
@@ -55,8 +55,8 @@
 
 // vanished returns the members of a kind that the previous roster has and this
 // one lacks, and how many the previous one has.
-func (r *Roster) vanished(previous Roster, kind platform.MemberKind) ([]platform.Member, int) {
-	var gone []platform.Member
+func (r *Roster) vanished(previous Roster, kind infra.MemberKind) ([]infra.Member, int) {
+	var gone []infra.Member
 	before := 0
 	for name, m := range previous.byName {
 		if m.Kind != kind {
@@ -72,17 +72,17 @@
 
 // group sorts the members by kind, service and shard.
 func (r *Roster) group(lease settings.Lease) {
-	r.endpoints = map[string][]platform.Member{}
-	r.members = map[string][]platform.Member{}
+	r.endpoints = map[string][]infra.Member{}
+	r.members = map[string][]infra.Member{}
 	for _, m := range r.byName {
 		switch m.Kind {
-		case platform.EntryHost:
+		case infra.EntryHost:
 			r.hosts = append(r.hosts, m)
-		case platform.Endpoint:
+		case infra.Endpoint:
 			r.endpoints[m.Service] = append(r.endpoints[m.Service], m)
 			shard := EndpointShardOf(m, lease)
 			r.members[shard] = append(r.members[shard], m)
-		case platform.Worker:
+		case infra.Worker:
 			r.workers = append(r.workers, m)
 			shard := WorkerShardOf(m, lease)
 			r.members[shard] = append(r.members[shard], m)
@@ -99,13 +99,13 @@
 	}
 	slices.Sort(r.shards)
 	for _, h := range r.hosts {
-		if h.State == platform.Live {
+		if h.State == infra.Live {
 			r.liveHosts = append(r.liveHosts, h.Name)
 		}
 	}
 }
 
 // sortByName sorts members by name.
-func sortByName(members []platform.Member) {
-	slices.SortFunc(members, func(a, b platform.Member) int { return cmp.Compare(a.Name, b.Name) })
+func sortByName(members []infra.Member) {
+	slices.SortFunc(members, func(a, b infra.Member) int { return cmp.Compare(a.Name, b.Name) })
 }
--- a/roster/preferred.go
+++ b/roster/preferred.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Preferred returns the live entry hosts in the order in which they should own
@@ -69,7 +69,7 @@
 }
 
 // distance is 0 within a zone, 1 within a region and 2 beyond.
-func distance(a, b platform.Member) int {
+func distance(a, b infra.Member) int {
 	switch {
 	case a.Region != b.Region:
 		return 2
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Roster is the members as of one revision of the list. The zero Roster knows
@@ -11,14 +11,14 @@
 type Roster struct {
 	revision uint64
 	// byName holds every member.
-	byName map[string]platform.Member
+	byName map[string]infra.Member
 	// hosts, endpoints (by service) and workers are sorted by name.
-	hosts     []platform.Member
+	hosts     []infra.Member
 	liveHosts []string
-	endpoints map[string][]platform.Member
-	workers   []platform.Member
+	endpoints map[string][]infra.Member
+	workers   []infra.Member
 	// members are the endpoints or workers of each shard.
-	members map[string][]platform.Member
+	members map[string][]infra.Member
 	shards  []string
 	// preferred is the order of live entry hosts for each shard.
 	preferred map[string][]string
@@ -38,7 +38,7 @@
 func (r Roster) Revision() uint64 { return r.revision }
 
 // Member returns a member by name.
-func (r Roster) Member(name string) (platform.Member, bool) {
+func (r Roster) Member(name string) (infra.Member, bool) {
 	m, ok := r.byName[name]
 	return m, ok
 }
@@ -46,22 +46,22 @@
 // Listed reports whether an entry host is on the list, live or leaving.
 func (r Roster) Listed(host string) bool {
 	m, ok := r.byName[host]
-	return ok && m.Kind == platform.EntryHost
+	return ok && m.Kind == infra.EntryHost
 }
 
 // LiveHost reports whether an entry host is on the list and live.
 func (r Roster) LiveHost(host string) bool {
-	return r.Listed(host) && r.byName[host].State == platform.Live
+	return r.Listed(host) && r.byName[host].State == infra.Live
 }
 
 // EntryHosts returns every entry host, live and leaving, by name.
-func (r Roster) EntryHosts() []platform.Member { return r.hosts }
+func (r Roster) EntryHosts() []infra.Member { return r.hosts }
 
 // LiveHosts returns the names of the live entry hosts in order.
 func (r Roster) LiveHosts() []string { return r.liveHosts }
 
 // Endpoints returns the endpoints of a service, live and leaving, by name.
-func (r Roster) Endpoints(service string) []platform.Member { return r.endpoints[service] }
+func (r Roster) Endpoints(service string) []infra.Member { return r.endpoints[service] }
 
 // Services returns the names of the services that have endpoints, in order.
 func (r Roster) Services() []string {
@@ -74,14 +74,14 @@
 }
 
 // Workers returns every worker, live and leaving, by name.
-func (r Roster) Workers() []platform.Member { return r.workers }
+func (r Roster) Workers() []infra.Member { return r.workers }
 
 // Shards returns the names of the shards that have members, in order.
 func (r Roster) Shards() []string { return r.shards }
 
 // Members returns the endpoints or workers of a shard, live and leaving, by
 // name.
-func (r Roster) Members(shard string) []platform.Member { return r.members[shard] }
+func (r Roster) Members(shard string) []infra.Member { return r.members[shard] }
 
 // Doubted returns the members that the newest list lacks and that are kept,
 // because too many vanished at once.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -5,19 +5,19 @@
 	"slices"
 	"testing"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
 // list makes a list of n hosts, endpoints and workers.
-func list(revision uint64, n int) platform.MemberList {
-	l := platform.MemberList{Revision: revision}
+func list(revision uint64, n int) infra.MemberList {
+	l := infra.MemberList{Revision: revision}
 	for i := range n {
 		zone := fmt.Sprint("z", i%3)
 		l.Members = append(l.Members,
-			platform.Member{Kind: platform.EntryHost, Name: fmt.Sprint("h", i), Zone: zone, State: platform.Live},
-			platform.Member{Kind: platform.Endpoint, Name: fmt.Sprint("e", i), Service: "s", Zone: zone, State: platform.Live},
-			platform.Member{Kind: platform.Worker, Name: fmt.Sprint("w", i), Rack: fmt.Sprint("r", i/4), Zone: "z", State: platform.Live})
+			infra.Member{Kind: infra.EntryHost, Name: fmt.Sprint("h", i), Zone: zone, State: infra.Live},
+			infra.Member{Kind: infra.Endpoint, Name: fmt.Sprint("e", i), Service: "s", Zone: zone, State: infra.Live},
+			infra.Member{Kind: infra.Worker, Name: fmt.Sprint("w", i), Rack: fmt.Sprint("r", i/4), Zone: "z", State: infra.Live})
 	}
 	return l
 }
@@ -84,7 +84,7 @@
 
 func TestOldListIsPassedOver(t *testing.T) {
 	left := list(5, 3)
-	left.Members[0].State = platform.Leaving
+	left.Members[0].State = infra.Leaving
 	r := Build(Build(Roster{}, left, lease), list(4, 3), lease)
 	if r.Revision() != 5 || r.LiveHost("h0") || !r.Listed("h0") {
 		t.Error("an older list brought a leaving host back")
@@ -117,12 +117,12 @@
 // TestWorkersAreOwnedNearby checks the order of hosts for shards of workers,
 // and that endpoint shards still spread over all of them.
 func TestWorkersAreOwnedNearby(t *testing.T) {
-	l := platform.MemberList{Revision: 1}
+	l := infra.MemberList{Revision: 1}
 	for i := range 12 {
 		region, zone := fmt.Sprint("r", i%4/2), fmt.Sprint("z", i%4)
-		for kind, name := range map[platform.MemberKind]string{platform.EntryHost: "h", platform.Worker: "w", platform.Endpoint: "e"} {
-			l.Members = append(l.Members, platform.Member{
-				Kind: kind, Name: fmt.Sprint(name, i), Region: region, Zone: zone, Rack: fmt.Sprint("k", i), Service: "s", State: platform.Live,
+		for kind, name := range map[infra.MemberKind]string{infra.EntryHost: "h", infra.Worker: "w", infra.Endpoint: "e"} {
+			l.Members = append(l.Members, infra.Member{
+				Kind: kind, Name: fmt.Sprint(name, i), Region: region, Zone: zone, Rack: fmt.Sprint("k", i), Service: "s", State: infra.Live,
 			})
 		}
 	}
--- a/roster/shard.go
+++ b/roster/shard.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -21,14 +21,14 @@
 func IsEndpointShard(shard string) bool { return strings.HasPrefix(shard, endpointPrefix) }
 
 // EndpointShardOf returns the shard of an endpoint: ep/<service>/<n>.
-func EndpointShardOf(m platform.Member, lease settings.Lease) string {
+func EndpointShardOf(m infra.Member, lease settings.Lease) string {
 	n := bucket(m.Service, m.Name, lease.EndpointShards)
 	return endpointPrefix + m.Service + "/" + strconv.FormatUint(n, 10)
 }
 
 // WorkerShardOf returns the shard of a worker: wk/<zone>/<n>. Workers of one
 // rack share a shard; a worker without a rack counts as a rack of its own.
-func WorkerShardOf(m platform.Member, lease settings.Lease) string {
+func WorkerShardOf(m infra.Member, lease settings.Lease) string {
 	rack := m.Rack
 	if rack == "" {
 		rack = m.Name
--- a/slo/keeper.go
+++ b/slo/keeper.go
@@ -15,7 +15,7 @@
 
 	"github.com/fireflygate/fireflygate/burn"
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -36,13 +36,13 @@
 
 // Committer writes rows; journal.Journal is one.
 type Committer interface {
-	Commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) platform.CommitResult
+	Commit(ctx context.Context, conditions []infra.Condition, writes []infra.Write) infra.CommitResult
 }
 
 // Keeper counts and keeps one host's calls.
 type Keeper struct {
 	host      string
-	table     platform.Table
+	table     infra.Table
 	committer Committer
 	log       *slog.Logger
 	now       func() time.Time
@@ -56,7 +56,7 @@
 
 // NewKeeper returns a keeper; host names this process among all that ever ran.
 // Its metrics go to r, which may be nil.
-func NewKeeper(host string, table platform.Table, committer Committer, r prometheus.Registerer, log *slog.Logger, now func() time.Time) *Keeper {
+func NewKeeper(host string, table infra.Table, committer Committer, r prometheus.Registerer, log *slog.Logger, now func() time.Time) *Keeper {
 	k := &Keeper{
 		host: host, table: table, committer: committer, log: log, now: now,
 		metrics: newMetrics(r), recorder: burn.NewRecorder(host),
@@ -126,11 +126,11 @@
 	if len(sheets) == 0 {
 		return
 	}
-	writes := make([]platform.Write, 0, len(sheets))
+	writes := make([]infra.Write, 0, len(sheets))
 	for _, s := range sheets {
-		writes = append(writes, platform.Write{Key: sheetKey(s), Value: encode(s)})
+		writes = append(writes, infra.Write{Key: sheetKey(s), Value: encode(s)})
 	}
-	if r := k.committer.Commit(ctx, nil, writes); r.Status == platform.CommitApplied {
+	if r := k.committer.Commit(ctx, nil, writes); r.Status == infra.CommitApplied {
 		return
 	}
 	event.BurnNotKept.Log(k.log, slog.Int("sheets", len(sheets)))
@@ -204,10 +204,10 @@
 			return
 		}
 		end := fmt.Sprintf("%s%012d", prefix, limit)
-		var writes []platform.Write
+		var writes []infra.Write
 		for _, row := range rows {
 			if row.Key < end {
-				writes = append(writes, platform.Write{Key: row.Key, Delete: true})
+				writes = append(writes, infra.Write{Key: row.Key, Delete: true})
 			}
 		}
 		if len(writes) > 0 {
--- a/standin/behaviour.go
+++ b/standin/behaviour.go
@@ -1,6 +1,6 @@
 package standin
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // Behaviour is the hidden truth about job classes, which the system under
 // test can only learn from reports. A class that is not named behaves as
@@ -29,9 +29,9 @@
 }
 
 // use returns what a run of the class really uses.
-func (b Behaviour) use(class string, declared platform.Resources) platform.Resources {
+func (b Behaviour) use(class string, declared infra.Resources) infra.Resources {
 	f := factor(b.Size, class)
-	return platform.Resources{
+	return infra.Resources{
 		MilliCPU:     int64(float64(declared.MilliCPU) * f),
 		MemoryMB:     int64(float64(declared.MemoryMB) * f),
 		Accelerators: declared.Accelerators,
--- a/platform/httpclient/client.go
+++ b/standin/httpclient/client.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 const (
@@ -100,14 +100,14 @@
 	case http.StatusNotModified:
 		return answer{unmodified: true}
 	case http.StatusNotFound:
-		return answer{err: platform.ErrNotFound}
+		return answer{err: infra.ErrNotFound}
 	}
 	refused := resp.StatusCode == http.StatusServiceUnavailable &&
 		resp.Header.Get(unprocessedHeader) == unprocessedValue
 	return answer{unprocessed: refused, err: unavailable(errors.Newf("status %d", resp.StatusCode))}
 }
 
-// unavailable marks err as platform.ErrUnavailable and keeps its cause.
+// unavailable marks err as infra.ErrUnavailable and keeps its cause.
 func unavailable(err error) error {
-	return errors.Mark(err, platform.ErrUnavailable)
+	return errors.Mark(err, infra.ErrUnavailable)
 }
--- a/platform/httpclient/httpclient_test.go
+++ b/standin/httpclient/httpclient_test.go
@@ -13,11 +13,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fireflygate/fireflygate/platform"
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
-var write = platform.Transaction{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+var write = infra.Transaction{Writes: []infra.Write{{Key: "k", Value: []byte("v")}}}
 
 // rawServer answers each connection, after a whole request, with the bytes
 // given and closes it. It returns its URL and a counter of requests.
@@ -54,20 +54,20 @@
 	for _, tc := range []struct {
 		name   string
 		answer string
-		want   platform.CommitStatus
+		want   infra.CommitStatus
 	}{
-		{"applied", "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n" + ok, platform.CommitApplied},
-		{"conflict", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"status\":2}", platform.CommitConflict},
-		{"refused", "HTTP/1.1 503 No\r\nFireflygate-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", platform.CommitNotApplied},
-		{"503 of somebody between", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", platform.CommitUnknown},
-		{"500 with the header", "HTTP/1.1 500 No\r\nFireflygate-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", platform.CommitUnknown},
-		{"no answer", "", platform.CommitUnknown},
-		{"cut answer", "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n" + ok[:10], platform.CommitUnknown},
-		{"whole refusal cut", "HTTP/1.1 503 No\r\nFireflygate-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nab", platform.CommitUnknown},
-		{"not JSON", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", platform.CommitUnknown},
-		{"status out of range", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"status\":9}", platform.CommitUnknown},
-		{"redirect to a read", "HTTP/1.1 303 Go\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n", platform.CommitUnknown},
-		{"redirect", "HTTP/1.1 307 Go\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n", platform.CommitUnknown},
+		{"applied", "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n" + ok, infra.CommitApplied},
+		{"conflict", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"status\":2}", infra.CommitConflict},
+		{"refused", "HTTP/1.1 503 No\r\nFireflygate-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", infra.CommitNotApplied},
+		{"503 of somebody between", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", infra.CommitUnknown},
+		{"500 with the header", "HTTP/1.1 500 No\r\nFireflygate-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", infra.CommitUnknown},
+		{"no answer", "", infra.CommitUnknown},
+		{"cut answer", "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n" + ok[:10], infra.CommitUnknown},
+		{"whole refusal cut", "HTTP/1.1 503 No\r\nFireflygate-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nab", infra.CommitUnknown},
+		{"not JSON", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", infra.CommitUnknown},
+		{"status out of range", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"status\":9}", infra.CommitUnknown},
+		{"redirect to a read", "HTTP/1.1 303 Go\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n", infra.CommitUnknown},
+		{"redirect", "HTTP/1.1 307 Go\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n", infra.CommitUnknown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			url, requests := rawServer(t, tc.answer)
@@ -90,10 +90,10 @@
 	address := l.Addr().String()
 	l.Close()
 	table := httpclient.NewTable("http://"+address, http.DefaultClient)
-	if got := table.Commit(t.Context(), write); got.Status != platform.CommitNotApplied {
+	if got := table.Commit(t.Context(), write); got.Status != infra.CommitNotApplied {
 		t.Errorf("status %d after a refused connection", got.Status)
 	}
-	if _, err := table.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := table.Get(t.Context(), "k"); !errors.Is(err, infra.ErrUnavailable) {
 		t.Errorf("get: %v", err)
 	}
 }
@@ -110,7 +110,7 @@
 	defer s.Close()
 	table := httpclient.NewTable(s.URL, s.Client())
 	table.Commit(t.Context(), write)
-	if got := table.Commit(t.Context(), write); got.Status != platform.CommitUnknown {
+	if got := table.Commit(t.Context(), write); got.Status != infra.CommitUnknown {
 		t.Errorf("status %d", got.Status)
 	}
 	if n := served.Load(); n != 2 {
@@ -132,7 +132,7 @@
 		cancel()
 	}()
 	table := httpclient.NewTable(s.URL, s.Client())
-	if got := table.Commit(ctx, write); got.Status != platform.CommitUnknown {
+	if got := table.Commit(ctx, write); got.Status != infra.CommitUnknown {
 		t.Errorf("status %d", got.Status)
 	}
 }
@@ -148,7 +148,7 @@
 	}))
 	defer s.Close()
 	objects := httpclient.NewObjects(s.URL, s.Client())
-	if data, err := objects.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+	if data, err := objects.Get(t.Context(), "k"); !errors.Is(err, infra.ErrUnavailable) {
 		t.Errorf("read %d bytes: %v", len(data), err)
 	}
 }
@@ -179,7 +179,7 @@
 		}
 	}
 	force = true
-	if _, err := httpclient.NewMembers(server.URL, server.Client()).List(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := httpclient.NewMembers(server.URL, server.Client()).List(t.Context()); !errors.Is(err, infra.ErrUnavailable) {
 		t.Errorf("unasked 304: %v", err)
 	}
 }
--- a/platform/httpclient/members.go
+++ b/standin/httpclient/members.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Members is a client of the membership service. Where the service gives an
@@ -19,10 +19,10 @@
 
 	mu   sync.Mutex // guards the fields below
 	etag string
-	last platform.MemberList
+	last infra.MemberList
 }
 
-var _ platform.Members = (*Members)(nil)
+var _ infra.Members = (*Members)(nil)
 
 // NewMembers returns a client of the membership service at baseURL.
 func NewMembers(baseURL string, c *http.Client) *Members {
@@ -31,22 +31,22 @@
 
 // List reads the newest list. Lists share their members while these do not
 // change; callers must not change them.
-func (m *Members) List(ctx context.Context) (platform.MemberList, error) {
+func (m *Members) List(ctx context.Context) (infra.MemberList, error) {
 	m.mu.Lock()
 	etag, last := m.etag, m.last
 	m.mu.Unlock()
 	a := m.client.send(ctx, http.MethodGet, m.base+"/members", etag, nil)
 	switch {
 	case a.err != nil:
-		return platform.MemberList{}, a.err
+		return infra.MemberList{}, a.err
 	case a.unmodified && etag == "":
-		return platform.MemberList{}, unavailable(errors.New("not modified, though nothing was read before"))
+		return infra.MemberList{}, unavailable(errors.New("not modified, though nothing was read before"))
 	case a.unmodified:
 		return last, nil
 	}
-	var list platform.MemberList
+	var list infra.MemberList
 	if err := json.Unmarshal(a.body, &list); err != nil {
-		return platform.MemberList{}, unavailable(err)
+		return infra.MemberList{}, unavailable(err)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
