--- a/platform/httpclient/messages.go
+++ b/standin/httpclient/messages.go
@@ -1,6 +1,6 @@
 package httpclient
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // GetRequest is the body of POST /get.
 type GetRequest struct {
@@ -16,5 +16,5 @@
 
 // RowsReply is the answer to POST /get and POST /scan.
 type RowsReply struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []infra.Row `json:"rows"`
 }
--- a/platform/httpclient/objects.go
+++ b/standin/httpclient/objects.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"net/url"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Objects is a client of the object store.
@@ -14,7 +14,7 @@
 	base   string
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ infra.Objects = (*Objects)(nil)
 
 // NewObjects returns a client of the object store at baseURL.
 func NewObjects(baseURL string, c *http.Client) *Objects {
@@ -26,7 +26,7 @@
 	return o.client.do(ctx, http.MethodPut, o.url(key), data).err
 }
 
-// Get reads an object; platform.ErrNotFound if there is none.
+// Get reads an object; infra.ErrNotFound if there is none.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	a := o.client.do(ctx, http.MethodGet, o.url(key), nil)
 	return a.body, a.err
--- a/platform/httpclient/table.go
+++ b/standin/httpclient/table.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Table is a client of the table service.
@@ -13,7 +13,7 @@
 	base   string
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ infra.Table = (*Table)(nil)
 
 // NewTable returns a client of the table service at baseURL, such as
 // "http://127.0.0.1:7000".
@@ -22,28 +22,28 @@
 }
 
 // Commit applies a transaction. It is sent at most once.
-func (t *Table) Commit(ctx context.Context, tx platform.Transaction) platform.CommitResult {
-	var result platform.CommitResult
+func (t *Table) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
+	var result infra.CommitResult
 	a := t.client.call(ctx, t.base+"/commit", tx, &result)
 	switch {
 	case a.unprocessed:
-		return platform.CommitResult{Status: platform.CommitNotApplied}
-	case a.err != nil, result.Status > platform.CommitNotApplied:
-		return platform.CommitResult{Status: platform.CommitUnknown}
+		return infra.CommitResult{Status: infra.CommitNotApplied}
+	case a.err != nil, result.Status > infra.CommitNotApplied:
+		return infra.CommitResult{Status: infra.CommitUnknown}
 	default:
 		return result
 	}
 }
 
 // Get reads rows at one version, in the order of keys.
-func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *Table) Get(ctx context.Context, keys ...string) ([]infra.Row, error) {
 	var reply RowsReply
 	a := t.client.call(ctx, t.base+"/get", GetRequest{Keys: keys}, &reply)
 	return reply.Rows, a.err
 }
 
 // Scan reads up to limit rows with the prefix that sort after the key after.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	var reply RowsReply
 	in := ScanRequest{Prefix: prefix, After: after, Limit: limit}
 	a := t.client.call(ctx, t.base+"/scan", in, &reply)
--- a/platform/httpclient/workers.go
+++ b/standin/httpclient/workers.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Workers reaches the agents of worker hosts.
@@ -12,7 +12,7 @@
 	client client
 }
 
-var _ platform.Workers = (*Workers)(nil)
+var _ infra.Workers = (*Workers)(nil)
 
 // NewWorkers returns a client of workers' control ports.
 func NewWorkers(c *http.Client) *Workers {
@@ -20,8 +20,8 @@
 }
 
 // Exchange sends one exchange to the worker at address, IP:port.
-func (w *Workers) Exchange(ctx context.Context, address string, x platform.Exchange) (platform.ExchangeReply, error) {
-	var reply platform.ExchangeReply
+func (w *Workers) Exchange(ctx context.Context, address string, x infra.Exchange) (infra.ExchangeReply, error) {
+	var reply infra.ExchangeReply
 	a := w.client.call(ctx, "http://"+address+"/exchange", x, &reply)
 	return reply, a.err
 }
--- a/standin/machine.go
+++ b/standin/machine.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Reasons in reports of runs.
@@ -70,7 +70,7 @@
 func (m *machine) die() {
 	for _, r := range m.runs {
 		if r.running() {
-			m.recordEnd(r, platform.RunExpired)
+			m.recordEnd(r, infra.RunExpired)
 		}
 	}
 	fresh := newMachine(m.config, m.now)
@@ -86,7 +86,7 @@
 }
 
 // finish ends a running run.
-func (m *machine) finish(r *run, state platform.RunState, reason string) {
+func (m *machine) finish(r *run, state infra.RunState, reason string) {
 	r.state = state
 	r.reason = reason
 	m.close(r.id)
@@ -95,12 +95,12 @@
 }
 
 // close keeps a run's epoch and all below from starting.
-func (m *machine) close(id platform.RunID) {
+func (m *machine) close(id infra.RunID) {
 	m.closed[id.Job] = max(m.closed[id.Job], id.Epoch)
 }
 
 // find returns the run listed under id, nil if there is none.
-func (m *machine) find(id platform.RunID) *run {
+func (m *machine) find(id infra.RunID) *run {
 	for _, r := range m.runs {
 		if r.id == id {
 			return r
@@ -116,7 +116,7 @@
 	}})
 }
 
-func (m *machine) recordEnd(r *run, state platform.RunState) {
+func (m *machine) recordEnd(r *run, state infra.RunState) {
 	m.config.Recorder.Add(check.Record{At: m.now, RunEnded: &check.RunEnded{
 		Worker: m.config.Name, Run: r.id, State: state, Checkpoint: r.checkpoint,
 	}})
--- a/standin/machine_advance.go
+++ b/standin/machine_advance.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // fullPercent is a run that is not throttled.
@@ -77,7 +77,7 @@
 func (m *machine) completeRuns() {
 	for _, r := range m.runs {
 		if r.running() && r.workMS > 0 && r.doneMS >= r.workMS {
-			m.finish(r, platform.RunDone, "")
+			m.finish(r, infra.RunDone, "")
 		}
 	}
 }
@@ -89,7 +89,7 @@
 	}
 	for _, r := range m.runs {
 		if r.running() {
-			m.finish(r, platform.RunExpired, "")
+			m.finish(r, infra.RunExpired, "")
 		}
 	}
 }
--- a/standin/machine_exchange.go
+++ b/standin/machine_exchange.go
@@ -6,17 +6,17 @@
 	"strconv"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // exchange processes one exchange that arrived at now.
-func (m *machine) exchange(now time.Time, x platform.Exchange) platform.ExchangeReply {
+func (m *machine) exchange(now time.Time, x infra.Exchange) infra.ExchangeReply {
 	m.advance(now)
 	if x.Owner < m.owner {
-		return m.head(platform.ExchangeReply{Refused: true})
+		return m.head(infra.ExchangeReply{Refused: true})
 	}
 	if m.stale(x) {
-		return m.head(platform.ExchangeReply{Stale: true})
+		return m.head(infra.ExchangeReply{Stale: true})
 	}
 	m.owner = x.Owner
 	m.leaseUntil = m.now.Add(time.Duration(x.LeaseMS) * time.Millisecond)
@@ -29,7 +29,7 @@
 
 // stale reports whether the exchange was made for an earlier life or came after
 // its time. A start needs to name the life that it is for.
-func (m *machine) stale(x platform.Exchange) bool {
+func (m *machine) stale(x infra.Exchange) bool {
 	if x.Incarnation == "" {
 		return x.Starts()
 	}
@@ -43,15 +43,15 @@
 func (m *machine) clockMS() int64 { return m.now.Sub(m.born).Milliseconds() }
 
 // head fills in what every reply tells.
-func (m *machine) head(r platform.ExchangeReply) platform.ExchangeReply {
+func (m *machine) head(r infra.ExchangeReply) infra.ExchangeReply {
 	r.Seq, r.Incarnation, r.ClockMS = m.seq, m.incarnation(), m.clockMS()
 	return r
 }
 
 // reply returns the changes since a sequence number, or the whole list.
-func (m *machine) reply(since uint64) platform.ExchangeReply {
+func (m *machine) reply(since uint64) infra.ExchangeReply {
 	whole := since < m.first || since > m.seq
-	reply := m.head(platform.ExchangeReply{Whole: whole, LatencyMS: maps.Clone(m.reported)})
+	reply := m.head(infra.ExchangeReply{Whole: whole, LatencyMS: maps.Clone(m.reported)})
 	for _, r := range m.runs {
 		if whole || r.seq > since {
 			reply.Runs = append(reply.Runs, r.report())
@@ -61,33 +61,33 @@
 }
 
 // order carries out one order; each is idempotent.
-func (m *machine) order(o platform.Order) {
+func (m *machine) order(o infra.Order) {
 	r := m.find(o.Run)
 	switch o.Kind {
-	case platform.OrderStart:
+	case infra.OrderStart:
 		if r == nil {
 			m.start(o)
 		}
-	case platform.OrderThrottle:
+	case infra.OrderThrottle:
 		if r != nil && r.running() && o.Percent > 0 {
 			r.percent = min(o.Percent, fullPercent)
 		}
-	case platform.OrderCheckpoint:
+	case infra.OrderCheckpoint:
 		m.stop(o.Run, r, true)
-	case platform.OrderStop:
+	case infra.OrderStop:
 		m.stop(o.Run, r, false)
-	case platform.OrderForget:
+	case infra.OrderForget:
 		m.forget(r)
 	}
 	m.highest[o.Run.Job] = max(m.highest[o.Run.Job], o.Run.Epoch)
 }
 
 // start begins a run, or lists it as refused.
-func (m *machine) start(o platform.Order) {
+func (m *machine) start(o infra.Order) {
 	r := &run{
 		id:         o.Run,
 		class:      o.Class,
-		state:      platform.RunRunning,
+		state:      infra.RunRunning,
 		reserve:    o.Resources,
 		use:        m.config.Behaviour.use(o.Class, declared(o)),
 		workMS:     float64(o.WorkMS) * factor(m.config.Behaviour.Work, o.Class),
@@ -98,7 +98,7 @@
 	m.runs = append(m.runs, r)
 	m.touch(r)
 	if reason := m.refusal(o.Run); reason != "" {
-		r.state = platform.RunRefused
+		r.state = infra.RunRefused
 		r.reason = reason
 		return
 	}
@@ -107,20 +107,20 @@
 	// What it resumed from is not progress that it saved.
 	r.checkpoint = ""
 	if m.faults.FailStarts {
-		m.finish(r, platform.RunFailed, reasonStartFailed)
+		m.finish(r, infra.RunFailed, reasonStartFailed)
 	}
 }
 
 // declared is what a start's job was declared to need.
-func declared(o platform.Order) platform.Resources {
-	if o.Declared == (platform.Resources{}) {
+func declared(o infra.Order) infra.Resources {
+	if o.Declared == (infra.Resources{}) {
 		return o.Resources
 	}
 	return o.Declared
 }
 
 // refusal returns why a run may not start, empty if it may.
-func (m *machine) refusal(id platform.RunID) string {
+func (m *machine) refusal(id infra.RunID) string {
 	switch {
 	case m.highest[id.Job] > id.Epoch:
 		return reasonSuperseded
@@ -134,19 +134,19 @@
 }
 
 // supersede stops the runs of lower epochs of a job that is about to start.
-func (m *machine) supersede(id platform.RunID) {
+func (m *machine) supersede(id infra.RunID) {
 	for _, r := range m.runs {
 		if r.running() && r.id.Job == id.Job && r.id.Epoch < id.Epoch {
-			m.finish(r, platform.RunStopped, reasonSuperseded)
+			m.finish(r, infra.RunStopped, reasonSuperseded)
 		}
 	}
 }
 
 // stop ends a run, with its progress if save is set. A run that is not known
 // is listed as stopped, so that whoever asked learns that it does not run.
-func (m *machine) stop(id platform.RunID, r *run, save bool) {
+func (m *machine) stop(id infra.RunID, r *run, save bool) {
 	if r == nil {
-		r = &run{id: id, state: platform.RunStopped}
+		r = &run{id: id, state: infra.RunStopped}
 		m.runs = append(m.runs, r)
 		m.close(id)
 		m.touch(r)
@@ -158,7 +158,7 @@
 	if save {
 		r.checkpoint = checkpointName(id, r.doneMS)
 	}
-	m.finish(r, platform.RunStopped, "")
+	m.finish(r, infra.RunStopped, "")
 }
 
 // forget drops a finished run. Its epoch stays closed.
--- a/standin/machine_speed.go
+++ b/standin/machine_speed.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // load is how busy a worker's processors are.
@@ -18,7 +18,7 @@
 }
 
 // used returns what a run uses under the load.
-func (l load) used(r *run) platform.Resources {
+func (l load) used(r *run) infra.Resources {
 	use := r.use
 	use.MilliCPU = int64(r.wanted() * l.share)
 	return use
@@ -100,7 +100,7 @@
 		if worst == nil || total <= m.config.Capacity.MemoryMB {
 			return
 		}
-		m.finish(worst, platform.RunKilled, reasonOutOfMemory)
+		m.finish(worst, infra.RunKilled, reasonOutOfMemory)
 	}
 }
 
--- a/standin/members.go
+++ b/standin/members.go
@@ -10,12 +10,12 @@
 	"github.com/google/uuid"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Members is a stand-in for the membership service. Operators change the
 // true list; readers see the published one, which may lag. It implements
-// platform.Members.
+// infra.Members.
 type Members struct {
 	*injector
 	recorder *check.Recorder
@@ -23,12 +23,12 @@
 	instance string
 
 	mu        sync.Mutex
-	truth     map[string]platform.Member
-	published platform.MemberList
+	truth     map[string]infra.Member
+	published infra.MemberList
 	lag       Lag
 }
 
-var _ platform.Members = (*Members)(nil)
+var _ infra.Members = (*Members)(nil)
 
 // NewMembers returns an empty list that is published at each change.
 func NewMembers(recorder *check.Recorder) *Members {
@@ -36,27 +36,27 @@
 		injector:  newInjector(),
 		recorder:  recorder,
 		instance:  uuid.NewString(),
-		truth:     map[string]platform.Member{},
-		published: platform.MemberList{Revision: 1},
+		truth:     map[string]infra.Member{},
+		published: infra.MemberList{Revision: 1},
 	}
 }
 
 // List reads the published list.
-func (m *Members) List(ctx context.Context) (platform.MemberList, error) {
-	var list platform.MemberList
+func (m *Members) List(ctx context.Context) (infra.MemberList, error) {
+	var list infra.MemberList
 	if m.run(ctx, func() { list = m.list() }) != processed {
-		return platform.MemberList{}, platform.ErrUnavailable
+		return infra.MemberList{}, infra.ErrUnavailable
 	}
 	return list, nil
 }
 
 // Put adds or replaces a member.
-func (m *Members) Put(member platform.Member) {
+func (m *Members) Put(member infra.Member) {
 	m.change(func() { m.truth[member.Name] = member })
 }
 
 // SetState changes the state of a member, if there is one of that name.
-func (m *Members) SetState(name string, state platform.MemberState) {
+func (m *Members) SetState(name string, state infra.MemberState) {
 	m.change(func() {
 		if member, ok := m.truth[name]; ok {
 			member.State = state
@@ -99,27 +99,27 @@
 
 // publish needs m.mu. A list that did not change keeps its revision.
 func (m *Members) publish() {
-	members := make([]platform.Member, 0, len(m.truth))
+	members := make([]infra.Member, 0, len(m.truth))
 	for _, member := range m.truth {
 		members = append(members, member)
 	}
-	slices.SortFunc(members, func(a, b platform.Member) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(members, func(a, b infra.Member) int { return strings.Compare(a.Name, b.Name) })
 	if slices.Equal(members, m.published.Members) {
 		return
 	}
 	m.recordLeaving(members)
-	m.published = platform.MemberList{Revision: m.published.Revision + 1, Members: members}
+	m.published = infra.MemberList{Revision: m.published.Revision + 1, Members: members}
 }
 
 // recordLeaving records the members whose published state changes.
-func (m *Members) recordLeaving(members []platform.Member) {
-	before := map[string]platform.MemberState{}
+func (m *Members) recordLeaving(members []infra.Member) {
+	before := map[string]infra.MemberState{}
 	for _, member := range m.published.Members {
 		before[member.Name] = member.State
 	}
 	for _, member := range members {
-		was := before[member.Name] == platform.Leaving
-		is := member.State == platform.Leaving
+		was := before[member.Name] == infra.Leaving
+		is := member.State == infra.Leaving
 		switch {
 		case is && !was:
 			m.recorder.Add(check.Record{LeavingBegan: &check.LeavingBegan{Member: member.Name}})
@@ -129,7 +129,7 @@
 	}
 }
 
-func (m *Members) list() platform.MemberList {
+func (m *Members) list() infra.MemberList {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := m.published
--- a/standin/members_http.go
+++ b/standin/members_http.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"net/http"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // StateChange is the body of POST /state: an operator's change of a member.
 type StateChange struct {
 	Name  string               `json:"name"`
-	State platform.MemberState `json:"state"`
+	State infra.MemberState `json:"state"`
 }
 
 // Removal is the body of POST /remove.
@@ -23,7 +23,7 @@
 func (m *Members) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
-		var list platform.MemberList
+		var list infra.MemberList
 		d := m.run(r.Context(), func() { list = m.list() })
 		etag := fmt.Sprintf("%q", fmt.Sprint(m.instance, "-", list.Revision))
 		if d == processed && r.Header.Get("If-None-Match") == etag {
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -7,18 +7,18 @@
 	"slices"
 	"sync"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Objects is a stand-in for the object store. It implements
-// platform.Objects.
+// infra.Objects.
 type Objects struct {
 	*injector
 	mu   sync.Mutex
 	data map[string][]byte
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ infra.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty store.
 func NewObjects() *Objects {
@@ -28,20 +28,20 @@
 // Put stores an object.
 func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
 	if o.run(ctx, func() { o.put(key, data) }) != processed {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	return nil
 }
 
-// Get reads an object; platform.ErrNotFound if there is none.
+// Get reads an object; infra.ErrNotFound if there is none.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	var data []byte
 	var found bool
 	if o.run(ctx, func() { data, found = o.get(key) }) != processed {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	if !found {
-		return nil, platform.ErrNotFound
+		return nil, infra.ErrNotFound
 	}
 	return data, nil
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 const (
@@ -105,9 +105,9 @@
 	if err != nil {
 		return err
 	}
-	p.Members.Put(platform.Member{
-		Kind: platform.Endpoint, Name: c.Name, Address: address,
-		Region: p.config.Region, Zone: c.Zone, State: platform.Live,
+	p.Members.Put(infra.Member{
+		Kind: infra.Endpoint, Name: c.Name, Address: address,
+		Region: p.config.Region, Zone: c.Zone, State: infra.Live,
 		Service: c.Service, Slots: c.Slots, Connections: c.Connections,
 	})
 	return nil
@@ -121,10 +121,10 @@
 		return err
 	}
 	p.driving.Go(func() { w.Drive(ctx, driveStep) })
-	p.Members.Put(platform.Member{
-		Kind: platform.Worker, Name: c.Name, Address: address,
+	p.Members.Put(infra.Member{
+		Kind: infra.Worker, Name: c.Name, Address: address,
 		Region: p.config.Region, Zone: c.Zone, Rack: c.Rack,
-		State: platform.Live, Capacity: c.Capacity,
+		State: infra.Live, Capacity: c.Capacity,
 	})
 	return nil
 }
@@ -143,9 +143,9 @@
 
 // PutEntryHost lists an entry host as a live member.
 func (p *Platform) PutEntryHost(h EntryHostConfig) {
-	p.Members.Put(platform.Member{
-		Kind: platform.EntryHost, Name: h.Name, Address: h.Peer,
-		Region: p.config.Region, Zone: h.Zone, State: platform.Live,
+	p.Members.Put(infra.Member{
+		Kind: infra.EntryHost, Name: h.Name, Address: h.Peer,
+		Region: p.config.Region, Zone: h.Zone, State: infra.Live,
 	})
 }
 
--- a/standin/platform_config.go
+++ b/standin/platform_config.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Config describes a whole surrounding of the entry hosts.
@@ -97,7 +97,7 @@
 		Name: fmt.Sprintf("worker-%d", i),
 		Zone: c.zone(i),
 		Rack: c.rack(i),
-		Capacity: platform.Resources{
+		Capacity: infra.Resources{
 			MilliCPU:     c.Workers.MilliCPU,
 			MemoryMB:     c.Workers.MemoryMB,
 			Accelerators: c.Workers.Accelerators,
--- a/standin/platform_control.go
+++ b/standin/platform_control.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Target is the body of a control request: a stand-in by its name.
@@ -23,9 +23,9 @@
 			continue
 		}
 		e.SetLeaving(leaving)
-		state := platform.Live
+		state := infra.Live
 		if leaving {
-			state = platform.Leaving
+			state = infra.Leaving
 		}
 		p.Members.SetState(name, state)
 		return nil
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/standin"
 )
 
@@ -38,7 +38,7 @@
 
 func TestTableInMemoryAndOverHTTP(t *testing.T) {
 	p, _, client := start(t)
-	for name, table := range map[string]platform.Table{
+	for name, table := range map[string]infra.Table{
 		"memory": standin.NewTable(),
 		"http":   httpclient.NewTable(p.Addresses().Table, client),
 	} {
@@ -46,20 +46,20 @@
 	}
 }
 
-func testTable(t *testing.T, table platform.Table) {
+func testTable(t *testing.T, table infra.Table) {
 	ctx := t.Context()
-	put := func(key string, version uint64) platform.CommitResult {
-		return table.Commit(ctx, platform.Transaction{
-			Conditions: []platform.Condition{{Key: key, Version: version}},
-			Writes:     []platform.Write{{Key: key, Value: []byte(key)}, {Key: "x" + key, Value: []byte("x")}},
+	put := func(key string, version uint64) infra.CommitResult {
+		return table.Commit(ctx, infra.Transaction{
+			Conditions: []infra.Condition{{Key: key, Version: version}},
+			Writes:     []infra.Write{{Key: key, Value: []byte(key)}, {Key: "x" + key, Value: []byte("x")}},
 		})
 	}
 	first := put("a", 0)
-	if first.Status != platform.CommitApplied || first.Version == 0 {
+	if first.Status != infra.CommitApplied || first.Version == 0 {
 		t.Fatalf("first: %+v", first)
 	}
 	again := put("a", 0)
-	if again.Status != platform.CommitConflict || len(again.Conflicts) != 1 || again.Conflicts[0].Version != first.Version {
+	if again.Status != infra.CommitConflict || len(again.Conflicts) != 1 || again.Conflicts[0].Version != first.Version {
 		t.Errorf("conflict: %+v", again)
 	}
 	put("b", 0)
@@ -67,7 +67,7 @@
 	if err != nil || len(rows) != 1 || rows[0].Key != "xb" {
 		t.Errorf("scan: %+v: %v", rows, err)
 	}
-	table.Commit(ctx, platform.Transaction{Writes: []platform.Write{{Key: "a", Delete: true}}})
+	table.Commit(ctx, infra.Transaction{Writes: []infra.Write{{Key: "a", Delete: true}}})
 	rows, err = table.Get(ctx, "b", "a")
 	if err != nil || len(rows) != 2 || string(rows[0].Value) != "b" || rows[1].Version != 0 {
 		t.Errorf("get: %+v: %v", rows, err)
@@ -77,23 +77,23 @@
 func TestTableFaults(t *testing.T) {
 	p, _, client := start(t)
 	remote := httpclient.NewTable(p.Addresses().Table, client)
-	tx := platform.Transaction{Writes: []platform.Write{{Key: "k"}}}
+	tx := infra.Transaction{Writes: []infra.Write{{Key: "k"}}}
 	given, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, tc := range []struct {
 		faults  standin.Faults
 		ctx     context.Context
-		want    platform.CommitStatus
+		want    infra.CommitStatus
 		applied uint64
 	}{
-		{standin.Faults{Down: true}, t.Context(), platform.CommitNotApplied, 0},
-		{standin.Faults{LoseNext: 1}, t.Context(), platform.CommitUnknown, 1},
-		{standin.Faults{LoseShare: 1}, t.Context(), platform.CommitUnknown, 1},
-		{standin.Faults{Hang: true}, given, platform.CommitUnknown, 0},
+		{standin.Faults{Down: true}, t.Context(), infra.CommitNotApplied, 0},
+		{standin.Faults{LoseNext: 1}, t.Context(), infra.CommitUnknown, 1},
+		{standin.Faults{LoseShare: 1}, t.Context(), infra.CommitUnknown, 1},
+		{standin.Faults{Hang: true}, given, infra.CommitUnknown, 0},
 	} {
 		p.Table.Set(tc.faults)
 		before := p.Table.Commits()
-		var got platform.CommitResult
+		var got infra.CommitResult
 		if tc.ctx == given {
 			got = p.Table.Commit(tc.ctx, tx)
 		} else {
@@ -103,7 +103,7 @@
 			t.Errorf("%+v: status %d, %d applied", tc.faults, got.Status, p.Table.Commits()-before)
 		}
 		if tc.faults.LoseNext > 0 {
-			if got := remote.Commit(t.Context(), tx); got.Status != platform.CommitApplied {
+			if got := remote.Commit(t.Context(), tx); got.Status != infra.CommitApplied {
 				t.Errorf("after the lost answer: status %d", got.Status)
 			}
 		}
@@ -152,26 +152,26 @@
 	p, _, client := start(t)
 	workers := httpclient.NewWorkers(client)
 	address := p.Addresses().Others["worker-0"]
-	x := platform.Exchange{Owner: 1, LeaseMS: 60000}
+	x := infra.Exchange{Owner: 1, LeaseMS: 60000}
 	first, err := workers.Exchange(t.Context(), address, x)
 	if err != nil {
 		t.Fatal(err)
 	}
 	x.Incarnation, x.ValidUntilMS = first.Incarnation, first.ClockMS+60000
-	x.Orders = []platform.Order{order(platform.OrderStart, "a", 1, "")}
+	x.Orders = []infra.Order{order(infra.OrderStart, "a", 1, "")}
 	if reply, err := workers.Exchange(t.Context(), address, x); err != nil || len(reply.Runs) != 1 {
 		t.Fatalf("%+v: %v", reply, err)
 	}
 	if err := p.KillWorker("worker-0"); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := workers.Exchange(t.Context(), address, x); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := workers.Exchange(t.Context(), address, x); !errors.Is(err, infra.ErrUnavailable) {
 		t.Errorf("dead worker: %v", err)
 	}
 	if err := p.ReviveWorker("worker-0"); err != nil {
 		t.Fatal(err)
 	}
-	reply, err := workers.Exchange(t.Context(), address, platform.Exchange{Owner: 1, LeaseMS: 60000})
+	reply, err := workers.Exchange(t.Context(), address, infra.Exchange{Owner: 1, LeaseMS: 60000})
 	if err != nil || len(reply.Runs) != 0 {
 		t.Errorf("revived worker: %+v: %v", reply, err)
 	}
--- a/standin/run.go
+++ b/standin/run.go
@@ -5,18 +5,18 @@
 	"strconv"
 	"strings"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // run is one run on a worker.
 type run struct {
-	id      platform.RunID
+	id      infra.RunID
 	class   string
-	state   platform.RunState
+	state   infra.RunState
 	reason  string
-	reserve platform.Resources
+	reserve infra.Resources
 	// use is what it really uses at full speed.
-	use platform.Resources
+	use infra.Resources
 	// workMS is the real work, in milliseconds at full speed; 0 if endless.
 	workMS float64
 	doneMS float64
@@ -32,19 +32,19 @@
 // usageSample is what a run used at one time.
 type usageSample struct {
 	doneMS float64
-	use    platform.Resources
+	use    infra.Resources
 }
 
-func (r *run) running() bool { return r.state == platform.RunRunning }
+func (r *run) running() bool { return r.state == infra.RunRunning }
 
 // report returns what an exchange says of the run. A final state tells the
 // true progress; a running one lags.
-func (r *run) report() platform.RunReport {
+func (r *run) report() infra.RunReport {
 	done := r.reported.doneMS
 	if !r.running() {
 		done = r.doneMS
 	}
-	return platform.RunReport{
+	return infra.RunReport{
 		Run:        r.id,
 		State:      r.state,
 		Reason:     r.reason,
@@ -58,7 +58,7 @@
 
 // checkpointName names the progress of a run; the name holds the progress
 // itself, so that any worker can resume from it.
-func checkpointName(id platform.RunID, doneMS float64) string {
+func checkpointName(id infra.RunID, doneMS float64) string {
 	return fmt.Sprintf("%s@%d@%d", id.Job, id.Epoch, int64(doneMS))
 }
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -6,52 +6,52 @@
 	"strings"
 	"sync"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
-// Table is a stand-in for the table service. It implements platform.Table.
+// Table is a stand-in for the table service. It implements infra.Table.
 type Table struct {
 	*injector
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]infra.Row
 	keys    []string
 	commits uint64
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ infra.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{injector: newInjector(), rows: map[string]platform.Row{}}
+	return &Table{injector: newInjector(), rows: map[string]infra.Row{}}
 }
 
 // Commit applies a transaction.
-func (t *Table) Commit(ctx context.Context, tx platform.Transaction) platform.CommitResult {
-	var result platform.CommitResult
+func (t *Table) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
+	var result infra.CommitResult
 	switch t.run(ctx, func() { result = t.commit(tx) }) {
 	case processed:
 		return result
 	case refused:
-		return platform.CommitResult{Status: platform.CommitNotApplied}
+		return infra.CommitResult{Status: infra.CommitNotApplied}
 	default:
-		return platform.CommitResult{Status: platform.CommitUnknown}
+		return infra.CommitResult{Status: infra.CommitUnknown}
 	}
 }
 
 // Get reads rows at one version.
-func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *Table) Get(ctx context.Context, keys ...string) ([]infra.Row, error) {
+	var rows []infra.Row
 	if t.run(ctx, func() { rows = t.get(keys) }) != processed {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	return rows, nil
 }
 
 // Scan reads rows in key order.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
+	var rows []infra.Row
 	if t.run(ctx, func() { rows = t.scan(prefix, after, limit) }) != processed {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	return rows, nil
 }
@@ -63,27 +63,27 @@
 	return t.commits
 }
 
-func (t *Table) commit(tx platform.Transaction) platform.CommitResult {
+func (t *Table) commit(tx infra.Transaction) infra.CommitResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var conflicts []platform.Row
+	var conflicts []infra.Row
 	for _, c := range tx.Conditions {
 		if row := t.row(c.Key); row.Version != c.Version {
 			conflicts = append(conflicts, row)
 		}
 	}
 	if len(conflicts) > 0 {
-		return platform.CommitResult{Status: platform.CommitConflict, Conflicts: conflicts}
+		return infra.CommitResult{Status: infra.CommitConflict, Conflicts: conflicts}
 	}
 	t.commits++
 	for _, w := range tx.Writes {
 		t.write(w)
 	}
-	return platform.CommitResult{Status: platform.CommitApplied, Version: t.commits}
+	return infra.CommitResult{Status: infra.CommitApplied, Version: t.commits}
 }
 
 // write puts or deletes one row at the version t.commits.
-func (t *Table) write(w platform.Write) {
+func (t *Table) write(w infra.Write) {
 	at := sort.SearchStrings(t.keys, w.Key)
 	_, exists := t.rows[w.Key]
 	if w.Delete {
@@ -99,31 +99,31 @@
 		t.keys[at] = w.Key
 	}
 	value := append([]byte(nil), w.Value...)
-	t.rows[w.Key] = platform.Row{Key: w.Key, Value: value, Version: t.commits}
+	t.rows[w.Key] = infra.Row{Key: w.Key, Value: value, Version: t.commits}
 }
 
 // row returns a row, with version 0 if it is absent.
-func (t *Table) row(key string) platform.Row {
+func (t *Table) row(key string) infra.Row {
 	if row, ok := t.rows[key]; ok {
 		return row
 	}
-	return platform.Row{Key: key}
+	return infra.Row{Key: key}
 }
 
-func (t *Table) get(keys []string) []platform.Row {
+func (t *Table) get(keys []string) []infra.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows := make([]platform.Row, 0, len(keys))
+	rows := make([]infra.Row, 0, len(keys))
 	for _, key := range keys {
 		rows = append(rows, t.row(key))
 	}
 	return rows
 }
 
-func (t *Table) scan(prefix, after string, limit int) []platform.Row {
+func (t *Table) scan(prefix, after string, limit int) []infra.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []infra.Row
 	at := sort.SearchStrings(t.keys, max(prefix, after))
 	for ; at < len(t.keys) && len(rows) < limit; at++ {
 		key := t.keys[at]
--- a/standin/table_http.go
+++ b/standin/table_http.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 
-	"github.com/fireflygate/fireflygate/platform"
-	"github.com/fireflygate/fireflygate/platform/httpclient"
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
 // Handler serves the table over HTTP, with its faults under /faults.
@@ -18,11 +18,11 @@
 }
 
 func (t *Table) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var tx platform.Transaction
+	var tx infra.Transaction
 	if !readJSON(w, r, &tx) {
 		return
 	}
-	var result platform.CommitResult
+	var result infra.CommitResult
 	d := t.run(r.Context(), func() { result = t.commit(tx) })
 	respond(w, d, &result)
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Worker is a stand-in for the agent of one worker host. Time passes only by
@@ -59,25 +59,25 @@
 }
 
 // ExchangeAt processes an exchange that arrives at now. A worker that is
-// paused, dead or hanging gives platform.ErrUnavailable at once.
-func (w *Worker) ExchangeAt(now time.Time, x platform.Exchange) (platform.ExchangeReply, error) {
+// paused, dead or hanging gives infra.ErrUnavailable at once.
+func (w *Worker) ExchangeAt(now time.Time, x infra.Exchange) (infra.ExchangeReply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	m := w.machine
 	if m.faults.Paused || m.faults.Dead || m.faults.Hang {
-		return platform.ExchangeReply{}, platform.ErrUnavailable
+		return infra.ExchangeReply{}, infra.ErrUnavailable
 	}
 	reply := m.exchange(now, x)
 	if m.faults.LoseNext > 0 {
 		m.faults.LoseNext--
-		return platform.ExchangeReply{}, platform.ErrUnavailable
+		return infra.ExchangeReply{}, infra.ErrUnavailable
 	}
 	return reply, nil
 }
 
 // Exchange processes an exchange at the clock's time. It waits while the
 // worker is paused or hangs.
-func (w *Worker) Exchange(ctx context.Context, x platform.Exchange) (platform.ExchangeReply, error) {
+func (w *Worker) Exchange(ctx context.Context, x infra.Exchange) (infra.ExchangeReply, error) {
 	for {
 		f, changed := w.get()
 		if !f.Paused && !f.Hang {
@@ -86,13 +86,13 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return platform.ExchangeReply{}, platform.ErrUnavailable
+			return infra.ExchangeReply{}, infra.ErrUnavailable
 		}
 	}
 }
 
 // Runs returns every run that the worker lists, as it is at its last time.
-func (w *Worker) Runs() []platform.RunReport {
+func (w *Worker) Runs() []infra.RunReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.machine.reply(0).Runs
--- a/standin/worker_config.go
+++ b/standin/worker_config.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // WorkerConfig describes a worker.
@@ -13,7 +13,7 @@
 	Name     string
 	Zone     string
 	Rack     string
-	Capacity platform.Resources
+	Capacity infra.Resources
 	// Lag is how late usage and latency are reported.
 	Lag time.Duration
 	// Behaviour is the hidden truth about classes.
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Handler serves the worker over HTTP, with its faults under /faults and its
@@ -19,7 +19,7 @@
 }
 
 func (w *Worker) serveExchange(rw http.ResponseWriter, r *http.Request) {
-	var x platform.Exchange
+	var x infra.Exchange
 	if !readJSON(rw, r, &x) {
 		return
 	}
--- a/standin/workers.go
+++ b/standin/workers.go
@@ -4,17 +4,17 @@
 	"context"
 	"sync"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Workers reaches stand-in workers in memory by address. It implements
-// platform.Workers.
+// infra.Workers.
 type Workers struct {
 	mu      sync.Mutex
 	workers map[string]*Worker
 }
 
-var _ platform.Workers = (*Workers)(nil)
+var _ infra.Workers = (*Workers)(nil)
 
 // NewWorkers returns an empty set.
 func NewWorkers() *Workers {
@@ -29,12 +29,12 @@
 }
 
 // Exchange sends one exchange to the worker at address.
-func (s *Workers) Exchange(ctx context.Context, address string, x platform.Exchange) (platform.ExchangeReply, error) {
+func (s *Workers) Exchange(ctx context.Context, address string, x infra.Exchange) (infra.ExchangeReply, error) {
 	s.mu.Lock()
 	w, ok := s.workers[address]
 	s.mu.Unlock()
 	if !ok {
-		return platform.ExchangeReply{}, platform.ErrUnavailable
+		return infra.ExchangeReply{}, infra.ErrUnavailable
 	}
 	return w.Exchange(ctx, x)
 }
--- a/task/life.go
+++ b/task/life.go
@@ -1,6 +1,6 @@
 package task
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // growth of the memory reserved after the guard killed a run, in quarters.
 const (
@@ -10,7 +10,7 @@
 
 // Start begins the run of the next epoch on worker, where it reserves what is
 // given; zero stands for the declared size. Legal when pending.
-func (r Record) Start(worker string, reserved platform.Resources) (Record, Transition) {
+func (r Record) Start(worker string, reserved infra.Resources) (Record, Transition) {
 	if r.State != Pending {
 		return r, Illegal
 	}
--- a/task/life_test.go
+++ b/task/life_test.go
@@ -5,7 +5,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 const testFailures, testKills = 3, 4
@@ -41,7 +41,7 @@
 }
 
 func (l *life) start(t *rapid.T) {
-	next, tr := l.rec.Start(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "worker"), platform.Resources{})
+	next, tr := l.rec.Start(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "worker"), infra.Resources{})
 	checkpoint := l.rec.Checkpoint
 	l.take(t, next, tr)
 	if tr != Applied {
@@ -113,7 +113,7 @@
 }
 
 func TestEvictionKeepsTheCheckpointUntilTheNextEpoch(t *testing.T) {
-	r, _ := New(Spec{ID: "j"}).Start("a", platform.Resources{})
+	r, _ := New(Spec{ID: "j"}).Start("a", infra.Resources{})
 	r, tr := r.Stopped(1, "cp1", 400, 1)
 	if tr != Applied || r.State != Pending || r.Checkpoint != "cp1" || r.Evictions != 1 {
 		t.Fatalf("after eviction: %+v %v", r, tr)
@@ -121,7 +121,7 @@
 	if _, tr := r.Stopped(1, "cp0", 1, 1); tr == Applied {
 		t.Error("the same run was stopped twice")
 	}
-	r, _ = r.Start("b", platform.Resources{})
+	r, _ = r.Start("b", infra.Resources{})
 	r, _ = r.LeaseLapsed(2, 900, 1)
 	if r.Checkpoint != "cp1" || r.LostMS != 500 {
 		t.Errorf("after a lapse: checkpoint %q, lost %d ms; want cp1 and the 500 beyond it", r.Checkpoint, r.LostMS)
@@ -129,9 +129,9 @@
 }
 
 func TestKilledGrows(t *testing.T) {
-	spec := Spec{ID: "j", Resources: platform.Resources{MemoryMB: 100}}
+	spec := Spec{ID: "j", Resources: infra.Resources{MemoryMB: 100}}
 	for reserved, want := range map[int64]int64{0: 150, 60: 90, 400: 600} {
-		r, _ := New(spec).Start("a", platform.Resources{MemoryMB: reserved})
+		r, _ := New(spec).Start("a", infra.Resources{MemoryMB: reserved})
 		r, _ = r.Killed(1, "memory", 0, testKills, 1)
 		if got := r.Sized(); got.Floor.MemoryMB != want || got.Resources != spec.Resources {
 			t.Errorf("%d MB reserved: floor %d MB after a kill, want %d; declared %+v", reserved, got.Floor.MemoryMB, want, got.Resources)
--- a/task/record.go
+++ b/task/record.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // Record is what the table keeps of a job. The methods that change it return
@@ -18,7 +18,7 @@
 	Worker string `msgpack:"w,omitempty"`
 	// Reserved is what the run of Epoch reserves on Worker, while the state is
 	// active. It may differ from what the job declares.
-	Reserved platform.Resources `msgpack:"rv,omitempty"`
+	Reserved infra.Resources `msgpack:"rv,omitempty"`
 	// Checkpoint names the progress that the next start, or the current run,
 	// resumes from.
 	Checkpoint string `msgpack:"cp,omitempty"`
@@ -34,7 +34,7 @@
 	// LostMS is the work done and lost, in milliseconds at full speed.
 	LostMS int64 `msgpack:"l,omitempty"`
 	// Learned is the size it reserves at the least once one proved small.
-	Learned platform.Resources `msgpack:"g,omitempty"`
+	Learned infra.Resources `msgpack:"g,omitempty"`
 	// Reason explains the last failure or the terminal state.
 	Reason string `msgpack:"r,omitempty"`
 	// FinishedUnixMS is when it became terminal, in Unix milliseconds.
@@ -45,7 +45,7 @@
 func New(s Spec) Record { return Record{Spec: s} }
 
 // Run returns the run of the record's epoch.
-func (r Record) Run() platform.RunID { return platform.RunID{Job: r.Spec.ID, Epoch: r.Epoch} }
+func (r Record) Run() infra.RunID { return infra.RunID{Job: r.Spec.ID, Epoch: r.Epoch} }
 
 // Sized returns the spec with what was learned of the job's own size as its
 // floor.
@@ -56,8 +56,8 @@
 }
 
 // Reserves returns what the run of the record's epoch reserves.
-func (r Record) Reserves() platform.Resources {
-	if r.Reserved != (platform.Resources{}) {
+func (r Record) Reserves() infra.Resources {
+	if r.Reserved != (infra.Resources{}) {
 		return r.Reserved
 	}
 	size := r.Spec.Resources
@@ -70,7 +70,7 @@
 func (r Record) over(doneMS int64) Record {
 	r.LostMS += max(0, doneMS-r.DoneMS)
 	r.Worker = ""
-	r.Reserved = platform.Resources{}
+	r.Reserved = infra.Resources{}
 	return r
 }
 
@@ -78,7 +78,7 @@
 func (r Record) finish(s State, reason string, nowMS int64) Record {
 	r.State = s
 	r.Worker = ""
-	r.Reserved = platform.Resources{}
+	r.Reserved = infra.Resources{}
 	r.Reason = reason
 	r.FinishedUnixMS = nowMS
 	return r
--- a/task/spec.go
+++ b/task/spec.go
@@ -1,6 +1,6 @@
 package task
 
-import "github.com/fireflygate/fireflygate/platform"
+import "github.com/fireflygate/fireflygate/infra"
 
 // QoS is a quality-of-service class.
 type QoS string
@@ -25,10 +25,10 @@
 	// Urgent work starts at once and may preempt.
 	Urgent bool `msgpack:"u,omitempty"`
 	// Resources is the declared size, often far off.
-	Resources platform.Resources `msgpack:"r"`
+	Resources infra.Resources `msgpack:"r"`
 	// Floor is what is reserved at the least, once a run was killed for using
 	// more than was reserved. It is not submitted; see Record.Sized.
-	Floor platform.Resources `msgpack:"fl,omitempty"`
+	Floor infra.Resources `msgpack:"fl,omitempty"`
 	// RunMS is the declared run time in milliseconds; 0 for a standing job.
 	RunMS int64 `msgpack:"d,omitempty"`
 	// DueUnixMS is when it must be done, in Unix milliseconds; 0 for never.
--- a/tenure/config.go
+++ b/tenure/config.go
@@ -7,7 +7,7 @@
 
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/peer"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -18,7 +18,7 @@
 	// Incarnation is unique to this process.
 	Incarnation string
 	// Table is the platform's table service.
-	Table platform.Table
+	Table infra.Table
 	// Transport reaches the other entry hosts.
 	Transport peer.Transport
 	// Mux takes the handlers for their requests.
--- a/tenure/execute.go
+++ b/tenure/execute.go
@@ -8,7 +8,7 @@
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // scanPage is how many rows one scan asks for.
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithTimeout(ctx, k.cfg.tableTimeout())
 	defer cancel()
 	result := k.cfg.Table.Commit(ctx, a.Tx)
-	answered := result.Status == platform.CommitApplied || result.Status == platform.CommitConflict
+	answered := result.Status == infra.CommitApplied || result.Status == infra.CommitConflict
 	k.post(func(now time.Time, m *ownership.Machine) []ownership.Action {
 		k.answered(now, answered)
 		return m.Committed(now, a.ID, result)
@@ -80,7 +80,7 @@
 
 // readKeys gets the rows named, then a page of the shards' rows.
 func (k *Keeper) readKeys(ctx context.Context, a ownership.Read) (input, error) {
-	var rows []platform.Row
+	var rows []infra.Row
 	if len(a.Keys) > 0 {
 		var err error
 		if rows, err = k.cfg.Table.Get(ctx, a.Keys...); err != nil {
@@ -94,8 +94,8 @@
 }
 
 // scan reads every row under a prefix.
-func (k *Keeper) scan(ctx context.Context, prefix string) ([]platform.Row, error) {
-	var all []platform.Row
+func (k *Keeper) scan(ctx context.Context, prefix string) ([]infra.Row, error) {
+	var all []infra.Row
 	after := ""
 	for {
 		rows, err := k.cfg.Table.Scan(ctx, prefix, after, scanPage)
--- a/tenure/fake_test.go
+++ b/tenure/fake_test.go
@@ -6,18 +6,18 @@
 	"strings"
 	"sync"
 
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // fakeTable is a table in memory that can be down.
 type fakeTable struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]infra.Row
 	version uint64
 	down    bool
 }
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]infra.Row{}} }
 
 func (f *fakeTable) setDown(down bool) {
 	f.mu.Lock()
@@ -25,13 +25,13 @@
 	f.down = down
 }
 
-func (f *fakeTable) Commit(_ context.Context, tx platform.Transaction) platform.CommitResult {
+func (f *fakeTable) Commit(_ context.Context, tx infra.Transaction) infra.CommitResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.CommitResult{Status: platform.CommitNotApplied}
+		return infra.CommitResult{Status: infra.CommitNotApplied}
 	}
-	var conflicts []platform.Row
+	var conflicts []infra.Row
 	for _, c := range tx.Conditions {
 		if row := f.rows[c.Key]; row.Version != c.Version {
 			row.Key = c.Key
@@ -39,22 +39,22 @@
 		}
 	}
 	if conflicts != nil {
-		return platform.CommitResult{Status: platform.CommitConflict, Conflicts: conflicts}
+		return infra.CommitResult{Status: infra.CommitConflict, Conflicts: conflicts}
 	}
 	f.version++
 	for _, w := range tx.Writes {
-		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.version}
+		f.rows[w.Key] = infra.Row{Key: w.Key, Value: w.Value, Version: f.version}
 	}
-	return platform.CommitResult{Status: platform.CommitApplied, Version: f.version}
+	return infra.CommitResult{Status: infra.CommitApplied, Version: f.version}
 }
 
-func (f *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, keys ...string) ([]infra.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
-	rows := make([]platform.Row, len(keys))
+	rows := make([]infra.Row, len(keys))
 	for i, key := range keys {
 		rows[i] = f.rows[key]
 		rows[i].Key = key
@@ -62,18 +62,18 @@
 	return rows, nil
 }
 
-func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
-	var rows []platform.Row
+	var rows []infra.Row
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b infra.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
--- a/tenure/keeper_test.go
+++ b/tenure/keeper_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/platform"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -20,7 +20,7 @@
 	t       *testing.T
 	table   *fakeTable
 	peers   *peernet.Network
-	list    platform.MemberList
+	list    infra.MemberList
 	keepers map[string]*Keeper
 	cancel  map[string]context.CancelFunc
 	done    sync.WaitGroup
@@ -33,13 +33,13 @@
 		keepers: map[string]*Keeper{}, cancel: map[string]context.CancelFunc{}, drained: make(chan string, 100),
 	}
 	for i := range 16 {
-		c.list.Members = append(c.list.Members, platform.Member{
-			Kind: platform.Endpoint, Name: fmt.Sprintf("e%d", i), Service: "s", State: platform.Live,
-		}, platform.Member{Kind: platform.Worker, Name: fmt.Sprintf("w%d", i), Zone: "z", State: platform.Live})
+		c.list.Members = append(c.list.Members, infra.Member{
+			Kind: infra.Endpoint, Name: fmt.Sprintf("e%d", i), Service: "s", State: infra.Live,
+		}, infra.Member{Kind: infra.Worker, Name: fmt.Sprintf("w%d", i), Zone: "z", State: infra.Live})
 	}
 	for i, h := range hosts {
-		c.list.Members = append(c.list.Members, platform.Member{
-			Kind: platform.EntryHost, Name: h, Zone: fmt.Sprint(i), State: platform.Live,
+		c.list.Members = append(c.list.Members, infra.Member{
+			Kind: infra.EntryHost, Name: h, Zone: fmt.Sprint(i), State: infra.Live,
 		})
 	}
 	for _, h := range hosts {
@@ -175,7 +175,7 @@
 		c.list.Revision++
 		c.list.Members = c.list.Members[:len(c.list.Members)-3]
 		for _, h := range []string{"b", "c"} {
-			c.list.Members = append(c.list.Members, platform.Member{Kind: platform.EntryHost, Name: h, Zone: h, State: platform.Live})
+			c.list.Members = append(c.list.Members, infra.Member{Kind: infra.EntryHost, Name: h, Zone: h, State: infra.Live})
 		}
 		for _, k := range c.keepers {
 			k.SetRoster(roster.Build(roster.Roster{}, c.list, settings.Default().Lease))
