--- /dev/null
+++ b/cmd/fireflygate-edge/check.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/fireflygate/fireflygate/platform"
+)
+
+// checkCommand checks a settings file.
+type checkCommand struct{}
+
+// Name implements subcommands.Command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCommand) Synopsis() string { return "check a settings file of the platform" }
+
+// Usage implements subcommands.Command.
+func (*checkCommand) Usage() string { return "check FILE...\n" }
+
+// SetFlags implements subcommands.Command.
+func (*checkCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		fmt.Fprintln(os.Stderr, "check: no file named")
+		return subcommands.ExitUsageError
+	}
+	status := subcommands.ExitSuccess
+	for _, path := range f.Args() {
+		if _, err := platform.LoadSettings(path); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			status = subcommands.ExitUsageError
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/cmd/fireflygate-edge/main.go
@@ -0,0 +1,26 @@
+// Command fireflygate-edge is an entry host on the users' platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	flag.Parse()
+	// A caller that goes away mustn't end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status)) //nolint:gocritic // stop has run
+}
--- /dev/null
+++ b/control/commit.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/event"
+)
+
+// flush commits what has changed, one batch at a time: at once when somebody
+// waits for it, after flushDelay otherwise, and at least every heartbeat.
+func (o *Owner) flush(now time.Time) {
+	if o.committing || o.resigning {
+		return
+	}
+	if !o.state.Unflushed() {
+		o.dirtySince = time.Time{}
+		if now.Sub(o.lastCommit) < heartbeat {
+			return
+		}
+	} else if o.dirtySince.IsZero() {
+		o.dirtySince = now
+	}
+	urgent := len(o.waiters) > 0 || now.Sub(o.lastCommit) >= heartbeat
+	if !urgent && now.Sub(o.dirtySince) < flushDelay {
+		return
+	}
+	b, err := o.state.Flush(now, batchWrites)
+	if err != nil {
+		panic("control: state can't be encoded: " + err.Error())
+	}
+	if len(b.Writes) == 0 && now.Sub(o.lastCommit) < heartbeat {
+		o.state.Flushed(b)
+		return
+	}
+	o.dirtySince = time.Time{}
+	o.committing = true
+	o.lastCommit = now
+	go o.commit(b)
+}
+
+// commit writes a batch and posts the outcome. An owner whose commit can't be
+// applied any more has been deposed.
+func (o *Owner) commit(b *dispatch.Batch) {
+	begun := boottime()
+	err := o.committer.Commit(o.ctx, b.Writes)
+	if err != nil {
+		o.quit(errors.Wrap(err, "commit"))
+		return
+	}
+	o.provenAt.Store(int64(begun))
+	o.post(func() {
+		o.committing = false
+		o.state.Flushed(b)
+		o.settle()
+	})
+}
+
+// settle answers those whose change is durable.
+func (o *Owner) settle() {
+	for id := range o.waiters {
+		if o.state.Settled(id) {
+			event.JobDurable.Log(o.opts.Log, slog.Any("job", id), slog.Any("epoch", o.epoch))
+			o.tell(id, reply{Result: ResultDone})
+		}
+	}
+}
+
+// tell answers everybody who waits for a job.
+func (o *Owner) tell(id string, r reply) {
+	for _, c := range o.waiters[id] {
+		c <- r
+	}
+	delete(o.waiters, id)
+}
--- /dev/null
+++ b/control/follow.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/election"
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/outcome"
+)
+
+// follow watches the owner until it fails, and then takes part in replacing
+// it. It returns after each change.
+func (n *Node) follow(ctx context.Context) {
+	_, leader, _ := n.current()
+	why := "no owner is known"
+	refused := true
+	if leader.Host != "" && !leader.Resigned {
+		why, refused = n.watchLeader(ctx, leader)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	event.OwnerSuspected.Log(n.opts.Log, slog.Any("host", leader.Host), slog.Any("epoch", leader.Epoch), slog.Any("why", why))
+	n.replace(ctx, refused)
+}
+
+// watchLeader pings the owner until there is a reason to doubt it. It says
+// why, and whether its process seems to be gone.
+func (n *Node) watchLeader(ctx context.Context, leader election.Record) (why string, gone bool) {
+	t := time.NewTicker(pingInterval)
+	defer t.Stop()
+	for {
+		r, res := n.ping(ctx, leader)
+		switch {
+		case res == outcome.NotRun:
+			return "unreachable", true
+		case res == outcome.Unknown:
+			return "no answer", false
+		case !r.Owner || r.Incarnation != leader.Incarnation || r.Epoch != leader.Epoch:
+			return "no longer the owner", true
+		case time.Duration(r.CommitAgeMS)*time.Millisecond > commitStale:
+			return "its commits fail", false
+		}
+		n.seen()
+		n.compareConfig(r.ConfigVersion)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return "stopping", false
+		}
+	}
+}
+
+// ping asks the owner how it is.
+func (n *Node) ping(ctx context.Context, leader election.Record) (pingReply, outcome.Kind) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	var r pingReply
+	res := n.client.Call(ctx, leader.Host, methodPing, pingRequest{Epoch: leader.Epoch}, &r)
+	return r, res.Kind
+}
+
+// compareConfig has the configuration read again if a peer's is newer.
+func (n *Node) compareConfig(version uint64) {
+	if c := n.config.Load(); c != nil && version > c.Version {
+		select {
+		case n.configNews <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// replace reads the owner's row until it names another owner, or is left
+// unchanged for so long that this host takes it.
+func (n *Node) replace(ctx context.Context, gone bool) {
+	var first uint64
+	var since time.Time
+	t := time.NewTicker(rowPoll)
+	defer t.Stop()
+	_, old, _ := n.current()
+	for {
+		record, version, err := n.readOwner(ctx)
+		switch {
+		case err != nil:
+			event.OwnerUnread.Log(n.opts.Log, slog.Any("err", err))
+			since = time.Time{}
+		case record.Host != "" && !record.Resigned && !record.Same(&old):
+			n.setLeader(record, nil)
+			event.OwnerFollowed.Log(n.opts.Log, slog.Any("host", record.Host), slog.Any("epoch", record.Epoch))
+			return
+		case since.IsZero() || version != first:
+			if !since.IsZero() && !gone && n.alive(ctx, record) {
+				n.setLeader(record, nil)
+				return
+			}
+			first, since = version, time.Now()
+			if record.Host == "" || record.Resigned {
+				since = since.Add(-unchangedFor)
+			}
+		}
+		if !since.IsZero() && time.Since(since) >= n.patience(gone) && n.take(ctx, record, version) {
+			return
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// alive reports whether the owner answers and commits.
+func (n *Node) alive(ctx context.Context, leader election.Record) bool {
+	r, res := n.ping(ctx, leader)
+	return res == outcome.Answered && r.Owner && r.Epoch == leader.Epoch &&
+		time.Duration(r.CommitAgeMS)*time.Millisecond <= commitStale
+}
+
+// readOwner reads the owner's row.
+func (n *Node) readOwner(ctx context.Context) (election.Record, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	return election.Read(ctx, n.opts.Table)
+}
+
+// patience returns how long this host waits with the row unchanged; hosts
+// differ, so that mostly one of them tries.
+func (n *Node) patience(gone bool) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(n.opts.Host)) // never fails
+	spread := time.Duration(h.Sum32()%spreadSteps) * spreadStep
+	if gone {
+		return unchangedRefused + spread
+	}
+	return unchangedFor + spread
+}
+
+// The spread of hosts' patience; a step is longer than a commit takes.
+const (
+	spreadSteps = 8
+	spreadStep  = 25 * time.Millisecond
+)
+
+// take tries to become the owner, and leads until that is over. It reports
+// whether anything changed.
+func (n *Node) take(ctx context.Context, seen election.Record, version uint64) bool {
+	n.mu.Lock()
+	resigned := n.resigned
+	n.mu.Unlock()
+	if resigned {
+		return false
+	}
+	self := election.Record{Host: n.opts.Host, Address: n.opts.Address, Incarnation: n.opts.Incarnation}
+	try, cancel := context.WithTimeout(ctx, rowTimeout)
+	c, err := election.Take(try, n.opts.Table, self, seen, version)
+	cancel()
+	if err != nil {
+		event.OwnershipMissed.Log(n.opts.Log, slog.Any("epoch", seen.Epoch+1), slog.Any("err", err))
+		return false
+	}
+	event.OwnershipTaken.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", seen.Host))
+	n.lead(ctx, c)
+	return true
+}
+
+// lead runs the owner until it is deposed or has resigned.
+func (n *Node) lead(ctx context.Context, c *election.Committer) {
+	o := newOwner(ctx, n.opts, c, *n.config.Load())
+	if err := o.load(); err != nil {
+		event.LoadFailed.Log(n.opts.Log, slog.Any("epoch", o.epoch), slog.Any("err", err))
+		o.quit(err)
+		n.setLeader(election.Record{}, nil)
+		return
+	}
+	n.setLeader(c.Record(), o)
+	o.run()
+	event.OwnershipLost.Log(n.opts.Log, slog.Any("epoch", o.epoch), slog.Any("err", context.Cause(o.ctx)))
+	n.setLeader(election.Record{}, nil)
+}
--- /dev/null
+++ b/control/load.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/infra"
+)
+
+const (
+	// scanRows is how many rows one read returns, the table service's most.
+	scanRows = 500
+	// loadTimeout bounds the reads of a new owner. The rows are some hundred
+	// kilobytes; a service that answers 60 times slower takes a few seconds.
+	loadTimeout = 8 * time.Second
+)
+
+// load takes in what earlier owners left.
+func (o *Owner) load() error {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+	defer cancel()
+	progress, err := o.scan(ctx, dispatch.ProgressPrefix)
+	if err != nil {
+		return err
+	}
+	byJob := make(map[string]infra.Row, len(progress))
+	for _, row := range progress {
+		byJob[strings.TrimPrefix(row.Key, dispatch.ProgressPrefix)] = row
+	}
+	jobs, err := o.scan(ctx, dispatch.JobPrefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range jobs {
+		o.restore(row, byJob)
+	}
+	workers, err := o.loadRoster(ctx)
+	if err != nil {
+		return err
+	}
+	event.StateLoaded.Log(o.opts.Log, slog.Any("epoch", o.epoch), slog.Any("jobs", len(jobs)), slog.Any("workers", workers), slog.Any("ms", time.Since(begun).Milliseconds()))
+	return nil
+}
+
+// restore takes in one job. A row that can't be read is left alone.
+func (o *Owner) restore(row infra.Row, progress map[string]infra.Row) {
+	job, err := dispatch.DecodeJobRow(row.Value)
+	var p *dispatch.ProgressRow
+	if found, ok := progress[strings.TrimPrefix(row.Key, dispatch.JobPrefix)]; ok && err == nil {
+		p, err = dispatch.DecodeProgressRow(found.Value)
+	}
+	if err != nil {
+		event.RowUnreadable.Log(o.opts.Log, slog.Any("key", row.Key), slog.Any("err", err))
+		return
+	}
+	now := time.Now()
+	o.state.Restore(now, now.UnixMilli(), job, p)
+}
+
+// loadRoster takes in the workers where runs may be alive.
+func (o *Owner) loadRoster(ctx context.Context) (int, error) {
+	rows, err := o.opts.Table.Get(ctx, dispatch.RosterKey)
+	if err != nil {
+		return 0, errors.Wrap(err, "read roster")
+	}
+	if len(rows) == 0 || rows[0].Version == 0 {
+		return 0, nil
+	}
+	var roster dispatch.RosterRow
+	if err := msgpack.Unmarshal(rows[0].Value, &roster); err != nil {
+		return 0, errors.Wrap(err, "decode roster")
+	}
+	for _, w := range roster.Workers {
+		o.state.Inherit(time.Now(), w)
+	}
+	return len(roster.Workers), nil
+}
+
+// scan reads all rows whose key begins so.
+func (o *Owner) scan(ctx context.Context, prefix string) ([]infra.Row, error) {
+	var all []infra.Row
+	after := ""
+	for {
+		rows, err := o.opts.Table.Scan(ctx, prefix, after, scanRows)
+		if err != nil {
+			return nil, errors.Wrapf(err, "scan %s", prefix)
+		}
+		all = append(all, rows...)
+		if len(rows) < scanRows {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
--- /dev/null
+++ b/control/messages.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"github.com/fireflygate/fireflygate/peer"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// The methods between entry hosts.
+const (
+	methodPing    peer.Method = "control.ping"
+	methodSubmit  peer.Method = "control.submit"
+	methodState   peer.Method = "control.state"
+	methodCancel  peer.Method = "control.cancel"
+	methodPending peer.Method = "control.pending"
+)
+
+// pingRequest asks the owner how it is.
+type pingRequest struct {
+	Epoch uint64 `msgpack:"e"`
+}
+
+// pingReply is the owner's answer.
+type pingReply struct {
+	// Owner is false if the host doesn't own the domain.
+	Owner       bool   `msgpack:"o"`
+	Epoch       uint64 `msgpack:"e"`
+	Incarnation string `msgpack:"i"`
+	// CommitAgeMS is the age of its last commit.
+	CommitAgeMS int64 `msgpack:"a"`
+	// ConfigVersion is its version of the configuration.
+	ConfigVersion uint64 `msgpack:"c"`
+}
+
+// submitRequest hands a job in.
+type submitRequest struct {
+	Job   workload.Job   `msgpack:"j"`
+	Queue workload.Queue `msgpack:"q"`
+}
+
+// jobRequest asks about, or cancels, one job.
+type jobRequest struct {
+	ID string `msgpack:"i"`
+}
+
+// pendingRequest asks for the jobs of a queue that haven't begun.
+type pendingRequest struct {
+	Queue string `msgpack:"q"`
+}
+
+// reply is the owner's answer to the requests above.
+type reply struct {
+	Result Result         `msgpack:"r"`
+	State  workload.State `msgpack:"s"`
+	Count  int            `msgpack:"n"`
+	// RetryAfterMS says, for a refusal, when to come back.
+	RetryAfterMS int64 `msgpack:"w"`
+}
--- /dev/null
+++ b/control/node.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflygate/fireflygate/election"
+	"github.com/fireflygate/fireflygate/peer"
+)
+
+// Node is this host's part in control: owner of the domain, or a forwarder to
+// its owner.
+type Node struct {
+	opts   Options
+	client *peer.Client
+	server *peer.Server
+	config atomic.Pointer[Config]
+	// configSet is closed when the first configuration has come.
+	configSet  chan struct{}
+	configOnce sync.Once
+	// configNews is told when a peer has a newer configuration.
+	configNews chan struct{}
+
+	mu sync.Mutex
+	// owner is set while this host owns the domain.
+	owner *Owner
+	// leader is the owner's row as last seen; changed is closed when it or
+	// owner changes.
+	leader  election.Record
+	changed chan struct{}
+	// leaderSeen is when, in boottime, the leader last answered.
+	leaderSeen time.Duration
+	resigned   bool
+}
+
+// NewNode returns a node; its peer server must be served, and Run called.
+func NewNode(opts Options) *Node {
+	po := peer.Options{
+		Host: opts.Host, Log: opts.Log, UserTimeout: peerUserTimeout, Handshake: pingTimeout,
+		MaxBackoff: peerMaxBackoff,
+	}
+	seed := rand.NewPCG(rand.Uint64(), rand.Uint64()) //nolint:gosec // spreads reconnections only
+	n := &Node{
+		opts: opts, client: peer.NewClient(po, rand.New(seed)), //nolint:gosec // as above
+		server:    peer.NewServer(po, func(string, netip.Addr) bool { return true }),
+		configSet: make(chan struct{}), configNews: make(chan struct{}, 1), changed: make(chan struct{}),
+	}
+	n.handle()
+	return n
+}
+
+const (
+	// peerUserTimeout gives up connections to peers whose bytes stay
+	// unacknowledged; shorter than the time to a take-over.
+	peerUserTimeout = time.Second
+	// peerMaxBackoff bounds the wait between dials to a peer.
+	peerMaxBackoff = 300 * time.Millisecond
+)
+
+// Server returns the server of requests from peers.
+func (n *Node) Server() *peer.Server { return n.server }
+
+// ConfigNews is told when a peer is known to have a newer configuration.
+func (n *Node) ConfigNews() <-chan struct{} { return n.configNews }
+
+// SetConfig puts a configuration in force; an older one is ignored.
+func (n *Node) SetConfig(c Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.config.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	n.config.Store(&c)
+	n.configOnce.Do(func() { close(n.configSet) })
+	if o := n.owner; o != nil {
+		go o.post(func() { o.setConfig(c) })
+	}
+}
+
+// setConfig puts a configuration in force at the owner.
+func (o *Owner) setConfig(c Config) {
+	if c.Version <= o.config.Version {
+		return
+	}
+	o.config = c
+	o.state.SetQueues(c.Queues)
+}
+
+// Ready reports whether callers can be served: a configuration is in force
+// and the owner has answered lately.
+func (n *Node) Ready() bool {
+	if n.config.Load() == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.owner != nil {
+		return n.owner.commitAge() < ownerValidity
+	}
+	return n.leaderSeen > 0 && boottime()-n.leaderSeen < leaderFresh
+}
+
+// leaderFresh is how old the owner's last answer may be for this host to
+// count as ready: a take-over lies within it.
+const leaderFresh = 3 * time.Second
+
+// current returns the owner if it is this host, the leader otherwise, and a
+// channel that closes when either changes.
+func (n *Node) current() (*Owner, election.Record, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owner, n.leader, n.changed
+}
+
+// setLeader takes in who owns the domain.
+func (n *Node) setLeader(r election.Record, o *Owner) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leader, n.owner = r, o
+	if r.Host != "" && o == nil {
+		n.client.SetPeers(map[string]string{r.Host: r.Address})
+	} else {
+		n.client.SetPeers(nil)
+	}
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// seen notes that the leader answered.
+func (n *Node) seen() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaderSeen = boottime()
+}
+
+// Run follows or leads until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	select {
+	case <-n.configSet:
+	case <-ctx.Done():
+		return
+	}
+	for ctx.Err() == nil {
+		n.follow(ctx)
+	}
+}
+
+// Resign gives the domain up for a planned stop, and keeps this host from
+// owning it again.
+func (n *Node) Resign(ctx context.Context) {
+	n.mu.Lock()
+	n.resigned = true
+	o := n.owner
+	n.mu.Unlock()
+	if o != nil {
+		o.resign(ctx)
+	}
+}
--- /dev/null
+++ b/control/orders.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/runner"
+)
+
+// order hands a plan's orders to the sessions.
+func (o *Owner) order(p dispatch.Plan) {
+	for _, s := range p.Stops {
+		o.orderStop(s)
+	}
+	for _, s := range p.Paces {
+		o.orderPace(s)
+	}
+	for _, s := range p.Starts {
+		o.orderStart(s)
+	}
+}
+
+// give queues an order for a worker; false if too many wait already.
+func (o *Owner) give(worker string, f func(context.Context)) bool {
+	s := o.sessions[worker]
+	if s == nil {
+		return false
+	}
+	select {
+	case s.orders <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// orderStart gives a start and takes in the answer. A start that is no longer
+// right when its turn comes isn't sent.
+func (o *Owner) orderStart(s dispatch.StartOrder) {
+	session := o.sessions[s.Worker.ID]
+	queued := o.give(s.Worker.ID, func(ctx context.Context) {
+		a := runner.Answer{Status: runner.Fenced}
+		if session.token.Load() == s.Start.Token && o.proven() {
+			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			a = o.opts.Workers.Start(ctx, s.Worker, s.Start)
+			cancel()
+		}
+		o.post(func() { o.startAnswered(s, a) })
+	})
+	if !queued {
+		o.startAnswered(s, runner.Answer{Status: runner.Unhealthy})
+	}
+}
+
+// startAnswered takes the answer to a start in.
+func (o *Owner) startAnswered(s dispatch.StartOrder, a runner.Answer) {
+	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("status", a.Status), slog.Any("err", a.Err))
+	if !o.state.StartAnswered(time.Now(), s, a) {
+		return
+	}
+	o.resolve(s.Worker.ID)
+}
+
+// resolve looks at a worker under its newest token, beside the look that may
+// be waiting there, to learn which starts without an answer were carried out.
+func (o *Owner) resolve(id string) {
+	w, renewal, ok := o.state.Renewal(time.Now(), id, o.proven())
+	s := o.sessions[id]
+	if !ok || s == nil {
+		return
+	}
+	renewal.WaitMS = 0
+	s.token.Store(renewal.Token)
+	l := look{worker: w, renewal: renewal}
+	o.give(id, func(ctx context.Context) {
+		a, rep := o.renew(ctx, l)
+		o.post(func() { o.looked(s, l, a, rep) })
+	})
+}
+
+// orderStop gives a stop.
+func (o *Owner) orderStop(s dispatch.StopOrder) {
+	o.give(s.Worker.ID, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		a := o.opts.Workers.Stop(ctx, s.Worker, s.Stop)
+		cancel()
+		o.post(func() {
+			event.StopAnswered.Log(o.opts.Log, slog.Any("task", s.Stop.Task), slog.Any("run", s.Stop.Run), slog.Any("worker", s.Worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
+			o.state.StopAnswered(time.Now(), s, a)
+		})
+	})
+}
+
+// orderPace gives a change of pace.
+func (o *Owner) orderPace(p dispatch.PaceOrder) {
+	o.give(p.Worker.ID, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		a := o.opts.Workers.Pace(ctx, p.Worker, p.Pace)
+		cancel()
+		o.post(func() {
+			event.PaceAnswered.Log(o.opts.Log, slog.Any("task", p.Pace.Task), slog.Any("run", p.Pace.Run), slog.Any("worker", p.Worker.ID), slog.Any("percent", p.Pace.Percent), slog.Any("status", a.Status), slog.Any("err", a.Err))
+			o.state.PaceAnswered(p, a)
+		})
+	})
+}
+
+// look begins the looks at workers that are due.
+func (o *Owner) look(now time.Time) {
+	for _, w := range o.state.Workers() {
+		s := o.sessions[w.ID]
+		if s == nil {
+			s = o.startSession(w.ID)
+			o.sessions[w.ID] = s
+		}
+		if s.looking || now.Before(s.nextLook) || !o.state.RenewalReady(now, w.ID) {
+			continue
+		}
+		info, renewal, ok := o.state.Renewal(now, w.ID, o.proven())
+		if !ok {
+			continue
+		}
+		s.looking = true
+		s.token.Store(renewal.Token)
+		s.looks <- look{worker: info, renewal: renewal}
+	}
+	for id, s := range o.sessions {
+		if !o.state.Known(id) {
+			s.cancel()
+			delete(o.sessions, id)
+		}
+	}
+}
+
+// looked takes in a worker's answer to a look.
+func (o *Owner) looked(s *session, l look, a runner.Answer, rep runner.Report) {
+	if a.Status != runner.Done {
+		s.nextLook = time.Now().Add(lookRetry)
+		event.WorkerNotSeen.Log(o.opts.Log, slog.Any("worker", l.worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
+	}
+	for _, e := range rep.Ends {
+		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", l.worker.ID), slog.Any("how", e.Kind))
+	}
+	o.state.Report(time.Now(), l.worker.ID, l.renewal, a, rep)
+}
--- /dev/null
+++ b/control/owner.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/election"
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/runner"
+)
+
+// Owner drives a domain while this host owns it. All of its state belongs to
+// one goroutine, the loop; others post functions to it.
+type Owner struct {
+	opts      Options
+	ctx       context.Context
+	committer *election.Committer
+	events    chan func()
+	state     *dispatch.State
+	sessions  map[string]*session
+	// waiters are told when a job's newest change is durable.
+	waiters map[string][]chan reply
+	config  Config
+	// committing is set while a batch is on its way to the store.
+	committing bool
+	lastCommit time.Time
+	dirtySince time.Time
+	// provenAt is when, in boottime, the last applied commit was begun.
+	provenAt atomic.Int64
+	// resigning owners give no more orders.
+	resigning bool
+	stopped   chan struct{}
+	quit      context.CancelCauseFunc
+	epoch     uint64
+}
+
+// eventBuffer bounds what waits for the loop; posting blocks beyond it.
+const eventBuffer = 1024
+
+// newOwner returns an owner that doesn't run yet.
+func newOwner(ctx context.Context, opts Options, c *election.Committer, cfg Config) *Owner {
+	ctx, quit := context.WithCancelCause(ctx)
+	o := &Owner{
+		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: c.Record().Epoch,
+		events: make(chan func(), eventBuffer), sessions: map[string]*session{},
+		waiters: map[string][]chan reply{}, stopped: make(chan struct{}),
+	}
+	o.state = dispatch.New(dispatch.Config{
+		Epoch: o.epoch, Lease: min(lease, opts.MaxLease), InheritedLease: min(lease, opts.MaxLease) + ownerValidity,
+		Retention: opts.Retention, CatchUp: roomPause,
+	})
+	o.state.SetQueues(cfg.Queues)
+	o.provenAt.Store(int64(boottime()))
+	return o
+}
+
+// post runs f on the loop; after the owner has stopped it does nothing.
+func (o *Owner) post(f func()) {
+	select {
+	case o.events <- f:
+	case <-o.ctx.Done():
+	}
+}
+
+// proven reports whether the last commit is young enough to go on ordering.
+func (o *Owner) proven() bool {
+	return boottime()-time.Duration(o.provenAt.Load()) < ownerValidity
+}
+
+// commitAge returns the age of the last applied commit.
+func (o *Owner) commitAge() time.Duration {
+	return boottime() - time.Duration(o.provenAt.Load())
+}
+
+// run is the loop. It returns when the host no longer owns the domain.
+func (o *Owner) run() {
+	defer close(o.stopped)
+	defer o.abandon()
+	go o.watchMembers()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case f := <-o.events:
+			f()
+			o.drainEvents()
+		case <-t.C:
+		case <-o.ctx.Done():
+			return
+		}
+		o.step()
+	}
+}
+
+// drainEvents runs what else has been posted, so that one cycle serves all.
+func (o *Owner) drainEvents() {
+	for range eventBuffer {
+		select {
+		case f := <-o.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// step makes durable what has changed, plans, and looks at workers.
+func (o *Owner) step() {
+	now := time.Now()
+	o.flush(now)
+	if o.proven() && !o.resigning {
+		o.order(o.state.Plan(now))
+	}
+	o.look(now)
+}
+
+// abandon tells everybody who waits that the outcome is open.
+func (o *Owner) abandon() {
+	for id := range o.waiters {
+		o.tell(id, reply{Result: ResultUnknown})
+	}
+}
+
+// watchMembers reads the membership list at intervals.
+func (o *Owner) watchMembers() {
+	t := time.NewTicker(memberPoll)
+	defer t.Stop()
+	for {
+		list, err := o.opts.Members.List(o.ctx)
+		if err != nil {
+			if o.ctx.Err() != nil {
+				return
+			}
+			event.MembersUnread.Log(o.opts.Log, slog.Any("err", err))
+		} else {
+			o.post(func() { o.setMembers(list) })
+		}
+		select {
+		case <-t.C:
+		case <-o.ctx.Done():
+			return
+		}
+	}
+}
+
+// setMembers takes the list in.
+func (o *Owner) setMembers(list []runner.Worker) {
+	o.state.SetMembers(time.Now(), list)
+}
--- /dev/null
+++ b/control/requests.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// ask runs f on the loop and waits for an answer on the channel it is given.
+func (o *Owner) ask(ctx context.Context, f func(answer chan reply)) reply {
+	answer := make(chan reply, 1)
+	o.post(func() { f(answer) })
+	select {
+	case r := <-answer:
+		return r
+	case <-ctx.Done():
+		return reply{Result: ResultUnknown}
+	case <-o.ctx.Done():
+		return reply{Result: ResultUnknown}
+	}
+}
+
+// submit takes a job in and answers once it is durable.
+func (o *Owner) submit(ctx context.Context, spec *workload.Job, q workload.Queue) reply {
+	return o.ask(ctx, func(answer chan reply) {
+		if o.state.Stored(spec.ID) {
+			answer <- reply{Result: ResultDone}
+			return
+		}
+		event.JobReceived.Log(o.opts.Log, slog.Any("job", spec.ID), slog.Any("queue", q.Name), slog.Any("steps", len(spec.Steps)))
+		if spec.Submitted == 0 {
+			spec.Submitted = time.Now().UnixMilli()
+		}
+		o.state.Accept(time.Now(), time.Now().UnixMilli(), spec, q)
+		o.waiters[spec.ID] = append(o.waiters[spec.ID], answer)
+	})
+}
+
+// cancel cancels a job and answers once that is durable.
+func (o *Owner) cancel(ctx context.Context, id string) reply {
+	return o.ask(ctx, func(answer chan reply) {
+		if !o.state.Cancel(time.Now(), id) {
+			answer <- reply{Result: ResultNotFound}
+			return
+		}
+		event.JobCancelled.Log(o.opts.Log, slog.Any("job", id))
+		if o.state.Settled(id) {
+			answer <- reply{Result: ResultDone}
+			return
+		}
+		o.waiters[id] = append(o.waiters[id], answer)
+	})
+}
+
+// jobState answers a job's state.
+func (o *Owner) jobState(ctx context.Context, id string) reply {
+	return o.ask(ctx, func(answer chan reply) {
+		state, ok := o.state.JobState(id)
+		if !ok {
+			answer <- reply{Result: ResultNotFound}
+			return
+		}
+		answer <- reply{Result: ResultDone, State: state}
+	})
+}
+
+// pending answers how many of a queue's jobs haven't begun.
+func (o *Owner) pending(ctx context.Context, queue string) reply {
+	return o.ask(ctx, func(answer chan reply) {
+		answer <- reply{Result: ResultDone, Count: o.state.Pending(queue)}
+	})
+}
--- /dev/null
+++ b/control/serve.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+
+	"github.com/fireflygate/fireflygate/peer"
+)
+
+// handle registers the answers to peers.
+func (n *Node) handle() {
+	n.server.Handle(methodPing, func(_ context.Context, _ string, decode func(any) error) (any, error) {
+		var q pingRequest
+		if err := decode(&q); err != nil {
+			return nil, err
+		}
+		return n.pong(), nil
+	})
+	serve(n.server, methodSubmit, n, func(ctx context.Context, o *Owner, q *submitRequest) reply {
+		return o.submit(ctx, &q.Job, q.Queue)
+	})
+	serve(n.server, methodState, n, func(ctx context.Context, o *Owner, q *jobRequest) reply {
+		return o.jobState(ctx, q.ID)
+	})
+	serve(n.server, methodCancel, n, func(ctx context.Context, o *Owner, q *jobRequest) reply {
+		return o.cancel(ctx, q.ID)
+	})
+	serve(n.server, methodPending, n, func(ctx context.Context, o *Owner, q *pendingRequest) reply {
+		return o.pending(ctx, q.Queue)
+	})
+}
+
+// serve answers a method at the owner; a host that isn't the owner says so.
+func serve[Q any](mux peer.Mux, m peer.Method, n *Node, f func(context.Context, *Owner, *Q) reply) {
+	mux.Handle(m, func(ctx context.Context, _ string, decode func(any) error) (any, error) {
+		q := new(Q)
+		if err := decode(q); err != nil {
+			return nil, err
+		}
+		o, _, _ := n.current()
+		if o == nil {
+			return reply{Result: ResultNotOwner}, nil
+		}
+		return f(ctx, o, q), nil
+	})
+}
+
+// pong says how this host's ownership is.
+func (n *Node) pong() pingReply {
+	o, _, _ := n.current()
+	r := pingReply{Incarnation: n.opts.Incarnation}
+	if c := n.config.Load(); c != nil {
+		r.ConfigVersion = c.Version
+	}
+	if o != nil && o.ctx.Err() == nil {
+		r.Owner, r.Epoch, r.CommitAgeMS = true, o.epoch, o.commitAge().Milliseconds()
+	}
+	return r
+}
--- /dev/null
+++ b/dispatch/answer.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/runner"
+)
+
+// StartAnswered takes in what became of a start. It reports whether the
+// worker must be asked under a higher token what became of it.
+func (s *State) StartAnswered(now time.Time, o StartOrder, a runner.Answer) (resolve bool) {
+	w := s.workers[o.Worker.ID]
+	if w == nil {
+		return false
+	}
+	w.tick(now, a.ClockMS)
+	r := w.runs[o.Start.Task]
+	if r == nil || r.number != o.Start.Run || r.phase != ordered {
+		return false // a report was faster
+	}
+	switch a.Status {
+	case runner.Done:
+		r.phase = running
+		r.task.step.job.begun()
+		s.Stats.Starts++
+	case runner.Unknown:
+		s.Stats.StartsUnknown++
+		r.phase = uncertain
+		w.silent = true
+		return s.raiseToken(w)
+	case runner.Reborn:
+		s.Reborn(now, w.info.ID)
+	default:
+		s.Stats.StartsRefused++
+		s.refused(now, w, r, a.Status)
+	}
+	return false
+}
+
+// refused gives back what a start that never ran had reserved, and keeps new
+// tasks from the worker for as long as the reason may last.
+func (s *State) refused(now time.Time, w *worker, r *run, why runner.Status) {
+	s.release(r)
+	switch why {
+	case runner.NoRoom:
+		w.pausedUntil = now.Add(s.cfg.CatchUp)
+	case runner.Unhealthy, runner.Invalid:
+		w.pausedUntil = now.Add(unhealthyPause)
+	default:
+	}
+}
+
+// raiseToken makes every order given so far that hasn't been carried out
+// void, once the worker has seen the new token.
+func (s *State) raiseToken(w *worker) bool {
+	if w.token != w.tokenSeen {
+		return false // raised already
+	}
+	w.token++
+	return true
+}
+
+// StopAnswered takes in what became of a stop; the end itself comes with a
+// report.
+func (s *State) StopAnswered(now time.Time, o StopOrder, a runner.Answer) {
+	w := s.workers[o.Worker.ID]
+	if w == nil {
+		return
+	}
+	w.tick(now, a.ClockMS)
+	if a.Status == runner.Reborn {
+		s.Reborn(now, w.info.ID)
+	}
+}
+
+// PaceAnswered takes in what became of a change of pace.
+func (s *State) PaceAnswered(o PaceOrder, a runner.Answer) {
+	w := s.workers[o.Worker.ID]
+	if w == nil || a.Status == runner.Done {
+		return
+	}
+	if r := w.runs[o.Pace.Task]; r != nil && r.number == o.Pace.Run {
+		r.pace = paceUnknown // ordered again by the next cycle
+	}
+}
+
+// paceUnknown marks a run whose last change of pace may not be in force.
+const paceUnknown = -1
--- /dev/null
+++ b/dispatch/choose.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/fireflygate/fireflygate/rank"
+)
+
+// allowed reports whether a worker may run tasks of a step at all.
+func (c *cycle) allowed(st *step, w *worker) bool {
+	return w.info.Pool == st.job.queue.Pool && w.info.HasLabel(st.spec.Label)
+}
+
+// fits reports whether the worker may take one more task of the step now.
+func (c *cycle) fits(st *step, w *worker) bool {
+	if c.kept[w] || !c.allowed(st, w) || !st.spec.Reserved().Fits(w.free) {
+		return false
+	}
+	return st.spec.MaxPerWorker == 0 || st.onWorker(w) < st.spec.MaxPerWorker
+}
+
+// choose returns the best worker for a task, nil if it fits nowhere. A filter,
+// if given, leaves out workers.
+func (c *cycle) choose(t *task, filter func(*worker) bool) *worker {
+	st := t.step
+	rt := rank.Task{
+		Needs: st.spec.Needs, Serving: st.spec.Serving(), Filler: st.spec.Filler, Spread: st.spec.LongRunning,
+	}
+	var best *worker
+	var least float64
+	for _, w := range c.workers {
+		if !c.fits(st, w) || (filter != nil && !filter(w)) {
+			continue
+		}
+		if w.runs[t.id()] != nil {
+			continue
+		}
+		cost := rank.Cost(&rt, c.candidate(t, w))
+		if best == nil || cost < least {
+			best, least = w, cost
+		}
+	}
+	return best
+}
+
+// candidate describes a worker to the ranking.
+func (c *cycle) candidate(t *task, w *worker) *rank.Worker {
+	st := t.step
+	serving, fillers := w.serving()
+	return &rank.Worker{
+		Free:         w.free,
+		Capacity:     w.info.Capacity,
+		UnusedCPU:    w.unusedCPU(),
+		Serving:      serving,
+		Fillers:      fillers,
+		Siblings:     st.onWorker(w),
+		DataNear:     w.info.HasLabel(st.spec.DataRack),
+		Suspect:      w.health.suspect(c.now),
+		FailedBefore: t.avoids(w.info.ID),
+	}
+}
+
+// placeGang starts all tasks of a gang, or none. A gang that runs slower over
+// several racks is placed within one if any rack has the room.
+func (c *cycle) placeGang(st *step) {
+	for i := range st.tasks {
+		if t := &st.tasks[i]; t.done || len(t.runs) > 0 {
+			return // members of the last run aren't all over yet
+		}
+	}
+	placed := []*worker(nil)
+	if st.spec.SameRack {
+		for _, rack := range c.racks() {
+			placed = c.tryGang(st, func(w *worker) bool { return slices.Contains(w.info.Labels, rack) })
+			if placed != nil {
+				break
+			}
+		}
+	}
+	if placed == nil {
+		placed = c.tryGang(st, nil)
+	}
+	if placed == nil {
+		c.keepRoom(st)
+		return
+	}
+	c.s.nextRun++
+	saved := gangCheckpoint(st)
+	for i := range st.tasks {
+		st.tasks[i].saved = saved
+		c.start(&st.tasks[i], placed[i], c.s.nextRun)
+	}
+}
+
+// gangCheckpoint returns one member's checkpoint, which holds for the gang.
+func gangCheckpoint(st *step) string {
+	for i := range st.tasks {
+		if st.tasks[i].saved != "" {
+			return st.tasks[i].saved
+		}
+	}
+	return ""
+}
+
+// racks returns every label of the workers; a label that isn't a rack makes a
+// wider set and does no harm.
+func (c *cycle) racks() []string {
+	var all []string
+	for _, w := range c.workers {
+		for _, l := range w.info.Labels {
+			if !slices.Contains(all, l) {
+				all = append(all, l)
+			}
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// tryGang finds workers for all tasks of a gang, nil if they don't all fit.
+func (c *cycle) tryGang(st *step, filter func(*worker) bool) []*worker {
+	placed := make([]*worker, 0, len(st.tasks))
+	var taken []*run
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		w := c.choose(t, filter)
+		if w == nil {
+			break
+		}
+		r := &run{task: t, worker: w, reserved: st.spec.Reserved()}
+		w.runs[t.id()] = r
+		w.free = w.free.Sub(r.reserved)
+		taken = append(taken, r)
+		placed = append(placed, w)
+	}
+	for _, r := range taken {
+		delete(r.worker.runs, r.task.id())
+		r.worker.free = r.worker.free.Add(r.reserved)
+	}
+	if len(placed) < len(st.tasks) {
+		return nil
+	}
+	return placed
+}
--- /dev/null
+++ b/dispatch/flush.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// Keys of the rows in the table service.
+const (
+	// JobPrefix begins the key of a job's row, ProgressPrefix that of its
+	// progress; the job's ID follows.
+	JobPrefix      = "job/"
+	ProgressPrefix = "progress/"
+	// RosterKey is the key of the roster.
+	RosterKey = "roster"
+)
+
+// Batch is a set of changes that become durable together.
+type Batch struct {
+	Writes []infra.Write
+	// jobs holds the jobs in the batch and the states that it writes.
+	jobs   []flushed
+	roster []string
+	// seen holds the ends that are durable once the batch is.
+	seen map[string]uint64
+}
+
+// flushed is a job as a batch writes it.
+type flushed struct {
+	job   *job
+	state workload.State
+}
+
+// Empty reports whether the batch changes nothing.
+func (b *Batch) Empty() bool { return len(b.Writes) == 0 && len(b.seen) == 0 }
+
+// Flush collects what must become durable, in at most limit writes. The
+// caller commits the batch and reports it with Flushed, or drops the state.
+func (s *State) Flush(now time.Time, limit int) (*Batch, error) {
+	b := &Batch{}
+	if s.rosterChanged {
+		if err := s.flushRoster(b); err != nil {
+			return nil, err
+		}
+	}
+	n := 0
+	for _, j := range s.dirty {
+		if len(b.Writes)+2 > limit {
+			break
+		}
+		if err := b.addJob(j); err != nil {
+			return nil, err
+		}
+		j.dirty = false
+		n++
+	}
+	s.dirty = s.dirty[n:]
+	if len(s.dirty) == 0 {
+		s.dirty = nil
+		b.seen = s.unacknowledged()
+		s.flushRemoved(now, b, limit)
+	}
+	return b, nil
+}
+
+// addJob writes a job's progress and, the first time, its row.
+func (b *Batch) addJob(j *job) error {
+	if !j.rowStored {
+		value, err := msgpack.Marshal(JobRow{Job: *j.spec, Policy: j.queue})
+		if err != nil {
+			return errors.Wrap(err, "encode job row")
+		}
+		b.Writes = append(b.Writes, infra.Write{Key: JobPrefix + j.spec.ID, Value: value})
+	}
+	if j.rowStored || j.state != workload.Queued {
+		value, err := msgpack.Marshal(j.progress())
+		if err != nil {
+			return errors.Wrap(err, "encode progress row")
+		}
+		b.Writes = append(b.Writes, infra.Write{Key: ProgressPrefix + j.spec.ID, Value: value})
+	}
+	b.jobs = append(b.jobs, flushed{j, j.state})
+	return nil
+}
+
+// flushRoster writes which workers may hold runs.
+func (s *State) flushRoster(b *Batch) error {
+	var row RosterRow
+	for _, w := range s.workers {
+		row.Workers = append(row.Workers, runner.Worker{ID: w.info.ID, Address: w.info.Address, Capacity: w.info.Capacity})
+		b.roster = append(b.roster, w.info.ID)
+	}
+	value, err := msgpack.Marshal(row)
+	if err != nil {
+		return errors.Wrap(err, "encode roster")
+	}
+	b.Writes = append(b.Writes, infra.Write{Key: RosterKey, Value: value})
+	s.rosterChanged = false
+	return nil
+}
+
+// unacknowledged returns the last end seen at each worker that isn't durable.
+func (s *State) unacknowledged() map[string]uint64 {
+	var seen map[string]uint64
+	for id, w := range s.workers {
+		if w.seen > w.acknowledged {
+			if seen == nil {
+				seen = map[string]uint64{}
+			}
+			seen[id] = w.seen
+		}
+	}
+	return seen
+}
+
+// flushRemoved deletes the rows of jobs that are over for longer than they
+// can be asked for.
+func (s *State) flushRemoved(now time.Time, b *Batch, limit int) {
+	for id, j := range s.jobs {
+		if len(b.Writes)+2 > limit {
+			return
+		}
+		if j.state.Final() && j.durable == j.state && now.Sub(j.overAt) > s.cfg.Retention && !j.hasRuns() {
+			delete(s.jobs, id)
+			b.Writes = append(b.Writes,
+				infra.Write{Key: JobPrefix + id, Delete: true}, infra.Write{Key: ProgressPrefix + id, Delete: true})
+		}
+	}
+}
+
+// hasRuns reports whether a run of the job may be alive.
+func (j *job) hasRuns() bool {
+	found := false
+	j.eachTask(func(t *task) { found = found || len(t.runs) > 0 })
+	return found
+}
+
+// Flushed takes in that a batch is durable.
+func (s *State) Flushed(b *Batch) {
+	for _, f := range b.jobs {
+		f.job.rowStored = true
+		f.job.durable = f.state
+	}
+	for _, id := range b.roster {
+		if w := s.workers[id]; w != nil {
+			w.rostered = true
+		}
+	}
+	for id, n := range b.seen {
+		if w := s.workers[id]; w != nil {
+			w.acknowledged = max(w.acknowledged, n)
+		}
+	}
+}
+
+// Unflushed reports whether changes wait to become durable.
+func (s *State) Unflushed() bool {
+	return len(s.dirty) > 0 || s.rosterChanged || len(s.unacknowledged()) > 0
+}
--- /dev/null
+++ b/dispatch/membership.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// SetMembers takes in the whole membership list. Workers that are no longer
+// on it keep their runs until these are known to be over.
+func (s *State) SetMembers(now time.Time, members []runner.Worker) {
+	listed := make(map[string]bool, len(members))
+	for _, m := range members {
+		listed[m.ID] = true
+		s.member(now, m)
+	}
+	for id, w := range s.workers {
+		if !listed[id] {
+			w.listed = false
+			s.forget(w, now)
+		}
+	}
+}
+
+// member takes in one entry of the list.
+func (s *State) member(now time.Time, m runner.Worker) {
+	w := s.workers[m.ID]
+	if w == nil {
+		w = s.addWorker(m)
+		s.rosterChanged = true
+	}
+	w.listed = true
+	used := w.info.Capacity.Sub(w.free)
+	wasDraining := w.info.Draining
+	w.info = m
+	w.free = m.Capacity.Sub(used)
+	if m.Draining && !wasDraining {
+		w.drainingAt = now
+	}
+}
+
+// addWorker begins to know a worker.
+func (s *State) addWorker(m runner.Worker) *worker {
+	w := &worker{
+		info: m, free: m.Capacity, runs: map[workload.TaskID]*run{},
+		token: s.cfg.Epoch << epochShift,
+	}
+	s.workers[m.ID] = w
+	return w
+}
+
+// Inherit adds a worker of an earlier owner's roster. Until it reports, or
+// until any lease that the earlier owner gave is over, runs of inherited jobs
+// that no other worker reports may be alive there.
+func (s *State) Inherit(now time.Time, m runner.Worker) {
+	w := s.addWorker(m)
+	w.rostered = true
+	w.inheritedUntil = now.Add(s.cfg.InheritedLease)
+	s.awaited[m.ID] = w
+}
+
+// Awaited returns the workers whose first report is awaited, in order.
+func (s *State) Awaited() []string {
+	ids := make([]string, 0, len(s.awaited))
+	for id := range s.awaited {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Workers returns all workers that are known, in no order.
+func (s *State) Workers() []runner.Worker {
+	all := make([]runner.Worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		if w.rostered {
+			all = append(all, w.info)
+		}
+	}
+	return all
+}
+
+// Known reports whether the worker is still of interest.
+func (s *State) Known(id string) bool { return s.workers[id] != nil }
+
+// forget drops a worker that is no longer listed once nothing can be alive
+// there.
+func (s *State) forget(w *worker, now time.Time) {
+	if w.listed || len(w.runs) > 0 || !w.leaseOver(now) {
+		return
+	}
+	delete(s.workers, w.info.ID)
+	delete(s.awaited, w.info.ID)
+	s.rosterChanged = true
+}
+
+// Reborn takes in that another life of the worker answered at its address:
+// all that ran in the life known is over.
+func (s *State) Reborn(now time.Time, id string) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	s.loseRuns(now, w)
+	w.leaseUntil, w.inheritedUntil = 0, time.Time{}
+	w.listed = false
+	delete(s.awaited, id)
+	s.forget(w, now)
+}
+
+// loseRuns ends the runs at a worker whose leases are over.
+func (s *State) loseRuns(now time.Time, w *worker) {
+	for _, r := range w.runs {
+		s.Stats.LostRuns++
+		if r.saved != "" {
+			r.task.saved = r.saved
+		}
+		s.release(r)
+	}
+	_ = now
+}
+
+// release takes a run that is over out of its worker and task.
+func (s *State) release(r *run) {
+	w := r.worker
+	delete(w.runs, r.task.id())
+	w.free = w.free.Add(r.reserved)
+	r.task.detach(r)
+}
+
+// ExpireLeases ends the runs at silent workers whose leases are over.
+func (s *State) ExpireLeases(now time.Time) {
+	for id, w := range s.workers {
+		if !w.leaseOver(now) {
+			continue
+		}
+		if s.awaited[id] != nil && !w.reported {
+			delete(s.awaited, id)
+		}
+		if w.silent && len(w.runs) > 0 {
+			s.loseRuns(now, w)
+		}
+		s.forget(w, now)
+	}
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fireflygate/fireflygate/queue"
+	"github.com/fireflygate/fireflygate/runner"
+)
+
+// waiting is a step with tasks that may start, and its place in the queue.
+type waiting struct {
+	entry queue.Entry
+	step  *step
+}
+
+// Plan decides what to order now.
+func (s *State) Plan(now time.Time) Plan {
+	s.ExpireLeases(now)
+	s.drain(now)
+	var p Plan
+	p.Paces = s.pace(now)
+	c := newCycle(s, now)
+	for _, w := range s.waiting(now) {
+		c.placeStep(w.step)
+	}
+	c.copySlow()
+	p.Starts = c.starts
+	p.Stops, s.stops = s.stops, nil
+	return p
+}
+
+// waiting returns the steps with tasks that may start, best first.
+func (s *State) waiting(now time.Time) []*waiting {
+	var list []*waiting
+	for _, j := range s.open {
+		if !j.rowStored || (j.inherited && len(s.awaited) > 0) {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o.undone == 0 || o.due.After(now) {
+				continue
+			}
+			for _, st := range o.steps {
+				if st.ready() {
+					list = append(list, &waiting{entry: entryOf(st), step: st})
+				}
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *waiting) int { return queue.Compare(&a.entry, &b.entry, now) })
+	return list
+}
+
+// entryOf describes a step to the queue.
+func entryOf(st *step) queue.Entry {
+	j, o := st.job, st.occurrence
+	rest := j.path[st.index]
+	return queue.Entry{
+		Priority:    j.queue.Priority,
+		Restart:     st.spec.LongRunning,
+		LatestStart: j.objective(o).Add(-rest),
+		LastUse:     j.lateLimit(o).Add(-rest),
+		Arrived:     o.due,
+		Work:        int64(st.undone) * st.spec.Needs.MilliCPU * st.spec.Estimate.Milliseconds() / 1000,
+		ID:          j.spec.ID,
+	}
+}
+
+// cycle is one planning cycle over the workers as they are now.
+type cycle struct {
+	s       *State
+	now     time.Time
+	workers []*worker
+	// kept holds workers whose room is kept for a step that is before others
+	// in the queue and fits nowhere yet.
+	kept   map[*worker]bool
+	starts []StartOrder
+}
+
+// newCycle collects the workers that may take tasks, in the order of IDs.
+func newCycle(s *State, now time.Time) *cycle {
+	c := &cycle{s: s, now: now, kept: map[*worker]bool{}}
+	for _, w := range s.workers {
+		if w.usable(now) && w.rostered && !w.clockAt.IsZero() {
+			c.workers = append(c.workers, w)
+		}
+	}
+	slices.SortFunc(c.workers, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	return c
+}
+
+// placeStep starts as many of a step's tasks as fit.
+func (c *cycle) placeStep(st *step) {
+	if st.spec.Gang {
+		c.placeGang(st)
+		return
+	}
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done || len(t.runs) > 0 {
+			continue
+		}
+		w := c.choose(t, nil)
+		if w == nil {
+			c.keepRoom(st)
+			return // its other tasks need as much
+		}
+		c.s.nextRun++
+		c.start(t, w, c.s.nextRun)
+	}
+}
+
+// start reserves the room and gives the order.
+func (c *cycle) start(t *task, w *worker, number uint64) {
+	r := &run{
+		task: t, number: number, token: w.token, worker: w, phase: ordered,
+		since: c.now, reserved: t.step.spec.Reserved(), pace: 100,
+	}
+	w.runs[t.id()] = r
+	w.free = w.free.Sub(r.reserved)
+	t.attach(r)
+	c.starts = append(c.starts, StartOrder{
+		Worker: w.info,
+		Start: runner.Start{
+			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
+			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.saved,
+		},
+	})
+}
+
+// keptShare bounds the workers whose room is kept for steps that wait: one in
+// keptShare, so that a job that fits nowhere can't idle the pool.
+const keptShare = 8
+
+// keepRoom keeps the worker that will soonest have room for a step from those
+// behind it in the queue: without this, small tasks take each gap before a
+// large one fits.
+func (c *cycle) keepRoom(st *step) {
+	if len(c.kept) >= max(1, len(c.workers)/keptShare) {
+		return
+	}
+	var best *worker
+	needs := st.spec.Reserved()
+	for _, w := range c.workers {
+		if c.kept[w] || !c.allowed(st, w) || !needs.Fits(w.info.Capacity) {
+			continue
+		}
+		if best == nil || w.free.MilliCPU > best.free.MilliCPU {
+			best = w
+		}
+	}
+	if best != nil {
+		c.kept[best] = true
+	}
+}
--- /dev/null
+++ b/dispatch/record.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// JobRow is the durable form of an accepted job; it never changes.
+type JobRow struct {
+	Job    workload.Job   `msgpack:"j"`
+	Policy workload.Queue `msgpack:"p"`
+}
+
+// ProgressRow is the durable form of a job's progress.
+type ProgressRow struct {
+	State workload.State `msgpack:"s"`
+	// Done holds, for each step of each occurrence in turn, a bit a task.
+	Done [][]byte `msgpack:"d,omitempty"`
+	// Failed holds the failed runs of tasks that have any.
+	Failed []FailedRuns `msgpack:"f,omitempty"`
+}
+
+// FailedRuns holds the numbers of a task's failed runs.
+type FailedRuns struct {
+	Occurrence int      `msgpack:"k"`
+	Step       int      `msgpack:"s"`
+	Index      int      `msgpack:"i"`
+	Runs       []uint64 `msgpack:"r"`
+}
+
+// RosterRow names the workers where runs may be alive.
+type RosterRow struct {
+	Workers []runner.Worker `msgpack:"w"`
+}
+
+// progress returns the durable form of the job's progress.
+func (j *job) progress() ProgressRow {
+	row := ProgressRow{State: j.state}
+	if j.state.Final() {
+		return row
+	}
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			row.Done = append(row.Done, st.doneBits())
+		}
+	}
+	j.eachTask(func(t *task) {
+		if len(t.failed) > 0 && !t.done {
+			id := t.id()
+			row.Failed = append(row.Failed, FailedRuns{id.Occurrence, id.Step, id.Index, t.failed})
+		}
+	})
+	return row
+}
+
+// doneBits returns a bit for each task that is done, nil if none is.
+func (s *step) doneBits() []byte {
+	if s.undone == len(s.tasks) {
+		return nil
+	}
+	bits := make([]byte, (len(s.tasks)+7)/8)
+	for i := range s.tasks {
+		if s.tasks[i].done {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return bits
+}
+
+// restore takes in durable progress.
+func (j *job) restore(now time.Time, row ProgressRow) {
+	i := 0
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if i < len(row.Done) {
+				st.restore(row.Done[i])
+			}
+			i++
+		}
+	}
+	for _, f := range row.Failed {
+		id := workload.TaskID{Occurrence: f.Occurrence, Step: f.Step, Index: f.Index}
+		if t := j.task(id); t != nil {
+			t.failed = f.Runs
+		}
+	}
+	j.state, j.durable = row.State, row.State
+	if row.State.Final() {
+		j.overAt = now
+	}
+}
+
+// restore marks the tasks whose bit is set.
+func (s *step) restore(bits []byte) {
+	for i := range s.tasks {
+		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
+			s.taskDone(&s.tasks[i])
+		}
+	}
+}
+
+// Restore takes in a job that an earlier owner accepted. The progress is nil
+// if none was written.
+func (s *State) Restore(now time.Time, wallNow int64, row *JobRow, progress *ProgressRow) {
+	q, ok := s.queues[row.Policy.Name]
+	if !ok {
+		q = row.Policy
+	}
+	j := newJob(now, wallNow, &row.Job, q)
+	j.rowStored, j.inherited = true, true
+	if progress != nil {
+		j.restore(now, *progress)
+	}
+	s.jobs[row.Job.ID] = j
+	if !j.state.Final() {
+		s.open = append(s.open, j)
+	}
+}
+
+// DecodeJobRow reads a job's row.
+func DecodeJobRow(value []byte) (*JobRow, error) {
+	var row JobRow
+	if err := msgpack.Unmarshal(value, &row); err != nil {
+		return nil, errors.Wrap(err, "decode job row")
+	}
+	return &row, errors.Wrap(row.Job.Validate(), "job row")
+}
+
+// DecodeProgressRow reads a job's progress.
+func DecodeProgressRow(value []byte) (*ProgressRow, error) {
+	var row ProgressRow
+	if err := msgpack.Unmarshal(value, &row); err != nil {
+		return nil, errors.Wrap(err, "decode progress row")
+	}
+	return &row, nil
+}
--- /dev/null
+++ b/dispatch/renewal.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/runner"
+)
+
+const (
+	// longPoll is how long a worker may hold its answer to a renewal for an
+	// end to come; the most that its protocol allows.
+	longPoll = 2 * time.Second
+	// idlePoll is the least time between two looks at a worker while ends of
+	// it can't be made durable, so that looks don't turn into a busy loop.
+	idlePoll = 500 * time.Millisecond
+)
+
+// RenewalReady reports whether a worker should be looked at now: at once if
+// all its ends are durable, at intervals otherwise.
+func (s *State) RenewalReady(now time.Time, id string) bool {
+	w := s.workers[id]
+	if w == nil || !w.rostered {
+		return false
+	}
+	return w.seen == w.acknowledged || now.Sub(w.answersAt) >= idlePoll
+}
+
+// Renewal returns the next renewal for a worker. Without extend the lease is
+// left as it is.
+func (s *State) Renewal(now time.Time, id string, extend bool) (runner.Worker, runner.Renewal, bool) {
+	w := s.workers[id]
+	if w == nil {
+		return runner.Worker{}, runner.Renewal{}, false
+	}
+	o := runner.Renewal{Token: w.token, Acknowledged: w.acknowledged}
+	if extend {
+		o.LeaseUntil = s.leaseFor(now, w)
+	}
+	if w.reported && !w.silent && w.token == w.tokenSeen && w.seen == w.acknowledged {
+		o.WaitMS = longPoll.Milliseconds()
+	}
+	return w.info, o, true
+}
+
+// leaseFor returns the end of lease that an order given now may carry, and
+// keeps it; 0 while the worker's clock isn't known.
+func (s *State) leaseFor(now time.Time, w *worker) int64 {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	until := w.clockNow(now) + s.cfg.Lease.Milliseconds()
+	w.leaseUntil = max(w.leaseUntil, until)
+	return until
+}
--- /dev/null
+++ b/dispatch/report.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// Report takes in a worker's answer to a renewal.
+func (s *State) Report(now time.Time, id string, sent runner.Renewal, a runner.Answer, rep runner.Report) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	w.tick(now, a.ClockMS)
+	switch a.Status {
+	case runner.Done:
+	case runner.Reborn:
+		s.Reborn(now, id)
+		return
+	default:
+		w.silent = true
+		w.answersAt = now
+		return
+	}
+	w.silent = false
+	w.answersAt = now
+	w.tokenSeen = max(w.tokenSeen, sent.Token)
+	s.takeEnds(now, w, rep.Ends)
+	s.takeActive(now, w, rep.Active)
+	if len(rep.Ends) < runner.MaxEnds {
+		s.settleUncertain(w, sent.Token, rep.Active)
+		s.firstReport(w)
+	}
+	s.askAgain(w)
+}
+
+// askAgain raises the token once more if a start that carried the newest one
+// got no answer.
+func (s *State) askAgain(w *worker) {
+	for _, r := range w.runs {
+		if r.phase == uncertain && r.token == w.token {
+			s.raiseToken(w)
+			return
+		}
+	}
+}
+
+// firstReport notes that the worker has said what is alive there. An earlier
+// owner's orders do nothing from now on, and none of them gave a lease that
+// goes further than one given at this moment.
+func (s *State) firstReport(w *worker) {
+	if w.reported {
+		return
+	}
+	w.reported = true
+	w.leaseUntil = max(w.leaseUntil, w.clock+s.cfg.Lease.Milliseconds())
+	delete(s.awaited, w.info.ID)
+}
+
+// takeEnds takes in the ends that weren't seen before.
+func (s *State) takeEnds(now time.Time, w *worker, ends []runner.End) {
+	for _, e := range ends {
+		if e.Number <= w.seen {
+			continue
+		}
+		w.seen = e.Number
+		s.takeEnd(now, w, e)
+	}
+}
+
+// takeEnd takes in one end. Ends of runs that an earlier owner started count
+// as those of our own.
+func (s *State) takeEnd(now time.Time, w *worker, e runner.End) {
+	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
+		s.release(r)
+	}
+	j := s.jobs[e.Task.Job]
+	if j == nil || j.state.Final() {
+		return
+	}
+	t := j.task(e.Task)
+	if t == nil || t.done {
+		return
+	}
+	j.begun()
+	if e.Saved != "" {
+		t.saved = e.Saved
+	}
+	switch e.Kind {
+	case runner.EndDone:
+		w.health.done()
+		s.Stats.Done++
+		s.taskDone(now, t)
+	case runner.EndFailed:
+		w.health.failed(now)
+		s.Stats.FailedRuns++
+		s.taskFailed(now, w, t, e.Run)
+	case runner.EndStopped:
+		s.Stats.StoppedRuns++
+	case runner.EndExpired:
+		s.Stats.ExpiredRuns++
+	default:
+	}
+}
+
+// taskDone takes in that a run of the task finished its work.
+func (s *State) taskDone(now time.Time, t *task) {
+	st := t.step
+	if st.spec.LongRunning {
+		return // restarted however it ends
+	}
+	s.touch(st.job)
+	if st.spec.Gang {
+		for i := range st.tasks {
+			s.settleTask(now, &st.tasks[i])
+		}
+	} else {
+		s.settleTask(now, t)
+	}
+	if st.job.unfinished == 0 {
+		s.finish(now, st.job, workload.Complete)
+		s.Stats.Completed++
+	}
+}
+
+// settleTask marks a task done and stops copies of it.
+func (s *State) settleTask(now time.Time, t *task) {
+	t.step.taskDone(t)
+	if t.step.spec.Gang {
+		return // the rest of the gang ends by itself
+	}
+	for _, r := range t.runs {
+		s.stop(now, r)
+	}
+}
+
+// taskFailed counts a failed run; a job whose task has used up its attempts
+// has failed. A gang counts as one task.
+func (s *State) taskFailed(now time.Time, w *worker, t *task, number uint64) {
+	t.failedOn = append(t.failedOn, w.info.ID)
+	if t.step.spec.LongRunning {
+		return
+	}
+	counted := t
+	if t.step.spec.Gang {
+		counted = &t.step.tasks[0]
+	}
+	for _, n := range counted.failed {
+		if n == number {
+			return
+		}
+	}
+	counted.failed = append(counted.failed, number)
+	j := t.step.job
+	s.touch(j)
+	if len(counted.failed) >= j.queue.MaxAttempts {
+		s.finish(now, j, workload.Failed)
+		s.Stats.Failed++
+	}
+}
+
+// takeActive takes in what is at work.
+func (s *State) takeActive(now time.Time, w *worker, active []runner.Active) {
+	for i := range active {
+		a := &active[i]
+		r := w.runs[a.Task]
+		if r == nil || r.number != a.Run {
+			r = s.adopt(now, w, a)
+		}
+		if r == nil {
+			continue
+		}
+		if r.phase == ordered || r.phase == uncertain {
+			r.phase = running
+		}
+		r.percent, r.usage = a.Percent, a.Usage
+		if a.Saved != "" {
+			r.saved = a.Saved
+			r.task.saved = a.Saved
+		}
+		if over := r.task.done || r.task.step.job.state.Final(); over {
+			s.stop(now, r)
+		}
+	}
+}
+
+// adopt takes over a run that this owner didn't start. A run that shouldn't
+// be there is stopped; nil if nothing is known of its task.
+func (s *State) adopt(now time.Time, w *worker, a *runner.Active) *run {
+	j := s.jobs[a.Task.Job]
+	var t *task
+	if j != nil {
+		t = j.task(a.Task)
+	}
+	if t == nil {
+		s.stops = append(s.stops, StopOrder{
+			Worker: w.info, Stop: runner.Stop{Task: a.Task, Run: a.Run, Token: w.token},
+		})
+		return nil
+	}
+	if old := w.runs[a.Task]; old != nil {
+		s.release(old) // a worker has one run of a task at a time
+	}
+	j.begun()
+	r := &run{
+		task: t, number: a.Run, token: w.token, worker: w, phase: running,
+		since: now, reserved: t.step.spec.Reserved(), pace: 100,
+	}
+	w.runs[a.Task] = r
+	w.free = w.free.Sub(r.reserved)
+	t.attach(r)
+	if len(t.runs) > 1 && !t.step.spec.Speculative {
+		s.stop(now, r)
+	}
+	return r
+}
+
+// settleUncertain resolves starts that got no answer: a worker that has
+// answered under a higher token never carries them out, so those that it
+// doesn't report never ran.
+func (s *State) settleUncertain(w *worker, token uint64, active []runner.Active) {
+	for id, r := range w.runs {
+		if r.phase != uncertain || r.token >= token {
+			continue
+		}
+		reported := false
+		for i := range active {
+			reported = reported || (active[i].Task == id && active[i].Run == r.number)
+		}
+		if !reported {
+			s.release(r)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/run.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/infra"
+)
+
+// phase says what is known of a run that may be alive.
+type phase uint8
+
+const (
+	// ordered: the start was given and not answered yet.
+	ordered phase = iota
+	// uncertain: the start got no answer; it may be carried out late.
+	uncertain
+	// running: the worker took it.
+	running
+	// stopping: running, and its stop was ordered.
+	stopping
+)
+
+// run is one start of a task on a worker.
+type run struct {
+	task   *task
+	number uint64
+	// token is the fencing token that its start carried.
+	token  uint64
+	worker *worker
+	phase  phase
+	// since is when the start was given, or first seen by this owner.
+	since    time.Time
+	reserved infra.Resources
+	percent  int
+	usage    int64
+	saved    string
+	// pace is the share of its processors that it may use, in percent.
+	pace int
+	// stopAt is when the last stop was ordered.
+	stopAt time.Time
+	// tailOver is since when it has been over its tail target.
+	tailOver time.Time
+}
+
+// live reports whether the run counts towards its step being served.
+func (r *run) live() bool { return r.phase != stopping }
--- /dev/null
+++ b/dispatch/stats.go
@@ -0,0 +1,9 @@
+package dispatch
+
+// Stats counts decisions since the state began.
+type Stats struct {
+	Accepted, Completed, Failed                  uint64
+	Starts, StartsRefused, StartsUnknown         uint64
+	Done, FailedRuns, StoppedRuns, LostRuns      uint64
+	ExpiredRuns, Copies, Evictions, FillersMoved uint64
+}
--- /dev/null
+++ b/dispatch/step.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import "github.com/fireflygate/fireflygate/workload"
+
+// step is one step of one occurrence.
+type step struct {
+	job        *job
+	occurrence *occurrence
+	spec       *workload.Step
+	index      int
+	tasks      []task
+	// undone counts tasks that aren't done.
+	undone int
+	// idle counts undone tasks without a run.
+	idle int
+	// blockedBy counts steps that must be done first.
+	blockedBy int
+}
+
+// ready reports whether the step has tasks that may start.
+func (s *step) ready() bool { return s.blockedBy == 0 && s.idle > 0 }
+
+// taskDone marks a task as done and unblocks what depends on its step.
+func (s *step) taskDone(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.saved = ""
+	if len(t.runs) == 0 {
+		s.idle--
+	}
+	s.undone--
+	if s.undone > 0 {
+		return
+	}
+	o := s.occurrence
+	o.undone--
+	for _, later := range o.steps {
+		for _, before := range later.spec.After {
+			if before == s.index {
+				later.blockedBy--
+			}
+		}
+	}
+	if o.undone == 0 {
+		s.job.unfinished--
+	}
+}
+
+// onWorker counts the step's runs on a worker.
+func (s *step) onWorker(w *worker) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/dispatch/worker.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// worker is one life of a worker and the runs that may be alive there.
+type worker struct {
+	info runner.Worker
+	// listed is set while the membership list shows the worker.
+	listed bool
+	// rostered is set once the durable roster names the worker; no order goes
+	// out before, so that a later owner knows where runs may be alive.
+	rostered bool
+	// reported is set once it has answered a renewal of this owner.
+	reported bool
+	// token is the newest fencing token for orders to it.
+	token uint64
+	// tokenSeen is the newest token that it is known to have seen.
+	tokenSeen uint64
+	// clock is its own clock as last told, read before clockAt.
+	clock   int64
+	clockAt time.Time
+	// leaseUntil is the latest end of lease that any order sent could give.
+	leaseUntil int64
+	// inheritedUntil ends whatever an earlier owner's orders left there.
+	inheritedUntil time.Time
+	free           infra.Resources
+	runs           map[workload.TaskID]*run
+	// seen is the last end taken in; acknowledged the last that is durable.
+	seen, acknowledged uint64
+	// answersAt is when it last answered; silent is set after a failure.
+	answersAt time.Time
+	silent    bool
+	// pausedUntil keeps new tasks from it for a while.
+	pausedUntil time.Time
+	drainingAt  time.Time
+	health      health
+}
+
+// clockNow returns the least that the worker's clock can show.
+func (w *worker) clockNow(now time.Time) int64 {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	passed := now.Sub(w.clockAt)
+	return w.clock + int64(float64(passed.Milliseconds())*(1-clockDrift))
+}
+
+// tick takes in a reading of the worker's clock.
+func (w *worker) tick(now time.Time, clock int64) {
+	if clock > 0 {
+		w.clock, w.clockAt = clock, now
+	}
+}
+
+// leaseOver reports whether nothing can be alive at the worker any more,
+// short of a renewal.
+func (w *worker) leaseOver(now time.Time) bool {
+	if now.Before(w.inheritedUntil) && !w.reported {
+		return false
+	}
+	if w.leaseUntil == 0 {
+		return true
+	}
+	return !w.clockAt.IsZero() && w.clockNow(now) > w.leaseUntil+lostMargin.Milliseconds()
+}
+
+// usable reports whether new tasks may go to the worker.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.reported && !w.silent && !w.info.Draining && now.After(w.pausedUntil)
+}
+
+// serving counts runs that serve users, fillers those that fill.
+func (w *worker) serving() (serving, fillers int) {
+	for _, r := range w.runs {
+		switch {
+		case r.task.step.spec.Serving():
+			serving++
+		case r.task.step.spec.Filler:
+			fillers++
+		}
+	}
+	return serving, fillers
+}
+
+// unusedCPU returns the processors that no run has asked for, negative when
+// fillers have asked for more than is left.
+func (w *worker) unusedCPU() int64 {
+	unused := w.free.MilliCPU
+	for _, r := range w.runs {
+		if r.task.step.spec.Filler {
+			unused -= r.task.step.spec.Needs.MilliCPU
+		}
+	}
+	return unused
+}
--- /dev/null
+++ b/election/committer.go
@@ -0,0 +1,116 @@
+package election
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflygate/fireflygate/infra"
+)
+
+// ErrDeposed means that another host owns the domain.
+var ErrDeposed = errors.New("election: another host owns the domain")
+
+const (
+	// firstTimeout bounds the first try of a commit; a sound table service
+	// answers in some 10 ms.
+	firstTimeout = 700 * time.Millisecond
+	// lastTimeout bounds later tries, each of which may take twice as long as
+	// the one before, for a service that answers 50 times slower.
+	lastTimeout = 3 * time.Second
+	// retryPause is the wait after a refusal.
+	retryPause = 100 * time.Millisecond
+)
+
+// Committer writes on behalf of an owner. Its calls come one after another.
+type Committer struct {
+	table   infra.Table
+	record  Record
+	version uint64
+	// Pause waits before a try after a refusal; tests replace it.
+	Pause func(ctx context.Context, d time.Duration)
+}
+
+// NewCommitter returns the committer of an ownership whose row has the given
+// version.
+func NewCommitter(table infra.Table, record Record, version uint64) *Committer {
+	return &Committer{table: table, record: record, version: version, Pause: pause}
+}
+
+// pause waits for d or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// Record returns the owner's row as last written.
+func (c *Committer) Record() Record { return c.record }
+
+// Resign writes that the owner has stopped.
+func (c *Committer) Resign(ctx context.Context) error {
+	c.record.Resigned = true
+	return c.Commit(ctx, nil)
+}
+
+// Commit applies the writes together with the owner's row, and tries until
+// the outcome is known: nil when applied, ErrDeposed when another host owns
+// the domain, so that they never will be, or the context's error when the
+// outcome is open.
+func (c *Committer) Commit(ctx context.Context, writes []infra.Write) error {
+	c.record.Seq++
+	value, err := c.record.Encode()
+	if err != nil {
+		return err
+	}
+	all := append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...)
+	timeout := firstTimeout
+	for {
+		tx := infra.Transaction{Conditions: []infra.Condition{{Key: OwnerKey, Version: c.version}}, Writes: all}
+		try, cancel := context.WithTimeout(ctx, timeout)
+		res := c.table.Commit(try, tx)
+		cancel()
+		switch res.Status {
+		case infra.CommitApplied:
+			c.version = res.Version
+			return nil
+		case infra.CommitConflict:
+			applied, err := c.conflict(res.Conflicts)
+			if applied || err != nil {
+				return err
+			}
+		case infra.CommitNotApplied:
+			c.Pause(ctx, retryPause)
+		case infra.CommitUnknown:
+			timeout = min(2*timeout, lastTimeout)
+		}
+		if err := ctx.Err(); err != nil {
+			return errors.Wrap(err, "commit")
+		}
+	}
+}
+
+// conflict takes in the owner's row as it is now: this very commit, applied
+// by an earlier try; the commit before, whose version wasn't known; or that
+// of another owner.
+func (c *Committer) conflict(rows []infra.Row) (applied bool, err error) {
+	for _, row := range rows {
+		if row.Key != OwnerKey || row.Version == 0 {
+			continue
+		}
+		found, err := Decode(row.Value)
+		if err != nil {
+			return false, err
+		}
+		if !found.Same(&c.record) {
+			return false, errors.Wrapf(ErrDeposed, "epoch %d is owned by %s", found.Epoch, found.Host)
+		}
+		c.version = row.Version
+		return found.Seq == c.record.Seq, nil
+	}
+	return false, errors.Wrap(ErrDeposed, "owner row is gone")
+}
--- /dev/null
+++ b/election/take.go
@@ -0,0 +1,33 @@
+package election
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflygate/fireflygate/infra"
+)
+
+// Read returns the owner's row and its version, 0 if there is none.
+func Read(ctx context.Context, table infra.Table) (Record, uint64, error) {
+	rows, err := table.Get(ctx, OwnerKey)
+	if err != nil {
+		return Record{}, 0, errors.Wrap(err, "read owner row")
+	}
+	if len(rows) == 0 || rows[0].Version == 0 {
+		return Record{}, 0, nil
+	}
+	r, err := Decode(rows[0].Value)
+	return r, rows[0].Version, err
+}
+
+// Take makes self the next owner, if the row still has the version seen. It
+// returns ErrDeposed if somebody else was faster.
+func Take(ctx context.Context, table infra.Table, self, seen Record, version uint64) (*Committer, error) {
+	self.Epoch, self.Seq, self.Resigned = seen.Epoch+1, 0, false
+	c := NewCommitter(table, self, version)
+	if err := c.Commit(ctx, nil); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/event/control.go
@@ -0,0 +1,28 @@
+package event
+
+import "log/slog"
+
+// Events 900 to 949: control of a scheduling domain.
+var (
+	OwnerSuspected  = define(900, slog.LevelWarn, "owner of the domain is in doubt")
+	OwnerFollowed   = define(901, slog.LevelInfo, "following the owner of the domain")
+	OwnerUnread     = define(902, slog.LevelWarn, "owner row can't be read")
+	OwnershipTaken  = define(903, slog.LevelInfo, "this host owns the domain")
+	OwnershipMissed = define(904, slog.LevelInfo, "ownership not taken")
+	OwnershipLost   = define(905, slog.LevelWarn, "this host no longer owns the domain")
+	LoadFailed      = define(906, slog.LevelWarn, "state of the domain can't be read")
+	StateLoaded     = define(907, slog.LevelInfo, "state of the domain read")
+	RowUnreadable   = define(908, slog.LevelError, "row can't be decoded, left alone")
+	ResignFailed    = define(909, slog.LevelWarn, "ownership not given up cleanly")
+	MembersUnread   = define(910, slog.LevelWarn, "membership list can't be read, the one before stays")
+	WorkerNotSeen   = define(911, slog.LevelInfo, "look at worker failed")
+	JobReceived     = define(920, slog.LevelInfo, "job received")
+	JobDurable      = define(921, slog.LevelInfo, "change of job is durable")
+	JobCancelled    = define(922, slog.LevelInfo, "job cancelled")
+	StartAnswered   = define(923, slog.LevelInfo, "start answered")
+	StopAnswered    = define(924, slog.LevelInfo, "stop answered")
+	PaceAnswered    = define(925, slog.LevelInfo, "change of pace answered")
+	RunEnded        = define(926, slog.LevelInfo, "run ended")
+	NoOwner         = define(927, slog.LevelWarn, "request refused, the domain has no owner")
+	OutcomeOpen     = define(928, slog.LevelWarn, "request given up with its outcome open")
+)
--- /dev/null
+++ b/queue/order.go
@@ -0,0 +1,64 @@
+package queue
+
+import (
+	"cmp"
+	"time"
+)
+
+// Hope says what a step's job can still reach.
+type Hope uint8
+
+// From best to worst.
+const (
+	// OnTime can still meet its objective.
+	OnTime Hope = iota
+	// Late can still end while that is of some use.
+	Late
+	// Lost is past both; it is owed all the same.
+	Lost
+)
+
+// HopeOf returns what the entry can still reach.
+func HopeOf(e *Entry, now time.Time) Hope {
+	switch {
+	case !now.After(e.LatestStart):
+		return OnTime
+	case !now.After(e.LastUse):
+		return Late
+	default:
+		return Lost
+	}
+}
+
+// Compare orders two entries for slices.SortFunc: by priority; long-running
+// tasks before others; by hope; then, among those on time, the one that must
+// start first, among the late the one with least work, which frees its room
+// soonest, and among the lost the one that came first.
+func Compare(a, b *Entry, now time.Time) int {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if a.Restart != b.Restart {
+		if a.Restart {
+			return -1
+		}
+		return 1
+	}
+	ha, hb := HopeOf(a, now), HopeOf(b, now)
+	if c := cmp.Compare(ha, hb); c != 0 {
+		return c
+	}
+	c := 0
+	switch ha {
+	case OnTime:
+		c = a.LatestStart.Compare(b.LatestStart)
+	case Late:
+		c = cmp.Compare(a.Work, b.Work)
+	case Lost:
+		c = a.Arrived.Compare(b.Arrived)
+	}
+	if c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
--- /dev/null
+++ b/rank/rank.go
@@ -0,0 +1,61 @@
+package rank
+
+// The weights of the reasons against a worker. A worker's share of free
+// processors after placement counts 0 to 1; each weight says how many such
+// shares the reason outweighs. They are ordered: a failure there is worse
+// than a doubtful worker, that worse than distant data, which makes a task
+// take 2 to 3 times as long, that worse than a disturbed neighbour, and that
+// worse than a poor fit.
+const (
+	failedBeforeWeight = 1000
+	suspectWeight      = 300
+	farDataWeight      = 100
+	disturbWeight      = 20
+	siblingWeight      = 5
+	squeezeWeight      = 2
+)
+
+// Cost returns how bad a worker is for a task, least is best. The worker must
+// have room.
+func Cost(t *Task, w *Worker) float64 {
+	cost := fitCost(t, w) + doubtCost(w)
+	if !w.DataNear {
+		cost += farDataWeight
+	}
+	switch {
+	case t.Serving:
+		cost += disturbWeight * float64(w.Fillers)
+	case t.Filler:
+		cost += disturbWeight * float64(w.Serving)
+	default:
+		cost += squeezeWeight * float64(w.Fillers) / float64(1+w.Fillers)
+	}
+	if t.Spread {
+		cost += siblingWeight * float64(w.Siblings)
+	}
+	return cost
+}
+
+// fitCost prefers the fullest worker for tasks with a reservation, and the
+// one with most unused processors for fillers.
+func fitCost(t *Task, w *Worker) float64 {
+	if w.Capacity.MilliCPU == 0 {
+		return 0
+	}
+	if t.Filler {
+		return 1 - float64(w.UnusedCPU-t.Needs.MilliCPU)/float64(w.Capacity.MilliCPU)
+	}
+	return float64(w.Free.MilliCPU-t.Needs.MilliCPU) / float64(w.Capacity.MilliCPU)
+}
+
+// doubtCost keeps tasks from workers that fail them.
+func doubtCost(w *Worker) float64 {
+	cost := 0.0
+	if w.FailedBefore {
+		cost += failedBeforeWeight
+	}
+	if w.Suspect {
+		cost += suspectWeight
+	}
+	return cost
+}
--- /dev/null
+++ b/rank/task.go
@@ -0,0 +1,15 @@
+package rank
+
+import "github.com/fireflygate/fireflygate/infra"
+
+// Task is what the choice depends on.
+type Task struct {
+	// Needs is what the task asks for.
+	Needs infra.Resources
+	// Serving tasks have users of their own and a target for their tail.
+	Serving bool
+	// Filler tasks take what others leave; their processors aren't reserved.
+	Filler bool
+	// Spread tasks should not share a worker with others of their step.
+	Spread bool
+}
--- /dev/null
+++ b/rank/worker.go
@@ -0,0 +1,25 @@
+package rank
+
+import "github.com/fireflygate/fireflygate/infra"
+
+// Worker is what the choice depends on.
+type Worker struct {
+	// Free is what no run has reserved.
+	Free infra.Resources
+	// Capacity is what it holds in all.
+	Capacity infra.Resources
+	// UnusedCPU is thousandths of a core that neither a reservation nor a
+	// filler's request covers; it may be negative.
+	UnusedCPU int64
+	// Serving and Fillers count runs that serve users and that fill.
+	Serving, Fillers int
+	// Siblings counts runs of the same step.
+	Siblings int
+	// DataNear is set if the task's data is in the worker's rack, or it has
+	// none.
+	DataNear bool
+	// Suspect workers seem to fail whatever they get.
+	Suspect bool
+	// FailedBefore is set if the task failed there.
+	FailedBefore bool
+}
--- /dev/null
+++ b/runner/client.go
@@ -0,0 +1,15 @@
+package runner
+
+import "context"
+
+// Client carries orders to workers. Implementations are safe for concurrent
+// use and honour the context's deadline.
+type Client interface {
+	// Start, Stop and Pace give an order.
+	Start(ctx context.Context, w Worker, o Start) Answer
+	Stop(ctx context.Context, w Worker, o Stop) Answer
+	Pace(ctx context.Context, w Worker, o Pace) Answer
+	// Renew renews the lease and returns the report; the report is empty
+	// unless the answer is Done.
+	Renew(ctx context.Context, w Worker, o Renewal) (Answer, Report)
+}
--- /dev/null
+++ b/workload/state.go
@@ -0,0 +1,34 @@
+package workload
+
+// State is what callers are told of a job.
+type State uint8
+
+// The states of a job. The last three are final.
+const (
+	Queued State = iota
+	InProgress
+	Complete
+	Failed
+	Cancelled
+)
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool { return s >= Complete }
+
+// String returns the state as logs show it.
+func (s State) String() string {
+	switch s {
+	case Queued:
+		return "queued"
+	case InProgress:
+		return "in progress"
+	case Complete:
+		return "complete"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/workload/taskid.go
@@ -0,0 +1,16 @@
+package workload
+
+import "fmt"
+
+// TaskID names one task of one occurrence of a job.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the name as logs show it.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
