Fillers are placed by what pairs of images were learned to do

Ruled out: keeping fillers off workers that serve (serving tasks reserve 80% of all processors). A regression over 30,000 reports showed that three or four of nine images disturb a given serving image (its tail's logarithm rises by 4 to 7 for a whole worker's processors) and the others hardly do.

--- /dev/null
+++ b/colocate/guard.go
@@ -0,0 +1,97 @@
+package colocate
+
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/interference"
+)
+
+// Action is what to do about one filler.
+type Action uint8
+
+// The actions.
+const (
+	// Leave it as it is.
+	Leave Action = iota
+	// Slow it down.
+	Slow
+	// Move it: stop it, so that it resumes elsewhere.
+	Move
+	// Resume its full speed.
+	Resume
+)
+
+const (
+	// nearShare is the share of its target from which a tail is acted on.
+	nearShare = 1.0
+	// calmShare is the share below which all tails must be for a slowed
+	// filler to resume; the gap to nearShare is the hysteresis.
+	calmShare = 0.5
+	// Patience is how long a tail may stay over its target although the worst
+	// filler was slowed, before the next one is: one window of half a second
+	// and the way of an order and a report.
+	Patience = 700 * time.Millisecond
+	// leastBlame is the least that a filler must add to the logarithm of a tail
+	// to be acted on; below it the tail is of the task's own making.
+	leastBlame = 0.1
+	// SlowPercent is the pace of a slowed filler.
+	SlowPercent = 5
+)
+
+// Guard decides about each filler of a worker, in their order. The caller
+// leaves Patience between two decisions that act. One filler at a time is
+// acted on, the one to blame most for the tail that is worst off, so
+// that those without blame go on.
+func Guard(m *interference.Model, w *Worker) []Action {
+	actions := make([]Action, len(w.Fillers))
+	s, ratio := w.worstTail()
+	switch {
+	case s == nil || len(w.Fillers) == 0:
+	case ratio >= nearShare:
+		if i := w.toBlame(m, s.Class, s.OverFor); i >= 0 {
+			actions[i] = Slow
+			if w.Fillers[i].Saves {
+				actions[i] = Move
+			}
+		}
+	case ratio < calmShare:
+		for i := range w.Fillers {
+			if w.Fillers[i].Pace < 100 {
+				actions[i] = Resume
+				break
+			}
+		}
+	}
+	return actions
+}
+
+// worstTail returns the serving task whose tail is highest by its target.
+func (w *Worker) worstTail() (*Serving, float64) {
+	var found *Serving
+	ratio := 0.0
+	for i := range w.Serving {
+		s := &w.Serving[i]
+		if r := float64(s.Tail) / float64(s.Target); s.Target > 0 && r > ratio {
+			found, ratio = s, r
+		}
+	}
+	return found, ratio
+}
+
+// toBlame returns the filler at full speed that adds most to a class's tail,
+// -1 if there is none. A filler whose effect no report covers yet is blamed
+// only once the tail has been over for a while.
+func (w *Worker) toBlame(m *interference.Model, class string, overFor time.Duration) int {
+	at, most := -1, leastBlame
+	for i := range w.Fillers {
+		f := &w.Fillers[i]
+		if f.Pace < 100 || (!f.Settled && overFor < Patience) {
+			continue
+		}
+		mean, deviation := m.Blame(class, f.Image, f.Part)
+		if blame := mean + deviation; blame > most {
+			at, most = i, blame
+		}
+	}
+	return at
+}
--- a/control/owner.go
+++ b/control/owner.go
@@ -27,6 +27,7 @@
 	// committing is set while a batch is on its way to the store.
 	committing bool
 	lastCommit time.Time
+	summarized time.Time
 	dirtySince time.Time
 	// provenAt is when, in boottime, the last applied commit was begun.
 	provenAt atomic.Int64
@@ -115,6 +116,19 @@
 		o.order(o.state.Plan(now))
 	}
 	o.look(now)
+	o.summarize(now)
+}
+
+// summaryEvery is the time between two log lines on the state of the domain.
+const summaryEvery = time.Second
+
+// summarize logs the state of the domain at intervals.
+func (o *Owner) summarize(now time.Time) {
+	if now.Sub(o.summarized) < summaryEvery {
+		return
+	}
+	o.summarized = now
+	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", o.state.Summary(now)))
 }
 
 // abandon tells everybody who waits that the outcome is open.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/fireflygate/fireflygate/colocate"
 	"github.com/fireflygate/fireflygate/rank"
 )
 
@@ -16,18 +17,49 @@
 	if c.kept[w] || !c.allowed(st, w) || !st.spec.Reserved().Fits(w.free) {
 		return false
 	}
+	if st.spec.Filler && float64(w.unusedCPU()) < leastFill*float64(st.spec.Needs.MilliCPU) {
+		return false
+	}
 	return st.spec.MaxPerWorker == 0 || st.onWorker(w) < st.spec.MaxPerWorker
 }
 
+// leastFill is the share of the processors it asks for that a filler should
+// find unused: with less it would take longer than waiting for room.
+const leastFill = 0.7
+
+// harm returns what placing the task would do to those who serve, and whether
+// it may be placed all the same.
+func (c *cycle) harm(st *step, w *worker, trial bool) (float64, bool) {
+	switch {
+	case st.spec.Filler:
+		if serving, _ := w.serving(); serving == 0 {
+			return 0, true
+		}
+		load, _ := w.colocation(c.now)
+		part := float64(st.spec.Needs.MilliCPU) / float64(max(w.info.Capacity.MilliCPU, 1))
+		h := colocate.HarmOf(c.s.model, load, st.spec.Image, part)
+		if h.Expected <= harmTolerated {
+			return h.Expected, true
+		}
+		return h.Expected, trial && h.Mean == 0 && c.s.explorer.Allowed(c.now, w.trial, trialLimit)
+	case st.class != "":
+		load, _ := w.colocation(c.now)
+		return colocate.HarmTo(c.s.model, load, st.class).Expected, true
+	default:
+		return 0, true
+	}
+}
+
 // choose returns the best worker for a task, nil if it fits nowhere. A filter,
 // if given, leaves out workers.
 func (c *cycle) choose(t *task, filter func(*worker) bool) *worker {
 	st := t.step
 	rt := rank.Task{
 		Needs: st.spec.Needs, Serving: st.spec.Serving(), Filler: st.spec.Filler, Spread: st.spec.LongRunning,
+		Quiet: st.spec.Filler && c.s.model.Loudest(st.spec.Image) < quietBlame,
 	}
 	var best *worker
-	var least float64
+	var least, bestHarm float64
 	for _, w := range c.workers {
 		if !c.fits(st, w) || (filter != nil && !filter(w)) {
 			continue
@@ -35,11 +67,20 @@
 		if w.runs[t.id()] != nil {
 			continue
 		}
-		cost := rank.Cost(&rt, c.candidate(t, w))
+		harm, ok := c.harm(st, w, true)
+		if !ok {
+			continue
+		}
+		candidate := c.candidate(t, w)
+		candidate.Harm = harm
+		cost := rank.Cost(&rt, candidate)
 		if best == nil || cost < least {
-			best, least = w, cost
+			best, least, bestHarm = w, cost, harm
 		}
 	}
+	if best != nil && st.spec.Filler && bestHarm > harmTolerated {
+		c.s.explorer.Begin(c.now, &best.trial)
+	}
 	return best
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -62,6 +62,9 @@
 		spec := &j.spec.Steps[i]
 		s := &step{job: j, occurrence: o, spec: spec, index: i, undone: spec.Tasks, idle: spec.Tasks}
 		s.blockedBy = len(spec.After)
+		if spec.Serving() {
+			s.class = spec.Image + "/" + spec.TailTarget.String()
+		}
 		s.tasks = make([]task, spec.Tasks)
 		for t := range s.tasks {
 			s.tasks[t] = task{step: s, index: t}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -1,72 +1,148 @@
 package dispatch
 
 import (
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/fireflygate/fireflygate/colocate"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
 const (
-	// tailPaceShare is the share of its target from which a serving task's
-	// tail has the fillers beside it slowed: before the target is passed.
-	tailPaceShare = 0.8
-	// tailMoveAfter is how long a tail may stay over its target before the
-	// fillers beside it are moved away; pacing takes effect within 0.1 s and
-	// shows in the figures of the last half second.
-	tailMoveAfter = 1200 * time.Millisecond
-	// pacedPercent is the share of processors that a slowed filler keeps.
-	pacedPercent = 10
+	// tailWindow is what a worker's figures cover.
+	tailWindow = 500 * time.Millisecond
+	// trialInterval is the time in which one trial of a pair that is little
+	// known may begin on a worker: its effect shows in two windows.
+	trialInterval = 1500 * time.Millisecond
+	// trialLimit bounds the trials in that time on all workers.
+	trialLimit = 6
+	// harmTolerated is the expected harm up to which a filler is placed
+	// beside serving tasks.
+	harmTolerated = 0.05
+	// quietBlame is what a filler of all processors may add to the logarithm
+	// of a tail and still count as quiet. Pairs that disturb add 4 to 7,
+	// others less than 2, by regression over 30,000 reports.
+	quietBlame = 2.0
 )
 
-// pace slows fillers beside serving tasks whose tail nears its target, and
-// moves them away if that doesn't help.
+// colocation describes the worker to package colocate, with the runs behind
+// the fillers in the same order.
+func (w *worker) colocation(now time.Time) (*colocate.Worker, []*run) {
+	c := &colocate.Worker{}
+	var fillers []*run
+	for _, r := range w.sortedRuns() {
+		st := r.task.step
+		switch {
+		case st.class != "" && r.phase == running:
+			s := colocate.Serving{Class: st.class, Target: st.spec.TailTarget}
+			if r.percent >= 100 {
+				s.Tail = time.Duration(r.usage) * time.Millisecond
+			}
+			if !r.tailOver.IsZero() {
+				s.OverFor = now.Sub(r.tailOver)
+			}
+			c.Serving = append(c.Serving, s)
+		case st.spec.Filler && r.phase != stopping:
+			c.Fillers = append(c.Fillers, r.filler(now))
+			fillers = append(fillers, r)
+		}
+	}
+	return c, fillers
+}
+
+// filler describes a filling run.
+func (r *run) filler(now time.Time) colocate.Filler {
+	spec := r.task.step.spec
+	settled := now.Sub(r.since) > 2*tailWindow && r.usage > 0
+	use := r.usage
+	if !settled {
+		use = max(use, spec.Needs.MilliCPU)
+	}
+	return colocate.Filler{
+		Image: spec.Image, Part: float64(use) / float64(max(r.worker.info.Capacity.MilliCPU, 1)),
+		Pace: max(r.pace, 0), Saves: spec.Checkpointing, Settled: settled,
+	}
+}
+
+// sortedRuns returns the worker's runs in the order of their numbers.
+func (w *worker) sortedRuns() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		if a.number != b.number {
+			if a.number < b.number {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.task.step.job.spec.ID, b.task.step.job.spec.ID)
+	})
+	return runs
+}
+
+// learnTails takes in the tails of a report that differs from the one before.
+func (s *State) learnTails(now time.Time, w *worker) {
+	figures, serving := int64(0), false
+	for _, r := range w.runs {
+		figures = figures*31 + r.usage
+		if c := r.task.step.class; c != "" && r.phase == running {
+			serving = true
+			s.targets[c] = float64(r.task.step.spec.TailTarget.Milliseconds())
+			r.noteTail(now)
+		}
+	}
+	if !serving || figures == w.figures {
+		return
+	}
+	w.figures = figures
+	c, _ := w.colocation(now)
+	colocate.Learn(s.model, c)
+}
+
+// noteTail keeps since when a tail has been over its target.
+func (r *run) noteTail(now time.Time) {
+	tail := time.Duration(r.usage) * time.Millisecond
+	switch {
+	case r.percent < 100 || tail <= r.task.step.spec.TailTarget:
+		r.tailOver = time.Time{}
+	case r.tailOver.IsZero():
+		r.tailOver = now
+	}
+}
+
+// pace slows or moves fillers beside serving tasks whose tail is too long.
 func (s *State) pace(now time.Time) []PaceOrder {
 	var orders []PaceOrder
 	for _, w := range s.workers {
+		if w.silent || now.Sub(w.guardedAt) < colocate.Patience {
+			continue
+		}
 		if serving, fillers := w.serving(); serving == 0 || fillers == 0 {
 			continue
 		}
-		near, over := w.tails(now)
-		for _, r := range w.runs {
-			if !r.task.step.spec.Filler || r.phase != running {
+		c, fillers := w.colocation(now)
+		for i, action := range colocate.Guard(s.model, c) {
+			r := fillers[i]
+			if action == colocate.Leave || r.phase != running {
 				continue
 			}
-			if over {
+			w.guardedAt = now
+			if action == colocate.Move {
 				s.Stats.FillersMoved++
 				s.stop(now, r)
 				continue
 			}
-			want := 100
-			if near {
-				want = pacedPercent
-			}
-			if want != 100 && r.pace != want {
-				r.pace = want
-				orders = append(orders, PaceOrder{Worker: w.info, Pace: runner.Pace{
-					Task: r.task.id(), Run: r.number, Percent: want, Token: w.token,
-				}})
+			r.pace = 100
+			if action == colocate.Slow {
+				r.pace = colocate.SlowPercent
 			}
+			orders = append(orders, PaceOrder{Worker: w.info, Pace: runner.Pace{
+				Task: r.task.id(), Run: r.number, Percent: r.pace, Token: w.token,
+			}})
 		}
 	}
 	return orders
 }
-
-// tails reports whether a serving task's tail is near its target, and whether
-// one has been over it for too long.
-func (w *worker) tails(now time.Time) (near, over bool) {
-	for _, r := range w.runs {
-		target := r.task.step.spec.TailTarget
-		if target == 0 || r.phase != running {
-			continue
-		}
-		tail := time.Duration(r.usage) * time.Millisecond
-		if tail <= target {
-			r.tailOver = time.Time{}
-		} else if r.tailOver.IsZero() {
-			r.tailOver = now
-		}
-		near = near || float64(tail) >= tailPaceShare*float64(target)
-		over = over || (!r.tailOver.IsZero() && now.Sub(r.tailOver) >= tailMoveAfter)
-	}
-	return near, over
-}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -138,7 +138,7 @@
 // behind it in the queue: without this, small tasks take each gap before a
 // large one fits.
 func (c *cycle) keepRoom(st *step) {
-	if len(c.kept) >= max(1, len(c.workers)/keptShare) {
+	if st.spec.Filler || len(c.kept) >= max(1, len(c.workers)/keptShare) {
 		return
 	}
 	var best *worker
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -29,6 +29,7 @@
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
 	s.takeEnds(now, w, rep.Ends)
 	s.takeActive(now, w, rep.Active)
+	s.learnTails(now, w)
 	if len(rep.Ends) < runner.MaxEnds {
 		s.settleUncertain(w, sent.Token, rep.Active)
 		s.firstReport(w)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/fireflygate/fireflygate/colocate"
+	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -23,18 +25,26 @@
 	// rosterChanged is set when the durable roster must be written again.
 	rosterChanged bool
 	stops         []StopOrder
-	Stats         Stats
+	// model holds what fillers do to those who serve, by class; targets are
+	// their tails' bounds in milliseconds.
+	model    *interference.Model
+	targets  map[string]float64
+	explorer interference.Explorer
+	Stats    Stats
 }
 
 // New returns the state of a domain without jobs or workers.
 func New(cfg Config) *State {
+	targets := map[string]float64{}
 	return &State{
-		cfg:     cfg,
-		queues:  map[string]workload.Queue{},
-		jobs:    map[string]*job{},
-		workers: map[string]*worker{},
-		awaited: map[string]*worker{},
-		nextRun: cfg.Epoch << epochShift,
+		model: interference.NewModel(targets, colocate.Margin), targets: targets,
+		explorer: interference.Explorer{Interval: trialInterval},
+		cfg:      cfg,
+		queues:   map[string]workload.Queue{},
+		jobs:     map[string]*job{},
+		workers:  map[string]*worker{},
+		awaited:  map[string]*worker{},
+		nextRun:  cfg.Epoch << epochShift,
 	}
 }
 
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -9,6 +9,8 @@
 	spec       *workload.Step
 	index      int
 	tasks      []task
+	// class names what its tasks' tails depend on, empty unless they serve.
+	class string
 	// undone counts tasks that aren't done.
 	undone int
 	// idle counts undone tasks without a run.
--- /dev/null
+++ b/dispatch/summary.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/infra"
+)
+
+// Summary is the state of the domain in a few figures, for logs and metrics.
+type Summary struct {
+	// Open counts jobs that aren't over, Waiting tasks that could start if
+	// there were room, by kind.
+	Open            int
+	WaitingServing  int
+	WaitingReserved int
+	WaitingFillers  int
+	// Workers counts workers by what they may get.
+	Workers, Usable, Silent, Awaited int
+	// Free is the room on usable workers, MostFree the most of it on one.
+	Free, MostFree infra.Resources
+	// OverTarget counts serving tasks whose tail is over its target.
+	OverTarget int
+	Stats      Stats
+}
+
+// Summary returns the state of the domain in a few figures.
+func (s *State) Summary(now time.Time) Summary {
+	sum := Summary{Open: len(s.open), Workers: len(s.workers), Awaited: len(s.awaited), Stats: s.Stats}
+	for _, w := range s.workers {
+		if w.silent {
+			sum.Silent++
+		}
+		for _, r := range w.runs {
+			if !r.tailOver.IsZero() {
+				sum.OverTarget++
+			}
+		}
+		if !w.usable(now) {
+			continue
+		}
+		sum.Usable++
+		sum.Free = sum.Free.Add(w.free)
+		if w.free.MilliCPU > sum.MostFree.MilliCPU {
+			sum.MostFree = w.free
+		}
+	}
+	for _, wt := range s.waiting(now) {
+		switch st := wt.step; {
+		case st.spec.Serving():
+			sum.WaitingServing += st.idle
+		case st.spec.Filler:
+			sum.WaitingFillers += st.idle
+		default:
+			sum.WaitingReserved += st.idle
+		}
+	}
+	return sum
+}
+
+// LogValue implements slog.LogValuer.
+func (s Summary) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.Int("open", s.Open), slog.Int("waiting_serving", s.WaitingServing),
+		slog.Int("waiting_reserved", s.WaitingReserved), slog.Int("waiting_fillers", s.WaitingFillers),
+		slog.Int("workers", s.Workers), slog.Int("usable", s.Usable), slog.Int("silent", s.Silent),
+		slog.Int("awaited", s.Awaited), slog.Int64("free_milli_cpu", s.Free.MilliCPU),
+		slog.Int64("free_memory_mb", s.Free.MemoryMB), slog.Int64("most_free_milli_cpu", s.MostFree.MilliCPU),
+		slog.Int("over_target", s.OverTarget), slog.Uint64("starts", s.Stats.Starts), slog.Uint64("done", s.Stats.Done),
+		slog.Uint64("failed_runs", s.Stats.FailedRuns), slog.Uint64("lost_runs", s.Stats.LostRuns),
+		slog.Uint64("refused_starts", s.Stats.StartsRefused), slog.Uint64("fillers_moved", s.Stats.FillersMoved),
+	)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -40,6 +41,11 @@
 	pausedUntil time.Time
 	drainingAt  time.Time
 	health      health
+	// guardedAt is when a filler was last acted on; figures is a sum over the
+	// last report's, by which a repeated one is told.
+	guardedAt time.Time
+	figures   int64
+	trial     interference.Trial
 }
 
 // clockNow returns the least that the worker's clock can show.
@@ -88,13 +94,20 @@
 	return serving, fillers
 }
 
-// unusedCPU returns the processors that no run has asked for, negative when
-// fillers have asked for more than is left.
+// servingLoad is the share of its reservation that a serving task uses, with
+// room for its swings; workers report such a task's tail and not its use.
+const servingLoad = 0.65
+
+// unusedCPU returns the processors that nothing is expected to use, negative
+// when fillers have asked for more than is left.
 func (w *worker) unusedCPU() int64 {
 	unused := w.free.MilliCPU
 	for _, r := range w.runs {
-		if r.task.step.spec.Filler {
-			unused -= r.task.step.spec.Needs.MilliCPU
+		switch spec := r.task.step.spec; {
+		case spec.Filler:
+			unused -= spec.Needs.MilliCPU * int64(max(r.pace, 0)) / 100
+		case spec.Serving():
+			unused += int64((1 - servingLoad) * float64(spec.Needs.MilliCPU))
 		}
 	}
 	return unused
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -5,13 +5,15 @@
 // shares the reason outweighs. They are ordered: a failure there is worse
 // than a doubtful worker, that worse than distant data, which makes a task
 // take 2 to 3 times as long, that worse than a disturbed neighbour, and that
-// worse than a poor fit.
+// worse than a poor fit. Opening one more worker to tasks that serve closes it
+// to fillers, which outweighs spreading a step's tasks.
 const (
 	failedBeforeWeight = 1000
 	suspectWeight      = 300
 	farDataWeight      = 100
 	disturbWeight      = 20
-	siblingWeight      = 5
+	openWeight         = 5
+	siblingWeight      = 0.1
 	squeezeWeight      = 2
 )
 
@@ -24,9 +26,15 @@
 	}
 	switch {
 	case t.Serving:
-		cost += disturbWeight * float64(w.Fillers)
+		cost += disturbWeight * w.Harm
+		if w.Serving == 0 {
+			cost += openWeight
+		}
 	case t.Filler:
-		cost += disturbWeight * float64(w.Serving)
+		cost += disturbWeight * w.Harm
+		if t.Quiet && w.Serving == 0 {
+			cost += openWeight // left to fillers that aren't
+		}
 	default:
 		cost += squeezeWeight * float64(w.Fillers) / float64(1+w.Fillers)
 	}
--- a/rank/task.go
+++ b/rank/task.go
@@ -10,6 +10,8 @@
 	Serving bool
 	// Filler tasks take what others leave; their processors aren't reserved.
 	Filler bool
+	// Quiet fillers do no harm to any serving task, as far as is known.
+	Quiet bool
 	// Spread tasks should not share a worker with others of their step.
 	Spread bool
 }
--- a/rank/worker.go
+++ b/rank/worker.go
@@ -13,6 +13,9 @@
 	UnusedCPU int64
 	// Serving and Fillers count runs that serve users and that fill.
 	Serving, Fillers int
+	// Harm is by how much the logarithm of a serving task's tail is expected
+	// to pass its bound through the placement.
+	Harm float64
 	// Siblings counts runs of the same step.
 	Siblings int
 	// DataNear is set if the task's data is in the worker's rack, or it has
