--- a/colocate/guard.go
+++ b/colocate/guard.go
@@ -31,6 +31,16 @@
 	// filler was slowed, before the next one is: one window of half a second
 	// and the way of an order and a report.
 	Patience = 700 * time.Millisecond
+	// lastResort is how long a tail may stay over its target until all fillers
+	// beside it give way, blamed or not: well before the users' bound of 4 s,
+	// and long enough for two single actions to show.
+	lastResort = 1500 * time.Millisecond
+	// fullShare is the share of its target from which a tail keeps further
+	// fillers away; between it and nearShare lies the swing of a task's own
+	// load.
+	fullShare = 0.7
+	// watchShare is the share from which a worker is looked at often.
+	watchShare = 0.6
 	// leastBlame is the least that a filler must add to the logarithm of a tail
 	// to be acted on; below it the tail is of the task's own making.
 	leastBlame = 0.1
@@ -47,12 +57,13 @@
 	s, ratio := w.worstTail()
 	switch {
 	case s == nil || len(w.Fillers) == 0:
+	case s.OverFor >= lastResort:
+		for i := range w.Fillers {
+			actions[i] = w.Fillers[i].giveWay()
+		}
 	case ratio >= nearShare:
 		if i := w.toBlame(m, s.Class, s.OverFor); i >= 0 {
-			actions[i] = Slow
-			if w.Fillers[i].Saves {
-				actions[i] = Move
-			}
+			actions[i] = w.Fillers[i].giveWay()
 		}
 	case ratio < calmShare:
 		for i := range w.Fillers {
@@ -65,6 +76,41 @@
 	return actions
 }
 
+// giveWay returns how a filler makes room: by resuming elsewhere if it can.
+func (f *Filler) giveWay() Action {
+	switch {
+	case f.Saves:
+		return Move
+	case f.Pace < 100:
+		return Leave
+	default:
+		return Slow
+	}
+}
+
+// Full reports whether a tail is so long that no more fillers should come.
+func (w *Worker) Full() bool {
+	_, ratio := w.worstTail()
+	return ratio >= fullShare
+}
+
+// Watch reports whether the worker's tails may pass a target soon, so that it
+// should be looked at often: a tail is long, or a filler is new.
+func (w *Worker) Watch() bool {
+	if len(w.Serving) == 0 || len(w.Fillers) == 0 {
+		return false
+	}
+	if _, ratio := w.worstTail(); ratio >= watchShare {
+		return true
+	}
+	for i := range w.Fillers {
+		if !w.Fillers[i].Settled {
+			return true
+		}
+	}
+	return false
+}
+
 // worstTail returns the serving task whose tail is highest by its target.
 func (w *Worker) worstTail() (*Serving, float64) {
 	var found *Serving
--- a/colocate/harm.go
+++ b/colocate/harm.go
@@ -4,8 +4,8 @@
 
 // Margin is by how much tails should stay below their targets, as a
 // logarithm: a tail swings by half around its mean with the load of its own
-// task, so a mean of 0.6 of the target is the most that keeps it below.
-const Margin = 0.5
+// task, so a mean of half the target is the most that keeps it below.
+const Margin = 0.7
 
 // Harm is what adding a filler is expected to do to those who serve.
 type Harm struct {
--- a/control/options.go
+++ b/control/options.go
@@ -68,6 +68,10 @@
 	batchWrites = 98
 	// tick is the longest time between two planning cycles.
 	tick = 100 * time.Millisecond
+	// planGap is the least time between two planning cycles: events that come
+	// within it share one. Short beside any task, and a cycle over some hundred
+	// waiting tasks takes about a tenth of it.
+	planGap = 4 * time.Millisecond
 	// orderTimeout bounds the wait for a worker's answer to an order.
 	orderTimeout = time.Second
 	// lookRetry is the time between two looks at a worker that doesn't answer.
--- a/control/owner.go
+++ b/control/owner.go
@@ -28,6 +28,7 @@
 	committing bool
 	lastCommit time.Time
 	summarized time.Time
+	stepped    time.Time
 	dirtySince time.Time
 	// provenAt is when, in boottime, the last applied commit was begun.
 	provenAt atomic.Int64
@@ -83,11 +84,21 @@
 	go o.watchMembers()
 	t := time.NewTicker(tick)
 	defer t.Stop()
+	gather := time.NewTimer(planGap)
+	defer gather.Stop()
+	armed := true
 	for {
 		select {
 		case f := <-o.events:
 			f()
 			o.drainEvents()
+			if !armed {
+				armed = true
+				gather.Reset(planGap - time.Since(o.stepped))
+			}
+			continue
+		case <-gather.C:
+			armed = false
 		case <-t.C:
 		case <-o.ctx.Done():
 			return
@@ -111,6 +122,7 @@
 // step makes durable what has changed, plans, and looks at workers.
 func (o *Owner) step() {
 	now := time.Now()
+	o.stepped = now
 	o.flush(now)
 	if o.proven() && !o.resigning {
 		o.order(o.state.Plan(now))
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -17,7 +17,7 @@
 	if c.kept[w] || !c.allowed(st, w) || !st.spec.Reserved().Fits(w.free) {
 		return false
 	}
-	if st.spec.Filler && float64(w.unusedCPU()) < leastFill*float64(st.spec.Needs.MilliCPU) {
+	if st.spec.Filler && float64(c.view(w).unused) < leastFill*float64(st.spec.Needs.MilliCPU) {
 		return false
 	}
 	return st.spec.MaxPerWorker == 0 || st.onWorker(w) < st.spec.MaxPerWorker
@@ -32,19 +32,20 @@
 func (c *cycle) harm(st *step, w *worker, trial bool) (float64, bool) {
 	switch {
 	case st.spec.Filler:
-		if serving, _ := w.serving(); serving == 0 {
+		v := c.view(w)
+		if v.serving == 0 {
 			return 0, true
 		}
-		load, _ := w.colocation(c.now)
-		part := float64(st.spec.Needs.MilliCPU) / float64(max(w.info.Capacity.MilliCPU, 1))
-		h := colocate.HarmOf(c.s.model, load, st.spec.Image, part)
+		if v.colocation(c).Full() {
+			return 0, false
+		}
+		h := v.harmOf(c, st)
 		if h.Expected <= harmTolerated {
 			return h.Expected, true
 		}
 		return h.Expected, trial && h.Mean == 0 && c.s.explorer.Allowed(c.now, w.trial, trialLimit)
 	case st.class != "":
-		load, _ := w.colocation(c.now)
-		return colocate.HarmTo(c.s.model, load, st.class).Expected, true
+		return colocate.HarmTo(c.s.model, c.view(w).colocation(c), st.class).Expected, true
 	default:
 		return 0, true
 	}
@@ -58,6 +59,9 @@
 		Needs: st.spec.Needs, Serving: st.spec.Serving(), Filler: st.spec.Filler, Spread: st.spec.LongRunning,
 		Quiet: st.spec.Filler && c.s.model.Loudest(st.spec.Image) < quietBlame,
 	}
+	if st.spec.Filler && filter == nil && c.fillerFull[fillerKey{st.spec.Image, st.job.queue.Pool, st.spec.Label}] {
+		return nil
+	}
 	var best *worker
 	var least, bestHarm float64
 	for _, w := range c.workers {
@@ -78,6 +82,9 @@
 			best, least, bestHarm = w, cost, harm
 		}
 	}
+	if best == nil && st.spec.Filler && filter == nil {
+		c.fillerFull[fillerKey{st.spec.Image, st.job.queue.Pool, st.spec.Label}] = true
+	}
 	if best != nil && st.spec.Filler && bestHarm > harmTolerated {
 		c.s.explorer.Begin(c.now, &best.trial)
 	}
@@ -87,13 +94,14 @@
 // candidate describes a worker to the ranking.
 func (c *cycle) candidate(t *task, w *worker) *rank.Worker {
 	st := t.step
-	serving, fillers := w.serving()
+	v := c.view(w)
 	return &rank.Worker{
 		Free:         w.free,
 		Capacity:     w.info.Capacity,
-		UnusedCPU:    w.unusedCPU(),
-		Serving:      serving,
-		Fillers:      fillers,
+		UnusedCPU:    v.unused,
+		Serving:      v.serving,
+		Fillers:      v.fillers,
+		Strangers:    v.serving - v.byClass[st.class],
 		Siblings:     st.onWorker(w),
 		DataNear:     w.info.HasLabel(st.spec.DataRack),
 		Suspect:      w.health.suspect(c.now),
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -98,6 +98,7 @@
 		return
 	}
 	w.figures = figures
+	w.reportedTails = true
 	c, _ := w.colocation(now)
 	colocate.Learn(s.model, c)
 }
@@ -117,9 +118,10 @@
 func (s *State) pace(now time.Time) []PaceOrder {
 	var orders []PaceOrder
 	for _, w := range s.workers {
-		if w.silent || now.Sub(w.guardedAt) < colocate.Patience {
+		if !w.reportedTails || w.silent || now.Sub(w.guardedAt) < colocate.Patience {
 			continue
 		}
+		w.reportedTails = false
 		if serving, fillers := w.serving(); serving == 0 || fillers == 0 {
 			continue
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -77,11 +77,14 @@
 	// in the queue and fits nowhere yet.
 	kept   map[*worker]bool
 	starts []StartOrder
+	views  map[*worker]*view
+	// fillerFull holds fillers that fit nowhere in this cycle.
+	fillerFull map[fillerKey]bool
 }
 
 // newCycle collects the workers that may take tasks, in the order of IDs.
 func newCycle(s *State, now time.Time) *cycle {
-	c := &cycle{s: s, now: now, kept: map[*worker]bool{}}
+	c := &cycle{s: s, now: now, kept: map[*worker]bool{}, views: map[*worker]*view{}, fillerFull: map[fillerKey]bool{}}
 	for _, w := range s.workers {
 		if w.usable(now) && w.rostered && !w.clockAt.IsZero() {
 			c.workers = append(c.workers, w)
@@ -121,6 +124,7 @@
 	w.runs[t.id()] = r
 	w.free = w.free.Sub(r.reserved)
 	t.attach(r)
+	delete(c.views, w)
 	c.starts = append(c.starts, StartOrder{
 		Worker: w.info,
 		Start: runner.Start{
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -38,6 +38,9 @@
 	}
 	if w.reported && !w.silent && w.token == w.tokenSeen && w.seen == w.acknowledged {
 		o.WaitMS = longPoll.Milliseconds()
+		if load, _ := w.colocation(now); load.Watch() {
+			o.WaitMS = tailWindow.Milliseconds()
+		}
 	}
 	return w.info, o, true
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -45,7 +45,9 @@
 	// last report's, by which a repeated one is told.
 	guardedAt time.Time
 	figures   int64
-	trial     interference.Trial
+	// reportedTails is set by a report whose tails nothing has been decided on.
+	reportedTails bool
+	trial         interference.Trial
 }
 
 // clockNow returns the least that the worker's clock can show.
@@ -94,6 +96,20 @@
 	return serving, fillers
 }
 
+// servingByClass counts the runs that serve users by class.
+func (w *worker) servingByClass() map[string]int {
+	var n map[string]int
+	for _, r := range w.runs {
+		if c := r.task.step.class; c != "" {
+			if n == nil {
+				n = map[string]int{}
+			}
+			n[c]++
+		}
+	}
+	return n
+}
+
 // servingLoad is the share of its reservation that a serving task uses, with
 // room for its swings; workers report such a task's tail and not its use.
 const servingLoad = 0.65
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -6,12 +6,14 @@
 // than a doubtful worker, that worse than distant data, which makes a task
 // take 2 to 3 times as long, that worse than a disturbed neighbour, and that
 // worse than a poor fit. Opening one more worker to tasks that serve closes it
-// to fillers, which outweighs spreading a step's tasks.
+// to fillers, which outweighs spreading a step's tasks. Mixing classes that
+// serve is worse: a filler must then suit all of them, and most suit only some.
 const (
 	failedBeforeWeight = 1000
 	suspectWeight      = 300
 	farDataWeight      = 100
 	disturbWeight      = 20
+	mixWeight          = 8
 	openWeight         = 5
 	siblingWeight      = 0.1
 	squeezeWeight      = 2
@@ -30,6 +32,9 @@
 		if w.Serving == 0 {
 			cost += openWeight
 		}
+		if w.Strangers > 0 {
+			cost += mixWeight
+		}
 	case t.Filler:
 		cost += disturbWeight * w.Harm
 		if t.Quiet && w.Serving == 0 {
--- a/rank/worker.go
+++ b/rank/worker.go
@@ -13,6 +13,9 @@
 	UnusedCPU int64
 	// Serving and Fillers count runs that serve users and that fill.
 	Serving, Fillers int
+	// Strangers counts runs that serve users and are of another class than
+	// the task.
+	Strangers int
 	// Harm is by how much the logarithm of a serving task's tail is expected
 	// to pass its bound through the placement.
 	Harm float64
