A filler's harm is judged from the tail that its worker reports

Cause: the model alone, with a margin for swings, kept fillers waiting while processors lay idle (400 waiting after the traffic's end), or let in several of a pair that wasn't known yet. Now the reported tail is the base, only what it can't hold yet is added, and a little known pair is tried by one filler at a time on a worker.

--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -13,13 +13,13 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
--- a/batch/config.go
+++ b/batch/config.go
@@ -7,10 +7,10 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
--- a/batch/lookup.go
+++ b/batch/lookup.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/outcome"
 )
 
 // showReply is the answer about one job.
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/forecast"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 )
--- a/batch/manager_move.go
+++ b/batch/manager_move.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/task"
 )
 
--- a/batch/move_test.go
+++ b/batch/move_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -6,10 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/task"
 )
 
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/forecast"
-	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/task"
 )
@@ -68,7 +68,7 @@
 }
 
 func (p *firstFit) SetAllotment(string, quota.Amount) {}
-func (p *firstFit) Capacity() infra.Resources      { return infra.Resources{} }
+func (p *firstFit) Capacity() infra.Resources         { return infra.Resources{} }
 
 func (p *firstFit) TeamUsage(string) (used, pending infra.Resources) { return used, pending }
 
--- a/batch/quota_round.go
+++ b/batch/quota_round.go
@@ -7,9 +7,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 )
 
--- a/batch/quota_test.go
+++ b/batch/quota_test.go
@@ -13,10 +13,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/fireflygate/fireflygate/check"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 )
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/journal"
@@ -16,7 +17,6 @@
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/placement"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 	"github.com/fireflygate/fireflygate/task"
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -4,8 +4,8 @@
 	"log/slog"
 	"time"
 
-	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/quota"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/task"
 )
 
--- a/batch/shard_urgent.go
+++ b/batch/shard_urgent.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/task"
 )
 
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/event"
-	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/placement"
 )
 
 // setMembers takes in the workers that the membership list gives the shard.
--- a/booking/claim.go
+++ b/booking/claim.go
@@ -8,8 +8,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
-	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/outcome"
 )
 
 // settled is an outcome found instead of a claim made.
--- a/booking/options.go
+++ b/booking/options.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"time"
 
-	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/peer"
 )
 
 // Committer commits to the table and settles lost answers. It returns
--- a/capacity/members_test.go
+++ b/capacity/members_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
-	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
 // site is how many members of each kind a membership list holds.
--- a/check/record.go
+++ b/check/record.go
@@ -86,7 +86,7 @@
 
 // RunBegan says that a worker began a run.
 type RunBegan struct {
-	Worker    string             `json:"worker"`
+	Worker    string          `json:"worker"`
 	Run       infra.RunID     `json:"run"`
 	Resources infra.Resources `json:"resources"`
 	Capacity  infra.Resources `json:"capacity"`
@@ -96,7 +96,7 @@
 
 // RunEnded says that a run no longer works on its worker.
 type RunEnded struct {
-	Worker string            `json:"worker"`
+	Worker string         `json:"worker"`
 	Run    infra.RunID    `json:"run"`
 	State  infra.RunState `json:"state"`
 	// Checkpoint is the progress saved, if any.
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -11,8 +11,8 @@
 	"github.com/google/subcommands"
 
 	"github.com/fireflygate/fireflygate/gate"
-	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
 type serveCommand struct {
--- a/colocate/guard.go
+++ b/colocate/guard.go
@@ -35,10 +35,6 @@
 	// beside it give way, blamed or not: well before the users' bound of 4 s,
 	// and long enough for two single actions to show.
 	lastResort = 1500 * time.Millisecond
-	// fullShare is the share of its target from which a tail keeps further
-	// fillers away; between it and nearShare lies the swing of a task's own
-	// load.
-	fullShare = 0.7
 	// watchShare is the share from which a worker is looked at often.
 	watchShare = 0.6
 	// leastBlame is the least that a filler must add to the logarithm of a tail
@@ -88,12 +84,6 @@
 	}
 }
 
-// Full reports whether a tail is so long that no more fillers should come.
-func (w *Worker) Full() bool {
-	_, ratio := w.worstTail()
-	return ratio >= fullShare
-}
-
 // Watch reports whether the worker's tails may pass a target soon, so that it
 // should be looked at often: a tail is long, or a filler is new.
 func (w *Worker) Watch() bool {
@@ -103,12 +93,7 @@
 	if _, ratio := w.worstTail(); ratio >= watchShare {
 		return true
 	}
-	for i := range w.Fillers {
-		if !w.Fillers[i].Settled {
-			return true
-		}
-	}
-	return false
+	return w.Unsettled()
 }
 
 // worstTail returns the serving task whose tail is highest by its target.
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/internal/pause"
 )
 
 // settleReads bounds how often a lost answer is looked up.
--- a/demo/host.go
+++ b/demo/host.go
@@ -11,9 +11,9 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/gate"
-	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
 // host is one entry host of the demo.
--- a/demo/run.go
+++ b/demo/run.go
@@ -12,12 +12,12 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/configstore"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/load"
-	"github.com/fireflygate/fireflygate/infra"
-	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
 // When things happen, as parts of the run's duration.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -29,21 +29,18 @@
 
 // harm returns what placing the task would do to those who serve, and whether
 // it may be placed all the same.
-func (c *cycle) harm(st *step, w *worker, trial bool) (float64, bool) {
+func (c *cycle) harm(st *step, w *worker) (float64, bool) {
 	switch {
 	case st.spec.Filler:
 		v := c.view(w)
 		if v.serving == 0 {
 			return 0, true
 		}
-		if v.colocation(c).Full() {
-			return 0, false
-		}
 		h := v.harmOf(c, st)
-		if h.Expected <= harmTolerated {
-			return h.Expected, true
+		if h.Trial && v.colocation(c).Unsettled() {
+			return 0, false
 		}
-		return h.Expected, trial && h.Mean == 0 && c.s.explorer.Allowed(c.now, w.trial, trialLimit)
+		return h.Expected, h.Expected <= harmTolerated
 	case st.class != "":
 		return colocate.HarmTo(c.s.model, c.view(w).colocation(c), st.class).Expected, true
 	default:
@@ -63,7 +60,7 @@
 		return nil
 	}
 	var best *worker
-	var least, bestHarm float64
+	var least float64
 	for _, w := range c.workers {
 		if !c.fits(st, w) || (filter != nil && !filter(w)) {
 			continue
@@ -71,7 +68,7 @@
 		if w.runs[t.id()] != nil {
 			continue
 		}
-		harm, ok := c.harm(st, w, true)
+		harm, ok := c.harm(st, w)
 		if !ok {
 			continue
 		}
@@ -79,15 +76,12 @@
 		candidate.Harm = harm
 		cost := rank.Cost(&rt, candidate)
 		if best == nil || cost < least {
-			best, least, bestHarm = w, cost, harm
+			best, least = w, cost
 		}
 	}
 	if best == nil && st.spec.Filler && filter == nil {
 		c.fillerFull[fillerKey{st.spec.Image, st.job.queue.Pool, st.spec.Label}] = true
 	}
-	if best != nil && st.spec.Filler && bestHarm > harmTolerated {
-		c.s.explorer.Begin(c.now, &best.trial)
-	}
 	return best
 }
 
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -12,11 +12,6 @@
 const (
 	// tailWindow is what a worker's figures cover.
 	tailWindow = 500 * time.Millisecond
-	// trialInterval is the time in which one trial of a pair that is little
-	// known may begin on a worker: its effect shows in two windows.
-	trialInterval = 1500 * time.Millisecond
-	// trialLimit bounds the trials in that time on all workers.
-	trialLimit = 6
 	// harmTolerated is the expected harm up to which a filler is placed
 	// beside serving tasks.
 	harmTolerated = 0.05
@@ -54,15 +49,22 @@
 // filler describes a filling run.
 func (r *run) filler(now time.Time) colocate.Filler {
 	spec := r.task.step.spec
-	settled := now.Sub(r.since) > 2*tailWindow && r.usage > 0
-	use := r.usage
-	if !settled {
-		use = max(use, spec.Needs.MilliCPU)
-	}
 	return colocate.Filler{
-		Image: spec.Image, Part: float64(use) / float64(max(r.worker.info.Capacity.MilliCPU, 1)),
-		Pace: max(r.pace, 0), Saves: spec.Checkpointing, Settled: settled,
+		Image: spec.Image, Part: float64(r.fillerUse(now)) / float64(max(r.worker.info.Capacity.MilliCPU, 1)),
+		Pace: max(r.pace, 0), Saves: spec.Checkpointing, Settled: r.settled(now),
+	}
+}
+
+// settled reports whether the last figures cover a whole window of the run.
+func (r *run) settled(now time.Time) bool { return r.usage > 0 && now.Sub(r.since) > 2*tailWindow }
+
+// fillerUse returns the thousandths of a core that a filler uses, or may once
+// it is at work.
+func (r *run) fillerUse(now time.Time) int64 {
+	if r.settled(now) {
+		return r.usage
 	}
+	return max(r.usage, r.task.step.spec.Needs.MilliCPU)
 }
 
 // sortedRuns returns the worker's runs in the order of their numbers.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -27,10 +27,9 @@
 	stops         []StopOrder
 	// model holds what fillers do to those who serve, by class; targets are
 	// their tails' bounds in milliseconds.
-	model    *interference.Model
-	targets  map[string]float64
-	explorer interference.Explorer
-	Stats    Stats
+	model   *interference.Model
+	targets map[string]float64
+	Stats   Stats
 }
 
 // New returns the state of a domain without jobs or workers.
@@ -38,13 +37,12 @@
 	targets := map[string]float64{}
 	return &State{
 		model: interference.NewModel(targets, colocate.Margin), targets: targets,
-		explorer: interference.Explorer{Interval: trialInterval},
-		cfg:      cfg,
-		queues:   map[string]workload.Queue{},
-		jobs:     map[string]*job{},
-		workers:  map[string]*worker{},
-		awaited:  map[string]*worker{},
-		nextRun:  cfg.Epoch << epochShift,
+		cfg:     cfg,
+		queues:  map[string]workload.Queue{},
+		jobs:    map[string]*job{},
+		workers: map[string]*worker{},
+		awaited: map[string]*worker{},
+		nextRun: cfg.Epoch << epochShift,
 	}
 }
 
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -32,7 +32,7 @@
 func (c *cycle) view(w *worker) *view {
 	v := c.views[w]
 	if v == nil {
-		v = &view{w: w, unused: w.unusedCPU()}
+		v = &view{w: w, unused: w.unusedCPU(c.now)}
 		v.serving, v.fillers = w.serving()
 		v.byClass = w.servingByClass()
 		c.views[w] = v
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
-	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -47,7 +46,6 @@
 	figures   int64
 	// reportedTails is set by a report whose tails nothing has been decided on.
 	reportedTails bool
-	trial         interference.Trial
 }
 
 // clockNow returns the least that the worker's clock can show.
@@ -112,16 +110,16 @@
 
 // servingLoad is the share of its reservation that a serving task uses, with
 // room for its swings; workers report such a task's tail and not its use.
-const servingLoad = 0.65
+const servingLoad = 0.55
 
 // unusedCPU returns the processors that nothing is expected to use, negative
 // when fillers have asked for more than is left.
-func (w *worker) unusedCPU() int64 {
+func (w *worker) unusedCPU(now time.Time) int64 {
 	unused := w.free.MilliCPU
 	for _, r := range w.runs {
 		switch spec := r.task.step.spec; {
 		case spec.Filler:
-			unused -= spec.Needs.MilliCPU * int64(max(r.pace, 0)) / 100
+			unused -= r.fillerUse(now)
 		case spec.Serving():
 			unused += int64((1 - servingLoad) * float64(spec.Needs.MilliCPU))
 		}
--- a/gate/configs.go
+++ b/gate/configs.go
@@ -11,8 +11,8 @@
 	"github.com/fireflygate/fireflygate/configstore"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/gen/configs"
-	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
--- a/gate/janitor.go
+++ b/gate/janitor.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/ownership"
 )
 
 // Pace of the janitor.
--- a/gate/janitor_test.go
+++ b/gate/janitor_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
 )
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -6,8 +6,8 @@
 
 	"github.com/fireflygate/fireflygate/batch"
 	"github.com/fireflygate/fireflygate/gen/jobs"
-	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/configstore"
-	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 	"github.com/fireflygate/fireflygate/task"
--- a/gate/rig_test.go
+++ b/gate/rig_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
 // startGate runs one entry host over stand-ins until the test ends.
--- a/integration/endpoint_test.go
+++ b/integration/endpoint_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/load"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/standin"
 )
 
--- a/internal/memtable/table.go
+++ b/internal/memtable/table.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/internal/pause"
 )
 
 // Table is an in-memory infra.Table. Set the exported fields before use or
--- a/journal/bench_test.go
+++ b/journal/bench_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
--- a/placement/node.go
+++ b/placement/node.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/fireflygate/fireflygate/eviction"
-	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/task"
 )
 
--- a/placement/policy_change_test.go
+++ b/placement/policy_change_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -7,8 +7,8 @@
 	"github.com/fireflygate/fireflygate/estimate"
 	"github.com/fireflygate/fireflygate/eviction"
 	"github.com/fireflygate/fireflygate/forecast"
-	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/quota"
 )
 
--- a/standin/members_http.go
+++ b/standin/members_http.go
@@ -9,7 +9,7 @@
 
 // StateChange is the body of POST /state: an operator's change of a member.
 type StateChange struct {
-	Name  string               `json:"name"`
+	Name  string            `json:"name"`
 	State infra.MemberState `json:"state"`
 }
 
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/fireflygate/fireflygate/check"
 	"github.com/fireflygate/fireflygate/infra"
-	"github.com/fireflygate/fireflygate/standin/httpclient"
 	"github.com/fireflygate/fireflygate/standin"
+	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
 // start runs a small surrounding and a client of it.
--- a/tenure/config.go
+++ b/tenure/config.go
@@ -5,9 +5,9 @@
 	"log/slog"
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/peer"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
--- a/tenure/execute.go
+++ b/tenure/execute.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/infra"
 )
 
 // scanPage is how many rows one scan asks for.
--- a/tenure/keeper_test.go
+++ b/tenure/keeper_test.go
@@ -8,9 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/ownership"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/roster"
 	"github.com/fireflygate/fireflygate/settings"
 )
