Room for short work and for long-running tasks in a full pool

Change: package headroom keeps what short work lately needed; package preempt has later queues give way; room is kept only on workers where the task may go.

--- a/colocate/guard.go
+++ b/colocate/guard.go
@@ -31,12 +31,15 @@
 	// filler was slowed, before the next one is: one window of half a second
 	// and the way of an order and a report.
 	Patience = 700 * time.Millisecond
-	// lastResort is how long a tail may stay over its target until all fillers
-	// beside it give way, blamed or not: well before the users' bound of 4 s,
-	// and long enough for two single actions to show.
-	lastResort = 1500 * time.Millisecond
+	// lastResortShare is the share of the users' bound on a tail over its
+	// target after which all fillers beside it give way, blamed or not: early
+	// enough that the effect shows within half of the bound.
+	lastResortShare = 0.25
 	// watchShare is the share from which a worker is looked at often.
 	watchShare = 0.6
+	// newPatience is how long a tail is over before fillers too new to show
+	// in it are blamed; moving each new one made 1.5 times the moves.
+	newPatience = 500 * time.Millisecond
 	// leastBlame is the least that a filler must add to the logarithm of a tail
 	// to be acted on; below it the tail is of the task's own making.
 	leastBlame = 0.1
@@ -45,15 +48,16 @@
 )
 
 // Guard decides about each filler of a worker, in their order. The caller
-// leaves Patience between two decisions that act. One filler at a time is
+// leaves Patience between two decisions that act; bound is how long a tail may
+// be over its target at all. One filler at a time is
 // acted on, the one to blame most for the tail that is worst off, so
 // that those without blame go on.
-func Guard(m *interference.Model, w *Worker) []Action {
+func Guard(m *interference.Model, w *Worker, bound time.Duration) []Action {
 	actions := make([]Action, len(w.Fillers))
 	s, ratio := w.worstTail()
 	switch {
 	case s == nil || len(w.Fillers) == 0:
-	case s.OverFor >= lastResort:
+	case s.OverFor >= time.Duration(lastResortShare*float64(bound)):
 		for i := range w.Fillers {
 			actions[i] = w.Fillers[i].giveWay()
 		}
@@ -116,7 +120,7 @@
 	at, most := -1, leastBlame
 	for i := range w.Fillers {
 		f := &w.Fillers[i]
-		if f.Pace < 100 || (!f.Settled && overFor < Patience) {
+		if f.Pace < 100 || (!f.Settled && overFor < newPatience) {
 			continue
 		}
 		mean, deviation := m.Blame(class, f.Image, f.Part)
--- a/control/options.go
+++ b/control/options.go
@@ -23,6 +23,9 @@
 	Retention time.Duration
 	// MaxLease bounds the leases that workers grant.
 	MaxLease time.Duration
+	// TailBound is how long a serving task's tail may be over its target
+	// because of its neighbours.
+	TailBound time.Duration
 }
 
 // The times of control. Sums matter: a host that can't see the owner suspects
--- a/control/orders.go
+++ b/control/orders.go
@@ -126,6 +126,9 @@
 		s.token.Store(renewal.Token)
 		s.looks <- look{worker: info, renewal: renewal}
 	}
+	for _, id := range o.state.Peek(now) {
+		o.resolve(id)
+	}
 	for id, s := range o.sessions {
 		if !o.state.Known(id) {
 			s.cancel()
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -20,7 +20,12 @@
 	if st.spec.Filler && float64(c.view(w).unused) < leastFill*float64(st.spec.Needs.MilliCPU) {
 		return false
 	}
-	return st.spec.MaxPerWorker == 0 || st.onWorker(w) < st.spec.MaxPerWorker
+	return !c.crowded(st, w)
+}
+
+// crowded reports whether a worker has as many tasks of the step as it may.
+func (c *cycle) crowded(st *step, w *worker) bool {
+	return st.spec.MaxPerWorker > 0 && st.onWorker(w) >= st.spec.MaxPerWorker
 }
 
 // leastFill is the share of the processors it asks for that a filler should
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -14,6 +14,9 @@
 	InheritedLease time.Duration
 	// Retention is how long a job that is over can still be asked for.
 	Retention time.Duration
+	// TailBound is how long fillers may keep a serving task's tail over its
+	// target.
+	TailBound time.Duration
 	// CatchUp is how long a worker that refused a start for want of room gets
 	// no other.
 	CatchUp time.Duration
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		c, fillers := w.colocation(now)
-		for i, action := range colocate.Guard(s.model, c) {
+		for i, action := range colocate.Guard(s.model, c, s.cfg.TailBound) {
 			r := fillers[i]
 			if action == colocate.Leave || r.phase != running {
 				continue
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -22,7 +22,9 @@
 	var p Plan
 	p.Paces = s.pace(now)
 	c := newCycle(s, now)
-	for _, w := range s.waiting(now) {
+	list := s.waiting(now)
+	c.rooms(list)
+	for _, w := range list {
 		c.placeStep(w.step)
 	}
 	c.copySlow()
@@ -59,7 +61,7 @@
 	rest := j.path[st.index]
 	return queue.Entry{
 		Priority:    j.queue.Priority,
-		Restart:     st.spec.LongRunning,
+		Restart:     st.spec.LongRunning && st.began(),
 		LatestStart: j.objective(o).Add(-rest),
 		LastUse:     j.lateLimit(o).Add(-rest),
 		Arrived:     o.due,
@@ -78,6 +80,7 @@
 	kept   map[*worker]bool
 	starts []StartOrder
 	views  map[*worker]*view
+	pools  map[string]*room
 	// fillerFull holds fillers that fit nowhere in this cycle.
 	fillerFull map[fillerKey]bool
 }
@@ -105,11 +108,16 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
+		if !c.mayBegin(t) {
+			continue
+		}
 		w := c.choose(t, nil)
 		if w == nil {
+			c.makeRoom(st)
 			c.keepRoom(st)
 			return // its other tasks need as much
 		}
+		st.blockedSince = time.Time{}
 		c.s.nextRun++
 		c.start(t, w, c.s.nextRun)
 	}
@@ -123,6 +131,9 @@
 	}
 	w.runs[t.id()] = r
 	w.free = w.free.Sub(r.reserved)
+	if p := c.pools[w.info.Pool]; p != nil {
+		p.free -= r.reserved.MilliCPU
+	}
 	t.attach(r)
 	delete(c.views, w)
 	c.starts = append(c.starts, StartOrder{
@@ -148,7 +159,7 @@
 	var best *worker
 	needs := st.spec.Reserved()
 	for _, w := range c.workers {
-		if c.kept[w] || !c.allowed(st, w) || !needs.Fits(w.info.Capacity) {
+		if c.kept[w] || !c.allowed(st, w) || !needs.Fits(w.info.Capacity) || c.crowded(st, w) {
 			continue
 		}
 		if best == nil || w.free.MilliCPU > best.free.MilliCPU {
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -55,3 +55,24 @@
 	w.leaseUntil = max(w.leaseUntil, until)
 	return until
 }
+
+// Peek returns the workers that should be looked at although a look is waiting
+// there: a filler is new beside serving tasks, or a tail is long, and the last
+// figures are older than what they cover.
+func (s *State) Peek(now time.Time) []string {
+	var ids []string
+	for id, w := range s.workers {
+		if w.silent || !w.reported || now.Sub(w.answersAt) < peekAfter || now.Sub(w.peekedAt) < peekAfter {
+			continue
+		}
+		if load, _ := w.colocation(now); load.Watch() {
+			w.peekedAt = now
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// peekAfter is the age of figures from which a worker with a long tail is
+// looked at: the half second that they cover, and the way of a report.
+const peekAfter = 600 * time.Millisecond
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/colocate"
+	"github.com/fireflygate/fireflygate/headroom"
 	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
@@ -29,14 +30,16 @@
 	// their tails' bounds in milliseconds.
 	model   *interference.Model
 	targets map[string]float64
-	Stats   Stats
+	// headroom remembers what short work needs, by pool.
+	headroom map[string]*headroom.Tracker
+	Stats    Stats
 }
 
 // New returns the state of a domain without jobs or workers.
 func New(cfg Config) *State {
 	targets := map[string]float64{}
 	return &State{
-		model: interference.NewModel(targets, colocate.Margin), targets: targets,
+		model: interference.NewModel(targets, colocate.Margin), targets: targets, headroom: map[string]*headroom.Tracker{},
 		cfg:     cfg,
 		queues:  map[string]workload.Queue{},
 		jobs:    map[string]*job{},
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/fireflygate/fireflygate/workload"
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/workload"
+)
 
 // step is one step of one occurrence.
 type step struct {
@@ -15,6 +19,9 @@
 	undone int
 	// idle counts undone tasks without a run.
 	idle int
+	// blockedSince is since when a task of it has fitted nowhere, preemptedAt
+	// when others last gave way to it.
+	blockedSince, preemptedAt time.Time
 	// blockedBy counts steps that must be done first.
 	blockedBy int
 }
@@ -60,3 +67,13 @@
 	}
 	return n
 }
+
+// began reports whether a task of the step that waits has run before.
+func (s *step) began() bool {
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.began && len(t.runs) == 0 && !t.done {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -11,6 +11,8 @@
 	step  *step
 	index int
 	done  bool
+	// began is set once a run of it has been ordered or seen.
+	began bool
 	// runs are those that may be alive; more than one only for speculation.
 	runs []*run
 	// failed holds the numbers of the runs that failed.
@@ -33,6 +35,7 @@
 	if len(t.runs) == 0 && !t.done {
 		t.step.idle--
 	}
+	t.began = true
 	t.runs = append(t.runs, r)
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,6 +36,7 @@
 	// answersAt is when it last answered; silent is set after a failure.
 	answersAt time.Time
 	silent    bool
+	peekedAt  time.Time
 	// pausedUntil keeps new tasks from it for a while.
 	pausedUntil time.Time
 	drainingAt  time.Time
--- /dev/null
+++ b/preempt/choose.go
@@ -0,0 +1,51 @@
+package preempt
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/fireflygate/fireflygate/infra"
+)
+
+// Choose returns the victims on one worker that must end for needs to fit into
+// what is free there, and the work that this throws away. Those who lose least
+// go first. It returns false if all of them don't make the room.
+func Choose(needs, free infra.Resources, victims []Victim) (chosen []Victim, loss int64, ok bool) {
+	if needs.Fits(free) {
+		return nil, 0, true
+	}
+	order := slices.Clone(victims)
+	slices.SortStableFunc(order, func(a, b Victim) int { return cmp.Compare(a.Loss, b.Loss) })
+	for _, v := range order {
+		if !helps(v.Reserved, needs, free) {
+			continue
+		}
+		chosen = append(chosen, v)
+		loss += v.Loss
+		free = free.Add(v.Reserved)
+		if needs.Fits(free) {
+			return spare(chosen, needs, free, loss)
+		}
+	}
+	return nil, 0, false
+}
+
+// helps reports whether a run holds some of what is missing.
+func helps(reserved, needs, free infra.Resources) bool {
+	return (needs.MilliCPU > free.MilliCPU && reserved.MilliCPU > 0) ||
+		(needs.MemoryMB > free.MemoryMB && reserved.MemoryMB > 0) ||
+		(needs.Accelerators > free.Accelerators && reserved.Accelerators > 0)
+}
+
+// spare leaves out victims whose room isn't needed after all, the one that
+// loses most first.
+func spare(chosen []Victim, needs, free infra.Resources, loss int64) ([]Victim, int64, bool) {
+	for i := len(chosen) - 1; i >= 0; i-- {
+		if without := free.Sub(chosen[i].Reserved); needs.Fits(without) {
+			free = without
+			loss -= chosen[i].Loss
+			chosen = slices.Delete(chosen, i, i+1)
+		}
+	}
+	return chosen, loss, true
+}
--- /dev/null
+++ b/preempt/choose_test.go
@@ -0,0 +1,48 @@
+package preempt_test
+
+import (
+	"testing"
+
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/preempt"
+)
+
+// TestChoose checks that room is made where it can be, with least loss.
+func TestChoose(t *testing.T) {
+	room := func(cpu, mem int64) infra.Resources { return infra.Resources{MilliCPU: cpu, MemoryMB: mem} }
+	victims := []preempt.Victim{
+		{ID: 0, Reserved: room(0, 100), Loss: 50},
+		{ID: 1, Reserved: room(0, 300), Loss: 60},
+		{ID: 2, Reserved: room(5000, 10), Loss: 10},
+		{ID: 3, Reserved: room(0, 100), Loss: 900},
+	}
+	for _, c := range []struct {
+		name        string
+		needs, free infra.Resources
+		want        []int
+		loss        int64
+		ok          bool
+	}{
+		{"fits already", room(1000, 100), room(1000, 100), nil, 0, true},
+		{"memory: the small one was not needed after all", room(1000, 300), room(1000, 0), []int{1}, 60, true},
+		{"processors: only the run that holds some", room(4000, 10), room(0, 10), []int{2}, 10, true},
+		{"both", room(4000, 90), room(0, 0), []int{0, 2}, 60, true},
+		{"never enough", room(9000, 100), room(0, 100), nil, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			chosen, loss, ok := preempt.Choose(c.needs, c.free, victims)
+			if ok != c.ok || loss != c.loss || len(chosen) != len(c.want) {
+				t.Fatalf("got %v, loss %d, %v; want %v, loss %d, %v", chosen, loss, ok, c.want, c.loss, c.ok)
+			}
+			seen := map[int]bool{}
+			for _, v := range chosen {
+				seen[v.ID] = true
+			}
+			for _, id := range c.want {
+				if !seen[id] {
+					t.Errorf("victim %d isn't chosen: %v", id, chosen)
+				}
+			}
+		})
+	}
+}
