Long-running tasks of lost workers run again after one lease

Causes, each by the log: every look at a silent worker carried a later lease, so its runs counted as alive for as long as it was listed; and a later owner didn't know that a task had begun, so headroom for short work held it back. Ruled out: fragments (a worker had 24 cores free). A silent worker is now looked at without a lease, and a job's first start is durable.

--- a/cmd/fireflygate-edge/serve.go
+++ b/cmd/fireflygate-edge/serve.go
@@ -41,7 +41,9 @@
 		return subcommands.ExitUsageError
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: c.level}))
-	if err := platform.NewDaemon(s, log).Run(ctx); err != nil {
+	d := platform.NewDaemon(s, log)
+	go d.WatchSettings(ctx, c.settings)
+	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
--- a/colocate/guard.go
+++ b/colocate/guard.go
@@ -43,8 +43,13 @@
 	// leastBlame is the least that a filler must add to the logarithm of a tail
 	// to be acted on; below it the tail is of the task's own making.
 	leastBlame = 0.1
-	// SlowPercent is the pace of a slowed filler.
-	SlowPercent = 5
+	// SlowPercent is the pace of a slowed filler. It doesn't work at all: at 5%
+	// it still kept a tail over its target that the task's own load had brought
+	// near.
+	SlowPercent = 0
+	// restartPercent is the progress below which a filler that can't save is
+	// rather begun anew elsewhere than slowed here.
+	restartPercent = 40
 )
 
 // Guard decides about each filler of a worker, in their order. The caller
@@ -79,7 +84,7 @@
 // giveWay returns how a filler makes room: by resuming elsewhere if it can.
 func (f *Filler) giveWay() Action {
 	switch {
-	case f.Saves:
+	case f.Saves || f.Percent < restartPercent:
 		return Move
 	case f.Pace < 100:
 		return Leave
--- a/colocate/worker.go
+++ b/colocate/worker.go
@@ -34,6 +34,8 @@
 	Pace int
 	// Saves is set if it can resume elsewhere from a checkpoint.
 	Saves bool
+	// Percent is how far it has come.
+	Percent int
 	// Settled is set once a report covers a whole window of it at its pace.
 	Settled bool
 }
--- a/control/follow.go
+++ b/control/follow.go
@@ -168,7 +168,10 @@
 
 // lead runs the owner until it is deposed or has resigned.
 func (n *Node) lead(ctx context.Context, c *election.Committer) {
-	o := newOwner(ctx, n.opts, c, *n.config.Load())
+	n.mu.Lock()
+	opts := n.opts
+	n.mu.Unlock()
+	o := newOwner(ctx, opts, c, *n.config.Load())
 	if err := o.load(); err != nil {
 		event.LoadFailed.Log(n.opts.Log, slog.Any("epoch", o.epoch), slog.Any("err", err))
 		o.quit(err)
--- a/control/node.go
+++ b/control/node.go
@@ -90,6 +90,16 @@
 	o.state.SetQueues(c.Queues)
 }
 
+// SetBounds puts changed bounds in force, here and at later owners.
+func (n *Node) SetBounds(retention, tailBound time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.opts.Retention, n.opts.TailBound = retention, tailBound
+	if o := n.owner; o != nil {
+		go o.post(func() { o.state.SetBounds(retention, tailBound) })
+	}
+}
+
 // Ready reports whether callers can be served: a configuration is in force
 // and the owner has answered lately.
 func (n *Node) Ready() bool {
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -21,7 +21,7 @@
 	switch a.Status {
 	case runner.Done:
 		r.phase = running
-		r.task.step.job.begun()
+		s.begin(r.task.step.job)
 		s.Stats.Starts++
 	case runner.Unknown:
 		s.Stats.StartsUnknown++
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -94,13 +94,6 @@
 	return o.due.Add(3 * j.objective(o).Sub(o.due))
 }
 
-// begun marks that a task of the job has started.
-func (j *job) begun() {
-	if j.state == workload.Queued {
-		j.state = workload.InProgress
-	}
-}
-
 // task returns the task of that name, nil if the job has none.
 func (j *job) task(id workload.TaskID) *task {
 	if id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -51,7 +51,7 @@
 	spec := r.task.step.spec
 	return colocate.Filler{
 		Image: spec.Image, Part: float64(r.fillerUse(now)) / float64(max(r.worker.info.Capacity.MilliCPU, 1)),
-		Pace: max(r.pace, 0), Saves: spec.Checkpointing, Settled: r.settled(now),
+		Pace: max(r.pace, 0), Saves: spec.Checkpointing, Percent: r.percent, Settled: r.settled(now),
 	}
 }
 
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -93,6 +93,9 @@
 	if row.State.Final() {
 		j.overAt = now
 	}
+	if row.State == workload.InProgress {
+		j.eachTask(func(t *task) { t.began = true })
+	}
 }
 
 // restore marks the tasks whose bit is set.
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -26,14 +26,16 @@
 }
 
 // Renewal returns the next renewal for a worker. Without extend the lease is
-// left as it is.
+// left as it is, as it is for a worker that doesn't answer.
 func (s *State) Renewal(now time.Time, id string, extend bool) (runner.Worker, runner.Renewal, bool) {
 	w := s.workers[id]
 	if w == nil {
 		return runner.Worker{}, runner.Renewal{}, false
 	}
 	o := runner.Renewal{Token: w.token, Acknowledged: w.acknowledged}
-	if extend {
+	if extend && !w.silent {
+		// A worker that doesn't answer is only looked at: each lease sent
+		// would put off the moment when its runs are known to be over.
 		o.LeaseUntil = s.leaseFor(now, w)
 	}
 	if w.reported && !w.silent && w.token == w.tokenSeen && w.seen == w.acknowledged {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -85,7 +85,7 @@
 	if t == nil || t.done {
 		return
 	}
-	j.begun()
+	s.begin(j)
 	if e.Saved != "" {
 		t.saved = e.Saved
 	}
@@ -204,7 +204,7 @@
 	if old := w.runs[a.Task]; old != nil {
 		s.release(old) // a worker has one run of a task at a time
 	}
-	j.begun()
+	s.begin(j)
 	r := &run{
 		task: t, number: a.Run, token: w.token, worker: w, phase: running,
 		since: now, reserved: t.step.spec.Reserved(), pace: 100,
--- /dev/null
+++ b/dispatch/rig_test.go
@@ -0,0 +1,205 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// rig drives a State by hand: time, workers' answers and commits.
+type rig struct {
+	t     *testing.T
+	now   time.Time
+	state *dispatch.State
+	epoch uint64
+	// rows is what has been committed.
+	rows map[string][]byte
+	// clock is the workers' own clock at the start of the test.
+	began time.Time
+}
+
+// The sizes that most tests use.
+const (
+	pool     = "pool"
+	testTick = 100 * time.Millisecond
+)
+
+var queueShort = workload.Queue{
+	Name: "short", Pool: pool, Priority: 0, MaxAttempts: 2, Stretch: 1.5, Target: 250 * time.Millisecond,
+}
+
+var queueLong = workload.Queue{
+	Name: "long", Pool: pool, Priority: 2, MaxAttempts: 2, Stretch: 2, Target: time.Second,
+}
+
+// newRig returns a State with workers that have reported.
+func newRig(t *testing.T, workers int) *rig {
+	r := &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}}
+	r.began = r.now
+	r.own(1)
+	r.members(workers)
+	for i := range workers {
+		r.report(worker(i), nil, nil)
+	}
+	return r
+}
+
+// own begins an ownership.
+func (r *rig) own(epoch uint64) {
+	r.epoch = epoch
+	r.state = dispatch.New(dispatch.Config{
+		Epoch: epoch, Lease: 6 * time.Second, InheritedLease: 12 * time.Second, Retention: time.Minute,
+		CatchUp: 250 * time.Millisecond, TailBound: 4 * time.Second,
+	})
+	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
+}
+
+// takeOver begins the next ownership from what has been committed.
+func (r *rig) takeOver(roster ...string) {
+	r.own(r.epoch + 1)
+	for key, value := range r.rows {
+		if len(key) < 4 || key[:4] != dispatch.JobPrefix {
+			continue
+		}
+		job, err := dispatch.DecodeJobRow(value)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		var progress *dispatch.ProgressRow
+		if v, ok := r.rows[dispatch.ProgressPrefix+job.Job.ID]; ok {
+			if progress, err = dispatch.DecodeProgressRow(v); err != nil {
+				r.t.Fatal(err)
+			}
+		}
+		r.state.Restore(r.now, r.now.UnixMilli(), job, progress)
+	}
+	for _, id := range roster {
+		r.state.Inherit(r.now, workerInfo(id))
+	}
+}
+
+// worker returns a worker's ID.
+func worker(i int) string { return fmt.Sprintf("w%d", i) }
+
+// workerInfo describes a worker of 16 cores and 64 GB.
+func workerInfo(id string) runner.Worker {
+	return runner.Worker{
+		ID: id, Address: "10.0.0.1:80", Pool: pool, Labels: []string{"kind", "rack-" + id},
+		Capacity: infra.Resources{MilliCPU: 16_000, MemoryMB: 64_000},
+	}
+}
+
+// members lists n workers and makes the roster durable.
+func (r *rig) members(n int) {
+	var list []runner.Worker
+	for i := range n {
+		list = append(list, workerInfo(worker(i)))
+	}
+	r.state.SetMembers(r.now, list)
+	r.flush()
+}
+
+// flush commits everything.
+func (r *rig) flush() {
+	r.t.Helper()
+	for r.state.Unflushed() {
+		b, err := r.state.Flush(r.now, 98)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		for _, w := range b.Writes {
+			if w.Delete {
+				delete(r.rows, w.Key)
+			} else {
+				r.rows[w.Key] = w.Value
+			}
+		}
+		r.state.Flushed(b)
+	}
+}
+
+// clock is what all workers' clocks show.
+func (r *rig) clock() int64 { return 1 + r.now.Sub(r.began).Milliseconds() }
+
+// report answers a renewal.
+func (r *rig) report(id string, active []runner.Active, ends []runner.End) {
+	r.t.Helper()
+	_, o, ok := r.state.Renewal(r.now, id, true)
+	if !ok {
+		r.t.Fatalf("worker %s isn't known", id)
+	}
+	r.state.Report(r.now, id, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()},
+		runner.Report{ClockMS: r.clock(), Active: active, Ends: ends})
+}
+
+// silence has a worker not answer a renewal.
+func (r *rig) silence(id string) {
+	r.t.Helper()
+	_, o, ok := r.state.Renewal(r.now, id, true)
+	if !ok {
+		return
+	}
+	r.state.Report(r.now, id, o, runner.Answer{Status: runner.Unknown}, runner.Report{})
+}
+
+// submit has a job accepted.
+func (r *rig) submit(q workload.Queue, id string, steps ...workload.Step) {
+	r.t.Helper()
+	job := &workload.Job{ID: id, Queue: q.Name, Steps: steps, Submitted: r.now.UnixMilli()}
+	if err := job.Validate(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.state.Accept(r.now, r.now.UnixMilli(), job, q)
+	r.flush()
+}
+
+// step returns a step of n tasks of the given cores for one second.
+func step(n int, cores int64, change ...func(*workload.Step)) workload.Step {
+	s := workload.Step{
+		Tasks: n, Needs: infra.Resources{MilliCPU: cores * 1000, MemoryMB: 1000}, Estimate: time.Second,
+		DisruptionBudget: -1,
+	}
+	for _, f := range change {
+		f(&s)
+	}
+	return s
+}
+
+// longRunning marks a step's tasks as long-running.
+func longRunning(s *workload.Step) { s.LongRunning = true }
+
+// plan plans and has every start succeed, and returns the starts.
+func (r *rig) plan() []dispatch.StartOrder {
+	p := r.state.Plan(r.now)
+	for _, o := range p.Starts {
+		r.state.StartAnswered(r.now, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()})
+	}
+	return p.Starts
+}
+
+// end is the end of a started run.
+func end(number uint64, o dispatch.StartOrder, how runner.EndKind) runner.End {
+	return runner.End{Number: number, Task: o.Start.Task, Run: o.Start.Run, Kind: how}
+}
+
+// active is a started run at work.
+func active(o dispatch.StartOrder) runner.Active {
+	return runner.Active{Task: o.Start.Task, Run: o.Start.Run, Percent: 100}
+}
+
+// pass lets time pass.
+func (r *rig) pass(d time.Duration) { r.now = r.now.Add(d) }
+
+// mustState checks what callers are told of a job.
+func (r *rig) mustState(id string, want workload.State) {
+	r.t.Helper()
+	got, ok := r.state.JobState(id)
+	if !ok || got != want {
+		r.t.Errorf("job %s is %v (known: %v), want %v", id, got, ok, want)
+	}
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -63,6 +63,11 @@
 	}
 }
 
+// SetBounds replaces the retention of jobs and the bound on tails.
+func (s *State) SetBounds(retention, tailBound time.Duration) {
+	s.cfg.Retention, s.cfg.TailBound = retention, tailBound
+}
+
 // Accept takes a job in; it is accepted once a flush that holds it is
 // durable. A job that is known already is left as it is.
 func (s *State) Accept(now time.Time, wallNow int64, spec *workload.Job, q workload.Queue) {
@@ -142,6 +147,15 @@
 	}
 }
 
+// begin marks that a task of the job has started. That becomes durable, so
+// that a later owner puts the job's long-running tasks back first.
+func (s *State) begin(j *job) {
+	if j.state == workload.Queued {
+		j.state = workload.InProgress
+		s.touch(j)
+	}
+}
+
 // touch marks a job's progress as not yet durable.
 func (s *State) touch(j *job) {
 	if !j.dirty {
--- a/event/platform.go
+++ b/event/platform.go
@@ -9,4 +9,7 @@
 	ConfigUnread    = define(952, slog.LevelWarn, "configuration can't be read from the store, trying again")
 	RequestInvalid  = define(953, slog.LevelInfo, "request can't be read")
 	RequestFailed   = define(954, slog.LevelInfo, "request not served")
+	SettingsSignal  = define(955, slog.LevelInfo, "settings are read again on a signal")
+	SettingsUnread  = define(956, slog.LevelError, "settings can't be read, those before stay")
+	SettingsChanged = define(957, slog.LevelInfo, "changed settings in force")
 )
