Hosts that the store turns away learn of owners from each other

Causes, each by the log: a host that reached a new owner before it had read its state doubted it for ever; a host that can't read the owner's row had no other way to learn of an owner; a deposed owner that the store turned away went on answering callers for 5 s. An owner answers pings from the moment it took the row, a new owner announces itself to all hosts known, and hosts ask others when the store doesn't answer. The time that the row is unchanged counts from the owner's last answer.

--- a/control/commit.go
+++ b/control/commit.go
@@ -51,6 +51,7 @@
 		o.quit(errors.Wrap(err, "commit"))
 		return
 	}
+	o.provenVersion.Store(o.committer.Version())
 	o.provenAt.Store(int64(begun))
 	o.post(func() {
 		o.committing = false
--- a/control/follow.go
+++ b/control/follow.go
@@ -15,41 +15,59 @@
 // it. It returns after each change.
 func (n *Node) follow(ctx context.Context) {
 	_, leader, _ := n.current()
-	why := "no owner is known"
-	refused := true
+	d := doubt{why: "no owner is known", gone: true}
 	if leader.Host != "" && !leader.Resigned {
-		why, refused = n.watchLeader(ctx, leader)
+		d = n.watchLeader(ctx, leader)
 	}
 	if ctx.Err() != nil {
 		return
 	}
-	event.OwnerSuspected.Log(n.opts.Log, slog.Any("host", leader.Host), slog.Any("epoch", leader.Epoch), slog.Any("why", why))
-	n.replace(ctx, refused)
+	event.OwnerSuspected.Log(n.opts.Log, slog.String("host", leader.Host), slog.Uint64("epoch", leader.Epoch),
+		slog.String("why", d.why), slog.Uint64("version", d.version))
+	n.replace(ctx, d)
+}
+
+// doubt is why a host takes part in replacing the owner.
+type doubt struct {
+	why string
+	// gone is set if the owner's process seems to be gone.
+	gone bool
+	// version is that of the owner's row by the owner's last answer, and since
+	// when it was so.
+	version uint64
+	since   time.Time
 }
 
 // watchLeader pings the owner until there is a reason to doubt it. It says
 // why, and whether its process seems to be gone.
-func (n *Node) watchLeader(ctx context.Context, leader election.Record) (why string, gone bool) {
+func (n *Node) watchLeader(ctx context.Context, leader election.Record) (d doubt) {
 	t := time.NewTicker(pingInterval)
 	defer t.Stop()
 	for {
 		r, res := n.ping(ctx, leader)
+		age := time.Duration(r.CommitAgeMS) * time.Millisecond
 		switch {
 		case res == outcome.NotRun:
-			return "unreachable", true
+			d.why, d.gone = "unreachable", true
+			return d
 		case res == outcome.Unknown:
-			return "no answer", false
+			d.why = "no answer"
+			return d
 		case !r.Owner || r.Incarnation != leader.Incarnation || r.Epoch != leader.Epoch:
-			return "no longer the owner", true
-		case time.Duration(r.CommitAgeMS)*time.Millisecond > commitStale:
-			return "its commits fail", false
+			d.why, d.gone = "no longer the owner", true
+			return d
+		}
+		d.version, d.since = r.Version, time.Now().Add(-age)
+		if age > commitStale {
+			d.why = "its commits fail"
+			return d
 		}
 		n.seen()
 		n.compareConfig(r.ConfigVersion)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return "stopping", false
+			return d
 		}
 	}
 }
@@ -59,10 +77,18 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var r pingReply
-	res := n.client.Call(ctx, leader.Host, methodPing, pingRequest{Epoch: leader.Epoch}, &r)
+	res := n.client.Call(ctx, leader.Host, methodPing, pingRequest{Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount()}, &r)
+	n.meet(r.Hosts)
 	return r, res.Kind
 }
 
+// hostCount returns how many hosts this one knows.
+func (n *Node) hostCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.hosts)
+}
+
 // compareConfig has the configuration read again if a peer's is newer.
 func (n *Node) compareConfig(version uint64) {
 	if c := n.config.Load(); c != nil && version > c.Version {
@@ -75,24 +101,31 @@
 
 // replace reads the owner's row until it names another owner, or is left
 // unchanged for so long that this host takes it.
-func (n *Node) replace(ctx context.Context, gone bool) {
-	var first uint64
-	var since time.Time
+func (n *Node) replace(ctx context.Context, d doubt) {
+	first, since := d.version, d.since
 	t := time.NewTicker(rowPoll)
 	defer t.Stop()
 	_, old, _ := n.current()
 	for {
+		if hint, ok := n.hinted(old); ok {
+			n.setLeader(hint, nil)
+			event.OwnerFollowed.Log(n.opts.Log, slog.Any("host", hint.Host), slog.Any("epoch", hint.Epoch))
+			return
+		}
+		begun := time.Now()
 		record, version, err := n.readOwner(ctx)
+		slowness := slowReads * time.Since(begun)
 		switch {
 		case err != nil:
 			event.OwnerUnread.Log(n.opts.Log, slog.Any("err", err))
 			since = time.Time{}
+			n.askPeers(ctx)
 		case record.Host != "" && !record.Resigned && !record.Same(&old):
 			n.setLeader(record, nil)
 			event.OwnerFollowed.Log(n.opts.Log, slog.Any("host", record.Host), slog.Any("epoch", record.Epoch))
 			return
 		case since.IsZero() || version != first:
-			if !since.IsZero() && !gone && n.alive(ctx, record) {
+			if !since.IsZero() && n.alive(ctx, record) {
 				n.setLeader(record, nil)
 				return
 			}
@@ -101,7 +134,7 @@
 				since = since.Add(-unchangedFor)
 			}
 		}
-		if !since.IsZero() && time.Since(since) >= n.patience(gone) && n.take(ctx, record, version) {
+		if !since.IsZero() && time.Since(since) >= n.patience(d.gone)+slowness && n.take(ctx, record, version) {
 			return
 		}
 		select {
@@ -138,6 +171,10 @@
 	return unchangedFor + spread
 }
 
+// slowReads is how many times the duration of a read is added to a host's
+// patience: where the table service is slow, the owner's commits are as well.
+const slowReads = 6
+
 // The spread of hosts' patience; a step is longer than a commit takes.
 const (
 	spreadSteps = 8
@@ -162,6 +199,7 @@
 		return false
 	}
 	event.OwnershipTaken.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", seen.Host))
+	go n.announce(ctx, seen, c.Record())
 	n.lead(ctx, c)
 	return true
 }
@@ -172,13 +210,14 @@
 	opts := n.opts
 	n.mu.Unlock()
 	o := newOwner(ctx, opts, c, *n.config.Load())
+	// Requests that come while the state is read wait for the loop.
+	n.setLeader(c.Record(), o)
 	if err := o.load(); err != nil {
 		event.LoadFailed.Log(n.opts.Log, slog.Any("epoch", o.epoch), slog.Any("err", err))
 		o.quit(err)
 		n.setLeader(election.Record{}, nil)
 		return
 	}
-	n.setLeader(c.Record(), o)
 	o.run()
 	event.OwnershipLost.Log(n.opts.Log, slog.Any("epoch", o.epoch), slog.Any("err", context.Cause(o.ctx)))
 	n.setLeader(election.Record{}, nil)
--- a/control/messages.go
+++ b/control/messages.go
@@ -17,6 +17,10 @@
 // pingRequest asks the owner how it is.
 type pingRequest struct {
 	Epoch uint64 `msgpack:"e"`
+	// Address is where the asking host serves its peers.
+	Address string `msgpack:"a"`
+	// Hosts is how many hosts it knows.
+	Hosts int `msgpack:"h"`
 }
 
 // pingReply is the owner's answer.
@@ -27,8 +31,13 @@
 	Incarnation string `msgpack:"i"`
 	// CommitAgeMS is the age of its last commit.
 	CommitAgeMS int64 `msgpack:"a"`
+	// Version is the version of the owner's row after that commit.
+	Version uint64 `msgpack:"v"`
 	// ConfigVersion is its version of the configuration.
 	ConfigVersion uint64 `msgpack:"c"`
+	// Hosts are the addresses of all hosts that the owner knows, sent if the
+	// asking host knows fewer.
+	Hosts []string `msgpack:"h,omitempty"`
 }
 
 // submitRequest hands a job in.
--- a/control/node.go
+++ b/control/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,24 +36,46 @@
 	// leaderSeen is when, in boottime, the leader last answered.
 	leaderSeen time.Duration
 	resigned   bool
+	// hosts are addresses of other hosts, oldest first.
+	hosts []string
+	// hint is the newest owner that peers told of.
+	hint election.Record
 }
 
 // NewNode returns a node; its peer server must be served, and Run called.
 func NewNode(opts Options) *Node {
 	po := peer.Options{
 		Host: opts.Host, Log: opts.Log, UserTimeout: peerUserTimeout, Handshake: pingTimeout,
-		MaxBackoff: peerMaxBackoff,
+		MaxBackoff: peerMaxBackoff, AnyName: true,
 	}
-	seed := rand.NewPCG(rand.Uint64(), rand.Uint64()) //nolint:gosec // spreads reconnections only
 	n := &Node{
-		opts: opts, client: peer.NewClient(po, rand.New(seed)), //nolint:gosec // as above
+		opts: opts, client: peer.NewClient(po, newRand()),
 		server:    peer.NewServer(po, func(string, netip.Addr) bool { return true }),
 		configSet: make(chan struct{}), configNews: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 	n.handle()
+	n.handleGossip()
+	n.client.SetPeers(n.peers(election.Record{}))
 	return n
 }
 
+// newRand returns a source that spreads reconnections.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // nothing secret
+}
+
+// peers returns the addresses of the seeds and the leader, by name.
+func (n *Node) peers(leader election.Record) map[string]string {
+	all := map[string]string{}
+	for _, address := range append(slices.Clone(n.opts.Seeds), n.hosts...) {
+		all[seedName(address)] = address
+	}
+	if leader.Host != "" {
+		all[leader.Host] = leader.Address
+	}
+	return all
+}
+
 const (
 	// peerUserTimeout gives up connections to peers whose bytes stay
 	// unacknowledged; shorter than the time to a take-over.
@@ -131,10 +154,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leader, n.owner = r, o
-	if r.Host != "" && o == nil {
-		n.client.SetPeers(map[string]string{r.Host: r.Address})
-	} else {
-		n.client.SetPeers(nil)
+	if o == nil {
+		n.client.SetPeers(n.peers(r))
 	}
 	close(n.changed)
 	n.changed = make(chan struct{})
--- a/control/options.go
+++ b/control/options.go
@@ -15,10 +15,12 @@
 	Address string
 	// Incarnation names this life of the process; it never repeats.
 	Incarnation string
-	Table       infra.Table
-	Workers     runner.Client
-	Members     Members
-	Log         *slog.Logger
+	// Seeds are addresses of other hosts, some of which may be gone.
+	Seeds   []string
+	Table   infra.Table
+	Workers runner.Client
+	Members Members
+	Log     *slog.Logger
 	// Retention is how long a job that is over can be asked for.
 	Retention time.Duration
 	// MaxLease bounds the leases that workers grant.
@@ -48,7 +50,7 @@
 	pingTimeout = 500 * time.Millisecond
 	// commitStale is the age of the owner's last commit from which other
 	// hosts look at its row themselves.
-	commitStale = 900 * time.Millisecond
+	commitStale = 750 * time.Millisecond
 	// unchangedFor is how long the row must stay as it is before somebody
 	// takes over: twice the heartbeat and a slow commit.
 	unchangedFor = 900 * time.Millisecond
--- a/control/orders.go
+++ b/control/orders.go
@@ -37,13 +37,20 @@
 	}
 }
 
+// startWait is how long a start may wait behind other orders to its worker. One
+// that waited longer was meant for a state that may have passed: a copy of a
+// task that is done by now, a job that was cancelled. It is less than the
+// second after which such a start breaks a rule.
+const startWait = 400 * time.Millisecond
+
 // orderStart gives a start and takes in the answer. A start that is no longer
 // right when its turn comes isn't sent.
 func (o *Owner) orderStart(s dispatch.StartOrder) {
 	session := o.sessions[s.Worker.ID]
+	given := boottime()
 	queued := o.give(s.Worker.ID, func(ctx context.Context) {
 		a := runner.Answer{Status: runner.Fenced}
-		if session.token.Load() == s.Start.Token && o.proven() {
+		if session.token.Load() == s.Start.Token && o.proven() && boottime()-given < startWait {
 			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 			a = o.opts.Workers.Start(ctx, s.Worker, s.Start)
 			cancel()
--- a/control/owner.go
+++ b/control/owner.go
@@ -32,6 +32,8 @@
 	dirtySince time.Time
 	// provenAt is when, in boottime, the last applied commit was begun.
 	provenAt atomic.Int64
+	// provenVersion is the version of the owner's row after it.
+	provenVersion atomic.Uint64
 	// resigning owners give no more orders.
 	resigning bool
 	stopped   chan struct{}
@@ -56,6 +58,7 @@
 	})
 	o.state.SetQueues(cfg.Queues)
 	o.provenAt.Store(int64(boottime()))
+	o.provenVersion.Store(c.Version())
 	return o
 }
 
--- a/control/serve.go
+++ b/control/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/fireflygate/fireflygate/peer"
 )
@@ -13,7 +14,8 @@
 		if err := decode(&q); err != nil {
 			return nil, err
 		}
-		return n.pong(), nil
+		n.met(q.Address)
+		return n.pong(q.Hosts), nil
 	})
 	serve(n.server, methodSubmit, n, func(ctx context.Context, o *Owner, q *submitRequest) reply {
 		return o.submit(ctx, &q.Job, q.Queue)
@@ -45,14 +47,20 @@
 }
 
 // pong says how this host's ownership is.
-func (n *Node) pong() pingReply {
+func (n *Node) pong(hosts int) pingReply {
 	o, _, _ := n.current()
 	r := pingReply{Incarnation: n.opts.Incarnation}
 	if c := n.config.Load(); c != nil {
 		r.ConfigVersion = c.Version
 	}
 	if o != nil && o.ctx.Err() == nil {
-		r.Owner, r.Epoch, r.CommitAgeMS = true, o.epoch, o.commitAge().Milliseconds()
+		r.Owner, r.Epoch, r.Version = true, o.epoch, o.provenVersion.Load()
+		r.CommitAgeMS = o.commitAge().Milliseconds()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.Owner && hosts < len(n.hosts) {
+		r.Hosts = slices.Clone(n.hosts)
 	}
 	return r
 }
--- a/control/session.go
+++ b/control/session.go
@@ -21,7 +21,6 @@
 	// and nextLook.
 	looking  bool
 	nextLook time.Time
-	queued   int
 }
 
 // look is one renewal to make.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -78,11 +78,15 @@
 		s.release(r)
 	}
 	j := s.jobs[e.Task.Job]
-	if j == nil || j.state.Final() {
+	if j == nil {
 		return
 	}
 	t := j.task(e.Task)
-	if t == nil || t.done {
+	if t == nil {
+		return
+	}
+	t.endedRun = max(t.endedRun, e.Run)
+	if t.done || j.state.Final() {
 		return
 	}
 	s.begin(j)
@@ -195,6 +199,9 @@
 	if j != nil {
 		t = j.task(a.Task)
 	}
+	if t != nil && a.Run <= t.endedRun {
+		return nil // a report that was overtaken by that of its end
+	}
 	if t == nil {
 		s.stops = append(s.stops, StopOrder{
 			Worker: w.info, Stop: runner.Stop{Task: a.Task, Run: a.Run, Token: w.token},
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -41,6 +41,3 @@
 	// tailOver is since when it has been over its tail target.
 	tailOver time.Time
 }
-
-// live reports whether the run counts towards its step being served.
-func (r *run) live() bool { return r.phase != stopping }
--- a/dispatch/state_test.go
+++ b/dispatch/state_test.go
@@ -251,3 +251,17 @@
 		t.Fatalf("got %v, want a start on the other worker", again)
 	}
 }
+
+// TestOvertakenReport ignores a run in a report that was made before its end
+// and comes after the report of that.
+func TestOvertakenReport(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit(queueShort, "job", step(1, 4))
+	first := r.plan()[0]
+	r.report(first.Worker.ID, nil, []runner.End{end(1, first, runner.EndStopped)})
+	r.report(first.Worker.ID, []runner.Active{active(first)}, nil)
+	again := r.plan()
+	if len(again) != 1 || again[0].Start.Run <= first.Start.Run {
+		t.Fatalf("got %v, want one start with a higher run", again)
+	}
+}
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -19,6 +19,8 @@
 	failed []uint64
 	// failedOn holds the workers of those runs, as far as this owner knows.
 	failedOn []string
+	// endedRun is the highest run of it that is known to be over.
+	endedRun uint64
 	// saved is the newest checkpoint.
 	saved string
 }
--- a/election/committer.go
+++ b/election/committer.go
@@ -51,6 +51,9 @@
 // Record returns the owner's row as last written.
 func (c *Committer) Record() Record { return c.record }
 
+// Version returns the version of the owner's row as last written.
+func (c *Committer) Version() uint64 { return c.version }
+
 // Resign writes that the owner has stopped.
 func (c *Committer) Resign(ctx context.Context) error {
 	c.record.Resigned = true
--- a/event/control.go
+++ b/event/control.go
@@ -16,6 +16,7 @@
 	ResignFailed    = define(909, slog.LevelWarn, "ownership not given up cleanly")
 	MembersUnread   = define(910, slog.LevelWarn, "membership list can't be read, the one before stays")
 	WorkerNotSeen   = define(911, slog.LevelInfo, "look at worker failed")
+	OwnershipTold   = define(913, slog.LevelInfo, "hosts were told of the new owner")
 	DomainState     = define(912, slog.LevelInfo, "state of the domain")
 	JobReceived     = define(920, slog.LevelInfo, "job received")
 	JobDurable      = define(921, slog.LevelInfo, "change of job is durable")
--- a/event/platform.go
+++ b/event/platform.go
@@ -4,12 +4,13 @@
 
 // Events 950 to 999: the users' platform.
 var (
-	StoreCallFailed = define(950, slog.LevelWarn, "call to the store failed")
-	EntryUnreadable = define(951, slog.LevelError, "membership entry can't be decoded, the one before stays")
-	ConfigUnread    = define(952, slog.LevelWarn, "configuration can't be read from the store, trying again")
-	RequestInvalid  = define(953, slog.LevelInfo, "request can't be read")
-	RequestFailed   = define(954, slog.LevelInfo, "request not served")
-	SettingsSignal  = define(955, slog.LevelInfo, "settings are read again on a signal")
-	SettingsUnread  = define(956, slog.LevelError, "settings can't be read, those before stay")
-	SettingsChanged = define(957, slog.LevelInfo, "changed settings in force")
+	StoreCallFailed  = define(950, slog.LevelWarn, "call to the store failed")
+	EntryUnreadable  = define(951, slog.LevelError, "membership entry can't be decoded, the one before stays")
+	ConfigUnread     = define(952, slog.LevelWarn, "configuration can't be read from the store, trying again")
+	RequestInvalid   = define(953, slog.LevelInfo, "request can't be read")
+	RequestFailed    = define(954, slog.LevelInfo, "request not served")
+	SettingsSignal   = define(955, slog.LevelInfo, "settings are read again on a signal")
+	SettingsUnread   = define(956, slog.LevelError, "settings can't be read, those before stay")
+	SettingsChanged  = define(957, slog.LevelInfo, "changed settings in force")
+	ReadinessChanged = define(958, slog.LevelInfo, "readiness changed")
 )
--- a/peer/link.go
+++ b/peer/link.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if h.Host != host {
+	if h.Host != host && !o.AnyName {
 		return nil, errors.Wrapf(ErrHandshake, "reached %q, expected %q", h.Host, host)
 	}
 	return conn, errors.Wrap(conn.SetDeadline(time.Time{}), "clear deadline")
--- a/peer/options.go
+++ b/peer/options.go
@@ -26,6 +26,9 @@
 	Handshake time.Duration
 	// MinBackoff and MaxBackoff bound the wait between failed dials.
 	MinBackoff, MaxBackoff time.Duration
+	// AnyName lets a client talk to whichever host answers at an address,
+	// for callers that know hosts by address only.
+	AnyName bool
 	// TLS, if set, encrypts and authenticates both directions. It is asked
 	// for the settings of each new connection, so a renewed certificate is
 	// used from the next connection on.
