--- a/control/node.go
+++ b/control/node.go
@@ -191,3 +191,9 @@
 		o.resign(ctx)
 	}
 }
+
+// Owns reports whether this host owns the domain.
+func (n *Node) Owns() bool {
+	o, _, _ := n.current()
+	return o != nil && o.ctx.Err() == nil
+}
--- /dev/null
+++ b/queue/order_test.go
@@ -0,0 +1,112 @@
+package queue_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/queue"
+)
+
+// start is when the tests begin.
+var start = time.Unix(1000, 0)
+
+// TestCompare checks the order of a few entries that differ in one thing each.
+func TestCompare(t *testing.T) {
+	soon, later := start.Add(time.Second), start.Add(5*time.Second)
+	past := start.Add(-time.Second)
+	entries := []*queue.Entry{
+		{ID: "lost second", Priority: 2, LatestStart: past, LastUse: past, Arrived: soon},
+		{ID: "lost first", Priority: 2, LatestStart: past, LastUse: past, Arrived: past},
+		{ID: "late large", Priority: 2, LatestStart: past, LastUse: later, Work: 90},
+		{ID: "late small", Priority: 2, LatestStart: past, LastUse: later, Work: 10},
+		{ID: "on time later", Priority: 2, LatestStart: later, LastUse: later},
+		{ID: "on time soon", Priority: 2, LatestStart: soon, LastUse: later},
+		{ID: "restart", Priority: 2, Restart: true, LatestStart: past, LastUse: past},
+		{ID: "first queue, lost", Priority: 0, LatestStart: past, LastUse: past},
+	}
+	slices.SortFunc(entries, func(a, b *queue.Entry) int { return queue.Compare(a, b, start) })
+	want := []string{
+		"first queue, lost", "restart", "on time soon", "on time later", "late small", "late large", "lost first", "lost second",
+	}
+	for i, e := range entries {
+		if e.ID != want[i] {
+			t.Errorf("place %d: %s, want %s", i, e.ID, want[i])
+		}
+	}
+}
+
+// burst is a load of jobs, each of one task of 1 to 4 s on one of a few
+// workers, due after twice its run time and a second: more than fit.
+func burst() []queue.Entry {
+	var all []queue.Entry
+	for i := range 60 {
+		arrived := start.Add(time.Duration(i) * 250 * time.Millisecond)
+		run := time.Duration(1+(i*7)%4) * time.Second
+		objective := arrived.Add(2*run + time.Second)
+		all = append(all, queue.Entry{
+			ID: fmt.Sprint(i), Arrived: arrived, Work: run.Milliseconds(),
+			LatestStart: objective.Add(-run), LastUse: arrived.Add(3 * objective.Sub(arrived)).Add(-run),
+		})
+	}
+	return all
+}
+
+// replay serves the load on workers and counts the jobs that meet their
+// objective and those that end in time to be of use.
+func replay(load []queue.Entry, workers int, compare func(a, b *queue.Entry, now time.Time) int) (onTime, useful int) {
+	free := make([]time.Time, workers)
+	for i := range free {
+		free[i] = start
+	}
+	waiting := load
+	for len(waiting) > 0 {
+		i := 0
+		for k := range free {
+			if free[k].Before(free[i]) {
+				i = k
+			}
+		}
+		now := free[i]
+		best := -1
+		for k := range waiting {
+			if waiting[k].Arrived.After(now) {
+				continue
+			}
+			if best < 0 || compare(&waiting[k], &waiting[best], now) < 0 {
+				best = k
+			}
+		}
+		if best < 0 {
+			free[i] = now.Add(50 * time.Millisecond)
+			continue
+		}
+		e := waiting[best]
+		waiting = slices.Delete(slices.Clone(waiting), best, best+1)
+		if !now.After(e.LatestStart) {
+			onTime++
+		}
+		if !now.After(e.LastUse) {
+			useful++
+		}
+		free[i] = now.Add(time.Duration(e.Work) * time.Millisecond)
+	}
+	return onTime, useful
+}
+
+// TestBurst compares the order with the two usual ones on a burst of twice
+// what fits: first come first served, and earliest deadline first.
+func TestBurst(t *testing.T) {
+	const workers = 5
+	fifo := func(a, b *queue.Entry, _ time.Time) int { return a.Arrived.Compare(b.Arrived) }
+	edf := func(a, b *queue.Entry, _ time.Time) int { return a.LatestStart.Compare(b.LatestStart) }
+	first, firstUseful := replay(burst(), workers, fifo)
+	deadline, deadlineUseful := replay(burst(), workers, edf)
+	ours, oursUseful := replay(burst(), workers, queue.Compare)
+	t.Logf("on time, useful of 60: first come %d, %d; earliest deadline %d, %d; by hope %d, %d",
+		first, firstUseful, deadline, deadlineUseful, ours, oursUseful)
+	if ours <= first || ours <= deadline {
+		t.Errorf("%d jobs on time, want more than %d (first come) and %d (earliest deadline)", ours, first, deadline)
+	}
+}
--- /dev/null
+++ b/rank/rank_test.go
@@ -0,0 +1,44 @@
+package rank_test
+
+import (
+	"testing"
+
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/rank"
+)
+
+// TestCost compares two workers for one task: the first must be better.
+func TestCost(t *testing.T) {
+	room := func(cpu int64) infra.Resources { return infra.Resources{MilliCPU: cpu, MemoryMB: 1000} }
+	base := rank.Worker{Free: room(8000), Capacity: room(16_000), UnusedCPU: 8000, DataNear: true}
+	with := func(f func(*rank.Worker)) rank.Worker {
+		w := base
+		f(&w)
+		return w
+	}
+	short := rank.Task{Needs: room(4000)}
+	serving := rank.Task{Needs: room(4000), Serving: true, Spread: true}
+	filler := rank.Task{Needs: room(4000), Filler: true}
+	quiet := rank.Task{Needs: room(4000), Filler: true, Quiet: true}
+	for _, c := range []struct {
+		name          string
+		task          rank.Task
+		better, worse rank.Worker
+	}{
+		{"the fuller worker", short, with(func(w *rank.Worker) { w.Free = room(4000) }), base},
+		{"near the data, though emptier", short, with(func(w *rank.Worker) { w.Free = room(16_000) }), with(func(w *rank.Worker) { w.DataNear = false })},
+		{"a sound worker, though far from the data", short, with(func(w *rank.Worker) { w.DataNear = false }), with(func(w *rank.Worker) { w.Suspect = true })},
+		{"a suspect worker rather than where it failed", short, with(func(w *rank.Worker) { w.Suspect = true }), with(func(w *rank.Worker) { w.FailedBefore = true })},
+		{"where its class serves already", serving, with(func(w *rank.Worker) { w.Serving = 1 }), base},
+		{"an empty worker rather than among strangers", serving, base, with(func(w *rank.Worker) { w.Serving, w.Strangers = 2, 2 })},
+		{"where fillers don't disturb it", serving, base, with(func(w *rank.Worker) { w.Serving, w.Fillers, w.Harm = 1, 2, 0.5 })},
+		{"a filler where most lies idle", filler, base, with(func(w *rank.Worker) { w.UnusedCPU = 4000 })},
+		{"a filler where it does no harm", filler, base, with(func(w *rank.Worker) { w.Serving, w.Harm = 1, 0.04 })},
+		{"a quiet filler leaves free workers to others", quiet, with(func(w *rank.Worker) { w.Serving = 1 }), base},
+	} {
+		better, worse := rank.Cost(&c.task, &c.better), rank.Cost(&c.task, &c.worse)
+		if better >= worse {
+			t.Errorf("%s: cost %.3f isn't less than %.3f", c.name, better, worse)
+		}
+	}
+}
