--- a/control/load.go
+++ b/control/load.go
@@ -42,6 +42,9 @@
 	for _, row := range jobs {
 		o.restore(row, byJob)
 	}
+	if err := o.loadLessons(ctx); err != nil {
+		return err
+	}
 	workers, err := o.loadRoster(ctx)
 	if err != nil {
 		return err
@@ -84,6 +87,22 @@
 	return len(roster.Workers), nil
 }
 
+// loadLessons takes in what was learned of pairs of images. A row that can't be
+// read costs only the time to learn it again.
+func (o *Owner) loadLessons(ctx context.Context) error {
+	rows, err := o.opts.Table.Get(ctx, dispatch.LessonsKey)
+	if err != nil {
+		return errors.Wrap(err, "read lessons")
+	}
+	if len(rows) == 0 || rows[0].Version == 0 {
+		return nil
+	}
+	if err := o.state.RecallLessons(rows[0].Value); err != nil {
+		event.RowUnreadable.Log(o.opts.Log, slog.String("key", dispatch.LessonsKey), slog.Any("err", err))
+	}
+	return nil
+}
+
 // scan reads all rows whose key begins so.
 func (o *Owner) scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	var all []infra.Row
--- a/control/options.go
+++ b/control/options.go
@@ -77,6 +77,9 @@
 	// within it share one. Short beside any task, and a cycle over some hundred
 	// waiting tasks takes about a tenth of it.
 	planGap = 4 * time.Millisecond
+	// planShare is how many times its own duration passes between two cycles,
+	// so that planning leaves most of the processor to orders and reports.
+	planShare = 4
 	// orderTimeout bounds the wait for a worker's answer to an order.
 	orderTimeout = time.Second
 	// lookRetry is the time between two looks at a worker that doesn't answer.
--- a/control/owner.go
+++ b/control/owner.go
@@ -29,6 +29,8 @@
 	lastCommit time.Time
 	summarized time.Time
 	stepped    time.Time
+	// stepTook is how long the last cycle took.
+	stepTook   time.Duration
 	dirtySince time.Time
 	// provenAt is when, in boottime, the last applied commit was begun.
 	provenAt atomic.Int64
@@ -97,7 +99,7 @@
 			o.drainEvents()
 			if !armed {
 				armed = true
-				gather.Reset(planGap - time.Since(o.stepped))
+				gather.Reset(max(planGap, planShare*o.stepTook) - time.Since(o.stepped))
 			}
 			continue
 		case <-gather.C:
@@ -132,6 +134,7 @@
 	}
 	o.look(now)
 	o.summarize(now)
+	o.stepTook = time.Since(now)
 }
 
 // summaryEvery is the time between two log lines on the state of the domain.
--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,40 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// BenchmarkPlanBacklog plans on 60 full workers with 300 steps waiting, short
+// ones and fillers, as after a burst on a pool that long-running tasks fill.
+func BenchmarkPlanBacklog(b *testing.B) {
+	t := &testing.T{}
+	r := newRig(t, 60)
+	for i := range 40 {
+		r.submit(queueShort, fmt.Sprintf("lasting%d", i), step(6, 3, longRunning, func(s *workload.Step) {
+			s.Image, s.TailTarget = fmt.Sprintf("serve%d", i%5), 50*time.Millisecond
+		}))
+	}
+	for i := range 150 {
+		r.submit(queueShort, fmt.Sprintf("short%d", i), step(6, 6))
+		r.submit(queueLong, fmt.Sprintf("fill%d", i), step(8, 7, func(s *workload.Step) {
+			s.Filler, s.Image, s.Checkpointing = true, fmt.Sprintf("fill%d", i%9), true
+		}))
+	}
+	for range 5 {
+		r.plan()
+		r.flush()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	var p dispatch.Plan
+	for b.Loop() {
+		r.pass(time.Millisecond)
+		p = r.state.Plan(r.now)
+	}
+	b.ReportMetric(float64(len(p.Starts)), "starts/op")
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -63,7 +63,7 @@
 		Needs: st.spec.Needs, Serving: st.spec.Serving(), Filler: st.spec.Filler, Spread: st.spec.LongRunning,
 		Quiet: st.spec.Filler && c.s.model.Loudest(st.spec.Image) < quietBlame,
 	}
-	if st.spec.Filler && filter == nil && c.fillerFull[fillerKey{st.spec.Image, st.job.queue.Pool, st.spec.Label}] {
+	if filter == nil && c.knownNotToFit(st) {
 		return nil
 	}
 	var best *worker
@@ -86,8 +86,8 @@
 			best, least = w, cost
 		}
 	}
-	if best == nil && st.spec.Filler && filter == nil {
-		c.fillerFull[fillerKey{st.spec.Image, st.job.queue.Pool, st.spec.Label}] = true
+	if best == nil && filter == nil {
+		c.noteNoFit(st)
 	}
 	return best
 }
--- a/dispatch/evict.go
+++ b/dispatch/evict.go
@@ -14,6 +14,11 @@
 	// preemptAgain is how long the room that victims make is waited for; a
 	// stop takes a few hundred milliseconds at most.
 	preemptAgain = time.Second
+	// preemptTry is the least time between two tries for a step, and
+	// triesPerCycle bounds the tries of a cycle: each looks at every run of
+	// the pool, and with some hundred steps waiting took two thirds of a cycle.
+	preemptTry    = 100 * time.Millisecond
+	triesPerCycle = 2
 )
 
 // makeRoom has runs of later queues give way to one task of a step that fits
@@ -22,9 +27,12 @@
 	if st.blockedSince.IsZero() {
 		st.blockedSince = c.now
 	}
-	if st.spec.Filler || c.now.Sub(st.blockedSince) < preemptAfter || c.now.Sub(st.preemptedAt) < preemptAgain {
+	if st.spec.Filler || c.tries >= triesPerCycle || c.now.Sub(st.blockedSince) < preemptAfter ||
+		c.now.Before(st.preemptNext) {
 		return
 	}
+	c.tries++
+	st.preemptNext = c.now.Add(preemptTry)
 	var best []preempt.Victim
 	var at *worker
 	var least int64
@@ -40,7 +48,7 @@
 	if at == nil {
 		return
 	}
-	st.preemptedAt = c.now
+	st.preemptNext = c.now.Add(preemptAgain)
 	c.kept[at] = true
 	runs := at.sortedRuns()
 	for _, v := range best {
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/interference"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -19,6 +20,8 @@
 	ProgressPrefix = "progress/"
 	// RosterKey is the key of the roster.
 	RosterKey = "roster"
+	// LessonsKey is the key of what is known of pairs of images.
+	LessonsKey = "lessons"
 )
 
 // Batch is a set of changes that become durable together.
@@ -51,6 +54,11 @@
 			return nil, err
 		}
 	}
+	if s.learned && now.Sub(s.lessonsAt) >= lessonsEvery {
+		if err := s.flushLessons(now, b); err != nil {
+			return nil, err
+		}
+	}
 	n := 0
 	for _, j := range s.dirty {
 		if len(b.Writes)+2 > limit {
@@ -121,6 +129,31 @@
 	return nil
 }
 
+// lessonsEvery is the time between two writes of what was learned. A later
+// owner that begins without it tries one filler a second on each worker.
+const lessonsEvery = 4 * time.Second
+
+// flushLessons writes what is known of pairs of images.
+func (s *State) flushLessons(now time.Time, b *Batch) error {
+	value, err := msgpack.Marshal(s.model.Lessons())
+	if err != nil {
+		return errors.Wrap(err, "encode lessons")
+	}
+	b.Writes = append(b.Writes, infra.Write{Key: LessonsKey, Value: value})
+	s.learned, s.lessonsAt = false, now
+	return nil
+}
+
+// RecallLessons takes in what an earlier owner has learned.
+func (s *State) RecallLessons(value []byte) error {
+	var lessons []interference.Lesson
+	if err := msgpack.Unmarshal(value, &lessons); err != nil {
+		return errors.Wrap(err, "decode lessons")
+	}
+	s.model.Recall(lessons)
+	return nil
+}
+
 // unacknowledged returns the last end seen at each worker that isn't durable.
 func (s *State) unacknowledged() map[string]uint64 {
 	var seen map[string]uint64
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -103,6 +103,7 @@
 	w.reportedTails = true
 	c, _ := w.colocation(now)
 	colocate.Learn(s.model, c)
+	s.learned = true
 }
 
 // noteTail keeps since when a tail has been over its target.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/queue"
 	"github.com/fireflygate/fireflygate/runner"
 )
@@ -81,13 +82,15 @@
 	starts []StartOrder
 	views  map[*worker]*view
 	pools  map[string]*room
-	// fillerFull holds fillers that fit nowhere in this cycle.
-	fillerFull map[fillerKey]bool
+	// tries counts the steps that others were asked to give way to.
+	tries int
+	// noRoom holds, by kind, the needs that fit nowhere in this cycle.
+	noRoom map[kindKey][]infra.Resources
 }
 
 // newCycle collects the workers that may take tasks, in the order of IDs.
 func newCycle(s *State, now time.Time) *cycle {
-	c := &cycle{s: s, now: now, kept: map[*worker]bool{}, views: map[*worker]*view{}, fillerFull: map[fillerKey]bool{}}
+	c := &cycle{s: s, now: now, kept: map[*worker]bool{}, views: map[*worker]*view{}, noRoom: map[kindKey][]infra.Resources{}}
 	for _, w := range s.workers {
 		if w.usable(now) && w.rostered && !w.clockAt.IsZero() {
 			c.workers = append(c.workers, w)
@@ -176,7 +179,7 @@
 
 // keepRoom keeps the worker that will soonest have room for a step from those
 // behind it in the queue: without this, small tasks take each gap before a
-// large one fits.
+// large one fits. Room that long-running tasks hold never comes.
 func (c *cycle) keepRoom(st *step) {
 	if st.spec.Filler || len(c.kept) >= max(1, len(c.workers)/keptShare) {
 		return
@@ -184,7 +187,7 @@
 	var best *worker
 	needs := st.spec.Reserved()
 	for _, w := range c.workers {
-		if c.kept[w] || !c.allowed(st, w) || !needs.Fits(w.info.Capacity) || c.crowded(st, w) {
+		if c.kept[w] || !c.allowed(st, w) || c.crowded(st, w) || !needs.Fits(w.roomInTime()) {
 			continue
 		}
 		if best == nil || w.free.MilliCPU > best.free.MilliCPU {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -30,6 +30,9 @@
 	// their tails' bounds in milliseconds.
 	model   *interference.Model
 	targets map[string]float64
+	// learned is set by what was learned since lessonsAt.
+	learned   bool
+	lessonsAt time.Time
 	// headroom remembers what short work needs, by pool.
 	headroom map[string]*headroom.Tracker
 	Stats    Stats
--- a/dispatch/state_test.go
+++ b/dispatch/state_test.go
@@ -330,3 +330,39 @@
 		t.Errorf("started after %v, want between the 2 s after which a living worker is listed again and 3 s", waited)
 	}
 }
+
+// TestRoomIsKeptOnlyWhereItComes doesn't keep a worker's room for a large task
+// that long-running ones leave no room for: short tasks would wait in vain.
+func TestRoomIsKeptOnlyWhereItComes(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit(queueShort, "lasting", step(1, 10, longRunning))
+	if starts := r.plan(); len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	r.flush()
+	r.submit(queueShort, "large", step(1, 8))
+	r.pass(time.Second)
+	r.submit(queueShort, "small", step(1, 4))
+	if starts := r.plan(); len(starts) != 1 || starts[0].Start.Task.Job != "small" {
+		t.Errorf("got %v, want the small task started beside the long-running one", starts)
+	}
+}
+
+// TestRoomIsKeptForLargeTasks keeps a worker that will have room from small
+// tasks that come after a large one.
+func TestRoomIsKeptForLargeTasks(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit(queueShort, "first", step(2, 8))
+	first := r.plan()
+	r.submit(queueShort, "large", step(1, 16))
+	r.pass(300 * time.Millisecond)
+	r.submit(queueShort, "small", step(2, 8))
+	r.report(first[0].Worker.ID, []runner.Active{active(first[1])}, []runner.End{end(1, first[0], runner.EndDone)})
+	if starts := r.plan(); len(starts) != 0 {
+		t.Fatalf("got %v, want the room kept for the large task", starts)
+	}
+	r.report(first[0].Worker.ID, nil, []runner.End{end(2, first[1], runner.EndDone)})
+	if starts := r.plan(); len(starts) != 1 || starts[0].Start.Task.Job != "large" {
+		t.Errorf("got %v, want the large task", starts)
+	}
+}
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -19,9 +19,9 @@
 	undone int
 	// idle counts undone tasks without a run.
 	idle int
-	// blockedSince is since when a task of it has fitted nowhere, preemptedAt
-	// when others last gave way to it.
-	blockedSince, preemptedAt time.Time
+	// blockedSince is since when a task of it has fitted nowhere, preemptNext
+	// when others may give way to it again.
+	blockedSince, preemptNext time.Time
 	// blockedBy counts steps that must be done first.
 	blockedBy int
 }
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -1,6 +1,8 @@
 package dispatch
 
-import "github.com/fireflygate/fireflygate/colocate"
+import (
+	"github.com/fireflygate/fireflygate/colocate"
+)
 
 // view is what a planning cycle has worked out of a worker; it holds until
 // the cycle places something there. Without it a cycle over some hundred
@@ -22,10 +24,45 @@
 	cpu   int64
 }
 
-// fillerKey names fillers for which a cycle has found no room. The smallest
-// comes no earlier than others, so a few may wait for the next cycle in vain.
-type fillerKey struct {
+// kindKey names steps that differ only in size to a placement.
+type kindKey struct {
 	image, pool, label string
+	filler             bool
+}
+
+// kind returns what the step is to a placement; false if other steps say
+// nothing about it.
+func (s *step) kind() (kindKey, bool) {
+	if s.class != "" || s.spec.MaxPerWorker > 0 || s.spec.Gang {
+		return kindKey{}, false
+	}
+	k := kindKey{pool: s.job.queue.Pool, label: s.spec.Label, filler: s.spec.Filler}
+	if k.filler {
+		k.image = s.spec.Image
+	}
+	return k, true
+}
+
+// knownNotToFit reports whether a step of the same kind that needs no more has
+// found no room in this cycle.
+func (c *cycle) knownNotToFit(st *step) bool {
+	k, ok := st.kind()
+	if !ok {
+		return false
+	}
+	for _, needs := range c.noRoom[k] {
+		if needs.Fits(st.spec.Needs) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteNoFit keeps that a step found no room.
+func (c *cycle) noteNoFit(st *step) {
+	if k, ok := st.kind(); ok {
+		c.noRoom[k] = append(c.noRoom[k], st.spec.Needs)
+	}
 }
 
 // view returns what is known of a worker.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -86,6 +86,17 @@
 	return w.listed && w.reported && !w.silent && !w.info.Draining && now.After(w.pausedUntil)
 }
 
+// roomInTime returns what is free once every run that ends by itself has.
+func (w *worker) roomInTime() infra.Resources {
+	room := w.free
+	for _, r := range w.runs {
+		if !r.task.step.spec.LongRunning {
+			room = room.Add(r.reserved)
+		}
+	}
+	return room
+}
+
 // serving counts runs that serve users, fillers those that fill.
 func (w *worker) serving() (serving, fillers int) {
 	for _, r := range w.runs {
