--- a/control/commit.go
+++ b/control/commit.go
@@ -47,6 +47,7 @@
 func (o *Owner) commit(b *dispatch.Batch) {
 	begun := boottime()
 	err := o.committer.Commit(o.ctx, b.Writes)
+	o.opts.Metrics.commit(err, boottime()-begun)
 	if err != nil {
 		o.quit(errors.Wrap(err, "commit"))
 		return
--- a/control/follow.go
+++ b/control/follow.go
@@ -210,6 +210,8 @@
 	opts := n.opts
 	n.mu.Unlock()
 	o := newOwner(ctx, opts, c, *n.config.Load())
+	opts.Metrics.lead(true)
+	defer opts.Metrics.lead(false)
 	// Requests that come while the state is read wait for the loop.
 	n.setLeader(c.Record(), o)
 	if err := o.load(); err != nil {
--- a/control/forward.go
+++ b/control/forward.go
@@ -57,9 +57,10 @@
 // or the context ends. All requests are idempotent, so one whose outcome is
 // open is given again, also to the next owner. A request is refused only if
 // no owner can have seen it.
-func (n *Node) route(ctx context.Context, id string, m peer.Method, request any, local func(*Owner) reply) Outcome {
+func (n *Node) route(ctx context.Context, id string, m peer.Method, request any, local func(*Owner) reply) (out Outcome) {
 	sent := false
 	begun := time.Now()
+	defer func() { n.opts.Metrics.request(string(m), out.Result, time.Since(begun)) }()
 	for {
 		owner, leader, changed := n.current()
 		r := reply{Result: ResultNotOwner}
--- a/control/options.go
+++ b/control/options.go
@@ -21,6 +21,7 @@
 	Workers runner.Client
 	Members Members
 	Log     *slog.Logger
+	Metrics *Metrics
 	// Retention is how long a job that is over can be asked for.
 	Retention time.Duration
 	// MaxLease bounds the leases that workers grant.
--- a/control/orders.go
+++ b/control/orders.go
@@ -64,6 +64,7 @@
 
 // startAnswered takes the answer to a start in.
 func (o *Owner) startAnswered(s dispatch.StartOrder, a runner.Answer) {
+	o.opts.Metrics.order("start", a.Status)
 	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("status", a.Status), slog.Any("err", a.Err))
 	if !o.state.StartAnswered(time.Now(), s, a) {
 		return
@@ -94,6 +95,7 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		a := o.opts.Workers.Stop(ctx, s.Worker, s.Stop)
 		cancel()
+		o.opts.Metrics.order("stop", a.Status)
 		o.post(func() {
 			event.StopAnswered.Log(o.opts.Log, slog.Any("task", s.Stop.Task), slog.Any("run", s.Stop.Run), slog.Any("worker", s.Worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
 			o.state.StopAnswered(time.Now(), s, a)
@@ -107,6 +109,7 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		a := o.opts.Workers.Pace(ctx, p.Worker, p.Pace)
 		cancel()
+		o.opts.Metrics.order("pace", a.Status)
 		o.post(func() {
 			event.PaceAnswered.Log(o.opts.Log, slog.Any("task", p.Pace.Task), slog.Any("run", p.Pace.Run), slog.Any("worker", p.Worker.ID), slog.Any("percent", p.Pace.Percent), slog.Any("status", a.Status), slog.Any("err", a.Err))
 			o.state.PaceAnswered(p, a)
@@ -146,11 +149,13 @@
 
 // looked takes in a worker's answer to a look.
 func (o *Owner) looked(s *session, l look, a runner.Answer, rep runner.Report) {
+	o.opts.Metrics.order("look", a.Status)
 	if a.Status != runner.Done {
 		s.nextLook = time.Now().Add(lookRetry)
 		event.WorkerNotSeen.Log(o.opts.Log, slog.Any("worker", l.worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
 	}
 	for _, e := range rep.Ends {
+		o.opts.Metrics.ends.WithLabelValues(e.Kind.String()).Inc()
 		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", l.worker.ID), slog.Any("how", e.Kind))
 	}
 	o.state.Report(time.Now(), l.worker.ID, l.renewal, a, rep)
--- a/control/owner.go
+++ b/control/owner.go
@@ -135,6 +135,7 @@
 	o.look(now)
 	o.summarize(now)
 	o.stepTook = time.Since(now)
+	o.opts.Metrics.cycle.Observe(o.stepTook.Seconds())
 }
 
 // summaryEvery is the time between two log lines on the state of the domain.
@@ -146,7 +147,9 @@
 		return
 	}
 	o.summarized = now
-	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", o.state.Summary(now)))
+	sum := o.state.Summary(now)
+	o.opts.Metrics.state(&sum)
+	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum))
 }
 
 // abandon tells everybody who waits that the outcome is open.
--- a/control/result.go
+++ b/control/result.go
@@ -1,5 +1,7 @@
 package control
 
+import "log/slog"
+
 // Result says what became of a request for the owner. The zero value claims
 // nothing.
 type Result uint8
@@ -33,3 +35,6 @@
 		return "unknown"
 	}
 }
+
+// LogValue implements slog.LogValuer.
+func (r Result) LogValue() slog.Value { return slog.StringValue(r.String()) }
--- a/control/rig_test.go
+++ b/control/rig_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/fireflygate/fireflygate/control"
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
@@ -228,6 +230,7 @@
 	h.node = control.NewNode(control.Options{
 		Host: name, Address: h.address, Incarnation: fmt.Sprintf("%s-%d", name, c.lives), Seeds: seeds,
 		Table: table, Workers: c.fleet, Members: c.fleet, Log: slog.New(slog.DiscardHandler),
+		Metrics:   control.NewMetrics(prometheus.NewRegistry()),
 		Retention: time.Minute, MaxLease: 10 * time.Second, TailBound: 4 * time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/runner/answer.go
+++ b/runner/answer.go
@@ -1,5 +1,7 @@
 package runner
 
+import "log/slog"
+
 // Status says what became of an order.
 type Status uint8
 
@@ -48,3 +50,6 @@
 	// Err tells why the status is Unknown or Invalid.
 	Err error
 }
+
+// LogValue implements slog.LogValuer.
+func (s Status) LogValue() slog.Value { return slog.StringValue(s.String()) }
--- a/runner/report.go
+++ b/runner/report.go
@@ -1,6 +1,10 @@
 package runner
 
-import "github.com/fireflygate/fireflygate/workload"
+import (
+	"log/slog"
+
+	"github.com/fireflygate/fireflygate/workload"
+)
 
 // EndKind says how a run ended.
 type EndKind uint8
@@ -69,3 +73,6 @@
 // MaxEnds is the largest number of ends in one report, from the worker's
 // protocol.
 const MaxEnds = 500
+
+// LogValue implements slog.LogValuer.
+func (k EndKind) LogValue() slog.Value { return slog.StringValue(k.String()) }
--- a/workload/taskid.go
+++ b/workload/taskid.go
@@ -1,6 +1,9 @@
 package workload
 
-import "fmt"
+import (
+	"fmt"
+	"log/slog"
+)
 
 // TaskID names one task of one occurrence of a job.
 type TaskID struct {
@@ -14,3 +17,6 @@
 func (t TaskID) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
+
+// LogValue implements slog.LogValuer.
+func (t TaskID) LogValue() slog.Value { return slog.StringValue(t.String()) }
