Permits: queues whose workers a policy service decides

Steps of such queues start only where permitted, with the ticket; the service is asked one question at a time, ahead of a step's turn.

--- a/control/node.go
+++ b/control/node.go
@@ -111,6 +111,7 @@
 	}
 	o.config = c
 	o.state.SetQueues(c.Queues)
+	o.notePermits(c)
 }
 
 // SetBounds puts changed bounds in force, here and at later owners.
--- a/control/options.go
+++ b/control/options.go
@@ -20,6 +20,9 @@
 	Table   infra.Table
 	Workers runner.Client
 	Members Members
+	// Policy decides which workers may run a step of a queue that needs
+	// permits; nil if there is no such service.
+	Policy  runner.Policy
 	Log     *slog.Logger
 	Metrics *Metrics
 	// Retention is how long a job that is over can be asked for.
--- a/control/owner.go
+++ b/control/owner.go
@@ -36,6 +36,9 @@
 	provenAt atomic.Int64
 	// provenVersion is the version of the owner's row after it.
 	provenVersion atomic.Uint64
+	// asking is set while a question to the policy service is under way,
+	// needsPermits if any queue has to ask.
+	asking, needsPermits bool
 	// resigning owners give no more orders.
 	resigning bool
 	stopped   chan struct{}
@@ -59,6 +62,7 @@
 		Retention: opts.Retention, CatchUp: roomPause, TailBound: opts.TailBound,
 	})
 	o.state.SetQueues(cfg.Queues)
+	o.notePermits(cfg)
 	o.provenAt.Store(int64(boottime()))
 	o.provenVersion.Store(c.Version())
 	return o
@@ -131,6 +135,7 @@
 	o.flush(now)
 	if o.proven() && !o.resigning {
 		o.order(o.state.Plan(now))
+		o.askPermits(now)
 	}
 	o.look(now)
 	o.summarize(now)
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -42,6 +42,8 @@
 func (s *State) refused(now time.Time, w *worker, r *run, why runner.Status) {
 	s.release(r)
 	switch why {
+	case runner.NoPermit:
+		r.task.step.dropTicket(w)
 	case runner.NoRoom:
 		w.pausedUntil = now.Add(s.cfg.CatchUp)
 	case runner.Unhealthy, runner.Invalid:
--- a/dispatch/cause.go
+++ b/dispatch/cause.go
@@ -18,6 +18,8 @@
 	TooManyThere
 	// WouldHarm: where there is room, it would disturb those who serve.
 	WouldHarm
+	// NoPermit: the policy service hasn't permitted a worker that has room.
+	NoPermit
 	// Headroom: the room is kept for short work.
 	Headroom
 	// Fits: it fits, and starts with the next cycle.
@@ -26,7 +28,7 @@
 )
 
 var causeNames = [causes]string{
-	"no_worker", "no_processors", "no_memory", "kept_room", "too_many_there", "would_harm", "headroom", "fits",
+	"no_worker", "no_processors", "no_memory", "kept_room", "too_many_there", "would_harm", "no_permit", "headroom", "fits",
 }
 
 // String returns the cause as logs and metrics show it.
@@ -71,5 +73,8 @@
 	if _, ok := c.harm(st, w); !ok {
 		return WouldHarm
 	}
+	if _, ok := st.ticketFor(c.now, w); !ok {
+		return NoPermit
+	}
 	return Fits
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -17,6 +17,9 @@
 	if c.kept[w] || !c.allowed(st, w) || !st.spec.Reserved().Fits(w.free) {
 		return false
 	}
+	if _, ok := st.ticketFor(c.now, w); !ok {
+		return false
+	}
 	return c.fillable(st, w) && !c.crowded(st, w)
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -164,11 +164,12 @@
 	t.attach(r)
 	c.s.touch(t.step.job)
 	delete(c.views, w)
+	permit, _ := t.step.ticketFor(c.now, w)
 	c.starts = append(c.starts, StartOrder{
 		Worker: w.info,
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
-			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.saved,
+			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.saved, Permit: permit,
 		},
 	})
 }
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -18,7 +18,8 @@
 	// undone counts tasks that aren't done.
 	undone int
 	// idle counts undone tasks without a run.
-	idle int
+	idle    int
+	permits permits
 	// blockedSince is since when a task of it has fitted nowhere, preemptNext
 	// when others may give way to it again.
 	blockedSince, preemptNext time.Time
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -33,7 +33,7 @@
 // kind returns what the step is to a placement; false if other steps say
 // nothing about it.
 func (s *step) kind() (kindKey, bool) {
-	if s.class != "" || s.spec.MaxPerWorker > 0 || s.spec.Gang {
+	if s.class != "" || s.spec.MaxPerWorker > 0 || s.spec.Gang || s.job.queue.NeedsPermit {
 		return kindKey{}, false
 	}
 	k := kindKey{pool: s.job.queue.Pool, label: s.spec.Label, filler: s.spec.Filler}
--- a/event/control.go
+++ b/event/control.go
@@ -18,6 +18,7 @@
 	WorkerNotSeen   = define(911, slog.LevelInfo, "look at worker failed")
 	OwnershipTold   = define(913, slog.LevelInfo, "hosts were told of the new owner")
 	DomainState     = define(912, slog.LevelInfo, "state of the domain")
+	PermitsAnswered = define(914, slog.LevelInfo, "policy service answered")
 	JobReceived     = define(920, slog.LevelInfo, "job received")
 	JobDurable      = define(921, slog.LevelInfo, "change of job is durable")
 	JobCancelled    = define(922, slog.LevelInfo, "job cancelled")
