Through long outages of the store: orders go on, new jobs are refused at once

An owner now goes on for 20 s; that costs nothing after a take-over, since the store names where tasks run and the owner before is told to stop.

--- a/control/follow.go
+++ b/control/follow.go
@@ -199,17 +199,19 @@
 		return false
 	}
 	event.OwnershipTaken.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", seen.Host))
-	go n.announce(ctx, seen, c.Record())
-	n.lead(ctx, c)
+	n.lead(ctx, c, seen)
 	return true
 }
 
 // lead runs the owner until it is deposed or has resigned.
-func (n *Node) lead(ctx context.Context, c *election.Committer) {
+func (n *Node) lead(ctx context.Context, c *election.Committer, before election.Record) {
 	n.mu.Lock()
 	opts := n.opts
 	n.mu.Unlock()
 	o := newOwner(ctx, opts, c, *n.config.Load())
+	go n.announce(ctx, before, c.Record(), func() {
+		o.post(func() { o.state.PredecessorStopped(time.Now()) })
+	})
 	opts.Metrics.lead(true)
 	defer opts.Metrics.lead(false)
 	// Requests that come while the state is read wait for the loop.
--- a/control/forward.go
+++ b/control/forward.go
@@ -76,7 +76,7 @@
 		if r.Result != ResultUnknown && r.Result != ResultNotOwner {
 			return Outcome{r.Result, r.State, r.Count, time.Duration(r.RetryAfterMS) * time.Millisecond}
 		}
-		if !sent && time.Since(begun) > ownerWait {
+		if waited := max(time.Since(begun), n.ownerlessFor()); !sent && waited > ownerWait {
 			event.NoOwner.Log(n.opts.Log, slog.Any("id", id), slog.Any("method", m), slog.Any("waited_ms", time.Since(begun).Milliseconds()))
 			return Outcome{Result: ResultRefused, RetryAfter: retryAfterTakeover}
 		}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -157,8 +157,9 @@
 
 // announce tells the owner before and the hosts that are known who owns the
 // domain now. Without it, an owner that the table service turned away went on
-// answering callers for 5 s, and hosts in the same position had no owner.
-func (n *Node) announce(ctx context.Context, before, now election.Record) {
+// answering callers for 5 s, and hosts in the same position had no owner. Stopped
+// is called once the owner before has heard: it gives no more orders then.
+func (n *Node) announce(ctx context.Context, before, now election.Record, stopped func()) {
 	addresses := n.acquaintances(maxTold)
 	if before.Address != "" && before.Address != n.opts.Address && !slices.Contains(addresses, before.Address) {
 		addresses = append(addresses, before.Address)
@@ -172,14 +173,18 @@
 	client.SetPeers(names)
 	var told sync.WaitGroup
 	for _, address := range addresses {
-		told.Go(func() { tell(ctx, client, address, now) })
+		told.Go(func() {
+			if tell(ctx, client, address, now) && address == before.Address {
+				stopped()
+			}
+		})
 	}
 	told.Wait()
 	event.OwnershipTold.Log(n.opts.Log, slog.Uint64("epoch", now.Epoch), slog.Int("hosts", len(addresses)))
 }
 
-// tell tells one host, several times if need be.
-func tell(ctx context.Context, client *peer.Client, address string, now election.Record) {
+// tell tells one host, several times if need be, and reports whether it heard.
+func tell(ctx context.Context, client *peer.Client, address string, now election.Record) bool {
 	t := time.NewTicker(tellPause)
 	defer t.Stop()
 	for range tellTries {
@@ -187,12 +192,13 @@
 		res := client.Call(try, seedName(address), methodTaken, now, &nothing{})
 		cancel()
 		if res.Kind == outcome.Answered {
-			return
+			return true
 		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
+	return false
 }
--- a/control/node.go
+++ b/control/node.go
@@ -36,6 +36,8 @@
 	// leaderSeen is when, in boottime, the leader last answered.
 	leaderSeen time.Duration
 	resigned   bool
+	// ownerlessSince is since when no owner is known, zero while one is.
+	ownerlessSince time.Time
 	// hosts are addresses of other hosts, oldest first.
 	hosts []string
 	// hint is the newest owner that peers told of.
@@ -155,6 +157,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leader, n.owner = r, o
+	if o != nil || r.Host != "" {
+		n.ownerlessSince = time.Time{}
+	} else if n.ownerlessSince.IsZero() {
+		n.ownerlessSince = time.Now()
+	}
 	if o == nil {
 		n.client.SetPeers(n.peers(r))
 	}
@@ -162,6 +169,16 @@
 	n.changed = make(chan struct{})
 }
 
+// ownerlessFor returns for how long no owner has been known.
+func (n *Node) ownerlessFor() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ownerlessSince.IsZero() {
+		return 0
+	}
+	return time.Since(n.ownerlessSince)
+}
+
 // seen notes that the leader answered.
 func (n *Node) seen() {
 	n.mu.Lock()
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fireflygate/fireflygate/control"
 	"github.com/fireflygate/fireflygate/infra"
@@ -166,3 +167,50 @@
 	}
 	close(release)
 }
+
+// silent is a table whose commits can be made to hang without an answer.
+type silent struct {
+	infra.Table
+	on atomic.Bool
+}
+
+// Commit implements infra.Table.
+func (s *silent) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
+	if s.on.Load() {
+		<-ctx.Done()
+		return infra.CommitResult{Status: infra.CommitUnknown}
+	}
+	return s.Table.Commit(ctx, tx)
+}
+
+// TestStoreAwayRefusesAtOnce refuses a job while the store is away, and never
+// runs it; the same job is accepted once the store is back.
+func TestStoreAwayRefusesAtOnce(t *testing.T) {
+	c := newCluster(t, 0, 1)
+	table := &silent{Table: c.table}
+	h := c.start("host", table)
+	c.submit(h, job("before", 1))
+	<-c.fleet.started
+	table.on.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	refused := ""
+	for i := 0; refused == "" && ctx.Err() == nil; i++ {
+		id := fmt.Sprintf("job%d", i)
+		try, done := context.WithTimeout(ctx, 200*time.Millisecond)
+		out := h.node.Submit(try, job(id, 1), testQueue)
+		done()
+		if out.Result == control.ResultRefused {
+			refused = id
+			if out.RetryAfter < time.Second {
+				t.Errorf("come back after %v, want a second or more", out.RetryAfter)
+			}
+		}
+	}
+	table.on.Store(false)
+	c.submit(h, job("after", 1)) // everything before it is settled now
+	if out := h.node.State(ctx, refused); out.Result != control.ResultNotFound {
+		t.Errorf("the refused job is %v, want not found", out.Result)
+	}
+	c.submit(h, job(refused, 1))
+}
--- a/control/options.go
+++ b/control/options.go
@@ -44,8 +44,10 @@
 	// to run elsewhere.
 	lease = 6 * time.Second
 	// ownerValidity is how long after its last commit an owner goes on giving
-	// orders. Long enough to live through most outages of the table service.
-	ownerValidity = 6 * time.Second
+	// orders: through an outage of the table service, in which nobody can
+	// replace it. An owner that was replaced is told, or finds its orders void;
+	// the bound is for workers that only it can reach.
+	ownerValidity = 20 * time.Second
 	// heartbeat is the longest time between two commits of an owner.
 	heartbeat = 400 * time.Millisecond
 	// pingInterval is how often other hosts ask the owner how it is.
--- a/control/requests.go
+++ b/control/requests.go
@@ -30,6 +30,11 @@
 			answer <- reply{Result: ResultDone}
 			return
 		}
+		if after, away := o.storeAway(); away && !o.state.Has(spec.ID) {
+			event.StoreAway.Log(o.opts.Log, slog.String("job", spec.ID), slog.Duration("retry_after", after))
+			answer <- reply{Result: ResultRefused, RetryAfterMS: after.Milliseconds()}
+			return
+		}
 		event.JobReceived.Log(o.opts.Log, slog.Any("job", spec.ID), slog.Any("queue", q.Name), slog.Any("steps", len(spec.Steps)))
 		if spec.Submitted == 0 {
 			spec.Submitted = time.Now().UnixMilli()
@@ -39,6 +44,27 @@
 	})
 }
 
+const (
+	// storeAwayAfter is how long a commit is on its way until new jobs are
+	// refused at once: more than a commit takes while the table service
+	// answers 60 times slower, well below the time that callers wait.
+	storeAwayAfter = time.Second
+	// leastRetry and mostRetry bound when callers are asked to come back.
+	leastRetry = time.Second
+	mostRetry  = 4 * time.Second
+)
+
+// storeAway reports whether the table service seems to be away, so that a job
+// can't be accepted, and when a caller should come back: after as long again
+// as it has been away.
+func (o *Owner) storeAway() (time.Duration, bool) {
+	if !o.committing {
+		return 0, false
+	}
+	away := time.Since(o.lastCommit)
+	return min(max(away, leastRetry), mostRetry), away > storeAwayAfter
+}
+
 // cancel cancels a job and answers once that is durable.
 func (o *Owner) cancel(ctx context.Context, id string) reply {
 	return o.ask(ctx, func(answer chan reply) {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -64,6 +64,17 @@
 	s.awaited[m.ID] = w
 }
 
+// PredecessorStopped takes in that the owner before gives no more orders: what
+// it left at silent workers is over after one lease.
+func (s *State) PredecessorStopped(now time.Time) {
+	over := now.Add(time.Duration(float64(s.cfg.Lease)*(1+clockDrift)) + lostMargin)
+	for _, w := range s.awaited {
+		if over.Before(w.inheritedUntil) {
+			w.inheritedUntil = over
+		}
+	}
+}
+
 // Awaited returns the workers whose first report is awaited, in order.
 func (s *State) Awaited() []string {
 	ids := make([]string, 0, len(s.awaited))
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -109,6 +109,9 @@
 	return j.state, true
 }
 
+// Has reports whether the job is known, durable or not.
+func (s *State) Has(id string) bool { return s.jobs[id] != nil }
+
 // Stored reports whether the job is durable.
 func (s *State) Stored(id string) bool {
 	j := s.jobs[id]
--- a/dispatch/state_test.go
+++ b/dispatch/state_test.go
@@ -366,3 +366,32 @@
 		t.Errorf("got %v, want the large task", starts)
 	}
 }
+
+// TestPredecessorStopped frees the tasks of a silent worker one lease after the
+// owner before is known to have stopped.
+func TestPredecessorStopped(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit(queueShort, "job", step(1, 4, longRunning))
+	first := r.plan()[0]
+	r.flush()
+	r.takeOver(worker(0), worker(1))
+	r.members(2)
+	rest := worker(0)
+	if rest == first.Worker.ID {
+		rest = worker(1)
+	}
+	r.state.PredecessorStopped(r.now)
+	waited := time.Duration(0)
+	for ; waited < 20*time.Second; waited += testTick {
+		r.silence(first.Worker.ID)
+		r.report(rest, nil, nil)
+		r.flush()
+		if len(r.plan()) > 0 {
+			break
+		}
+		r.pass(testTick)
+	}
+	if waited < 6*time.Second || waited > 7*time.Second {
+		t.Errorf("started after %v, want just over the lease of 6 s", waited)
+	}
+}
--- a/event/control.go
+++ b/event/control.go
@@ -27,5 +27,6 @@
 	PaceAnswered    = define(925, slog.LevelInfo, "change of pace answered")
 	RunEnded        = define(926, slog.LevelInfo, "run ended")
 	NoOwner         = define(927, slog.LevelWarn, "request refused, the domain has no owner")
+	StoreAway       = define(929, slog.LevelInfo, "job refused, the store is away")
 	OutcomeOpen     = define(928, slog.LevelWarn, "request given up with its outcome open")
 )
