--- a/control/orders.go
+++ b/control/orders.go
@@ -91,29 +91,36 @@
 
 // orderStop gives a stop.
 func (o *Owner) orderStop(s dispatch.StopOrder) {
-	o.give(s.Worker.ID, func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		a := o.opts.Workers.Stop(ctx, s.Worker, s.Stop)
-		cancel()
-		o.opts.Metrics.order("stop", a.Status)
-		o.post(func() {
-			event.StopAnswered.Log(o.opts.Log, slog.Any("task", s.Stop.Task), slog.Any("run", s.Stop.Run), slog.Any("worker", s.Worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
-			o.state.StopAnswered(time.Now(), s, a)
-		})
+	o.call(s.Worker.ID, "stop", func(ctx context.Context) runner.Answer {
+		return o.opts.Workers.Stop(ctx, s.Worker, s.Stop)
+	}, func(a runner.Answer) {
+		event.StopAnswered.Log(o.opts.Log, slog.Any("task", s.Stop.Task), slog.Uint64("run", s.Stop.Run),
+			slog.String("worker", s.Worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
+		o.state.StopAnswered(time.Now(), s, a)
 	})
 }
 
 // orderPace gives a change of pace.
 func (o *Owner) orderPace(p dispatch.PaceOrder) {
-	o.give(p.Worker.ID, func(ctx context.Context) {
+	o.call(p.Worker.ID, "pace", func(ctx context.Context) runner.Answer {
+		return o.opts.Workers.Pace(ctx, p.Worker, p.Pace)
+	}, func(a runner.Answer) {
+		event.PaceAnswered.Log(o.opts.Log, slog.Any("task", p.Pace.Task), slog.Uint64("run", p.Pace.Run),
+			slog.String("worker", p.Worker.ID), slog.Int("percent", p.Pace.Percent), slog.Any("status", a.Status),
+			slog.Any("err", a.Err))
+		o.state.PaceAnswered(p, a)
+	})
+}
+
+// call queues an order for a worker and takes its answer in on the loop. An
+// order that finds no place in the queue is given again by a later cycle.
+func (o *Owner) call(id, kind string, order func(context.Context) runner.Answer, answered func(runner.Answer)) {
+	o.give(id, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		a := o.opts.Workers.Pace(ctx, p.Worker, p.Pace)
+		a := order(ctx)
 		cancel()
-		o.opts.Metrics.order("pace", a.Status)
-		o.post(func() {
-			event.PaceAnswered.Log(o.opts.Log, slog.Any("task", p.Pace.Task), slog.Any("run", p.Pace.Run), slog.Any("worker", p.Worker.ID), slog.Any("percent", p.Pace.Percent), slog.Any("status", a.Status), slog.Any("err", a.Err))
-			o.state.PaceAnswered(p, a)
-		})
+		o.opts.Metrics.order(kind, a.Status)
+		o.post(func() { answered(a) })
 	})
 }
 
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -203,3 +203,30 @@
 		r.t.Errorf("job %s is %v (known: %v), want %v", id, got, ok, want)
 	}
 }
+
+// other returns the other one of two workers.
+func other(id string) string {
+	if id == worker(0) {
+		return worker(1)
+	}
+	return worker(0)
+}
+
+// waitForStart lets time pass while one worker is silent and the other reports
+// nothing at work, until something starts, and returns how long that took. Each
+// time, first is done before.
+func (r *rig) waitForStart(silent string, first func()) time.Duration {
+	r.t.Helper()
+	for waited := time.Duration(0); waited < 30*time.Second; waited += testTick {
+		first()
+		r.silence(silent)
+		r.report(other(silent), nil, nil)
+		r.flush()
+		if len(r.plan()) > 0 {
+			return waited
+		}
+		r.pass(testTick)
+	}
+	r.t.Fatal("nothing started")
+	return 0
+}
--- a/dispatch/state_test.go
+++ b/dispatch/state_test.go
@@ -127,11 +127,7 @@
 	r.flush()
 	r.takeOver(worker(0), worker(1))
 	r.members(2)
-	other := worker(0)
-	if other == first.Worker.ID {
-		other = worker(1)
-	}
-	r.report(other, nil, nil)
+	r.report(other(first.Worker.ID), nil, nil)
 	if starts := r.plan(); len(starts) != 0 {
 		t.Fatalf("started %v while its worker hasn't reported", starts)
 	}
@@ -154,20 +150,7 @@
 	r.flush()
 	r.takeOver(worker(0), worker(1))
 	r.members(2)
-	other := worker(0)
-	if other == first.Worker.ID {
-		other = worker(1)
-	}
-	waited := time.Duration(0)
-	for ; waited < 20*time.Second; waited += testTick {
-		r.silence(first.Worker.ID)
-		r.report(other, nil, nil)
-		r.flush()
-		if len(r.plan()) > 0 {
-			break
-		}
-		r.pass(testTick)
-	}
+	waited := r.waitForStart(first.Worker.ID, func() {})
 	if waited < 12*time.Second || waited > 13*time.Second {
 		t.Errorf("started after %v, want just over the 12 s that an earlier owner's orders may last", waited)
 	}
@@ -311,21 +294,9 @@
 	first := r.plan()[0]
 	r.flush()
 	r.takeOver(worker(0), worker(1))
-	rest := worker(0)
-	if rest == first.Worker.ID {
-		rest = worker(1)
-	}
-	waited := time.Duration(0)
-	for ; waited < 20*time.Second; waited += testTick {
-		r.state.SetMembers(r.now, []runner.Worker{workerInfo(rest)})
-		r.silence(first.Worker.ID)
-		r.report(rest, nil, nil)
-		r.flush()
-		if len(r.plan()) > 0 {
-			break
-		}
-		r.pass(testTick)
-	}
+	waited := r.waitForStart(first.Worker.ID, func() {
+		r.state.SetMembers(r.now, []runner.Worker{workerInfo(other(first.Worker.ID))})
+	})
 	if waited < 2*time.Second || waited > 3*time.Second {
 		t.Errorf("started after %v, want between the 2 s after which a living worker is listed again and 3 s", waited)
 	}
@@ -376,21 +347,8 @@
 	r.flush()
 	r.takeOver(worker(0), worker(1))
 	r.members(2)
-	rest := worker(0)
-	if rest == first.Worker.ID {
-		rest = worker(1)
-	}
 	r.state.PredecessorStopped(r.now)
-	waited := time.Duration(0)
-	for ; waited < 20*time.Second; waited += testTick {
-		r.silence(first.Worker.ID)
-		r.report(rest, nil, nil)
-		r.flush()
-		if len(r.plan()) > 0 {
-			break
-		}
-		r.pass(testTick)
-	}
+	waited := r.waitForStart(first.Worker.ID, func() {})
 	if waited < 6*time.Second || waited > 7*time.Second {
 		t.Errorf("started after %v, want just over the lease of 6 s", waited)
 	}
--- a/election/committer_test.go
+++ b/election/committer_test.go
@@ -31,7 +31,7 @@
 }
 
 // The ways in which a commit may go.
-func (s *scripted) lost(tx infra.Transaction) (infra.CommitResult, bool) {
+func (s *scripted) lost(infra.Transaction) (infra.CommitResult, bool) {
 	return infra.CommitResult{Status: infra.CommitUnknown}, true
 }
 
