--- a/control/orders.go
+++ b/control/orders.go
@@ -39,9 +39,9 @@
 
 // startWait is how long a start may wait behind other orders to its worker. One
 // that waited longer was meant for a state that may have passed: a copy of a
-// task that is done by now, a job that was cancelled. It is less than the
-// second after which such a start breaks a rule.
-const startWait = 400 * time.Millisecond
+// task that is done by now, a job that was cancelled. It is less than
+// orderTimeout, so that nothing goes out behind an order that hangs.
+const startWait = 250 * time.Millisecond
 
 // orderStart gives a start and takes in the answer. A start that is no longer
 // right when its turn comes isn't sent.
