--- a/control/follow.go
+++ b/control/follow.go
@@ -63,7 +63,6 @@
 			return d
 		}
 		n.seen()
-		n.compareConfig(r.ConfigVersion)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -89,54 +88,13 @@
 	return len(n.hosts)
 }
 
-// compareConfig has the configuration read again if a peer's is newer.
-func (n *Node) compareConfig(version uint64) {
-	if c := n.config.Load(); c != nil && version > c.Version {
-		select {
-		case n.configNews <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // replace reads the owner's row until it names another owner, or is left
 // unchanged for so long that this host takes it.
 func (n *Node) replace(ctx context.Context, d doubt) {
-	first, since := d.version, d.since
+	_, old, _ := n.current()
 	t := time.NewTicker(rowPoll)
 	defer t.Stop()
-	_, old, _ := n.current()
-	for {
-		if hint, ok := n.hinted(old); ok {
-			n.setLeader(hint, nil)
-			event.OwnerFollowed.Log(n.opts.Log, slog.Any("host", hint.Host), slog.Any("epoch", hint.Epoch))
-			return
-		}
-		begun := time.Now()
-		record, version, err := n.readOwner(ctx)
-		slowness := slowReads * time.Since(begun)
-		switch {
-		case err != nil:
-			event.OwnerUnread.Log(n.opts.Log, slog.Any("err", err))
-			since = time.Time{}
-			n.askPeers(ctx)
-		case record.Host != "" && !record.Resigned && !record.Same(&old):
-			n.setLeader(record, nil)
-			event.OwnerFollowed.Log(n.opts.Log, slog.Any("host", record.Host), slog.Any("epoch", record.Epoch))
-			return
-		case since.IsZero() || version != first:
-			if !since.IsZero() && n.alive(ctx, record) {
-				n.setLeader(record, nil)
-				return
-			}
-			first, since = version, time.Now()
-			if record.Host == "" || record.Resigned {
-				since = since.Add(-unchangedFor)
-			}
-		}
-		if !since.IsZero() && time.Since(since) >= n.patience(d.gone)+slowness && n.take(ctx, record, version) {
-			return
-		}
+	for !n.contest(ctx, old, &d) {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -145,6 +103,44 @@
 	}
 }
 
+// contest makes one try to find the owner or to become it, and keeps in d since
+// when the row is unchanged. It reports whether anything came of it.
+func (n *Node) contest(ctx context.Context, old election.Record, d *doubt) bool {
+	if hint, ok := n.hinted(old); ok {
+		n.followOwner(hint)
+		return true
+	}
+	begun := time.Now()
+	record, version, err := n.readOwner(ctx)
+	slowness := slowReads * time.Since(begun)
+	switch {
+	case err != nil:
+		event.OwnerUnread.Log(n.opts.Log, slog.Any("err", err))
+		d.since = time.Time{}
+		n.askPeers(ctx)
+		return false
+	case record.Host != "" && !record.Resigned && !record.Same(&old):
+		n.followOwner(record)
+		return true
+	case d.since.IsZero() || version != d.version:
+		if !d.since.IsZero() && n.alive(ctx, record) {
+			n.setLeader(record, nil)
+			return true
+		}
+		d.version, d.since = version, time.Now()
+		if record.Host == "" || record.Resigned {
+			d.since = d.since.Add(-unchangedFor) // nobody to wait for
+		}
+	}
+	return time.Since(d.since) >= n.patience(d.gone)+slowness && n.take(ctx, record, version)
+}
+
+// followOwner takes in another owner.
+func (n *Node) followOwner(r election.Record) {
+	n.setLeader(r, nil)
+	event.OwnerFollowed.Log(n.opts.Log, slog.String("host", r.Host), slog.Uint64("epoch", r.Epoch))
+}
+
 // alive reports whether the owner answers and commits.
 func (n *Node) alive(ctx context.Context, leader election.Record) bool {
 	r, res := n.ping(ctx, leader)
--- a/control/messages.go
+++ b/control/messages.go
@@ -33,8 +33,6 @@
 	CommitAgeMS int64 `msgpack:"a"`
 	// Version is the version of the owner's row after that commit.
 	Version uint64 `msgpack:"v"`
-	// ConfigVersion is its version of the configuration.
-	ConfigVersion uint64 `msgpack:"c"`
 	// Hosts are the addresses of all hosts that the owner knows, sent if the
 	// asking host knows fewer.
 	Hosts []string `msgpack:"h,omitempty"`
--- a/control/node.go
+++ b/control/node.go
@@ -23,8 +23,6 @@
 	// configSet is closed when the first configuration has come.
 	configSet  chan struct{}
 	configOnce sync.Once
-	// configNews is told when a peer has a newer configuration.
-	configNews chan struct{}
 
 	mu sync.Mutex
 	// owner is set while this host owns the domain.
@@ -53,7 +51,7 @@
 	n := &Node{
 		opts: opts, client: peer.NewClient(po, newRand()),
 		server:    peer.NewServer(po, func(string, netip.Addr) bool { return true }),
-		configSet: make(chan struct{}), configNews: make(chan struct{}, 1), changed: make(chan struct{}),
+		configSet: make(chan struct{}), changed: make(chan struct{}),
 	}
 	n.handle()
 	n.handleGossip()
@@ -89,9 +87,6 @@
 // Server returns the server of requests from peers.
 func (n *Node) Server() *peer.Server { return n.server }
 
-// ConfigNews is told when a peer is known to have a newer configuration.
-func (n *Node) ConfigNews() <-chan struct{} { return n.configNews }
-
 // SetConfig puts a configuration in force; an older one is ignored.
 func (n *Node) SetConfig(c Config) {
 	n.mu.Lock()
--- a/control/serve.go
+++ b/control/serve.go
@@ -50,9 +50,6 @@
 func (n *Node) pong(hosts int) pingReply {
 	o, _, _ := n.current()
 	r := pingReply{Incarnation: n.opts.Incarnation}
-	if c := n.config.Load(); c != nil {
-		r.ConfigVersion = c.Version
-	}
 	if o != nil && o.ctx.Err() == nil {
 		r.Owner, r.Epoch, r.Version = true, o.epoch, o.provenVersion.Load()
 		r.CommitAgeMS = o.commitAge().Milliseconds()
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -45,7 +45,7 @@
 	case runner.NoPermit:
 		r.task.step.dropTicket(w)
 	case runner.NoRoom:
-		w.pausedUntil = now.Add(s.cfg.CatchUp)
+		w.pausedUntil = now.Add(s.cfg.RoomPause)
 	case runner.Unhealthy, runner.Invalid:
 		w.pausedUntil = now.Add(unhealthyPause)
 	default:
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -17,9 +17,9 @@
 	// TailBound is how long fillers may keep a serving task's tail over its
 	// target.
 	TailBound time.Duration
-	// CatchUp is how long a worker that refused a start for want of room gets
+	// RoomPause is how long a worker that refused a start for want of room gets
 	// no other.
-	CatchUp time.Duration
+	RoomPause time.Duration
 }
 
 const (
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"sort"
 	"time"
 
 	"github.com/fireflygate/fireflygate/runner"
@@ -75,16 +74,6 @@
 	}
 }
 
-// Awaited returns the workers whose first report is awaited, in order.
-func (s *State) Awaited() []string {
-	ids := make([]string, 0, len(s.awaited))
-	for id := range s.awaited {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 // Workers returns all workers that are known, in no order.
 func (s *State) Workers() []runner.Worker {
 	all := make([]runner.Worker, 0, len(s.workers))
@@ -117,7 +106,7 @@
 	if w == nil {
 		return
 	}
-	s.loseRuns(now, w)
+	s.loseRuns(w)
 	w.leaseUntil, w.inheritedUntil = 0, time.Time{}
 	w.listed = false
 	delete(s.awaited, id)
@@ -125,7 +114,7 @@
 }
 
 // loseRuns ends the runs at a worker whose leases are over.
-func (s *State) loseRuns(now time.Time, w *worker) {
+func (s *State) loseRuns(w *worker) {
 	for _, r := range w.runs {
 		s.Stats.LostRuns++
 		if r.saved != "" {
@@ -133,7 +122,6 @@
 		}
 		s.release(r)
 	}
-	_ = now
 }
 
 // release takes a run that is over out of its worker and task.
@@ -169,7 +157,7 @@
 			delete(s.awaited, id)
 		}
 		if w.silent && len(w.runs) > 0 {
-			s.loseRuns(now, w)
+			s.loseRuns(w)
 		}
 		s.forget(w, now)
 	}
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -54,7 +54,7 @@
 	r.epoch = epoch
 	r.state = dispatch.New(dispatch.Config{
 		Epoch: epoch, Lease: 6 * time.Second, InheritedLease: 12 * time.Second, Retention: time.Minute,
-		CatchUp: 250 * time.Millisecond, TailBound: 4 * time.Second,
+		RoomPause: 250 * time.Millisecond, TailBound: 4 * time.Second,
 	})
 	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
 }
