--- a/control/gossip.go
+++ b/control/gossip.go
@@ -76,11 +76,11 @@
 }
 
 // hinted returns an owner that peers told of and that is newer than the one
-// given.
+// given, and not older than any that this host knew.
 func (n *Node) hinted(than election.Record) (election.Record, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.hint, n.hint.Epoch > than.Epoch
+	return n.hint, n.hint.Epoch > than.Epoch && n.hint.Epoch >= n.newest
 }
 
 // askPeers asks other hosts who owns the domain: the seeds of the settings and
--- a/control/node.go
+++ b/control/node.go
@@ -38,6 +38,8 @@
 	ownerlessSince time.Time
 	// hosts are addresses of other hosts, oldest first.
 	hosts []string
+	// newest is the highest epoch of an owner that this host knew.
+	newest uint64
 	// hint is the newest owner that peers told of.
 	hint election.Record
 }
@@ -152,6 +154,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leader, n.owner = r, o
+	n.newest = max(n.newest, r.Epoch)
 	if o != nil || r.Host != "" {
 		n.ownerlessSince = time.Time{}
 	} else if n.ownerlessSince.IsZero() {
