--- a/colocate/guard.go
+++ b/colocate/guard.go
@@ -54,9 +54,8 @@
 
 // Guard decides about each filler of a worker, in their order. The caller
 // leaves Patience between two decisions that act; bound is how long a tail may
-// be over its target at all. One filler at a time is
-// acted on, the one to blame most for the tail that is worst off, so
-// that those without blame go on.
+// be over its target at all. One filler at a time is acted on, the one to blame
+// most for the tail that is worst off, so that those without blame go on.
 func Guard(m *interference.Model, w *Worker, bound time.Duration) []Action {
 	actions := make([]Action, len(w.Fillers))
 	s, ratio := w.worstTail()
--- a/control/orders.go
+++ b/control/orders.go
@@ -112,16 +112,20 @@
 	})
 }
 
-// call queues an order for a worker and takes its answer in on the loop. An
-// order that finds no place in the queue is given again by a later cycle.
+// call queues an order for a worker and takes its answer in on the loop. One
+// that finds no place in the queue counts as refused, so that a later cycle
+// gives it again.
 func (o *Owner) call(id, kind string, order func(context.Context) runner.Answer, answered func(runner.Answer)) {
-	o.give(id, func(ctx context.Context) {
+	queued := o.give(id, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		a := order(ctx)
 		cancel()
 		o.opts.Metrics.order(kind, a.Status)
 		o.post(func() { answered(a) })
 	})
+	if !queued {
+		answered(runner.Answer{Status: runner.Unhealthy})
+	}
 }
 
 // look begins the looks at workers that are due.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -42,8 +42,9 @@
 func New(cfg Config) *State {
 	targets := map[string]float64{}
 	return &State{
-		model: interference.NewModel(targets, colocate.Margin), targets: targets, headroom: map[string]*headroom.Tracker{}, rosterChanged: map[int]bool{},
 		cfg:     cfg,
+		model:   interference.NewModel(targets, colocate.Margin),
+		targets: targets, headroom: map[string]*headroom.Tracker{}, rosterChanged: map[int]bool{},
 		queues:  map[string]workload.Queue{},
 		jobs:    map[string]*job{},
 		workers: map[string]*worker{},
