logsink: log lines are bounded and never hold a host up

Cause: each line was written to standard output by whoever logged it. A reader that stops reading stopped the process, and a host in trouble wrote as many lines as it had failures. Ruled out: a lossy ring buffer of a library, which drops the oldest lines, those of the cause among them.

--- a/cmd/fireflygate-edge/serve.go
+++ b/cmd/fireflygate-edge/serve.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/google/subcommands"
 
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/logsink"
 	"github.com/fireflygate/fireflygate/platform"
 )
 
@@ -16,8 +19,13 @@
 type serveCommand struct {
 	settings string
 	level    slog.Level
+	lines    int
 }
 
+// logFlush is how long the end of the process waits for log lines to drain:
+// short beside the second that a stop keeps for ending the process.
+const logFlush = 200 * time.Millisecond
+
 // Name implements subcommands.Command.
 func (*serveCommand) Name() string { return "serve" }
 
@@ -25,12 +33,13 @@
 func (*serveCommand) Synopsis() string { return "run an entry host until SIGTERM" }
 
 // Usage implements subcommands.Command.
-func (*serveCommand) Usage() string { return "serve [-settings FILE] [-log LEVEL]\n" }
+func (*serveCommand) Usage() string { return "serve [-settings FILE] [-log LEVEL] [-log-lines N]\n" }
 
 // SetFlags implements subcommands.Command.
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
 	f.TextVar(&c.level, "log", slog.LevelInfo, "least severity that is logged")
+	f.IntVar(&c.lines, "log-lines", logsink.DefaultLines, "lines a second; changes of what the host believes have a quarter more")
 }
 
 // Execute implements subcommands.Command.
@@ -40,12 +49,23 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: c.level}))
-	d := platform.NewDaemon(s, log)
+	sink := logsink.New(os.Stdout, logsink.Options{
+		Level: c.level, Lines: c.lines, Routine: event.IsRoutine, Dropped: logDropped,
+	})
+	d := platform.NewDaemon(s, sink)
 	go d.WatchSettings(ctx, c.settings)
-	if err := d.Run(ctx); err != nil {
+	err = d.Run(ctx)
+	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), logFlush)
+	defer cancel()
+	sink.Close(flush)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
+
+// logDropped says how many lines are missing from the log.
+func logDropped(log *slog.Logger, overBudget, queueFull int64) {
+	event.LinesDropped.Log(log, slog.Int64("over_budget", overBudget), slog.Int64("queue_full", queueFull))
+}
--- a/control/metrics_test.go
+++ b/control/metrics_test.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/fireflygate/fireflygate/control"
+	"github.com/fireflygate/fireflygate/logsink"
 )
 
 // described is the name in a metric's description.
@@ -35,6 +36,7 @@
 func TestMetricsPage(t *testing.T) {
 	c := &collectors{names: map[string]bool{}}
 	control.NewMetrics(c)
+	(&logsink.Stats{}).Register(c)
 	page, err := os.ReadFile("../docs/METRICS-DOMAIN.md")
 	if err != nil {
 		t.Fatal(err)
--- a/control/rig_test.go
+++ b/control/rig_test.go
@@ -198,6 +198,7 @@
 	fleet *fleet
 	hosts []*host
 	lives int
+	log   *slog.Logger
 }
 
 // testQueue is the queue of these tests.
@@ -207,7 +208,12 @@
 
 // newCluster starts n hosts.
 func newCluster(t *testing.T, n, workers int) *cluster {
-	c := &cluster{t: t, table: memtable.New(), fleet: newFleet(workers)}
+	return newLoggingCluster(t, n, workers, slog.New(slog.DiscardHandler))
+}
+
+// newLoggingCluster starts n hosts that log to log.
+func newLoggingCluster(t *testing.T, n, workers int, log *slog.Logger) *cluster {
+	c := &cluster{t: t, table: memtable.New(), fleet: newFleet(workers), log: log}
 	for i := range n {
 		c.start(fmt.Sprintf("h%d", i), c.table)
 	}
@@ -229,7 +235,7 @@
 	h := &host{name: name, address: ln.Addr().String()}
 	h.node = control.NewNode(control.Options{
 		Host: name, Address: h.address, Incarnation: fmt.Sprintf("%s-%d", name, c.lives), Seeds: seeds,
-		Table: table, Workers: c.fleet, Members: c.fleet, Log: slog.New(slog.DiscardHandler),
+		Table: table, Workers: c.fleet, Members: c.fleet, Log: c.log,
 		Metrics:   control.NewMetrics(prometheus.NewRegistry()),
 		Retention: time.Minute, MaxLease: 10 * time.Second, TailBound: 4 * time.Second,
 	})
--- a/event/event.go
+++ b/event/event.go
@@ -15,6 +15,10 @@
 	Level slog.Level
 	// Message is its constant text.
 	Message string
+	// Routine events come once or more for each request, start or end, and may
+	// be dropped when they come too fast. All others tell a change of what a
+	// host believes or does.
+	Routine bool
 }
 
 // registry holds every event defined in this package, by number.
@@ -30,6 +34,17 @@
 	return e
 }
 
+// routine registers an event that comes with each request, start or end.
+func routine(number int, level slog.Level, message string) Event {
+	e := define(number, level, message)
+	e.Routine = true
+	registry[number] = e
+	return e
+}
+
+// IsRoutine reports whether the event of that number is routine.
+func IsRoutine(number int64) bool { return registry[int(number)].Routine }
+
 // All returns every event by number.
 func All() map[int]Event { return registry }
 
--- /dev/null
+++ b/logsink/metrics.go
@@ -0,0 +1,22 @@
+package logsink
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// MetricName counts log lines by what became of them.
+const MetricName = "fireflygate_log_lines_total"
+
+// Register makes the counts metrics of r.
+func (s *Stats) Register(r prometheus.Registerer) {
+	for outcome, n := range map[string]*atomic.Int64{
+		"written": &s.Written, "folded": &s.Folded, "over_budget": &s.OverBudget, "queue_full": &s.QueueFull,
+	} {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: MetricName, Help: "Log lines, by what became of them.",
+			ConstLabels: prometheus.Labels{"outcome": outcome},
+		}, func() float64 { return float64(n.Load()) }))
+	}
+}
--- /dev/null
+++ b/logsink/sink_test.go
@@ -0,0 +1,174 @@
+package logsink_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/logsink"
+)
+
+// stuck is an output that nobody drains.
+type stuck struct{ release chan struct{} }
+
+// Write implements io.Writer.
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// page is an output that keeps what is written.
+type page struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (p *page) Write(line []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.b.Write(line)
+}
+
+// lines returns what was written, decoded.
+func (p *page) lines(t *testing.T) []map[string]any {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []map[string]any
+	for _, text := range strings.Split(strings.TrimSpace(p.b.String()), "\n") {
+		line := map[string]any{}
+		if err := json.Unmarshal([]byte(text), &line); err != nil {
+			t.Fatalf("line %q: %v", text, err)
+		}
+		all = append(all, line)
+	}
+	return all
+}
+
+// options are those of a daemon, with so many lines a second.
+func options(lines int) logsink.Options {
+	return logsink.Options{Lines: lines, Routine: event.IsRoutine, Ticks: make(chan time.Time)}
+}
+
+// start is when the lines of tests with a clock of their own are logged.
+var start = time.Unix(1_800_000_000, 0)
+
+// logAt logs an event at a given time.
+func logAt(t *testing.T, h slog.Handler, at time.Time, e event.Event, i int) {
+	t.Helper()
+	r := slog.NewRecord(at, e.Level, e.Message, 0)
+	r.AddAttrs(slog.Int("event", e.Number), slog.Int("i", i))
+	if err := h.Handle(context.Background(), r); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestStuckOutputBlocksNobody logs far more than the queue holds to an output
+// that never drains: every call returns, and what is missing is counted.
+func TestStuckOutputBlocksNobody(t *testing.T) {
+	out := stuck{release: make(chan struct{})}
+	s := logsink.New(out, options(1_000_000))
+	log := slog.New(s.Handler())
+	const lines = 5000
+	for i := range lines {
+		event.OwnershipTaken.Log(log, slog.Int("i", i))
+	}
+	over, full := s.Stats().OverBudget.Load(), s.Stats().QueueFull.Load()
+	if over != 0 || full < lines-1100 {
+		t.Errorf("%d over budget and %d found the queue full, want none and most of %d", over, full, lines)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.Close(ended) // gives up at once
+	event.OwnershipTaken.Log(log, slog.Int("i", lines))
+	close(out.release)
+	s.Close(context.Background())
+}
+
+// TestReserve has routine lines use up the budget: changes of what the host
+// believes are still written, up to the reserve.
+func TestReserve(t *testing.T) {
+	out := &page{}
+	s := logsink.New(out, options(100))
+	for i := range 500 {
+		logAt(t, s.Handler(), start, event.StartAnswered, i)
+	}
+	for i := range 20 {
+		logAt(t, s.Handler(), start, event.OwnershipLost, i)
+	}
+	s.Close(context.Background())
+	counts := map[string]int{}
+	for _, line := range out.lines(t) {
+		counts[fmt.Sprint(line["event"])]++
+	}
+	starts, changes := counts[fmt.Sprint(event.StartAnswered.Number)], counts[fmt.Sprint(event.OwnershipLost.Number)]
+	if starts != 200 || changes != 20 {
+		t.Errorf("%d routine lines and %d changes written, want the budget of 200 and all 20", starts, changes)
+	}
+	if got := s.Stats().OverBudget.Load(); got != int64(500-starts) {
+		t.Errorf("%d lines counted as over budget, want %d", got, 500-starts)
+	}
+}
+
+// TestEqualLinesAreFolded writes an equal line once, and once more with the
+// count of its repeats.
+func TestEqualLinesAreFolded(t *testing.T) {
+	out := &page{}
+	s := logsink.New(out, options(1000))
+	log := slog.New(s.Handler())
+	for range 50 {
+		event.OwnerUnread.Log(log, slog.String("err", "store refused"))
+	}
+	event.OwnerUnread.Log(log, slog.String("err", "another"))
+	s.Close(context.Background())
+	lines := out.lines(t)
+	if len(lines) != 3 {
+		t.Fatalf("%d lines written, want the first, the other and the count", len(lines))
+	}
+	if lines[2]["repeats"] != 49.0 || lines[2]["err"] != "store refused" {
+		t.Errorf("last line %v, want 49 repeats of the first", lines[2])
+	}
+	if got := s.Stats().Folded.Load(); got != 49 {
+		t.Errorf("%d lines counted as folded, want 49", got)
+	}
+}
+
+// TestAttributesOfALogger keeps those that a logger was given.
+func TestAttributesOfALogger(t *testing.T) {
+	out := &page{}
+	s := logsink.New(out, options(0))
+	log := slog.New(s.Handler()).With("host", "edge-1").WithGroup("g")
+	log.Info("hello", "k", 1)
+	s.Close(context.Background())
+	line := out.lines(t)[0]
+	if group, ok := line["g"].(map[string]any); line["host"] != "edge-1" || !ok || group["k"] != 1.0 {
+		t.Errorf("line %v lacks the logger's attributes", line)
+	}
+}
+
+// TestDropsAreSaid writes how many lines were dropped, also when the budget
+// and its reserve are spent.
+func TestDropsAreSaid(t *testing.T) {
+	ticks := make(chan time.Time)
+	said := make(chan int64, 1)
+	o := options(1)
+	o.Ticks = ticks
+	o.Dropped = func(_ *slog.Logger, overBudget, _ int64) { said <- overBudget }
+	s := logsink.New(&page{}, o)
+	for i := range 100 {
+		logAt(t, s.Handler(), start, event.OwnershipLost, i)
+	}
+	ticks <- start
+	if got := <-said; got != 96 {
+		t.Errorf("%d lines said to be dropped, want 100 less two of the budget and two of the reserve", got)
+	}
+	s.Close(context.Background())
+}
