colocate, rank: foresight ends where a class turns; workers that suit few fillers are left to them

Now the fall expected within 0.9 s ends at the class's low level, and a filler that suits all workers counts against a worker the share of the others' work that it would suit.

A tail over its target now has fillers give way wholly, and none is resumed beside a slack below 1.35. TestGuardTrustsTheTail fails without it.

--- a/colocate/guard.go
+++ b/colocate/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -38,6 +39,9 @@
 	actBelow, restoredSlack = 1.08, 1.3
 	// watchBelow is the slack below which a worker is looked at often.
 	watchBelow = 1.5
+	// resumeAbove is the least slack of all tasks beside a slowed filler for
+	// it to go on, whatever the model expects: it may be mistaken.
+	resumeAbove = 1.35
 	// lastResortShare is the share of the users' bound on a tail over its
 	// target after which all fillers beside it give way, blamed or not: early
 	// enough that the effect shows within half of the bound.
@@ -92,11 +96,7 @@
 // soon returns the least slack to expect of a serving task until an order can
 // show its effect.
 func (m *Model) soon(s *Serving) float64 {
-	slack := s.Slack()
-	if swing := m.swings[s.Step]; swing != nil && swing.slope < 0 {
-		slack += swing.slope * reactTime.Seconds()
-	}
-	return slack
+	return s.Slack() - m.swings[s.Step].fall(reactTime, m.low(s.Class).value())
 }
 
 // relieve has fillers give way until a serving task's slack is restored.
@@ -112,13 +112,23 @@
 		}
 		if actions[f.at].Kind == Leave {
 			filler := &w.Fillers[f.at]
-			pace := int(float64(filler.Pace) * (1 - need/f.effect))
-			actions[f.at] = filler.giveWay(pace)
+			actions[f.at] = filler.giveWay(filler.paceFor(s, need/f.effect))
 		}
 		need -= f.effect
 	}
 }
 
+// paceFor returns the pace at which the filler gives up the share of its
+// effect that a serving task needs. Once the tail is over its target the
+// estimate has proved wrong, and the filler gives up all: slowed to a pace
+// held to be enough, one kept a tail over its target for 4 s.
+func (f *Filler) paceFor(s *Serving, share float64) int {
+	if s.OverFor > 0 || s.Slack() < 1 {
+		return 0
+	}
+	return int(float64(f.Pace) * (1 - share))
+}
+
 // blamed is a filler and what it takes from a slack.
 type blamed struct {
 	at     int
@@ -157,6 +167,9 @@
 
 // resume lets one slowed filler go on at full speed if all tasks can bear it.
 func (m *Model) resume(now time.Time, w *Worker, actions []Action) {
+	if w.leastSlack() < resumeAbove {
+		return
+	}
 	for i := range w.Fillers {
 		f := &w.Fillers[i]
 		if f.Pace == 100 {
@@ -172,6 +185,16 @@
 	}
 }
 
+// leastSlack returns the slack of the task that is worst off, as reported;
+// any amount where nobody serves. Tasks that don't serve yet have none.
+func (w *Worker) leastSlack() float64 {
+	least := math.Inf(1)
+	for i := range w.Serving {
+		least = min(least, w.Serving[i].Slack())
+	}
+	return least
+}
+
 // Watch reports whether the worker's tails may pass a target soon, so that it
 // should be looked at often: a tail is long, or a filler is new.
 func (w *Worker) Watch() bool {
--- a/colocate/guard_test.go
+++ b/colocate/guard_test.go
@@ -140,18 +140,18 @@
 		want  bool
 	}{{-0.4, true}, {0.4, false}} {
 		m, now := learned()
-		level := 2.2 - 3*c.slope
+		level := 3.4 - 3*c.slope
 		for range 6 {
 			now = now.Add(beat)
 			level += c.slope * beat.Seconds()
 			m.Learn(now, &colocate.Worker{Serving: []colocate.Serving{serving("b", level, 0)}})
 		}
 		w := &colocate.Worker{
-			Serving: []colocate.Serving{serving("b", level-1.0, 0)},
+			Serving: []colocate.Serving{serving("b", 1.2, 0)},
 			Fillers: []colocate.Filler{filler("loud", true)},
 		}
 		if got := m.Guard(now, w, bound)[0].Kind != colocate.Leave; got != c.want {
-			t.Errorf("slack %.2f with a slope of %.1f: acted %v, want %v", level-1.0, c.slope, got, c.want)
+			t.Errorf("slack 1.2 with a slope of %.1f: acted %v, want %v", c.slope, got, c.want)
 		}
 	}
 }
@@ -175,6 +175,30 @@
 	}
 }
 
+// TestGuardTrustsTheTail goes by a tail that is over its target, whatever the
+// model makes of it: a slowed filler isn't resumed, and one that gives way
+// does so wholly, not to a pace that the model holds to be enough.
+func TestGuardTrustsTheTail(t *testing.T) {
+	m, now := learned()
+	for range 8 {
+		now = now.Add(beat)
+		m.Learn(now, &colocate.Worker{Serving: []colocate.Serving{serving("a", 3.2, 0)}})
+	}
+	slowed := filler("loud", false)
+	slowed.Pace = 0
+	w := &colocate.Worker{Serving: []colocate.Serving{serving("a", 1.1, 0)}, Fillers: []colocate.Filler{slowed}}
+	if got := m.Guard(now, w, bound)[0]; got.Kind != colocate.Leave {
+		t.Errorf("action %+v beside a slack of 1.1, want it to stay slowed", got)
+	}
+	w = &colocate.Worker{
+		Serving: []colocate.Serving{serving("a", 0.95, beat/2)},
+		Fillers: []colocate.Filler{filler("loud", false)},
+	}
+	if got := m.Guard(now, w, bound)[0]; got.Kind != colocate.SetPace || got.Pace != 0 {
+		t.Errorf("action %+v for a tail over its target, want it paused", got)
+	}
+}
+
 // TestHarmOf allows a quiet filler and refuses a loud one beside the same
 // task, and refuses one nothing is known of unless there is slack to spare.
 func TestHarmOf(t *testing.T) {
--- a/colocate/model.go
+++ b/colocate/model.go
@@ -62,6 +62,13 @@
 	return max(mean, 0), deviation
 }
 
+// Effect returns what a filler of the image that had all processors of a
+// worker is estimated to take from a class's slack.
+func (m *Model) Effect(class, image string) float64 {
+	mean, _ := m.effect(class, image, 1)
+	return mean
+}
+
 // know makes the class one that effects are learned of.
 func (m *Model) know(class string) {
 	if m.classes[class] == 0 {
--- a/colocate/swing.go
+++ b/colocate/swing.go
@@ -92,8 +92,14 @@
 	dt := now.Sub(s.at).Seconds()
 	level = s.level + s.slope*dt
 	variance := s.levelVar + 2*dt*s.cross + dt*dt*s.slopeVar
-	if s.slope < 0 {
-		level = max(level+s.slope*horizon.Seconds(), min(level, low))
+	return level - s.fall(horizon, low), math.Sqrt(min(max(variance, 0), firstLevelVar))
+}
+
+// fall returns by how much the level is expected to fall within the horizon:
+// along its slope, but not below low, where it turns.
+func (s *Swing) fall(horizon time.Duration, low float64) float64 {
+	if s == nil || s.slope >= 0 {
+		return 0
 	}
-	return level, math.Sqrt(min(max(variance, 0), firstLevelVar))
+	return min(-s.slope*horizon.Seconds(), max(s.level-low, 0))
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -102,6 +102,7 @@
 		Serving:      v.serving,
 		Fillers:      v.fillers,
 		Strangers:    v.serving - v.byClass[st.class],
+		Wanted:       v.wanted,
 		Siblings:     st.onWorker(w),
 		DataNear:     w.info.HasLabel(st.spec.DataRack),
 		Suspect:      w.health.suspect(c.now),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -82,6 +82,7 @@
 	starts []StartOrder
 	views  map[*worker]*view
 	pools  map[string]*room
+	wanted *wanted
 	// tries counts the steps that others were asked to give way to.
 	tries int
 	// noRoom holds, by kind, the needs that fit nowhere in this cycle.
@@ -90,7 +91,7 @@
 
 // newCycle collects the workers that may take tasks, in the order of IDs.
 func newCycle(s *State, now time.Time) *cycle {
-	c := &cycle{s: s, now: now, kept: map[*worker]bool{}, views: map[*worker]*view{}, noRoom: map[kindKey][]infra.Resources{}}
+	c := &cycle{s: s, now: now, kept: map[*worker]bool{}, views: map[*worker]*view{}, noRoom: map[kindKey][]infra.Resources{}, wanted: newWanted(s)}
 	for _, w := range s.workers {
 		if w.usable(now) && w.rostered && !w.clockAt.IsZero() {
 			c.workers = append(c.workers, w)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -15,6 +15,9 @@
 	unused  int64
 	load    *colocate.Worker
 	harm    map[harmKey]colocate.Harm
+	// wanted is the share of the fillers' work that not all workers suit and
+	// that this one does.
+	wanted float64
 }
 
 // harmKey names a placement whose harm is known: fillers of an image, by the
@@ -72,6 +75,7 @@
 		v = &view{w: w, unused: w.unusedCPU(c.now)}
 		v.serving, v.fillers = w.serving()
 		v.byClass = w.servingByClass()
+		v.wanted = c.wanted.share(c.s, v.byClass)
 		c.views[w] = v
 	}
 	return v
--- /dev/null
+++ b/dispatch/wanted.go
@@ -0,0 +1,59 @@
+package dispatch
+
+// wanted is the work of fillers that only some workers suit, so that fillers
+// that suit all can leave those workers to them.
+type wanted struct {
+	// loud holds the images of such fillers with their tasks that aren't done.
+	loud map[string]int
+	// tasks counts all fillers' tasks that aren't done.
+	tasks int
+}
+
+// newWanted counts the fillers of the open jobs.
+func newWanted(s *State) *wanted {
+	w := &wanted{loud: map[string]int{}}
+	for _, j := range s.open {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				w.add(s, st)
+			}
+		}
+	}
+	return w
+}
+
+// add counts a step.
+func (w *wanted) add(s *State, st *step) {
+	if !st.spec.Filler || st.undone == 0 {
+		return
+	}
+	w.tasks += st.undone
+	if s.model.Loudest(st.spec.Image) >= quietEffect {
+		w.loud[st.spec.Image] += st.undone
+	}
+}
+
+// share returns the share of the fillers' work that not all workers suit and
+// that a worker with these classes does.
+func (w *wanted) share(s *State, classes map[string]int) float64 {
+	if w.tasks == 0 {
+		return 0
+	}
+	suited := 0
+	for image, tasks := range w.loud {
+		if s.suits(image, classes) {
+			suited += tasks
+		}
+	}
+	return float64(suited) / float64(w.tasks)
+}
+
+// suits reports whether a filler of the image disturbs none of the classes.
+func (s *State) suits(image string, classes map[string]int) bool {
+	for class := range classes {
+		if s.model.Effect(class, image) >= quietEffect {
+			return false
+		}
+	}
+	return true
+}
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -8,6 +8,7 @@
 // worse than a poor fit. Opening one more worker to tasks that serve closes it
 // to fillers, which outweighs spreading a step's tasks. Mixing classes that
 // serve is worse: a filler must then suit all of them, and most suit only some.
+// Fillers that suit all workers leave those that others want to them.
 const (
 	failedBeforeWeight = 1000
 	suspectWeight      = 300
@@ -15,6 +16,7 @@
 	disturbWeight      = 12
 	mixWeight          = 8
 	openWeight         = 5
+	wantedWeight       = 8
 	siblingWeight      = 0.1
 	squeezeWeight      = 2
 )
@@ -37,8 +39,8 @@
 		}
 	case t.Filler:
 		cost += disturbWeight * w.Harm
-		if t.Quiet && w.Serving == 0 {
-			cost += openWeight // left to fillers that aren't
+		if t.Quiet {
+			cost += wantedWeight * w.Wanted // left to fillers that aren't
 		}
 	default:
 		cost += squeezeWeight * float64(w.Fillers) / float64(1+w.Fillers)
--- a/rank/rank_test.go
+++ b/rank/rank_test.go
@@ -34,7 +34,9 @@
 		{"where fillers don't disturb it", serving, base, with(func(w *rank.Worker) { w.Serving, w.Fillers, w.Harm = 1, 2, 0.5 })},
 		{"a filler where most lies idle", filler, base, with(func(w *rank.Worker) { w.UnusedCPU = 4000 })},
 		{"a filler where it does no harm", filler, base, with(func(w *rank.Worker) { w.Serving, w.Harm = 1, 0.04 })},
-		{"a quiet filler leaves free workers to others", quiet, with(func(w *rank.Worker) { w.Serving = 1 }), base},
+		{"a quiet filler leaves free workers to others", quiet, with(func(w *rank.Worker) { w.Serving = 1 }), with(func(w *rank.Worker) { w.Wanted = 0.6 })},
+		{"a quiet filler leaves workers that suit loud ones to them", quiet, with(func(w *rank.Worker) { w.Serving, w.UnusedCPU = 1, 6000 }), with(func(w *rank.Worker) { w.Serving, w.Wanted = 1, 0.3 })},
+		{"a loud filler goes to them", filler, with(func(w *rank.Worker) { w.Serving, w.Wanted = 1, 0.3 }), with(func(w *rank.Worker) { w.Serving, w.Harm = 1, 0.5 })},
 	} {
 		better, worse := rank.Cost(&c.task, &c.better), rank.Cost(&c.task, &c.worse)
 		if better >= worse {
--- a/rank/worker.go
+++ b/rank/worker.go
@@ -19,6 +19,9 @@
 	// Harm is how much the placement is expected to take from the slack of a
 	// serving task, its target over its tail.
 	Harm float64
+	// Wanted is the share of the fillers' work that only some workers suit and
+	// that this one does, 0 to 1.
+	Wanted float64
 	// Siblings counts runs of the same step.
 	Siblings int
 	// DataNear is set if the task's data is in the worker's rack, or it has
