dispatch: a pace without an answer is ordered again, and slowed fillers go on

Each has a test that failed before: TestLostPaceIsOrderedAgain, TestSlowedFillerGoesOnWithoutServing, TestTakeOverResumesSlowedFillers, TestFillerSlowedAndResumed (which failed in some runs).

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -81,10 +81,7 @@
 	if w == nil || a.Status == runner.Done {
 		return
 	}
-	if r := w.runs[o.Pace.Task]; r != nil && r.number == o.Pace.Run {
-		r.pace = paceUnknown // ordered again by the next cycle
+	if r := w.runs[o.Pace.Task]; r != nil && r.number == o.Pace.Run && r.pace == o.Pace.Percent {
+		r.paceOpen = true
 	}
 }
-
-// paceUnknown marks a run whose last change of pace may not be in force.
-const paceUnknown = -1
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -19,6 +19,9 @@
 	// effectShows is how long a filler's start, end or change of pace takes to
 	// show wholly in the tails: the window and the way of an order.
 	effectShows = 2 * tailWindow
+	// paceRetry is the time between two orders of a pace that got no answer:
+	// about what an order takes at most.
+	paceRetry = 300 * time.Millisecond
 )
 
 // colocation describes the worker to package colocate, with the runs behind
@@ -66,13 +69,20 @@
 // filler describes a filling run.
 func (r *run) filler(now time.Time) colocate.Filler {
 	spec := r.task.step.spec
-	allowed := max(spec.Needs.MilliCPU*int64(r.pace)/100, 1)
+	pace := r.pace
+	if r.paceOpen {
+		pace = fullPace // it may not have slowed
+	}
+	allowed := max(spec.Needs.MilliCPU*int64(pace)/100, 1)
 	return colocate.Filler{
 		Image: spec.Image, Part: float64(spec.Needs.MilliCPU) / float64(max(r.worker.info.Capacity.MilliCPU, 1)),
-		Use: float64(r.usage) / float64(allowed), Pace: r.pace, Saves: spec.Checkpointing, Percent: r.percent, Settled: r.settled(now),
+		Use: float64(r.usage) / float64(allowed), Pace: pace, Saves: spec.Checkpointing, Percent: r.percent, Settled: r.settled(now),
 	}
 }
 
+// fullPace is the pace of a run that nothing slows.
+const fullPace = 100
+
 // settled reports whether the last figures cover a whole window of the run.
 func (r *run) settled(now time.Time) bool {
 	return (r.usage > 0 || r.pace == 0) && now.Sub(r.since) > effectShows && now.Sub(r.pacedAt) > effectShows
@@ -105,21 +115,25 @@
 	return runs
 }
 
-// learnTails takes in the tails of a report that differs from the one before.
+// learnTails takes in the tails of a report. One that doesn't differ from the
+// one before is of the same half second and teaches nothing.
 func (s *State) learnTails(now time.Time, w *worker) {
 	figures, serving := int64(0), false
 	for _, r := range w.runs {
-		figures = figures*31 + r.usage
+		figures += int64(r.number|1) * (r.usage + 1) // the same in any order
 		if c := r.task.step.class; c != "" && r.phase == running {
 			serving = true
 			r.noteTail(now)
 		}
 	}
-	if !serving || figures == w.figures {
+	if !serving {
 		return
 	}
-	w.figures = figures
 	w.reportedTails = true
+	if figures == w.figures {
+		return
+	}
+	w.figures = figures
 	c, _ := w.colocation(now)
 	s.model.Learn(now, c)
 	s.learned = true
@@ -140,16 +154,20 @@
 func (s *State) pace(now time.Time) []PaceOrder {
 	var orders []PaceOrder
 	for _, w := range s.workers {
-		if !w.reportedTails || w.silent || now.Sub(w.guardedAt) < colocate.Patience {
+		if !w.silent {
+			orders = w.paceAgain(now, orders)
+		}
+		serving, fillers := w.serving()
+		if w.silent || fillers == 0 || now.Sub(w.guardedAt) < colocate.Patience {
 			continue
 		}
-		w.reportedTails = false
-		if serving, fillers := w.serving(); serving == 0 || fillers == 0 {
+		if serving > 0 && !w.reportedTails {
 			continue
 		}
-		c, fillers := w.colocation(now)
+		w.reportedTails = false
+		c, runs := w.colocation(now)
 		for i, action := range s.model.Guard(now, c, s.cfg.TailBound) {
-			r := fillers[i]
+			r := runs[i]
 			if action.Kind == colocate.Leave || r.phase != running {
 				continue
 			}
@@ -159,11 +177,27 @@
 				s.stop(now, r)
 				continue
 			}
-			r.pace, r.pacedAt = action.Pace, now
-			orders = append(orders, PaceOrder{Worker: w.info, Pace: runner.Pace{
-				Task: r.task.id(), Run: r.number, Percent: r.pace, Token: w.token,
-			}})
+			r.pace = action.Pace
+			orders = append(orders, r.paceOrder(now))
 		}
 	}
 	return orders
 }
+
+// paceAgain orders once more the paces that got no answer.
+func (w *worker) paceAgain(now time.Time, orders []PaceOrder) []PaceOrder {
+	for _, r := range w.runs {
+		if r.paceOpen && r.phase == running && now.Sub(r.pacedAt) >= paceRetry {
+			orders = append(orders, r.paceOrder(now))
+		}
+	}
+	return orders
+}
+
+// paceOrder orders the run's pace.
+func (r *run) paceOrder(now time.Time) PaceOrder {
+	r.pacedAt, r.paceOpen = now, false
+	return PaceOrder{Worker: r.worker.info, Pace: runner.Pace{
+		Task: r.task.id(), Run: r.number, Percent: r.pace, Token: r.worker.token,
+	}}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -155,7 +155,7 @@
 func (c *cycle) start(t *task, w *worker, number uint64) {
 	r := &run{
 		task: t, number: number, token: w.token, worker: w, phase: ordered,
-		since: c.now, reserved: t.step.spec.Reserved(), pace: 100,
+		since: c.now, reserved: t.step.spec.Reserved(), pace: fullPace,
 	}
 	w.runs[t.id()] = r
 	w.free = w.free.Sub(r.reserved)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -217,7 +217,8 @@
 	s.begin(j)
 	r := &run{
 		task: t, number: a.Run, token: w.token, worker: w, phase: running,
-		since: now, reserved: t.step.spec.Reserved(), pace: 100,
+		since: now, reserved: t.step.spec.Reserved(), pace: fullPace,
+		paceOpen: t.step.spec.Filler, // an earlier owner may have slowed it
 	}
 	w.runs[a.Task] = r
 	w.free = w.free.Sub(r.reserved)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -36,8 +36,10 @@
 	saved    string
 	// pace is the share of its processors that it may use, in percent.
 	pace int
-	// pacedAt is when the pace was last changed.
-	pacedAt time.Time
+	// pacedAt is when the pace was last ordered, paceOpen is set while that
+	// may not be in force.
+	pacedAt  time.Time
+	paceOpen bool
 	// stopAt is when the last stop was ordered.
 	stopAt time.Time
 	// tailOver is since when it has been over its tail target.
