election: the domain's owner sits on one of the strongest hosts

Cause: on the grown deployment, hosts have 0.19 to 0.8 of a processor, and the first to start became owner. Ruled out: memory (90 of 184 MB).

A host now waits longer by how many processors it has fewer than the owner before, or than a whole one before the first owner; the owner's row says how many.

--- a/control/follow.go
+++ b/control/follow.go
@@ -132,7 +132,7 @@
 			d.since = d.since.Add(-unchangedFor) // nobody to wait for
 		}
 	}
-	return time.Since(d.since) >= n.patience(d.gone)+slowness && n.take(ctx, record, version)
+	return time.Since(d.since) >= n.patience(d.gone)+election.Handicap(&record, n.opts.Cores)+slowness && n.take(ctx, record, version)
 }
 
 // followOwner takes in another owner.
@@ -187,7 +187,7 @@
 	if resigned {
 		return false
 	}
-	self := election.Record{Host: n.opts.Host, Address: n.opts.Address, Incarnation: n.opts.Incarnation}
+	self := election.Record{Host: n.opts.Host, Address: n.opts.Address, Incarnation: n.opts.Incarnation, Cores: n.opts.Cores}
 	try, cancel := context.WithTimeout(ctx, rowTimeout)
 	c, err := election.Take(try, n.opts.Table, self, seen, version)
 	cancel()
--- a/control/options.go
+++ b/control/options.go
@@ -15,6 +15,8 @@
 	Address string
 	// Incarnation names this life of the process; it never repeats.
 	Incarnation string
+	// Cores are the processors that this host has; the owner needs most.
+	Cores float64
 	// Seeds are addresses of other hosts, some of which may be gone.
 	Seeds   []string
 	Table   infra.Table
--- a/election/record.go
+++ b/election/record.go
@@ -19,6 +19,9 @@
 	Epoch uint64 `msgpack:"e"`
 	// Seq counts the owner's commits.
 	Seq uint64 `msgpack:"s"`
+	// Cores are the processors that the owner's host has for it; hosts with
+	// fewer leave the domain to others for a while.
+	Cores float64 `msgpack:"c,omitempty"`
 	// Resigned is set by an owner that has stopped.
 	Resigned bool `msgpack:"r,omitempty"`
 }
