dispatch: a planning cycle works out once what holds for all its placements

Each placement weighed the harm to every serving task anew, with each pair's effect from the regression, and added up the room that comes in time anew.

Now a cycle keeps, by slot, each worker's view with its room in time and the slack its serving tasks have left; the effect of a pair is kept until its class is learned of again; whether a worker wants to be looked at is checked ten times a second.

--- a/colocate/guard.go
+++ b/colocate/guard.go
@@ -36,7 +36,7 @@
 	reactTime = 900 * time.Millisecond
 	// actBelow is the expected slack below which fillers give way, and
 	// restoredSlack what they give way to.
-	actBelow, restoredSlack = 1.08, 1.3
+	actBelow, restoredSlack = 1.08, 1.2
 	// watchBelow is the slack below which a worker is looked at often.
 	watchBelow = 1.5
 	// resumeAbove is the least slack of all tasks beside a slowed filler for
@@ -177,8 +177,7 @@
 		}
 		rest := *w
 		rest.Fillers = slices.Delete(slices.Clone(w.Fillers), i, i+1)
-		h := m.HarmOf(now, &rest, f.Image, f.Part, longestLook)
-		if h.Short <= 0 {
+		if m.HarmOf(m.Rooms(now, &rest), f.Image, f.Part).Short <= 0 {
 			actions[i] = Action{Kind: SetPace, Pace: 100}
 			return
 		}
--- a/colocate/guard_test.go
+++ b/colocate/guard_test.go
@@ -208,14 +208,14 @@
 		now = now.Add(beat)
 		m.Learn(now, near)
 	}
-	quiet, loud := m.HarmOf(now, near, "quiet", 0.1, beat), m.HarmOf(now, near, "loud", 0.1, beat)
+	quiet, loud := m.HarmOf(m.Rooms(now, near), "quiet", 0.1), m.HarmOf(m.Rooms(now, near), "loud", 0.1)
 	if quiet.Short > 0 || loud.Short <= 0 {
 		t.Errorf("short by %.2f for quiet and %.2f for loud, want only loud to be refused", quiet.Short, loud.Short)
 	}
 	if quiet.Effect > 0.3 || loud.Effect < 0.7 {
 		t.Errorf("effects %.2f and %.2f, want about 0.05 and 1.0", quiet.Effect, loud.Effect)
 	}
-	if h := m.HarmOf(now, near, "new", 0.1, beat); h.Short <= 0 {
+	if h := m.HarmOf(m.Rooms(now, near), "new", 0.1); h.Short <= 0 {
 		t.Errorf("an unknown filler is short by %.2f beside a task near its target, want it refused", h.Short)
 	}
 	far := &colocate.Worker{Serving: []colocate.Serving{serving("b", 3.8, 0)}}
@@ -223,7 +223,7 @@
 		now = now.Add(beat)
 		m.Learn(now, far)
 	}
-	if h := m.HarmOf(now, far, "new", 0.1, beat); h.Short > 0 {
+	if h := m.HarmOf(m.Rooms(now, far), "new", 0.1); h.Short > 0 {
 		t.Errorf("an unknown filler is short by %.2f beside a task with slack to spare, want it tried", h.Short)
 	}
 }
@@ -256,7 +256,7 @@
 	}
 	w := &colocate.Worker{Serving: []colocate.Serving{serving("job0", 2.5, 0)}}
 	for _, image := range images {
-		got := m.HarmOf(now, w, image, 0.1, beat).Effect
+		got := m.HarmOf(m.Rooms(now, w), image, 0.1).Effect
 		if want := truth[image] * 0.1; !(math.Abs(got-want) <= 0.2) {
 			t.Errorf("%s takes %.2f of the slack, in truth %.2f", image, got, want)
 		}
@@ -276,7 +276,7 @@
 			Fillers: []colocate.Filler{filler("loud", true)},
 		}
 		m.Learn(now, w)
-		if h := m.HarmOf(now, w, "quiet", 0.1, beat); math.IsNaN(h.Short) || math.IsNaN(h.Effect) {
+		if h := m.HarmOf(m.Rooms(now, w), "quiet", 0.1); math.IsNaN(h.Short) || math.IsNaN(h.Effect) {
 			t.Fatalf("after %d reports the estimates are %+v", i+1, h)
 		}
 	}
--- a/colocate/harm.go
+++ b/colocate/harm.go
@@ -23,21 +23,38 @@
 	Effect float64
 }
 
-// HarmOf returns what a filler of the image that asks for part of the worker's
-// processors and runs for so long would do there. All fillers count as busy,
-// since they turn so within a second.
-func (m *Model) HarmOf(now time.Time, w *Worker, image string, part float64, runs time.Duration) Harm {
-	var h Harm
+// Room is how much slack a step's tasks on a worker are expected to have left
+// beside its fillers, all of them as busy as they can be, since they turn so
+// within a second.
+type Room struct {
+	Class           string
+	Slack, Variance float64
+}
+
+// Rooms returns the room of each step that serves on the worker. It holds for
+// all placements of a planning cycle, which weighs hundreds of them.
+func (m *Model) Rooms(now time.Time, w *Worker) []Room {
+	rooms := make([]Room, 0, len(w.Serving))
 	for i := range w.Serving {
 		s := &w.Serving[i]
 		if w.sameBefore(i) {
 			continue
 		}
-		slack, deviation := m.swings[s.Step].ahead(now, min(runs, longestLook), m.low(s.Class).value())
+		slack, deviation := m.swings[s.Step].ahead(now, longestLook, m.low(s.Class).value())
 		taken, variance := m.takenWhenBusy(s.Class, w)
-		mean, d := m.effect(s.Class, image, part)
-		variance += deviation*deviation + d*d
-		h.Short = max(h.Short, 1+Margin+math.Sqrt(variance)-(slack-taken-mean))
+		rooms = append(rooms, Room{Class: s.Class, Slack: slack - taken, Variance: deviation*deviation + variance})
+	}
+	return rooms
+}
+
+// HarmOf returns what a filler of the image that asks for part of the worker's
+// processors would do to those who serve there.
+func (m *Model) HarmOf(rooms []Room, image string, part float64) Harm {
+	var h Harm
+	for i := range rooms {
+		r := &rooms[i]
+		mean, d := m.effect(r.Class, image, part)
+		h.Short = max(h.Short, 1+Margin+math.Sqrt(r.Variance+d*d)-(r.Slack-mean))
 		h.Effect = max(h.Effect, mean)
 	}
 	return h
--- a/colocate/model.go
+++ b/colocate/model.go
@@ -9,8 +9,10 @@
 
 // Model is what was learned from the tails of serving tasks.
 type Model struct {
-	// effects holds what fillers take from the slack of a class.
+	// effects holds what fillers take from the slack of a class, pairs what it
+	// says of pairs since a class was last learned of.
 	effects *interference.Model
+	pairs   map[string]map[string]pairEffect
 	// classes are the classes that effects knows, as its objectives.
 	classes map[string]float64
 	swings  map[workload.StepID]*Swing
@@ -49,6 +51,7 @@
 			Drift: effectDrift,
 		}),
 		classes: classes,
+		pairs:   map[string]map[string]pairEffect{},
 		swings:  map[workload.StepID]*Swing{},
 		lows:    map[string]*low{},
 	}
@@ -57,11 +60,25 @@
 // effect returns what a filler that disturbs by so much of a worker takes from
 // a class's slack, and the deviation of the estimate.
 func (m *Model) effect(class, image string, press float64) (mean, deviation float64) {
-	m.know(class)
-	mean, deviation = m.effects.Blame(class, image, press)
-	return max(mean, 0), deviation
+	images := m.pairs[class]
+	if images == nil {
+		m.know(class)
+		images = map[string]pairEffect{}
+		m.pairs[class] = images
+	}
+	e, known := images[image]
+	if !known {
+		e.mean, e.deviation = m.effects.Blame(class, image, 1)
+		e.mean = max(e.mean, 0)
+		images[image] = e
+	}
+	return e.mean * press, e.deviation * press
 }
 
+// pairEffect is the effect of a filler that disturbs by a whole worker. It is
+// proportional to the part.
+type pairEffect struct{ mean, deviation float64 }
+
 // Effect returns what a filler of the image that had all processors of a
 // worker is estimated to take from a class's slack.
 func (m *Model) Effect(class, image string) float64 {
@@ -78,14 +95,23 @@
 
 // Loudest returns the most that a filler of the image is estimated to take
 // from any class's slack if it had all processors of a worker.
-func (m *Model) Loudest(image string) float64 { return m.effects.Loudest(image) }
+func (m *Model) Loudest(image string) float64 {
+	loudest := 0.0
+	for class := range m.classes {
+		loudest = max(loudest, m.Effect(class, image))
+	}
+	return loudest
+}
 
 // Lessons returns what is known of pairs, to be recalled by a later model. How
 // steps swing is left out: it is learned again within a second.
 func (m *Model) Lessons() []interference.Lesson { return m.effects.Lessons() }
 
 // Recall takes in what another model has learned.
-func (m *Model) Recall(lessons []interference.Lesson) { m.effects.Recall(lessons) }
+func (m *Model) Recall(lessons []interference.Lesson) {
+	m.effects.Recall(lessons)
+	clear(m.pairs)
+}
 
 // Learn takes in what a worker reported: the tails there while its fillers
 // used what they did. Both figures are of the same half second.
@@ -105,6 +131,7 @@
 		if len(load.Batch) > 0 {
 			passing, extra := m.passing(s.Class, w)
 			m.effects.Observe(s.Class, load, swing.level-slack-passing, swing.levelVar+extra+noiseOf(slack))
+			delete(m.pairs, s.Class)
 		}
 	}
 	m.forget(now)
--- a/colocate/swing.go
+++ b/colocate/swing.go
@@ -24,7 +24,7 @@
 	// swingAcceleration is how fast the slope changes, as variance a second:
 	// a load that swings by half its mean within 14 s changes its slope by
 	// 0.2 a second each second.
-	swingAcceleration = 0.05
+	swingAcceleration = 0.02
 	// longestGap is the seconds without a report after which the slope is
 	// forgotten: a quarter of a swing.
 	longestGap = 4.0
--- a/dispatch/cause.go
+++ b/dispatch/cause.go
@@ -65,7 +65,7 @@
 		return NoProcessors
 	case !reserved.Fits(w.free):
 		return NoMemory
-	case c.kept[w]:
+	case c.kept[w.slot]:
 		return KeptRoom
 	case c.crowded(st, w):
 		return TooManyThere
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -13,7 +13,7 @@
 
 // fits reports whether the worker may take one more task of the step now.
 func (c *cycle) fits(st *step, w *worker) bool {
-	if c.kept[w] || !c.allowed(st, w) || !st.spec.Reserved().Fits(w.free) {
+	if c.kept[w.slot] || !c.allowed(st, w) || !st.spec.Reserved().Fits(w.free) {
 		return false
 	}
 	if _, ok := st.ticketFor(c.now, w); !ok {
@@ -60,7 +60,7 @@
 	st := t.step
 	rt := rank.Task{
 		Needs: st.spec.Needs, Serving: st.spec.Serving(), Filler: st.spec.Filler, Spread: st.spec.LongRunning,
-		Quiet: st.spec.Filler && c.s.model.Loudest(st.spec.Image) < quietEffect,
+		Quiet: c.wanted.quiet[st.spec.Image],
 	}
 	if filter == nil && c.knownNotToFit(st) {
 		return nil
--- a/dispatch/evict.go
+++ b/dispatch/evict.go
@@ -37,7 +37,7 @@
 	var at *worker
 	var least int64
 	for _, w := range c.workers {
-		if c.kept[w] || !c.allowed(st, w) || c.crowded(st, w) {
+		if c.kept[w.slot] || !c.allowed(st, w) || c.crowded(st, w) {
 			continue
 		}
 		chosen, loss, ok := preempt.Choose(st.spec.Reserved(), w.free, c.victims(st, w))
@@ -49,7 +49,7 @@
 		return
 	}
 	st.preemptNext = c.now.Add(preemptAgain)
-	c.kept[at] = true
+	c.keep(at)
 	runs := at.sortedRuns()
 	for _, v := range best {
 		c.s.Stats.Preempted++
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -76,11 +76,13 @@
 	s       *State
 	now     time.Time
 	workers []*worker
-	// kept holds workers whose room is kept for a step that is before others
-	// in the queue and fits nowhere yet.
-	kept   map[*worker]bool
+	// kept marks workers, by slot, whose room is kept for a step that is before
+	// others in the queue and fits nowhere yet; keeps counts them.
+	kept   []bool
+	keeps  int
 	starts []StartOrder
-	views  map[*worker]*view
+	// views holds what has been worked out of workers, by slot.
+	views  []*view
 	pools  map[string]*room
 	wanted *wanted
 	// tries counts the steps that others were asked to give way to.
@@ -91,16 +93,28 @@
 
 // newCycle collects the workers that may take tasks, in the order of IDs.
 func newCycle(s *State, now time.Time) *cycle {
-	c := &cycle{s: s, now: now, kept: map[*worker]bool{}, views: map[*worker]*view{}, noRoom: map[kindKey][]infra.Resources{}, wanted: newWanted(s)}
+	c := &cycle{s: s, now: now, noRoom: map[kindKey][]infra.Resources{}, wanted: newWanted(s)}
 	for _, w := range s.workers {
 		if w.usable(now) && w.rostered && !w.clockAt.IsZero() {
 			c.workers = append(c.workers, w)
 		}
 	}
 	slices.SortFunc(c.workers, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	c.kept, c.views = make([]bool, len(c.workers)), make([]*view, len(c.workers))
+	for i, w := range c.workers {
+		w.slot = i
+	}
 	return c
 }
 
+// keep keeps a worker's room from steps later in the queue.
+func (c *cycle) keep(w *worker) {
+	if !c.kept[w.slot] {
+		c.kept[w.slot] = true
+		c.keeps++
+	}
+}
+
 // placeStep starts as many of a step's tasks as fit.
 func (c *cycle) placeStep(st *step) {
 	if st.spec.Gang {
@@ -164,7 +178,7 @@
 	}
 	t.attach(r)
 	c.s.touch(t.step.job)
-	delete(c.views, w)
+	c.views[w.slot] = nil
 	permit, _ := t.step.ticketFor(c.now, w)
 	c.starts = append(c.starts, StartOrder{
 		Worker: w.info,
@@ -183,13 +197,13 @@
 // behind it in the queue: without this, small tasks take each gap before a
 // large one fits. Room that long-running tasks hold never comes.
 func (c *cycle) keepRoom(st *step) {
-	if st.spec.Filler || len(c.kept) >= max(1, len(c.workers)/keptShare) {
+	if st.spec.Filler || c.keeps >= max(1, len(c.workers)/keptShare) {
 		return
 	}
 	var best *worker
 	needs := st.spec.Reserved()
 	for _, w := range c.workers {
-		if c.kept[w] || !c.allowed(st, w) || c.crowded(st, w) || !needs.Fits(w.roomInTime()) {
+		if c.kept[w.slot] || !c.allowed(st, w) || c.crowded(st, w) || !needs.Fits(c.view(w).inTime) {
 			continue
 		}
 		if best == nil || w.free.MilliCPU > best.free.MilliCPU {
@@ -197,6 +211,6 @@
 		}
 	}
 	if best != nil {
-		c.kept[best] = true
+		c.keep(best)
 	}
 }
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -64,9 +64,11 @@
 func (s *State) Peek(now time.Time) []string {
 	var ids []string
 	for id, w := range s.workers {
-		if w.silent || !w.reported || now.Sub(w.answersAt) < peekAfter || now.Sub(w.peekedAt) < peekAfter {
+		if w.silent || !w.reported || now.Sub(w.answersAt) < peekAfter || now.Sub(w.peekedAt) < peekAfter ||
+			now.Sub(w.watchedAt) < watchEvery {
 			continue
 		}
+		w.watchedAt = now
 		if load, _ := w.colocation(now); load.Watch() {
 			w.peekedAt = now
 			ids = append(ids, id)
@@ -78,3 +80,7 @@
 // peekAfter is the age of figures from which a worker with a long tail is
 // looked at: the half second that they cover, and the way of a report.
 const peekAfter = 600 * time.Millisecond
+
+// watchEvery is the time between two checks of whether a worker needs that: on
+// 490 workers, checking all of them each cycle took a sixth of the owner's loop.
+const watchEvery = 100 * time.Millisecond
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/fireflygate/fireflygate/colocate"
+	"github.com/fireflygate/fireflygate/infra"
 )
 
 // view is what a planning cycle has worked out of a worker; it holds until
@@ -13,20 +14,16 @@
 	// byClass counts serving runs by class.
 	byClass map[string]int
 	unused  int64
-	load    *colocate.Worker
-	harm    map[harmKey]colocate.Harm
+	// inTime is what is free once every run that ends by itself has.
+	inTime infra.Resources
+	load   *colocate.Worker
+	// rooms is what fillers leave to those who serve there.
+	rooms []colocate.Room
 	// wanted is the share of the fillers' work that not all workers suit and
 	// that this one does.
 	wanted float64
 }
 
-// harmKey names a placement whose harm is known: fillers of an image, by the
-// processors they ask for.
-type harmKey struct {
-	image string
-	cpu   int64
-}
-
 // kindKey names steps that differ only in size to a placement.
 type kindKey struct {
 	image, pool, label string
@@ -70,13 +67,13 @@
 
 // view returns what is known of a worker.
 func (c *cycle) view(w *worker) *view {
-	v := c.views[w]
+	v := c.views[w.slot]
 	if v == nil {
-		v = &view{w: w, unused: w.unusedCPU(c.now)}
+		v = &view{w: w, unused: w.unusedCPU(c.now), inTime: w.roomInTime()}
 		v.serving, v.fillers = w.serving()
 		v.byClass = w.servingByClass()
 		v.wanted = c.wanted.share(c.s, v.byClass)
-		c.views[w] = v
+		c.views[w.slot] = v
 	}
 	return v
 }
@@ -91,15 +88,9 @@
 
 // harmOf returns what one more filler of the step would do.
 func (v *view) harmOf(c *cycle, st *step) colocate.Harm {
-	key := harmKey{st.spec.Image, st.spec.Needs.MilliCPU}
-	if h, ok := v.harm[key]; ok {
-		return h
-	}
-	part := float64(key.cpu) / float64(max(v.w.info.Capacity.MilliCPU, 1))
-	h := c.s.model.HarmOf(c.now, v.colocation(c), key.image, part, st.spec.Estimate)
-	if v.harm == nil {
-		v.harm = map[harmKey]colocate.Harm{}
+	if v.rooms == nil {
+		v.rooms = c.s.model.Rooms(c.now, v.colocation(c))
 	}
-	v.harm[key] = h
-	return h
+	part := float64(st.spec.Needs.MilliCPU) / float64(max(v.w.info.Capacity.MilliCPU, 1))
+	return c.s.model.HarmOf(v.rooms, st.spec.Image, part)
 }
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -5,13 +5,15 @@
 type wanted struct {
 	// loud holds the images of such fillers with their tasks that aren't done.
 	loud map[string]int
+	// quiet holds the images that suit all workers.
+	quiet map[string]bool
 	// tasks counts all fillers' tasks that aren't done.
 	tasks int
 }
 
 // newWanted counts the fillers of the open jobs.
 func newWanted(s *State) *wanted {
-	w := &wanted{loud: map[string]int{}}
+	w := &wanted{loud: map[string]int{}, quiet: map[string]bool{}}
 	for _, j := range s.open {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
@@ -28,8 +30,14 @@
 		return
 	}
 	w.tasks += st.undone
-	if s.model.Loudest(st.spec.Image) >= quietEffect {
-		w.loud[st.spec.Image] += st.undone
+	image := st.spec.Image
+	quiet, known := w.quiet[image]
+	if !known {
+		quiet = s.model.Loudest(image) < quietEffect
+		w.quiet[image] = quiet
+	}
+	if !quiet {
+		w.loud[image] += st.undone
 	}
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -11,6 +11,8 @@
 // worker is one life of a worker and the runs that may be alive there.
 type worker struct {
 	info runner.Worker
+	// slot is its place among the workers of the planning cycle under way.
+	slot int
 	// mark is its short name in rows.
 	mark uint32
 	// listed is set while the membership list shows the worker.
@@ -40,7 +42,9 @@
 	// answersAt is when it last answered; silent is set after a failure.
 	answersAt time.Time
 	silent    bool
-	peekedAt  time.Time
+	// peekedAt is when it was last looked at beside a look that waits,
+	// watchedAt when that was last considered.
+	peekedAt, watchedAt time.Time
 	// pausedUntil keeps new tasks from it for a while.
 	pausedUntil time.Time
 	drainingAt  time.Time
