dispatch: what fits nowhere is weighed only against workers that have changed

Cause: each cycle weighed every waiting step against every worker, although a cycle follows on the change of a few.

Now a step that fitted nowhere is weighed for 150 ms only against workers where something has changed since: a report, an end, a stop, a pace. New permits have all weighed again; TestPermitEnds showed that.

Ruled out: a shorter list of steps a cycle, which would let small late ones starve.

--- a/colocate/harm.go
+++ b/colocate/harm.go
@@ -29,6 +29,8 @@
 type Room struct {
 	Class           string
 	Slack, Variance float64
+	// pairs are the effects on the class.
+	pairs map[string]pairEffect
 }
 
 // Rooms returns the room of each step that serves on the worker. It holds for
@@ -42,7 +44,9 @@
 		}
 		slack, deviation := m.swings[s.Step].ahead(now, longestLook, m.low(s.Class).value())
 		taken, variance := m.takenWhenBusy(s.Class, w)
-		rooms = append(rooms, Room{Class: s.Class, Slack: slack - taken, Variance: deviation*deviation + variance})
+		rooms = append(rooms, Room{
+			Class: s.Class, Slack: slack - taken, Variance: deviation*deviation + variance, pairs: m.classPairs(s.Class),
+		})
 	}
 	return rooms
 }
@@ -53,7 +57,8 @@
 	var h Harm
 	for i := range rooms {
 		r := &rooms[i]
-		mean, d := m.effect(r.Class, image, part)
+		e := m.pair(r.pairs, r.Class, image)
+		mean, d := e.mean*part, e.deviation*part
 		h.Short = max(h.Short, 1+Margin+math.Sqrt(r.Variance+d*d)-(r.Slack-mean))
 		h.Effect = max(h.Effect, mean)
 	}
--- a/colocate/model.go
+++ b/colocate/model.go
@@ -60,19 +60,30 @@
 // effect returns what a filler that disturbs by so much of a worker takes from
 // a class's slack, and the deviation of the estimate.
 func (m *Model) effect(class, image string, press float64) (mean, deviation float64) {
+	e := m.pair(m.classPairs(class), class, image)
+	return e.mean * press, e.deviation * press
+}
+
+// classPairs returns the effects on a class as far as they are worked out.
+func (m *Model) classPairs(class string) map[string]pairEffect {
 	images := m.pairs[class]
 	if images == nil {
 		m.know(class)
 		images = map[string]pairEffect{}
 		m.pairs[class] = images
 	}
+	return images
+}
+
+// pair returns the effect of an image on a class, and keeps it in images.
+func (m *Model) pair(images map[string]pairEffect, class, image string) pairEffect {
 	e, known := images[image]
 	if !known {
 		e.mean, e.deviation = m.effects.Blame(class, image, 1)
 		e.mean = max(e.mean, 0)
 		images[image] = e
 	}
-	return e.mean * press, e.deviation * press
+	return e
 }
 
 // pairEffect is the effect of a filler that disturbs by a whole worker. It is
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -38,3 +39,42 @@
 	}
 	b.ReportMetric(float64(len(p.Starts)), "starts/op")
 }
+
+// BenchmarkPlanFillers plans on 490 workers that serve and report tails, with
+// 100 steps of fillers of 18 images waiting, as on a large pool after a burst.
+func BenchmarkPlanFillers(b *testing.B) {
+	t := &testing.T{}
+	r := newRig(t, 490)
+	for i := range 245 {
+		r.submit(queueShort, fmt.Sprintf("lasting%d", i), step(6, 5, longRunning, func(s *workload.Step) {
+			s.Image, s.TailTarget = fmt.Sprintf("serve%d", i%10), 50*time.Millisecond
+		}))
+	}
+	serving := map[string][]runner.Active{}
+	for _, o := range r.plan() {
+		serving[o.Worker.ID] = append(serving[o.Worker.ID], withTail(o, 14))
+	}
+	for range 6 {
+		r.pass(500 * time.Millisecond)
+		for id, active := range serving {
+			r.report(id, active, nil)
+		}
+	}
+	for i := range 150 {
+		r.submit(queueLong, fmt.Sprintf("fill%d", i), step(20, int64(4+i%8), func(s *workload.Step) {
+			s.Filler, s.Image, s.Checkpointing = true, fmt.Sprintf("fill%d", i%18), true
+		}))
+	}
+	for range 3 {
+		r.plan()
+		r.flush()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	var p dispatch.Plan
+	for b.Loop() {
+		r.pass(time.Millisecond)
+		p = r.state.Plan(r.now)
+	}
+	b.ReportMetric(float64(len(p.Starts)), "starts/op")
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -65,9 +65,16 @@
 	if filter == nil && c.knownNotToFit(st) {
 		return nil
 	}
+	since := uint64(0)
+	if filter == nil {
+		since = c.triedSince(st)
+	}
 	var best *worker
 	var least float64
 	for _, w := range c.workers {
+		if w.changed < since {
+			continue // didn't fit, and nothing has changed there
+		}
 		if !c.fits(st, w) || (filter != nil && !filter(w)) {
 			continue
 		}
@@ -86,7 +93,7 @@
 		}
 	}
 	if best == nil && filter == nil {
-		c.noteNoFit(st)
+		c.noteTried(st, since)
 	}
 	return best
 }
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -33,6 +33,9 @@
 		w = s.addWorker(m)
 		s.rosterChanged[w.rosterPart()] = true
 	}
+	if !w.listed || w.info.Capacity != m.Capacity || w.info.Draining != m.Draining {
+		s.changed(w)
+	}
 	w.listed, w.missingSince = true, time.Time{}
 	used := w.info.Capacity.Sub(w.free)
 	wasDraining := w.info.Draining
@@ -127,6 +130,7 @@
 // release takes a run that is over out of its worker and task.
 func (s *State) release(r *run) {
 	w := r.worker
+	s.changed(w)
 	delete(w.runs, r.task.id())
 	w.free = w.free.Add(r.reserved)
 	r.task.detach(r)
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -178,6 +178,7 @@
 				continue
 			}
 			r.pace = action.Pace
+			s.changed(w)
 			orders = append(orders, r.paceOrder(now))
 		}
 	}
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -144,6 +144,7 @@
 	if st.permits.tickets == nil {
 		st.permits.tickets, st.permits.denied = map[string]ticket{}, map[string]bool{}
 	}
+	st.allTriedAt = time.Time{} // it may fit where it didn't for want of one
 	for _, id := range q.Workers {
 		if text, ok := p.Tickets[id]; ok {
 			st.permits.tickets[id] = ticket{text: text, until: now.Add(p.Valid)}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -26,6 +26,7 @@
 	}
 	w.silent = false
 	w.answersAt = now
+	s.changed(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
 	s.takeEnds(now, w, rep.Ends)
 	s.takeActive(now, w, rep.Active)
--- /dev/null
+++ b/dispatch/retry_test.go
@@ -0,0 +1,50 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/runner"
+)
+
+// TestWaitingTaskStartsWhereRoomCame has a task that fitted nowhere start in
+// the cycle after an end, and not be weighed against workers meanwhile.
+func TestWaitingTaskStartsWhereRoomCame(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit(queueShort, "full", step(2, 16))
+	full := r.plan()
+	if len(full) != 2 {
+		t.Fatalf("%d starts, want both workers filled", len(full))
+	}
+	r.submit(queueShort, "waits", step(1, 16))
+	r.pass(10 * time.Millisecond)
+	if got := r.plan(); len(got) != 0 {
+		t.Fatalf("started %v on full workers", got)
+	}
+	r.pass(10 * time.Millisecond)
+	r.report(full[1].Worker.ID, nil, []runner.End{end(1, full[1], runner.EndDone)})
+	got := r.plan()
+	if len(got) != 1 || got[0].Worker.ID != full[1].Worker.ID {
+		t.Errorf("starts %v, want one where the room came", got)
+	}
+}
+
+// TestWaitingTaskFindsRoomThatNobodyReported starts a task where room came by
+// time alone: a worker that had refused a start for want of room takes it once
+// its pause is over.
+func TestWaitingTaskFindsRoomThatNobodyReported(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit(queueShort, "refused", step(1, 4))
+	p := r.state.Plan(r.now)
+	if len(p.Starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(p.Starts))
+	}
+	r.state.StartAnswered(r.now, p.Starts[0], runner.Answer{Status: runner.NoRoom, ClockMS: r.clock()})
+	for waited := time.Duration(0); waited < time.Second; waited += testTick {
+		if len(r.plan()) > 0 {
+			return
+		}
+		r.pass(testTick)
+	}
+	t.Error("not started within a second of the refusal")
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -21,6 +21,8 @@
 	// jobs are alive.
 	awaited map[string]*worker
 	nextRun uint64
+	// changes counts changes of workers, see changed.
+	changes uint64
 	dirty   []*job
 	// rosterChanged holds the parts of the durable roster to write again.
 	rosterChanged map[int]bool
@@ -177,6 +179,7 @@
 	}
 	r.phase = stopping
 	r.stopAt = now
+	s.changed(r.worker)
 	s.stops = append(s.stops, StopOrder{
 		Worker: r.worker.info,
 		Stop:   runner.Stop{Task: r.task.id(), Run: r.number, Token: r.worker.token},
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -20,6 +20,10 @@
 	// idle counts undone tasks without a run.
 	idle    int
 	permits permits
+	// tried is the count of changes of workers when a task of it last fitted
+	// nowhere, allTriedAt when all workers were last considered for it.
+	tried      uint64
+	allTriedAt time.Time
 	// blockedSince is since when a task of it has fitted nowhere, preemptNext
 	// when others may give way to it again.
 	blockedSince, preemptNext time.Time
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -7,13 +7,15 @@
 	loud map[string]int
 	// quiet holds the images that suit all workers.
 	quiet map[string]bool
+	// shares holds what share returned for workers of one class.
+	shares map[string]float64
 	// tasks counts all fillers' tasks that aren't done.
 	tasks int
 }
 
 // newWanted counts the fillers of the open jobs.
 func newWanted(s *State) *wanted {
-	w := &wanted{loud: map[string]int{}, quiet: map[string]bool{}}
+	w := &wanted{loud: map[string]int{}, quiet: map[string]bool{}, shares: map[string]float64{}}
 	for _, j := range s.open {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
@@ -47,6 +49,20 @@
 	if w.tasks == 0 {
 		return 0
 	}
+	if len(classes) != 1 {
+		return w.suitedShare(s, classes)
+	}
+	for class := range classes {
+		if _, known := w.shares[class]; !known {
+			w.shares[class] = w.suitedShare(s, classes)
+		}
+		return w.shares[class]
+	}
+	return 0
+}
+
+// suitedShare works out the share.
+func (w *wanted) suitedShare(s *State, classes map[string]int) float64 {
 	suited := 0
 	for image, tasks := range w.loud {
 		if s.suits(image, classes) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -11,6 +11,9 @@
 // worker is one life of a worker and the runs that may be alive there.
 type worker struct {
 	info runner.Worker
+	// changed is the count of changes when something last changed that may let
+	// a task fit there.
+	changed uint64
 	// slot is its place among the workers of the planning cycle under way.
 	slot int
 	// mark is its short name in rows.
