dispatch: orders say what they were decided by

Cause: a stop in the log told neither whether a tail, a cancel or a preemption was behind it, nor what was believed of the worker; a start didn't say what spoke for its worker.

Ruled out: one more line a decision, which would double the volume.

The first trace so read showed five unknown fillers of one image placed beside the same tasks within 20 ms.

--- a/control/orders.go
+++ b/control/orders.go
@@ -65,7 +65,7 @@
 // startAnswered takes the answer to a start in.
 func (o *Owner) startAnswered(s dispatch.StartOrder, a runner.Answer) {
 	o.opts.Metrics.order("start", a.Status)
-	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("status", a.Status), slog.Any("err", a.Err))
+	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("known", s.Known), slog.Any("status", a.Status), slog.Any("err", a.Err))
 	if !o.state.StartAnswered(time.Now(), s, a) {
 		return
 	}
@@ -95,7 +95,8 @@
 		return o.opts.Workers.Stop(ctx, s.Worker, s.Stop)
 	}, func(a runner.Answer) {
 		event.StopAnswered.Log(o.opts.Log, slog.Any("task", s.Stop.Task), slog.Uint64("run", s.Stop.Run),
-			slog.String("worker", s.Worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
+			slog.String("worker", s.Worker.ID), slog.String("cause", s.Cause.String()), slog.Any("known", s.Known),
+			slog.Any("status", a.Status), slog.Any("err", a.Err))
 		o.state.StopAnswered(time.Now(), s, a)
 	})
 }
@@ -106,7 +107,7 @@
 		return o.opts.Workers.Pace(ctx, p.Worker, p.Pace)
 	}, func(a runner.Answer) {
 		event.PaceAnswered.Log(o.opts.Log, slog.Any("task", p.Pace.Task), slog.Uint64("run", p.Pace.Run),
-			slog.String("worker", p.Worker.ID), slog.Int("percent", p.Pace.Percent), slog.Any("status", a.Status),
+			slog.String("worker", p.Worker.ID), slog.Int("percent", p.Pace.Percent), slog.Any("known", p.Known), slog.Any("status", a.Status),
 			slog.Any("err", a.Err))
 		o.state.PaceAnswered(p, a)
 	})
--- a/dispatch/evict.go
+++ b/dispatch/evict.go
@@ -53,7 +53,7 @@
 	runs := at.sortedRuns()
 	for _, v := range best {
 		c.s.Stats.Preempted++
-		c.s.stop(c.now, runs[v.ID])
+		c.s.stop(c.now, runs[v.ID], Preempted)
 	}
 }
 
--- /dev/null
+++ b/dispatch/evidence.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Evidence is what was known of a worker when an order was decided, for the
+// log: it says what the decision went by, and how old that was.
+type Evidence struct {
+	// FreeMilliCPU is what no run had reserved.
+	FreeMilliCPU int64
+	// Serving and Fillers count runs that serve users and that fill.
+	Serving, Fillers int
+	// LeastSlack is the least target over tail of those that serve, 0 if none
+	// was reported.
+	LeastSlack float64
+	// ReportAge is the age of the worker's last report.
+	ReportAge time.Duration
+}
+
+// LogValue implements slog.LogValuer.
+func (e Evidence) LogValue() slog.Value {
+	attrs := []slog.Attr{
+		slog.Int64("free_milli_cpu", e.FreeMilliCPU), slog.Int64("report_age_ms", e.ReportAge.Milliseconds()),
+	}
+	if e.Serving > 0 {
+		attrs = append(attrs, slog.Int("serving", e.Serving), slog.Float64("least_slack", e.LeastSlack))
+	}
+	if e.Fillers > 0 {
+		attrs = append(attrs, slog.Int("fillers", e.Fillers))
+	}
+	return slog.GroupValue(attrs...)
+}
+
+// evidence returns what is known of a worker now.
+func (w *worker) evidence(now time.Time) Evidence {
+	e := Evidence{FreeMilliCPU: w.free.MilliCPU, ReportAge: now.Sub(w.answersAt)}
+	e.Serving, e.Fillers = w.serving()
+	for _, r := range w.runs {
+		target := r.task.step.spec.TailTarget
+		if target <= 0 || r.percent < 100 || r.usage <= 0 {
+			continue
+		}
+		slack := float64(target.Milliseconds()) / float64(r.usage)
+		if e.LeastSlack == 0 || slack < e.LeastSlack {
+			e.LeastSlack = slack
+		}
+	}
+	return e
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -6,18 +6,23 @@
 type StartOrder struct {
 	Worker runner.Worker
 	Start  runner.Start
+	// Known is what the choice of the worker went by.
+	Known Evidence
 }
 
 // StopOrder is a stop for one worker.
 type StopOrder struct {
 	Worker runner.Worker
 	Stop   runner.Stop
+	Cause  StopCause
+	Known  Evidence
 }
 
 // PaceOrder is a change of pace for one worker.
 type PaceOrder struct {
 	Worker runner.Worker
 	Pace   runner.Pace
+	Known  Evidence
 }
 
 // Plan is what a planning cycle orders.
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -174,7 +174,7 @@
 			w.guardedAt = now
 			if action.Kind == colocate.Move {
 				s.Stats.FillersMoved++
-				s.stop(now, r)
+				s.stop(now, r, TailTooLong)
 				continue
 			}
 			r.pace = action.Pace
@@ -198,7 +198,8 @@
 // paceOrder orders the run's pace.
 func (r *run) paceOrder(now time.Time) PaceOrder {
 	r.pacedAt, r.paceOpen = now, false
-	return PaceOrder{Worker: r.worker.info, Pace: runner.Pace{
-		Task: r.task.id(), Run: r.number, Percent: r.pace, Token: r.worker.token,
-	}}
+	return PaceOrder{
+		Worker: r.worker.info, Known: r.worker.evidence(now),
+		Pace: runner.Pace{Task: r.task.id(), Run: r.number, Percent: r.pace, Token: r.worker.token},
+	}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -171,6 +171,7 @@
 		task: t, number: number, token: w.token, worker: w, phase: ordered,
 		since: c.now, reserved: t.step.spec.Reserved(), pace: fullPace,
 	}
+	known := w.evidence(c.now)
 	w.runs[t.id()] = r
 	w.free = w.free.Sub(r.reserved)
 	if p := c.pools[w.info.Pool]; p != nil {
@@ -181,7 +182,7 @@
 	c.views[w.slot] = nil
 	permit, _ := t.step.ticketFor(c.now, w)
 	c.starts = append(c.starts, StartOrder{
-		Worker: w.info,
+		Worker: w.info, Known: known,
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
 			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.saved, Permit: permit,
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -141,7 +141,7 @@
 		return // the rest of the gang ends by itself
 	}
 	for _, r := range t.runs {
-		s.stop(now, r)
+		s.stop(now, r, TaskDone)
 	}
 }
 
@@ -189,8 +189,11 @@
 			r.saved = a.Saved
 			r.task.saved = a.Saved
 		}
-		if over := r.task.done || r.task.step.job.state.Final(); over {
-			s.stop(now, r)
+		switch {
+		case r.task.step.job.state.Final():
+			s.stop(now, r, JobOver)
+		case r.task.done:
+			s.stop(now, r, TaskDone)
 		}
 	}
 }
@@ -209,6 +212,7 @@
 	if t == nil {
 		s.stops = append(s.stops, StopOrder{
 			Worker: w.info, Stop: runner.Stop{Task: a.Task, Run: a.Run, Token: w.token},
+			Cause: NoSuchTask, Known: w.evidence(now),
 		})
 		return nil
 	}
@@ -225,7 +229,7 @@
 	w.free = w.free.Sub(r.reserved)
 	t.attach(r)
 	if len(t.runs) > 1 && !t.step.spec.Speculative {
-		s.stop(now, r)
+		s.stop(now, r, Duplicate)
 	}
 	return r
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -141,7 +141,7 @@
 	s.touch(j)
 	j.eachTask(func(t *task) {
 		for _, r := range t.runs {
-			s.stop(now, r)
+			s.stop(now, r, JobOver)
 		}
 	})
 	for i, o := range s.open {
@@ -170,7 +170,7 @@
 }
 
 // stop orders a run to stop, unless that was done within stopRepeat.
-func (s *State) stop(now time.Time, r *run) {
+func (s *State) stop(now time.Time, r *run, cause StopCause) {
 	if r.phase == stopping && now.Sub(r.stopAt) < stopRepeat {
 		return
 	}
@@ -183,6 +183,8 @@
 	s.stops = append(s.stops, StopOrder{
 		Worker: r.worker.info,
 		Stop:   runner.Stop{Task: r.task.id(), Run: r.number, Token: r.worker.token},
+		Cause:  cause,
+		Known:  r.worker.evidence(now),
 	})
 }
 
--- /dev/null
+++ b/dispatch/stopcause.go
@@ -0,0 +1,36 @@
+package dispatch
+
+// StopCause says why a run is stopped.
+type StopCause uint8
+
+// The causes of a stop.
+const (
+	// JobOver: its job is complete, failed or cancelled.
+	JobOver StopCause = iota
+	// TaskDone: another run of its task has finished.
+	TaskDone
+	// TailTooLong: it disturbs those who serve at its worker.
+	TailTooLong
+	// Preempted: a queue that comes first needs the room.
+	Preempted
+	// WorkerLeaves: its worker is draining.
+	WorkerLeaves
+	// Duplicate: another run of its task is at work.
+	Duplicate
+	// NoSuchTask: nothing is known of its task.
+	NoSuchTask
+	stopCauses
+)
+
+// stopCauseNames are the causes as logs show them.
+var stopCauseNames = [stopCauses]string{
+	"job over", "task done", "tail too long", "preempted", "worker leaves", "duplicate", "no such task",
+}
+
+// String returns the cause as logs show it.
+func (c StopCause) String() string {
+	if c < stopCauses {
+		return stopCauseNames[c]
+	}
+	return "unknown"
+}
