control: an end is logged and counted once

Ruled out: ends taken in twice, which the number of the last end prevents. The report returns the ends that are new.

--- a/control/orders.go
+++ b/control/orders.go
@@ -166,9 +166,8 @@
 		s.nextLook = time.Now().Add(lookRetry)
 		event.WorkerNotSeen.Log(o.opts.Log, slog.Any("worker", l.worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
 	}
-	for _, e := range rep.Ends {
+	for _, e := range o.state.Report(time.Now(), l.worker.ID, l.renewal, a, rep) {
 		o.opts.Metrics.ends.WithLabelValues(e.Kind.String()).Inc()
 		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", l.worker.ID), slog.Any("how", e.Kind))
 	}
-	o.state.Report(time.Now(), l.worker.ID, l.renewal, a, rep)
 }
--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -31,3 +31,17 @@
 		t.Errorf("stops %+v after a cancel, want one of a job that is over", stops)
 	}
 }
+
+// TestEndIsNewOnce reports an end as new once, though its worker lists it until
+// it is durable.
+func TestEndIsNewOnce(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit(queueShort, "job", step(1, 1))
+	ends := []runner.End{end(1, r.plan()[0], runner.EndDone)}
+	if got := r.report(worker(0), nil, ends); len(got) != 1 {
+		t.Errorf("%d ends were new, want 1", len(got))
+	}
+	if got := r.report(worker(0), nil, ends); len(got) != 0 {
+		t.Errorf("listed again, %d ends were new, want none", len(got))
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -7,28 +7,30 @@
 	"github.com/fireflygate/fireflygate/workload"
 )
 
-// Report takes in a worker's answer to a renewal.
-func (s *State) Report(now time.Time, id string, sent runner.Renewal, a runner.Answer, rep runner.Report) {
+// Report takes in a worker's answer to a renewal. It returns the ends that are
+// new: a worker lists each until it is durable, which takes as long as the
+// store is away.
+func (s *State) Report(now time.Time, id string, sent runner.Renewal, a runner.Answer, rep runner.Report) []runner.End {
 	w := s.workers[id]
 	if w == nil {
-		return
+		return nil
 	}
 	w.tick(now, a.ClockMS)
 	switch a.Status {
 	case runner.Done:
 	case runner.Reborn:
 		s.Reborn(now, id)
-		return
+		return nil
 	default:
 		w.silent = true
 		w.answersAt = now
-		return
+		return nil
 	}
 	w.silent = false
 	w.answersAt = now
 	s.changed(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
-	s.takeEnds(now, w, rep.Ends)
+	ends := s.takeEnds(now, w, rep.Ends)
 	s.takeActive(now, w, rep.Active)
 	s.learnTails(now, w)
 	if len(rep.Ends) < runner.MaxEnds {
@@ -36,6 +38,7 @@
 		s.firstReport(w)
 	}
 	s.askAgain(w)
+	return ends
 }
 
 // askAgain raises the token once more if a start that carried the newest one
@@ -61,15 +64,18 @@
 	delete(s.awaited, w.info.ID)
 }
 
-// takeEnds takes in the ends that weren't seen before.
-func (s *State) takeEnds(now time.Time, w *worker, ends []runner.End) {
+// takeEnds takes in the ends that weren't seen before, and returns them.
+func (s *State) takeEnds(now time.Time, w *worker, ends []runner.End) []runner.End {
+	var fresh []runner.End
 	for _, e := range ends {
 		if e.Number <= w.seen {
 			continue
 		}
 		w.seen = e.Number
 		s.takeEnd(now, w, e)
+		fresh = append(fresh, e)
 	}
+	return fresh
 }
 
 // takeEnd takes in one end. Ends of runs that an earlier owner started count
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -126,14 +126,14 @@
 // clock is what all workers' clocks show.
 func (r *rig) clock() int64 { return 1 + r.now.Sub(r.began).Milliseconds() }
 
-// report answers a renewal.
-func (r *rig) report(id string, active []runner.Active, ends []runner.End) {
+// report answers a renewal and returns the ends that were new.
+func (r *rig) report(id string, active []runner.Active, ends []runner.End) []runner.End {
 	r.t.Helper()
 	_, o, ok := r.state.Renewal(r.now, id, true)
 	if !ok {
 		r.t.Fatalf("worker %s isn't known", id)
 	}
-	r.state.Report(r.now, id, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()},
+	return r.state.Report(r.now, id, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()},
 		runner.Report{ClockMS: r.clock(), Active: active, Ends: ends})
 }
 
