colocate: classes come and go; one too many counts as unknown

Found by reading: the regression holds 64 classes and dropped none, so that from the 65th image of serving tasks on, a few weeks of releases, every filler counted as harmless beside it. Ruled out: the same in the product's other planner, whose classes are those of its objectives.

A class that hasn't reported for ten minutes is forgotten; one beyond the bound at the same time counts as a pair never seen. TestClassesAreForgotten (effect learned as 0.0 at release 64 before, at least 6 of 10 at all 200 after) and TestClassBeyondTheBoundCountsAsUnknown fail without it.

--- a/colocate/guard_test.go
+++ b/colocate/guard_test.go
@@ -300,3 +300,44 @@
 		}
 	}
 }
+
+// TestClassesAreForgotten has images come and go, as with each release of a
+// service, far more of them than the model holds at a time: a pair seen last is
+// learned as well as one seen first.
+func TestClassesAreForgotten(t *testing.T) {
+	m := colocate.NewModel()
+	now := start
+	for release := range 200 {
+		now = now.Add(20 * time.Minute)
+		class := fmt.Sprintf("watch-%d", release)
+		own := serving(class, 2.6, 0)
+		own.Class = class
+		w := &colocate.Worker{Serving: []colocate.Serving{own}}
+		for i := range 60 {
+			now = now.Add(beat)
+			w.Fillers, w.Serving[0].Tail = nil, tailOf(2.6)
+			if i%8 >= 4 {
+				w.Fillers, w.Serving[0].Tail = []colocate.Filler{filler("loud", true)}, tailOf(1.6)
+			}
+			m.Learn(now, w)
+		}
+		if got := m.Effect(class, "loud"); got < 6 {
+			t.Fatalf("release %d: the effect is learned as %.1f, in truth 10", release, got)
+		}
+	}
+	if got := len(m.Lessons()); got > 2 {
+		t.Errorf("%d classes are kept, want only those seen lately", got)
+	}
+}
+
+// TestClassBeyondTheBoundCountsAsUnknown takes a pair as unknown, not as
+// harmless, if more classes serve at a time than the model holds.
+func TestClassBeyondTheBoundCountsAsUnknown(t *testing.T) {
+	m := colocate.NewModel()
+	for i := range 100 {
+		class := fmt.Sprintf("watch-%d", i)
+		if got := m.Effect(class, "new"); got < 2 {
+			t.Fatalf("class %d: the effect of a pair never seen is %.1f, want a guess between both kinds", i, got)
+		}
+	}
+}
--- a/colocate/low.go
+++ b/colocate/low.go
@@ -1,5 +1,7 @@
 package colocate
 
+import "time"
+
 // low follows how far the slack of a class falls by its tasks' own load. It
 // is a low quantile of the levels seen, over all steps of the class: they
 // swing alike, at different times, so it is known long before one step has
@@ -7,6 +9,8 @@
 type low struct {
 	level float64
 	known bool
+	// at is when a step of the class last reported.
+	at time.Time
 }
 
 const (
@@ -21,6 +25,7 @@
 
 // observe takes in the level of a step.
 func (l *low) observe(s *Swing) {
+	l.at = s.at
 	if s.levelVar > lowVariance {
 		return
 	}
--- a/colocate/model.go
+++ b/colocate/model.go
@@ -39,6 +39,10 @@
 	maxSwings = 4096
 	// swingForgotten is how long a step that reports nothing is kept.
 	swingForgotten = 30 * time.Second
+	// classForgotten is how long a class is kept that reports nothing: longer
+	// than a service is away for a new release, short enough that those of a
+	// working day stay below the bound on classes of package interference.
+	classForgotten = 10 * time.Minute
 )
 
 // NewModel returns a model that knows nothing.
@@ -90,7 +94,7 @@
 	return s
 }
 
-// forget drops the steps that have reported nothing for long.
+// forget drops the steps and classes that have reported nothing for long.
 func (m *Model) forget(now time.Time) {
 	if now.Sub(m.forgotAt) < swingForgotten {
 		return
@@ -101,4 +105,21 @@
 			delete(m.swings, step)
 		}
 	}
+	for class := range m.classes {
+		l := m.low(class)
+		switch {
+		case l.at.IsZero():
+			l.at = now // placed and not heard of yet
+		case now.Sub(l.at) > classForgotten:
+			m.forgetClass(class)
+		}
+	}
+}
+
+// forgetClass drops all that is known of a class.
+func (m *Model) forgetClass(class string) {
+	delete(m.classes, class)
+	delete(m.lows, class)
+	delete(m.pairs, class)
+	m.effects.Forget(class)
 }
--- a/colocate/pairs.go
+++ b/colocate/pairs.go
@@ -1,5 +1,7 @@
 package colocate
 
+import "math"
+
 // effect returns what a filler that disturbs by so much of a worker takes from
 // a class's slack, and the deviation of the estimate.
 func (m *Model) effect(class, image string, press float64) (mean, deviation float64) {
@@ -23,6 +25,9 @@
 	e, known := images[image]
 	if !known {
 		e.mean, e.deviation = m.effects.Blame(class, image, 1)
+		if e.deviation == 0 { // more classes than the model holds
+			e.mean, e.deviation = anyEffect, math.Sqrt(anyVariance+classVariance)
+		}
 		e.mean = max(e.mean, 0)
 		images[image] = e
 	}
--- a/interference/model.go
+++ b/interference/model.go
@@ -67,6 +67,9 @@
 	s.model.learn(v, value, variance)
 }
 
+// Forget drops what is known of a class.
+func (m *Model) Forget(class string) { delete(m.services, class) }
+
 // Excess is by how much the logarithm of the latency is expected to be above
 // the objective less a margin, uncertainty counted in.
 func (m *Model) Excess(class string, load Load) float64 {
