edge: a budget of log lines below one is refused

Found by starting the program from a clean clone: `-log-lines -5` was taken without a word, as the default. Ruled out: the same for the settings file, all of whose wrong fields are named, and an unknown flag. The tests of paces share their beginning. No effect on a running host.

--- a/cmd/fireflygate-edge/serve.go
+++ b/cmd/fireflygate-edge/serve.go
@@ -44,6 +44,10 @@
 
 // Execute implements subcommands.Command.
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.lines <= 0 {
+		fmt.Fprintf(os.Stderr, "-log-lines is %d, want more than 0\n", c.lines)
+		return subcommands.ExitUsageError
+	}
 	s, err := platform.LoadSettings(c.settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -52,15 +52,22 @@
 	return p.Paces[0].Pace.Percent
 }
 
-// TestFillerSlowedAndResumed pauses a filler that can't save beside a tail
-// over its target and resumes it once the tail is short again.
-func TestFillerSlowedAndResumed(t *testing.T) {
-	r, serving, filler := besideServing(t)
+// besideLongTail is besideServing with the filler paused for a tail of 90 ms.
+func besideLongTail(t *testing.T) (r *rig, serving, filler dispatch.StartOrder) {
+	t.Helper()
+	r, serving, filler = besideServing(t)
 	r.pass(1500 * time.Millisecond)
 	r.report(worker(0), []runner.Active{withTail(serving, 90), halfDone(filler)}, nil)
 	if got := r.paceOf(); got != 0 {
 		t.Fatalf("pace %d beside a tail of 90 ms, want 0", got)
 	}
+	return r, serving, filler
+}
+
+// TestFillerSlowedAndResumed pauses a filler that can't save beside a tail
+// over its target and resumes it once the tail is short again.
+func TestFillerSlowedAndResumed(t *testing.T) {
+	r, serving, filler := besideLongTail(t)
 	resumed := -1
 	for range 20 {
 		r.pass(500 * time.Millisecond)
@@ -77,12 +84,7 @@
 // TestSlowedFillerGoesOnWithoutServing resumes a filler when those it was
 // slowed for are gone, although no tail is reported any more.
 func TestSlowedFillerGoesOnWithoutServing(t *testing.T) {
-	r, serving, filler := besideServing(t)
-	r.pass(1500 * time.Millisecond)
-	r.report(worker(0), []runner.Active{withTail(serving, 90), halfDone(filler)}, nil)
-	if got := r.paceOf(); got != 0 {
-		t.Fatalf("pace %d beside a tail of 90 ms, want 0", got)
-	}
+	r, serving, filler := besideLongTail(t)
 	r.state.Cancel(r.now, "serving")
 	r.pass(time.Second)
 	r.report(worker(0), []runner.Active{halfDone(filler)}, []runner.End{end(1, serving, runner.EndStopped)})
@@ -122,12 +124,7 @@
 // TestTakeOverResumesSlowedFillers has a new owner, which doesn't know at what
 // pace its predecessor left a filler, order full speed.
 func TestTakeOverResumesSlowedFillers(t *testing.T) {
-	r, serving, filler := besideServing(t)
-	r.pass(1500 * time.Millisecond)
-	r.report(worker(0), []runner.Active{withTail(serving, 90), halfDone(filler)}, nil)
-	if got := r.paceOf(); got != 0 {
-		t.Fatalf("pace %d beside a tail of 90 ms, want 0", got)
-	}
+	r, serving, filler := besideLongTail(t)
 	r.flush()
 	r.takeOver(worker(0))
 	r.members(1)
