control: log lines tell what a resignation waits for

The logs didn't tell what it waited for: the store, a commit under way, or its own loop.

915 says at the begin whether a commit is under way; 916, before the last commit, how often the loop was asked until then. No change of behaviour.

--- a/control/resign.go
+++ b/control/resign.go
@@ -17,7 +17,10 @@
 // up, so that another host takes over at once.
 func (o *Owner) resign(ctx context.Context) {
 	done := make(chan struct{})
-	o.post(func() { o.finishUp(ctx, done) })
+	o.post(func() {
+		event.ResignBegun.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Bool("commit_under_way", o.committing))
+		o.finishUp(ctx, 1, done)
+	})
 	select {
 	case <-done:
 	case <-o.ctx.Done():
@@ -28,12 +31,13 @@
 }
 
 // finishUp waits for a commit that is under way and then commits the rest.
-func (o *Owner) finishUp(ctx context.Context, done chan struct{}) {
+func (o *Owner) finishUp(ctx context.Context, turns int, done chan struct{}) {
 	if o.committing {
 		// The loop must go on to take the commit's outcome in.
-		go o.post(func() { o.finishUp(ctx, done) })
+		go o.post(func() { o.finishUp(ctx, turns+1, done) })
 		return
 	}
+	event.ResignCommits.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Int("turns", turns))
 	o.resigning = true
 	b, err := o.state.Flush(time.Now(), batchWrites)
 	if err != nil {
