dispatch: an entry that names no worker to use isn't a missing worker

Cause: the list had no way to say that an entry is there and can't be used. A later owner that never read its sound form would take the worker as missing, count it as gone after 2.5 s and start its runs again while they may be alive; and a worker of a pool that no queue is for was put in the roster and looked at.

Ruled out: counting such entries as missing (TestTakeOverBesideUnsoundEntry then starts the task elsewhere after 2.6 s, want just over the 12 s of an earlier owner's leases). Judging pools by the configuration alone: accepted jobs of a dropped queue would never run.

Change: runner.Worker.Unsound; the worker gets nothing new, its runs go on while it answers and are waited for by their leases if it doesn't. Workers count while a queue or an open job is for their pool.

Before: TestPoolThatNobodyNames fails. After: it passes, as do TestUnsoundEntryKeepsRuns, TestUnsoundAndSilent (6 to 6.5 s) and TestTakeOverBesideUnsoundEntry (12 to 13 s).

--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -10,13 +10,18 @@
 // SetMembers takes in the whole membership list. Workers that are no longer
 // on it keep their runs until these are known to be over.
 func (s *State) SetMembers(now time.Time, members []runner.Worker) {
-	listed := make(map[string]bool, len(members))
+	pools := s.pools()
+	present := make(map[string]bool, len(members))
 	for _, m := range members {
-		listed[m.ID] = true
+		present[m.ID] = true
+		if m.Unsound || !pools[m.Pool] {
+			s.unlist(now, m.ID)
+			continue
+		}
 		s.member(now, m)
 	}
 	for id, w := range s.workers {
-		if !listed[id] {
+		if !present[id] {
 			w.listed = false
 			if w.missingSince.IsZero() {
 				w.missingSince = now
@@ -26,6 +31,31 @@
 	}
 }
 
+// pools returns the pools that a queue of the configuration or an open job is
+// for; jobs of a queue that is gone still run.
+func (s *State) pools() map[string]bool {
+	pools := map[string]bool{}
+	for _, q := range s.queues {
+		pools[q.Pool] = true
+	}
+	for _, j := range s.open {
+		pools[j.queue.Pool] = true
+	}
+	return pools
+}
+
+// unlist takes in an entry that names no worker to use. It says nothing of
+// whether the worker lives: counted as gone, its runs would be started again
+// beside themselves.
+func (s *State) unlist(now time.Time, id string) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	w.listed, w.missingSince = false, time.Time{}
+	s.forget(w, now)
+}
+
 // member takes in one entry of the list.
 func (s *State) member(now time.Time, m runner.Worker) {
 	w := s.workers[m.ID]
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -23,6 +23,9 @@
 	Draining bool `msgpack:"-"`
 	// LeavesIn is the least time left to a draining worker.
 	LeavesIn time.Duration `msgpack:"-"`
+	// Unsound is set if the list holds an entry with this ID that names no
+	// worker to use; nothing but the ID is known then.
+	Unsound bool `msgpack:"-"`
 }
 
 // HasLabel reports whether the worker carries the label; every worker carries
