platform: each entry of a worker is judged by itself

Cause: a row of another type or a value that isn't base64 failed the decoding of the whole page or feed answer, and so hid all other workers and, in its own table, the configuration; an entry that couldn't be decoded left the one before in place; fields that were missing, absurd or of an unknown state were taken as they came; a feed also tells of rows in other parts, which replaced sound ones; a page that ended in a row without a key was read from the start again.

Ruled out: skipping rows that fail (the sound entry before would live on); needing only the fields that are used (docs/decisions/platform-foreign-entries.md).

Change: rows that others write are decoded one by one where the whole answer can't be; an unsound entry replaces a sound one and names no worker; it is logged once a change, at most 8 lines a read.

--- a/event/platform.go
+++ b/event/platform.go
@@ -5,7 +5,7 @@
 // Events 950 to 999: the users' platform.
 var (
 	StoreCallFailed  = define(950, slog.LevelWarn, "call to the store failed")
-	EntryUnreadable  = define(951, slog.LevelError, "membership entry can't be decoded, the one before stays")
+	EntryUnreadable  = define(951, slog.LevelError, "membership entry is unsound, it names no worker")
 	ConfigUnread     = define(952, slog.LevelWarn, "configuration can't be read from the store, trying again")
 	RequestInvalid   = routine(953, slog.LevelInfo, "request can't be read")
 	RequestFailed    = routine(954, slog.LevelInfo, "request not served")
