dispatch: an entry doesn't move a worker whose runs may be alive

Cause: an entry with another address sent the next look there. Whoever lives there answers that it is another life, which counted as the end of the worker's runs; they started elsewhere at once while their worker went on with them.

Ruled out: taking no answer of another life for an end (a worker that crashed and is back at its address is told by just that).

Change: until the leases at the address where a worker has answered, or where an earlier owner had it, are over, an entry with another one counts as unsound.

Before: TestEntryWithAnotherAddress has the task started elsewhere after 100 ms, with and without a take-over. After: not before the lease is over, and then the worker is taken at its new address.

--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -14,7 +14,7 @@
 	present := make(map[string]bool, len(members))
 	for _, m := range members {
 		present[m.ID] = true
-		if m.Unsound || !pools[m.Pool] {
+		if m.Unsound || !pools[m.Pool] || s.elsewhere(&m) {
 			s.unlist(now, m.ID)
 			continue
 		}
@@ -44,6 +44,14 @@
 	return pools
 }
 
+// elsewhere reports whether an entry puts a worker whose runs may be alive at
+// another address. A life keeps its address, and the answer of another life at a
+// wrong one would count as the end of those runs.
+func (s *State) elsewhere(m *runner.Worker) bool {
+	w := s.workers[m.ID]
+	return w != nil && w.info.Address != m.Address && (w.reported || s.awaited[m.ID] != nil)
+}
+
 // unlist takes in an entry that names no worker to use. It says nothing of
 // whether the worker lives: counted as gone, its runs would be started again
 // beside themselves.
--- a/dispatch/membership_test.go
+++ b/dispatch/membership_test.go
@@ -101,3 +101,37 @@
 	r.flush()
 	r.mustState("job", workload.Complete)
 }
+
+// TestEntryWithAnotherAddress takes an entry that moves a worker which has
+// answered elsewhere for one that names no worker: whoever answers there that it
+// is another life says nothing of the runs at the address known.
+func TestEntryWithAnotherAddress(t *testing.T) {
+	for _, inherited := range []bool{false, true} {
+		r := newRig(t, 2)
+		r.submit(queueShort, "job", step(1, 4, longRunning))
+		first := r.plan()[0]
+		r.flush()
+		id := first.Worker.ID
+		if inherited {
+			r.takeOver(worker(0), worker(1))
+		}
+		moved := workerInfo(id)
+		moved.Address = "10.0.0.2:80"
+		waited := r.waitForStart(id, func() {
+			r.state.SetMembers(r.now, []runner.Worker{workerInfo(other(id)), moved})
+			w, o, ok := r.state.Renewal(r.now, id, true)
+			if ok && w.Address == moved.Address {
+				r.state.Report(r.now, id, o, runner.Answer{Status: runner.Reborn}, runner.Report{})
+			}
+		})
+		if waited < 6*time.Second {
+			t.Errorf("inherited %v: started elsewhere after %v, want after the lease", inherited, waited)
+		}
+		r.state.SetMembers(r.now, []runner.Worker{moved})
+		r.pass(testTick)
+		r.state.SetMembers(r.now, []runner.Worker{moved})
+		if w, _, ok := r.state.Renewal(r.now, id, true); !ok || w.Address != moved.Address {
+			t.Errorf("inherited %v: at %q once its leases are over, want the address of its entry", inherited, w.Address)
+		}
+	}
+}
