control: a stop sees an owner that is only just taking over

Cause, found by reading: a host that got SIGTERM between its take-over and the store's answer knew of no owner to resign; it went on to lead until its process ended, and the others learned of that by its silence. And the stop of a host whose new owner couldn't read its state waited for a loop that never ran, up to SIGKILL. Ruled out: a take-over after the stop, which was checked already.

Change: a new owner looks for the stop once it is known to others, and an owner that couldn't read its state counts as stopped.

--- a/control/follow.go
+++ b/control/follow.go
@@ -181,10 +181,7 @@
 // take tries to become the owner, and leads until that is over. It reports
 // whether anything changed.
 func (n *Node) take(ctx context.Context, seen election.Record, version uint64) bool {
-	n.mu.Lock()
-	resigned := n.resigned
-	n.mu.Unlock()
-	if resigned {
+	if n.stopping() {
 		return false
 	}
 	self := election.Record{Host: n.opts.Host, Address: n.opts.Address, Incarnation: n.opts.Incarnation, Cores: n.opts.Cores}
@@ -213,9 +210,13 @@
 	defer opts.Metrics.lead(false)
 	// Requests that come while the state is read wait for the loop.
 	n.setLeader(c.Record(), o)
+	if n.stopping() {
+		go o.resign(ctx) // the stop began before this owner was known
+	}
 	if err := o.load(); err != nil {
 		event.LoadFailed.Log(n.opts.Log, slog.Any("epoch", o.epoch), slog.Any("err", err))
 		o.quit(err)
+		close(o.stopped) // a stop of this host waits for it
 		n.setLeader(election.Record{}, nil)
 		return
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -208,6 +208,13 @@
 	}
 }
 
+// stopping reports whether the host is to own the domain no more.
+func (n *Node) stopping() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.resigned
+}
+
 // Owns reports whether this host owns the domain.
 func (n *Node) Owns() bool {
 	o, _, _ := n.current()
--- a/control/resign_test.go
+++ b/control/resign_test.go
@@ -104,18 +104,10 @@
 // is ended with the test.
 func newTestOwner(t *testing.T, table infra.Table) *Owner {
 	t.Helper()
-	seen, version, err := election.Read(t.Context(), table)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := election.Take(t.Context(), table, election.Record{Host: "a", Incarnation: "a"}, seen, version)
-	if err != nil {
-		t.Fatal(err)
-	}
 	o := newOwner(context.Background(), Options{
 		Host: "a", Table: table, Members: noMembers{}, Log: slog.New(slog.DiscardHandler),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Retention: time.Minute, MaxLease: 10 * time.Second,
-	}, c, Config{Version: 1, Queues: []workload.Queue{{Name: "q", Pool: "pool"}}})
+	}, takeDomain(t, table), Config{Version: 1, Queues: []workload.Queue{{Name: "q", Pool: "pool"}}})
 	t.Cleanup(func() {
 		o.quit(context.Canceled)
 		select {
