control: a refusal doesn't count once an owner may have the request

Ruled out: frames withdrawn before they were sent, and refusals of hosts that never reached an owner.

Change: what a caller is told is decided in verdict.go, where a refusal after an open try is no outcome; the owner's loop passes over requests whose time is over.

--- a/control/forward.go
+++ b/control/forward.go
@@ -58,25 +58,23 @@
 // open is given again, also to the next owner. A request is refused only if
 // no owner can have seen it.
 func (n *Node) route(ctx context.Context, id string, m peer.Method, request any, local func(*Owner) reply) (out Outcome) {
-	sent := false
+	var v verdict
 	begun := time.Now()
 	defer func() { n.opts.Metrics.request(string(m), out.Result, time.Since(begun)) }()
 	for {
 		owner, leader, changed := n.current()
-		r := reply{Result: ResultNotOwner}
+		r, maybe := reply{Result: ResultNotOwner}, false
 		switch {
 		case owner != nil:
 			r = local(owner)
-			sent = sent || r.Result == ResultUnknown
+			maybe = r.Result == ResultUnknown
 		case leader.Host != "":
-			var maybe bool
 			r, maybe = n.forward(ctx, leader.Host, m, request)
-			sent = sent || maybe
 		}
-		if r.Result != ResultUnknown && r.Result != ResultNotOwner {
+		if v.take(r, maybe) {
 			return Outcome{r.Result, r.State, r.Count, time.Duration(r.RetryAfterMS) * time.Millisecond}
 		}
-		if waited := max(time.Since(begun), n.ownerlessFor()); !sent && waited > ownerWait {
+		if waited := max(time.Since(begun), n.ownerlessFor()); !v.open && waited > ownerWait {
 			event.NoOwner.Log(n.opts.Log, slog.Any("id", id), slog.Any("method", m), slog.Any("waited_ms", time.Since(begun).Milliseconds()))
 			return Outcome{Result: ResultRefused, RetryAfter: retryAfterTakeover}
 		}
@@ -88,8 +86,8 @@
 		}
 		t.Stop()
 		if ctx.Err() != nil {
-			event.OutcomeOpen.Log(n.opts.Log, slog.Any("id", id), slog.Any("method", m), slog.Any("sent", sent), slog.Any("waited_ms", time.Since(begun).Milliseconds()))
-			if sent {
+			event.OutcomeOpen.Log(n.opts.Log, slog.Any("id", id), slog.Any("method", m), slog.Any("sent", v.open), slog.Any("waited_ms", time.Since(begun).Milliseconds()))
+			if v.open {
 				return Outcome{Result: ResultUnknown}
 			}
 			return Outcome{Result: ResultRefused, RetryAfter: retryAfterTakeover}
--- a/control/requests.go
+++ b/control/requests.go
@@ -14,7 +14,7 @@
 func (o *Owner) ask(ctx context.Context, f func(answer chan reply)) reply {
 	answer := make(chan reply, 1)
 	posted := func() {
-		if o.closed {
+		if o.closed || ctx.Err() != nil { // nobody waits for the answer any more
 			answer <- reply{Result: ResultNotOwner}
 			return
 		}
