control: an owner whose commits fail doesn't say that there is no such job

Cause, found by reading: an owner that was paused or cut off from the store and has been replaced answers from its state until it learns of that, and said "no such job" of jobs that the next owner had accepted. Ruled out: the same for a job's state, which is at worst old.

Before: TestUnknownJob/was_paused fails with "not found"; after: it passes.

--- a/control/requests.go
+++ b/control/requests.go
@@ -83,7 +83,7 @@
 func (o *Owner) cancel(ctx context.Context, id string) reply {
 	return o.ask(ctx, func(answer chan reply) {
 		if !o.state.Cancel(time.Now(), id) {
-			answer <- reply{Result: ResultNotFound}
+			answer <- o.unknownJob(id)
 			return
 		}
 		event.JobCancelled.Log(o.opts.Log, slog.Any("job", id))
@@ -100,13 +100,24 @@
 	return o.ask(ctx, func(answer chan reply) {
 		state, ok := o.state.JobState(id)
 		if !ok {
-			answer <- reply{Result: ResultNotFound}
+			answer <- o.unknownJob(id)
 			return
 		}
 		answer <- reply{Result: ResultDone, State: state}
 	})
 }
 
+// unknownJob answers for a job that this owner doesn't know. One whose commits
+// fail may have been replaced, and the next owner may have accepted the job: an
+// owner that had been paused said of such a job that there was none.
+func (o *Owner) unknownJob(id string) reply {
+	if age := o.commitAge(); age > commitStale {
+		event.OwnerUnsure.Log(o.opts.Log, slog.String("job", id), slog.Int64("commit_age_ms", age.Milliseconds()))
+		return reply{Result: ResultRefused, RetryAfterMS: leastRetry.Milliseconds()}
+	}
+	return reply{Result: ResultNotFound}
+}
+
 // pending answers how many of a queue's jobs haven't begun.
 func (o *Owner) pending(ctx context.Context, queue string) reply {
 	return o.ask(ctx, func(answer chan reply) {
--- a/event/control.go
+++ b/event/control.go
@@ -28,6 +28,7 @@
 	PaceAnswered    = routine(925, slog.LevelInfo, "change of pace answered")
 	RunEnded        = routine(926, slog.LevelInfo, "run ended")
 	NoOwner         = routine(927, slog.LevelWarn, "request refused, the domain has no owner")
+	OwnerUnsure     = routine(930, slog.LevelInfo, "request refused, the job isn't known and the owner's commits fail")
 	StoreAway       = routine(929, slog.LevelInfo, "job refused, the store is away")
 	OutcomeOpen     = routine(928, slog.LevelWarn, "request given up with its outcome open")
 )
