election: an owner on a weak host hands the domain over

Cause, from the logs: a weak host that takes the domain while the strong ones are away is the measure for the next take-over, so that nobody adds a wait against it, and nothing brings the domain back.

Now hosts tell their processors when they ask after the owner, 0 if they stop. The owner's row names the strongest host that the owner knows of, and an owner resigns when a host of twice its processors has been there for 2 s and it has owned for 2 s and commits; if that host doesn't take the domain, the next weak owner stays 30 s.

TestWeakOwnerHandsOver failed before.

--- a/control/commit.go
+++ b/control/commit.go
@@ -46,6 +46,8 @@
 // applied any more has been deposed.
 func (o *Owner) commit(b *dispatch.Batch) {
 	begun := boottime()
+	best, _ := o.rivals.Best(begun)
+	o.committer.Measure(max(best, o.opts.Cores))
 	err := o.committer.Commit(o.ctx, b.Writes)
 	o.opts.Metrics.commit(err, boottime()-begun)
 	if err != nil {
--- /dev/null
+++ b/control/handover.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/election"
+	"github.com/fireflygate/fireflygate/event"
+)
+
+// handOverTimeout bounds the last commits of an owner that hands the domain
+// over; two of them take some 20 ms, and a second where the table service
+// answers 50 times slower.
+const handOverTimeout = 3 * time.Second
+
+// offer returns the processors that this host has for the domain, 0 if it
+// doesn't take it any more.
+func (n *Node) offer() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.resigned {
+		return 0
+	}
+	return n.opts.Cores
+}
+
+// handOver gives the domain up if a clearly stronger host is there for it, and
+// reports whether that has begun: nothing is planned any more then.
+func (o *Owner) handOver() bool {
+	if o.handedOver || o.resigning {
+		return o.handedOver
+	}
+	if o.committing {
+		return false
+	}
+	now := boottime()
+	s := election.Standing{Cores: o.opts.Cores, Owned: now - o.begun, CommitAge: o.commitAge(), Missed: o.missed}
+	s.Best, s.BestFor = o.rivals.Best(now)
+	if !s.HandsOver() {
+		return false
+	}
+	event.HandOverBegun.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Float64("cores", s.Cores), slog.Float64("best", s.Best))
+	o.handedOver = true
+	o.committer.HandOver()
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, handOverTimeout)
+		defer cancel()
+		o.resign(ctx)
+	}()
+	return true
+}
--- a/control/messages.go
+++ b/control/messages.go
@@ -21,6 +21,8 @@
 	Address string `msgpack:"a"`
 	// Hosts is how many hosts it knows.
 	Hosts int `msgpack:"h"`
+	// Cores are its processors, 0 if it doesn't take the domain: it stops.
+	Cores float64 `msgpack:"c"`
 }
 
 // pingReply is the owner's answer.
--- a/control/node.go
+++ b/control/node.go
@@ -42,6 +42,8 @@
 	newest uint64
 	// hint is the newest owner that peers told of.
 	hint election.Record
+	// rivals are the hosts that ask after this one as the owner.
+	rivals election.Rivals
 }
 
 // NewNode returns a node; its peer server must be served, and Run called.
--- a/control/owner.go
+++ b/control/owner.go
@@ -41,9 +41,16 @@
 	asking, needsPermits bool
 	// resigning owners give no more orders.
 	resigning bool
-	stopped   chan struct{}
-	quit      context.CancelCauseFunc
-	epoch     uint64
+	// rivals are the hosts that ask after this owner, begun is since when, in
+	// boottime, it owns the domain.
+	rivals *election.Rivals
+	begun  time.Duration
+	// missed is set if the owner before handed the domain over for a stronger
+	// host than this, handedOver once this one does.
+	missed, handedOver bool
+	stopped            chan struct{}
+	quit               context.CancelCauseFunc
+	epoch              uint64
 }
 
 // eventBuffer bounds what waits for the loop; posting blocks beyond it.
@@ -55,7 +62,7 @@
 	o := &Owner{
 		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: c.Record().Epoch,
 		events: make(chan func(), eventBuffer), sessions: map[string]*session{},
-		waiters: map[string][]chan reply{}, stopped: make(chan struct{}),
+		waiters: map[string][]chan reply{}, stopped: make(chan struct{}), begun: boottime(), rivals: new(election.Rivals),
 	}
 	o.state = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: min(lease, opts.MaxLease), InheritedLease: min(lease, opts.MaxLease) + ownerValidity,
@@ -63,7 +70,7 @@
 	})
 	o.state.SetQueues(cfg.Queues)
 	o.notePermits(cfg)
-	o.provenAt.Store(int64(boottime()))
+	o.provenAt.Store(int64(o.begun))
 	o.provenVersion.Store(c.Version())
 	return o
 }
@@ -130,6 +137,9 @@
 
 // step makes durable what has changed, plans, and looks at workers.
 func (o *Owner) step() {
+	if o.handOver() {
+		return
+	}
 	now := time.Now()
 	o.stepped = now
 	o.flush(now)
--- a/control/rig_test.go
+++ b/control/rig_test.go
@@ -199,6 +199,8 @@
 	hosts []*host
 	lives int
 	log   *slog.Logger
+	// cores are the processors of the hosts started from now on.
+	cores float64
 }
 
 // testQueue is the queue of these tests.
@@ -234,7 +236,7 @@
 	}
 	h := &host{name: name, address: ln.Addr().String()}
 	h.node = control.NewNode(control.Options{
-		Host: name, Address: h.address, Incarnation: fmt.Sprintf("%s-%d", name, c.lives), Seeds: seeds,
+		Host: name, Address: h.address, Incarnation: fmt.Sprintf("%s-%d", name, c.lives), Seeds: seeds, Cores: c.cores,
 		Table: table, Workers: c.fleet, Members: c.fleet, Log: c.log,
 		Metrics:   control.NewMetrics(prometheus.NewRegistry()),
 		Retention: time.Minute, MaxLease: 10 * time.Second, TailBound: 4 * time.Second,
--- a/election/committer.go
+++ b/election/committer.go
@@ -54,6 +54,13 @@
 // Version returns the version of the owner's row as last written.
 func (c *Committer) Version() uint64 { return c.version }
 
+// Measure has the next commits say that the strongest host has so many
+// processors.
+func (c *Committer) Measure(cores float64) { c.record.Cores = cores }
+
+// HandOver has the next commits say that the owner stops for a stronger host.
+func (c *Committer) HandOver() { c.record.HandedOver = true }
+
 // Resign writes that the owner has stopped.
 func (c *Committer) Resign(ctx context.Context) error {
 	c.record.Resigned = true
--- /dev/null
+++ b/election/handover.go
@@ -0,0 +1,54 @@
+package election
+
+import "time"
+
+const (
+	// clearlyStronger is how many times the processors of an owner's host
+	// another must have for the domain to move: planning for 490 workers takes
+	// a host of 0.8 processors a tenth of its time and one of 0.19 all of it,
+	// while less than twice as many isn't worth a new owner's reading of the
+	// state.
+	clearlyStronger = 2
+	// stayFor is how long an owner stays before it hands the domain over, and
+	// readyFor how long the stronger host must have been there: as long as a
+	// restarted host needs to meet the others, so that the domain isn't moved
+	// about while hosts are stopped in turn.
+	stayFor  = 2 * time.Second
+	readyFor = 2 * time.Second
+	// retryAfter is how long an owner stays whose predecessor handed the domain
+	// over for a stronger host, which didn't take it: it may be cut off from the
+	// table service, and outages there last up to some ten seconds.
+	retryAfter = 30 * time.Second
+	// committedWithin is the greatest age of the last commit: a multiple of the
+	// heartbeat, so that nothing moves while the table service is away.
+	committedWithin = 750 * time.Millisecond
+)
+
+// Standing is how an owner's host compares with the other hosts.
+type Standing struct {
+	// Cores are the processors of the owner's host, 0 if it doesn't know.
+	Cores float64
+	// Best are those of the strongest other host that can take the domain, 0 if
+	// there is none, and BestFor how long it has been there.
+	Best    float64
+	BestFor time.Duration
+	// Owned is for how long the host has owned the domain.
+	Owned time.Duration
+	// CommitAge is the age of its last commit.
+	CommitAge time.Duration
+	// Missed is set if the owner before handed the domain over for a stronger
+	// host than this.
+	Missed bool
+}
+
+// HandsOver reports whether the owner should hand the domain over. A weak host
+// that took it while the strong ones were away kept it otherwise until it
+// died.
+func (s *Standing) HandsOver() bool {
+	stay := stayFor
+	if s.Missed {
+		stay = retryAfter
+	}
+	return s.Cores > 0 && s.Best >= clearlyStronger*s.Cores && s.BestFor >= readyFor &&
+		s.Owned >= stay && s.CommitAge <= committedWithin
+}
--- a/election/record.go
+++ b/election/record.go
@@ -19,9 +19,12 @@
 	Epoch uint64 `msgpack:"e"`
 	// Seq counts the owner's commits.
 	Seq uint64 `msgpack:"s"`
-	// Cores are the processors that the owner's host has for it; hosts with
-	// fewer leave the domain to others for a while.
+	// Cores are the processors of the strongest host that can own the domain,
+	// as far as the owner knows; hosts with fewer leave it to others for a
+	// while.
 	Cores float64 `msgpack:"c,omitempty"`
+	// HandedOver is set by an owner that stops for a stronger host.
+	HandedOver bool `msgpack:"o,omitempty"`
 	// Resigned is set by an owner that has stopped.
 	Resigned bool `msgpack:"r,omitempty"`
 }
--- a/event/control.go
+++ b/event/control.go
@@ -19,6 +19,7 @@
 	OwnershipTold   = define(913, slog.LevelInfo, "hosts were told of the new owner")
 	DomainState     = define(912, slog.LevelInfo, "state of the domain")
 	PermitsAnswered = routine(914, slog.LevelInfo, "policy service answered")
+	HandOverBegun   = define(916, slog.LevelInfo, "handing the domain over to a stronger host")
 	JobReceived     = routine(920, slog.LevelInfo, "job received")
 	JobDurable      = routine(921, slog.LevelInfo, "change of job is durable")
 	JobCancelled    = routine(922, slog.LevelInfo, "job cancelled")
