election: a new owner that hasn't heard of it yet isn't taken for gone

Now only a host that answers in another life counts as gone. One that is alive and says that it isn't the owner gets the patience of an owner that may live; a resigned row is taken at once as before. What an answer means is decided in election.

Ruled out: the reading of the state (the row is kept fresh meanwhile).

--- a/control/follow.go
+++ b/control/follow.go
@@ -45,21 +45,20 @@
 	defer t.Stop()
 	for {
 		r, res := n.ping(ctx, leader)
-		age := time.Duration(r.CommitAgeMS) * time.Millisecond
-		switch {
-		case res == outcome.NotRun:
+		switch res {
+		case outcome.NotRun:
 			d.why, d.gone = "unreachable", true
 			return d
-		case res == outcome.Unknown:
+		case outcome.Unknown:
 			d.why = "no answer"
 			return d
-		case !r.Owner || r.Incarnation != leader.Incarnation || r.Epoch != leader.Epoch:
-			d.why, d.gone = "no longer the owner", true
-			return d
 		}
-		d.version, d.since = r.Version, time.Now().Add(-age)
-		if age > commitStale {
-			d.why = "its commits fail"
+		a := r.answer()
+		d.why, d.gone = a.Doubt(&leader)
+		if a.Owns(&leader) {
+			d.version, d.since = r.Version, time.Now().Add(-a.CommitAge)
+		}
+		if d.why != "" {
 			return d
 		}
 		n.seen()
@@ -146,8 +145,9 @@
 // alive reports whether the owner answers and commits.
 func (n *Node) alive(ctx context.Context, leader election.Record) bool {
 	r, res := n.ping(ctx, leader)
-	return res == outcome.Answered && r.Owner && r.Epoch == leader.Epoch &&
-		time.Duration(r.CommitAgeMS)*time.Millisecond <= commitStale
+	a := r.answer()
+	why, _ := a.Doubt(&leader)
+	return res == outcome.Answered && why == ""
 }
 
 // readOwner reads the owner's row.
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -56,9 +56,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.owner != nil {
-		return leaderNews{Record: n.leader, Fresh: n.owner.commitAge() < commitStale}
+		return leaderNews{Record: n.leader, Fresh: n.owner.commitAge() < election.StaleAfter}
 	}
-	return leaderNews{Record: n.leader, Fresh: n.leaderSeen > 0 && boottime()-n.leaderSeen < commitStale}
+	return leaderNews{Record: n.leader, Fresh: n.leaderSeen > 0 && boottime()-n.leaderSeen < election.StaleAfter}
 }
 
 // learn takes in that a host owns the domain. An owner with a lower epoch has
--- a/control/keeprow.go
+++ b/control/keeprow.go
@@ -9,7 +9,7 @@
 )
 
 // refreshTick is how often an owner looks whether its row needs a refresh: a
-// fraction of what is left between that and commitStale.
+// fraction of what is left between that and election.StaleAfter.
 const refreshTick = 100 * time.Millisecond
 
 // keepRow refreshes the owner's row while the loop is at work for long: the
--- a/control/messages.go
+++ b/control/messages.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -40,6 +43,13 @@
 	Hosts []string `msgpack:"h,omitempty"`
 }
 
+// answer returns what it says of the ownership.
+func (r *pingReply) answer() election.Answer {
+	return election.Answer{
+		Incarnation: r.Incarnation, Owner: r.Owner, Epoch: r.Epoch, CommitAge: time.Duration(r.CommitAgeMS) * time.Millisecond,
+	}
+}
+
 // submitRequest hands a job in.
 type submitRequest struct {
 	Job   workload.Job   `msgpack:"j"`
--- a/control/options.go
+++ b/control/options.go
@@ -56,9 +56,6 @@
 	pingInterval = 300 * time.Millisecond
 	// pingTimeout bounds the wait for its answer.
 	pingTimeout = 500 * time.Millisecond
-	// commitStale is the age of the owner's last commit from which other
-	// hosts look at its row themselves.
-	commitStale = 750 * time.Millisecond
 	// unchangedFor is how long the row must stay as it is before somebody
 	// takes over: twice the heartbeat and a slow commit.
 	unchangedFor = 900 * time.Millisecond
--- a/election/handover.go
+++ b/election/handover.go
@@ -19,9 +19,6 @@
 	// over for a stronger host, which didn't take it: it may be cut off from the
 	// table service, and outages there last up to some ten seconds.
 	retryAfter = 30 * time.Second
-	// committedWithin is the greatest age of the last commit: a multiple of the
-	// heartbeat, so that nothing moves while the table service is away.
-	committedWithin = 750 * time.Millisecond
 )
 
 // Standing is how an owner's host compares with the other hosts.
@@ -43,12 +40,12 @@
 
 // HandsOver reports whether the owner should hand the domain over. A weak host
 // that took it while the strong ones were away kept it otherwise until it
-// died.
+// died. Nothing moves while the table service is away.
 func (s *Standing) HandsOver() bool {
 	stay := stayFor
 	if s.Missed {
 		stay = retryAfter
 	}
 	return s.Cores > 0 && s.Best >= clearlyStronger*s.Cores && s.BestFor >= readyFor &&
-		s.Owned >= stay && s.CommitAge <= committedWithin
+		s.Owned >= stay && s.CommitAge <= StaleAfter
 }
