--- a/control/follow.go
+++ b/control/follow.go
@@ -197,7 +197,8 @@
 		event.OwnershipMissed.Log(n.opts.Log, slog.Any("epoch", seen.Epoch+1), slog.Any("err", err))
 		return false
 	}
-	event.OwnershipTaken.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", seen.Host))
+	event.OwnershipTaken.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", seen.Host),
+		slog.Float64("cores", self.Cores), slog.Float64("best", seen.Cores))
 	n.lead(ctx, c, seen)
 	return true
 }
