--- a/election/handover.go
+++ b/election/handover.go
@@ -4,10 +4,9 @@
 
 const (
 	// clearlyStronger is how many times the processors of an owner's host
-	// another must have for the domain to move: planning for 490 workers takes
-	// a host of 0.8 processors a tenth of its time and one of 0.19 all of it,
-	// while less than twice as many isn't worth a new owner's reading of the
-	// state.
+	// another must have for the domain to move. An owner of 490 workers uses
+	// 0.45 of a processor, so one of 0.19 falls behind; hosts that differ by less
+	// than half aren't worth the half second that a hand-over took.
 	clearlyStronger = 2
 	// stayFor is how long an owner stays before it hands the domain over: about
 	// as long as a weak one needs to read the state and learn of the workers, so
@@ -16,7 +15,7 @@
 	// readyFor is how long the stronger host must have been there: three of its
 	// questions, so that one that starts and fails again doesn't get the domain.
 	// With one second instead of two, a weak owner of 490 workers gave the domain
-	// up one second sooner after an outage.
+	// up half a second to a second sooner after an outage.
 	readyFor = time.Second
 	// retryAfter is how long an owner stays whose predecessor handed the domain
 	// over for a stronger host, which didn't take it: it may be cut off from the
