--- a/control/commit.go
+++ b/control/commit.go
@@ -46,14 +46,15 @@
 // applied any more has been deposed.
 func (o *Owner) commit(b *dispatch.Batch) {
 	begun := boottime()
+	best, _ := o.rivals.Best(begun)
+	o.committer.Measure(max(best, o.opts.Cores))
 	err := o.committer.Commit(o.ctx, b.Writes)
 	o.opts.Metrics.commit(err, boottime()-begun)
 	if err != nil {
 		o.quit(errors.Wrap(err, "commit"))
 		return
 	}
-	o.provenVersion.Store(o.committer.Version())
-	o.provenAt.Store(int64(begun))
+	o.prove(begun)
 	o.post(func() {
 		o.committing = false
 		o.state.Flushed(b)
@@ -65,6 +66,12 @@
 	})
 }
 
+// prove notes that a commit that was begun then is applied.
+func (o *Owner) prove(begun time.Duration) {
+	o.provenVersion.Store(o.committer.Version())
+	o.provenAt.Store(int64(begun))
+}
+
 // settle answers those whose change is durable.
 func (o *Owner) settle() {
 	for id := range o.waiters {
--- a/control/follow.go
+++ b/control/follow.go
@@ -45,21 +45,20 @@
 	defer t.Stop()
 	for {
 		r, res := n.ping(ctx, leader)
-		age := time.Duration(r.CommitAgeMS) * time.Millisecond
-		switch {
-		case res == outcome.NotRun:
+		switch res {
+		case outcome.NotRun:
 			d.why, d.gone = "unreachable", true
 			return d
-		case res == outcome.Unknown:
+		case outcome.Unknown:
 			d.why = "no answer"
 			return d
-		case !r.Owner || r.Incarnation != leader.Incarnation || r.Epoch != leader.Epoch:
-			d.why, d.gone = "no longer the owner", true
-			return d
 		}
-		d.version, d.since = r.Version, time.Now().Add(-age)
-		if age > commitStale {
-			d.why = "its commits fail"
+		a := r.answer()
+		d.why, d.gone = a.Doubt(&leader)
+		if a.Owns(&leader) {
+			d.version, d.since = r.Version, time.Now().Add(-a.CommitAge)
+		}
+		if d.why != "" {
 			return d
 		}
 		n.seen()
@@ -76,7 +75,8 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var r pingReply
-	res := n.client.Call(ctx, leader.Host, methodPing, pingRequest{Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount()}, &r)
+	q := pingRequest{Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offer()}
+	res := n.client.Call(ctx, leader.Host, methodPing, q, &r)
 	n.meet(r.Hosts)
 	return r, res.Kind
 }
@@ -128,11 +128,12 @@
 			return true
 		}
 		d.version, d.since = version, time.Now()
-		if record.Host == "" || record.Resigned {
+		if record.Host == "" {
 			d.since = d.since.Add(-unchangedFor) // nobody to wait for
 		}
 	}
-	return time.Since(d.since) >= n.patience(d.gone)+election.Handicap(&record, n.opts.Cores)+slowness && n.take(ctx, record, version)
+	wait := election.Wait(&record, n.opts.Cores, n.patience(d.gone)+slowness)
+	return time.Since(d.since) >= wait && n.take(ctx, record, version)
 }
 
 // followOwner takes in another owner.
@@ -144,8 +145,9 @@
 // alive reports whether the owner answers and commits.
 func (n *Node) alive(ctx context.Context, leader election.Record) bool {
 	r, res := n.ping(ctx, leader)
-	return res == outcome.Answered && r.Owner && r.Epoch == leader.Epoch &&
-		time.Duration(r.CommitAgeMS)*time.Millisecond <= commitStale
+	a := r.answer()
+	why, _ := a.Doubt(&leader)
+	return res == outcome.Answered && why == ""
 }
 
 // readOwner reads the owner's row.
@@ -192,7 +194,8 @@
 		event.OwnershipMissed.Log(n.opts.Log, slog.Any("epoch", seen.Epoch+1), slog.Any("err", err))
 		return false
 	}
-	event.OwnershipTaken.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", seen.Host))
+	event.OwnershipTaken.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", seen.Host),
+		slog.Float64("cores", self.Cores), slog.Float64("best", seen.Cores))
 	n.lead(ctx, c, seen)
 	return true
 }
@@ -203,11 +206,14 @@
 	opts := n.opts
 	n.mu.Unlock()
 	o := newOwner(ctx, opts, c, *n.config.Load())
+	o.rivals = &n.rivals
+	o.missed = before.Resigned && before.HandedOver && before.Cores > opts.Cores
 	go n.announce(ctx, before, c.Record(), func() {
 		o.post(func() { o.state.PredecessorStopped(time.Now()) })
 	})
 	opts.Metrics.lead(true)
 	defer opts.Metrics.lead(false)
+	go o.keepRow()
 	// Requests that come while the state is read wait for the loop.
 	n.setLeader(c.Record(), o)
 	if n.stopping() {
--- a/control/owner.go
+++ b/control/owner.go
@@ -34,6 +34,8 @@
 	dirtySince time.Time
 	// provenAt is when, in boottime, the last applied commit was begun.
 	provenAt atomic.Int64
+	// turnedAt is when, in boottime, the loop last began a cycle.
+	turnedAt atomic.Int64
 	// provenVersion is the version of the owner's row after it.
 	provenVersion atomic.Uint64
 	// asking is set while a question to the policy service is under way,
@@ -43,9 +45,16 @@
 	resigning, closed bool
 	// afterCommit, if set, runs on the loop once the commit under way is durable.
 	afterCommit func()
-	stopped     chan struct{}
-	quit        context.CancelCauseFunc
-	epoch       uint64
+	// rivals are the hosts that ask after this owner, begun is since when, in
+	// boottime, it owns the domain.
+	rivals *election.Rivals
+	begun  time.Duration
+	// missed is set if the owner before handed the domain over for a stronger
+	// host than this, handedOver once this one does.
+	missed, handedOver bool
+	stopped            chan struct{}
+	quit               context.CancelCauseFunc
+	epoch              uint64
 }
 
 // eventBuffer bounds what waits for the loop; posting blocks beyond it.
@@ -57,7 +66,7 @@
 	o := &Owner{
 		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: c.Record().Epoch,
 		events: make(chan func(), eventBuffer), sessions: map[string]*session{},
-		waiters: map[string][]chan reply{}, stopped: make(chan struct{}),
+		waiters: map[string][]chan reply{}, stopped: make(chan struct{}), begun: boottime(), rivals: new(election.Rivals),
 	}
 	o.state = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: min(lease, opts.MaxLease), InheritedLease: min(lease, opts.MaxLease) + ownerValidity,
@@ -65,7 +74,8 @@
 	})
 	o.state.SetQueues(cfg.Queues)
 	o.notePermits(cfg)
-	o.provenAt.Store(int64(boottime()))
+	o.provenAt.Store(int64(o.begun))
+	o.turnedAt.Store(int64(o.begun))
 	o.provenVersion.Store(c.Version())
 	return o
 }
@@ -133,7 +143,12 @@
 // step makes durable what has changed, plans, and looks at workers.
 func (o *Owner) step() {
 	now := time.Now()
+	if o.handOver() {
+		o.look(now) // what runs keeps its leases, also where the store is slow
+		return
+	}
 	o.stepped = now
+	o.turnedAt.Store(int64(boottime()))
 	o.flush(now)
 	if o.proven() && !o.resigning {
 		o.order(o.state.Plan(now))
--- a/control/requests.go
+++ b/control/requests.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -111,7 +112,7 @@
 // fail may have been replaced, and the next owner may have accepted the job: an
 // owner that had been paused said of such a job that there was none.
 func (o *Owner) unknownJob(id string) reply {
-	if age := o.commitAge(); age > commitStale {
+	if age := o.commitAge(); age > election.StaleAfter {
 		event.OwnerUnsure.Log(o.opts.Log, slog.String("job", id), slog.Int64("commit_age_ms", age.Milliseconds()))
 		return reply{Result: ResultRefused, RetryAfterMS: leastRetry.Milliseconds()}
 	}
--- a/control/unknownjob_test.go
+++ b/control/unknownjob_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 )
 
@@ -25,7 +26,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				o := newTestOwner(t, memtable.New())
 				if c.paused {
-					o.provenAt.Add(-2 * int64(commitStale))
+					o.provenAt.Add(-2 * int64(election.StaleAfter))
 				}
 				for name, ask := range map[string]func(context.Context, string) reply{"state": o.jobState, "cancel": o.cancel} {
 					answered := make(chan reply, 1)
