gateway: the estimated wait counts what peers serve

Cause: a request that no slot is free for was admitted by the rate of this host's slots alone, while it may leave the queue to a peer as well. With one endpoint that hangs (5.7 requests a second, 704 ms each) a host refused all that it could not forward at that instant, with an empty queue and a second left, as deadline_unreachable. Ruled out: one stall of the processes: pauses of 50 to 70 ms, and the refusals go on between them. An estimate poisoned for long: it follows the samples, and samples of a second are what that endpoint does. Change: the rate and mean work that peers showed for this host's requests, as a mean that fades in a second, count beside the host's own. Under overload of all hosts it falls with what peers take, so requests are still refused on arrival. Without slots of its own a host goes on without an estimate. Not shown: fewer refusals in the integration test beside load.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -86,6 +86,7 @@
 		return place{peer: p}, outcome.Refusal{}
 	}
 	perSecond, each := g.pool.Rate(now, req.Service, view)
+	perSecond, each = q.Turnover(now, perSecond, each)
 	a := q.Admit(now, perSecond, each, req.Deadline.Sub(now))
 	if !a.Wait {
 		g.mu.Unlock()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -53,6 +53,7 @@
 		defer cancel()
 	}
 	var reply callReply
+	begin := time.Now()
 	res := g.opt.Peers.Call(ctx, host, MethodCall, callRequest{
 		ID:      req.id,
 		Service: req.Service,
@@ -63,7 +64,7 @@
 		Key:     req.Key,
 		LeftMS:  time.Until(req.Deadline).Milliseconds(),
 	}, &reply)
-	refusal := g.forwardRefusal(host, req.Service, res, reply)
+	refusal := g.forwardRefusal(host, req.Service, begin, res, reply)
 	g.metrics.forwards.WithLabelValues(refusal.Kind.String()).Inc()
 	if refusal.Kind != outcome.Answered {
 		return nil, refusal
@@ -72,14 +73,18 @@
 }
 
 // forwardRefusal reads a peer's result, and learns from it.
-func (g *Gateway) forwardRefusal(host, service string, res peer.Result, reply callReply) outcome.Refusal {
+func (g *Gateway) forwardRefusal(host, service string, begin time.Time, res peer.Result, reply callReply) outcome.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch res.Kind {
 	case outcome.Answered:
+		now, q := time.Now(), g.queue(service)
+		if reply.Kind != outcome.NotRun {
+			q.Served(now, now.Sub(begin))
+		}
 		g.peers.Correct(host, service, reply.Free)
 		// Else those that wait for it would stand until the next digest.
-		g.forwardQueue(time.Now(), service, g.queue(service))
+		g.forwardQueue(now, service, q)
 		return reply.refusal()
 	case outcome.NotRun:
 		g.peers.Drop(host)
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflygate/fireflygate/internal/peernet"
 	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/routing"
 )
 
@@ -33,6 +34,23 @@
 	return callReply{Kind: outcome.Answered, Status: http.StatusOK, Free: int(p.slots.Load() - p.running.Load() + 1)}, nil
 }
 
+// tell sends digests until the context ends.
+func (p *peerSlots) tell(ctx context.Context, to *host) {
+	tick := time.NewTicker(digestInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			to.hears(int(p.slots.Load() - p.running.Load()))
+			to.mu.Lock()
+			to.serveQueues()
+			to.mu.Unlock()
+		}
+	}
+}
+
 // besidePeer returns host a, without slots of its own, beside peer b.
 func besidePeer(t *testing.T, p *peerSlots) *host {
 	t.Helper()
@@ -83,3 +101,45 @@
 		}
 	})
 }
+
+// stalled fills the host's own slots with requests that hang, and has its
+// estimate learn from those that hung before.
+func (h *host) stalled(t *testing.T, slots int) {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for range slots {
+		s := h.pool.Acquire(time.Now(), svc, h.shares.View(), h.rng)
+		if s == nil {
+			t.Fatal("no slot to fill")
+		}
+		h.pool.Written(s)
+		h.pool.Observe(time.Now(), s, routing.Result{Latency: time.Second, Sent: true, Failed: true})
+	}
+}
+
+// TestPeersAnswerForAStalledHost has a host whose only endpoint hangs, beside
+// a peer that serves all it is sent: a burst waits for the peer's slots.
+func TestPeersAnswerForAStalledHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &peerSlots{work: 20 * time.Millisecond}
+		p.slots.Store(4)
+		a := besidePeer(t, p)
+		a.shares.set(ownership.Full, "e1")
+		a.stalled(t, 4)
+		for range 100 {
+			if n := a.callAll(t, 1, time.Second); n != 1 {
+				t.Fatal("one at a time was refused")
+			}
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		var telling sync.WaitGroup
+		defer telling.Wait()
+		defer stop()
+		telling.Go(func() { p.tell(ctx, a) })
+		const burst = 12
+		if n := a.callAll(t, burst, time.Second); n != burst {
+			t.Errorf("%d of %d answered", n, burst)
+		}
+	})
+}
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -12,6 +12,8 @@
 	// longSince is since when the queue is long with short breaks only, and
 	// longLast when it was last long.
 	longSince, longLast time.Time
+	// peers is what is served elsewhere.
+	peers relay
 }
 
 // NewQueue returns a queue that holds up to limit tickets.
@@ -22,6 +24,24 @@
 // SetLimit changes how many tickets may wait. Those that wait already stay.
 func (q *Queue) SetLimit(limit int) { q.limit = limit }
 
+// Served takes in that a peer served a request of the queue's service, and how
+// long that took.
+func (q *Queue) Served(now time.Time, took time.Duration) { q.peers.served(now, took) }
+
+// Turnover returns how many requests leave the queue per second and how long
+// one takes, where this host's slots serve perSecond that take each: peers
+// serve some too. Without them a host whose few endpoints hang would refuse
+// what its peers could answer. A host without slots has no rate of its own.
+func (q *Queue) Turnover(now time.Time, perSecond float64, each time.Duration) (float64, time.Duration) {
+	elsewhere := q.peers.rate(now)
+	if perSecond <= 0 || elsewhere <= 0 {
+		return perSecond, each
+	}
+	both := perSecond + elsewhere
+	mean := (perSecond*each.Seconds() + elsewhere*q.peers.each) / both
+	return both, time.Duration(mean * float64(time.Second))
+}
+
 // Len returns how many tickets wait.
 func (q *Queue) Len() int { return q.tickets.Len() }
 
