--- a/integration/mutations_batch.go
+++ b/integration/mutations_batch.go
@@ -23,7 +23,7 @@
 	{
 		Name: "submission-under-its-key",
 		File: "batch/shard_submit.go",
-		Old:  "c.conditions = append(c.conditions, platform.Condition{Key: key})", New: "",
+		Old:  "c.conditions = append(c.conditions, infra.Condition{Key: key})", New: "",
 		Test: "^TestOwnerKilledAtStarts$", Breach: "is job",
 	},
 	{
@@ -41,7 +41,7 @@
 	{
 		Name: "leaving-worker",
 		File: "batch/shard_workers.go",
-		Old:  "case w.member.State == platform.Leaving:\n\t\treturn \"leaving\"", New: "case false:\n\t\treturn \"leaving\"",
+		Old:  "case w.member.State == infra.Leaving:\n\t\treturn \"leaving\"", New: "case false:\n\t\treturn \"leaving\"",
 		Test: "^TestWorkerLeaves$", Breach: "runs began at a worker that leaves",
 	},
 	{
@@ -59,7 +59,7 @@
 	{
 		Name: "compare-and-swap-of-the-head",
 		File: "configstore/store.go",
-		Old:  "Conditions: []platform.Condition{{Key: headKey, Version: rowVersion}},", New: "Conditions: nil,",
+		Old:  "Conditions: []infra.Condition{{Key: headKey, Version: rowVersion}},", New: "Conditions: nil,",
 		Test: "^TestConfigIsLinearizable$", Breach: "no order of the changes fits",
 	},
 	{
--- a/integration/mutations_interactive.go
+++ b/integration/mutations_interactive.go
@@ -17,20 +17,20 @@
 	{
 		Name: "claim-condition",
 		File: "booking/claim.go",
-		Old:  "b.opt.Committer.Commit(ctx, []platform.Condition{{Key: key}}, ",
+		Old:  "b.opt.Committer.Commit(ctx, []infra.Condition{{Key: key}}, ",
 		New:  "b.opt.Committer.Commit(ctx, nil, ",
 		Test: "^TestWholePath$", Breach: "a booking runs at most once",
 	},
 	{
 		Name: "drain-order",
 		File: "gate/drain.go",
-		Old:  "wait(ctx, g.local.Host.DrainDelay.D())", New: "shutDown(ctx, s.callers)",
+		Old:  "pause.For(ctx, g.local.Host.DrainDelay.D())", New: "shutDown(ctx, s.callers)\n\tpause.For(ctx, 0)",
 		Test: "^TestRollingDrain$", Breach: "requests were lost",
 	},
 	{
 		Name: "drain-in-flight",
 		File: "gate/drain.go",
-		Old:  "wait(ctx, g.local.Host.DrainDelay.D())", New: "wait(ctx, g.local.Host.DrainDelay.D())\n\t_ = s.callers.Close()",
+		Old:  "pause.For(ctx, g.local.Host.DrainDelay.D())", New: "pause.For(ctx, g.local.Host.DrainDelay.D())\n\t_ = s.callers.Close()",
 		Test: "^TestRollingDrain$", Breach: "a planned stop cuts off no request",
 	},
 	{
@@ -49,7 +49,7 @@
 	{
 		Name: "leaving",
 		File: "gate/membership.go",
-		Old:  "Leaving: m.State == platform.Leaving,", New: "Leaving: false,",
+		Old:  "Leaving: m.State == infra.Leaving,", New: "Leaving: false,",
 		Test: "^TestEndpointFaults$/^Leaving$", Breach: "a leaving endpoint gets no new work",
 	},
 	{
