integration: TestEndpointFaults asks for what holds on any machine

It sent 300 requests a second, due in a second, whatever the machine could do; beside load the hosts' own work made an exchange three times as long as the endpoint's part (65 to 90 ms of 24), their slots were in use for it, and admission refused what it rightly could not answer in time. Of 646 pauses above 40 ms that the processes logged 87 were above 100 ms, 14 above 250 ms, the longest 1.0 s; refusals went on for seconds, also between pauses. Change: callers have 12 requests open at most, beside 20 healthy slots, and 10 s. Then some slot is always idle, and no refusal by load is right: one in the whole run fails the test (before, 0 to 10 of 100 were let pass). The shares asked for stay as they were, over the same number of requests, which also must end within the test's patience: mean 0.45 s. What is given up is the second as deadline; that a host with a stalled endpoint doesn't refuse what has a second left is now TestPeersAnswerForAStalledHost and TestPeersCountForTheWait, without processes.

--- a/integration/endpoint_test.go
+++ b/integration/endpoint_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/gateway"
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/load"
 	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/routing"
 	"github.com/fireflygate/fireflygate/standin"
 )
 
@@ -24,13 +26,21 @@
 	returns bool
 }
 
-// timeout is the deadline of the requests. Where every one must be answered it
-// is long, so that a machine which stands still for a second decides nothing.
-func (f endpointFault) timeout() time.Duration {
-	if f.least == 1 {
-		return 10 * time.Second
+// carefulCallers is traffic that the site can serve however slow the machine
+// is: 12 requests at once, where 20 slots remain beside the one endpoint, with
+// time enough that a process which stands still for a second decides nothing.
+// Some slots are always idle, so no entry host has a reason to refuse.
+var carefulCallers = TrafficOptions{Rate: 300, Bookings: 0.2, Repeat: 0.3, InFlight: 12, Timeout: 10 * time.Second}
+
+// refusedForLoad matches requests that an entry host would not let wait, or
+// gave up before it had sent them.
+func refusedForLoad(x load.Exchange) bool {
+	switch x.Reason {
+	case routing.ReasonQueueFull, routing.ReasonDeadlineUnreachable, routing.ReasonOverloaded, gateway.ReasonDeadline:
+		return x.Outcome == outcome.NotRun
+	default:
+		return false
 	}
-	return time.Second
 }
 
 // faultOf is a fault that the endpoint itself shows.
@@ -92,7 +102,7 @@
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
 			s := New(t, Options{StandIns: func(c *standin.Config) { c.Services[0].Work.Sigma = 0.2 }})
-			tr := s.Callers(TrafficOptions{Rate: 300, Bookings: 0.2, Repeat: 0.3, Timeout: f.timeout()})
+			tr := s.Callers(carefulCallers)
 			tr.Await("requests before", 300, Any)
 			const victim = "dispatch-2"
 			f.begin(s, victim)
@@ -112,6 +122,9 @@
 			}
 			tr.Await("requests after", 100, Answered)
 			tr.Stop()
+			if refused := TallyOf(tr.Ended(), refusedForLoad); refused.NotRun > 0 {
+				t.Errorf("refused beside idle endpoints: %v", refused.Reasons)
+			}
 			s.Check()
 		})
 	}
--- a/integration/mutations_interactive.go
+++ b/integration/mutations_interactive.go
@@ -52,6 +52,12 @@
 		Old:  "Leaving: m.State == infra.Leaving,", New: "Leaving: false,",
 		Test: "^TestEndpointFaults$/^Leaving$", Breach: "a leaving endpoint gets no new work",
 	},
+	{
+		Name: "ejection",
+		File: "routing/health.go",
+		Old:  "if b.failures >= p.cfg.EjectAfter {", New: "if b.failures < 0 {",
+		Test: "^TestEndpointFaults$/^FailsAll$", Breach: "share answered",
+	},
 	{
 		Name: "whole-answers",
 		File: "gateway/answer.go",
--- a/integration/traffic.go
+++ b/integration/traffic.go
@@ -20,6 +20,10 @@
 	Bookings, Repeat float64
 	// Timeout is the deadline of a request; 1 s if 0.
 	Timeout time.Duration
+	// InFlight bounds the requests that wait for their answer at once, 2048 if
+	// 0. One that would exceed it is not sent, so that callers slow down with
+	// the machine in place of overloading it.
+	InFlight int
 	// AllHosts sends to every host, ready or not; otherwise to those that
 	// the balancer found ready.
 	AllHosts bool
@@ -64,7 +68,7 @@
 	const (
 		usualRate    = 200
 		usualTimeout = time.Second
-		inFlight     = 2048
+		usualFlight  = 2048
 	)
 	if o.Rate == 0 {
 		o.Rate = usualRate
@@ -72,6 +76,9 @@
 	if o.Timeout == 0 {
 		o.Timeout = usualTimeout
 	}
+	if o.InFlight == 0 {
+		o.InFlight = usualFlight
+	}
 	names := map[string]string{}
 	for _, h := range s.Hosts {
 		names[h.Callers] = h.Name
@@ -80,7 +87,7 @@
 		Service: Service, Path: "/plan",
 		Rate:     func(time.Duration) float64 { return o.Rate },
 		Duration: time.Hour,
-		Bookings: o.Bookings, Repeat: o.Repeat, Timeout: o.Timeout, MaxInFlight: inFlight,
+		Bookings: o.Bookings, Repeat: o.Repeat, Timeout: o.Timeout, MaxInFlight: o.InFlight,
 		Prepare: func(r *http.Request, x load.Exchange) {
 			s.Recorder.Add(witness.Sent(r, x, names[x.Target]))
 		},
