--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -53,6 +53,7 @@
 		defer cancel()
 	}
 	var reply callReply
+	begin := time.Now()
 	res := g.opt.Peers.Call(ctx, host, MethodCall, callRequest{
 		ID:      req.id,
 		Service: req.Service,
@@ -63,7 +64,7 @@
 		Key:     req.Key,
 		LeftMS:  time.Until(req.Deadline).Milliseconds(),
 	}, &reply)
-	refusal := g.forwardRefusal(host, req.Service, res, reply)
+	refusal := g.forwardRefusal(host, req.Service, begin, res, reply)
 	g.metrics.forwards.WithLabelValues(refusal.Kind.String()).Inc()
 	if refusal.Kind != outcome.Answered {
 		return nil, refusal
@@ -72,12 +73,18 @@
 }
 
 // forwardRefusal reads a peer's result, and learns from it.
-func (g *Gateway) forwardRefusal(host, service string, res peer.Result, reply callReply) outcome.Refusal {
+func (g *Gateway) forwardRefusal(host, service string, begin time.Time, res peer.Result, reply callReply) outcome.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch res.Kind {
 	case outcome.Answered:
+		now, q := time.Now(), g.queue(service)
+		if reply.Kind != outcome.NotRun {
+			q.Served(now, now.Sub(begin))
+		}
 		g.peers.Correct(host, service, reply.Free)
+		// Else those that wait for it would stand until the next digest.
+		g.forwardQueue(now, service, q)
 		return reply.refusal()
 	case outcome.NotRun:
 		g.peers.Drop(host)
@@ -94,7 +101,7 @@
 }
 
 // handleCall runs a request that a peer forwarded.
-func (g *Gateway) handleCall(ctx context.Context, _ string, decode func(any) error) (any, error) {
+func (g *Gateway) handleCall(ctx context.Context, from string, decode func(any) error) (any, error) {
 	var in callRequest
 	if err := decode(&in); err != nil {
 		return nil, err
@@ -114,6 +121,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	reply.Free = g.pool.FreeOf(time.Now(), req.Service, g.opt.Shares.View())
+	g.digests.told(from, req.Service, reply.Free)
 	return reply, nil
 }
 
