dispatch: a run stopped before its start was answered no longer holds room

Cause: a stop of a run whose start isn't answered yet set it to stopping; the answer of the start, refused or none, was then ignored as that of a run past it. No end comes of a run that never was, so its reservation stayed for good. Speculative copies meet this often: the first run ends while the copy's start is under way. Change: whether the worker is known to have carried the start out is kept apart from the stop; a refused start is released, one without an answer is asked for under a higher token as any other.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -15,12 +15,14 @@
 	}
 	w.tick(now, a.ClockMS)
 	r := w.runs[o.Start.Task]
-	if r == nil || r.number != o.Start.Run || r.phase != ordered {
+	if r == nil || r.number != o.Start.Run || r.confirmed || r.phase == uncertain {
 		return false // a report was faster
 	}
+	// The run may have been ordered to stop meanwhile. Where its start came to
+	// nothing there is no end to wait for, and the reservation would stay.
 	switch a.Status {
 	case runner.Done:
-		r.phase = running
+		r.confirm()
 		s.begin(r.task.step.job)
 		s.Stats.Starts++
 	case runner.Unknown:
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -187,9 +187,7 @@
 		if r == nil {
 			continue
 		}
-		if r.phase == ordered || r.phase == uncertain {
-			r.phase = running
-		}
+		r.confirm()
 		r.percent, r.usage = a.Percent, a.Usage
 		if a.Saved != "" {
 			r.saved = a.Saved
@@ -228,7 +226,7 @@
 	s.begin(j)
 	r := &run{
 		task: t, number: a.Run, token: w.token, worker: w, phase: running,
-		since: now, reserved: t.step.spec.Reserved(), pace: fullPace,
+		confirmed: true, since: now, reserved: t.step.spec.Reserved(), pace: fullPace,
 		paceOpen: t.step.spec.Filler, // an earlier owner may have slowed it
 	}
 	w.runs[a.Task] = r
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -28,6 +28,9 @@
 	token  uint64
 	worker *worker
 	phase  phase
+	// confirmed is set once the start is known to have been carried out. Until
+	// then a run that is being stopped may never have been, and has no end.
+	confirmed bool
 	// since is when the start was given, or first seen by this owner.
 	since    time.Time
 	reserved infra.Resources
@@ -45,3 +48,11 @@
 	// tailOver is since when it has been over its tail target.
 	tailOver time.Time
 }
+
+// confirm takes in that the worker carried the start out.
+func (r *run) confirm() {
+	r.confirmed = true
+	if r.phase == ordered || r.phase == uncertain {
+		r.phase = running
+	}
+}
