--- /dev/null
+++ b/cmd/fireflygate-edge/explainday.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/fireflygate/fireflygate/trace"
+)
+
+// explainDayCommand tells where the time of jobs that missed their objective
+// went, from log lines.
+type explainDayCommand struct{}
+
+// Name implements subcommands.Command.
+func (*explainDayCommand) Name() string { return "explain-day" }
+
+// Synopsis implements subcommands.Command.
+func (*explainDayCommand) Synopsis() string {
+	return "tell from hosts' log lines why jobs missed their objectives"
+}
+
+// Usage implements subcommands.Command.
+func (*explainDayCommand) Usage() string {
+	return "explain-day [FILE...]\nReads standard input without files. Exit code 1 if no line tells of a job.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (*explainDayCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*explainDayCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	records, unread, err := readLogs(f.Args())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	rows := trace.Day(records)
+	if err := trace.WriteDay(os.Stdout, rows); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Fprintf(os.Stderr, "%d lines; %d were no log records\n", len(records), unread)
+	if len(rows) == 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/fireflygate-edge/main.go
+++ b/cmd/fireflygate-edge/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(&serveCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&traceCommand{}, "")
+	subcommands.Register(&explainDayCommand{}, "")
 	flag.Parse()
 	// A caller that goes away mustn't end the process.
 	signal.Ignore(syscall.SIGPIPE)
--- a/control/owner.go
+++ b/control/owner.go
@@ -169,9 +169,15 @@
 		return
 	}
 	o.summarized = now
-	sum := o.state.Summary(now)
+	sum := o.state.Account(now)
 	o.opts.Metrics.state(&sum)
 	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum))
+	for _, j := range o.state.TakeOver() {
+		event.JobOver.Log(o.opts.Log, slog.String("job", j.Job), slog.String("queue", j.Queue),
+			slog.String("state", j.State.String()), slog.String("reached", j.Hope.String()),
+			slog.Int64("age_ms", j.Age.Milliseconds()), slog.Int64("objective_ms", j.Objective.Milliseconds()),
+			slog.Int64("core_ms", j.CoreMS), slog.Int("tasks", j.Tasks), slog.Any("spent", j.Ledger))
+	}
 }
 
 // abandon tells everybody who waits that the outcome is open.
--- a/dispatch/cause.go
+++ b/dispatch/cause.go
@@ -39,20 +39,45 @@
 	return "unknown"
 }
 
-// causeOf returns why the first idle task of a step waits.
-func (c *cycle) causeOf(st *step) Cause {
-	worst := NoWorker
-	for _, w := range c.workers {
-		worst = max(worst, c.causeAt(st, w))
+// wait says why a step's tasks wait.
+type wait struct {
+	// cause is the check that stops the first idle task where it gets furthest.
+	cause Cause
+	// fits counts the workers that would take one task now, otherwise is the
+	// cause at the rest.
+	fits      int
+	otherwise Cause
+}
+
+// waitOf returns why the step's tasks wait.
+func (c *cycle) waitOf(st *step) wait {
+	var w wait
+	for _, at := range c.workers {
+		if cause := c.causeAt(st, at); cause == Fits {
+			w.fits++
+		} else {
+			w.otherwise = max(w.otherwise, cause)
+		}
 	}
-	if worst == Fits {
-		for i := range st.tasks {
-			if t := &st.tasks[i]; !t.done && len(t.runs) == 0 && !c.mayBegin(t) {
-				return Headroom
-			}
+	switch {
+	case w.fits == 0:
+		w.cause = w.otherwise
+	case c.waitsForHeadroom(st):
+		w.cause, w.fits, w.otherwise = Headroom, 0, Headroom
+	default:
+		w.cause = Fits
+	}
+	return w
+}
+
+// waitsForHeadroom reports whether an idle task of the step may not begin.
+func (c *cycle) waitsForHeadroom(st *step) bool {
+	for i := range st.tasks {
+		if t := &st.tasks[i]; !t.done && len(t.runs) == 0 && !c.mayBegin(t) {
+			return true
 		}
 	}
-	return worst
+	return false
 }
 
 // causeAt returns the check that keeps a step's task from a worker.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -15,6 +15,8 @@
 	durable workload.State
 	// rowStored is set once the job's own row is durable.
 	rowStored bool
+	// lasting jobs have long-running tasks and end only when cancelled.
+	lasting bool
 	// inherited jobs were accepted by an earlier owner, so runs of theirs may
 	// exist at workers that haven't reported yet.
 	inherited bool
@@ -26,6 +28,9 @@
 	unfinished int
 	overAt     time.Time
 	dirty      bool
+	ledger     Ledger
+	// toldLost is set once it has been told that the job is past its use.
+	toldLost bool
 }
 
 // occurrence is one repetition of a job's steps.
@@ -43,6 +48,9 @@
 		spec: spec, queue: q, path: spec.CriticalPath(),
 		accepted: now.Add(-time.Duration(age) * time.Millisecond),
 	}
+	for i := range spec.Steps {
+		j.lasting = j.lasting || spec.Steps[i].LongRunning
+	}
 	for k := range spec.Occurrences() {
 		due := j.accepted
 		if spec.Timed() {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -178,6 +178,7 @@
 		p.free -= r.reserved.MilliCPU
 	}
 	t.attach(r)
+	t.step.job.ledger.Starts++
 	c.s.touch(t.step.job)
 	c.views[w.slot] = nil
 	permit, _ := t.step.ticketFor(c.now, w)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -34,7 +34,11 @@
 	lessonsAt time.Time
 	// headroom remembers what short work needs, by pool.
 	headroom map[string]*headroom.Tracker
-	Stats    Stats
+	// accountedAt is when the jobs' ledgers were last booked, over what is to be
+	// told of jobs.
+	accountedAt time.Time
+	over        []JobEnd
+	Stats       Stats
 }
 
 // New returns the state of a domain without jobs or workers.
@@ -139,6 +143,9 @@
 	j.state = state
 	j.overAt = now
 	s.touch(j)
+	if !j.toldLost {
+		s.tellOver(now, j)
+	}
 	j.eachTask(func(t *task) {
 		for _, r := range t.runs {
 			s.stop(now, r, JobOver)
@@ -179,6 +186,7 @@
 	}
 	r.phase = stopping
 	r.stopAt = now
+	r.task.step.job.ledger.Stopped++
 	s.changed(r.worker)
 	s.stops = append(s.stops, StopOrder{
 		Worker: r.worker.info,
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -27,8 +27,10 @@
 	Stats      Stats
 }
 
-// Summary returns the state of the domain in a few figures.
-func (s *State) Summary(now time.Time) Summary {
+// summarize returns the state of the domain in a few figures, and the cause by
+// which each waiting step waits.
+func (s *State) summarize(now time.Time) (Summary, map[*step]Cause) {
+	byStep := map[*step]Cause{}
 	sum := Summary{Open: len(s.open), Workers: len(s.workers), Awaited: len(s.awaited), Stats: s.Stats}
 	for _, w := range s.workers {
 		if w.silent {
@@ -52,11 +54,9 @@
 	c := newCycle(s, now)
 	c.rooms(list)
 	for _, wt := range list {
-		cause := c.causeOf(wt.step)
-		sum.Causes[cause] += wt.step.idle
-		if wt.entry.Restart {
-			sum.Restarts[cause] += wt.step.idle
-		}
+		why := c.waitOf(wt.step)
+		byStep[wt.step] = why.cause
+		sum.count(why, wt)
 		switch st := wt.step; {
 		case st.spec.Serving():
 			sum.WaitingServing += st.idle
@@ -66,7 +66,19 @@
 			sum.WaitingReserved += st.idle
 		}
 	}
-	return sum
+	return sum, byStep
+}
+
+// count adds a step's waiting tasks by cause. Only as many count as fitting as
+// there are workers that would take one: the others wait behind them.
+func (s *Summary) count(why wait, wt *waiting) {
+	fitting := min(why.fits, wt.step.idle)
+	for cause, n := range map[Cause]int{Fits: fitting, why.otherwise: wt.step.idle - fitting} {
+		s.Causes[cause] += n
+		if wt.entry.Restart {
+			s.Restarts[cause] += n
+		}
+	}
 }
 
 // LogValue implements slog.LogValuer.
--- a/queue/order.go
+++ b/queue/order.go
@@ -18,6 +18,17 @@
 	Lost
 )
 
+// hopeNames are the hopes as logs show them.
+var hopeNames = [...]string{"on time", "late", "lost"}
+
+// String returns the hope as logs show it.
+func (h Hope) String() string {
+	if int(h) < len(hopeNames) {
+		return hopeNames[h]
+	}
+	return "unknown"
+}
+
 // HopeOf returns what the entry can still reach.
 func HopeOf(e *Entry, now time.Time) Hope {
 	switch {
--- /dev/null
+++ b/trace/day.go
@@ -0,0 +1,180 @@
+package trace
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// jobOver is the number of the event that tells how a job's life divides.
+const jobOver = 931
+
+// Bounds of the sizes that Day tells apart, as shares of a queue's jobs: the
+// largest tenth, the fifth below it, and the rest.
+const (
+	largestShare = 0.1
+	largeShare   = 0.3
+)
+
+// sizeNames name the sizes, largest first.
+var sizeNames = [...]string{"largest tenth", "fifth below", "others"}
+
+// Row adds up the jobs of one queue and size.
+type Row struct {
+	Queue, Size string
+	// OnTime, Late and Lost count jobs by what they reached.
+	OnTime, Late, Lost int
+	// Work is that of all jobs, Missed that of the jobs that weren't on time,
+	// in core-seconds by the callers' estimates.
+	Work, Missed float64
+	// Spent divides the life of the jobs that weren't on time, in seconds, by
+	// what kept them from ending.
+	Spent map[string]float64
+	// Starts and Stopped count the runs of the jobs that weren't on time.
+	Starts, Stopped int
+}
+
+// jobLine is one job as its line tells it.
+type jobLine struct {
+	id, queue, reached string
+	work               float64
+	spent              map[string]float64
+	starts, stopped    int
+}
+
+// Day adds up the lines on ended and lost jobs by queue and size. A job that
+// was told twice, as after a change of owner, counts once, by its first line.
+func Day(records []Record) []Row {
+	byQueue := map[string][]jobLine{}
+	seen := map[string]bool{}
+	sorted := slices.Clone(records)
+	slices.SortStableFunc(sorted, func(a, b Record) int { return a.Time.Compare(b.Time) })
+	for i := range sorted {
+		j, ok := parseJob(&sorted[i])
+		if !ok || seen[j.id] {
+			continue
+		}
+		seen[j.id] = true
+		byQueue[j.queue] = append(byQueue[j.queue], j)
+	}
+	var rows []Row
+	for queue, jobs := range byQueue {
+		rows = append(rows, bySize(queue, jobs)...)
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(strings.Compare(a.Queue, b.Queue), strings.Compare(a.Size, b.Size))
+	})
+	return rows
+}
+
+// bySize adds up a queue's jobs.
+func bySize(queue string, jobs []jobLine) []Row {
+	slices.SortStableFunc(jobs, func(a, b jobLine) int { return cmp.Compare(b.work, a.work) })
+	var rows []Row
+	from := 0
+	for i, share := range []float64{largestShare, largeShare, 1} {
+		to := max(int(share*float64(len(jobs))), from)
+		if to == from {
+			continue
+		}
+		row := Row{Queue: queue, Size: sizeNames[i], Spent: map[string]float64{}}
+		for k := from; k < to; k++ {
+			row.add(&jobs[k])
+		}
+		rows = append(rows, row)
+		from = to
+	}
+	return rows
+}
+
+// add counts a job.
+func (r *Row) add(j *jobLine) {
+	r.Work += j.work
+	switch j.reached {
+	case "on time":
+		r.OnTime++
+		return
+	case "late":
+		r.Late++
+	default:
+		r.Lost++
+	}
+	r.Missed += j.work
+	r.Starts += j.starts
+	r.Stopped += j.stopped
+	for what, seconds := range j.spent {
+		r.Spent[what] += seconds
+	}
+}
+
+// parseJob reads a line on a job that is over.
+func parseJob(r *Record) (jobLine, bool) {
+	if r.Event != jobOver {
+		return jobLine{}, false
+	}
+	j := jobLine{spent: map[string]float64{}}
+	j.id, _ = r.Fields["job"].(string)
+	j.queue, _ = r.Fields["queue"].(string)
+	j.reached, _ = r.Fields["reached"].(string)
+	work, _ := r.Fields["core_ms"].(float64)
+	j.work = work / float64(time.Second.Milliseconds())
+	spent, _ := r.Fields["spent"].(map[string]any)
+	for name, value := range spent {
+		n, ok := value.(float64)
+		if !ok {
+			continue
+		}
+		switch what, timed := strings.CutSuffix(name, "_ms"); {
+		case timed:
+			j.spent[what] = n / float64(time.Second.Milliseconds())
+		case name == "starts":
+			j.starts = int(n)
+		case name == "stopped":
+			j.stopped = int(n)
+		}
+	}
+	return j, j.id != ""
+}
+
+// WriteDay prints the rows: what each queue's jobs of a size reached, and for
+// those not on time the share of their life by what kept them from ending.
+func WriteDay(w io.Writer, rows []Row) error {
+	for i := range rows {
+		r := &rows[i]
+		_, err := fmt.Fprintf(w, "%s, %s: %d on time, %d late, %d lost; %.0f of %.0f core-seconds missed\n",
+			r.Queue, r.Size, r.OnTime, r.Late, r.Lost, r.Missed, r.Work)
+		if err != nil {
+			return errors.Wrap(err, "write day")
+		}
+		if r.Late+r.Lost == 0 {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "    %s; %d of %d runs stopped\n", r.shares(), r.Stopped, r.Starts); err != nil {
+			return errors.Wrap(err, "write day")
+		}
+	}
+	return nil
+}
+
+// shares prints where the time of the row's missed jobs went, most first.
+func (r *Row) shares() string {
+	total := 0.0
+	var names []string
+	for name, seconds := range r.Spent {
+		total += seconds
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.Spent[b], r.Spent[a]), strings.Compare(a, b))
+	})
+	var parts []string
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s %.0f%%", name, 100*r.Spent[name]/total))
+	}
+	return fmt.Sprintf("%.0f s: %s", total, strings.Join(parts, ", "))
+}
