dispatch, queue: long-running tasks that must spread are placed first

Fillers suit some images of those who serve and not others; a worker that serves several suits hardly any. Drafts waited for want of workers that they suit while the others lay half idle. Ruled out: the order by class alone (35 workers of one class instead of 46), heavier weights against mixing (no change: 34). Change: jobs with long-running tasks that come together are placed together, the most bounded steps first.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -38,7 +38,7 @@
 func (s *State) waiting(now time.Time) []*waiting {
 	var list []*waiting
 	for _, j := range s.open {
-		if !j.rowStored {
+		if !j.rowStored || s.gathering(now, j) {
 			continue
 		}
 		for _, o := range j.occurrences {
@@ -61,8 +61,9 @@
 	j, o := st.job, st.occurrence
 	rest := j.path[st.index]
 	return queue.Entry{
-		Priority:    j.queue.Priority,
-		Restart:     st.spec.LongRunning && st.began(),
+		Priority: j.queue.Priority,
+		Restart:  st.spec.LongRunning && st.began(),
+		Lasting:  st.spec.LongRunning && !st.began(), MaxPerWorker: st.spec.MaxPerWorker,
 		LatestStart: j.objective(o).Add(-rest),
 		LastUse:     j.lateLimit(o).Add(-rest),
 		Arrived:     o.due,
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -156,8 +156,17 @@
 	}
 	r.state.Accept(r.now, r.now.UnixMilli(), job, q)
 	r.flush()
+	for i := range steps {
+		if steps[i].LongRunning {
+			r.pass(gatherPause) // as long as it waits for others of its kind
+			return
+		}
+	}
 }
 
+// gatherPause is how long long-running tasks wait for others to come.
+const gatherPause = 100 * time.Millisecond
+
 // step returns a step of n tasks of the given cores for one second.
 func step(n int, cores int64, change ...func(*workload.Step)) workload.Step {
 	s := workload.Step{
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -21,6 +21,8 @@
 	// jobs are alive.
 	awaited map[string]*worker
 	nextRun uint64
+	// lastingAt is when a job with long-running tasks was last accepted.
+	lastingAt time.Time
 	// changes counts changes of workers, see changed.
 	changes uint64
 	dirty   []*job
@@ -81,6 +83,9 @@
 		return
 	}
 	j := newJob(now, wallNow, spec, q)
+	if j.lasting {
+		s.lastingAt = now
+	}
 	s.jobs[spec.ID] = j
 	s.open = append(s.open, j)
 	s.touch(j)
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -8,6 +8,10 @@
 	Priority int
 	// Restart marks long-running tasks, whose users notice each second.
 	Restart bool
+	// Lasting marks the first start of long-running tasks.
+	Lasting bool
+	// MaxPerWorker bounds the step's tasks on one worker, 0 for no bound.
+	MaxPerWorker int
 	// LatestStart is when the step must start for its job to meet its
 	// objective, by the caller's estimates.
 	LatestStart time.Time
--- a/queue/order.go
+++ b/queue/order.go
@@ -42,7 +42,7 @@
 }
 
 // Compare orders two entries for slices.SortFunc: by priority; long-running
-// tasks before others; by hope; then, among those on time, the one that must
+// tasks that ran before, then those that haven't; by hope; then, among those on time, the one that must
 // start first, among the late the one with least work, which frees its room
 // soonest, and among the lost the one that came first.
 func Compare(a, b *Entry, now time.Time) int {
@@ -55,6 +55,9 @@
 		}
 		return 1
 	}
+	if c := compareLasting(a, b); c != 0 {
+		return c
+	}
 	ha, hb := HopeOf(a, now), HopeOf(b, now)
 	if c := cmp.Compare(ha, hb); c != 0 {
 		return c
@@ -73,3 +76,27 @@
 	}
 	return cmp.Compare(a.ID, b.ID)
 }
+
+// compareLasting orders the first starts of long-running tasks: before others,
+// and of them those first that may share a worker with fewest of their step.
+// Such a step needs many workers of its class. Placed last it finds these full
+// and ends up among other classes, where hardly a filler suits: of 48 workers
+// that 37 jobs fill to 75%, 9 to 14 mixed classes, now none.
+func compareLasting(a, b *Entry) int {
+	if a.Lasting != b.Lasting {
+		if a.Lasting {
+			return -1
+		}
+		return 1
+	}
+	if !a.Lasting || a.MaxPerWorker == b.MaxPerWorker {
+		return 0
+	}
+	if a.MaxPerWorker == 0 {
+		return 1
+	}
+	if b.MaxPerWorker == 0 {
+		return -1
+	}
+	return cmp.Compare(a.MaxPerWorker, b.MaxPerWorker)
+}
--- a/queue/order_test.go
+++ b/queue/order_test.go
@@ -24,11 +24,14 @@
 		{ID: "on time later", Priority: 2, LatestStart: later, LastUse: later},
 		{ID: "on time soon", Priority: 2, LatestStart: soon, LastUse: later},
 		{ID: "restart", Priority: 2, Restart: true, LatestStart: past, LastUse: past},
+		{ID: "lasting", Priority: 2, Lasting: true, LatestStart: past, LastUse: past},
+		{ID: "lasting, two a worker", Priority: 2, Lasting: true, MaxPerWorker: 2, LatestStart: past, LastUse: past},
+		{ID: "lasting, one a worker", Priority: 2, Lasting: true, MaxPerWorker: 1, LatestStart: later, LastUse: later},
 		{ID: "first queue, lost", Priority: 0, LatestStart: past, LastUse: past},
 	}
 	slices.SortFunc(entries, func(a, b *queue.Entry) int { return queue.Compare(a, b, start) })
 	want := []string{
-		"first queue, lost", "restart", "on time soon", "on time later", "late small", "late large", "lost first", "lost second",
+		"first queue, lost", "restart", "lasting, one a worker", "lasting, two a worker", "lasting", "on time soon", "on time later", "late small", "late large", "lost first", "lost second",
 	}
 	for i, e := range entries {
 		if e.ID != want[i] {
