mechanism: parts of the scheduling policy can be left out one by one

Cause: what a mechanism is worth could only be measured by editing code. Change: package mechanism names fifteen of them; serve -without leaves some out, checked and documented. Test: TestParse.

--- a/cmd/fireflygate-edge/serve.go
+++ b/cmd/fireflygate-edge/serve.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
 
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/logsink"
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/platform"
 )
 
@@ -20,6 +22,7 @@
 	settings string
 	level    slog.Level
 	lines    int
+	without  string
 }
 
 // logFlush is how long the end of the process waits for log lines to drain:
@@ -33,13 +36,16 @@
 func (*serveCommand) Synopsis() string { return "run an entry host until SIGTERM" }
 
 // Usage implements subcommands.Command.
-func (*serveCommand) Usage() string { return "serve [-settings FILE] [-log LEVEL] [-log-lines N]\n" }
+func (*serveCommand) Usage() string {
+	return "serve [-settings FILE] [-log LEVEL] [-log-lines N] [-without MECHANISM,...]\n"
+}
 
 // SetFlags implements subcommands.Command.
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
 	f.TextVar(&c.level, "log", slog.LevelInfo, "least severity that is logged")
 	f.IntVar(&c.lines, "log-lines", logsink.DefaultLines, "lines a second; changes of what the host believes have a quarter more")
+	f.StringVar(&c.without, "without", "", "parts of the scheduling policy to leave out, for experiments: "+strings.Join(mechanism.Names(), ", "))
 }
 
 // Execute implements subcommands.Command.
@@ -48,6 +54,11 @@
 		fmt.Fprintf(os.Stderr, "-log-lines is %d, want more than 0\n", c.lines)
 		return subcommands.ExitUsageError
 	}
+	without, err := mechanism.Parse(c.without)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "-without: %v\n", err)
+		return subcommands.ExitUsageError
+	}
 	s, err := platform.LoadSettings(c.settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -56,7 +67,7 @@
 	sink := logsink.New(os.Stdout, logsink.Options{
 		Level: c.level, Lines: c.lines, Routine: event.IsRoutine, Dropped: logDropped,
 	})
-	d := platform.NewDaemon(s, sink)
+	d := platform.NewDaemon(s, sink, without)
 	go d.WatchSettings(ctx, c.settings)
 	err = d.Run(ctx)
 	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), logFlush)
--- a/colocate/guard.go
+++ b/colocate/guard.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/fireflygate/fireflygate/mechanism"
 )
 
 // Action is what to do about one filler.
@@ -62,6 +64,13 @@
 // be over its target at all. As many fillers are acted on as restore the slack
 // of the task that is worst off, those that take most from it first.
 func (m *Model) Guard(now time.Time, w *Worker, bound time.Duration) []Action {
+	actions := m.decide(now, w, bound)
+	m.restrict(w, actions)
+	return actions
+}
+
+// decide is Guard with the whole policy.
+func (m *Model) decide(now time.Time, w *Worker, bound time.Duration) []Action {
 	actions := make([]Action, len(w.Fillers))
 	if len(w.Fillers) == 0 {
 		return actions
@@ -84,6 +93,21 @@
 	return actions
 }
 
+// restrict replaces the actions that the policy leaves out.
+func (m *Model) restrict(w *Worker, actions []Action) {
+	for i, a := range actions {
+		switch {
+		case a.Kind == Move && m.without.Has(mechanism.Moving):
+			actions[i] = Action{Kind: SetPace}
+		case a.Kind == SetPace && a.Pace > 0 && a.Pace < fullPace && m.without.Has(mechanism.Pacing):
+			actions[i] = w.Fillers[i].giveWay(0)
+		}
+	}
+}
+
+// fullPace is the pace of a filler that nothing slows, in percent.
+const fullPace = 100
+
 // overFor returns how long the worst tail has been over its target.
 func (w *Worker) overFor() time.Duration {
 	longest := time.Duration(0)
@@ -96,7 +120,7 @@
 // soon returns the least slack to expect of a serving task until an order can
 // show its effect.
 func (m *Model) soon(s *Serving) float64 {
-	return s.Slack() - m.swings[s.Step].fall(reactTime, m.low(s.Class).value())
+	return s.Slack() - m.swings[s.Step].fall(m.horizon(reactTime), m.low(s.Class).value())
 }
 
 // relieve has fillers give way until a serving task's slack is restored.
@@ -172,13 +196,13 @@
 	}
 	for i := range w.Fillers {
 		f := &w.Fillers[i]
-		if f.Pace == 100 {
+		if f.Pace == fullPace {
 			continue
 		}
 		rest := *w
 		rest.Fillers = slices.Delete(slices.Clone(w.Fillers), i, i+1)
 		if m.HarmOf(m.Rooms(now, &rest), f.Image, f.Part).Short <= 0 {
-			actions[i] = Action{Kind: SetPace, Pace: 100}
+			actions[i] = Action{Kind: SetPace, Pace: fullPace}
 			return
 		}
 	}
--- a/colocate/harm.go
+++ b/colocate/harm.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/fireflygate/fireflygate/mechanism"
 )
 
 const (
@@ -46,7 +48,7 @@
 // proved wrong, and one filler after the other kept a tail over for 4 s.
 func (m *Model) Rooms(now time.Time, w *Worker) []Room {
 	rooms := make([]Room, 0, len(w.Serving))
-	if w.overFor() > 0 {
+	if w.overFor() > 0 && !m.without.Has(mechanism.TailStop) {
 		return append(rooms, Room{Slack: noRoom, pairs: map[string]pairEffect{}})
 	}
 	for i := range w.Serving {
@@ -54,7 +56,7 @@
 		if w.sameBefore(i) {
 			continue
 		}
-		slack, deviation := m.swings[s.Step].ahead(now, longestLook, m.low(s.Class).value())
+		slack, deviation := m.swings[s.Step].ahead(now, m.horizon(longestLook), m.low(s.Class).value())
 		taken, variance := m.takenWhenBusy(s.Class, w)
 		rooms = append(rooms, Room{
 			Class: s.Class, Slack: slack - taken, Variance: deviation*deviation + variance, pairs: m.classPairs(s.Class),
@@ -77,6 +79,14 @@
 	return h
 }
 
+// horizon returns how far ahead a load is foreseen.
+func (m *Model) horizon(d time.Duration) time.Duration {
+	if m.without.Has(mechanism.Foresight) {
+		return 0
+	}
+	return d
+}
+
 // takenWhenBusy returns what the fillers take from a class's slack if all are
 // as busy as they can be at their pace.
 func (m *Model) takenWhenBusy(class string, w *Worker) (mean, variance float64) {
--- a/colocate/learn.go
+++ b/colocate/learn.go
@@ -1,6 +1,10 @@
 package colocate
 
-import "time"
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/mechanism"
+)
 
 // Learn takes in what a worker reported: the tails there while its fillers
 // used what they did. Both figures are of the same half second.
@@ -17,7 +21,7 @@
 		swing := m.swing(now, s.Step)
 		swing.observe(now, slack+taken, noiseOf(slack)+variance)
 		m.low(s.Class).observe(swing)
-		if len(load.Batch) > 0 {
+		if len(load.Batch) > 0 && !m.without.Has(mechanism.Pairs) {
 			passing, extra := m.passing(s.Class, w)
 			m.effects.Observe(s.Class, load, swing.level-slack-passing, swing.levelVar+extra+noiseOf(slack))
 			delete(m.pairs, s.Class)
--- a/colocate/model.go
+++ b/colocate/model.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/interference"
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -17,6 +18,8 @@
 	classes map[string]float64
 	swings  map[workload.StepID]*Swing
 	lows    map[string]*low
+	// without names what the policy leaves out, for experiments.
+	without mechanism.Set
 	// forgotAt is when steps were last dropped.
 	forgotAt time.Time
 }
@@ -48,9 +51,14 @@
 )
 
 // NewModel returns a model that knows nothing.
-func NewModel() *Model {
+func NewModel() *Model { return NewModelWithout(0) }
+
+// NewModelWithout returns a model that knows nothing and leaves out some of the
+// policy, for experiments.
+func NewModelWithout(without mechanism.Set) *Model {
 	classes := map[string]float64{}
 	return &Model{
+		without: without,
 		effects: interference.NewModelWith(classes, 0, interference.Priors{
 			Any:   interference.Prior{Mean: anyEffect, Variance: anyVariance},
 			Class: interference.Prior{Variance: classVariance},
--- a/control/options.go
+++ b/control/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
@@ -34,6 +35,8 @@
 	// TailBound is how long a serving task's tail may be over its target
 	// because of its neighbours.
 	TailBound time.Duration
+	// Without names what the scheduling policy leaves out, for experiments.
+	Without mechanism.Set
 }
 
 // The times of control. Sums matter: a host that can't see the owner suspects
--- a/control/owner.go
+++ b/control/owner.go
@@ -70,7 +70,7 @@
 	}
 	o.state = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: min(lease, opts.MaxLease), InheritedLease: min(lease, opts.MaxLease) + ownerValidity,
-		Retention: opts.Retention, RoomPause: roomPause, TailBound: opts.TailBound,
+		Retention: opts.Retention, RoomPause: roomPause, TailBound: opts.TailBound, Without: opts.Without,
 	})
 	o.state.SetQueues(cfg.Queues)
 	o.notePermits(cfg)
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
@@ -47,7 +48,9 @@
 	case runner.NoPermit:
 		r.task.step.dropTicket(w)
 	case runner.NoRoom:
-		w.pausedUntil = now.Add(s.cfg.RoomPause)
+		if !s.cfg.Without.Has(mechanism.RoomPause) {
+			w.pausedUntil = now.Add(s.cfg.RoomPause)
+		}
 	case runner.Unhealthy, runner.Invalid:
 		w.pausedUntil = now.Add(unhealthyPause)
 	default:
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/rank"
 )
 
@@ -60,7 +61,7 @@
 	st := t.step
 	rt := rank.Task{
 		Needs: st.spec.Needs, Serving: st.spec.Serving(), Filler: st.spec.Filler, Spread: st.spec.LongRunning,
-		Quiet: c.wanted.quiet[st.spec.Image],
+		Quiet: c.wanted.quiet[st.spec.Image], AnyClass: c.s.cfg.Without.Has(mechanism.Classes),
 	}
 	if filter == nil && c.knownNotToFit(st) {
 		return nil
@@ -112,7 +113,7 @@
 		Wanted:       v.wanted,
 		Siblings:     st.onWorker(w),
 		DataNear:     w.info.HasLabel(st.spec.DataRack),
-		Suspect:      w.health.suspect(c.now),
+		Suspect:      w.health.suspect(c.now) && !c.s.cfg.Without.Has(mechanism.Suspects),
 		FailedBefore: t.avoids(w.info.ID),
 	}
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/mechanism"
+)
 
 // Config sets the limits of a State.
 type Config struct {
@@ -20,6 +24,8 @@
 	// RoomPause is how long a worker that refused a start for want of room gets
 	// no other.
 	RoomPause time.Duration
+	// Without names what the policy leaves out, for experiments.
+	Without mechanism.Set
 }
 
 const (
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/mechanism"
+)
 
 const (
 	// copyAfter is the share of a task's estimate after which its progress is
@@ -14,6 +18,9 @@
 // copySlow starts second runs of speculative tasks whose first run is far
 // behind, as on a slow worker. The first to finish counts.
 func (c *cycle) copySlow() {
+	if c.s.cfg.Without.Has(mechanism.Copies) {
+		return
+	}
 	for _, j := range c.s.open {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
--- a/dispatch/evict.go
+++ b/dispatch/evict.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/preempt"
 )
 
@@ -27,7 +28,7 @@
 	if st.blockedSince.IsZero() {
 		st.blockedSince = c.now
 	}
-	if st.spec.Filler || c.tries >= triesPerCycle || c.now.Sub(st.blockedSince) < preemptAfter ||
+	if c.s.cfg.Without.Has(mechanism.Preemption) || st.spec.Filler || c.tries >= triesPerCycle || c.now.Sub(st.blockedSince) < preemptAfter ||
 		c.now.Before(st.preemptNext) {
 		return
 	}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/interference"
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -167,6 +168,9 @@
 
 // RecallLessons takes in what an earlier owner has learned.
 func (s *State) RecallLessons(value []byte) error {
+	if s.cfg.Without.Has(mechanism.Lessons) {
+		return nil
+	}
 	var lessons []interference.Lesson
 	if err := msgpack.Unmarshal(value, &lessons); err != nil {
 		return errors.Wrap(err, "decode lessons")
--- a/dispatch/gather.go
+++ b/dispatch/gather.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/fireflygate/fireflygate/mechanism"
+)
 
 const (
 	// gatherPause is how long no other long-running job must have come before
@@ -16,5 +20,8 @@
 // come at the same time, so that the queue can order all of them. Placed as they
 // came, those that must spread over many workers found these taken.
 func (s *State) gathering(now time.Time, j *job) bool {
+	if s.cfg.Without.Has(mechanism.BoundedFirst) {
+		return false
+	}
 	return j.lasting && !j.inherited && now.Sub(s.lastingAt) < gatherPause && now.Sub(j.accepted) < gatherMost
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/queue"
 	"github.com/fireflygate/fireflygate/runner"
 )
@@ -47,23 +48,27 @@
 			}
 			for _, st := range o.steps {
 				if st.ready() {
-					list = append(list, &waiting{entry: entryOf(st), step: st})
+					list = append(list, &waiting{entry: s.entryOf(st), step: st})
 				}
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b *waiting) int { return queue.Compare(&a.entry, &b.entry, now) })
+	compare := queue.Compare
+	if s.cfg.Without.Has(mechanism.Hope) {
+		compare = queue.CompareArrival
+	}
+	slices.SortFunc(list, func(a, b *waiting) int { return compare(&a.entry, &b.entry, now) })
 	return list
 }
 
 // entryOf describes a step to the queue.
-func entryOf(st *step) queue.Entry {
+func (s *State) entryOf(st *step) queue.Entry {
 	j, o := st.job, st.occurrence
 	rest := j.path[st.index]
 	return queue.Entry{
 		Priority: j.queue.Priority,
 		Restart:  st.spec.LongRunning && st.began(),
-		Lasting:  st.spec.LongRunning && !st.began(), MaxPerWorker: st.spec.MaxPerWorker,
+		Lasting:  st.spec.LongRunning && !st.began() && !s.cfg.Without.Has(mechanism.BoundedFirst), MaxPerWorker: st.spec.MaxPerWorker,
 		LatestStart: j.objective(o).Add(-rest),
 		LastUse:     j.lateLimit(o).Add(-rest),
 		Arrived:     o.due,
@@ -200,7 +205,7 @@
 // behind it in the queue: without this, small tasks take each gap before a
 // large one fits. Room that long-running tasks hold never comes.
 func (c *cycle) keepRoom(st *step) {
-	if st.spec.Filler || c.keeps >= max(1, len(c.workers)/keptShare) {
+	if c.s.cfg.Without.Has(mechanism.KeptRoom) || st.spec.Filler || c.keeps >= max(1, len(c.workers)/keptShare) {
 		return
 	}
 	var best *worker
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "github.com/fireflygate/fireflygate/headroom"
+import (
+	"github.com/fireflygate/fireflygate/headroom"
+	"github.com/fireflygate/fireflygate/mechanism"
+)
 
 // room is what a cycle knows of the room of a pool.
 type room struct {
@@ -55,7 +58,7 @@
 // mayBegin reports whether a long-running task that has never run may start:
 // enough must be left for short work.
 func (c *cycle) mayBegin(t *task) bool {
-	if !t.step.spec.LongRunning || t.began {
+	if !t.step.spec.LongRunning || t.began || c.s.cfg.Without.Has(mechanism.Headroom) {
 		return true
 	}
 	p := c.pools[t.step.job.queue.Pool]
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -47,7 +47,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg:      cfg,
-		model:    colocate.NewModel(),
+		model:    colocate.NewModelWithout(cfg.Without),
 		headroom: map[string]*headroom.Tracker{}, rosterChanged: map[int]bool{},
 		queues:  map[string]workload.Queue{},
 		jobs:    map[string]*job{},
--- /dev/null
+++ b/mechanism/set.go
@@ -0,0 +1,88 @@
+package mechanism
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Mechanism is one part of the scheduling policy.
+type Mechanism uint8
+
+// The mechanisms, each with what happens without it.
+const (
+	// Hope: steps wait by arrival, whatever they can still reach.
+	Hope Mechanism = iota
+	// KeptRoom: no worker is kept for a step that fits nowhere yet.
+	KeptRoom
+	// Headroom: long-running tasks begin wherever they fit.
+	Headroom
+	// Preemption: nothing gives way to a queue that comes first.
+	Preemption
+	// Pacing: fillers beside a long tail are moved or stand still, not slowed.
+	Pacing
+	// Moving: fillers beside a long tail are slowed or stand still, not moved.
+	Moving
+	// Foresight: a serving task's load is taken to stay as it is.
+	Foresight
+	// Pairs: all images are taken to disturb each other alike.
+	Pairs
+	// Classes: serving tasks are placed without regard to who serves there.
+	Classes
+	// BoundedFirst: long-running tasks are placed as they come, steps that must
+	// spread not before others.
+	BoundedFirst
+	// TailStop: fillers may join a tail over its target if the model allows it.
+	TailStop
+	// Copies: speculative tasks get no second run.
+	Copies
+	// Suspects: workers that fail all they get are used like others.
+	Suspects
+	// RoomPause: a worker that refused a start for want of room gets the next
+	// at once.
+	RoomPause
+	// Lessons: a new owner learns anew what images do to each other.
+	Lessons
+	mechanisms
+)
+
+// names are the mechanisms as settings name them.
+var names = [mechanisms]string{
+	"hope", "kept-room", "headroom", "preemption", "pacing", "moving", "foresight", "pairs", "classes",
+	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons",
+}
+
+// Set is a set of mechanisms. The zero value is empty.
+type Set uint32
+
+// Has reports whether the set holds the mechanism.
+func (s Set) Has(m Mechanism) bool { return s&(1<<m) != 0 }
+
+// Of returns the set of the mechanisms.
+func Of(all ...Mechanism) Set {
+	var s Set
+	for _, m := range all {
+		s |= 1 << m
+	}
+	return s
+}
+
+// Names returns the names of all mechanisms.
+func Names() []string { return slices.Clone(names[:]) }
+
+// Parse reads names with commas between them; nothing stands for the empty set.
+func Parse(list string) (Set, error) {
+	var s Set
+	if list == "" {
+		return s, nil
+	}
+	for name := range strings.SplitSeq(list, ",") {
+		i := slices.Index(names[:], name)
+		if i < 0 {
+			return 0, errors.Newf("unknown mechanism %q, want some of %s", name, strings.Join(names[:], ", "))
+		}
+		s |= 1 << i
+	}
+	return s, nil
+}
--- /dev/null
+++ b/mechanism/set_test.go
@@ -0,0 +1,34 @@
+package mechanism_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/fireflygate/fireflygate/mechanism"
+)
+
+// TestParse reads each name, several, none, and refuses others.
+func TestParse(t *testing.T) {
+	all := mechanism.Names()
+	seen := map[mechanism.Set]string{}
+	for _, name := range all {
+		s, err := mechanism.Parse(name)
+		if err != nil || s == 0 {
+			t.Errorf("%s: set %b, error %v", name, s, err)
+		}
+		if other, twice := seen[s]; twice {
+			t.Errorf("%s and %s are the same", name, other)
+		}
+		seen[s] = name
+	}
+	s, err := mechanism.Parse("pacing,moving")
+	if err != nil || s != mechanism.Of(mechanism.Pacing, mechanism.Moving) || s.Has(mechanism.Hope) {
+		t.Errorf("pacing,moving: set %b, error %v", s, err)
+	}
+	if s, err := mechanism.Parse(""); s != 0 || err != nil {
+		t.Errorf("nothing: set %b, error %v", s, err)
+	}
+	if _, err := mechanism.Parse("pacing,nonsense"); err == nil || !strings.Contains(err.Error(), "nonsense") {
+		t.Errorf("error %v, want one that names the word", err)
+	}
+}
--- a/queue/order.go
+++ b/queue/order.go
@@ -77,6 +77,21 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
+// CompareArrival orders two entries by priority, long-running tasks that ran
+// before, and arrival. It is what Compare is measured against.
+func CompareArrival(a, b *Entry, _ time.Time) int {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if a.Restart != b.Restart {
+		if a.Restart {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+}
+
 // compareLasting orders the first starts of long-running tasks: before others,
 // and of them those first that may share a worker with fewest of their step.
 // Such a step needs many workers of its class. Placed last it finds these full
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -29,6 +29,7 @@
 		cost += farDataWeight
 	}
 	switch {
+	case t.Serving && t.AnyClass:
 	case t.Serving:
 		cost += disturbWeight * w.Harm
 		if w.Serving == 0 {
--- a/rank/task.go
+++ b/rank/task.go
@@ -12,6 +12,8 @@
 	Filler bool
 	// Quiet fillers do no harm to any serving task, as far as is known.
 	Quiet bool
+	// AnyClass leaves out who serves on a worker, for experiments.
+	AnyClass bool
 	// Spread tasks should not share a worker with others of their step.
 	Spread bool
 }
