dispatch: fillers take what serving tasks leave, not what they might use

Load: a long queue of fillers beside workers that serving tasks reserve for four fifths. Cause: serving tasks were taken to use 0.55 of what they reserve and a filler waited until 0.7 of its need was unused. By 15,000 recorded reports serving tasks use 0.45 to 0.48, and fillers go on at 0.8 to 0.9 of their speed where a third more is asked for than is left. Change: 0.45, and 0.3 of the need.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -34,8 +34,10 @@
 }
 
 // leastFill is the share of the processors it asks for that a filler should
-// find unused: with less it would take longer than waiting for room.
-const leastFill = 0.7
+// find unused. By recorded reports fillers that ask for a third more than is left
+// still go on at 0.8 to 0.9 of their speed, so little is enough; what they may
+// take is bounded by those who serve.
+const leastFill = 0.3
 
 // harm returns what placing the task would do to those who serve, and whether
 // it may be placed all the same.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -133,9 +133,10 @@
 	return n
 }
 
-// servingLoad is the share of its reservation that a serving task uses, with
-// room for its swings; workers report such a task's tail and not its use.
-const servingLoad = 0.55
+// servingLoad is the share of its reservation that a serving task uses on
+// average; workers report such a task's tail and not its use. By fits of 15,000
+// tails on each of three deployments it is 0.45 to 0.48.
+const servingLoad = 0.45
 
 // unusedCPU returns the processors that nothing is expected to use, negative
 // when fillers have asked for more than is left.
