--- a/colocate/harm.go
+++ b/colocate/harm.go
@@ -48,15 +48,16 @@
 // proved wrong, and one filler after the other kept a tail over for 4 s.
 func (m *Model) Rooms(now time.Time, w *Worker) []Room {
 	rooms := make([]Room, 0, len(w.Serving))
-	if w.overFor() > 0 && !m.without.Has(mechanism.TailStop) {
-		return append(rooms, Room{Slack: noRoom, pairs: map[string]pairEffect{}})
-	}
+	closed := w.overFor() > 0 && !m.without.Has(mechanism.TailStop)
 	for i := range w.Serving {
 		s := &w.Serving[i]
 		if w.sameBefore(i) {
 			continue
 		}
 		slack, deviation := m.swings[s.Step].ahead(now, m.horizon(longestLook), m.low(s.Class).value())
+		if closed {
+			slack = noRoom
+		}
 		taken, variance := m.takenWhenBusy(s.Class, w)
 		rooms = append(rooms, Room{
 			Class: s.Class, Slack: slack - taken, Variance: deviation*deviation + variance, pairs: m.classPairs(s.Class),
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -7,4 +7,7 @@
 // token. What must outlive the scheduler's process comes out of State.Flush:
 // accepted jobs, ends of tasks, cancellations and the roster of workers that
 // may hold runs.
+//
+// Which decision answers which load, and where it stands, is told on one page:
+// docs/decisions/policy.md.
 package dispatch
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -21,6 +22,10 @@
 	rows map[string][]byte
 	// clock is the workers' own clock at the start of the test.
 	began time.Time
+	// without is what the policy leaves out.
+	without mechanism.Set
+	// jobs are those submitted.
+	jobs []*workload.Job
 }
 
 // The sizes that most tests use.
@@ -54,7 +59,7 @@
 	r.epoch = epoch
 	r.state = dispatch.New(dispatch.Config{
 		Epoch: epoch, Lease: 6 * time.Second, InheritedLease: 12 * time.Second, Retention: time.Minute,
-		RoomPause: 250 * time.Millisecond, TailBound: 4 * time.Second,
+		RoomPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Without: r.without,
 	})
 	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
 }
@@ -155,6 +160,7 @@
 		r.t.Fatal(err)
 	}
 	r.state.Accept(r.now, r.now.UnixMilli(), job, q)
+	r.jobs = append(r.jobs, job)
 	r.flush()
 	for i := range steps {
 		if steps[i].LongRunning {
