--- a/control/owner.go
+++ b/control/owner.go
@@ -172,7 +172,7 @@
 	sum := o.state.Account(now)
 	o.opts.Metrics.state(&sum)
 	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum))
-	for _, j := range o.state.TakeOver() {
+	for _, j := range o.state.EndedJobs() {
 		event.JobOver.Log(o.opts.Log, slog.String("job", j.Job), slog.String("queue", j.Queue),
 			slog.String("state", j.State.String()), slog.String("reached", j.Hope.String()),
 			slog.Int64("age_ms", j.Age.Milliseconds()), slog.Int64("objective_ms", j.Objective.Milliseconds()),
--- a/dispatch/burstrig_test.go
+++ b/dispatch/burstrig_test.go
@@ -38,9 +38,9 @@
 	*rig
 	random *rand.Rand
 	// takes is what a filler's image takes from the slack of an image.
-	takes map[[2]string]float64
-	phase map[string]float64
-	cells map[string]*cell
+	takes   map[[2]string]float64
+	phase   map[string]float64
+	workers map[string]*simWorker
 	// ended and due are when each job was complete, and should have been.
 	ended, due map[string]time.Time
 	// over is the time that serving tasks spent over their target.
@@ -48,8 +48,8 @@
 	tick int
 }
 
-// cell is a simulated worker.
-type cell struct {
+// simWorker is a simulated worker.
+type simWorker struct {
 	runs map[workload.TaskID]*simRun
 	ends []runner.End
 	last uint64
@@ -70,13 +70,13 @@
 	b := &burst{
 		rig:    &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, without: without},
 		random: rand.New(rand.NewPCG(seed, 1)), takes: map[[2]string]float64{}, phase: map[string]float64{},
-		cells: map[string]*cell{}, ended: map[string]time.Time{}, due: map[string]time.Time{},
+		workers: map[string]*simWorker{}, ended: map[string]time.Time{}, due: map[string]time.Time{},
 	}
 	b.began = b.now
 	b.own(1)
 	b.members(burstWorkers)
 	for i := range burstWorkers {
-		b.cells[worker(i)] = &cell{runs: map[workload.TaskID]*simRun{}}
+		b.workers[worker(i)] = &simWorker{runs: map[workload.TaskID]*simRun{}}
 	}
 	for f := range burstFillers {
 		for s := range burstImages {
@@ -131,8 +131,8 @@
 		b.tick++
 		for i := range burstWorkers {
 			id := worker(i)
-			b.work(b.cells[id])
-			if (b.tick+i)%ticksToReport == 0 || len(b.cells[id].ends) > 0 {
+			b.work(b.workers[id])
+			if (b.tick+i)%ticksToReport == 0 || len(b.workers[id].ends) > 0 {
 				b.tell(id)
 			}
 		}
@@ -147,7 +147,7 @@
 }
 
 // work advances the runs of a worker by a tick.
-func (b *burst) work(c *cell) {
+func (b *burst) work(c *simWorker) {
 	for _, id := range c.tasks() {
 		r := c.runs[id]
 		if r.step.LongRunning {
@@ -164,7 +164,7 @@
 }
 
 // slack returns the target over the tail of a serving run.
-func (b *burst) slack(c *cell, serving *simRun) float64 {
+func (b *burst) slack(c *simWorker, serving *simRun) float64 {
 	at := b.now.Sub(b.began).Seconds()/burstSwing.Seconds() + b.phase[serving.job]
 	slack := 3 - 1.4*math.Sin(2*math.Pi*at)
 	for _, r := range c.runs {
@@ -177,14 +177,14 @@
 }
 
 // tasks returns the tasks that run, in the order of their runs.
-func (c *cell) tasks() []workload.TaskID {
+func (c *simWorker) tasks() []workload.TaskID {
 	return slices.SortedFunc(maps.Keys(c.runs), func(a, b workload.TaskID) int {
 		return cmp.Compare(c.runs[a].number, c.runs[b].number)
 	})
 }
 
 // end lists an end.
-func (c *cell) end(id workload.TaskID, r *simRun, kind runner.EndKind) {
+func (c *simWorker) end(id workload.TaskID, r *simRun, kind runner.EndKind) {
 	delete(c.runs, id)
 	c.last++
 	saved := ""
@@ -197,7 +197,7 @@
 // tell reports what runs on a worker and what has ended.
 func (b *burst) tell(id string) {
 	b.t.Helper()
-	c := b.cells[id]
+	c := b.workers[id]
 	var at []runner.Active
 	for _, task := range c.tasks() {
 		r := c.runs[task]
@@ -217,13 +217,13 @@
 // carryOut has the workers carry the orders out.
 func (b *burst) carryOut(p dispatch.Plan) {
 	for _, o := range p.Stops {
-		c := b.cells[o.Worker.ID]
+		c := b.workers[o.Worker.ID]
 		if r := c.runs[o.Stop.Task]; r != nil && r.number == o.Stop.Run {
 			c.end(o.Stop.Task, r, runner.EndStopped)
 		}
 	}
 	for _, o := range p.Paces {
-		if r := b.cells[o.Worker.ID].runs[o.Pace.Task]; r != nil {
+		if r := b.workers[o.Worker.ID].runs[o.Pace.Task]; r != nil {
 			r.pace = o.Pace.Percent
 		}
 	}
@@ -245,7 +245,7 @@
 		}
 		r.done = time.Duration(ms) * time.Millisecond
 	}
-	b.cells[o.Worker.ID].runs[o.Start.Task] = r
+	b.workers[o.Worker.ID].runs[o.Start.Task] = r
 }
 
 // job returns a job that was submitted.
--- a/dispatch/ledger.go
+++ b/dispatch/ledger.go
@@ -126,8 +126,8 @@
 // peak of the size to come.
 const maxOver = 4096
 
-// TakeOver returns what there is to tell of jobs since the last call.
-func (s *State) TakeOver() []JobEnd {
+// EndedJobs returns what there is to tell of jobs since the last call.
+func (s *State) EndedJobs() []JobEnd {
 	over := s.over
 	s.over = nil
 	return over
--- a/dispatch/ledger_test.go
+++ b/dispatch/ledger_test.go
@@ -29,7 +29,7 @@
 	second := r.plan()[0]
 	account(3, []runner.Active{active(second)})
 	r.report(second.Worker.ID, nil, []runner.End{end(2, second, runner.EndDone)})
-	over := r.state.TakeOver()
+	over := r.state.EndedJobs()
 	if len(over) != 2 {
 		t.Fatalf("%d jobs told of, want 2: %+v", len(over), over)
 	}
@@ -51,7 +51,7 @@
 		r.pass(time.Second)
 	}
 	r.state.Cancel(r.now, "too large")
-	over := r.state.TakeOver()
+	over := r.state.EndedJobs()
 	if len(over) != 1 || over[0].Hope != queue.Lost {
 		t.Fatalf("told of %+v, want once, as lost", over)
 	}
--- a/queue/order.go
+++ b/queue/order.go
@@ -46,15 +46,9 @@
 // start first, among the late the one with least work, which frees its room
 // soonest, and among the lost the one that came first.
 func Compare(a, b *Entry, now time.Time) int {
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+	if c := compareUrgency(a, b); c != 0 {
 		return c
 	}
-	if a.Restart != b.Restart {
-		if a.Restart {
-			return -1
-		}
-		return 1
-	}
 	if c := compareLasting(a, b); c != 0 {
 		return c
 	}
@@ -80,18 +74,24 @@
 // CompareArrival orders two entries by priority, long-running tasks that ran
 // before, and arrival. It is what Compare is measured against.
 func CompareArrival(a, b *Entry, _ time.Time) int {
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+	if c := compareUrgency(a, b); c != 0 {
 		return c
 	}
-	if a.Restart != b.Restart {
-		if a.Restart {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
 }
 
+// compareUrgency orders by priority, and long-running tasks that ran before
+// ahead of others.
+func compareUrgency(a, b *Entry) int {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 || a.Restart == b.Restart {
+		return c
+	}
+	if a.Restart {
+		return -1
+	}
+	return 1
+}
+
 // compareLasting orders the first starts of long-running tasks: before others,
 // and of them those first that may share a worker with fewest of their step.
 // Such a step needs many workers of its class. Placed last it finds these full
