--- /dev/null
+++ b/dispatch/benchlarge_test.go
@@ -0,0 +1,67 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// The load of a large pool in its steady state: some 1,500 starts a second in
+// cycles 30 ms apart.
+const (
+	largeWorkers = 890
+	largeLasting = 240 // jobs of four long-running tasks
+	largeCycle   = 30 * time.Millisecond
+	// largeRuns is how many cycles a run takes.
+	largeRuns = 30
+)
+
+// BenchmarkPlanLarge plans on 890 workers that serve. In each cycle a job of 39
+// fillers and one of 10 short tasks come, and those of an earlier cycle end.
+func BenchmarkPlanLarge(b *testing.B) {
+	t := &testing.T{}
+	r := newRig(t, largeWorkers)
+	for i := range largeLasting {
+		r.submit(queueShort, fmt.Sprintf("lasting%d", i), step(4, 3, longRunning, func(s *workload.Step) {
+			s.Image, s.TailTarget = fmt.Sprintf("serve%d", i%16), 50*time.Millisecond
+		}))
+	}
+	r.plan()
+	numbers := map[string]uint64{}
+	var running [][]dispatch.StartOrder
+	cycle := func(i int) {
+		r.submit(queueLong, fmt.Sprintf("fill%d", i), step(39, 3, func(s *workload.Step) {
+			s.Filler, s.Image, s.Checkpointing = true, fmt.Sprintf("fill%d", i%30), true
+		}))
+		r.submit(queueShort, fmt.Sprintf("short%d", i), step(10, 4))
+		r.pass(largeCycle)
+		b.StartTimer()
+		starts := r.plan()
+		b.StopTimer()
+		running = append(running, starts)
+		if len(running) <= largeRuns {
+			return
+		}
+		for _, o := range running[0] {
+			numbers[o.Worker.ID]++
+			r.report(o.Worker.ID, nil, []runner.End{end(numbers[o.Worker.ID], o, runner.EndDone)})
+		}
+		running = running[1:]
+		r.flush()
+	}
+	for i := range 2 * largeRuns {
+		cycle(i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	starts := 0
+	for i := range b.N {
+		cycle(2*largeRuns + i)
+		starts += len(running[len(running)-1])
+	}
+	b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
+}
