dispatch: the tasks of a step share one look at the pool

Callers on a pool of 890 workers waited for the owner's processor: by a profile of the program beside workers in another process (600 starts a second, 52% of a core) planning took 61% of it, choosing a worker for each task by a look at all of them 42%, and counting runs by walking their maps most of the rest. Orders and looks, held to be the cause before, took 11%.

Placing a task changes only the worker that gets it, so a heap made once for a step gives the same choices (TestShortlistChoosesAsATaskAlone; it finds a heap that isn't put in order after a placement). What a worker's runs amount to is kept as they come and go, and a worker without a new report or a slowed filler isn't weighed for a change of pace.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -57,14 +57,34 @@
 	}
 }
 
-// choose returns the best worker for a task, nil if it fits nowhere. A filter,
-// if given, leaves out workers.
-func (c *cycle) choose(t *task, filter func(*worker) bool) *worker {
-	st := t.step
-	rt := rank.Task{
+// rankTask describes a step's tasks to the ranking.
+func (c *cycle) rankTask(st *step) rank.Task {
+	return rank.Task{
 		Needs: st.spec.Needs, Serving: st.spec.Serving(), Filler: st.spec.Filler, Spread: st.spec.LongRunning,
 		Quiet: c.wanted.quiet[st.spec.Image], AnyClass: c.s.cfg.Without.Has(mechanism.Classes),
 	}
+}
+
+// cost returns how bad a worker is for one more task of the step, and whether
+// the task fits there. Failed tells whether it failed there before.
+func (c *cycle) cost(st *step, rt *rank.Task, w *worker, failed bool) (float64, bool) {
+	if !c.fits(st, w) {
+		return 0, false
+	}
+	harm, ok := c.harm(st, w)
+	if !ok {
+		return 0, false
+	}
+	candidate := c.candidate(st, w)
+	candidate.Harm, candidate.FailedBefore = harm, failed
+	return rank.Cost(rt, &candidate), true
+}
+
+// choose returns the best worker for a task by what is known of the task
+// itself, nil if it fits nowhere. A filter, if given, leaves out workers.
+func (c *cycle) choose(t *task, filter func(*worker) bool) *worker {
+	st := t.step
+	rt := c.rankTask(st)
 	if filter == nil && c.knownNotToFit(st) {
 		return nil
 	}
@@ -78,20 +98,10 @@
 		if w.changed < since {
 			continue // didn't fit, and nothing has changed there
 		}
-		if !c.fits(st, w) || (filter != nil && !filter(w)) {
-			continue
-		}
-		if w.runs[t.id()] != nil {
+		if (filter != nil && !filter(w)) || w.runs[t.id()] != nil {
 			continue
 		}
-		harm, ok := c.harm(st, w)
-		if !ok {
-			continue
-		}
-		candidate := c.candidate(t, w)
-		candidate.Harm = harm
-		cost := rank.Cost(&rt, candidate)
-		if best == nil || cost < least {
+		if cost, ok := c.cost(st, &rt, w, t.avoids(w.info.ID)); ok && (best == nil || cost < least) {
 			best, least = w, cost
 		}
 	}
@@ -102,21 +112,23 @@
 }
 
 // candidate describes a worker to the ranking.
-func (c *cycle) candidate(t *task, w *worker) *rank.Worker {
-	st := t.step
+func (c *cycle) candidate(st *step, w *worker) rank.Worker {
 	v := c.view(w)
-	return &rank.Worker{
-		Free:         w.free,
-		Capacity:     w.info.Capacity,
-		UnusedCPU:    v.unused,
-		Serving:      v.serving,
-		Fillers:      v.fillers,
-		Strangers:    v.serving - v.byClass[st.class],
-		Wanted:       v.wanted,
-		Siblings:     st.onWorker(w),
-		DataNear:     w.info.HasLabel(st.spec.DataRack),
-		Suspect:      w.health.suspect(c.now) && !c.s.cfg.Without.Has(mechanism.Suspects),
-		FailedBefore: t.avoids(w.info.ID),
+	siblings := 0
+	if st.spec.LongRunning {
+		siblings = st.onWorker(w)
+	}
+	return rank.Worker{
+		Free:      w.free,
+		Capacity:  w.info.Capacity,
+		UnusedCPU: v.unused,
+		Serving:   v.serving,
+		Fillers:   v.fillers,
+		Strangers: v.serving - v.byClass[st.class],
+		Wanted:    v.wanted,
+		Siblings:  siblings,
+		DataNear:  w.info.HasLabel(st.spec.DataRack),
+		Suspect:   w.health.suspect(c.now) && !c.s.cfg.Without.Has(mechanism.Suspects),
 	}
 }
 
@@ -188,14 +200,12 @@
 			break
 		}
 		r := &run{task: t, worker: w, reserved: st.spec.Reserved()}
-		w.runs[t.id()] = r
-		w.free = w.free.Sub(r.reserved)
+		w.add(r)
 		taken = append(taken, r)
 		placed = append(placed, w)
 	}
 	for _, r := range taken {
-		delete(r.worker.runs, r.task.id())
-		r.worker.free = r.worker.free.Add(r.reserved)
+		r.worker.drop(r)
 	}
 	if len(placed) < len(st.tasks) {
 		return nil
--- a/dispatch/evict.go
+++ b/dispatch/evict.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/mechanism"
@@ -51,7 +52,7 @@
 	}
 	st.preemptNext = c.now.Add(preemptAgain)
 	c.keep(at)
-	runs := at.sortedRuns()
+	runs := slices.Clone(at.inOrder)
 	for _, v := range best {
 		c.s.Stats.Preempted++
 		c.s.stop(c.now, runs[v.ID], Preempted)
@@ -62,7 +63,7 @@
 // queues with a higher number that end by themselves.
 func (c *cycle) victims(st *step, w *worker) []preempt.Victim {
 	var all []preempt.Victim
-	for i, r := range w.sortedRuns() {
+	for i, r := range w.inOrder {
 		spec := r.task.step.spec
 		if r.phase != running || spec.LongRunning || spec.Gang ||
 			r.task.step.job.queue.Priority <= st.job.queue.Priority {
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -36,8 +36,8 @@
 // evidence returns what is known of a worker now.
 func (w *worker) evidence(now time.Time) Evidence {
 	e := Evidence{FreeMilliCPU: w.free.MilliCPU, ReportAge: now.Sub(w.answersAt)}
-	e.Serving, e.Fillers = w.serving()
-	for _, r := range w.runs {
+	e.Serving, e.Fillers = w.tally.serving, w.tally.fillers
+	for _, r := range w.inOrder {
 		target := r.task.step.spec.TailTarget
 		if target <= 0 || r.percent < 100 || r.usage <= 0 {
 			continue
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/fireflygate/fireflygate/runner"
@@ -92,7 +95,7 @@
 		info: m, mark: workerMark(m.ID), free: m.Capacity, runs: map[workload.TaskID]*run{},
 		token: s.topToken,
 	}
-	s.workers[m.ID] = w
+	s.workers[m.ID], s.sorted = w, nil
 	return w
 }
 
@@ -128,6 +131,14 @@
 	return all
 }
 
+// byID returns the workers in the order of IDs.
+func (s *State) byID() []*worker {
+	if s.sorted == nil {
+		s.sorted = slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	}
+	return s.sorted
+}
+
 // Known reports whether the worker is still of interest.
 func (s *State) Known(id string) bool { return s.workers[id] != nil }
 
@@ -138,6 +149,7 @@
 		return
 	}
 	delete(s.workers, w.info.ID)
+	s.sorted = nil
 	delete(s.awaited, w.info.ID)
 	s.rosterChanged[w.rosterPart()] = true
 }
@@ -158,7 +170,7 @@
 
 // loseRuns ends the runs at a worker whose leases are over.
 func (s *State) loseRuns(w *worker) {
-	for _, r := range w.runs {
+	for _, r := range slices.Clone(w.inOrder) {
 		s.Stats.LostRuns++
 		if r.saved != "" {
 			r.task.saved = r.saved
@@ -171,8 +183,7 @@
 func (s *State) release(r *run) {
 	w := r.worker
 	s.changed(w)
-	delete(w.runs, r.task.id())
-	w.free = w.free.Add(r.reserved)
+	w.drop(r)
 	r.task.detach(r)
 }
 
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/fireflygate/fireflygate/colocate"
@@ -31,7 +30,7 @@
 func (w *worker) colocation(now time.Time) (*colocate.Worker, []*run) {
 	c := &colocate.Worker{}
 	var fillers []*run
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.inOrder {
 		st := r.task.step
 		switch {
 		case st.class != "" && r.phase == running:
@@ -99,29 +98,11 @@
 	return max(r.usage, r.task.step.spec.Needs.MilliCPU)
 }
 
-// sortedRuns returns the worker's runs in the order of their numbers.
-func (w *worker) sortedRuns() []*run {
-	runs := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		if a.number != b.number {
-			if a.number < b.number {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.task.step.job.spec.ID, b.task.step.job.spec.ID)
-	})
-	return runs
-}
-
 // learnTails takes in the tails of a report. One that doesn't differ from the
 // one before is of the same half second and teaches nothing.
 func (s *State) learnTails(now time.Time, w *worker) {
 	figures, serving := int64(0), false
-	for _, r := range w.runs {
+	for _, r := range w.inOrder {
 		figures += int64(r.number|1) * (r.usage + 1) // the same in any order
 		if c := r.task.step.class; c != "" && r.phase == running {
 			serving = true
@@ -156,14 +137,11 @@
 func (s *State) pace(now time.Time) []PaceOrder {
 	var orders []PaceOrder
 	for _, w := range s.workers {
-		if !w.silent {
-			orders = w.paceAgain(now, orders)
-		}
-		serving, fillers := w.serving()
-		if w.silent || fillers == 0 || now.Sub(w.guardedAt) < colocate.Patience {
+		if w.silent || w.tally.fillers == 0 {
 			continue
 		}
-		if serving > 0 && !w.reportedTails {
+		orders = w.paceAgain(now, orders)
+		if now.Sub(w.guardedAt) < colocate.Patience || !w.guardable() {
 			continue
 		}
 		w.reportedTails = false
@@ -187,9 +165,18 @@
 	return orders
 }
 
+// guardable reports whether there is anything new to decide about the fillers:
+// a report of the tails beside them, or one that is slowed for nobody.
+func (w *worker) guardable() bool {
+	if w.tally.serving > 0 {
+		return w.reportedTails
+	}
+	return slices.ContainsFunc(w.inOrder, func(r *run) bool { return r.task.step.spec.Filler && r.pace < fullPace })
+}
+
 // paceAgain orders once more the paces that got no answer.
 func (w *worker) paceAgain(now time.Time, orders []PaceOrder) []PaceOrder {
-	for _, r := range w.runs {
+	for _, r := range w.inOrder {
 		if r.paceOpen && r.phase == running && now.Sub(r.pacedAt) >= paceRetry {
 			orders = append(orders, r.paceOrder(now))
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
@@ -93,19 +92,23 @@
 	wanted *wanted
 	// tries counts the steps that others were asked to give way to.
 	tries int
+	// spare is the storage of the last step's shortlist.
+	spare ranked
 	// noRoom holds, by kind, the needs that fit nowhere in this cycle.
 	noRoom map[kindKey][]infra.Resources
 }
 
 // newCycle collects the workers that may take tasks, in the order of IDs.
 func newCycle(s *State, now time.Time) *cycle {
-	c := &cycle{s: s, now: now, noRoom: map[kindKey][]infra.Resources{}, wanted: newWanted(s)}
-	for _, w := range s.workers {
+	c := &cycle{
+		s: s, now: now, noRoom: map[kindKey][]infra.Resources{}, wanted: newWanted(s),
+		workers: make([]*worker, 0, len(s.workers)),
+	}
+	for _, w := range s.byID() {
 		if w.usable(now) && w.rostered && !w.clockAt.IsZero() {
 			c.workers = append(c.workers, w)
 		}
 	}
-	slices.SortFunc(c.workers, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
 	c.kept, c.views = make([]bool, len(c.workers)), make([]*view, len(c.workers))
 	for i, w := range c.workers {
 		w.slot = i
@@ -127,6 +130,7 @@
 		c.placeGang(st)
 		return
 	}
+	var list *shortlist // made when the first task needs it
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		if t.done || len(t.runs) > 0 {
@@ -135,7 +139,15 @@
 		if !c.settled(t) || !c.mayBegin(t) {
 			continue
 		}
-		w := c.choose(t, nil)
+		var w *worker
+		if len(t.failedOn) > 0 {
+			w, list = c.choose(t, nil), nil // it avoids workers that others don't
+		} else {
+			if list == nil {
+				list = c.shortlist(st)
+			}
+			w = list.best()
+		}
 		if w == nil {
 			c.makeRoom(st)
 			c.keepRoom(st)
@@ -144,6 +156,9 @@
 		st.blockedSince = time.Time{}
 		c.s.nextRun++
 		c.start(t, w, c.s.nextRun)
+		if list != nil {
+			list.placed()
+		}
 	}
 }
 
@@ -178,8 +193,7 @@
 		since: c.now, reserved: t.step.spec.Reserved(), pace: fullPace,
 	}
 	known := w.evidence(c.now)
-	w.runs[t.id()] = r
-	w.free = w.free.Sub(r.reserved)
+	w.add(r)
 	if p := c.pools[w.info.Pool]; p != nil {
 		p.free -= r.reserved.MilliCPU
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/runner"
@@ -44,7 +45,7 @@
 // askAgain raises the token once more if a start that carried the newest one
 // got no answer.
 func (s *State) askAgain(w *worker) {
-	for _, r := range w.runs {
+	for _, r := range w.inOrder {
 		if r.phase == uncertain && r.token == w.token {
 			s.raiseToken(w)
 			return
@@ -234,8 +235,7 @@
 		confirmed: true, since: now, reserved: t.step.spec.Reserved(), pace: fullPace,
 		paceOpen: t.step.spec.Filler, // an earlier owner may have slowed it
 	}
-	w.runs[a.Task] = r
-	w.free = w.free.Sub(r.reserved)
+	w.add(r)
 	t.attach(r)
 	if len(t.runs) > 1 && !t.step.spec.Speculative {
 		s.stop(now, r, Duplicate)
@@ -247,11 +247,11 @@
 // answered under a higher token never carries them out, so those that it
 // doesn't report never ran.
 func (s *State) settleUncertain(w *worker, token uint64, active []runner.Active) {
-	for id, r := range w.runs {
+	for _, r := range slices.Clone(w.inOrder) {
 		if r.phase != uncertain || r.token >= token {
 			continue
 		}
-		reported := false
+		id, reported := r.task.id(), false
 		for i := range active {
 			reported = reported || (active[i].Task == id && active[i].Run == r.number)
 		}
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -29,6 +29,8 @@
 	without mechanism.Set
 	// jobs are those submitted.
 	jobs []*workload.Job
+	// ends numbers the ends of workers that report by endSome.
+	ends uint64
 }
 
 // The sizes that most tests use.
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -32,11 +32,7 @@
 		if float64(w.free.MilliCPU) >= usualShare*float64(w.info.Capacity.MilliCPU) {
 			p.free += w.free.MilliCPU
 		}
-		for _, r := range w.runs {
-			if spec := r.task.step.spec; !spec.LongRunning && !spec.Filler {
-				p.short += r.reserved.MilliCPU
-			}
-		}
+		p.short += w.tally.short
 	}
 	want := map[string]int64{}
 	for _, wt := range waiting {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"strings"
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
@@ -50,6 +52,14 @@
 	tailOver time.Time
 }
 
+// compare orders runs by their numbers; the members of a gang share one.
+func (r *run) compare(other *run) int {
+	return cmp.Or(
+		cmp.Compare(r.number, other.number), strings.Compare(r.task.step.job.spec.ID, other.task.step.job.spec.ID),
+		cmp.Compare(r.task.index, other.task.index),
+	)
+}
+
 // confirm takes in that the worker carried the start out.
 func (r *run) confirm() {
 	r.confirmed = true
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -17,6 +17,8 @@
 	// open are the jobs that aren't over, in order of acceptance.
 	open    []*job
 	workers map[string]*worker
+	// sorted holds the workers in the order of IDs, nil once one has come or gone.
+	sorted []*worker
 	// awaited are workers whose first report decides where runs of inherited
 	// jobs are alive.
 	awaited map[string]*worker
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -65,7 +65,7 @@
 // onWorker counts the step's runs on a worker.
 func (s *step) onWorker(w *worker) int {
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range w.inOrder {
 		if r.task.step == s {
 			n++
 		}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -70,8 +70,7 @@
 	v := c.views[w.slot]
 	if v == nil {
 		v = &view{w: w, unused: w.unusedCPU(c.now), inTime: w.roomInTime()}
-		v.serving, v.fillers = w.serving()
-		v.byClass = w.servingByClass()
+		v.serving, v.fillers, v.byClass = w.tally.serving, w.tally.fillers, w.tally.byClass
 		v.wanted = c.wanted.share(c.s, v.byClass)
 		c.views[w.slot] = v
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
@@ -40,6 +41,9 @@
 	inheritedUntil time.Time
 	free           infra.Resources
 	runs           map[workload.TaskID]*run
+	// inOrder holds the runs in the order of their numbers.
+	inOrder []*run
+	tally   tally
 	// seen is the last end taken in; acknowledged the last that is durable.
 	seen, acknowledged uint64
 	// answersAt is when it last answered; silent is set after a failure.
@@ -96,41 +100,25 @@
 }
 
 // roomInTime returns what is free once every run that ends by itself has.
-func (w *worker) roomInTime() infra.Resources {
-	room := w.free
-	for _, r := range w.runs {
-		if !r.task.step.spec.LongRunning {
-			room = room.Add(r.reserved)
-		}
-	}
-	return room
-}
+func (w *worker) roomInTime() infra.Resources { return w.free.Add(w.tally.ending) }
 
-// serving counts runs that serve users, fillers those that fill.
-func (w *worker) serving() (serving, fillers int) {
-	for _, r := range w.runs {
-		switch {
-		case r.task.step.spec.Serving():
-			serving++
-		case r.task.step.spec.Filler:
-			fillers++
-		}
-	}
-	return serving, fillers
+// add takes in a run that may be alive there, and reserves its room.
+func (w *worker) add(r *run) {
+	w.runs[r.task.id()] = r
+	at, _ := slices.BinarySearchFunc(w.inOrder, r, (*run).compare)
+	w.inOrder = slices.Insert(w.inOrder, at, r)
+	w.free = w.free.Sub(r.reserved)
+	w.tally.add(r)
 }
 
-// servingByClass counts the runs that serve users by class.
-func (w *worker) servingByClass() map[string]int {
-	var n map[string]int
-	for _, r := range w.runs {
-		if c := r.task.step.class; c != "" {
-			if n == nil {
-				n = map[string]int{}
-			}
-			n[c]++
-		}
+// drop takes out a run that is over.
+func (w *worker) drop(r *run) {
+	delete(w.runs, r.task.id())
+	if at := slices.Index(w.inOrder, r); at >= 0 {
+		w.inOrder = slices.Delete(w.inOrder, at, at+1)
 	}
-	return n
+	w.free = w.free.Add(r.reserved)
+	w.tally.drop(r)
 }
 
 // servingLoad is the share of its reservation that a serving task uses on
@@ -142,7 +130,7 @@
 // when fillers have asked for more than is left.
 func (w *worker) unusedCPU(now time.Time) int64 {
 	unused := w.free.MilliCPU
-	for _, r := range w.runs {
+	for _, r := range w.inOrder {
 		switch spec := r.task.step.spec; {
 		case spec.Filler:
 			unused -= r.fillerUse(now)
