--- a/control/follow.go
+++ b/control/follow.go
@@ -211,8 +211,8 @@
 	go n.announce(ctx, before, c.Record(), func() {
 		o.post(func() { o.state.PredecessorStopped(time.Now()) })
 	})
-	opts.Metrics.lead(true)
-	defer opts.Metrics.lead(false)
+	opts.lead(true)
+	defer opts.lead(false)
 	go o.keepRow()
 	// Requests that come while the state is read wait for the loop.
 	n.setLeader(c.Record(), o)
--- a/control/options.go
+++ b/control/options.go
@@ -35,10 +35,21 @@
 	// TailBound is how long a serving task's tail may be over its target
 	// because of its neighbours.
 	TailBound time.Duration
+	// Leads, if set, is told when this host begins to own the domain and when
+	// that is over.
+	Leads func(owner bool)
 	// Without names what the scheduling policy leaves out, for experiments.
 	Without mechanism.Set
 }
 
+// lead marks the beginning or the end of an ownership.
+func (o *Options) lead(owner bool) {
+	o.Metrics.lead(owner)
+	if o.Leads != nil {
+		o.Leads(owner)
+	}
+}
+
 // The times of control. Sums matter: a host that can't see the owner suspects
 // it after pingInterval + pingTimeout and takes over after a further
 // unchangedFor, 1.7 s in all; by then a lease that was renewed at least every
--- a/control/rig_test.go
+++ b/control/rig_test.go
@@ -35,6 +35,8 @@
 	log   *slog.Logger
 	// cores are the processors of the hosts started from now on.
 	cores float64
+	// leads, if set, is told by the hosts started from now on.
+	leads func(owner bool)
 }
 
 // testQueue is the queue of these tests.
@@ -73,6 +75,7 @@
 		Host: name, Address: h.address, Incarnation: fmt.Sprintf("%s-%d", name, c.lives), Seeds: seeds, Cores: c.cores,
 		Table: table, Workers: c.fleet, Members: c.fleet, Log: c.log,
 		Metrics:   control.NewMetrics(prometheus.NewRegistry()),
+		Leads:     c.leads,
 		Retention: time.Minute, MaxLease: 10 * time.Second, TailBound: 4 * time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
