control, flow: an owner holds back by the delay that it measures

Callers of a deployment whose owner had a small link got a tenth of their jobs done. Cause: limits that don't know of delay. What was begun beyond the link's rate came late, late orders counted as lost and raised the fencing token, which voided the orders behind them; a worker that wasn't heard got no more leases, and its tasks started elsewhere while it ran them.

Ruled out: the processor (0.06 of 0.12 core) and longer fixed limits (they delay what is truly lost).

--- a/control/options.go
+++ b/control/options.go
@@ -99,13 +99,8 @@
 	// planShare is how many times its own duration passes between two cycles,
 	// so that planning leaves most of the processor to orders and reports.
 	planShare = 4
-	// orderTimeout bounds the wait for a worker's answer to an order, beyond
-	// what a look asks it to wait: a hundred times what a sound one takes. What
-	// became of an order without an answer is asked at once, so a shorter limit
-	// costs little, and where one order in five got no answer the share served
-	// rose from 0.75 to 0.83 against a limit of a second.
-	orderTimeout = 300 * time.Millisecond
-	// lookRetry is the time between two looks at a worker that doesn't answer.
+	// lookRetry is the least time between two looks at a worker that doesn't
+	// answer.
 	lookRetry = 300 * time.Millisecond
 	// roomPause keeps starts from a worker that refused one for want of room.
 	roomPause = 250 * time.Millisecond
--- a/control/orders.go
+++ b/control/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/flow"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
@@ -37,36 +38,36 @@
 	}
 }
 
-// startWait is how long a start may wait behind other orders to its worker. One
-// that waited longer was meant for a state that may have passed: a copy of a
-// task that is done by now, a job that was cancelled. It is less than
-// orderTimeout, so that nothing goes out behind an order that hangs.
-const startWait = 250 * time.Millisecond
-
 // orderStart gives a start and takes in the answer. A start that is no longer
 // right when its turn comes isn't sent.
 func (o *Owner) orderStart(s dispatch.StartOrder) {
 	session := o.sessions[s.Worker.ID]
 	given := boottime()
+	o.traffic.StartGiven()
 	queued := o.give(s.Worker.ID, func(ctx context.Context) {
-		a := runner.Answer{Status: runner.Fenced}
-		if session.token.Load() == s.Start.Token && o.proven() && boottime()-given < startWait {
-			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-			a = o.opts.Workers.Start(ctx, s.Worker, s.Start)
-			cancel()
+		a, way := runner.Answer{Status: runner.Fenced}, flow.Way{}
+		if session.token.Load() == s.Start.Token && o.proven() && boottime()-given < o.traffic.startWait() {
+			a, way = o.traffic.send(ctx, 0, func(ctx context.Context) runner.Answer {
+				return o.opts.Workers.Start(ctx, s.Worker, s.Start)
+			})
 		}
-		o.post(func() { o.startAnswered(s, a) })
+		o.post(func() { o.startAnswered(s, a, way) })
 	})
 	if !queued {
-		o.startAnswered(s, runner.Answer{Status: runner.Unhealthy})
+		o.startAnswered(s, runner.Answer{Status: runner.Unhealthy}, flow.Way{})
 	}
 }
 
 // startAnswered takes the answer to a start in.
-func (o *Owner) startAnswered(s dispatch.StartOrder, a runner.Answer) {
+func (o *Owner) startAnswered(s dispatch.StartOrder, a runner.Answer, way flow.Way) {
+	now := time.Now()
+	if way.Took > 0 {
+		o.traffic.measured(now, way)
+	}
+	o.traffic.StartOver(now, way)
 	o.opts.Metrics.order("start", a.Status)
 	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("known", s.Known), slog.Any("status", a.Status), slog.Any("err", a.Err))
-	if !o.state.StartAnswered(time.Now(), s, a) {
+	if !o.state.StartAnswered(now, s, a) {
 		return
 	}
 	o.resolve(s.Worker.ID)
@@ -84,8 +85,8 @@
 	s.token.Store(renewal.Token)
 	l := look{worker: w, renewal: renewal}
 	o.give(id, func(ctx context.Context) {
-		a, rep := o.renew(ctx, l)
-		o.post(func() { o.looked(s, l, a, rep) })
+		a, rep, way := o.renew(ctx, l)
+		o.post(func() { o.looked(s, l, a, rep, way) })
 	})
 }
 
@@ -118,11 +119,12 @@
 // gives it again.
 func (o *Owner) call(id, kind string, order func(context.Context) runner.Answer, answered func(runner.Answer)) {
 	queued := o.give(id, func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		a := order(ctx)
-		cancel()
+		a, way := o.traffic.send(ctx, 0, order)
 		o.opts.Metrics.order(kind, a.Status)
-		o.post(func() { answered(a) })
+		o.post(func() {
+			o.traffic.measured(time.Now(), way)
+			answered(a)
+		})
 	})
 	if !queued {
 		answered(runner.Answer{Status: runner.Unhealthy})
@@ -160,13 +162,20 @@
 }
 
 // looked takes in a worker's answer to a look.
-func (o *Owner) looked(s *session, l look, a runner.Answer, rep runner.Report) {
+func (o *Owner) looked(s *session, l look, a runner.Answer, rep runner.Report, way flow.Way) {
+	now := time.Now()
 	o.opts.Metrics.order("look", a.Status)
+	// A worker that was silent before is looked at in vain as long as it is
+	// gone, and one that may hold its answer says nothing of the way.
+	if (way.Late && o.state.Heard(l.worker.ID)) || (!way.Late && l.renewal.WaitMS == 0) {
+		o.traffic.measured(now, way)
+	}
+	s.nextLook = now.Add(o.traffic.LookGap(now))
 	if a.Status != runner.Done {
-		s.nextLook = time.Now().Add(lookRetry)
+		s.nextLook = now.Add(max(lookRetry, o.traffic.orderWait()))
 		event.WorkerNotSeen.Log(o.opts.Log, slog.Any("worker", l.worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
 	}
-	for _, e := range o.state.Report(time.Now(), l.worker.ID, l.renewal, a, rep) {
+	for _, e := range o.state.Report(now, l.worker.ID, l.renewal, a, rep) {
 		o.opts.Metrics.ends.WithLabelValues(e.Kind.String()).Inc()
 		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", l.worker.ID), slog.Any("how", e.Kind))
 	}
--- a/control/owner.go
+++ b/control/owner.go
@@ -21,6 +21,7 @@
 	events    chan func()
 	state     *dispatch.State
 	sessions  map[string]*session
+	traffic   *traffic
 	// waiters are told when a job's newest change is durable.
 	waiters map[string][]chan reply
 	config  Config
@@ -65,7 +66,7 @@
 	ctx, quit := context.WithCancelCause(ctx)
 	o := &Owner{
 		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: c.Record().Epoch,
-		events: make(chan func(), eventBuffer), sessions: map[string]*session{},
+		events: make(chan func(), eventBuffer), sessions: map[string]*session{}, traffic: newTraffic(),
 		waiters: map[string][]chan reply{}, stopped: make(chan struct{}), begun: boottime(), rivals: new(election.Rivals),
 	}
 	o.state = dispatch.New(dispatch.Config{
@@ -151,7 +152,7 @@
 	o.turnedAt.Store(int64(boottime()))
 	o.flush(now)
 	if o.proven() && !o.resigning {
-		o.order(o.state.Plan(now))
+		o.order(o.state.PlanAtMost(now, o.traffic.StartRoom()))
 		o.askPermits(now)
 	}
 	o.look(now)
--- a/control/session.go
+++ b/control/session.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflygate/fireflygate/flow"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
@@ -60,10 +61,10 @@
 	for {
 		select {
 		case l := <-s.looks:
-			a, rep := o.renew(ctx, l)
+			a, rep, way := o.renew(ctx, l)
 			o.post(func() {
 				s.looking = false
-				o.looked(s, l, a, rep)
+				o.looked(s, l, a, rep, way)
 			})
 		case <-ctx.Done():
 			return
@@ -72,9 +73,11 @@
 }
 
 // renew makes one look.
-func (o *Owner) renew(ctx context.Context, l look) (runner.Answer, runner.Report) {
-	wait := time.Duration(l.renewal.WaitMS) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait+orderTimeout)
-	defer cancel()
-	return o.opts.Workers.Renew(ctx, l.worker, l.renewal)
+func (o *Owner) renew(ctx context.Context, l look) (a runner.Answer, rep runner.Report, way flow.Way) {
+	held := time.Duration(l.renewal.WaitMS) * time.Millisecond
+	a, way = o.traffic.send(ctx, held, func(ctx context.Context) (a runner.Answer) {
+		a, rep = o.opts.Workers.Renew(ctx, l.worker, l.renewal)
+		return a
+	})
+	return a, rep, way
 }
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -29,7 +29,7 @@
 	case runner.Unknown:
 		s.Stats.StartsUnknown++
 		r.phase = uncertain
-		w.silent = true
+		s.unheard(now, w)
 		return s.raiseToken(w)
 	case runner.Reborn:
 		s.Reborn(now, w.info.ID)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -17,18 +18,29 @@
 }
 
 // Plan decides what to order now.
-func (s *State) Plan(now time.Time) Plan {
+func (s *State) Plan(now time.Time) Plan { return s.PlanAtMost(now, math.MaxInt) }
+
+// PlanAtMost decides what to order now, with at most so many starts, those first
+// that are first in the queue. What isn't ordered reserves no room. A gang that
+// has begun to fit within them is ordered whole.
+func (s *State) PlanAtMost(now time.Time, starts int) Plan {
 	s.ExpireLeases(now)
 	s.drain(now)
 	var p Plan
 	p.Paces = s.pace(now)
 	c := newCycle(s, now)
+	c.most = starts
 	list := s.waiting(now)
 	c.rooms(list)
 	for _, w := range list {
+		if c.full() {
+			break
+		}
 		c.placeStep(w.step)
 	}
-	c.copySlow()
+	if !c.full() {
+		c.copySlow()
+	}
 	p.Starts = c.starts
 	p.Stops, s.stops = s.stops, nil
 	return p
@@ -86,6 +98,8 @@
 	kept   []bool
 	keeps  int
 	starts []StartOrder
+	// most bounds the starts.
+	most int
 	// views holds what has been worked out of workers, by slot.
 	views  []*view
 	pools  map[string]*room
@@ -102,7 +116,7 @@
 func newCycle(s *State, now time.Time) *cycle {
 	c := &cycle{
 		s: s, now: now, noRoom: map[kindKey][]infra.Resources{}, wanted: newWanted(s),
-		workers: make([]*worker, 0, len(s.workers)),
+		workers: make([]*worker, 0, len(s.workers)), most: math.MaxInt,
 	}
 	for _, w := range s.byID() {
 		if w.usable(now) && w.rostered && !w.clockAt.IsZero() {
@@ -116,6 +130,9 @@
 	return c
 }
 
+// full reports whether as many starts are ordered as may be.
+func (c *cycle) full() bool { return len(c.starts) >= c.most }
+
 // keep keeps a worker's room from steps later in the queue.
 func (c *cycle) keep(w *worker) {
 	if !c.kept[w.slot] {
@@ -139,6 +156,9 @@
 		if !c.settled(t) || !c.mayBegin(t) {
 			continue
 		}
+		if c.full() {
+			return
+		}
 		var w *worker
 		if len(t.failedOn) > 0 {
 			w, list = c.choose(t, nil), nil // it avoids workers that others don't
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -38,7 +38,7 @@
 		// would put off the moment when its runs are known to be over.
 		o.LeaseUntil = s.leaseFor(now, w)
 	}
-	if w.reported && !w.silent && w.token == w.tokenSeen && w.seen == w.acknowledged {
+	if w.reported && w.unheardSince.IsZero() && w.token == w.tokenSeen && w.seen == w.acknowledged {
 		o.WaitMS = longPoll.Milliseconds()
 		if load, _ := w.colocation(now); load.Watch() {
 			o.WaitMS = tailWindow.Milliseconds()
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -23,11 +23,11 @@
 		s.Reborn(now, id)
 		return nil
 	default:
-		w.silent = true
+		s.unheard(now, w)
 		w.answersAt = now
 		return nil
 	}
-	w.silent = false
+	w.heard()
 	w.answersAt = now
 	s.changed(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -49,6 +49,8 @@
 	// answersAt is when it last answered; silent is set after a failure.
 	answersAt time.Time
 	silent    bool
+	// unheardSince is when it first gave no answer since it last gave one.
+	unheardSince time.Time
 	// peekedAt is when it was last looked at beside a look that waits,
 	// watchedAt when that was last considered.
 	peekedAt, watchedAt time.Time
@@ -96,7 +98,7 @@
 
 // usable reports whether new tasks may go to the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.reported && !w.silent && !w.info.Draining && now.After(w.pausedUntil)
+	return w.listed && w.reported && !w.silent && w.unheardSince.IsZero() && !w.info.Draining && now.After(w.pausedUntil)
 }
 
 // roomInTime returns what is free once every run that ends by itself has.
--- /dev/null
+++ b/flow/limit.go
@@ -0,0 +1,73 @@
+package flow
+
+import "time"
+
+// Limit bounds how many orders are under way at a time by how long they take:
+// it grows while answers come sooner than Target and shrinks once they come
+// later (additive increase, multiplicative decrease). What isn't begun beyond
+// it can still be ordered by urgency, and spoils no worker's room.
+type Limit struct {
+	// Target is the round trip beyond which more under way only waits longer.
+	Target time.Duration
+	// Least and Most bound the limit.
+	Least, Most int
+
+	limit    float64
+	underWay int
+	// shrunkAt is when the limit was last made smaller.
+	shrunkAt time.Time
+}
+
+const (
+	// leastShrink and mostShrink bound what remains of the limit when answers
+	// come too late: the share of the target in the round trip.
+	leastShrink, mostShrink = 0.3, 0.8
+	// fastShare is the share of the target below which the limit grows by
+	// fastGrowth for each answer, so by half in a round trip.
+	fastShare, fastGrowth = 0.25, 0.5
+)
+
+// beginWith is the limit before anything is measured: what a small link carries
+// in a fraction of a second.
+const beginWith = 64
+
+// NewLimit returns a limit.
+func NewLimit(target time.Duration, least, most int) *Limit {
+	return &Limit{Target: target, Least: least, Most: most, limit: float64(min(max(beginWith, least), most))}
+}
+
+// Room returns how many more may be begun.
+func (l *Limit) Room() int { return max(int(l.limit)-l.underWay, 0) }
+
+// UnderWay returns how many are under way, Current how many may be.
+func (l *Limit) UnderWay() int { return l.underWay }
+
+// Current returns how many may be under way.
+func (l *Limit) Current() int { return int(l.limit) }
+
+// Begin takes in that an order is given.
+func (l *Limit) Begin() { l.underWay++ }
+
+// Answered takes in that an order was answered.
+func (l *Limit) Answered(now time.Time, took time.Duration) {
+	used := float64(l.underWay) >= l.limit/2
+	l.underWay--
+	switch {
+	case took > l.Target:
+		// Those under way now were given before the limit shrank: they are
+		// late as well and say nothing new.
+		if now.Sub(l.shrunkAt) >= took {
+			remains := min(max(float64(l.Target)/float64(took), leastShrink), mostShrink)
+			l.limit, l.shrunkAt = max(l.limit*remains, float64(l.Least)), now
+		}
+	case !used:
+	case took < time.Duration(fastShare*float64(l.Target)):
+		l.limit = min(l.limit+fastGrowth, float64(l.Most))
+	default:
+		l.limit = min(l.limit+1/l.limit, float64(l.Most))
+	}
+}
+
+// Gone takes in that an order is over of which nothing was measured: it wasn't
+// sent, or got no answer.
+func (l *Limit) Gone() { l.underWay-- }
