dispatch, control: progress gathers while workers report late, and marks are half as long

The twin's owner wrote 9 MB to the store in 48 s over a link of 250 KB/s, most of it the progress of jobs of dozens of tasks, written anew with each commit that a new job waited for. Now such a commit holds what is waited for: new jobs, those that are over, those whose task waits for its row.

--- a/control/commit.go
+++ b/control/commit.go
@@ -10,33 +10,36 @@
 	"github.com/fireflygate/fireflygate/event"
 )
 
-// flush commits what has changed, one batch at a time: at once when somebody
-// waits for it, after flushDelay otherwise, and at least every heartbeat.
+// flush commits what has changed, one batch at a time: what somebody waits for
+// at once, what is urgent otherwise after flushDelay, the rest after longer if
+// workers report late anyway, and at least something every heartbeat.
 func (o *Owner) flush(now time.Time) {
 	if o.committing || o.resigning {
 		return
 	}
 	if !o.state.Unflushed() {
 		o.dirtySince = time.Time{}
-		if now.Sub(o.lastCommit) < heartbeat {
-			return
-		}
 	} else if o.dirtySince.IsZero() {
 		o.dirtySince = now
 	}
-	urgent := len(o.waiters) > 0 || now.Sub(o.lastCommit) >= heartbeat
-	if !urgent && now.Sub(o.dirtySince) < flushDelay {
+	beat := now.Sub(o.lastCommit) >= heartbeat
+	all := !o.dirtySince.IsZero() && now.Sub(o.dirtySince) >= flushDelay+o.traffic.LookGap(now)/2
+	urgent := now.Sub(o.lastCommit) >= flushDelay && o.state.Urgent()
+	if !beat && !all && !urgent && len(o.waiters) == 0 {
 		return
 	}
-	b, err := o.state.Flush(now, batchWrites)
+	collect := o.state.FlushUrgent
+	if all {
+		collect, o.dirtySince = o.state.Flush, time.Time{}
+	}
+	b, err := collect(now, batchWrites)
 	if err != nil {
 		panic("control: state can't be encoded: " + err.Error())
 	}
-	if len(b.Writes) == 0 && now.Sub(o.lastCommit) < heartbeat {
+	if len(b.Writes) == 0 && !beat {
 		o.state.Flushed(b)
 		return
 	}
-	o.dirtySince = time.Time{}
 	o.committing = true
 	o.lastCommit = now
 	go o.commit(b)
--- a/control/requests.go
+++ b/control/requests.go
@@ -55,7 +55,7 @@
 			spec.Submitted = time.Now().UnixMilli()
 		}
 		o.state.Accept(time.Now(), time.Now().UnixMilli(), spec, q)
-		o.waiters[spec.ID] = append(o.waiters[spec.ID], answer)
+		o.await(spec.ID, answer)
 	})
 }
 
@@ -92,10 +92,16 @@
 			answer <- reply{Result: ResultDone}
 			return
 		}
-		o.waiters[id] = append(o.waiters[id], answer)
+		o.await(id, answer)
 	})
 }
 
+// await has an answer given once a job's newest change is durable.
+func (o *Owner) await(id string, answer chan reply) {
+	o.waiters[id] = append(o.waiters[id], answer)
+	o.state.Hasten(id)
+}
+
 // jobState answers a job's state.
 func (o *Owner) jobState(ctx context.Context, id string) reply {
 	return o.ask(ctx, func(answer chan reply) {
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -51,6 +51,33 @@
 // Flush collects what must become durable, in at most limit writes. The
 // caller commits the batch and reports it with Flushed, or drops the state.
 func (s *State) Flush(now time.Time, limit int) (*Batch, error) {
+	return s.flush(now, limit, func(*job) bool { return true })
+}
+
+// FlushUrgent is Flush for what somebody waits for: new jobs, those that are
+// over, and those that were hastened. The progress of others changes several
+// times while it waits, and is written once.
+func (s *State) FlushUrgent(now time.Time, limit int) (*Batch, error) {
+	return s.flush(now, limit, (*job).waitedFor)
+}
+
+// waitedFor reports whether somebody waits for the job's change to be durable.
+func (j *job) waitedFor() bool { return j.urgent || !j.rowStored || j.state.Final() }
+
+// Urgent reports whether there is something that FlushUrgent would collect.
+func (s *State) Urgent() bool {
+	return len(s.rosterChanged) > 0 || slices.ContainsFunc(s.dirty, (*job).waitedFor)
+}
+
+// Hasten makes a job's change urgent.
+func (s *State) Hasten(id string) {
+	if j := s.jobs[id]; j != nil && j.dirty {
+		j.urgent = true
+	}
+}
+
+// flush collects what must become durable of the jobs that are wanted.
+func (s *State) flush(now time.Time, limit int, wanted func(*job) bool) (*Batch, error) {
 	b := &Batch{}
 	if err := s.flushRoster(b); err != nil {
 		return nil, err
@@ -60,20 +87,19 @@
 			return nil, err
 		}
 	}
-	n := 0
+	var rest []*job
 	for _, j := range s.dirty {
-		if len(b.Writes)+2 > limit {
-			break
+		if len(b.Writes)+2 > limit || !wanted(j) {
+			rest = append(rest, j)
+			continue
 		}
 		if err := b.addJob(j); err != nil {
 			return nil, err
 		}
-		j.dirty = false
-		n++
+		j.dirty, j.urgent = false, false
 	}
-	s.dirty = s.dirty[n:]
+	s.dirty = rest
 	if len(s.dirty) == 0 {
-		s.dirty = nil
 		b.seen = s.unacknowledged()
 		s.flushRemoved(now, b, limit)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -27,8 +27,10 @@
 	// unfinished counts occurrences that aren't over.
 	unfinished int
 	overAt     time.Time
-	dirty      bool
-	ledger     Ledger
+	// dirty is set while its progress isn't durable, urgent while somebody waits
+	// for that.
+	dirty, urgent bool
+	ledger        Ledger
 	// toldLost is set once it has been told that the job is past its use.
 	toldLost bool
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -201,6 +201,7 @@
 	}
 	if len(t.marks) > 0 {
 		c.s.touch(j)
+		j.urgent = true
 		return false
 	}
 	return true
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -28,8 +28,11 @@
 	Running []RunMark `msgpack:"r,omitempty"`
 }
 
-// RunMark says that a run of a task may be alive on a worker.
+// RunMark says that a run of a task may be alive on a worker. It is written as
+// an array, half as long as a map: most of a row is marks.
 type RunMark struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Occurrence int `msgpack:"k"`
 	Step       int `msgpack:"s"`
 	Index      int `msgpack:"i"`
@@ -72,7 +75,7 @@
 	j.eachTask(func(t *task) {
 		for _, r := range t.runs {
 			id := t.id()
-			row.Running = append(row.Running, RunMark{id.Occurrence, id.Step, id.Index, r.worker.mark})
+			row.Running = append(row.Running, RunMark{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Worker: r.worker.mark})
 		}
 		if len(t.failed) > 0 && !t.done {
 			id := t.id()
