control: what an owner spends its loop's time on, and what it measures of its orders

In the state line and on the metrics: loop time by activity, the longest that a tick waited, events that waited, the smoothed round trip, the wait for an answer, starts under way and allowed, the gap between looks, the age of the last commit.

--- a/control/metrics.go
+++ b/control/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/flow"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
@@ -23,6 +24,9 @@
 	over      prometheus.Gauge
 	cycle     prometheus.Histogram
 	takeovers prometheus.Counter
+	loop      *prometheus.CounterVec
+	late      prometheus.Gauge
+	traffic   *prometheus.GaugeVec
 }
 
 // shortBuckets are for what takes from a millisecond to some seconds.
@@ -70,6 +74,17 @@
 			Name: "fireflygate_takeovers_total", Help: "Times that this host took the domain over.",
 		}),
 	}
+	m.loop = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "fireflygate_loop_seconds_total", Help: "Time that the owner's loop spent, by activity.",
+	}, []string{"activity"})
+	m.late = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflygate_loop_late_seconds", Help: "Longest that a tick waited for the owner's loop in the last second.",
+	})
+	m.traffic = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "fireflygate_worker_traffic", Help: "What the owner measures of its orders and allows: seconds to wait for an answer, " +
+			"of the smoothed round trip and between a report and the next look; starts under way and allowed.",
+	}, []string{"what"})
+	r.MustRegister(m.loop, m.late, m.traffic)
 	r.MustRegister(m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.waiting, m.open, m.workers, m.over,
 		m.cycle, m.takeovers)
 	return m
@@ -107,6 +122,20 @@
 	}
 }
 
+// load sets what an owner measures of itself.
+func (m *Metrics) load(t flow.State, l *loopTime) {
+	for a, d := range l.spent {
+		m.loop.WithLabelValues(activity(a).String()).Add(d.Seconds()) //nolint:gosec // a few activities
+	}
+	m.late.Set(l.latest.Seconds())
+	for what, v := range map[string]float64{
+		"wait": t.Wait.Seconds(), "round_trip": t.Smoothed.Seconds(), "look_gap": t.LookGap.Seconds(),
+		"starts": float64(t.Starts), "start_limit": float64(t.StartLimit),
+	} {
+		m.traffic.WithLabelValues(what).Set(v)
+	}
+}
+
 // lead marks the beginning or the end of an ownership.
 func (m *Metrics) lead(owner bool) {
 	if owner {
--- a/control/owner.go
+++ b/control/owner.go
@@ -30,6 +30,8 @@
 	lastCommit time.Time
 	summarized time.Time
 	stepped    time.Time
+	// loop is what the loop spends its time on.
+	loop loopTime
 	// stepTook is how long the last cycle took.
 	stepTook   time.Duration
 	dirtySince time.Time
@@ -112,8 +114,11 @@
 	for {
 		select {
 		case f := <-o.events:
+			begun := time.Now()
+			o.loop.waited = max(o.loop.waited, len(o.events))
 			f()
 			o.drainEvents()
+			o.loop.add(hearing, begun)
 			if !armed {
 				armed = true
 				gather.Reset(max(planGap, planShare*o.stepTook) - time.Since(o.stepped))
@@ -121,7 +126,8 @@
 			continue
 		case <-gather.C:
 			armed = false
-		case <-t.C:
+		case due := <-t.C:
+			o.loop.ticked(due)
 		case <-o.ctx.Done():
 			return
 		}
@@ -151,13 +157,18 @@
 	o.stepped = now
 	o.turnedAt.Store(int64(boottime()))
 	o.flush(now)
+	at := o.loop.add(flushing, now)
 	if o.proven() && !o.resigning {
-		o.order(o.state.PlanAtMost(now, o.traffic.StartRoom()))
+		p := o.state.PlanAtMost(now, o.traffic.StartRoom())
+		at = o.loop.add(planning, at)
+		o.order(p)
 		o.askPermits(now)
+		at = o.loop.add(ordering, at)
 	}
 	o.look(now)
+	at = o.loop.add(looking, at)
 	o.summarize(now)
-	o.stepTook = time.Since(now)
+	o.stepTook = o.loop.add(summing, at).Sub(now)
 	o.opts.Metrics.cycle.Observe(o.stepTook.Seconds())
 }
 
@@ -172,7 +183,11 @@
 	o.summarized = now
 	sum := o.state.Account(now)
 	o.opts.Metrics.state(&sum)
-	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum))
+	traffic := o.traffic.State(now)
+	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum),
+		slog.Any("traffic", traffic), slog.Any("loop", o.loop), slog.Int64("commit_age_ms", o.commitAge().Milliseconds()))
+	o.opts.Metrics.load(traffic, &o.loop)
+	o.loop = loopTime{}
 	for _, j := range o.state.EndedJobs() {
 		event.JobOver.Log(o.opts.Log, slog.String("job", j.Job), slog.String("queue", j.Queue),
 			slog.String("state", j.State.String()), slog.String("reached", j.Hope.String()),
--- a/flow/traffic.go
+++ b/flow/traffic.go
@@ -1,6 +1,9 @@
 package flow
 
-import "time"
+import (
+	"log/slog"
+	"time"
+)
 
 // The bounds of what an owner has under way with its workers.
 const (
@@ -97,3 +100,11 @@
 		LookGap: t.LookGap(now),
 	}
 }
+
+// LogValue implements slog.LogValuer.
+func (s State) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.Int64("wait_ms", s.Wait.Milliseconds()), slog.Int64("smoothed_ms", s.Smoothed.Milliseconds()),
+		slog.Int("starts", s.Starts), slog.Int("start_limit", s.StartLimit), slog.Int64("look_gap_ms", s.LookGap.Milliseconds()),
+	)
+}
