--- a/flow/limit.go
+++ b/flow/limit.go
@@ -14,6 +14,9 @@
 
 	limit    float64
 	underWay int
+	// smoothed is the smoothed round trip: a single slow worker says nothing of
+	// how many may be under way.
+	smoothed time.Duration
 	// shrunkAt is when the limit was last made smaller.
 	shrunkAt time.Time
 }
@@ -23,8 +26,8 @@
 	// come too late: the share of the target in the round trip.
 	leastShrink, mostShrink = 0.3, 0.8
 	// fastShare is the share of the target below which the limit grows by
-	// fastGrowth for each answer, so by half in a round trip.
-	fastShare, fastGrowth = 0.25, 0.5
+	// fastGrowth for each answer, so that it doubles in a round trip.
+	fastShare, fastGrowth = 0.25, 1.0
 )
 
 // beginWith is the limit before anything is measured: what a small link carries
@@ -52,16 +55,20 @@
 func (l *Limit) Answered(now time.Time, took time.Duration) {
 	used := float64(l.underWay) >= l.limit/2
 	l.underWay--
+	if l.smoothed == 0 {
+		l.smoothed = took
+	}
+	l.smoothed += time.Duration(smoothedWeight * float64(took-l.smoothed))
 	switch {
-	case took > l.Target:
+	case l.smoothed > l.Target:
 		// Those under way now were given before the limit shrank: they are
 		// late as well and say nothing new.
-		if now.Sub(l.shrunkAt) >= took {
-			remains := min(max(float64(l.Target)/float64(took), leastShrink), mostShrink)
+		if now.Sub(l.shrunkAt) >= l.smoothed {
+			remains := min(max(float64(l.Target)/float64(l.smoothed), leastShrink), mostShrink)
 			l.limit, l.shrunkAt = max(l.limit*remains, float64(l.Least)), now
 		}
 	case !used:
-	case took < time.Duration(fastShare*float64(l.Target)):
+	case l.smoothed < time.Duration(fastShare*float64(l.Target)):
 		l.limit = min(l.limit+fastGrowth, float64(l.Most))
 	default:
 		l.limit = min(l.limit+1/l.limit, float64(l.Most))
