--- a/peer/clientconn.go
+++ b/peer/clientconn.go
@@ -144,17 +144,20 @@
 	ca.done <- answer{reply: m}
 }
 
-// writeRequests writes queued frames until the connection closes.
+// writeRequests writes queued frames until the connection closes, as many as
+// are queued with one call of the kernel.
 func (c *clientConn) writeRequests() {
+	var out []byte
 	for {
 		select {
 		case <-c.closed:
 			return
 		case ca := <-c.queue:
-			if !ca.startWriting() {
+			out = c.gather(out[:0], ca)
+			if len(out) == 0 {
 				continue
 			}
-			if _, err := c.conn.Write(ca.frame); err != nil {
+			if _, err := c.conn.Write(out); err != nil {
 				c.close(errors.Wrap(err, "write"))
 				return
 			}
@@ -162,6 +165,23 @@
 	}
 }
 
+// gather appends a call's frame and those queued behind it.
+func (c *clientConn) gather(out []byte, ca *call) []byte {
+	for {
+		if ca.startWriting() {
+			out = append(out, ca.frame...)
+		}
+		if len(out) >= gatherBytes {
+			return out
+		}
+		select {
+		case ca = <-c.queue:
+		default:
+			return out
+		}
+	}
+}
+
 // close ends the connection and every call in it.
 func (c *clientConn) close(cause error) {
 	c.mu.Lock()
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -18,6 +18,10 @@
 	headerSize  = 4 + 1 + 8
 )
 
+// gatherBytes is from how many bytes on frames that wait are written without
+// looking for more of them.
+const gatherBytes = 64 << 10
+
 // putHeader fills in the header of a frame whose body follows it.
 func putHeader(frame []byte) {
 	body := frame[headerSize:]
--- a/peer/serverconn.go
+++ b/peer/serverconn.go
@@ -179,18 +179,37 @@
 	}
 }
 
-// writeReplies writes queued replies until the connection breaks.
+// writeReplies writes queued replies until the connection breaks, as many as
+// are queued with one call of the kernel.
 func (c *serverConn) writeReplies() {
+	var out []byte
 	for {
 		select {
 		case <-c.broken:
 			return
 		case frame := <-c.replies:
-			if _, err := c.conn.Write(frame); err != nil {
+			var frames int64
+			out, frames = c.gather(out[:0], frame)
+			if _, err := c.conn.Write(out); err != nil {
 				c.abort()
 				return
 			}
-			c.unsent.Add(-1)
+			c.unsent.Add(-frames)
+		}
+	}
+}
+
+// gather appends a frame and those queued behind it, and counts them.
+func (c *serverConn) gather(out, frame []byte) ([]byte, int64) {
+	for n := int64(1); ; n++ {
+		out = append(out, frame...)
+		if len(out) >= gatherBytes {
+			return out, n
+		}
+		select {
+		case frame = <-c.replies:
+		default:
+			return out, n
 		}
 	}
 }
