control, relay: other hosts carry an owner's orders where it can't itself

The owner still decides alone. Hosts in the workers' own zones make the calls; the owner sends each order as a short message over one connection a host, a job's payload once, and gets the answer back. How many there are follows what the owner measures: round trips over 60 ms or starts held back, two seconds in a row, double them; a domain of more than 512 workers begins with one a zone; a small one has none. A relay keeps nothing that lasts: an order lost with it is one whose answer got lost, and the fencing token settles it. One that loses three orders in a row is passed over for a second.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -56,7 +56,7 @@
 	var all []runner.Worker
 	for id := range f.workers {
 		all = append(all, runner.Worker{
-			ID: id, Address: "127.0.0.1:1", Pool: "pool", Capacity: infra.Resources{MilliCPU: 16_000, MemoryMB: 64_000},
+			ID: id, Address: "127.0.0.1:1", Pool: "pool", Zone: testZone, Capacity: infra.Resources{MilliCPU: 16_000, MemoryMB: 64_000},
 		})
 	}
 	return all, nil
--- a/control/follow.go
+++ b/control/follow.go
@@ -75,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var r pingReply
-	q := pingRequest{Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offer()}
+	q := pingRequest{Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offer(), Zone: n.opts.Zone}
 	res := n.client.Call(ctx, leader.Host, methodPing, q, &r)
 	n.meet(r.Hosts)
 	return r, res.Kind
@@ -206,6 +206,7 @@
 	opts := n.opts
 	n.mu.Unlock()
 	o := newOwner(ctx, opts, c, *n.config.Load())
+	defer o.relays.close()
 	o.rivals = &n.rivals
 	o.missed = before.Resigned && before.HandedOver && before.Cores > opts.Cores
 	go n.announce(ctx, before, c.Record(), func() {
--- a/control/looptime.go
+++ b/control/looptime.go
@@ -38,6 +38,9 @@
 	latest time.Duration
 	// waited is the most events that waited for the loop.
 	waited int
+	// cycles counts planning cycles, heldBack those whose starts were cut short
+	// by those under way.
+	cycles, heldBack int
 }
 
 // add books the time since begun and returns now.
@@ -47,6 +50,14 @@
 	return now
 }
 
+// planned takes in a planning cycle.
+func (l *loopTime) planned(heldBack bool) {
+	l.cycles++
+	if heldBack {
+		l.heldBack++
+	}
+}
+
 // ticked takes in a tick that was due at a time.
 func (l *loopTime) ticked(due time.Time) { l.latest = max(l.latest, time.Since(due)) }
 
@@ -56,6 +67,7 @@
 	for a, d := range l.spent {
 		attrs = append(attrs, slog.Int64(activity(a).String()+"_ms", d.Milliseconds())) //nolint:gosec // a few activities
 	}
-	attrs = append(attrs, slog.Int64("late_ms", l.latest.Milliseconds()), slog.Int("events_waited", l.waited))
+	attrs = append(attrs, slog.Int64("late_ms", l.latest.Milliseconds()), slog.Int("events_waited", l.waited),
+		slog.Int("cycles", l.cycles), slog.Int("held_back", l.heldBack))
 	return slog.GroupValue(attrs...)
 }
--- a/control/messages.go
+++ b/control/messages.go
@@ -24,8 +24,10 @@
 	Address string `msgpack:"a"`
 	// Hosts is how many hosts it knows.
 	Hosts int `msgpack:"h"`
-	// Cores are its processors, 0 if it doesn't take the domain: it stops.
+	// Cores are its processors, 0 if it neither takes the domain nor carries
+	// orders: it stops.
 	Cores float64 `msgpack:"c"`
+	Zone  string  `msgpack:"z"`
 }
 
 // pingReply is the owner's answer.
--- a/control/node.go
+++ b/control/node.go
@@ -44,6 +44,8 @@
 	hint election.Record
 	// rivals are the hosts that ask after this one as the owner.
 	rivals election.Rivals
+	// payloads are those of jobs whose starts this host carries for an owner.
+	payloads payloads
 }
 
 // NewNode returns a node; its peer server must be served, and Run called.
@@ -59,6 +61,7 @@
 	}
 	n.handle()
 	n.handleGossip()
+	n.handleCarry()
 	n.client.SetPeers(n.peers(election.Record{}))
 	return n
 }
--- a/control/options.go
+++ b/control/options.go
@@ -16,6 +16,8 @@
 	Address string
 	// Incarnation names this life of the process; it never repeats.
 	Incarnation string
+	// Zone is the availability zone of this host.
+	Zone string
 	// Cores are the processors that this host has; the owner needs most.
 	Cores float64
 	// Seeds are addresses of other hosts, some of which may be gone.
--- a/control/orders.go
+++ b/control/orders.go
@@ -48,7 +48,7 @@
 		a, way := runner.Answer{Status: runner.Fenced}, flow.Way{}
 		if session.token.Load() == s.Start.Token && o.proven() && boottime()-given < o.traffic.startWait() {
 			a, way = o.traffic.send(ctx, 0, func(ctx context.Context) runner.Answer {
-				return o.opts.Workers.Start(ctx, s.Worker, s.Start)
+				return o.relays.Start(ctx, s.Worker, s.Start)
 			})
 		}
 		o.post(func() { o.startAnswered(s, a, way) })
@@ -93,7 +93,7 @@
 // orderStop gives a stop.
 func (o *Owner) orderStop(s dispatch.StopOrder) {
 	o.call(s.Worker.ID, "stop", func(ctx context.Context) runner.Answer {
-		return o.opts.Workers.Stop(ctx, s.Worker, s.Stop)
+		return o.relays.Stop(ctx, s.Worker, s.Stop)
 	}, func(a runner.Answer) {
 		event.StopAnswered.Log(o.opts.Log, slog.Any("task", s.Stop.Task), slog.Uint64("run", s.Stop.Run),
 			slog.String("worker", s.Worker.ID), slog.String("cause", s.Cause.String()), slog.Any("known", s.Known),
@@ -105,7 +105,7 @@
 // orderPace gives a change of pace.
 func (o *Owner) orderPace(p dispatch.PaceOrder) {
 	o.call(p.Worker.ID, "pace", func(ctx context.Context) runner.Answer {
-		return o.opts.Workers.Pace(ctx, p.Worker, p.Pace)
+		return o.relays.Pace(ctx, p.Worker, p.Pace)
 	}, func(a runner.Answer) {
 		event.PaceAnswered.Log(o.opts.Log, slog.Any("task", p.Pace.Task), slog.Uint64("run", p.Pace.Run),
 			slog.String("worker", p.Worker.ID), slog.Int("percent", p.Pace.Percent), slog.Any("known", p.Known), slog.Any("status", a.Status),
--- a/control/owner.go
+++ b/control/owner.go
@@ -9,6 +9,7 @@
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/relay"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
@@ -22,6 +23,9 @@
 	state     *dispatch.State
 	sessions  map[string]*session
 	traffic   *traffic
+	// relays is the way to the workers, demand how many relays there should be.
+	relays *relays
+	demand relay.Demand
 	// waiters are told when a job's newest change is durable.
 	waiters map[string][]chan reply
 	config  Config
@@ -30,6 +34,10 @@
 	lastCommit time.Time
 	summarized time.Time
 	stepped    time.Time
+	// planned is when the last plan was made, heldBack whether its starts were cut
+	// short by those under way.
+	planned  time.Time
+	heldBack bool
 	// loop is what the loop spends its time on.
 	loop loopTime
 	// stepTook is how long the last cycle took.
@@ -71,6 +79,7 @@
 		events: make(chan func(), eventBuffer), sessions: map[string]*session{}, traffic: newTraffic(),
 		waiters: map[string][]chan reply{}, stopped: make(chan struct{}), begun: boottime(), rivals: new(election.Rivals),
 	}
+	o.relays = newRelays(&o.opts)
 	o.state = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: min(lease, opts.MaxLease), InheritedLease: min(lease, opts.MaxLease) + ownerValidity,
 		Retention: opts.Retention, RoomPause: roomPause, TailBound: opts.TailBound, Without: opts.Without,
@@ -158,9 +167,11 @@
 	o.turnedAt.Store(int64(boottime()))
 	o.flush(now)
 	at := o.loop.add(flushing, now)
-	if o.proven() && !o.resigning {
+	if o.proven() && !o.resigning && o.planDue(now) {
 		p := o.state.PlanAtMost(now, o.traffic.StartRoom())
 		at = o.loop.add(planning, at)
+		o.loop.planned(p.HeldBack)
+		o.planned, o.heldBack = now, p.HeldBack
 		o.order(p)
 		o.askPermits(now)
 		at = o.loop.add(ordering, at)
@@ -172,6 +183,12 @@
 	o.opts.Metrics.cycle.Observe(o.stepTook.Seconds())
 }
 
+// planDue reports whether to plan now: at once, but where starts wait for those
+// under way only once some of these are answered, or after a tick.
+func (o *Owner) planDue(now time.Time) bool {
+	return !o.heldBack || o.traffic.StartsReady() || now.Sub(o.planned) >= tick
+}
+
 // summaryEvery is the time between two log lines on the state of the domain.
 const summaryEvery = time.Second
 
@@ -187,6 +204,7 @@
 	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum),
 		slog.Any("traffic", traffic), slog.Any("loop", o.loop), slog.Int64("commit_age_ms", o.commitAge().Milliseconds()))
 	o.opts.Metrics.load(traffic, &o.loop)
+	o.adaptRelays(now, sum.Workers)
 	o.loop = loopTime{}
 	for _, j := range o.state.EndedJobs() {
 		event.JobOver.Log(o.opts.Log, slog.String("job", j.Job), slog.String("queue", j.Queue),
@@ -196,6 +214,15 @@
 	}
 }
 
+// adaptRelays has as many hosts carry orders as the load of the last second
+// needs.
+func (o *Owner) adaptRelays(now time.Time, workers int) {
+	perZone := o.demand.Observe(relay.Load{
+		Workers: workers, Orders: int(o.relays.orders.Swap(0)), RoundTrip: o.traffic.RoundTrip(now), HeldBack: 2*o.loop.heldBack > o.loop.cycles,
+	})
+	o.relays.use(relay.NewTable(o.rivals.Relays(boottime()), perZone))
+}
+
 // abandon tells everybody who waits that the outcome is open.
 func (o *Owner) abandon() {
 	for id := range o.waiters {
--- a/control/rig_test.go
+++ b/control/rig_test.go
@@ -37,6 +37,8 @@
 	cores float64
 	// leads, if set, is told by the hosts started from now on.
 	leads func(owner bool)
+	// carried counts the orders that each host gave to workers.
+	carried map[string]*countingClient
 }
 
 // testQueue is the queue of these tests.
@@ -51,7 +53,7 @@
 
 // newLoggingCluster starts n hosts that log to log.
 func newLoggingCluster(t *testing.T, n, workers int, log *slog.Logger) *cluster {
-	c := &cluster{t: t, table: memtable.New(), fleet: newFleet(workers), log: log}
+	c := &cluster{t: t, table: memtable.New(), fleet: newFleet(workers), log: log, carried: map[string]*countingClient{}}
 	for i := range n {
 		c.start(fmt.Sprintf("h%d", i), c.table)
 	}
@@ -71,9 +73,10 @@
 		seeds = append(seeds, h.address)
 	}
 	h := &host{name: name, address: ln.Addr().String()}
+	c.carried[name] = &countingClient{Client: c.fleet}
 	h.node = control.NewNode(control.Options{
 		Host: name, Address: h.address, Incarnation: fmt.Sprintf("%s-%d", name, c.lives), Seeds: seeds, Cores: c.cores,
-		Table: table, Workers: c.fleet, Members: c.fleet, Log: c.log,
+		Table: table, Workers: c.carried[name], Zone: testZone, Members: c.fleet, Log: c.log,
 		Metrics:   control.NewMetrics(prometheus.NewRegistry()),
 		Leads:     c.leads,
 		Retention: time.Minute, MaxLease: 10 * time.Second, TailBound: 4 * time.Second,
@@ -145,3 +148,17 @@
 	c.t.Fatal("no host owns the domain")
 	return nil
 }
+
+// eventually waits until something holds.
+func (c *cluster) eventually(what string, holds func() bool) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for ctx.Err() == nil {
+		if holds() {
+			return
+		}
+		pause.For(ctx, time.Millisecond)
+	}
+	c.t.Fatalf("never seen: %s", what)
+}
--- a/control/session.go
+++ b/control/session.go
@@ -76,7 +76,7 @@
 func (o *Owner) renew(ctx context.Context, l look) (a runner.Answer, rep runner.Report, way flow.Way) {
 	held := time.Duration(l.renewal.WaitMS) * time.Millisecond
 	a, way = o.traffic.send(ctx, held, func(ctx context.Context) (a runner.Answer) {
-		a, rep = o.opts.Workers.Renew(ctx, l.worker, l.renewal)
+		a, rep = o.relays.Renew(ctx, l.worker, l.renewal)
 		return a
 	})
 	return a, rep, way
--- a/dispatch/benchlarge_test.go
+++ b/dispatch/benchlarge_test.go
@@ -65,3 +65,36 @@
 	}
 	b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
 }
+
+// BenchmarkPlanHeldBack plans eight starts at a time on 890 workers that serve
+// and have room, with 100 steps of fillers waiting, as an owner does whose orders
+// are slow.
+func BenchmarkPlanHeldBack(b *testing.B) {
+	t := &testing.T{}
+	r := newRig(t, largeWorkers)
+	for i := range largeLasting {
+		r.submit(queueShort, fmt.Sprintf("lasting%d", i), step(4, 3, longRunning, func(s *workload.Step) {
+			s.Image, s.TailTarget = fmt.Sprintf("serve%d", i%16), 50*time.Millisecond
+		}))
+	}
+	r.plan()
+	numbers := map[string]uint64{}
+	for i := range 100 {
+		r.submit(queueLong, fmt.Sprintf("fill%d", i), step(160, 3, func(s *workload.Step) {
+			s.Filler, s.Image, s.Checkpointing = true, fmt.Sprintf("fill%d", i%30), true
+		}))
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		r.pass(largeCycle)
+		b.StartTimer()
+		starts := r.state.PlanAtMost(r.now, 8).Starts
+		b.StopTimer()
+		for _, o := range starts {
+			r.state.StartAnswered(r.now, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()})
+			numbers[o.Worker.ID]++
+			r.report(o.Worker.ID, nil, []runner.End{end(numbers[o.Worker.ID], o, runner.EndFailed)})
+		}
+	}
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -30,4 +30,6 @@
 	Starts []StartOrder
 	Stops  []StopOrder
 	Paces  []PaceOrder
+	// HeldBack is set if there may be more starts than were allowed.
+	HeldBack bool
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -34,6 +34,7 @@
 	c.rooms(list)
 	for _, w := range list {
 		if c.full() {
+			p.HeldBack = true
 			break
 		}
 		c.placeStep(w.step)
--- a/election/rivals.go
+++ b/election/rivals.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/fireflygate/fireflygate/relay"
 )
 
 // unseenFor is how long a host that is no longer heard of counts as there:
@@ -20,13 +22,14 @@
 // rival is one host.
 type rival struct {
 	cores float64
+	zone  string
 	// since is when it was first heard of without a gap, last when last.
 	since, last time.Duration
 }
 
-// Heard notes that a host with so many processors asked, at the time now of a
-// clock that only rises. A host that can't take the domain says 0.
-func (r *Rivals) Heard(host string, cores float64, now time.Duration) {
+// Heard notes that a host of a zone with so many processors asked, at the time
+// now of a clock that only rises. A host that can't take the domain says 0.
+func (r *Rivals) Heard(host, zone string, cores float64, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, old := range r.seen {
@@ -45,7 +48,20 @@
 	if old, known := r.seen[host]; known {
 		since = old.since
 	}
-	r.seen[host] = rival{cores: cores, since: since, last: now}
+	r.seen[host] = rival{cores: cores, zone: zone, since: since, last: now}
+}
+
+// Relays returns the hosts that are there and may carry orders.
+func (r *Rivals) Relays(now time.Duration) []relay.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []relay.Host
+	for address, h := range r.seen {
+		if now-h.last <= unseenFor {
+			all = append(all, relay.Host{Address: address, Zone: h.zone, Cores: h.cores})
+		}
+	}
+	return all
 }
 
 // Best returns the processors of the strongest host that is there, and how
--- a/election/rivals_test.go
+++ b/election/rivals_test.go
@@ -19,18 +19,18 @@
 	}
 	expect(0, 0, 0)
 	const s = time.Second
-	r.Heard("weak", 0.2, 1*s)
-	r.Heard("strong", 0.8, 2*s)
-	r.Heard("also", 0.8, 3*s)
-	r.Heard("strong", 0.8, 3*s)
-	r.Heard("weak", 0.2, 3*s)
+	r.Heard("weak", "zone", 0.2, 1*s)
+	r.Heard("strong", "zone", 0.8, 2*s)
+	r.Heard("also", "zone", 0.8, 3*s)
+	r.Heard("strong", "zone", 0.8, 3*s)
+	r.Heard("weak", "zone", 0.2, 3*s)
 	expect(4*s, 0.8, 2*s)
-	r.Heard("strong", 0, 4*s) // it stops
+	r.Heard("strong", "zone", 0, 4*s) // it stops
 	expect(4*s, 0.8, 1*s)
-	r.Heard("weak", 0.2, 5*s)
+	r.Heard("weak", "zone", 0.2, 5*s)
 	expect(6*s, 0.2, 5*s) // nothing heard of the other strong one
-	r.Heard("weak", 0.2, 7*s)
-	r.Heard("also", 0.8, 7*s)
+	r.Heard("weak", "zone", 0.2, 7*s)
+	r.Heard("also", "zone", 0.8, 7*s)
 	expect(8*s, 0.8, 1*s) // it counts from when it came back
 	expect(20*s, 0, 0)
 }
--- a/event/control.go
+++ b/event/control.go
@@ -31,6 +31,8 @@
 	NoOwner         = routine(927, slog.LevelWarn, "request refused, the domain has no owner")
 	OwnerUnsure     = routine(930, slog.LevelInfo, "request refused, the job isn't known and the owner's commits fail")
 	StoreAway       = routine(929, slog.LevelInfo, "job refused, the store is away")
+	RelaysChanged   = define(917, slog.LevelInfo, "other hosts carry the owner's orders")
+	RelayAvoided    = define(918, slog.LevelWarn, "relay doesn't answer, its orders go another way")
 	JobOver         = define(931, slog.LevelInfo, "job is over, or past its use")
 	OutcomeOpen     = routine(928, slog.LevelWarn, "request given up with its outcome open")
 )
--- a/flow/traffic.go
+++ b/flow/traffic.go
@@ -63,6 +63,16 @@
 // StartRoom returns how many more starts may be given.
 func (t *Traffic) StartRoom() int { return t.starts.Room() }
 
+// batchShare is the share of the starts under way that are answered before more
+// are chosen, where starts had to wait for them: a choice costs about as much for
+// one start as for a dozen.
+const batchShare = 1.0 / 3
+
+// StartsReady reports whether enough starts are answered to choose more.
+func (t *Traffic) StartsReady() bool {
+	return float64(t.starts.Room()) >= batchShare*float64(t.starts.Current())
+}
+
 // StartGiven takes in that a start is given.
 func (t *Traffic) StartGiven() { t.starts.Begin() }
 
@@ -75,12 +85,17 @@
 	t.starts.Answered(now, w.Took)
 }
 
-// LookGap returns how long a worker that has just reported is left alone.
-func (t *Traffic) LookGap(now time.Time) time.Duration {
+// RoundTrip returns the smoothed round trip, 0 if none was measured lately.
+func (t *Traffic) RoundTrip(now time.Time) time.Duration {
 	if now.Sub(t.measuredAt) > measuredFor {
 		return 0
 	}
-	return Gap(t.timeout.Smoothed())
+	return t.timeout.Smoothed()
+}
+
+// LookGap returns how long a worker that has just reported is left alone.
+func (t *Traffic) LookGap(now time.Time) time.Duration {
+	return Gap(t.RoundTrip(now))
 }
 
 // State is what a Traffic has measured and allows, for logs.
@@ -96,7 +111,7 @@
 // State returns what is measured and allowed now.
 func (t *Traffic) State(now time.Time) State {
 	return State{
-		Wait: t.Wait(), Smoothed: t.timeout.Smoothed(), Starts: t.starts.UnderWay(), StartLimit: t.starts.Current(),
+		Wait: t.Wait(), Smoothed: t.RoundTrip(now), Starts: t.starts.UnderWay(), StartLimit: t.starts.Current(),
 		LookGap: t.LookGap(now),
 	}
 }
