--- a/cmd/fireflygate-edge/explainday.go
+++ b/cmd/fireflygate-edge/explainday.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
 	"github.com/fireflygate/fireflygate/trace"
@@ -20,7 +21,7 @@
 
 // Synopsis implements subcommands.Command.
 func (*explainDayCommand) Synopsis() string {
-	return "tell from hosts' log lines why jobs missed their objectives"
+	return "tell from hosts' log lines why jobs missed their objectives, and what bound the owner"
 }
 
 // Usage implements subcommands.Command.
@@ -39,7 +40,7 @@
 		return subcommands.ExitUsageError
 	}
 	rows := trace.Day(records)
-	if err := trace.WriteDay(os.Stdout, rows); err != nil {
+	if err := errors.CombineErrors(trace.WriteDay(os.Stdout, rows), trace.WriteBounds(os.Stdout, trace.Bounds(records))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
--- a/control/follow.go
+++ b/control/follow.go
@@ -78,6 +78,9 @@
 	q := pingRequest{Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offer(), Zone: n.opts.Zone}
 	res := n.client.Call(ctx, leader.Host, methodPing, q, &r)
 	n.meet(r.Hosts)
+	if r.Owner {
+		n.relays.Store(int64(r.Relays))
+	}
 	return r, res.Kind
 }
 
@@ -208,6 +211,8 @@
 	o := newOwner(ctx, opts, c, *n.config.Load())
 	defer o.relays.close()
 	o.rivals = &n.rivals
+	// The load that the owner before was pressed by is still there.
+	o.demand.Begin(int(n.relays.Load()))
 	o.missed = before.Resigned && before.HandedOver && before.Cores > opts.Cores
 	go n.announce(ctx, before, c.Record(), func() {
 		o.post(func() { o.state.PredecessorStopped(time.Now()) })
--- a/control/messages.go
+++ b/control/messages.go
@@ -40,6 +40,8 @@
 	CommitAgeMS int64 `msgpack:"a"`
 	// Version is the version of the owner's row after that commit.
 	Version uint64 `msgpack:"v"`
+	// Relays is how many hosts of each zone carry the owner's orders.
+	Relays int `msgpack:"r"`
 	// Hosts are the addresses of all hosts that the owner knows, sent if the
 	// asking host knows fewer.
 	Hosts []string `msgpack:"h,omitempty"`
--- a/control/node.go
+++ b/control/node.go
@@ -46,6 +46,8 @@
 	rivals election.Rivals
 	// payloads are those of jobs whose starts this host carries for an owner.
 	payloads payloads
+	// relays is how many relays each zone had under the owner that answered last.
+	relays atomic.Int64
 }
 
 // NewNode returns a node; its peer server must be served, and Run called.
--- a/control/owner.go
+++ b/control/owner.go
@@ -26,6 +26,8 @@
 	// relays is the way to the workers, demand how many relays there should be.
 	relays *relays
 	demand relay.Demand
+	// perZone is how many relays each zone has, for hosts that ask.
+	perZone atomic.Int64
 	// waiters are told when a job's newest change is durable.
 	waiters map[string][]chan reply
 	config  Config
@@ -220,6 +222,7 @@
 	perZone := o.demand.Observe(relay.Load{
 		Workers: workers, Orders: int(o.relays.orders.Swap(0)), RoundTrip: o.traffic.RoundTrip(now), HeldBack: 2*o.loop.heldBack > o.loop.cycles,
 	})
+	o.perZone.Store(int64(perZone))
 	o.relays.use(relay.NewTable(o.rivals.Relays(boottime()), perZone))
 }
 
--- a/control/relays.go
+++ b/control/relays.go
@@ -168,7 +168,8 @@
 func (r *relays) call(ctx context.Context, address string, q *carryRequest) (rep *carryReply, sent bool) {
 	rep = new(carryReply)
 	res := r.client.Call(ctx, address, methodCarry, q, rep)
-	r.heard(address, res.Kind == outcome.Answered)
+	// One that reaches the owner but no worker is of no use either.
+	r.heard(address, res.Kind == outcome.Answered && (rep.Unknown || rep.Status != runner.Unknown))
 	switch res.Kind {
 	case outcome.Answered:
 		return rep, true
--- a/control/serve.go
+++ b/control/serve.go
@@ -54,6 +54,7 @@
 	if o != nil && o.ctx.Err() == nil {
 		r.Owner, r.Epoch, r.Version = true, o.epoch, o.provenVersion.Load()
 		r.CommitAgeMS = o.commitAge().Milliseconds()
+		r.Relays = int(o.perZone.Load())
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/relay/demand.go
+++ b/relay/demand.go
@@ -45,8 +45,14 @@
 	orders int
 }
 
+// Begin begins with the relays that an owner before had.
+func (d *Demand) Begin(perZone int) { d.perZone = perZone }
+
 // Observe takes in the load of a second and returns the relays for each zone.
 func (d *Demand) Observe(l Load) int {
+	if d.perZone > 0 && d.orders == 0 {
+		d.orders = l.Orders // what pressed the owner before isn't known
+	}
 	pressed := l.RoundTrip > slow || l.HeldBack
 	least := d.Least
 	if l.Workers > ownWorkers {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -74,6 +74,11 @@
 			t.Fatalf("%d relays for a small domain with a burst now and then", n)
 		}
 	}
+	var next relay.Demand
+	next.Begin(4)
+	if n := next.Observe(relay.Load{Workers: 48, Orders: 300}); n != 4 {
+		t.Errorf("%d relays a zone after a change of owner, want the 4 there were", n)
+	}
 	var large relay.Demand
 	if n := large.Observe(relay.Load{Workers: 890, RoundTrip: 5 * ms}); n != 1 {
 		t.Errorf("%d relays a zone for 890 workers at once, want 1", n)
