--- a/trace/bounds.go
+++ b/trace/bounds.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,17 +57,27 @@
 		if r.Event != domainState {
 			continue
 		}
-		bound := boundOf(r)
-		if k, ok := last[r.Source]; ok && spans[k].Bound == bound {
+		bound, host := boundOf(r), hostOf(r)
+		if k, ok := last[host]; ok && spans[k].Bound == bound {
 			spans[k].To = r.Time
 			continue
 		}
-		last[r.Source] = len(spans)
-		spans = append(spans, Span{From: r.Time.Add(-time.Second), To: r.Time, Host: r.Source, Bound: bound})
+		last[host] = len(spans)
+		spans = append(spans, Span{From: r.Time.Add(-time.Second), To: r.Time, Host: host, Bound: bound})
 	}
 	return spans
 }
 
+// hostOf returns the host that wrote a line: the last word of what stood before
+// it, which may begin with a time.
+func hostOf(r *Record) string {
+	words := strings.Fields(r.Source)
+	if len(words) == 0 {
+		return ""
+	}
+	return words[len(words)-1]
+}
+
 // boundOf returns what bound an owner in the second before a line on its state.
 func boundOf(r *Record) Bound {
 	loop, traffic := group(r.Fields["loop"]), group(r.Fields["traffic"])
--- a/trace/bounds_test.go
+++ b/trace/bounds_test.go
@@ -10,8 +10,8 @@
 
 // stateLine is a line on the state of a domain.
 func stateLine(second int, waits, traffic, loop string, commitAge int) string {
-	return fmt.Sprintf(`edge-1 {"time":"2026-01-01T00:00:%02dZ","level":"INFO","msg":"state of the domain","event":912,`+
-		`"state":{"waits":{%s}},"traffic":{%s},"loop":{%s},"commit_age_ms":%d}`, second, waits, traffic, loop, commitAge)
+	return fmt.Sprintf(`%d.1 edge-1 {"time":"2026-01-01T00:00:%02dZ","level":"INFO","msg":"state of the domain","event":912,`+
+		`"state":{"waits":{%s}},"traffic":{%s},"loop":{%s},"commit_age_ms":%d}`, second, second, waits, traffic, loop, commitAge)
 }
 
 // TestBounds tells what bound an owner by the figures of each second: the store
