dispatch: a cycle counts the fillers' work ten times a second, and copies no workers

By a profile of an owner of 890 workers with relays: counting the work of all open jobs' fillers 0.21 of 4.45 s, a look at each filler for one that is slowed 0.20 s, copying all workers for each turn of looks 0.1 s.

--- a/control/orders.go
+++ b/control/orders.go
@@ -133,23 +133,7 @@
 
 // look begins the looks at workers that are due.
 func (o *Owner) look(now time.Time) {
-	for _, w := range o.state.Workers() {
-		s := o.sessions[w.ID]
-		if s == nil {
-			s = o.startSession(w.ID)
-			o.sessions[w.ID] = s
-		}
-		if s.looking || now.Before(s.nextLook) || !o.state.RenewalReady(now, w.ID) {
-			continue
-		}
-		info, renewal, ok := o.state.Renewal(now, w.ID, o.proven())
-		if !ok {
-			continue
-		}
-		s.looking = true
-		s.token.Store(renewal.Token)
-		s.looks <- look{worker: info, renewal: renewal}
-	}
+	o.state.EachWorker(func(id string) { o.lookAt(now, id) })
 	for _, id := range o.state.Peek(now) {
 		o.resolve(id)
 	}
@@ -161,6 +145,25 @@
 	}
 }
 
+// lookAt begins a look at a worker if one is due.
+func (o *Owner) lookAt(now time.Time, id string) {
+	s := o.sessions[id]
+	if s == nil {
+		s = o.startSession(id)
+		o.sessions[id] = s
+	}
+	if s.looking || now.Before(s.nextLook) || !o.state.RenewalReady(now, id) {
+		return
+	}
+	info, renewal, ok := o.state.Renewal(now, id, o.proven())
+	if !ok {
+		return
+	}
+	s.looking = true
+	s.token.Store(renewal.Token)
+	s.looks <- look{worker: info, renewal: renewal}
+}
+
 // looked takes in a worker's answer to a look.
 func (o *Owner) looked(s *session, l look, a runner.Answer, rep runner.Report, way flow.Way) {
 	now := time.Now()
--- a/dispatch/faultsite_test.go
+++ b/dispatch/faultsite_test.go
@@ -103,14 +103,12 @@
 		s.list()
 		s.commit()
 		s.order(s.state.Plan(s.now))
-		workers := s.state.Workers()
-		slices.SortFunc(workers, func(a, b runner.Worker) int { return strings.Compare(a.ID, b.ID) })
-		for _, w := range workers {
-			if !s.looking[w.ID] && s.state.RenewalReady(s.now, w.ID) {
-				s.looking[w.ID] = true
-				s.look(w.ID, func() { s.looking[w.ID] = false })
+		s.state.EachWorker(func(id string) {
+			if !s.looking[id] && s.state.RenewalReady(s.now, id) {
+				s.looking[id] = true
+				s.look(id, func() { s.looking[id] = false })
 			}
-		}
+		})
 		s.check()
 	}
 }
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -120,15 +120,13 @@
 	}
 }
 
-// Workers returns all workers that are known, in no order.
-func (s *State) Workers() []runner.Worker {
-	all := make([]runner.Worker, 0, len(s.workers))
-	for _, w := range s.workers {
+// EachWorker visits the IDs of all workers that orders may go to.
+func (s *State) EachWorker(visit func(id string)) {
+	for _, w := range s.byID() {
 		if w.rostered {
-			all = append(all, w.info)
+			visit(w.info.ID)
 		}
 	}
-	return all
 }
 
 // byID returns the workers in the order of IDs.
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -157,7 +157,7 @@
 				s.stop(now, r, TailTooLong)
 				continue
 			}
-			r.pace = action.Pace
+			r.setPace(action.Pace)
 			s.changed(w)
 			orders = append(orders, r.paceOrder(now))
 		}
@@ -171,7 +171,14 @@
 	if w.tally.serving > 0 {
 		return w.reportedTails
 	}
-	return slices.ContainsFunc(w.inOrder, func(r *run) bool { return r.task.step.spec.Filler && r.pace < fullPace })
+	return w.tally.slowed > 0
+}
+
+// setPace changes the pace of a filler.
+func (r *run) setPace(percent int) {
+	r.worker.tally.drop(r)
+	r.pace = percent
+	r.worker.tally.add(r)
 }
 
 // paceAgain orders once more the paces that got no answer.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -116,7 +116,7 @@
 // newCycle collects the workers that may take tasks, in the order of IDs.
 func newCycle(s *State, now time.Time) *cycle {
 	c := &cycle{
-		s: s, now: now, noRoom: map[kindKey][]infra.Resources{}, wanted: newWanted(s),
+		s: s, now: now, noRoom: map[kindKey][]infra.Resources{}, wanted: s.wantedNow(now),
 		workers: make([]*worker, 0, len(s.workers)), most: math.MaxInt,
 	}
 	for _, w := range s.byID() {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -38,6 +38,9 @@
 	// learned is set by what was learned since lessonsAt.
 	learned   bool
 	lessonsAt time.Time
+	// wanted is the fillers' work as counted at wantedAt.
+	wanted   *wanted
+	wantedAt time.Time
 	// headroom remembers what short work needs, by pool.
 	headroom map[string]*headroom.Tracker
 	// accountedAt is when the jobs' ledgers were last booked, over what is to be
--- a/dispatch/tally.go
+++ b/dispatch/tally.go
@@ -9,6 +9,8 @@
 	// those that fill.
 	serving, fillers int
 	byClass          map[string]int
+	// slowed counts fillers below their full pace.
+	slowed int
 	// ending is what is reserved for runs that end by themselves.
 	ending infra.Resources
 	// short is the thousandths of a core reserved for short work.
@@ -29,6 +31,9 @@
 		t.serving += n
 	case st.spec.Filler:
 		t.fillers += n
+		if r.pace < fullPace {
+			t.slowed += n
+		}
 	}
 	if c := st.class; c != "" {
 		if t.byClass == nil {
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // wanted is the work of fillers that only some workers suit, so that fillers
 // that suit all can leave those workers to them.
 type wanted struct {
@@ -13,6 +15,18 @@
 	tasks int
 }
 
+// wantedFor is how long a count of the fillers' work is used: it changes by little
+// in less, and counting all open jobs took a sixth of a planning cycle.
+const wantedFor = 100 * time.Millisecond
+
+// wantedNow returns the work of the open jobs' fillers, counted lately.
+func (s *State) wantedNow(now time.Time) *wanted {
+	if s.wanted == nil || now.Sub(s.wantedAt) >= wantedFor {
+		s.wanted, s.wantedAt = newWanted(s), now
+	}
+	return s.wanted
+}
+
 // newWanted counts the fillers of the open jobs.
 func newWanted(s *State) *wanted {
 	w := &wanted{loud: map[string]int{}, quiet: map[string]bool{}, shares: map[string]float64{}}
