dispatch: what is worked out of a worker holds until something changes there

Of 890 workers some 75 change between two cycles; what all of them run was worked out anew in each. It is kept for 100 ms at most.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -100,9 +100,7 @@
 	keeps  int
 	starts []StartOrder
 	// most bounds the starts.
-	most int
-	// views holds what has been worked out of workers, by slot.
-	views  []*view
+	most   int
 	pools  map[string]*room
 	wanted *wanted
 	// tries counts the steps that others were asked to give way to.
@@ -124,7 +122,7 @@
 			c.workers = append(c.workers, w)
 		}
 	}
-	c.kept, c.views = make([]bool, len(c.workers)), make([]*view, len(c.workers))
+	c.kept = make([]bool, len(c.workers))
 	for i, w := range c.workers {
 		w.slot = i
 	}
@@ -222,7 +220,6 @@
 	t.attach(r)
 	t.step.job.ledger.Starts++
 	c.s.touch(t.step.job)
-	c.views[w.slot] = nil
 	permit, _ := t.step.ticketFor(c.now, w)
 	c.starts = append(c.starts, StartOrder{
 		Worker: w.info, Known: known,
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -12,7 +12,7 @@
 // changed notes that something at the worker may let a task fit there.
 func (s *State) changed(w *worker) {
 	s.changes++
-	w.changed = s.changes
+	w.changed, w.view = s.changes, nil
 }
 
 // triedSince returns the count of changes since which workers must have changed
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -1,15 +1,20 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/fireflygate/fireflygate/colocate"
 	"github.com/fireflygate/fireflygate/infra"
 )
 
-// view is what a planning cycle has worked out of a worker; it holds until
-// the cycle places something there. Without it a cycle over some hundred
-// waiting fillers took ten times as long, and the owner fell behind.
+// view is what planning has worked out of a worker. It holds until something
+// comes, goes or is reported there, and for viewFor at most. Without it a cycle
+// over some hundred waiting fillers took ten times as long, and the owner fell
+// behind.
 type view struct {
-	w                *worker
+	w *worker
+	// at is when it was worked out.
+	at               time.Time
 	serving, fillers int
 	// byClass counts serving runs by class.
 	byClass map[string]int
@@ -65,14 +70,18 @@
 	}
 }
 
+// viewFor is how long a view is used: figures of a filler count as settled, and a
+// load is foreseen, that much later at most.
+const viewFor = 100 * time.Millisecond
+
 // view returns what is known of a worker.
 func (c *cycle) view(w *worker) *view {
-	v := c.views[w.slot]
-	if v == nil {
-		v = &view{w: w, unused: w.unusedCPU(c.now), inTime: w.roomInTime()}
+	v := w.view
+	if v == nil || c.now.Sub(v.at) >= viewFor {
+		v = &view{w: w, at: c.now, unused: w.unusedCPU(c.now), inTime: w.roomInTime()}
 		v.serving, v.fillers, v.byClass = w.tally.serving, w.tally.fillers, w.tally.byClass
 		v.wanted = c.wanted.share(c.s, v.byClass)
-		c.views[w.slot] = v
+		w.view = v
 	}
 	return v
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -44,6 +44,8 @@
 	// inOrder holds the runs in the order of their numbers.
 	inOrder []*run
 	tally   tally
+	// view is what planning has worked out, nil once something has changed.
+	view *view
 	// seen is the last end taken in; acknowledged the last that is durable.
 	seen, acknowledged uint64
 	// answersAt is when it last answered; silent is set after a failure.
@@ -111,6 +113,7 @@
 	w.inOrder = slices.Insert(w.inOrder, at, r)
 	w.free = w.free.Sub(r.reserved)
 	w.tally.add(r)
+	w.view = nil
 }
 
 // drop takes out a run that is over.
@@ -121,6 +124,7 @@
 	}
 	w.free = w.free.Add(r.reserved)
 	w.tally.drop(r)
+	w.view = nil
 }
 
 // servingLoad is the share of its reservation that a serving task uses on
