control: a job before which starts would wait over ten seconds is refused at once

While most cycles are cut short by the starts under way, their rate says how long what comes before a new job takes; a job that would wait longer than ten seconds is refused with the time until that has fallen.

--- a/control/looptime.go
+++ b/control/looptime.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// pressed reports whether most cycles were cut short.
+func (l *loopTime) pressed() bool { return 2*l.heldBack > l.cycles }
+
 // ticked takes in a tick that was due at a time.
 func (l *loopTime) ticked(due time.Time) { l.latest = max(l.latest, time.Since(due)) }
 
--- a/control/owner.go
+++ b/control/owner.go
@@ -9,6 +9,7 @@
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/flow"
 	"github.com/fireflygate/fireflygate/relay"
 	"github.com/fireflygate/fireflygate/runner"
 )
@@ -36,6 +37,10 @@
 	lastCommit time.Time
 	summarized time.Time
 	stepped    time.Time
+	// backlog says how long starts wait for those before them; starts counts those
+	// until the last summary.
+	backlog flow.Backlog
+	starts  uint64
 	// planned is when the last plan was made, heldBack whether its starts were cut
 	// short by those under way.
 	planned  time.Time
@@ -206,6 +211,8 @@
 	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum),
 		slog.Any("traffic", traffic), slog.Any("loop", o.loop), slog.Int64("commit_age_ms", o.commitAge().Milliseconds()))
 	o.opts.Metrics.load(traffic, &o.loop)
+	o.backlog.Observe(int(sum.Stats.Starts-o.starts), o.loop.pressed()) //nolint:gosec // of a second
+	o.starts = sum.Stats.Starts
 	o.adaptRelays(now, sum.Workers)
 	o.loop = loopTime{}
 	for _, j := range o.state.EndedJobs() {
@@ -220,7 +227,7 @@
 // needs.
 func (o *Owner) adaptRelays(now time.Time, workers int) {
 	perZone := o.demand.Observe(relay.Load{
-		Workers: workers, Orders: int(o.relays.orders.Swap(0)), RoundTrip: o.traffic.RoundTrip(now), HeldBack: 2*o.loop.heldBack > o.loop.cycles,
+		Workers: workers, Orders: int(o.relays.orders.Swap(0)), RoundTrip: o.traffic.RoundTrip(now), HeldBack: o.loop.pressed(),
 	})
 	o.perZone.Store(int64(perZone))
 	o.relays.use(relay.NewTable(o.rivals.Relays(boottime()), perZone))
--- a/control/requests.go
+++ b/control/requests.go
@@ -50,6 +50,13 @@
 			answer <- reply{Result: ResultRefused, RetryAfterMS: after.Milliseconds()}
 			return
 		}
+		if before := o.state.StartsBefore(q); !o.state.Has(spec.ID) {
+			if after, refuse := o.backlog.Refuse(before); refuse {
+				event.StartsWait.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int("starts_before", before), slog.Int64("retry_after_ms", after.Milliseconds()))
+				answer <- reply{Result: ResultRefused, RetryAfterMS: after.Milliseconds()}
+				return
+			}
+		}
 		event.JobReceived.Log(o.opts.Log, slog.Any("job", spec.ID), slog.Any("queue", q.Name), slog.Any("steps", len(spec.Steps)))
 		if spec.Submitted == 0 {
 			spec.Submitted = time.Now().UnixMilli()
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -150,6 +150,25 @@
 	return n
 }
 
+// StartsBefore counts the tasks that may start and come before a new job of a
+// queue: those of its own priority and of higher ones.
+func (s *State) StartsBefore(q workload.Queue) int {
+	n := 0
+	for _, j := range s.open {
+		if j.queue.Priority > q.Priority {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if st.ready() {
+					n += st.idle
+				}
+			}
+		}
+	}
+	return n
+}
+
 // finish ends a job in a final state and stops what still runs of it.
 func (s *State) finish(now time.Time, j *job, state workload.State) {
 	j.state = state
--- a/event/control.go
+++ b/event/control.go
@@ -33,6 +33,7 @@
 	StoreAway       = routine(929, slog.LevelInfo, "job refused, the store is away")
 	RelaysChanged   = define(917, slog.LevelInfo, "other hosts carry the owner's orders")
 	RelayAvoided    = define(918, slog.LevelWarn, "relay doesn't answer, its orders go another way")
+	StartsWait      = routine(932, slog.LevelInfo, "job refused, too many starts wait before it")
 	JobOver         = define(931, slog.LevelInfo, "job is over, or past its use")
 	OutcomeOpen     = routine(928, slog.LevelWarn, "request given up with its outcome open")
 )
