--- a/dispatch/benchlarge_test.go
+++ b/dispatch/benchlarge_test.go
@@ -20,17 +20,22 @@
 	largeRuns = 30
 )
 
-// BenchmarkPlanLarge plans on 890 workers that serve. In each cycle a job of 39
-// fillers and one of 10 short tasks come, and those of an earlier cycle end.
-func BenchmarkPlanLarge(b *testing.B) {
-	t := &testing.T{}
-	r := newRig(t, largeWorkers)
+// newLargeRig returns 890 workers on which long-running tasks serve.
+func newLargeRig() *rig {
+	r := newRig(&testing.T{}, largeWorkers)
 	for i := range largeLasting {
 		r.submit(queueShort, fmt.Sprintf("lasting%d", i), step(4, 3, longRunning, func(s *workload.Step) {
 			s.Image, s.TailTarget = fmt.Sprintf("serve%d", i%16), 50*time.Millisecond
 		}))
 	}
 	r.plan()
+	return r
+}
+
+// BenchmarkPlanLarge plans on 890 workers that serve. In each cycle a job of 39
+// fillers and one of 10 short tasks come, and those of an earlier cycle end.
+func BenchmarkPlanLarge(b *testing.B) {
+	r := newLargeRig()
 	numbers := map[string]uint64{}
 	var running [][]dispatch.StartOrder
 	cycle := func(i int) {
@@ -70,14 +75,7 @@
 // and have room, with 100 steps of fillers waiting, as an owner does whose orders
 // are slow.
 func BenchmarkPlanHeldBack(b *testing.B) {
-	t := &testing.T{}
-	r := newRig(t, largeWorkers)
-	for i := range largeLasting {
-		r.submit(queueShort, fmt.Sprintf("lasting%d", i), step(4, 3, longRunning, func(s *workload.Step) {
-			s.Image, s.TailTarget = fmt.Sprintf("serve%d", i%16), 50*time.Millisecond
-		}))
-	}
-	r.plan()
+	r := newLargeRig()
 	numbers := map[string]uint64{}
 	for i := range 100 {
 		r.submit(queueLong, fmt.Sprintf("fill%d", i), step(160, 3, func(s *workload.Step) {
