control: a relay knows a job's payload by its sum

A payload that was kept for a job of the same ID, which was refused and handed in again with another, would have been started in its place.

--- a/control/carry.go
+++ b/control/carry.go
@@ -36,10 +36,10 @@
 	Worker, Address string
 	Task            taskName
 	Run             uint64
-	// Payload is the job's; Known is set in its place if the host was told it
-	// with an earlier start of the job.
+	// Payload is the job's. If the host was told it with an earlier start of the
+	// job, it is left out, and PayloadSum is its sum.
 	Payload    string
-	Known      bool
+	PayloadSum uint64
 	LeaseUntil int64
 	Token      uint64
 	Checkpoint string
@@ -72,8 +72,8 @@
 type carryReply struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
-	// Unknown is set if the host doesn't know the payload; nothing was done.
-	Unknown bool
+	// NoPayload is set if the host doesn't know the payload; nothing was done.
+	NoPayload bool
 	Status  runner.Status
 	ClockMS int64
 	Err     string
@@ -150,9 +150,9 @@
 	var a runner.Answer
 	switch q.Kind {
 	case carryStart:
-		payload, ok := n.payloads.of(q.Task.Job, q.Payload, q.Known)
+		payload, ok := n.payloads.of(q.Task.Job, q.Payload, q.PayloadSum)
 		if !ok {
-			return &carryReply{Unknown: true}
+			return &carryReply{NoPayload: true}
 		}
 		a = n.opts.Workers.Start(ctx, w, runner.Start{
 			Task: q.Task.id(), Run: q.Run, Payload: payload, LeaseUntil: q.LeaseUntil, Token: q.Token,
--- a/control/relays.go
+++ b/control/relays.go
@@ -150,12 +150,12 @@
 	}
 	payload := q.Payload
 	if q.Kind == carryStart && r.tell(address, q.Task.Job) {
-		q.Known, q.Payload = true, ""
+		q.PayloadSum, q.Payload = sumOf(payload), ""
 	}
 	q.Worker, q.Address = w.ID, w.Address
 	rep, sent := r.call(ctx, address, q)
-	if rep != nil && rep.Unknown {
-		q.Known, q.Payload = false, payload
+	if rep != nil && rep.NoPayload {
+		q.PayloadSum, q.Payload = 0, payload
 		rep, sent = r.call(ctx, address, q)
 	}
 	if !sent {
@@ -169,7 +169,7 @@
 	rep = new(carryReply)
 	res := r.client.Call(ctx, address, methodCarry, q, rep)
 	// One that reaches the owner but no worker is of no use either.
-	r.heard(address, res.Kind == outcome.Answered && (rep.Unknown || rep.Status != runner.Unknown))
+	r.heard(address, res.Kind == outcome.Answered && (rep.NoPayload || rep.Status != runner.Unknown))
 	switch res.Kind {
 	case outcome.Answered:
 		return rep, true
