--- a/control/carry.go
+++ b/control/carry.go
@@ -74,11 +74,11 @@
 
 	// NoPayload is set if the host doesn't know the payload; nothing was done.
 	NoPayload bool
-	Status  runner.Status
-	ClockMS int64
-	Err     string
-	Active  []activeRow
-	Ends    []endRow
+	Status    runner.Status
+	ClockMS   int64
+	Err       string
+	Active    []activeRow
+	Ends      []endRow
 }
 
 // activeRow is a run at work, endRow one that is over.
