dispatch: a test that no schedule of delays starts an ended run again; seed 9 fails

Callers could see a task run a second time after it had ended, where one worker's answers are late for longer than a lease while the others' aren't.

--- a/dispatch/slowlink_test.go
+++ b/dispatch/slowlink_test.go
@@ -99,6 +99,17 @@
 	// again counts starts of tasks that had ended or were at work, refused the
 	// starts that a worker refused, unanswered the orders without an answer.
 	again, refused, unanswered int
+	// delay, if set, is what each message takes in place of the links.
+	delay func() time.Duration
+}
+
+// carry has a message arrive.
+func (s *linkSite) carry(l *link, bytes int, arrived func()) {
+	if s.delay == nil {
+		l.carry(bytes, arrived)
+		return
+	}
+	s.after(s.delay(), arrived)
 }
 
 // newLinkSite returns a site of idle workers.
@@ -157,9 +168,9 @@
 // within the wait. The worker carries it out whenever it comes.
 func (s *linkSite) exchange(bytes int, held time.Duration, do func(answer func(bytes int)), over func(way flow.Way)) {
 	given, open := s.now, true
-	s.out.carry(bytes, func() {
+	s.carry(&s.out, bytes, func() {
 		do(func(bytes int) {
-			s.in.carry(bytes, func() {
+			s.carry(&s.in, bytes, func() {
 				if open {
 					open = false
 					over(flow.Way{Took: max(s.now.Sub(given), 1)})
@@ -294,3 +305,35 @@
 		t.Errorf("%d tasks done, %d with fixed limits", len(held.ended), len(fixed.ended))
 	}
 }
+
+// delaySeeds is how many schedules of delays are played.
+const delaySeeds = 12
+
+// TestDelaysStartNothingAgain delays each message by a time of its own, up to two
+// seconds, and loses none. However they are drawn, no task starts that is at work
+// elsewhere, or whose end its worker has told of before. An answer that comes after
+// the wait for it is dropped today, so that a worker may go unheard for longer than a
+// lease although each message arrives: seed 9 starts two tasks again that had ended.
+func TestDelaysStartNothingAgain(t *testing.T) {
+	const longest = 2 * time.Second
+	for seed := range uint64(delaySeeds) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		s := newLinkSite(t, flow.NewTraffic())
+		// Most messages are quick; a share of them, which differs from seed to
+		// seed and changes every few seconds, is not.
+		s.delay = func() time.Duration {
+			slow := 0.1 * float64((int(s.now.Sub(s.began)/(3*time.Second))+int(seed))%8) //nolint:gosec // a few
+			if random.Float64() < slow {
+				return time.Duration(random.Int64N(int64(longest)))
+			}
+			return time.Duration(random.Int64N(int64(10 * time.Millisecond)))
+		}
+		s.run(12*time.Second, 500*time.Millisecond)
+		if s.again > 0 {
+			t.Errorf("seed %d: %d starts of tasks that were at work or had ended", seed, s.again)
+		}
+		if len(s.ended) == 0 {
+			t.Errorf("seed %d: nothing was done", seed)
+		}
+	}
+}
