--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -16,7 +16,7 @@
 }
 
 // wantedFor is how long a count of the fillers' work is used: it changes by little
-// in less, and counting all open jobs took a sixth of a planning cycle.
+// in less, and counting all open jobs is a good part of a planning cycle.
 const wantedFor = 100 * time.Millisecond
 
 // wantedNow returns the work of the open jobs' fillers, counted lately.
