--- a/control/metrics_test.go
+++ b/control/metrics_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflygate/fireflygate/control"
 	"github.com/fireflygate/fireflygate/logsink"
+	"github.com/fireflygate/fireflygate/platform"
 )
 
 // descName matches the metric name in a descriptor's text.
@@ -38,6 +39,7 @@
 	c := &collectors{names: map[string]bool{}}
 	control.NewMetrics(c)
 	(&logsink.Stats{}).Register(c)
+	platform.NewConfigWatch(nil, nil).Register(c)
 	page, err := os.ReadFile("../docs/METRICS-DOMAIN.md")
 	if err != nil {
 		t.Fatal(err)
