dispatch, control: a run that is lost with its worker leaves a line

Event 933 names the worker, why it counts as lost, how many runs went with it and which of them it had never reported, and a counter has the losses by cause. A restarted, a departed and an expired worker are told apart, which three callers of one function did not. No decision changes.

--- a/control/owner.go
+++ b/control/owner.go
@@ -196,6 +196,7 @@
 	o.pollWorkers(now)
 	at = o.loop.add(polling, at)
 	o.summarize(now)
+	o.logLosses()
 	o.stepDuration = o.loop.add(summarizing, at).Sub(now)
 	o.opts.Metrics.planDuration.Observe(o.stepDuration.Seconds())
 }
--- a/control/summary.go
+++ b/control/summary.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/relay"
+	"github.com/fireflygate/fireflygate/workload"
 )
 
 // summaryInterval is the interval of log lines on the state of the domain.
@@ -37,6 +38,24 @@
 	}
 }
 
+// logLosses logs and counts the workers that were lost with runs.
+func (o *Owner) logLosses() {
+	for _, l := range o.state.TakeWorkerLosses() {
+		o.opts.Metrics.losses.WithLabelValues(l.Cause.String()).Inc()
+		event.WorkerLost.Log(o.opts.Log, slog.String("worker", l.Worker), slog.String("cause", l.Cause.String()),
+			slog.Int("runs", l.Runs), slog.Any("unreported", taskNames(l.Unreported)))
+	}
+}
+
+// taskNames returns the names of tasks in logs.
+func taskNames(tasks []workload.TaskID) []string {
+	names := make([]string, 0, len(tasks))
+	for _, t := range tasks {
+		names = append(names, t.String())
+	}
+	return names
+}
+
 // scaleRelays adapts the number of relays to the load of the last interval, and
 // replaces the relay table.
 func (o *Owner) scaleRelays(now time.Time, workers int) {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -155,28 +155,20 @@
 // address. The known incarnation has terminated: its runs and leases have ended,
 // and it is removed.
 func (s *State) HandleRestart(now time.Time, id string) {
-	w := s.workers[id]
-	if w == nil {
-		return
+	if w := s.workers[id]; w != nil {
+		s.removeTerminated(now, w, Restarted)
 	}
-	s.dropLostRuns(w)
+}
+
+// removeTerminated removes a worker that has terminated, with its runs and leases.
+func (s *State) removeTerminated(now time.Time, w *worker, cause LossCause) {
+	s.dropLostRuns(w, cause)
 	w.leaseUntil, w.inheritedUntil = 0, time.Time{}
 	w.listed = false
-	delete(s.awaitingReport, id)
+	delete(s.awaitingReport, w.info.ID)
 	s.removeIfExpired(w, now)
 }
 
-// dropLostRuns ends all runs of a worker and keeps their checkpoints.
-func (s *State) dropLostRuns(w *worker) {
-	for _, r := range slices.Clone(w.runsByNumber) {
-		s.Stats.LostRuns++
-		if r.checkpoint != "" {
-			r.task.checkpoint = r.checkpoint
-		}
-		s.releaseRun(r)
-	}
-}
-
 // releaseRun removes an ended run from its worker and task.
 func (s *State) releaseRun(r *run) {
 	w := r.worker
@@ -201,7 +193,7 @@
 func (s *State) ExpireLeases(now time.Time) {
 	for id, w := range s.workers {
 		if w.departed(now) {
-			s.HandleRestart(now, id)
+			s.removeTerminated(now, w, Departed)
 			continue
 		}
 		if !w.leaseExpired(now) {
@@ -211,7 +203,7 @@
 			delete(s.awaitingReport, id)
 		}
 		if w.suspected && len(w.runs) > 0 {
-			s.dropLostRuns(w)
+			s.dropLostRuns(w, LeaseExpired)
 		}
 		s.removeIfExpired(w, now)
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -33,6 +33,8 @@
 	// confirmed is set once the start is known to have been carried out. Before
 	// that, a run being stopped may never have existed and would report no end.
 	confirmed bool
+	// reported is set once a report of its worker has included it.
+	reported bool
 	// startedAt is when the start was ordered or first seen by this owner.
 	startedAt time.Time
 	reserved  infra.Resources
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -50,6 +50,8 @@
 	// holds what TakeJobOutcomes returns next.
 	attributedAt time.Time
 	outcomes     []JobOutcome
+	// losses holds what TakeWorkerLosses returns next.
+	losses []WorkerLoss
 	Stats        Stats
 }
 
--- a/event/control.go
+++ b/event/control.go
@@ -35,5 +35,6 @@
 	RelayUnresponsive    = define(918, slog.LevelWarn, "relay does not respond, rerouting its orders")
 	StartBacklogFull     = routine(932, slog.LevelInfo, "job refused, too many task starts are waiting")
 	JobEnded             = define(931, slog.LevelInfo, "job ended or expired")
+	WorkerLost           = routine(933, slog.LevelWarn, "runs lost with their worker")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
