--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -43,6 +43,8 @@
 	storeDownUntil time.Time
 	// durablyDone holds the tasks whose successful end is durable.
 	durablyDone map[workload.TaskID]bool
+	// started is called after each start that a worker carried out; it may be nil.
+	started func(w *faultWorker, id workload.TaskID)
 }
 
 // scheduledEvent is a function to run at a given time.
@@ -323,6 +325,9 @@
 	if status == runner.Done && s.durablyDone[o.Start.Task] && !step.Speculative && !step.LongRunning {
 		s.t.Errorf("%v was started after its successful end was durable", o.Start.Task)
 	}
+	if status == runner.Done && s.started != nil {
+		s.started(w, o.Start.Task)
+	}
 	return status
 }
 
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -52,7 +52,7 @@
 	outcomes     []JobOutcome
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
-	Stats        Stats
+	Stats  Stats
 }
 
 // New returns the state of a domain without jobs or workers.
