dispatch: a run that a worker reports starts its job, also if no answer to the start came

Cause: only the answer to a start, an end or an adopted run marked the job as started; a run whose start got no answer is confirmed by a report. Callers saw 'queued', and the queue's number of pending jobs was too high. TestReportedRunStartsJob failed before (queued, want in progress).

--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -192,6 +192,7 @@
 			continue
 		}
 		r.markConfirmed()
+		s.markStarted(r.task.step.job)
 		r.reported = true
 		r.percent, r.usage = a.Percent, a.Usage
 		if a.Checkpoint != "" {
--- a/dispatch/unanswered_test.go
+++ b/dispatch/unanswered_test.go
@@ -73,3 +73,15 @@
 	}
 	return first, p.Starts[0]
 }
+
+// TestReportedRunStartsJob guards against a job that is shown as queued while its
+// tasks run, because no answer to their starts arrived.
+func TestReportedRunStartsJob(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit(queueShort, "job", step(1, 4))
+	first := r.state.Plan(r.now).Starts[0]
+	r.state.HandleStartAnswer(r.now, first, runner.Answer{Status: runner.Unknown})
+	r.report(worker(0), []runner.ActiveRun{active(first)}, nil)
+	r.flush()
+	r.wantState("job", workload.InProgress)
+}
