dispatch: workers lost under a task are counted, and the task is given up

Cause: only an end 'failed' counted as an attempt, and a worker that has crashed reports none.

Now losses are counted by task and stored before the task's next start; three crashes right after a start, or four of any kind, fail the job, with the reason in its status and logs (events 931, 934). Suspects are started one at a time, so that neighbours aren't taken for the cause; losses of racks, of workers that answer again and of those that leave don't count.

TestUnresponsiveWorkerLosesRunsAfterLease commits before it looks for the start a second time in the same instant, as a restart after a loss waits for its row now; its bounds are as before. The tests of this commit also wait for a job's acceptance before they replace its owner, and record final states, which are forgotten after a minute.

--- a/control/forward.go
+++ b/control/forward.go
@@ -28,6 +28,8 @@
 	// Node.Pending.
 	State workload.State
 	Count int
+	// Reason is why the job has failed, for Node.State; empty if it hasn't.
+	Reason string
 	// RetryAfter is the time after which to retry a refused request.
 	RetryAfter time.Duration
 }
@@ -74,7 +76,10 @@
 			r, mayHaveRun = n.forward(ctx, leader.Host, m, request)
 		}
 		if tracker.add(r, mayHaveRun) {
-			return Outcome{r.Result, r.State, r.Count, time.Duration(r.RetryAfterMS) * time.Millisecond}
+			return Outcome{
+				Result: r.Result, State: r.State, Count: r.Count, Reason: r.Reason,
+				RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond,
+			}
 		}
 		if waited := max(time.Since(start), n.ownerlessFor()); !tracker.uncertain && waited > ownerTimeout {
 			event.NoOwner.Log(n.opts.Log, slog.Any("id", id), slog.Any("method", m), slog.Any("waited_ms", time.Since(start).Milliseconds()))
--- a/control/messages.go
+++ b/control/messages.go
@@ -74,7 +74,9 @@
 type reply struct {
 	Result Result         `msgpack:"r"`
 	State  workload.State `msgpack:"s"`
-	Count  int            `msgpack:"n"`
+	// Reason is why the job has failed, if it has.
+	Reason string `msgpack:"f,omitempty"`
+	Count  int    `msgpack:"n"`
 	// RetryAfterMS is the time in milliseconds after which to retry a refused
 	// request.
 	RetryAfterMS int64 `msgpack:"w"`
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -25,6 +25,7 @@
 	planDuration    prometheus.Histogram
 	takeovers       prometheus.Counter
 	losses          *prometheus.CounterVec
+	givenUp         prometheus.Counter
 	loopSeconds     *prometheus.CounterVec
 	tickDelay       prometheus.Gauge
 	traffic         *prometheus.GaugeVec
@@ -78,6 +79,9 @@
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "fireflygate_workers_lost_total", Help: "Workers lost with runs, by cause.",
 	}, []string{"cause"})
+	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflygate_jobs_given_up_total", Help: "Jobs that failed because too many workers crashed under one of their tasks.",
+	})
 	m.loopSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "fireflygate_loop_seconds_total", Help: "Time that the owner's loop spent, by activity.",
 	}, []string{"activity"})
@@ -88,7 +92,7 @@
 		Name: "fireflygate_worker_traffic", Help: "What the owner measures of its orders and allows: seconds to wait for an answer, " +
 			"of the smoothed round trip and between a report and the next look; starts under way and allowed.",
 	}, []string{"what"})
-	r.MustRegister(m.losses, m.loopSeconds, m.tickDelay, m.traffic)
+	r.MustRegister(m.losses, m.givenUp, m.loopSeconds, m.tickDelay, m.traffic)
 	r.MustRegister(m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.planDuration, m.takeovers)
 	return m
--- a/control/requests.go
+++ b/control/requests.go
@@ -112,7 +112,7 @@
 	o.state.MarkUrgent(id)
 }
 
-// jobState returns a job's state.
+// jobState returns a job's state and, if it has failed, the reason.
 func (o *Owner) jobState(ctx context.Context, id string) reply {
 	return o.runOnLoop(ctx, func(answer chan reply) {
 		state, ok := o.state.JobState(id)
@@ -120,7 +120,11 @@
 			answer <- o.answerUnknownJob(id)
 			return
 		}
-		answer <- reply{Result: ResultDone, State: state}
+		r := reply{Result: ResultDone, State: state}
+		if state == workload.Failed {
+			r.Reason = o.state.FailureReason(id)
+		}
+		answer <- r
 	})
 }
 
--- a/control/summary.go
+++ b/control/summary.go
@@ -32,7 +32,7 @@
 	o.loop = loopStats{}
 	for _, j := range o.state.TakeJobOutcomes() {
 		event.JobEnded.Log(o.opts.Log, slog.String("job", j.Job), slog.String("queue", j.Queue),
-			slog.String("state", j.State.String()), slog.String("reached", j.Timeliness.String()),
+			slog.String("state", j.State.String()), slog.String("reason", j.Reason), slog.String("reached", j.Timeliness.String()),
 			slog.Int64("age_ms", j.Age.Milliseconds()), slog.Int64("objective_ms", j.Objective.Milliseconds()),
 			slog.Int64("core_ms", j.CoreMS), slog.Int("tasks", j.Tasks), slog.Any("spent", j.TimeBreakdown))
 	}
@@ -43,7 +43,11 @@
 	for _, l := range o.state.TakeWorkerLosses() {
 		o.opts.Metrics.losses.WithLabelValues(l.Cause.String()).Inc()
 		event.WorkerLost.Log(o.opts.Log, slog.String("worker", l.Worker), slog.String("cause", l.Cause.String()),
-			slog.Int("runs", l.Runs), slog.Any("unreported", taskNames(l.Unreported)))
+			slog.Int("runs", l.Runs), slog.Any("unreported", taskNames(l.Unreported)), slog.Bool("with_rack", l.WithRack))
+		for _, j := range l.GivenUp {
+			o.opts.Metrics.givenUp.Inc()
+			event.JobGivenUp.Log(o.opts.Log, slog.String("job", j.Job), slog.String("reason", j.Reason), slog.String("worker", l.Worker))
+		}
 	}
 }
 
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -14,7 +14,7 @@
 
 // fits reports whether the worker can take one more task of the step now.
 func (c *cycle) fits(st *step, w *worker) bool {
-	if c.reserved[w.index] || !c.allowed(st, w) || !st.spec.Reserved().Fits(w.free) {
+	if c.reserved[w.index] || w.counts.unproven > 0 || !c.allowed(st, w) || !st.spec.Reserved().Fits(w.free) {
 		return false
 	}
 	if _, ok := st.permitFor(c.now, w); !ok {
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -35,7 +35,7 @@
 func (c *cycle) copyStep(st *step) {
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.runs) != 1 || t.runs[0].phase != running || !c.behind(t.runs[0]) {
+		if t.done || t.crashed() || len(t.runs) != 1 || t.runs[0].phase != running || !c.behind(t.runs[0]) {
 			continue
 		}
 		first := t.runs[0].worker
--- /dev/null
+++ b/dispatch/crash.go
@@ -0,0 +1,173 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+const (
+	// maxEarlyCrashes is the number of workers that may crash under a task's runs
+	// before they report them; maxCrashes is the number that may crash under its runs
+	// at any time. With the last of them the task, and so its job, is given up. Callers
+	// are promised at most two starts after the third crash. The early limit is lower,
+	// as a crash right after a start says more about the task; the other leaves one
+	// start for a crash that goes unnoticed as the owner changes.
+	maxEarlyCrashes = 3
+	maxCrashes      = 4
+	// provenAfter is how long a run has to be alive for a crash of its worker to be
+	// blamed on younger runs there.
+	provenAfter = 10 * time.Second
+	// outageWindow is the time in which the workers of a rack become unresponsive if
+	// the rack as a whole is lost.
+	outageWindow = massOutageGrace
+	// maxSeparateWait bounds how long a suspect task waits for a worker without other
+	// suspects, in a pool that is small or full.
+	maxSeparateWait = 1500 * time.Millisecond
+	// maxLostWorkers is the number of lost workers from which entries without open
+	// jobs are dropped.
+	maxLostWorkers = 1024
+)
+
+// crash is the loss of a worker under a run of a task.
+type crash struct {
+	// worker is the hash of the worker's ID.
+	worker uint32
+	// early is set if the worker had accepted the start and not reported the run yet.
+	early bool
+}
+
+// crashRecord returns the task that holds the crashes of t: a gang counts as one task.
+func (t *task) crashRecord() *task {
+	if t.step.spec.Gang {
+		return &t.step.tasks[0]
+	}
+	return t
+}
+
+// earlyCrashes counts the crashes right after a start.
+func (t *task) earlyCrashes() int {
+	n := 0
+	for _, c := range t.crashRecord().crashes {
+		if c.early {
+			n++
+		}
+	}
+	return n
+}
+
+// crashed reports whether a worker has been lost under the task.
+func (t *task) crashed() bool { return len(t.crashRecord().crashes) > 0 }
+
+// suspect reports whether the task may be the cause of its workers' crashes. Its runs
+// are started separately, so that the next crash shows whether it is.
+func (t *task) suspect() bool {
+	return t.earlyCrashes() > 0 || len(t.crashRecord().crashes) > 1
+}
+
+// exhausted reports whether so many workers have crashed under the task that it is
+// given up.
+func (t *task) exhausted() bool {
+	return t.earlyCrashes() >= maxEarlyCrashes || len(t.crashRecord().crashes) >= maxCrashes
+}
+
+// recordCrash records the loss of a worker under a run of the task, once per worker.
+// It returns the job's name and true if that was one too many.
+func (s *State) recordCrash(now time.Time, t *task, worker uint32, early bool) (GivenUpJob, bool) {
+	j, record := t.step.job, t.crashRecord()
+	known := slices.ContainsFunc(record.crashes, func(c crash) bool { return c.worker == worker })
+	if t.done || j.state.Final() || known {
+		return GivenUpJob{}, false
+	}
+	record.crashes = append(record.crashes, crash{worker, early})
+	s.crashedUnder[worker] = append(s.crashedUnder[worker], record)
+	s.markDirty(j)
+	if !t.exhausted() {
+		return GivenUpJob{}, false
+	}
+	j.reason = fmt.Sprintf("%d workers crashed under task %v", len(record.crashes), t.id())
+	s.finish(now, j, workload.Failed)
+	s.Stats.GivenUp++
+	return GivenUpJob{Job: j.spec.ID, Reason: j.reason}, true
+}
+
+// forgetCrash removes a worker from the crashes of all tasks: it answers in the same
+// incarnation, so it was cut off and hasn't crashed.
+func (s *State) forgetCrash(worker uint32) {
+	for _, t := range s.crashedUnder[worker] {
+		t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return c.worker == worker })
+		if !t.step.job.state.Final() {
+			s.markDirty(t.step.job)
+		}
+	}
+	delete(s.crashedUnder, worker)
+}
+
+// pruneCrashes drops the lost workers under which only tasks of ended jobs ran.
+func (s *State) pruneCrashes() {
+	if len(s.crashedUnder) < maxLostWorkers {
+		return
+	}
+	for worker, tasks := range s.crashedUnder {
+		if !slices.ContainsFunc(tasks, func(t *task) bool { return !t.step.job.state.Final() }) {
+			delete(s.crashedUnder, worker)
+		}
+	}
+}
+
+// blamed returns the runs that may have crashed their worker by the given time: those
+// that aren't proven or, if all are, all. Runs whose start was withheld aren't among
+// them.
+func (w *worker) blamed(at time.Time) []*run {
+	var all, young []*run
+	for _, r := range w.runsByNumber {
+		if r.held {
+			continue
+		}
+		all = append(all, r)
+		if at.Sub(r.startedAt) < provenAfter {
+			young = append(young, r)
+		}
+	}
+	if len(young) == 0 {
+		return all
+	}
+	return young
+}
+
+// outage records when a worker with certain labels became unresponsive.
+type outage struct {
+	worker string
+	labels []string
+	at     time.Time
+}
+
+// recordOutage records that the worker became unresponsive at the given time.
+func (s *State) recordOutage(w *worker, at time.Time) {
+	s.outages = slices.DeleteFunc(s.outages, func(o outage) bool { return o.worker == w.info.ID || at.Sub(o.at) > s.cfg.InheritedLease })
+	s.outages = append(s.outages, outage{w.info.ID, w.info.Labels, at})
+}
+
+// lostWithRack reports whether all workers that share a label with the worker, at
+// least two, became unresponsive when it did. Then the cause is outside of its tasks.
+func (s *State) lostWithRack(w *worker, at time.Time) bool {
+	return slices.ContainsFunc(w.info.Labels, func(label string) bool {
+		lost := 0
+		for _, o := range s.outages {
+			if slices.Contains(o.labels, label) && at.Sub(o.at).Abs() <= outageWindow {
+				lost++
+			}
+		}
+		if lost < 2 {
+			return false
+		}
+		for _, other := range s.workers {
+			if other.unresponsiveSince.IsZero() && other != w && !other.knownSince.After(at) && other.info.HasLabel(label) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/dispatch/crashingtask_test.go
+++ b/dispatch/crashingtask_test.go
@@ -30,6 +30,8 @@
 	delay                time.Duration
 	crashers             map[workload.TaskID]bool
 	crashes, startsAfter map[workload.TaskID]int
+	// ended holds the final states of jobs, as they are forgotten after a while.
+	ended map[string]workload.State
 }
 
 // newCrashSim returns a simulation with the given number of workers, which have been
@@ -37,7 +39,7 @@
 func newCrashSim(t *testing.T, seed uint64, workers int) *crashSim {
 	s := &crashSim{
 		faultSim: newFaultSim(t, seed), delay: crashDelay, crashers: map[workload.TaskID]bool{},
-		crashes: map[workload.TaskID]int{}, startsAfter: map[workload.TaskID]int{},
+		crashes: map[workload.TaskID]int{}, startsAfter: map[workload.TaskID]int{}, ended: map[string]workload.State{},
 	}
 	s.noFaults = true
 	for len(s.workers) < workers {
@@ -68,6 +70,26 @@
 	})
 }
 
+// watch runs the simulation for d and records the final states of jobs.
+func (s *crashSim) watch(d time.Duration) {
+	for ; d > 0; d -= time.Second {
+		s.run(time.Second)
+		for _, j := range s.jobs {
+			if state, ok := s.state.JobState(j.ID); ok && state.Final() {
+				s.ended[j.ID] = state
+			}
+		}
+	}
+}
+
+// wantEnd checks the final state of a job.
+func (s *crashSim) wantEnd(id string, want workload.State) {
+	s.t.Helper()
+	if got, ok := s.ended[id]; !ok || got != want {
+		s.t.Errorf("job %s ended as %v (ended: %v), want %v", id, got, ok, want)
+	}
+}
+
 // submitWithCrasher submits a job of n tasks, the one with the given index a crasher.
 func (s *crashSim) submitWithCrasher(id string, n, index int, change ...func(*workload.Step)) {
 	s.accept(queueShort, id, step(n, 2, change...))
@@ -82,7 +104,7 @@
 		if n := s.startsAfter[id]; n > maxStartsAfterCrashes {
 			s.t.Errorf("%v was started %d times after %d workers had crashed under it, want %d at the most", id, n, crashesBeforeLimit, maxStartsAfterCrashes)
 		}
-		s.wantState(id.Job, workload.Failed)
+		s.wantEnd(id.Job, workload.Failed)
 	}
 }
 
@@ -105,7 +127,7 @@
 				}
 				s.submitWithCrasher("crash", 4, int(seed%4), change)
 				for range 12 {
-					s.run(s.between(2*time.Second, 8*time.Second))
+					s.watch(s.between(2*time.Second, 8*time.Second))
 					if seed%2 == 1 {
 						s.replaceOwner()
 					}
@@ -128,15 +150,15 @@
 					s.submitWithCrasher(fmt.Sprint("crash", i), 4, i%4)
 				}
 				s.accept(queueLong, fmt.Sprint("other", i), step(6, 2))
-				s.run(s.between(testTick, time.Second))
+				s.watch(s.between(testTick, 2*time.Second)) // at least a second: both are stored
 				if seed%2 == 1 && i%4 == 3 {
 					s.replaceOwner()
 				}
 			}
-			s.run(90 * time.Second)
+			s.watch(90 * time.Second)
 			s.checkGivenUp()
 			for i := range 12 {
-				s.wantState(fmt.Sprint("other", i), workload.Complete)
+				s.wantEnd(fmt.Sprint("other", i), workload.Complete)
 			}
 			s.wantState("lasting", workload.InProgress)
 		})
@@ -155,8 +177,8 @@
 		}
 	}
 	s.accept(queueShort, "job", step(1, 2))
-	s.run(150 * time.Second)
-	s.wantState("job", workload.Complete)
+	s.watch(150 * time.Second)
+	s.wantEnd("job", workload.Complete)
 }
 
 // TestRackOutagesAreNotCrashes guards against a task that is given up because whole
@@ -188,6 +210,6 @@
 	}
 	s.run(time.Second)
 	s.accept(queueShort, "job", step(1, 2))
-	s.run(150 * time.Second)
-	s.wantState("job", workload.Complete)
+	s.watch(150 * time.Second)
+	s.wantEnd("job", workload.Complete)
 }
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -201,7 +201,10 @@
 	for _, f := range b.jobs {
 		f.job.rowStored = true
 		f.job.durable = f.state
-		f.job.eachTask(func(t *task) { t.locations = f.locations[t] })
+		f.job.eachTask(func(t *task) {
+			t.locations = f.locations[t]
+			t.markStored(t.locations)
+		})
 	}
 	for _, id := range b.roster {
 		if w := s.workers[id]; w != nil {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -11,6 +11,8 @@
 	spec  *workload.Job
 	queue workload.Queue
 	state workload.State
+	// reason is why the job has failed, empty if it hasn't.
+	reason string
 	// durable is the newest state in the store.
 	durable workload.State
 	// rowStored is set once the job's own row is durable.
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -72,6 +72,7 @@
 	w := s.workers[m.ID]
 	if w == nil {
 		w = s.addWorker(m)
+		w.knownSince = now
 		s.dirtyRosterParts[w.rosterPart()] = true
 	}
 	if !w.listed || w.info.Capacity != m.Capacity || w.info.Draining != m.Draining {
@@ -162,7 +163,7 @@
 
 // removeTerminated removes a worker that has terminated, with its runs and leases.
 func (s *State) removeTerminated(now time.Time, w *worker, cause LossCause) {
-	s.dropLostRuns(w, cause)
+	s.dropLostRuns(now, w, cause)
 	w.leaseUntil, w.inheritedUntil = 0, time.Time{}
 	w.listed = false
 	delete(s.awaitingReport, w.info.ID)
@@ -199,11 +200,12 @@
 		if !w.leaseExpired(now) {
 			continue
 		}
-		if s.awaitingReport[id] != nil && !w.reported {
+		unreported := s.awaitingReport[id] != nil && !w.reported
+		if unreported {
 			delete(s.awaitingReport, id)
 		}
-		if w.suspected && len(w.runs) > 0 {
-			s.dropLostRuns(w, LeaseExpired)
+		if unreported || (w.suspected && len(w.runs) > 0) {
+			s.dropLostRuns(now, w, LeaseExpired)
 		}
 		s.removeIfExpired(w, now)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -32,6 +32,7 @@
 	p.CPULimits = s.adjustCPULimits(now)
 	c := newCycle(s, now)
 	c.maxStarts = maxStarts
+	c.starts = s.releaseHeldStarts(now)
 	list := s.waitingSteps(now)
 	c.computeCapacity(list)
 	for _, w := range list {
@@ -160,6 +161,10 @@
 		if c.startLimitReached() {
 			return
 		}
+		if c.placeSeparately(t) {
+			list = nil
+			continue
+		}
 		var w *worker
 		if len(t.failedOn) > 0 {
 			w, list = c.choose(t, nil), nil // unlike the others, it avoids the workers where it failed
@@ -214,7 +219,7 @@
 func (c *cycle) start(t *task, w *worker, number uint64) {
 	r := &run{
 		task: t, number: number, token: w.token, worker: w, phase: ordered,
-		startedAt: c.now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU,
+		startedAt: c.now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU, separate: t.suspect(),
 	}
 	snapshot := w.snapshot(c.now)
 	w.addRun(r)
@@ -225,13 +230,18 @@
 	t.step.job.breakdown.Starts++
 	c.s.markDirty(t.step.job)
 	permit, _ := t.step.permitFor(c.now, w)
-	c.starts = append(c.starts, StartOrder{
+	order := StartOrder{
 		Worker: w.info, Snapshot: snapshot,
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
 			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
 		},
-	})
+	}
+	if t.crashed() {
+		c.s.holdStart(r, order)
+		return
+	}
+	c.starts = append(c.starts, order)
 }
 
 // reservedOneIn bounds the reserved workers: one in reservedOneIn of the usable
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -24,6 +24,10 @@
 	Done [][]byte `msgpack:"d,omitempty"`
 	// Failed holds the failed runs, for tasks that have any.
 	Failed []FailedRuns `msgpack:"f,omitempty"`
+	// Crashed holds the workers lost under tasks, for tasks that have any.
+	Crashed []CrashedWorkers `msgpack:"c,omitempty"`
+	// Reason is why the job has failed.
+	Reason string `msgpack:"w,omitempty"`
 	// Running lists the workers where runs may be alive.
 	Running []RunLocation `msgpack:"r,omitempty"`
 }
@@ -38,6 +42,8 @@
 	Index      int `msgpack:"i"`
 	// WorkerHash is the hash of the worker's ID.
 	WorkerHash uint32 `msgpack:"w"`
+	// Unproven is set if the task is suspect and its worker hasn't reported the run.
+	Unproven bool `msgpack:"u"`
 }
 
 // workerHash shortens a worker's ID for rows. After a collision, a later owner
@@ -56,6 +62,41 @@
 	Runs       []uint64 `msgpack:"r"`
 }
 
+// CrashedWorkers holds the workers that were lost under a task's runs.
+type CrashedWorkers struct {
+	Occurrence int `msgpack:"k"`
+	Step       int `msgpack:"s"`
+	Index      int `msgpack:"i"`
+	// Early and Late hold the hashes of the workers' IDs: of those that had not
+	// reported the run, and of the others.
+	Early []uint32 `msgpack:"e,omitempty"`
+	Late  []uint32 `msgpack:"l,omitempty"`
+}
+
+// crashedWorkers returns the durable form of a task's crashes.
+func (t *task) crashedWorkers() CrashedWorkers {
+	id := t.id()
+	row := CrashedWorkers{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index}
+	for _, c := range t.crashes {
+		if c.early {
+			row.Early = append(row.Early, c.worker)
+		} else {
+			row.Late = append(row.Late, c.worker)
+		}
+	}
+	return row
+}
+
+// restoreCrashes applies the durable form of a task's crashes.
+func (t *task) restoreCrashes(row CrashedWorkers) {
+	for _, worker := range row.Early {
+		t.crashes = append(t.crashes, crash{worker, true})
+	}
+	for _, worker := range row.Late {
+		t.crashes = append(t.crashes, crash{worker, false})
+	}
+}
+
 // RosterRow is one part of the roster, the list of workers where runs may be
 // alive.
 type RosterRow struct {
@@ -64,7 +105,7 @@
 
 // progress returns the durable form of the job's progress.
 func (j *job) progress() ProgressRow {
-	row := ProgressRow{State: j.state}
+	row := ProgressRow{State: j.state, Reason: j.reason}
 	if j.state.Final() {
 		return row
 	}
@@ -76,12 +117,15 @@
 	j.eachTask(func(t *task) {
 		for _, r := range t.runs {
 			id := t.id()
-			row.Running = append(row.Running, RunLocation{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, WorkerHash: r.worker.hash})
+			row.Running = append(row.Running, RunLocation{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, WorkerHash: r.worker.hash, Unproven: r.unproven()})
 		}
 		if len(t.failed) > 0 && !t.done {
 			id := t.id()
 			row.Failed = append(row.Failed, FailedRuns{id.Occurrence, id.Step, id.Index, t.failed})
 		}
+		if len(t.crashes) > 0 && !t.done {
+			row.Crashed = append(row.Crashed, t.crashedWorkers())
+		}
 	})
 	return row
 }
@@ -117,13 +161,22 @@
 			t.failed = f.Runs
 		}
 	}
+	for _, c := range row.Crashed {
+		id := workload.TaskID{Occurrence: c.Occurrence, Step: c.Step, Index: c.Index}
+		if t := j.task(id); t != nil {
+			t.restoreCrashes(c)
+		}
+	}
 	for _, l := range row.Running {
 		id := workload.TaskID{Occurrence: l.Occurrence, Step: l.Step, Index: l.Index}
 		if t := j.task(id); t != nil {
 			t.locations = append(t.locations, l.WorkerHash)
+			if l.Unproven {
+				t.unprovenOn = append(t.unprovenOn, l.WorkerHash)
+			}
 		}
 	}
-	j.state, j.durable = row.State, row.State
+	j.state, j.durable, j.reason = row.State, row.State, row.Reason
 	if row.State.Final() {
 		j.finishedAt = now
 	}
@@ -156,9 +209,23 @@
 	s.jobs[row.Job.ID] = j
 	if !j.state.Final() {
 		s.open = append(s.open, j)
+		s.indexWorkers(j)
 	}
 }
 
+// indexWorkers indexes a restored job's tasks by the workers lost under them and by
+// those where runs may be alive.
+func (s *State) indexWorkers(j *job) {
+	j.eachTask(func(t *task) {
+		for _, c := range t.crashes {
+			s.crashedUnder[c.worker] = append(s.crashedUnder[c.worker], t)
+		}
+		for _, worker := range t.locations {
+			s.inheritedRuns[worker] = append(s.inheritedRuns[worker], t)
+		}
+	})
+}
+
 // DecodeJobRow decodes and validates a job's row.
 func DecodeJobRow(value []byte) (*JobRow, error) {
 	var row JobRow
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 		return nil
 	}
 	w.markResponsive()
+	s.forgetCrash(w.hash)
 	w.polledAt = now
 	s.markChanged(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
@@ -62,6 +64,7 @@
 	w.reported = true
 	w.leaseUntil = max(w.leaseUntil, w.clock+s.cfg.Lease.Milliseconds())
 	delete(s.awaitingReport, w.info.ID)
+	delete(s.inheritedRuns, w.hash)
 }
 
 // recordEnds applies and returns the ends that are new.
@@ -173,6 +176,7 @@
 	j := t.step.job
 	s.markDirty(j)
 	if len(counted.failed) >= j.queue.MaxAttempts {
+		j.reason = fmt.Sprintf("task %v failed %d times", t.id(), len(counted.failed))
 		s.finish(now, j, workload.Failed)
 		s.Stats.Failed++
 	}
@@ -193,7 +197,10 @@
 		}
 		r.markConfirmed()
 		s.markStarted(r.task.step.job)
-		r.reported = true
+		if r.unproven() {
+			s.markDirty(r.task.step.job) // a later owner must not take it for one that has just started
+		}
+		r.markReported()
 		r.percent, r.usage = a.Percent, a.Usage
 		if a.Checkpoint != "" {
 			r.checkpoint = a.Checkpoint
@@ -237,7 +244,7 @@
 	s.markStarted(j)
 	r := &run{
 		task: t, number: a.Run, token: w.token, worker: w, phase: running,
-		confirmed: true, startedAt: now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU,
+		confirmed: true, reported: true, startedAt: now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU,
 		cpuLimitUnconfirmed: t.step.spec.BestEffort, // an earlier owner may have limited it
 	}
 	w.addRun(r)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -35,6 +35,11 @@
 	confirmed bool
 	// reported is set once a report of its worker has included it.
 	reported bool
+	// held is set while its start is withheld, stored once its location is durable.
+	held, stored bool
+	// separate is set if its task was suspect at its start: its worker gets no other
+	// starts until it has reported this run.
+	separate bool
 	// startedAt is when the start was ordered or first seen by this owner.
 	startedAt time.Time
 	reserved  infra.Resources
@@ -74,3 +79,17 @@
 		r.phase = running
 	}
 }
+
+// unproven reports whether its task was suspect at its start and its worker hasn't
+// reported it.
+func (r *run) unproven() bool { return r.separate && !r.reported }
+
+// markReported records that a report of its worker included the run.
+func (r *run) markReported() {
+	if r.reported {
+		return
+	}
+	r.worker.counts.drop(r)
+	r.reported = true
+	r.worker.counts.add(r)
+}
--- a/dispatch/runcounts.go
+++ b/dispatch/runcounts.go
@@ -15,6 +15,9 @@
 	finiteReserved infra.Resources
 	// shortMilliCPU is the processors reserved for short tasks.
 	shortMilliCPU int64
+	// unreported counts the runs that no report has included yet, unproven those of
+	// them whose task is suspect.
+	unreported, unproven int
 }
 
 func (rc *runCounts) add(r *run) { rc.count(r, 1) }
@@ -24,6 +27,12 @@
 // count changes the counts by n times one run.
 func (rc *runCounts) count(r *run, n int) {
 	st := r.task.step
+	if !r.reported {
+		rc.unreported += n
+	}
+	if r.unproven() {
+		rc.unproven += n
+	}
 	switch {
 	case st.spec.Serving():
 		rc.serving += n
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -52,7 +52,14 @@
 	outcomes     []JobOutcome
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
-	Stats  Stats
+	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
+	// its loss. inheritedRuns holds, by the same hash, the tasks of which a run may be
+	// alive on a worker of an earlier owner that hasn't reported.
+	crashedUnder, inheritedRuns map[uint32][]*task
+	heldStarts                  []heldStart
+	// outages holds when workers became unresponsive lately.
+	outages []outage
+	Stats   Stats
 }
 
 // New returns the state of a domain without jobs or workers.
@@ -65,7 +72,8 @@
 		jobs:           map[string]*job{},
 		workers:        map[string]*worker{},
 		awaitingReport: map[string]*worker{},
-		nextRun:        cfg.Epoch << epochShift, topToken: cfg.Epoch << epochShift,
+		crashedUnder:   map[uint32][]*task{}, inheritedRuns: map[uint32][]*task{},
+		nextRun: cfg.Epoch << epochShift, topToken: cfg.Epoch << epochShift,
 	}
 }
 
@@ -129,6 +137,14 @@
 	return j.state, true
 }
 
+// FailureReason returns why a job has failed, empty if it hasn't or isn't known.
+func (s *State) FailureReason(id string) string {
+	if j := s.jobs[id]; j != nil {
+		return j.reason
+	}
+	return ""
+}
+
 // HasJob reports whether the job is known, durable or not.
 func (s *State) HasJob(id string) bool { return s.jobs[id] != nil }
 
--- a/dispatch/state_test.go
+++ b/dispatch/state_test.go
@@ -55,7 +55,10 @@
 				r.report(id, nil, nil)
 			}
 		}
-		again = r.plan()
+		if again = r.plan(); len(again) == 0 {
+			r.flush() // a restart waits until the loss is durable
+			again = r.plan()
+		}
 	}
 	if len(again) != 1 || again[0].Worker.ID == first.Worker.ID {
 		t.Fatalf("got %v, want one start on the other worker", again)
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -2,8 +2,10 @@
 
 // Stats counts decisions since the State was created.
 type Stats struct {
-	Accepted, Completed, Failed                                uint64
-	Starts, StartsRefused, StartsUnknown                       uint64
+	Accepted, Completed, Failed          uint64
+	Starts, StartsRefused, StartsUnknown uint64
+	// GivenUp counts jobs that failed because workers crashed under a task.
+	GivenUp                                                    uint64
 	Done, FailedRuns, StoppedRuns, LostRuns                    uint64
 	ExpiredRuns, Copies, Evictions, Preempted, BestEffortMoved uint64
 }
--- a/dispatch/suspicion.go
+++ b/dispatch/suspicion.go
@@ -25,6 +25,7 @@
 	}
 	if w.unresponsiveSince.IsZero() {
 		w.unresponsiveSince = now
+		s.recordOutage(w, now)
 	}
 	w.suspected = now.Sub(w.unresponsiveSince) >= massOutageGrace || !s.suspectsItself(now)
 }
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -20,6 +21,14 @@
 	failed []uint64
 	// failedOn holds the workers of those runs, as far as this owner knows.
 	failedOn []string
+	// crashes holds the workers lost under runs of the task; of a gang, the first task
+	// holds them for all.
+	crashes []crash
+	// unprovenOn holds the hashes of the workers that, according to the store, had not
+	// reported a run of it when it was suspect already.
+	unprovenOn []uint32
+	// separateSince is when it first waited for a worker without other suspects.
+	separateSince time.Time
 	// inheritanceResolved is set once no unreported run of an earlier owner can
 	// be alive.
 	inheritanceResolved bool
--- a/dispatch/timebreakdown.go
+++ b/dispatch/timebreakdown.go
@@ -29,6 +29,8 @@
 type JobOutcome struct {
 	Job, Queue string
 	State      workload.State
+	// Reason is why the job has failed, empty if it hasn't.
+	Reason string
 	// Timeliness says whether the job was on time, late or expired.
 	Timeliness queue.Timeliness
 	// Age is the time since the last occurrence was due, Objective the time in
@@ -112,7 +114,7 @@
 	}
 	o := j.occurrences[len(j.occurrences)-1]
 	outcome := JobOutcome{
-		Job: j.spec.ID, Queue: j.queue.Name, State: j.state, Age: now.Sub(o.due), Objective: j.lastObjective().Sub(o.due),
+		Job: j.spec.ID, Queue: j.queue.Name, State: j.state, Reason: j.reason, Age: now.Sub(o.due), Objective: j.lastObjective().Sub(o.due),
 		Timeliness:    queue.TimelinessOf(&queue.Entry{LatestStart: j.lastObjective(), LatestUsefulStart: j.lastExpiry()}, now),
 		TimeBreakdown: j.breakdown,
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -21,6 +21,9 @@
 	hash uint32
 	// listed is set while the membership list includes the worker.
 	listed bool
+	// knownSince is when this owner first saw it on the list, zero for a worker of an
+	// earlier owner.
+	knownSince time.Time
 	// missingSince is when the list first lacked it, zero while it is there.
 	missingSince time.Time
 	// inRoster is set once the durable roster includes the worker. It gets no
--- a/dispatch/workerloss.go
+++ b/dispatch/workerloss.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -40,8 +41,16 @@
 	// of the worker had included yet, at most maxLossTasks.
 	Runs       int
 	Unreported []workload.TaskID
+	// WithRack is set if all workers of its rack were lost with it; its tasks aren't
+	// blamed then.
+	WithRack bool
+	// GivenUp holds the jobs that failed because it was one worker too many.
+	GivenUp []GivenUpJob
 }
 
+// GivenUpJob is a job that has failed because workers crashed under one of its tasks.
+type GivenUpJob struct{ Job, Reason string }
+
 const (
 	// maxLossTasks bounds the tasks in a WorkerLoss.
 	maxLossTasks = 8
@@ -56,12 +65,22 @@
 	return losses
 }
 
-// dropLostRuns ends all runs of a worker and keeps their checkpoints.
-func (s *State) dropLostRuns(w *worker, cause LossCause) {
-	if len(w.runs) == 0 {
+// dropLostRuns ends all runs of a worker, keeps their checkpoints, and records the
+// crash with the tasks that may have caused it.
+func (s *State) dropLostRuns(now time.Time, w *worker, cause LossCause) {
+	inherited := s.inheritedRuns[w.hash]
+	delete(s.inheritedRuns, w.hash)
+	if len(w.runs) == 0 && len(inherited) == 0 {
 		return
 	}
-	loss := WorkerLoss{Worker: w.info.ID, Cause: cause, Runs: len(w.runs)}
+	loss := WorkerLoss{Worker: w.info.ID, Cause: cause, Runs: len(w.runs) + len(inherited)}
+	at := w.unresponsiveSince
+	if at.IsZero() {
+		at = now
+		s.recordOutage(w, at)
+	}
+	loss.WithRack = s.lostWithRack(w, at)
+	blamed := w.blamed(at)
 	for _, r := range slices.Clone(w.runsByNumber) {
 		s.Stats.LostRuns++
 		if !r.reported && len(loss.Unreported) < maxLossTasks {
@@ -72,7 +91,31 @@
 		}
 		s.releaseRun(r)
 	}
+	if !loss.WithRack && !w.info.Draining {
+		loss.GivenUp = s.recordCrashes(now, w, blamed, inherited)
+	}
 	if len(s.losses) < maxLosses {
 		s.losses = append(s.losses, loss)
 	}
 }
+
+// recordCrashes records the loss of a worker with the tasks of the runs there and of
+// those that an earlier owner started, and returns the jobs that are given up.
+func (s *State) recordCrashes(now time.Time, w *worker, runs []*run, inherited []*task) []GivenUpJob {
+	s.pruneCrashes()
+	var givenUp []GivenUpJob
+	for _, r := range runs {
+		if j, ok := s.recordCrash(now, r.task, w.hash, r.confirmed && !r.reported); ok {
+			givenUp = append(givenUp, j)
+		}
+	}
+	for _, t := range inherited {
+		if len(t.runs) > 0 {
+			continue // found elsewhere
+		}
+		if j, ok := s.recordCrash(now, t, w.hash, slices.Contains(t.unprovenOn, w.hash)); ok {
+			givenUp = append(givenUp, j)
+		}
+	}
+	return givenUp
+}
--- a/event/control.go
+++ b/event/control.go
@@ -36,5 +36,6 @@
 	StartBacklogFull     = routine(932, slog.LevelInfo, "job refused, too many task starts are waiting")
 	JobEnded             = define(931, slog.LevelInfo, "job ended or expired")
 	WorkerLost           = routine(933, slog.LevelWarn, "runs lost with their worker")
+	JobGivenUp           = define(934, slog.LevelWarn, "job given up, workers crashed under one of its tasks")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
