--- a/dispatch/faultchecks_test.go
+++ b/dispatch/faultchecks_test.go
@@ -6,8 +6,9 @@
 	"github.com/fireflygate/fireflygate/workload"
 )
 
-// checkInvariants fails the test if a worker exceeds its capacity or a task runs
-// on two workers, which only tasks of speculative steps may.
+// checkInvariants fails the test if a worker that refuses what doesn't fit exceeds
+// its capacity, or a task runs on two workers, which only tasks of speculative steps
+// may.
 func (s *faultSim) checkInvariants() {
 	seen := map[workload.TaskID]string{}
 	for _, w := range s.alive() {
@@ -17,7 +18,7 @@
 			}
 			seen[id] = w.info.ID
 		}
-		if free := w.free(); free.MilliCPU < 0 || free.MemoryMB < 0 {
+		if free := w.free(); !s.unguarded && (free.MilliCPU < 0 || free.MemoryMB < 0) {
 			s.t.Fatalf("%s exceeds its capacity: %+v is free", w.info.ID, free)
 		}
 	}
--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -43,6 +43,9 @@
 	storeDownUntil time.Time
 	// durablyDone holds the tasks whose successful end is durable.
 	durablyDone map[workload.TaskID]bool
+	// unguarded makes workers start whatever they are ordered to; their capacities may
+	// change and are checked by the test.
+	unguarded bool
 	// started is called after each start that a worker carried out; it may be nil.
 	started func(w *faultWorker, id workload.TaskID)
 }
@@ -316,7 +319,7 @@
 	step := &s.jobs[i].Steps[o.Start.Task.Step]
 	run := &faultRun{
 		number: o.Start.Run, step: step, startedAt: s.now, duration: step.Estimate,
-		fails: s.chance(0.05),
+		fails: s.chance(0.05), unguarded: s.unguarded,
 	}
 	if s.chance(0.1) {
 		run.duration *= 8 // slow: a speculative task gets a copy
--- a/dispatch/faultworker_test.go
+++ b/dispatch/faultworker_test.go
@@ -42,6 +42,8 @@
 	startedAt time.Time
 	duration  time.Duration
 	fails     bool
+	// unguarded makes its worker accept it whatever its capacity.
+	unguarded bool
 }
 
 // newFaultWorker returns a worker without runs.
@@ -85,7 +87,7 @@
 		return runner.Done
 	case old != nil || o.Run <= w.highestRun[o.Task]:
 		return runner.Superseded
-	case !run.step.Reserved().Fits(w.free()):
+	case !run.unguarded && !run.step.Reserved().Fits(w.free()):
 		return runner.NoCapacity
 	}
 	w.leaseUntil = max(w.leaseUntil, o.LeaseUntil)
