dispatch: a worker that runs something of unknown size gets no starts

Symptom: a run of a task that the owner doesn't know, as of a row that can't be read, is told to stop, and until it has ended its capacity counted as free. A worker that starts whatever it is told to could be taken over its capacity (LIMIT: what is being stopped still counts).

Cause: only runs of known tasks reserve capacity. Now a worker whose last report has an unknown run isn't used until a report without it; the stop is ordered with each report. TestUnknownRunKeepsStartsAway failed before (started beside it), and passes.

--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -186,6 +186,7 @@
 // that this owner didn't start. It orders runs to stop that are no longer needed
 // or whose last stop had no effect.
 func (s *State) recordActive(now time.Time, w *worker, active []runner.ActiveRun) {
+	w.unknownRun = false
 	for i := range active {
 		a := &active[i]
 		r := w.runs[a.Task]
@@ -232,6 +233,7 @@
 		return nil // this report was sent before that of its end
 	}
 	if t == nil {
+		w.unknownRun = true
 		s.stops = append(s.stops, StopOrder{
 			Worker: w.info, Stop: runner.Stop{Task: a.Task, Run: a.Run, Token: w.token},
 			Cause: UnknownTask, Snapshot: w.snapshot(now),
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -50,6 +50,9 @@
 	counts       runCounts
 	// load is the cached load, nil after a change.
 	load *workerLoad
+	// unknownRun is set while its last report includes a run of an unknown task, which
+	// is being stopped and takes capacity of unknown size.
+	unknownRun bool
 	// lastEnd is the last recorded end, acknowledged the last durable one.
 	lastEnd, acknowledged uint64
 	// polledAt is when its last poll ended, with or without an answer; suspected
@@ -108,7 +111,7 @@
 
 // usable reports whether new tasks may go to the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.reported && !w.suspected && w.unresponsiveSince.IsZero() && !w.info.Draining && now.After(w.pausedUntil)
+	return w.listed && w.reported && !w.suspected && w.unresponsiveSince.IsZero() && !w.info.Draining && !w.unknownRun && now.After(w.pausedUntil)
 }
 
 // eventuallyFree returns what is free once every run that ends by itself has.
