batch: a failed run counts toward the quarantine when it is reported

Symptom: TestWorkerThatFailsEverythingIsQuarantinedAndProbed, rarely '5 runs on the failing worker', where 4 are the most; on the quarantine a worker that fails all got a job more.

Cause, from the recorded times of a failing play: each job starts and fails in an exchange of its own, 100 ms apart; the third failure is known at 2.3 s, but counted when its end is durable, and a start is planned in the time of that commit. Suspected before was the order of commits within one report; ruled out, as each report had one end.

Now a failure counts when it is reported; a commit that is tried again counts once.

--- a/batch/shard_report.go
+++ b/batch/shard_report.go
@@ -46,6 +46,10 @@
 		event.TransitionRejected.Log(s.log, slog.String("job", r.Run.Job), slog.String("state", j.rec.State.String()))
 		return
 	}
+	if r.State == infra.RunFailed {
+		// Counted before it is durable, or the worker would get more jobs meanwhile.
+		s.updateHealth(now, w, r.Run.Job, r.State)
+	}
 	s.commitRecord(j, next, func(now time.Time) {
 		s.handleEnd(now, w, j, r)
 		w.extraOrders[r.Run] = infra.OrderForget
@@ -78,7 +82,9 @@
 		s.planner.RecordOOMKill(id)
 	}
 	s.freeRun(now, j, w.name, r.State == infra.RunDone)
-	s.updateHealth(now, w, id, r.State)
+	if r.State != infra.RunFailed {
+		s.updateHealth(now, w, id, r.State)
+	}
 	s.metrics.countEnd(r.State)
 	if r.State == infra.RunFailed || r.State == infra.RunRefused {
 		s.planner.Avoid(id, w.name)
