settings: an unset list of idempotent methods stays unset through the store

Symptom: a service whose policy sets no idempotent_methods was written with an empty list and read back so; the gateway falls back to GET and HEAD only where nothing is set, so that no request of that service was retried once any policy had been applied.

Cause: the encoder writes nil and empty lists alike. Services are encoded through a type that omits an unset list and keeps an empty one, which says that no method is idempotent. TestServiceFieldsSurviveRoundTrip and, through the store, TestUnsetIdempotentMethodsStayUnset failed before (an empty list in place of none) and pass; the first also fails when a field is left out.

--- a/configstore/watcher_test.go
+++ b/configstore/watcher_test.go
@@ -51,3 +51,24 @@
 		}
 	}
 }
+
+// TestUnsetIdempotentMethodsStayUnset checks that a service without idempotent methods
+// has none after its policy was applied, stored and read back, so that the default
+// applies to its requests.
+func TestUnsetIdempotentMethodsStayUnset(t *testing.T) {
+	store, _ := newStore()
+	policy := settings.Default()
+	policy.Services = map[string]settings.Service{"dispatch": {Slots: 4, Connections: 8}}
+	content, err := settings.MarshalPolicy(policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := store.Apply(t.Context(), Change{Content: content}); r.Status != Accepted {
+		t.Fatalf("%+v, want an accepted change", r)
+	}
+	w := NewWatcher(store, settings.Default(), slog.New(slog.DiscardHandler))
+	w.Poll(t.Context())
+	if got := w.Service("dispatch"); got.Slots != 4 || got.IdempotentMethods != nil {
+		t.Errorf("service %+v, want four slots and no idempotent methods", got)
+	}
+}
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -21,7 +21,7 @@
 		"calls":      s.Calls,
 		"batch":      s.Batch,
 		"colocation": s.Colocation,
-		"services":   s.Services,
+		"services":   serviceTexts(s.Services),
 		"classes":    s.Classes,
 		"teams":      s.Teams,
 		"events":     s.Events,
@@ -36,3 +36,25 @@
 func ParsePolicy(name, content string) (Settings, error) {
 	return Parse(name, []File{{Name: name, Data: []byte(content)}}, Policy)
 }
+
+// serviceText is a service as MarshalPolicy encodes it. It omits idempotent methods
+// that aren't set, for which a default applies; an empty list means that no method is
+// idempotent.
+type serviceText struct {
+	Slots             int       `toml:"slots"`
+	Connections       int       `toml:"connections"`
+	IdempotentMethods *[]string `toml:"idempotent_methods,omitempty"`
+}
+
+// serviceTexts returns the services by name as MarshalPolicy encodes them.
+func serviceTexts(services map[string]Service) map[string]serviceText {
+	texts := make(map[string]serviceText, len(services))
+	for name, s := range services {
+		text := serviceText{Slots: s.Slots, Connections: s.Connections}
+		if s.IdempotentMethods != nil {
+			text.IdempotentMethods = &s.IdempotentMethods
+		}
+		texts[name] = text
+	}
+	return texts
+}
--- a/settings/service.go
+++ b/settings/service.go
@@ -7,6 +7,7 @@
 	Slots       int `toml:"slots"`
 	Connections int `toml:"connections"`
 	// IdempotentMethods are the HTTP methods of requests that may safely run
-	// more than once, and so may be retried after they were sent.
+	// more than once, and so may be retried after they were sent. If it isn't
+	// set, these are GET and HEAD.
 	IdempotentMethods []string `toml:"idempotent_methods"`
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -63,6 +64,31 @@
 	}
 }
 
+// TestServiceFieldsSurviveRoundTrip guards against a service's field that
+// MarshalPolicy omits, and against an unset list that is read back as an empty one.
+func TestServiceFieldsSurviveRoundTrip(t *testing.T) {
+	if fields, encoded := reflect.TypeFor[Service]().NumField(), reflect.TypeFor[serviceText]().NumField(); fields != encoded {
+		t.Errorf("%d fields of a service, %d are encoded", fields, encoded)
+	}
+	s := Default()
+	s.Services = map[string]Service{
+		"unset": {Slots: 8, Connections: 64},
+		"none":  {Slots: 8, Connections: 64, IdempotentMethods: []string{}},
+		"some":  {Slots: 9, Connections: 65, IdempotentMethods: []string{"GET", "PUT"}},
+	}
+	content, err := MarshalPolicy(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := ParsePolicy("applied", content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(back.Services, s.Services) {
+		t.Errorf("services %+v after a round trip, want %+v", back.Services, s.Services)
+	}
+}
+
 func TestEventNext(t *testing.T) {
 	e := Event{Start: "06:00", Location: "Europe/Rome"}
 	now := time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC)
