demo: a signal ends it with its results, a second one at once

Symptom: a demo that got SIGINT or SIGTERM in mid-traffic printed 'callers done; waiting for jobs' and never ended (9 minutes seen once).

Cause: its script ends with the signal before it has drained the last entry host, and the end drains all hosts but that one, then waits for the observers of all. Each host that wasn't drained is drained now; the result and the table say that the run was interrupted. A second signal finds the default action again before the run learns of the first, so that it ends the process at once.

That the demo finishes 95% of its jobs, or says which not, is not done.

--- a/cli/demo.go
+++ b/cli/demo.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -31,6 +33,7 @@
   free loopback ports. Calls, bookings, batch jobs and an event compete while an
   endpoint leaves and an entry host drains. Prints the results as a table; with
   -json the last line is one JSON object. Exits 1 if a promise was broken.
+  A signal ends the run early, with its results; a second one ends it at once.
   Example: fireflygate demo -duration 10s -seed 1
 `
 }
@@ -50,7 +53,7 @@
 	if c.verbose {
 		o.Log = newLogger(false)
 	}
-	result, err := demo.Run(ctx, o)
+	result, err := demo.Run(untilFirstSignal(ctx), o)
 	if err != nil {
 		return fail(err)
 	}
@@ -61,6 +64,17 @@
 	return demoExitCode(result)
 }
 
+// untilFirstSignal returns a context that ends after ctx, which ends with a signal. By
+// then another signal ends the process.
+func untilFirstSignal(ctx context.Context) context.Context {
+	until, end := context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() {
+		signal.Reset(os.Interrupt, syscall.SIGTERM)
+		end()
+	})
+	return until
+}
+
 // demoExitCode returns ExitFailed if a promise was broken.
 func demoExitCode(r demo.Result) subcommands.ExitStatus {
 	if r.Violations > 0 {
--- a/demo/host.go
+++ b/demo/host.go
@@ -27,6 +27,8 @@
 	// ended is closed when Run has returned err.
 	ended chan struct{}
 	err   error
+	// drained is set once it was told to drain.
+	drained bool
 }
 
 // newHost returns an entry host that listens on free loopback ports.
@@ -81,8 +83,13 @@
 	}()
 }
 
-// drain stops the host, waits until its drain has ended and records both times.
+// drain stops the host, waits until its drain has ended and records both times. It
+// does nothing if the host was drained before.
 func (h *host) drain(recorder *check.Recorder) error {
+	if h.drained {
+		return nil
+	}
+	h.drained = true
 	recorder.Add(check.Record{DrainBegan: &check.DrainBegan{Host: h.name}})
 	h.stop()
 	<-h.ended
--- a/demo/result.go
+++ b/demo/result.go
@@ -10,6 +10,8 @@
 
 // Result is the result of a run.
 type Result struct {
+	// Interrupted is set if the run was stopped before its end.
+	Interrupted bool `json:"interrupted,omitempty"`
 	// Violations is the number of broken promises; Breaches describes them.
 	Violations int      `json:"violations"`
 	Breaches   []string `json:"breaches,omitempty"`
@@ -54,6 +56,9 @@
 func (r Result) Print(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	row := func(name string, value any) { _, _ = fmt.Fprintf(t, "%s\t%v\n", name, value) }
+	if r.Interrupted {
+		row("interrupted", "yes, figures up to then")
+	}
 	row("calls answered", r.Answered)
 	row("calls not run", r.NotRun)
 	row("calls unknown", r.Unknown)
--- a/demo/run.go
+++ b/demo/run.go
@@ -49,7 +49,8 @@
 }
 
 // Run runs the demo and checks its records. Broken promises are part of the
-// result; an error means that the demo could not run to its end.
+// result; an error means that the demo could not run to its end. If ctx ends, Run
+// stops the callers, drains the hosts and returns what there is until then.
 func Run(ctx context.Context, o Options) (Result, error) {
 	s := &site{options: o, recorder: check.NewRecorder(nil), balancer: &balancer{}}
 	defer s.close()
@@ -66,10 +67,16 @@
 	summary := callers(ctx, o, s.balancer, s.hostNames(), s.recorder, fraction(o.Duration, burstAt))
 	stopJobs()
 	work.Wait()
+	interrupted := ctx.Err() != nil
+	if interrupted {
+		scriptErr = nil // it ends with ctx
+	}
 	if err := errors.CombineErrors(scriptErr, s.finish(ctx, jobs)); err != nil {
 		return Result{}, err
 	}
-	return s.result(summary, jobs), nil
+	r := s.result(summary, jobs)
+	r.Interrupted = interrupted
+	return r, nil
 }
 
 // start starts the stand-ins and the entry hosts, and waits until all are
@@ -176,10 +183,14 @@
 	return nil
 }
 
-// finish waits up to finishTimeout for the acknowledged jobs and drains the
-// remaining hosts.
+// finish waits up to finishTimeout for the acknowledged jobs, unless ctx ends, and
+// drains the remaining hosts.
 func (s *site) finish(ctx context.Context, jobs *submitter) error {
-	s.progressf("callers done; waiting for jobs")
+	if ctx.Err() != nil {
+		s.progressf("interrupted; draining the entry hosts")
+	} else {
+		s.progressf("callers done; waiting for jobs")
+	}
 	deadline := time.Now().Add(finishTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		if len(countRuns(s.recorder.Records()).done) >= jobs.submitted-serviceTasks {
@@ -188,7 +199,7 @@
 		waitUntil(ctx, time.Now().Add(watchInterval))
 	}
 	var err error
-	for _, h := range s.hosts[:len(s.hosts)-1] {
+	for _, h := range s.hosts {
 		s.balancer.remove(h)
 		err = errors.CombineErrors(err, h.drain(s.recorder))
 	}
