--- a/control/orders.go
+++ b/control/orders.go
@@ -189,11 +189,16 @@
 
 // handleLatePoll applies the answer to a poll that has already counted as unanswered.
 // It shows that the worker is alive, so the next poll, which renews its leases, is due.
+// That the worker wasn't healthy then says nothing about now.
 func (o *Owner) handleLatePoll(s *session, p poll, a pollAnswer) {
 	now := time.Now()
 	o.opts.Metrics.order("late look", a.answer.Status)
 	s.nextPoll = now
-	o.handleReport(now, p, a)
+	switch a.answer.Status {
+	case runner.Done, runner.Restarted, runner.Fenced:
+		o.handleReport(now, p, a)
+	default:
+	}
 }
 
 // handleReport applies the answer to a poll to the state, and logs the ends in it.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -161,9 +161,14 @@
 		if c.startLimitReached() {
 			return
 		}
-		if c.placeSeparately(t) {
-			list = nil
-			continue
+		if t.suspect() {
+			started, waits := c.placeSeparately(t)
+			if started {
+				list = nil // its worker gets no other starts
+			}
+			if started || waits {
+				continue
+			}
 		}
 		var w *worker
 		if len(t.failedOn) > 0 {
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -30,10 +30,14 @@
 	Reason string `msgpack:"w,omitempty"`
 	// Running lists the workers where runs may be alive.
 	Running []RunLocation `msgpack:"r,omitempty"`
+	// Unproven lists those of Running whose task is suspect and whose worker hasn't
+	// reported the run.
+	Unproven []RunLocation `msgpack:"u,omitempty"`
 }
 
 // RunLocation says that a run of a task may be alive on a worker. It is encoded
-// as an array, since locations make up most of a row.
+// as an array, since locations make up most of a row; its fields can't change, as other
+// releases couldn't decode it.
 type RunLocation struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
@@ -42,8 +46,6 @@
 	Index      int `msgpack:"i"`
 	// WorkerHash is the hash of the worker's ID.
 	WorkerHash uint32 `msgpack:"w"`
-	// Unproven is set if the task is suspect and its worker hasn't reported the run.
-	Unproven bool `msgpack:"u"`
 }
 
 // workerHash shortens a worker's ID for rows. After a collision, a later owner
@@ -117,7 +119,11 @@
 	j.eachTask(func(t *task) {
 		for _, r := range t.runs {
 			id := t.id()
-			row.Running = append(row.Running, RunLocation{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, WorkerHash: r.worker.hash, Unproven: r.unproven()})
+			l := RunLocation{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, WorkerHash: r.worker.hash}
+			row.Running = append(row.Running, l)
+			if r.unproven() {
+				row.Unproven = append(row.Unproven, l)
+			}
 		}
 		if len(t.failed) > 0 && !t.done {
 			id := t.id()
@@ -171,9 +177,12 @@
 		id := workload.TaskID{Occurrence: l.Occurrence, Step: l.Step, Index: l.Index}
 		if t := j.task(id); t != nil {
 			t.locations = append(t.locations, l.WorkerHash)
-			if l.Unproven {
-				t.unprovenOn = append(t.unprovenOn, l.WorkerHash)
-			}
+		}
+	}
+	for _, l := range row.Unproven {
+		id := workload.TaskID{Occurrence: l.Occurrence, Step: l.Step, Index: l.Index}
+		if t := j.task(id); t != nil {
+			t.unprovenOn = append(t.unprovenOn, l.WorkerHash)
 		}
 	}
 	j.state, j.durable, j.reason = row.State, row.State, row.Reason
--- a/dispatch/separate.go
+++ b/dispatch/separate.go
@@ -4,22 +4,19 @@
 
 // placeSeparately starts a suspect task on a worker without other suspects, and
 // without runs that the worker has not reported yet. If the worker crashes, its crash
-// is then blamed on this task alone. It returns true if the task needs no other
-// attempt in this cycle: it has started, or it waits for such a worker.
-func (c *cycle) placeSeparately(t *task) bool {
-	if !t.suspect() {
-		return false
-	}
+// is then blamed on this task alone. If there is no such worker, the task waits for one
+// for up to maxSeparateWait.
+func (c *cycle) placeSeparately(t *task) (started, waits bool) {
 	if w := c.choose(t, c.separateFrom); w != nil {
 		t.separateSince = time.Time{}
 		c.s.nextRun++
 		c.start(t, w, c.s.nextRun)
-		return true
+		return true, false
 	}
 	if t.separateSince.IsZero() {
 		t.separateSince = c.now
 	}
-	return c.now.Sub(t.separateSince) < maxSeparateWait
+	return false, c.now.Sub(t.separateSince) < maxSeparateWait
 }
 
 // separateFrom reports whether a worker has neither an unreported run nor one of a
--- a/dispatch/workerloss.go
+++ b/dispatch/workerloss.go
@@ -49,7 +49,11 @@
 }
 
 // GivenUpJob is a job that has failed because workers crashed under one of its tasks.
-type GivenUpJob struct{ Job, Reason string }
+type GivenUpJob struct {
+	Job string
+	// Reason is the reason that callers see.
+	Reason string
+}
 
 const (
 	// maxLossTasks bounds the tasks in a WorkerLoss.
