dispatch: a run that has lasted clears its task of crashes

Found by a test written on reading the decision again: a long-running task was given up once it had outlived four workers, however long it had run on each, since all runs were blamed where none was young, and crashes never ended. Callers would have lost standing jobs in the course of time.

A run that is reported 10 s after its start clears its task now, and isn't blamed for a crash of its worker. A task that crashes its workers later than that isn't counted: the decision names it as a bound.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -17,8 +17,10 @@
 	// start for a crash that goes unnoticed as the owner changes.
 	maxEarlyCrashes = 3
 	maxCrashes      = 4
-	// provenAfter is how long a run has to be alive for a crash of its worker to be
-	// blamed on younger runs there.
+	// provenAfter is how long a run has to be alive to show that its task doesn't crash
+	// workers: earlier crashes no longer count, and one of its own worker isn't blamed
+	// on it. Otherwise a long-running task would be given up once it has outlived a few
+	// workers.
 	provenAfter = 10 * time.Second
 	// maxSeparateWait bounds how long a suspect task waits for a worker without other
 	// suspects, in a pool that is small or full.
@@ -102,6 +104,12 @@
 	delete(s.crashedUnder, worker)
 }
 
+// clearCrashes drops all crashes of a task with a proven run.
+func (s *State) clearCrashes(t *task) {
+	t.crashRecord().crashes = nil
+	s.markDirty(t.step.job)
+}
+
 // pruneCrashes drops the lost workers under which only tasks of ended jobs ran.
 func (s *State) pruneCrashes() {
 	if len(s.crashedUnder) < maxLostWorkers {
@@ -115,21 +123,13 @@
 }
 
 // blamed returns the runs that may have crashed their worker by the given time: those
-// that aren't proven or, if all are, all. Runs whose start was withheld aren't among
-// them.
+// that aren't proven. Runs whose start was withheld aren't among them.
 func (w *worker) blamed(at time.Time) []*run {
-	var all, young []*run
+	var young []*run
 	for _, r := range w.runsByNumber {
-		if r.held {
-			continue
-		}
-		all = append(all, r)
-		if at.Sub(r.startedAt) < provenAfter {
+		if !r.held && at.Sub(r.startedAt) < provenAfter {
 			young = append(young, r)
 		}
 	}
-	if len(young) == 0 {
-		return all
-	}
 	return young
 }
--- a/dispatch/crashingtask_test.go
+++ b/dispatch/crashingtask_test.go
@@ -213,3 +213,24 @@
 	s.watch(150 * time.Second)
 	s.wantEnd("job", workload.Complete)
 }
+
+// TestLongRunningTaskOutlivesWorkers guards against a long-running task that is given
+// up because many workers were lost under it in the course of time.
+func TestLongRunningTaskOutlivesWorkers(t *testing.T) {
+	s := newCrashSim(t, 1, 4)
+	s.accept(queueShort, "lasting", step(1, 2, longRunning))
+	for range 10 {
+		s.run(30 * time.Second)
+		for _, w := range s.alive() {
+			if len(w.runs) > 0 {
+				w.terminate(s.now, false)
+				s.addWorker()
+			}
+		}
+	}
+	s.run(30 * time.Second)
+	s.wantState("lasting", workload.InProgress)
+	if n := s.running("lasting"); n != 1 {
+		t.Errorf("%d runs, want one", n)
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -204,6 +204,9 @@
 			s.markDirty(r.task.step.job) // a later owner must not take it for one that has just started
 		}
 		r.markReported()
+		if r.task.crashed() && now.Sub(r.startedAt) >= provenAfter {
+			s.clearCrashes(r.task)
+		}
 		r.percent, r.usage = a.Percent, a.Usage
 		if a.Checkpoint != "" {
 			r.checkpoint = a.Checkpoint
