gateway, platform: a caller's unused connection is kept for the idle timeout

Callers saw: a booking ended with EOF or "connection reset by peer", outcome unknown, at a host that neither stopped nor restarted (TestStoreFaults, three copies of it and of TestAllStandStill at once; 2 of 36 copies).

Cause: ReadHeaderTimeout counts from the accept, so a connection that a client dialed and put into its pool unused was closed after 5 s (3 s on the users' platform), possibly as its first request arrived. Clients don't resend what failed on a new connection.

Evidence: a trial with a log line for connections that end without a byte and the client's port for failed requests. Booking 2-256: EOF 47 ms after it was sent from port 46124; the host: port 46124, "i/o timeout", 5015 ms after the accept, no byte read.

Ruled out: an aborted response (no event 406), the limit of connections per caller (4096), drops by the kernel (no overflow counted).

Why this holds: until the first byte was read a read deadline isn't earlier than the idle timeout; the header timeout counts from the first byte. A shutdown's deadline that has passed still takes effect at once.

--- a/gate/run.go
+++ b/gate/run.go
@@ -55,7 +55,7 @@
 		event.OperatorPortOpen.Log(g.deps.Log, slog.String("address", l.Operators.Addr().String()))
 	}
 	callers := gateway.LimitConnections(l.Callers, func() int { return g.watcher.Calls().ConnectionsPerCaller })
-	g.goServe(wg, func() error { return s.callers.Serve(g.withTLS(callers)) })
+	g.goServe(wg, func() error { return gateway.Serve(s.callers, g.withTLS(callers)) })
 	g.goServe(wg, func() error { return s.operators.Serve(g.withTLS(l.Operators)) })
 	g.goServe(wg, func() error { return g.peerServer.Serve(ctx, l.Peers) })
 	return s
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/fireflygate/fireflygate/internal/spareconn"
 )
 
 const (
@@ -18,8 +20,8 @@
 	maxRequestHeader = 32 << 10
 )
 
-// NewServer returns an HTTP server for callers. It limits slow senders and
-// wraps handler in RejectAmbiguous, which needs a listener from
+// NewServer returns an HTTP server for callers, to be run by Serve. It limits slow
+// senders and wraps handler in RejectAmbiguous, which needs a listener from
 // LimitConnections.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
@@ -32,18 +34,34 @@
 	}
 }
 
+// Serve serves callers on a listener until the server is shut down. A connection
+// that hasn't carried a request yet is kept as long as any other idle one.
+func Serve(server *http.Server, l net.Listener) error {
+	limits := spareconn.Limits{Idle: callerIdleTimeout, Header: headerTimeout}
+	return server.Serve(spareconn.NewListener(l, limits))
+}
+
 // connContext stores the caller's connection in the context for
 // RejectAmbiguous.
 func connContext(ctx context.Context, c net.Conn) context.Context {
-	if caller, ok := c.(*callerConn); ok {
+	if caller, ok := callerConnOf(c); ok {
 		return context.WithValue(ctx, callerConnKey{}, caller)
 	}
 	return ctx
 }
 
+// callerConnOf returns the caller's connection that c is or wraps, if any.
+func callerConnOf(c net.Conn) (*callerConn, bool) {
+	if spare, ok := c.(*spareconn.Conn); ok {
+		c = spare.NetConn()
+	}
+	caller, ok := c.(*callerConn)
+	return caller, ok
+}
+
 // connState resets the header inspection when a connection becomes idle.
 func connState(c net.Conn, s http.ConnState) {
-	if caller, ok := c.(*callerConn); ok && s == http.StateIdle {
+	if caller, ok := callerConnOf(c); ok && s == http.StateIdle {
 		caller.resetHeader()
 	}
 }
