routing, gateway: the backlog of a pause isn't taken for a standing queue

Callers saw: calls refused as "overloaded" or "deadline_unreachable" within a second after all hosts had stood still for 700 ms, with 1.8 s of their 2 s left (TestAllStandStill, three copies of it and of TestStoreFaults at once: 21 of 51 of its runs failed, 1 to 63 calls not run of some 370 each).

Cause, by a log line for each refusal: (1) a queue that has been long for 500 ms counts as standing, also one that gets shorter, and also the backlog of the host's own pause: "overloaded, left 1999 ms, queue 34". (2) The rate of what peers serve decays with time, also while this process doesn't run: a pause of 0.7 s halves it, and the estimate of waiting doubles.

Ruled out: slots exceeded or lost (all in use, 24 of 24, until the queue was empty 0.85 s after the pause), ejected endpoints (none), stale grants (none lapsed), latencies measured across the pause (already left out).

Change: a queue that has fallen to three quarters of its peak within the 500 ms is draining; after a pause of the process the judgement begins later, by twice the pause and at most 2 s; the clock of admission's estimates stops while the process is paused.

Why this holds: a standing queue, one that stays long, is refused as before (tests), and the limits by deadline and length are as before.

Before: TestDrainingQueueIsNotStanding, TestPauseBacklogIsNotStanding and TestPeerRateSurvivesPause fail without their part of the change (refused in each case; the rate halves).

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -91,9 +91,10 @@
 		g.mu.Unlock()
 		return placement{}, unservedRefusal()
 	}
+	running := g.pauses.RunningTime(now)
 	perSecond, each := g.pool.Rate(now, req.Service, snapshot)
-	perSecond, each = q.DrainRate(now, perSecond, each)
-	a := q.Admit(now, perSecond, each, req.Deadline.Sub(now))
+	perSecond, each = q.DrainRate(running, perSecond, each)
+	a := q.Admit(running, perSecond, each, req.Deadline.Sub(now))
 	if !a.Admitted {
 		g.mu.Unlock()
 		return placement{}, notRun(a.Reason, a.RetryAfter)
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -59,10 +59,16 @@
 	}
 }
 
-// recordTick updates the detector of process pauses.
+// recordTick updates the detector of process pauses, and tells the queues of a pause.
 func (g *Gateway) recordTick() {
 	g.mu.Lock()
-	paused := g.pauses.Tick(time.Now())
+	now := time.Now()
+	paused := g.pauses.Tick(now)
+	if paused > 0 {
+		for _, q := range g.queues {
+			q.Resume(g.pauses.RunningTime(now), paused)
+		}
+	}
 	g.mu.Unlock()
 	if paused > 0 {
 		event.ProcessPaused.Log(g.opt.Log, slog.Int64("ms", paused.Milliseconds()))
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -83,7 +83,7 @@
 	case outcome.Answered:
 		now, q := time.Now(), g.queue(service)
 		if reply.Kind != outcome.NotRun {
-			q.ObservePeer(now, now.Sub(begin)-g.pauses.PausedWithin(begin, now))
+			q.ObservePeer(g.pauses.RunningTime(now), now.Sub(begin)-g.pauses.PausedWithin(begin, now))
 		}
 		g.peers.SetFree(host, service, reply.Free)
 		// Serve waiting requests now instead of with the next digest.
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -75,6 +75,37 @@
 	})
 }
 
+// TestPeerRateSurvivesPause checks that after a pause the requests that peers serve
+// for this host count in its estimates as before it.
+func TestPeerRateSurvivesPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t, nil, "a", nil)
+		for range 40 {
+			h.recordTick()
+			h.mu.Lock()
+			h.queue(testService).ObservePeer(h.pauses.RunningTime(time.Now()), 20*time.Millisecond)
+			h.mu.Unlock()
+			<-time.After(digestInterval)
+		}
+		rate := func() float64 {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			perSecond, _ := h.queue(testService).DrainRate(h.pauses.RunningTime(time.Now()), 1, time.Millisecond)
+			return perSecond - 1
+		}
+		h.recordTick()
+		before := rate()
+		<-time.After(700 * time.Millisecond) // no ticks: the process is paused
+		if during := rate(); during < 0.95*before {
+			t.Errorf("before the next tick: %.1f requests per second from peers, want %.1f as before the pause", during, before)
+		}
+		h.recordTick()
+		if after := rate(); after < 0.95*before {
+			t.Errorf("after the pause: %.1f requests per second from peers, want %.1f as before", after, before)
+		}
+	})
+}
+
 // startExchange acquires a slot and returns an exchange that begins now.
 func (h *host) startExchange(t *testing.T) *exchange {
 	t.Helper()
--- a/internal/processpause/detector.go
+++ b/internal/processpause/detector.go
@@ -25,6 +25,8 @@
 type Detector struct {
 	lastTick time.Time
 	spans    []span
+	// total is the sum of all recorded pauses.
+	total time.Duration
 }
 
 // span is the time of one pause.
@@ -38,6 +40,7 @@
 	if !paused {
 		return 0
 	}
+	d.total += gap.to.Sub(gap.from)
 	d.spans = append(d.spans, gap)
 	if len(d.spans) > maxSpans {
 		d.spans = d.spans[1:]
@@ -55,6 +58,17 @@
 	return sum
 }
 
+// RunningTime returns the time at now on a clock that stops during pauses, including
+// a pause that no tick has ended yet. Differences of its times are the time for which
+// the process ran.
+func (d *Detector) RunningTime(now time.Time) time.Time {
+	paused := d.total
+	if gap, ok := d.gapSinceTick(now); ok {
+		paused += gap.to.Sub(gap.from)
+	}
+	return now.Add(-paused)
+}
+
 // LongestWithin returns the longest single pause between from and now.
 func (d *Detector) LongestWithin(from, now time.Time) time.Duration {
 	longest := time.Duration(0)
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -31,10 +31,6 @@
 }
 
 const (
-	// standingQueueAfter is how long a queue must stay long to count as a
-	// standing queue rather than a burst. A burst drains; a standing queue only
-	// adds latency.
-	standingQueueAfter = 500 * time.Millisecond
 	// standingWaitFactor limits the wait in a standing queue, in multiples of
 	// the service time.
 	standingWaitFactor = 5
@@ -58,14 +54,15 @@
 // perSecond is the rate at which slots become free and serviceTime the mean
 // time that one request takes; both follow the measured latency. A request that
 // cannot be served in time is refused immediately rather than at its deadline.
-// Admit also records whether the queue is long, to detect a standing queue.
+// Admit also records whether the queue is long, to detect a standing queue. The
+// clock of now must stop while the process is paused.
 func (q *Queue) Admit(now time.Time, perSecond float64, serviceTime, remaining time.Duration) Admission {
 	if perSecond <= 0 {
 		return q.admitWithoutRate()
 	}
 	wait := time.Duration(float64(q.Len()+1) / perSecond * float64(time.Second))
 	long := wait > standingWaitFactor*serviceTime
-	standing := q.standing(now, long)
+	standing := q.observe(now, q.Len(), long)
 	switch {
 	case q.Full():
 		return Admission{RetryAfter: clamp(wait), Reason: ReasonQueueFull}
@@ -78,18 +75,6 @@
 	}
 }
 
-// standing records whether the queue is long at now, and reports whether it has
-// been long, with short breaks only, for more than standingQueueAfter.
-func (q *Queue) standing(now time.Time, long bool) bool {
-	if q.longSince.IsZero() || now.Sub(q.longLast) > standingQueueAfter {
-		q.longSince = now
-	}
-	if long {
-		q.longLast = now
-	}
-	return now.Sub(q.longSince) > standingQueueAfter
-}
-
 // admitWithoutRate decides when the rate is unknown because all slots are on
 // other hosts.
 func (q *Queue) admitWithoutRate() Admission {
--- a/routing/peerrate.go
+++ b/routing/peerrate.go
@@ -32,5 +32,6 @@
 
 // rate returns the requests per second that peers serve, as of now.
 func (r *peerRate) rate(now time.Time) float64 {
-	return r.perSecond * math.Exp(-now.Sub(r.last).Seconds()/peerRateWindow.Seconds())
+	elapsed := max(now.Sub(r.last), 0) // a clock that stops for a pause may step back
+	return r.perSecond * math.Exp(-elapsed.Seconds()/peerRateWindow.Seconds())
 }
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -10,9 +10,7 @@
 type Queue struct {
 	limit   int
 	tickets list.List
-	// longSince is when the queue became long, ignoring short breaks; longLast
-	// is when it was last long.
-	longSince, longLast time.Time
+	standingQueue
 	// peers measures the requests served by peers.
 	peers peerRate
 }
@@ -26,15 +24,19 @@
 // kept.
 func (q *Queue) SetLimit(limit int) { q.limit = limit }
 
+// Resume records that the process continues after a pause, whose backlog must not
+// count as a standing queue. now is on the clock of Admit.
+func (q *Queue) Resume(now time.Time, paused time.Duration) { q.resume(now, paused) }
+
 // ObservePeer records that a peer served a request of the queue's service in
-// the given time.
+// the given time. now is on the clock of Admit.
 func (q *Queue) ObservePeer(now time.Time, took time.Duration) { q.peers.observe(now, took) }
 
 // DrainRate returns how many requests leave the queue per second and the mean
 // time that one takes, given the rate and the mean time of this host's own
 // slots. It adds the requests served by peers, so that a host whose few
 // endpoints hang does not refuse what its peers can serve. If perSecond is 0,
-// the rate stays unknown.
+// the rate stays unknown. now is on the clock of Admit.
 func (q *Queue) DrainRate(now time.Time, perSecond float64, serviceTime time.Duration) (float64, time.Duration) {
 	elsewhere := q.peers.rate(now)
 	if perSecond <= 0 || elsewhere <= 0 {
