election: the late answer to an attempt settles the commit

Looked for as the class of: answers dropped because they come late. Callers whose jobs wait to be durable waited longer than the store took.

Cause: an attempt was given up after 0.7, 1.4, 2.8 and 3 s and its answer dropped when it came later, so on a store that takes longer than the limit a commit took its time and all limits before it.

Ruled out: lost or doubled commits (one condition on the owner's row for all attempts).

Change: an earlier attempt goes on, for 3 s, beside the next one, which starts at the times of before; the first answer settles the commit.

Why this holds: all attempts have the same writes and condition, so at most one applies; a conflict is resolved by the row as before.

--- /dev/null
+++ b/election/attempts.go
@@ -0,0 +1,76 @@
+package election
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflygate/fireflygate/infra"
+)
+
+// attempt is the result of one attempt of a commit.
+type attempt struct {
+	result infra.CommitResult
+	// failedFast is set if the attempt ended before its timeout.
+	failedFast bool
+}
+
+// attempts makes the attempts of one commit. An earlier attempt goes on when another
+// one starts: all have the same writes and a condition on the owner's row, so at most
+// one of them applies, and any of them may bring the answer.
+type attempts struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	table  infra.Table
+	writes []infra.Write
+	// results receives the results. It never blocks a sender.
+	results chan attempt
+	// pending counts the attempts whose result next has not returned.
+	pending int
+	// repeatAfter is how long next waits for a result.
+	repeatAfter time.Duration
+}
+
+// maxAttemptsPending bounds the attempts in flight: those of attemptTimeout, of which
+// each follows firstRepeat or more after the one before.
+const maxAttemptsPending = int(attemptTimeout/firstRepeat) + 1
+
+// newAttempts returns the attempts of a commit of writes. cancel must be called at the
+// end of the commit.
+func newAttempts(ctx context.Context, table infra.Table, writes []infra.Write) *attempts {
+	ctx, cancel := context.WithCancel(ctx)
+	return &attempts{
+		ctx: ctx, cancel: cancel, table: table, writes: writes,
+		results: make(chan attempt, maxAttemptsPending), repeatAfter: firstRepeat,
+	}
+}
+
+// start begins another attempt, on the condition that the owner's row has a version.
+func (t *attempts) start(version uint64) {
+	if t.pending == maxAttemptsPending {
+		return
+	}
+	t.pending++
+	tx := infra.Transaction{Conditions: []infra.Condition{{Key: OwnerKey, Version: version}}, Writes: t.writes}
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, attemptTimeout)
+		defer cancel()
+		res := t.table.Commit(ctx, tx)
+		t.results <- attempt{result: res, failedFast: ctx.Err() == nil}
+	}()
+}
+
+// next returns the next result, or false when it is time for another attempt or the
+// context has ended.
+func (t *attempts) next() (attempt, bool) {
+	timer := time.NewTimer(t.repeatAfter)
+	defer timer.Stop()
+	select {
+	case a := <-t.results:
+		t.pending--
+		return a, true
+	case <-timer.C:
+		t.repeatAfter = min(2*t.repeatAfter, maxRepeat)
+	case <-t.ctx.Done():
+	}
+	return attempt{}, false
+}
--- a/election/committer.go
+++ b/election/committer.go
@@ -14,11 +14,13 @@
 var ErrDeposed = errors.New("election: another host owns the domain")
 
 const (
-	// initialCommitTimeout bounds the first attempt of a commit.
-	initialCommitTimeout = 700 * time.Millisecond
-	// maxCommitTimeout bounds later attempts; each may take twice as long as the
-	// previous one, so that commits succeed on a slow table service.
-	maxCommitTimeout = 3 * time.Second
+	// firstRepeat is how long the first attempt of a commit is the only one. Each
+	// further attempt follows after twice the time, up to maxRepeat.
+	firstRepeat = 700 * time.Millisecond
+	maxRepeat   = 3 * time.Second
+	// attemptTimeout bounds one attempt. It exceeds firstRepeat, so that the late
+	// answer of a slow table service is used.
+	attemptTimeout = 3 * time.Second
 	// retryDelay is the delay after a refused or immediately failed attempt.
 	retryDelay = 100 * time.Millisecond
 )
@@ -118,35 +120,47 @@
 	if err != nil {
 		return err
 	}
-	all := append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...)
-	timeout := initialCommitTimeout
+	tries := newAttempts(ctx, c.table, append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...))
+	defer tries.cancel()
+	tries.start(c.version)
 	for {
-		tx := infra.Transaction{Conditions: []infra.Condition{{Key: OwnerKey, Version: c.version}}, Writes: all}
-		attempt, cancel := context.WithTimeout(ctx, timeout)
-		res := c.table.Commit(attempt, tx)
-		failedFast := attempt.Err() == nil
-		cancel()
-		switch res.Status {
-		case infra.CommitApplied:
-			c.version = res.Version
-			return nil
-		case infra.CommitConflict:
-			applied, err := c.resolveConflict(res.Conflicts)
-			if applied || err != nil {
+		a, ok := tries.next()
+		if err := ctx.Err(); err != nil && !ok {
+			return errors.Wrap(err, "commit")
+		}
+		if ok {
+			done, err := c.handleAttempt(ctx, a)
+			if done || err != nil {
 				return err
 			}
-		case infra.CommitNotApplied:
-			c.Sleep(ctx, retryDelay)
-		case infra.CommitUnknown:
-			timeout = min(2*timeout, maxCommitTimeout)
-			if failedFast { // e.g. connection refused
-				c.Sleep(ctx, retryDelay)
-			}
 		}
-		if err := ctx.Err(); err != nil {
-			return errors.Wrap(err, "commit")
+		if !ok || tries.pending == 0 || a.result.Status == infra.CommitConflict {
+			tries.start(c.version)
+		}
+	}
+}
+
+// handleAttempt handles the result of an attempt. It returns true if the commit was
+// applied, and an error if it never will be or ctx has ended. After an attempt that
+// failed before its timeout it waits for retryDelay.
+func (c *Committer) handleAttempt(ctx context.Context, a attempt) (done bool, err error) {
+	switch a.result.Status {
+	case infra.CommitApplied:
+		c.version = a.result.Version
+		return true, nil
+	case infra.CommitConflict:
+		done, err = c.resolveConflict(a.result.Conflicts)
+		if done || err != nil {
+			return done, err
+		}
+	case infra.CommitNotApplied:
+		c.Sleep(ctx, retryDelay)
+	case infra.CommitUnknown:
+		if a.failedFast { // e.g. connection refused
+			c.Sleep(ctx, retryDelay)
 		}
 	}
+	return false, errors.Wrap(ctx.Err(), "commit")
 }
 
 // resolveConflict inspects the owner's row among the rows of a conflict. If an
--- /dev/null
+++ b/election/lateanswer_test.go
@@ -0,0 +1,107 @@
+package election_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/internal/pause"
+)
+
+// slowTable is a table whose commits take effect after half of a delay and are
+// answered after all of it. They take effect also if their sender has given up.
+type slowTable struct {
+	infra.Table
+	delay func() time.Duration
+}
+
+// Commit implements infra.Table.
+func (s *slowTable) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
+	half := s.delay() / 2
+	result := make(chan infra.CommitResult, 1)
+	go func() {
+		pause.For(context.Background(), half)
+		res := s.Table.Commit(context.Background(), tx)
+		pause.For(context.Background(), half)
+		result <- res
+	}()
+	select {
+	case res := <-result:
+		return res
+	case <-ctx.Done():
+		return infra.CommitResult{Status: infra.CommitUnknown}
+	}
+}
+
+// commitTime makes an owner on a fast table, then returns how long a commit takes on a
+// table with the delay.
+func commitTime(t *testing.T, delay func(begun time.Time) time.Duration) time.Duration {
+	t.Helper()
+	table := &slowTable{Table: memtable.New(), delay: func() time.Duration { return 0 }}
+	c := newOwner(t, table, "a")
+	begun := time.Now()
+	table.delay = func() time.Duration { return delay(begun) }
+	if err := c.Commit(t.Context(), write("k", "v")); err != nil {
+		t.Fatal(err)
+	}
+	if got := value(t, table, "k"); got != "v" {
+		t.Errorf("row holds %q, want the committed value", got)
+	}
+	return time.Since(begun)
+}
+
+// TestLateAnswerToCommitIsUsed checks that a commit ends with the answer to its first
+// attempt, also if that comes after another attempt was made.
+func TestLateAnswerToCommitIsUsed(t *testing.T) {
+	for _, delay := range []time.Duration{100, 600, 800, 1400, 2000, 2900} {
+		delay *= time.Millisecond
+		synctest.Test(t, func(t *testing.T) {
+			if took := commitTime(t, func(time.Time) time.Duration { return delay }); took != delay {
+				t.Errorf("commit took %v on a table that answers after %v", took, delay)
+			}
+			pause.For(t.Context(), 2*delay) // until all attempts have ended
+		})
+	}
+}
+
+// TestCommitEndsWithSilence checks that a commit is answered as soon as a table answers
+// the requests that it held back, however long that was.
+func TestCommitEndsWithSilence(t *testing.T) {
+	for silence := 100 * time.Millisecond; silence < 12*time.Second; silence += 190 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			took := commitTime(t, func(begun time.Time) time.Duration { return silence - time.Since(begun) })
+			if took > silence {
+				t.Errorf("commit took %v on a table that was silent for %v", took, silence)
+			}
+			pause.For(t.Context(), time.Minute)
+		})
+	}
+}
+
+// TestRepeatedAttemptsAreFew bounds the attempts that a commit makes on a table that is
+// silent, so that they don't add to the load of a slow one.
+func TestRepeatedAttemptsAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &slowTable{Table: memtable.New(), delay: func() time.Duration { return 0 }}
+		c := newOwner(t, table, "a")
+		var attempts atomic.Int64
+		table.delay = func() time.Duration {
+			attempts.Add(1)
+			return time.Hour
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		if err := c.Commit(ctx, write("k", "v")); err == nil {
+			t.Error("commit on a silent table succeeded")
+		}
+		const maxAttempts = 5 // after 0, 0.7, 2.1, 4.9 and 7.9 s
+		if attempts.Load() > maxAttempts {
+			t.Errorf("%d attempts within 10 s, want at most %d", attempts.Load(), maxAttempts)
+		}
+		pause.For(t.Context(), 2*time.Hour)
+	})
+}
