routing: a request whose forwards failed is forwarded again

Callers saw: "deadline_before_dispatch" after two seconds of waiting at a host with few endpoints of its own, while later requests there were answered (TestAllStandStill beside the others: call 1-385, sent 3.898 s, refused after 2.3 s; 1-394, sent 3.958 s, answered after 1.3 s).

Cause: a waiting request that two peers had sent back was never forwarded again and waited for the host's own slots alone; peers' slots went to younger ones.

Ruled out: the order of the queue (it is by arrival, and a request sent back goes to its front), the digests (others were forwarded by them).

Change: it may be forwarded again after 100 ms, again to two peers at most.

Why this holds: the limit's purpose is to spare refusals the forwards of a stale digest; after two intervals of digests there is a newer one.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -51,10 +51,11 @@
 // a peer failed, counts the failure, and waits for another placement.
 func (g *Gateway) requeue(ctx context.Context, req Request, t *routing.Ticket) (placement, outcome.Refusal) {
 	g.mu.Lock()
-	t.FailedForwards++
+	now := time.Now()
+	t.ForwardFailed(now)
 	q := g.queue(req.Service)
 	q.Requeue(t)
-	g.serveQueue(time.Now(), req.Service)
+	g.serveQueue(now, req.Service)
 	g.mu.Unlock()
 	return g.waitForPlacement(ctx, q, t)
 }
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -94,10 +94,14 @@
 	return q.pop(now, func(*Ticket) bool { return true })
 }
 
-// PopForward is like Pop, but skips tickets that were already forwarded to limit
-// peers without success.
+// PopForward is like Pop, but skips for forwardRetryDelay the tickets that were
+// forwarded to limit peers without success.
 func (q *Queue) PopForward(now time.Time, limit int) *Ticket {
-	return q.pop(now, func(t *Ticket) bool { return t.FailedForwards < limit })
+	t := q.pop(now, func(t *Ticket) bool { return t.mayForward(now, limit) })
+	if t != nil && t.FailedForwards >= limit {
+		t.FailedForwards = 0
+	}
+	return t
 }
 
 func (q *Queue) pop(now time.Time, fits func(*Ticket) bool) *Ticket {
--- a/routing/ticket.go
+++ b/routing/ticket.go
@@ -19,8 +19,27 @@
 	// Peer is the entry host to forward the request to, if any.
 	Peer string
 	// FailedForwards counts the peers to which the request was forwarded from
-	// the queue without success.
+	// the queue without success, since its last pause of forwardRetryDelay.
 	FailedForwards int
 
 	element *list.Element
+	// forwardFailedAt is when a peer last failed to serve the request.
+	forwardFailedAt time.Time
+}
+
+// forwardRetryDelay is how long a request isn't forwarded after it was forwarded to
+// the limit of peers without success. It exceeds the interval between two digests, so
+// that the next forward follows newer information.
+const forwardRetryDelay = 100 * time.Millisecond
+
+// ForwardFailed records that a peer did not serve the request.
+func (t *Ticket) ForwardFailed(now time.Time) {
+	t.FailedForwards++
+	t.forwardFailedAt = now
+}
+
+// mayForward reports whether the request may be forwarded now.
+func (t *Ticket) mayForward(now time.Time, limit int) bool {
+	waited := !t.forwardFailedAt.IsZero() && now.Sub(t.forwardFailedAt) >= forwardRetryDelay
+	return t.FailedForwards < limit || waited
 }
