--- a/colocate/learn.go
+++ b/colocate/learn.go
@@ -37,7 +37,8 @@
 
 // slowDeviations is the number of deviations by which the slack of all steps
 // on a worker must fall short of the prediction for the worker to count as
-// slow.
+// slow. By chance that is one reading in thousands; a worker at a quarter of its
+// speed falls short by about ten.
 const slowDeviations = 4.0
 
 // isSlow reports whether all tails of a worker are longer than its best-effort
--- a/colocate/model.go
+++ b/colocate/model.go
@@ -33,12 +33,14 @@
 	// images with a large prior would never be placed and so stay unknown.
 	priorEffect, priorVariance = 2.0, 9.0
 	priorClassVariance         = 16.0
-	// effectDrift is the growth of an effect's variance per report.
+	// effectDrift is the growth of an effect's variance per report. It lets a large
+	// effect, of about 10, change by 1 within 500 reports.
 	effectDrift = 0.002
 	// The standard deviation of a reported slack is reportNoise plus
 	// relativeNoise times the slack; tails are reported in whole milliseconds.
 	reportNoise, relativeNoise = 0.05, 0.04
-	// maxTrends bounds the steps that are tracked.
+	// maxTrends bounds the steps that are tracked. 18,000 serving tasks in steps of
+	// about ten stay below it.
 	maxTrends = 4096
 	// trendRetention is how long a step that doesn't report is kept.
 	trendRetention = 30 * time.Second
--- a/colocate/worker.go
+++ b/colocate/worker.go
@@ -62,7 +62,9 @@
 
 // pressure estimates the task's interference with latency-critical tasks, from
 // 0 to 1: its CPU limit as a share of the worker's processors, times the cube
-// of its utilization. Until the task has settled, full utilization is assumed.
+// of its utilization: a task that uses two thirds of its processors interferes about
+// a third as much as one that uses all. Until the task has settled, full utilization
+// is assumed.
 func (t *BestEffortTask) pressure() float64 {
 	allowed := t.CPUShare * float64(t.CPULimit) / 100
 	if !t.Settled {
--- a/control/follow.go
+++ b/control/follow.go
@@ -178,7 +178,8 @@
 
 // slowReadFactor is the multiple of a row read's duration that is added to the
 // takeover timeout, since the owner's commits take longer as well when the
-// table service is slow.
+// table service is slow. A commit takes a little over two reads, and the next
+// follows at once.
 const slowReadFactor = 3
 
 // Jitter of the takeover timeout; a step exceeds the usual duration of a
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -160,7 +160,8 @@
 )
 
 // announceOwnership notifies the previous owner and the known hosts of the new
-// owner, for those that can't reach the table service. It calls previousStopped
+// owner, for those that can't reach the table service: an owner cut off from it would
+// otherwise go on answering callers for seconds. It calls previousStopped
 // when the previous owner's host has answered; that host issues no orders from
 // then on.
 func (n *Node) announceOwnership(ctx context.Context, previous, current election.Record, previousStopped func()) {
--- a/control/options.go
+++ b/control/options.go
@@ -96,7 +96,8 @@
 	// maxPlanInterval is the longest time between two planning cycles.
 	maxPlanInterval = 100 * time.Millisecond
 	// minPlanInterval is the least time between the beginnings of two planning
-	// cycles, within which events are collected for the second.
+	// cycles, within which events are collected for the second. It is short beside
+	// any task.
 	minPlanInterval = 4 * time.Millisecond
 	// planIdleFactor times the duration of a cycle is the least time from its
 	// beginning to that of the next cycle, if that is more than minPlanInterval. It
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -14,7 +14,8 @@
 
 // keepRowFresh refreshes the owner's row during long loop cycles, such as
 // loading the state or planning many tasks, so that other hosts don't replace a
-// working owner.
+// working owner. Otherwise each owner would be replaced in its first cycle, and the
+// next one would have more to plan.
 func (o *Owner) keepRowFresh() {
 	t := time.NewTicker(refreshCheckInterval)
 	defer t.Stop()
--- a/control/resign.go
+++ b/control/resign.go
@@ -27,7 +27,8 @@
 }
 
 // beginResign starts the resignation; it runs on the loop. If a commit is in
-// flight, afterCommit starts the last commit once the former is applied.
+// flight, afterCommit starts the last commit once the former is applied. Nothing polls
+// for that: a polling loop would take the processor from the commit itself.
 func (o *Owner) beginResign(ctx context.Context) {
 	if o.resigning {
 		return
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -31,8 +31,8 @@
 
 const (
 	// epochShift leaves 24 bits below the epoch for the tokens and run numbers
-	// of one ownership. The sum must stay below 2^53, which JSON numbers carry
-	// exactly.
+	// of one ownership: 16 million starts, 14 hours at 320 starts a second. The sum
+	// must stay below 2^53, which JSON numbers carry exactly; 500 million epochs do.
 	epochShift = 24
 	// maxClockDrift is how much slower than the owner's a worker's clock may
 	// run, as the worker protocol specifies.
--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -52,7 +52,8 @@
 }
 
 // estimatesInterval is the minimum time between two writes of the interference
-// estimates.
+// estimates. An owner that begins without them tries one best-effort task a second
+// on each worker.
 const estimatesInterval = 4 * time.Second
 
 // flushEstimates writes the interference estimates.
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -9,7 +9,8 @@
 	failureWindow = 10 * time.Second
 	// failingThreshold is the number of failures without a success in between
 	// at which a worker counts as failing. Single failures are usually the
-	// task's own.
+	// task's own; where a few tasks in a hundred fail, two in a row on a healthy
+	// worker are one case in a thousand.
 	failingThreshold = 2
 	// probeAfter is the time since its last failure after which a failing worker
 	// counts as healthy again. Its next task shows whether it still fails.
--- a/flow/timeout.go
+++ b/flow/timeout.go
@@ -25,7 +25,8 @@
 	// deviationFactor is the number of mean deviations added to the smoothed round
 	// trip.
 	deviationFactor = 4
-	// timeoutWeight is the weight of a new order in timeoutShare.
+	// timeoutWeight is the weight of a new order in timeoutShare, so that some dozens
+	// of orders decide.
 	timeoutWeight = 1.0 / 64
 	// timeoutThreshold is the value of timeoutShare from which the timeout
 	// doubles. The failure of single workers or racks stays below it.
--- a/flow/traffic.go
+++ b/flow/traffic.go
@@ -9,7 +9,8 @@
 const (
 	// MinTimeout and MaxTimeout bound the wait for a worker's answer, in addition
 	// to the time that a poll asks the worker to hold it. A timeout is cheap,
-	// since the outcome of the order is polled at once. MaxTimeout is short enough
+	// since the outcome of the order is polled at once; MinTimeout is a hundred times
+	// what a healthy worker takes. MaxTimeout is short enough
 	// for the task to be started elsewhere before its caller's timeout.
 	MinTimeout = 300 * time.Millisecond
 	MaxTimeout = 2500 * time.Millisecond
--- a/interference/priors.go
+++ b/interference/priors.go
@@ -3,7 +3,8 @@
 // Prior is the prior distribution of a weight.
 type Prior struct{ Mean, Variance float64 }
 
-// Priors holds the priors of a class's weights.
+// Priors holds the priors of a class's weights. A weight is what its feature adds to
+// the estimate where the feature is 1.
 type Priors struct {
 	// Intercept is constant. OwnUtilization applies to a class that uses all
 	// of its reservation.
--- a/placement/drain.go
+++ b/placement/drain.go
@@ -10,7 +10,7 @@
 
 const (
 	// drainLead is the time before an event's window at which batch runs begin
-	// to be drained.
+	// to be drained, so that none is left to drain in the window.
 	drainLead = 2 * time.Minute
 	// drainHosts bounds the hosts examined in one plan.
 	drainHosts = 64
