--- a/control/follow.go
+++ b/control/follow.go
@@ -222,7 +222,10 @@
 	o.relayScaler.Restore(int(n.relaysPerZone.Load()))
 	o.predecessorHandedOver = previous.Resigned && previous.HandedOver && previous.Cores > opts.Cores
 	go n.announceOwnership(ctx, previous, c.Record(), func() {
-		o.post(func() { o.state.PredecessorStopped(time.Now()) })
+		o.post(func() {
+			awaited := o.state.PredecessorStopped(time.Now())
+			event.InheritedWaitsShortened.Log(opts.Log, slog.String("host", previous.Host), slog.Uint64("epoch", previous.Epoch), slog.Int("awaited", awaited))
+		})
 	})
 	opts.recordOwnership(true)
 	defer opts.recordOwnership(false)
--- a/control/orders.go
+++ b/control/orders.go
@@ -68,7 +68,7 @@
 	}
 	o.traffic.StartFinished(now, rt)
 	o.opts.Metrics.order("start", a.Status)
-	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("known", s.Snapshot), slog.Any("status", a.Status), slog.Any("err", a.Err))
+	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("known", s.Snapshot), slog.Any("prior", s.Prior), slog.Any("status", a.Status), slog.Any("err", a.Err))
 	if !o.state.HandleStartAnswer(now, s, a) {
 		return
 	}
--- a/control/summary.go
+++ b/control/summary.go
@@ -43,7 +43,9 @@
 	for _, l := range o.state.TakeWorkerLosses() {
 		o.opts.Metrics.losses.WithLabelValues(l.Cause.String()).Inc()
 		event.WorkerLost.Log(o.opts.Log, slog.String("worker", l.Worker), slog.String("cause", l.Cause.String()),
-			slog.Int("runs", l.Runs), slog.Any("unreported", taskNames(l.Unreported)), slog.Bool("with_rack", l.WithRack))
+			slog.Int("runs", l.Runs), slog.Any("unreported", taskNames(l.Unreported)), slog.Bool("with_rack", l.WithRack),
+			slog.Bool("reported", l.Reported), slog.Int64("unresponsive_ms", l.Unresponsive.Milliseconds()),
+			slog.Int64("commit_age_ms", o.commitAge().Milliseconds()))
 		for _, j := range l.GivenUp {
 			o.opts.Metrics.givenUp.Inc()
 			event.JobGivenUp.Log(o.opts.Log, slog.String("job", j.Job), slog.String("reason", j.Reason), slog.String("worker", l.Worker))
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -44,7 +44,7 @@
 // handleRefusal releases the reservation of a refused start and, depending on
 // the reason, keeps new tasks off the worker for a while.
 func (s *State) handleRefusal(now time.Time, w *worker, r *run, status runner.Status) {
-	s.releaseRun(r)
+	s.releaseRun(now, r, StartRefused)
 	switch status {
 	case runner.NoPermit:
 		r.task.step.dropPermit(w)
--- a/dispatch/heldstart.go
+++ b/dispatch/heldstart.go
@@ -30,7 +30,7 @@
 		case !slices.Contains(r.task.runs, r):
 			return true
 		case r.phase == stopping || !r.worker.usable(now):
-			s.releaseRun(r)
+			s.releaseRun(now, r, NotSent)
 			return true
 		case !r.stored:
 			r.task.step.job.urgent = true
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -110,14 +110,16 @@
 }
 
 // PredecessorStopped records that the previous owner gives no more orders, so
-// that its leases expire one lease from now.
-func (s *State) PredecessorStopped(now time.Time) {
+// that its leases expire one lease from now. It returns the number of workers
+// that are still waited for.
+func (s *State) PredecessorStopped(now time.Time) int {
 	expiry := now.Add(time.Duration(float64(s.cfg.Lease)*(1+maxClockDrift)) + leaseExpiryMargin)
 	for _, w := range s.awaitingReport {
 		if expiry.Before(w.inheritedUntil) {
 			w.inheritedUntil = expiry
 		}
 	}
+	return len(s.awaitingReport)
 }
 
 // EachWorker visits, in order, the IDs of all workers that may get orders.
@@ -171,11 +173,12 @@
 }
 
 // releaseRun removes an ended run from its worker and task.
-func (s *State) releaseRun(r *run) {
+func (s *State) releaseRun(now time.Time, r *run, evidence EndEvidence) {
 	w := r.worker
 	s.markChanged(w)
 	w.removeRun(r)
 	r.task.detach(r)
+	r.task.recordOver(now, evidence, w.info.ID, r.number)
 }
 
 // departedAfter is how long an inherited worker must be missing from the list
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -8,6 +8,8 @@
 	Start  runner.Start
 	// Snapshot is what was known of the worker when it was chosen.
 	Snapshot WorkerSnapshot
+	// Prior tells why the task's run before counts as over.
+	Prior PriorRun
 }
 
 // StopOrder is an order to stop a run on a worker.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -210,6 +210,9 @@
 			}
 		}
 		t.inheritanceResolved = true
+		if t.ranBefore.evidence == NoPriorRun {
+			t.recordOver(c.now, WorkersReported, "", 0)
+		}
 	}
 	if len(t.locations) > 0 {
 		c.s.markDirty(j)
@@ -236,7 +239,7 @@
 	c.s.markDirty(t.step.job)
 	permit, _ := t.step.permitFor(c.now, w)
 	order := StartOrder{
-		Worker: w.info, Snapshot: snapshot,
+		Worker: w.info, Snapshot: snapshot, Prior: t.priorRun(c.now),
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
 			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -38,7 +38,7 @@
 	s.recordActive(now, w, rep.Active)
 	s.learnFromTails(now, w)
 	if len(rep.Ends) < runner.MaxEnds {
-		s.resolveUncertain(w, sent.Token, rep.Active)
+		s.resolveUncertain(now, w, sent.Token, rep.Active)
 		s.markReported(w)
 	}
 	s.raiseTokenIfUncertain(w)
@@ -90,7 +90,7 @@
 		if r.task.step.spec.BestEffort {
 			w.rememberEnded(now, r)
 		}
-		s.releaseRun(r)
+		s.releaseRun(now, r, EndReported)
 	}
 	j := s.jobs[e.Task.Job]
 	if j == nil {
@@ -246,7 +246,7 @@
 		return nil
 	}
 	if old := w.runs[a.Task]; old != nil {
-		s.releaseRun(old) // a worker has one run of a task at a time
+		s.releaseRun(now, old, ReplacedThere) // a worker has one run of a task at a time
 	}
 	s.markStarted(j)
 	r := &run{
@@ -265,7 +265,7 @@
 // resolveUncertain releases starts without an answer that the worker doesn't
 // report. It has answered under a higher token, so they can't be carried out
 // any more.
-func (s *State) resolveUncertain(w *worker, token uint64, active []runner.ActiveRun) {
+func (s *State) resolveUncertain(now time.Time, w *worker, token uint64, active []runner.ActiveRun) {
 	for _, r := range slices.Clone(w.runsByNumber) {
 		if r.phase != uncertain || r.token >= token {
 			continue
@@ -275,7 +275,7 @@
 			reported = reported || (active[i].Task == id && active[i].Run == r.number)
 		}
 		if !reported {
-			s.releaseRun(r)
+			s.releaseRun(now, r, StartFenced)
 		}
 	}
 }
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -35,6 +35,8 @@
 	// locations holds the hashes of the workers where runs of it may be alive
 	// according to the store or to a batch in flight.
 	locations []uint32
+	// ranBefore is the last run that counts as over.
+	ranBefore ranBefore
 	// lastEndedRun is the highest run number known to have ended.
 	lastEndedRun uint64
 	// checkpoint is the newest checkpoint, empty if none.
--- a/dispatch/workerloss.go
+++ b/dispatch/workerloss.go
@@ -33,6 +33,18 @@
 	return "unknown"
 }
 
+// evidence returns the cause as evidence that a run is over.
+func (c LossCause) evidence() EndEvidence {
+	switch c {
+	case Restarted:
+		return WorkerRestarted
+	case LeaseExpired:
+		return WorkerLeaseExpired
+	default:
+		return WorkerDeparted
+	}
+}
+
 // WorkerLoss describes the loss of a worker and of the runs there.
 type WorkerLoss struct {
 	Worker string
@@ -41,6 +53,10 @@
 	// of the worker had included yet, at most maxLossTasks.
 	Runs       int
 	Unreported []workload.TaskID
+	// Reported is set if the worker had answered this owner, and Unresponsive is how
+	// long it hadn't since.
+	Reported     bool
+	Unresponsive time.Duration
 	// WithRack is set if all workers of its rack were lost with it; its tasks aren't
 	// blamed then.
 	WithRack bool
@@ -77,7 +93,15 @@
 	if len(w.runs) == 0 && len(inherited) == 0 {
 		return
 	}
-	loss := WorkerLoss{Worker: w.info.ID, Cause: cause, Runs: len(w.runs) + len(inherited)}
+	loss := WorkerLoss{Worker: w.info.ID, Cause: cause, Runs: len(w.runs) + len(inherited), Reported: w.reported}
+	if !w.unresponsiveSince.IsZero() {
+		loss.Unresponsive = now.Sub(w.unresponsiveSince)
+	}
+	for _, t := range inherited {
+		if len(t.runs) == 0 {
+			t.recordOver(now, cause.evidence(), w.info.ID, 0)
+		}
+	}
 	at := w.unresponsiveSince
 	if at.IsZero() {
 		at = now
@@ -93,7 +117,7 @@
 		if r.checkpoint != "" {
 			r.task.checkpoint = r.checkpoint
 		}
-		s.releaseRun(r)
+		s.releaseRun(now, r, cause.evidence())
 	}
 	if !loss.WithRack && !w.info.Draining {
 		loss.GivenUp = s.recordCrashes(now, w, blamed, inherited)
