control: an owner's validity counts from before its takeover was sent

An owner may give orders for 20 s after the start of its last applied commit, and a successor waits for that long. A new owner counted from the answer to the commit that made it the owner. If that answer came late, or the process stood still before it looked at it, the owner went on for as much longer than its successor waits, and a task could run twice. The time is now taken before that commit is sent.

TestValidityCountsFromBeforeAcquisition failed before (20 s after sending, the owner still gave orders) and passes. control's other tests pass.

--- a/control/follow.go
+++ b/control/follow.go
@@ -197,6 +197,7 @@
 	}
 	self := election.Record{Host: n.opts.Host, Address: n.opts.Address, Incarnation: n.opts.Incarnation, Cores: n.opts.Cores}
 	attempt, cancel := context.WithTimeout(ctx, rowTimeout)
+	begun := boottime()
 	c, err := election.Acquire(attempt, n.opts.Table, self, previous, version)
 	cancel()
 	if err != nil {
@@ -205,17 +206,17 @@
 	}
 	event.OwnershipAcquired.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", previous.Host),
 		slog.Float64("cores", self.Cores), slog.Float64("best", previous.Cores))
-	n.lead(ctx, c, previous)
+	n.lead(ctx, c, previous, begun)
 	return true
 }
 
 // lead loads the domain's state and runs an owner until it is deposed or has
-// resigned.
-func (n *Node) lead(ctx context.Context, c *election.Committer, previous election.Record) {
+// resigned. acquiredAt is a boottime before the commit that acquired the domain.
+func (n *Node) lead(ctx context.Context, c *election.Committer, previous election.Record, acquiredAt time.Duration) {
 	n.mu.Lock()
 	opts := n.opts
 	n.mu.Unlock()
-	o := newOwner(ctx, opts, c, *n.config.Load())
+	o := newOwner(ctx, opts, c, *n.config.Load(), acquiredAt)
 	defer o.relays.close()
 	o.candidates = &n.candidates
 	// The load that made the previous owner use relays persists.
--- a/control/owner.go
+++ b/control/owner.go
@@ -86,8 +86,9 @@
 // it.
 const maxQueuedFuncs = 1024
 
-// newOwner returns an owner whose loop isn't running.
-func newOwner(ctx context.Context, opts Options, c *election.Committer, cfg Config) *Owner {
+// newOwner returns an owner whose loop isn't running. acquiredAt is a boottime
+// before the commit that acquired the domain.
+func newOwner(ctx context.Context, opts Options, c *election.Committer, cfg Config, acquiredAt time.Duration) *Owner {
 	ctx, quit := context.WithCancelCause(ctx)
 	o := &Owner{
 		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: c.Record().Epoch,
@@ -101,7 +102,7 @@
 	})
 	o.state.SetQueues(cfg.Queues)
 	o.updateNeedsPermits(cfg)
-	o.committedAt.Store(int64(o.ownedSince))
+	o.committedAt.Store(int64(acquiredAt))
 	o.cycleAt.Store(int64(o.ownedSince))
 	o.committedVersion.Store(c.Version())
 	return o
--- a/control/resign_test.go
+++ b/control/resign_test.go
@@ -90,11 +90,17 @@
 // newTestOwner returns an owner of an empty domain whose loop isn't running. It
 // ends with the test.
 func newTestOwner(t *testing.T, table infra.Table) *Owner {
+	t.Helper()
+	return newTestOwnerAt(t, table, boottime())
+}
+
+// newTestOwnerAt is newTestOwner with the boottime at which the takeover was sent.
+func newTestOwnerAt(t *testing.T, table infra.Table, acquiredAt time.Duration) *Owner {
 	t.Helper()
 	o := newOwner(context.Background(), Options{
 		Host: "a", Table: table, Members: noMembers{}, Log: slog.New(slog.DiscardHandler),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Retention: time.Minute, MaxLease: 10 * time.Second,
-	}, acquireDomain(t, table), Config{Version: 1, Queues: []workload.Queue{{Name: "q", Pool: "pool"}}})
+	}, acquireDomain(t, table), Config{Version: 1, Queues: []workload.Queue{{Name: "q", Pool: "pool"}}}, acquiredAt)
 	t.Cleanup(func() {
 		o.quit(context.Canceled)
 		select {
--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -26,7 +26,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		n.Resign(ctx) // no owner is set yet
-		n.lead(ctx, committer, election.Record{})
+		n.lead(ctx, committer, election.Record{}, boottime())
 		expectResigned(t, table)
 	})
 }
@@ -38,7 +38,7 @@
 		table := &unreadableTable{Table: memtable.New(), fail: make(chan struct{})}
 		n := newTestNode(table)
 		committer := acquireDomain(t, table)
-		go n.lead(t.Context(), committer, election.Record{})
+		go n.lead(t.Context(), committer, election.Record{}, boottime())
 		synctest.Wait() // the state is being loaded
 		stopped := make(chan struct{})
 		go func() {
@@ -95,3 +95,12 @@
 	}
 	return nil, errors.New("scan failed")
 }
+
+// TestValidityCountsFromBeforeAcquisition guards against an owner that gives orders for
+// longer than others wait for, since the answer to its takeover was late.
+func TestValidityCountsFromBeforeAcquisition(t *testing.T) {
+	o := newTestOwnerAt(t, memtable.New(), boottime()-ownerValidity)
+	if o.ownershipValid() {
+		t.Errorf("owner may give orders %v after it sent its takeover, want it to stop then", ownerValidity)
+	}
+}
