control: a host that has answered a newer owner doesn't lead an older epoch

A new owner takes a host's answer to its notification as the word that this host gives no more orders. A host whose own takeover was in flight, its answer late, had no owner to end at that moment: it answered, then learned that it had acquired the domain in an older epoch, and gave orders as that owner for up to 20 s if it couldn't commit. A host now keeps what it was told, and an owner of which a newer one is known ends as it begins.

TestReplacedHostDoesNotLead failed before and passes; control's other tests pass.

--- a/control/gossip.go
+++ b/control/gossip.go
@@ -63,7 +63,8 @@
 
 // handleNewOwner records the row of an owner that is newer than those known to
 // this host, as a hint for replacing the current owner. If this host owns the
-// domain, its own ownership has ended and its owner quits.
+// domain, its own ownership has ended and its owner quits; if it is about to, the
+// owner quits as it begins (see setLeader).
 func (n *Node) handleNewOwner(r election.Record) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/control/node.go
+++ b/control/node.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/peer"
 )
@@ -159,12 +161,16 @@
 }
 
 // setLeader records the owner's row r and, if this host is the owner, its Owner
-// o, which is nil otherwise. It wakes requests that wait for a change of owner
+// o, which is nil otherwise. An owner of which a newer one is known ends: the newer
+// one relies on this host's answer to its notification. setLeader wakes requests that wait for a change of owner
 // and, if o is nil, updates the addresses in the peer client.
 func (n *Node) setLeader(r election.Record, o *Owner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leader, n.owner = r, o
+	if newest := max(n.maxEpoch, n.hint.Epoch); o != nil && newest > r.Epoch {
+		o.quit(errors.Wrapf(election.ErrDeposed, "epoch %d has an owner", newest))
+	}
 	n.maxEpoch = max(n.maxEpoch, r.Epoch)
 	if o != nil || r.Host != "" {
 		n.ownerlessSince = time.Time{}
--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -104,3 +104,27 @@
 		t.Errorf("owner may give orders %v after it sent its takeover, want it to stop then", ownerValidity)
 	}
 }
+
+// TestReplacedHostDoesNotLead guards against a host that tells a newer owner that it
+// gives no orders, and then learns that its own takeover had succeeded.
+func TestReplacedHostDoesNotLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memtable.New()
+		n := newTestNode(table)
+		committer := acquireDomain(t, table)
+		n.handleNewOwner(election.Record{Host: "b", Incarnation: "b", Epoch: committer.Record().Epoch + 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			n.lead(ctx, committer, election.Record{}, boottime())
+		}()
+		synctest.Wait()
+		select {
+		case <-ended:
+		default:
+			t.Error("the host owns the domain although it knows of a newer owner")
+		}
+	})
+}
