election, control: a new owner waits for all earlier owners that may give orders

Cause: an owner that was replaced without knowing it gives orders, and renews leases, for up to 20 s. Its successor waits for 26 s for workers that it can't reach, and for one lease once the host of the owner just before it has answered. That host speaks for its own owner only. The owner before it, frozen or cut off from the store and the hosts but not from all workers, went on renewing the lease of a task's worker, which the third owner took as over.

Why it holds: the owner's row lists the earlier owners that may still give orders, each with the time that it has left. A new owner takes the list over and adds the one that it replaces; an entry goes only when that owner's host, by its name, has answered a notice that ends its owner, when its time is over, or when its process is known to have ended (the new owner's own process, or one at its own address). Its commits keep the list. The wait is one lease after the last entry is gone. An owner that resigns gives no orders from before the commit that says so, and isn't listed. A notice is repeated for as long as the owner that it is for may give orders.

--- a/control/follow.go
+++ b/control/follow.go
@@ -205,11 +205,20 @@
 		return false
 	}
 	event.OwnershipAcquired.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", previous.Host),
-		slog.Float64("cores", self.Cores), slog.Float64("best", previous.Cores))
+		slog.Float64("cores", self.Cores), slog.Float64("best", previous.Cores), slog.Any("earlier", epochs(c.Record().Earlier)))
 	n.lead(ctx, c, previous, begun)
 	return true
 }
 
+// epochs returns the epochs of owners for the log.
+func epochs(owners []election.EarlierOwner) []uint64 {
+	all := make([]uint64, 0, len(owners))
+	for _, e := range owners {
+		all = append(all, e.Epoch)
+	}
+	return all
+}
+
 // lead loads the domain's state and runs an owner until it is deposed or has
 // resigned. acquiredAt is a boottime before the commit that acquired the domain.
 func (n *Node) lead(ctx context.Context, c *election.Committer, previous election.Record, acquiredAt time.Duration) {
@@ -222,11 +231,8 @@
 	// The load that made the previous owner use relays persists.
 	o.relayScaler.Restore(int(n.relaysPerZone.Load()))
 	o.predecessorHandedOver = previous.Resigned && previous.HandedOver && previous.Cores > opts.Cores
-	go n.announceOwnership(ctx, previous, c.Record(), func() {
-		o.post(func() {
-			awaited := o.state.PredecessorStopped(time.Now())
-			event.InheritedWaitsShortened.Log(opts.Log, slog.String("host", previous.Host), slog.Uint64("epoch", previous.Epoch), slog.Int("awaited", awaited))
-		})
+	go n.announceOwnership(o.ctx, c.Record(), func(e election.EarlierOwner) {
+		o.post(func() { o.handleEarlierOwnerStopped(e) })
 	})
 	opts.recordOwnership(true)
 	defer opts.recordOwnership(false)
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflygate/fireflygate/election"
-	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/peer"
 )
@@ -30,6 +26,12 @@
 	Fresh bool `msgpack:"f"`
 }
 
+// newOwnerReply is a host's answer to methodNewOwner. The host gives no orders of
+// its own any more, unless it owns the domain in a later epoch.
+type newOwnerReply struct {
+	Host string `msgpack:"h"`
+}
+
 // emptyMessage is a message without content.
 type emptyMessage struct{}
 
@@ -47,7 +49,7 @@
 			return nil, err
 		}
 		n.handleNewOwner(r)
-		return emptyMessage{}, nil
+		return newOwnerReply{Host: n.opts.Host}, nil
 	})
 }
 
@@ -152,59 +154,3 @@
 
 // seedName returns the name under which the peer client knows a seed.
 func seedName(address string) string { return "seed " + address }
-
-const (
-	// notifyAttempts and notifyInterval bound the attempts to notify a host of a
-	// new owner; hosts that miss the notification read the owner's row.
-	notifyAttempts = 10
-	notifyInterval = 300 * time.Millisecond
-)
-
-// announceOwnership notifies the previous owner and the known hosts of the new
-// owner, for those that can't reach the table service: an owner cut off from it would
-// otherwise go on answering callers for seconds. It calls previousStopped
-// when the previous owner's host has answered; that host issues no orders from
-// then on.
-func (n *Node) announceOwnership(ctx context.Context, previous, current election.Record, previousStopped func()) {
-	addresses := n.otherHosts(maxPeersNotified)
-	if previous.Address != "" && previous.Address != n.opts.Address && !slices.Contains(addresses, previous.Address) {
-		addresses = append(addresses, previous.Address)
-	}
-	client := peer.NewClient(peer.Options{Host: n.opts.Host, UserTimeout: peerUserTimeout, HandshakeTimeout: pingTimeout, AcceptAnyHost: true}, newRand())
-	defer client.Close()
-	names := map[string]string{}
-	for _, address := range addresses {
-		names[seedName(address)] = address
-	}
-	client.SetPeers(names)
-	var pending sync.WaitGroup
-	for _, address := range addresses {
-		pending.Go(func() {
-			if notifyHost(ctx, client, address, current) && address == previous.Address {
-				previousStopped()
-			}
-		})
-	}
-	pending.Wait()
-	event.OwnershipAnnounced.Log(n.opts.Log, slog.Uint64("epoch", current.Epoch), slog.Int("hosts", len(addresses)))
-}
-
-// notifyHost notifies a host of the new owner and reports whether it answered.
-func notifyHost(ctx context.Context, client *peer.Client, address string, current election.Record) bool {
-	t := time.NewTicker(notifyInterval)
-	defer t.Stop()
-	for range notifyAttempts {
-		attempt, cancel := context.WithTimeout(ctx, pingTimeout)
-		res := client.Call(attempt, seedName(address), methodNewOwner, current, &emptyMessage{})
-		cancel()
-		if res.Kind == outcome.Answered {
-			return true
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return false
-		}
-	}
-	return false
-}
--- a/control/node.go
+++ b/control/node.go
@@ -142,7 +142,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.owner != nil {
-		return n.owner.commitAge() < ownerValidity
+		return n.owner.commitAge() < election.Validity
 	}
 	return n.leaderSeen > 0 && boottime()-n.leaderSeen < leaderFreshness
 }
--- a/control/options.go
+++ b/control/options.go
@@ -62,11 +62,6 @@
 	// lease is the duration of workers' leases: long enough for a takeover, short
 	// enough to start the tasks of a failed worker elsewhere soon.
 	lease = 6 * time.Second
-	// ownerValidity is how long after its last commit an owner issues orders. It
-	// spans an outage of the table service, during which nobody can replace the
-	// owner. A replaced owner is notified or its orders are fenced; the bound
-	// covers workers that only it can reach.
-	ownerValidity = 20 * time.Second
 	// heartbeatInterval is the longest time between two commits of an owner.
 	heartbeatInterval = 400 * time.Millisecond
 	// pingInterval is the interval at which other hosts ping the owner.
--- a/control/owner.go
+++ b/control/owner.go
@@ -64,8 +64,12 @@
 	// requestingPermits is set while a request to the policy service is in flight,
 	// needsPermits if any queue needs permits.
 	requestingPermits, needsPermits bool
-	// A resigning owner issues no more orders; a closed one accepts no requests.
+	// A resigning owner starts nothing; a closed one accepts no requests; a released
+	// one gives no orders and renews no leases.
 	resigning, closed bool
+	released          atomic.Bool
+	// earlier are the owners before this one that may still give orders.
+	earlier *election.EarlierOwners
 	// afterCommit, if set, runs on the loop after the commit in flight.
 	afterCommit func()
 	// candidates are the hosts that ping this owner; ownedSince is the boottime at
@@ -89,15 +93,18 @@
 // newOwner returns an owner whose loop isn't running. acquiredAt is a boottime
 // before the commit that acquired the domain.
 func newOwner(ctx context.Context, opts Options, c *election.Committer, cfg Config, acquiredAt time.Duration) *Owner {
+	row := c.Record()
 	ctx, quit := context.WithCancelCause(ctx)
 	o := &Owner{
-		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: c.Record().Epoch,
+		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: row.Epoch,
 		events: make(chan func(), maxQueuedFuncs), sessions: map[string]*session{}, traffic: newTraffic(),
 		waiters: map[string][]chan reply{}, stopped: make(chan struct{}), ownedSince: boottime(), candidates: new(election.Candidates),
 	}
 	o.relays = newRelays(&o.opts)
+	o.earlier = election.NewEarlierOwners(&row, o.ownedSince)
+	workerLease := min(lease, opts.MaxLease)
 	o.state = dispatch.New(dispatch.Config{
-		Epoch: o.epoch, Lease: min(lease, opts.MaxLease), InheritedLease: min(lease, opts.MaxLease) + ownerValidity,
+		Epoch: o.epoch, Lease: workerLease, InheritedLease: o.earlier.OrdersEnd(o.ownedSince) - o.ownedSince + dispatch.LongestLease(workerLease),
 		Retention: opts.Retention, NoCapacityPause: noCapacityPause, TailBound: opts.TailBound, Disabled: opts.Disabled,
 	})
 	o.state.SetQueues(cfg.Queues)
@@ -117,10 +124,10 @@
 	}
 }
 
-// ownershipValid reports whether the last commit is recent enough to issue
-// orders.
+// ownershipValid reports whether the owner may give orders: its last commit is
+// recent enough, and it has neither ended nor is about to give the domain up.
 func (o *Owner) ownershipValid() bool {
-	return boottime()-time.Duration(o.committedAt.Load()) < ownerValidity
+	return o.commitAge() < election.Validity && !o.released.Load() && o.ctx.Err() == nil
 }
 
 // commitAge returns the time since the last applied commit began.
--- a/control/resign.go
+++ b/control/resign.go
@@ -60,6 +60,7 @@
 		o.post(func() {
 			o.state.MarkFlushed(b)
 			o.notifyDurable()
+			o.released.Store(true) // its successor doesn't wait for orders after the resignation
 			go o.releaseDomain(ctx)
 		})
 	}()
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -13,8 +13,9 @@
 	Epoch uint64
 	// Lease is how far a renewal extends a worker's lease.
 	Lease time.Duration
-	// InheritedLease bounds how long runs started by an earlier owner may
-	// survive on a worker that this owner can't reach.
+	// InheritedLease bounds how long after the takeover runs started by earlier
+	// owners may survive on a worker that this owner can't reach: as long as any of
+	// them may give orders, and LongestLease from then on.
 	InheritedLease time.Duration
 	// Retention is how long a finished job can still be queried.
 	Retention time.Duration
@@ -44,3 +45,9 @@
 	// it is unhealthy; about one membership interval.
 	unhealthyPause = time.Second
 )
+
+// LongestLease returns the time by which a lease of duration d, given now by this
+// owner or another, is over on every worker.
+func LongestLease(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1+maxClockDrift)) + leaseExpiryMargin
+}
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -109,14 +109,14 @@
 	s.awaitingReport[m.ID] = w
 }
 
-// PredecessorStopped records that the previous owner gives no more orders, so
-// that its leases expire one lease from now. It returns the number of workers
-// that are still waited for.
-func (s *State) PredecessorStopped(now time.Time) int {
-	expiry := now.Add(time.Duration(float64(s.cfg.Lease)*(1+maxClockDrift)) + leaseExpiryMargin)
+// EarlierOrdersEnd records that no earlier owner gives orders after end, so that the
+// leases which they gave are over LongestLease later. It returns the number of
+// inherited workers that haven't reported.
+func (s *State) EarlierOrdersEnd(end time.Time) int {
+	over := end.Add(LongestLease(s.cfg.Lease))
 	for _, w := range s.awaitingReport {
-		if expiry.Before(w.inheritedUntil) {
-			w.inheritedUntil = expiry
+		if over.Before(w.inheritedUntil) {
+			w.inheritedUntil = over
 		}
 	}
 	return len(s.awaitingReport)
--- a/election/committer.go
+++ b/election/committer.go
@@ -74,6 +74,14 @@
 	c.record.Cores = cores
 }
 
+// SetEarlier sets the earlier owners that later commits list as those that may
+// still give orders.
+func (c *Committer) SetEarlier(earlier []EarlierOwner) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.Earlier = earlier
+}
+
 // MarkHandedOver makes later commits record that the owner is handing the
 // domain over to a stronger host.
 func (c *Committer) MarkHandedOver() {
--- a/election/record.go
+++ b/election/record.go
@@ -24,8 +24,10 @@
 	Cores float64 `msgpack:"c,omitempty"`
 	// HandedOver is set by an owner that hands the domain over to a stronger host.
 	HandedOver bool `msgpack:"o,omitempty"`
-	// Resigned is set by an owner that has stopped.
+	// Resigned is set by an owner that has stopped giving orders.
 	Resigned bool `msgpack:"r,omitempty"`
+	// Earlier lists the owners before this one that may still give orders.
+	Earlier []EarlierOwner `msgpack:"p,omitempty"`
 }
 
 // SameOwnership reports whether both rows describe the same ownership.
