--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -26,7 +26,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		n.Resign(ctx) // no owner is set yet
-		n.lead(ctx, committer, election.Record{})
+		n.lead(ctx, committer, election.Record{}, boottime())
 		expectResigned(t, table)
 	})
 }
@@ -38,7 +38,7 @@
 		table := &unreadableTable{Table: memtable.New(), fail: make(chan struct{})}
 		n := newTestNode(table)
 		committer := acquireDomain(t, table)
-		go n.lead(t.Context(), committer, election.Record{})
+		go n.lead(t.Context(), committer, election.Record{}, boottime())
 		synctest.Wait() // the state is being loaded
 		stopped := make(chan struct{})
 		go func() {
@@ -95,3 +95,52 @@
 	}
 	return nil, errors.New("scan failed")
 }
+
+// TestReplacedHostDoesNotLead guards against a host that tells a newer owner that it
+// gives no orders, and then learns that its own takeover had succeeded.
+func TestReplacedHostDoesNotLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memtable.New()
+		n := newTestNode(table)
+		committer := acquireDomain(t, table)
+		n.handleNewOwner(election.Record{Host: "b", Incarnation: "b", Epoch: committer.Record().Epoch + 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			n.lead(ctx, committer, election.Record{}, boottime())
+		}()
+		synctest.Wait()
+		select {
+		case <-ended:
+		default:
+			t.Error("the host owns the domain although it knows of a newer owner")
+		}
+	})
+}
+
+// TestValidityCountsFromBeforeAcquisition guards against an owner that gives orders for
+// longer than others wait for, since the answer to its takeover was late.
+func TestValidityCountsFromBeforeAcquisition(t *testing.T) {
+	o := newTestOwnerAt(t, memtable.New(), boottime()-election.Validity)
+	if o.ownershipValid() {
+		t.Errorf("owner may give orders %v after it sent its takeover, want it to stop then", election.Validity)
+	}
+}
+
+// TestResignedOwnerRenewsNothing guards against a successor that takes the leases of a
+// resigned owner as over while that one renews them.
+func TestResignedOwnerRenewsNothing(t *testing.T) {
+	table := memtable.New()
+	o := newTestOwner(t, table)
+	go o.run()
+	if !o.ownershipValid() {
+		t.Fatal("a new owner may give no orders")
+	}
+	o.resign(t.Context())
+	expectResigned(t, table)
+	if !o.released.Load() || o.ownershipValid() {
+		t.Error("an owner may give orders after its resignation")
+	}
+}
