dispatch, election: a worker off the list keeps its runs for all leases it may have

Cause: the list tells who reaches the store, not who runs; it was taken as evidence that runs are over. Class: a wait for leases cut short on the word of somebody who doesn't speak for all who may have given one.

Ruled out: that a longer time off the list would do. The worker may stay cut off for longer than any such time, and the lease ends with its last renewal, not with the entry.

Changed: the rule is gone; only a worker's own report, another incarnation's answer or the end of all leases ends a run. So the roster names for each worker the latest epoch whose owner may have given it a lease, written before that owner gives the first one; and the owner's row keeps earlier owners, with the time since they stopped, for as long as leases of theirs may last. A new owner waits for a worker by the owners up to that epoch alone. Rosters of a release without the epochs count as "any owner".

The rig now passes on what an owner knows of earlier ones as control does; the random simulation, in which an owner's process ends as it is replaced, says so to the next owner, which makes its waits shorter and its check harder. No bound changed.

The price, stated in platform-programs.md: where the owner's host is gone for good together with workers, their tasks and those not started yet by the store restart 26.5 s after (6 s before).

--- a/control/announce.go
+++ b/control/announce.go
@@ -28,7 +28,8 @@
 // earlier owner whose host has answered; that owner gives no orders from then on.
 func (n *Node) announceOwnership(ctx context.Context, current election.Record, stopped func(election.EarlierOwner)) {
 	addresses := n.otherHosts(maxPeersNotified)
-	for _, e := range current.Earlier {
+	earlier := slices.DeleteFunc(slices.Clone(current.Earlier), func(e election.EarlierOwner) bool { return e.Stopped() })
+	for _, e := range earlier {
 		if e.Address != "" && !slices.Contains(addresses, e.Address) {
 			addresses = append(addresses, e.Address)
 		}
@@ -42,16 +43,20 @@
 	client.SetPeers(names)
 	var pending sync.WaitGroup
 	for _, address := range addresses {
-		pending.Go(func() { notifyHost(ctx, client, address, current, stopped) })
+		pending.Go(func() { notifyHost(ctx, client, address, current, ownersAt(earlier, address), stopped) })
 	}
 	pending.Wait()
 	event.OwnershipAnnounced.Log(n.opts.Log, slog.Uint64("epoch", current.Epoch), slog.Int("hosts", len(addresses)))
 }
 
+// ownersAt returns the owners at an address.
+func ownersAt(owners []election.EarlierOwner, address string) []election.EarlierOwner {
+	return slices.DeleteFunc(slices.Clone(owners), func(e election.EarlierOwner) bool { return e.Address != address })
+}
+
 // notifyHost notifies a host of the new owner until it answers, and then calls
 // stopped for its earlier owners.
-func notifyHost(ctx context.Context, client *peer.Client, address string, current election.Record, stopped func(election.EarlierOwner)) {
-	owners := slices.DeleteFunc(slices.Clone(current.Earlier), func(e election.EarlierOwner) bool { return e.Address != address })
+func notifyHost(ctx context.Context, client *peer.Client, address string, current election.Record, owners []election.EarlierOwner, stopped func(election.EarlierOwner)) {
 	duration := notifyDuration
 	for _, e := range owners {
 		duration = max(duration, time.Duration(e.OrdersMS)*time.Millisecond)
@@ -86,17 +91,3 @@
 	res := client.Call(ctx, seedName(address), methodNewOwner, current, &r)
 	return r.Host, res.Kind == outcome.Answered
 }
-
-// handleEarlierOwnerStopped records that an earlier owner gives no more orders. Runs
-// on inherited workers that don't answer then count as over sooner, once none of the
-// other earlier owners can renew their leases.
-func (o *Owner) handleEarlierOwnerStopped(e election.EarlierOwner) {
-	if !o.earlier.Stopped(e.Epoch) {
-		return
-	}
-	now := boottime()
-	left := o.earlier.OrdersEnd(now) - now
-	awaited := o.state.EarlierOrdersEnd(time.Now().Add(left))
-	event.EarlierOwnerStopped.Log(o.opts.Log, slog.String("host", e.Host), slog.Uint64("epoch", e.Epoch),
-		slog.Int64("others_ms", left.Milliseconds()), slog.Int("awaited", awaited))
-}
--- a/control/commit.go
+++ b/control/commit.go
@@ -55,7 +55,7 @@
 	start := boottime()
 	best, _ := o.candidates.Strongest(start)
 	o.committer.SetCores(max(best, o.opts.Cores))
-	o.committer.SetEarlier(o.earlier.Pending(start))
+	o.committer.SetEarlier(o.earlier.List(start))
 	err := o.committer.Commit(o.ctx, b.Writes)
 	o.opts.Metrics.commit(err, boottime()-start)
 	if err != nil {
--- /dev/null
+++ b/control/earlierowners.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/election"
+	"github.com/fireflygate/fireflygate/event"
+)
+
+// handleEarlierOwnerStopped records that an earlier owner gives no more orders. Runs
+// on inherited workers that don't answer then count as over sooner, once none of the
+// other earlier owners can renew their leases.
+func (o *Owner) handleEarlierOwnerStopped(e election.EarlierOwner) {
+	if !o.earlier.Stopped(e.Epoch, boottime()) {
+		return
+	}
+	awaited := o.setEarlierOrders()
+	event.EarlierOwnerStopped.Log(o.opts.Log, slog.String("host", e.Host), slog.Uint64("epoch", e.Epoch), slog.Int("awaited", awaited))
+}
+
+// setEarlierOrders passes on until when earlier owners may give orders. It returns the
+// number of inherited workers that haven't reported.
+func (o *Owner) setEarlierOrders() int {
+	at, now := boottime(), time.Now()
+	var all []dispatch.EarlierOrders
+	for _, e := range o.earlier.List(at) {
+		all = append(all, dispatch.EarlierOrders{Epoch: e.Epoch, End: now.Add(time.Duration(e.OrdersMS) * time.Millisecond)})
+	}
+	return o.state.SetEarlierOrders(all)
+}
--- a/control/follow.go
+++ b/control/follow.go
@@ -210,11 +210,13 @@
 	return true
 }
 
-// epochs returns the epochs of owners for the log.
+// epochs returns, for the log, the epochs of the owners that may still give orders.
 func epochs(owners []election.EarlierOwner) []uint64 {
-	all := make([]uint64, 0, len(owners))
+	var all []uint64
 	for _, e := range owners {
-		all = append(all, e.Epoch)
+		if !e.Stopped() {
+			all = append(all, e.Epoch)
+		}
 	}
 	return all
 }
@@ -230,6 +232,7 @@
 	o.candidates = &n.candidates
 	// The load that made the previous owner use relays persists.
 	o.relayScaler.Restore(int(n.relaysPerZone.Load()))
+	o.rosterEpochsKnown = previous.RosterEpochs
 	o.predecessorHandedOver = previous.Resigned && previous.HandedOver && previous.Cores > opts.Cores
 	go n.announceOwnership(o.ctx, c.Record(), func(e election.EarlierOwner) {
 		o.post(func() { o.handleEarlierOwnerStopped(e) })
--- a/control/load.go
+++ b/control/load.go
@@ -82,7 +82,7 @@
 			return 0, errors.Wrapf(err, "decode %s", row.Key)
 		}
 		for _, w := range roster.Workers {
-			o.state.InheritWorker(time.Now(), w)
+			o.state.InheritWorker(w, o.rosterEpochsKnown)
 		}
 		workers += len(roster.Workers)
 	}
--- a/control/owner.go
+++ b/control/owner.go
@@ -68,8 +68,10 @@
 	// one gives no orders and renews no leases.
 	resigning, closed bool
 	released          atomic.Bool
-	// earlier are the owners before this one that may still give orders.
+	// earlier tracks until when the owners before this one may give orders.
 	earlier *election.EarlierOwners
+	// rosterEpochsKnown is set if the previous owner kept the epochs on the roster.
+	rosterEpochsKnown bool
 	// afterCommit, if set, runs on the loop after the commit in flight.
 	afterCommit func()
 	// candidates are the hosts that ping this owner; ownedSince is the boottime at
@@ -102,11 +104,11 @@
 	}
 	o.relays = newRelays(&o.opts)
 	o.earlier = election.NewEarlierOwners(&row, o.ownedSince)
-	workerLease := min(lease, opts.MaxLease)
 	o.state = dispatch.New(dispatch.Config{
-		Epoch: o.epoch, Lease: workerLease, InheritedLease: o.earlier.OrdersEnd(o.ownedSince) - o.ownedSince + dispatch.LongestLease(workerLease),
+		Epoch: o.epoch, Lease: min(lease, opts.MaxLease),
 		Retention: opts.Retention, NoCapacityPause: noCapacityPause, TailBound: opts.TailBound, Disabled: opts.Disabled,
 	})
+	o.setEarlierOrders()
 	o.state.SetQueues(cfg.Queues)
 	o.updateNeedsPermits(cfg)
 	o.committedAt.Store(int64(acquiredAt))
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -13,10 +13,6 @@
 	Epoch uint64
 	// Lease is how far a renewal extends a worker's lease.
 	Lease time.Duration
-	// InheritedLease bounds how long after the takeover runs started by earlier
-	// owners may survive on a worker that this owner can't reach: as long as any of
-	// them may give orders, and LongestLease from then on.
-	InheritedLease time.Duration
 	// Retention is how long a finished job can still be queried.
 	Retention time.Duration
 	// TailBound is how long best-effort tasks may keep a serving task's tail
--- a/dispatch/earlierowners_test.go
+++ b/dispatch/earlierowners_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/dispatch"
-	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
@@ -26,8 +25,7 @@
 	r.advance(time.Second)
 	r.takeOver(worker(0), worker(1))
 	r.members(2)
-	earlier := r.earlierOwners(1, 2)
-	r.ownerStopped(earlier, 2)
+	r.ownerStopped(2)
 	other := otherWorker(first.Worker.ID)
 	for elapsed := time.Duration(0); elapsed < 20*time.Second; elapsed += testTick {
 		r.advance(testTick)
@@ -59,22 +57,3 @@
 		r.t.Fatalf("renewal: %v", status)
 	}
 }
-
-// earlierOwners returns the owners of epochs that may give orders for half of the
-// rig's inherited lease from now on.
-func (r *rig) earlierOwners(epochs ...uint64) *election.EarlierOwners {
-	var row election.Record
-	for _, epoch := range epochs {
-		row.Earlier = append(row.Earlier, election.EarlierOwner{Epoch: epoch, OrdersMS: 6000})
-	}
-	return election.NewEarlierOwners(&row, r.sinceStart())
-}
-
-// ownerStopped tells the State that the host of an earlier owner has answered.
-func (r *rig) ownerStopped(earlier *election.EarlierOwners, epoch uint64) {
-	earlier.Stopped(epoch)
-	r.state.EarlierOrdersEnd(r.now.Add(earlier.OrdersEnd(r.sinceStart()) - r.sinceStart()))
-}
-
-// sinceStart returns the time since the workers' clocks started.
-func (r *rig) sinceStart() time.Duration { return r.now.Sub(r.startedAt) }
--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -3,14 +3,12 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
@@ -199,23 +197,12 @@
 
 // replaceOwner makes a new owner take over with the committed rows.
 func (s *faultSim) replaceOwner() {
-	var roster []string
-	for key, value := range s.rows {
-		if !strings.HasPrefix(key, dispatch.RosterPrefix) {
-			continue
-		}
-		var row dispatch.RosterRow
-		if err := msgpack.Unmarshal(value, &row); err != nil {
-			s.t.Fatal(err)
-		}
-		for _, w := range row.Workers {
-			roster = append(roster, w.ID)
-		}
-	}
+	roster := slices.Collect(maps.Keys(s.rosterEpochs()))
 	slices.Sort(roster)
 	s.committing = false
 	clear(s.polling)
 	s.takeOver(roster...)
+	s.ownerStopped(s.epoch - 1) // its process has terminated
 }
 
 // updateMembers passes the membership list to the owner.
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -28,12 +28,18 @@
 	Writes []infra.Write
 	// jobs holds the jobs of the batch with the states that it writes.
 	jobs []batchJob
-	// roster holds the IDs of the workers in the roster parts that it writes.
-	roster []string
+	// roster holds the workers in the roster parts that it writes.
+	roster []rosterEntry
 	// ends holds, by worker, the last end that is durable once the batch is.
 	ends map[string]uint64
 }
 
+// rosterEntry is a worker as a batch writes it to the roster.
+type rosterEntry struct {
+	id       string
+	leasedIn uint64
+}
+
 // batchJob is a job as a batch writes it.
 type batchJob struct {
 	job   *job
@@ -206,9 +212,10 @@
 			t.markStored(t.locations)
 		})
 	}
-	for _, id := range b.roster {
-		if w := s.workers[id]; w != nil {
+	for _, e := range b.roster {
+		if w := s.workers[e.id]; w != nil {
 			w.inRoster = true
+			w.leasable = w.leasable || e.leasedIn == s.cfg.Epoch
 		}
 	}
 	for id, n := range b.ends {
--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -32,8 +32,11 @@
 	}
 	for _, w := range s.workers {
 		if row := parts[w.rosterPart()]; row != nil {
-			row.Workers = append(row.Workers, runner.Worker{ID: w.info.ID, Address: w.info.Address, Capacity: w.info.Capacity})
-			b.roster = append(b.roster, w.info.ID)
+			row.Workers = append(row.Workers, RosterWorker{
+				Worker:   runner.Worker{ID: w.info.ID, Address: w.info.Address, Capacity: w.info.Capacity},
+				LeasedIn: w.leasedIn,
+			})
+			b.roster = append(b.roster, rosterEntry{w.info.ID, w.leasedIn})
 		}
 	}
 	for part, row := range parts {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -26,9 +26,6 @@
 	for id, w := range s.workers {
 		if !present[id] {
 			w.listed = false
-			if w.missingSince.IsZero() {
-				w.missingSince = now
-			}
 			s.removeIfExpired(w, now)
 		}
 	}
@@ -56,14 +53,12 @@
 }
 
 // rejectEntry handles an entry that can't be used. Its worker gets no new tasks.
-// As it may still be alive, it doesn't count as missing from the list, since its
-// tasks would then be started a second time.
 func (s *State) rejectEntry(now time.Time, id string) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
-	w.listed, w.missingSince = false, time.Time{}
+	w.listed = false
 	s.removeIfExpired(w, now)
 }
 
@@ -73,12 +68,12 @@
 	if w == nil {
 		w = s.addWorker(m)
 		w.knownSince = now
-		s.dirtyRosterParts[w.rosterPart()] = true
+		s.markLeased(w)
 	}
 	if !w.listed || w.info.Capacity != m.Capacity || w.info.Draining != m.Draining {
 		s.markChanged(w)
 	}
-	w.listed, w.missingSince = true, time.Time{}
+	w.listed = true
 	used := w.info.Capacity.Sub(w.free)
 	wasDraining := w.info.Draining
 	w.info = m
@@ -100,26 +95,19 @@
 }
 
 // InheritWorker adds a worker of an earlier owner's roster. It may hold runs of
-// inherited jobs until it reports or all leases given by the earlier owner have
-// expired.
-func (s *State) InheritWorker(now time.Time, m runner.Worker) {
-	w := s.addWorker(m)
+// inherited jobs until it reports or all leases are over that earlier owners may have
+// given it. epochsKnown is set if all owners since the worker was added have kept its
+// LeasedIn, which releases before that field don't.
+func (s *State) InheritWorker(m RosterWorker, epochsKnown bool) {
+	w := s.addWorker(m.Worker)
 	w.inRoster = true
-	w.inheritedUntil = now.Add(s.cfg.InheritedLease)
-	s.awaitingReport[m.ID] = w
-}
-
-// EarlierOrdersEnd records that no earlier owner gives orders after end, so that the
-// leases which they gave are over LongestLease later. It returns the number of
-// inherited workers that haven't reported.
-func (s *State) EarlierOrdersEnd(end time.Time) int {
-	over := end.Add(LongestLease(s.cfg.Lease))
-	for _, w := range s.awaitingReport {
-		if over.Before(w.inheritedUntil) {
-			w.inheritedUntil = over
-		}
+	w.leasedIn = m.LeasedIn
+	if !epochsKnown {
+		w.leasedIn = 0
+		s.dirtyRosterParts[w.rosterPart()] = true
 	}
-	return len(s.awaitingReport)
+	w.inheritedUntil = s.inheritedUntil(w.leasedIn)
+	s.awaitingReport[m.ID] = w
 }
 
 // EachWorker visits, in order, the IDs of all workers that may get orders.
@@ -143,14 +131,13 @@
 func (s *State) HasWorker(id string) bool { return s.workers[id] != nil }
 
 // removeIfExpired removes an unlisted worker, also from the roster, once no run
-// can be alive there.
+// can be alive there. ExpireLeases first records the loss of one that never reported.
 func (s *State) removeIfExpired(w *worker, now time.Time) {
-	if w.listed || len(w.runs) > 0 || !w.leaseExpired(now) {
+	if w.listed || len(w.runs) > 0 || !w.leaseExpired(now) || s.awaitingReport[w.info.ID] != nil {
 		return
 	}
 	delete(s.workers, w.info.ID)
 	s.sortedWorkers = nil
-	delete(s.awaitingReport, w.info.ID)
 	s.dirtyRosterParts[w.rosterPart()] = true
 }
 
@@ -159,19 +146,14 @@
 // and it is removed.
 func (s *State) HandleRestart(now time.Time, id string) {
 	if w := s.workers[id]; w != nil {
-		s.removeTerminated(now, w, Restarted)
+		s.dropLostRuns(now, w, Restarted)
+		w.leaseUntil, w.inheritedUntil = 0, time.Time{}
+		w.listed = false
+		delete(s.awaitingReport, id)
+		s.removeIfExpired(w, now)
 	}
 }
 
-// removeTerminated removes a worker that has terminated, with its runs and leases.
-func (s *State) removeTerminated(now time.Time, w *worker, cause LossCause) {
-	s.dropLostRuns(now, w, cause)
-	w.leaseUntil, w.inheritedUntil = 0, time.Time{}
-	w.listed = false
-	delete(s.awaitingReport, w.info.ID)
-	s.removeIfExpired(w, now)
-}
-
 // releaseRun removes an ended run from its worker and task.
 func (s *State) releaseRun(now time.Time, r *run, evidence EndEvidence) {
 	w := r.worker
@@ -181,25 +163,11 @@
 	r.task.recordOver(now, evidence, w.info.ID, r.number)
 }
 
-// departedAfter is how long an inherited worker must be missing from the list
-// to count as departed. It exceeds the time in which a live worker is listed
-// again.
-const departedAfter = 2500 * time.Millisecond
-
-// departed reports whether a worker that hasn't reported to this owner has been
-// missing from the list long enough to count as departed, with all its runs.
-func (w *worker) departed(now time.Time) bool {
-	return !w.reported && !w.missingSince.IsZero() && now.Sub(w.missingSince) >= departedAfter
-}
-
-// ExpireLeases ends the runs of suspected workers whose leases have expired,
-// and removes workers that have departed.
+// ExpireLeases ends the runs of workers that are suspected, or haven't reported to
+// this owner, and whose leases have expired. A worker that is missing from the
+// membership list may be cut off from the table service and go on under its lease.
 func (s *State) ExpireLeases(now time.Time) {
 	for id, w := range s.workers {
-		if w.departed(now) {
-			s.removeTerminated(now, w, Departed)
-			continue
-		}
 		if !w.leaseExpired(now) {
 			continue
 		}
--- a/dispatch/priorrun.go
+++ b/dispatch/priorrun.go
@@ -26,9 +26,6 @@
 	WorkerRestarted
 	// WorkerLeaseExpired: the worker was unresponsive until its lease expired.
 	WorkerLeaseExpired
-	// WorkerDeparted: the worker never reported to this owner and was missing from
-	// the membership list.
-	WorkerDeparted
 	// WorkersReported: the run of an earlier owner, if there was one, is on none of the
 	// workers where it may have been.
 	WorkersReported
@@ -37,7 +34,7 @@
 
 var endEvidenceNames = [endEvidenceCount]string{
 	"none", "end reported", "start refused", "start fenced", "replaced", "not sent",
-	"restarted", "lease expired", "departed", "workers reported",
+	"restarted", "lease expired", "workers reported",
 }
 
 // String returns the evidence as it appears in logs.
--- a/dispatch/rackoutage.go
+++ b/dispatch/rackoutage.go
@@ -9,6 +9,10 @@
 // rack as a whole is lost.
 const outageWindow = massOutageGrace
 
+// outageRetention is how long an outage is remembered: longer than any worker is waited
+// for after it became unresponsive.
+const outageRetention = 30 * time.Second
+
 // outage records when a worker with certain labels became unresponsive.
 type outage struct {
 	worker string
@@ -18,7 +22,7 @@
 
 // recordOutage records that the worker became unresponsive at the given time.
 func (s *State) recordOutage(w *worker, at time.Time) {
-	s.outages = slices.DeleteFunc(s.outages, func(o outage) bool { return o.worker == w.info.ID || at.Sub(o.at) > s.cfg.InheritedLease })
+	s.outages = slices.DeleteFunc(s.outages, func(o outage) bool { return o.worker == w.info.ID || at.Sub(o.at) > outageRetention })
 	s.outages = append(s.outages, outage{w.info.ID, w.info.Labels, at})
 }
 
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -102,7 +102,15 @@
 // RosterRow is one part of the roster, the list of workers where runs may be
 // alive.
 type RosterRow struct {
-	Workers []runner.Worker `msgpack:"w"`
+	Workers []RosterWorker `msgpack:"w"`
+}
+
+// RosterWorker is a worker on the roster.
+type RosterWorker struct {
+	runner.Worker
+	// LeasedIn is the latest epoch whose owner may have given it a lease or a start, 0
+	// if unknown.
+	LeasedIn uint64 `msgpack:"e,omitempty"`
 }
 
 // progress returns the durable form of the job's progress.
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -11,22 +11,25 @@
 	// run ends; the maximum that the worker protocol allows.
 	longPoll = 2 * time.Second
 	// unflushedPollInterval is the minimum time between two polls of a worker
-	// whose ends aren't durable. It answers such polls at once.
+	// whose ends aren't durable, or whose lease can't be extended yet. It answers such
+	// polls at once.
 	unflushedPollInterval = 500 * time.Millisecond
 )
 
 // RenewalReady reports whether a worker should be polled now: at once if all
-// its ends are durable, at intervals otherwise.
+// its ends are durable and its lease may be extended, at intervals otherwise.
 func (s *State) RenewalReady(now time.Time, id string) bool {
 	w := s.workers[id]
 	if w == nil || !w.inRoster {
 		return false
 	}
-	return w.lastEnd == w.acknowledged || now.Sub(w.polledAt) >= unflushedPollInterval
+	pollAtOnce := w.lastEnd == w.acknowledged && (w.leasable || !w.reported)
+	return pollAtOnce || now.Sub(w.polledAt) >= unflushedPollInterval
 }
 
 // Renewal returns the next renewal for a worker, false if it isn't known. The
-// lease is extended only if extend is set and the worker isn't suspected; the
+// lease is extended only if extend is set, the worker isn't suspected and the durable
+// roster says that this owner may give it leases; the
 // new end of the lease counts from now on, whether the worker answers or not.
 func (s *State) Renewal(now time.Time, id string, extend bool) (runner.Worker, runner.Renewal, bool) {
 	w := s.workers[id]
@@ -34,12 +37,12 @@
 		return runner.Worker{}, runner.Renewal{}, false
 	}
 	o := runner.Renewal{Token: w.token, Acknowledged: w.acknowledged}
-	if extend && !w.suspected {
+	if extend && !w.suspected && w.leasable {
 		// A suspected worker gets no lease: each one sent would delay the time
 		// at which its runs are known to have ended.
 		o.LeaseUntil = s.leaseFor(now, w)
 	}
-	if w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.lastEnd == w.acknowledged {
+	if w.leasable && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.lastEnd == w.acknowledged {
 		o.WaitMS = longPoll.Milliseconds()
 		if colocated, _ := w.colocation(now); colocated.NeedsFrequentPolls() {
 			o.WaitMS = tailWindow.Milliseconds()
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -64,11 +64,21 @@
 		return
 	}
 	w.reported = true
+	s.markLeased(w)
 	w.leaseUntil = max(w.leaseUntil, w.clock+s.cfg.Lease.Milliseconds())
 	delete(s.awaitingReport, w.info.ID)
 	delete(s.inheritedRuns, w.hash)
 }
 
+// markLeased records on the roster that this owner may give the worker leases, which
+// it does once that is durable.
+func (s *State) markLeased(w *worker) {
+	if w.leasedIn != s.cfg.Epoch {
+		w.leasedIn = s.cfg.Epoch
+		s.dirtyRosterParts[w.rosterPart()] = true
+	}
+}
+
 // recordEnds applies and returns the ends that are new.
 func (s *State) recordEnds(now time.Time, w *worker, ends []runner.RunEnd) []runner.RunEnd {
 	var newEnds []runner.RunEnd
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/runner"
@@ -23,6 +26,8 @@
 	epoch uint64
 	// rows holds the committed rows.
 	rows map[string][]byte
+	// earlier tracks until when earlier owners may give orders.
+	earlier *election.EarlierOwners
 	// startedAt is the time at which the workers' clocks start.
 	startedAt time.Time
 	// disabled names the policy mechanisms that are switched off.
@@ -62,7 +67,7 @@
 func (r *rig) startOwner(epoch uint64) {
 	r.epoch = epoch
 	r.state = dispatch.New(dispatch.Config{
-		Epoch: epoch, Lease: 6 * time.Second, InheritedLease: 12 * time.Second, Retention: time.Minute,
+		Epoch: epoch, Lease: 6 * time.Second, Retention: time.Minute,
 		NoCapacityPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Disabled: r.disabled,
 	})
 	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
@@ -72,6 +77,7 @@
 // jobs from the committed rows and inherits the workers of the roster.
 func (r *rig) takeOver(roster ...string) {
 	r.startOwner(r.epoch + 1)
+	r.replaceEarlierOwners()
 	for _, key := range slices.Sorted(maps.Keys(r.rows)) {
 		value := r.rows[key]
 		if !strings.HasPrefix(key, dispatch.JobPrefix) {
@@ -89,11 +95,66 @@
 		}
 		r.state.RestoreJob(r.now, r.now.UnixMilli(), job, progress)
 	}
+	epochs := r.rosterEpochs()
 	for _, id := range roster {
-		r.state.InheritWorker(r.now, workerInfo(id))
+		r.state.InheritWorker(dispatch.RosterWorker{Worker: workerInfo(id), LeasedIn: epochs[id]}, true)
+	}
+}
+
+// ownerValidity is how long a replaced owner may give orders.
+const ownerValidity = 6 * time.Second
+
+// replaceEarlierOwners passes on what the new owner knows of the earlier ones: what the
+// previous owner knew, and that this one may give orders for ownerValidity.
+func (r *rig) replaceEarlierOwners() {
+	now := r.sinceStart()
+	var row election.Record
+	if r.earlier != nil {
+		row.Earlier = r.earlier.List(now)
+	}
+	row.Earlier = append(row.Earlier, election.EarlierOwner{Epoch: r.epoch - 1, OrdersMS: ownerValidity.Milliseconds()})
+	r.earlier = election.NewEarlierOwners(&row, now)
+	r.setEarlierOrders()
+}
+
+// ownerStopped tells the State that the owner of an epoch gives no more orders.
+func (r *rig) ownerStopped(epoch uint64) {
+	r.earlier.Stopped(epoch, r.sinceStart())
+	r.setEarlierOrders()
+}
+
+// setEarlierOrders passes on until when earlier owners may give orders.
+func (r *rig) setEarlierOrders() {
+	var all []dispatch.EarlierOrders
+	for _, e := range r.earlier.List(r.sinceStart()) {
+		all = append(all, dispatch.EarlierOrders{Epoch: e.Epoch, End: r.now.Add(time.Duration(e.OrdersMS) * time.Millisecond)})
 	}
+	r.state.SetEarlierOrders(all)
 }
 
+// rosterEpochs returns, by worker, the latest epoch whose owner may have given it leases
+// according to the committed roster.
+func (r *rig) rosterEpochs() map[string]uint64 {
+	r.t.Helper()
+	epochs := map[string]uint64{}
+	for key, value := range r.rows {
+		if !strings.HasPrefix(key, dispatch.RosterPrefix) {
+			continue
+		}
+		var row dispatch.RosterRow
+		if err := msgpack.Unmarshal(value, &row); err != nil {
+			r.t.Fatal(err)
+		}
+		for _, w := range row.Workers {
+			epochs[w.ID] = w.LeasedIn
+		}
+	}
+	return epochs
+}
+
+// sinceStart returns the time since the workers' clocks started.
+func (r *rig) sinceStart() time.Duration { return r.now.Sub(r.startedAt) }
+
 // worker returns a worker's ID.
 func worker(i int) string { return fmt.Sprintf("w%d", i) }
 
--- a/dispatch/state_test.go
+++ b/dispatch/state_test.go
@@ -293,22 +293,6 @@
 	}
 }
 
-// TestTakeOverOfDepartedWorker checks that a new owner doesn't wait for the
-// leases of a worker that has been missing from the list since the takeover.
-func TestTakeOverOfDepartedWorker(t *testing.T) {
-	r := newRig(t, 2)
-	r.submit(queueShort, "job", step(1, 4, longRunning))
-	first := r.plan()[0]
-	r.flush()
-	r.takeOver(worker(0), worker(1))
-	waited := r.waitForStart(first.Worker.ID, func() {
-		r.state.SetMembers(r.now, []runner.Worker{workerInfo(otherWorker(first.Worker.ID))})
-	})
-	if waited < 2*time.Second || waited > 3*time.Second {
-		t.Errorf("started after %v, want 2 to 3 s, when the worker counts as departed", waited)
-	}
-}
-
 // TestCapacityReservedOnlyWhereItFrees checks that no capacity is reserved for
 // a large task on a worker that long-running tasks keep full.
 func TestCapacityReservedOnlyWhereItFrees(t *testing.T) {
@@ -354,7 +338,7 @@
 	r.flush()
 	r.takeOver(worker(0), worker(1))
 	r.members(2)
-	r.state.EarlierOrdersEnd(r.now)
+	r.ownerStopped(1)
 	waited := r.waitForStart(first.Worker.ID, func() {})
 	if waited < 6*time.Second || waited > 7*time.Second {
 		t.Errorf("started after %v, want just over the lease of 6 s", waited)
--- a/dispatch/unlisted_test.go
+++ b/dispatch/unlisted_test.go
@@ -34,7 +34,7 @@
 	first := r.plan()[0]
 	r.flush()
 	r.takeOver(worker(0), worker(1))
-	r.state.EarlierOrdersEnd(r.now)
+	r.ownerStopped(1)
 	waited := r.waitForStart(first.Worker.ID, func() {
 		r.state.SetMembers(r.now, []runner.Worker{workerInfo(otherWorker(first.Worker.ID))})
 	})
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -24,8 +24,6 @@
 	// knownSince is when this owner first saw it on the list, zero for a worker of an
 	// earlier owner.
 	knownSince time.Time
-	// missingSince is when the list first lacked it, zero while it is there.
-	missingSince time.Time
 	// inRoster is set once the durable roster includes the worker. It gets no
 	// orders before, so that a later owner knows where runs may be alive.
 	inRoster bool
@@ -41,6 +39,11 @@
 	// leaseUntil is the latest end, on the worker's own clock, of a lease that any
 	// order sent can give.
 	leaseUntil int64
+	// leasedIn is the latest epoch whose owner may have given it a lease or a start,
+	// according to the roster as it will be written next; 0 if unknown. An owner gives it
+	// none before leasable is set: the durable roster then holds its own epoch.
+	leasedIn uint64
+	leasable bool
 	// inheritedUntil is when all leases from an earlier owner have expired.
 	inheritedUntil time.Time
 	free           infra.Resources
--- a/dispatch/workerloss.go
+++ b/dispatch/workerloss.go
@@ -15,15 +15,13 @@
 const (
 	// Restarted: another incarnation answered at the worker's address.
 	Restarted LossCause = iota
-	// LeaseExpired: the worker was unresponsive until its lease expired.
+	// LeaseExpired: the worker was unresponsive until its lease expired, or didn't
+	// report to this owner until the leases from earlier owners had.
 	LeaseExpired
-	// Departed: a worker of an earlier owner was missing from the membership list
-	// and never reported.
-	Departed
 	lossCauseCount
 )
 
-var lossCauseNames = [lossCauseCount]string{"restarted", "lease expired", "departed"}
+var lossCauseNames = [lossCauseCount]string{"restarted", "lease expired"}
 
 // String returns the cause as it appears in logs and metrics.
 func (c LossCause) String() string {
@@ -35,14 +33,10 @@
 
 // evidence returns the cause as evidence that a run is over.
 func (c LossCause) evidence() EndEvidence {
-	switch c {
-	case Restarted:
+	if c == Restarted {
 		return WorkerRestarted
-	case LeaseExpired:
-		return WorkerLeaseExpired
-	default:
-		return WorkerDeparted
 	}
+	return WorkerLeaseExpired
 }
 
 // WorkerLoss describes the loss of a worker and of the runs there.
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -23,11 +23,12 @@
 }
 
 // Acquire commits an owner's row for self in the epoch after that of previous,
-// and returns the Committer of the new owner. The row lists the earlier owners
-// that may still give orders. previous and version are the
+// and returns the Committer of the new owner. The row lists the earlier
+// owners. previous and version are the
 // results of Read; if the row has changed since, Acquire returns ErrDeposed.
 func Acquire(ctx context.Context, table infra.Table, self, previous Record, version uint64) (*Committer, error) {
 	self.Epoch, self.Seq, self.Resigned = previous.Epoch+1, 0, false
+	self.RosterEpochs = true
 	self.Earlier = earlierOwners(&previous, &self)
 	c := NewCommitter(table, self, version)
 	if err := c.Commit(ctx, nil); err != nil {
--- a/election/committer.go
+++ b/election/committer.go
@@ -74,8 +74,7 @@
 	c.record.Cores = cores
 }
 
-// SetEarlier sets the earlier owners that later commits list as those that may
-// still give orders.
+// SetEarlier sets the earlier owners that later commits list.
 func (c *Committer) SetEarlier(earlier []EarlierOwner) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/election/earlierowner.go
+++ b/election/earlierowner.go
@@ -14,8 +14,12 @@
 // maxClockDrift is how much slower than another host's the clock of a host may run.
 const maxClockDrift = 0.02
 
-// EarlierOwner is an owner that was replaced and may still give orders, since it
-// may not know of its replacement.
+// leaseRetention is how long an owner that has stopped stays listed. It exceeds every
+// lease, so that later owners know until when those that it gave may last.
+const leaseRetention = 20 * time.Second
+
+// EarlierOwner is an owner that was replaced. It may still give orders, since it may
+// not know of its replacement, or leases that it gave may not be over.
 type EarlierOwner struct {
 	// Host is the owner's name, Address its address for peers.
 	Host    string `msgpack:"h"`
@@ -24,25 +28,34 @@
 	Incarnation string `msgpack:"i"`
 	Epoch       uint64 `msgpack:"e"`
 	// OrdersMS bounds how long after the commit of the row that lists it the owner
-	// may give orders, in milliseconds.
+	// may give orders, in milliseconds. It is negative or 0 if the owner had stopped
+	// that long before.
 	OrdersMS int64 `msgpack:"m"`
 }
 
-// earlierOwners returns the owners that may still give orders once self has replaced
-// the owner of the row previous: those that the row lists and its own owner. An
-// owner that has resigned gives no more orders. Neither does an earlier owner of
-// the same process, nor one at the same address, whose process has terminated.
+// Stopped reports whether the owner gives no more orders.
+func (e *EarlierOwner) Stopped() bool { return e.OrdersMS <= 0 }
+
+// earlierOwners returns the owners that a row lists by which self replaces the owner
+// of the row previous: those of that row and its own owner. An owner that has resigned
+// gives no more orders. Neither does an earlier owner of the same process, nor one at
+// the same address, whose process has terminated.
 func earlierOwners(previous, self *Record) []EarlierOwner {
 	all := slices.Clone(previous.Earlier)
-	if previous.Host != "" && !previous.Resigned {
+	if previous.Host != "" {
 		all = append(all, EarlierOwner{
 			Host: previous.Host, Address: previous.Address, Incarnation: previous.Incarnation, Epoch: previous.Epoch,
 			OrdersMS: withDrift(Validity).Milliseconds(),
 		})
 	}
-	return slices.DeleteFunc(all, func(e EarlierOwner) bool {
-		return e.Incarnation == self.Incarnation || (e.Address != "" && e.Address == self.Address)
-	})
+	for i := range all {
+		e := &all[i]
+		resigned := previous.Resigned && e.Epoch == previous.Epoch
+		if resigned || e.Incarnation == self.Incarnation || (e.Address != "" && e.Address == self.Address) {
+			e.OrdersMS = min(e.OrdersMS, 0)
+		}
+	}
+	return all
 }
 
 // withDrift returns the longest time that passes here while d passes on another
--- a/election/earlierowners.go
+++ b/election/earlierowners.go
@@ -1,20 +1,19 @@
 package election
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
 
-// EarlierOwners tracks the owners before the current one that may still give
-// orders. Times are readings of one clock that also counts while the process
+// EarlierOwners tracks until when the owners before the current one may give orders.
+// Times are readings of one clock that also counts while the process
 // stands still. EarlierOwners is safe for concurrent use.
 type EarlierOwners struct {
 	mu      sync.Mutex
 	pending []pendingOwner
 }
 
-// pendingOwner is an owner that may give orders until a time.
+// pendingOwner is an owner that gives no orders after a time.
 type pendingOwner struct {
 	EarlierOwner
 	until time.Duration
@@ -30,39 +29,37 @@
 	return e
 }
 
-// Pending returns the owners that may still give orders, with the time that each
-// has left.
-func (e *EarlierOwners) Pending(now time.Duration) []EarlierOwner {
+// List returns the owners as a row lists them whose commit begins at now.
+func (e *EarlierOwners) List(now time.Duration) []EarlierOwner {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var all []EarlierOwner
 	for _, p := range e.pending {
-		if p.until > now {
-			p.OrdersMS = (p.until - now).Milliseconds() + 1 // rounded up
-			all = append(all, p.EarlierOwner)
+		left := p.until - now
+		if left <= -leaseRetention {
+			continue
 		}
+		if left > 0 {
+			left += time.Millisecond // rounded up
+		} else {
+			left = time.Duration(float64(left) * (1 - maxClockDrift))
+		}
+		p.OrdersMS = left.Milliseconds()
+		all = append(all, p.EarlierOwner)
 	}
 	return all
 }
 
-// Stopped records that the owner of an epoch gives no more orders. It returns
+// Stopped records that the owner of an epoch gives no orders after now. It returns
 // false if that was known.
-func (e *EarlierOwners) Stopped(epoch uint64) bool {
+func (e *EarlierOwners) Stopped(epoch uint64, now time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	before := len(e.pending)
-	e.pending = slices.DeleteFunc(e.pending, func(p pendingOwner) bool { return p.Epoch == epoch })
-	return len(e.pending) < before
-}
-
-// OrdersEnd returns the time until which any of the owners may give orders, at
-// least now.
-func (e *EarlierOwners) OrdersEnd(now time.Duration) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	end := now
-	for _, p := range e.pending {
-		end = max(end, p.until)
+	for i := range e.pending {
+		if p := &e.pending[i]; p.Epoch == epoch && p.until > now {
+			p.until = now
+			return true
+		}
 	}
-	return end
+	return false
 }
--- a/election/earlierowners_test.go
+++ b/election/earlierowners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,16 +26,26 @@
 	return c
 }
 
-// expectEarlier checks the epochs of the earlier owners that a row lists.
+// expectEarlier checks the epochs of the earlier owners that a row lists as those that
+// may give orders.
 func expectEarlier(t *testing.T, c *election.Committer, want ...uint64) {
 	t.Helper()
 	row := c.Record()
-	ok := len(row.Earlier) == len(want)
-	for i := 0; ok && i < len(want); i++ {
-		ok = row.Earlier[i].Epoch == want[i] && row.Earlier[i].OrdersMS >= election.Validity.Milliseconds()
+	var got []uint64
+	for _, e := range row.Earlier {
+		switch {
+		case e.Stopped():
+		case e.OrdersMS < election.Validity.Milliseconds():
+			t.Errorf("epoch %d lists epoch %d for %d ms, want %v or more", row.Epoch, e.Epoch, e.OrdersMS, election.Validity)
+		default:
+			got = append(got, e.Epoch)
+		}
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("epoch %d lists the epochs %v, want %v", row.Epoch, got, want)
 	}
-	if !ok {
-		t.Errorf("epoch %d lists %+v, want the epochs %v for at least %v each", row.Epoch, row.Earlier, want, election.Validity)
+	if uint64(len(row.Earlier)) != row.Epoch-1 {
+		t.Errorf("epoch %d lists %d earlier owners, want all %d, as leases of theirs may last", row.Epoch, len(row.Earlier), row.Epoch-1)
 	}
 }
 
@@ -49,9 +60,9 @@
 	expectEarlier(t, acquireAs(t, table, "a", "a1"), 3, 4) // so has the ownership of this process
 }
 
-// TestResignedOwnerIsNotListed checks that a successor doesn't wait for orders of an
+// TestResignedOwnerIsNotWaitedFor checks that a successor doesn't wait for orders of an
 // owner that has resigned, but for those of the owners before it.
-func TestResignedOwnerIsNotListed(t *testing.T) {
+func TestResignedOwnerIsNotWaitedFor(t *testing.T) {
 	table := memtable.New()
 	acquireAs(t, table, "a", "a1")
 	b := acquireAs(t, table, "b", "b1")
@@ -61,32 +72,37 @@
 	expectEarlier(t, acquireAs(t, table, "c", "c1"), 1)
 }
 
-// TestEarlierOwnersRunOut checks until when earlier owners count as giving orders,
-// also in the row that a successor reads.
+// TestEarlierOwnersRunOut checks until when earlier owners count as giving orders, also
+// at a successor that reads their row.
 func TestEarlierOwnersRunOut(t *testing.T) {
 	row := &election.Record{Earlier: []election.EarlierOwner{{Epoch: 1, OrdersMS: 4000}, {Epoch: 2, OrdersMS: 9000}}}
 	e := election.NewEarlierOwners(row, time.Minute)
-	steps := []struct {
-		after   time.Duration
-		stopped uint64
-		pending int
-		end     time.Duration
-	}{
-		{0, 0, 2, 9 * time.Second},
-		{4 * time.Second, 0, 1, 9 * time.Second},
-		{5 * time.Second, 2, 0, 5 * time.Second},
+	if !e.Stopped(2, time.Minute+5*time.Second) || e.Stopped(2, time.Minute+6*time.Second) {
+		t.Error("an owner has to stop once")
 	}
-	for _, s := range steps {
-		now := time.Minute + s.after
-		e.Stopped(s.stopped)
-		pending := e.Pending(now)
-		if len(pending) != s.pending || e.OrdersEnd(now) != time.Minute+s.end {
-			t.Errorf("after %v: %+v, orders end after %v; want %d owners, %v", s.after, pending, e.OrdersEnd(now)-time.Minute, s.pending, s.end)
-		}
-		for _, p := range pending {
-			if left := time.Minute + s.end - now; p.OrdersMS < left.Milliseconds() && p.Epoch == 2 {
-				t.Errorf("after %v: epoch %d has %d ms left, want %v or more", s.after, p.Epoch, p.OrdersMS, left)
+	for _, s := range []struct {
+		after time.Duration
+		want  []time.Duration // end of orders, by epoch
+	}{
+		{0, []time.Duration{4 * time.Second, 5 * time.Second}},
+		{8 * time.Second, []time.Duration{-4 * time.Second, -3 * time.Second}},
+		{24500 * time.Millisecond, []time.Duration{-19500 * time.Millisecond}},
+	} {
+		list := e.List(time.Minute + s.after)
+		list = list[:min(len(list), len(s.want))]
+		for i, want := range s.want {
+			if i >= len(list) {
+				t.Errorf("after %v: %d owners, want %d or more", s.after, len(list), len(s.want))
+				break
+			}
+			// A successor may count them as giving orders for longer, not for less long.
+			got := time.Duration(list[i].OrdersMS) * time.Millisecond
+			if got < want || got > want+want.Abs()/40+time.Millisecond {
+				t.Errorf("after %v: epoch %d stops in %v, want %v or slightly more", s.after, list[i].Epoch, got, want)
 			}
 		}
 	}
+	if list := e.List(time.Minute + 26*time.Second); len(list) != 0 {
+		t.Errorf("after 26 s: %+v is listed, want nobody", list)
+	}
 }
--- a/election/record.go
+++ b/election/record.go
@@ -26,7 +26,11 @@
 	HandedOver bool `msgpack:"o,omitempty"`
 	// Resigned is set by an owner that has stopped giving orders.
 	Resigned bool `msgpack:"r,omitempty"`
-	// Earlier lists the owners before this one that may still give orders.
+	// RosterEpochs is set by an owner that keeps on the roster in which epochs workers
+	// got leases.
+	RosterEpochs bool `msgpack:"l,omitempty"`
+	// Earlier lists the owners before this one that may still give orders, or leases of
+	// which may last.
 	Earlier []EarlierOwner `msgpack:"p,omitempty"`
 }
 
