dispatch, control: a lease that is over counts once a later commit is applied

Callers saw one task run on two workers, or again after it had ended.

Cause: an owner that can't commit gives orders for 20 s after its last commit. It took a worker that didn't answer, or that refused its token, as lost one lease after its last renewal, and started that worker's tasks again where the store named no location for them. Silence says nothing about a worker that a successor reaches: the successor may have renewed the lease, or stored the task's end. The same held for the wait at an inherited worker.

Ruled out as the cause: the successor's own wait (it did nothing wrong in the test: it polls the worker and renews); tasks whose location is stored (they wait for a commit anyway); starts after a crash within 10 s (held until their location is stored, which a replaced owner never achieves).

Changed: such a lapse ends runs, and the wait of inherited tasks, only once a commit is applied that began after the owner found the lease over. A commit is applied only while nobody has replaced the owner, so no successor can have renewed the lease before, and afterwards there is nothing left to renew. The commit's start is read by time.Now, the clock of all times in dispatch, before the commit is handed over, so a process that stands still in between makes the reading older and never newer. The commit begins in the cycle that finds the lease over, not with the next heartbeat. An awaited worker that is off the list leaves that wait only in ExpireLeases, no longer when a list is applied.

Rigs: where rig.plan and rig.flush stand for the loop, they now commit the owner's row when the State awaits that, as control does within the same cycle; the random simulation's commits confirm with the time at which they began.

--- a/control/commit.go
+++ b/control/commit.go
@@ -14,7 +14,8 @@
 // are committed at once if a caller waits, else flushDelay after the previous
 // commit. All changes are committed once some have existed for flushDelay plus
 // half the poll interval. The owner's row, which is part of every commit, is
-// committed at least every heartbeatInterval.
+// committed at least every heartbeatInterval, and at once if the state awaits a
+// confirmation of the ownership.
 func (o *Owner) flush(now time.Time) {
 	if o.committing || o.resigning {
 		return
@@ -27,7 +28,8 @@
 	heartbeatDue := now.Sub(o.lastCommit) >= heartbeatInterval
 	flushAll := !o.dirtySince.IsZero() && now.Sub(o.dirtySince) >= flushDelay+o.traffic.PollInterval(now)/2
 	flushUrgent := now.Sub(o.lastCommit) >= flushDelay && o.state.HasUrgentChanges()
-	if !heartbeatDue && !flushAll && !flushUrgent && len(o.waiters) == 0 {
+	rowDue := heartbeatDue || o.state.AwaitsConfirmation()
+	if !rowDue && !flushAll && !flushUrgent && len(o.waiters) == 0 {
 		return
 	}
 	collect := o.state.FlushUrgent
@@ -38,7 +40,7 @@
 	if err != nil {
 		panic("control: can't encode state: " + err.Error())
 	}
-	if len(b.Writes) == 0 && !heartbeatDue {
+	if len(b.Writes) == 0 && !rowDue {
 		o.state.MarkFlushed(b)
 		return
 	}
@@ -52,7 +54,7 @@
 // replies to waiters and runs afterCommit. If the commit fails, as it does when
 // the owner has been deposed, the owner quits.
 func (o *Owner) commit(b *dispatch.Batch) {
-	start := boottime()
+	start, began := boottime(), time.Now()
 	best, _ := o.candidates.Strongest(start)
 	o.committer.SetCores(max(best, o.opts.Cores))
 	err := o.committer.Commit(o.ctx, b.Writes)
@@ -64,6 +66,7 @@
 	o.recordCommit(start)
 	o.post(func() {
 		o.committing = false
+		o.state.ConfirmOwnership(began)
 		o.state.MarkFlushed(b)
 		o.notifyDurable()
 		if f := o.afterCommit; f != nil {
--- a/control/owner.go
+++ b/control/owner.go
@@ -193,6 +193,10 @@
 		o.requestPermits(now)
 		at = o.loop.add(issuingOrders, at)
 	}
+	if o.state.AwaitsConfirmation() {
+		o.flush(now) // a task that starts again waits for this commit
+		at = o.loop.add(flushing, at)
+	}
 	o.pollWorkers(now)
 	at = o.loop.add(polling, at)
 	o.summarize(now)
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -37,13 +37,14 @@
 
 // refresh commits the owner's row alone, unless another commit is in flight.
 func (o *Owner) refresh() error {
-	start := boottime()
+	start, began := boottime(), time.Now()
 	tried, err := o.committer.Refresh(o.ctx)
 	if tried {
 		o.opts.Metrics.commit(err, boottime()-start)
 	}
 	if tried && err == nil {
 		o.recordCommit(start)
+		o.post(func() { o.state.ConfirmOwnership(began) })
 	}
 	return err
 }
--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -236,7 +236,8 @@
 
 // commit flushes changes and makes them durable after a delay.
 func (s *faultSim) commit() {
-	if s.committing || !s.state.HasUnflushedChanges() || s.now.Before(s.storeDownUntil) {
+	due := s.state.HasUnflushedChanges() || s.state.AwaitsConfirmation()
+	if s.committing || !due || s.now.Before(s.storeDownUntil) {
 		return
 	}
 	b, err := s.state.Flush(s.now, 98)
@@ -244,13 +245,13 @@
 		s.t.Fatal(err)
 	}
 	s.committing = true
-	state := s.state
+	state, began := s.state, s.now
 	s.after(s.between(0, 3*testTick), func() {
 		if s.state != state {
 			return // the owner was replaced meanwhile
 		}
 		s.committing = false
-		s.apply(b)
+		s.applyCommit(b, began)
 	})
 }
 
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -143,14 +143,13 @@
 func (s *State) HasWorker(id string) bool { return s.workers[id] != nil }
 
 // removeIfExpired removes an unlisted worker, also from the roster, once no run
-// can be alive there.
+// can be alive there. Inherited tasks may wait for it until then.
 func (s *State) removeIfExpired(w *worker, now time.Time) {
-	if w.listed || len(w.runs) > 0 || !w.leaseExpired(now) {
+	if w.listed || len(w.runs) > 0 || s.awaitingReport[w.info.ID] != nil || !w.leaseExpired(now) {
 		return
 	}
 	delete(s.workers, w.info.ID)
 	s.sortedWorkers = nil
-	delete(s.awaitingReport, w.info.ID)
 	s.dirtyRosterParts[w.rosterPart()] = true
 }
 
@@ -193,7 +192,8 @@
 }
 
 // ExpireLeases ends the runs of suspected workers whose leases have expired,
-// and removes workers that have departed.
+// and removes workers that have departed. An expired lease counts only once the
+// ownership was confirmed since: until then, a successor may have renewed it.
 func (s *State) ExpireLeases(now time.Time) {
 	for id, w := range s.workers {
 		if w.departed(now) {
@@ -201,13 +201,15 @@
 			continue
 		}
 		if !w.leaseExpired(now) {
+			w.leaseOverAt = time.Time{}
 			continue
 		}
 		unreported := s.awaitingReport[id] != nil && !w.reported
-		if unreported {
-			delete(s.awaitingReport, id)
-		}
 		if unreported || (w.suspected && len(w.runs) > 0) {
+			if !s.leaseOver(now, w) {
+				continue
+			}
+			delete(s.awaitingReport, id)
 			s.dropLostRuns(now, w, LeaseExpired)
 		}
 		s.removeIfExpired(w, now)
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -55,7 +55,7 @@
 		return 0
 	}
 	until := w.clockLowerBound(now) + s.cfg.Lease.Milliseconds()
-	w.leaseUntil = max(w.leaseUntil, until)
+	w.extendLease(until)
 	return until
 }
 
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -64,7 +64,7 @@
 		return
 	}
 	w.reported = true
-	w.leaseUntil = max(w.leaseUntil, w.clock+s.cfg.Lease.Milliseconds())
+	w.extendLease(w.clock + s.cfg.Lease.Milliseconds())
 	delete(s.awaitingReport, w.info.ID)
 	delete(s.inheritedRuns, w.hash)
 }
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -115,10 +115,10 @@
 	r.flush()
 }
 
-// flush commits all changes.
+// flush commits all changes, and the owner's row alone if the State awaits only that.
 func (r *rig) flush() {
 	r.t.Helper()
-	for r.state.HasUnflushedChanges() {
+	for r.state.HasUnflushedChanges() || r.state.AwaitsConfirmation() {
 		b, err := r.state.Flush(r.now, 98)
 		if err != nil {
 			r.t.Fatal(err)
@@ -127,8 +127,11 @@
 	}
 }
 
-// apply commits a batch.
-func (r *rig) apply(b *dispatch.Batch) {
+// apply commits a batch at once.
+func (r *rig) apply(b *dispatch.Batch) { r.applyCommit(b, r.now) }
+
+// applyCommit applies a commit of a batch that began at the given time.
+func (r *rig) applyCommit(b *dispatch.Batch, began time.Time) {
 	for _, w := range b.Writes {
 		if w.Delete {
 			delete(r.rows, w.Key)
@@ -136,6 +139,7 @@
 			r.rows[w.Key] = w.Value
 		}
 	}
+	r.state.ConfirmOwnership(began)
 	r.state.MarkFlushed(b)
 }
 
@@ -201,13 +205,18 @@
 // longRunning marks a step's tasks as long-running.
 func longRunning(s *workload.Step) { s.LongRunning = true }
 
-// plan plans, answers every start with success and returns the starts.
+// plan plans, answers every start with success and returns the starts. If the State
+// awaits a confirmation, plan commits the owner's row and plans once more.
 func (r *rig) plan() []dispatch.StartOrder {
-	p := r.state.Plan(r.now)
-	for _, o := range p.Starts {
+	starts := r.state.Plan(r.now).Starts
+	if r.state.AwaitsConfirmation() {
+		r.state.ConfirmOwnership(r.now)
+		starts = append(starts, r.state.Plan(r.now).Starts...)
+	}
+	for _, o := range starts {
 		r.state.HandleStartAnswer(r.now, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()})
 	}
-	return p.Starts
+	return starts
 }
 
 // end returns the end of a started run.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -50,6 +50,8 @@
 	// holds what TakeJobOutcomes returns next.
 	attributedAt time.Time
 	outcomes     []JobOutcome
+	// confirmation tracks the commits that were applied.
+	confirmation confirmation
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
 	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -41,6 +41,9 @@
 	// leaseUntil is the latest end, on the worker's own clock, of a lease that any
 	// order sent can give.
 	leaseUntil int64
+	// leaseOverAt is when its leases were found to be over, zero if they weren't since
+	// the last was given.
+	leaseOverAt time.Time
 	// inheritedUntil is when all leases from an earlier owner have expired.
 	inheritedUntil time.Time
 	free           infra.Resources
@@ -98,6 +101,11 @@
 	}
 }
 
+// extendLease records a lease that an order gives, or may have given.
+func (w *worker) extendLease(until int64) {
+	w.leaseUntil, w.leaseOverAt = max(w.leaseUntil, until), time.Time{}
+}
+
 // leaseExpired reports whether no run can be alive at the worker unless its
 // lease is renewed.
 func (w *worker) leaseExpired(now time.Time) bool {
