--- a/dispatch/leasedin_test.go
+++ b/dispatch/leasedin_test.go
@@ -69,13 +69,14 @@
 	}
 	r.flush()
 	r.advance(6 * time.Second)
-	r.state.ExpireLeases(r.now)
 	r.state.SetMembers(r.now, nil)
+	r.plan()
 	if !r.state.HasWorker(worker(0)) {
 		t.Error("the worker was given up while a lease of epoch 2 may last")
 	}
 	r.advance(time.Second)
-	r.state.ExpireLeases(r.now)
+	r.plan()
+	r.flush()
 	if r.state.HasWorker(worker(0)) {
 		t.Error("the worker wasn't given up after all leases")
 	}
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -164,18 +164,22 @@
 }
 
 // ExpireLeases ends the runs of workers that are suspected, or haven't reported to
-// this owner, and whose leases have expired. A worker that is missing from the
-// membership list may be cut off from the table service and go on under its lease.
+// this owner, and whose leases have expired. An expired lease counts only once the
+// ownership was confirmed since: until then, a successor may have renewed it. A worker
+// that is missing from the membership list may be cut off from the table service and
+// go on under its lease.
 func (s *State) ExpireLeases(now time.Time) {
 	for id, w := range s.workers {
 		if !w.leaseExpired(now) {
+			w.leaseOverAt = time.Time{}
 			continue
 		}
 		unreported := s.awaitingReport[id] != nil && !w.reported
-		if unreported {
-			delete(s.awaitingReport, id)
-		}
 		if unreported || (w.suspected && len(w.runs) > 0) {
+			if !s.leaseOver(now, w) {
+				continue
+			}
+			delete(s.awaitingReport, id)
 			s.dropLostRuns(now, w, LeaseExpired)
 		}
 		s.removeIfExpired(w, now)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -65,7 +65,7 @@
 	}
 	w.reported = true
 	s.markLeased(w)
-	w.leaseUntil = max(w.leaseUntil, w.clock+s.cfg.Lease.Milliseconds())
+	w.extendLease(w.clock + s.cfg.Lease.Milliseconds())
 	delete(s.awaitingReport, w.info.ID)
 	delete(s.inheritedRuns, w.hash)
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -39,6 +39,9 @@
 	// leaseUntil is the latest end, on the worker's own clock, of a lease that any
 	// order sent can give.
 	leaseUntil int64
+	// leaseOverAt is when its leases were found to be over, zero if they weren't since
+	// the last was given.
+	leaseOverAt time.Time
 	// leasedIn is the latest epoch whose owner may have given it a lease or a start,
 	// according to the roster as it will be written next; 0 if unknown. An owner gives it
 	// none before leasable is set: the durable roster then holds its own epoch.
@@ -101,6 +104,11 @@
 	}
 }
 
+// extendLease records a lease that an order gives, or may have given.
+func (w *worker) extendLease(until int64) {
+	w.leaseUntil, w.leaseOverAt = max(w.leaseUntil, until), time.Time{}
+}
+
 // leaseExpired reports whether no run can be alive at the worker unless its
 // lease is renewed.
 func (w *worker) leaseExpired(now time.Time) bool {
