--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -3,14 +3,12 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
@@ -199,23 +197,12 @@
 
 // replaceOwner makes a new owner take over with the committed rows.
 func (s *faultSim) replaceOwner() {
-	var roster []string
-	for key, value := range s.rows {
-		if !strings.HasPrefix(key, dispatch.RosterPrefix) {
-			continue
-		}
-		var row dispatch.RosterRow
-		if err := msgpack.Unmarshal(value, &row); err != nil {
-			s.t.Fatal(err)
-		}
-		for _, w := range row.Workers {
-			roster = append(roster, w.ID)
-		}
-	}
+	roster := slices.Collect(maps.Keys(s.rosterEpochs()))
 	slices.Sort(roster)
 	s.committing = false
 	clear(s.polling)
 	s.takeOver(roster...)
+	s.ownerStopped(s.epoch - 1) // its process has terminated
 }
 
 // updateMembers passes the membership list to the owner.
@@ -236,7 +223,8 @@
 
 // commit flushes changes and makes them durable after a delay.
 func (s *faultSim) commit() {
-	if s.committing || !s.state.HasUnflushedChanges() || s.now.Before(s.storeDownUntil) {
+	due := s.state.HasUnflushedChanges() || s.state.AwaitsConfirmation()
+	if s.committing || !due || s.now.Before(s.storeDownUntil) {
 		return
 	}
 	b, err := s.state.Flush(s.now, 98)
@@ -244,13 +232,13 @@
 		s.t.Fatal(err)
 	}
 	s.committing = true
-	state := s.state
+	state, began := s.state, s.now
 	s.after(s.between(0, 3*testTick), func() {
 		if s.state != state {
 			return // the owner was replaced meanwhile
 		}
 		s.committing = false
-		s.apply(b)
+		s.applyCommit(b, began)
 	})
 }
 
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/runner"
@@ -23,6 +26,8 @@
 	epoch uint64
 	// rows holds the committed rows.
 	rows map[string][]byte
+	// earlier tracks until when earlier owners may give orders.
+	earlier *election.EarlierOwners
 	// startedAt is the time at which the workers' clocks start.
 	startedAt time.Time
 	// disabled names the policy mechanisms that are switched off.
@@ -62,7 +67,7 @@
 func (r *rig) startOwner(epoch uint64) {
 	r.epoch = epoch
 	r.state = dispatch.New(dispatch.Config{
-		Epoch: epoch, Lease: 6 * time.Second, InheritedLease: 12 * time.Second, Retention: time.Minute,
+		Epoch: epoch, Lease: 6 * time.Second, Retention: time.Minute,
 		NoCapacityPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Disabled: r.disabled,
 	})
 	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
@@ -72,6 +77,7 @@
 // jobs from the committed rows and inherits the workers of the roster.
 func (r *rig) takeOver(roster ...string) {
 	r.startOwner(r.epoch + 1)
+	r.replaceEarlierOwners()
 	for _, key := range slices.Sorted(maps.Keys(r.rows)) {
 		value := r.rows[key]
 		if !strings.HasPrefix(key, dispatch.JobPrefix) {
@@ -89,11 +95,66 @@
 		}
 		r.state.RestoreJob(r.now, r.now.UnixMilli(), job, progress)
 	}
+	epochs := r.rosterEpochs()
 	for _, id := range roster {
-		r.state.InheritWorker(r.now, workerInfo(id))
+		r.state.InheritWorker(dispatch.RosterWorker{Worker: workerInfo(id), LeasedIn: epochs[id]}, true)
+	}
+}
+
+// ownerValidity is how long a replaced owner may give orders.
+const ownerValidity = 6 * time.Second
+
+// replaceEarlierOwners passes on what the new owner knows of the earlier ones: what the
+// previous owner knew, and that this one may give orders for ownerValidity.
+func (r *rig) replaceEarlierOwners() {
+	now := r.sinceStart()
+	var row election.Record
+	if r.earlier != nil {
+		row.Earlier = r.earlier.List(now)
+	}
+	row.Earlier = append(row.Earlier, election.EarlierOwner{Epoch: r.epoch - 1, OrdersMS: ownerValidity.Milliseconds()})
+	r.earlier = election.NewEarlierOwners(&row, now)
+	r.setEarlierOrders()
+}
+
+// ownerStopped tells the State that the owner of an epoch gives no more orders.
+func (r *rig) ownerStopped(epoch uint64) {
+	r.earlier.Stopped(epoch, r.sinceStart())
+	r.setEarlierOrders()
+}
+
+// setEarlierOrders passes on until when earlier owners may give orders.
+func (r *rig) setEarlierOrders() {
+	var all []dispatch.EarlierOrders
+	for _, e := range r.earlier.List(r.sinceStart()) {
+		all = append(all, dispatch.EarlierOrders{Epoch: e.Epoch, End: r.now.Add(time.Duration(e.OrdersMS) * time.Millisecond)})
+	}
+	r.state.SetEarlierOrders(all)
+}
+
+// rosterEpochs returns, by worker, the latest epoch whose owner may have given it leases
+// according to the committed roster.
+func (r *rig) rosterEpochs() map[string]uint64 {
+	r.t.Helper()
+	epochs := map[string]uint64{}
+	for key, value := range r.rows {
+		if !strings.HasPrefix(key, dispatch.RosterPrefix) {
+			continue
+		}
+		var row dispatch.RosterRow
+		if err := msgpack.Unmarshal(value, &row); err != nil {
+			r.t.Fatal(err)
+		}
+		for _, w := range row.Workers {
+			epochs[w.ID] = w.LeasedIn
+		}
 	}
+	return epochs
 }
 
+// sinceStart returns the time since the workers' clocks started.
+func (r *rig) sinceStart() time.Duration { return r.now.Sub(r.startedAt) }
+
 // worker returns a worker's ID.
 func worker(i int) string { return fmt.Sprintf("w%d", i) }
 
@@ -115,10 +176,10 @@
 	r.flush()
 }
 
-// flush commits all changes.
+// flush commits all changes, and the owner's row alone if the State awaits only that.
 func (r *rig) flush() {
 	r.t.Helper()
-	for r.state.HasUnflushedChanges() {
+	for r.state.HasUnflushedChanges() || r.state.AwaitsConfirmation() {
 		b, err := r.state.Flush(r.now, 98)
 		if err != nil {
 			r.t.Fatal(err)
@@ -127,8 +188,11 @@
 	}
 }
 
-// apply commits a batch.
-func (r *rig) apply(b *dispatch.Batch) {
+// apply commits a batch at once.
+func (r *rig) apply(b *dispatch.Batch) { r.applyCommit(b, r.now) }
+
+// applyCommit applies a commit of a batch that began at the given time.
+func (r *rig) applyCommit(b *dispatch.Batch, began time.Time) {
 	for _, w := range b.Writes {
 		if w.Delete {
 			delete(r.rows, w.Key)
@@ -136,6 +200,7 @@
 			r.rows[w.Key] = w.Value
 		}
 	}
+	r.state.ConfirmOwnership(began)
 	r.state.MarkFlushed(b)
 }
 
@@ -201,13 +266,18 @@
 // longRunning marks a step's tasks as long-running.
 func longRunning(s *workload.Step) { s.LongRunning = true }
 
-// plan plans, answers every start with success and returns the starts.
+// plan plans, answers every start with success and returns the starts. If the State
+// awaits a confirmation, plan commits the owner's row and plans once more.
 func (r *rig) plan() []dispatch.StartOrder {
-	p := r.state.Plan(r.now)
-	for _, o := range p.Starts {
+	starts := r.state.Plan(r.now).Starts
+	if r.state.AwaitsConfirmation() {
+		r.state.ConfirmOwnership(r.now)
+		starts = append(starts, r.state.Plan(r.now).Starts...)
+	}
+	for _, o := range starts {
 		r.state.HandleStartAnswer(r.now, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()})
 	}
-	return p.Starts
+	return starts
 }
 
 // end returns the end of a started run.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -23,7 +23,9 @@
 	// awaitingReport holds the inherited workers that may have runs of
 	// inherited jobs and haven't reported yet.
 	awaitingReport map[string]*worker
-	nextRun        uint64
+	// earlierOrders tells until when earlier owners may give orders.
+	earlierOrders []EarlierOrders
+	nextRun       uint64
 	// topToken is the highest fencing token given to any worker.
 	topToken uint64
 	// longRunningAcceptedAt is when a job with long-running tasks was last
@@ -50,6 +52,8 @@
 	// holds what TakeJobOutcomes returns next.
 	attributedAt time.Time
 	outcomes     []JobOutcome
+	// confirmation tracks the commits that were applied.
+	confirmation confirmation
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
 	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
