control, dispatch: an owner ends once a worker refuses its newest token

Callers saw one task run on two workers: an owner that was cut from the store and its peers, but not from the workers, went on for 20 s although workers told it that they had a successor.

Cause: the refusal of a token counted as no answer. The worker was suspected, and taken as lost one lease later; the owner's other orders went on. And a start that the owner itself had withdrawn was given the same status as a worker's refusal.

Ruled out: a refusal that the owner brought about by raising the token.

An owner that has ended gives no more orders from a cycle that runs before the loop sees it. A withdrawn start has a status of its own, "not sent", last in the list, so what relays of other releases send keeps its meaning. Uses checked: platform (409 "fence" only), relays and relayed orders (they pass a worker's status on and set no refusal of their own), stops and CPU limits (their answers change nothing here), the stand-ins in dispatch and control (they refuse by their token, as workers do).

--- a/control/orders.go
+++ b/control/orders.go
@@ -5,7 +5,10 @@
 	"log/slog"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/flow"
 	"github.com/fireflygate/fireflygate/runner"
@@ -40,13 +43,13 @@
 }
 
 // issueStart queues a start. A start that has become outdated in the queue isn't
-// sent and counts as fenced.
+// sent.
 func (o *Owner) issueStart(s dispatch.StartOrder) {
 	session := o.sessions[s.Worker.ID]
 	issuedAt := boottime()
 	o.traffic.StartIssued()
 	queued := o.enqueue(s.Worker.ID, func(ctx context.Context) {
-		a, rt := runner.Answer{Status: runner.Fenced}, flow.RoundTrip{}
+		a, rt := runner.Answer{Status: runner.NotSent}, flow.RoundTrip{}
 		if session.token.Load() == s.Start.Token && o.ownershipValid() && boottime()-issuedAt < o.traffic.maxStartDelay() {
 			a, rt = o.traffic.send(ctx, 0, func(ctx context.Context) runner.Answer {
 				return o.relays.Start(ctx, s.Worker, s.Start)
@@ -69,10 +72,19 @@
 	o.traffic.StartFinished(now, rt)
 	o.opts.Metrics.order("start", a.Status)
 	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("known", s.Snapshot), slog.Any("prior", s.Prior), slog.Any("status", a.Status), slog.Any("err", a.Err))
-	if !o.state.HandleStartAnswer(now, s, a) {
-		return
+	resolve := o.state.HandleStartAnswer(now, s, a)
+	o.endIfRefused()
+	if resolve {
+		o.pollNow(s.Worker.ID)
+	}
+}
+
+// endIfRefused ends the owner if a worker has refused its newest token: another host
+// owns the domain, although this one may not be able to read that in the store.
+func (o *Owner) endIfRefused() {
+	if r, ok := o.state.RefusedToken(); ok {
+		o.quit(errors.Wrapf(election.ErrDeposed, "worker %s has seen a higher token than %d", r.Worker, r.Token))
 	}
-	o.pollNow(s.Worker.ID)
 }
 
 // pollNow polls a worker with its newest token, in addition to a poll that may
@@ -201,10 +213,12 @@
 	}
 }
 
-// handleReport applies the answer to a poll to the state, and logs the ends in it.
+// handleReport applies the answer to a poll to the state, and logs the ends in it. It
+// ends the owner if the answer shows that it has been replaced.
 func (o *Owner) handleReport(now time.Time, p poll, a pollAnswer) {
 	for _, e := range o.state.HandleReport(now, p.worker.ID, p.renewal, a.answer, a.report) {
 		o.opts.Metrics.ends.WithLabelValues(e.Kind.String()).Inc()
 		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", p.worker.ID), slog.Any("how", e.Kind))
 	}
+	o.endIfRefused()
 }
--- a/control/owner.go
+++ b/control/owner.go
@@ -116,10 +116,10 @@
 	}
 }
 
-// ownershipValid reports whether the last commit is recent enough to issue
-// orders.
+// ownershipValid reports whether the owner may issue orders: it hasn't quit, and
+// the last commit is recent enough.
 func (o *Owner) ownershipValid() bool {
-	return boottime()-time.Duration(o.committedAt.Load()) < ownerValidity
+	return o.ctx.Err() == nil && boottime()-time.Duration(o.committedAt.Load()) < ownerValidity
 }
 
 // commitAge returns the time since the last applied commit began.
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -16,6 +16,9 @@
 		return false
 	}
 	w.setClock(now, a.ClockMS)
+	if a.Status == runner.Fenced {
+		s.recordFenced(w, o.Start.Token)
+	}
 	r := w.runs[o.Start.Task]
 	if r == nil || r.number != o.Start.Run || r.confirmed || r.phase == uncertain {
 		return false // a report has already resolved this start
@@ -34,6 +37,9 @@
 		return s.raiseToken(w)
 	case runner.Restarted:
 		s.HandleRestart(now, w.info.ID)
+	case runner.NotSent:
+		s.Stats.StartsRefused++
+		s.releaseRun(now, r, NotSent)
 	default:
 		s.Stats.StartsRefused++
 		s.handleRefusal(now, w, r, a.Status)
--- a/dispatch/priorrun.go
+++ b/dispatch/priorrun.go
@@ -14,7 +14,7 @@
 	NoPriorRun EndEvidence = iota
 	// EndReported: its worker listed the end.
 	EndReported
-	// StartRefused: its worker, or the sender, refused the start.
+	// StartRefused: its worker refused the start, or there was no room to queue it.
 	StartRefused
 	// StartFenced: its worker answered under a higher token without listing the run.
 	StartFenced
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -23,7 +23,7 @@
 	case a.Status == runner.Restarted:
 		s.HandleRestart(now, id)
 		return nil
-	case a.Status == runner.Fenced && sent.Token < w.token:
+	case a.Status == runner.Fenced && !s.recordFenced(w, sent.Token):
 		w.markResponsive() // only the poll is outdated
 		return nil
 	default:
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -52,6 +52,8 @@
 	outcomes     []JobOutcome
 	// confirmation tracks the commits that were applied.
 	confirmation confirmation
+	// refusedToken is what RefusedToken returns.
+	refusedToken RefusedToken
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
 	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
--- a/runner/answer.go
+++ b/runner/answer.go
@@ -30,10 +30,12 @@
 	// Restarted: a later incarnation of the worker answered. All runs of the
 	// incarnation addressed have ended.
 	Restarted
+	// NotSent: the sender withdrew the order; no worker has seen it.
+	NotSent
 )
 
 var statusNames = [...]string{
-	"unknown", "done", "fenced", "superseded", "too late", "no room", "no permit", "invalid", "unhealthy", "reborn",
+	"unknown", "done", "fenced", "superseded", "too late", "no room", "no permit", "invalid", "unhealthy", "reborn", "not sent",
 }
 
 // String returns the status's name in logs.
