control, dispatch: a start that has lost its reason in the queue isn't sent

Cause: a start waits in its worker's session behind orders that get no answer. At its turn the session looked at the fencing token, the ownership and the start's age. The age limit is 5/6 of the order timeout, which grows to 2.5 s just where orders get no answer; nothing said that the run was no longer wanted.

Ruled out: the token (it rises only once an order ahead has timed out and the loop has handled that); the stop that follows in the same queue (it comes after the start).

Each start order now has a Sending that the loop and the session share. The session claims the start right before it sends it; the loop withdraws it when its run is to be stopped or is released. Both are one compare-and-swap out of "queued", so exactly one succeeds: a withdrawn start was never sent, and its capacity is free at once without a stop; a claimed one is stopped and settled as before. The age limit stays, so that starts behind an order that times out don't each hold the queue.

TestFaultsWithQueuedStarts simulates starts that wait up to 2 s at their sender; 20 seeds are kept.

--- a/control/orders.go
+++ b/control/orders.go
@@ -39,15 +39,16 @@
 	}
 }
 
-// issueStart queues a start. A start that has become outdated in the queue isn't
-// sent and counts as fenced.
+// issueStart queues a start. A start that has become outdated in the queue, or was
+// withdrawn by the state, isn't sent and counts as fenced.
 func (o *Owner) issueStart(s dispatch.StartOrder) {
 	session := o.sessions[s.Worker.ID]
 	issuedAt := boottime()
 	o.traffic.StartIssued()
+	s.Sending.Queue()
 	queued := o.enqueue(s.Worker.ID, func(ctx context.Context) {
 		a, rt := runner.Answer{Status: runner.Fenced}, flow.RoundTrip{}
-		if session.token.Load() == s.Start.Token && o.ownershipValid() && boottime()-issuedAt < o.traffic.maxStartDelay() {
+		if session.token.Load() == s.Start.Token && o.ownershipValid() && boottime()-issuedAt < o.traffic.maxStartDelay() && s.Sending.Begin() {
 			a, rt = o.traffic.send(ctx, 0, func(ctx context.Context) runner.Answer {
 				return o.relays.Start(ctx, s.Worker, s.Start)
 			})
--- a/control/traffic.go
+++ b/control/traffic.go
@@ -32,9 +32,10 @@
 func (t *traffic) orderTimeout() time.Duration { return time.Duration(t.timeoutNS.Load()) }
 
 // maxStartDelay returns how long a start may be queued behind other orders to
-// its worker; later its task may be done or its job cancelled. It is below the
-// order timeout, so that a start queued behind an order that times out isn't
-// sent.
+// its worker. It is below the order timeout, so that most starts behind an order that
+// times out aren't sent: each would hold the queue for another timeout, and its task can
+// be placed elsewhere. Whether a start is still wanted doesn't depend on its age, see
+// dispatch.Sending.
 func (t *traffic) maxStartDelay() time.Duration { return t.orderTimeout() * 5 / 6 }
 
 // send sends an order and returns the answer and its round trip. The worker may
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -9,9 +9,12 @@
 	"github.com/fireflygate/fireflygate/workload"
 )
 
-// faultSeeds is the number of simulated seeds; regressionSeeds are further ones
-// that used to fail.
-const faultSeeds = 60
+// faultSeeds is the number of simulated seeds, queuedSeeds that with queued starts;
+// regressionSeeds are further ones that used to fail.
+const (
+	faultSeeds  = 60
+	queuedSeeds = 20
+)
 
 var regressionSeeds = []uint64{86, 551, 609, 1746, 1971, 3789}
 
@@ -25,10 +28,27 @@
 	for seed := range uint64(faultSeeds) {
 		seeds = append(seeds, seed)
 	}
+	checkFaults(t, false, seeds...)
+}
+
+// TestFaultsWithQueuedStarts is TestFaultsLeaveNothingStuck with starts that wait at
+// their sender, where the State may withdraw them.
+func TestFaultsWithQueuedStarts(t *testing.T) {
+	var seeds []uint64
+	for seed := range uint64(queuedSeeds) {
+		seeds = append(seeds, seed)
+	}
+	checkFaults(t, true, seeds...)
+}
+
+// checkFaults simulates the seeds and checks that nothing is stuck.
+func checkFaults(t *testing.T, queueStarts bool, seeds ...uint64) {
+	t.Helper()
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
 			s := newFaultSim(t, seed)
+			s.queueStarts = queueStarts
 			s.run(time.Second)
 			for i := range 80 {
 				s.submitRandom(fmt.Sprint("job", i))
--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -25,6 +25,8 @@
 	listLag = 3 * time.Second
 	// gangTimeout is how long a gang's member waits for the others.
 	gangTimeout = 4 * time.Second
+	// maxQueueDelay is the longest time for which a start waits at its sender.
+	maxQueueDelay = 2 * time.Second
 )
 
 // faultSim simulates a scheduling domain whose workers, orders, store and owner
@@ -46,6 +48,8 @@
 	// unguarded makes workers start whatever they are ordered to; their capacities may
 	// change and are checked by the test.
 	unguarded bool
+	// queueStarts makes starts wait at their sender, where they can be withdrawn.
+	queueStarts bool
 	// started is called after each start that a worker carried out; it may be nil.
 	started func(w *faultWorker, id workload.TaskID)
 }
@@ -304,14 +308,41 @@
 		})
 	}
 	for _, o := range p.Starts {
-		s.deliver(o.Worker.ID, func(w *faultWorker) runner.Status { return s.startOn(w, o) }, func(status runner.Status) {
+		answered := func(status runner.Status) {
 			if state.HandleStartAnswer(s.now, o, runner.Answer{Status: status, ClockMS: s.clock()}) && s.state == state {
 				s.poll(o.Worker.ID, func() {})
 			}
+		}
+		s.sendFromQueue(o, answered, func() {
+			s.deliver(o.Worker.ID, func(w *faultWorker) runner.Status { return s.startOn(w, o) }, answered)
 		})
 	}
 }
 
+// sendFromQueue sends a start after it has waited at the sender, unless it was withdrawn
+// meanwhile. It fails the test if a start is sent though its job has durably ended.
+func (s *faultSim) sendFromQueue(o dispatch.StartOrder, answered func(runner.Status), send func()) {
+	if !s.queueStarts {
+		send()
+		return
+	}
+	state := s.state
+	o.Sending.Queue()
+	s.after(s.between(0, maxQueueDelay), func() {
+		if s.state != state {
+			return // its process has ended
+		}
+		if !o.Sending.Begin() {
+			answered(runner.Fenced)
+			return
+		}
+		if job, ok := state.JobState(o.Start.Task.Job); ok && job.Final() {
+			s.t.Errorf("the start of %v was sent though its job is %v", o.Start.Task, job)
+		}
+		send()
+	})
+}
+
 // startOn carries out a start order on a worker, with a run that fails or is slow
 // at random. It fails the test if the task's successful end is already durable.
 func (s *faultSim) startOn(w *faultWorker, o dispatch.StartOrder) runner.Status {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -172,8 +172,10 @@
 	s.removeIfExpired(w, now)
 }
 
-// releaseRun removes an ended run from its worker and task.
+// releaseRun removes an ended run from its worker and task. A start of it that can be
+// withdrawn isn't sent any more.
 func (s *State) releaseRun(now time.Time, r *run, evidence EndEvidence) {
+	r.withdraw()
 	w := r.worker
 	s.markChanged(w)
 	w.removeRun(r)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -10,6 +10,8 @@
 	Snapshot WorkerSnapshot
 	// Prior tells why the task's run before counts as over.
 	Prior PriorRun
+	// Sending is shared by the sender and the State, which may withdraw the order.
+	Sending *Sending
 }
 
 // StopOrder is an order to stop a run on a worker.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -228,6 +228,7 @@
 	r := &run{
 		task: t, number: number, token: w.token, worker: w, phase: ordered,
 		startedAt: c.now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU, separate: t.suspect(),
+		sending: new(Sending),
 	}
 	snapshot := w.snapshot(c.now)
 	w.addRun(r)
@@ -239,7 +240,7 @@
 	c.s.markDirty(t.step.job)
 	permit, _ := t.step.permitFor(c.now, w)
 	order := StartOrder{
-		Worker: w.info, Snapshot: snapshot, Prior: t.priorRun(c.now),
+		Worker: w.info, Snapshot: snapshot, Prior: t.priorRun(c.now), Sending: r.sending,
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
 			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -152,7 +152,7 @@
 	if t.step.spec.Gang {
 		return // the rest of the gang ends by itself
 	}
-	for _, r := range t.runs {
+	for _, r := range slices.Clone(t.runs) {
 		s.orderStop(now, r, TaskDone)
 	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -37,6 +37,8 @@
 	reported bool
 	// held is set while its start is withheld, stored once its location is durable.
 	held, stored bool
+	// sending is that of the start order, nil if this owner didn't order it.
+	sending *Sending
 	// separate is set if its task was suspect at its start: its worker gets no other
 	// starts until it has reported this run.
 	separate bool
@@ -72,6 +74,11 @@
 	)
 }
 
+// withdraw withdraws its start. It returns false if the start may have been sent.
+func (r *run) withdraw() bool {
+	return r.held || (r.sending != nil && r.sending.withdraw())
+}
+
 // markConfirmed records that the worker carried the start out.
 func (r *run) markConfirmed() {
 	r.confirmed = true
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/colocate"
@@ -199,7 +200,7 @@
 		s.reportOutcome(now, j)
 	}
 	j.eachTask(func(t *task) {
-		for _, r := range t.runs {
+		for _, r := range slices.Clone(t.runs) {
 			s.orderStop(now, r, JobEnded)
 		}
 	})
@@ -229,7 +230,8 @@
 }
 
 // orderStop orders a run to stop, unless that was done within stopRetryInterval
-// or the run's start is uncertain.
+// or the run's start is uncertain. A run whose start can still be withdrawn is
+// released instead: its worker never learns of it.
 func (s *State) orderStop(now time.Time, r *run, cause StopCause) {
 	if r.phase == stopping && now.Sub(r.stopOrderedAt) < stopRetryInterval {
 		return
@@ -237,6 +239,10 @@
 	if r.phase == uncertain {
 		return // resolved first, by a poll under a higher token
 	}
+	if r.phase == ordered && r.withdraw() {
+		s.releaseRun(now, r, NotSent)
+		return
+	}
 	if r.phase != stopping {
 		r.task.step.job.breakdown.Stopped++
 	}
