dispatch: a failing test of a queued start that is sent to a leaving worker

Symptom: a start waits in its worker's session; meanwhile the membership list shows the worker as draining, with a malformed entry, in a pool that no queue uses, or no longer.

--- a/dispatch/withdrawal_test.go
+++ b/dispatch/withdrawal_test.go
@@ -82,3 +82,31 @@
 		t.Errorf("%d tasks that need a whole worker started, want one while the copy may run", len(starts))
 	}
 }
+
+// TestQueuedStartIsSentToLeavingWorker guards against a start that is queued when its
+// worker begins to drain, or its entry in the membership list ends, and is sent there.
+func TestQueuedStartIsSentToLeavingWorker(t *testing.T) {
+	for name, leave := range map[string]func(w *runner.Worker){
+		"draining":     func(w *runner.Worker) { w.Draining, w.LeavesIn = true, 10*time.Second },
+		"malformed":    func(w *runner.Worker) { w.Malformed = true },
+		"another pool": func(w *runner.Worker) { w.Pool = "elsewhere" },
+		"not listed":   func(w *runner.Worker) { w.ID = "new" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2)
+			r.submit(queueShort, "job", step(1, 4))
+			start := r.state.Plan(r.now).Starts[0]
+			start.Sending.Queue()
+			stays, leaves := workerInfo(otherWorker(start.Worker.ID)), start.Worker
+			leave(&leaves)
+			r.state.SetMembers(r.now, []runner.Worker{stays, leaves})
+			if start.Sending.Begin() {
+				t.Error("the start may still be sent")
+			}
+			r.flush()
+			if starts := r.plan(); len(starts) != 1 || starts[0].Worker.ID != stays.ID {
+				t.Errorf("got starts %v, want one on the worker that stays", starts)
+			}
+		})
+	}
+}
