dispatch: a queued start isn't sent to a worker that leaves

Callers could see a task start on a worker up to two seconds after the owner had read that it drains, on top of the 0.4 s between two lists, where two seconds in all are allowed; and on a worker whose pool no queue uses any more.

Cause: planning passes over such workers, but the starts that were planned before and wait in the worker's session weren't looked at again. Their age limit, up to 2.1 s, alone bounded it.

Ruled out: held starts, which look at their worker when they are released (TestHeldStartEndsWithItsJob and the code of releaseHeldStarts).

A change of the membership list that makes a worker unusable now withdraws the starts that wait for it, and their tasks are placed elsewhere at the next plan. Those that may have been sent stay as they are. One member of a gang may be withdrawn while the others have started, as when its worker refuses it.

--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -26,6 +26,7 @@
 	for id, w := range s.workers {
 		if !present[id] {
 			w.listed = false
+			s.withdrawStarts(now, w)
 			if w.missingSince.IsZero() {
 				w.missingSince = now
 			}
@@ -64,6 +65,7 @@
 		return
 	}
 	w.listed, w.missingSince = false, time.Time{}
+	s.withdrawStarts(now, w)
 	s.removeIfExpired(w, now)
 }
 
@@ -85,6 +87,17 @@
 	w.free = m.Capacity.Sub(used)
 	if m.Draining && !wasDraining {
 		w.drainingAt = now
+		s.withdrawStarts(now, w)
+	}
+}
+
+// withdrawStarts withdraws the starts of a worker that wait to be sent, and releases
+// their runs.
+func (s *State) withdrawStarts(now time.Time, w *worker) {
+	for _, r := range slices.Clone(w.runsByNumber) {
+		if r.phase == ordered && r.withdraw() {
+			s.releaseRun(now, r, NotSent)
+		}
 	}
 }
 
