control: a failing test of starts in flight for a worker that was removed

Symptom: starts are queued behind one that gets no answer when another incarnation answers for the worker. The owner's limit on starts in flight, 8 at least, counts them. Found while going through what becomes of orders in a queue.

--- a/control/queuedstart_test.go
+++ b/control/queuedstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -99,15 +100,13 @@
 func awaitOrders(t *testing.T, o *Owner, worker string, holds func(queued int) bool) {
 	t.Helper()
 	eventually(t, func() bool {
-		queued := make(chan int)
-		o.post(func() {
+		queued := 0
+		onLoop(o, func() {
 			if s := o.sessions[worker]; s != nil {
-				queued <- len(s.orders)
-				return
+				queued = len(s.orders)
 			}
-			queued <- 0
 		})
-		return holds(<-queued)
+		return holds(queued)
 	})
 }
 
@@ -128,3 +127,39 @@
 	}
 	t.Fatal("condition not met")
 }
+
+// TestRemovedWorkerKeepsStartsInFlight guards against starts that were queued for a worker
+// when it was removed and count as in flight ever after: once they reach the limit, the
+// owner starts nothing more.
+func TestRemovedWorkerKeepsStartsInFlight(t *testing.T) {
+	const tasks = 8
+	synctest.Test(t, func(t *testing.T) {
+		o, workers := startOwner(t, "w0")
+		workers.holdStarts("w0")
+		for i := range tasks {
+			submitTask(t, o, fmt.Sprint("job", i), workload.Step{})
+		}
+		awaitOrders(t, o, "w0", func(queued int) bool { return queued == tasks-1 })
+		onLoop(o, func() { o.state.HandleRestart(time.Now(), "w0") })
+		eventually(t, func() (removed bool) {
+			onLoop(o, func() { removed = o.sessions["w0"] == nil })
+			return removed
+		})
+		synctest.Wait()
+		var inFlight int
+		onLoop(o, func() { inFlight = o.traffic.State(time.Now()).StartsInFlight })
+		if inFlight != 0 {
+			t.Errorf("%d starts count as in flight after their only worker was removed, want 0", inFlight)
+		}
+	})
+}
+
+// onLoop runs f on the owner's loop and waits for it.
+func onLoop(o *Owner, f func()) {
+	done := make(chan struct{})
+	o.post(func() {
+		f()
+		close(done)
+	})
+	<-done
+}
