control: orders queued for a removed worker are answered

Callers saw nothing yet; an owner whose workers restart under load would start ever fewer tasks until it is replaced.

Cause: the session of a removed worker ended with what was left in its queue. A start counts as in flight from when it is queued until its answer is handled, and the answer never came.

Ruled out: the start that was under way (its context ends and it is answered as unknown).

The session now runs what is left with its ended context: a start isn't claimed and counts as not sent, stops and CPU limits are answered as unknown without being sent, polls are dropped. Nothing is queued afterwards, since the loop removes the session in the step that ends it.

--- a/control/orders.go
+++ b/control/orders.go
@@ -48,7 +48,7 @@
 	s.Sending.Queue()
 	queued := o.enqueue(s.Worker.ID, func(ctx context.Context) {
 		a, rt := runner.Answer{Status: runner.Fenced}, flow.RoundTrip{}
-		if session.token.Load() == s.Start.Token && o.ownershipValid() && boottime()-issuedAt < o.traffic.maxStartDelay() && s.Sending.Begin() {
+		if o.maySend(ctx, session, &s, issuedAt) {
 			a, rt = o.traffic.send(ctx, 0, func(ctx context.Context) runner.Answer {
 				return o.relays.Start(ctx, s.Worker, s.Start)
 			})
@@ -60,6 +60,13 @@
 	}
 }
 
+// maySend decides, right before a queued start is sent, whether it is still to be sent.
+// If it returns true, the state counts the start as sent.
+func (o *Owner) maySend(ctx context.Context, session *session, s *dispatch.StartOrder, issuedAt time.Duration) bool {
+	return ctx.Err() == nil && session.token.Load() == s.Start.Token && o.ownershipValid() &&
+		boottime()-issuedAt < o.traffic.maxStartDelay() && s.Sending.Begin()
+}
+
 // handleStartAnswer handles the answer to a start. It polls the worker if it is
 // unknown whether the start was carried out.
 func (o *Owner) handleStartAnswer(s dispatch.StartOrder, a runner.Answer, rt flow.RoundTrip) {
@@ -89,6 +96,9 @@
 	s.token.Store(renewal.Token)
 	p := poll{worker: w, renewal: renewal}
 	o.enqueue(id, func(ctx context.Context) {
+		if ctx.Err() != nil {
+			return // the session has ended
+		}
 		a, rt := o.sendPoll(ctx, s, p)
 		o.post(func() { o.handlePoll(s, p, a, rt) })
 	})
--- a/control/session.go
+++ b/control/session.go
@@ -48,13 +48,28 @@
 	return s
 }
 
-// runOrders runs queued orders in sequence.
+// runOrders runs queued orders in sequence. Those that are left when the session ends
+// run with the ended context, so that each is answered without being sent.
 func (s *session) runOrders(ctx context.Context) {
 	for {
 		select {
 		case f := <-s.orders:
 			f(ctx)
 		case <-ctx.Done():
+			s.abandonOrders(ctx)
+			return
+		}
+	}
+}
+
+// abandonOrders runs the orders left in the queue. Nothing queues orders for an ended
+// session.
+func (s *session) abandonOrders(ended context.Context) {
+	for {
+		select {
+		case f := <-s.orders:
+			f(ended)
+		default:
 			return
 		}
 	}
