--- a/control/orders.go
+++ b/control/orders.go
@@ -42,15 +42,16 @@
 	}
 }
 
-// issueStart queues a start. A start that has become outdated in the queue isn't
-// sent.
+// issueStart queues a start. A start that has become outdated in the queue, or was
+// withdrawn by the state, isn't sent.
 func (o *Owner) issueStart(s dispatch.StartOrder) {
 	session := o.sessions[s.Worker.ID]
 	issuedAt := boottime()
 	o.traffic.StartIssued()
+	s.Sending.Queue()
 	queued := o.enqueue(s.Worker.ID, func(ctx context.Context) {
 		a, rt := runner.Answer{Status: runner.NotSent}, flow.RoundTrip{}
-		if session.token.Load() == s.Start.Token && o.ownershipValid() && boottime()-issuedAt < o.traffic.maxStartDelay() {
+		if o.maySend(ctx, session, &s, issuedAt) {
 			a, rt = o.traffic.send(ctx, 0, func(ctx context.Context) runner.Answer {
 				return o.relays.Start(ctx, s.Worker, s.Start)
 			})
@@ -62,6 +63,13 @@
 	}
 }
 
+// maySend decides, right before a queued start is sent, whether it is still to be sent.
+// If it returns true, the state counts the start as sent.
+func (o *Owner) maySend(ctx context.Context, session *session, s *dispatch.StartOrder, issuedAt time.Duration) bool {
+	return ctx.Err() == nil && session.token.Load() == s.Start.Token && o.ownershipValid() &&
+		boottime()-issuedAt < o.traffic.maxStartDelay() && s.Sending.Begin()
+}
+
 // handleStartAnswer handles the answer to a start. It polls the worker if it is
 // unknown whether the start was carried out.
 func (o *Owner) handleStartAnswer(s dispatch.StartOrder, a runner.Answer, rt flow.RoundTrip) {
@@ -100,6 +108,9 @@
 	s.token.Store(renewal.Token)
 	p := poll{worker: w, renewal: renewal}
 	o.enqueue(id, func(ctx context.Context) {
+		if ctx.Err() != nil {
+			return // the session has ended
+		}
 		a, rt := o.sendPoll(ctx, s, p)
 		o.post(func() { o.handlePoll(s, p, a, rt) })
 	})
--- a/control/withdrawnstart_test.go
+++ b/control/withdrawnstart_test.go
@@ -23,7 +23,7 @@
 		s.token.Store(renewal.Token)
 		o.sessions[w.ID] = s
 		o.committedAt.Store(int64(boottime() - election.Validity)) // so no start is sent
-		o.issueStart(dispatch.StartOrder{Worker: w, Start: runner.Start{Token: renewal.Token}})
+		o.issueStart(dispatch.StartOrder{Worker: w, Sending: new(dispatch.Sending), Start: runner.Start{Token: renewal.Token}})
 		if posted := runPosted(o); posted != 1 {
 			t.Fatalf("%d answers to the start, want one", posted)
 		}
