--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -5,12 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
@@ -199,23 +196,9 @@
 
 // replaceOwner makes a new owner take over with the committed rows.
 func (s *faultSim) replaceOwner() {
-	var roster []string
-	for key, value := range s.rows {
-		if !strings.HasPrefix(key, dispatch.RosterPrefix) {
-			continue
-		}
-		var row dispatch.RosterRow
-		if err := msgpack.Unmarshal(value, &row); err != nil {
-			s.t.Fatal(err)
-		}
-		for _, w := range row.Workers {
-			roster = append(roster, w.ID)
-		}
-	}
-	slices.Sort(roster)
 	s.committing = false
 	clear(s.polling)
-	s.takeOver(roster...)
+	s.takeOver(s.roster()...)
 }
 
 // updateMembers passes the membership list to the owner.
@@ -258,10 +241,18 @@
 // status of the answer to answered. The order or the answer may be delayed or
 // lost; without an answer, answered gets runner.Unknown after orderTimeout.
 func (s *faultSim) deliver(id string, do func(w *faultWorker) runner.Status, answered func(runner.Status)) {
+	s.deliverIf(id, func() bool { return true }, do, answered)
+}
+
+// deliverIf is like deliver, but the order arrives only if arrives returns true at
+// that time.
+func (s *faultSim) deliverIf(id string, arrives func() bool, do func(w *faultWorker) runner.Status, answered func(runner.Status)) {
 	w := s.worker(id)
 	toWorker, toOwner := s.between(0, testTick), s.between(0, 3*testTick)
 	execute := func() (status runner.Status) {
 		switch {
+		case !arrives():
+			return runner.Unknown
 		case w.restarted:
 			return runner.Restarted
 		case !w.reachable(s.now):
--- /dev/null
+++ b/dispatch/ownersimfaults_test.go
@@ -0,0 +1,149 @@
+package dispatch_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// Probabilities of random events: of runs and commits each time, of the others at each
+// tick.
+const (
+	failingRun       = 0.03
+	slowRun          = 0.2
+	lostCommitAnswer = 0.03
+	lostNoticeAnswer = 0.1
+	earlyTakeover    = 0.0005
+	hostFault        = 0.01
+	workerFault      = 0.002
+	storeFault       = 0.002
+)
+
+// slowRunFactor is how much longer a slow run takes.
+const slowRunFactor = 8
+
+// hostsKept is the number of hosts that are never removed.
+const hostsKept = 3
+
+// stored reports whether a job's row is committed.
+func (s *ownerSim) stored(job string) bool { return s.rows[dispatch.JobPrefix+job] != nil }
+
+// injectOwnerFaults causes random faults.
+func (s *ownerSim) injectOwnerFaults() {
+	if s.noFaults {
+		return
+	}
+	for _, h := range s.hosts {
+		if s.chance(hostFault) {
+			s.faultHost(h)
+		}
+	}
+	for _, w := range s.alive() {
+		if s.chance(workerFault) {
+			s.faultWorkerAtRandom(w)
+		}
+	}
+	if s.chance(storeFault) {
+		s.storeDownUntil = s.now.Add(s.between(time.Second, 8*time.Second))
+		s.tracef(workload.TaskID{}, "the store is down for %.1f s", s.storeDownUntil.Sub(s.now).Seconds())
+	}
+}
+
+// faultHost causes a random fault of a host.
+func (s *ownerSim) faultHost(h *simHost) {
+	until := s.now.Add(s.between(time.Second, 12*time.Second))
+	alive := slices.DeleteFunc(slices.Clone(s.hosts), func(h *simHost) bool { return h.gone })
+	switch kind := s.random.IntN(16); {
+	case !h.alive(s.now):
+	case kind < 3:
+		s.freeze(h, until)
+	case kind < 6:
+		s.kill(h)
+	case kind < 7 && len(alive) > hostsKept:
+		h.remove()
+		s.tracef(workload.TaskID{}, "%s is gone", h.name)
+	case kind < 9:
+		s.cutFromStore(h, until)
+	case kind < 11:
+		s.cutFromPeers(h, until)
+	case kind < 12:
+		s.cutFromStore(h, until)
+		s.cutFromPeers(h, until)
+	default:
+		for _, w := range s.alive() {
+			if s.random.IntN(3) == 0 {
+				s.cutFromWorker(h, w, until)
+			}
+		}
+	}
+}
+
+// faultWorkerAtRandom causes a random fault of a worker.
+func (s *ownerSim) faultWorkerAtRandom(w *faultWorker) {
+	switch kind := s.random.IntN(8); {
+	case kind < 2:
+		w.unreachableUntil = s.now.Add(s.between(time.Second, 12*time.Second))
+		s.tracef(workload.TaskID{}, "%s is unreachable for %.1f s", w.info.ID, w.unreachableUntil.Sub(s.now).Seconds())
+	case kind < 5:
+		s.cutWorkerFromStore(w, s.now.Add(s.between(2*time.Second, 15*time.Second)))
+	case kind < 7:
+		w.terminate(s.now, s.random.IntN(2) == 0)
+		s.addWorker()
+		s.tracef(workload.TaskID{}, "%s terminates", w.info.ID)
+	case w.leavesAt.IsZero():
+		w.leavesAt = s.now.Add(s.between(2*time.Second, 6*time.Second))
+		s.addWorker()
+	}
+}
+
+// freeze stops a host's process, which goes on later.
+func (s *ownerSim) freeze(h *simHost, until time.Time) {
+	h.frozenUntil = until
+	s.tracef(workload.TaskID{}, "%s is frozen for %.1f s", h.name, until.Sub(s.now).Seconds())
+}
+
+// kill ends a host's process; a new one follows.
+func (s *ownerSim) kill(h *simHost) {
+	h.kill(s.now)
+	s.tracef(workload.TaskID{}, "%s is killed", h.name)
+}
+
+// cutFromStore cuts a host's link to the store.
+func (s *ownerSim) cutFromStore(h *simHost, until time.Time) {
+	h.cutFromStoreUntil = until
+	s.tracef(workload.TaskID{}, "%s is cut from the store for %.1f s", h.name, until.Sub(s.now).Seconds())
+}
+
+// cutFromPeers cuts a host's links to the other hosts.
+func (s *ownerSim) cutFromPeers(h *simHost, until time.Time) {
+	h.cutFromPeersUntil = until
+	s.tracef(workload.TaskID{}, "%s is cut from its peers for %.1f s", h.name, until.Sub(s.now).Seconds())
+}
+
+// cutFromWorker cuts the link between a host and a worker.
+func (s *ownerSim) cutFromWorker(h *simHost, w *faultWorker, until time.Time) {
+	h.cutFromWorkersUntil[w.info.ID] = until
+	s.tracef(workload.TaskID{}, "%s is cut from %s for %.1f s", h.name, w.info.ID, until.Sub(s.now).Seconds())
+}
+
+// cutWorkerFromStore cuts a worker's link to the store, so that its entry on the
+// membership list lapses.
+func (s *ownerSim) cutWorkerFromStore(w *faultWorker, until time.Time) {
+	s.members.entry(w.info.ID, s.now).cutUntil = until
+	s.tracef(workload.TaskID{}, "%s is cut from the store for %.1f s", w.info.ID, until.Sub(s.now).Seconds())
+}
+
+// endFaults ends all faults.
+func (s *ownerSim) endFaults() {
+	s.noFaults, s.only, s.storeDownUntil, s.store.commitDelay = true, nil, s.now, 0
+	for _, h := range s.hosts {
+		h.heal(s.now)
+	}
+	for _, w := range s.workers {
+		w.unreachableUntil = s.now
+		s.members.entry(w.info.ID, s.now).cutUntil = s.now
+	}
+	s.tracef(workload.TaskID{}, "all faults end")
+}
--- /dev/null
+++ b/dispatch/ownersimowner_test.go
@@ -0,0 +1,183 @@
+package dispatch_test
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/election"
+	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// Intervals of an owner, as in package control.
+const (
+	// ownerValidity is how long after the start of its last applied commit an owner
+	// issues orders.
+	ownerValidity = 20 * time.Second
+	// heartbeatInterval is the longest time between two commits of an owner.
+	heartbeatInterval = 400 * time.Millisecond
+	// membersInterval is the time between two reads of the membership list.
+	membersInterval = 400 * time.Millisecond
+	// pollRetryInterval is the least time between two polls of an unresponsive worker.
+	pollRetryInterval = 300 * time.Millisecond
+)
+
+// simOwner is the owner that one process of a host runs. It follows the rules of
+// control.Owner, whatever other owners do.
+type simOwner struct {
+	*rig
+	host     *simHost
+	record   election.Record
+	previous election.Record
+	// version is the version of the owner's row after its last known commit.
+	version uint64
+	// ended is set once it has learned that it is replaced, or its process has ended.
+	ended bool
+	// committedAt is when its last applied commit began, commitBegan when its last
+	// commit did.
+	committedAt, commitBegan time.Time
+	committing               bool
+	membersReadAt            time.Time
+	polling                  map[string]bool
+	nextPoll                 map[string]time.Time
+	// done holds the tasks whose successful end it has recorded.
+	done []workload.TaskID
+}
+
+// valid reports whether the owner issues orders.
+func (o *simOwner) valid(now time.Time) bool { return now.Sub(o.committedAt) < ownerValidity }
+
+// lead makes a host the owner that the record describes, with the committed rows.
+func (s *ownerSim) lead(h *simHost, record, previous election.Record, version uint64) {
+	o := &simOwner{
+		rig: &rig{
+			t: s.t, now: s.now, rows: s.rows, startedAt: s.startedAt, epoch: previous.Epoch,
+			inheritedLease: testLease + ownerValidity,
+		},
+		host: h, record: record, previous: previous, version: version, committedAt: s.now,
+		polling: map[string]bool{}, nextPoll: map[string]time.Time{},
+	}
+	o.takeOver(s.roster()...)
+	h.owner, h.acquiring = o, false
+	s.state = o.state
+	s.tracef(workload.TaskID{}, "%s leads in epoch %d after %s", h.name, o.epoch, previous.Host)
+	s.announce(o)
+}
+
+// onOwner returns a function that runs f once the owner's process runs, unless the
+// owner has ended.
+func (s *ownerSim) onOwner(o *simOwner, f func()) func() {
+	if o.ended {
+		return func() {}
+	}
+	return s.onHost(o.host, func() {
+		if !o.ended {
+			f()
+		}
+	})
+}
+
+// deposed ends an owner that has learned of another one.
+func (s *ownerSim) deposed(o *simOwner, why string) {
+	if o.ended {
+		return
+	}
+	o.ended = true
+	if o.host.owner == o {
+		o.host.owner = nil
+	}
+	s.tracef(workload.TaskID{}, "%s ends in epoch %d: %s", o.host.name, o.epoch, why)
+}
+
+// stepOwner runs one cycle of an owner: it commits, plans and polls workers.
+func (s *ownerSim) stepOwner(o *simOwner) {
+	o.now = s.now
+	if o.host.reachesStore(s.now) && s.storeUp() && s.now.Sub(o.membersReadAt) >= membersInterval {
+		o.membersReadAt = s.now
+		o.state.SetMembers(s.now, s.members.list(s.now, s.workers))
+	}
+	s.beginCommit(o)
+	if o.valid(s.now) {
+		s.sendPlan(o, o.state.Plan(s.now))
+	}
+	s.traceLosses(o)
+	o.state.EachWorker(func(id string) {
+		if !o.polling[id] && !s.now.Before(o.nextPoll[id]) && o.state.RenewalReady(s.now, id) {
+			o.polling[id] = true
+			s.pollBy(o, id, func() { o.polling[id] = false })
+		}
+	})
+}
+
+// orderBy sends an owner's order to a worker, as deliver does.
+func (s *ownerSim) orderBy(o *simOwner, id string, do func(w *faultWorker) runner.Status, answered func(runner.Status)) {
+	arrives := func() bool { return o.host.reachesWorker(s.now, id) }
+	s.deliverIf(id, arrives, do, func(status runner.Status) { s.onOwner(o, func() { answered(status) })() })
+}
+
+// sendPlan sends the orders of an owner's plan.
+func (s *ownerSim) sendPlan(o *simOwner, p dispatch.Plan) {
+	slices.SortFunc(p.Stops, func(a, b dispatch.StopOrder) int { return cmp.Compare(a.Stop.Run, b.Stop.Run) })
+	for _, order := range p.Stops {
+		s.orderBy(o, order.Worker.ID, func(w *faultWorker) runner.Status { return w.stop(order.Stop) }, func(status runner.Status) {
+			o.state.HandleStopAnswer(s.now, order, runner.Answer{Status: status, ClockMS: s.clock()})
+		})
+	}
+	for _, order := range p.Starts {
+		s.tracef(order.Start.Task, "epoch %d orders run %d on %s, prior %v", o.epoch, order.Start.Run, order.Worker.ID, order.Prior)
+		s.orderBy(o, order.Worker.ID, func(w *faultWorker) runner.Status { return s.startBy(o, w, order) }, func(status runner.Status) {
+			if o.state.HandleStartAnswer(s.now, order, runner.Answer{Status: status, ClockMS: s.clock()}) {
+				s.pollBy(o, order.Worker.ID, func() {})
+			}
+		})
+	}
+}
+
+// startBy carries out an owner's start order on a worker and checks it.
+func (s *ownerSim) startBy(o *simOwner, w *faultWorker, order dispatch.StartOrder) runner.Status {
+	task := order.Start.Task
+	known := w.runs[task] != nil
+	status := w.start(s.clock(), order.Start, s.newRun(order.Start))
+	s.tracef(task, "%s answers %v to run %d of epoch %d", w.info.ID, status, order.Start.Run, o.epoch)
+	if status == runner.Done && !known {
+		s.starts[task]++
+		s.checkNotDone(task, w)
+	}
+	return status
+}
+
+// pollBy polls a worker for an owner and calls done after the answer or the timeout.
+func (s *ownerSim) pollBy(o *simOwner, id string, done func()) {
+	_, renewal, ok := o.state.Renewal(s.now, id, o.valid(s.now))
+	if !ok {
+		done()
+		return
+	}
+	var rep runner.Report
+	s.orderBy(o, id, func(w *faultWorker) (status runner.Status) {
+		s.recordDurable(w, renewal.Acknowledged)
+		status, rep = w.renew(s.clock(), renewal)
+		s.traceRenewal(o, w, status)
+		return status
+	}, func(status runner.Status) {
+		done()
+		a := runner.Answer{Status: status, ClockMS: rep.ClockMS}
+		if status != runner.Done {
+			rep = runner.Report{}
+			o.nextPoll[id] = s.now.Add(pollRetryInterval)
+		}
+		s.recordEndsOf(o, id, o.state.HandleReport(s.now, id, renewal, a, rep))
+	})
+}
+
+// recordEndsOf records the new ends that an owner has learned.
+func (s *ownerSim) recordEndsOf(o *simOwner, id string, ends []runner.RunEnd) {
+	for _, e := range ends {
+		s.tracef(e.Task, "epoch %d records the end of run %d on %s: %v", o.epoch, e.Run, id, e.Kind)
+		if e.Kind == runner.EndDone {
+			o.done = append(o.done, e.Task)
+		}
+	}
+}
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/mechanism"
@@ -31,11 +34,17 @@
 	jobs []*workload.Job
 	// ends is the last number given to an end by endSome.
 	ends uint64
+	// inheritedLease replaces defaultInheritedLease unless it is zero.
+	inheritedLease time.Duration
 }
 
 const (
 	pool     = "pool"
 	testTick = 100 * time.Millisecond
+	// testLease is the duration of workers' leases, defaultInheritedLease that of the
+	// wait for workers of earlier owners.
+	testLease             = 6 * time.Second
+	defaultInheritedLease = 12 * time.Second
 )
 
 var queueShort = workload.Queue{
@@ -62,7 +71,7 @@
 func (r *rig) startOwner(epoch uint64) {
 	r.epoch = epoch
 	r.state = dispatch.New(dispatch.Config{
-		Epoch: epoch, Lease: 6 * time.Second, InheritedLease: 12 * time.Second, Retention: time.Minute,
+		Epoch: epoch, Lease: testLease, InheritedLease: cmp.Or(r.inheritedLease, defaultInheritedLease), Retention: time.Minute,
 		NoCapacityPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Disabled: r.disabled,
 	})
 	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
@@ -129,6 +138,12 @@
 
 // apply commits a batch.
 func (r *rig) apply(b *dispatch.Batch) {
+	r.write(b)
+	r.state.MarkFlushed(b)
+}
+
+// write writes the rows of a batch.
+func (r *rig) write(b *dispatch.Batch) {
 	for _, w := range b.Writes {
 		if w.Delete {
 			delete(r.rows, w.Key)
@@ -136,7 +151,25 @@
 			r.rows[w.Key] = w.Value
 		}
 	}
-	r.state.MarkFlushed(b)
+}
+
+// roster returns the IDs of the workers in the committed roster, in order.
+func (r *rig) roster() []string {
+	var ids []string
+	for key, value := range r.rows {
+		if !strings.HasPrefix(key, dispatch.RosterPrefix) {
+			continue
+		}
+		var row dispatch.RosterRow
+		if err := msgpack.Unmarshal(value, &row); err != nil {
+			r.t.Fatal(err)
+		}
+		for _, w := range row.Workers {
+			ids = append(ids, w.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
 }
 
 // clock returns the reading of all workers' clocks.
