--- a/dispatch/ownerscenarios_test.go
+++ b/dispatch/ownerscenarios_test.go
@@ -64,9 +64,8 @@
 func TestTaskRunsOnceAcrossOwnersFirstFrozen(t *testing.T) {
 	s, w := newScenario(t, 4, 3)
 	s.reachedOnlyBy(w, s.hosts[0])
-	s.freeze(s.hosts[0], s.now.Add(testLease))
+	s.freeze(s.hosts[0], s.now.Add(testLease-500*time.Millisecond))
 	s.replacedBy(s.hosts[1])
-	s.run(500 * time.Millisecond)
 	s.kill(s.hosts[1])
 	s.replacedBy(s.hosts[2])
 	s.run(restartBound)
@@ -148,13 +147,13 @@
 	s.wantAllEnded()
 }
 
-// splitWorkers isolates the first host, which from now on doesn't reach the worker and
-// is the only one to reach the others.
+// splitWorkers isolates the first host, which from now on doesn't reach the rack of
+// the worker and is the only one to reach the others.
 func (s *ownerSim) splitWorkers(w *faultWorker) {
 	s.isolate(s.hosts[0], forever)
 	for _, other := range s.workers {
-		if other == w {
-			s.cutFromWorker(s.hosts[0], w, s.now.Add(forever))
+		if other.info.HasLabel(w.info.Labels[1]) {
+			s.cutFromWorker(s.hosts[0], other, s.now.Add(forever))
 		} else {
 			s.reachedOnlyBy(other, s.hosts[0])
 		}
@@ -165,10 +164,9 @@
 // that it also returns, while a commit without the location is in flight.
 func startBeforeCommit(t *testing.T, change func(*workload.Step)) (*ownerSim, *faultWorker) {
 	s := newOwnerSim(t, 1, 3, 4)
+	s.only = s.hosts[0]
 	s.store.commitDelay = time.Second
 	s.accept(queueShort, "job", step(1, 4, change))
-	s.run(2 * testTick)
-	s.accept(queueShort, "other", step(1, 4))
 	s.runUntil(10*time.Second, "the task runs", func() bool { return s.whereRuns("job") != nil })
 	return s, s.whereRuns("job")
 }
--- a/dispatch/ownersim_test.go
+++ b/dispatch/ownersim_test.go
@@ -26,7 +26,8 @@
 	recordedDone map[workload.TaskID]bool
 	// starts counts the starts carried out by task.
 	starts map[workload.TaskID]int
-	// cancelled holds the jobs to cancel.
+	// accepted holds the jobs whose row was ever committed, cancelled those to cancel.
+	accepted  map[string]bool
 	cancelled []string
 	trace     []traceLine
 }
@@ -40,14 +41,14 @@
 			random: rand.New(rand.NewPCG(seed, 11)), durablyDone: map[workload.TaskID]bool{}, noFaults: true,
 		},
 		members:      simMembers{entries: map[string]*memberEntry{}},
-		recordedDone: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{},
+		recordedDone: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{}, accepted: map[string]bool{},
 	}
 	s.startedAt = s.now
 	for i := range hosts {
 		s.hosts = append(s.hosts, &simHost{name: fmt.Sprint("host", i), cutFromWorkersUntil: map[string]time.Time{}})
 	}
 	for range workers {
-		s.addWorker()
+		s.addWorkerInRack()
 	}
 	s.only = s.hosts[0]
 	s.run(3 * time.Second)
@@ -55,6 +56,16 @@
 	return s
 }
 
+// rackSize is the number of workers in a rack.
+const rackSize = 2
+
+// addWorkerInRack adds a worker in a new incarnation, which shares its rack.
+func (s *ownerSim) addWorkerInRack() {
+	rack := len(s.workers) / rackSize
+	s.addWorker()
+	s.workers[len(s.workers)-1].info.Labels = []string{"kind", fmt.Sprint("rack", rack)}
+}
+
 // id returns the ID of the host's current incarnation.
 func (h *simHost) id() string { return fmt.Sprint(h.name, "-", h.incarnation) }
 
@@ -70,7 +81,7 @@
 		switch {
 		case !h.alive(s.now) || h.incarnation != incarnation:
 		case !h.awake(s.now):
-			s.after(h.frozenUntil.Sub(s.now)+s.between(testTick, 3*testTick), run)
+			s.after(h.frozenUntil.Sub(s.now)+s.between(0, 2*testTick), run)
 		default:
 			f()
 		}
@@ -133,7 +144,7 @@
 		return
 	}
 	for _, j := range s.jobs {
-		if !s.stored(j.ID) && !o.state.HasJob(j.ID) {
+		if !s.accepted[j.ID] && !o.state.HasJob(j.ID) {
 			o.state.Accept(s.now, s.now.UnixMilli(), j, queueOf(j))
 		}
 	}
--- a/dispatch/ownersimfaults_test.go
+++ b/dispatch/ownersimfaults_test.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -16,7 +15,8 @@
 	lostCommitAnswer = 0.03
 	lostNoticeAnswer = 0.1
 	earlyTakeover    = 0.0005
-	hostFault        = 0.01
+	hostFault        = 0.03
+	newOwnerFault    = 0.3
 	workerFault      = 0.002
 	storeFault       = 0.002
 )
@@ -24,21 +24,24 @@
 // slowRunFactor is how much longer a slow run takes.
 const slowRunFactor = 8
 
+// longestFault is the longest time of a host's fault. Some last longer than an owner's
+// validity.
+const longestFault = ownerValidity + testLease
+
 // hostsKept is the number of hosts that are never removed.
 const hostsKept = 3
 
-// stored reports whether a job's row is committed.
-func (s *ownerSim) stored(job string) bool { return s.rows[dispatch.JobPrefix+job] != nil }
-
 // injectOwnerFaults causes random faults.
 func (s *ownerSim) injectOwnerFaults() {
 	if s.noFaults {
 		return
 	}
-	for _, h := range s.hosts {
-		if s.chance(hostFault) {
-			s.faultHost(h)
+	if s.chance(hostFault) {
+		h := s.hosts[s.random.IntN(len(s.hosts))]
+		if o := s.current(); o != nil && s.random.IntN(2) == 0 {
+			h = o.host
 		}
+		s.faultHost(h)
 	}
 	for _, w := range s.alive() {
 		if s.chance(workerFault) {
@@ -51,33 +54,71 @@
 	}
 }
 
-// faultHost causes a random fault of a host.
+// faultHost causes a random fault of a host. A frozen or isolated host often is the
+// only one that reaches some workers.
 func (s *ownerSim) faultHost(h *simHost) {
-	until := s.now.Add(s.between(time.Second, 12*time.Second))
-	alive := slices.DeleteFunc(slices.Clone(s.hosts), func(h *simHost) bool { return h.gone })
+	if !h.alive(s.now) {
+		return
+	}
+	until := s.now.Add(s.between(time.Second, 6*time.Second))
+	if s.random.IntN(3) == 0 {
+		until = s.now.Add(s.between(time.Second, longestFault))
+	}
 	switch kind := s.random.IntN(16); {
-	case !h.alive(s.now):
 	case kind < 3:
 		s.freeze(h, until)
-	case kind < 6:
+		s.cutWorkersFromOthers(h, until)
+	case kind < 7:
 		s.kill(h)
-	case kind < 7 && len(alive) > hostsKept:
-		h.remove()
-		s.tracef(workload.TaskID{}, "%s is gone", h.name)
+	case kind < 8:
+		s.removeHost(h)
 	case kind < 9:
 		s.cutFromStore(h, until)
-	case kind < 11:
+	case kind < 10:
 		s.cutFromPeers(h, until)
-	case kind < 12:
+	case kind < 14:
 		s.cutFromStore(h, until)
 		s.cutFromPeers(h, until)
+		s.cutWorkersFromOthers(h, until)
 	default:
-		for _, w := range s.alive() {
-			if s.random.IntN(3) == 0 {
-				s.cutFromWorker(h, w, until)
+		for _, w := range s.someWorkers() {
+			s.cutFromWorker(h, w, until)
+		}
+	}
+}
+
+// someWorkers returns about a third of the workers.
+func (s *ownerSim) someWorkers() []*faultWorker {
+	return slices.DeleteFunc(s.alive(), func(*faultWorker) bool { return s.random.IntN(3) > 0 })
+}
+
+// cutWorkersFromOthers cuts some workers from all hosts but one, and some others from
+// that host.
+func (s *ownerSim) cutWorkersFromOthers(h *simHost, until time.Time) {
+	for _, w := range s.someWorkers() {
+		for _, other := range s.hosts {
+			if other != h {
+				s.cutFromWorker(other, w, until)
 			}
 		}
 	}
+	for _, w := range s.someWorkers() {
+		s.cutFromWorker(h, w, until)
+	}
+}
+
+// removeHost removes a host for good, unless too few would remain.
+func (s *ownerSim) removeHost(h *simHost) {
+	n := 0
+	for _, other := range s.hosts {
+		if !other.gone {
+			n++
+		}
+	}
+	if n > hostsKept {
+		h.remove()
+		s.tracef(workload.TaskID{}, "%s is gone", h.name)
+	}
 }
 
 // faultWorkerAtRandom causes a random fault of a worker.
@@ -90,11 +131,11 @@
 		s.cutWorkerFromStore(w, s.now.Add(s.between(2*time.Second, 15*time.Second)))
 	case kind < 7:
 		w.terminate(s.now, s.random.IntN(2) == 0)
-		s.addWorker()
+		s.addWorkerInRack()
 		s.tracef(workload.TaskID{}, "%s terminates", w.info.ID)
 	case w.leavesAt.IsZero():
 		w.leavesAt = s.now.Add(s.between(2*time.Second, 6*time.Second))
-		s.addWorker()
+		s.addWorkerInRack()
 	}
 }
 
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -61,9 +61,14 @@
 	}
 	o.takeOver(s.roster()...)
 	h.owner, h.acquiring = o, false
-	s.state = o.state
+	if s.store.row.SameOwnership(&record) {
+		s.state = o.state
+	}
 	s.tracef(workload.TaskID{}, "%s leads in epoch %d after %s", h.name, o.epoch, previous.Host)
 	s.announce(o)
+	if s.chance(newOwnerFault) {
+		s.after(s.between(0, 2*time.Second), func() { s.faultHost(h) })
+	}
 }
 
 // onOwner returns a function that runs f once the owner's process runs, unless the
--- a/dispatch/ownersimstore_test.go
+++ b/dispatch/ownersimstore_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"strings"
 	"time"
 
 	"github.com/fireflygate/fireflygate/dispatch"
@@ -94,6 +95,11 @@
 	s.store.row = o.record
 	s.store.version++
 	s.write(c.batch)
+	for _, w := range c.batch.Writes {
+		if id, ok := strings.CutPrefix(w.Key, dispatch.JobPrefix); ok {
+			s.accepted[id] = true
+		}
+	}
 	for _, id := range c.done {
 		s.tracef(id, "its end is durable in epoch %d", o.epoch)
 		s.recordedDone[id] = true
