--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -201,11 +200,9 @@
 
 // replaceOwner makes a new owner take over with the committed rows.
 func (s *faultSim) replaceOwner() {
-	roster := slices.Collect(maps.Keys(s.rosterEpochs()))
-	slices.Sort(roster)
 	s.committing = false
 	clear(s.polling)
-	s.takeOver(roster...)
+	s.takeOver(s.roster()...)
 	s.ownerStopped(s.epoch - 1) // its process has terminated
 }
 
@@ -250,10 +247,18 @@
 // status of the answer to answered. The order or the answer may be delayed or
 // lost; without an answer, answered gets runner.Unknown after orderTimeout.
 func (s *faultSim) deliver(id string, do func(w *faultWorker) runner.Status, answered func(runner.Status)) {
+	s.deliverIf(id, func() bool { return true }, do, answered)
+}
+
+// deliverIf is like deliver, but the order arrives only if arrives returns true at
+// that time.
+func (s *faultSim) deliverIf(id string, arrives func() bool, do func(w *faultWorker) runner.Status, answered func(runner.Status)) {
 	w := s.worker(id)
 	toWorker, toOwner := s.between(0, testTick), s.between(0, 3*testTick)
 	execute := func() (status runner.Status) {
 		switch {
+		case !arrives():
+			return runner.Unknown
 		case w.restarted:
 			return runner.Restarted
 		case !w.reachable(s.now):
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -41,6 +41,10 @@
 const (
 	pool     = "pool"
 	testTick = 100 * time.Millisecond
+	// testLease is the duration of workers' leases.
+	testLease = 6 * time.Second
+	// rigValidity is how long a replaced owner of a rig may give orders.
+	rigValidity = 6 * time.Second
 )
 
 var queueShort = workload.Queue{
@@ -67,7 +71,7 @@
 func (r *rig) startOwner(epoch uint64) {
 	r.epoch = epoch
 	r.state = dispatch.New(dispatch.Config{
-		Epoch: epoch, Lease: 6 * time.Second, Retention: time.Minute,
+		Epoch: epoch, Lease: testLease, Retention: time.Minute,
 		NoCapacityPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Disabled: r.disabled,
 	})
 	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
@@ -78,6 +82,12 @@
 func (r *rig) takeOver(roster ...string) {
 	r.startOwner(r.epoch + 1)
 	r.replaceEarlierOwners()
+	r.restore(roster...)
+}
+
+// restore restores the jobs from the committed rows and the workers of the roster.
+func (r *rig) restore(roster ...string) {
+	r.t.Helper()
 	for _, key := range slices.Sorted(maps.Keys(r.rows)) {
 		value := r.rows[key]
 		if !strings.HasPrefix(key, dispatch.JobPrefix) {
@@ -101,18 +111,15 @@
 	}
 }
 
-// ownerValidity is how long a replaced owner may give orders.
-const ownerValidity = 6 * time.Second
-
 // replaceEarlierOwners passes on what the new owner knows of the earlier ones: what the
-// previous owner knew, and that this one may give orders for ownerValidity.
+// previous owner knew, and that this one may give orders for rigValidity.
 func (r *rig) replaceEarlierOwners() {
 	now := r.sinceStart()
 	var row election.Record
 	if r.earlier != nil {
 		row.Earlier = r.earlier.List(now)
 	}
-	row.Earlier = append(row.Earlier, election.EarlierOwner{Epoch: r.epoch - 1, OrdersMS: ownerValidity.Milliseconds()})
+	row.Earlier = append(row.Earlier, election.EarlierOwner{Epoch: r.epoch - 1, OrdersMS: rigValidity.Milliseconds()})
 	r.earlier = election.NewEarlierOwners(&row, now)
 	r.setEarlierOrders()
 }
@@ -193,6 +200,13 @@
 
 // applyCommit applies a commit of a batch that began at the given time.
 func (r *rig) applyCommit(b *dispatch.Batch, began time.Time) {
+	r.write(b)
+	r.state.ConfirmOwnership(began)
+	r.state.MarkFlushed(b)
+}
+
+// write writes the rows of a batch.
+func (r *rig) write(b *dispatch.Batch) {
 	for _, w := range b.Writes {
 		if w.Delete {
 			delete(r.rows, w.Key)
@@ -200,8 +214,11 @@
 			r.rows[w.Key] = w.Value
 		}
 	}
-	r.state.ConfirmOwnership(began)
-	r.state.MarkFlushed(b)
+}
+
+// roster returns the IDs of the workers in the committed roster, in order.
+func (r *rig) roster() []string {
+	return slices.Sorted(maps.Keys(r.rosterEpochs()))
 }
 
 // clock returns the reading of all workers' clocks.
