--- a/control/orders.go
+++ b/control/orders.go
@@ -5,7 +5,10 @@
 	"log/slog"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/flow"
 	"github.com/fireflygate/fireflygate/runner"
@@ -39,15 +42,16 @@
 	}
 }
 
-// issueStart queues a start. A start that has become outdated in the queue isn't
-// sent and counts as fenced.
+// issueStart queues a start. A start that has become outdated in the queue, or was
+// withdrawn by the state, isn't sent.
 func (o *Owner) issueStart(s dispatch.StartOrder) {
 	session := o.sessions[s.Worker.ID]
 	issuedAt := boottime()
 	o.traffic.StartIssued()
+	s.Sending.Queue()
 	queued := o.enqueue(s.Worker.ID, func(ctx context.Context) {
-		a, rt := runner.Answer{Status: runner.Fenced}, flow.RoundTrip{}
-		if session.token.Load() == s.Start.Token && o.ownershipValid() && boottime()-issuedAt < o.traffic.maxStartDelay() {
+		a, rt := runner.Answer{Status: runner.NotSent}, flow.RoundTrip{}
+		if o.maySend(ctx, session, &s, issuedAt) {
 			a, rt = o.traffic.send(ctx, 0, func(ctx context.Context) runner.Answer {
 				return o.relays.Start(ctx, s.Worker, s.Start)
 			})
@@ -59,6 +63,13 @@
 	}
 }
 
+// maySend decides, right before a queued start is sent, whether it is still to be sent.
+// If it returns true, the state counts the start as sent.
+func (o *Owner) maySend(ctx context.Context, session *session, s *dispatch.StartOrder, issuedAt time.Duration) bool {
+	return ctx.Err() == nil && session.token.Load() == s.Start.Token && o.ownershipValid() &&
+		boottime()-issuedAt < o.traffic.maxStartDelay() && s.Sending.Begin()
+}
+
 // handleStartAnswer handles the answer to a start. It polls the worker if it is
 // unknown whether the start was carried out.
 func (o *Owner) handleStartAnswer(s dispatch.StartOrder, a runner.Answer, rt flow.RoundTrip) {
@@ -69,10 +80,19 @@
 	o.traffic.StartFinished(now, rt)
 	o.opts.Metrics.order("start", a.Status)
 	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("known", s.Snapshot), slog.Any("prior", s.Prior), slog.Any("status", a.Status), slog.Any("err", a.Err))
-	if !o.state.HandleStartAnswer(now, s, a) {
-		return
+	resolve := o.state.HandleStartAnswer(now, s, a)
+	o.endIfRefused()
+	if resolve {
+		o.pollNow(s.Worker.ID)
+	}
+}
+
+// endIfRefused ends the owner if a worker has refused its newest token: another host
+// owns the domain, although this one may not be able to read that in the store.
+func (o *Owner) endIfRefused() {
+	if r, ok := o.state.RefusedToken(); ok {
+		o.quit(errors.Wrapf(election.ErrDeposed, "worker %s has seen a higher token than %d", r.Worker, r.Token))
 	}
-	o.pollNow(s.Worker.ID)
 }
 
 // pollNow polls a worker with its newest token, in addition to a poll that may
@@ -88,6 +108,9 @@
 	s.token.Store(renewal.Token)
 	p := poll{worker: w, renewal: renewal}
 	o.enqueue(id, func(ctx context.Context) {
+		if ctx.Err() != nil {
+			return // the session has ended
+		}
 		a, rt := o.sendPoll(ctx, s, p)
 		o.post(func() { o.handlePoll(s, p, a, rt) })
 	})
@@ -201,10 +224,12 @@
 	}
 }
 
-// handleReport applies the answer to a poll to the state, and logs the ends in it.
+// handleReport applies the answer to a poll to the state, and logs the ends in it. It
+// ends the owner if the answer shows that it has been replaced.
 func (o *Owner) handleReport(now time.Time, p poll, a pollAnswer) {
 	for _, e := range o.state.HandleReport(now, p.worker.ID, p.renewal, a.answer, a.report) {
 		o.opts.Metrics.ends.WithLabelValues(e.Kind.String()).Inc()
 		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", p.worker.ID), slog.Any("how", e.Kind))
 	}
+	o.endIfRefused()
 }
--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -23,6 +22,8 @@
 	listLag = 3 * time.Second
 	// gangTimeout is how long a gang's member waits for the others.
 	gangTimeout = 4 * time.Second
+	// maxQueueDelay is the longest time for which a start waits at its sender.
+	maxQueueDelay = 2 * time.Second
 )
 
 // faultSim simulates a scheduling domain whose workers, orders, store and owner
@@ -44,6 +45,8 @@
 	// unguarded makes workers start whatever they are ordered to; their capacities may
 	// change and are checked by the test.
 	unguarded bool
+	// queueStarts makes starts wait at their sender, where they can be withdrawn.
+	queueStarts bool
 	// started is called after each start that a worker carried out; it may be nil.
 	started func(w *faultWorker, id workload.TaskID)
 }
@@ -197,11 +200,9 @@
 
 // replaceOwner makes a new owner take over with the committed rows.
 func (s *faultSim) replaceOwner() {
-	roster := slices.Collect(maps.Keys(s.rosterEpochs()))
-	slices.Sort(roster)
 	s.committing = false
 	clear(s.polling)
-	s.takeOver(roster...)
+	s.takeOver(s.roster()...)
 	s.ownerStopped(s.epoch - 1) // its process has terminated
 }
 
@@ -246,10 +247,18 @@
 // status of the answer to answered. The order or the answer may be delayed or
 // lost; without an answer, answered gets runner.Unknown after orderTimeout.
 func (s *faultSim) deliver(id string, do func(w *faultWorker) runner.Status, answered func(runner.Status)) {
+	s.deliverIf(id, func() bool { return true }, do, answered)
+}
+
+// deliverIf is like deliver, but the order arrives only if arrives returns true at
+// that time.
+func (s *faultSim) deliverIf(id string, arrives func() bool, do func(w *faultWorker) runner.Status, answered func(runner.Status)) {
 	w := s.worker(id)
 	toWorker, toOwner := s.between(0, testTick), s.between(0, 3*testTick)
 	execute := func() (status runner.Status) {
 		switch {
+		case !arrives():
+			return runner.Unknown
 		case w.restarted:
 			return runner.Restarted
 		case !w.reachable(s.now):
@@ -292,14 +301,41 @@
 		})
 	}
 	for _, o := range p.Starts {
-		s.deliver(o.Worker.ID, func(w *faultWorker) runner.Status { return s.startOn(w, o) }, func(status runner.Status) {
+		answered := func(status runner.Status) {
 			if state.HandleStartAnswer(s.now, o, runner.Answer{Status: status, ClockMS: s.clock()}) && s.state == state {
 				s.poll(o.Worker.ID, func() {})
 			}
+		}
+		s.sendFromQueue(o, answered, func() {
+			s.deliver(o.Worker.ID, func(w *faultWorker) runner.Status { return s.startOn(w, o) }, answered)
 		})
 	}
 }
 
+// sendFromQueue sends a start after it has waited at the sender, unless it was withdrawn
+// meanwhile. It fails the test if a start is sent though its job has durably ended.
+func (s *faultSim) sendFromQueue(o dispatch.StartOrder, answered func(runner.Status), send func()) {
+	if !s.queueStarts {
+		send()
+		return
+	}
+	state := s.state
+	o.Sending.Queue()
+	s.after(s.between(0, maxQueueDelay), func() {
+		if s.state != state {
+			return // its process has ended
+		}
+		if !o.Sending.Begin() {
+			answered(runner.Fenced)
+			return
+		}
+		if job, ok := state.JobState(o.Start.Task.Job); ok && job.Final() {
+			s.t.Errorf("the start of %v was sent though its job is %v", o.Start.Task, job)
+		}
+		send()
+	})
+}
+
 // startOn carries out a start order on a worker, with a run that fails or is slow
 // at random. It fails the test if the task's successful end is already durable.
 func (s *faultSim) startOn(w *faultWorker, o dispatch.StartOrder) runner.Status {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -26,6 +26,7 @@
 	for id, w := range s.workers {
 		if !present[id] {
 			w.listed = false
+			s.withdrawStarts(now, w)
 			s.removeIfExpired(w, now)
 		}
 	}
@@ -59,6 +60,7 @@
 		return
 	}
 	w.listed = false
+	s.withdrawStarts(now, w)
 	s.removeIfExpired(w, now)
 }
 
@@ -80,6 +82,17 @@
 	w.free = m.Capacity.Sub(used)
 	if m.Draining && !wasDraining {
 		w.drainingAt = now
+		s.withdrawStarts(now, w)
+	}
+}
+
+// withdrawStarts withdraws the starts of a worker that wait to be sent, and releases
+// their runs.
+func (s *State) withdrawStarts(now time.Time, w *worker) {
+	for _, r := range slices.Clone(w.runsByNumber) {
+		if r.phase == ordered && r.withdraw() {
+			s.releaseRun(now, r, NotSent)
+		}
 	}
 }
 
@@ -154,8 +167,10 @@
 	}
 }
 
-// releaseRun removes an ended run from its worker and task.
+// releaseRun removes an ended run from its worker and task. A start of it that can be
+// withdrawn isn't sent any more.
 func (s *State) releaseRun(now time.Time, r *run, evidence EndEvidence) {
+	r.withdraw()
 	w := r.worker
 	s.markChanged(w)
 	w.removeRun(r)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -23,7 +23,7 @@
 	case a.Status == runner.Restarted:
 		s.HandleRestart(now, id)
 		return nil
-	case a.Status == runner.Fenced && sent.Token < w.token:
+	case a.Status == runner.Fenced && !s.recordFenced(w, sent.Token):
 		w.markResponsive() // only the poll is outdated
 		return nil
 	default:
@@ -162,7 +162,7 @@
 	if t.step.spec.Gang {
 		return // the rest of the gang ends by itself
 	}
-	for _, r := range t.runs {
+	for _, r := range slices.Clone(t.runs) {
 		s.orderStop(now, r, TaskDone)
 	}
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/colocate"
@@ -54,6 +55,8 @@
 	outcomes     []JobOutcome
 	// confirmation tracks the commits that were applied.
 	confirmation confirmation
+	// refusedToken is what RefusedToken returns.
+	refusedToken RefusedToken
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
 	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
@@ -203,7 +206,7 @@
 		s.reportOutcome(now, j)
 	}
 	j.eachTask(func(t *task) {
-		for _, r := range t.runs {
+		for _, r := range slices.Clone(t.runs) {
 			s.orderStop(now, r, JobEnded)
 		}
 	})
@@ -233,7 +236,8 @@
 }
 
 // orderStop orders a run to stop, unless that was done within stopRetryInterval
-// or the run's start is uncertain.
+// or the run's start is uncertain. A run whose start can still be withdrawn is
+// released instead: its worker never learns of it.
 func (s *State) orderStop(now time.Time, r *run, cause StopCause) {
 	if r.phase == stopping && now.Sub(r.stopOrderedAt) < stopRetryInterval {
 		return
@@ -241,6 +245,10 @@
 	if r.phase == uncertain {
 		return // resolved first, by a poll under a higher token
 	}
+	if r.phase == ordered && r.withdraw() {
+		s.releaseRun(now, r, NotSent)
+		return
+	}
 	if r.phase != stopping {
 		r.task.step.job.breakdown.Stopped++
 	}
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -22,15 +22,21 @@
 	return r, rows[0].Version, err
 }
 
+// Successor returns the owner's row by which self replaces the owner of the row
+// previous.
+func Successor(previous *Record, self Record) Record {
+	self.Epoch, self.Seq, self.Resigned = previous.Epoch+1, 0, false
+	self.RosterEpochs = true
+	self.Earlier = earlierOwners(previous, &self)
+	return self
+}
+
 // Acquire commits an owner's row for self in the epoch after that of previous,
 // and returns the Committer of the new owner. The row lists the earlier
 // owners. previous and version are the
 // results of Read; if the row has changed since, Acquire returns ErrDeposed.
 func Acquire(ctx context.Context, table infra.Table, self, previous Record, version uint64) (*Committer, error) {
-	self.Epoch, self.Seq, self.Resigned = previous.Epoch+1, 0, false
-	self.RosterEpochs = true
-	self.Earlier = earlierOwners(&previous, &self)
-	c := NewCommitter(table, self, version)
+	c := NewCommitter(table, Successor(&previous, self), version)
 	if err := c.Commit(ctx, nil); err != nil {
 		return nil, err
 	}
