dispatch: a task whose worker was lost or is silent starts once that is stored

Callers could see a task start again after its end had been noted.

Cause: other inferences of an owner that can't commit, beside the lease that is over. It started a task again at once when another incarnation answered in place of the task's worker, or when the list had lacked an inherited worker for 2.5 s, and it started a copy of a speculative task whose worker didn't answer. A successor may have heard of the task's end on that worker before.

Ruled out: waiting with the loss itself until a commit confirms it, as for leases. Losses are recorded at once, as before.

Changed: the start of a task whose run was lost with its worker, and of a copy while the other run's worker doesn't answer, is held until the store has its location, as starts after a crash are. Tasks without a location that waited for an inherited worker which was lost wait for one commit that began after the loss. An owner that was replaced can't commit, so it sends none of these. This also covers a lease that was confirmed as over where the task then waits for capacity.

--- a/dispatch/heldstart.go
+++ b/dispatch/heldstart.go
@@ -5,15 +5,22 @@
 	"time"
 )
 
-// holdStart withholds the start of a task under which a worker was lost until the
-// store has the run's location and the loss. Otherwise a later owner might not learn
-// of the start, and not count the crash that follows.
+// holdStart withholds a start until the store has the run's location. Without that, a
+// later owner might not learn of the start of a task under which a worker was lost, and
+// not count the crash that follows; and an owner that was replaced might start a task
+// whose end its successor has recorded.
 func (s *State) holdStart(r *run, o StartOrder) {
 	r.held = true
 	r.task.step.job.urgent = true
 	s.heldStarts = append(s.heldStarts, heldStart{r, o})
 }
 
+// mayHaveEnded reports whether an earlier run of the task may have ended on a worker
+// that doesn't answer this owner, or was lost.
+func (t *task) mayHaveEnded() bool {
+	return t.lost || slices.ContainsFunc(t.runs, func(r *run) bool { return !r.worker.unresponsiveSince.IsZero() })
+}
+
 // heldStart is a start that waits for its run's location to become durable.
 type heldStart struct {
 	run   *run
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -167,7 +167,10 @@
 	s.dropLostRuns(now, w, cause)
 	w.leaseUntil, w.inheritedUntil = 0, time.Time{}
 	w.listed = false
-	delete(s.awaitingReport, w.info.ID)
+	if s.awaitingReport[w.info.ID] != nil {
+		delete(s.awaitingReport, w.info.ID)
+		s.awaitedLostAt = now
+	}
 	s.removeIfExpired(w, now)
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -195,7 +195,8 @@
 
 // safeToStart reports whether no other run of a task can be alive. An inherited
 // task waits for the workers that the store names or, if it names none, for all
-// workers that haven't reported. A task without a run for which the store still
+// workers that haven't reported; if one of these was lost, also for a commit that began
+// afterwards, as a successor may have reached it before. A task without a run for which the store still
 // names workers must wait until its row is written again, since a later owner
 // relies on these; safeToStart makes that change urgent.
 func (c *cycle) safeToStart(t *task) bool {
@@ -209,6 +210,9 @@
 				return false
 			}
 		}
+		if !c.s.confirmation.confirmedSince(c.s.awaitedLostAt) {
+			return false
+		}
 		t.inheritanceResolved = true
 		if t.ranBefore.evidence == NoPriorRun {
 			t.recordOver(c.now, WorkersReported, "", 0)
@@ -245,7 +249,7 @@
 			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
 		},
 	}
-	if t.crashed() {
+	if t.crashed() || t.mayHaveEnded() {
 		c.s.holdStart(r, order)
 		return
 	}
--- a/dispatch/priorrun.go
+++ b/dispatch/priorrun.go
@@ -48,6 +48,11 @@
 	return "unknown"
 }
 
+// workerLost reports whether the evidence is the loss of the run's worker.
+func (e EndEvidence) workerLost() bool {
+	return e == WorkerRestarted || e == WorkerLeaseExpired || e == WorkerDeparted
+}
+
 // PriorRun tells, at the start of a task, why the run before counts as over.
 type PriorRun struct {
 	Evidence EndEvidence
@@ -80,6 +85,7 @@
 // recordOver records why a run of the task counts as over.
 func (t *task) recordOver(now time.Time, evidence EndEvidence, worker string, run uint64) {
 	t.ranBefore = ranBefore{evidence: evidence, worker: worker, run: run, at: now}
+	t.lost = t.lost || evidence.workerLost()
 }
 
 // priorRun describes the last run of the task that counts as over.
--- a/dispatch/replacedownerstartsagain_test.go
+++ b/dispatch/replacedownerstartsagain_test.go
@@ -30,9 +30,10 @@
 
 // newReplacedOwner starts a task and cuts its owner from the store before the run's
 // location is stored.
-func newReplacedOwner(t *testing.T) *replacedOwner {
+func newReplacedOwner(t *testing.T, change ...func(*workload.Step)) *replacedOwner {
 	r := &replacedOwner{rig: newRig(t, 2)}
-	r.submit(queueShort, "job", step(1, 4, func(s *workload.Step) { s.Estimate = longTask }))
+	change = append([]func(*workload.Step){func(s *workload.Step) { s.Estimate = longTask }}, change...)
+	r.submit(queueShort, "job", step(1, 4, change...))
 	r.lastCommit = r.now
 	first := r.state.Plan(r.now).Starts[0]
 	r.worker = newFaultWorker(first.Worker.ID)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -23,7 +23,9 @@
 	// awaitingReport holds the inherited workers that may have runs of
 	// inherited jobs and haven't reported yet.
 	awaitingReport map[string]*worker
-	nextRun        uint64
+	// awaitedLostAt is when one of them was last lost.
+	awaitedLostAt time.Time
+	nextRun       uint64
 	// topToken is the highest fencing token given to any worker.
 	topToken uint64
 	// longRunningAcceptedAt is when a job with long-running tasks was last
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -35,6 +35,9 @@
 	// locations holds the hashes of the workers where runs of it may be alive
 	// according to the store or to a batch in flight.
 	locations []uint32
+	// lost is set once a run of it counts as over because its worker was lost: it may
+	// have ended, and its worker may have told that to a successor.
+	lost bool
 	// ranBefore is the last run that counts as over.
 	ranBefore ranBefore
 	// lastEndedRun is the highest run number known to have ended.
