--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -162,7 +162,10 @@
 		s.dropLostRuns(now, w, Restarted)
 		w.leaseUntil, w.inheritedUntil = 0, time.Time{}
 		w.listed = false
-		delete(s.awaitingReport, id)
+		if s.awaitingReport[id] != nil {
+			delete(s.awaitingReport, id)
+			s.awaitedLostAt = now
+		}
 		s.removeIfExpired(w, now)
 	}
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -24,6 +24,8 @@
 	// awaitingReport holds the inherited workers that may have runs of
 	// inherited jobs and haven't reported yet.
 	awaitingReport map[string]*worker
+	// awaitedLostAt is when one of them was last lost.
+	awaitedLostAt time.Time
 	// earlierOrders tells until when earlier owners may give orders.
 	earlierOrders []EarlierOrders
 	nextRun       uint64
