--- a/control/queuedstart_test.go
+++ b/control/queuedstart_test.go
@@ -58,13 +58,47 @@
 	})
 }
 
+// TestResigningOwnerSendsQueuedStarts guards against an owner that resigns and, until the
+// domain is given up, goes on sending the starts that it had queued.
+func TestResigningOwnerSendsQueuedStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &blockingTable{Table: memtable.New()}
+		o, workers := startOwnerOn(t, table, "w0")
+		workers.holdStarts("w0")
+		submitTask(t, o, "first", workload.Step{})
+		awaitOrders(t, o, "w0", func(queued int) bool { return workers.held("w0") && queued == 0 })
+		submitTask(t, o, "queued", workload.Step{})
+		awaitOrders(t, o, "w0", func(queued int) bool { return queued > 0 })
+		eventually(t, func() (held bool) {
+			onLoop(o, func() {
+				if held = !o.committing; held {
+					table.hold = make(chan struct{})
+				}
+			})
+			return held
+		})
+		defer close(table.hold)
+		go o.resign(o.ctx)
+		synctest.Wait()
+		workers.releaseStarts("w0")
+		synctest.Wait()
+		workers.expectStarts(t, "w0", "first")
+	})
+}
+
 // testEstimate is the estimate of all tasks of these tests.
 const testEstimate = time.Second
 
 // startOwner starts an owner with the given workers, and waits until they have reported.
 func startOwner(t *testing.T, ids ...string) (*Owner, *heldWorkers) {
 	t.Helper()
-	workers, table := newHeldWorkers(ids...), memtable.New()
+	return startOwnerOn(t, memtable.New(), ids...)
+}
+
+// startOwnerOn is startOwner with a given table.
+func startOwnerOn(t *testing.T, table infra.Table, ids ...string) (*Owner, *heldWorkers) {
+	t.Helper()
+	workers := newHeldWorkers(ids...)
 	o := newOwner(context.Background(), Options{
 		Host: "a", Table: table, Workers: workers, Members: workers, Log: slog.New(slog.DiscardHandler),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Retention: time.Minute, MaxLease: 10 * time.Second,
