control, dispatch: a resigning owner withdraws its queued starts

Callers saw nothing wrong; tasks started in the last moments of an ownership, which the next owner had to find before it could go on with them.

Cause: resigning stops the planning, not the sessions, which send what is queued until the owner's context ends, after its last commit and the one that gives the domain up.

Ruled out as unsafe: the next owner waits for the workers that the store names, or for all, and its first poll of each fences older starts.

The owner now withdraws all queued starts before its last commit, which then names no worker for their tasks. Starts under way and runs stay as they are.

--- a/control/resign.go
+++ b/control/resign.go
@@ -26,7 +26,8 @@
 	}
 }
 
-// beginResign starts the resignation; it runs on the loop. If a commit is in
+// beginResign starts the resignation; it runs on the loop. Starts that are still queued
+// are left to the next owner. If a commit is in
 // flight, afterCommit starts the last commit once the former is applied. Nothing polls
 // for that: a polling loop would take the processor from the commit itself.
 func (o *Owner) beginResign(ctx context.Context) {
@@ -34,6 +35,7 @@
 		return
 	}
 	o.resigning = true
+	o.state.WithdrawStarts(time.Now())
 	event.ResignStarted.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Bool("commit_under_way", o.committing))
 	if o.committing {
 		o.afterCommit = func() { o.commitRemaining(ctx) }
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -91,16 +91,6 @@
 	}
 }
 
-// withdrawStarts withdraws the starts of a worker that wait to be sent, and releases
-// their runs.
-func (s *State) withdrawStarts(now time.Time, w *worker) {
-	for _, r := range slices.Clone(w.runsByNumber) {
-		if r.phase == ordered && r.withdraw() {
-			s.releaseRun(now, r, NotSent)
-		}
-	}
-}
-
 // addWorker adds a worker. It begins with the highest token given so far: a
 // returning worker would refuse orders under a lower token than it has seen.
 func (s *State) addWorker(m runner.Worker) *worker {
