--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -7,11 +7,20 @@
 	"time"
 )
 
-// ownerSeeds is the number of simulated seeds; failedOwnerSeeds are further ones that
-// used to fail.
+// ownerSeeds is the number of simulated seeds.
 const ownerSeeds = 30
 
-var failedOwnerSeeds []uint64
+// failedOwnerSeeds are further seeds that used to fail: the word of one earlier owner
+// taken for all, a lease taken as over that a successor renews, and a worker off the
+// list taken as departed.
+var failedOwnerSeeds = []uint64{
+	48, 80, 93, 116,
+	35, 37, 72, 87, 132, 145, 198, 271,
+	74, 79, 120, 193,
+}
+
+// repeatedSeed is the seed simulated by TestOwnerSimulationRepeats.
+const repeatedSeed = 1
 
 const (
 	ownerHosts = 5
@@ -48,6 +57,23 @@
 	}
 }
 
+// TestOwnerSimulationRepeats guards against a course of events that a seed doesn't
+// determine.
+func TestOwnerSimulationRepeats(t *testing.T) {
+	trace := func() []traceLine {
+		s := newOwnerSim(t, repeatedSeed, ownerHosts, faultWorkers)
+		s.noFaults = false
+		for i := range ownerJobs {
+			s.submitRandom(fmt.Sprint("job", i))
+			s.run(10 * testTick)
+		}
+		return s.trace
+	}
+	if first, second := trace(), trace(); !slices.Equal(first, second) {
+		t.Errorf("two simulations of one seed differ")
+	}
+}
+
 // cancelAll cancels the jobs with long-running tasks, whichever owner follows.
 func (s *ownerSim) cancelAll() {
 	for _, j := range s.jobs {
--- a/dispatch/ownerscenarios_test.go
+++ b/dispatch/ownerscenarios_test.go
@@ -28,15 +28,6 @@
 	return s, w
 }
 
-// reachedOnlyBy cuts a worker from all hosts but the given one.
-func (s *ownerSim) reachedOnlyBy(w *faultWorker, only *simHost) {
-	for _, h := range s.hosts {
-		if h != only {
-			s.cutFromWorker(h, w, s.now.Add(forever))
-		}
-	}
-}
-
 // isolate cuts a host from the store and its peers.
 func (s *ownerSim) isolate(h *simHost, d time.Duration) {
 	s.cutFromStore(h, s.now.Add(d))
@@ -50,6 +41,12 @@
 	s.runUntil(10*time.Second, h.name+" leads", func() bool { return h.owner != nil && s.current() == h.owner })
 }
 
+// wantRestartWithin checks that the task of a lost worker runs again within d.
+func (s *ownerSim) wantRestartWithin(d time.Duration) {
+	s.t.Helper()
+	s.runUntil(d, "the task runs again", func() bool { return s.running("job") == 1 })
+}
+
 // wantRestart ends all faults and checks that the task runs in one place soon.
 func (s *ownerSim) wantRestart() {
 	s.t.Helper()
@@ -63,7 +60,7 @@
 // whose worker the owner before the previous one renews the lease when it wakes.
 func TestTaskRunsOnceAcrossOwnersFirstFrozen(t *testing.T) {
 	s, w := newScenario(t, 4, 3)
-	s.reachedOnlyBy(w, s.hosts[0])
+	s.reachedOnlyBy(w, s.hosts[0], s.now.Add(forever))
 	s.freeze(s.hosts[0], s.now.Add(testLease-500*time.Millisecond))
 	s.replacedBy(s.hosts[1])
 	s.kill(s.hosts[1])
@@ -77,7 +74,7 @@
 // while two others follow within one lease.
 func TestTaskRunsOnceAcrossOwnersFirstCutOff(t *testing.T) {
 	s, w := newScenario(t, 4, 3)
-	s.reachedOnlyBy(w, s.hosts[0])
+	s.reachedOnlyBy(w, s.hosts[0], s.now.Add(forever))
 	s.isolate(s.hosts[0], forever)
 	s.replacedBy(s.hosts[1])
 	s.kill(s.hosts[1])
@@ -90,7 +87,7 @@
 // killed owners after the one that is cut off.
 func TestTaskRunsOnceAcrossOwnersThreeKilled(t *testing.T) {
 	s, w := newScenario(t, 5, 3)
-	s.reachedOnlyBy(w, s.hosts[0])
+	s.reachedOnlyBy(w, s.hosts[0], s.now.Add(forever))
 	s.isolate(s.hosts[0], forever)
 	for _, h := range s.hosts[1:4] {
 		s.replacedBy(h)
@@ -105,7 +102,7 @@
 // owner ever answers.
 func TestTaskRunsOnceAcrossOwnersPreviousGone(t *testing.T) {
 	s, w := newScenario(t, 4, 3)
-	s.reachedOnlyBy(w, s.hosts[0])
+	s.reachedOnlyBy(w, s.hosts[0], s.now.Add(forever))
 	s.isolate(s.hosts[0], forever)
 	s.replacedBy(s.hosts[1])
 	s.hosts[1].remove()
@@ -147,15 +144,37 @@
 	s.wantAllEnded()
 }
 
+// TestTaskRunsOnceAcrossOwnersInheritedNotReported guards against an owner that is cut
+// off and takes the lease of an inherited worker as over that its successor renews; the
+// store names no worker for the task.
+func TestTaskRunsOnceAcrossOwnersInheritedNotReported(t *testing.T) {
+	s, w := startBeforeCommit(t, longRunning)
+	s.store.commitDelay = 0
+	s.split(s.hosts[1], w)
+	s.kill(s.hosts[0])
+	s.replacedBy(s.hosts[1])
+	s.run(time.Second) // the first host answers
+	s.isolate(s.hosts[1], forever)
+	s.replacedBy(s.hosts[2])
+	s.run(restartBound)
+	s.wantRestart()
+}
+
 // splitWorkers isolates the first host, which from now on doesn't reach the rack of
 // the worker and is the only one to reach the others.
 func (s *ownerSim) splitWorkers(w *faultWorker) {
 	s.isolate(s.hosts[0], forever)
+	s.split(s.hosts[0], w)
+}
+
+// split cuts the rack of a worker from one host, and the other workers from the other
+// hosts.
+func (s *ownerSim) split(h *simHost, w *faultWorker) {
 	for _, other := range s.workers {
-		if other.info.HasLabel(w.info.Labels[1]) {
-			s.cutFromWorker(s.hosts[0], other, s.now.Add(forever))
+		if other.info.HasLabel(rackLabel(w)) {
+			s.cutFromWorker(h, other, s.now.Add(forever))
 		} else {
-			s.reachedOnlyBy(other, s.hosts[0])
+			s.reachedOnlyBy(other, h, s.now.Add(forever))
 		}
 	}
 }
@@ -178,7 +197,7 @@
 	s, w := newScenario(t, 3, 3)
 	s.cutWorkerFromStore(w, s.now.Add(forever))
 	s.run(listLag + time.Second)
-	s.reachedOnlyBy(w, s.hosts[0])
+	s.reachedOnlyBy(w, s.hosts[0], s.now.Add(forever))
 	s.isolate(s.hosts[0], forever)
 	s.replacedBy(s.hosts[1])
 	s.run(restartBound)
@@ -191,9 +210,128 @@
 	s, w := newScenario(t, 3, 3)
 	s.cutWorkerFromStore(w, s.now.Add(forever))
 	s.run(listLag + time.Second)
-	s.reachedOnlyBy(w, nil)
+	s.reachedOnlyBy(w, nil, s.now.Add(forever))
 	s.kill(s.hosts[0])
 	s.replacedBy(s.hosts[1])
 	s.run(restartBound)
 	s.wantRestart()
 }
+
+// startLate orders the start of a task, which arrives late, cuts its worker from the
+// store and all hosts, and kills the owner. It returns once the second host leads.
+func startLate(t *testing.T, listed bool) *ownerSim {
+	s := newOwnerSim(t, 1, 3, 4)
+	s.only, s.hosts[0].startsLateBy = s.hosts[0], testLease-testTick
+	cutUntil := func(until time.Time) {
+		for _, w := range s.workers {
+			s.cutWorkerFromStore(w, until)
+		}
+	}
+	if !listed {
+		cutUntil(s.now.Add(forever))
+		s.run(listLag - time.Second)
+	}
+	s.accept(queueShort, "job", step(1, 4))
+	id := workload.TaskID{Job: "job"}
+	s.runUntil(listLag, "a start is ordered", func() bool { return s.orderedOn[id] != nil })
+	if !listed {
+		cutUntil(s.now)
+		s.cutWorkerFromStore(s.orderedOn[id], s.now.Add(forever))
+	}
+	s.reachedOnlyBy(s.orderedOn[id], nil, s.now.Add(forever))
+	s.kill(s.hosts[0])
+	s.replacedBy(s.hosts[1])
+	return s
+}
+
+// TestTaskRunsOnceAcrossOwnersLateOrder guards against a start order that outlives its
+// owner's process and is carried out after another run of the task has begun.
+func TestTaskRunsOnceAcrossOwnersLateOrder(t *testing.T) {
+	s := startLate(t, true)
+	s.run(restartBound)
+	s.endFaults()
+	s.run(restartBound)
+	s.wantAllEnded()
+}
+
+// TestTaskRunsOnceAcrossOwnersLateOrderOffTheList guards against such an order to a
+// worker that is off the membership list.
+func TestTaskRunsOnceAcrossOwnersLateOrderOffTheList(t *testing.T) {
+	s := startLate(t, false)
+	s.run(restartBound)
+	s.endFaults()
+	s.run(restartBound)
+	s.wantAllEnded()
+}
+
+// TestTaskRunsOnceAcrossOwnersLateToLead guards against an owner that learns late that
+// it has acquired the domain, and then gives orders for longer than its successors
+// wait.
+func TestTaskRunsOnceAcrossOwnersLateToLead(t *testing.T) {
+	s, w := newScenario(t, 3, 3)
+	s.reachedOnlyBy(w, s.hosts[1], s.now.Add(forever))
+	s.kill(s.hosts[0])
+	s.only = s.hosts[1]
+	s.runUntil(10*time.Second, "the second host acquires", func() bool { return s.store.row.Host == s.hosts[1].name })
+	s.freeze(s.hosts[1], s.now.Add(testLease-2*time.Second))
+	s.isolate(s.hosts[1], forever)
+	s.replacedBy(s.hosts[2])
+	s.run(restartBound)
+	s.wantRestart()
+}
+
+// soonRestart is the time within which a lost worker's task runs again if the hosts of
+// all earlier owners that may give orders have answered: a takeover, one lease and the
+// commits before the start.
+const soonRestart = testLease + 5*time.Second
+
+// loseWorker terminates the worker of the task.
+func (s *ownerSim) loseWorker(w *faultWorker) {
+	w.terminate(s.now, false)
+	s.tracef(workload.TaskID{}, "%s terminates", w.info.ID)
+}
+
+// TestTaskRestartsSoonAfterOwnerKilled guards against a long wait for a lost worker
+// after a change of owner.
+func TestTaskRestartsSoonAfterOwnerKilled(t *testing.T) {
+	s, w := newScenario(t, 3, 3)
+	s.loseWorker(w)
+	s.kill(s.hosts[0])
+	s.replacedBy(s.hosts[1])
+	s.wantRestartWithin(soonRestart)
+}
+
+// TestTaskRestartsSoonAfterTwoOwnersKilled guards against a long wait for a lost worker
+// after two changes of owner, once the hosts of both have answered.
+func TestTaskRestartsSoonAfterTwoOwnersKilled(t *testing.T) {
+	s, w := newScenario(t, 4, 3)
+	s.loseWorker(w)
+	s.kill(s.hosts[0])
+	s.replacedBy(s.hosts[1])
+	s.kill(s.hosts[1])
+	s.replacedBy(s.hosts[2])
+	s.wantRestartWithin(soonRestart)
+}
+
+// TestTaskRestartsSoonAfterForgottenOwner guards against a long wait for an owner that
+// never answers but whose validity was over before the owner just before was killed.
+func TestTaskRestartsSoonAfterForgottenOwner(t *testing.T) {
+	s, w := newScenario(t, 4, 3)
+	s.hosts[0].remove()
+	s.replacedBy(s.hosts[1])
+	s.run(testLease + ownerValidity)
+	s.loseWorker(w)
+	s.kill(s.hosts[1])
+	s.replacedBy(s.hosts[2])
+	s.wantRestartWithin(soonRestart)
+}
+
+// TestTaskRestartsAfterOwnerGone guards against a task that is never started again if
+// the owner before never answers.
+func TestTaskRestartsAfterOwnerGone(t *testing.T) {
+	s, w := newScenario(t, 3, 3)
+	s.loseWorker(w)
+	s.hosts[0].remove()
+	s.replacedBy(s.hosts[1])
+	s.wantRestartWithin(restartBound)
+}
--- a/dispatch/ownersim_test.go
+++ b/dispatch/ownersim_test.go
@@ -24,12 +24,14 @@
 	only *simHost
 	// recordedDone holds the tasks whose successful end is in the committed rows.
 	recordedDone map[workload.TaskID]bool
-	// starts counts the starts carried out by task.
-	starts map[workload.TaskID]int
+	// orderedOn holds, by task, the worker of the last start that was ordered.
+	orderedOn map[workload.TaskID]*faultWorker
 	// accepted holds the jobs whose row was ever committed, cancelled those to cancel.
 	accepted  map[string]bool
 	cancelled []string
 	trace     []traceLine
+	// renewalTraced holds, by epoch and worker, when a renewal was last traced.
+	renewalTraced map[string]time.Time
 }
 
 // newOwnerSim returns a simulation of idle workers without random faults, once the
@@ -41,7 +43,7 @@
 			random: rand.New(rand.NewPCG(seed, 11)), durablyDone: map[workload.TaskID]bool{}, noFaults: true,
 		},
 		members:      simMembers{entries: map[string]*memberEntry{}},
-		recordedDone: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{}, accepted: map[string]bool{},
+		recordedDone: map[workload.TaskID]bool{}, orderedOn: map[workload.TaskID]*faultWorker{}, accepted: map[string]bool{}, renewalTraced: map[string]time.Time{},
 	}
 	s.startedAt = s.now
 	for i := range hosts {
@@ -66,6 +68,9 @@
 	s.workers[len(s.workers)-1].info.Labels = []string{"kind", fmt.Sprint("rack", rack)}
 }
 
+// rackLabel returns the label of a worker's rack.
+func rackLabel(w *faultWorker) string { return w.info.Labels[1] }
+
 // id returns the ID of the host's current incarnation.
 func (h *simHost) id() string { return fmt.Sprint(h.name, "-", h.incarnation) }
 
--- a/dispatch/ownersimchecks_test.go
+++ b/dispatch/ownersimchecks_test.go
@@ -13,6 +13,10 @@
 // maxTraceLines bounds the lines that a failed check prints.
 const maxTraceLines = 80
 
+// renewalTraceInterval is the least time between two traced renewals of a worker by one
+// owner.
+const renewalTraceInterval = time.Second
+
 // traceLine is one event; one of no task in particular has a zero task.
 type traceLine struct {
 	at   time.Duration
@@ -45,9 +49,12 @@
 
 // traceRenewal records a renewal by an owner that the store doesn't name any more.
 func (s *ownerSim) traceRenewal(o *simOwner, w *faultWorker, status runner.Status) {
-	if status != runner.Done || s.store.row.SameOwnership(&o.record) {
+	key := fmt.Sprint(o.epoch, w.info.ID)
+	recent := s.now.Sub(s.renewalTraced[key]) < renewalTraceInterval
+	if status != runner.Done || recent || s.store.row.SameOwnership(&o.record) {
 		return
 	}
+	s.renewalTraced[key] = s.now
 	for _, id := range w.tasks() {
 		s.tracef(id, "epoch %d renews %s for %.1f s", o.epoch, w.info.ID, float64(w.leaseUntil-s.clock())/1000)
 	}
--- a/dispatch/ownersimfaults_test.go
+++ b/dispatch/ownersimfaults_test.go
@@ -96,11 +96,7 @@
 // that host.
 func (s *ownerSim) cutWorkersFromOthers(h *simHost, until time.Time) {
 	for _, w := range s.someWorkers() {
-		for _, other := range s.hosts {
-			if other != h {
-				s.cutFromWorker(other, w, until)
-			}
-		}
+		s.reachedOnlyBy(w, h, until)
 	}
 	for _, w := range s.someWorkers() {
 		s.cutFromWorker(h, w, until)
@@ -169,6 +165,20 @@
 	s.tracef(workload.TaskID{}, "%s is cut from %s for %.1f s", h.name, w.info.ID, until.Sub(s.now).Seconds())
 }
 
+// reachedOnlyBy cuts the links between a worker and all hosts but one; a nil host cuts
+// all of them.
+func (s *ownerSim) reachedOnlyBy(w *faultWorker, only *simHost, until time.Time) {
+	name := "none"
+	for _, h := range s.hosts {
+		if h != only {
+			h.cutFromWorkersUntil[w.info.ID] = until
+		} else {
+			name = h.name
+		}
+	}
+	s.tracef(workload.TaskID{}, "%s is reached by %s of the hosts for %.1f s", w.info.ID, name, until.Sub(s.now).Seconds())
+}
+
 // cutWorkerFromStore cuts a worker's link to the store, so that its entry on the
 // membership list lapses.
 func (s *ownerSim) cutWorkerFromStore(w *faultWorker, until time.Time) {
--- a/dispatch/ownersimhost_test.go
+++ b/dispatch/ownersimhost_test.go
@@ -15,6 +15,9 @@
 	// frozenUntil is when a frozen process goes on, downUntil when a killed one is back,
 	// and the others when a cut link works again.
 	frozenUntil, downUntil, cutFromStoreUntil, cutFromPeersUntil time.Time
+	// startsLateBy is how late the start orders of the host arrive, zero unless they are
+	// delayed.
+	startsLateBy time.Duration
 	// gone is set once the host never comes back.
 	gone bool
 	// cutFromWorkersUntil holds, by worker, when a cut link works again.
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -131,13 +131,28 @@
 		})
 	}
 	for _, order := range p.Starts {
+		s.orderedOn[order.Start.Task] = s.worker(order.Worker.ID)
 		s.tracef(order.Start.Task, "epoch %d orders run %d on %s, prior %v", o.epoch, order.Start.Run, order.Worker.ID, order.Prior)
-		s.orderBy(o, order.Worker.ID, func(w *faultWorker) runner.Status { return s.startBy(o, w, order) }, func(status runner.Status) {
-			if o.state.HandleStartAnswer(s.now, order, runner.Answer{Status: status, ClockMS: s.clock()}) {
-				s.pollBy(o, order.Worker.ID, func() {})
-			}
-		})
+		s.sendStart(o, order)
+	}
+}
+
+// sendStart sends an owner's start order, which arrives late without an answer if its
+// host's starts do.
+func (s *ownerSim) sendStart(o *simOwner, order dispatch.StartOrder) {
+	id := order.Worker.ID
+	do := func(w *faultWorker) runner.Status { return s.startBy(o, w, order) }
+	answered := func(status runner.Status) {
+		if o.state.HandleStartAnswer(s.now, order, runner.Answer{Status: status, ClockMS: s.clock()}) {
+			s.pollBy(o, id, func() {})
+		}
+	}
+	if o.host.startsLateBy == 0 {
+		s.orderBy(o, id, do, answered)
+		return
 	}
+	s.after(o.host.startsLateBy, func() { do(s.worker(id)) })
+	s.after(orderTimeout, s.onOwner(o, func() { answered(runner.Unknown) }))
 }
 
 // startBy carries out an owner's start order on a worker and checks it.
@@ -147,7 +162,6 @@
 	status := w.start(s.clock(), order.Start, s.newRun(order.Start))
 	s.tracef(task, "%s answers %v to run %d of epoch %d", w.info.ID, status, order.Start.Run, o.epoch)
 	if status == runner.Done && !known {
-		s.starts[task]++
 		s.checkNotDone(task, w)
 	}
 	return status
--- a/dispatch/ownersimstore_test.go
+++ b/dispatch/ownersimstore_test.go
@@ -135,11 +135,17 @@
 	}
 }
 
+// newRecord returns the owner's row with which a host takes the domain over, as
+// election.Acquire does.
+func newRecord(h *simHost, previous election.Record) election.Record {
+	return election.Record{Host: h.name, Address: h.name, Incarnation: h.id(), Epoch: previous.Epoch + 1}
+}
+
 // acquire commits a host's ownership on the condition that the owner's row is
 // unchanged. Its answer may be lost.
 func (s *ownerSim) acquire(h *simHost) {
 	previous, version := s.store.row, s.store.version
-	record := election.Record{Host: h.name, Address: h.name, Incarnation: h.id(), Epoch: previous.Epoch + 1}
+	record := newRecord(h, previous)
 	h.acquiring = true
 	answer := func(applied bool) {
 		h.acquiring = false
