--- a/dispatch/ownersimstore_test.go
+++ b/dispatch/ownersimstore_test.go
@@ -138,11 +138,17 @@
 	}
 }
 
+// newRecord returns the owner's row with which a host takes the domain over, as
+// election.Acquire does.
+func newRecord(h *simHost, previous election.Record) election.Record {
+	return election.Successor(&previous, election.Record{Host: h.name, Address: h.name, Incarnation: h.id()})
+}
+
 // acquire commits a host's ownership on the condition that the owner's row is
 // unchanged. Its answer may be lost.
 func (s *ownerSim) acquire(h *simHost) {
 	previous, version := s.store.row, s.store.version
-	record := election.Successor(&previous, election.Record{Host: h.name, Address: h.name, Incarnation: h.id()})
+	record := newRecord(h, previous)
 	begun := s.now
 	h.acquiring = true
 	answer := func(applied bool) {
