--- /dev/null
+++ b/ownership/lateclaim_test.go
@@ -0,0 +1,74 @@
+package ownership
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/roster"
+)
+
+// lateClaimSeeds is the number of seeds of TestClaimOfEndedProcessIsVoid.
+const lateClaimSeeds = 200
+
+// simulateLateClaim cuts the owner of a worker shard off from the table and
+// from one of its successors. That successor claims the shard; its claim is
+// slow, and its process is killed and soon back, reaching the owner again. The
+// claim reaches the table only then.
+func simulateLateClaim(seed uint64, f flaws) *simCluster {
+	c := newSimCluster(seed, 4+int(seed%3), 2, f)
+	c.run(15*time.Second + c.between(0, 3000))
+	shard := c.shards()[slices.IndexFunc(c.shards(), func(s string) bool { return !roster.IsEndpointShard(s) })]
+	owner := c.ownerOf(shard)
+	if owner == nil {
+		return c
+	}
+	owner.partitionFromTable(time.Minute)
+	successor := c.host(owner.machine.shards[shard].row.Successors[0])
+	pair := [2]string{min(owner.name, successor.name), max(owner.name, successor.name)}
+	c.partitions[pair] = true
+	successor.slowShardWritePercent = 100
+	for range 1000 {
+		c.run(20 * time.Millisecond)
+		if s := successor.machine.shards[shard]; s != nil && s.claim != nil {
+			break
+		}
+	}
+	successor.alive = false
+	successor.slowShardWritePercent = 0
+	delete(c.partitions, pair)
+	c.run(c.between(0, 500))
+	successor.restart()
+	c.run(15 * time.Second)
+	return c
+}
+
+// ownerOf returns the host whose live process owns a shard by its own
+// knowledge; nil if there is none.
+func (c *simCluster) ownerOf(shard string) *simHost {
+	for _, h := range c.hosts {
+		if s := h.machine.shards[shard]; h.alive && s != nil && h.machine.owns(s) {
+			return h
+		}
+	}
+	return nil
+}
+
+// host returns the host with a name.
+func (c *simCluster) host(name string) *simHost {
+	return c.hosts[slices.IndexFunc(c.hosts, func(h *simHost) bool { return h.name == name })]
+}
+
+// TestClaimOfEndedProcessIsVoid checks that no owner is kept in office by the
+// promise of a process whose predecessor's claim takes effect afterwards.
+func TestClaimOfEndedProcessIsVoid(t *testing.T) {
+	late := 0
+	for seed := range uint64(lateClaimSeeds) {
+		c := simulateLateClaim(seed, flaws{})
+		if c.violation != "" {
+			t.Errorf("seed %d: %s", seed, c.violation)
+		}
+		late += c.lateRenewals
+	}
+	t.Logf("%d renewals of task leases under a succeeded owner in %d runs", late, lateClaimSeeds)
+}
--- a/ownership/simhost_test.go
+++ b/ownership/simhost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
@@ -32,6 +33,9 @@
 	readsFail        bool
 	// ackLossPercent is the probability that the answer to a write is lost.
 	ackLossPercent int
+	// slowShardWritePercent is the probability that a write of a shard's row
+	// reaches the table only after some seconds.
+	slowShardWritePercent int
 	// open counts the requests of this process that are in its write window or
 	// at endpoints; writing counts those in the window.
 	open, writing map[string]int
@@ -177,7 +181,7 @@
 func (h *simHost) commit(tx infra.Transaction, done func(infra.CommitResult)) {
 	h.c.writes++
 	first := h.firstOf(time.Second, func() { done(infra.CommitResult{}) })
-	h.c.after(h.delay(), func() {
+	h.c.after(h.commitDelay(tx), func() {
 		if h.tableFails() {
 			if h.c.chance(50) {
 				h.runLater(0, func() { first(func() { done(infra.CommitResult{Status: infra.CommitNotApplied}) }) })
@@ -195,6 +199,19 @@
 	})
 }
 
+// commitDelay returns a random delay of a transaction on its way to the table.
+func (h *simHost) commitDelay(tx infra.Transaction) time.Duration {
+	if h.slowShardWritePercent > 0 && writesShard(tx) && h.c.chance(h.slowShardWritePercent) {
+		return h.c.between(500, 6000)
+	}
+	return h.delay()
+}
+
+// writesShard reports whether a transaction writes a shard's row.
+func writesShard(tx infra.Transaction) bool {
+	return len(tx.Writes) > 0 && strings.HasPrefix(tx.Writes[0].Key, ShardPrefix)
+}
+
 // read scans the sessions and then the shards, or gets rows by key and then
 // scans a page of shards.
 func (h *simHost) read(a Read) {
