ownership: after a drop, wait for the requests of all earlier owners

What callers saw: an endpoint with more requests at once than it has slots, for the rest of the longest request, after a change of lease.max_run from a longer to a shorter time.

Cause: who takes over from an owner that the list dropped long enough ago took the shard as drained, and used it in full at once. Long enough was counted from that owner's own longest request. The row says that requests of an owner before it may still be in flight, and for how long; that was left out.

Now the time after the drop is that of the longest request of all owners so far, as in the row. Before it is over, the claim carries that bound on, as it did.

Ruled out: with the same max_run everywhere an earlier owner's requests are over first, since the later one took over before it was dropped. Rows that are released, claimed from nobody or claimed again by a host's next process keep the bound, and an unconfirmed previous owner is waited for by its own bound.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -113,7 +113,7 @@
 		return ShardRow{Seized: true}
 	}
 	since, isDropped := m.dropped(now, s.row.Owner)
-	if isDropped && now.Sub(since) >= m.drainedAfterDrop(s.row.Owner) {
+	if isDropped && now.Sub(since) >= m.drainedAfterDrop(s.row.Owner, s.inFlightBound()) {
 		return ShardRow{}
 	}
 	if l.superseded {
--- a/ownership/confirm.go
+++ b/ownership/confirm.go
@@ -15,19 +15,19 @@
 	if u.Host == m.cfg.Host {
 		return m.stoppedSelf(now, s, *u, s.row.Epoch)
 	}
-	if since, isDropped := m.dropped(now, *u); isDropped && now.Sub(since) >= m.drainedAfterDrop(*u) {
+	if since, isDropped := m.dropped(now, *u); isDropped && now.Sub(since) >= m.drainedAfterDrop(*u, u.MaxRun) {
 		return true
 	}
 	o := m.sessions[u.Host]
 	return o != nil && o.supersedes(*u, s.version) && now.Sub(o.incarnationSince) >= m.drainTimeOf(u.MaxRun)
 }
 
-// drainedAfterDrop is the time after the list has dropped a host until nothing
-// of it is in flight. The host may continue until it reads the list: one
-// session covers the list's lag and another one a pause that the host doesn't
-// detect.
-func (m *Machine) drainedAfterDrop(h Holder) time.Duration {
-	return m.dropWait(h) + m.drainTimeOf(h.MaxRun)
+// drainedAfterDrop is the time after the list has dropped a host until no
+// request is in flight that was sent before the host stopped and runs for maxRun
+// at the most. The host may continue until it reads the list: one session covers
+// the list's lag and another one a pause that the host doesn't detect.
+func (m *Machine) drainedAfterDrop(h Holder, maxRun time.Duration) time.Duration {
+	return m.dropWait(h) + m.drainTimeOf(maxRun)
 }
 
 // stoppedSelf reports whether the given process of this host has nothing in
--- a/ownership/successions_test.go
+++ b/ownership/successions_test.go
@@ -81,24 +81,36 @@
 		h.pausedUntil = c.now.Add(c.between(500, 12000))
 	case 3:
 		h.alive = false
-		c.after(c.between(0, 1000), h.restart)
+		c.after(c.between(0, 1000), h.restartMixed)
 	case 4:
 		h.alive = false
 		c.after(c.between(500, 3000), func() {
 			if !h.alive {
 				c.setListed(h, false)
-				c.after(c.between(0, 20000), h.restart)
+				c.after(c.between(0, 20000), h.restartMixed)
 			}
 		})
 	case 5:
 		h.runLater(0, func() { h.execute(h.machine.HandOver(h.clock())) })
 		c.after(c.between(500, 8000), func() {
 			h.alive = false
-			c.after(c.between(0, 1000), h.restart)
+			c.after(c.between(0, 1000), h.restartMixed)
 		})
 	}
 }
 
+// restartMixed starts a new process of a host whose process has ended. In every
+// second seed the new process has another maximum run time of requests.
+func (h *simHost) restartMixed() {
+	if h.alive {
+		return
+	}
+	if h.c.maxLengthRequests {
+		h.maxRun = h.c.between(2000, 25000)
+	}
+	h.restart()
+}
+
 // partitionFromSome partitions a host from about half of the other hosts.
 func (c *simCluster) partitionFromSome(h *simHost) {
 	for _, o := range c.hosts {
