batch, standin: a first exchange renews no lease

What callers saw: a job on two workers at once, from the moment the latest owner took a run's lease as over until the worker ended the run, up to a lease later.

Cause: an exchange is valid for a second, by the clock of the worker that it names. The first exchange of an owner with a worker knows neither incarnation nor clock and has no validity, but renewed the leases all the same, whenever it arrived. The owner's own book bounds only what it sent and got answered, and its successor's only what owners may send until it took over: neither knows what is still on its way from an owner that has ended.

Now such an exchange tells the worker the owner's epoch and gets the whole list, and renews nothing. The owner sends the next one, with the incarnation, as soon as the reply is there. This needs a round trip more after a change of owner; the leases that the former owner renewed last for that.

Ruled out: waits of the owner can't make up for it, since nothing limits how late such an exchange arrives. Later exchanges are refused after their second; starts needed an incarnation before. Exchanges of an ended owner are refused once the worker has heard of a later one, but here it has not.

The fake workers of the batch tests keep to the same rule.

--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -126,8 +126,8 @@
 		return
 	}
 	w.recordIncarnation(now, reply)
+	s.exchangesNeeded = s.exchangesNeeded || w.exchangeNow
 	if reply.Stale {
-		s.exchangesNeeded = true
 		return
 	}
 	w.lastAnswered = now
--- a/batch/worker_incarnation.go
+++ b/batch/worker_incarnation.go
@@ -8,13 +8,15 @@
 
 // recordIncarnation records the incarnation of the worker that replied. A new
 // incarnation must be reconciled, because it has no state of earlier ones. A
-// stale exchange is repeated immediately.
+// stale exchange is repeated immediately, and the first one is followed by
+// another immediately, since it has renewed no lease.
 func (w *worker) recordIncarnation(now time.Time, reply infra.ExchangeReply) {
-	if w.incarnation != "" && w.incarnation != reply.Incarnation {
+	first := w.incarnation == ""
+	if !first && w.incarnation != reply.Incarnation {
 		w.reconciled, w.lastSeq = false, 0
 	}
 	w.incarnation, w.clockMS, w.clockReadAt = reply.Incarnation, reply.ClockMS, now
-	w.exchangeNow = w.exchangeNow || reply.Stale
+	w.exchangeNow = w.exchangeNow || reply.Stale || first
 }
 
 // validUntilMS returns the time of the worker's clock until which an exchange
--- a/batch/workers_test.go
+++ b/batch/workers_test.go
@@ -119,7 +119,9 @@
 	}
 	f.advance(w, now)
 	w.ownerEpoch = x.OwnerEpoch
-	w.leaseUntil = now.Add(time.Duration(x.LeaseMS) * time.Millisecond)
+	if x.Incarnation != "" {
+		w.leaseUntil = now.Add(time.Duration(x.LeaseMS) * time.Millisecond)
+	}
 	for _, o := range x.Orders {
 		f.order(w, o, now)
 	}
--- a/infra/workers.go
+++ b/infra/workers.go
@@ -97,6 +97,8 @@
 
 // Exchange is one message from the owner of a worker's shard. It renews the
 // lease of every run on the worker, gives orders and requests what has changed.
+// Without an incarnation it renews no lease, since nothing limits how late it
+// may arrive; the owner sends another one once it has the reply.
 type Exchange struct {
 	// OwnerEpoch is the epoch of the shard's owner. A worker refuses an
 	// exchange whose epoch is lower than the highest it has received.
@@ -108,7 +110,8 @@
 	// full list.
 	Since uint64 `json:"since"`
 	// Incarnation is the incarnation of the worker's agent from the last reply
-	// received; empty before the first. It is required with orders to start.
+	// received; empty before the first. It is required to renew leases and with
+	// orders to start.
 	Incarnation string `json:"incarnation,omitempty"`
 	// ValidUntilMS is the time of the worker's clock, as in
 	// ExchangeReply.ClockMS, after which the exchange has no effect. It is
--- a/standin/machine_exchange.go
+++ b/standin/machine_exchange.go
@@ -19,7 +19,9 @@
 		return m.withHeader(infra.ExchangeReply{Stale: true})
 	}
 	m.ownerEpoch = x.OwnerEpoch
-	m.leaseUntil = m.now.Add(time.Duration(x.LeaseMS) * time.Millisecond)
+	if x.Incarnation != "" {
+		m.leaseUntil = m.now.Add(time.Duration(x.LeaseMS) * time.Millisecond)
+	}
 	for _, o := range x.Orders {
 		m.order(o)
 	}
@@ -28,7 +30,8 @@
 }
 
 // stale reports whether the exchange is for another incarnation or arrived after
-// ValidUntilMS. An exchange without an incarnation must not start runs.
+// ValidUntilMS. An exchange without an incarnation must not start runs, and renews
+// no lease.
 func (m *machine) stale(x infra.Exchange) bool {
 	if x.Incarnation == "" {
 		return x.Starts()
