ownership: failing tests of an owner that goes on beside its successor

Symptom: an owner of a worker shard that the table doesn't answer renews task leases for 10 s and more while another host owns the shard and starts tasks. The list had dropped it, long enough for the other one to take over, and lists it again; its named successors, cut off from the table as well, promise as before. And neither the owner nor its successors mind the later owner's announcement.

--- /dev/null
+++ b/ownership/relisted_test.go
@@ -0,0 +1,68 @@
+package ownership
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/roster"
+)
+
+// relistedSeeds is the number of seeds of TestRelistedOwnerIsNotPromised.
+const relistedSeeds = 100
+
+// simulateRelisted cuts the owner of a worker shard and its successors off from
+// the table and all other hosts. The list drops the owner, which misses that
+// list, for long enough that another host takes over, and lists it again. In
+// every second seed the owner reads the new list.
+func simulateRelisted(seed uint64, f flaws) *simCluster {
+	c := newSimCluster(seed, 5+int(seed%3), 2, f)
+	c.lossPercent = int(seed % 4)
+	c.run(15*time.Second + c.between(0, 3000))
+	shard := c.shards()[slices.IndexFunc(c.shards(), func(s string) bool { return !roster.IsEndpointShard(s) })]
+	owner := c.ownerOf(shard)
+	if owner == nil {
+		return c
+	}
+	owner.partitionFromTable(time.Minute)
+	owner.listPartitioned = true
+	group := []*simHost{owner}
+	for _, name := range owner.machine.shards[shard].row.Successors {
+		group = append(group, c.host(name))
+		c.host(name).partitionFromTable(time.Minute)
+	}
+	c.partitionGroup(group)
+	c.run(c.between(0, 3000))
+	c.setListed(owner, false)
+	c.run(c.between(13000, 20000))
+	owner.listPartitioned = seed%2 == 0
+	c.setListed(owner, true)
+	c.run(25 * time.Second)
+	return c
+}
+
+// partitionGroup partitions a group of hosts from all others.
+func (c *simCluster) partitionGroup(group []*simHost) {
+	for _, h := range group {
+		for _, o := range c.hosts {
+			if !slices.Contains(group, o) {
+				c.partitions[[2]string{min(h.name, o.name), max(h.name, o.name)}] = true
+			}
+		}
+	}
+}
+
+// TestRelistedOwnerIsNotPromised checks that an owner that the list dropped for
+// a while is not kept in office by successors that can't read who has taken
+// over meanwhile.
+func TestRelistedOwnerIsNotPromised(t *testing.T) {
+	seizures := 0
+	for seed := range uint64(relistedSeeds) {
+		c := simulateRelisted(seed, flaws{})
+		if c.violation != "" {
+			t.Errorf("seed %d: %s", seed, c.violation)
+		}
+		seizures += c.seizures
+	}
+	t.Logf("%d seizures in %d runs", seizures, relistedSeeds)
+}
--- a/ownership/simhost_test.go
+++ b/ownership/simhost_test.go
@@ -31,6 +31,8 @@
 	pausedUntil      time.Time
 	tablePartitioned bool
 	readsFail        bool
+	// listPartitioned makes the host miss membership lists.
+	listPartitioned bool
 	// ackLossPercent is the probability that the answer to a write is lost.
 	ackLossPercent int
 	// slowShardWritePercent is the probability that a write of a shard's row
@@ -67,7 +69,7 @@
 // readList delivers a membership list to the host after a lag.
 func (h *simHost) readList(lag time.Duration, list infra.MemberList) {
 	h.c.after(lag, func() {
-		if list.Revision < h.newestList.Revision {
+		if h.listPartitioned || list.Revision < h.newestList.Revision {
 			return
 		}
 		h.newestList = list
