ownership: who is told of a later owner stops, and promises nothing

What callers saw: part of the doubled work of an owner that goes on beside its successor: the new owner had announced itself to it and to the hosts that kept it in office, and all of them went on.

Cause: an announcement led to a read of the row alone. A host that couldn't read the table went on by the row that it knew, though it was told of a later epoch.

Now the announced epoch counts as that of a refused promise or of a request to stop does: lower epochs are neither used nor promised. The row is read as before, and who isn't concerned by the shard does as before.

Why it holds: announcements are of rows that were written. A lost one changes nothing, so this alone is no bound; it ends most cases early.

TestOwnerStopsWhenToldOfSuccessor failed on all four shards, now on none.

--- a/ownership/announce.go
+++ b/ownership/announce.go
@@ -68,8 +68,9 @@
 	}
 }
 
-// Notified handles owner updates from a peer. They are only hints: rows on
-// which this host may have to act are read.
+// Notified handles owner updates from a peer. Rows on which this host may have
+// to act are read. Until then this host neither uses the shard under an earlier
+// epoch nor promises it to the owner of one.
 func (m *Machine) Notified(now time.Time, updates []OwnerUpdate) []Action {
 	for _, o := range updates {
 		s := m.shards[o.Shard]
@@ -82,6 +83,7 @@
 		relevant := slices.Contains(o.Successors, m.cfg.Host) || slices.Contains(s.row.Successors, m.cfg.Host)
 		if relevant || m.owns(s) || o.Owner == m.cfg.Host {
 			m.requestRead(s)
+			m.recordSuccessor(s, o.Epoch)
 		}
 	}
 	return m.step(now)
