ownership: a failing test of successors that stood still

Symptom: an owner of a worker shard renews task leases beside its successor, on the promises of named successors that stood still while the list dropped the owner, and can't read the table.

--- a/ownership/relisted_test.go
+++ b/ownership/relisted_test.go
@@ -11,11 +11,15 @@
 // relistedSeeds is the number of seeds of TestRelistedOwnerIsNotPromised.
 const relistedSeeds = 100
 
+// pausedOverDrop is longer than the list drops the owner in simulateRelisted.
+const pausedOverDrop = 21 * time.Second
+
 // simulateRelisted cuts the owner of a worker shard and its successors off from
 // the table and all other hosts. The list drops the owner, which misses that
 // list, for long enough that another host takes over, and lists it again. In
-// every second seed the owner reads the new list.
-func simulateRelisted(seed uint64, f flaws) *simCluster {
+// every second seed the owner reads the new list. If paused is set, the
+// successors stand still until then.
+func simulateRelisted(seed uint64, paused bool, f flaws) *simCluster {
 	c := newSimCluster(seed, 5+int(seed%3), 2, f)
 	c.lossPercent = int(seed % 4)
 	c.run(15*time.Second + c.between(0, 3000))
@@ -33,6 +37,11 @@
 	}
 	c.partitionGroup(group)
 	c.run(c.between(0, 3000))
+	if paused {
+		for _, h := range group[1:] {
+			h.pausedUntil = c.now.Add(pausedOverDrop)
+		}
+	}
 	c.setListed(owner, false)
 	c.run(c.between(13000, 20000))
 	owner.listPartitioned = seed%2 == 0
@@ -58,12 +67,12 @@
 func TestRelistedOwnerIsNotPromised(t *testing.T) {
 	seizures, detected := 0, 0
 	for seed := range uint64(relistedSeeds) {
-		c := simulateRelisted(seed, flaws{})
+		c := simulateRelisted(seed, false, flaws{})
 		if c.violation != "" {
 			t.Errorf("seed %d: %s", seed, c.violation)
 		}
 		seizures += c.seizures
-		if c := simulateRelisted(seed, flaws{promiseRelisted: true}); c.violation != "" {
+		if c := simulateRelisted(seed, false, flaws{promiseRelisted: true}); c.violation != "" {
 			detected++
 		}
 	}
@@ -72,3 +81,13 @@
 		t.Error("without the mechanism: no violation detected in any run")
 	}
 }
+
+// TestPausedSuccessorDoesNotPromise checks the same with successors that stand
+// still while the list drops the owner, and so miss it.
+func TestPausedSuccessorDoesNotPromise(t *testing.T) {
+	for seed := range uint64(relistedSeeds) {
+		if c := simulateRelisted(seed, true, flaws{}); c.violation != "" {
+			t.Errorf("seed %d: %s", seed, c.violation)
+		}
+	}
+}
