--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -36,6 +36,9 @@
 		return false
 	case s.commit != 0, s.row.Epoch < s.minUsableEpoch:
 		return false
+	case m.session.inFlight && !m.flaws.claimsOutliveProcess:
+		// The claim depends on the version that this renewal replaces.
+		return false
 	case s.claim != nil && !s.readSentAt.After(s.claim.sentAt):
 		// The row must be read before the claim is sent again.
 		return false
@@ -78,16 +81,11 @@
 // reclaim claims a shard owned by an earlier process of this host. That process
 // has ended, but its requests may still be in flight.
 func (m *Machine) reclaim(now time.Time, s *shardState) bool {
-	if m.session.inFlight {
-		return false
-	}
 	if !m.previousCleared(now, s) {
 		m.askPrevious(now, s)
 		return false
 	}
-	// The claim must fail if a later process of this host has started.
-	own := infra.Condition{Key: SessionKey(m.cfg.Host), Version: m.session.version}
-	m.sendClaim(now, s, ShardRow{Seized: true}, &own)
+	m.sendClaim(now, s, ShardRow{Seized: true}, nil)
 	return true
 }
 
@@ -115,7 +113,7 @@
 		return ShardRow{Seized: true}
 	}
 	since, isDropped := m.dropped(now, s.row.Owner)
-	if isDropped && now.Sub(since) >= m.drainedAfterDrop(s.row.Owner) {
+	if isDropped && now.Sub(since) >= m.drainedAfterDrop(s.row.Owner, s.inFlightBound()) {
 		return ShardRow{}
 	}
 	if l.superseded {
@@ -209,7 +207,9 @@
 }
 
 // sendClaim sends a claim. It uses Seized and Unconfirmed of row and sets all
-// other fields.
+// other fields. The claim depends on the version of this host's session as
+// well, so that it can't take effect once a later process of this host has
+// opened its session.
 func (m *Machine) sendClaim(now time.Time, s *shardState, row ShardRow, condition *infra.Condition) {
 	row.Owner = m.self()
 	if row.Seized {
@@ -219,7 +219,10 @@
 	row.Successors = m.successors(s, m.cfg.Host)
 	uncertain := s.claim != nil && s.claim.uncertain
 	s.claim = &claim{sentAt: now, uncertain: uncertain, condition: condition}
-	var extra []infra.Condition
+	extra := []infra.Condition{{Key: SessionKey(m.cfg.Host), Version: m.session.version}}
+	if m.flaws.claimsOutliveProcess {
+		extra = nil
+	}
 	if condition != nil {
 		extra = append(extra, *condition)
 	}
@@ -228,13 +231,21 @@
 
 // dropVoidClaim drops a claim that can no longer take effect because the
 // session that it depends on was renewed. Session versions only increase, so
-// that its earlier attempts are void as well.
-func (m *Machine) dropVoidClaim(s *shardState) {
+// that its earlier attempts are void as well. The claim may have taken effect
+// before the renewal; dropVoidClaim keeps it until the shard's row was read by a
+// request sent since the renewal is known.
+func (m *Machine) dropVoidClaim(now time.Time, s *shardState) {
 	if s.claim == nil || s.commit != 0 || s.claim.condition == nil {
 		return
 	}
 	o := m.sessions[hostOfKey(s.claim.condition.Key)]
-	if o != nil && o.version > s.claim.condition.Version {
+	if o == nil || o.version <= s.claim.condition.Version {
+		return
+	}
+	if s.claim.voidSince.IsZero() {
+		s.claim.voidSince = now
+	}
+	if !s.readSentAt.Before(s.claim.voidSince) || m.flaws.dropVoidUnread {
 		s.claim = nil
 	}
 }
--- a/ownership/flaws.go
+++ b/ownership/flaws.go
@@ -16,8 +16,16 @@
 	// noSessionCondition claims without a condition on the version of the
 	// lapsed session.
 	noSessionCondition bool
+	// claimsOutliveProcess claims without a condition on this host's session,
+	// and promises before the table was read under it.
+	claimsOutliveProcess bool
+	// dropVoidUnread drops a void claim before the shard's row was read.
+	dropVoidUnread bool
 	// ignorePromises claims shards in spite of promises given.
 	ignorePromises bool
+	// promiseRelisted promises an owner that the list had dropped, without a
+	// read of the shard's row since.
+	promiseRelisted bool
 	// neverPromise gives no promises.
 	neverPromise bool
 	// noSecondWait seizes a shard whose previous owner is unconfirmed.
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -97,18 +97,20 @@
 }
 
 // PromiseAsked handles a peer's PromiseRequest and returns the reply. A process
-// that has not read the table yet gives no promise, since an earlier process of
-// its host may have succeeded the requester.
+// that has not read the table under its own session yet gives no promise, since
+// an earlier process of its host may have succeeded the requester. No claim of
+// an earlier process takes effect after the opening of that session.
 func (m *Machine) PromiseAsked(now time.Time, req PromiseRequest) (PromiseReply, []Action) {
+	m.detectPause(now)
 	_, isDropped := m.dropped(now, req.Owner)
-	if !m.read.done || m.excluded() || isDropped || m.flaws.neverPromise {
+	if !m.mayPromise() || m.excluded() || isDropped || m.flaws.neverPromise {
 		return PromiseReply{}, m.step(now)
 	}
 	reply := PromiseReply{Promised: true}
 	for _, h := range req.Shards {
 		s := m.shard(h.Shard)
 		newest := max(s.row.Epoch, s.minUsableEpoch)
-		if newest > h.Epoch || s.claim != nil {
+		if newest > h.Epoch || s.claim != nil || !m.readSinceDrop(now, s, req.Owner) {
 			reply.Refused = append(reply.Refused, ShardEpoch{Shard: h.Shard, Epoch: newest})
 			continue
 		}
@@ -122,3 +124,35 @@
 	m.promisesGiven[req.Owner.process()] = now.Add(m.lapseTimeOf(req.Owner))
 	return reply, m.step(now)
 }
+
+// mayPromise reports whether this host knows of all claims of its earlier
+// processes.
+func (m *Machine) mayPromise() bool {
+	return m.read.doneUnderSession || (m.flaws.claimsOutliveProcess && m.read.done)
+}
+
+// readSinceDrop reports whether no host can have succeeded the owner of a shard,
+// because the list had dropped the owner for long, since the shard's row was
+// read: from one session, for the list's lag, after the list named the owner
+// again. A pause of this process counts as such a drop. If not, it requests a
+// read.
+func (m *Machine) readSinceDrop(now time.Time, s *shardState, owner Holder) bool {
+	if m.flaws.promiseRelisted {
+		return true
+	}
+	if a, ok := m.absent[owner.Host]; ok && m.droppedForLong(now, owner.Host, a) {
+		// The owner may have read a later list than this host.
+		return false
+	}
+	since := m.relisted[owner.Host]
+	if m.resumedAt.After(since) {
+		since = m.resumedAt
+	}
+	if since.IsZero() || s.readSentAt.After(since.Add(m.lapseTimeOf(owner))) {
+		return true
+	}
+	if s.minReadID == 0 {
+		m.requestRead(s)
+	}
+	return false
+}
