control, dispatch: an owner in doubt verifies its ownership before it gives orders

Cause: an owner that has reason to doubt its ownership went on, or ended, in place of asking the one who knows, the store.

Changed: after a pause of the loop of 0.75 s or more, and after a worker's refusal of the newest token, the owner plans nothing, renews nothing and sends no queued start until a commit is applied that began afterwards; the commit is made at once. Without one it goes on after 1 s in the first case (a pause that meets an outage of the store must not end all runs) and ends after 2.5 s in the second. Where the commit is applied, the worker refuses wrongly: its refusals then count as no answer until it answers.

Ruled out: to look at the age of the last commit alone; a store outage of which nobody knows looks the same, and an owner is to go on through it.

--- a/control/commit.go
+++ b/control/commit.go
@@ -15,7 +15,7 @@
 // commit. All changes are committed once some have existed for flushDelay plus
 // half the poll interval. The owner's row, which is part of every commit, is
 // committed at least every heartbeatInterval, and at once if the state awaits a
-// confirmation of the ownership.
+// confirmation of the ownership or the owner has to verify it.
 func (o *Owner) flush(now time.Time) {
 	if o.committing || o.resigning {
 		return
@@ -28,7 +28,7 @@
 	heartbeatDue := now.Sub(o.lastCommit) >= heartbeatInterval
 	flushAll := !o.dirtySince.IsZero() && now.Sub(o.dirtySince) >= flushDelay+o.traffic.PollInterval(now)/2
 	flushUrgent := now.Sub(o.lastCommit) >= flushDelay && o.state.HasUrgentChanges()
-	rowDue := heartbeatDue || o.state.AwaitsConfirmation()
+	rowDue := heartbeatDue || o.state.AwaitsConfirmation() || o.unverified()
 	if !rowDue && !flushAll && !flushUrgent && len(o.waiters) == 0 {
 		return
 	}
--- a/control/orders.go
+++ b/control/orders.go
@@ -5,10 +5,7 @@
 	"log/slog"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/fireflygate/fireflygate/dispatch"
-	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/flow"
 	"github.com/fireflygate/fireflygate/runner"
@@ -81,20 +78,12 @@
 	o.opts.Metrics.order("start", a.Status)
 	event.StartAnswered.Log(o.opts.Log, slog.Any("task", s.Start.Task), slog.Any("run", s.Start.Run), slog.Any("worker", s.Worker.ID), slog.Any("token", s.Start.Token), slog.Any("known", s.Snapshot), slog.Any("prior", s.Prior), slog.Any("status", a.Status), slog.Any("err", a.Err))
 	resolve := o.state.HandleStartAnswer(now, s, a)
-	o.endIfRefused()
+	o.verifyIfRefused()
 	if resolve {
 		o.pollNow(s.Worker.ID)
 	}
 }
 
-// endIfRefused ends the owner if a worker has refused its newest token: another host
-// owns the domain, although this one may not be able to read that in the store.
-func (o *Owner) endIfRefused() {
-	if r, ok := o.state.RefusedToken(); ok {
-		o.quit(errors.Wrapf(election.ErrDeposed, "worker %s has seen a higher token than %d", r.Worker, r.Token))
-	}
-}
-
 // pollNow polls a worker with its newest token, in addition to a poll that may
 // be waiting there, for a recent report or to learn which unanswered starts were
 // carried out. Queued starts with an older token aren't sent any more.
@@ -160,6 +149,9 @@
 // pollWorkers starts the polls that are due and ends the sessions of removed
 // workers.
 func (o *Owner) pollWorkers(now time.Time) {
+	if o.unverified() {
+		return // a poll that extends no lease would delay the next one that does
+	}
 	o.state.EachWorker(func(id string) { o.pollWorker(now, id) })
 	for _, id := range o.state.EarlyPolls(now) {
 		o.pollNow(id)
@@ -224,12 +216,12 @@
 	}
 }
 
-// handleReport applies the answer to a poll to the state, and logs the ends in it. It
-// ends the owner if the answer shows that it has been replaced.
+// handleReport applies the answer to a poll to the state, and logs the ends in it. The
+// answer may show that the owner has been replaced.
 func (o *Owner) handleReport(now time.Time, p poll, a pollAnswer) {
 	for _, e := range o.state.HandleReport(now, p.worker.ID, p.renewal, a.answer, a.report) {
 		o.opts.Metrics.ends.WithLabelValues(e.Kind.String()).Inc()
 		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", p.worker.ID), slog.Any("how", e.Kind))
 	}
-	o.endIfRefused()
+	o.verifyIfRefused()
 }
--- a/control/owner.go
+++ b/control/owner.go
@@ -68,6 +68,9 @@
 	// one gives no orders and renews no leases.
 	resigning, closed bool
 	released          atomic.Bool
+	verification      verification
+	// refusedToken is the refusal for which a verification was last required.
+	refusedToken dispatch.RefusedToken
 	// earlier tracks until when the owners before this one may give orders.
 	earlier *election.EarlierOwners
 	// rosterEpochsKnown is set if the previous owner kept the epochs on the roster.
@@ -127,9 +130,10 @@
 }
 
 // ownershipValid reports whether the owner may give orders: its last commit is
-// recent enough, and it has neither ended nor is about to give the domain up.
+// recent enough, it needn't verify its ownership first, and it has neither ended nor
+// is about to give the domain up.
 func (o *Owner) ownershipValid() bool {
-	return o.commitAge() < election.Validity && !o.released.Load() && o.ctx.Err() == nil
+	return o.commitAge() < election.Validity && !o.unverified() && !o.released.Load() && o.ctx.Err() == nil
 }
 
 // commitAge returns the time since the last applied commit began.
@@ -185,33 +189,35 @@
 
 // step runs one cycle: it commits changes, plans, and polls workers.
 func (o *Owner) step() {
-	now := time.Now()
+	now, at := time.Now(), boottime()
+	o.verifyAfterStall(at)
+	o.endIfRefused(at)
+	o.cycleAt.Store(int64(at))
 	if o.handOver() {
 		o.pollWorkers(now) // renews the leases of running tasks until the handover is committed
 		return
 	}
 	o.steppedAt = now
-	o.cycleAt.Store(int64(boottime()))
 	o.flush(now)
-	at := o.loop.add(flushing, now)
+	done := o.loop.add(flushing, now)
 	if o.ownershipValid() && !o.resigning && o.planDue(now) {
 		p := o.state.PlanAtMost(now, o.traffic.AvailableStarts())
-		at = o.loop.add(planning, at)
+		done = o.loop.add(planning, done)
 		o.loop.planned(p.StartLimitReached)
 		o.plannedAt, o.startLimitReached = now, p.StartLimitReached
 		o.issueOrders(p)
 		o.requestPermits(now)
-		at = o.loop.add(issuingOrders, at)
+		done = o.loop.add(issuingOrders, done)
 	}
 	if o.state.AwaitsConfirmation() {
 		o.flush(now) // a task that starts again waits for this commit
-		at = o.loop.add(flushing, at)
+		done = o.loop.add(flushing, done)
 	}
 	o.pollWorkers(now)
-	at = o.loop.add(polling, at)
+	done = o.loop.add(polling, done)
 	o.summarize(now)
 	o.logLosses()
-	o.stepDuration = o.loop.add(summarizing, at).Sub(now)
+	o.stepDuration = o.loop.add(summarizing, done).Sub(now)
 	o.opts.Metrics.planDuration.Observe(o.stepDuration.Seconds())
 }
 
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -17,7 +17,7 @@
 	}
 	w.setClock(now, a.ClockMS)
 	if a.Status == runner.Fenced {
-		s.recordFenced(w, o.Start.Token)
+		s.recordFenced(now, w, o.Start.Token)
 	}
 	r := w.runs[o.Start.Task]
 	if r == nil || r.number != o.Start.Run || r.confirmed || r.phase == uncertain {
--- a/dispatch/confirmation.go
+++ b/dispatch/confirmation.go
@@ -18,6 +18,7 @@
 	if began.After(s.confirmation.confirmedAt) {
 		s.confirmation.confirmedAt = began
 	}
+	s.resolveRefusal(began)
 }
 
 // AwaitsConfirmation reports whether runs count as ended only once a commit that
@@ -32,10 +33,15 @@
 	if !c.confirmedAt.Before(at) {
 		return true
 	}
+	c.await(at)
+	return false
+}
+
+// await records that a commit is awaited that begins at the given time or later.
+func (c *confirmation) await(at time.Time) {
 	if at.After(c.awaitedSince) {
 		c.awaitedSince = at
 	}
-	return false
 }
 
 // leaseOver reports whether the lease of a worker is over and the ownership was
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -20,6 +20,10 @@
 	heartbeatInterval = 400 * time.Millisecond
 	// membersInterval is the time between two reads of the membership list.
 	membersInterval = 400 * time.Millisecond
+	// stallTimeout is how long an owner that stood still gives no orders at most, and
+	// refusalTimeout how long one whose token a worker has refused.
+	stallTimeout   = time.Second
+	refusalTimeout = 2500 * time.Millisecond
 	// pollRetryInterval is the least time between two polls of an unresponsive worker.
 	pollRetryInterval = 300 * time.Millisecond
 )
@@ -34,6 +38,12 @@
 	version uint64
 	// ended is set once it has learned that it is replaced, or its process has ended.
 	ended bool
+	// doubtedAt is when it last had reason to doubt its ownership, doubtUntil how long it
+	// gives no orders for that.
+	doubtedAt, doubtUntil time.Time
+	// refused is the refusal for which it last did, steppedAt the time of its last cycle.
+	refused   dispatch.RefusedToken
+	steppedAt time.Time
 	// committedAt is when its last applied commit began, commitBegan when its last
 	// commit did.
 	committedAt, commitBegan time.Time
@@ -46,7 +56,31 @@
 }
 
 // valid reports whether the owner issues orders.
-func (o *simOwner) valid(now time.Time) bool { return now.Sub(o.committedAt) < ownerValidity }
+func (o *simOwner) valid(now time.Time) bool {
+	return now.Sub(o.committedAt) < ownerValidity && !o.unverified(now)
+}
+
+// unverified reports whether the owner waits for a commit that shows that it wasn't
+// replaced.
+func (o *simOwner) unverified(now time.Time) bool {
+	return o.committedAt.Before(o.doubtedAt) && now.Before(o.doubtUntil)
+}
+
+// doubt makes the owner wait for such a commit for at most the given time.
+func (o *simOwner) doubt(now time.Time, timeout time.Duration) {
+	o.doubtedAt = now
+	if until := now.Add(timeout); until.After(o.doubtUntil) {
+		o.doubtUntil = until
+	}
+}
+
+// verifyAfterStall makes the owner doubt its ownership if it stood still.
+func (o *simOwner) verifyAfterStall(now time.Time) {
+	if !o.steppedAt.IsZero() && now.Sub(o.steppedAt) >= election.StaleAfter {
+		o.doubt(now, stallTimeout)
+	}
+	o.steppedAt = now
+}
 
 // lead makes a host the owner that the record describes, with the committed rows, unless
 // it has heard of a later one. The commit that acquired the domain began at begun.
@@ -88,10 +122,20 @@
 	})
 }
 
-// endIfRefused ends an owner whose newest token a worker has refused.
+// verifyIfRefused makes an owner doubt its ownership if a worker has refused its newest
+// token.
+func (s *ownerSim) verifyIfRefused(o *simOwner) {
+	r, _ := o.state.RefusedToken()
+	if r != o.refused && r.Worker != "" {
+		o.doubt(s.now, refusalTimeout)
+	}
+	o.refused = r
+}
+
+// endIfRefused ends an owner that has doubted its ownership for too long after a refusal.
 func (s *ownerSim) endIfRefused(o *simOwner) {
-	if r, ok := o.state.RefusedToken(); ok {
-		s.deposed(o, "refused by "+r.Worker)
+	if o.refused.Worker != "" && o.committedAt.Before(o.doubtedAt) && !s.now.Before(o.doubtUntil) {
+		s.deposed(o, "refused by "+o.refused.Worker)
 	}
 }
 
@@ -110,6 +154,11 @@
 // stepOwner runs one cycle of an owner: it commits, plans and polls workers.
 func (s *ownerSim) stepOwner(o *simOwner) {
 	o.now = s.now
+	o.verifyAfterStall(s.now)
+	s.endIfRefused(o)
+	if o.ended {
+		return
+	}
 	if o.host.reachesStore(s.now) && s.storeUp() && s.now.Sub(o.membersReadAt) >= membersInterval {
 		o.membersReadAt = s.now
 		o.state.SetMembers(s.now, s.members.list(s.now, s.workers))
@@ -119,6 +168,9 @@
 		s.sendPlan(o, o.state.Plan(s.now))
 	}
 	s.traceLosses(o)
+	if o.unverified(s.now) {
+		return
+	}
 	o.state.EachWorker(func(id string) {
 		if !o.polling[id] && !s.now.Before(o.nextPoll[id]) && o.state.RenewalReady(s.now, id) {
 			o.polling[id] = true
@@ -155,7 +207,7 @@
 	do := func(w *faultWorker) runner.Status { return s.startBy(o, w, order) }
 	answered := func(status runner.Status) {
 		resolve := o.state.HandleStartAnswer(s.now, order, runner.Answer{Status: status, ClockMS: s.clock()})
-		s.endIfRefused(o)
+		s.verifyIfRefused(o)
 		if resolve {
 			s.pollBy(o, id, func() {})
 		}
@@ -201,7 +253,7 @@
 			o.nextPoll[id] = s.now.Add(pollRetryInterval)
 		}
 		s.recordEndsOf(o, id, o.state.HandleReport(s.now, id, renewal, a, rep))
-		s.endIfRefused(o)
+		s.verifyIfRefused(o)
 	})
 }
 
--- a/dispatch/ownersimstore_test.go
+++ b/dispatch/ownersimstore_test.go
@@ -44,7 +44,7 @@
 
 // beginCommit begins a commit if the owner has changes or its row is due.
 func (s *ownerSim) beginCommit(o *simOwner) {
-	due := o.state.HasUnflushedChanges() || o.state.AwaitsConfirmation()
+	due := o.state.HasUnflushedChanges() || o.state.AwaitsConfirmation() || o.unverified(s.now)
 	if o.committing || (!due && s.now.Sub(o.commitBegan) < heartbeatInterval) {
 		return
 	}
--- a/dispatch/refusedtoken_test.go
+++ b/dispatch/refusedtoken_test.go
@@ -68,3 +68,27 @@
 	}
 	r.wantRefused("polls sent before the workers came back", dispatch.RefusedToken{})
 }
+
+// TestWrongRefusalShowsNoSuccessor checks that a worker's refusals count as no answer once
+// a commit has shown that the owner wasn't replaced, until the worker answers.
+func TestWrongRefusalShowsNoSuccessor(t *testing.T) {
+	r := newRig(t, 1)
+	refuse := func() {
+		r.advance(testTick)
+		_, o, _ := r.state.Renewal(r.now, worker(0), true)
+		r.state.HandleReport(r.now, worker(0), o, fenced, runner.Report{})
+	}
+	refuse()
+	refused, _ := r.state.RefusedToken()
+	r.wantRefused("a refusal", dispatch.RefusedToken{Worker: worker(0), Token: refused.Token})
+	r.flush()
+	r.wantRefused("a commit after it", dispatch.RefusedToken{})
+	refuse()
+	r.wantRefused("another refusal", dispatch.RefusedToken{})
+	if r.state.Responsive(worker(0)) {
+		t.Error("a worker that refuses every token counts as responsive")
+	}
+	r.report(worker(0), nil, nil)
+	refuse()
+	r.wantRefused("a refusal after an answer", dispatch.RefusedToken{Worker: worker(0), Token: refused.Token})
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -23,7 +23,7 @@
 	case a.Status == runner.Restarted:
 		s.HandleRestart(now, id)
 		return nil
-	case a.Status == runner.Fenced && !s.recordFenced(w, sent.Token):
+	case a.Status == runner.Fenced && !s.recordFenced(now, w, sent.Token):
 		w.markResponsive() // only the poll is outdated
 		return nil
 	default:
@@ -31,6 +31,7 @@
 		return nil
 	}
 	w.markResponsive()
+	w.refusesWrongly = false
 	s.forgetCrash(w.hash)
 	s.markChanged(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -59,6 +59,8 @@
 	confirmation confirmation
 	// refusedToken is what RefusedToken returns.
 	refusedToken RefusedToken
+	// refusedAt is when that refusal was handled.
+	refusedAt time.Time
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
 	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -61,6 +61,9 @@
 	unknownRun bool
 	// lastEnd is the last recorded end, acknowledged the last durable one.
 	lastEnd, acknowledged uint64
+	// refusesWrongly is set once it has refused this owner's newest token although the
+	// owner wasn't replaced, until it answers. Its refusals then count as no answer.
+	refusesWrongly bool
 	// polledAt is when its last poll ended, with or without an answer; suspected
 	// is set by the failure detector.
 	polledAt  time.Time
--- a/event/control.go
+++ b/event/control.go
@@ -38,5 +38,6 @@
 	WorkerLost           = routine(933, slog.LevelWarn, "runs lost with their worker")
 	JobGivenUp           = define(934, slog.LevelWarn, "job given up, workers crashed under one of its tasks")
 	EarlierOwnerStopped  = define(935, slog.LevelInfo, "earlier owner has stopped giving orders")
+	OwnershipInDoubt     = define(936, slog.LevelWarn, "domain ownership in doubt, verifying it before further orders")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
