--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -10,9 +10,9 @@
 // ownerSeeds is the number of simulated seeds.
 const ownerSeeds = 30
 
-// failedOwnerSeeds are further seeds that used to fail: the word of one earlier owner
-// taken for all, a lease taken as over that a successor renews, and a worker off the
-// list taken as departed.
+// failedOwnerSeeds are further seeds, of three lines. They fail if the answer of one
+// earlier owner's host ends the wait for all, if an owner takes a lease as over that its
+// successor may renew, and if a worker off the membership list counts as terminated.
 var failedOwnerSeeds = []uint64{
 	48, 80, 93, 116,
 	35, 37, 72, 87, 132, 145, 198, 271,
--- a/dispatch/ownerscenarios_test.go
+++ b/dispatch/ownerscenarios_test.go
@@ -314,7 +314,7 @@
 }
 
 // TestTaskRestartsSoonAfterForgottenOwner guards against a long wait for an owner that
-// never answers but whose validity was over before the owner just before was killed.
+// never answers and whose validity was over before the last change of owner.
 func TestTaskRestartsSoonAfterForgottenOwner(t *testing.T) {
 	s, w := newScenario(t, 4, 3)
 	s.hosts[0].remove()
--- a/dispatch/ownersimfaults_test.go
+++ b/dispatch/ownersimfaults_test.go
@@ -190,7 +190,7 @@
 func (s *ownerSim) endFaults() {
 	s.noFaults, s.only, s.storeDownUntil, s.store.commitDelay = true, nil, s.now, 0
 	for _, h := range s.hosts {
-		h.heal(s.now)
+		h.restoreLinks(s.now)
 	}
 	for _, w := range s.workers {
 		w.unreachableUntil = s.now
--- a/dispatch/ownersimhost_test.go
+++ b/dispatch/ownersimhost_test.go
@@ -70,8 +70,8 @@
 	h.gone = true
 }
 
-// heal makes all links of the host work again.
-func (h *simHost) heal(now time.Time) {
+// restoreLinks makes all links of the host work again.
+func (h *simHost) restoreLinks(now time.Time) {
 	h.cutFromStoreUntil, h.cutFromPeersUntil = now, now
 	clear(h.cutFromWorkersUntil)
 }
