dispatch: a gang is held as a whole after the loss of one member

What callers would see: a gang of which some members start and the others are held until the store has their locations; with commits slower than the time that members wait for each other, the started ones end alone, again and again.

Cause: whether a run of the task may have ended was asked for each member alone. Now a lost member holds the gang, as a crash does.

TestGangStartsWholeAfterOneLoss: one of two members started before, none does now. Its last check expected both starts after one commit; it takes two, as the rows first have to forget the old locations.

--- a/dispatch/heldstart.go
+++ b/dispatch/heldstart.go
@@ -15,9 +15,12 @@
 	s.heldStarts = append(s.heldStarts, heldStart{r, o})
 }
 
-// mayHaveEnded reports whether an earlier run of the task may have ended on a worker
-// that doesn't answer this owner, or was lost.
+// mayHaveEnded reports whether an earlier run of the task, or of a member of its gang, may
+// have ended on a worker that doesn't answer this owner, or was lost.
 func (t *task) mayHaveEnded() bool {
+	if t.step.spec.Gang && slices.ContainsFunc(t.step.tasks, func(member task) bool { return member.lost }) {
+		return true
+	}
 	return t.lost || slices.ContainsFunc(t.runs, func(r *run) bool { return !r.worker.unresponsiveSince.IsZero() })
 }
 
