election: the list of earlier owners with owners of earlier releases, and its bound

A row that doesn't say that it lists earlier owners now brings an unnamed owner of the epoch before with it, for the whole time. TestOwnerBeforeEarlierReleaseIsWaitedFor failed before and passes.

Owners that end before their first commit, as when the state can't be loaded, add an entry each and drop none: after 1,260 of them the row was over the store's limit, and nobody could have owned the domain any more. The oldest entries beyond 32 are now merged into an unnamed one that stands for them: from the lowest epoch on, for the longest time. TestOwnersThatEndAtOnceKeepRowSmall failed before and passes.

--- a/election/acquire.go
+++ b/election/acquire.go
@@ -26,14 +26,13 @@
 // previous.
 func Successor(previous *Record, self Record) Record {
 	self.Epoch, self.Seq, self.Resigned = previous.Epoch+1, 0, false
-	self.RosterEpochs = true
+	self.ListsEarlier, self.RosterEpochs = true, false
 	self.Earlier = earlierOwners(previous, &self)
 	return self
 }
 
 // Acquire commits an owner's row for self in the epoch after that of previous,
-// and returns the Committer of the new owner. The row lists the earlier
-// owners. previous and version are the
+// and returns the Committer of the new owner. previous and version are the
 // results of Read; if the row has changed since, Acquire returns ErrDeposed.
 func Acquire(ctx context.Context, table infra.Table, self, previous Record, version uint64) (*Committer, error) {
 	c := NewCommitter(table, Successor(&previous, self), version)
--- a/election/committer.go
+++ b/election/committer.go
@@ -120,6 +120,15 @@
 	return c.commit(ctx, writes)
 }
 
+// CommitRosterEpochs is Commit for writes with which the roster tells in which epochs
+// workers got leases. The owner's row says so from then on.
+func (c *Committer) CommitRosterEpochs(ctx context.Context, writes []infra.Write) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.RosterEpochs = true
+	return c.commit(ctx, writes)
+}
+
 // commit implements Commit; c.mu must be held.
 func (c *Committer) commit(ctx context.Context, writes []infra.Write) error {
 	c.record.Seq++
--- a/election/earlierowner.go
+++ b/election/earlierowner.go
@@ -36,12 +36,20 @@
 // Stopped reports whether the owner gives no more orders.
 func (e *EarlierOwner) Stopped() bool { return e.OrdersMS <= 0 }
 
+// maxEarlierOwners bounds the owners that a row lists, so that it stays small where many
+// owners end before their first commit.
+const maxEarlierOwners = 32
+
 // earlierOwners returns the owners that a row lists by which self replaces the owner
 // of the row previous: those of that row and its own owner. An owner that has resigned
 // gives no more orders. Neither does an earlier owner of the same process, nor one at
 // the same address, whose process has terminated.
 func earlierOwners(previous, self *Record) []EarlierOwner {
 	all := slices.Clone(previous.Earlier)
+	if previous.Host != "" && !previous.ListsEarlier && previous.Epoch > 1 {
+		// Unknown, as the previous owner is of a release that lists nobody.
+		all = append(all, EarlierOwner{Epoch: previous.Epoch - 1, OrdersMS: withDrift(Validity).Milliseconds()})
+	}
 	if previous.Host != "" {
 		all = append(all, EarlierOwner{
 			Host: previous.Host, Address: previous.Address, Incarnation: previous.Incarnation, Epoch: previous.Epoch,
@@ -51,13 +59,23 @@
 	for i := range all {
 		e := &all[i]
 		resigned := previous.Resigned && e.Epoch == previous.Epoch
-		if resigned || e.Incarnation == self.Incarnation || (e.Address != "" && e.Address == self.Address) {
+		if resigned || (e.Host != "" && e.Incarnation == self.Incarnation) || (e.Address != "" && e.Address == self.Address) {
 			e.OrdersMS = min(e.OrdersMS, 0)
 		}
 	}
+	for len(all) > maxEarlierOwners {
+		all[1] = all[0].merge(&all[1])
+		all = all[1:]
+	}
 	return all
 }
 
+// merge returns an unnamed owner that stands for both: it may have given leases since
+// the earlier epoch, and may give orders until the later time.
+func (e *EarlierOwner) merge(other *EarlierOwner) EarlierOwner {
+	return EarlierOwner{Epoch: min(e.Epoch, other.Epoch), OrdersMS: max(e.OrdersMS, other.OrdersMS)}
+}
+
 // withDrift returns the longest time that passes here while d passes on another
 // host's clock.
 func withDrift(d time.Duration) time.Duration {
--- a/election/record.go
+++ b/election/record.go
@@ -26,9 +26,11 @@
 	HandedOver bool `msgpack:"o,omitempty"`
 	// Resigned is set by an owner that has stopped giving orders.
 	Resigned bool `msgpack:"r,omitempty"`
-	// RosterEpochs is set by an owner that keeps on the roster in which epochs workers
-	// got leases.
+	// RosterEpochs is set once the roster tells in which epochs workers got leases, those
+	// of this owner included.
 	RosterEpochs bool `msgpack:"l,omitempty"`
+	// ListsEarlier is set by owners that keep Earlier.
+	ListsEarlier bool `msgpack:"k,omitempty"`
 	// Earlier lists the owners before this one that may still give orders, or leases of
 	// which may last.
 	Earlier []EarlierOwner `msgpack:"p,omitempty"`
