dispatch, control: leases at once after a takeover; a refusal stops starts alone

Roster epochs. And with releases mixed, a task in two places: the row said from the takeover on that the roster tells the epochs, so if the owner ended before it had written the roster again, its successor relied on epochs that an owner of an earlier release hadn't kept. Now the row says so from the first commit of the whole roster on, once all workers have reported or after 1 s; until then leases are given at once, and a successor counts the owner as having given leases to all. TestRosterEpochsAfterEarlierReleaseNeedRewrite failed before (given up 100 ms after a renewal) and passes; TestTakeoverRenewsLeasesAtOnce is new. TestLeaseFollowsRoster now checks the rule from that commit on, with a worker that reports later. A batch holds at most 32 parts of the roster, so that 20,000 workers stay below the 1 MB of a transaction.

An owner whose token a worker refuses starts nothing until a commit confirms it, but goes on renewing leases, and ends after 2.5 s only if a second worker refuses: one faulty worker that meets an outage of the store would have ended all runs. A successor waits for those leases anyway. A refusal that came after the commit began isn't settled by it. TestRefusedOwnerStopsUntilVerified has both cases.

--- a/control/commit.go
+++ b/control/commit.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -28,7 +29,7 @@
 	heartbeatDue := now.Sub(o.lastCommit) >= heartbeatInterval
 	flushAll := !o.dirtySince.IsZero() && now.Sub(o.dirtySince) >= flushDelay+o.traffic.PollInterval(now)/2
 	flushUrgent := now.Sub(o.lastCommit) >= flushDelay && o.state.HasUrgentChanges()
-	rowDue := heartbeatDue || o.state.AwaitsConfirmation() || o.unverified()
+	rowDue := heartbeatDue || o.state.AwaitsConfirmation() || o.unverified() || o.refused()
 	if !rowDue && !flushAll && !flushUrgent && len(o.waiters) == 0 {
 		return
 	}
@@ -40,7 +41,7 @@
 	if err != nil {
 		panic("control: can't encode state: " + err.Error())
 	}
-	if len(b.Writes) == 0 && !rowDue {
+	if len(b.Writes) == 0 && !b.RosterEpochs && !rowDue {
 		o.state.MarkFlushed(b)
 		return
 	}
@@ -58,7 +59,7 @@
 	best, _ := o.candidates.Strongest(start)
 	o.committer.SetCores(max(best, o.opts.Cores))
 	o.committer.SetEarlier(o.earlier.List(start))
-	err := o.committer.Commit(o.ctx, b.Writes)
+	err := o.commitBatch(o.ctx, b)
 	o.opts.Metrics.commit(err, boottime()-start)
 	if err != nil {
 		o.quit(errors.Wrap(err, "commit"))
@@ -77,6 +78,14 @@
 	})
 }
 
+// commitBatch writes a batch together with the owner's row.
+func (o *Owner) commitBatch(ctx context.Context, b *dispatch.Batch) error {
+	if b.RosterEpochs {
+		return o.committer.CommitRosterEpochs(ctx, b.Writes)
+	}
+	return o.committer.Commit(ctx, b.Writes)
+}
+
 // recordCommit records the version of the owner's row after an applied commit,
 // and the boottime start at which that commit began.
 func (o *Owner) recordCommit(start time.Duration) {
--- a/control/orders.go
+++ b/control/orders.go
@@ -63,7 +63,7 @@
 // maySend decides, right before a queued start is sent, whether it is still to be sent.
 // If it returns true, the state counts the start as sent.
 func (o *Owner) maySend(ctx context.Context, session *session, s *dispatch.StartOrder, issuedAt time.Duration) bool {
-	return ctx.Err() == nil && session.token.Load() == s.Start.Token && o.ownershipValid() &&
+	return ctx.Err() == nil && session.token.Load() == s.Start.Token && o.ownershipValid() && !o.refused() &&
 		boottime()-issuedAt < o.traffic.maxStartDelay() && s.Sending.Begin()
 }
 
--- a/control/owner.go
+++ b/control/owner.go
@@ -68,7 +68,9 @@
 	// one gives no orders and renews no leases.
 	resigning, closed bool
 	released          atomic.Bool
-	verification      verification
+	// stalledAt and refusedAt are the boottimes at which its process was last found to
+	// have stood still, and a worker refused its newest token; 0 if never.
+	stalledAt, refusedAt atomic.Int64
 	// refusedToken is the refusal for which a verification was last required.
 	refusedToken dispatch.RefusedToken
 	// earlier tracks until when the owners before this one may give orders.
@@ -200,7 +202,7 @@
 	o.steppedAt = now
 	o.flush(now)
 	done := o.loop.add(flushing, now)
-	if o.ownershipValid() && !o.resigning && o.planDue(now) {
+	if o.ownershipValid() && !o.refused() && !o.resigning && o.planDue(now) {
 		p := o.state.PlanAtMost(now, o.traffic.AvailableStarts())
 		done = o.loop.add(planning, done)
 		o.loop.planned(p.StartLimitReached)
--- a/control/resign.go
+++ b/control/resign.go
@@ -54,7 +54,7 @@
 	}
 	o.committing, o.closed = true, true
 	go func() {
-		if err := o.committer.Commit(ctx, b.Writes); err != nil {
+		if err := o.commitBatch(ctx, b); err != nil {
 			event.ResignFailed.Log(o.opts.Log, slog.Any("err", err))
 			o.quit(errors.Wrap(err, "last commit"))
 			return
--- a/dispatch/confirmation.go
+++ b/dispatch/confirmation.go
@@ -18,7 +18,7 @@
 	if began.After(s.confirmation.confirmedAt) {
 		s.confirmation.confirmedAt = began
 	}
-	s.resolveRefusal(began)
+	s.resolveRefusals(began)
 }
 
 // AwaitsConfirmation reports whether runs count as ended only once a commit that
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -26,6 +26,9 @@
 // Batch is a set of changes that are committed together.
 type Batch struct {
 	Writes []infra.Write
+	// RosterEpochs is set if the owner's row must say from this commit on that the roster
+	// tells in which epochs workers got leases.
+	RosterEpochs bool
 	// jobs holds the jobs of the batch with the states that it writes.
 	jobs []batchJob
 	// roster holds the workers in the roster parts that it writes.
@@ -49,7 +52,7 @@
 }
 
 // Empty reports whether the batch changes nothing.
-func (b *Batch) Empty() bool { return len(b.Writes) == 0 && len(b.ends) == 0 }
+func (b *Batch) Empty() bool { return len(b.Writes) == 0 && len(b.ends) == 0 && !b.RosterEpochs }
 
 // Flush collects the changes that must become durable, in at most limit writes.
 // The caller commits the batch and passes it to MarkFlushed, or discards the
@@ -90,6 +93,7 @@
 	if err := s.flushRoster(b); err != nil {
 		return nil, err
 	}
+	s.claimRosterEpochs(now, b)
 	if s.estimatesChanged && now.Sub(s.estimatesFlushedAt) >= estimatesInterval {
 		if err := s.flushEstimates(now, b); err != nil {
 			return nil, err
--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -21,14 +21,22 @@
 // rosterPart returns the part of the roster that holds a worker.
 func (w *worker) rosterPart() int { return int(w.hash % rosterParts) }
 
-// flushRoster writes the parts of the roster that have changed.
+// maxRosterWrites bounds the parts of the roster in one batch. With 20,000 workers these
+// are 0.9 MB, below the 1 MB limit of a transaction.
+const maxRosterWrites = 32
+
+// flushRoster writes the parts of the roster that have changed, at most maxRosterWrites.
 func (s *State) flushRoster(b *Batch) error {
 	if len(s.dirtyRosterParts) == 0 {
 		return nil
 	}
 	parts := map[int]*RosterRow{}
 	for part := range s.dirtyRosterParts {
+		if len(parts) == maxRosterWrites {
+			break
+		}
 		parts[part] = &RosterRow{}
+		delete(s.dirtyRosterParts, part)
 	}
 	for _, w := range s.workers {
 		if row := parts[w.rosterPart()]; row != nil {
@@ -50,7 +58,6 @@
 		}
 		b.Writes = append(b.Writes, write)
 	}
-	s.dirtyRosterParts = map[int]bool{}
 	return nil
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -120,7 +120,7 @@
 		workers: make([]*worker, 0, len(s.workers)), maxStarts: math.MaxInt,
 	}
 	for _, w := range s.byID() {
-		if w.usable(now) && w.leasable && !w.clockAt.IsZero() {
+		if w.usable(now) && w.inRoster && w.leasable && !w.clockAt.IsZero() {
 			c.workers = append(c.workers, w)
 		}
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -31,7 +31,7 @@
 		return nil
 	}
 	w.markResponsive()
-	w.refusesWrongly = false
+	w.refusesWrongly, w.refusedAt = false, time.Time{}
 	s.forgetCrash(w.hash)
 	s.markChanged(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
@@ -40,7 +40,7 @@
 	s.learnFromTails(now, w)
 	if len(rep.Ends) < runner.MaxEnds {
 		s.resolveUncertain(now, w, sent.Token, rep.Active)
-		s.markReported(w)
+		s.markReported(now, w)
 	}
 	s.raiseTokenIfUncertain(w)
 	return ends
@@ -60,7 +60,7 @@
 // markReported records the first report to this owner. Orders of an earlier
 // owner have no effect from now on, and none gave a lease longer than one given
 // now.
-func (s *State) markReported(w *worker) {
+func (s *State) markReported(now time.Time, w *worker) {
 	if w.reported {
 		return
 	}
@@ -71,15 +71,6 @@
 	delete(s.inheritedRuns, w.hash)
 }
 
-// markLeased records on the roster that this owner may give the worker leases, which
-// it does once that is durable.
-func (s *State) markLeased(w *worker) {
-	if w.leasedIn != s.cfg.Epoch {
-		w.leasedIn = s.cfg.Epoch
-		s.dirtyRosterParts[w.rosterPart()] = true
-	}
-}
-
 // recordEnds applies and returns the ends that are new.
 func (s *State) recordEnds(now time.Time, w *worker, ends []runner.RunEnd) []runner.RunEnd {
 	var newEnds []runner.RunEnd
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -26,6 +26,10 @@
 	awaitingReport map[string]*worker
 	// awaitedLostAt is when one of them was last lost.
 	awaitedLostAt time.Time
+	// rosterEpochs is set once a batch has said that the roster tells in which epochs
+	// workers got leases; firstFlushAt is when the first batch was collected.
+	rosterEpochs bool
+	firstFlushAt time.Time
 	// earlierOrders tells until when earlier owners may give orders.
 	earlierOrders []EarlierOrders
 	nextRun       uint64
@@ -59,8 +63,6 @@
 	confirmation confirmation
 	// refusedToken is what RefusedToken returns.
 	refusedToken RefusedToken
-	// refusedAt is when that refusal was handled.
-	refusedAt time.Time
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
 	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -43,8 +43,9 @@
 	// the last was given.
 	leaseOverAt time.Time
 	// leasedIn is the latest epoch whose owner may have given it a lease or a start,
-	// according to the roster as it will be written next; 0 if unknown. An owner gives it
-	// none before leasable is set: the durable roster then holds its own epoch.
+	// according to the roster as it will be written next; 0 if unknown. This owner gives
+	// it none before leasable is set: the durable roster then holds its own epoch, or the
+	// owner's row doesn't say yet that the roster does.
 	leasedIn uint64
 	leasable bool
 	// inheritedUntil is when all leases from an earlier owner have expired.
@@ -64,6 +65,9 @@
 	// refusesWrongly is set once it has refused this owner's newest token although the
 	// owner wasn't replaced, until it answers. Its refusals then count as no answer.
 	refusesWrongly bool
+	// refusedAt is when it refused this owner's newest token, zero if it didn't since the
+	// last commit that confirmed the ownership.
+	refusedAt time.Time
 	// polledAt is when its last poll ended, with or without an answer; suspected
 	// is set by the failure detector.
 	polledAt  time.Time
