--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -66,7 +66,7 @@
 	}
 	w.reported = true
 	s.markLeased(w)
-	w.extendLease(w.clock + s.cfg.Lease.Milliseconds())
+	w.extendLease(w.clockLowerBound(now) + s.cfg.Lease.Milliseconds())
 	delete(s.awaitingReport, w.info.ID)
 	delete(s.inheritedRuns, w.hash)
 }
