--- a/ownership/lateclaim_test.go
+++ b/ownership/lateclaim_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package ownership
 
 import (
@@ -43,22 +45,6 @@
 	return c
 }
 
-// ownerOf returns the host whose live process owns a shard by its own
-// knowledge; nil if there is none.
-func (c *simCluster) ownerOf(shard string) *simHost {
-	for _, h := range c.hosts {
-		if s := h.machine.shards[shard]; h.alive && s != nil && h.machine.owns(s) {
-			return h
-		}
-	}
-	return nil
-}
-
-// host returns the host with a name.
-func (c *simCluster) host(name string) *simHost {
-	return c.hosts[slices.IndexFunc(c.hosts, func(h *simHost) bool { return h.name == name })]
-}
-
 // TestClaimOfEndedProcessIsVoid checks that no owner is kept in office by the
 // promise of a process whose predecessor's claim takes effect afterwards.
 func TestClaimOfEndedProcessIsVoid(t *testing.T) {
--- a/ownership/lostclaims_test.go
+++ b/ownership/lostclaims_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package ownership
 
 import (
--- a/ownership/simcluster_test.go
+++ b/ownership/simcluster_test.go
@@ -259,3 +259,19 @@
 func (c *simCluster) shards() []string {
 	return roster.Build(roster.Roster{}, c.list, c.lease).Shards()
 }
+
+// ownerOf returns the host whose live process owns a shard by its own
+// knowledge; nil if there is none.
+func (c *simCluster) ownerOf(shard string) *simHost {
+	for _, h := range c.hosts {
+		if s := h.machine.shards[shard]; h.alive && s != nil && h.machine.owns(s) {
+			return h
+		}
+	}
+	return nil
+}
+
+// host returns the host with a name.
+func (c *simCluster) host(name string) *simHost {
+	return c.hosts[slices.IndexFunc(c.hosts, func(h *simHost) bool { return h.name == name })]
+}
