gateway: answers that arrived during a pause are read before their wait ends

Callers saw: "no_answer", "peer_no_answer" and "in_progress" right after their host had stood still, for requests that their endpoint had answered.

Cause: timers that expired during a pause fire before answers that arrived during it are read. On waking, the exchange with the endpoint, the forward to a peer and the wait of a booking each ended at once, with the answer in the socket.

Ruled out: free slots elsewhere (0.4 to 1.4 of 24 while others waited), lost requests (they had ended), pauses of the callers' process.

Change: where a pause of the process ended after the request was sent, its answer is awaited until 250 ms after that pause. A request that no pause touched ends at its deadline as before, and a caller that left isn't waited for.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -65,7 +65,7 @@
 	if g.opt.Bookings == nil {
 		return nil, notRun(ReasonNoBookings, 0)
 	}
-	wait, cancel := context.WithDeadline(ctx, req.Deadline)
+	wait, cancel := g.withAnswerDeadline(ctx, req.Deadline)
 	defer cancel()
 	id := booking.Request{
 		Service: req.Service,
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -9,6 +9,8 @@
 	"net/url"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/routing"
 )
@@ -83,7 +85,8 @@
 // cancels the request if no byte was sent; otherwise the outcome is unknown and
 // a later response is discarded.
 func (x *exchange) wait(ctx context.Context) (*Response, outcome.Refusal) {
-	limit := time.NewTimer(x.maxWait())
+	deadline := time.Now().Add(x.maxWait())
+	limit := time.NewTimer(time.Until(deadline))
 	defer limit.Stop()
 	select {
 	case r := <-x.result:
@@ -95,15 +98,36 @@
 		x.stop()
 		return nil, notRun(ReasonDeadline, defaultRetryAfter)
 	}
-	select {
-	case r := <-x.result:
+	if r, ok := x.resultAfterPause(ctx, deadline); ok {
 		return r.resp, r.refusal
-	default:
 	}
 	go x.discard()
 	return nil, unknownOutcome(ReasonNoAnswer)
 }
 
+// resultAfterPause returns the result if there is one when the wait is to be given up,
+// which after a pause of the process is later than its deadline. It doesn't wait for a
+// caller that has left.
+func (x *exchange) resultAfterPause(ctx context.Context, deadline time.Time) (result, bool) {
+	until := deadline
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		until = x.g.giveUpAt(x.start, deadline)
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case r := <-x.result:
+		return r, true
+	case <-timer.C:
+	}
+	select {
+	case r := <-x.result:
+		return r, true
+	default:
+		return result{}, false
+	}
+}
+
 // maxWait is how long to wait for the result. A booked request is awaited for
 // MaxRun longer, so that its outcome can be stored.
 func (x *exchange) maxWait() time.Duration {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,7 +50,7 @@
 func (g *Gateway) forward(ctx context.Context, req Request, host string) (*Response, outcome.Refusal) {
 	if req.Key == "" {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		ctx, cancel = g.withAnswerDeadline(ctx, req.Deadline)
 		defer cancel()
 	}
 	var reply callReply
--- a/internal/processpause/detector.go
+++ b/internal/processpause/detector.go
@@ -69,6 +69,18 @@
 	return now.Add(-paused)
 }
 
+// ResumedAt returns when the last pause ended: now if no tick has ended it yet, and
+// the zero time if there was none.
+func (d *Detector) ResumedAt(now time.Time) time.Time {
+	if _, paused := d.gapSinceTick(now); paused {
+		return now
+	}
+	if len(d.spans) == 0 {
+		return time.Time{}
+	}
+	return d.spans[len(d.spans)-1].to
+}
+
 // LongestWithin returns the longest single pause between from and now.
 func (d *Detector) LongestWithin(from, now time.Time) time.Duration {
 	longest := time.Duration(0)
--- a/internal/processpause/detector_test.go
+++ b/internal/processpause/detector_test.go
@@ -47,6 +47,25 @@
 	}
 }
 
+// TestResumedAt checks the end of the last pause, before any, after one, and during
+// the next.
+func TestResumedAt(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var w Detector
+	w.Tick(at(0))
+	if got := w.ResumedAt(at(50)); !got.IsZero() {
+		t.Errorf("resumed at %v without a pause, want the zero time", got)
+	}
+	w.Tick(at(1000))
+	w.Tick(at(1050))
+	if got := w.ResumedAt(at(1100)); !got.Equal(at(1000)) {
+		t.Errorf("resumed at %v after a pause, want its end %v", got, at(1000))
+	}
+	if got := w.ResumedAt(at(2000)); !got.Equal(at(2000)) {
+		t.Errorf("resumed at %v while no tick has ended the pause, want now", got)
+	}
+}
+
 // TestLongestWithin checks that the longest pause is distinguished from the
 // sum of pauses.
 func TestLongestWithin(t *testing.T) {
