gateway, routing: a booking whose claim took its time isn't started

Callers saw: "in_progress" for bookings that were started with hardly any time left, so that their outcome was unknown; not run could have been sent again.

Cause: a request waits for a slot until twice the mean work is left of its time, since a later start ends as unknown. A booking whose claim took that time and that then found a free slot was started all the same.

Change: such a booking is refused as not run. At most half of the time that the caller gave must be left, so that services with long work still get theirs.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflygate/fireflygate/booking"
 	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/routing"
 )
 
 // Call serves one request. The response is set if and only if the refusal's
@@ -65,6 +66,7 @@
 	if g.opt.Bookings == nil {
 		return nil, notRun(ReasonNoBookings, 0)
 	}
+	given := time.Until(req.Deadline)
 	wait, cancel := g.withAnswerDeadline(ctx, req.Deadline)
 	defer cancel()
 	id := booking.Request{
@@ -73,6 +75,9 @@
 		Digest:  booking.Digest(req.Method, req.Target, req.Body),
 	}
 	answer, refusal := g.opt.Bookings.Do(wait, id, func(run context.Context) (booking.Response, outcome.Refusal) {
+		if g.startsLate(req, given) {
+			return booking.Response{}, notRun(ReasonDeadline, defaultRetryAfter)
+		}
 		return g.runBooked(run, req)
 	})
 	if refusal.Kind != outcome.Answered {
@@ -81,6 +86,19 @@
 	return fromBooking(answer), refusal
 }
 
+// startsLate reports whether a booking's claim took so long that its outcome would
+// probably come after the deadline. Such a booking is better refused as not run, which
+// its caller can repeat, than started with an unknown outcome. given is the time that
+// the booking had until its deadline when it came.
+func (g *Gateway) startsLate(req Request, given time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	perSecond, each := g.pool.Rate(now, req.Service, g.opt.Ownership.Snapshot())
+	_, each = g.queue(req.Service).DrainRate(g.pauses.RunningTime(now), perSecond, each)
+	return now.After(routing.StartDeadline(req.Deadline, given, each))
+}
+
 // runBooked runs a claimed request until its outcome is known, which may be
 // after the caller's deadline.
 func (g *Gateway) runBooked(ctx context.Context, req Request) (booking.Response, outcome.Refusal) {
--- a/gateway/giveup_test.go
+++ b/gateway/giveup_test.go
@@ -18,14 +18,15 @@
 )
 
 // deadlineRegistry runs requests in the background and waits for their outcome until
-// its context ends, as booking.Registry does.
-type deadlineRegistry struct{}
+// its context ends, as booking.Registry does. A claim takes the time claim.
+type deadlineRegistry struct{ claim time.Duration }
 
-func (deadlineRegistry) Do(ctx context.Context, _ booking.Request, run booking.Run) (booking.Response, outcome.Refusal) {
+func (r deadlineRegistry) Do(ctx context.Context, _ booking.Request, run booking.Run) (booking.Response, outcome.Refusal) {
 	type ended struct {
 		response booking.Response
 		refusal  outcome.Refusal
 	}
+	pause.For(ctx, r.claim)
 	done := make(chan ended, 1)
 	go func() {
 		response, refusal := run(context.WithoutCancel(ctx))
