gateway: the write window lasts until the request was written

Cause: net/http calls WroteRequest when the request is in its buffer; one below 4 KB reaches the connection only after that (persistConn.writeLoop flushes after Request.write). The window ended before the grant was even asked, so all of an endpoint's slots could be between that check and the end of their write. A successor without confirmation counts on half.

A host that stands still in the middle of more writes than the window would have to meet a successor that uses its half.

Change: the connection finds the end of the request, by the end of its header and the length of its body. Where a write fails, the window ends with the slot or at the start of its wait for max_run, as before.

Tests: TestWritesKeepToWindow (before: 4 requests being written at once, want 2, without a body and with a small one), TestRequestEnd.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -20,8 +20,11 @@
 type attempt struct {
 	// permit is called just before the first byte is written.
 	permit func() bool
+	// written is called when the whole request has been written.
+	written func()
 
 	mu        sync.Mutex
+	end       requestEnd
 	conn      *endpointConn // connection that the request was written to
 	denied    bool          // permit returned false
 	cancelled bool          // cancelled before the first byte
@@ -49,6 +52,16 @@
 	return nil
 }
 
+// addWritten adds written bytes and calls written once the request is complete.
+func (a *attempt) addWritten(b []byte) {
+	a.mu.Lock()
+	complete := a.end.add(b)
+	a.mu.Unlock()
+	if complete {
+		a.written()
+	}
+}
+
 // markUnsent records that the first write wrote no byte.
 func (a *attempt) markUnsent() {
 	a.mu.Lock()
@@ -102,6 +115,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
+	a.addWritten(b[:n])
 	if n == 0 && err != nil && !writing {
 		a.markUnsent()
 		return n, err
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -51,7 +51,7 @@
 // dispatch sends the request to the slot's endpoint and waits for the result.
 func (g *Gateway) dispatch(ctx context.Context, req Request, s *routing.Slot) (*Response, outcome.Refusal) {
 	x := &exchange{g: g, req: req, slot: s, result: make(chan result, 1), start: time.Now()}
-	x.attempt = &attempt{permit: x.permit}
+	x.attempt = &attempt{permit: x.permit, written: x.markWritten, end: requestEnd{bodyLeft: len(req.Body)}}
 	g.mu.Lock()
 	x.client = g.clients[s.Endpoint().Name]
 	if x.client == nil {
@@ -162,8 +162,7 @@
 
 func (x *exchange) request(ctx context.Context) *http.Request {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(i httptrace.GotConnInfo) { i.Conn.(*endpointConn).setAttempt(x.attempt) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { x.markWritten() },
+		GotConn: func(i httptrace.GotConnInfo) { i.Conn.(*endpointConn).setAttempt(x.attempt) },
 	})
 	r := &http.Request{
 		Method:        x.req.Method,
