--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -22,7 +22,7 @@
 func (w *worker) rosterPart() int { return int(w.hash % rosterParts) }
 
 // maxRosterWrites bounds the parts of the roster in one batch. With 20,000 workers these
-// are 0.9 MB, below the 1 MB limit of a transaction.
+// are 0.8 MB, below the 1 MB limit of a transaction.
 const maxRosterWrites = 32
 
 // flushRoster writes the parts of the roster that have changed, at most maxRosterWrites.
