--- a/control/node.go
+++ b/control/node.go
@@ -162,8 +162,9 @@
 
 // setLeader records the owner's row r and, if this host is the owner, its Owner
 // o, which is nil otherwise. An owner of which a newer one is known ends: the newer
-// one relies on this host's answer to its notification. setLeader wakes requests that wait for a change of owner
-// and, if o is nil, updates the addresses in the peer client.
+// one relies on this host's answer to its notification. setLeader wakes requests
+// that wait for a change of owner and, if o is nil, updates the addresses in the peer
+// client.
 func (n *Node) setLeader(r election.Record, o *Owner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/control/resign.go
+++ b/control/resign.go
@@ -27,9 +27,9 @@
 }
 
 // beginResign starts the resignation; it runs on the loop. Starts that are still queued
-// are left to the next owner. If a commit is in
-// flight, afterCommit starts the last commit once the former is applied. Nothing polls
-// for that: a polling loop would take the processor from the commit itself.
+// are left to the next owner. If a commit is in flight, afterCommit starts the last
+// commit once the former is applied. Nothing polls for that: a polling loop would take
+// the processor from the commit itself.
 func (o *Owner) beginResign(ctx context.Context) {
 	if o.resigning {
 		return
