--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -49,14 +49,7 @@
 			t.Parallel()
 			s := newFaultSim(t, seed)
 			s.queueStarts = queueStarts
-			s.run(time.Second)
-			for i := range 80 {
-				s.submitRandom(fmt.Sprint("job", i))
-				s.run(s.between(testTick, 10*testTick))
-				if s.chance(0.05) {
-					s.state.Cancel(s.now, fmt.Sprint("job", s.random.IntN(i+1)))
-				}
-			}
+			s.submitUnderFaults(s.run)
 			s.noFaults = true
 			s.run(60 * time.Second)
 			for _, waits := range s.waitingDespiteCapacity() {
@@ -75,6 +68,19 @@
 	}
 }
 
+// submitUnderFaults submits random jobs and advances the simulation with run; some jobs
+// are canceled.
+func (s *faultSim) submitUnderFaults(run func(time.Duration)) {
+	run(time.Second)
+	for i := range 80 {
+		s.submitRandom(fmt.Sprint("job", i))
+		run(s.between(testTick, 10*testTick))
+		if s.chance(0.05) {
+			s.state.Cancel(s.now, fmt.Sprint("job", s.random.IntN(i+1)))
+		}
+	}
+}
+
 // cancelLongRunning cancels the jobs with long-running tasks.
 func (s *faultSim) cancelLongRunning() {
 	for _, j := range s.jobs {
