--- a/control/owner.go
+++ b/control/owner.go
@@ -75,7 +75,8 @@
 	refusedToken dispatch.RefusedToken
 	// earlier tracks until when the owners before this one may give orders.
 	earlier *election.EarlierOwners
-	// rosterEpochsKnown is set if the previous owner kept the epochs on the roster.
+	// rosterEpochsKnown is set if the previous owner's row says that the roster tells in
+	// which epochs workers got leases.
 	rosterEpochsKnown bool
 	// afterCommit, if set, runs on the loop after the commit in flight.
 	afterCommit func()
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -99,8 +99,8 @@
 
 // InheritWorker adds a worker of an earlier owner's roster. It may hold runs of
 // inherited jobs until it reports or all leases are over that earlier owners may have
-// given it. epochsKnown is set if all owners since the worker was added have kept its
-// LeasedIn, which releases before that field don't.
+// given it. epochsKnown is set if the previous owner's row says that the roster tells the
+// epochs; otherwise any owner may have given it leases.
 func (s *State) InheritWorker(m RosterWorker, epochsKnown bool) {
 	w := s.addWorker(m.Worker)
 	w.inRoster = true
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -28,9 +28,9 @@
 }
 
 // Renewal returns the next renewal for a worker, false if it isn't known. The
-// lease is extended only if extend is set, the worker isn't suspected and the durable
-// roster says that this owner may give it leases; the
-// new end of the lease counts from now on, whether the worker answers or not.
+// lease is extended only if extend is set, the worker isn't suspected and this owner
+// may give it leases (see markLeased); the new end of the lease counts from now on,
+// whether the worker answers or not.
 func (s *State) Renewal(now time.Time, id string, extend bool) (runner.Worker, runner.Renewal, bool) {
 	w := s.workers[id]
 	if w == nil {
