gate, configsync: a starting host needs the versions of all its peers

A host that was replaced while the store was down could go from version 2 back to 1 (TestReplacedHostDoesNotRevert, failed each time): it took the newest version of those peers that answered once these were more than half. A version is in force on each host as soon as that host knows it, so few hosts may have it, and the only other one may be out of reach.

Now a starting host takes the newest version once each peer on the list has answered with one within two seconds. A peer that is starting itself doesn't count, as it may be in the same position. Ruled out: holding a version back until most hosts have it, which is a consensus of our own; the four ways stand in docs/decisions/config-spreading.md, with the cost: a host that starts in an outage waits while one listed peer is out of reach, where it waited for most of them.

What a version may replace, which peers are asked and what a starting host may take is decided in configsync, without I/O; the messages moved from gate to configsync/exchange, for both programs. Event 700 tells from whom a version came.

TestOfferBounded moved with its code, unchanged; TestStartNeedsAllPeers is new. The mutation spread-among-peers now breaks the one place from which both ways of sending read the content.

--- a/configstore/offer.go
+++ b/configstore/offer.go
@@ -5,4 +5,6 @@
 type Offer struct {
 	Head    Head   `msgpack:"h"`
 	Content string `msgpack:"c"`
+	// From is the name of the host that sent it, empty if it was read from the store.
+	From string `msgpack:"-"`
 }
--- a/configstore/watcher.go
+++ b/configstore/watcher.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflygate/fireflygate/configsync"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/settings"
 )
@@ -135,7 +136,7 @@
 		next.Settings = settings.Compose(w.local, policy)
 	}
 	w.current.Store(&next)
-	event.ConfigApplied.Log(w.log, slog.Uint64("version", o.Head.Version), slog.String("hash", o.Head.Hash))
+	event.ConfigApplied.Log(w.log, slog.Uint64("version", o.Head.Version), slog.String("hash", o.Head.Hash), slog.String("from", o.From))
 	for _, f := range w.subscribers {
 		f(next.clone())
 	}
@@ -158,6 +159,6 @@
 
 // newer reports whether a version is newer than the one in force.
 func (w *Watcher) newer(h Head) bool {
-	c := w.current.Load()
-	return c == nil || h.Version > c.Head.Version
+	version, known := w.Version()
+	return configsync.Newer(h.Version, version, known)
 }
--- a/gate/offer.go
+++ b/configsync/exchange/offer.go
@@ -1,4 +1,4 @@
-package gate
+package exchange
 
 import (
 	"bytes"
--- /dev/null
+++ b/configsync/exchange/start.go
@@ -0,0 +1,43 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// startFanout is the largest number of peers that a starting host asks in a round.
+const startFanout = 64
+
+// start puts the newest version of the peers into force, once all of them have answered
+// with one.
+func (e *Exchange) start(ctx context.Context) {
+	e.mu.Lock()
+	peers := e.versions.Peers()
+	missing := e.startup.Missing(peers, time.Now())
+	e.mu.Unlock()
+	var pending sync.WaitGroup
+	for _, p := range missing[:min(startFanout, len(missing))] {
+		pending.Go(func() { e.recordAnswer(ctx, p) })
+	}
+	pending.Wait()
+	e.mu.Lock()
+	newest, _, ok := e.startup.Newest(peers, time.Now())
+	e.mu.Unlock()
+	if ok {
+		e.fetch(ctx, newest)
+	}
+}
+
+// recordAnswer asks a peer for its version and records the answer for the decision
+// which version to start with.
+func (e *Exchange) recordAnswer(ctx context.Context, peer string) {
+	asked := time.Now()
+	theirs, ok := e.ask(ctx, peer)
+	if !ok || !theirs.known() {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startup.Record(peer, theirs.Version, asked)
+}
--- /dev/null
+++ b/configsync/startup.go
@@ -0,0 +1,55 @@
+package configsync
+
+import "time"
+
+// answerValidity is how long a starting host relies on a peer's answer. A peer may
+// apply a newer version after it.
+const answerValidity = 2 * time.Second
+
+// Startup decides which version a host may put into force that starts while the store
+// can't be read. Its process may replace one that had the newest version in force, and
+// any peer may be the only other host that has it. So the host needs the answers of all
+// its peers, and takes the newest version among them. A peer that has no version itself
+// doesn't count: it may be in the same position. The zero value has no answers.
+type Startup struct {
+	answers map[string]peerAnswer
+}
+
+// peerAnswer is the version that a peer had in force at a time.
+type peerAnswer struct {
+	version uint64
+	at      time.Time
+}
+
+// Record records that a peer had a version in force at a time.
+func (s *Startup) Record(peer string, version uint64, at time.Time) {
+	if s.answers == nil {
+		s.answers = map[string]peerAnswer{}
+	}
+	s.answers[peer] = peerAnswer{version: version, at: at}
+}
+
+// Missing returns those of the peers whose answer is missing or no longer valid.
+func (s *Startup) Missing(peers []string, now time.Time) []string {
+	var missing []string
+	for _, p := range peers {
+		if a, ok := s.answers[p]; !ok || now.Sub(a.at) > answerValidity {
+			missing = append(missing, p)
+		}
+	}
+	return missing
+}
+
+// Newest returns a peer with the newest version if the host may put that version into
+// force, and false while an answer is missing or the host knows no peer.
+func (s *Startup) Newest(peers []string, now time.Time) (peer string, version uint64, ok bool) {
+	if len(peers) == 0 || len(s.Missing(peers, now)) > 0 {
+		return "", 0, false
+	}
+	for _, p := range peers {
+		if a := s.answers[p]; !ok || a.version > version {
+			peer, version, ok = p, a.version, true
+		}
+	}
+	return peer, version, ok
+}
--- /dev/null
+++ b/configsync/startup_test.go
@@ -0,0 +1,40 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStartNeedsAllPeers checks which version a host may start with, and when it must
+// wait.
+func TestStartNeedsAllPeers(t *testing.T) {
+	now := time.Unix(100, 0)
+	peers := []string{"a", "b", "c"}
+	type answer struct {
+		peer    string
+		version uint64
+		age     time.Duration
+	}
+	for _, c := range []struct {
+		name    string
+		peers   []string
+		answers []answer
+		want    uint64
+		ok      bool
+	}{
+		{"no peers", nil, nil, 0, false},
+		{"most peers", peers, []answer{{"a", 1, 0}, {"b", 1, 0}}, 0, false},
+		{"all peers, one is newer", peers, []answer{{"a", 1, 0}, {"b", 2, 0}, {"c", 1, 0}}, 2, true},
+		{"an answer that is no longer valid", peers, []answer{{"a", 1, 0}, {"b", 1, answerValidity + 1}, {"c", 1, 0}}, 0, false},
+		{"a peer that was removed", []string{"a", "c"}, []answer{{"a", 1, 0}, {"b", 2, 0}, {"c", 1, 0}}, 1, true},
+		{"no version was ever accepted", peers, []answer{{"a", 0, 0}, {"b", 0, 0}, {"c", 0, 0}}, 0, true},
+	} {
+		var s Startup
+		for _, a := range c.answers {
+			s.Record(a.peer, a.version, now.Add(-a.age))
+		}
+		if _, version, ok := s.Newest(c.peers, now); version != c.want || ok != c.ok {
+			t.Errorf("%s: version %d, %v; want %d, %v", c.name, version, ok, c.want, c.ok)
+		}
+	}
+}
--- a/gate/events.go
+++ b/gate/events.go
@@ -34,7 +34,7 @@
 	add(own)
 	var unresponsive []string
 	for host := range g.configSync.peerVersions() {
-		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		ctx, cancel := context.WithTimeout(ctx, eventWorkTimeout)
 		list, err := g.batch.PeerEventWork(ctx, host)
 		cancel()
 		if err != nil {
@@ -47,6 +47,9 @@
 	return work, unresponsive
 }
 
+// eventWorkTimeout bounds the wait for one host's event work.
+const eventWorkTimeout = time.Second
+
 // eventStatuses returns the status at now of each known start, sorted by event
 // and start.
 func eventStatuses(now time.Time, events map[string]settings.Event, work map[batch.EventStart]batch.EventWork, unresponsive []string) []*operations.EventStatus {
--- a/integration/mutations_batch.go
+++ b/integration/mutations_batch.go
@@ -71,7 +71,7 @@
 	{
 		Name: "spread-among-peers",
 		File: "gate/configsync.go",
-		Old:  "current, ok := s.watcher.Current()\n\tif !ok {", New: "current, ok := s.watcher.Current()\n\tif ok {",
+		Old:  "Content: current.Content}, ok", New: "Content: current.Content}, false",
 		Test: "^TestConfigSpreadsWithoutStore$", ExpectedOutput: "timed out waiting for: version 2 in force",
 	},
 }
