--- a/control/gossip.go
+++ b/control/gossip.go
@@ -115,16 +115,37 @@
 func (n *Node) otherHosts(limit int) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	all := n.otherAddresses()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(limit, len(all))]
+}
+
+// otherAddresses returns the addresses of the seeds and known hosts without this one;
+// n.mu must be held.
+func (n *Node) otherAddresses() []string {
 	var all []string
 	for _, address := range append(slices.Clone(n.opts.Seeds), n.hosts...) {
 		if address != n.opts.Address && !slices.Contains(all, address) {
 			all = append(all, address)
 		}
 	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(limit, len(all))]
+	return all
 }
 
+// Peers returns the names of the other hosts that this host knows, for Transport.
+func (n *Node) Peers() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	names := n.otherAddresses()
+	for i, address := range names {
+		names[i] = seedName(address)
+	}
+	return names
+}
+
+// Transport returns the transport of requests to the hosts of Peers.
+func (n *Node) Transport() peer.Transport { return n.client }
+
 // addHost records the address of a host that pinged this one. It drops the
 // oldest address if there are too many.
 func (n *Node) addHost(address string) {
@@ -135,6 +156,7 @@
 		if len(n.hosts) > maxPeersNotified {
 			n.hosts = n.hosts[1:]
 		}
+		n.client.SetPeers(n.peers(n.leader))
 	}
 }
 
@@ -147,9 +169,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.hosts = hosts
-	if n.owner == nil {
-		n.client.SetPeers(n.peers(n.leader))
-	}
+	n.client.SetPeers(n.peers(n.leader))
 }
 
 // seedName returns the name under which the peer client knows a seed.
--- a/control/node.go
+++ b/control/node.go
@@ -163,8 +163,7 @@
 // setLeader records the owner's row r and, if this host is the owner, its Owner
 // o, which is nil otherwise. An owner of which a newer one is known ends: the newer
 // one relies on this host's answer to its notification. setLeader wakes requests
-// that wait for a change of owner and, if o is nil, updates the addresses in the peer
-// client.
+// that wait for a change of owner and updates the addresses in the peer client.
 func (n *Node) setLeader(r election.Record, o *Owner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -178,9 +177,7 @@
 	} else if n.ownerlessSince.IsZero() {
 		n.ownerlessSince = time.Now()
 	}
-	if o == nil {
-		n.client.SetPeers(n.peers(r))
-	}
+	n.client.SetPeers(n.peers(r))
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
