control: the owner is among the hosts that receive a configuration

Cause: an owner reports the hosts that ping it, which don't include itself, so that others didn't push to it unless it was a seed. Peers now includes the owner's row. TestOwnerIsAmongPeers failed before (its limit of 30 s).

--- a/control/gossip.go
+++ b/control/gossip.go
@@ -132,13 +132,18 @@
 	return all
 }
 
-// Peers returns the names of the other hosts that this host knows, for Transport.
+// Peers returns the names of the other hosts that this host knows, for Transport. The
+// owner isn't among the hosts that it reports.
 func (n *Node) Peers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	names := n.otherAddresses()
-	for i, address := range names {
-		names[i] = seedName(address)
+	addresses := n.otherAddresses()
+	var names []string
+	for _, address := range addresses {
+		names = append(names, seedName(address))
+	}
+	if l := n.leader; l.Host != "" && l.Address != n.opts.Address && !slices.Contains(addresses, l.Address) {
+		names = append(names, l.Host)
 	}
 	return names
 }
