dispatch: a job waits for workers that may only be cut off before it is given up

A job was shown as failed because four workers had crashed under its task, while one of them was cut off past its lease and answered again: the loss was taken back, the failure wasn't (TestCutOffAfterCrashesIsNoCrash, each time). Cause: the last loss decided at once, and a lease that is over says nothing about the worker.

Now an exhausted task isn't started any more, and its job is given up once another incarnation has answered for each loss, or after 6 s. Both are part of the progress, counted from the job's submission, so that a later owner neither starts the task nor waits anew (TestHeldTaskIsGivenUpWhileOwnersChange; each of the two mutations fails it).

An owner of the release before starts a held task once more if it takes the domain over in between. Event 934 no longer names the last worker, as it is logged later; 933 does.

--- a/control/summary.go
+++ b/control/summary.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// logLosses logs and counts the workers that were lost with runs.
+// logLosses logs and counts the workers that were lost with runs, and the jobs given up
+// because of such losses.
 func (o *Owner) logLosses() {
 	for _, l := range o.state.TakeWorkerLosses() {
 		o.opts.Metrics.losses.WithLabelValues(l.Cause.String()).Inc()
@@ -46,10 +47,10 @@
 			slog.Int("runs", l.Runs), slog.Any("unreported", taskNames(l.Unreported)), slog.Bool("with_rack", l.WithRack),
 			slog.Bool("reported", l.Reported), slog.Int64("unresponsive_ms", l.Unresponsive.Milliseconds()),
 			slog.Int64("commit_age_ms", o.commitAge().Milliseconds()))
-		for _, j := range l.GivenUp {
-			o.opts.Metrics.givenUp.Inc()
-			event.JobGivenUp.Log(o.opts.Log, slog.String("job", j.Job), slog.String("reason", j.Reason), slog.String("worker", l.Worker))
-		}
+	}
+	for _, j := range o.state.TakeGivenUpJobs() {
+		o.opts.Metrics.givenUp.Inc()
+		event.JobGivenUp.Log(o.opts.Log, slog.String("job", j.Job), slog.String("reason", j.Reason))
 	}
 }
 
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -22,6 +22,9 @@
 	// on it. Otherwise a long-running task would be given up once it has outlived a few
 	// workers.
 	provenAfter = 10 * time.Second
+	// maxExhaustedHold bounds how long a task is held that is exhausted while a worker
+	// among its crashes may have been cut off only.
+	maxExhaustedHold = 6 * time.Second
 	// maxSeparateWait bounds how long a suspect task waits for a worker without other
 	// suspects, in a pool that is small or full.
 	maxSeparateWait = 1500 * time.Millisecond
@@ -36,6 +39,8 @@
 	worker uint32
 	// early is set if the worker had accepted the start and not reported the run yet.
 	early bool
+	// restarted is set if another incarnation answered at the worker's address.
+	restarted bool
 }
 
 // crashRecord returns the task that holds the crashes of t: a gang counts as one task.
@@ -72,24 +77,54 @@
 	return t.earlyCrashes() >= maxEarlyCrashes || len(t.crashRecord().crashes) >= maxCrashes
 }
 
-// recordCrash records the loss of a worker under a run of the task, once per worker.
-// It returns the job's name and true if that was one too many.
-func (s *State) recordCrash(now time.Time, t *task, worker uint32, early bool) (GivenUpJob, bool) {
+// recordCrash records a crash of a worker under a run of the task, once per worker. If
+// that was one too many, the task isn't started until giveUpJobs decides about it.
+func (s *State) recordCrash(now time.Time, t *task, c crash) {
 	j, record := t.step.job, t.crashRecord()
-	known := slices.ContainsFunc(record.crashes, func(c crash) bool { return c.worker == worker })
+	known := slices.ContainsFunc(record.crashes, func(other crash) bool { return other.worker == c.worker })
 	if t.done || j.state.Final() || known {
-		return GivenUpJob{}, false
+		return
 	}
-	record.crashes = append(record.crashes, crash{worker, early})
-	s.crashedUnder[worker] = append(s.crashedUnder[worker], record)
+	record.crashes = append(record.crashes, c)
+	s.crashedUnder[c.worker] = append(s.crashedUnder[c.worker], record)
 	s.markDirty(j)
-	if !t.exhausted() {
-		return GivenUpJob{}, false
+	s.holdIfExhausted(now, record)
+}
+
+// holdIfExhausted holds a task from now on if it is exhausted and not held yet.
+func (s *State) holdIfExhausted(now time.Time, record *task) {
+	if record.exhausted() && !slices.Contains(s.exhausted, record) {
+		record.exhaustedAt = now
+		s.exhausted = append(s.exhausted, record)
 	}
-	j.reason = fmt.Sprintf("%d workers crashed under task %v", len(record.crashes), t.id())
-	s.finish(now, j, workload.Failed)
-	s.Stats.GivenUp++
-	return GivenUpJob{Job: j.spec.ID, Reason: j.reason}, true
+}
+
+// giveUpJobs decides about the exhausted tasks. The job of a task fails once all workers
+// have restarted, or after maxExhaustedHold; if one answers meanwhile that was only cut off,
+// the task may start again. Without the wait, a job would be given up that has crashed no
+// worker. The membership list says nothing here: a worker that is cut off leaves it too.
+func (s *State) giveUpJobs(now time.Time) {
+	s.exhausted = slices.DeleteFunc(s.exhausted, func(t *task) bool {
+		j := t.step.job
+		if !t.exhausted() || t.done || j.state.Final() {
+			return true
+		}
+		if now.Sub(t.exhaustedAt) < maxExhaustedHold && slices.ContainsFunc(t.crashes, func(c crash) bool { return !c.restarted }) {
+			return false
+		}
+		j.reason = fmt.Sprintf("%d workers crashed under task %v", len(t.crashes), t.id())
+		s.finish(now, j, workload.Failed)
+		s.Stats.GivenUp++
+		s.givenUp = append(s.givenUp, GivenUpJob{Job: j.spec.ID, Reason: j.reason})
+		return true
+	})
+}
+
+// TakeGivenUpJobs returns and clears the jobs given up since the last call.
+func (s *State) TakeGivenUpJobs() []GivenUpJob {
+	jobs := s.givenUp
+	s.givenUp = nil
+	return jobs
 }
 
 // forgetCrash removes a worker from the crashes of all tasks: it answers in the same
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -27,6 +27,7 @@
 // the limit.
 func (s *State) PlanAtMost(now time.Time, maxStarts int) Plan {
 	s.ExpireLeases(now)
+	s.giveUpJobs(now)
 	s.drain(now)
 	var p Plan
 	p.CPULimits = s.adjustCPULimits(now)
@@ -193,7 +194,8 @@
 	}
 }
 
-// safeToStart reports whether no other run of a task can be alive. An inherited
+// safeToStart reports whether no other run of a task can be alive, and not too many
+// workers have crashed under it. An inherited
 // task waits for the workers that the store names or, if it names none, for all
 // workers that haven't reported; if one of these was lost, also for a commit that
 // began afterwards, as a successor may have reached it before. A task without a run
@@ -201,6 +203,9 @@
 // since a later owner relies on these; safeToStart makes that change urgent.
 func (c *cycle) safeToStart(t *task) bool {
 	j := t.step.job
+	if t.exhausted() {
+		return false
+	}
 	if j.inherited && !t.inheritanceResolved {
 		if len(c.s.awaitingReport) > 0 && len(t.locations) == 0 {
 			return false
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,6 +74,11 @@
 	// reported the run, and of the others.
 	Early []uint32 `msgpack:"e,omitempty"`
 	Late  []uint32 `msgpack:"l,omitempty"`
+	// Restarted holds those of Early and Late of which another incarnation has answered.
+	Restarted []uint32 `msgpack:"r,omitempty"`
+	// ExhaustedMS is how long after the job's submission, in milliseconds, these were so
+	// many that the task isn't started any more; 0 if they aren't.
+	ExhaustedMS int64 `msgpack:"x,omitempty"`
 }
 
 // crashedWorkers returns the durable form of a task's crashes.
@@ -85,17 +91,28 @@
 		} else {
 			row.Late = append(row.Late, c.worker)
 		}
+		if c.restarted {
+			row.Restarted = append(row.Restarted, c.worker)
+		}
+	}
+	if t.exhausted() {
+		row.ExhaustedMS = max(1, t.exhaustedAt.Sub(t.step.job.submittedAt).Milliseconds())
 	}
 	return row
 }
 
-// restoreCrashes applies the durable form of a task's crashes.
-func (t *task) restoreCrashes(row CrashedWorkers) {
+// restoreCrashes applies the durable form of a task's crashes. The clocks of two hosts
+// may differ, so the task is held no longer than maxExhaustedHold from now.
+func (t *task) restoreCrashes(now time.Time, row CrashedWorkers) {
 	for _, worker := range row.Early {
-		t.crashes = append(t.crashes, crash{worker, true})
+		t.crashes = append(t.crashes, crash{worker: worker, early: true, restarted: slices.Contains(row.Restarted, worker)})
 	}
 	for _, worker := range row.Late {
-		t.crashes = append(t.crashes, crash{worker, false})
+		t.crashes = append(t.crashes, crash{worker: worker, restarted: slices.Contains(row.Restarted, worker)})
+	}
+	t.exhaustedAt = now
+	if at := t.step.job.submittedAt.Add(time.Duration(row.ExhaustedMS) * time.Millisecond); row.ExhaustedMS > 0 && at.Before(now) {
+		t.exhaustedAt = at
 	}
 }
 
@@ -178,7 +195,7 @@
 	for _, c := range row.Crashed {
 		id := workload.TaskID{Occurrence: c.Occurrence, Step: c.Step, Index: c.Index}
 		if t := j.task(id); t != nil {
-			t.restoreCrashes(c)
+			t.restoreCrashes(now, c)
 		}
 	}
 	for _, l := range row.Running {
@@ -231,12 +248,15 @@
 }
 
 // indexWorkers indexes a restored job's tasks by the workers lost under them and by
-// those where runs may be alive.
+// those where runs may be alive, and lists those under which too many were lost.
 func (s *State) indexWorkers(j *job) {
 	j.eachTask(func(t *task) {
 		for _, c := range t.crashes {
 			s.crashedUnder[c.worker] = append(s.crashedUnder[c.worker], t)
 		}
+		if len(t.crashes) > 0 {
+			s.holdIfExhausted(t.exhaustedAt, t)
+		}
 		for _, worker := range t.locations {
 			s.inheritedRuns[worker] = append(s.inheritedRuns[worker], t)
 		}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -70,6 +70,11 @@
 	// alive on a worker of an earlier owner that hasn't reported.
 	crashedUnder, inheritedRuns map[uint32][]*task
 	heldStarts                  []heldStart
+	// exhausted holds the tasks under which too many workers crashed, until it is
+	// decided whether their jobs are given up; givenUp holds what TakeGivenUpJobs
+	// returns next.
+	exhausted []*task
+	givenUp   []GivenUpJob
 	// outages holds when workers became unresponsive lately.
 	outages []outage
 	Stats   Stats
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -24,6 +24,8 @@
 	// crashes holds the workers lost under runs of the task; of a gang, the first task
 	// holds them for all.
 	crashes []crash
+	// exhaustedAt is when the crashes were so many that it isn't started any more.
+	exhaustedAt time.Time
 	// unprovenOn holds the hashes of the workers that, according to the store, had not
 	// reported a run of it when it was suspect already.
 	unprovenOn []uint32
--- a/dispatch/workerloss.go
+++ b/dispatch/workerloss.go
@@ -54,8 +54,6 @@
 	// WithRack is set if all workers of its rack were lost with it; its tasks aren't
 	// blamed then.
 	WithRack bool
-	// GivenUp holds the jobs that failed because it was one worker too many.
-	GivenUp []GivenUpJob
 }
 
 // GivenUpJob is a job that has failed because workers crashed under one of its tasks.
@@ -114,7 +112,8 @@
 		s.releaseRun(now, r, cause.evidence())
 	}
 	if !loss.WithRack && !w.info.Draining {
-		loss.GivenUp = s.recordCrashes(now, w, blamed, inherited)
+		s.recordCrashes(now, w, cause, blamed, inherited)
+		s.giveUpJobs(now)
 	}
 	if len(s.losses) < maxLosses {
 		s.losses = append(s.losses, loss)
@@ -122,22 +121,19 @@
 }
 
 // recordCrashes records the loss of a worker with the tasks of the runs there and of
-// those that an earlier owner started, and returns the jobs that are given up.
-func (s *State) recordCrashes(now time.Time, w *worker, runs []*run, inherited []*task) []GivenUpJob {
+// those that an earlier owner started.
+func (s *State) recordCrashes(now time.Time, w *worker, cause LossCause, runs []*run, inherited []*task) {
 	s.pruneCrashes()
-	var givenUp []GivenUpJob
+	c := crash{worker: w.hash, restarted: cause == Restarted}
 	for _, r := range runs {
-		if j, ok := s.recordCrash(now, r.task, w.hash, r.confirmed && !r.reported); ok {
-			givenUp = append(givenUp, j)
-		}
+		c.early = r.confirmed && !r.reported
+		s.recordCrash(now, r.task, c)
 	}
 	for _, t := range inherited {
 		if len(t.runs) > 0 {
 			continue // found elsewhere
 		}
-		if j, ok := s.recordCrash(now, t, w.hash, slices.Contains(t.unprovenOn, w.hash)); ok {
-			givenUp = append(givenUp, j)
-		}
+		c.early = slices.Contains(t.unprovenOn, w.hash)
+		s.recordCrash(now, t, c)
 	}
-	return givenUp
 }
