platform: configurations between hosts go over connections of their own

Found on reading the change: the owner's client followed new hosts, and so dropped the connection to the earlier owner as soon as this host took the domain over, while requests that it had forwarded there might be in progress. Now the exchange has its own client, and the node's follows other owners as it did before.

--- a/configsync/exchange/exchange.go
+++ b/configsync/exchange/exchange.go
@@ -117,37 +117,37 @@
 
 // compare exchanges versions with a peer, and sends or fetches the newer one. It
 // reports whether the peer responded.
-func (e *Exchange) compare(ctx context.Context, peer string) bool {
-	theirs, ok := e.ask(ctx, peer)
+func (e *Exchange) compare(ctx context.Context, host string) bool {
+	theirs, ok := e.ask(ctx, host)
 	if !ok {
 		return false
 	}
 	switch mine, known := e.holder.Version(); {
 	case !known || !theirs.known():
 	case theirs.Version < mine:
-		e.SendOffer(ctx, peer)
+		e.SendOffer(ctx, host)
 	case theirs.Version > mine:
-		e.fetch(ctx, peer)
+		e.fetch(ctx, host)
 	}
 	return true
 }
 
 // ask asks a peer for its version and records it.
-func (e *Exchange) ask(ctx context.Context, peer string) (versionMessage, bool) {
+func (e *Exchange) ask(ctx context.Context, host string) (versionMessage, bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	mine, known := e.holder.Version()
 	var theirs versionMessage
-	r := e.transport.Call(ctx, peer, methodVersion, versionMessage{Version: mine, Known: known, Fetches: true}, &theirs)
+	r := e.transport.Call(ctx, host, methodVersion, versionMessage{Version: mine, Known: known, Fetches: true}, &theirs)
 	if r.Kind != outcome.Answered {
 		return versionMessage{}, false
 	}
-	e.record(peer, theirs.Version)
+	e.record(host, theirs.Version)
 	return theirs, true
 }
 
 // SendOffer sends the configuration in force to a peer.
-func (e *Exchange) SendOffer(ctx context.Context, peer string) {
+func (e *Exchange) SendOffer(ctx context.Context, host string) {
 	current, ok := e.holder.Offer()
 	if !ok {
 		return
@@ -159,22 +159,22 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var theirs versionMessage
-	if r := e.transport.Call(ctx, peer, methodOffer, o, &theirs); r.Kind == outcome.Answered {
-		e.record(peer, theirs.Version)
+	if r := e.transport.Call(ctx, host, methodOffer, o, &theirs); r.Kind == outcome.Answered {
+		e.record(host, theirs.Version)
 	}
 }
 
 // fetch puts the configuration in force on a peer into force here.
-func (e *Exchange) fetch(ctx context.Context, peer string) {
+func (e *Exchange) fetch(ctx context.Context, host string) {
 	request, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var reply fetchReply
-	r := e.transport.Call(request, peer, methodFetch, versionMessage{}, &reply)
+	r := e.transport.Call(request, host, methodFetch, versionMessage{}, &reply)
 	if r.Kind != outcome.Answered || !reply.Known {
 		return
 	}
 	if o, err := reply.Offer.unpack(); err == nil {
-		e.apply(ctx, o, peer)
+		e.apply(ctx, o, host)
 	}
 }
 
--- a/configsync/exchange/start.go
+++ b/configsync/exchange/start.go
@@ -31,13 +31,13 @@
 
 // recordAnswer asks a peer for its version and records the answer for the decision
 // which version to start with.
-func (e *Exchange) recordAnswer(ctx context.Context, peer string) {
+func (e *Exchange) recordAnswer(ctx context.Context, host string) {
 	asked := time.Now()
-	theirs, ok := e.ask(ctx, peer)
+	theirs, ok := e.ask(ctx, host)
 	if !ok || !theirs.known() {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.startup.Record(peer, theirs.Version, asked)
+	e.startup.Record(host, theirs.Version, asked)
 }
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -132,24 +132,20 @@
 	return all
 }
 
-// Peers returns the names of the other hosts that this host knows, for Transport. The
-// owner isn't among the hosts that it reports.
-func (n *Node) Peers() []string {
+// PeerAddresses returns the addresses of the other hosts that this host knows. The owner
+// isn't among the hosts that it reports.
+func (n *Node) PeerAddresses() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	addresses := n.otherAddresses()
-	var names []string
-	for _, address := range addresses {
-		names = append(names, seedName(address))
+	if owner := n.leader.Address; owner != "" && owner != n.opts.Address && !slices.Contains(addresses, owner) {
+		addresses = append(addresses, owner)
 	}
-	if l := n.leader; l.Host != "" && l.Address != n.opts.Address && !slices.Contains(addresses, l.Address) {
-		names = append(names, l.Host)
-	}
-	return names
+	return addresses
 }
 
-// Transport returns the transport of requests to the hosts of Peers.
-func (n *Node) Transport() peer.Transport { return n.client }
+// NewPeerClient returns a client without peers for requests to other hosts' servers.
+func (n *Node) NewPeerClient() *peer.Client { return peer.NewClient(peerOptions(&n.opts), newRand()) }
 
 // addHost records the address of a host that pinged this one. It drops the
 // oldest address if there are too many.
@@ -161,7 +157,6 @@
 		if len(n.hosts) > maxPeersNotified {
 			n.hosts = n.hosts[1:]
 		}
-		n.client.SetPeers(n.peers(n.leader))
 	}
 }
 
@@ -174,7 +169,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.hosts = hosts
-	n.client.SetPeers(n.peers(n.leader))
+	if n.owner == nil {
+		n.client.SetPeers(n.peers(n.leader))
+	}
 }
 
 // seedName returns the name under which the peer client knows a seed.
--- a/control/node.go
+++ b/control/node.go
@@ -54,10 +54,7 @@
 
 // NewNode returns a Node. The caller serves its peer server and calls Run.
 func NewNode(opts Options) *Node {
-	po := peer.Options{
-		Host: opts.Host, Log: opts.Log, UserTimeout: peerUserTimeout, HandshakeTimeout: pingTimeout,
-		MaxBackoff: peerMaxBackoff, AcceptAnyHost: true,
-	}
+	po := peerOptions(&opts)
 	n := &Node{
 		opts: opts, client: peer.NewClient(po, newRand()),
 		server:    peer.NewServer(po, func(string, netip.Addr) bool { return true }),
@@ -70,6 +67,14 @@
 	return n
 }
 
+// peerOptions returns the options of connections to other hosts.
+func peerOptions(o *Options) peer.Options {
+	return peer.Options{
+		Host: o.Host, Log: o.Log, UserTimeout: peerUserTimeout, HandshakeTimeout: pingTimeout,
+		MaxBackoff: peerMaxBackoff, AcceptAnyHost: true,
+	}
+}
+
 // newRand returns a random source for reconnection delays.
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // nothing secret
@@ -163,7 +168,8 @@
 // setLeader records the owner's row r and, if this host is the owner, its Owner
 // o, which is nil otherwise. An owner of which a newer one is known ends: the newer
 // one relies on this host's answer to its notification. setLeader wakes requests
-// that wait for a change of owner and updates the addresses in the peer client.
+// that wait for a change of owner and, if o is nil, updates the addresses in the peer
+// client.
 func (n *Node) setLeader(r election.Record, o *Owner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -177,7 +183,9 @@
 	} else if n.ownerlessSince.IsZero() {
 		n.ownerlessSince = time.Now()
 	}
-	n.client.SetPeers(n.peers(r))
+	if o == nil {
+		n.client.SetPeers(n.peers(r))
+	}
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// TestOwnerIsAmongPeers checks that a host without seeds knows the owner as a peer. The
+// TestOwnerIsAmongPeers checks that a host without seeds knows the owner. The
 // owner doesn't report itself among the hosts that it knows.
 func TestOwnerIsAmongPeers(t *testing.T) {
 	c := newCluster(t, 1, 1)
@@ -10,6 +10,6 @@
 	c.hosts = nil // the next host gets no seeds
 	other := c.start("other", c.table)
 	for _, h := range []*host{owner, other} {
-		c.eventually(h.name+" knows the other host", func() bool { return len(h.node.Peers()) == 1 })
+		c.eventually(h.name+" knows the other host", func() bool { return len(h.node.PeerAddresses()) == 1 })
 	}
 }
