configstore: a read without an answer delays no other

A host of the older program read the configuration's row again only once the read before had ended: with the default timeout of 2 s a lost answer cost 3 s, and a silent store up to that after its return. Now a read begins each interval, at most 8 at a time; a silent table gets what one that answers gets.

--- a/configstore/watcher.go
+++ b/configstore/watcher.go
@@ -87,12 +87,24 @@
 // false before the first read has ended.
 func (w *Watcher) LastReadFailed() bool { return w.readFailed.Load() }
 
-// Run polls the store at each interval until ctx ends.
+// maxPolls is the largest number of polls in progress at a time.
+const maxPolls = 8
+
+// Run polls the store at each interval until ctx ends. A poll whose answer is lost
+// doesn't delay the next ones; while maxPolls are in progress no other begins.
 func (w *Watcher) Run(ctx context.Context, interval time.Duration) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	polls := make(chan struct{}, maxPolls)
 	for {
-		w.Poll(ctx)
+		select {
+		case polls <- struct{}{}:
+			go func() {
+				w.Poll(ctx)
+				<-polls
+			}()
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			return
