--- a/configsync/exchange/exchange.go
+++ b/configsync/exchange/exchange.go
@@ -173,9 +173,11 @@
 	if r.Kind != outcome.Answered || !reply.Known {
 		return
 	}
-	if o, err := reply.Offer.unpack(); err == nil {
-		e.apply(ctx, o, host)
+	o, err := reply.Offer.unpack()
+	if err != nil {
+		return // damaged; a later round fetches it from another peer
 	}
+	e.apply(ctx, o, host)
 }
 
 // apply puts a configuration from a peer into force if it is newer, and pushes it on.
