integration: the mutation of the spread among peers compiles again

Since it left a variable unused, so that its program didn't build and TestMutations reported it as not caught.

--- a/integration/mutations_batch.go
+++ b/integration/mutations_batch.go
@@ -71,7 +71,7 @@
 	{
 		Name: "spread-among-peers",
 		File: "gate/configsync.go",
-		Old:  "Content: current.Content}, ok", New: "Content: current.Content}, false",
+		Old:  "Content: current.Content}, ok", New: "Content: current.Content}, ok && false",
 		Test: "^TestConfigSpreadsWithoutStore$", ExpectedOutput: "timed out waiting for: version 2 in force",
 	},
 }
