configsync: a starting host takes nothing older than the head that it read

Its new process read from the head that the store had accepted version 2, couldn't read the content, and took version 1 from its peers: a failed read of the content counted as a store that can't be read, and what the head said was forgotten (Watcher.Poll).

Now the watcher tells the exchange each version that the store is known to have accepted, and Startup takes no older one from peers. Why it holds: the head is read before the content, and its version only increases, so no host had a newer one in force when it was read.

Cost: while the objects can't be read and no peer has the newest content, such a host waits, where it served an older version before. A change puts its content into the objects before the head, and offers it to peers within milliseconds, so that takes an accepting host that ends in between.

Ruled out: reading the content of the version before the head from the objects (they can't be read), and serving meanwhile by the older version, as the hosts that run do: they had never gone further.

--- a/configstore/watcher.go
+++ b/configstore/watcher.go
@@ -20,6 +20,7 @@
 	current atomic.Pointer[Current]
 	// readFailed is set if the last read of the newest version failed.
 	readFailed  atomic.Bool
+	receiver    Receiver
 	mu          sync.Mutex // serializes changes of current and calls of subscribers
 	subscribers []func(Current)
 }
@@ -34,6 +35,10 @@
 // called before Run.
 func (w *Watcher) Subscribe(f func(Current)) { w.subscribers = append(w.subscribers, f) }
 
+// SetReceiver sets what is told of versions read from the store. It must be called
+// before Run.
+func (w *Watcher) SetReceiver(r Receiver) { w.receiver = r }
+
 // Current returns a copy of the configuration in force; false until the first
 // version was read, since this process's own policy may be older than it.
 func (w *Watcher) Current() (Current, bool) {
@@ -117,6 +122,9 @@
 // in force. It records whether the read failed for LastReadFailed.
 func (w *Watcher) Poll(ctx context.Context) {
 	head, err := w.store.Head(ctx)
+	if err == nil && w.receiver != nil {
+		w.receiver.Accepted(head.Version)
+	}
 	w.readFailed.Store(err != nil)
 	if err != nil || !w.newer(head) {
 		return
--- a/configsync/exchange/start.go
+++ b/configsync/exchange/start.go
@@ -9,6 +9,14 @@
 // startFanout is the largest number of peers that a starting host asks in a round.
 const startFanout = 64
 
+// Accepted implements configstore.Receiver. A host that starts takes nothing older from
+// its peers.
+func (e *Exchange) Accepted(version uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startup.Accept(version)
+}
+
 // start puts the newest version of the peers into force, once all of them have answered
 // with one.
 func (e *Exchange) start(ctx context.Context) {
--- a/configsync/startup.go
+++ b/configsync/startup.go
@@ -10,9 +10,13 @@
 // can't be read. Its process may replace one that had the newest version in force, and
 // any peer may be the only other host that has it. So the host needs the answers of all
 // its peers, and takes the newest version among them. A peer that has no version itself
-// doesn't count: it may be in the same position. The zero value has no answers.
+// doesn't count: it may be in the same position. It takes none that is older than one
+// which the store is known to have accepted, as that one may have been in force here.
+// The zero value has no answers.
 type Startup struct {
 	answers map[string]peerAnswer
+	// accepted is the newest version that the store is known to have accepted.
+	accepted uint64
 }
 
 // peerAnswer is the version that a peer had in force at a time.
@@ -29,6 +33,9 @@
 	s.answers[peer] = peerAnswer{version: version, at: at}
 }
 
+// Accept records that the store has accepted a version.
+func (s *Startup) Accept(version uint64) { s.accepted = max(s.accepted, version) }
+
 // Missing returns those of the peers whose answer is missing or no longer valid.
 func (s *Startup) Missing(peers []string, now time.Time) []string {
 	var missing []string
@@ -41,7 +48,8 @@
 }
 
 // Newest returns a peer with the newest version if the host may put that version into
-// force, and false while an answer is missing or the host knows no peer.
+// force, and false while an answer is missing, the version is older than one that was
+// accepted, or the host knows no peer.
 func (s *Startup) Newest(peers []string, now time.Time) (peer string, version uint64, ok bool) {
 	if len(peers) == 0 || len(s.Missing(peers, now)) > 0 {
 		return "", 0, false
@@ -51,5 +59,8 @@
 			peer, version, ok = p, a.version, true
 		}
 	}
+	if version < s.accepted {
+		return "", 0, false
+	}
 	return peer, version, ok
 }
--- a/configsync/startup_test.go
+++ b/configsync/startup_test.go
@@ -38,3 +38,20 @@
 		}
 	}
 }
+
+// TestStartTakesNothingOlderThanAccepted checks that a host doesn't start with an older
+// version than one that the store is known to have accepted.
+func TestStartTakesNothingOlderThanAccepted(t *testing.T) {
+	now := time.Unix(100, 0)
+	peers := []string{"a", "b"}
+	for accepted, want := range []bool{true, true, true, false} {
+		var s Startup
+		s.Accept(uint64(accepted))
+		s.Accept(0) // an older answer that came late
+		s.Record("a", 1, now)
+		s.Record("b", 2, now)
+		if _, version, ok := s.Newest(peers, now); ok != want || ok && version != 2 {
+			t.Errorf("version %d was accepted: got version %d, %v; want 2, %v", accepted, version, ok, want)
+		}
+	}
+}
--- a/gate/configsync.go
+++ b/gate/configsync.go
@@ -19,6 +19,7 @@
 func newConfigSync(t peer.Transport, mux peer.Mux, w *configstore.Watcher, rng *rand.Rand) *configSync {
 	s := &configSync{watcher: w}
 	s.exchange = exchange.New(t, mux, s, rng)
+	w.SetReceiver(s.exchange)
 	return s
 }
 
