configsync: a starting host relies on most hosts where versions are confirmed

Cause: it needed the answer of every listed peer, as a version could be with any one alone.

Since a version is in force only once most hosts hold it, most hosts' answers show it: a starting host takes the newest version that is held among them, if the newest in force among them is confirmed. Without that mark (an earlier release, or a version put into force otherwise) it needs all peers as before; TestReplacedHostDoesNotRevert builds such a state.

A host that holds a version may be killed after it has said so, and its new process must not start without it while the answer still counts elsewhere. So answers of most count only to questions asked 2.5 s after the process began: a peer's answer counts for 2 s.

Ruled out: incarnations in each answer, checked against one another (no delay, but every message would name every host).

--- a/configsync/exchange/exchange.go
+++ b/configsync/exchange/exchange.go
@@ -52,6 +52,7 @@
 		transport: t, holder: h, rule: rule, random: random,
 		applied: make(chan struct{}), counting: map[string]bool{},
 	}
+	e.startup.Begin(time.Now())
 	mux.Handle(methodVersion, e.handleVersion)
 	mux.Handle(methodOffer, e.handleOffer)
 	mux.Handle(methodFetch, e.handleFetch)
--- a/configsync/startup.go
+++ b/configsync/startup.go
@@ -2,19 +2,34 @@
 
 import "time"
 
-// Startup decides which version a host may put into force that starts while the store
-// can't be read. Its process may replace one that had the newest version in force, and
-// any peer may be the only other host that has it. So the host needs the answers of all
-// its peers, and takes the newest version among them. A peer that has no version itself
-// doesn't count: it may be in the same position. It takes none that is older than one
-// which the store is known to have accepted, as that one may have been in force here.
-// The zero value has no answers.
+// startDelay is how long a host has run before it relies on most of its peers. Before,
+// an answer of the process that it replaced may still count as that of a host which
+// holds a version; that is so for answerValidity, and for what clocks differ.
+const startDelay = answerValidity + 500*time.Millisecond
+
+// Startup decides which version a host may take that starts while the store can't be
+// read. Its process may replace one that had the newest version in force. So it takes
+// the newest version that its peers hold, once
+//
+//   - all of them have answered, or
+//   - most hosts have answered and the newest version in force among the answers is
+//     confirmed. Versions are then put into force once most hosts hold them, so one that
+//     was in force here is held by a host that has answered.
+//
+// A peer that has no version itself doesn't count: it may be in the same position. The
+// host takes none that is older than one which the store is known to have accepted, as
+// that one may have been in force here. The zero value has no answers.
 type Startup struct {
 	answers answers
+	// began is when the process began.
+	began time.Time
 	// accepted is the newest version that the store is known to have accepted.
 	accepted uint64
 }
 
+// Begin records when the process began.
+func (s *Startup) Begin(at time.Time) { s.began = at }
+
 // Record records a peer's answer to a question that was asked at a time.
 func (s *Startup) Record(peer string, r Report, asked time.Time) {
 	if s.answers == nil {
@@ -26,26 +41,38 @@
 // Accept records that the store has accepted a version.
 func (s *Startup) Accept(version uint64) { s.accepted = max(s.accepted, version) }
 
-// Missing returns those of the peers whose answer is missing or no longer valid.
+// Missing returns those of the peers whose answer is missing or no longer counts.
 func (s *Startup) Missing(peers []string, now time.Time) []string {
 	var missing []string
 	for _, p := range peers {
-		if a, ok := s.answers[p]; !ok || !a.valid(now) {
+		if a, ok := s.answers[p]; !ok || !s.counts(a, now) {
 			missing = append(missing, p)
 		}
 	}
 	return missing
 }
 
-// Newest returns a peer with the newest version if the host may put that version into
-// force, and false while an answer is missing, the version is older than one that was
-// accepted, or the host knows no peer.
+// counts reports whether an answer counts. Once startDelay has passed, only those to
+// later questions do.
+func (s *Startup) counts(a answer, now time.Time) bool {
+	settled := s.began.Add(startDelay)
+	return a.valid(now) && (now.Before(settled) || !a.asked.Before(settled))
+}
+
+// Newest returns a peer with the newest version if the host may take that version, and
+// false while too few have answered, the version is older than one that was accepted, or
+// the host knows no peer.
 func (s *Startup) Newest(peers []string, now time.Time) (peer string, version uint64, ok bool) {
-	if len(peers) == 0 || len(s.Missing(peers, now)) > 0 {
+	missing := s.Missing(peers, now)
+	if len(peers) == 0 || len(missing) > 0 && !s.mostSuffice(peers, now) {
 		return "", 0, false
 	}
 	for _, p := range peers {
-		if held := s.answers[p].report.Held; !ok || held > version {
+		a, answered := s.answers[p]
+		if !answered || !s.counts(a, now) {
+			continue
+		}
+		if held := a.report.Held; !ok || held > version {
 			peer, version, ok = p, held, true
 		}
 	}
@@ -54,3 +81,24 @@
 	}
 	return peer, version, ok
 }
+
+// mostSuffice reports whether most hosts have answered and the newest version in force
+// among the answers is confirmed.
+func (s *Startup) mostSuffice(peers []string, now time.Time) bool {
+	if now.Before(s.began.Add(startDelay)) {
+		return false
+	}
+	var answered int
+	var newest Report
+	for _, p := range peers {
+		a, ok := s.answers[p]
+		if !ok || !s.counts(a, now) {
+			continue
+		}
+		answered++
+		if r := a.report; r.InForce > newest.InForce || r.InForce == newest.InForce && r.Confirmed {
+			newest = r
+		}
+	}
+	return newest.Confirmed && answered >= s.answers.majority(peers, now)
+}
--- a/gate/configsite_test.go
+++ b/gate/configsite_test.go
@@ -203,7 +203,8 @@
 
 // Call implements peer.Transport.
 func (p sitePort) Call(ctx context.Context, host string, m peer.Method, request, reply any) peer.Result {
-	if p.p.dead.Load() {
+	if p.p.dead.Load() || p.h.isolated() || p.h.site.host(host).isolated() {
+		<-ctx.Done() // nothing answers, not even with a refusal
 		return peer.Result{Err: peer.ErrUnreachable}
 	}
 	r := p.h.site.network.Port(p.h.name).Call(ctx, host, m, request, reply)
