configsync: a starting host doubts a list that is shorter than a peer's

What callers saw: of five hosts three had version 2 in force; the membership list that the new process of one got lacked the other two, which ran; the store was down.

A starting host relies on all its peers only if none of them lists more hosts than itself; else it needs answers of most of the longest list.

What remains: a list that lacks running hosts on every host alike is taken as it is; and two hosts whose lists differ by several hosts for a while may count different majorities.

TestStartDoubtsIncompleteList is the pure part.

--- a/configsync/answers.go
+++ b/configsync/answers.go
@@ -25,14 +25,17 @@
 	}
 }
 
-// majority returns how many hosts are more than half of all: this one, its peers, and
-// those that a peer's longer list has.
-func (a answers) majority(peers []string, now time.Time) int {
+// hosts returns the number of hosts in the longest of the membership lists, that of this
+// host and those of its peers, by valid answers.
+func (a answers) hosts(peers []string, now time.Time) int {
 	hosts := len(peers) + 1
 	for _, p := range peers {
 		if known, ok := a[p]; ok && known.valid(now) {
 			hosts = max(hosts, known.report.Hosts)
 		}
 	}
-	return hosts/2 + 1
+	return hosts
 }
+
+// majority returns the smallest number that is more than half of hosts.
+func (a answers) majority(peers []string, now time.Time) int { return a.hosts(peers, now)/2 + 1 }
--- a/configsync/startup.go
+++ b/configsync/startup.go
@@ -11,7 +11,7 @@
 // read. Its process may replace one that had the newest version in force. So it takes
 // the newest version that its peers hold, once
 //
-//   - all of them have answered, or
+//   - all of them have answered, and none has a longer membership list, or
 //   - most hosts have answered and the newest version in force among the answers is
 //     confirmed. Versions are then put into force once most hosts hold them, so one that
 //     was in force here is held by a host that has answered.
@@ -63,8 +63,7 @@
 // false while too few have answered, the version is older than one that was accepted, or
 // the host knows no peer.
 func (s *Startup) Newest(peers []string, now time.Time) (peer string, version uint64, ok bool) {
-	missing := s.Missing(peers, now)
-	if len(peers) == 0 || len(missing) > 0 && !s.mostSuffice(peers, now) {
+	if len(peers) == 0 || !s.allAnswered(peers, now) && !s.mostSuffice(peers, now) {
 		return "", 0, false
 	}
 	for _, p := range peers {
@@ -82,6 +81,12 @@
 	return peer, version, ok
 }
 
+// allAnswered reports whether all peers have answered, and none has a longer membership
+// list than this host.
+func (s *Startup) allAnswered(peers []string, now time.Time) bool {
+	return len(s.Missing(peers, now)) == 0 && s.answers.hosts(peers, now) == len(peers)+1
+}
+
 // mostSuffice reports whether most hosts have answered and the newest version in force
 // among the answers is confirmed.
 func (s *Startup) mostSuffice(peers []string, now time.Time) bool {
--- a/configsync/startup_test.go
+++ b/configsync/startup_test.go
@@ -56,5 +56,20 @@
 	}
 }
 
+// TestStartDoubtsIncompleteList checks that a host doesn't rely on all peers of its own
+// membership list if a peer's list is longer.
+func TestStartDoubtsIncompleteList(t *testing.T) {
+	now := time.Unix(100, 0)
+	for hosts, want := range map[int]bool{0: true, 2: true, 3: true, 4: false} {
+		var s Startup
+		s.Begin(now)
+		s.Record("a", has(1), now)
+		s.Record("b", Report{InForce: 1, Held: 1, Hosts: hosts}, now)
+		if _, _, ok := s.Newest([]string{"a", "b"}, now); ok != want {
+			t.Errorf("a peer lists %d hosts: may start %v, want %v", hosts, ok, want)
+		}
+	}
+}
+
 // has returns the report of a host with a version in force.
 func has(version uint64) Report { return Report{InForce: version, Held: version} }
