gate: a simulation of hosts that are replaced, and a killed holder that must not count

TestNoHostGoesBack: sites of three to seven hosts in virtual time with the real exchange, watcher and operator's interface; at random, processes are killed (also within 12 ms of a change, the accepting host cut off before and the store taken down after), the table and the objects fail for one host or all, links are cut in one direction or both, slow, or lose answers, and one membership list at a time lacks hosts.

It doesn't find a start without its delay, answers that stay valid, or lists taken as they are: TestKilledHolderDoesNotCount fails at the first two (version 2 in force, 1 after), TestReplacedHostWithIncompleteList at the third.

--- a/gate/configreplaced_test.go
+++ b/gate/configreplaced_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,7 +138,7 @@
 				h.unlinked.Store(i < c.holders)
 			}
 			first.kill()
-			first.listed = slices.Clone(first.listed[c.lacking:])
+			first.list(s.names[1+c.lacking:])
 			first.start()
 			<-time.After(configBound)
 			s.wantNotOlder(before, first)
--- a/gate/configsite_test.go
+++ b/gate/configsite_test.go
@@ -6,15 +6,14 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/fireflygate/fireflygate/configstore"
 	"github.com/fireflygate/fireflygate/gen/configs"
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/peernet"
-	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/standin"
 )
@@ -31,6 +30,8 @@
 	objects *standin.Objects
 	hosts   []*siteHost
 	names   []string
+	// onApplied is called with each version that a process puts into force.
+	onApplied func(h *siteHost, version uint64)
 }
 
 // siteHost is an entry host.
@@ -38,11 +39,18 @@
 	site *configSite
 	name string
 	// listed are the names of the other hosts in the membership list that it has.
-	listed []string
+	listed atomic.Pointer[[]string]
 	// tableDown, objectsDown and unlinked are set while the host can't reach the
 	// table, the objects and its peers.
 	tableDown, objectsDown, unlinked atomic.Bool
-	process                          atomic.Pointer[siteProcess]
+	// cut has the names of the hosts that requests of this one don't reach.
+	cut sync.Map
+	// hop is the delay of its requests and replies, siteHop if 0.
+	hop atomic.Int64
+	// losing is set while every third answer to it is lost; requests counts them.
+	losing   atomic.Bool
+	requests atomic.Int64
+	process  atomic.Pointer[siteProcess]
 	// started is the number of processes that were started.
 	started uint64
 }
@@ -56,6 +64,7 @@
 }
 
 // newConfigSite starts hosts h0, h1, ... and waits until version 1 is in force on each.
+// It must be called in a bubble of synctest.
 func newConfigSite(t *testing.T, hosts int) *configSite {
 	t.Helper()
 	s := &configSite{t: t, network: peernet.New(), table: standin.NewTable(), objects: standin.NewObjects()}
@@ -63,15 +72,10 @@
 		s.names = append(s.names, fmt.Sprint("h", i))
 	}
 	for i, name := range s.names {
-		listed := slices.Concat(s.names[:i], s.names[i+1:])
-		s.hosts = append(s.hosts, &siteHost{site: s, name: name, listed: listed})
+		h := &siteHost{site: s, name: name}
+		h.list(slices.Concat(s.names[:i], s.names[i+1:]))
+		s.hosts = append(s.hosts, h)
 	}
-	s.network.SetFault(func(from, to string, _ peer.Method) peernet.Fault {
-		if s.host(from).isolated() || s.host(to).isolated() {
-			return peernet.Unreachable
-		}
-		return peernet.NoFault
-	})
 	t.Cleanup(s.close)
 	for _, h := range s.hosts {
 		h.start()
@@ -133,6 +137,49 @@
 	return h.unlinked.Load() || p == nil || p.dead.Load()
 }
 
+// list gives the host a membership list with the names of other hosts.
+func (h *siteHost) list(names []string) {
+	h.listed.Store(&names)
+	if p := h.process.Load(); p != nil {
+		p.sync.setHosts(names)
+	}
+}
+
+// lists reports whether the host's membership list has another one.
+func (h *siteHost) lists(name string) bool { return slices.Contains(*h.listed.Load(), name) }
+
+// reaches reports whether requests of the host reach another one.
+func (h *siteHost) reaches(other *siteHost) bool {
+	_, cut := h.cut.Load(other.name)
+	return !cut && !h.isolated() && !other.isolated()
+}
+
+// setCut cuts or restores the way from the host to another one.
+func (h *siteHost) setCut(to *siteHost, cut bool) {
+	if cut {
+		h.cut.Store(to.name, true)
+	} else {
+		h.cut.Delete(to.name)
+	}
+}
+
+// setLinked links a host with others in both directions, or cuts it off from them.
+func setLinked(linked bool, h *siteHost, others ...*siteHost) {
+	for _, other := range others {
+		h.setCut(other, !linked)
+		other.setCut(h, !linked)
+	}
+}
+
+// wait waits for the delay of a request or a reply.
+func (h *siteHost) wait() {
+	hop := time.Duration(h.hop.Load())
+	<-time.After(max(hop, siteHop))
+}
+
+// loses reports whether the next answer to the host is lost.
+func (h *siteHost) loses() bool { return h.losing.Load() && h.requests.Add(1)%3 == 0 }
+
 // version returns the version in force, false before the first.
 func (h *siteHost) version() (uint64, bool) { return h.process.Load().sync.watcher.Version() }
 
@@ -147,9 +194,14 @@
 	port := sitePort{h: h, p: p}
 	h.started++
 	p.sync = newConfigSync(port, port, watcher, rand.New(rand.NewPCG(h.started, uint64(len(h.name)))))
-	p.sync.setHosts(h.listed)
+	p.sync.setHosts(*h.listed.Load())
 	p.service = &configsService{store: store, watcher: watcher, accept: p.sync.accept, log: log}
 	h.process.Store(p)
+	watcher.Subscribe(func(c configstore.Current) {
+		if s.onApplied != nil && !p.dead.Load() {
+			s.onApplied(h, c.Head.Version)
+		}
+	})
 	go watcher.Run(ctx, settings.Default().Platform.ConfigInterval.D())
 	go p.sync.run(ctx)
 }
@@ -178,82 +230,3 @@
 	_, err = h.process.Load().service.Apply(h.site.t.Context(), &configs.ApplyPayload{Base: int64(base), Author: "operator", Content: content})
 	return err
 }
-
-// sitePort connects a process with its peers. A process that was killed sends and
-// answers nothing.
-type sitePort struct {
-	h *siteHost
-	p *siteProcess
-}
-
-// Handle implements peer.Mux.
-func (p sitePort) Handle(m peer.Method, handler peer.Handler) {
-	p.h.site.network.Port(p.h.name).Handle(m, func(ctx context.Context, from string, decode func(any) error) (any, error) {
-		<-time.After(siteHop)
-		if p.p.dead.Load() {
-			return nil, infra.ErrUnavailable
-		}
-		answer, err := handler(ctx, from, decode)
-		if p.p.dead.Load() {
-			return nil, infra.ErrUnavailable
-		}
-		return answer, err
-	})
-}
-
-// Call implements peer.Transport.
-func (p sitePort) Call(ctx context.Context, host string, m peer.Method, request, reply any) peer.Result {
-	if p.p.dead.Load() || p.h.isolated() || p.h.site.host(host).isolated() {
-		<-ctx.Done() // nothing answers, not even with a refusal
-		return peer.Result{Err: peer.ErrUnreachable}
-	}
-	r := p.h.site.network.Port(p.h.name).Call(ctx, host, m, request, reply)
-	<-time.After(siteHop)
-	return r
-}
-
-// hostTable is the table as a host sees it.
-type hostTable struct{ h *siteHost }
-
-// Commit implements infra.Table.
-func (t hostTable) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
-	if t.h.tableDown.Load() {
-		return infra.CommitResult{Status: infra.CommitNotApplied}
-	}
-	return t.h.site.table.Commit(ctx, tx)
-}
-
-// Get implements infra.Table.
-func (t hostTable) Get(ctx context.Context, keys ...string) ([]infra.Row, error) {
-	if t.h.tableDown.Load() {
-		return nil, infra.ErrUnavailable
-	}
-	return t.h.site.table.Get(ctx, keys...)
-}
-
-// Scan implements infra.Table.
-func (t hostTable) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
-	if t.h.tableDown.Load() {
-		return nil, infra.ErrUnavailable
-	}
-	return t.h.site.table.Scan(ctx, prefix, after, limit)
-}
-
-// hostObjects is the object store as a host sees it.
-type hostObjects struct{ h *siteHost }
-
-// Put implements infra.Objects.
-func (o hostObjects) Put(ctx context.Context, key string, data []byte) error {
-	if o.h.objectsDown.Load() {
-		return infra.ErrUnavailable
-	}
-	return o.h.site.objects.Put(ctx, key, data)
-}
-
-// Get implements infra.Objects.
-func (o hostObjects) Get(ctx context.Context, key string) ([]byte, error) {
-	if o.h.objectsDown.Load() {
-		return nil, infra.ErrUnavailable
-	}
-	return o.h.site.objects.Get(ctx, key)
-}
