--- a/configsync/exchange/hold.go
+++ b/configsync/exchange/hold.go
@@ -7,9 +7,6 @@
 	"github.com/fireflygate/fireflygate/configsync"
 )
 
-// Hold implements configstore.Receiver. The store must have accepted the version.
-func (e *Exchange) Hold(o configstore.Offer) { e.hold(o) }
-
 // hold keeps a configuration if it is valid and newer than the newest that this host
 // has, and reports whether it did. It puts it into force when the rule allows.
 func (e *Exchange) hold(o configstore.Offer) bool {
@@ -40,14 +37,6 @@
 	return true
 }
 
-// Held implements configstore.Receiver.
-func (e *Exchange) Held() (uint64, bool) {
-	// The pending version is read first: it stays until it is in force.
-	pending, waits := e.pendingVersion()
-	inForce, known := e.holder.Version()
-	return max(pending, inForce), known || waits
-}
-
 // pendingVersion returns the version that isn't in force yet, false if there is none.
 func (e *Exchange) pendingVersion() (uint64, bool) {
 	e.mu.Lock()
--- a/configsync/exchange/start.go
+++ b/configsync/exchange/start.go
@@ -9,14 +9,6 @@
 // rounds must reach most hosts of a large site of which a third is silent.
 const startFanout = 192
 
-// Accepted implements configstore.Receiver. A host that starts takes nothing older from
-// its peers.
-func (e *Exchange) Accepted(version uint64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.startup.Accept(version)
-}
-
 // start takes the newest version of the peers as soon as enough of them have answered.
 func (e *Exchange) start(ctx context.Context) {
 	e.mu.Lock()
@@ -65,18 +57,3 @@
 	defer e.mu.Unlock()
 	e.startup.Record(host, theirs.report(), asked)
 }
-
-// Confirmed implements configstore.Receiver.
-func (e *Exchange) Confirmed(version uint64) {
-	e.mu.Lock()
-	e.confirmation.Record(version)
-	e.mu.Unlock()
-	e.applyConfirmed()
-}
-
-// ToRecord implements configstore.Receiver.
-func (e *Exchange) ToRecord(recorded uint64) (uint64, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.confirmation.ToRecord(recorded, e.versions.Hosts(), e.random)
-}
