configstore: recording what most hosts hold delays no version

Found by reading the diff: a read of the store told it first which version most hosts hold, and only then read the content of a newer one, so a slow commit held the version back until the next poll. Now the content goes first. TestSlowCommitDelaysNoVersion fails before ("version 0 (false) in force while a commit lasts, want 1") and passes.

A constant moved to the head of its file; a comment names the condition under which an accepted version is applied within seconds.

--- a/configstore/result.go
+++ b/configstore/result.go
@@ -9,7 +9,7 @@
 	// change may be in force.
 	Unknown Status = iota
 	// Accepted: the change is the newest version; every host applies it within
-	// seconds.
+	// seconds, while most hosts reach each other.
 	Accepted
 	// Conflict: another change was accepted first; this one was not made.
 	Conflict
--- a/configstore/watcher.go
+++ b/configstore/watcher.go
@@ -131,7 +131,13 @@
 	}
 	w.receiver.Accepted(head.Version)
 	w.receiver.Confirmed(confirmed.Version)
+	w.readContent(ctx, head)
 	w.recordConfirmed(ctx, confirmed)
+}
+
+// readContent reads the content of a version that is newer than the one held, and passes
+// it to the receiver.
+func (w *Watcher) readContent(ctx context.Context, head Head) {
 	if held, known := w.receiver.Held(); !configsync.Newer(head.Version, held, known) {
 		return
 	}
--- a/gate/configsync.go
+++ b/gate/configsync.go
@@ -10,6 +10,9 @@
 	"github.com/fireflygate/fireflygate/peer"
 )
 
+// acceptTimeout is how long an operator waits until an accepted version is in force.
+const acceptTimeout = 2 * time.Second
+
 // configSync passes the configurations of a watcher between entry hosts. It implements
 // exchange.Holder.
 type configSync struct {
@@ -62,9 +65,6 @@
 // run exchanges versions with peers until ctx ends.
 func (s *configSync) run(ctx context.Context) { s.exchange.Run(ctx) }
 
-// acceptTimeout is how long an operator waits until an accepted version is in force.
-const acceptTimeout = 2 * time.Second
-
 // accept holds a version that the store has accepted from this host, and waits until it
 // is in force here, for acceptTimeout at most. It reports whether it is.
 func (s *configSync) accept(ctx context.Context, o configstore.Offer) bool {
