--- a/configsync/exchange/exchange.go
+++ b/configsync/exchange/exchange.go
@@ -59,8 +59,8 @@
 	return e
 }
 
-// SetPeers replaces the names of the peers. A version that isn't in force yet may be
-// held by most of them.
+// SetPeers replaces the names of the peers, and puts the pending version into force if
+// most hosts of the new list hold it.
 func (e *Exchange) SetPeers(names []string) {
 	e.mu.Lock()
 	e.versions.SetPeers(names)
