gate: hosts of the simulated site don't act at one instant

Symptom: of 20 processes that ran the tests of replaced hosts 30 times with the race detector, 12 ended in a segmentation violation within the detector's own runtime; no check failed. Such a test doesn't give the same verdict each run.

Cause, by the traces: a round that waits for silent peers outlasts its ticker, and the goroutine then runs that overdue timer itself in its select (maybeRunChan). The detector keeps one context for all timers of a bubble, and hosts that started at one instant end their rounds at one instant: one trace shows two hosts' loops there on two threads. Ruled out: a round that ends just at its tick. With only that kept apart 8 of 20 still crashed.

No check or bound changed.

TestKilledHolderDoesNotCount relied on the random order of comparisons to offer the version to the third host in time, and no longer found the two faults that it is for. It now pushes it at that moment: without the start delay, and with answers that stay valid, it fails 5 of 5 times each, on copies, and passes 200 of 200 on this code.

--- a/gate/configkilled_test.go
+++ b/gate/configkilled_test.go
@@ -25,6 +25,7 @@
 			<-time.After(after)
 			setLinked(false, third, append(rest, second)...)
 			setLinked(true, first, third)
+			go first.process.Load().sync.push(s.t.Context())
 			<-time.After(time.Second)
 			before, _ := first.version()
 			first.kill()
--- a/gate/configreplaced_test.go
+++ b/gate/configreplaced_test.go
@@ -97,6 +97,7 @@
 			h.kill()
 		}
 		for _, h := range s.hosts[:2] {
+			<-time.After(s.apart())
 			h.start()
 		}
 		<-time.After(configBound)
