check: a record that is still being written is not an invalid one

Cause: tests read the file of records while the stand-ins' process writes to it. A write isn't visible to another process in one step: where a line crosses a page of the file, a reader can see its first part alone. Read took that part as an invalid record and ended the test.

Ruled out: two writers (one process, one lock around each write). The log alone can't tell it from a write that failed for good, as on a full disk; the change keeps such a failure visible.

Change: Read works by lines and returns ErrUnfinished, with the records before, for a last line without its end. History leaves such a record for the next read. The history that is checked at the end isn't taken before its last line is whole, so a record that was cut short for good still fails the test. A line with its end that is no record is an error as before, wherever it stands.

--- a/check/recorder.go
+++ b/check/recorder.go
@@ -6,8 +6,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Recorder collects records. Add on a nil Recorder does nothing. A Recorder is
@@ -62,21 +60,3 @@
 	defer c.mu.Unlock()
 	return c.err
 }
-
-// Read decodes the records that a Recorder wrote. On an error it also returns
-// the records decoded before it.
-func Read(r io.Reader) ([]Record, error) {
-	var records []Record
-	dec := json.NewDecoder(r)
-	for {
-		var record Record
-		err := dec.Decode(&record)
-		if errors.Is(err, io.EOF) {
-			return records, nil
-		}
-		if err != nil {
-			return records, errors.Wrapf(err, "decode record %d", len(records)+1)
-		}
-		records = append(records, record)
-	}
-}
--- a/integration/history.go
+++ b/integration/history.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflygate/fireflygate/check"
 )
 
@@ -12,13 +14,24 @@
 // History returns the records so far of the stand-ins and the test process. It is
 // complete once the traffic has ended and the endpoints are idle.
 func (s *Site) History() []check.Record {
+	s.t.Helper()
+	records, _ := s.historySoFar()
+	return records
+}
+
+// historySoFar returns the records so far. finished is false if the stand-ins are
+// just writing another.
+func (s *Site) historySoFar() (records []check.Record, finished bool) {
 	s.t.Helper()
 	file, err := os.Open(s.recordsFile())
 	s.must(err)
 	defer file.Close()
-	records, err := check.Read(file)
-	s.must(err)
-	return append(records, s.Recorder.Records()...)
+	records, err = check.Read(file)
+	finished = !errors.Is(err, check.ErrUnfinished)
+	if finished {
+		s.must(err)
+	}
+	return append(records, s.Recorder.Records()...), finished
 }
 
 // Check checks the history against all promises and fails the test for each
@@ -61,12 +74,14 @@
 	}
 }
 
-// idleHistory waits until the endpoints are idle and returns the history.
+// idleHistory waits until the endpoints are idle and returns the history. A record
+// that stays unfinished fails the test.
 func (s *Site) idleHistory() []check.Record {
 	s.t.Helper()
 	var records []check.Record
 	s.WaitUntil("the endpoints are idle", func() bool {
-		records = s.History()
+		var finished bool
+		records, finished = s.historySoFar()
 		busy := 0
 		for _, r := range records {
 			switch {
@@ -76,7 +91,7 @@
 				busy--
 			}
 		}
-		return busy == 0
+		return finished && busy == 0
 	})
 	return records
 }
