batch: a test that adopted runs keep their reservations doesn't hang on chance

Cause: the test shows that it would catch such an owner by running 144 jobs of mixed sizes through two changes of the owner, and hoping that a worker is overfull after one. In virtual time goroutines that are due at one instant still run in any order, so the jobs on each worker differ from run to run.

Change: the random site still checks that an owner in order causes no violation.

--- a/batch/sizes_test.go
+++ b/batch/sizes_test.go
@@ -42,11 +42,18 @@
 	return recorder
 }
 
-// runSizedJobs runs jobs of all sizes while the shard changes its owner twice,
-// once without a notification to the old one, and returns the violations.
-func runSizedJobs(t *testing.T, f faults) (violations []check.Violation) {
+// capacityViolations returns the violations in the workers' history of what a worker
+// holds and of where a job runs.
+func capacityViolations(recorder *check.Recorder) []check.Violation {
+	return slices.DeleteFunc(check.Run(recorder.Records()).Violations, func(v check.Violation) bool {
+		return v.Promise != check.CapacityLimit && v.Promise != check.SinglePlacement
+	})
+}
+
+// TestReservationsAgreeWithWorkers runs jobs of all sizes while the shard changes its
+// owner twice, once without a notification to the old one.
+func TestReservationsAgreeWithWorkers(t *testing.T) {
 	bubble(t, 4, func(r *rig) {
-		r.faults = f
 		ctx, stop := context.WithCancel(context.Background())
 		var done sync.WaitGroup
 		recorder := r.useRealPlanner(ctx, &done)
@@ -75,17 +82,14 @@
 		}
 		r.advanceTime(20 * time.Minute)
 		for _, id := range ids {
-			if f == (faults{}) {
-				r.expectState(n, id, task.Done)
-			}
+			r.expectState(n, id, task.Done)
 		}
 		stop()
 		done.Wait()
-		violations = slices.DeleteFunc(check.Run(recorder.Records()).Violations, func(v check.Violation) bool {
-			return v.Promise != check.CapacityLimit && v.Promise != check.SinglePlacement
-		})
+		if violations := capacityViolations(recorder); len(violations) > 0 {
+			t.Errorf("%d violations, the first: %s", len(violations), violations[0].Detail)
+		}
 	})
-	return violations
 }
 
 func TestPolicyReachesRunningPlanners(t *testing.T) {
@@ -118,12 +122,3 @@
 		done.Wait()
 	})
 }
-
-func TestReservationsAgreeWithWorkers(t *testing.T) {
-	if violations := runSizedJobs(t, faults{}); len(violations) > 0 {
-		t.Errorf("%d violations, the first: %s", len(violations), violations[0].Detail)
-	}
-	if violations := runSizedJobs(t, faults{adoptDeclared: true}); len(violations) == 0 {
-		t.Error("no violation found for an owner that adopts runs at their declared sizes")
-	}
-}
