--- a/batch/adopted_sizes_test.go
+++ b/batch/adopted_sizes_test.go
@@ -1,9 +1,7 @@
 package batch
 
 import (
-	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,37 +15,31 @@
 func changeOwnerOfFullWorkers(t *testing.T, f faults) (violations []check.Violation) {
 	bubble(t, 4, func(r *rig) {
 		r.faults = f
-		ctx, stop := context.WithCancel(context.Background())
-		var done sync.WaitGroup
-		recorder := r.useRealPlanner(ctx, &done)
-		old := r.node("a")
-		r.own(old)
-		r.advanceTime(2 * time.Second)
-		submit := func(class string, jobs int, run time.Duration) (last task.Spec) {
-			for i := range jobs {
-				last = spec(fmt.Sprint(class, run, "-", i), run)
-				last.Class, last.Resources.MemoryMB = class, 400
-				r.submit(old, last)
+		recorder := r.runWithRealPlanner(func(old *node) {
+			submit := func(class string, jobs int, run time.Duration) (last task.Spec) {
+				for i := range jobs {
+					last = spec(fmt.Sprint(class, run, "-", i), run)
+					last.Class, last.Resources.MemoryMB = class, 400
+					r.submit(old, last)
+				}
+				return last
 			}
-			return last
-		}
-		submit("fat", 12, 5*time.Second) // the size of the class is learned
-		r.advanceTime(time.Minute)
-		large := submit("fat", len(r.members), time.Hour)
-		r.advanceTime(10 * time.Second)
-		submit("even", 16, time.Hour)
-		r.advanceTime(10 * time.Second)
-		if rec := r.expectState(old, large.ID, task.Running); rec.Reservation().MilliCPU <= large.Resources.MilliCPU {
-			t.Errorf("a run reserves %+v, want more than its job declares", rec.Reservation())
-		}
-		if c := old.Counts(); c.Pending == 0 {
-			t.Errorf("counts %+v, want jobs that wait for workers", c)
-		}
-		r.own(r.node("b"))
-		old.kill()
-		r.advanceTime(time.Minute)
-		stop()
-		done.Wait()
+			submit("fat", 12, 5*time.Second) // the size of the class is learned
+			r.advanceTime(time.Minute)
+			large := submit("fat", len(r.members), time.Hour)
+			r.advanceTime(10 * time.Second)
+			submit("even", 16, time.Hour)
+			r.advanceTime(10 * time.Second)
+			if rec := r.expectState(old, large.ID, task.Running); rec.Reservation().MilliCPU <= large.Resources.MilliCPU {
+				t.Errorf("a run reserves %+v, want more than its job declares", rec.Reservation())
+			}
+			if c := old.Counts(); c.Pending == 0 {
+				t.Errorf("counts %+v, want jobs that wait for workers", c)
+			}
+			r.own(r.node("b"))
+			old.kill()
+			r.advanceTime(time.Minute)
+		})
 		violations = capacityViolations(recorder)
 	})
 	return violations
--- a/batch/sizes_test.go
+++ b/batch/sizes_test.go
@@ -42,6 +42,21 @@
 	return recorder
 }
 
+// runWithRealPlanner runs f with a host that owns the shard, the real planner and
+// stand-in workers, and returns the recorder of the workers' history.
+func (r *rig) runWithRealPlanner(f func(n *node)) *check.Recorder {
+	ctx, stop := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	recorder := r.useRealPlanner(ctx, &done)
+	n := r.node("a")
+	r.own(n)
+	r.advanceTime(2 * time.Second)
+	f(n)
+	stop()
+	done.Wait()
+	return recorder
+}
+
 // capacityViolations returns the violations in the workers' history of what a worker
 // holds and of where a job runs.
 func capacityViolations(recorder *check.Recorder) []check.Violation {
@@ -54,38 +69,32 @@
 // owner twice, once without a notification to the old one.
 func TestReservationsAgreeWithWorkers(t *testing.T) {
 	bubble(t, 4, func(r *rig) {
-		ctx, stop := context.WithCancel(context.Background())
-		var done sync.WaitGroup
-		recorder := r.useRealPlanner(ctx, &done)
-		n := r.node("a")
-		r.own(n)
-		r.advanceTime(2 * time.Second)
-		var ids []string
-		for wave := range 6 {
-			for _, class := range slices.Sorted(maps.Keys(realSizes)) {
-				for i := range 6 {
-					s := spec(fmt.Sprint(class, wave, "-", i), time.Duration(5+3*i)*time.Second)
-					s.Class, s.Resources.MemoryMB, s.Urgent = class, 400, i == 0
-					r.submit(n, s)
-					ids = append(ids, s.ID)
+		recorder := r.runWithRealPlanner(func(n *node) {
+			var ids []string
+			for wave := range 6 {
+				for _, class := range slices.Sorted(maps.Keys(realSizes)) {
+					for i := range 6 {
+						s := spec(fmt.Sprint(class, wave, "-", i), time.Duration(5+3*i)*time.Second)
+						s.Class, s.Resources.MemoryMB, s.Urgent = class, 400, i == 0
+						r.submit(n, s)
+						ids = append(ids, s.ID)
+					}
 				}
-			}
-			r.advanceTime(15 * time.Second)
-			if wave == 2 || wave == 4 {
-				old := n
-				n = r.node(fmt.Sprint("b", wave))
-				r.own(n)
-				if wave == 2 {
-					old.kill()
+				r.advanceTime(15 * time.Second)
+				if wave == 2 || wave == 4 {
+					old := n
+					n = r.node(fmt.Sprint("b", wave))
+					r.own(n)
+					if wave == 2 {
+						old.kill()
+					}
 				}
 			}
-		}
-		r.advanceTime(20 * time.Minute)
-		for _, id := range ids {
-			r.expectState(n, id, task.Done)
-		}
-		stop()
-		done.Wait()
+			r.advanceTime(20 * time.Minute)
+			for _, id := range ids {
+				r.expectState(n, id, task.Done)
+			}
+		})
 		if violations := capacityViolations(recorder); len(violations) > 0 {
 			t.Errorf("%d violations, the first: %s", len(violations), violations[0].Detail)
 		}
@@ -94,31 +103,25 @@
 
 func TestPolicyReachesRunningPlanners(t *testing.T) {
 	bubble(t, 2, func(r *rig) {
-		ctx, stop := context.WithCancel(context.Background())
-		var done sync.WaitGroup
-		r.useRealPlanner(ctx, &done)
-		n := r.node("a")
-		r.own(n)
-		r.advanceTime(2 * time.Second)
-		b := settings.Default().Batch
-		b.Exchange *= 2
-		n.SetPolicy(b, placement.Options{Teams: map[string]settings.Team{"team": {MilliCPU: 2000}}})
-		for i := range 6 {
-			r.submit(n, spec(fmt.Sprint("j", i), time.Hour))
-		}
-		r.advanceTime(10 * time.Second)
-		if c := n.Counts(); c.Running != 2 || c.Pending != 4 {
-			t.Errorf("counts %+v with a quota of two cores, want 2 running and 4 pending", c)
-		}
-		n.SetPolicy(b, placement.Options{Teams: map[string]settings.Team{"team": {MilliCPU: 5000}}})
-		r.advanceTime(10 * time.Second)
-		if c := n.Counts(); c.Running != 5 {
-			t.Errorf("counts %+v with a quota of five cores, want 5 running", c)
-		}
-		if got := n.shards[shard].limits.Exchange; got != b.Exchange {
-			t.Errorf("exchange interval %v, want %v", got.D(), b.Exchange.D())
-		}
-		stop()
-		done.Wait()
+		r.runWithRealPlanner(func(n *node) {
+			b := settings.Default().Batch
+			b.Exchange *= 2
+			n.SetPolicy(b, placement.Options{Teams: map[string]settings.Team{"team": {MilliCPU: 2000}}})
+			for i := range 6 {
+				r.submit(n, spec(fmt.Sprint("j", i), time.Hour))
+			}
+			r.advanceTime(10 * time.Second)
+			if c := n.Counts(); c.Running != 2 || c.Pending != 4 {
+				t.Errorf("counts %+v with a quota of two cores, want 2 running and 4 pending", c)
+			}
+			n.SetPolicy(b, placement.Options{Teams: map[string]settings.Team{"team": {MilliCPU: 5000}}})
+			r.advanceTime(10 * time.Second)
+			if c := n.Counts(); c.Running != 5 {
+				t.Errorf("counts %+v with a quota of five cores, want 5 running", c)
+			}
+			if got := n.shards[shard].limits.Exchange; got != b.Exchange {
+				t.Errorf("exchange interval %v, want %v", got.D(), b.Exchange.D())
+			}
+		})
 	})
 }
