gateway: a slot without an answer is freed by evidence only

Callers' view: an endpoint with 4 slots worked on 5 requests at once, after it and the entry hosts had stood still (TestAllPausedPastTheirSessions). Cause: the slot of a request without an answer was freed when the longest run had passed since the request was sent, which holds only if the endpoint begins it at once.

The connection now stays open past the caller's time, and the slot is freed by the answer, by the end of the connection, or when the longest run has passed since the endpoint answered a request sent later. Keep-alive probes end connections to machines that are gone within 4 s. The endpoint still counts as failing, and the caller is told 'unknown', at the same time as before.

Weighed: counting the longest run from a pause that the host sees in itself (leaves an endpoint that stands still alone), telling the endpoint until when it may begin (needs the endpoint's part). Ruled out that a slot is lost for good: an answer to a later request frees it (TestSlotOfLostRequestIsFreed); an endpoint with no answer at all on open connections gets nothing, as it should.

TestNoSlotIsFreedWhileEndpointStandsStill, order of events set, in virtual time: 12 requests at once with 4 slots before; 4 after, 20 of 20 with the race detector.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -11,24 +11,29 @@
 // is smaller than maxBufferedResponse, as a stream otherwise. If the response
 // can't be passed on, the caller gets an unknown outcome.
 func (x *exchange) deliverResponse(resp *http.Response) {
+	x.recordAnswer()
 	body := &endpointBody{x: x, resp: resp}
 	if reason := x.responseProblem(resp); reason != "" {
 		body.fail()
-		x.result <- result{refusal: unknownOutcome(reason)}
+		x.deliver(result{refusal: unknownOutcome(reason)})
+		return
+	}
+	if x.isOverdue() {
+		_, _ = io.Copy(io.Discard, body) // its end, of any kind, ends the exchange
 		return
 	}
 	head, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse))
 	if err != nil {
-		x.result <- result{refusal: unknownOutcome(ReasonCutOff)}
+		x.deliver(result{refusal: unknownOutcome(ReasonCutOff)})
 		return
 	}
 	header := EndToEndHeaders(resp.Header)
 	if int64(len(head)) < maxBufferedResponse {
-		x.result <- result{wholeResponse(resp.StatusCode, header, head), answered()}
+		x.deliver(result{wholeResponse(resp.StatusCode, header, head), answered()})
 		return
 	}
 	body.head = head
-	x.result <- result{&Response{resp.StatusCode, header, body, resp.ContentLength}, answered()}
+	x.deliver(result{&Response{resp.StatusCode, header, body, resp.ContentLength}, answered()})
 }
 
 // responseProblem returns the reason why a response can't be passed on, or "".
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -40,6 +40,17 @@
 	sentAt time.Time
 	// stop cancels the transport's work on the request.
 	stop context.CancelFunc
+
+	// The following fields are guarded by g.mu.
+
+	// begunBy is when the endpoint is known to have begun the request, zero if it isn't.
+	begunBy time.Time
+	// answering is set once the endpoint has begun to answer.
+	answering bool
+	// overdue is set if the endpoint didn't answer in time.
+	overdue bool
+	// resultSent is set once result has received the only result.
+	resultSent bool
 }
 
 // result is the response or refusal for the caller.
@@ -62,7 +73,7 @@
 	g.mu.Unlock()
 	// The exchange must outlive its caller, so it doesn't use the caller's
 	// context.
-	run, stop := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout+g.opt.MaxRun)
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	x.stop = stop
 	g.background.Go(func() { x.run(run) })
 	return x.wait(ctx)
@@ -78,7 +89,11 @@
 	x.sentAt = now
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	return x.g.pool.MayWrite(now, x.slot, x.g.opt.Ownership.Snapshot())
+	if !x.g.pool.MayWrite(now, x.slot, x.g.opt.Ownership.Snapshot()) {
+		return false
+	}
+	x.client.sent.add(x)
+	return true
 }
 
 // wait returns the result, or a refusal after maxWait or when ctx ends. It then
@@ -148,6 +163,8 @@
 
 // run sends the request and delivers the response.
 func (x *exchange) run(ctx context.Context) {
+	timer := time.AfterFunc(dialTimeout+x.g.opt.MaxRun, x.handleOverdue)
+	defer timer.Stop()
 	resp, err := x.client.transport.RoundTrip(x.request(ctx))
 	switch {
 	case err != nil:
@@ -160,6 +177,17 @@
 	}
 }
 
+// deliver sends the result to the caller, unless it has got one already.
+func (x *exchange) deliver(r result) {
+	x.g.mu.Lock()
+	first := !x.resultSent
+	x.resultSent = true
+	x.g.mu.Unlock()
+	if first {
+		x.result <- r
+	}
+}
+
 func (x *exchange) request(ctx context.Context) *http.Request {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) { i.Conn.(*endpointConn).setAttempt(x.attempt) },
--- a/gateway/endpointclient.go
+++ b/gateway/endpointclient.go
@@ -18,6 +18,11 @@
 	// idleTimeout closes idle connections before common servers do, so that
 	// few requests are sent on a connection that the server is closing.
 	idleTimeout = 3 * time.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a machine that is gone.
+	// A request on its way there keeps its slot until its connection breaks.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
 	// tcpUserTimeout is how long the kernel retransmits unacknowledged bytes.
 	// It limits how late a request can arrive at an endpoint after a
 	// partition.
@@ -30,6 +35,8 @@
 type endpointClient struct {
 	transport *http.Transport
 	address   string
+	// sent holds the requests sent to the endpoint, guarded by Gateway.mu.
+	sent sentRequests
 }
 
 // dialFunc connects to an endpoint.
@@ -37,7 +44,9 @@
 
 // dialEndpoint connects to an endpoint over TCP.
 func dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
 	return dialer.DialContext(ctx, network, address)
 }
 
@@ -51,6 +60,7 @@
 	}
 	return &endpointClient{
 		address: e.Address,
+		sent:    sentRequests{},
 		transport: &http.Transport{
 			DialContext:            dial,
 			MaxConnsPerHost:        e.OwnerConnections(),
--- a/gateway/exchangeend.go
+++ b/gateway/exchangeend.go
@@ -16,7 +16,7 @@
 		return
 	}
 	x.observe(routing.Result{Sent: true, Failed: true})
-	x.result <- result{refusal: unknownOutcome(ReasonNoAnswer)}
+	x.deliver(result{refusal: unknownOutcome(ReasonNoAnswer)})
 	x.releaseSlotAfterMaxRun()
 }
 
@@ -32,7 +32,7 @@
 		x.observe(routing.Result{Failed: true})
 	}
 	x.releaseSlot()
-	x.result <- result{refusal: refusal}
+	x.deliver(result{refusal: refusal})
 }
 
 // expired reports whether the caller's deadline has passed.
@@ -40,6 +40,7 @@
 
 // handleUnprocessed ends an exchange that the endpoint refused to run.
 func (x *exchange) handleUnprocessed(resp *http.Response) {
+	x.recordAnswer()
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponse))
 	resp.Body.Close()
 	x.stop()
@@ -49,7 +50,7 @@
 	} else {
 		x.releaseSlotAfterMaxRun()
 	}
-	x.result <- result{refusal: notRun(ReasonUnprocessed, defaultRetryAfter)}
+	x.deliver(result{refusal: notRun(ReasonUnprocessed, defaultRetryAfter)})
 }
 
 // observe reports the exchange to the pool. Pauses of this process are
@@ -58,6 +59,14 @@
 func (x *exchange) observe(r routing.Result) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	if x.overdue {
+		return // handleOverdue has reported it
+	}
+	x.observeLocked(r)
+}
+
+// observeLocked is observe; x.g.mu must be held.
+func (x *exchange) observeLocked(r routing.Result) {
 	now := time.Now()
 	paused := x.g.pauses.PausedWithin(x.start, now)
 	if r.Failed && paused > 0 {
@@ -74,18 +83,20 @@
 func (x *exchange) releaseSlot() {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	x.client.sent.remove(x)
 	x.g.releaseSlot(x.slot)
 }
 
 // releaseSlotAfterMaxRun ends the request's write window at once, and frees the
-// slot when MaxRun has passed since the request was sent: the endpoint may
-// continue to run it after its connection breaks.
+// slot when MaxRun has passed since the endpoint is known to have begun the request
+// or, if it isn't, since the request was sent: the endpoint may continue to run it
+// after its connection breaks.
 func (x *exchange) releaseSlotAfterMaxRun() {
 	x.g.mu.Lock()
 	x.g.pool.WriteDone(x.slot)
+	left := x.g.opt.MaxRun - time.Since(later(x.sentAt, x.begunBy))
 	x.g.mu.Unlock()
 	x.g.background.Add(1)
-	left := x.g.opt.MaxRun - time.Since(x.sentAt)
 	time.AfterFunc(max(left, 0), func() {
 		defer x.g.background.Done()
 		x.releaseSlot()
