closed availability zones: their workers get no starts

Cause: nothing read the rows of evacuations.

closedzones holds the set with the store's version up to which it is complete. The adapter decodes the rows from the reads that it makes for the configuration (no calls more); a host that starts knows the set before its first configuration, with which it may own the domain. Hosts tell each other their sets with the pings between them and the owner, so that an owner that can't read the store learns within a ping, and its successor with it. dispatch keeps workers of closed zones out of every cycle, in the one place where workers become candidates, and withdraws the starts that wait at their sender. What runs goes on. Jobs that no open zone can take wait with the cause zone_closed; a job whose pool has workers in closed zones only is refused at once.

Ruled out: a second exchange of the kind that configurations use. Only the owner gives starts, all hosts ping it, and a set is a few names; the set's own version, not the configuration's, orders it.

--- a/control/follow.go
+++ b/control/follow.go
@@ -77,9 +77,13 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var r pingReply
-	q := pingRequest{Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offeredCores(), Zone: n.opts.Zone}
+	q := pingRequest{
+		Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offeredCores(), Zone: n.opts.Zone,
+		ClosedZones: toldClosedZones(n.ClosedZones()),
+	}
 	res := n.client.Call(ctx, leader.Host, methodPing, q, &r)
 	n.setHosts(r.Hosts)
+	n.hearClosedZones(r.ClosedZones, leader.Host)
 	if r.Owner {
 		n.relaysPerZone.Store(int64(r.Relays))
 	}
@@ -228,6 +232,7 @@
 	opts := n.opts
 	n.mu.Unlock()
 	o := newOwner(ctx, opts, c, *n.config.Load(), acquiredAt)
+	o.closedZones = n.ClosedZones
 	defer o.relays.close()
 	o.candidates = &n.candidates
 	// The load that made the previous owner use relays persists.
--- a/control/messages.go
+++ b/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflygate/fireflygate/closedzones"
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/peer"
 	"github.com/fireflygate/fireflygate/workload"
@@ -28,6 +29,8 @@
 	// stopping and neither accepts the domain nor relays orders.
 	Cores float64 `msgpack:"c"`
 	Zone  string  `msgpack:"z"`
+	// ClosedZones is the newest set known to the pinging host, nil if it knows none.
+	ClosedZones *closedzones.Set `msgpack:"x,omitempty"`
 }
 
 // pingReply is the status of the pinged host.
@@ -45,6 +48,8 @@
 	// Hosts are the addresses of all hosts known to the owner, sent only if the
 	// pinging host knows fewer.
 	Hosts []string `msgpack:"h,omitempty"`
+	// ClosedZones is the newest set known to the pinged host, nil if it knows none.
+	ClosedZones *closedzones.Set `msgpack:"x,omitempty"`
 }
 
 // status returns the host's ownership status.
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -29,6 +29,8 @@
 	loopSeconds     *prometheus.CounterVec
 	tickDelay       prometheus.Gauge
 	traffic         *prometheus.GaugeVec
+	zonesClosed     prometheus.Gauge
+	startsHeldBack  prometheus.Counter
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -92,6 +94,13 @@
 		Name: "fireflygate_worker_traffic", Help: "What the owner measures of its orders and allows: seconds to wait for an answer, " +
 			"of the smoothed round trip and between a report and the next look; starts under way and allowed.",
 	}, []string{"what"})
+	m.zonesClosed = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflygate_zones_closed", Help: "Availability zones that are closed, as far as this host knows.",
+	})
+	m.startsHeldBack = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflygate_closed_zone_starts_withdrawn_total", Help: "Starts withdrawn before they were sent because their zone was closed.",
+	})
+	r.MustRegister(m.zonesClosed, m.startsHeldBack)
 	r.MustRegister(m.losses, m.givenUp, m.loopSeconds, m.tickDelay, m.traffic)
 	r.MustRegister(m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.planDuration, m.takeovers)
--- a/control/metrics_test.go
+++ b/control/metrics_test.go
@@ -39,7 +39,7 @@
 	c := &collectors{names: map[string]bool{}}
 	control.NewMetrics(c)
 	(&logsink.Stats{}).Register(c)
-	platform.NewConfigWatch("", nil, nil).Register(c)
+	platform.NewConfigWatch("", nil, nil, nil, nil).Register(c)
 	page, err := os.ReadFile("../docs/METRICS-DOMAIN.md")
 	if err != nil {
 		t.Fatal(err)
--- a/control/node.go
+++ b/control/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflygate/fireflygate/closedzones"
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/peer"
 )
@@ -46,6 +47,8 @@
 	hint election.Record
 	// candidates are the hosts that ping this host as the owner.
 	candidates election.Candidates
+	// closedZones is the newest set of closed zones known.
+	closedZones closedzones.Set
 	// payloadCache holds the payloads of jobs whose starts this host relays.
 	payloadCache payloadCache
 	// relays is the number of relays per zone reported by the last owner.
--- a/control/owner.go
+++ b/control/owner.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflygate/fireflygate/closedzones"
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
@@ -32,6 +33,8 @@
 	// waiters are, by job, the callers that wait for its changes to be durable.
 	waiters map[string][]chan reply
 	config  Config
+	// closedZones returns the newest set of closed zones known to this host.
+	closedZones func() closedzones.Set
 	// committing is set while a commit is in flight.
 	committing bool
 	// lastCommit, summarizedAt and steppedAt are when the last commit, summary and
@@ -109,6 +112,7 @@
 		waiters: map[string][]chan reply{}, stopped: make(chan struct{}), ownedSince: boottime(), candidates: new(election.Candidates),
 	}
 	o.relays = newRelays(&o.opts)
+	o.closedZones = func() closedzones.Set { return closedzones.Set{} }
 	o.earlier = election.NewEarlierOwners(&row, o.ownedSince)
 	o.state = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: min(lease, opts.MaxLease),
@@ -148,6 +152,7 @@
 func (o *Owner) run() {
 	defer close(o.stopped)
 	defer o.abandonWaiters()
+	o.updateClosedZones() // changes from now on are posted to the loop
 	go o.watchMembers()
 	t := time.NewTicker(maxPlanInterval)
 	defer t.Stop()
--- a/control/requests.go
+++ b/control/requests.go
@@ -53,6 +53,11 @@
 			answer <- reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
 			return
 		}
+		if !spec.Timed() && !o.state.HasJob(spec.ID) && o.state.AllClosed(q) {
+			event.PoolClosed.Log(o.opts.Log, slog.String("job", spec.ID), slog.String("queue", q.Name))
+			answer <- reply{Result: ResultRefused, RetryAfterMS: maxRetryAfter.Milliseconds()}
+			return
+		}
 		if tasksAhead := o.state.TasksAhead(q); !o.state.HasJob(spec.ID) {
 			if retryAfter, refuse := o.backlog.Refuse(tasksAhead); refuse {
 				event.StartBacklogFull.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int("starts_before", tasksAhead), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
--- a/control/serve.go
+++ b/control/serve.go
@@ -15,6 +15,7 @@
 			return nil, err
 		}
 		n.addHost(q.Address)
+		n.hearClosedZones(q.ClosedZones, q.Address)
 		n.candidates.Observe(q.Address, q.Zone, q.Cores, boottime())
 		return n.newPingReply(q.Hosts), nil
 	})
@@ -52,7 +53,7 @@
 // number of hosts.
 func (n *Node) newPingReply(hosts int) pingReply {
 	o, _, _ := n.current()
-	r := pingReply{Incarnation: n.opts.Incarnation}
+	r := pingReply{Incarnation: n.opts.Incarnation, ClosedZones: toldClosedZones(n.ClosedZones())}
 	if o != nil && o.ctx.Err() == nil {
 		r.Owner, r.Epoch, r.Version = true, o.epoch, o.committedVersion.Load()
 		r.CommitAgeMS = o.commitAge().Milliseconds()
--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/closedzones"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -47,6 +48,8 @@
 	unguarded bool
 	// queueStarts makes starts wait at their sender, where they can be withdrawn.
 	queueStarts bool
+	// closed is the set of closed zones that each owner is told.
+	closed closedzones.Set
 	// started is called after each start that a worker carried out; it may be nil.
 	started func(w *faultWorker, id workload.TaskID)
 }
@@ -203,6 +206,7 @@
 	s.committing = false
 	clear(s.polling)
 	s.takeOver(s.roster()...)
+	s.state.SetClosedZones(s.now, s.closed)
 	s.ownerStopped(s.epoch - 1) // its process has terminated
 }
 
--- a/dispatch/faultsimorders_test.go
+++ b/dispatch/faultsimorders_test.go
@@ -80,7 +80,8 @@
 }
 
 // sendFromQueue sends a start after it has waited at the sender, unless it was withdrawn
-// meanwhile. It fails the test if a start is sent though its job has durably ended.
+// meanwhile. It fails the test if a start is sent though its job has durably ended or its
+// zone is closed.
 func (s *faultSim) sendFromQueue(o dispatch.StartOrder, answered func(runner.Status), send func()) {
 	if !s.queueStarts {
 		send()
@@ -99,6 +100,9 @@
 		if job, ok := state.JobState(o.Start.Task.Job); ok && job.Final() {
 			s.t.Errorf("the start of %v was sent though its job is %v", o.Start.Task, job)
 		}
+		if s.closed.Contains(o.Worker.Zone) {
+			s.t.Errorf("the start of %v was sent to %s in %s, which is closed", o.Start.Task, o.Worker.ID, o.Worker.Zone)
+		}
 		send()
 	})
 }
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -79,6 +79,7 @@
 	used := w.info.Capacity.Sub(w.free)
 	wasDraining := w.info.Draining
 	w.info = m
+	w.zoneClosed = s.closedZones.Contains(m.Zone)
 	w.free = m.Capacity.Sub(used)
 	if m.Draining && !wasDraining {
 		w.drainingAt = now
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -135,6 +135,10 @@
 // startLimitReached reports whether the cycle has given all starts it may.
 func (c *cycle) startLimitReached() bool { return len(c.starts) >= c.maxStarts }
 
+// isReserved reports whether a worker's capacity is withheld. That of workers in closed
+// zones never is.
+func (c *cycle) isReserved(w *worker) bool { return !w.zoneClosed && c.reserved[w.index] }
+
 // reserveWorker withholds a worker's capacity from steps later in the queue.
 func (c *cycle) reserveWorker(w *worker) {
 	if !c.reserved[w.index] {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/fireflygate/fireflygate/closedzones"
 	"github.com/fireflygate/fireflygate/colocate"
 	"github.com/fireflygate/fireflygate/headroom"
 	"github.com/fireflygate/fireflygate/runner"
@@ -18,6 +19,8 @@
 	// open holds the jobs that haven't ended, in order of acceptance.
 	open    []*job
 	workers map[string]*worker
+	// closedZones is the set of availability zones whose workers get no starts.
+	closedZones closedzones.Set
 	// sortedWorkers holds the workers in order of their IDs, nil after a
 	// change.
 	sortedWorkers []*worker
--- a/dispatch/waitcause.go
+++ b/dispatch/waitcause.go
@@ -25,6 +25,8 @@
 	NoPermit
 	// Headroom: the free capacity is held as headroom for short tasks.
 	Headroom
+	// ZoneClosed: workers in closed availability zones could take it, no others can.
+	ZoneClosed
 	// Fits: it fits, and starts with the next cycle.
 	Fits
 	waitCauseCount
@@ -33,7 +35,7 @@
 // waitCauseNames holds the log keys and metric labels of the causes, in the order
 // of the constants. They stay as they are when a constant is renamed.
 var waitCauseNames = [waitCauseCount]string{
-	"no_worker", "no_processors", "no_memory", "kept_room", "too_many_there", "would_harm", "no_permit", "headroom", "fits",
+	"no_worker", "no_processors", "no_memory", "kept_room", "too_many_there", "would_harm", "no_permit", "headroom", "zone_closed", "fits",
 }
 
 // String returns the cause as it appears in logs and metrics.
@@ -64,6 +66,8 @@
 		}
 	}
 	switch {
+	case w.fits == 0 && c.fitsInClosedZone(st):
+		w.cause, w.otherCause = ZoneClosed, ZoneClosed
 	case w.fits == 0:
 		w.cause = w.otherCause
 	case c.waitsForHeadroom(st):
@@ -74,6 +78,20 @@
 	return w
 }
 
+// fitsInClosedZone reports whether a worker in a closed zone could take a task of the
+// step if the zone were open.
+func (c *cycle) fitsInClosedZone(st *step) bool {
+	if len(c.s.closedZones.Zones) == 0 {
+		return false
+	}
+	for _, w := range c.s.byID() {
+		if w.zoneClosed && w.usableIfOpen(c.now) && c.causeAt(st, w) == Fits {
+			return true
+		}
+	}
+	return false
+}
+
 // waitsForHeadroom reports whether headroom holds back an idle task of the
 // step.
 func (c *cycle) waitsForHeadroom(st *step) bool {
@@ -95,7 +113,7 @@
 		return NoProcessors
 	case !reserved.Fits(w.free):
 		return NoMemory
-	case c.reserved[w.index]:
+	case c.isReserved(w):
 		return ReservedCapacity
 	case c.atPerWorkerLimit(st, w):
 		return PerWorkerLimit
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -21,6 +21,8 @@
 	hash uint32
 	// listed is set while the membership list includes the worker.
 	listed bool
+	// zoneClosed is set while its availability zone is closed.
+	zoneClosed bool
 	// knownSince is when this owner first saw it on the list, zero for a worker of an
 	// earlier owner.
 	knownSince time.Time
@@ -129,7 +131,10 @@
 }
 
 // usable reports whether new tasks may go to the worker.
-func (w *worker) usable(now time.Time) bool {
+func (w *worker) usable(now time.Time) bool { return !w.zoneClosed && w.usableIfOpen(now) }
+
+// usableIfOpen reports whether new tasks may go to the worker if its zone is open.
+func (w *worker) usableIfOpen(now time.Time) bool {
 	return w.listed && w.reported && !w.suspected && w.unresponsiveSince.IsZero() && !w.info.Draining && !w.unknownRun && now.After(w.pausedUntil)
 }
 
--- a/event/platform.go
+++ b/event/platform.go
@@ -13,5 +13,6 @@
 	SettingsReadFailed   = define(956, slog.LevelError, "settings cannot be read, keeping the previous ones")
 	SettingsChanged      = define(957, slog.LevelInfo, "changed settings applied")
 	ReadinessChanged     = define(958, slog.LevelInfo, "readiness changed")
+	ClosedZoneUnreadable = define(960, slog.LevelError, "row of a closed zone is malformed or names no zone of the site, obeyed by its key")
 	LogLinesDropped      = define(959, slog.LevelWarn, "log lines dropped")
 )
