--- a/check/record.go
+++ b/check/record.go
@@ -22,6 +22,8 @@
 	RunEnded        *RunEnded        `json:"run_ended,omitempty"`
 	LeavingBegan    *LeavingBegan    `json:"leaving_began,omitempty"`
 	LeavingEnded    *LeavingEnded    `json:"leaving_ended,omitempty"`
+	ZoneClosed      *ZoneClosed      `json:"zone_closed,omitempty"`
+	ZoneOpened      *ZoneOpened      `json:"zone_opened,omitempty"`
 	DrainBegan      *DrainBegan      `json:"drain_began,omitempty"`
 	DrainEnded      *DrainEnded      `json:"drain_ended,omitempty"`
 	ConfigAccepted  *ConfigAccepted  `json:"config_accepted,omitempty"`
@@ -86,7 +88,9 @@
 
 // RunBegan records that a worker started a run.
 type RunBegan struct {
-	Worker    string          `json:"worker"`
+	Worker string `json:"worker"`
+	// Zone is the worker's availability zone, if known.
+	Zone      string          `json:"zone,omitempty"`
 	Run       infra.RunID     `json:"run"`
 	Resources infra.Resources `json:"resources"`
 	Capacity  infra.Resources `json:"capacity"`
@@ -113,6 +117,17 @@
 	Member string `json:"member"`
 }
 
+// ZoneClosed records that an operator's request to close an availability zone was
+// accepted.
+type ZoneClosed struct {
+	Zone string `json:"zone"`
+}
+
+// ZoneOpened records that a zone was opened again.
+type ZoneOpened struct {
+	Zone string `json:"zone"`
+}
+
 // DrainBegan records the beginning of the planned stop of an entry host.
 type DrainBegan struct {
 	Host string `json:"host"`
--- a/check/run.go
+++ b/check/run.go
@@ -11,6 +11,9 @@
 	// LeavingGrace is how long an endpoint may receive new requests after the
 	// membership list shows it as leaving.
 	LeavingGrace time.Duration
+	// ZoneGrace is how long workers of an availability zone may start runs after the
+	// zone was closed.
+	ZoneGrace time.Duration
 	// ConfigBound is the maximum time from the acceptance of a configuration
 	// until it is in force on every entry host.
 	ConfigBound time.Duration
@@ -18,7 +21,7 @@
 
 // DefaultLimits returns the limits that Run uses.
 func DefaultLimits() Limits {
-	return Limits{LeavingGrace: 3 * time.Second, ConfigBound: 4 * time.Second}
+	return Limits{LeavingGrace: 3 * time.Second, ZoneGrace: 5 * time.Second, ConfigBound: 4 * time.Second}
 }
 
 // Report is the result of checking a history.
@@ -57,6 +60,7 @@
 	{NotRunAccurate, checkNotRun},
 	{AtMostOnce, checkAtMostOnce},
 	{NoWorkAfterLeaving, checkLeaving},
+	{NoStartInClosedZone, checkClosedZones},
 	{GracefulStop, checkDrain},
 	{ConfigMonotonic, checkConfigMonotonic},
 	{ConfigInTime, checkConfigInTime},
--- a/check/run_test.go
+++ b/check/run_test.go
@@ -47,6 +47,10 @@
 	leaving := check.Record{LeavingBegan: &check.LeavingBegan{Member: "e"}}
 	drain := check.Record{DrainBegan: &check.DrainBegan{Host: "h"}}
 	accepted := check.Record{ConfigAccepted: &check.ConfigAccepted{Version: 2}}
+	zoneClosed := check.Record{ZoneClosed: &check.ZoneClosed{Zone: "z"}}
+	zoneOpened := check.Record{ZoneOpened: &check.ZoneOpened{Zone: "z"}}
+	inZone, inOtherZone := runBegan("w", 1, ""), runBegan("w", 1, "")
+	inZone.RunBegan.Zone, inOtherZone.RunBegan.Zone = "z", "y"
 	otherJob := runBegan("w", 1, "")
 	otherJob.RunBegan.Run.Job = "k"
 	type records = []check.Record
@@ -70,6 +74,9 @@
 		{"not run", check.NotRunAccurate, records{sent("c"), unknown, requestBegan("c", "")}, records{sent("c"), notRun, requestBegan("c", "")}},
 		{"booking", check.AtMostOnce, records{requestBegan("a", "k"), requestEnded(), requestBegan("b", "l")}, records{requestBegan("a", "k"), requestEnded(), requestBegan("b", "k")}},
 		{"leaving", check.NoWorkAfterLeaving, records{leaving, requestBegan("a", "")}, records{leaving, sent("x"), sent("y"), sent("z"), requestBegan("a", "")}},
+		{"closed zone", check.NoStartInClosedZone, records{zoneClosed, inZone, sent("u"), sent("v"), sent("x"), sent("y"), runEnded("w", 1, "stopped")}, records{zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), inZone}},
+		{"another closed zone", check.NoStartInClosedZone, records{zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), inOtherZone}, records{zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), inZone}},
+		{"opened zone", check.NoStartInClosedZone, records{zoneClosed, sent("u"), sent("v"), sent("x"), zoneOpened, sent("z"), inZone}, records{zoneOpened, zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), inZone}},
 		{"drain", check.GracefulStop, records{sent("c"), drain, answered(complete)}, records{sent("c"), drain, unknown}},
 		{"drain, no end", check.GracefulStop, records{sent("c"), drain, notRun}, records{sent("c"), drain}},
 		{"reverted", check.ConfigMonotonic, records{configInForce("h", 1), configInForce("h", 2)}, records{configInForce("h", 2), configInForce("h", 1)}},
