dispatch: run times are learned where callers' estimates prove wrong

Callers' view: jobs whose declared run times are mostly noise were ordered, and held to be late or in time, by that noise. A line fitted for each queue to the logarithms of declared and seen times finds out what declared ones are worth, and gives the expected time of each step; with few samples it is what is declared.

Weighed: the mean seen in a queue (as bad where callers declare well) and a quantile of the ratio, as estimate keeps (mends a bias, not noise).

--- a/dispatch/burstrig_test.go
+++ b/dispatch/burstrig_test.go
@@ -43,6 +43,10 @@
 	workers map[string]*simWorker
 	// ended and due hold when each job was complete and when it should be.
 	ended, due map[string]time.Time
+	// noise is the spread of the logarithm of declared run times around the true ones,
+	// which durations holds by job and step; without noise they are the declared ones.
+	noise     float64
+	durations map[workload.StepID]time.Duration
 	// overTarget is the total time that serving tasks spent over their target.
 	overTarget time.Duration
 	tick       int
@@ -72,6 +76,7 @@
 		rig:    &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, disabled: disabled},
 		random: rand.New(rand.NewPCG(seed, 1)), effects: map[[2]string]float64{}, phase: map[string]float64{},
 		workers: map[string]*simWorker{}, ended: map[string]time.Time{}, due: map[string]time.Time{},
+		durations: map[workload.StepID]time.Duration{},
 	}
 	b.startedAt = b.now
 	b.startOwner(1)
@@ -118,6 +123,10 @@
 	path := time.Duration(0)
 	for i := range steps {
 		path += steps[i].Estimate
+		b.durations[workload.StepID{Job: id, Step: i}] = steps[i].Estimate
+		if b.noise > 0 {
+			steps[i].Estimate = time.Duration(float64(steps[i].Estimate) * math.Exp(b.noise*b.random.NormFloat64()))
+		}
 	}
 	b.due[id] = b.now.Add(time.Duration(queueLong.Stretch*float64(path)) + queueLong.Target)
 	b.state.Accept(b.now, b.now.UnixMilli(), job, queueLong)
@@ -239,6 +248,9 @@
 	job := b.job(o.Start.Task.Job)
 	r := &simRun{number: o.Start.Run, step: job.Steps[o.Start.Task.Step], job: job.ID, cpuLimit: 100}
 	r.total = r.step.Estimate
+	if d, ok := b.durations[workload.StepID{Job: job.ID, Step: o.Start.Task.Step}]; ok {
+		r.total = d
+	}
 	if o.Start.Checkpoint != "" {
 		var ms int64
 		if _, err := fmt.Sscan(o.Start.Checkpoint, &ms); err != nil {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -46,12 +46,13 @@
 	unfinishedSteps int
 }
 
-// newJob returns the state of a submitted job. now and wallNow are the current
+// newJob returns the state of a submitted job. expected returns how long a step's tasks
+// are expected to run; now and wallNow are the current
 // time on the monotonic clock and, in milliseconds, on the wall clock.
-func newJob(now time.Time, wallNow int64, spec *workload.Job, q workload.Queue) *job {
+func newJob(now time.Time, wallNow int64, spec *workload.Job, q workload.Queue, expected func(*workload.Step) time.Duration) *job {
 	age := max(wallNow-spec.Submitted, 0)
 	j := &job{
-		spec: spec, queue: q, criticalPaths: spec.CriticalPath(),
+		spec: spec, queue: q, criticalPaths: spec.CriticalPath(expected),
 		submittedAt: now.Add(-time.Duration(age) * time.Millisecond),
 	}
 	for i := range spec.Steps {
@@ -63,18 +64,18 @@
 			at := spec.FirstDue + int64(k)*spec.Interval.Milliseconds()
 			due = now.Add(time.Duration(at-wallNow) * time.Millisecond)
 		}
-		j.occurrences = append(j.occurrences, newOccurrence(j, k, due))
+		j.occurrences = append(j.occurrences, newOccurrence(j, k, due, expected))
 	}
 	j.unfinishedOccurrences = len(j.occurrences)
 	return j
 }
 
 // newOccurrence returns an occurrence whose tasks are all unfinished.
-func newOccurrence(j *job, index int, due time.Time) *occurrence {
+func newOccurrence(j *job, index int, due time.Time, expected func(*workload.Step) time.Duration) *occurrence {
 	o := &occurrence{index: index, due: due, unfinishedSteps: len(j.spec.Steps)}
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
-		s := &step{job: j, occurrence: o, spec: spec, index: i, unfinishedTasks: spec.Tasks, idle: spec.Tasks}
+		s := &step{job: j, occurrence: o, spec: spec, index: i, unfinishedTasks: spec.Tasks, idle: spec.Tasks, expected: expected(spec)}
 		s.blockedBy = len(spec.After)
 		if spec.Serving() {
 			s.class = spec.Image + "/" + spec.TailTarget.String()
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -87,7 +87,7 @@
 		LatestStart:       j.objective(o).Add(-remaining),
 		LatestUsefulStart: j.expiry(o).Add(-remaining),
 		Arrived:           o.due,
-		RemainingWork:     int64(st.unfinishedTasks) * st.spec.Needs.MilliCPU * st.spec.Estimate.Milliseconds() / 1000,
+		RemainingWork:     st.work(st.unfinishedTasks),
 		ID:                j.spec.ID,
 	}
 }
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -235,7 +235,7 @@
 	if !ok {
 		q = row.Queue
 	}
-	j := newJob(now, wallNow, &row.Job, q)
+	j := newJob(now, wallNow, &row.Job, q, s.expectedIn(q))
 	j.rowStored, j.inherited = true, true
 	if progress != nil {
 		j.restore(now, *progress)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -89,6 +89,9 @@
 // too.
 func (s *State) recordEnd(now time.Time, w *worker, e runner.RunEnd) {
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
+		if e.Kind == runner.EndDone {
+			s.learnRunTime(r.task.step, now.Sub(r.startedAt), r.task.lastEndedRun == 0)
+		}
 		if r.task.step.spec.BestEffort {
 			w.rememberEnded(now, r)
 		}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -8,6 +8,7 @@
 	"github.com/fireflygate/fireflygate/colocate"
 	"github.com/fireflygate/fireflygate/headroom"
 	"github.com/fireflygate/fireflygate/runner"
+	"github.com/fireflygate/fireflygate/runtimes"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -53,6 +54,8 @@
 	// estimatesFlushedAt.
 	estimatesChanged   bool
 	estimatesFlushedAt time.Time
+	// runTimes estimates run times.
+	runTimes runtimes.Model
 	// demand is the demand of best-effort tasks, computed at demandAt.
 	demand   *bestEffortDemand
 	demandAt time.Time
@@ -104,6 +107,10 @@
 	for _, q := range queues {
 		s.queues[q.Name] = q
 	}
+	s.runTimes.Forget(func(name string) bool {
+		_, ok := s.queues[name]
+		return ok
+	})
 	for _, j := range s.open {
 		if q, ok := s.queues[j.queue.Name]; ok {
 			j.queue = q
@@ -122,7 +129,7 @@
 	if s.jobs[spec.ID] != nil {
 		return
 	}
-	j := newJob(now, wallNow, spec, q)
+	j := newJob(now, wallNow, spec, q, s.expectedIn(q))
 	if j.longRunning {
 		s.longRunningAcceptedAt = now
 	}
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -16,6 +16,11 @@
 	// class identifies the tail behavior of its serving tasks, by image and
 	// tail target; empty if they don't serve.
 	class string
+	// expected is how long one of its tasks is expected to run.
+	expected time.Duration
+	// ranFor is the run time of all timedTasks tasks that were done in one run.
+	ranFor     time.Duration
+	timedTasks int
 	// unfinishedTasks counts tasks that aren't done.
 	unfinishedTasks int
 	// idle counts unfinished tasks without a run.
@@ -32,6 +37,11 @@
 	blockedBy int
 }
 
+// work returns the expected work of a number of the step's tasks, in core-milliseconds.
+func (s *step) work(tasks int) int64 {
+	return int64(tasks) * s.spec.Needs.MilliCPU * s.expected.Milliseconds() / 1000
+}
+
 // ready reports whether the step has tasks that may start.
 func (s *step) ready() bool { return s.blockedBy == 0 && s.idle > 0 }
 
--- a/mechanism/set.go
+++ b/mechanism/set.go
@@ -51,13 +51,15 @@
 	// StoredEstimates: a new owner doesn't load the interference estimates of
 	// its predecessor.
 	StoredEstimates
+	// LearnedRunTimes: tasks are expected to run as long as their callers declare.
+	LearnedRunTimes
 	mechanismCount
 )
 
 // names holds the name of each mechanism in the settings.
 var names = [mechanismCount]string{
 	"hope", "kept-room", "headroom", "preemption", "pacing", "moving", "foresight", "pairs", "classes",
-	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons",
+	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons", "run-times",
 }
 
 // Set is a set of mechanisms. The zero value is empty.
--- a/workload/job.go
+++ b/workload/job.go
@@ -70,12 +70,12 @@
 	return nil
 }
 
-// CriticalPath returns, for each step, the estimated duration of the longest
-// chain of dependent steps that starts with it.
-func (j *Job) CriticalPath() []time.Duration {
+// CriticalPath returns, for each step, the duration of the longest chain of dependent
+// steps that starts with it, where a step takes what duration returns.
+func (j *Job) CriticalPath(duration func(*Step) time.Duration) []time.Duration {
 	path := make([]time.Duration, len(j.Steps))
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		path[i] += j.Steps[i].Estimate
+		path[i] += duration(&j.Steps[i])
 		for _, dependency := range j.Steps[i].After {
 			path[dependency] = max(path[dependency], path[i])
 		}
