queue: among what can be on time, the jobs of least effort go first

Callers' view: from 1.00 to 1.15 of a load a seventh more was asked for and a fifth less of roster-rebuild was in aim. Cause: in the order of latest starts all jobs are begun and then end a little late; none counts before its last task is done. The effort, a job's remaining work over the square root of all its work, ends what is begun; the root keeps the large jobs from paying for it.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -44,6 +44,8 @@
 	due             time.Time
 	steps           []*step
 	unfinishedSteps int
+	// totalWork is the expected work of all tasks, in core-milliseconds.
+	totalWork int64
 }
 
 // newJob returns the state of a submitted job. expected returns how long a step's tasks
@@ -85,6 +87,7 @@
 			s.tasks[t] = task{step: s, index: t}
 		}
 		o.steps = append(o.steps, s)
+		o.totalWork += s.work(spec.Tasks)
 	}
 	return o
 }
--- /dev/null
+++ b/dispatch/knee_test.go
@@ -0,0 +1,106 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/mechanism"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// The load of the knee: best-effort jobs whose declared run times are mostly noise, as
+// many as the workers can just do beside their serving tasks, and more.
+const (
+	kneeSeeds   = 3
+	kneeSeconds = 30
+	kneeNoise   = 0.9
+	// kneeJobs is the number of jobs a second at the knee.
+	kneeJobs = 5.0
+)
+
+// kneeResult sums up the outcome of a load.
+type kneeResult struct {
+	onTime, jobs int
+	// large and largeOnTime count the largest tenth of the jobs.
+	large, largeOnTime int
+	overTarget         time.Duration
+}
+
+// runKnee simulates a load that is given as a multiple of the knee.
+func runKnee(t *testing.T, load float64, disabled mechanism.Set) kneeResult {
+	t.Helper()
+	var sum kneeResult
+	for seed := range uint64(kneeSeeds) {
+		b := newBurst(t, seed, disabled)
+		b.noise = kneeNoise
+		submitted := 0
+		for second := range kneeSeconds {
+			for float64(submitted) < load*kneeJobs*float64(second+1) {
+				b.submitBestEffort(fmt.Sprint("batch", submitted))
+				submitted++
+			}
+			b.run(time.Second)
+		}
+		b.run(20 * time.Second)
+		sum.add(b)
+	}
+	return sum
+}
+
+// add adds the outcome of a simulation.
+func (k *kneeResult) add(b *burst) {
+	ids := make([]string, 0, len(b.due))
+	for id := range b.due {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(x, y string) int { return int(b.trueWork(y) - b.trueWork(x)) })
+	for i, id := range ids {
+		onTime := 0
+		if end := b.ended[id]; !end.IsZero() && !end.After(b.due[id]) {
+			onTime = 1
+		}
+		k.jobs++
+		k.onTime += onTime
+		if i < len(ids)/10 {
+			k.large++
+			k.largeOnTime += onTime
+		}
+	}
+	k.overTarget += b.overTarget
+}
+
+// trueWork returns a job's work in core-milliseconds.
+func (b *burst) trueWork(id string) int64 {
+	var sum int64
+	for i, st := range b.job(id).Steps {
+		sum += int64(st.Tasks) * st.Needs.MilliCPU * b.durations[workload.StepID{Job: id, Step: i}].Milliseconds() / 1000
+	}
+	return sum
+}
+
+// TestBeyondTheKnee checks that beyond the knee more jobs are on time if those of least
+// effort go first, and if run times are learned where declared ones are noise; that the
+// largest don't pay for it; and that what is on time doesn't fall as more is asked for.
+func TestBeyondTheKnee(t *testing.T) {
+	const loads = 3
+	before := 0
+	for i, load := range [loads]float64{1, 1.15, 1.3} {
+		full := runKnee(t, load, 0)
+		byLatestStart := runKnee(t, load, mechanism.Of(mechanism.LeastWork))
+		asDeclared := runKnee(t, load, mechanism.Of(mechanism.LearnedRunTimes))
+		neither := runKnee(t, load, mechanism.Of(mechanism.LeastWork, mechanism.LearnedRunTimes))
+		t.Logf("load %.2f: full policy %+v; by latest start %+v; as declared %+v; neither %+v", load, full, byLatestStart, asDeclared, neither)
+		if i > 0 && (full.onTime <= byLatestStart.onTime || full.onTime <= asDeclared.onTime || full.onTime <= neither.onTime) {
+			t.Errorf("load %.2f: %d jobs on time, want more than %d, %d and %d", load, full.onTime, byLatestStart.onTime, asDeclared.onTime, neither.onTime)
+		}
+		if full.largeOnTime < neither.largeOnTime {
+			t.Errorf("load %.2f: %d of the largest on time, want at least %d", load, full.largeOnTime, neither.largeOnTime)
+		}
+		if full.onTime < before {
+			t.Errorf("load %.2f: %d jobs on time, want at least the %d of a lower load", load, full.onTime, before)
+		}
+		before = full.onTime
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -69,14 +69,23 @@
 			}
 		}
 	}
-	compare := queue.Compare
-	if s.cfg.Disabled.Has(mechanism.Timeliness) {
-		compare = queue.CompareArrival
-	}
+	compare := s.queueOrder()
 	slices.SortFunc(list, func(a, b *waitingStep) int { return compare(&a.entry, &b.entry, now) })
 	return list
 }
 
+// queueOrder returns the order of waiting steps.
+func (s *State) queueOrder() func(a, b *queue.Entry, now time.Time) int {
+	switch {
+	case s.cfg.Disabled.Has(mechanism.Timeliness):
+		return queue.CompareArrival
+	case s.cfg.Disabled.Has(mechanism.LeastWork):
+		return queue.CompareLatestStart
+	default:
+		return queue.Compare
+	}
+}
+
 func (s *State) queueEntry(st *step) queue.Entry {
 	j, o := st.job, st.occurrence
 	remaining := j.criticalPaths[st.index]
@@ -87,7 +96,8 @@
 		LatestStart:       j.objective(o).Add(-remaining),
 		LatestUsefulStart: j.expiry(o).Add(-remaining),
 		Arrived:           o.due,
-		RemainingWork:     st.work(st.unfinishedTasks),
+		RemainingWork:     o.remainingWork(),
+		TotalWork:         o.totalWork,
 		ID:                j.spec.ID,
 	}
 }
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -42,6 +42,15 @@
 	return int64(tasks) * s.spec.Needs.MilliCPU * s.expected.Milliseconds() / 1000
 }
 
+// remainingWork returns the expected work of all unfinished tasks, in core-milliseconds.
+func (o *occurrence) remainingWork() int64 {
+	var sum int64
+	for _, st := range o.steps {
+		sum += st.work(st.unfinishedTasks)
+	}
+	return sum
+}
+
 // ready reports whether the step has tasks that may start.
 func (s *step) ready() bool { return s.blockedBy == 0 && s.idle > 0 }
 
--- a/mechanism/set.go
+++ b/mechanism/set.go
@@ -53,13 +53,15 @@
 	StoredEstimates
 	// LearnedRunTimes: tasks are expected to run as long as their callers declare.
 	LearnedRunTimes
+	// LeastWork: steps that can still be on time are queued by their latest start.
+	LeastWork
 	mechanismCount
 )
 
 // names holds the name of each mechanism in the settings.
 var names = [mechanismCount]string{
 	"hope", "kept-room", "headroom", "preemption", "pacing", "moving", "foresight", "pairs", "classes",
-	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons", "run-times",
+	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons", "run-times", "least-work",
 }
 
 // Set is a set of mechanisms. The zero value is empty.
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -21,8 +21,9 @@
 	LatestUsefulStart time.Time
 	// Arrived is when the job was submitted or became due.
 	Arrived time.Time
-	// RemainingWork is the unfinished work of the step, in core-milliseconds.
-	RemainingWork int64
+	// RemainingWork is the expected unfinished work of the job's occurrence, TotalWork
+	// all of its work, in core-milliseconds.
+	RemainingWork, TotalWork int64
 	// ID makes the order deterministic.
 	ID string
 }
--- a/queue/order.go
+++ b/queue/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 )
 
@@ -44,9 +45,30 @@
 
 // Compare orders two entries, for use with slices.SortFunc. It orders by
 // priority, then restarts of long-running tasks, then their first starts, then
-// timeliness. Entries on time are ordered by latest start; late ones by least
+// timeliness. Entries on time are ordered by effort, then latest start; late ones by least
 // remaining work, which frees their capacity soonest; expired ones by arrival.
 func Compare(a, b *Entry, now time.Time) int {
+	return compareBy(a, b, now, func(a, b *Entry) int {
+		return cmp.Or(cmp.Compare(a.effort(), b.effort()), a.LatestStart.Compare(b.LatestStart))
+	})
+}
+
+// CompareLatestStart is Compare with entries on time ordered by latest start.
+func CompareLatestStart(a, b *Entry, now time.Time) int {
+	return compareBy(a, b, now, func(a, b *Entry) int { return a.LatestStart.Compare(b.LatestStart) })
+}
+
+// effort is the remaining work of the entry's job over the square root of all its work.
+// Under a load of which not all can be on time the order by latest start begins all jobs
+// and ends them late. The least remaining work first ends most jobs, but starves the
+// large ones; the share that is left first treats all sizes alike, and ends fewer. The
+// effort lies between the two.
+func (e *Entry) effort() float64 {
+	return float64(e.RemainingWork) / math.Sqrt(float64(max(e.TotalWork, 1)))
+}
+
+// compareBy is Compare with the given order of entries on time.
+func compareBy(a, b *Entry, now time.Time, onTime func(a, b *Entry) int) int {
 	if c := compareUrgency(a, b); c != 0 {
 		return c
 	}
@@ -60,7 +82,7 @@
 	c := 0
 	switch ta {
 	case OnTime:
-		c = a.LatestStart.Compare(b.LatestStart)
+		c = onTime(a, b)
 	case Late:
 		c = cmp.Compare(a.RemainingWork, b.RemainingWork)
 	case Expired:
--- a/queue/order_test.go
+++ b/queue/order_test.go
@@ -20,6 +20,9 @@
 		{ID: "expired first", Priority: 2, LatestStart: past, LatestUsefulStart: past, Arrived: past},
 		{ID: "late large", Priority: 2, LatestStart: past, LatestUsefulStart: later, RemainingWork: 90},
 		{ID: "late small", Priority: 2, LatestStart: past, LatestUsefulStart: later, RemainingWork: 10},
+		{ID: "on time, whole", Priority: 2, LatestStart: soon, LatestUsefulStart: later, RemainingWork: 400, TotalWork: 400},
+		{ID: "on time, large and begun", Priority: 2, LatestStart: later, LatestUsefulStart: later, RemainingWork: 300, TotalWork: 900},
+		{ID: "on time, small", Priority: 2, LatestStart: later, LatestUsefulStart: later, RemainingWork: 64, TotalWork: 64},
 		{ID: "on time later", Priority: 2, LatestStart: later, LatestUsefulStart: later},
 		{ID: "on time soon", Priority: 2, LatestStart: soon, LatestUsefulStart: later},
 		{ID: "restart", Priority: 2, Restart: true, LatestStart: past, LatestUsefulStart: past},
@@ -30,7 +33,7 @@
 	}
 	slices.SortFunc(entries, func(a, b *queue.Entry) int { return queue.Compare(a, b, start) })
 	want := []string{
-		"first queue, expired", "restart", "long-running, one per worker", "long-running, two per worker", "long-running", "on time soon", "on time later", "late small", "late large", "expired first", "expired second",
+		"first queue, expired", "restart", "long-running, one per worker", "long-running, two per worker", "long-running", "on time soon", "on time later", "on time, small", "on time, large and begun", "on time, whole", "late small", "late large", "expired first", "expired second",
 	}
 	for i, e := range entries {
 		if e.ID != want[i] {
