--- a/control/metrics.go
+++ b/control/metrics.go
@@ -38,52 +38,82 @@
 
 // NewMetrics returns metrics registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "fireflygate_job_requests_total", Help: "Requests about jobs, by method and result.",
-		}, []string{"method", "result"}),
-		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "fireflygate_job_request_seconds", Help: "Time from a request about a job to its outcome.",
-			Buckets: latencyBuckets,
-		}, []string{"method"}),
-		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "fireflygate_orders_total", Help: "Orders to workers, by kind and answer.",
-		}, []string{"kind", "answer"}),
-		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "fireflygate_run_ends_total", Help: "Ends of runs that workers reported, by how.",
-		}, []string{"how"}),
-		commits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "fireflygate_domain_commit_seconds", Help: "Time that a commit of the owner took, with its tries.",
-			Buckets: latencyBuckets,
-		}, []string{"result"}),
-		owner: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "fireflygate_domain_owner", Help: "1 while this host owns the domain.",
-		}),
-		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "fireflygate_tasks_waiting", Help: "Tasks that wait for a worker, by cause; 0 unless this host is the owner.",
-		}, []string{"cause"}),
-		openJobs: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "fireflygate_jobs_open", Help: "Accepted jobs that aren't over.",
-		}),
-		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "fireflygate_domain_workers", Help: "Workers of the domain, by state.",
-		}, []string{"state"}),
-		tailsOverTarget: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "fireflygate_tails_over_target", Help: "Serving tasks whose tail is over its target.",
-		}),
-		planDuration: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "fireflygate_plan_seconds", Help: "Time that a planning cycle took.", Buckets: latencyBuckets,
-		}),
-		takeovers: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "fireflygate_takeovers_total", Help: "Times that this host took the domain over.",
-		}),
-	}
+	m := &Metrics{}
+	m.initRequests()
+	m.initOwnership()
+	m.initDomain()
+	m.initLoop()
+	r.MustRegister(
+		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
+		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
+	)
+	return m
+}
+
+// initRequests creates the metrics of callers' requests and of orders to workers.
+func (m *Metrics) initRequests() {
+	m.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "fireflygate_job_requests_total", Help: "Requests about jobs, by method and result.",
+	}, []string{"method", "result"})
+	m.duration = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "fireflygate_job_request_seconds", Help: "Time from a request about a job to its outcome.",
+		Buckets: latencyBuckets,
+	}, []string{"method"})
+	m.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "fireflygate_orders_total", Help: "Orders to workers, by kind and answer.",
+	}, []string{"kind", "answer"})
+	m.ends = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "fireflygate_run_ends_total", Help: "Ends of runs that workers reported, by how.",
+	}, []string{"how"})
+}
+
+// initOwnership creates the metrics of the domain's ownership and its commits.
+func (m *Metrics) initOwnership() {
+	m.commits = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "fireflygate_domain_commit_seconds", Help: "Time that a commit of the owner took, with its tries.",
+		Buckets: latencyBuckets,
+	}, []string{"result"})
+	m.owner = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflygate_domain_owner", Help: "1 while this host owns the domain.",
+	})
+	m.takeovers = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflygate_takeovers_total", Help: "Times that this host took the domain over.",
+	})
+}
+
+// initDomain creates the metrics of the domain's jobs, workers and zones.
+func (m *Metrics) initDomain() {
+	m.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "fireflygate_tasks_waiting", Help: "Tasks that wait for a worker, by cause; 0 unless this host is the owner.",
+	}, []string{"cause"})
+	m.openJobs = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflygate_jobs_open", Help: "Accepted jobs that aren't over.",
+	})
+	m.workers = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "fireflygate_domain_workers", Help: "Workers of the domain, by state.",
+	}, []string{"state"})
+	m.tailsOverTarget = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflygate_tails_over_target", Help: "Serving tasks whose tail is over its target.",
+	})
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "fireflygate_workers_lost_total", Help: "Workers lost with runs, by cause.",
 	}, []string{"cause"})
 	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "fireflygate_jobs_given_up_total", Help: "Jobs that failed because too many workers crashed under one of their tasks.",
 	})
+	m.zonesClosed = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflygate_zones_closed", Help: "Availability zones that are closed, as far as this host knows.",
+	})
+	m.startsHeldBack = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflygate_closed_zone_starts_withdrawn_total", Help: "Starts withdrawn before they were sent because their zone was closed.",
+	})
+}
+
+// initLoop creates the metrics of the owner's loop and of its traffic with workers.
+func (m *Metrics) initLoop() {
+	m.planDuration = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "fireflygate_plan_seconds", Help: "Time that a planning cycle took.", Buckets: latencyBuckets,
+	})
 	m.loopSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "fireflygate_loop_seconds_total", Help: "Time that the owner's loop spent, by activity.",
 	}, []string{"activity"})
@@ -94,17 +124,6 @@
 		Name: "fireflygate_worker_traffic", Help: "What the owner measures of its orders and allows: seconds to wait for an answer, " +
 			"of the smoothed round trip and between a report and the next look; starts under way and allowed.",
 	}, []string{"what"})
-	m.zonesClosed = prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "fireflygate_zones_closed", Help: "Availability zones that are closed, as far as this host knows.",
-	})
-	m.startsHeldBack = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "fireflygate_closed_zone_starts_withdrawn_total", Help: "Starts withdrawn before they were sent because their zone was closed.",
-	})
-	r.MustRegister(m.zonesClosed, m.startsHeldBack)
-	r.MustRegister(m.losses, m.givenUp, m.loopSeconds, m.tickDelay, m.traffic)
-	r.MustRegister(m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
-		m.planDuration, m.takeovers)
-	return m
 }
 
 // request counts a completed request.
