gateway: a stalled answer ends within the time limit again

Found by reading the diff of: the time limit of an exchange ended once its answer had begun, so a caller of a large answer whose rest doesn't come would have waited for good, and its slot stayed in use. The limit now ends with the exchange. TestStalledAnswerIsCutOff, in virtual time, deadlocks without it. No test had covered it before either. Package gateway passes with the race detector.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -38,8 +38,9 @@
 	start   time.Time
 	// sentAt is when the write was permitted.
 	sentAt time.Time
-	// stop cancels the transport's work on the request.
-	stop context.CancelFunc
+	// cancel cancels the transport's work on the request; limit calls handleOverdue.
+	cancel context.CancelFunc
+	limit  *time.Timer
 
 	// The following fields are guarded by g.mu.
 
@@ -73,8 +74,9 @@
 	g.mu.Unlock()
 	// The exchange must outlive its caller, so it doesn't use the caller's
 	// context.
-	run, stop := context.WithCancel(context.WithoutCancel(ctx))
-	x.stop = stop
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	x.cancel = cancel
+	x.limit = time.AfterFunc(dialTimeout+g.opt.MaxRun, x.handleOverdue)
 	g.background.Go(func() { x.run(run) })
 	return x.wait(ctx)
 }
@@ -161,10 +163,14 @@
 	}
 }
 
+// stop cancels the transport's work on the request, if any is left, and its time limit.
+func (x *exchange) stop() {
+	x.limit.Stop()
+	x.cancel()
+}
+
 // run sends the request and delivers the response.
 func (x *exchange) run(ctx context.Context) {
-	timer := time.AfterFunc(dialTimeout+x.g.opt.MaxRun, x.handleOverdue)
-	defer timer.Stop()
 	resp, err := x.client.transport.RoundTrip(x.request(ctx))
 	switch {
 	case err != nil:
--- a/gateway/overdue.go
+++ b/gateway/overdue.go
@@ -52,7 +52,7 @@
 // use, unless no byte was sent or the endpoint has begun to answer.
 func (x *exchange) handleOverdue() {
 	if x.attempt.cancel() {
-		x.stop()
+		x.cancel()
 		return
 	}
 	x.g.mu.Lock()
@@ -63,7 +63,7 @@
 	}
 	x.g.mu.Unlock()
 	if answering {
-		x.stop()
+		x.cancel()
 		return
 	}
 	x.deliver(result{refusal: unknownOutcome(ReasonNoAnswer)})
--- a/gateway/overdue_test.go
+++ b/gateway/overdue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -152,3 +153,43 @@
 		}
 	})
 }
+
+// TestStalledAnswerIsCutOff checks that an answer of which the rest doesn't come ends for
+// its caller within the time limit of an exchange, and that its slot is freed.
+func TestStalledAnswerIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := pipenet.Listen()
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = w.Write(make([]byte, 2*maxBufferedResponse))
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		})}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { _ = server.Close() })
+		h := newHost(t, nil, "a", func(o *Options) {
+			o.Dial = func(context.Context, string, string) (net.Conn, error) { return l.Dial(), nil }
+		})
+		h.SetEndpoints([]routing.Endpoint{{
+			Name: "e", Service: testService, Address: "e:1", Zone: "z1", Shard: "e", Slots: overdueSlots, Connections: 8 * overdueSlots,
+		}})
+		h.grants.set(ownership.Full, "e")
+		begun := time.Now()
+		resp, refusal := h.Call(t.Context(), get("/"))
+		if refusal.Kind != outcome.Answered {
+			t.Fatalf("call: %+v", refusal)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+			t.Error("the answer counts as whole")
+		}
+		if took := time.Since(begun); took > dialTimeout+h.opt.MaxRun {
+			t.Errorf("the answer ended after %v, want %v at most", took, dialTimeout+h.opt.MaxRun)
+		}
+		pause.For(t.Context(), h.opt.MaxRun)
+		if n := h.inUse(); n != 0 {
+			t.Errorf("%d slots in use, want 0", n)
+		}
+		if err := h.Stop(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+}
