--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -40,3 +40,12 @@
 	}
 	return w.info.ID
 }
+
+// HeldWorkers returns the workers of the starts that wait for the store.
+func (s *State) HeldWorkers() []string {
+	var ids []string
+	for _, h := range s.heldStarts {
+		ids = append(ids, h.run.worker.info.ID)
+	}
+	return ids
+}
