queue, control: the effort is computed once an entry, a ping's answer takes one lock

Found by reading the change again: the order computed two square roots at each comparison, and the answer to a ping locked the node twice, for up to a thousand pings a second.

--- a/control/serve.go
+++ b/control/serve.go
@@ -53,7 +53,7 @@
 // number of hosts.
 func (n *Node) newPingReply(hosts int) pingReply {
 	o, _, _ := n.current()
-	r := pingReply{Incarnation: n.opts.Incarnation, ClosedZones: toldClosedZones(n.ClosedZones())}
+	r := pingReply{Incarnation: n.opts.Incarnation}
 	if o != nil && o.ctx.Err() == nil {
 		r.Owner, r.Epoch, r.Version = true, o.epoch, o.committedVersion.Load()
 		r.CommitAgeMS = o.commitAge().Milliseconds()
@@ -61,6 +61,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	r.ClosedZones = toldClosedZones(n.closedZones)
 	if r.Owner && hosts < len(n.hosts) {
 		r.Hosts = slices.Clone(n.hosts)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -88,7 +88,7 @@
 
 func (s *State) queueEntry(st *step) queue.Entry {
 	j, o := st.job, st.occurrence
-	remaining := j.criticalPaths[st.index]
+	remaining, remainingWork := j.criticalPaths[st.index], o.remainingWork()
 	return queue.Entry{
 		Priority:    j.queue.Priority,
 		Restart:     st.spec.LongRunning && st.waitsForRestart(),
@@ -96,8 +96,8 @@
 		LatestStart:       j.objective(o).Add(-remaining),
 		LatestUsefulStart: j.expiry(o).Add(-remaining),
 		Arrived:           o.due,
-		RemainingWork:     o.remainingWork(),
-		TotalWork:         o.totalWork,
+		RemainingWork:     remainingWork,
+		Effort:            queue.EffortOf(remainingWork, o.totalWork),
 		ID:                j.spec.ID,
 	}
 }
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -21,9 +21,11 @@
 	LatestUsefulStart time.Time
 	// Arrived is when the job was submitted or became due.
 	Arrived time.Time
-	// RemainingWork is the expected unfinished work of the job's occurrence, TotalWork
-	// all of its work, in core-milliseconds.
-	RemainingWork, TotalWork int64
+	// RemainingWork is the expected unfinished work of the job's occurrence, in
+	// core-milliseconds.
+	RemainingWork int64
+	// Effort orders the entries that are on time, see EffortOf.
+	Effort float64
 	// ID makes the order deterministic.
 	ID string
 }
--- a/queue/order.go
+++ b/queue/order.go
@@ -49,7 +49,7 @@
 // remaining work, which frees their capacity soonest; expired ones by arrival.
 func Compare(a, b *Entry, now time.Time) int {
 	return compareBy(a, b, now, func(a, b *Entry) int {
-		return cmp.Or(cmp.Compare(a.effort(), b.effort()), a.LatestStart.Compare(b.LatestStart))
+		return cmp.Or(cmp.Compare(a.Effort, b.Effort), a.LatestStart.Compare(b.LatestStart))
 	})
 }
 
@@ -58,13 +58,13 @@
 	return compareBy(a, b, now, func(a, b *Entry) int { return a.LatestStart.Compare(b.LatestStart) })
 }
 
-// effort is the remaining work of the entry's job over the square root of all its work.
+// EffortOf returns the remaining work of a job over the square root of all its work.
 // Under a load of which not all can be on time the order by latest start begins all jobs
 // and ends them late. The least remaining work first ends most jobs, but starves the
 // large ones; the share that is left first treats all sizes alike, and ends fewer. The
 // effort lies between the two.
-func (e *Entry) effort() float64 {
-	return float64(e.RemainingWork) / math.Sqrt(float64(max(e.TotalWork, 1)))
+func EffortOf(remaining, total int64) float64 {
+	return float64(remaining) / math.Sqrt(float64(max(total, 1)))
 }
 
 // compareBy is Compare with the given order of entries on time.
--- a/queue/order_test.go
+++ b/queue/order_test.go
@@ -20,9 +20,9 @@
 		{ID: "expired first", Priority: 2, LatestStart: past, LatestUsefulStart: past, Arrived: past},
 		{ID: "late large", Priority: 2, LatestStart: past, LatestUsefulStart: later, RemainingWork: 90},
 		{ID: "late small", Priority: 2, LatestStart: past, LatestUsefulStart: later, RemainingWork: 10},
-		{ID: "on time, whole", Priority: 2, LatestStart: soon, LatestUsefulStart: later, RemainingWork: 400, TotalWork: 400},
-		{ID: "on time, large and begun", Priority: 2, LatestStart: later, LatestUsefulStart: later, RemainingWork: 300, TotalWork: 900},
-		{ID: "on time, small", Priority: 2, LatestStart: later, LatestUsefulStart: later, RemainingWork: 64, TotalWork: 64},
+		{ID: "on time, whole", Priority: 2, LatestStart: soon, LatestUsefulStart: later, Effort: queue.EffortOf(400, 400)},
+		{ID: "on time, large and begun", Priority: 2, LatestStart: later, LatestUsefulStart: later, Effort: queue.EffortOf(300, 900)},
+		{ID: "on time, small", Priority: 2, LatestStart: later, LatestUsefulStart: later, Effort: queue.EffortOf(64, 64)},
 		{ID: "on time later", Priority: 2, LatestStart: later, LatestUsefulStart: later},
 		{ID: "on time soon", Priority: 2, LatestStart: soon, LatestUsefulStart: later},
 		{ID: "restart", Priority: 2, Restart: true, LatestStart: past, LatestUsefulStart: past},
@@ -51,7 +51,7 @@
 		run := time.Duration(1+(i*7)%4) * time.Second
 		objective := arrived.Add(2*run + time.Second)
 		all = append(all, queue.Entry{
-			ID: fmt.Sprint(i), Arrived: arrived, RemainingWork: run.Milliseconds(),
+			ID: fmt.Sprint(i), Arrived: arrived, RemainingWork: run.Milliseconds(), Effort: queue.EffortOf(run.Milliseconds(), 0),
 			LatestStart: objective.Add(-run), LatestUsefulStart: arrived.Add(3 * objective.Sub(arrived)).Add(-run),
 		})
 	}
