--- a/gateway/overdue_test.go
+++ b/gateway/overdue_test.go
@@ -49,11 +49,11 @@
 	e.max = max(e.max, e.inProgress)
 }
 
-// newHostOfPausable returns a host that owns the endpoint.
-func newHostOfPausable(t *testing.T, e *pausableEndpoint) *host {
+// newHostOf returns a host that owns an endpoint with the handler.
+func newHostOf(t *testing.T, handler http.Handler) *host {
 	t.Helper()
 	l := pipenet.Listen()
-	server := &http.Server{Handler: e}
+	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	h := newHost(t, nil, "a", func(o *Options) {
@@ -100,7 +100,7 @@
 func TestNoSlotIsFreedWhileEndpointStandsStill(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &pausableEndpoint{}
-		h := newHostOfPausable(t, e)
+		h := newHostOf(t, e)
 		var calls sync.WaitGroup
 		calls.Go(func() {
 			pause.For(t.Context(), 10*time.Millisecond)
@@ -131,7 +131,7 @@
 func TestSlotOfLostRequestIsFreed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &pausableEndpoint{}
-		h := newHostOfPausable(t, e)
+		h := newHostOf(t, e)
 		h.callN(t.Context(), overdueSlots-1, "/lost", time.Second)
 		pause.For(t.Context(), time.Minute)
 		if n := h.inUse(); n != overdueSlots-1 {
@@ -158,21 +158,11 @@
 // its caller within the time limit of an exchange, and that its slot is freed.
 func TestStalledAnswerIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := pipenet.Listen()
-		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := newHostOf(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = w.Write(make([]byte, 2*maxBufferedResponse))
 			_ = http.NewResponseController(w).Flush()
 			<-r.Context().Done()
-		})}
-		go func() { _ = server.Serve(l) }()
-		t.Cleanup(func() { _ = server.Close() })
-		h := newHost(t, nil, "a", func(o *Options) {
-			o.Dial = func(context.Context, string, string) (net.Conn, error) { return l.Dial(), nil }
-		})
-		h.SetEndpoints([]routing.Endpoint{{
-			Name: "e", Service: testService, Address: "e:1", Zone: "z1", Shard: "e", Slots: overdueSlots, Connections: 8 * overdueSlots,
-		}})
-		h.grants.set(ownership.Full, "e")
+		}))
 		begun := time.Now()
 		resp, refusal := h.Call(t.Context(), get("/"))
 		if refusal.Kind != outcome.Answered {
