booking: a retry runs while the claimant of a request that didn't run removes its claim

What callers saw: a retry of a request that had not run was turned away, with store_unavailable or, as a request of unknown outcome, with in_progress, though the store served.

Cause: two hosts remove the row of such a claim, the claimant by itself and the host of the retry. If the claimant comes first, the other's removal meets a conflict, which counted as a store that doesn't respond; or, earlier, the claimant knows nothing of the claim any more and the row is gone, which counted as still in progress.

Ruled out: the fake table (it applies one commit at a time), a slow machine (the order of the two removals is enough).

Mend: a row that is gone, or that isn't what was read, is no claim any more, so the claim is made again, as after any conflict, at most three times. A row that was swept counts the same: the next retry would have found none.

Before: TestRetryWhileClaimantReleases sets both orders of events, and failed in both each time. The tests' flush waits for both hosts: a read at one of them raced with the other's write.

--- a/booking/claim.go
+++ b/booking/claim.go
@@ -162,9 +162,10 @@
 }
 
 // remove deletes the row of a claim whose request did not run, if the row still
-// has the version. It reports whether it did.
+// has the version. It reports whether the claim is gone: another host, such as the
+// claimant, may have deleted its row since it was read.
 func (b *Registry) remove(ctx context.Context, key string, version uint64) bool {
 	conditions := []infra.Condition{{Key: key, Version: version}}
 	res := b.opt.Committer.Commit(ctx, conditions, []infra.Write{{Key: key, Delete: true}})
-	return res.Status == infra.CommitApplied
+	return res.Status == infra.CommitApplied || res.Status == infra.CommitConflict
 }
--- a/booking/registry_test.go
+++ b/booking/registry_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -21,6 +22,8 @@
 	dead  atomic.Bool // whether host a's session has expired
 	runs  atomic.Int64
 	now   atomic.Int64
+	// beforeReply, if set, is called before host a replies to a peer.
+	beforeReply func()
 }
 
 func newHarness(faults ...fault) *harness {
@@ -44,6 +47,9 @@
 	if r.dead.Load() {
 		return peer.Result{Kind: outcome.NotRun}
 	}
+	if r.beforeReply != nil {
+		r.beforeReply()
+	}
 	response, err := r.a.handleWait(ctx, "b", func(v any) error { *v.(*waitRequest) = request.(waitRequest); return nil })
 	if err != nil {
 		return peer.Result{Err: err}
@@ -72,8 +78,10 @@
 
 func (r *harness) flush(t *testing.T) {
 	t.Helper()
-	if err := r.a.Flush(t.Context()); err != nil {
-		t.Fatal(err)
+	for _, b := range []*Registry{r.a, r.b} {
+		if err := b.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
 	}
 }
 
@@ -145,6 +153,39 @@
 	r.wantRuns(t, 1)
 }
 
+// TestRetryWhileClaimantReleases checks that a retry runs if the claimant removes its
+// claim, of a request that didn't run, while the retrying host looks into it.
+func TestRetryWhileClaimantReleases(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(*testing.T, *harness)
+	}{
+		{"before the claimant replies", func(t *testing.T, r *harness) { r.beforeReply = func() { r.flush(t) } }},
+		{"before the retrying host does", func(_ *testing.T, r *harness) { r.table.setDeleteTwice(true) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { retryWhileClaimantReleases(t, c.set) })
+		})
+	}
+}
+
+func retryWhileClaimantReleases(t *testing.T, set func(*testing.T, *harness)) {
+	t.Helper()
+	r := newHarness()
+	defer r.flush(t)
+	r.table.setRejectDeletes(true)
+	_, _ = r.a.Do(t.Context(), newRequest("x"), func(context.Context) (Response, outcome.Refusal) {
+		return Response{}, notRun("no slot", time.Second)
+	})
+	synctest.Wait() // until host a waits to try its deletion again
+	r.table.setRejectDeletes(false)
+	set(t, r)
+	r.do(t, r.b, outcome.Answered, "")
+	r.flush(t)
+	r.do(t, r.a, outcome.Answered, "")
+	r.wantRuns(t, 1)
+}
+
 // TestRunOutlivesItsCaller checks that the outcome is stored if the caller
 // leaves during the run.
 func TestRunOutlivesItsCaller(t *testing.T) {
--- a/booking/replay.go
+++ b/booking/replay.go
@@ -44,6 +44,9 @@
 	if err != nil {
 		return existingOutcome{refusal: unknownOutcome(ReasonUnreadable, defaultRetryAfter)}, false
 	}
+	if rows[0].Version == 0 {
+		return existingOutcome{}, true // the claimant has removed its claim since
+	}
 	if current, err := decodeRow(rows[0].Value); err == nil && current.ID == held.ID && current.State != claimed {
 		return b.replay(ctx, current), false
 	}
--- a/booking/table_test.go
+++ b/booking/table_test.go
@@ -29,7 +29,10 @@
 	down   bool
 	// rejectDeletes makes the table refuse deletions.
 	rejectDeletes bool
-	delayed       []func()
+	// deleteTwice makes each deletion come second: another host's has been applied just
+	// before it.
+	deleteTwice bool
+	delayed     []func()
 }
 
 func newTable(faults ...fault) *table {
@@ -46,6 +49,9 @@
 	if t.down || (t.rejectDeletes && writes[0].Delete) {
 		f = refuse
 	}
+	if t.deleteTwice && writes[0].Delete {
+		t.apply(conditions, writes)
+	}
 	switch f {
 	case refuse:
 		return infra.CommitResult{Status: infra.CommitNotApplied}
@@ -69,6 +75,13 @@
 	t.rejectDeletes = rejectDeletes
 }
 
+// setDeleteTwice sets whether each deletion comes second.
+func (t *table) setDeleteTwice(deleteTwice bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.deleteTwice = deleteTwice
+}
+
 // applyDelayed applies the delayed commits.
 func (t *table) applyDelayed() {
 	t.mu.Lock()
