--- a/batch/manager.go
+++ b/batch/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	// loads is the last known number of pending jobs by shard.
 	loads  map[string]int
 	counts Counts
+	// closedZones are the availability zones whose workers get no new jobs.
+	closedZones []string
 
 	// The fields below are used only on the control goroutine.
 	shards  map[string]*ownedShard
@@ -115,6 +118,18 @@
 	})
 }
 
+// SetClosedZones sets the availability zones whose workers get no new jobs.
+func (m *Manager) SetClosedZones(zones []string) {
+	m.mu.Lock()
+	m.closedZones = zones
+	m.mu.Unlock()
+	m.post(func(now time.Time) {
+		for _, shard := range m.shards {
+			shard.setZoneClosed(now, slices.Contains(zones, zoneOf(shard.name)))
+		}
+	})
+}
+
 // SetWorkers sets the workers of each worker shard.
 func (m *Manager) SetWorkers(workers map[string][]infra.Member) {
 	m.post(func(now time.Time) {
--- a/batch/manager_gain.go
+++ b/batch/manager_gain.go
@@ -48,6 +48,7 @@
 	s := newShard(name, g.Epoch, g.Version, l, m.config.NewPlanner(name), m.config.Log, m.metrics)
 	s.faults = m.faults
 	s.setQuotas(m.quotas)
+	s.zoneClosed = !m.zoneOpen(zoneOf(name))
 	ctx, cancel := context.WithCancel(m.context)
 	o := &ownedShard{Shard: s, grant: g, stop: cancel}
 	m.shards[name] = o
--- a/batch/manager_move.go
+++ b/batch/manager_move.go
@@ -14,6 +14,9 @@
 type offerRequest struct {
 	Shard string      `msgpack:"h"`
 	Specs []task.Spec `msgpack:"s"`
+	// FromClosedZone is set if the shard that offers the jobs can't start them, as its
+	// availability zone is closed.
+	FromClosedZone bool `msgpack:"c,omitempty"`
 }
 
 // offerReply lists the accepted jobs.
@@ -37,7 +40,8 @@
 // jobs whose notification is overdue.
 func (m *Manager) moveJobs(now time.Time, o *ownedShard) {
 	if specs := o.offerableJobs(now); len(specs) > 0 {
-		m.goroutines.Go(func() { m.offer(o, specs) })
+		closed := o.zoneClosed
+		m.goroutines.Go(func() { m.offer(o, specs, closed) })
 	}
 	if now.Before(o.nextExpectedCheck) {
 		return
@@ -49,16 +53,16 @@
 }
 
 // offer offers the jobs to the less loaded of two random shards and hands over
-// those that it accepts.
-func (m *Manager) offer(o *ownedShard, specs []task.Spec) {
+// those that it accepts. fromClosedZone is set if the availability zone of o is closed.
+func (m *Manager) offer(o *ownedShard, specs []task.Spec, fromClosedZone bool) {
 	ctx, cancel := context.WithTimeout(m.context, m.config.Timeout)
 	defer cancel()
-	others := slices.DeleteFunc(m.candidates(specs[0].Zones), func(s string) bool { return s == o.name })
+	others := slices.DeleteFunc(m.openShards(m.candidates(specs[0].Zones)), func(s string) bool { return s == o.name })
 	if len(others) == 0 {
 		return
 	}
 	to := m.pick(others)
-	request := offerRequest{Shard: to, Specs: specs}
+	request := offerRequest{Shard: to, Specs: specs, FromClosedZone: fromClosedZone}
 	r, kind := call[offerReply](ctx, m, to, methodOffer, request, func(ctx context.Context) (offerReply, bool) {
 		return m.offerLocal(ctx, request)
 	})
@@ -97,7 +101,7 @@
 			reply(offerReply{})
 			return
 		}
-		reply(offerReply{IDs: o.acceptOffer(now, r.Specs), Version: o.fence.Version, Load: o.pending})
+		reply(offerReply{IDs: o.acceptOffer(now, r.Specs, r.FromClosedZone), Version: o.fence.Version, Load: o.pending})
 	})
 }
 
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -66,6 +66,8 @@
 	// committingUrgent are urgent jobs whose submission and start are being
 	// committed together.
 	committingUrgent map[string]struct{}
+	// zoneClosed is set while the availability zone of the shard's workers is closed.
+	zoneClosed bool
 	// deferredReports are jobs whose deferred report is to be committed again.
 	deferredReports map[string]*job
 	// quotas are the teams' quotas; allotments are this shard's parts of them.
--- a/batch/shard_move.go
+++ b/batch/shard_move.go
@@ -52,9 +52,10 @@
 func (s *Shard) movable(j *job) bool { return j.rec.State == task.Pending && !j.committing }
 
 // acceptOffer returns the IDs of the offered jobs that the shard accepts, and
-// expects them from now on.
-func (s *Shard) acceptOffer(now time.Time, specs []task.Spec) []string {
-	if !s.acceptsWork() || s.pending > 0 || now.Before(s.commitsPausedUntil) || len(s.expected) >= maxOffered {
+// expects them from now on. While jobs are pending here it accepts only those from a
+// closed availability zone, which can't start there.
+func (s *Shard) acceptOffer(now time.Time, specs []task.Spec, fromClosedZone bool) []string {
+	if !s.acceptsWork() || s.zoneClosed || (s.pending > 0 && !fromClosedZone) || now.Before(s.commitsPausedUntil) || len(s.expected) >= maxOffered {
 		return nil
 	}
 	var out []string
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -46,11 +46,26 @@
 		return "unreachable"
 	case !w.reconciled:
 		return "unreconciled"
+	case s.zoneClosed:
+		return "zone closed"
 	default:
 		return w.health.unschedulableReason(now)
 	}
 }
 
+// setZoneClosed sets whether the shard's availability zone is closed. The workers of a
+// shard are in one zone.
+func (s *Shard) setZoneClosed(now time.Time, closed bool) {
+	if s.zoneClosed == closed {
+		return
+	}
+	s.zoneClosed = closed
+	for _, w := range s.workers {
+		s.updatePlannerHost(now, w)
+	}
+	s.planNeeded = true
+}
+
 // updatePlannerHost updates the worker's host in the planner if it changed.
 func (s *Shard) updatePlannerHost(now time.Time, w *worker) {
 	h := placement.Host{
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -29,6 +29,9 @@
 	}
 	reason := ReasonNoShardReady
 	remaining := m.candidates(spec.Zones)
+	if open := m.openShards(remaining); len(open) > 0 {
+		remaining = open // in a closed zone the job would wait
+	}
 	for len(remaining) > 0 {
 		shard := m.pick(remaining)
 		remaining = slices.DeleteFunc(remaining, func(s string) bool { return s == shard })
@@ -103,6 +106,18 @@
 	return out
 }
 
+// openShards returns the shards whose availability zones aren't closed.
+func (m *Manager) openShards(shards []string) []string {
+	return slices.DeleteFunc(slices.Clone(shards), func(s string) bool { return !m.zoneOpen(zoneOf(s)) })
+}
+
+// zoneOpen reports whether an availability zone isn't closed.
+func (m *Manager) zoneOpen(zone string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !slices.Contains(m.closedZones, zone)
+}
+
 // pick returns the less loaded of two randomly chosen shards.
 func (m *Manager) pick(shards []string) string {
 	m.mu.Lock()
--- a/check/record.go
+++ b/check/record.go
@@ -65,6 +65,8 @@
 // RequestBegan records that an endpoint started to process a request.
 type RequestBegan struct {
 	Endpoint string `json:"endpoint"`
+	// Zone is the endpoint's availability zone, if known.
+	Zone string `json:"zone,omitempty"`
 	// Serial identifies the request at the endpoint.
 	Serial uint64 `json:"serial"`
 	// Request is the value of the Fireflygate-Request-Id header.
--- a/check/run_test.go
+++ b/check/run_test.go
@@ -51,6 +51,8 @@
 	zoneOpened := check.Record{ZoneOpened: &check.ZoneOpened{Zone: "z"}}
 	inZone, inOtherZone := runBegan("w", 1, ""), runBegan("w", 1, "")
 	inZone.RunBegan.Zone, inOtherZone.RunBegan.Zone = "z", "y"
+	requestInZone := requestBegan("a", "")
+	requestInZone.RequestBegan.Zone = "z"
 	otherJob := runBegan("w", 1, "")
 	otherJob.RunBegan.Run.Job = "k"
 	type records = []check.Record
@@ -76,6 +78,7 @@
 		{"leaving", check.NoWorkAfterLeaving, records{leaving, requestBegan("a", "")}, records{leaving, sent("x"), sent("y"), sent("z"), requestBegan("a", "")}},
 		{"closed zone", check.NoStartInClosedZone, records{zoneClosed, inZone, sent("u"), sent("v"), sent("x"), sent("y"), runEnded("w", 1, "stopped")}, records{zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), inZone}},
 		{"another closed zone", check.NoStartInClosedZone, records{zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), inOtherZone}, records{zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), inZone}},
+		{"request in a closed zone", check.NoStartInClosedZone, records{zoneClosed, requestInZone}, records{zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), requestInZone}},
 		{"opened zone", check.NoStartInClosedZone, records{zoneClosed, sent("u"), sent("v"), sent("x"), zoneOpened, sent("z"), inZone}, records{zoneOpened, zoneClosed, sent("u"), sent("v"), sent("x"), sent("y"), sent("z"), inZone}},
 		{"drain", check.GracefulStop, records{sent("c"), drain, answered(complete)}, records{sent("c"), drain, unknown}},
 		{"drain, no end", check.GracefulStop, records{sent("c"), drain, notRun}, records{sent("c"), drain}},
--- a/cli/main.go
+++ b/cli/main.go
@@ -43,6 +43,7 @@
 	c.Register(&applyCommand{}, operate)
 	c.Register(&rollbackCommand{}, operate)
 	c.Register(&versionsCommand{}, operate)
+	c.Register(&zoneCommand{}, operate)
 	c.Register(&statusCommand{}, operate)
 	c.Register(&eventsCommand{}, operate)
 	c.Register(&reportCommand{}, operate)
--- a/cli/status.go
+++ b/cli/status.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/google/subcommands"
 
@@ -40,6 +41,9 @@
 	}
 	fmt.Printf("%s in %s: %s, build %s, store ok %t\n", s.Name, s.Zone, s.State, s.Build, s.StoreOK)
 	fmt.Printf("endpoints %d, workers %d, pending %d, running %d\n", s.Endpoints, s.Workers, s.Pending, s.Running)
+	if len(s.ClosedZones) > 0 {
+		fmt.Printf("closed availability zones: %s\n", strings.Join(s.ClosedZones, ", "))
+	}
 	var hosts [][]string
 	for name, version := range s.Peers {
 		hosts = append(hosts, []string{name, fmt.Sprint(version)})
--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -88,7 +88,7 @@
 	for i := range 3 {
 		store.Apply(t.Context(), Change{Base: uint64(i), Content: content(i + 1)})
 	}
-	text, r := store.Rollback(t.Context(), 3, 1, "b")
+	text, r := store.Rollback(t.Context(), 3, 1, "b", func(old string) (string, error) { return old, nil })
 	if r.Status != Accepted || r.Head.Version != 4 || text != content(1) {
 		t.Fatalf("%+v %q, want the content of 1 as version 4", r, text)
 	}
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -118,14 +118,22 @@
 	return s.commit(ctx, rowVersion, next, c)
 }
 
-// Rollback applies the content of an older version as a new version. It returns
-// that content.
-func (s *Store) Rollback(ctx context.Context, base, to uint64, author string) (string, Result) {
-	old, err := s.Version(ctx, to)
+// ContentOf reads the text of the version with a number.
+func (s *Store) ContentOf(ctx context.Context, version uint64) (string, error) {
+	head, err := s.Version(ctx, version)
 	if err != nil {
-		return "", Result{Status: NotApplied, Err: errors.Wrapf(err, "version %d", to)}
+		return "", errors.Wrapf(err, "version %d", version)
+	}
+	return s.Content(ctx, head)
+}
+
+// Rollback applies the content of an older version, as adapt changes it, as a new
+// version. It returns that content.
+func (s *Store) Rollback(ctx context.Context, base, to uint64, author string, adapt func(string) (string, error)) (string, Result) {
+	content, err := s.ContentOf(ctx, to)
+	if err == nil {
+		content, err = adapt(content)
 	}
-	content, err := s.Content(ctx, old)
 	if err != nil {
 		return "", Result{Status: NotApplied, Err: err}
 	}
--- a/design/configs.go
+++ b/design/configs.go
@@ -12,6 +12,13 @@
 	Required("version", "hash", "author", "applied_unix_ms")
 })
 
+var zoneChange = Type("ZoneChange", func() {
+	Description("A change of one availability zone.")
+	Attribute("zone", String, "Availability zone.", func() { MinLength(1) })
+	Attribute("author", String, "Who asks.")
+	Required("zone", "author")
+})
+
 var _ = Service("configs", func() {
 	Description("Configuration kept by the platform and in force on every entry host.")
 	problemErrors()
@@ -52,6 +59,24 @@
 			Response(StatusOK)
 		})
 	})
+	Method("close_zone", func() {
+		Description("Close an availability zone: no new work begins there until it is opened. Makes a new version.")
+		Payload(zoneChange)
+		Result(configVersion)
+		HTTP(func() {
+			POST("/zones/{zone}/close")
+			Response(StatusOK)
+		})
+	})
+	Method("open_zone", func() {
+		Description("Open a closed availability zone. Makes a new version.")
+		Payload(zoneChange)
+		Result(configVersion)
+		HTTP(func() {
+			POST("/zones/{zone}/open")
+			Response(StatusOK)
+		})
+	})
 	Method("rollback", func() {
 		Description("Accept the content of an older version again, as a new and higher version.")
 		Payload(func() {
--- a/design/operations.go
+++ b/design/operations.go
@@ -24,7 +24,8 @@
 	Attribute("workers", Int, "Workers it places tasks on.")
 	Attribute("pending", Int, "Jobs waiting in its shards.")
 	Attribute("running", Int, "Tasks running in its shards.")
-	Required("name", "zone", "state", "build", "config_version", "store_ok", "leases", "peers", "endpoints", "workers", "pending", "running")
+	Attribute("closed_zones", ArrayOf(String), "Availability zones that get no new work.")
+	Required("name", "zone", "state", "build", "config_version", "store_ok", "leases", "peers", "endpoints", "workers", "pending", "running", "closed_zones")
 })
 
 var eventStatus = Type("EventStatus", func() {
--- a/gate/confighost_test.go
+++ b/gate/confighost_test.go
@@ -124,7 +124,7 @@
 	h.started++
 	p.sync = newConfigSync(port, port, watcher, rand.New(rand.NewPCG(h.started, uint64(len(h.name)))))
 	p.sync.setHosts(*h.listed.Load())
-	p.service = &configsService{store: store, watcher: watcher, accept: p.sync.accept, log: log}
+	p.service = &configsService{store: store, watcher: watcher, accept: p.sync.accept, hasZone: func(string) bool { return true }, log: log}
 	h.process.Store(p)
 	watcher.Subscribe(func(c configstore.Current) {
 		if s.onApplied != nil && !p.dead.Load() {
--- a/gate/configs.go
+++ b/gate/configs.go
@@ -24,7 +24,9 @@
 	watcher *configstore.Watcher
 	// accept puts an accepted version into force and reports whether it is already.
 	accept func(context.Context, configstore.Offer) bool
-	log    *slog.Logger
+	// hasZone reports whether any member is in an availability zone.
+	hasZone func(zone string) bool
+	log     *slog.Logger
 }
 
 // Apply implements configs.Service.
@@ -33,6 +35,11 @@
 	if err != nil {
 		return nil, configProblem("bad_request", err.Error(), "content")
 	}
+	if policy.Zones.Closed == nil {
+		if policy.Zones, err = s.zonesOf(ctx, uint64(p.Base)); err != nil {
+			return nil, notApplied(err)
+		}
+	}
 	content, err := settings.MarshalPolicy(policy)
 	if err != nil {
 		return nil, configProblem("bad_request", err.Error(), "content")
@@ -46,7 +53,9 @@
 
 // Rollback implements configs.Service.
 func (s *configsService) Rollback(ctx context.Context, p *configs.RollbackPayload) (*configs.ConfigVersion, error) {
-	content, result := s.store.Rollback(ctx, uint64(p.Base), uint64(p.To), p.Author)
+	content, result := s.store.Rollback(ctx, uint64(p.Base), uint64(p.To), p.Author, func(old string) (string, error) {
+		return s.withZonesOf(ctx, uint64(p.Base), old)
+	})
 	if errors.Is(result.Err, infra.ErrNotFound) {
 		return nil, configProblem("not_found", result.Err.Error(), "to")
 	}
@@ -107,7 +116,7 @@
 			r.Head.Version, r.Head.Author, strings.Join(r.ChangedKeys, " "))
 		return nil, configProblem("conflict", title, "base")
 	case configstore.NotApplied:
-		return nil, configProblem("unavailable", fmt.Sprint("not applied: ", r.Err), "")
+		return nil, notApplied(r.Err)
 	default:
 		return nil, unknownProblem(fmt.Sprint("may have been accepted: ", r.Err))
 	}
@@ -129,6 +138,11 @@
 	return p
 }
 
+// notApplied returns the problem for a change that couldn't be made.
+func notApplied(err error) error {
+	return configProblem("unavailable", fmt.Sprint("not applied: ", err), "")
+}
+
 func unknownProblem(title string) error {
 	return &configs.Problem{Name: "unknown_outcome", Title: title, Outcome: outcome.Unknown.String()}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -37,8 +37,10 @@
 	identity    *access.Identity
 	guard       *access.Guard
 
-	state       atomic.Int32
-	roster      atomic.Pointer[roster.Roster]
+	state  atomic.Int32
+	roster atomic.Pointer[roster.Roster]
+	// closedZones are the closed availability zones, nil before the first configuration.
+	closedZones atomic.Pointer[[]string]
 	ownershipMu sync.Mutex // serializes updateOwnership
 	// applied is accessed only by the goroutine that polls the membership list.
 	applied appliedMembership
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -24,6 +24,9 @@
 	gauge("fireflygate_config_version", "Version of the configuration in force.", func() float64 {
 		return float64(g.configSync.version())
 	})
+	gauge("fireflygate_zones_closed", "Availability zones that are closed, as far as this host knows.", func() float64 {
+		return float64(len(g.closedZoneNames()))
+	})
 	g.registry.MustRegister(&shardsCollector{gate: g})
 }
 
--- a/gate/operations.go
+++ b/gate/operations.go
@@ -28,6 +28,8 @@
 		Workers:   counts.Workers,
 		Pending:   counts.Pending,
 		Running:   counts.Running,
+
+		ClosedZones: g.closedZoneNames(),
 	}
 	version, _ := g.watcher.Version()
 	st.ConfigVersion = int64(version)
--- a/gate/run.go
+++ b/gate/run.go
@@ -105,6 +105,7 @@
 	g.gateway.SetCalls(c.Settings.Calls)
 	g.journal.SetSettings(c.Settings.Batch)
 	g.batch.SetPolicy(c.Settings.Batch, plannerOptions(c.Settings))
+	g.setClosedZones(c)
 	g.becomeReady()
 }
 
--- a/gate/servers.go
+++ b/gate/servers.go
@@ -71,7 +71,7 @@
 func (g *Gate) operatorsHandler() http.Handler {
 	mux := goahttp.NewMuxer()
 	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
-	service := &configsService{store: g.store, watcher: g.watcher, accept: g.configSync.accept, log: g.deps.Log}
+	service := &configsService{store: g.store, watcher: g.watcher, accept: g.configSync.accept, hasZone: g.hasZone, log: g.deps.Log}
 	c := configsserver.New(configs.NewEndpoints(service), mux, dec, enc, nil, formatProblem)
 	c.Mount(mux)
 	o := operationsserver.New(operations.NewEndpoints(&operationsService{gate: g}), mux, dec, enc, nil, formatProblem)
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -72,6 +72,10 @@
 		return placement{}, notRun(ReasonDeadline, defaultRetryAfter)
 	}
 	g.mu.Lock()
+	if g.pool.AllClosed(req.Service) {
+		g.mu.Unlock()
+		return placement{}, closedRefusal()
+	}
 	snapshot := g.opt.Ownership.Snapshot()
 	q := g.queue(req.Service)
 	if q.Len() == 0 || req.forwarded {
--- a/gateway/refusals.go
+++ b/gateway/refusals.go
@@ -17,6 +17,8 @@
 	// ReasonUnserved: the table is unavailable and no known host can serve the
 	// service.
 	ReasonUnserved = "nobody_serves"
+	// ReasonZonesClosed: all endpoints of the service are in closed availability zones.
+	ReasonZonesClosed = "zones_closed"
 	// ReasonNoSlot: the peer had no free slot.
 	ReasonNoSlot = "no_free_slot"
 	// ReasonUnreachable: no byte could be sent to the endpoint.
--- a/gen/configs/client.go
+++ b/gen/configs/client.go
@@ -15,19 +15,23 @@
 
 // Client is the "configs" service client.
 type Client struct {
-	ApplyEndpoint    goa.Endpoint
-	ShowEndpoint     goa.Endpoint
-	VersionsEndpoint goa.Endpoint
-	RollbackEndpoint goa.Endpoint
+	ApplyEndpoint     goa.Endpoint
+	ShowEndpoint      goa.Endpoint
+	VersionsEndpoint  goa.Endpoint
+	CloseZoneEndpoint goa.Endpoint
+	OpenZoneEndpoint  goa.Endpoint
+	RollbackEndpoint  goa.Endpoint
 }
 
 // NewClient initializes a "configs" service client given the endpoints.
-func NewClient(apply, show, versions, rollback goa.Endpoint) *Client {
+func NewClient(apply, show, versions, closeZone, openZone, rollback goa.Endpoint) *Client {
 	return &Client{
-		ApplyEndpoint:    apply,
-		ShowEndpoint:     show,
-		VersionsEndpoint: versions,
-		RollbackEndpoint: rollback,
+		ApplyEndpoint:     apply,
+		ShowEndpoint:      show,
+		VersionsEndpoint:  versions,
+		CloseZoneEndpoint: closeZone,
+		OpenZoneEndpoint:  openZone,
+		RollbackEndpoint:  rollback,
 	}
 }
 
@@ -85,6 +89,42 @@
 	return ires.([]*ConfigVersion), nil
 }
 
+// CloseZone calls the "close_zone" endpoint of the "configs" service.
+// CloseZone may return the following errors:
+//   - "bad_request" (type *Problem): The request is malformed; it did not run.
+//   - "not_found" (type *Problem): The thing named is unknown; the request did not run.
+//   - "conflict" (type *Problem): The request clashes with an earlier one; it did not run.
+//   - "forbidden" (type *Problem): The credential does not allow the request; it did not run.
+//   - "unavailable" (type *Problem): The request was refused and did not run.
+//   - "unknown_outcome" (type *Problem): The request may have run.
+//   - error: internal error
+func (c *Client) CloseZone(ctx context.Context, p *ZoneChange) (res *ConfigVersion, err error) {
+	var ires any
+	ires, err = c.CloseZoneEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*ConfigVersion), nil
+}
+
+// OpenZone calls the "open_zone" endpoint of the "configs" service.
+// OpenZone may return the following errors:
+//   - "bad_request" (type *Problem): The request is malformed; it did not run.
+//   - "not_found" (type *Problem): The thing named is unknown; the request did not run.
+//   - "conflict" (type *Problem): The request clashes with an earlier one; it did not run.
+//   - "forbidden" (type *Problem): The credential does not allow the request; it did not run.
+//   - "unavailable" (type *Problem): The request was refused and did not run.
+//   - "unknown_outcome" (type *Problem): The request may have run.
+//   - error: internal error
+func (c *Client) OpenZone(ctx context.Context, p *ZoneChange) (res *ConfigVersion, err error) {
+	var ires any
+	ires, err = c.OpenZoneEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*ConfigVersion), nil
+}
+
 // Rollback calls the "rollback" endpoint of the "configs" service.
 // Rollback may return the following errors:
 //   - "bad_request" (type *Problem): The request is malformed; it did not run.
--- a/gen/configs/endpoints.go
+++ b/gen/configs/endpoints.go
@@ -15,19 +15,23 @@
 
 // Endpoints wraps the "configs" service endpoints.
 type Endpoints struct {
-	Apply    goa.Endpoint
-	Show     goa.Endpoint
-	Versions goa.Endpoint
-	Rollback goa.Endpoint
+	Apply     goa.Endpoint
+	Show      goa.Endpoint
+	Versions  goa.Endpoint
+	CloseZone goa.Endpoint
+	OpenZone  goa.Endpoint
+	Rollback  goa.Endpoint
 }
 
 // NewEndpoints wraps the methods of the "configs" service with endpoints.
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
-		Apply:    NewApplyEndpoint(s),
-		Show:     NewShowEndpoint(s),
-		Versions: NewVersionsEndpoint(s),
-		Rollback: NewRollbackEndpoint(s),
+		Apply:     NewApplyEndpoint(s),
+		Show:      NewShowEndpoint(s),
+		Versions:  NewVersionsEndpoint(s),
+		CloseZone: NewCloseZoneEndpoint(s),
+		OpenZone:  NewOpenZoneEndpoint(s),
+		Rollback:  NewRollbackEndpoint(s),
 	}
 }
 
@@ -36,6 +40,8 @@
 	e.Apply = m(e.Apply)
 	e.Show = m(e.Show)
 	e.Versions = m(e.Versions)
+	e.CloseZone = m(e.CloseZone)
+	e.OpenZone = m(e.OpenZone)
 	e.Rollback = m(e.Rollback)
 }
 
@@ -64,6 +70,24 @@
 	}
 }
 
+// NewCloseZoneEndpoint returns an endpoint function that calls the method
+// "close_zone" of service "configs".
+func NewCloseZoneEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ZoneChange)
+		return s.CloseZone(ctx, p)
+	}
+}
+
+// NewOpenZoneEndpoint returns an endpoint function that calls the method
+// "open_zone" of service "configs".
+func NewOpenZoneEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ZoneChange)
+		return s.OpenZone(ctx, p)
+	}
+}
+
 // NewRollbackEndpoint returns an endpoint function that calls the method
 // "rollback" of service "configs".
 func NewRollbackEndpoint(s Service) goa.Endpoint {
--- a/gen/configs/service.go
+++ b/gen/configs/service.go
@@ -19,6 +19,11 @@
 	Show(context.Context) (res *ShowResult, err error)
 	// List accepted configurations, newest first.
 	Versions(context.Context) (res []*ConfigVersion, err error)
+	// Close an availability zone: no new work begins there until it is opened.
+	// Makes a new version.
+	CloseZone(context.Context, *ZoneChange) (res *ConfigVersion, err error)
+	// Open a closed availability zone. Makes a new version.
+	OpenZone(context.Context, *ZoneChange) (res *ConfigVersion, err error)
 	// Accept the content of an older version again, as a new and higher version.
 	Rollback(context.Context, *RollbackPayload) (res *ConfigVersion, err error)
 }
@@ -37,7 +42,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [4]string{"apply", "show", "versions", "rollback"}
+var MethodNames = [6]string{"apply", "show", "versions", "close_zone", "open_zone", "rollback"}
 
 // ApplyPayload is the payload type of the configs service apply method.
 type ApplyPayload struct {
@@ -105,6 +110,14 @@
 	Differs []string
 }
 
+// ZoneChange is the payload type of the configs service close_zone method.
+type ZoneChange struct {
+	// Availability zone.
+	Zone string
+	// Who asks.
+	Author string
+}
+
 // Error returns an error description.
 func (e *Problem) Error() string {
 	return "Why a request was refused, after RFC 9457."
--- a/gen/http/cli/fireflygate/cli.go
+++ b/gen/http/cli/fireflygate/cli.go
@@ -28,16 +28,16 @@
 	return []string{
 		"calls call",
 		"jobs (submit|cancel|show)",
-		"configs (apply|show|versions|rollback)",
+		"configs (apply|show|versions|close-zone|open-zone|rollback)",
 		"operations (status|events|report|drain)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "calls call --service \"p\" --path \"Repellat qui esse est.\" --idempotency-key \"2tv\" --timeout-ms 322926 --stream \"goa.png\"" + "\n" +
-		os.Args[0] + " " + "jobs submit --body '{\n      \"class\": \"rd\",\n      \"due_unix_ms\": 8275909494761671192,\n      \"event\": \"Cumque iste quas sed numquam reprehenderit.\",\n      \"key\": \"785\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5544269771039854563,\n         \"memory_mb\": 1034598865937597676,\n         \"milli_cpu\": 2726557299593587810\n      },\n      \"run_ms\": 61350973199039225,\n      \"team\": \"3a\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Sed sed modi.\",\n         \"Excepturi accusantium vel autem magnam laborum.\",\n         \"Libero similique nisi modi.\"\n      ]\n   }'" + "\n" +
-		os.Args[0] + " " + "configs apply --body '{\n      \"author\": \"Excepturi hic amet et neque similique.\",\n      \"base\": 6184942773702916873,\n      \"content\": \"Quidem sint.\",\n      \"dry_run\": false\n   }'" + "\n" +
+	return os.Args[0] + " " + "calls call --service \"ui\" --path \"Vel molestiae temporibus voluptatem dicta tempore mollitia.\" --idempotency-key \"p3\" --timeout-ms 379984 --stream \"goa.png\"" + "\n" +
+		os.Args[0] + " " + "jobs submit --body '{\n      \"class\": \"j\",\n      \"due_unix_ms\": 4046557649546910597,\n      \"event\": \"Impedit repellendus sunt ut at exercitationem distinctio.\",\n      \"key\": \"j\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 7200729579906645221,\n         \"memory_mb\": 9175562854555635893,\n         \"milli_cpu\": 4799230191436646687\n      },\n      \"run_ms\": 2660811800284085565,\n      \"team\": \"p8\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Velit deleniti reiciendis eum sunt et.\",\n         \"Qui eaque.\"\n      ]\n   }'" + "\n" +
+		os.Args[0] + " " + "configs apply --body '{\n      \"author\": \"Voluptas numquam odit non facilis similique.\",\n      \"base\": 4001144938877604239,\n      \"content\": \"Odio autem.\",\n      \"dry_run\": true\n   }'" + "\n" +
 		os.Args[0] + " " + "operations status" + "\n" +
 		""
 }
@@ -81,6 +81,14 @@
 
 		configsVersionsFlags = flag.NewFlagSet("versions", flag.ExitOnError)
 
+		configsCloseZoneFlags    = flag.NewFlagSet("close-zone", flag.ExitOnError)
+		configsCloseZoneBodyFlag = configsCloseZoneFlags.String("body", "REQUIRED", "")
+		configsCloseZoneZoneFlag = configsCloseZoneFlags.String("zone", "REQUIRED", "Availability zone.")
+
+		configsOpenZoneFlags    = flag.NewFlagSet("open-zone", flag.ExitOnError)
+		configsOpenZoneBodyFlag = configsOpenZoneFlags.String("body", "REQUIRED", "")
+		configsOpenZoneZoneFlag = configsOpenZoneFlags.String("zone", "REQUIRED", "Availability zone.")
+
 		configsRollbackFlags    = flag.NewFlagSet("rollback", flag.ExitOnError)
 		configsRollbackBodyFlag = configsRollbackFlags.String("body", "REQUIRED", "")
 
@@ -106,6 +114,8 @@
 	configsApplyFlags.Usage = configsApplyUsage
 	configsShowFlags.Usage = configsShowUsage
 	configsVersionsFlags.Usage = configsVersionsUsage
+	configsCloseZoneFlags.Usage = configsCloseZoneUsage
+	configsOpenZoneFlags.Usage = configsOpenZoneUsage
 	configsRollbackFlags.Usage = configsRollbackUsage
 
 	operationsFlags.Usage = operationsUsage
@@ -183,6 +193,12 @@
 			case "versions":
 				epf = configsVersionsFlags
 
+			case "close-zone":
+				epf = configsCloseZoneFlags
+
+			case "open-zone":
+				epf = configsOpenZoneFlags
+
 			case "rollback":
 				epf = configsRollbackFlags
 
@@ -257,6 +273,12 @@
 				endpoint = c.Show()
 			case "versions":
 				endpoint = c.Versions()
+			case "close-zone":
+				endpoint = c.CloseZone()
+				data, err = configsc.BuildCloseZonePayload(*configsCloseZoneBodyFlag, *configsCloseZoneZoneFlag)
+			case "open-zone":
+				endpoint = c.OpenZone()
+				data, err = configsc.BuildOpenZonePayload(*configsOpenZoneBodyFlag, *configsOpenZoneZoneFlag)
 			case "rollback":
 				endpoint = c.Rollback()
 				data, err = configsc.BuildRollbackPayload(*configsRollbackBodyFlag)
@@ -315,7 +337,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "calls call --service \"p\" --path \"Repellat qui esse est.\" --idempotency-key \"2tv\" --timeout-ms 322926 --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "calls call --service \"ui\" --path \"Vel molestiae temporibus voluptatem dicta tempore mollitia.\" --idempotency-key \"p3\" --timeout-ms 379984 --stream \"goa.png\"")
 }
 
 // jobsUsage displays the usage of the jobs command and its subcommands.
@@ -345,7 +367,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs submit --body '{\n      \"class\": \"rd\",\n      \"due_unix_ms\": 8275909494761671192,\n      \"event\": \"Cumque iste quas sed numquam reprehenderit.\",\n      \"key\": \"785\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5544269771039854563,\n         \"memory_mb\": 1034598865937597676,\n         \"milli_cpu\": 2726557299593587810\n      },\n      \"run_ms\": 61350973199039225,\n      \"team\": \"3a\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Sed sed modi.\",\n         \"Excepturi accusantium vel autem magnam laborum.\",\n         \"Libero similique nisi modi.\"\n      ]\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs submit --body '{\n      \"class\": \"j\",\n      \"due_unix_ms\": 4046557649546910597,\n      \"event\": \"Impedit repellendus sunt ut at exercitationem distinctio.\",\n      \"key\": \"j\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 7200729579906645221,\n         \"memory_mb\": 9175562854555635893,\n         \"milli_cpu\": 4799230191436646687\n      },\n      \"run_ms\": 2660811800284085565,\n      \"team\": \"p8\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Velit deleniti reiciendis eum sunt et.\",\n         \"Qui eaque.\"\n      ]\n   }'")
 }
 
 func jobsCancelUsage() {
@@ -363,7 +385,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs cancel --id \"Amet iste culpa.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs cancel --id \"Expedita quos totam et nihil ut.\"")
 }
 
 func jobsShowUsage() {
@@ -381,7 +403,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs show --id \"At exercitationem distinctio doloribus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs show --id \"Ab cumque sunt reprehenderit rem.\"")
 }
 
 // configsUsage displays the usage of the configs command and its subcommands.
@@ -392,6 +414,8 @@
 	fmt.Fprintln(os.Stderr, `    apply: Replace the configuration if the base version is still the newest.`)
 	fmt.Fprintln(os.Stderr, `    show: Show the configuration in force here.`)
 	fmt.Fprintln(os.Stderr, `    versions: List accepted configurations, newest first.`)
+	fmt.Fprintln(os.Stderr, `    close-zone: Close an availability zone: no new work begins there until it is opened. Makes a new version.`)
+	fmt.Fprintln(os.Stderr, `    open-zone: Open a closed availability zone. Makes a new version.`)
 	fmt.Fprintln(os.Stderr, `    rollback: Accept the content of an older version again, as a new and higher version.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
@@ -412,7 +436,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs apply --body '{\n      \"author\": \"Excepturi hic amet et neque similique.\",\n      \"base\": 6184942773702916873,\n      \"content\": \"Quidem sint.\",\n      \"dry_run\": false\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs apply --body '{\n      \"author\": \"Voluptas numquam odit non facilis similique.\",\n      \"base\": 4001144938877604239,\n      \"content\": \"Odio autem.\",\n      \"dry_run\": true\n   }'")
 }
 
 func configsShowUsage() {
@@ -447,6 +471,46 @@
 	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs versions")
 }
 
+func configsCloseZoneUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] configs close-zone", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -zone STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Close an availability zone: no new work begins there until it is opened. Makes a new version.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -zone STRING: Availability zone.`)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs close-zone --body '{\n      \"author\": \"Reprehenderit quod ut.\"\n   }' --zone \"y\"")
+}
+
+func configsOpenZoneUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] configs open-zone", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -zone STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Open a closed availability zone. Makes a new version.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -zone STRING: Availability zone.`)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs open-zone --body '{\n      \"author\": \"Debitis non.\"\n   }' --zone \"2ij\"")
+}
+
 func configsRollbackUsage() {
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] configs rollback", os.Args[0])
@@ -462,7 +526,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs rollback --body '{\n      \"author\": \"Doloribus pariatur amet velit perferendis repellat ad.\",\n      \"base\": 6712096137868985624,\n      \"to\": 3331442997061550624\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configs rollback --body '{\n      \"author\": \"Molestiae consequatur eveniet cum.\",\n      \"base\": 7230247418388698866,\n      \"to\": 8450868164982554499\n   }'")
 }
 
 // operationsUsage displays the usage of the operations command and its
--- a/gen/http/configs/client/cli.go
+++ b/gen/http/configs/client/cli.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"unicode/utf8"
 
 	configs "github.com/fireflygate/fireflygate/gen/configs"
 	goa "goa.design/goa/v3/pkg"
@@ -23,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(configsApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Excepturi hic amet et neque similique.\",\n      \"base\": 6184942773702916873,\n      \"content\": \"Quidem sint.\",\n      \"dry_run\": false\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Voluptas numquam odit non facilis similique.\",\n      \"base\": 4001144938877604239,\n      \"content\": \"Odio autem.\",\n      \"dry_run\": true\n   }'")
 		}
 		if body.Base < 0 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.base", body.Base, 0, true))
@@ -42,6 +43,64 @@
 	return v, nil
 }
 
+// BuildCloseZonePayload builds the payload for the configs close_zone endpoint
+// from CLI flags.
+func BuildCloseZonePayload(configsCloseZoneBody string, configsCloseZoneZone string) (*configs.ZoneChange, error) {
+	var err error
+	var body CloseZoneRequestBody
+	{
+		err = json.Unmarshal([]byte(configsCloseZoneBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Reprehenderit quod ut.\"\n   }'")
+		}
+	}
+	var zone string
+	{
+		zone = configsCloseZoneZone
+		if utf8.RuneCountInString(zone) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("zone", zone, utf8.RuneCountInString(zone), 1, true))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	v := &configs.ZoneChange{
+		Author: body.Author,
+	}
+	v.Zone = zone
+
+	return v, nil
+}
+
+// BuildOpenZonePayload builds the payload for the configs open_zone endpoint
+// from CLI flags.
+func BuildOpenZonePayload(configsOpenZoneBody string, configsOpenZoneZone string) (*configs.ZoneChange, error) {
+	var err error
+	var body OpenZoneRequestBody
+	{
+		err = json.Unmarshal([]byte(configsOpenZoneBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Debitis non.\"\n   }'")
+		}
+	}
+	var zone string
+	{
+		zone = configsOpenZoneZone
+		if utf8.RuneCountInString(zone) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("zone", zone, utf8.RuneCountInString(zone), 1, true))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	v := &configs.ZoneChange{
+		Author: body.Author,
+	}
+	v.Zone = zone
+
+	return v, nil
+}
+
 // BuildRollbackPayload builds the payload for the configs rollback endpoint
 // from CLI flags.
 func BuildRollbackPayload(configsRollbackBody string) (*configs.RollbackPayload, error) {
@@ -50,7 +109,7 @@
 	{
 		err = json.Unmarshal([]byte(configsRollbackBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Doloribus pariatur amet velit perferendis repellat ad.\",\n      \"base\": 6712096137868985624,\n      \"to\": 3331442997061550624\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Molestiae consequatur eveniet cum.\",\n      \"base\": 7230247418388698866,\n      \"to\": 8450868164982554499\n   }'")
 		}
 	}
 	v := &configs.RollbackPayload{
--- a/gen/http/configs/client/client.go
+++ b/gen/http/configs/client/client.go
@@ -27,6 +27,14 @@
 	// endpoint.
 	VersionsDoer goahttp.Doer
 
+	// CloseZone Doer is the HTTP client used to make requests to the close_zone
+	// endpoint.
+	CloseZoneDoer goahttp.Doer
+
+	// OpenZone Doer is the HTTP client used to make requests to the open_zone
+	// endpoint.
+	OpenZoneDoer goahttp.Doer
+
 	// Rollback Doer is the HTTP client used to make requests to the rollback
 	// endpoint.
 	RollbackDoer goahttp.Doer
@@ -54,6 +62,8 @@
 		ApplyDoer:           doer,
 		ShowDoer:            doer,
 		VersionsDoer:        doer,
+		CloseZoneDoer:       doer,
+		OpenZoneDoer:        doer,
 		RollbackDoer:        doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
@@ -125,6 +135,54 @@
 	}
 }
 
+// CloseZone returns an endpoint that makes HTTP requests to the configs
+// service close_zone server.
+func (c *Client) CloseZone() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeCloseZoneRequest(c.encoder)
+		decodeResponse = DecodeCloseZoneResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildCloseZoneRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.CloseZoneDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("configs", "close_zone", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// OpenZone returns an endpoint that makes HTTP requests to the configs service
+// open_zone server.
+func (c *Client) OpenZone() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeOpenZoneRequest(c.encoder)
+		decodeResponse = DecodeOpenZoneResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildOpenZoneRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.OpenZoneDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("configs", "open_zone", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Rollback returns an endpoint that makes HTTP requests to the configs service
 // rollback server.
 func (c *Client) Rollback() goa.Endpoint {
--- a/gen/http/configs/client/encode_decode.go
+++ b/gen/http/configs/client/encode_decode.go
@@ -482,6 +482,352 @@
 	}
 }
 
+// BuildCloseZoneRequest instantiates a HTTP request object with method and
+// path set to call the "configs" service "close_zone" endpoint
+func (c *Client) BuildCloseZoneRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		zone string
+	)
+	{
+		p, ok := v.(*configs.ZoneChange)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("configs", "close_zone", "*configs.ZoneChange", v)
+		}
+		zone = p.Zone
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: CloseZoneConfigsPath(zone)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("configs", "close_zone", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeCloseZoneRequest returns an encoder for requests sent to the configs
+// close_zone server.
+func EncodeCloseZoneRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*configs.ZoneChange)
+		if !ok {
+			return goahttp.ErrInvalidType("configs", "close_zone", "*configs.ZoneChange", v)
+		}
+		body := NewCloseZoneRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("configs", "close_zone", err)
+		}
+		return nil
+	}
+}
+
+// DecodeCloseZoneResponse returns a decoder for responses returned by the
+// configs close_zone endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeCloseZoneResponse may return the following errors:
+//   - "bad_request" (type *configs.Problem): http.StatusBadRequest
+//   - "not_found" (type *configs.Problem): http.StatusNotFound
+//   - "conflict" (type *configs.Problem): http.StatusConflict
+//   - "forbidden" (type *configs.Problem): http.StatusForbidden
+//   - "unavailable" (type *configs.Problem): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *configs.Problem): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeCloseZoneResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body CloseZoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "close_zone", err)
+			}
+			err = ValidateCloseZoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "close_zone", err)
+			}
+			res := NewCloseZoneConfigVersionOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body CloseZoneBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "close_zone", err)
+			}
+			err = ValidateCloseZoneBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "close_zone", err)
+			}
+			return nil, NewCloseZoneBadRequest(&body)
+		case http.StatusNotFound:
+			var (
+				body CloseZoneNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "close_zone", err)
+			}
+			err = ValidateCloseZoneNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "close_zone", err)
+			}
+			return nil, NewCloseZoneNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body CloseZoneConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "close_zone", err)
+			}
+			err = ValidateCloseZoneConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "close_zone", err)
+			}
+			return nil, NewCloseZoneConflict(&body)
+		case http.StatusForbidden:
+			var (
+				body CloseZoneForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "close_zone", err)
+			}
+			err = ValidateCloseZoneForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "close_zone", err)
+			}
+			return nil, NewCloseZoneForbidden(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body CloseZoneUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "close_zone", err)
+			}
+			err = ValidateCloseZoneUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "close_zone", err)
+			}
+			return nil, NewCloseZoneUnavailable(&body)
+		case http.StatusGatewayTimeout:
+			var (
+				body CloseZoneUnknownOutcomeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "close_zone", err)
+			}
+			err = ValidateCloseZoneUnknownOutcomeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "close_zone", err)
+			}
+			return nil, NewCloseZoneUnknownOutcome(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("configs", "close_zone", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildOpenZoneRequest instantiates a HTTP request object with method and path
+// set to call the "configs" service "open_zone" endpoint
+func (c *Client) BuildOpenZoneRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		zone string
+	)
+	{
+		p, ok := v.(*configs.ZoneChange)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("configs", "open_zone", "*configs.ZoneChange", v)
+		}
+		zone = p.Zone
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: OpenZoneConfigsPath(zone)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("configs", "open_zone", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeOpenZoneRequest returns an encoder for requests sent to the configs
+// open_zone server.
+func EncodeOpenZoneRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*configs.ZoneChange)
+		if !ok {
+			return goahttp.ErrInvalidType("configs", "open_zone", "*configs.ZoneChange", v)
+		}
+		body := NewOpenZoneRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("configs", "open_zone", err)
+		}
+		return nil
+	}
+}
+
+// DecodeOpenZoneResponse returns a decoder for responses returned by the
+// configs open_zone endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeOpenZoneResponse may return the following errors:
+//   - "bad_request" (type *configs.Problem): http.StatusBadRequest
+//   - "not_found" (type *configs.Problem): http.StatusNotFound
+//   - "conflict" (type *configs.Problem): http.StatusConflict
+//   - "forbidden" (type *configs.Problem): http.StatusForbidden
+//   - "unavailable" (type *configs.Problem): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *configs.Problem): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeOpenZoneResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body OpenZoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "open_zone", err)
+			}
+			err = ValidateOpenZoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "open_zone", err)
+			}
+			res := NewOpenZoneConfigVersionOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body OpenZoneBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "open_zone", err)
+			}
+			err = ValidateOpenZoneBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "open_zone", err)
+			}
+			return nil, NewOpenZoneBadRequest(&body)
+		case http.StatusNotFound:
+			var (
+				body OpenZoneNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "open_zone", err)
+			}
+			err = ValidateOpenZoneNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "open_zone", err)
+			}
+			return nil, NewOpenZoneNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body OpenZoneConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "open_zone", err)
+			}
+			err = ValidateOpenZoneConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "open_zone", err)
+			}
+			return nil, NewOpenZoneConflict(&body)
+		case http.StatusForbidden:
+			var (
+				body OpenZoneForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "open_zone", err)
+			}
+			err = ValidateOpenZoneForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "open_zone", err)
+			}
+			return nil, NewOpenZoneForbidden(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body OpenZoneUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "open_zone", err)
+			}
+			err = ValidateOpenZoneUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "open_zone", err)
+			}
+			return nil, NewOpenZoneUnavailable(&body)
+		case http.StatusGatewayTimeout:
+			var (
+				body OpenZoneUnknownOutcomeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("configs", "open_zone", err)
+			}
+			err = ValidateOpenZoneUnknownOutcomeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("configs", "open_zone", err)
+			}
+			return nil, NewOpenZoneUnknownOutcome(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("configs", "open_zone", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildRollbackRequest instantiates a HTTP request object with method and path
 // set to call the "configs" service "rollback" endpoint
 func (c *Client) BuildRollbackRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/configs/client/types.go
+++ b/gen/http/configs/client/types.go
@@ -25,6 +25,20 @@
 	Content string `form:"content" json:"content" xml:"content"`
 }
 
+// CloseZoneRequestBody is the type of the "configs" service "close_zone"
+// endpoint HTTP request body.
+type CloseZoneRequestBody struct {
+	// Who asks.
+	Author string `form:"author" json:"author" xml:"author"`
+}
+
+// OpenZoneRequestBody is the type of the "configs" service "open_zone"
+// endpoint HTTP request body.
+type OpenZoneRequestBody struct {
+	// Who asks.
+	Author string `form:"author" json:"author" xml:"author"`
+}
+
 // RollbackRequestBody is the type of the "configs" service "rollback" endpoint
 // HTTP request body.
 type RollbackRequestBody struct {
@@ -68,6 +82,36 @@
 	Differs []string `form:"differs,omitempty" json:"differs,omitempty" xml:"differs,omitempty"`
 }
 
+// CloseZoneResponseBody is the type of the "configs" service "close_zone"
+// endpoint HTTP response body.
+type CloseZoneResponseBody struct {
+	// Version number; a later one is always higher.
+	Version *int64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	// Content hash of the merged configuration.
+	Hash *string `form:"hash,omitempty" json:"hash,omitempty" xml:"hash,omitempty"`
+	// Who applied it.
+	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+	// When it was accepted, in Unix milliseconds.
+	AppliedUnixMs *int64 `form:"applied_unix_ms,omitempty" json:"applied_unix_ms,omitempty" xml:"applied_unix_ms,omitempty"`
+	// Keys that differ from the version before.
+	Differs []string `form:"differs,omitempty" json:"differs,omitempty" xml:"differs,omitempty"`
+}
+
+// OpenZoneResponseBody is the type of the "configs" service "open_zone"
+// endpoint HTTP response body.
+type OpenZoneResponseBody struct {
+	// Version number; a later one is always higher.
+	Version *int64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	// Content hash of the merged configuration.
+	Hash *string `form:"hash,omitempty" json:"hash,omitempty" xml:"hash,omitempty"`
+	// Who applied it.
+	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+	// When it was accepted, in Unix milliseconds.
+	AppliedUnixMs *int64 `form:"applied_unix_ms,omitempty" json:"applied_unix_ms,omitempty" xml:"applied_unix_ms,omitempty"`
+	// Keys that differ from the version before.
+	Differs []string `form:"differs,omitempty" json:"differs,omitempty" xml:"differs,omitempty"`
+}
+
 // RollbackResponseBody is the type of the "configs" service "rollback"
 // endpoint HTTP response body.
 type RollbackResponseBody struct {
@@ -353,6 +397,186 @@
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
 }
 
+// CloseZoneBadRequestResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "bad_request" error.
+type CloseZoneBadRequestResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneNotFoundResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "not_found" error.
+type CloseZoneNotFoundResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneConflictResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "conflict" error.
+type CloseZoneConflictResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneForbiddenResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "forbidden" error.
+type CloseZoneForbiddenResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneUnavailableResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "unavailable" error.
+type CloseZoneUnavailableResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneUnknownOutcomeResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "unknown_outcome" error.
+type CloseZoneUnknownOutcomeResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneBadRequestResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "bad_request" error.
+type OpenZoneBadRequestResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneNotFoundResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "not_found" error.
+type OpenZoneNotFoundResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneConflictResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "conflict" error.
+type OpenZoneConflictResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneForbiddenResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "forbidden" error.
+type OpenZoneForbiddenResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneUnavailableResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "unavailable" error.
+type OpenZoneUnavailableResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneUnknownOutcomeResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "unknown_outcome" error.
+type OpenZoneUnknownOutcomeResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One-line summary for a person.
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
 // RollbackBadRequestResponseBody is the type of the "configs" service
 // "rollback" endpoint HTTP response body for the "bad_request" error.
 type RollbackBadRequestResponseBody struct {
@@ -469,6 +693,24 @@
 	return body
 }
 
+// NewCloseZoneRequestBody builds the HTTP request body from the payload of the
+// "close_zone" endpoint of the "configs" service.
+func NewCloseZoneRequestBody(p *configs.ZoneChange) *CloseZoneRequestBody {
+	body := &CloseZoneRequestBody{
+		Author: p.Author,
+	}
+	return body
+}
+
+// NewOpenZoneRequestBody builds the HTTP request body from the payload of the
+// "open_zone" endpoint of the "configs" service.
+func NewOpenZoneRequestBody(p *configs.ZoneChange) *OpenZoneRequestBody {
+	body := &OpenZoneRequestBody{
+		Author: p.Author,
+	}
+	return body
+}
+
 // NewRollbackRequestBody builds the HTTP request body from the payload of the
 // "rollback" endpoint of the "configs" service.
 func NewRollbackRequestBody(p *configs.RollbackPayload) *RollbackRequestBody {
@@ -777,9 +1019,9 @@
 	return v
 }
 
-// NewRollbackConfigVersionOK builds a "configs" service "rollback" endpoint
+// NewCloseZoneConfigVersionOK builds a "configs" service "close_zone" endpoint
 // result from a HTTP "OK" response.
-func NewRollbackConfigVersionOK(body *RollbackResponseBody) *configs.ConfigVersion {
+func NewCloseZoneConfigVersionOK(body *CloseZoneResponseBody) *configs.ConfigVersion {
 	v := &configs.ConfigVersion{
 		Version:       *body.Version,
 		Hash:          *body.Hash,
@@ -796,9 +1038,9 @@
 	return v
 }
 
-// NewRollbackBadRequest builds a configs service rollback endpoint bad_request
-// error.
-func NewRollbackBadRequest(body *RollbackBadRequestResponseBody) *configs.Problem {
+// NewCloseZoneBadRequest builds a configs service close_zone endpoint
+// bad_request error.
+func NewCloseZoneBadRequest(body *CloseZoneBadRequestResponseBody) *configs.Problem {
 	v := &configs.Problem{
 		Name:         *body.Name,
 		Title:        *body.Title,
@@ -810,9 +1052,9 @@
 	return v
 }
 
-// NewRollbackNotFound builds a configs service rollback endpoint not_found
+// NewCloseZoneNotFound builds a configs service close_zone endpoint not_found
 // error.
-func NewRollbackNotFound(body *RollbackNotFoundResponseBody) *configs.Problem {
+func NewCloseZoneNotFound(body *CloseZoneNotFoundResponseBody) *configs.Problem {
 	v := &configs.Problem{
 		Name:         *body.Name,
 		Title:        *body.Title,
@@ -824,9 +1066,9 @@
 	return v
 }
 
-// NewRollbackConflict builds a configs service rollback endpoint conflict
+// NewCloseZoneConflict builds a configs service close_zone endpoint conflict
 // error.
-func NewRollbackConflict(body *RollbackConflictResponseBody) *configs.Problem {
+func NewCloseZoneConflict(body *CloseZoneConflictResponseBody) *configs.Problem {
 	v := &configs.Problem{
 		Name:         *body.Name,
 		Title:        *body.Title,
@@ -838,9 +1080,9 @@
 	return v
 }
 
-// NewRollbackForbidden builds a configs service rollback endpoint forbidden
+// NewCloseZoneForbidden builds a configs service close_zone endpoint forbidden
 // error.
-func NewRollbackForbidden(body *RollbackForbiddenResponseBody) *configs.Problem {
+func NewCloseZoneForbidden(body *CloseZoneForbiddenResponseBody) *configs.Problem {
 	v := &configs.Problem{
 		Name:         *body.Name,
 		Title:        *body.Title,
@@ -852,9 +1094,9 @@
 	return v
 }
 
-// NewRollbackUnavailable builds a configs service rollback endpoint
+// NewCloseZoneUnavailable builds a configs service close_zone endpoint
 // unavailable error.
-func NewRollbackUnavailable(body *RollbackUnavailableResponseBody) *configs.Problem {
+func NewCloseZoneUnavailable(body *CloseZoneUnavailableResponseBody) *configs.Problem {
 	v := &configs.Problem{
 		Name:         *body.Name,
 		Title:        *body.Title,
@@ -866,9 +1108,9 @@
 	return v
 }
 
-// NewRollbackUnknownOutcome builds a configs service rollback endpoint
+// NewCloseZoneUnknownOutcome builds a configs service close_zone endpoint
 // unknown_outcome error.
-func NewRollbackUnknownOutcome(body *RollbackUnknownOutcomeResponseBody) *configs.Problem {
+func NewCloseZoneUnknownOutcome(body *CloseZoneUnknownOutcomeResponseBody) *configs.Problem {
 	v := &configs.Problem{
 		Name:         *body.Name,
 		Title:        *body.Title,
@@ -880,45 +1122,287 @@
 	return v
 }
 
-// ValidateApplyResponseBody runs the validations defined on ApplyResponseBody
-func ValidateApplyResponseBody(body *ApplyResponseBody) (err error) {
-	if body.Version == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
-	}
-	if body.Hash == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("hash", "body"))
-	}
-	if body.Author == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+// NewOpenZoneConfigVersionOK builds a "configs" service "open_zone" endpoint
+// result from a HTTP "OK" response.
+func NewOpenZoneConfigVersionOK(body *OpenZoneResponseBody) *configs.ConfigVersion {
+	v := &configs.ConfigVersion{
+		Version:       *body.Version,
+		Hash:          *body.Hash,
+		Author:        *body.Author,
+		AppliedUnixMs: *body.AppliedUnixMs,
 	}
-	if body.AppliedUnixMs == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("applied_unix_ms", "body"))
+	if body.Differs != nil {
+		v.Differs = make([]string, len(body.Differs))
+		for i, val := range body.Differs {
+			v.Differs[i] = val
+		}
 	}
-	return
+
+	return v
 }
 
-// ValidateShowResponseBody runs the validations defined on ShowResponseBody
-func ValidateShowResponseBody(body *ShowResponseBody) (err error) {
-	if body.Content == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("content", "body"))
-	}
-	if body.Version == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
-	}
-	if body.Hash == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("hash", "body"))
-	}
-	if body.Author == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
-	}
-	if body.AppliedUnixMs == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("applied_unix_ms", "body"))
+// NewOpenZoneBadRequest builds a configs service open_zone endpoint
+// bad_request error.
+func NewOpenZoneBadRequest(body *OpenZoneBadRequestResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
 	}
-	return
+
+	return v
 }
 
-// ValidateRollbackResponseBody runs the validations defined on
-// RollbackResponseBody
+// NewOpenZoneNotFound builds a configs service open_zone endpoint not_found
+// error.
+func NewOpenZoneNotFound(body *OpenZoneNotFoundResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewOpenZoneConflict builds a configs service open_zone endpoint conflict
+// error.
+func NewOpenZoneConflict(body *OpenZoneConflictResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewOpenZoneForbidden builds a configs service open_zone endpoint forbidden
+// error.
+func NewOpenZoneForbidden(body *OpenZoneForbiddenResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewOpenZoneUnavailable builds a configs service open_zone endpoint
+// unavailable error.
+func NewOpenZoneUnavailable(body *OpenZoneUnavailableResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewOpenZoneUnknownOutcome builds a configs service open_zone endpoint
+// unknown_outcome error.
+func NewOpenZoneUnknownOutcome(body *OpenZoneUnknownOutcomeResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewRollbackConfigVersionOK builds a "configs" service "rollback" endpoint
+// result from a HTTP "OK" response.
+func NewRollbackConfigVersionOK(body *RollbackResponseBody) *configs.ConfigVersion {
+	v := &configs.ConfigVersion{
+		Version:       *body.Version,
+		Hash:          *body.Hash,
+		Author:        *body.Author,
+		AppliedUnixMs: *body.AppliedUnixMs,
+	}
+	if body.Differs != nil {
+		v.Differs = make([]string, len(body.Differs))
+		for i, val := range body.Differs {
+			v.Differs[i] = val
+		}
+	}
+
+	return v
+}
+
+// NewRollbackBadRequest builds a configs service rollback endpoint bad_request
+// error.
+func NewRollbackBadRequest(body *RollbackBadRequestResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewRollbackNotFound builds a configs service rollback endpoint not_found
+// error.
+func NewRollbackNotFound(body *RollbackNotFoundResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewRollbackConflict builds a configs service rollback endpoint conflict
+// error.
+func NewRollbackConflict(body *RollbackConflictResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewRollbackForbidden builds a configs service rollback endpoint forbidden
+// error.
+func NewRollbackForbidden(body *RollbackForbiddenResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewRollbackUnavailable builds a configs service rollback endpoint
+// unavailable error.
+func NewRollbackUnavailable(body *RollbackUnavailableResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// NewRollbackUnknownOutcome builds a configs service rollback endpoint
+// unknown_outcome error.
+func NewRollbackUnknownOutcome(body *RollbackUnknownOutcomeResponseBody) *configs.Problem {
+	v := &configs.Problem{
+		Name:         *body.Name,
+		Title:        *body.Title,
+		Field:        body.Field,
+		Outcome:      *body.Outcome,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+
+	return v
+}
+
+// ValidateApplyResponseBody runs the validations defined on ApplyResponseBody
+func ValidateApplyResponseBody(body *ApplyResponseBody) (err error) {
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
+	}
+	if body.Hash == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("hash", "body"))
+	}
+	if body.Author == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+	}
+	if body.AppliedUnixMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("applied_unix_ms", "body"))
+	}
+	return
+}
+
+// ValidateShowResponseBody runs the validations defined on ShowResponseBody
+func ValidateShowResponseBody(body *ShowResponseBody) (err error) {
+	if body.Content == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("content", "body"))
+	}
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
+	}
+	if body.Hash == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("hash", "body"))
+	}
+	if body.Author == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+	}
+	if body.AppliedUnixMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("applied_unix_ms", "body"))
+	}
+	return
+}
+
+// ValidateCloseZoneResponseBody runs the validations defined on
+// close_zone_response_body
+func ValidateCloseZoneResponseBody(body *CloseZoneResponseBody) (err error) {
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
+	}
+	if body.Hash == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("hash", "body"))
+	}
+	if body.Author == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+	}
+	if body.AppliedUnixMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("applied_unix_ms", "body"))
+	}
+	return
+}
+
+// ValidateOpenZoneResponseBody runs the validations defined on
+// open_zone_response_body
+func ValidateOpenZoneResponseBody(body *OpenZoneResponseBody) (err error) {
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
+	}
+	if body.Hash == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("hash", "body"))
+	}
+	if body.Author == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+	}
+	if body.AppliedUnixMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("applied_unix_ms", "body"))
+	}
+	return
+}
+
+// ValidateRollbackResponseBody runs the validations defined on
+// RollbackResponseBody
 func ValidateRollbackResponseBody(body *RollbackResponseBody) (err error) {
 	if body.Version == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
@@ -1295,6 +1779,246 @@
 	return
 }
 
+// ValidateCloseZoneBadRequestResponseBody runs the validations defined on
+// close_zone_bad_request_response_body
+func ValidateCloseZoneBadRequestResponseBody(body *CloseZoneBadRequestResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateCloseZoneNotFoundResponseBody runs the validations defined on
+// close_zone_not_found_response_body
+func ValidateCloseZoneNotFoundResponseBody(body *CloseZoneNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateCloseZoneConflictResponseBody runs the validations defined on
+// close_zone_conflict_response_body
+func ValidateCloseZoneConflictResponseBody(body *CloseZoneConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateCloseZoneForbiddenResponseBody runs the validations defined on
+// close_zone_forbidden_response_body
+func ValidateCloseZoneForbiddenResponseBody(body *CloseZoneForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateCloseZoneUnavailableResponseBody runs the validations defined on
+// close_zone_unavailable_response_body
+func ValidateCloseZoneUnavailableResponseBody(body *CloseZoneUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateCloseZoneUnknownOutcomeResponseBody runs the validations defined on
+// close_zone_unknown_outcome_response_body
+func ValidateCloseZoneUnknownOutcomeResponseBody(body *CloseZoneUnknownOutcomeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateOpenZoneBadRequestResponseBody runs the validations defined on
+// open_zone_bad_request_response_body
+func ValidateOpenZoneBadRequestResponseBody(body *OpenZoneBadRequestResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateOpenZoneNotFoundResponseBody runs the validations defined on
+// open_zone_not_found_response_body
+func ValidateOpenZoneNotFoundResponseBody(body *OpenZoneNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateOpenZoneConflictResponseBody runs the validations defined on
+// open_zone_conflict_response_body
+func ValidateOpenZoneConflictResponseBody(body *OpenZoneConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateOpenZoneForbiddenResponseBody runs the validations defined on
+// open_zone_forbidden_response_body
+func ValidateOpenZoneForbiddenResponseBody(body *OpenZoneForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateOpenZoneUnavailableResponseBody runs the validations defined on
+// open_zone_unavailable_response_body
+func ValidateOpenZoneUnavailableResponseBody(body *OpenZoneUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
+// ValidateOpenZoneUnknownOutcomeResponseBody runs the validations defined on
+// open_zone_unknown_outcome_response_body
+func ValidateOpenZoneUnknownOutcomeResponseBody(body *OpenZoneUnknownOutcomeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not_run", "unknown"}))
+		}
+	}
+	return
+}
+
 // ValidateRollbackBadRequestResponseBody runs the validations defined on
 // rollback_bad_request_response_body
 func ValidateRollbackBadRequestResponseBody(body *RollbackBadRequestResponseBody) (err error) {
--- a/gen/http/configs/server/encode_decode.go
+++ b/gen/http/configs/server/encode_decode.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"unicode/utf8"
 
 	configs "github.com/fireflygate/fireflygate/gen/configs"
 	goahttp "goa.design/goa/v3/http"
@@ -366,6 +367,304 @@
 	}
 }
 
+// EncodeCloseZoneResponse returns an encoder for responses returned by the
+// configs close_zone endpoint.
+func EncodeCloseZoneResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*configs.ConfigVersion)
+		enc := encoder(ctx, w)
+		body := NewCloseZoneResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeCloseZoneRequest returns a decoder for requests sent to the configs
+// close_zone endpoint.
+func DecodeCloseZoneRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*configs.ZoneChange, error) {
+	return func(r *http.Request) (*configs.ZoneChange, error) {
+		var payload *configs.ZoneChange
+		var (
+			body CloseZoneRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateCloseZoneRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			zone string
+
+			params = mux.Vars(r)
+		)
+		zone = params["zone"]
+		if utf8.RuneCountInString(zone) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("zone", zone, utf8.RuneCountInString(zone), 1, true))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewCloseZoneZoneChange(&body, zone)
+
+		return payload, nil
+	}
+}
+
+// EncodeCloseZoneError returns an encoder for errors returned by the
+// close_zone configs endpoint.
+func EncodeCloseZoneError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCloseZoneBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "not_found":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCloseZoneNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCloseZoneConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCloseZoneForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCloseZoneUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unknown_outcome":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCloseZoneUnknownOutcomeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeOpenZoneResponse returns an encoder for responses returned by the
+// configs open_zone endpoint.
+func EncodeOpenZoneResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*configs.ConfigVersion)
+		enc := encoder(ctx, w)
+		body := NewOpenZoneResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeOpenZoneRequest returns a decoder for requests sent to the configs
+// open_zone endpoint.
+func DecodeOpenZoneRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*configs.ZoneChange, error) {
+	return func(r *http.Request) (*configs.ZoneChange, error) {
+		var payload *configs.ZoneChange
+		var (
+			body OpenZoneRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateOpenZoneRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			zone string
+
+			params = mux.Vars(r)
+		)
+		zone = params["zone"]
+		if utf8.RuneCountInString(zone) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("zone", zone, utf8.RuneCountInString(zone), 1, true))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewOpenZoneZoneChange(&body, zone)
+
+		return payload, nil
+	}
+}
+
+// EncodeOpenZoneError returns an encoder for errors returned by the open_zone
+// configs endpoint.
+func EncodeOpenZoneError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOpenZoneBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "not_found":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOpenZoneNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOpenZoneConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOpenZoneForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOpenZoneUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unknown_outcome":
+			var res *configs.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOpenZoneUnknownOutcomeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeRollbackResponse returns an encoder for responses returned by the
 // configs rollback endpoint.
 func EncodeRollbackResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/gen/http/configs/server/paths.go
+++ b/gen/http/configs/server/paths.go
@@ -7,6 +7,10 @@
 
 package server
 
+import (
+	"fmt"
+)
+
 // ApplyConfigsPath returns the URL path to the configs service apply HTTP endpoint.
 func ApplyConfigsPath() string {
 	return "/config"
@@ -22,6 +26,16 @@
 	return "/config/versions"
 }
 
+// CloseZoneConfigsPath returns the URL path to the configs service close_zone HTTP endpoint.
+func CloseZoneConfigsPath(zone string) string {
+	return fmt.Sprintf("/zones/%v/close", zone)
+}
+
+// OpenZoneConfigsPath returns the URL path to the configs service open_zone HTTP endpoint.
+func OpenZoneConfigsPath(zone string) string {
+	return fmt.Sprintf("/zones/%v/open", zone)
+}
+
 // RollbackConfigsPath returns the URL path to the configs service rollback HTTP endpoint.
 func RollbackConfigsPath() string {
 	return "/config/rollback"
--- a/gen/http/configs/server/server.go
+++ b/gen/http/configs/server/server.go
@@ -18,11 +18,13 @@
 
 // Server lists the configs service endpoint HTTP handlers.
 type Server struct {
-	Mounts   []*MountPoint
-	Apply    http.Handler
-	Show     http.Handler
-	Versions http.Handler
-	Rollback http.Handler
+	Mounts    []*MountPoint
+	Apply     http.Handler
+	Show      http.Handler
+	Versions  http.Handler
+	CloseZone http.Handler
+	OpenZone  http.Handler
+	Rollback  http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -55,12 +57,16 @@
 			{"Apply", "POST", "/config"},
 			{"Show", "GET", "/config"},
 			{"Versions", "GET", "/config/versions"},
+			{"CloseZone", "POST", "/zones/{zone}/close"},
+			{"OpenZone", "POST", "/zones/{zone}/open"},
 			{"Rollback", "POST", "/config/rollback"},
 		},
-		Apply:    NewApplyHandler(e.Apply, mux, decoder, encoder, errhandler, formatter),
-		Show:     NewShowHandler(e.Show, mux, decoder, encoder, errhandler, formatter),
-		Versions: NewVersionsHandler(e.Versions, mux, decoder, encoder, errhandler, formatter),
-		Rollback: NewRollbackHandler(e.Rollback, mux, decoder, encoder, errhandler, formatter),
+		Apply:     NewApplyHandler(e.Apply, mux, decoder, encoder, errhandler, formatter),
+		Show:      NewShowHandler(e.Show, mux, decoder, encoder, errhandler, formatter),
+		Versions:  NewVersionsHandler(e.Versions, mux, decoder, encoder, errhandler, formatter),
+		CloseZone: NewCloseZoneHandler(e.CloseZone, mux, decoder, encoder, errhandler, formatter),
+		OpenZone:  NewOpenZoneHandler(e.OpenZone, mux, decoder, encoder, errhandler, formatter),
+		Rollback:  NewRollbackHandler(e.Rollback, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -72,6 +78,8 @@
 	s.Apply = m(s.Apply)
 	s.Show = m(s.Show)
 	s.Versions = m(s.Versions)
+	s.CloseZone = m(s.CloseZone)
+	s.OpenZone = m(s.OpenZone)
 	s.Rollback = m(s.Rollback)
 }
 
@@ -83,6 +91,8 @@
 	MountApplyHandler(mux, h.Apply)
 	MountShowHandler(mux, h.Show)
 	MountVersionsHandler(mux, h.Versions)
+	MountCloseZoneHandler(mux, h.CloseZone)
+	MountOpenZoneHandler(mux, h.OpenZone)
 	MountRollbackHandler(mux, h.Rollback)
 }
 
@@ -236,6 +246,112 @@
 	})
 }
 
+// MountCloseZoneHandler configures the mux to serve the "configs" service
+// "close_zone" endpoint.
+func MountCloseZoneHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/zones/{zone}/close", f)
+}
+
+// NewCloseZoneHandler creates a HTTP handler which loads the HTTP request and
+// calls the "configs" service "close_zone" endpoint.
+func NewCloseZoneHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeCloseZoneRequest(mux, decoder)
+		encodeResponse = EncodeCloseZoneResponse(encoder)
+		encodeError    = EncodeCloseZoneError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "close_zone")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "configs")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountOpenZoneHandler configures the mux to serve the "configs" service
+// "open_zone" endpoint.
+func MountOpenZoneHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/zones/{zone}/open", f)
+}
+
+// NewOpenZoneHandler creates a HTTP handler which loads the HTTP request and
+// calls the "configs" service "open_zone" endpoint.
+func NewOpenZoneHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeOpenZoneRequest(mux, decoder)
+		encodeResponse = EncodeOpenZoneResponse(encoder)
+		encodeError    = EncodeOpenZoneError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "open_zone")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "configs")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountRollbackHandler configures the mux to serve the "configs" service
 // "rollback" endpoint.
 func MountRollbackHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/configs/server/types.go
+++ b/gen/http/configs/server/types.go
@@ -25,6 +25,20 @@
 	Content *string `form:"content,omitempty" json:"content,omitempty" xml:"content,omitempty"`
 }
 
+// CloseZoneRequestBody is the type of the "configs" service "close_zone"
+// endpoint HTTP request body.
+type CloseZoneRequestBody struct {
+	// Who asks.
+	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+}
+
+// OpenZoneRequestBody is the type of the "configs" service "open_zone"
+// endpoint HTTP request body.
+type OpenZoneRequestBody struct {
+	// Who asks.
+	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+}
+
 // RollbackRequestBody is the type of the "configs" service "rollback" endpoint
 // HTTP request body.
 type RollbackRequestBody struct {
@@ -72,6 +86,36 @@
 // endpoint HTTP response body.
 type VersionsResponseBody []*ConfigVersionResponse
 
+// CloseZoneResponseBody is the type of the "configs" service "close_zone"
+// endpoint HTTP response body.
+type CloseZoneResponseBody struct {
+	// Version number; a later one is always higher.
+	Version int64 `form:"version" json:"version" xml:"version"`
+	// Content hash of the merged configuration.
+	Hash string `form:"hash" json:"hash" xml:"hash"`
+	// Who applied it.
+	Author string `form:"author" json:"author" xml:"author"`
+	// When it was accepted, in Unix milliseconds.
+	AppliedUnixMs int64 `form:"applied_unix_ms" json:"applied_unix_ms" xml:"applied_unix_ms"`
+	// Keys that differ from the version before.
+	Differs []string `form:"differs,omitempty" json:"differs,omitempty" xml:"differs,omitempty"`
+}
+
+// OpenZoneResponseBody is the type of the "configs" service "open_zone"
+// endpoint HTTP response body.
+type OpenZoneResponseBody struct {
+	// Version number; a later one is always higher.
+	Version int64 `form:"version" json:"version" xml:"version"`
+	// Content hash of the merged configuration.
+	Hash string `form:"hash" json:"hash" xml:"hash"`
+	// Who applied it.
+	Author string `form:"author" json:"author" xml:"author"`
+	// When it was accepted, in Unix milliseconds.
+	AppliedUnixMs int64 `form:"applied_unix_ms" json:"applied_unix_ms" xml:"applied_unix_ms"`
+	// Keys that differ from the version before.
+	Differs []string `form:"differs,omitempty" json:"differs,omitempty" xml:"differs,omitempty"`
+}
+
 // RollbackResponseBody is the type of the "configs" service "rollback"
 // endpoint HTTP response body.
 type RollbackResponseBody struct {
@@ -357,6 +401,186 @@
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
 }
 
+// CloseZoneBadRequestResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "bad_request" error.
+type CloseZoneBadRequestResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneNotFoundResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "not_found" error.
+type CloseZoneNotFoundResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneConflictResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "conflict" error.
+type CloseZoneConflictResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneForbiddenResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "forbidden" error.
+type CloseZoneForbiddenResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneUnavailableResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "unavailable" error.
+type CloseZoneUnavailableResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// CloseZoneUnknownOutcomeResponseBody is the type of the "configs" service
+// "close_zone" endpoint HTTP response body for the "unknown_outcome" error.
+type CloseZoneUnknownOutcomeResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneBadRequestResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "bad_request" error.
+type OpenZoneBadRequestResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneNotFoundResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "not_found" error.
+type OpenZoneNotFoundResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneConflictResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "conflict" error.
+type OpenZoneConflictResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneForbiddenResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "forbidden" error.
+type OpenZoneForbiddenResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneUnavailableResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "unavailable" error.
+type OpenZoneUnavailableResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
+// OpenZoneUnknownOutcomeResponseBody is the type of the "configs" service
+// "open_zone" endpoint HTTP response body for the "unknown_outcome" error.
+type OpenZoneUnknownOutcomeResponseBody struct {
+	// Machine-readable kind of the problem.
+	Name string `form:"name" json:"name" xml:"name"`
+	// One-line summary for a person.
+	Title string `form:"title" json:"title" xml:"title"`
+	// Field of the request that is wrong, if one is.
+	Field *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
+	// Whether the request ran.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Milliseconds after which a retry is worthwhile; 0 when a retry will not help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+}
+
 // RollbackBadRequestResponseBody is the type of the "configs" service
 // "rollback" endpoint HTTP response body for the "bad_request" error.
 type RollbackBadRequestResponseBody struct {
@@ -512,6 +736,42 @@
 	return body
 }
 
+// NewCloseZoneResponseBody builds the HTTP response body from the result of
+// the "close_zone" endpoint of the "configs" service.
+func NewCloseZoneResponseBody(res *configs.ConfigVersion) *CloseZoneResponseBody {
+	body := &CloseZoneResponseBody{
+		Version:       res.Version,
+		Hash:          res.Hash,
+		Author:        res.Author,
+		AppliedUnixMs: res.AppliedUnixMs,
+	}
+	if res.Differs != nil {
+		body.Differs = make([]string, len(res.Differs))
+		for i, val := range res.Differs {
+			body.Differs[i] = val
+		}
+	}
+	return body
+}
+
+// NewOpenZoneResponseBody builds the HTTP response body from the result of the
+// "open_zone" endpoint of the "configs" service.
+func NewOpenZoneResponseBody(res *configs.ConfigVersion) *OpenZoneResponseBody {
+	body := &OpenZoneResponseBody{
+		Version:       res.Version,
+		Hash:          res.Hash,
+		Author:        res.Author,
+		AppliedUnixMs: res.AppliedUnixMs,
+	}
+	if res.Differs != nil {
+		body.Differs = make([]string, len(res.Differs))
+		for i, val := range res.Differs {
+			body.Differs[i] = val
+		}
+	}
+	return body
+}
+
 // NewRollbackResponseBody builds the HTTP response body from the result of the
 // "rollback" endpoint of the "configs" service.
 func NewRollbackResponseBody(res *configs.ConfigVersion) *RollbackResponseBody {
@@ -764,6 +1024,162 @@
 	return body
 }
 
+// NewCloseZoneBadRequestResponseBody builds the HTTP response body from the
+// result of the "close_zone" endpoint of the "configs" service.
+func NewCloseZoneBadRequestResponseBody(res *configs.Problem) *CloseZoneBadRequestResponseBody {
+	body := &CloseZoneBadRequestResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewCloseZoneNotFoundResponseBody builds the HTTP response body from the
+// result of the "close_zone" endpoint of the "configs" service.
+func NewCloseZoneNotFoundResponseBody(res *configs.Problem) *CloseZoneNotFoundResponseBody {
+	body := &CloseZoneNotFoundResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewCloseZoneConflictResponseBody builds the HTTP response body from the
+// result of the "close_zone" endpoint of the "configs" service.
+func NewCloseZoneConflictResponseBody(res *configs.Problem) *CloseZoneConflictResponseBody {
+	body := &CloseZoneConflictResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewCloseZoneForbiddenResponseBody builds the HTTP response body from the
+// result of the "close_zone" endpoint of the "configs" service.
+func NewCloseZoneForbiddenResponseBody(res *configs.Problem) *CloseZoneForbiddenResponseBody {
+	body := &CloseZoneForbiddenResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewCloseZoneUnavailableResponseBody builds the HTTP response body from the
+// result of the "close_zone" endpoint of the "configs" service.
+func NewCloseZoneUnavailableResponseBody(res *configs.Problem) *CloseZoneUnavailableResponseBody {
+	body := &CloseZoneUnavailableResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewCloseZoneUnknownOutcomeResponseBody builds the HTTP response body from
+// the result of the "close_zone" endpoint of the "configs" service.
+func NewCloseZoneUnknownOutcomeResponseBody(res *configs.Problem) *CloseZoneUnknownOutcomeResponseBody {
+	body := &CloseZoneUnknownOutcomeResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewOpenZoneBadRequestResponseBody builds the HTTP response body from the
+// result of the "open_zone" endpoint of the "configs" service.
+func NewOpenZoneBadRequestResponseBody(res *configs.Problem) *OpenZoneBadRequestResponseBody {
+	body := &OpenZoneBadRequestResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewOpenZoneNotFoundResponseBody builds the HTTP response body from the
+// result of the "open_zone" endpoint of the "configs" service.
+func NewOpenZoneNotFoundResponseBody(res *configs.Problem) *OpenZoneNotFoundResponseBody {
+	body := &OpenZoneNotFoundResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewOpenZoneConflictResponseBody builds the HTTP response body from the
+// result of the "open_zone" endpoint of the "configs" service.
+func NewOpenZoneConflictResponseBody(res *configs.Problem) *OpenZoneConflictResponseBody {
+	body := &OpenZoneConflictResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewOpenZoneForbiddenResponseBody builds the HTTP response body from the
+// result of the "open_zone" endpoint of the "configs" service.
+func NewOpenZoneForbiddenResponseBody(res *configs.Problem) *OpenZoneForbiddenResponseBody {
+	body := &OpenZoneForbiddenResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewOpenZoneUnavailableResponseBody builds the HTTP response body from the
+// result of the "open_zone" endpoint of the "configs" service.
+func NewOpenZoneUnavailableResponseBody(res *configs.Problem) *OpenZoneUnavailableResponseBody {
+	body := &OpenZoneUnavailableResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
+// NewOpenZoneUnknownOutcomeResponseBody builds the HTTP response body from the
+// result of the "open_zone" endpoint of the "configs" service.
+func NewOpenZoneUnknownOutcomeResponseBody(res *configs.Problem) *OpenZoneUnknownOutcomeResponseBody {
+	body := &OpenZoneUnknownOutcomeResponseBody{
+		Name:         res.Name,
+		Title:        res.Title,
+		Field:        res.Field,
+		Outcome:      res.Outcome,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	return body
+}
+
 // NewRollbackBadRequestResponseBody builds the HTTP response body from the
 // result of the "rollback" endpoint of the "configs" service.
 func NewRollbackBadRequestResponseBody(res *configs.Problem) *RollbackBadRequestResponseBody {
@@ -854,6 +1270,26 @@
 	return v
 }
 
+// NewCloseZoneZoneChange builds a configs service close_zone endpoint payload.
+func NewCloseZoneZoneChange(body *CloseZoneRequestBody, zone string) *configs.ZoneChange {
+	v := &configs.ZoneChange{
+		Author: *body.Author,
+	}
+	v.Zone = zone
+
+	return v
+}
+
+// NewOpenZoneZoneChange builds a configs service open_zone endpoint payload.
+func NewOpenZoneZoneChange(body *OpenZoneRequestBody, zone string) *configs.ZoneChange {
+	v := &configs.ZoneChange{
+		Author: *body.Author,
+	}
+	v.Zone = zone
+
+	return v
+}
+
 // NewRollbackPayload builds a configs service rollback endpoint payload.
 func NewRollbackPayload(body *RollbackRequestBody) *configs.RollbackPayload {
 	v := &configs.RollbackPayload{
@@ -884,6 +1320,24 @@
 	return
 }
 
+// ValidateCloseZoneRequestBody runs the validations defined on
+// close_zone_request_body
+func ValidateCloseZoneRequestBody(body *CloseZoneRequestBody) (err error) {
+	if body.Author == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+	}
+	return
+}
+
+// ValidateOpenZoneRequestBody runs the validations defined on
+// open_zone_request_body
+func ValidateOpenZoneRequestBody(body *OpenZoneRequestBody) (err error) {
+	if body.Author == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+	}
+	return
+}
+
 // ValidateRollbackRequestBody runs the validations defined on
 // RollbackRequestBody
 func ValidateRollbackRequestBody(body *RollbackRequestBody) (err error) {
--- a/gen/http/jobs/client/cli.go
+++ b/gen/http/jobs/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(jobsSubmitBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"rd\",\n      \"due_unix_ms\": 8275909494761671192,\n      \"event\": \"Cumque iste quas sed numquam reprehenderit.\",\n      \"key\": \"785\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 5544269771039854563,\n         \"memory_mb\": 1034598865937597676,\n         \"milli_cpu\": 2726557299593587810\n      },\n      \"run_ms\": 61350973199039225,\n      \"team\": \"3a\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Sed sed modi.\",\n         \"Excepturi accusantium vel autem magnam laborum.\",\n         \"Libero similique nisi modi.\"\n      ]\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"j\",\n      \"due_unix_ms\": 4046557649546910597,\n      \"event\": \"Impedit repellendus sunt ut at exercitationem distinctio.\",\n      \"key\": \"j\",\n      \"qos\": \"batch\",\n      \"resources\": {\n         \"accelerators\": 7200729579906645221,\n         \"memory_mb\": 9175562854555635893,\n         \"milli_cpu\": 4799230191436646687\n      },\n      \"run_ms\": 2660811800284085565,\n      \"team\": \"p8\",\n      \"urgent\": false,\n      \"zones\": [\n         \"Velit deleniti reiciendis eum sunt et.\",\n         \"Qui eaque.\"\n      ]\n   }'")
 		}
 		if body.Resources == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("resources", "body"))
--- a/gen/http/operations/client/types.go
+++ b/gen/http/operations/client/types.go
@@ -40,6 +40,8 @@
 	Pending *int `form:"pending,omitempty" json:"pending,omitempty" xml:"pending,omitempty"`
 	// Tasks running in its shards.
 	Running *int `form:"running,omitempty" json:"running,omitempty" xml:"running,omitempty"`
+	// Availability zones that get no new work.
+	ClosedZones []string `form:"closed_zones,omitempty" json:"closed_zones,omitempty" xml:"closed_zones,omitempty"`
 }
 
 // StatusBadRequestResponseBody is the type of the "operations" service
@@ -513,6 +515,10 @@
 		tv := val
 		v.Peers[tk] = tv
 	}
+	v.ClosedZones = make([]string, len(body.ClosedZones))
+	for i, val := range body.ClosedZones {
+		v.ClosedZones[i] = val
+	}
 
 	return v
 }
@@ -915,6 +921,9 @@
 	if body.Running == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("running", "body"))
 	}
+	if body.ClosedZones == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("closed_zones", "body"))
+	}
 	for _, e := range body.Leases {
 		if e != nil {
 			if err2 := ValidateLeaseStatusResponseBody(e); err2 != nil {
--- a/gen/http/operations/server/types.go
+++ b/gen/http/operations/server/types.go
@@ -39,6 +39,8 @@
 	Pending int `form:"pending" json:"pending" xml:"pending"`
 	// Tasks running in its shards.
 	Running int `form:"running" json:"running" xml:"running"`
+	// Availability zones that get no new work.
+	ClosedZones []string `form:"closed_zones" json:"closed_zones" xml:"closed_zones"`
 }
 
 // EventsResponseBody is the type of the "operations" service "events" endpoint
@@ -526,6 +528,14 @@
 			body.Peers[tk] = tv
 		}
 	}
+	if res.ClosedZones != nil {
+		body.ClosedZones = make([]string, len(res.ClosedZones))
+		for i, val := range res.ClosedZones {
+			body.ClosedZones[i] = val
+		}
+	} else {
+		body.ClosedZones = []string{}
+	}
 	return body
 }
 
--- a/gen/operations/service.go
+++ b/gen/operations/service.go
@@ -138,6 +138,8 @@
 	Pending int
 	// Tasks running in its shards.
 	Running int
+	// Availability zones that get no new work.
+	ClosedZones []string
 }
 
 // What this entry host holds of a shard.
--- a/integration/mutations_batch.go
+++ b/integration/mutations_batch.go
@@ -44,6 +44,12 @@
 		Old:  "case w.member.State == infra.Leaving:\n\t\treturn \"leaving\"", New: "case false:\n\t\treturn \"leaving\"",
 		Test: "^TestWorkerLeaves$", ExpectedOutput: "runs began at a worker that leaves",
 	},
+	{
+		Name: "starts-in-a-closed-zone",
+		File: "batch/shard_workers.go",
+		Old:  "case s.zoneClosed:\n\t\treturn \"zone closed\"", New: "case false:\n\t\treturn \"zone closed\"",
+		Test: "^TestZoneClosed$", ExpectedOutput: "began a run in longuelo",
+	},
 	{
 		Name: "resume-from-checkpoint",
 		File: "batch/shard_exchange.go",
--- a/integration/mutations_interactive.go
+++ b/integration/mutations_interactive.go
@@ -52,6 +52,12 @@
 		Old:  "Leaving: m.State == infra.Leaving,", New: "Leaving: false,",
 		Test: "^TestEndpointFaults$/^Leaving$", ExpectedOutput: "a leaving endpoint gets no new work",
 	},
+	{
+		Name: "requests-in-a-closed-zone",
+		File: "routing/closedzones.go",
+		Old:  "return slices.Contains(p.closedZones, b.Zone)", New: "return slices.Contains(p.closedZones, \"\")",
+		Test: "^TestZoneClosed$", ExpectedOutput: "began a request in longuelo",
+	},
 	{
 		Name: "ejection",
 		File: "routing/health.go",
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -41,6 +43,7 @@
 		return "quota of team " + j.spec.Team + " is used up"
 	}
 	counts := s.countRejections(&q)
+	rejections := s.describe(counts)
 	if counts[Feasible] > 0 && j.group.verdict == wouldInterfere {
 		return fmt.Sprintf("%d of %d hosts fit, but it would slow latency-critical work there",
 			counts[Feasible], len(s.order))
@@ -49,9 +52,9 @@
 		return fmt.Sprintf("waits for its turn; %d of %d hosts fit", counts[Feasible], len(s.order))
 	}
 	if q.headroomShare > s.options.Headroom {
-		return "waits for the headroom of an event: " + describe(counts, len(s.order))
+		return "waits for the headroom of an event: " + rejections
 	}
-	return "no host fits: " + describe(counts, len(s.order))
+	return "no host fits: " + rejections
 }
 
 // countRejections counts the hosts by filter result.
@@ -64,9 +67,9 @@
 }
 
 // describe lists the filters that rejected hosts.
-func describe(counts [statuses]int, hosts int) string {
-	var parts []string
-	for status := RejectedUnschedulable; status < statuses; status++ {
+func (s *Scheduler) describe(counts [statuses]int) string {
+	parts := s.unschedulableReasons()
+	for status := RejectedUnschedulable + 1; status < statuses; status++ {
 		if counts[status] > 0 {
 			parts = append(parts, fmt.Sprintf("%d %s", counts[status], status))
 		}
@@ -74,5 +77,20 @@
 	if len(parts) == 0 {
 		return "no host is known"
 	}
-	return fmt.Sprintf("of %d hosts %s", hosts, strings.Join(parts, ", "))
+	return fmt.Sprintf("of %d hosts %s", len(s.order), strings.Join(parts, ", "))
+}
+
+// unschedulableReasons lists why hosts get no new tasks.
+func (s *Scheduler) unschedulableReasons() []string {
+	counts := map[string]int{}
+	for _, n := range s.order {
+		if reason := n.host.Unschedulable; reason != "" {
+			counts[reason]++
+		}
+	}
+	parts := make([]string, 0, len(counts))
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[reason], reason))
+	}
+	return parts
 }
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -14,6 +14,8 @@
 	byName   map[string]*backend
 	services map[string]*group
 	started  bool
+	// closedZones are the availability zones whose endpoints get no new requests.
+	closedZones []string
 }
 
 // group holds the endpoints of one service.
@@ -140,7 +142,7 @@
 // available returns how many slots of b the grant allows, and how many of them
 // may be taken now.
 func (p *Pool) available(now time.Time, b *backend, snapshot *ownership.Snapshot) (allowed, free int) {
-	if b.Leaving || b.ejected(now) {
+	if p.getsNoRequests(b) || b.ejected(now) {
 		return 0, 0
 	}
 	allowed = p.allowed(now, b, snapshot)
@@ -154,7 +156,7 @@
 // have expired after Acquire.
 func (p *Pool) MayWrite(now time.Time, s *Slot, snapshot *ownership.Snapshot) bool {
 	b := s.backend
-	if b.Leaving || b.removed || s.released {
+	if p.getsNoRequests(b) || b.removed || s.released {
 		return false
 	}
 	return b.inUse <= p.allowed(now, b, snapshot)
--- a/routing/stats.go
+++ b/routing/stats.go
@@ -73,7 +73,7 @@
 	}
 	slots := 0
 	for _, b := range g.backends {
-		if b.Leaving || b.ejected(now) {
+		if p.getsNoRequests(b) || b.ejected(now) {
 			continue
 		}
 		n := b.limit(now, p.allowed(now, b, snapshot), p.cfg.SlowStart)
--- a/settings/clone.go
+++ b/settings/clone.go
@@ -11,6 +11,7 @@
 	s.Classes = maps.Clone(s.Classes)
 	s.Teams = maps.Clone(s.Teams)
 	s.Events = cloneMap(s.Events, Event.Clone)
+	s.Zones = s.Zones.Clone()
 	s.Objectives = maps.Clone(s.Objectives)
 	return s
 }
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -27,6 +27,9 @@
 		"events":     s.Events,
 		"objectives": s.Objectives,
 	}
+	if s.Zones.Closed != nil {
+		tree["zones"] = s.Zones
+	}
 	out, err := toml.Marshal(tree)
 	return string(out), errors.Wrap(err, "marshal policy")
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,8 @@
 	Teams map[string]Team `toml:"teams"`
 	// Events are the events by name.
 	Events map[string]Event `toml:"events"`
+	// Zones configures availability zones.
+	Zones Zones `toml:"zones"`
 	// Objectives are the service-level objectives by name.
 	Objectives map[string]Objective `toml:"objectives"`
 }
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -33,6 +33,7 @@
 	for _, name := range sortedKeys(s.Events) {
 		validateEvent("events."+name, s.Events[name], s.Services, report)
 	}
+	validateZones(s.Zones, report)
 	for _, name := range sortedKeys(s.Objectives) {
 		validateObjective("objectives."+name, s.Objectives[name], s.Services, report)
 	}
--- a/standin/endpoint_request.go
+++ b/standin/endpoint_request.go
@@ -85,6 +85,7 @@
 func (in *endpointRequest) began(c EndpointConfig) *check.RequestBegan {
 	return &check.RequestBegan{
 		Endpoint:   c.Name,
+		Zone:       c.Zone,
 		Serial:     in.serial,
 		Request:    in.request,
 		Call:       in.call,
--- a/standin/machine.go
+++ b/standin/machine.go
@@ -112,7 +112,7 @@
 
 func (m *machine) recordBegin(r *run) {
 	m.config.Recorder.Add(check.Record{At: m.now, RunBegan: &check.RunBegan{
-		Worker: m.config.Name, Run: r.id, Resources: r.reserved,
+		Worker: m.config.Name, Zone: m.config.Zone, Run: r.id, Resources: r.reserved,
 		Capacity: m.config.Capacity, Checkpoint: r.checkpoint,
 	}})
 }
