flow: an order timeout of a domain in trouble stays within its bounds

What callers saw: on a domain of 3,000 workers whose relays were killed nothing was served any more, until the owner was replaced. Its log had wait_ms -: each order timed out at once, so no answer could ever shorten the timeout again.

Cause: the backoff doubled with every ten or so timeouts and had no bound; 359 timeouts in a row, which a large domain has within a second, overflow the conversion to a duration. Ruled out: a wrong Max (it is applied after the conversion); round trips (they were short). Mend: the backoff ends where the timeout reaches Max, and the minimum is taken before the conversion. Any number of timeouts now gives Max, and 500 answers give Min again.

Before: TestTimeoutAfterMassLoss fails at the 359th order; now it passes.

--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -64,6 +64,28 @@
 	}
 }
 
+// TestTimeoutAfterMassLoss has all workers of a large domain time out again and again, as
+// when most hosts that relay orders are killed. The timeout must end at its maximum, and
+// return to its minimum soon after the workers answer.
+func TestTimeoutAfterMassLoss(t *testing.T) {
+	timeout := flow.Timeout{Min: minTimeout, Max: maxTimeout}
+	for i := range 3000 {
+		timeout.TimedOut()
+		if got := timeout.Value(); got < minTimeout || got > maxTimeout {
+			t.Fatalf("timeout is %v after %d orders without an answer, want %v to %v", got, i+1, minTimeout, maxTimeout)
+		}
+	}
+	if got := timeout.Value(); got != maxTimeout {
+		t.Errorf("timeout is %v, want %v", got, maxTimeout)
+	}
+	for range 500 {
+		timeout.Answered(10 * time.Millisecond)
+	}
+	if got := timeout.Value(); got != minTimeout {
+		t.Errorf("timeout is %v after 500 answers, want %v", got, minTimeout)
+	}
+}
+
 // TestLimitBoundsDelay offers unlimited work to a link that carries 200 orders
 // per second: the round trip stays near the target and the link stays busy.
 func TestLimitBoundsDelay(t *testing.T) {
--- a/flow/timeout.go
+++ b/flow/timeout.go
@@ -54,16 +54,19 @@
 func (t *Timeout) TimedOut() {
 	t.timeoutShare += timeoutWeight * (1 - t.timeoutShare)
 	if t.timeoutShare >= timeoutThreshold {
-		t.backoff = max(t.backoff, 1) * 2
+		// Beyond Max a higher backoff would lengthen nothing but the return from it.
+		t.backoff = min(max(t.backoff, 1)*2, float64(t.Max)/float64(t.base()))
 		t.timeoutShare /= 2 // require as many further timeouts for the next doubling
 	}
 }
 
 // Value returns how long to wait for an answer.
 func (t *Timeout) Value() time.Duration {
-	wait := time.Duration(max(t.backoff, 1) * float64(max(t.smoothedRTT+deviationFactor*t.deviation, t.Min)))
-	return min(wait, t.Max)
+	return time.Duration(min(max(t.backoff, 1)*float64(t.base()), float64(t.Max)))
 }
 
+// base returns the timeout before backoff.
+func (t *Timeout) base() time.Duration { return max(t.smoothedRTT+deviationFactor*t.deviation, t.Min) }
+
 // SmoothedRTT returns the smoothed round trip, 0 before the first answer.
 func (t *Timeout) SmoothedRTT() time.Duration { return t.smoothedRTT }
