control: an owner begins the polls of many workers in parts

Cause: a new owner began the polls of all workers in one cycle of its loop. Together with what they set off, that cycle lasted 0.8 to 1.4 s (looking_ms of event 912), in which the owner committed nothing; the other hosts suspected it ('its commits fail', 3,269 of them) and took over, and their cycles lasted as long.

Mend: one cycle begins 256 polls at most; the rest follow every 4 ms, after what was heard and committed meanwhile, in turn, so that none waits twice. Half or a quarter of it wasn't tried; a bound on polls in flight was weighed: silent workers would hold it up for others.

--- a/control/options.go
+++ b/control/options.go
@@ -98,6 +98,10 @@
 	// beginning to that of the next cycle, if that is more than minPlanInterval. It
 	// leaves most of the processor to orders and reports.
 	planIdleFactor = 4
+	// maxPollsPerCycle bounds the polls that one cycle begins. A new owner has to poll all
+	// workers at once; begun in one cycle, the polls of a large domain would keep it
+	// from committing until other hosts take the domain over.
+	maxPollsPerCycle = 256
 	// pollRetryInterval is the least time between two polls of an unresponsive
 	// worker.
 	pollRetryInterval = 300 * time.Millisecond
--- a/control/orders.go
+++ b/control/orders.go
@@ -152,7 +152,15 @@
 	if o.unverified() {
 		return // a poll that extends no lease would delay the next one that does
 	}
-	o.state.EachWorker(func(id string) { o.pollWorker(now, id) })
+	begun := 0
+	o.pollsLeft = false
+	o.state.EachWorker(o.lastPolled, func(id string) bool {
+		if o.pollWorker(now, id) {
+			begun, o.lastPolled = begun+1, id
+		}
+		o.pollsLeft = begun == maxPollsPerCycle
+		return !o.pollsLeft
+	})
 	for _, id := range o.state.EarlyPolls(now) {
 		o.pollNow(id)
 	}
@@ -164,24 +172,25 @@
 	}
 }
 
-// pollWorker starts a poll of a worker if one is due. It first starts a session
-// if the worker has none.
-func (o *Owner) pollWorker(now time.Time, id string) {
+// pollWorker starts a poll of a worker if one is due, and reports whether it did. It
+// first starts a session if the worker has none.
+func (o *Owner) pollWorker(now time.Time, id string) bool {
 	s := o.sessions[id]
 	if s == nil {
 		s = o.startSession(id)
 		o.sessions[id] = s
 	}
 	if s.polling || now.Before(s.nextPoll) || !o.state.RenewalReady(now, id) {
-		return
+		return false
 	}
 	info, renewal, ok := o.state.Renewal(now, id, o.ownershipValid())
 	if !ok {
-		return
+		return false
 	}
 	s.polling = true
 	s.token.Store(renewal.Token)
 	s.polls <- poll{worker: info, renewal: renewal}
+	return true
 }
 
 // handlePoll applies a worker's answer and report to the state, and sets the time
--- a/control/owner.go
+++ b/control/owner.go
@@ -50,6 +50,10 @@
 	// limit on starts in flight cut that plan short.
 	plannedAt         time.Time
 	startLimitReached bool
+	// lastPolled is the worker whose poll was begun last; pollsLeft is set if the last
+	// cycle left polls to the next one.
+	lastPolled string
+	pollsLeft  bool
 	// loop holds the loop's statistics since the last summary.
 	loop loopStats
 	// stepDuration is the duration of the last step.
@@ -159,6 +163,8 @@
 	planTimer := time.NewTimer(minPlanInterval)
 	defer planTimer.Stop()
 	planScheduled := true
+	pollTimer := time.NewTimer(maxPlanInterval)
+	defer pollTimer.Stop()
 	for {
 		select {
 		case f := <-o.events:
@@ -172,6 +178,14 @@
 				planTimer.Reset(max(minPlanInterval, planIdleFactor*o.stepDuration) - time.Since(o.steppedAt))
 			}
 			continue
+		case <-pollTimer.C:
+			if o.pollsLeft {
+				o.pollOn()
+			}
+			if o.pollsLeft {
+				pollTimer.Reset(minPlanInterval)
+			}
+			continue
 		case <-planTimer.C:
 			planScheduled = false
 		case due := <-t.C:
@@ -180,9 +194,22 @@
 			return
 		}
 		o.step()
+		if o.pollsLeft {
+			pollTimer.Reset(minPlanInterval)
+		}
 	}
 }
 
+// pollOn begins polls that the last cycle left, and commits what is due.
+func (o *Owner) pollOn() {
+	now := time.Now()
+	o.cycleAt.Store(int64(boottime()))
+	o.flush(now)
+	done := o.loop.add(flushing, now)
+	o.pollWorkers(now)
+	o.loop.add(polling, done)
+}
+
 // drainEvents runs all queued functions, so that one cycle covers them.
 func (o *Owner) drainEvents() {
 	for range maxQueuedFuncs {
--- a/dispatch/faultsim_test.go
+++ b/dispatch/faultsim_test.go
@@ -113,11 +113,12 @@
 		s.updateMembers()
 		s.commit()
 		s.sendOrders(s.state.Plan(s.now))
-		s.state.EachWorker(func(id string) {
+		s.state.EachWorker("", func(id string) bool {
 			if !s.polling[id] && s.state.RenewalReady(s.now, id) {
 				s.polling[id] = true
 				s.poll(id, func() { s.polling[id] = false })
 			}
+			return true
 		})
 		s.checkInvariants()
 	}
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sort"
 	"strings"
 	"time"
 
@@ -114,11 +115,16 @@
 	s.awaitingReport[m.ID] = w
 }
 
-// EachWorker visits, in order, the IDs of all workers that may get orders.
-func (s *State) EachWorker(visit func(id string)) {
-	for _, w := range s.byID() {
-		if w.inRoster {
-			visit(w.info.ID)
+// EachWorker visits the IDs of all workers that may get orders, in order, from the one
+// that follows the ID after on; after the last it goes on with the first. It ends early
+// once visit returns false.
+func (s *State) EachWorker(after string, visit func(id string) bool) {
+	workers := s.byID()
+	first := sort.Search(len(workers), func(i int) bool { return workers[i].info.ID > after })
+	for i := range workers {
+		w := workers[(first+i)%len(workers)]
+		if w.inRoster && !visit(w.info.ID) {
+			return
 		}
 	}
 }
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -166,11 +166,12 @@
 	if o.unverified(s.now) {
 		return
 	}
-	o.state.EachWorker(func(id string) {
+	o.state.EachWorker("", func(id string) bool {
 		if !o.polling[id] && !s.now.Before(o.nextPoll[id]) && o.state.RenewalReady(s.now, id) {
 			o.polling[id] = true
 			s.pollBy(o, id, func() { o.polling[id] = false })
 		}
+		return true
 	})
 }
 
--- a/dispatch/priorrun_test.go
+++ b/dispatch/priorrun_test.go
@@ -29,12 +29,13 @@
 	r.t.Helper()
 	for range 200 {
 		r.advance(testTick)
-		r.state.EachWorker(func(id string) {
+		r.state.EachWorker("", func(id string) bool {
 			if id == silent {
 				r.noAnswer(id)
 			} else {
 				r.report(id, nil, nil)
 			}
+			return true
 		})
 		starts := r.state.Plan(r.now).Starts
 		r.flush()
