control: many answers at once don't keep an owner from committing

Cause: its loop handled up to 1,024 answers in one go, which lasted up to 1.5 s beside the orders that they set off (hearing_ms of event 912), without a commit.

Mend: the loop handles answers for 20 ms, then may commit and plan. Weighed: a bound on their number, which fits one processor only.

TestAnswersDontDelayCommits: all 200 answers in 1 s before, now 25 ms at most.

--- a/control/options.go
+++ b/control/options.go
@@ -102,6 +102,10 @@
 	// workers at once; begun in one cycle, the polls of a large domain would keep it
 	// from committing until other hosts take the domain over.
 	maxPollsPerCycle = 256
+	// maxDrain bounds how long what workers and callers sent is handled before the next
+	// cycle may commit and plan. When thousands of answers come at once they would
+	// hold up both until other hosts take the domain over.
+	maxDrain = 20 * time.Millisecond
 	// pollRetryInterval is the least time between two polls of an unresponsive
 	// worker.
 	pollRetryInterval = 300 * time.Millisecond
--- a/control/owner.go
+++ b/control/owner.go
@@ -171,7 +171,7 @@
 			start := time.Now()
 			o.loop.maxQueuedEvents = max(o.loop.maxQueuedEvents, len(o.events))
 			f()
-			o.drainEvents()
+			o.drainEvents(start)
 			o.loop.add(handlingEvents, start)
 			if !planScheduled {
 				planScheduled = true
@@ -210,9 +210,9 @@
 	o.loop.add(polling, done)
 }
 
-// drainEvents runs all queued functions, so that one cycle covers them.
-func (o *Owner) drainEvents() {
-	for range maxQueuedFuncs {
+// drainEvents runs queued functions, so that one cycle covers them, for maxDrain.
+func (o *Owner) drainEvents(start time.Time) {
+	for time.Since(start) < maxDrain {
 		select {
 		case f := <-o.events:
 			f()
--- a/control/pollpacing_test.go
+++ b/control/pollpacing_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/runner"
 )
 
@@ -50,3 +51,27 @@
 		o.quit(nil)
 	})
 }
+
+// TestAnswersDontDelayCommits hands an owner a second's worth of answers at once, as when
+// the hosts that relay its orders are killed. Its loop must return to committing and
+// planning in between, and handle all of them in the end.
+func TestAnswersDontDelayCommits(t *testing.T) {
+	const answers, each = 200, 5 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		o := newTestOwner(t, memtable.New())
+		handled := 0
+		for range answers {
+			o.post(func() {
+				pause.For(t.Context(), each)
+				handled++
+			})
+		}
+		for handled < answers {
+			start, before := time.Now(), handled
+			o.drainEvents(start)
+			if took := time.Since(start); took > maxDrain+each || handled == before {
+				t.Fatalf("%d answers handled in %v, want some, in %v at most", handled-before, took, maxDrain+each)
+			}
+		}
+	})
+}
