dispatch: a task's wait for reports after a takeover is one look-up

Now a cycle makes a set of their hashes once, when the first task asks.

The result is the same; the tests of takeovers hold it. No test fails without it, as none may measure time.

--- a/dispatch/benchlarge_test.go
+++ b/dispatch/benchlarge_test.go
@@ -94,3 +94,21 @@
 		}
 	}
 }
+
+// BenchmarkPlanAfterTakeover plans with tasks that an earlier owner has started, on
+// workers none of which has reported yet.
+func BenchmarkPlanAfterTakeover(b *testing.B) {
+	const workers, jobs = 3000, 100
+	r := newRig(&testing.T{}, workers)
+	for i := range jobs {
+		r.submit(queueShort, fmt.Sprintf("job%d", i), step(10, 4))
+	}
+	r.plan()
+	r.flush()
+	r.takeOver(r.roster()...)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.advance(largeCycle)
+		r.state.PlanAtMost(r.now, 64)
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -120,6 +120,9 @@
 	preemptAttempts int
 	// shortlistBuffer is the storage of the last shortlist, for reuse.
 	shortlistBuffer workerHeap
+	// awaited holds the hashes of the inherited workers that have yet to report, nil until
+	// the first task asks for them.
+	awaited map[uint32]struct{}
 	// noFit holds, by kind of step, the needs that fit nowhere in this cycle.
 	noFit map[stepKind][]infra.Resources
 }
@@ -224,10 +227,8 @@
 		if len(c.s.awaitingReport) > 0 && len(t.locations) == 0 {
 			return false
 		}
-		for _, w := range c.s.awaitingReport {
-			if slices.Contains(t.locations, w.hash) {
-				return false
-			}
+		if slices.ContainsFunc(t.locations, c.awaitsReportOf) {
+			return false
 		}
 		if !c.s.confirmation.confirmedSince(c.s.awaitedLostAt) {
 			return false
@@ -245,6 +246,18 @@
 	return true
 }
 
+// awaitsReportOf reports whether a worker with the hash has yet to report what runs there.
+func (c *cycle) awaitsReportOf(hash uint32) bool {
+	if c.awaited == nil {
+		c.awaited = make(map[uint32]struct{}, len(c.s.awaitingReport))
+		for _, w := range c.s.awaitingReport {
+			c.awaited[w.hash] = struct{}{}
+		}
+	}
+	_, found := c.awaited[hash]
+	return found
+}
+
 // start adds a run of the task to the worker, which reserves its capacity, and
 // adds the start order to the plan.
 func (c *cycle) start(t *task, w *worker, number uint64) {
