--- a/integration/zones_test.go
+++ b/integration/zones_test.go
@@ -80,4 +80,3 @@
 func (s *Site) runsBegunIn(zone string) int {
 	return len(s.runsOf(func(r check.Record) bool { return r.RunBegan != nil && r.RunBegan.Zone == zone }))
 }
-
