control: an owner that woke verifies its ownership also where polls are left

An owner that froze within the second after its takeover and was replaced would have renewed leases when it woke, as its next full cycle found no stall.

Both kinds of cycle now begin alike (beginCycle): stall, refusal, hand-over, in this order. TestStalledOwnerVerifiesFirst plays both; the second failed before.

--- a/control/owner.go
+++ b/control/owner.go
@@ -200,10 +200,27 @@
 	}
 }
 
-// pollOn begins polls that the last cycle left, and commits what is due.
+// beginCycle notes that a cycle begins. It returns false if the owner hands the domain
+// over: the cycle then only polls workers.
+func (o *Owner) beginCycle(now time.Time) bool {
+	at := boottime()
+	o.verifyAfterStall(at)
+	o.endIfRefused(at)
+	o.cycleAt.Store(int64(at))
+	if o.handOver() {
+		o.pollWorkers(now) // renews the leases of running tasks until the handover is committed
+		return false
+	}
+	return true
+}
+
+// pollOn is a cycle that plans nothing: it begins polls that the last one left, and
+// commits what is due.
 func (o *Owner) pollOn() {
 	now := time.Now()
-	o.cycleAt.Store(int64(boottime()))
+	if !o.beginCycle(now) {
+		return
+	}
 	o.flush(now)
 	done := o.loop.add(flushing, now)
 	o.pollWorkers(now)
@@ -224,12 +241,8 @@
 
 // step runs one cycle: it commits changes, plans, and polls workers.
 func (o *Owner) step() {
-	now, at := time.Now(), boottime()
-	o.verifyAfterStall(at)
-	o.endIfRefused(at)
-	o.cycleAt.Store(int64(at))
-	if o.handOver() {
-		o.pollWorkers(now) // renews the leases of running tasks until the handover is committed
+	now := time.Now()
+	if !o.beginCycle(now) {
 		return
 	}
 	o.steppedAt = now
--- a/control/verification_test.go
+++ b/control/verification_test.go
@@ -46,24 +46,31 @@
 // TestStalledOwnerVerifiesFirst guards against an owner that wakes after it was replaced
 // and renews leases that its successor doesn't know of.
 func TestStalledOwnerVerifiesFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		table := &blockingTable{Table: memtable.New()}
-		o, workers := newPollingOwner(t, table, runner.Done, "w")
-		table.hold = make(chan struct{})
-		o.cycleAt.Store(int64(boottime() - stalledAfter))
-		o.step()
-		runPosted(o)
-		if n := workers.polls.Load(); o.ownershipValid() || n != 0 {
-			t.Errorf("owner that stood still may give orders, %d polls sent", n)
-		}
-		close(table.hold)
-		runPosted(o)
-		o.step()
-		runPosted(o)
-		if n := workers.polls.Load(); !o.ownershipValid() || n == 0 {
-			t.Errorf("owner doesn't go on after a commit, %d polls sent", n)
-		}
-	})
+	for name, cycle := range map[string]func(*Owner){"step": (*Owner).step, "poll on": (*Owner).pollOn} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { stalledOwnerVerifiesFirst(t, cycle) })
+		})
+	}
+}
+
+func stalledOwnerVerifiesFirst(t *testing.T, cycle func(*Owner)) {
+	t.Helper()
+	table := &blockingTable{Table: memtable.New()}
+	o, workers := newPollingOwner(t, table, runner.Done, "w")
+	table.hold = make(chan struct{})
+	o.cycleAt.Store(int64(boottime() - stalledAfter))
+	cycle(o)
+	runPosted(o)
+	if n := workers.polls.Load(); o.ownershipValid() || n != 0 {
+		t.Errorf("owner that stood still may give orders, %d polls sent", n)
+	}
+	close(table.hold)
+	runPosted(o)
+	cycle(o)
+	runPosted(o)
+	if n := workers.polls.Load(); !o.ownershipValid() || n == 0 {
+		t.Errorf("owner doesn't go on after a commit, %d polls sent", n)
+	}
 }
 
 // TestStallMeetsOutage checks that an owner whose process stood still goes on after
