--- a/batch/closedzone_test.go
+++ b/batch/closedzone_test.go
@@ -6,9 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/outcome"
-	"github.com/fireflygate/fireflygate/ownership"
 	"github.com/fireflygate/fireflygate/placement"
 	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
@@ -20,18 +18,7 @@
 // that of w1, in the zone "elsewhere".
 func (r *rig) twoZones() (a, b *node) {
 	r.members[1].Zone = "elsewhere"
-	a, b = r.node("a"), r.node("b")
-	owners := map[string]string{shard: "a", shardElsewhere: "b"}
-	for i, n := range []*node{a, b} {
-		name := []string{shard, shardElsewhere}[i]
-		n.SetWorkers(map[string][]infra.Member{shard: r.members[:1], shardElsewhere: r.members[1:]})
-		n.SetOwnership(&ownership.Snapshot{Owners: owners, Grants: map[string]ownership.Grant{name: {
-			Shard: name, Epoch: 1, Version: r.table.Put(shardKey(name), nil),
-			Share: ownership.Full, Until: time.Now().Add(time.Hour),
-		}}})
-	}
-	r.advanceTime(2 * time.Second)
-	return a, b
+	return r.twoOwners(shard, shardElsewhere)
 }
 
 // closeZones closes zones on all hosts, and opens all others.
--- a/batch/move_test.go
+++ b/batch/move_test.go
@@ -16,12 +16,16 @@
 
 // twoShards starts hosts a and b, which own one shard each: a that of w0, b that
 // of w1.
-func (r *rig) twoShards() (a, b *node) {
+func (r *rig) twoShards() (a, b *node) { return r.twoOwners(shard, otherShard) }
+
+// twoOwners starts hosts a and b, which own one of two shards each: a that of w0, b that
+// of w1.
+func (r *rig) twoOwners(first, second string) (a, b *node) {
 	a, b = r.node("a"), r.node("b")
-	owners := map[string]string{shard: "a", otherShard: "b"}
+	owners := map[string]string{first: "a", second: "b"}
 	for i, n := range []*node{a, b} {
-		name := []string{shard, otherShard}[i]
-		n.SetWorkers(map[string][]infra.Member{shard: r.members[:1], otherShard: r.members[1:]})
+		name := []string{first, second}[i]
+		n.SetWorkers(map[string][]infra.Member{first: r.members[:1], second: r.members[1:]})
 		n.SetOwnership(&ownership.Snapshot{Owners: owners, Grants: map[string]ownership.Grant{name: {
 			Shard: name, Epoch: 1, Version: r.table.Put(shardKey(name), nil),
 			Share: ownership.Full, Until: time.Now().Add(time.Hour),
