--- a/integration/site.go
+++ b/integration/site.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -18,8 +19,12 @@
 	"github.com/fireflygate/fireflygate/standin"
 )
 
-// maxSites limits the sites that run concurrently.
-const maxSites = 4
+// maxSites limits the sites that run concurrently, processorsPerSite those that each needs
+// with the race detector.
+const (
+	maxSites          = 4
+	processorsPerSite = 2
+)
 
 // ConditionTimeout is the longest time that WaitUntil waits for a condition.
 const ConditionTimeout = 30 * time.Second
@@ -28,7 +33,7 @@
 const pollInterval = 20 * time.Millisecond
 
 var (
-	siteSlots = make(chan struct{}, maxSites)
+	siteSlots = make(chan struct{}, min(maxSites, max(runtime.GOMAXPROCS(0)/processorsPerSite, 1)))
 	// built is set by TestMain.
 	built Programs
 )
