--- a/integration/site.go
+++ b/integration/site.go
@@ -19,11 +19,11 @@
 	"github.com/fireflygate/fireflygate/standin"
 )
 
-// maxSites limits the sites that run concurrently, processorsPerSite those that each needs
-// with the race detector.
+// maxSites limits the sites that run concurrently, processorsPerSite is what each may take
+// with the race detector while its hosts start.
 const (
 	maxSites          = 4
-	processorsPerSite = 2
+	processorsPerSite = 4
 )
 
 // ConditionTimeout is the longest time that WaitUntil waits for a condition.
