election, control: weak hosts no longer follow each other as owners

A weak host acquired the domain 135 ms after the loss, loaded it for 2.6 s, handed over, and acquired it again 50 ms later: its row, written before anyone had pinged it, hid that there were strong hosts.

The row's reference now outlives weak owners, the delay of a much weaker host covers what a strong one loses by a stale ping, and a weak owner that learns of a strong host while it loads hands over at once. A timeout counts from the read that found the row unchanged, no longer from the ping after it. Ruled out: the number of jobs alone, a strong host loads them in 1 s.

TestTakeoverDelay and TestAcquireWait expect 1,125 ms in place of 225 ms for a quarter of the processors: the shorter delay is the fault.

--- a/control/commit.go
+++ b/control/commit.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
 )
 
@@ -57,7 +58,7 @@
 func (o *Owner) commit(b *dispatch.Batch) {
 	start, began := boottime(), time.Now()
 	best, _ := o.candidates.Strongest(start)
-	o.committer.SetCores(max(best, o.opts.Cores))
+	o.committer.SetCores(election.ReferenceCores(o.opts.Cores, best, o.inheritedReference, start-o.ownedSince))
 	o.committer.SetEarlier(o.earlier.List(start))
 	err := o.commitBatch(o.ctx, b)
 	o.opts.Metrics.commit(err, boottime()-start)
--- a/control/follow.go
+++ b/control/follow.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/outcome"
@@ -123,7 +125,8 @@
 	}
 	start := time.Now()
 	record, version, err := n.readOwner(ctx)
-	readDelay := slowReadFactor * time.Since(start)
+	readAt := time.Now()
+	readDelay := slowReadFactor * readAt.Sub(start)
 	switch {
 	case err != nil:
 		event.OwnerReadFailed.Log(n.opts.Log, slog.Any("err", err))
@@ -138,7 +141,8 @@
 			n.setLeader(record, nil)
 			return true
 		}
-		s.version, s.since = version, time.Now()
+		// The row is known since the read; the ping in between may have taken its timeout.
+		s.version, s.since = version, readAt
 		if record.Host == "" {
 			s.since = s.since.Add(-suspectTimeout) // no owner to wait for
 		}
@@ -238,6 +242,7 @@
 	// The load that made the previous owner use relays persists.
 	o.relayScaler.Restore(int(n.relaysPerZone.Load()))
 	o.rosterEpochsKnown = previous.RosterEpochs
+	o.inheritedReference = previous.Cores
 	o.predecessorHandedOver = previous.Resigned && previous.HandedOver && previous.Cores > opts.Cores
 	go n.announceOwnership(o.ctx, c.Record(), func(e election.EarlierOwner) {
 		o.post(func() { o.handleEarlierOwnerStopped(e) })
@@ -250,7 +255,13 @@
 	if n.stopping() {
 		go o.resign(ctx) // Resign was called before this owner was set
 	}
-	if err := o.load(); err != nil {
+	switch err := o.load(); {
+	case errors.Is(err, errLoadSkipped):
+		o.handOverUnloaded(ctx, previous)
+		close(o.stopped)
+		n.setLeader(election.Record{}, nil)
+		return
+	case err != nil:
 		event.LoadFailed.Log(n.opts.Log, slog.Any("epoch", o.epoch), slog.Any("err", err))
 		o.quit(err)
 		close(o.stopped) // Resign waits for it
--- a/control/load.go
+++ b/control/load.go
@@ -17,11 +17,15 @@
 const (
 	// scanPageSize is the number of rows per scan, the table service's maximum.
 	scanPageSize = 500
+	// jobsPerLoadCheck is the number of jobs restored between two checks whether a
+	// stronger host should own the domain: some 20 ms of a weak host's processor.
+	jobsPerLoadCheck = 32
 	// loadTimeout bounds loading the state; it allows for a slow table service.
 	loadTimeout = 8 * time.Second
 )
 
-// load loads the durable state of earlier owners.
+// load loads the durable state of earlier owners. It stops with errLoadSkipped if it
+// finds that the domain should be handed over instead.
 func (o *Owner) load() error {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
@@ -38,7 +42,12 @@
 	if err != nil {
 		return err
 	}
-	for _, row := range jobs {
+	for i, row := range jobs {
+		if i%jobsPerLoadCheck == 0 {
+			if err := o.checkLoad(); err != nil {
+				return err
+			}
+		}
 		o.restoreJob(row, byJob)
 	}
 	if err := o.loadEstimates(ctx); err != nil {
@@ -115,6 +124,9 @@
 			return nil, errors.Wrapf(err, "scan %s", prefix)
 		}
 		all = append(all, rows...)
+		if err := o.checkLoad(); err != nil {
+			return nil, err
+		}
 		if len(rows) < scanPageSize {
 			return all, nil
 		}
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -23,10 +23,12 @@
 }
 
 // Successor returns the owner's row by which self replaces the owner of the row
-// previous.
+// previous. It keeps the larger reference for takeovers, so that the row of a weak
+// owner doesn't let other weak hosts follow it without a delay.
 func Successor(previous *Record, self Record) Record {
 	self.Epoch, self.Seq, self.Resigned = previous.Epoch+1, 0, false
 	self.ListsEarlier, self.RosterEpochs = true, false
+	self.Cores = max(self.Cores, previous.Cores)
 	self.Earlier = earlierOwners(previous, &self)
 	return self
 }
--- a/election/committer.go
+++ b/election/committer.go
@@ -66,8 +66,7 @@
 	return c.version
 }
 
-// SetCores sets the number of processors of the strongest host that later
-// commits record.
+// SetCores sets the reference for takeovers that later commits record.
 func (c *Committer) SetCores(cores float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -89,6 +88,14 @@
 	c.record.HandedOver = true
 }
 
+// KeepRosterEpochs makes later commits record the same about the roster as the row of
+// the previous owner did. Only an owner that has given no leases may call it.
+func (c *Committer) KeepRosterEpochs(previous bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.RosterEpochs = previous
+}
+
 // Resign commits that the owner has stopped. Refresh does nothing afterwards.
 func (c *Committer) Resign(ctx context.Context) error {
 	c.mu.Lock()
--- a/election/handover.go
+++ b/election/handover.go
@@ -36,6 +36,20 @@
 	PredecessorHandedOver bool
 }
 
+// ShouldSkipLoad reports whether a new owner should hand the domain over before it
+// has loaded the state: a weak host takes so long to load a large domain that leases
+// lapse meanwhile. Nothing is interrupted then, so the stronger host needn't have been
+// available for long; if it didn't accept an earlier handover, the owner loads.
+func (s *HandoverState) ShouldSkipLoad() bool {
+	return s.strongerAvailable() && !s.PredecessorHandedOver && s.CommitAge <= StaleAfter
+}
+
+// strongerAvailable reports whether another host has so many more processors that it
+// should own the domain.
+func (s *HandoverState) strongerAvailable() bool {
+	return s.Cores > 0 && s.BestCores >= minCoreRatio*s.Cores
+}
+
 // ShouldHandOver reports whether the owner should hand the domain over to a
 // stronger host. It doesn't while the table service is unavailable.
 func (s *HandoverState) ShouldHandOver() bool {
@@ -43,6 +57,5 @@
 	if s.PredecessorHandedOver {
 		minOwned = handoverRetryDelay
 	}
-	return s.Cores > 0 && s.BestCores >= minCoreRatio*s.Cores && s.BestSeenFor >= minCandidateAge &&
-		s.OwnedFor >= minOwned && s.CommitAge <= StaleAfter
+	return s.strongerAvailable() && s.BestSeenFor >= minCandidateAge && s.OwnedFor >= minOwned && s.CommitAge <= StaleAfter
 }
--- a/election/handover_test.go
+++ b/election/handover_test.go
@@ -7,6 +7,30 @@
 	"github.com/fireflygate/fireflygate/election"
 )
 
+// TestShouldSkipLoad guards against a weak host that loads a large domain for longer than
+// leases last while a strong host is available, and against hosts that pass the domain
+// on for ever.
+func TestShouldSkipLoad(t *testing.T) {
+	weak := election.HandoverState{Cores: 0.2, BestCores: 0.8}
+	for _, c := range []struct {
+		name   string
+		change func(*election.HandoverState)
+		want   bool
+	}{
+		{"a strong host is available", func(*election.HandoverState) {}, true},
+		{"no strong host has pinged", func(s *election.HandoverState) { s.BestCores = 0.2 }, false},
+		{"the owner's processors are unknown", func(s *election.HandoverState) { s.Cores = 0 }, false},
+		{"the table service is unavailable", func(s *election.HandoverState) { s.CommitAge = time.Second }, false},
+		{"the strong host didn't accept the domain", func(s *election.HandoverState) { s.PredecessorHandedOver = true }, false},
+	} {
+		s := weak
+		c.change(&s)
+		if got := s.ShouldSkipLoad(); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // TestShouldHandOver checks that a weak host hands the domain over only to a
 // much stronger one that is stable.
 func TestShouldHandOver(t *testing.T) {
--- a/election/record.go
+++ b/election/record.go
@@ -19,8 +19,10 @@
 	Epoch uint64 `msgpack:"e"`
 	// Seq counts the owner's commits.
 	Seq uint64 `msgpack:"s"`
-	// Cores is the number of processors of the strongest host known to the owner;
-	// hosts with fewer wait longer before a takeover (see TakeoverDelay).
+	// Cores is the reference for takeovers: the number of processors of the strongest
+	// host known to this owner and, until it has owned the domain for
+	// referenceRetention, to the owners before it. Hosts with fewer wait longer before
+	// a takeover (see TakeoverDelay).
 	Cores float64 `msgpack:"c,omitempty"`
 	// HandedOver is set by an owner that hands the domain over to a stronger host.
 	HandedOver bool `msgpack:"o,omitempty"`
--- /dev/null
+++ b/election/reference.go
@@ -0,0 +1,20 @@
+package election
+
+import "time"
+
+// referenceRetention is how long a new owner keeps the takeover reference of its
+// predecessor. It exceeds candidateTTL and the time in which each host that is
+// available has pinged the owner, also one that still waits for an earlier owner.
+const referenceRetention = 5 * time.Second
+
+// ReferenceCores returns the number of processors that an owner records as the
+// reference for takeovers: its own or those of the strongest other host that is
+// available, and before it has owned the domain for referenceRetention no fewer than
+// inherited, the reference of its predecessor.
+func ReferenceCores(own, strongest, inherited float64, ownedFor time.Duration) float64 {
+	best := max(own, strongest)
+	if ownedFor < referenceRetention {
+		best = max(best, inherited)
+	}
+	return best
+}
--- a/election/takeoverdelay.go
+++ b/election/takeoverdelay.go
@@ -9,14 +9,16 @@
 	// maxFirstDelay bounds the delay before the first ownership of a domain. It
 	// exceeds the time within which a deployment's hosts usually start.
 	maxFirstDelay = 1500 * time.Millisecond
-	// maxTakeoverDelay bounds the delay that a weaker host adds to a takeover,
-	// long enough for a host as strong as the previous owner's to take over first.
-	maxTakeoverDelay = 300 * time.Millisecond
+	// maxTakeoverDelay bounds the delay that a weaker host adds to a takeover. A
+	// strong host may learn of the owner's loss a ping interval later than a weak
+	// one, and starts its timeout anew if it finds a version of the row that it
+	// hasn't seen; the delay of a much weaker host covers both.
+	maxTakeoverDelay = 1500 * time.Millisecond
 )
 
 // TakeoverDelay returns the additional time that a host with the given number
 // of processors waits before it acquires the domain. It is positive for hosts
-// with fewer processors than recorded by the previous owner, or than
+// with fewer processors than the row's reference, or than
 // firstOwnerCores if there was none, because the owner needs the most processor
 // time of all hosts.
 func TakeoverDelay(previous *Record, cores float64) time.Duration {
--- a/election/takeoverdelay_test.go
+++ b/election/takeoverdelay_test.go
@@ -21,7 +21,7 @@
 		{"first owner, half a processor", &election.Record{}, 0.5, 750 * time.Millisecond},
 		{"as many as the previous owner", strong, 0.8, 0},
 		{"more than the previous owner", strong, 2, 0},
-		{"a quarter of the previous owner's", strong, 0.2, 225 * time.Millisecond},
+		{"a quarter of the reference", strong, 0.2, 1125 * time.Millisecond},
 		{"previous owner's processors unknown", &election.Record{Host: "a"}, 0.2, 0},
 		{"own processors unknown", strong, 0, 0},
 	} {
@@ -44,9 +44,9 @@
 		want     time.Duration
 	}{
 		{"as many as an owner that may be alive", alive, 0.8, timeout},
-		{"a quarter of the processors of such an owner", alive, 0.2, timeout + 225*time.Millisecond},
+		{"a quarter of the processors of such an owner", alive, 0.2, timeout + 1125*time.Millisecond},
 		{"as many as a resigned owner", resigned, 0.8, 0},
-		{"a quarter of a resigned owner's", resigned, 0.2, 225 * time.Millisecond},
+		{"a quarter of a resigned owner's", resigned, 0.2, 1125 * time.Millisecond},
 	} {
 		if got := election.AcquireWait(c.previous, c.cores, timeout).Round(time.Millisecond); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
