--- a/control/metrics.go
+++ b/control/metrics.go
@@ -31,6 +31,7 @@
 	traffic         *prometheus.GaugeVec
 	zonesClosed     prometheus.Gauge
 	startsHeldBack  prometheus.Counter
+	detoured        prometheus.Gauge
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -45,7 +46,7 @@
 	m.initLoop()
 	r.MustRegister(
 		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
-		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
+		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.detoured, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
 	)
 	return m
 }
@@ -104,6 +105,9 @@
 	m.zonesClosed = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "fireflygate_zones_closed", Help: "Availability zones that are closed, as far as this host knows.",
 	})
+	m.detoured = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflygate_workers_detoured", Help: "Workers that don't answer the owner on the usual path and are tried through other hosts.",
+	})
 	m.startsHeldBack = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "fireflygate_closed_zone_starts_withdrawn_total", Help: "Starts withdrawn before they were sent because their zone was closed.",
 	})
--- a/control/owner.go
+++ b/control/owner.go
@@ -56,6 +56,8 @@
 	pollsLeft  bool
 	// loop holds the loop's statistics since the last summary.
 	loop loopStats
+	// detoured is the number of workers that need detours, as last logged.
+	detoured int
 	// stepDuration is the duration of the last step.
 	stepDuration time.Duration
 	// dirtySince is when a step first found changes after the last full flush, zero
--- a/control/relays.go
+++ b/control/relays.go
@@ -38,9 +38,19 @@
 	// orders counts the orders since the last summary.
 	orders atomic.Int64
 
-	mu sync.Mutex // guards known
+	mu sync.Mutex // guards known and detours
 	// known holds the state of the relays by address.
 	known map[string]*relayState
+	// detours chooses other hosts for workers that don't answer.
+	detours relay.Detours
+}
+
+// route is the path of an order to a worker.
+type route struct {
+	// via is the address of the host that relays the order, empty for a direct order.
+	via string
+	// detour is set if the usual path isn't used.
+	detour bool
 }
 
 // relayState is an owner's knowledge of a relay.
@@ -72,13 +82,9 @@
 // state of removed ones.
 func (r *relays) setTable(t *relay.Table) {
 	previous, current := r.table.Swap(t).Addresses(), t.Addresses()
-	addresses := map[string]string{}
-	for _, a := range current {
-		addresses[a] = a
-	}
-	r.client.SetPeers(addresses)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	addresses := r.connect()
 	for a := range r.known {
 		if addresses[a] == "" {
 			delete(r.known, a)
@@ -89,6 +95,42 @@
 	}
 }
 
+// connect sets the hosts to be connected to, and returns their addresses; r.mu must be
+// held.
+func (r *relays) connect() map[string]string {
+	addresses := map[string]string{}
+	for _, a := range append(r.table.Load().Addresses(), r.detours.Addresses()...) {
+		addresses[a] = a
+	}
+	r.client.SetPeers(addresses)
+	return addresses
+}
+
+// updateDetours sets the hosts that can carry detours, drops workers for which known
+// returns false, and returns the number of workers that need detours.
+func (r *relays) updateDetours(hosts []relay.Host, known func(worker string) bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.detours.SetHosts(hosts)
+	r.detours.Forget(known)
+	return r.detours.Count()
+}
+
+// recordOrder records whether a worker answered an order that took the given path.
+func (r *relays) recordOrder(worker string, path route, answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case path.detour && !answered:
+		r.detours.Lost(worker)
+	case path.detour:
+	case answered:
+		r.detours.AnsweredOnUsualPath(worker)
+	case r.detours.LostOnUsualPath(worker, time.Now()):
+		r.connect()
+	}
+}
+
 // close closes the connections to relays.
 func (r *relays) close() { r.client.Close() }
 
@@ -102,12 +144,16 @@
 	return s
 }
 
-// relayOf returns the address of a worker's relay, empty if there is none.
-func (r *relays) relayOf(w *runner.Worker) string {
+// routeOf returns the path of the next order to a worker.
+func (r *relays) routeOf(w *runner.Worker) route {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	return r.table.Load().RelayFor(w.ID, w.Zone, func(address string) bool { return !now.Before(r.state(address).avoidUntil) })
+	usable := func(address string) bool { return !now.Before(r.state(address).avoidUntil) }
+	if via := r.detours.HostFor(w.ID, w.Zone, now, usable); via != "" {
+		return route{via: via, detour: true}
+	}
+	return route{via: r.table.Load().RelayFor(w.ID, w.Zone, usable)}
 }
 
 // recordAnswer records whether a relay answered an order. After maxLostOrders
@@ -143,14 +189,14 @@
 	return false
 }
 
-// relayOrder sends an order through the worker's relay. It returns false if the
-// caller must send the order directly: the worker has no relay, or the relay
+// relayOrder sends an order through the host of its path. It returns false if the
+// caller must send the order directly: no host relays it, or the host
 // didn't get the order and ctx hasn't ended. A nil reply with true means that
 // the outcome is unknown. relayOrder sets the worker in q, and replaces a
 // payload that the relay has cached by its checksum.
-func (r *relays) relayOrder(ctx context.Context, w *runner.Worker, q *relayRequest) (*relayReply, bool) {
+func (r *relays) relayOrder(ctx context.Context, w *runner.Worker, path route, q *relayRequest) (*relayReply, bool) {
 	r.orders.Add(1)
-	address := r.relayOf(w)
+	address := path.via
 	if address == "" {
 		return nil, false
 	}
@@ -165,8 +211,12 @@
 		rep, sent = r.call(ctx, address, q)
 	}
 	if !sent {
+		if path.detour {
+			r.recordOrder(w.ID, path, false)
+		}
 		return nil, ctx.Err() != nil
 	}
+	r.recordOrder(w.ID, path, rep != nil && rep.Status != runner.Unknown)
 	return rep, true
 }
 
@@ -189,10 +239,13 @@
 
 // sendOrder sends an order through the worker's relay or directly.
 func (r *relays) sendOrder(ctx context.Context, w *runner.Worker, q *relayRequest, direct func() runner.Answer) runner.Answer {
-	rep, relayed := r.relayOrder(ctx, w, q)
+	path := r.routeOf(w)
+	rep, relayed := r.relayOrder(ctx, w, path, q)
 	switch {
 	case !relayed:
-		return direct()
+		a := direct()
+		r.recordOrder(w.ID, route{}, a.Status != runner.Unknown)
+		return a
 	case rep == nil:
 		return runner.Answer{Status: runner.Unknown, Err: errNoRelayAnswer}
 	default:
@@ -222,12 +275,15 @@
 
 // Renew implements runner.Client.
 func (r *relays) Renew(ctx context.Context, w runner.Worker, o runner.Renewal) (runner.Answer, runner.Report) {
-	rep, relayed := r.relayOrder(ctx, &w, &relayRequest{
+	path := r.routeOf(&w)
+	rep, relayed := r.relayOrder(ctx, &w, path, &relayRequest{
 		Kind: relayRenewal, Token: o.Token, Acknowledged: o.Acknowledged, LeaseUntil: o.LeaseUntil, WaitMS: o.WaitMS,
 	})
 	switch {
 	case !relayed:
-		return r.direct.Renew(ctx, w, o)
+		a, rep := r.direct.Renew(ctx, w, o)
+		r.recordOrder(w.ID, route{}, a.Status != runner.Unknown)
+		return a, rep
 	case rep == nil:
 		return runner.Answer{Status: runner.Unknown, Err: errNoRelayAnswer}, runner.Report{}
 	case rep.Status != runner.Done:
--- a/control/session.go
+++ b/control/session.go
@@ -96,7 +96,7 @@
 func (o *Owner) sendPoll(ctx context.Context, s *session, p poll) (pollAnswer, flow.RoundTrip) {
 	hold := time.Duration(p.renewal.WaitMS) * time.Millisecond
 	// The failure of a relay must be noticed soon, so its orders end in time.
-	if o.relays.relayOf(&p.worker) != "" || !s.awaitingLate.CompareAndSwap(false, true) {
+	if o.relays.routeOf(&p.worker).via != "" || !s.awaitingLate.CompareAndSwap(false, true) {
 		var rep runner.Report
 		a, rt := o.traffic.send(ctx, hold, func(ctx context.Context) (a runner.Answer) {
 			a, rep = o.relays.Renew(ctx, p.worker, p.renewal)
@@ -104,7 +104,7 @@
 		})
 		return pollAnswer{a, rep}, rt
 	}
-	return sendAwaitingLate(ctx, o.traffic.orderTimeout()+hold, func(ctx context.Context) pollAnswer {
+	a, rt := sendAwaitingLate(ctx, o.traffic.orderTimeout()+hold, func(ctx context.Context) pollAnswer {
 		a, rep := o.relays.Renew(ctx, p.worker, p.renewal)
 		return pollAnswer{a, rep}
 	}, func(a pollAnswer, late bool) {
@@ -113,4 +113,8 @@
 			o.post(func() { o.handleLatePoll(s, p, a) })
 		}
 	})
+	if a.answer.Status == runner.Unknown {
+		o.relays.recordOrder(p.worker.ID, route{}, false)
+	}
+	return a, rt
 }
--- a/control/summary.go
+++ b/control/summary.go
@@ -64,11 +64,18 @@
 }
 
 // scaleRelays adapts the number of relays to the load of the last interval, and
-// replaces the relay table.
+// replaces the relay table and the hosts that carry detours.
 func (o *Owner) scaleRelays(now time.Time, workers int) {
 	relaysPerZone := o.relayScaler.Observe(relay.Load{
 		Workers: workers, Orders: int(o.relays.orders.Swap(0)), RoundTrip: o.traffic.RoundTrip(now), StartLimitReached: o.loop.overloaded(),
 	})
 	o.relaysPerZone.Store(int64(relaysPerZone))
-	o.relays.setTable(relay.NewTable(o.candidates.RelayHosts(boottime()), relaysPerZone))
+	hosts := o.candidates.RelayHosts(boottime())
+	detoured := o.relays.updateDetours(hosts, o.state.HasWorker)
+	if (detoured > 0) != (o.detoured > 0) {
+		event.DetoursChanged.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Int("workers", detoured))
+	}
+	o.detoured = detoured
+	o.opts.Metrics.detoured.Set(float64(detoured))
+	o.relays.setTable(relay.NewTable(hosts, relaysPerZone))
 }
--- a/event/control.go
+++ b/event/control.go
@@ -40,6 +40,7 @@
 	EarlierOwnerStopped  = define(935, slog.LevelInfo, "earlier owner has stopped giving orders")
 	OwnershipInDoubt     = define(936, slog.LevelWarn, "domain ownership in doubt, verifying it before further orders")
 	ZonesChanged         = define(937, slog.LevelInfo, "closed availability zones changed")
+	DetoursChanged       = define(939, slog.LevelInfo, "workers do not answer the owner, reaching them through other hosts")
 	PoolClosed           = routine(938, slog.LevelInfo, "job refused, all availability zones with its workers are closed")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
