control: a new owner reads its rows at the same time

Callers wait while a new owner loads. Progress, jobs and roster were read one after another, page by page over a link with small windows. They can't change meanwhile, since earlier owners' commits are conditional on the owner's row. Decoding isn't what takes the time: 1,000 jobs of 40 tasks are restored in 17 ms natively.

--- a/control/load.go
+++ b/control/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,18 +31,15 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
-	progress, err := o.scan(ctx, dispatch.ProgressPrefix)
+	rows, err := o.scanAll(ctx, dispatch.ProgressPrefix, dispatch.JobPrefix, dispatch.RosterPrefix)
 	if err != nil {
 		return err
 	}
+	progress, jobs, roster := rows[0], rows[1], rows[2]
 	byJob := make(map[string]infra.Row, len(progress))
 	for _, row := range progress {
 		byJob[strings.TrimPrefix(row.Key, dispatch.ProgressPrefix)] = row
 	}
-	jobs, err := o.scan(ctx, dispatch.JobPrefix)
-	if err != nil {
-		return err
-	}
 	for i, row := range jobs {
 		if i%jobsPerLoadCheck == 0 {
 			if err := o.checkLoad(); err != nil {
@@ -53,7 +51,7 @@
 	if err := o.loadEstimates(ctx); err != nil {
 		return err
 	}
-	workers, err := o.loadRoster(ctx)
+	workers, err := o.restoreRoster(roster)
 	if err != nil {
 		return err
 	}
@@ -77,13 +75,9 @@
 	o.state.RestoreJob(now, now.UnixMilli(), job, p)
 }
 
-// loadRoster loads the workers on which runs may be alive, and returns their
-// number.
-func (o *Owner) loadRoster(ctx context.Context) (int, error) {
-	rows, err := o.scan(ctx, dispatch.RosterPrefix)
-	if err != nil {
-		return 0, err
-	}
+// restoreRoster restores the workers on which runs may be alive from their rows, and
+// returns their number.
+func (o *Owner) restoreRoster(rows []infra.Row) (int, error) {
 	workers := 0
 	for _, row := range rows {
 		var roster dispatch.RosterRow
@@ -114,6 +108,24 @@
 	return nil
 }
 
+// scanAll reads all rows with each of the key prefixes, at the same time: a large domain
+// has many pages, and callers wait meanwhile. Earlier owners can't change the rows any
+// more.
+func (o *Owner) scanAll(ctx context.Context, prefixes ...string) ([][]infra.Row, error) {
+	all, errs := make([][]infra.Row, len(prefixes)), make([]error, len(prefixes))
+	var pending sync.WaitGroup
+	for i, prefix := range prefixes {
+		pending.Go(func() { all[i], errs[i] = o.scan(ctx, prefix) })
+	}
+	pending.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
 // scan reads all rows with the key prefix.
 func (o *Owner) scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	var all []infra.Row
