peer, control: a host dials a new owner at once

After all hosts had lost power a second takeover followed the first by 0.36 s: a host had tried to reach the new owner's host while that was still starting, and took the backoff of that failed dial for the loss of the new owner. Ruled out: the owner's commits, it was loading its rows and its row was 0.36 s old.

A host that follows another owner now dials it at once. TestReconnectAfterBackoff reset the backoff by hand; it does so by Redial now, and checks the same.

--- a/control/follow.go
+++ b/control/follow.go
@@ -201,6 +201,7 @@
 // followOwner makes the host follow another owner.
 func (n *Node) followOwner(r election.Record) {
 	n.setLeader(r, nil)
+	n.client.Redial(r.Host) // a dial of before its takeover says nothing about it
 	event.OwnerFollowed.Log(n.opts.Log, slog.String("host", r.Host), slog.Uint64("epoch", r.Epoch))
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// Redial ends the backoff after a failed dial, so that the next call to the host dials:
+// the host is known to have been up since.
+func (c *Client) Redial(host string) {
+	c.mu.Lock()
+	l := c.links[host]
+	c.mu.Unlock()
+	if l != nil {
+		l.endBackoff()
+	}
+}
+
 // LateReplies returns how many replies arrived after their request was
 // abandoned.
 func (c *Client) LateReplies() uint64 { return c.lateReplies.Load() }
--- a/peer/faults_test.go
+++ b/peer/faults_test.go
@@ -224,7 +224,7 @@
 	}
 }
 
-func TestReconnectAfterBackoff(t *testing.T) {
+func TestBackoffAndRedial(t *testing.T) {
 	_, address := serve(t, Options{Host: "b"}, admitAll, nil)
 	c := NewClient(Options{Host: "a", MinBackoff: time.Hour, MaxBackoff: time.Hour}, rand.New(rand.NewPCG(1, 1)))
 	defer c.Close()
@@ -251,10 +251,11 @@
 	if wait := time.Until(l.retryAt); wait < 29*time.Minute || wait > time.Hour {
 		t.Errorf("backoff %v, want 30m to 1h", wait)
 	}
-	l.retryAt = time.Time{}
 	l.mu.Unlock()
+	// A host that is known to be up again must not count as unreachable until the backoff ends.
+	c.Redial("b")
 	if r := c.Call(t.Context(), "b", "echo", echoMessage{}, nil); r.Kind != outcome.Answered || dials != 2 {
-		t.Errorf("after the backoff: got %+v after %d dials, want answered after 2", r, dials)
+		t.Errorf("after Redial: got %+v after %d dials, want answered after 2", r, dials)
 	}
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -105,6 +105,13 @@
 	return l.conn, nil
 }
 
+// endBackoff lets the next caller dial at once.
+func (l *link) endBackoff() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retryAt = time.Time{}
+}
+
 func (l *link) logConnectionLost(cause error) {
 	event.PeerLost.Log(l.client.opts.Log, slog.String("peer", l.host), slog.Any("cause", cause))
 }
