control: a request that the owner's loop never took up has not run

A request that was queued for the loop when the owner ended or its caller gave up was answered as "unknown", though it had not run: callers got 502 or 504 and could not repeat it.

The loop and the waiter now claim a request, and exactly one of them wins. One that the loop did not take up is "not owner" and never runs. One that it took up keeps the loop's answer also if the owner ends at the same time.

--- a/control/requests.go
+++ b/control/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflygate/fireflygate/election"
@@ -12,11 +13,16 @@
 
 // runOnLoop runs f on the loop and waits for a reply on the channel passed to
 // f. An owner that has made its last commit accepts no requests; the next owner
-// does.
+// does. If the context or the ownership ends before the loop takes the request
+// up, f never runs and the reply is ResultNotOwner.
 func (o *Owner) runOnLoop(ctx context.Context, f func(answer chan reply)) reply {
 	answer := make(chan reply, 1)
+	var claimed atomic.Bool // by the loop to run f, or by this function to give f up
 	posted := func() {
-		if o.closed || ctx.Err() != nil { // the caller no longer waits
+		if !claimed.CompareAndSwap(false, true) {
+			return
+		}
+		if o.closed || ctx.Err() != nil || o.ctx.Err() != nil { // nobody waits, or no commit follows
 			answer <- reply{Result: ResultNotOwner}
 			return
 		}
@@ -33,8 +39,28 @@
 	case r := <-answer:
 		return r
 	case <-ctx.Done():
-		return reply{Result: ResultUnknown}
 	case <-o.ctx.Done():
+	}
+	if claimed.CompareAndSwap(false, true) {
+		return reply{Result: ResultNotOwner}
+	}
+	return o.lastAnswer(ctx, answer)
+}
+
+// lastAnswer returns the reply to a request that the loop has taken up, after the
+// context or the ownership has ended. The loop answers all requests before it
+// stops, so an answer that tells more than ResultUnknown isn't lost.
+func (o *Owner) lastAnswer(ctx context.Context, answer chan reply) reply {
+	select {
+	case r := <-answer:
+		return r
+	case <-ctx.Done():
+	case <-o.stopped:
+	}
+	select {
+	case r := <-answer:
+		return r
+	default:
 		return reply{Result: ResultUnknown}
 	}
 }
