election: an unanswered commit is repeated every 700 ms

The attempts of a commit followed each other after 0.7, 1.4, 2.8 and then 3 s, so the first commit after an outage of a table service that loses requests came up to 3 s after its return. A result also restarted the wait for the next attempt: attempts that time out 0.7 s apart could have put it off for as long as the silence lasts.

Attempts now start 700 ms apart, counted from the last start. At most five are in flight.

--- a/election/attempts.go
+++ b/election/attempts.go
@@ -26,13 +26,13 @@
 	results chan attempt
 	// pending counts the attempts whose result next has not returned.
 	pending int
-	// repeatAfter is how long next waits for a result.
-	repeatAfter time.Duration
+	// repeatAt is when another attempt is due if no result has settled the commit.
+	repeatAt time.Time
 }
 
 // maxAttemptsPending bounds the attempts in flight: those of attemptTimeout, of which
-// each follows firstRepeat or more after the one before.
-const maxAttemptsPending = int(attemptTimeout/firstRepeat) + 1
+// each follows repeatInterval or more after the one before.
+const maxAttemptsPending = int(attemptTimeout/repeatInterval) + 1
 
 // newAttempts returns the attempts of a commit of writes. cancel must be called at the
 // end of the commit.
@@ -40,12 +40,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	return &attempts{
 		ctx: ctx, cancel: cancel, table: table, writes: writes,
-		results: make(chan attempt, maxAttemptsPending), repeatAfter: firstRepeat,
+		results: make(chan attempt, maxAttemptsPending),
 	}
 }
 
-// start begins another attempt, on the condition that the owner's row has a version.
+// start begins another attempt, on the condition that the owner's row has a version,
+// unless maxAttemptsPending are in flight. The next one is due repeatInterval later.
 func (t *attempts) start(version uint64) {
+	t.repeatAt = time.Now().Add(repeatInterval)
 	if t.pending == maxAttemptsPending {
 		return
 	}
@@ -59,17 +61,17 @@
 	}()
 }
 
-// next returns the next result, or false when it is time for another attempt or the
-// context has ended.
+// next returns the next result, or false when another attempt is due or the context has
+// ended. A result doesn't postpone the next attempt: on a silent table, attempts time out
+// at the interval at which they are made.
 func (t *attempts) next() (attempt, bool) {
-	timer := time.NewTimer(t.repeatAfter)
+	timer := time.NewTimer(time.Until(t.repeatAt))
 	defer timer.Stop()
 	select {
 	case a := <-t.results:
 		t.pending--
 		return a, true
 	case <-timer.C:
-		t.repeatAfter = min(2*t.repeatAfter, maxRepeat)
 	case <-t.ctx.Done():
 	}
 	return attempt{}, false
--- a/election/committer.go
+++ b/election/committer.go
@@ -14,11 +14,11 @@
 var ErrDeposed = errors.New("election: another host owns the domain")
 
 const (
-	// firstRepeat is how long the first attempt of a commit is the only one. Each
-	// further attempt follows after twice the time, up to maxRepeat.
-	firstRepeat = 700 * time.Millisecond
-	maxRepeat   = 3 * time.Second
-	// attemptTimeout bounds one attempt. It exceeds firstRepeat, so that the late
+	// repeatInterval is the time between two attempts of a commit that is not
+	// answered. A table service that loses requests is back for at most this long
+	// before an attempt reaches it. With increasing delays this took up to 3 s.
+	repeatInterval = 700 * time.Millisecond
+	// attemptTimeout bounds one attempt. It exceeds repeatInterval, so that the late
 	// answer of a slow table service is used.
 	attemptTimeout = 3 * time.Second
 	// retryDelay is the delay after a refused or immediately failed attempt.
