--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -141,6 +141,7 @@
 		t.locations = appendMissing(t.locations, workers)
 	}
 	b.jobs = append(b.jobs, batchJob{j, j.state, locations})
+	j.collected = true
 	return nil
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -17,6 +17,9 @@
 	durable workload.State
 	// rowStored is set once the job's own row is durable.
 	rowStored bool
+	// collected is set once a batch contains the job. The batch may be sent, and
+	// applied, at any time from then on.
+	collected bool
 	// longRunning is set for jobs with long-running tasks, which end only when
 	// cancelled.
 	longRunning bool
