control: submissions in no commit are refused while the store is unavailable

Callers whose jobs waited behind a commit that the store did not answer were told "unknown", though no commit contained their jobs, and could not use the rest of their time limits. A new job was refused with a retry delay that could exceed the time limit and was the same for all.

Once a commit has lasted over a second, the owner's loop withdraws the jobs that no batch contains and refuses their callers. An owner that ends leaves such jobs to the next one. The retry delay follows the outage, within 1 to 4 s, is spread over a further half by the job's ID and is shortened to the whole seconds left of the caller's time limit, which forwarded submissions carry in an optional field.

The last commit of a resigning owner records when it began, so that it does not count as older than it is.

--- a/control/commit.go
+++ b/control/commit.go
@@ -68,6 +68,7 @@
 	}
 	o.recordCommit(start)
 	o.post(func() {
+		o.endOutage(true)
 		o.committing = false
 		o.state.ConfirmOwnership(began)
 		o.state.MarkFlushed(b)
@@ -106,8 +107,8 @@
 
 // notifyWaiters responds to all waiters of a job.
 func (o *Owner) notifyWaiters(id string, r reply) {
-	for _, c := range o.waiters[id] {
-		c <- r
+	for _, w := range o.waiters[id] {
+		w.answer <- r
 	}
 	delete(o.waiters, id)
 }
--- a/control/forward.go
+++ b/control/forward.go
@@ -34,7 +34,8 @@
 	RetryAfter time.Duration
 }
 
-// Submit submits a job to a queue.
+// Submit submits a job to a queue. The context's deadline is the caller's time limit,
+// which bounds the retry delay of a refusal.
 func (n *Node) Submit(ctx context.Context, job *workload.Job, q workload.Queue) Outcome {
 	return n.route(ctx, job.ID, methodSubmit, submitRequest{Job: *job, Queue: q},
 		func(o *Owner) reply { return o.submit(ctx, job, q) })
@@ -105,6 +106,7 @@
 // forward sends a request to the owner's host. It reports whether the owner may
 // have executed the request without confirming it.
 func (n *Node) forward(ctx context.Context, host string, m peer.Method, request any) (r reply, mayHaveRun bool) {
+	request = withTimeLimit(ctx, time.Now(), request)
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	res := n.client.Call(ctx, host, m, request, &r)
--- a/control/messages.go
+++ b/control/messages.go
@@ -63,6 +63,9 @@
 type submitRequest struct {
 	Job   workload.Job   `msgpack:"j"`
 	Queue workload.Queue `msgpack:"q"`
+	// LimitMS is what is left of the caller's time limit in milliseconds when the
+	// request is sent, 0 if unknown, as from hosts of earlier releases.
+	LimitMS int64 `msgpack:"l,omitempty"`
 }
 
 // jobRequest queries or cancels a job.
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -31,6 +31,10 @@
 	traffic         *prometheus.GaugeVec
 	zonesClosed     prometheus.Gauge
 	startsHeldBack  prometheus.Counter
+	// withdrawn counts submissions withdrawn in outages of the table service; outage
+	// is how long the current one has lasted.
+	withdrawn prometheus.Counter
+	outage    prometheus.Gauge
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -43,9 +47,11 @@
 	m.initOwnership()
 	m.initDomain()
 	m.initLoop()
+	m.initOutage()
 	r.MustRegister(
 		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
+		m.withdrawn, m.outage,
 	)
 	return m
 }
@@ -126,6 +132,16 @@
 	}, []string{"what"})
 }
 
+// initOutage creates the metrics of outages of the table service.
+func (m *Metrics) initOutage() {
+	m.withdrawn = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflygate_submissions_withdrawn_total", Help: "Submissions withdrawn before their first commit because the store was unavailable.",
+	})
+	m.outage = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflygate_store_outage_seconds", Help: "How long the store has been unavailable to this host as the owner, 0 if it is available.",
+	})
+}
+
 // request counts a completed request.
 func (m *Metrics) request(method string, r Result, elapsed time.Duration) {
 	m.requests.WithLabelValues(method, r.String()).Inc()
--- a/control/owner.go
+++ b/control/owner.go
@@ -31,8 +31,11 @@
 	// relaysPerZone is the number of relays per zone, as reported to other hosts.
 	relaysPerZone atomic.Int64
 	// waiters are, by job, the callers that wait for its changes to be durable.
-	waiters map[string][]chan reply
-	config  Config
+	waiters map[string][]waiter
+	// withdrawn counts the submissions withdrawn in the current outage of the table
+	// service.
+	withdrawn int
+	config    Config
 	// closedZones returns the newest set of closed zones known to this host.
 	closedZones func() closedzones.Set
 	// committing is set while a commit is in flight.
@@ -115,7 +118,7 @@
 	o := &Owner{
 		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: row.Epoch,
 		events: make(chan func(), maxQueuedFuncs), sessions: map[string]*session{}, traffic: newTraffic(),
-		waiters: map[string][]chan reply{}, stopped: make(chan struct{}), ownedSince: boottime(), candidates: new(election.Candidates),
+		waiters: map[string][]waiter{}, stopped: make(chan struct{}), ownedSince: boottime(), candidates: new(election.Candidates),
 	}
 	o.relays = newRelays(&o.opts)
 	o.closedZones = func() closedzones.Set { return closedzones.Set{} }
@@ -241,8 +244,10 @@
 	}
 }
 
-// step runs one cycle: it commits changes, plans, and polls workers.
+// step runs one cycle: it withdraws submissions in an outage of the table service,
+// commits changes, plans, and polls workers.
 func (o *Owner) step() {
+	o.withdrawInOutage()
 	now := time.Now()
 	if !o.beginCycle(now) {
 		return
@@ -277,8 +282,14 @@
 	return !o.startLimitReached || o.traffic.CanPlanStarts() || now.Sub(o.plannedAt) >= maxPlanInterval
 }
 
-// abandonWaiters responds to all waiters that the outcome is unknown.
+// abandonWaiters responds to all waiters after the loop has ended. Jobs that no batch
+// contains are not committed any more, so the next owner may get them; the outcome of
+// the others is unknown.
 func (o *Owner) abandonWaiters() {
+	o.endOutage(false)
+	for _, id := range o.state.WithdrawUncollected() {
+		o.notifyWaiters(id, reply{Result: ResultNotOwner})
+	}
 	for id := range o.waiters {
 		o.notifyWaiters(id, reply{Result: ResultUnknown})
 	}
--- a/control/requests.go
+++ b/control/requests.go
@@ -65,16 +65,26 @@
 	}
 }
 
-// submit accepts a job and answers once it is durable. It refuses a new job
-// while the table service is unavailable or too many starts are queued. It sets
-// the time of submission in spec if there is none.
+// submit submits a job of a caller on this host, whose time limit is the context's
+// deadline.
 func (o *Owner) submit(ctx context.Context, spec *workload.Job, q workload.Queue) reply {
+	deadline, _ := ctx.Deadline() // zero if there is none
+	return o.submitBefore(ctx, spec, q, deadline)
+}
+
+// submitBefore accepts a job and answers once it is durable. It refuses a new job
+// while the table service is unavailable or too many starts are queued. It sets
+// the time of submission in spec if there is none. deadline is the end of the
+// caller's time limit, zero if unknown; the context of a forwarded request ends
+// sooner, with this attempt.
+func (o *Owner) submitBefore(ctx context.Context, spec *workload.Job, q workload.Queue, deadline time.Time) reply {
 	return o.runOnLoop(ctx, func(answer chan reply) {
 		if o.state.JobStored(spec.ID) {
 			answer <- reply{Result: ResultDone}
 			return
 		}
-		if retryAfter, unavailable := o.storeUnavailable(); unavailable && !o.state.HasJob(spec.ID) {
+		if lasted, unavailable := o.storeUnavailable(); unavailable && !o.state.HasJob(spec.ID) {
+			retryAfter := retryAfterOutage(lasted, spec.ID, timeLeft(time.Now(), deadline))
 			event.StoreUnavailable.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
 			answer <- reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
 			return
@@ -96,30 +106,16 @@
 			spec.Submitted = time.Now().UnixMilli()
 		}
 		o.state.Accept(time.Now(), time.Now().UnixMilli(), spec, q)
-		o.awaitDurable(spec.ID, answer)
+		o.awaitDurable(spec.ID, waiter{answer, deadline})
 	})
 }
 
+// minRetryAfter and maxRetryAfter bound the retry delay of refused callers.
 const (
-	// storeUnavailableAfter is the duration of a commit from which new jobs are
-	// refused: above that of a slow commit, below callers' timeouts.
-	storeUnavailableAfter = time.Second
-	// minRetryAfter and maxRetryAfter bound the retry delay of refused callers.
 	minRetryAfter = time.Second
 	maxRetryAfter = 4 * time.Second
 )
 
-// storeUnavailable reports whether the table service seems to be unavailable,
-// so that no job can be accepted. The retry delay equals the time it has been
-// unavailable, within bounds.
-func (o *Owner) storeUnavailable() (time.Duration, bool) {
-	if !o.committing {
-		return 0, false
-	}
-	commitTime := time.Since(o.lastCommit)
-	return min(max(commitTime, minRetryAfter), maxRetryAfter), commitTime > storeUnavailableAfter
-}
-
 // cancel cancels a job and answers once the cancellation is durable.
 func (o *Owner) cancel(ctx context.Context, id string) reply {
 	return o.runOnLoop(ctx, func(answer chan reply) {
@@ -132,14 +128,14 @@
 			answer <- reply{Result: ResultDone}
 			return
 		}
-		o.awaitDurable(id, answer)
+		o.awaitDurable(id, waiter{answer: answer})
 	})
 }
 
 // awaitDurable makes the job's latest change urgent, and sends a reply once that
 // change is durable.
-func (o *Owner) awaitDurable(id string, answer chan reply) {
-	o.waiters[id] = append(o.waiters[id], answer)
+func (o *Owner) awaitDurable(id string, w waiter) {
+	o.waiters[id] = append(o.waiters[id], w)
 	o.state.MarkUrgent(id)
 }
 
--- a/control/resign.go
+++ b/control/resign.go
@@ -45,14 +45,16 @@
 }
 
 // commitRemaining commits one last batch of changes and then gives the domain
-// up. The owner accepts no more requests. Callers that wait for changes beyond
-// maxBatchWrites get an unknown outcome.
+// up. The owner accepts no more requests. Jobs beyond maxBatchWrites that no batch has
+// contained are left to the next owner; callers that wait for other changes beyond it
+// get an unknown outcome.
 func (o *Owner) commitRemaining(ctx context.Context) {
 	b, err := o.state.Flush(time.Now(), maxBatchWrites)
 	if err != nil {
 		panic("control: can't encode state: " + err.Error())
 	}
 	o.committing, o.closed = true, true
+	o.lastCommit = time.Now()
 	go func() {
 		if err := o.commitBatch(ctx, b); err != nil {
 			event.ResignFailed.Log(o.opts.Log, slog.Any("err", err))
@@ -60,6 +62,7 @@
 			return
 		}
 		o.post(func() {
+			o.endOutage(true)
 			o.state.MarkFlushed(b)
 			o.notifyDurable()
 			o.released.Store(true) // its successor doesn't wait for orders after the resignation
--- a/control/serve.go
+++ b/control/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/fireflygate/fireflygate/peer"
 )
@@ -20,7 +21,7 @@
 		return n.newPingReply(q.Hosts), nil
 	})
 	serve(n.server, methodSubmit, n, func(ctx context.Context, o *Owner, q *submitRequest) reply {
-		return o.submit(ctx, &q.Job, q.Queue)
+		return o.submitBefore(ctx, &q.Job, q.Queue, q.deadline(time.Now()))
 	})
 	serve(n.server, methodState, n, func(ctx context.Context, o *Owner, q *jobRequest) reply {
 		return o.jobState(ctx, q.ID)
--- a/dispatch/withdrawjob_test.go
+++ b/dispatch/withdrawjob_test.go
@@ -107,12 +107,17 @@
 	r.wantState("job", workload.Cancelled)
 }
 
-// TestJobWithRunIsNotWithdrawn guards against a job that is dropped although a worker
-// reports a run of it.
+// TestJobWithRunIsNotWithdrawn guards against a job that is dropped although a worker has
+// reported a run of it, also after its cancellation.
 func TestJobWithRunIsNotWithdrawn(t *testing.T) {
 	r := newRig(t, 1)
-	r.accept("running")
-	r.accept("waiting")
-	r.report(worker(0), []runner.ActiveRun{{Task: workload.TaskID{Job: "running"}, Run: 1, Percent: 100}}, nil)
+	for _, id := range []string{"running", "cancelled", "waiting"} {
+		r.accept(id)
+	}
+	run := func(job string) runner.ActiveRun {
+		return runner.ActiveRun{Task: workload.TaskID{Job: job}, Run: 1, Percent: 100}
+	}
+	r.report(worker(0), []runner.ActiveRun{run("running"), run("cancelled")}, nil)
+	r.state.Cancel(r.now, "cancelled")
 	r.wantWithdrawn("waiting")
 }
