control: submissions are withdrawn as soon as the store counts as unavailable

The withdrawal waited for the next cycle of the loop, up to 0.1 s. A host that forwards a submission waits 1.2 s for the owner; jobs accepted as the commit began left it little more than 0.1 s, and its caller is told "unknown" if it gives up first.

A commit that lasts for a second now makes the loop withdraw at once.

TestRetryDelayEndsWithTimeLimit checks the retry delays of local and of forwarded submissions.

--- a/control/commit.go
+++ b/control/commit.go
@@ -54,8 +54,12 @@
 // commit writes a batch together with the owner's row, in which it updates the
 // number of processors. Once the batch is durable, the loop marks it as flushed,
 // replies to waiters and runs afterCommit. If the commit fails, as it does when
-// the owner has been deposed, the owner quits.
+// the owner has been deposed, the owner quits. If it lasts for storeUnavailableAfter,
+// the loop withdraws submissions at once: hosts that forwarded them wait for only 0.2 s
+// longer, and a cycle may be 0.1 s away.
 func (o *Owner) commit(b *dispatch.Batch) {
+	outage := time.AfterFunc(storeUnavailableAfter, func() { o.post(o.withdrawInOutage) })
+	defer outage.Stop()
 	start, began := boottime(), time.Now()
 	best, _ := o.candidates.Strongest(start)
 	o.committer.SetCores(election.ReferenceCores(o.opts.Cores, best, o.inheritedReference, start-o.ownedSince))
--- a/control/outage.go
+++ b/control/outage.go
@@ -29,7 +29,7 @@
 		return 0, false
 	}
 	lasted := time.Since(o.lastCommit)
-	return lasted, lasted > storeUnavailableAfter
+	return lasted, lasted >= storeUnavailableAfter
 }
 
 // withdrawInOutage withdraws the jobs that wait for their first commit if the
--- a/control/outage_test.go
+++ b/control/outage_test.go
@@ -350,6 +350,67 @@
 	})
 }
 
+// TestWithdrawalIsNotDelayed guards against a refusal that waits for the next cycle: a
+// host that has forwarded the submission gives up 0.2 s after the withdrawal is due, and
+// its caller is then told "unknown".
+func TestWithdrawalIsNotDelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newOutageRig(t)
+		r.wait(33 * time.Millisecond) // so that no cycle is due a second after the commit
+		r.table.setFrom("sent", r.table.silent)
+		sent := r.submit(r.o, "sent", 2*time.Second)
+		begun := time.Now()
+		for inFlight := false; !inFlight; {
+			r.wait(time.Millisecond)
+			onLoop(r.o, func() { inFlight, begun = !r.o.state.JobFlushed("sent") && r.o.committing, r.o.lastCommit })
+		}
+		r.expect(r.submit(r.o, "withdrawn", callerLimit), "withdrawn", ResultRefused)
+		if after := time.Since(begun); after != storeUnavailableAfter {
+			t.Errorf("refused %v after the commit began, want %v", after, storeUnavailableAfter)
+		}
+		r.expect(sent, "sent", ResultUnknown)
+		r.table.set(nil)
+	})
+}
+
+// TestRetryDelayEndsWithTimeLimit guards against a retry delay beyond the caller's time
+// limit, for withdrawn and for later submissions, of callers on this host and on others.
+func TestRetryDelayEndsWithTimeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newOutageRig(t)
+		r.beginOutage(r.table.silent)
+		delays := func(after time.Duration, limitMS int64) []int64 {
+			r.wait(after)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(limitMS)*time.Millisecond)
+			defer cancel()
+			job := workload.Job{ID: fmt.Sprint("job", limitMS), Queue: heldQueue.Name, Steps: []workload.Step{{
+				Tasks: 1, Estimate: testEstimate, DisruptionBudget: -1,
+			}}}
+			other := job
+			other.ID += "forwarded"
+			forwarded := make(chan reply, 1)
+			go func() {
+				forwarded <- submitForwarded(t.Context(), r.o, &submitRequest{Job: other, Queue: heldQueue, LimitMS: limitMS})
+			}()
+			local, remote := r.o.submit(ctx, &job, heldQueue), <-forwarded
+			if local.Result != ResultRefused || remote.Result != ResultRefused {
+				t.Errorf("results with a limit of %d ms: %v and %v, want refused", limitMS, local.Result, remote.Result)
+			}
+			return []int64{local.RetryAfterMS, remote.RetryAfterMS}
+		}
+		if d := delays(0, 2200); !slices.Equal(d, []int64{1000, 1000}) { // 1.2 s are left when it is withdrawn
+			t.Errorf("delays of withdrawn submissions are %v ms, want 1,000", d)
+		}
+		if d := delays(2*time.Second, 2200); !slices.Equal(d, []int64{2000, 2000}) {
+			t.Errorf("delays of later submissions are %v ms, want 2,000", d)
+		}
+		if d := delays(0, 60_000); slices.Min(d) < 3000 {
+			t.Errorf("delays with a long limit are %v ms, want 3,000 or more", d)
+		}
+		r.table.set(nil)
+	})
+}
+
 // TestLostAnswerDuringOutage guards against a job that is withdrawn or doubled after its
 // commit took effect without an answer, and against jobs accepted since that are not
 // refused.
--- a/control/serve.go
+++ b/control/serve.go
@@ -20,9 +20,7 @@
 		n.candidates.Observe(q.Address, q.Zone, q.Cores, boottime())
 		return n.newPingReply(q.Hosts), nil
 	})
-	serve(n.server, methodSubmit, n, func(ctx context.Context, o *Owner, q *submitRequest) reply {
-		return o.submitBefore(ctx, &q.Job, q.Queue, q.deadline(time.Now()))
-	})
+	serve(n.server, methodSubmit, n, submitForwarded)
 	serve(n.server, methodState, n, func(ctx context.Context, o *Owner, q *jobRequest) reply {
 		return o.jobState(ctx, q.ID)
 	})
@@ -68,3 +66,8 @@
 	}
 	return r
 }
+
+// submitForwarded submits a job of a caller on another host.
+func submitForwarded(ctx context.Context, o *Owner, q *submitRequest) reply {
+	return o.submitBefore(ctx, &q.Job, q.Queue, q.deadline(time.Now()))
+}
