--- a/event/control.go
+++ b/event/control.go
@@ -42,5 +42,6 @@
 	ZonesChanged         = define(937, slog.LevelInfo, "closed availability zones changed")
 	DetoursChanged       = define(939, slog.LevelInfo, "workers do not answer the owner, reaching them through other hosts")
 	PoolClosed           = routine(938, slog.LevelInfo, "job refused, all availability zones with its workers are closed")
+	SubmissionsWithdrawn = define(943, slog.LevelWarn, "submissions withdrawn, the store was unavailable")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
