election, control: a slow store isn't kept busy by repeated commits

Ruled out: the number of rows, a commit of 2 took as long as one of 26.

The interval follows the time of the commit before, three times of it; so does the time after which the store counts as unavailable, twice of it, up to 2 s.

--- a/control/commit.go
+++ b/control/commit.go
@@ -54,11 +54,11 @@
 // commit writes a batch together with the owner's row, in which it updates the
 // number of processors. Once the batch is durable, the loop marks it as flushed,
 // replies to waiters and runs afterCommit. If the commit fails, as it does when
-// the owner has been deposed, the owner quits. If it lasts for storeUnavailableAfter,
-// the loop withdraws submissions at once: hosts that forwarded them wait for only 0.2 s
+// the owner has been deposed, the owner quits. If the store counts as unavailable
+// meanwhile, the loop withdraws submissions at once: hosts that forwarded them wait for only 0.2 s
 // longer, and a cycle may be 0.1 s away.
 func (o *Owner) commit(b *dispatch.Batch) {
-	outage := time.AfterFunc(storeUnavailableAfter, func() { o.post(o.withdrawInOutage) })
+	outage := time.AfterFunc(unavailableAfter(o.commitDuration), func() { o.post(o.withdrawInOutage) })
 	defer outage.Stop()
 	start, began := boottime(), time.Now()
 	best, _ := o.candidates.Strongest(start)
@@ -73,7 +73,7 @@
 	o.recordCommit(start)
 	o.post(func() {
 		o.endOutage(true)
-		o.committing = false
+		o.committing, o.commitDuration = false, time.Since(o.lastCommit)
 		o.state.ConfirmOwnership(began)
 		o.state.MarkFlushed(b)
 		o.notifyDurable()
--- a/control/outage.go
+++ b/control/outage.go
@@ -10,9 +10,20 @@
 	"github.com/fireflygate/fireflygate/event"
 )
 
-// storeUnavailableAfter is the duration of a commit from which new jobs are
-// refused: above that of a slow commit, below callers' timeouts.
-const storeUnavailableAfter = time.Second
+// storeUnavailableAfter is the duration of a commit from which new jobs are refused,
+// unless the commit before took more than half of it: a store that is slow still accepts
+// jobs in time. Then it is twice that duration, up to maxStoreUnavailableAfter, which
+// leaves callers some time of their usual limits to retry.
+const (
+	storeUnavailableAfter    = time.Second
+	maxStoreUnavailableAfter = 2 * time.Second
+)
+
+// unavailableAfter returns the duration of a commit from which the store counts as
+// unavailable, given how long the commit before took.
+func unavailableAfter(last time.Duration) time.Duration {
+	return min(max(storeUnavailableAfter, 2*last), maxStoreUnavailableAfter)
+}
 
 // waiter is a caller that waits for a change to be durable.
 type waiter struct {
@@ -29,7 +40,7 @@
 		return 0, false
 	}
 	lasted := time.Since(o.lastCommit)
-	return lasted, lasted >= storeUnavailableAfter
+	return lasted, lasted >= unavailableAfter(o.commitDuration)
 }
 
 // withdrawInOutage withdraws the jobs that wait for their first commit if the
--- a/control/owner.go
+++ b/control/owner.go
@@ -38,8 +38,10 @@
 	config    Config
 	// closedZones returns the newest set of closed zones known to this host.
 	closedZones func() closedzones.Set
-	// committing is set while a commit is in flight.
-	committing bool
+	// committing is set while a commit is in flight; commitDuration is how long the last
+	// one took.
+	committing     bool
+	commitDuration time.Duration
 	// lastCommit, summarizedAt and steppedAt are when the last commit, summary and
 	// step began.
 	lastCommit   time.Time
--- a/control/retrydelay_test.go
+++ b/control/retrydelay_test.go
@@ -92,3 +92,16 @@
 		t.Errorf("another request became %v", other)
 	}
 }
+
+// TestUnavailableAfter guards against a store that is only slow and turns callers away: its
+// commits take long one after another, which a single long commit doesn't show.
+func TestUnavailableAfter(t *testing.T) {
+	for last, want := range map[time.Duration]time.Duration{
+		30 * time.Millisecond: time.Second, 500 * time.Millisecond: time.Second, 800 * time.Millisecond: 1600 * time.Millisecond,
+		5 * time.Second: 2 * time.Second,
+	} {
+		if got := unavailableAfter(last); got != want {
+			t.Errorf("after a commit of %v the store counts as unavailable after %v, want %v", last, got, want)
+		}
+	}
+}
--- a/election/attempts.go
+++ b/election/attempts.go
@@ -26,6 +26,8 @@
 	results chan attempt
 	// pending counts the attempts whose result next has not returned.
 	pending int
+	// interval is the time between two attempts.
+	interval time.Duration
 	// repeatAt is when another attempt is due if no result has settled the commit.
 	repeatAt time.Time
 }
@@ -34,20 +36,20 @@
 // each follows repeatInterval or more after the one before.
 const maxAttemptsPending = int(attemptTimeout/repeatInterval) + 1
 
-// newAttempts returns the attempts of a commit of writes. cancel must be called at the
-// end of the commit.
-func newAttempts(ctx context.Context, table infra.Table, writes []infra.Write) *attempts {
+// newAttempts returns the attempts of a commit of writes, which follow each other at an
+// interval of at least repeatInterval. cancel must be called at the end of the commit.
+func newAttempts(ctx context.Context, table infra.Table, writes []infra.Write, interval time.Duration) *attempts {
 	ctx, cancel := context.WithCancel(ctx)
 	return &attempts{
-		ctx: ctx, cancel: cancel, table: table, writes: writes,
+		ctx: ctx, cancel: cancel, table: table, writes: writes, interval: interval,
 		results: make(chan attempt, maxAttemptsPending),
 	}
 }
 
 // start begins another attempt, on the condition that the owner's row has a version,
-// unless maxAttemptsPending are in flight. The next one is due repeatInterval later.
+// unless maxAttemptsPending are in flight. The next one is due after the interval.
 func (t *attempts) start(version uint64) {
-	t.repeatAt = time.Now().Add(repeatInterval)
+	t.repeatAt = time.Now().Add(t.interval)
 	if t.pending == maxAttemptsPending {
 		return
 	}
--- a/election/committer.go
+++ b/election/committer.go
@@ -14,7 +14,7 @@
 var ErrDeposed = errors.New("election: another host owns the domain")
 
 const (
-	// repeatInterval is the time between two attempts of a commit that is not
+	// repeatInterval is the least time between two attempts of a commit that is not
 	// answered. A table service that loses requests is back for at most this long
 	// before an attempt reaches it. With increasing delays this took up to 3 s.
 	repeatInterval = 700 * time.Millisecond
@@ -32,6 +32,8 @@
 	table   infra.Table
 	record  Record
 	version uint64
+	// lastDuration is how long the last commit took.
+	lastDuration time.Duration
 	// Sleep waits after a refused or immediately failed attempt; tests replace it.
 	Sleep func(ctx context.Context, d time.Duration)
 }
@@ -136,6 +138,18 @@
 	return c.commit(ctx, writes)
 }
 
+// repeatIntervalAfter returns the time between two attempts of a commit, given how long
+// the commit before took. A table service that answers slowly executes the transactions
+// of an owner one after another, so that each attempt made before the answer to the
+// first one could come delays the next commit, which then takes twice as long.
+func repeatIntervalAfter(last time.Duration) time.Duration {
+	return min(max(repeatInterval, slowCommitFactor*last), attemptTimeout)
+}
+
+// slowCommitFactor is how many times as long as the commit before an attempt may take
+// before it is repeated: more than twice, so that one needless attempt causes no others.
+const slowCommitFactor = 3
+
 // commit implements Commit; c.mu must be held.
 func (c *Committer) commit(ctx context.Context, writes []infra.Write) error {
 	c.record.Seq++
@@ -143,7 +157,9 @@
 	if err != nil {
 		return err
 	}
-	tries := newAttempts(ctx, c.table, append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...))
+	tries := newAttempts(ctx, c.table, append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...), repeatIntervalAfter(c.lastDuration))
+	begun := time.Now()
+	defer func() { c.lastDuration = time.Since(begun) }()
 	defer tries.cancel()
 	tries.start(c.version)
 	for {
--- /dev/null
+++ b/election/slowtable_test.go
@@ -0,0 +1,61 @@
+package election_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/internal/memtable"
+)
+
+// serialTable is a table that executes one transaction at a time, each for a while, and
+// also those whose caller has gone.
+type serialTable struct {
+	infra.Table
+	// busy holds a token while a transaction is executed.
+	busy     chan struct{}
+	duration time.Duration
+	executed int
+}
+
+// Commit implements infra.Table.
+func (s *serialTable) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
+	done := make(chan infra.CommitResult, 1)
+	go func() {
+		s.busy <- struct{}{}
+		defer func() { <-s.busy }()
+		s.executed++
+		time.Sleep(s.duration)
+		done <- s.Table.Commit(context.WithoutCancel(ctx), tx)
+	}()
+	select {
+	case r := <-done:
+		return r
+	case <-ctx.Done():
+		return infra.CommitResult{Status: infra.CommitUnknown}
+	}
+}
+
+// TestRepeatsDontSlowASlowTable guards against attempts that keep a slow table busy: each
+// commit then waits for the needless attempts of the one before, and callers' submissions
+// pass their time limits.
+func TestRepeatsDontSlowASlowTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &serialTable{Table: memtable.New(), busy: make(chan struct{}, 1)}
+		c := newOwner(t, table, "a")
+		table.duration, table.executed = 900*time.Millisecond, 0
+		start := time.Now()
+		const commits = 5
+		for range commits {
+			if err := c.Commit(t.Context(), write("k", "v")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// The first commit can't know that the table has become slow.
+		if most := (commits + 1) * table.duration; time.Since(start) > most || table.executed > commits+1 {
+			t.Errorf("%d commits took %v and %d attempts, want at most %v and %d", commits, time.Since(start), table.executed, most, commits+1)
+		}
+	})
+}
