pace: find the workers that run tasks slowly while they report health

Up to a quarter of the workers may become six to eight times slower for seconds, and one run in 33 takes seven times as long by itself. The package keeps a slowdown factor for each worker: observations of runs and tails are weighed as likelihood ratios against chance and compared with the pool's median; runs that become slow while they run weigh most.

--- /dev/null
+++ b/pace/judge.go
@@ -0,0 +1,81 @@
+package pace
+
+import (
+	"slices"
+	"time"
+)
+
+// minPeers is the least number of workers with evidence for which a median says what
+// is normal.
+const minPeers = 4
+
+// Judge decides which workers of one pool are slow. The zero value is ready for use.
+type Judge struct {
+	// highest is the highest median of the pool's slowdowns within slowLifetime, as a
+	// logarithm, and highestAt its time in Unix nanoseconds. Workers are compared with
+	// it, as their observations may be from that time.
+	highest   float32
+	highestAt int64
+	// medians, times and changed are buffers.
+	medians []float32
+	times   []int64
+	changed []int
+}
+
+// Decide updates the factors of the workers of the pool and returns the indexes of
+// those that have become slow or healthy again. The result is valid until the next
+// call.
+func (j *Judge) Decide(now time.Time, workers []*Worker) []int {
+	at := now.UnixNano()
+	j.medians, j.times, j.changed = j.medians[:0], j.times[:0], j.changed[:0]
+	for _, w := range workers {
+		if m, ok := w.median(at); ok {
+			j.medians = append(j.medians, m)
+			j.times = append(j.times, w.since)
+		}
+	}
+	pool, heard := float32(0), int64(0)
+	if len(j.medians) >= minPeers {
+		slices.Sort(j.medians)
+		slices.Sort(j.times)
+		pool, heard = j.medians[len(j.medians)/2], j.times[len(j.times)/2]
+	}
+	if pool >= j.highest || time.Duration(at-j.highestAt) > slowLifetime {
+		j.highest, j.highestAt = pool, at
+	}
+	pool = j.highest
+	for i, w := range workers {
+		if before := w.slow; w.judge(at, pool, heard) != before {
+			j.changed = append(j.changed, i)
+		}
+	}
+	return j.changed
+}
+
+// judge updates the worker's factor and whether it counts as slow, which it returns.
+// pool is the logarithm of the pool's slowdown. heard is the time since which
+// half of the pool has been measured, 0 if it is too little. A worker becomes slow only
+// if it was slow before: if the whole pool slows down, the first to report it would else
+// count as slow.
+func (w *Worker) judge(now int64, pool float32, heard int64) bool {
+	m, ok := w.median(now)
+	if ok && heard != 0 {
+		w.log = clamp(m - pool)
+	}
+	if w.slow {
+		w.slow = w.decayed(now) >= recoveredLog && (!ok || w.weight(now, pool) >= priorWeight)
+		if !w.slow {
+			w.onsetAt = 0
+		}
+		return w.slow
+	}
+	if !ok || heard == 0 || w.log < slowLog || w.weight(now, pool) < requiredWeight {
+		w.onsetAt = 0
+		return false
+	}
+	if w.onsetAt == 0 {
+		w.onsetAt = w.since
+	}
+	w.slow = w.onsetAt <= heard
+	return w.slow
+}
