dispatch, control: workers found slow lose new work and tasks

Tasks stayed on workers that became slow, and a long run was compared with the declared run time. Where the settings name the contract health, the owner learns the speed of workers from progress, ends and tails (pace), places new work elsewhere, decides copies by learned run times and the factor, and moves best-effort tasks with checkpoints and serving tasks over their target, within the step's allowance and a tenth of the slow workers' tasks.

Without the setting, or with -without pace, all orders are as before.

--- a/colocate/learn.go
+++ b/colocate/learn.go
@@ -11,9 +11,20 @@
 // utilization of its best-effort tasks over the same window. A report is
 // ignored if the worker seems to be slow for other reasons.
 func (m *Model) Learn(now time.Time, w *Worker) {
-	if m.isSlow(now, w) {
-		return
+	if !m.isSlow(now, w) {
+		m.learn(now, w, true)
 	}
+}
+
+// LearnEffects is Learn for a worker that may be slow: it learns the effects of the
+// best-effort tasks, but not the slack that the steps have elsewhere too.
+func (m *Model) LearnEffects(now time.Time, w *Worker) {
+	if !m.isSlow(now, w) {
+		m.learn(now, w, false)
+	}
+}
+
+func (m *Model) learn(now time.Time, w *Worker, withTrends bool) {
 	load := w.load()
 	for i := range w.Serving {
 		s := &w.Serving[i]
@@ -24,8 +35,10 @@
 		slack := w.meanSlack(s)
 		currentEffect, variance := m.currentEffect(s.Class, w)
 		trend := m.trend(now, s.Step)
-		trend.observe(now, slack+currentEffect, slackNoise(slack)+variance)
-		m.slackFloor(s.Class).observe(trend)
+		if withTrends {
+			trend.observe(now, slack+currentEffect, slackNoise(slack)+variance)
+			m.slackFloor(s.Class).observe(trend)
+		}
 		if len(load.Batch) > 0 && !m.disabled.Has(mechanism.PairEffects) {
 			transientEffect, transientVar := m.transientEffect(s.Class, w)
 			m.effects.Observe(s.Class, load, trend.level-slack-transientEffect, trend.levelVar+transientVar+slackNoise(slack))
@@ -45,6 +58,28 @@
 // tasks and its own load explain. Such a worker runs slowly for other reasons,
 // so its reports would distort the estimates.
 func (m *Model) isSlow(now time.Time, w *Worker) bool {
+	return m.Slowdown(now, w).Unexplained
+}
+
+// Slowdown compares a worker's tails with what its best-effort tasks and the load of its
+// steps let expect.
+type Slowdown struct {
+	// Ratio is how many times as long the tails are: the least ratio over the steps, up
+	// to the first that is explained. It is 0 if it isn't known: no tail was reported,
+	// nothing is known of a step, or the effect of the best-effort tasks is uncertain.
+	Ratio float64
+	// Unexplained is set if the tails of all steps are longer than expected by
+	// slowDeviations.
+	Unexplained bool
+}
+
+// maxUncertainty is the largest standard deviation of an expected slack, as a share of
+// it, with which a Ratio is known. Twice that is half of the slack.
+const maxUncertainty = 0.25
+
+// Slowdown returns the slowdown that the last report of a worker shows.
+func (m *Model) Slowdown(now time.Time, w *Worker) Slowdown {
+	ratio, certain := math.Inf(1), true
 	steps := 0
 	for i := range w.Serving {
 		s := &w.Serving[i]
@@ -53,18 +88,31 @@
 		}
 		trend := m.trends[s.Step]
 		if trend == nil || trend.updatedAt.IsZero() {
-			return false
+			return Slowdown{}
 		}
 		slack := w.meanSlack(s)
 		currentEffect, variance := m.currentEffect(s.Class, w)
 		level, deviation := trend.forecast(now, 0, 0)
-		unexplained := level - currentEffect - slack
-		if unexplained < slowDeviations*math.Sqrt(deviation*deviation+variance+slackNoise(slack)) {
-			return false
+		expected := level - currentEffect
+		variance += deviation * deviation
+		ratio = min(ratio, expected/slack)
+		certain = certain && math.Sqrt(variance) <= maxUncertainty*expected
+		if expected-slack < slowDeviations*math.Sqrt(variance+slackNoise(slack)) {
+			return Slowdown{Ratio: knownRatio(ratio, certain)}
 		}
 		steps++
 	}
-	return steps > 0
+	if steps == 0 {
+		return Slowdown{}
+	}
+	return Slowdown{Ratio: knownRatio(ratio, certain), Unexplained: true}
+}
+
+func knownRatio(ratio float64, certain bool) float64 {
+	if !certain || ratio <= 0 {
+		return 0
+	}
+	return ratio
 }
 
 // slackNoise returns the variance of a reported slack.
--- a/colocate/learn_test.go
+++ b/colocate/learn_test.go
@@ -49,3 +49,42 @@
 		t.Errorf("learned effect %.1f of an image that takes 1.3 with a tenth of a worker, want about 13", effect)
 	}
 }
+
+// TestSlowdown checks the ratio of tails to what is expected, on workers that are slow, that
+// are not, and whose neighbours have unknown effects. A wrong ratio would cost callers a
+// move of a serving task.
+func TestSlowdown(t *testing.T) {
+	m, now := trainedModel()
+	for name, c := range map[string]struct {
+		worker      colocate.Worker
+		least, most float64
+		unexplained bool
+	}{
+		"normal": {colocate.Worker{Serving: []colocate.Serving{serving("a", 2.6, 0)}}, 0.8, 1.25, false},
+		"slow":   {colocate.Worker{Serving: []colocate.Serving{serving("a", 2.6/6, 0)}}, 4.5, 7.5, true},
+		"unknown neighbour": {colocate.Worker{
+			Serving: []colocate.Serving{serving("a", 0.4, 0)}, BestEffort: []colocate.BestEffortTask{bestEffort("new", true), bestEffort("newer", true)},
+		}, 0, 0, false},
+		"unknown step": {colocate.Worker{Serving: []colocate.Serving{serving("another", 0.4, 0)}}, 0, 0, false},
+		"no tail":      {colocate.Worker{}, 0, 0, false},
+	} {
+		got := m.Slowdown(now, &c.worker)
+		if got.Ratio < c.least || got.Ratio > c.most || got.Unexplained != c.unexplained {
+			t.Errorf("%s: %+v, want a ratio of %v to %v, unexplained: %v", name, got, c.least, c.most, c.unexplained)
+		}
+	}
+}
+
+// TestLearnEffectsKeepsTrends checks that the reports of a worker that may be slow don't
+// change what is expected of the same steps elsewhere, as Learn would.
+func TestLearnEffectsKeepsTrends(t *testing.T) {
+	m, now := trainedModel()
+	normal := colocate.Worker{Serving: []colocate.Serving{serving("a", 2.6, 0)}}
+	long := colocate.Worker{Serving: []colocate.Serving{serving("a", 1.9, 0)}}
+	for range 10 {
+		m.LearnEffects(now, &long)
+	}
+	if got := m.Slowdown(now, &normal).Ratio; got < 0.8 || got > 1.25 {
+		t.Errorf("a normal tail is %.2f times as long as expected after reports of another worker, want 1", got)
+	}
+}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -31,6 +31,9 @@
 	traffic         *prometheus.GaugeVec
 	zonesClosed     prometheus.Gauge
 	startsHeldBack  prometheus.Counter
+	slowWorkers     prometheus.Gauge
+	slowMoves       *prometheus.CounterVec
+	slowCopies      prometheus.Counter
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -43,9 +46,11 @@
 	m.initOwnership()
 	m.initDomain()
 	m.initLoop()
+	m.initPace()
 	r.MustRegister(
 		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
+		m.slowWorkers, m.slowMoves, m.slowCopies,
 	)
 	return m
 }
@@ -150,6 +155,7 @@
 func (m *Metrics) setState(s *dispatch.Summary) {
 	m.openJobs.Set(float64(s.OpenJobs))
 	m.tailsOverTarget.Set(float64(s.OverTarget))
+	m.slowWorkers.Set(float64(s.SlowWorkers))
 	m.workers.WithLabelValues("usable").Set(float64(s.Usable))
 	m.workers.WithLabelValues("silent").Set(float64(s.Suspected))
 	m.workers.WithLabelValues("awaited").Set(float64(s.AwaitingReport))
--- a/control/options.go
+++ b/control/options.go
@@ -37,6 +37,9 @@
 	// TailBound is how long a serving task's tail may exceed its target because of
 	// interference.
 	TailBound time.Duration
+	// WorkerPace is set where workers may be slow while they report that they are
+	// healthy.
+	WorkerPace bool
 	// OwnershipChanged, if set, is called when this host's ownership of the domain
 	// begins or ends.
 	OwnershipChanged func(owner bool)
--- a/control/owner.go
+++ b/control/owner.go
@@ -46,6 +46,9 @@
 	// starts at the last summary.
 	backlog       flow.Backlog
 	startsCounted uint64
+	// paceCounted are the statistics whose counts of slow workers' tasks are in the
+	// metrics.
+	paceCounted dispatch.Stats
 	// plannedAt is when the last plan was made; startLimitReached is set if the
 	// limit on starts in flight cut that plan short.
 	plannedAt         time.Time
@@ -122,7 +125,7 @@
 	o.earlier = election.NewEarlierOwners(&row, o.ownedSince)
 	o.state = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: min(lease, opts.MaxLease),
-		Retention: opts.Retention, NoCapacityPause: noCapacityPause, TailBound: opts.TailBound, Disabled: opts.Disabled,
+		Retention: opts.Retention, NoCapacityPause: noCapacityPause, TailBound: opts.TailBound, WorkerPace: opts.WorkerPace, Disabled: opts.Disabled,
 	})
 	o.setEarlierOrders()
 	o.state.SetQueues(cfg.Queues)
@@ -267,6 +270,7 @@
 	done = o.loop.add(polling, done)
 	o.summarize(now)
 	o.logLosses()
+	o.recordPace()
 	o.stepDuration = o.loop.add(summarizing, done).Sub(now)
 	o.opts.Metrics.planDuration.Observe(o.stepDuration.Seconds())
 }
--- a/dispatch/benchlarge_test.go
+++ b/dispatch/benchlarge_test.go
@@ -22,19 +22,34 @@
 // newLargeRig returns a rig whose workers run long-running serving tasks.
 func newLargeRig() *rig {
 	r := newRig(&testing.T{}, largeWorkers)
+	r.startServing(4)
+	return r
+}
+
+// startServing starts the long-running serving tasks of the large pool.
+func (r *rig) startServing(tasks int, change ...func(*workload.Step)) map[string][]dispatch.StartOrder {
 	for i := range largeLongRunningJobs {
-		r.submit(queueShort, fmt.Sprintf("service%d", i), step(4, 3, longRunning, func(s *workload.Step) {
+		r.submit(queueShort, fmt.Sprintf("service%d", i), step(tasks, 3, longRunning, func(s *workload.Step) {
 			s.Image, s.TailTarget = fmt.Sprintf("serve%d", i%16), 50*time.Millisecond
+			for _, f := range change {
+				f(s)
+			}
 		}))
 	}
-	r.plan()
-	return r
+	serving := map[string][]dispatch.StartOrder{}
+	for _, o := range r.plan() {
+		serving[o.Worker.ID] = append(serving[o.Worker.ID], o)
+	}
+	return serving
 }
 
 // BenchmarkPlanLarge plans on workers with serving tasks. In each cycle one
 // best-effort and one short job arrive, and the runs of an earlier cycle end.
-func BenchmarkPlanLarge(b *testing.B) {
-	r := newLargeRig()
+func BenchmarkPlanLarge(b *testing.B) { benchPlanLarge(b, newLargeRig()) }
+
+// benchPlanLarge is BenchmarkPlanLarge on a pool with serving tasks.
+func benchPlanLarge(b *testing.B, r *rig) {
+	b.Helper()
 	numbers := map[string]uint64{}
 	var running [][]dispatch.StartOrder
 	cycle := func(i int) {
@@ -112,3 +127,69 @@
 		r.state.PlanAtMost(r.now, 64)
 	}
 }
+
+// newLargePaceRig is newLargeRig with the speed of workers learned.
+func newLargePaceRig(tasks int, change ...func(*workload.Step)) (*rig, map[string][]dispatch.StartOrder) {
+	r := paceRig(&testing.T{}, 0)
+	r.startedAt = r.now
+	r.startOwner(1)
+	r.members(largeWorkers)
+	for i := range largeWorkers {
+		r.report(worker(i), nil, nil)
+	}
+	return r, r.startServing(tasks, change...)
+}
+
+// BenchmarkPlanLargePace is BenchmarkPlanLarge with the speed of workers learned and none
+// of them slow.
+func BenchmarkPlanLargePace(b *testing.B) {
+	r, _ := newLargePaceRig(4)
+	benchPlanLarge(b, r)
+}
+
+// BenchmarkPlanSlowWorkers plans on workers with serving tasks of which a quarter is slow.
+// All report their tails every half second, in turn.
+func BenchmarkPlanSlowWorkers(b *testing.B) {
+	r, serving := newLargePaceRig(15, func(s *workload.Step) { s.MaxPerWorker = 1 })
+	cycles := int(500 * time.Millisecond / largeCycle)
+	n := 0
+	cycle := func(slow bool) {
+		n++
+		r.advance(largeCycle)
+		for i := range largeWorkers {
+			if (i+n)%cycles != 0 {
+				continue
+			}
+			var runs []runner.ActiveRun
+			for _, o := range serving[worker(i)] {
+				tail := int64(normalTailMS + n/cycles%2)
+				if slow && i%4 == 0 {
+					tail = slowTailMS + int64(n/cycles%2)
+				}
+				runs = append(runs, withTail(o, tail))
+			}
+			r.report(worker(i), runs, nil)
+		}
+		b.StartTimer()
+		p := r.state.Plan(r.now)
+		b.StopTimer()
+		for _, o := range p.Stops { // moved elsewhere: taken as refused, so that the load stays
+			r.state.HandleStopAnswer(r.now, o, runner.Answer{Status: runner.Unknown})
+		}
+		for _, o := range p.Starts {
+			r.state.HandleStartAnswer(r.now, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()})
+		}
+	}
+	for range 10 * cycles {
+		cycle(false)
+	}
+	for range 8 * cycles {
+		cycle(true)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		cycle(true)
+	}
+	b.ReportMetric(float64(r.state.AttributeTime(r.now).SlowWorkers), "slow")
+}
--- a/dispatch/burstrig_test.go
+++ b/dispatch/burstrig_test.go
@@ -29,6 +29,7 @@
 	highImpactShare       = 0.55
 	burstTick             = 100 * time.Millisecond
 	ticksPerReport        = 5
+	stragglerFactor       = 7
 )
 
 // burst simulates a burst of best-effort jobs on workers whose tails depend on
@@ -50,6 +51,12 @@
 	// overTarget is the total time that serving tasks spent over their target.
 	overTarget time.Duration
 	tick       int
+	// readyAfter is how long a serving run takes until it serves.
+	readyAfter time.Duration
+	// stragglers is the share of finite runs that take stragglerFactor times as long.
+	stragglers float64
+	// watch, if set, is called with each plan before it is carried out.
+	watch func(dispatch.Plan)
 }
 
 // simWorker is a simulated worker.
@@ -57,6 +64,8 @@
 	runs    map[workload.TaskID]*simRun
 	ends    []runner.RunEnd
 	lastEnd uint64
+	// slowdown is how many times as long everything takes there, 0 for once.
+	slowdown float64
 }
 
 // simRun is a run on a simulated worker.
@@ -68,12 +77,19 @@
 	// CPU limit.
 	progress, total time.Duration
 	cpuLimit        int
+	// readyAt is when a serving run begins to serve.
+	readyAt time.Time
 }
 
 // newBurst returns workers with serving tasks and no best-effort jobs.
 func newBurst(t *testing.T, seed uint64, disabled mechanism.Set) *burst {
+	return newBurstOn(&rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, disabled: disabled}, seed)
+}
+
+// newIdleBurst returns workers without tasks, on a rig without a State.
+func newIdleBurst(r *rig, seed uint64) *burst {
 	b := &burst{
-		rig:    &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, disabled: disabled},
+		rig:    r,
 		random: rand.New(rand.NewPCG(seed, 1)), effects: map[[2]string]float64{}, phase: map[string]float64{},
 		workers: map[string]*simWorker{}, ended: map[string]time.Time{}, due: map[string]time.Time{},
 		durations: map[workload.StepID]time.Duration{},
@@ -84,6 +100,12 @@
 	for i := range burstWorkers {
 		b.workers[worker(i)] = &simWorker{runs: map[workload.TaskID]*simRun{}}
 	}
+	return b
+}
+
+// newBurstOn is newBurst on a rig without a State, with changes of the serving steps.
+func newBurstOn(r *rig, seed uint64, change ...func(*workload.Step)) *burst {
+	b := newIdleBurst(r, seed)
 	for f := range burstBestEffortImages {
 		for s := range burstServingImages {
 			b.effects[[2]string{fmt.Sprint("batch", f), fmt.Sprint("serve", s)}] = lowImpactEffect
@@ -98,6 +120,9 @@
 		b.submit(queueShort, id, step(4, 0, longRunning, func(s *workload.Step) {
 			s.Needs = infra.Resources{MilliCPU: 2800 + int64(b.random.IntN(800)), MemoryMB: 2000}
 			s.Image, s.TailTarget = fmt.Sprint("serve", i%burstServingImages), burstTarget
+			for _, f := range change {
+				f(s)
+			}
 		}))
 	}
 	b.run(5 * time.Second)
@@ -147,7 +172,11 @@
 			}
 		}
 		b.flush()
-		b.execute(b.state.Plan(b.now))
+		p := b.state.Plan(b.now)
+		if b.watch != nil {
+			b.watch(p)
+		}
+		b.execute(p)
 		for id := range b.due {
 			if state, ok := b.state.JobState(id); ok && state == workload.Complete && b.ended[id].IsZero() {
 				b.ended[id] = b.now
@@ -166,7 +195,7 @@
 			}
 			continue
 		}
-		r.progress += burstTick * time.Duration(r.cpuLimit) / 100
+		r.progress += time.Duration(float64(burstTick*time.Duration(r.cpuLimit)/100) / c.factor())
 		if r.progress >= r.total {
 			c.end(id, r, runner.EndDone)
 		}
@@ -183,9 +212,11 @@
 			slack -= part * b.effects[[2]string{r.step.Image, serving.step.Image}]
 		}
 	}
-	return max(slack, 0.1)
+	return max(slack/c.factor(), 0.1)
 }
 
+func (c *simWorker) factor() float64 { return max(c.slowdown, 1) }
+
 // tasks returns the tasks with a run, in order of run numbers.
 func (c *simWorker) tasks() []workload.TaskID {
 	return slices.SortedFunc(maps.Keys(c.runs), func(a, b workload.TaskID) int {
@@ -212,7 +243,9 @@
 	for _, task := range c.tasks() {
 		r := c.runs[task]
 		a := runner.ActiveRun{Task: task, Run: r.number, Percent: 100}
-		if r.step.LongRunning {
+		if r.step.LongRunning && b.now.Before(r.readyAt) {
+			a.Percent = 0
+		} else if r.step.LongRunning {
 			a.Usage = int64(float64(burstTarget.Milliseconds()) / b.slack(c, r))
 		} else {
 			a.Percent = int(100 * r.progress / r.total)
@@ -251,6 +284,9 @@
 	if d, ok := b.durations[workload.StepID{Job: job.ID, Step: o.Start.Task.Step}]; ok {
 		r.total = d
 	}
+	if b.stragglers > 0 && b.random.Float64() < b.stragglers {
+		r.total *= stragglerFactor
+	}
 	if o.Start.Checkpoint != "" {
 		var ms int64
 		if _, err := fmt.Sscan(o.Start.Checkpoint, &ms); err != nil {
@@ -258,6 +294,7 @@
 		}
 		r.progress = time.Duration(ms) * time.Millisecond
 	}
+	r.readyAt = b.now.Add(b.readyAfter)
 	b.workers[o.Worker.ID].runs[o.Start.Task] = r
 }
 
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -21,6 +21,9 @@
 	// NoCapacityPause is how long a worker that refused a start for lack of
 	// capacity gets no new tasks.
 	NoCapacityPause time.Duration
+	// WorkerPace is set where workers may be slow while they report that they are
+	// healthy; their speed is then learned.
+	WorkerPace bool
 	// Disabled names the policy mechanisms that are switched off, for
 	// experiments.
 	Disabled mechanism.Set
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -39,12 +39,15 @@
 			continue
 		}
 		first := t.runs[0].worker
-		w := c.choose(t, func(w *worker) bool { return w != first })
+		w := c.choose(t, func(w *worker) bool { return w != first && !w.pace.Slow() })
 		if w == nil {
 			return
 		}
 		c.s.nextRun++
 		c.s.Stats.Copies++
+		if first.pace.Slow() {
+			c.s.Stats.SlowCopies++
+		}
 		c.start(t, w, c.s.nextRun)
 	}
 }
@@ -52,6 +55,9 @@
 // behind reports whether the rest of a run is expected to take longer than a
 // copy. That is assumed of a run on a suspected worker.
 func (c *cycle) behind(r *run) bool {
+	if c.s.pace != nil {
+		return c.behindExpected(r)
+	}
 	estimate := r.task.step.spec.Estimate
 	elapsed := c.now.Sub(r.startedAt)
 	if estimate == 0 || elapsed < time.Duration(copyAfter*float64(estimate)) {
@@ -64,3 +70,26 @@
 	remaining := elapsed * time.Duration(100-percent) / time.Duration(percent)
 	return remaining > time.Duration(copyFactor*float64(estimate)) && elapsed > estimate
 }
+
+// behindExpected is behind by the normal run time of the step's tasks in place of the
+// declared one. A run on a slow worker is judged by the worker's factor, from its start.
+func (c *cycle) behindExpected(r *run) bool {
+	expected := c.s.normalTime(c.now, r.task.step)
+	elapsed := c.now.Sub(r.startedAt)
+	if expected == 0 {
+		return false
+	}
+	if r.worker.pace.Slow() {
+		_, here := c.s.remaining(c.now, r)
+		return here > time.Duration(copyFactor*float64(expected))
+	}
+	if elapsed < time.Duration(copyAfter*float64(expected)) {
+		return false
+	}
+	if r.worker.suspected {
+		return true
+	}
+	percent := max(r.percent, 1)
+	remaining := elapsed * time.Duration(100-percent) / time.Duration(percent)
+	return remaining > time.Duration(copyFactor*float64(expected)) && elapsed > expected
+}
--- a/dispatch/cpulimit.go
+++ b/dispatch/cpulimit.go
@@ -119,7 +119,7 @@
 	}
 	w.reportSum = sum
 	c, _ := w.colocation(now)
-	s.model.Learn(now, c)
+	s.learnTails(now, w, c)
 	s.estimatesChanged = true
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -29,6 +29,7 @@
 	s.ExpireLeases(now)
 	s.giveUpJobs(now)
 	s.drain(now)
+	s.judgePace(now)
 	var p Plan
 	p.CPULimits = s.adjustCPULimits(now)
 	c := newCycle(s, now)
@@ -45,6 +46,7 @@
 	}
 	if !c.startLimitReached() {
 		c.copySlowRuns()
+		c.moveOffSlowWorkers()
 	}
 	p.Starts = c.starts
 	p.Stops, s.stops = s.stops, nil
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -38,6 +38,7 @@
 	ends := s.recordEnds(now, w, rep.Ends)
 	s.recordActive(now, w, rep.Active)
 	s.learnFromTails(now, w)
+	w.paceReportAt = now
 	if len(rep.Ends) < runner.MaxEnds {
 		s.resolveUncertain(now, w, sent.Token, rep.Active)
 		s.markReported(now, w)
@@ -90,7 +91,8 @@
 func (s *State) recordEnd(now time.Time, w *worker, e runner.RunEnd) {
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
 		if e.Kind == runner.EndDone {
-			s.learnRunTime(r.task.step, now.Sub(r.startedAt), r.task.lastEndedRun == 0)
+			s.observeEnd(now, r)
+			s.learnRunTime(r.task.step, now.Sub(r.startedAt), r.task.lastEndedRun == 0 && !w.pace.Slow())
 		}
 		if r.task.step.spec.BestEffort {
 			w.rememberEnded(now, r)
@@ -194,6 +196,7 @@
 // or whose last stop had no effect.
 func (s *State) recordActive(now time.Time, w *worker, active []runner.ActiveRun) {
 	w.unknownRun = false
+	speed := s.paceReport(now, w)
 	for i := range active {
 		a := &active[i]
 		r := w.runs[a.Task]
@@ -212,7 +215,10 @@
 		if r.task.crashed() && now.Sub(r.startedAt) >= provenAfter {
 			s.clearCrashes(r.task)
 		}
-		r.percent, r.usage = a.Percent, a.Usage
+		if speed.valid(a) {
+			r.percent, r.usage = a.Percent, a.Usage
+			speed.observe(r)
+		}
 		if a.Checkpoint != "" {
 			r.checkpoint = a.Checkpoint
 			r.task.checkpoint = a.Checkpoint
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -33,6 +33,8 @@
 	startedAt time.Time
 	// disabled names the policy mechanisms that are switched off.
 	disabled mechanism.Set
+	// workerPace is set if the State learns the speed of workers.
+	workerPace bool
 	// jobs holds the submitted jobs.
 	jobs []*workload.Job
 	// ends is the last number given to an end by endSome.
@@ -74,6 +76,7 @@
 	r.state = dispatch.New(dispatch.Config{
 		Epoch: epoch, Lease: testLease, Retention: time.Minute,
 		NoCapacityPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Disabled: r.disabled,
+		WorkerPace: r.workerPace,
 	})
 	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/pace"
 )
 
 // phase is the state of a run that may be alive.
@@ -61,6 +62,8 @@
 	// order.
 	stopOrderedAt time.Time
 	stopCause     StopCause
+	// progress measures its speed.
+	progress pace.Progress
 	// overTargetSince is when its tail went over the target, zero if it isn't.
 	overTargetSince time.Time
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -56,6 +56,8 @@
 	estimatesFlushedAt time.Time
 	// runTimes estimates run times.
 	runTimes runtimes.Model
+	// pace tracks the speed of the workers, nil if Config.WorkerPace isn't set.
+	pace *paceState
 	// demand is the demand of best-effort tasks, computed at demandAt.
 	demand   *bestEffortDemand
 	demandAt time.Time
@@ -91,6 +93,7 @@
 	return &State{
 		cfg:      cfg,
 		model:    colocate.NewModelWithout(cfg.Disabled),
+		pace:     newPaceState(&cfg),
 		headroom: map[string]*headroom.Tracker{}, dirtyRosterParts: map[int]bool{},
 		queues:         map[string]workload.Queue{},
 		jobs:           map[string]*job{},
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -8,4 +8,7 @@
 	GivenUp                                                    uint64
 	Done, FailedRuns, StoppedRuns, LostRuns                    uint64
 	ExpiredRuns, Copies, Evictions, Preempted, BestEffortMoved uint64
+	// ServingMovedOffSlow and BestEffortMovedOffSlow count runs stopped since their
+	// worker is slow, SlowCopies those of Copies that were started for that reason.
+	ServingMovedOffSlow, BestEffortMovedOffSlow, SlowCopies uint64
 }
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -18,6 +18,10 @@
 	class string
 	// expected is how long one of its tasks is expected to run.
 	expected time.Duration
+	// perPercent is the median of its tasks' times for one percent, in milliseconds, as
+	// of perPercentAt; 0 if it isn't known.
+	perPercent   float32
+	perPercentAt time.Time
 	// ranFor is the run time of all timedTasks tasks that were done in one run.
 	ranFor     time.Duration
 	timedTasks int
--- a/dispatch/stopcause.go
+++ b/dispatch/stopcause.go
@@ -19,6 +19,8 @@
 	Duplicate
 	// UnknownTask: its task isn't known.
 	UnknownTask
+	// SlowWorker: its worker is slow, and it ends or serves sooner elsewhere.
+	SlowWorker
 	stopCauseCount
 )
 
@@ -26,6 +28,7 @@
 // constants. They stay as they are when a constant is renamed.
 var stopCauseNames = [stopCauseCount]string{
 	"job over", "task done", "tail too long", "preempted", "worker leaves", "duplicate", "no such task",
+	"slow worker",
 }
 
 // String returns the cause as it appears in logs.
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -24,6 +24,8 @@
 	// Free is the free capacity of all usable workers, MaxFree that of the
 	// worker with the most free processors.
 	Free, MaxFree infra.Resources
+	// SlowWorkers counts the workers that are found slow.
+	SlowWorkers int
 	// OverTarget counts serving tasks whose tail is over its target.
 	OverTarget int
 	Stats      Stats
@@ -33,6 +35,9 @@
 func (s *State) summarize(now time.Time) (Summary, map[*step]WaitCause) {
 	byStep := map[*step]WaitCause{}
 	sum := Summary{OpenJobs: len(s.open), Workers: len(s.workers), AwaitingReport: len(s.awaitingReport), Stats: s.Stats}
+	if s.pace != nil {
+		sum.SlowWorkers = s.pace.slow
+	}
 	for _, w := range s.workers {
 		if w.suspected {
 			sum.Suspected++
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -44,6 +44,11 @@
 	ranBefore ranBefore
 	// lastEndedRun is the highest run number known to have ended.
 	lastEndedRun uint64
+	// perPercent is the time for one percent of it, in milliseconds, as last measured;
+	// 0 if it wasn't.
+	perPercent float32
+	// leastPerPercent is the least such time of any of its runs.
+	leastPerPercent time.Duration
 	// checkpoint is the newest checkpoint, empty if none.
 	checkpoint string
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/pace"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -91,6 +92,14 @@
 	reportSum    int64
 	// recentlyEnded holds best-effort runs that the tails may still reflect.
 	recentlyEnded []endedTask
+	// pace is what is known of its speed, paceReportAt when its last report was
+	// evaluated for that; reportsInvalid is set once it has reported figures out of
+	// range.
+	pace           pace.Worker
+	paceReportAt   time.Time
+	reportsInvalid bool
+	// suspectReports counts the last reports in a row with long tails.
+	suspectReports uint8
 	// newTails is set by a report with tails until the next CPU limit decision.
 	newTails bool
 }
--- a/mechanism/set.go
+++ b/mechanism/set.go
@@ -55,6 +55,9 @@
 	LearnedRunTimes
 	// LeastWork: steps that can still be on time are queued by their latest start.
 	LeastWork
+	// WorkerPace: slow workers are treated like others, and copies of speculative
+	// tasks are decided by declared run times.
+	WorkerPace
 	mechanismCount
 )
 
@@ -62,6 +65,7 @@
 var names = [mechanismCount]string{
 	"hope", "kept-room", "headroom", "preemption", "pacing", "moving", "foresight", "pairs", "classes",
 	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons", "run-times", "least-work",
+	"pace",
 }
 
 // Set is a set of mechanisms. The zero value is empty.
--- a/pace/progress.go
+++ b/pace/progress.go
@@ -22,7 +22,7 @@
 	from  int8
 	// measured is set once the run has been measured.
 	measured bool
-	// least is the least slowdown so far, 0 if none is known.
+	// least is the least time for one percent so far, in seconds, 0 if none is known.
 	least float32
 }
 
@@ -33,8 +33,9 @@
 	// PerPercent is the time for one percent of the task; if there was no progress,
 	// a lower bound.
 	PerPercent time.Duration
-	// AtLeast is a lower bound of PerPercent, as progress is reported in whole percent.
-	AtLeast time.Duration
+	// Rise is how many times as slow the run has surely become since it was fastest, 0 if
+	// that isn't known. A run that takes long by itself is slow from its start.
+	Rise float64
 }
 
 // Observe adds a reported progress. It returns a measurement once the window is long
@@ -42,8 +43,8 @@
 // it isn't known; started is when the run started from the beginning, zero if that isn't
 // known.
 func (p *Progress) Observe(now time.Time, percent int, normal time.Duration, started time.Time) (Measurement, bool) {
-	if !started.IsZero() && percent >= minPercent && normal > 0 {
-		p.observe(float64(now.Sub(started)) / float64(percent) / float64(normal)) // on average so far
+	if !started.IsZero() && percent >= minPercent {
+		p.observe(now.Sub(started) / time.Duration(percent)) // on average so far
 	}
 	if percent < firstPercent || percent > lastPercent || (p.since != 0 && percent < int(p.from)) {
 		p.Reset()
@@ -57,9 +58,11 @@
 	if elapsed < minWindow || (progress < minPercent && (normal <= 0 || elapsed < minPercent*normal)) {
 		return Measurement{}, false
 	}
-	m := Measurement{
-		Since: time.Unix(0, p.since), PerPercent: time.Duration(float64(elapsed) / max(float64(progress), 0.5)), AtLeast: elapsed / time.Duration(progress+1),
+	m := Measurement{Since: time.Unix(0, p.since), PerPercent: time.Duration(float64(elapsed) / max(float64(progress), 0.5))}
+	if p.least > 0 {
+		m.Rise = elapsed.Seconds() / float64(progress+1) / float64(p.least) // progress is reported in whole percent
 	}
+	p.observe(m.PerPercent)
 	p.measured = true
 	p.begin(now, percent)
 	return m, true
@@ -74,21 +77,22 @@
 // Measured reports whether the run has been measured.
 func (p *Progress) Measured() bool { return p.measured }
 
-// observe records a slowdown of the run.
-func (p *Progress) observe(slowdown float64) {
-	if p.least == 0 || float32(slowdown) < p.least {
-		p.least = float32(slowdown)
+// Least returns the least time for one percent so far, 0 if none is known.
+func (p *Progress) Least() time.Duration {
+	return time.Duration(float64(p.least) * float64(time.Second))
+}
+
+// Continue begins the measurement of a run of a task whose earlier runs took at least the
+// given time for one percent. It has no effect once the run has been observed.
+func (p *Progress) Continue(least time.Duration) {
+	if p.least == 0 && !p.measured && p.since == 0 && least > 0 {
+		p.observe(least)
 	}
 }
 
-// Rise records the slowdown of a measurement. It returns how many times as slow the run
-// has surely become since it was fastest, 0 if that isn't known. A run that takes long by
-// itself is slow from its start.
-func (p *Progress) Rise(m Measurement, slowdown float64) float64 {
-	rise := 0.0
-	if p.least > 0 {
-		rise = slowdown * float64(m.AtLeast) / float64(m.PerPercent) / float64(p.least)
+// observe records a time for one percent.
+func (p *Progress) observe(perPercent time.Duration) {
+	if seconds := float32(perPercent.Seconds()); p.least == 0 || seconds < p.least {
+		p.least = seconds
 	}
-	p.observe(slowdown)
-	return rise
 }
--- a/pace/sim_test.go
+++ b/pace/sim_test.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		slowdown := float64(100*m.PerPercent) / float64(simRunTime)
-		w.state.AddRun(s.now, pace.Run{ID: r.id, Slowdown: slowdown, Since: m.Since, Rise: r.progress.Rise(m, slowdown)})
+		w.state.AddRun(s.now, pace.Run{ID: r.id, Slowdown: slowdown, Since: m.Since, Rise: m.Rise})
 	}
 }
 
--- a/pace/worker.go
+++ b/pace/worker.go
@@ -83,7 +83,7 @@
 	Slowdown float64
 	// Since is when that part began.
 	Since time.Time
-	// Rise is how many times as slow the run has become, see Progress.Rise.
+	// Rise is how many times as slow the run has become, see Measurement.
 	Rise float64
 }
 
@@ -157,6 +157,11 @@
 	w.slowTails = min(w.slowTails+1, tailReports)
 }
 
+// Known reports whether there is evidence on the worker's speed now.
+func (w *Worker) Known(now time.Time) bool {
+	return w.evidenceAt != 0 && time.Duration(now.UnixNano()-w.evidenceAt) <= slowLifetime
+}
+
 // Slow reports whether the worker counts as slow, as last judged.
 func (w *Worker) Slow() bool { return w.slow }
 
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -3,7 +3,8 @@
 // Weights of the reasons against a worker, relative to the share of processors
 // left free, which counts 0 to 1. In decreasing order: an earlier failure of
 // the task on the worker, a suspect worker, remote data, which makes a task
-// take 2 to 3 times as long, interference, and a poor fit.
+// take 2 to 3 times as long, a slow worker, interference, and a poor fit. A slow
+// worker often takes as many times as long, but only for seconds.
 //
 // Using one more worker for serving tasks makes it unavailable to most
 // best-effort tasks, which outweighs spreading the tasks of a step. Mixing
@@ -15,6 +16,7 @@
 	failedBeforeWeight = 1000
 	suspectWeight      = 300
 	remoteDataWeight   = 100
+	slowWeight         = 80
 	interferenceWeight = 12
 	mixedClassWeight   = 8
 	newServingWeight   = 5
@@ -30,6 +32,9 @@
 	if !w.DataLocal {
 		cost += remoteDataWeight
 	}
+	if w.Slowdown > 1 {
+		cost += slowWeight * (1 - 1/w.Slowdown)
+	}
 	switch {
 	case t.Serving && t.IgnoreClasses:
 	case t.Serving:
--- a/rank/worker.go
+++ b/rank/worker.go
@@ -30,6 +30,9 @@
 	DataLocal bool
 	// Suspect is set for workers that seem to fail every task.
 	Suspect bool
+	// Slowdown is how many times as long tasks take as on other workers; 0 or 1 if
+	// the worker isn't slow.
+	Slowdown float64
 	// FailedBefore is set if the task failed on the worker.
 	FailedBefore bool
 }
