pace, dispatch: moves wait for recent reports; fewer false findings

A move of a serving task waits until the reports on the others of its step are recent, and doubtful or slow workers are polled twice a second.

--- a/dispatch/pacefailures_test.go
+++ b/dispatch/pacefailures_test.go
@@ -351,3 +351,66 @@
 		t.Error("the part changes no order of a day with slow workers")
 	}
 }
+
+// TestDoubtfulWorkersArePolled checks that a worker is asked for a report twice a second from
+// its first slow tail on, and others as before. Otherwise the three tails that are needed
+// could take six seconds.
+func TestDoubtfulWorkersArePolled(t *testing.T) {
+	p := newServingPool(t, 16, 16)
+	waitMS := func(id string) int64 {
+		_, o, _ := p.state.Renewal(p.now, id, true)
+		return o.WaitMS
+	}
+	slow := p.makeSlow(1)[0]
+	for i := range 6 {
+		p.tick()
+		if got := waitMS(slow); got != 500 {
+			t.Errorf("after %d slow tails the worker may hold its answer for %d ms, want 500", i+1, got)
+		}
+	}
+	for _, id := range p.busy() {
+		if got := waitMS(id); id != slow && got != 2000 {
+			t.Errorf("normal worker %s may hold its answer for %d ms, want 2000", id, got)
+		}
+	}
+	p.advance(700 * time.Millisecond)
+	if got := p.state.EarlyPolls(p.now); !slices.Equal(got, []string{slow}) {
+		t.Errorf("early polls of %v, want %s", got, slow)
+	}
+}
+
+// TestMoveWaitsForReports checks that a task isn't moved while the reports that the others
+// of its step serve are old: one of their workers may have failed since, and the move would
+// exceed the allowance. The reports must be asked for.
+func TestMoveWaitsForReports(t *testing.T) {
+	p := newServingPool(t, 20, 16, func(s *workload.Step) { s.DisruptionBudget = 1 })
+	slow := p.makeSlow(1)[0]
+	for range 2 {
+		p.tick()
+	}
+	p.advance(1400 * time.Millisecond)
+	p.reportTail(slow) // the third slow tail
+	for id := range p.at {
+		if id == p.busy()[15] || id == slow {
+			continue // its report is 1.4 s old
+		}
+		p.reportTail(id)
+	}
+	late := p.busy()[15]
+	stops := func() int { return len(p.state.Plan(p.now).Stops) }
+	p.state.Plan(p.now)
+	if sum := p.state.AttributeTime(p.now); sum.SlowWorkers != 1 {
+		t.Fatalf("%d workers count as slow, want 1", sum.SlowWorkers)
+	}
+	if n := stops(); n > 0 {
+		t.Errorf("%d stops while the report of %s is 1.4 s old", n, late)
+	}
+	if polls := p.state.EarlyPolls(p.now); !slices.Contains(polls, late) {
+		t.Errorf("early polls of %v, want %s among them", polls, late)
+	}
+	p.advance(50 * time.Millisecond)
+	p.reportTail(late)
+	if n := stops(); n != 1 {
+		t.Errorf("%d stops once all others are known to serve, want 1", n)
+	}
+}
--- a/dispatch/pacemoves.go
+++ b/dispatch/pacemoves.go
@@ -19,6 +19,10 @@
 	// next holds, for serving and for best-effort tasks, the ID of the worker from which
 	// the next cycle goes on.
 	next [2]string
+	// verifying is the run whose move waits for reports, since verifyingSince; nil if
+	// none does.
+	verifying      *run
+	verifyingSince time.Time
 }
 
 // paceMove is the move of a task off a slow worker.
@@ -110,10 +114,16 @@
 				continue
 			}
 			attempts--
-			if target := c.moveTarget(r); target != nil {
-				c.move(r, target)
-				underWay++
+			target := c.moveTarget(r)
+			if target == nil {
+				continue
+			}
+			if !c.verified(r) {
+				p.moves.next[kind] = w.info.ID // goes on with it
+				break
 			}
+			c.move(r, target)
+			underWay++
 		}
 	}
 }
@@ -132,7 +142,8 @@
 // movable reports whether a run may be moved at all.
 func (c *cycle) movable(r *run) bool {
 	t := r.task
-	return r.phase == running && r.reported && !t.done && len(t.runs) == 1 && !t.step.spec.Gang && !t.crashed() && !c.s.pace.moves.moving(t)
+	return r.phase == running && r.reported && !t.done && len(t.runs) == 1 && !t.step.spec.Gang && !t.crashed() && !c.s.pace.moves.moving(t) &&
+		!c.s.pace.moves.putOff(c.now, r)
 }
 
 // servesBetterElsewhere reports whether a serving run misses its target and may be
@@ -172,6 +183,46 @@
 // are polled at least every two seconds.
 const reportMaxAge = 2500 * time.Millisecond
 
+// verified reports whether recent reports confirm that the other tasks of a step with an
+// allowance serve, as a worker may have failed since its last report. If not, it requests
+// the reports. After verifyTime the move is put off, so that others aren't held up.
+func (c *cycle) verified(r *run) bool {
+	st, m := r.task.step, &c.s.pace.moves
+	if !st.spec.Serving() || st.spec.DisruptionBudget < 0 {
+		return true
+	}
+	recent := true
+	for i := range st.tasks {
+		for _, other := range st.tasks[i].runs {
+			if other != r && c.now.Sub(other.worker.polledAt) > verifiedAge {
+				other.worker.reportWanted, recent = true, false
+			}
+		}
+	}
+	switch {
+	case recent:
+		m.verifying = nil
+	case m.verifying != r || c.now.Sub(m.verifyingSince) > verifyTime+verifyPause:
+		m.verifying, m.verifyingSince = r, c.now
+	}
+	return recent
+}
+
+const (
+	// verifiedAge is the greatest age of the reports that confirm a move: that from which
+	// early polls are sent, and a round trip.
+	verifiedAge = earlyPollAge + 300*time.Millisecond
+	// verifyTime is how long a move waits for such reports: a few round trips. It is tried
+	// again after verifyPause, or once another move has been tried.
+	verifyTime, verifyPause = 300 * time.Millisecond, time.Second
+)
+
+// putOff reports whether the reports for the move of a run didn't come in time.
+func (m *paceMoves) putOff(now time.Time, r *run) bool {
+	waited := now.Sub(m.verifyingSince)
+	return m.verifying == r && waited > verifyTime && waited <= verifyTime+verifyPause
+}
+
 // endsSoonerElsewhere reports whether a best-effort run ends sooner if it is moved.
 func (c *cycle) endsSoonerElsewhere(r *run) bool {
 	spec := r.task.step.spec
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -44,13 +44,23 @@
 	}
 	if w.leasable && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.lastEnd == w.acknowledged {
 		o.WaitMS = longPoll.Milliseconds()
-		if colocated, _ := w.colocation(now); colocated.NeedsFrequentPolls() {
+		if w.needsFrequentPolls(now) {
 			o.WaitMS = tailWindow.Milliseconds()
 		}
 	}
 	return w.info, o, true
 }
 
+// needsFrequentPolls reports whether the worker's next report is wanted soon, because of its
+// tails or its speed.
+func (w *worker) needsFrequentPolls(now time.Time) bool {
+	if (w.pace.NeedsReports() || w.reportWanted) && len(w.runs) > 0 {
+		return true
+	}
+	colocated, _ := w.colocation(now)
+	return colocated.NeedsFrequentPolls()
+}
+
 // leaseFor returns the end of the lease for an order given now, on the worker's
 // clock, and records it; 0 if the worker's clock isn't known.
 func (s *State) leaseFor(now time.Time, w *worker) int64 {
@@ -64,8 +74,8 @@
 
 // EarlyPolls returns the workers to poll although a long poll is pending there,
 // and records that they are polled now. These are workers where a best-effort
-// task is new next to serving tasks or a tail is long, and whose last report is
-// older than its window.
+// task is new next to serving tasks or a tail is long, or that are or may be slow, and
+// whose last report is older than its window.
 func (s *State) EarlyPolls(now time.Time) []string {
 	var ids []string
 	for id, w := range s.workers {
@@ -74,7 +84,7 @@
 			continue
 		}
 		w.earlyPollCheckedAt = now
-		if colocated, _ := w.colocation(now); colocated.NeedsFrequentPolls() {
+		if w.needsFrequentPolls(now) {
 			w.earlyPolledAt = now
 			ids = append(ids, id)
 		}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -38,7 +38,7 @@
 	ends := s.recordEnds(now, w, rep.Ends)
 	s.recordActive(now, w, rep.Active)
 	s.learnFromTails(now, w)
-	w.paceReportAt = now
+	w.paceReportAt, w.reportWanted = now, false
 	if len(rep.Ends) < runner.MaxEnds {
 		s.resolveUncertain(now, w, sent.Token, rep.Active)
 		s.markReported(now, w)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -98,6 +98,8 @@
 	pace           pace.Worker
 	paceReportAt   time.Time
 	reportsInvalid bool
+	// reportWanted is set until its next report if that decides about a move.
+	reportWanted bool
 	// suspectReports counts the last reports in a row with long tails.
 	suspectReports uint8
 	// newTails is set by a report with tails until the next CPU limit decision.
--- a/pace/worker.go
+++ b/pace/worker.go
@@ -2,14 +2,14 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
 const (
-	// SlowFactor is the slowdown from which a worker counts as slow, and
-	// RecoveredFactor that below which it no longer does.
-	SlowFactor, RecoveredFactor = 2.0, 1.5
+	// SlowFactor is the slowdown from which a worker counts as slow.
+	SlowFactor = 2.0
+	// RecoveredFactor is the slowdown below which a worker no longer counts as slow.
+	RecoveredFactor = 1.5
 	// maxFactor bounds factors, and 1/maxFactor too.
 	maxFactor = 16.0
 	// slowLifetime and normalLifetime are how long an observation counts. Workers
@@ -21,7 +21,7 @@
 	// whether it is still slow.
 	decayTime = 4 * time.Second
 	// maxRuns is the number of runs whose last observation is kept.
-	maxRuns = 6
+	maxRuns = 7
 	// tailReports is the number of slow tails in a row that are enough by themselves.
 	tailReports = 3
 )
@@ -32,8 +32,10 @@
 	// priorWeight assumes that one worker in 50 is slow.
 	priorWeight = -3.9
 	// runWeight is that of a slow run. One run in 33 takes seven times as long and is
-	// therefore present seven times as long: of all running tasks nearly one in five.
-	runWeight = 1.66
+	// therefore present seven times as long: of all running tasks nearly one in five. That
+	// would be 1.66; with 1.4 seven such runs are needed rather than six, which one worker
+	// of a large pool has every few minutes.
+	runWeight = 1.4
 	// changeWeight is that of a run that became slow while it ran, which runs that take
 	// long by themselves don't. One in a hundred is allowed for pauses.
 	changeWeight = 4.5
@@ -52,8 +54,8 @@
 type Worker struct {
 	runs [maxRuns]observation
 	// tailAt is when the last tail was observed, evidenceAt when anything last was and
-	// since when that began to be measured; onsetAt is the value of since when the
-	// evidence became sufficient, 0 if it isn't. All are in Unix nanoseconds.
+	// since when that began to be measured; onsetAt is when the worker became doubtful,
+	// 0 if it isn't. All are in Unix nanoseconds.
 	tailAt, evidenceAt, since, onsetAt int64
 	// tail is the logarithm of the slowdown of the last tail, log that of the worker's
 	// factor at evidenceAt.
@@ -61,6 +63,9 @@
 	// slowTails counts the last slow tails in a row.
 	slowTails uint8
 	slow      bool
+	// doubtful is set if the evidence against it is too little to count it as slow, and
+	// more than a single slow run.
+	doubtful bool
 }
 
 // observation is the last observation of one run.
@@ -102,32 +107,53 @@
 
 // AddRun adds an observation of a run, which replaces the run's previous one.
 func (w *Worker) AddRun(now time.Time, r Run) {
-	at := &w.runs[0]
+	added := observation{at: now.UnixNano(), log: logOf(r.Slowdown), rise: int16(1000 * logOf(r.Rise)), run: r.ID}
+	w.evidenceAt, w.since = added.at, r.Since.UnixNano()
+	if at := w.slotFor(&added); at != nil {
+		*at = added
+	}
+	switch {
+	case added.log < recoveredLog:
+		w.forget(func(o *observation) bool { return o.log >= recoveredLog })
+	case added.risen(0):
+		w.forget(func(o *observation) bool { return o.log < recoveredLog })
+	}
+}
+
+// slotFor returns where to keep an observation: in place of the run's previous one or of one
+// that no longer counts, else of the oldest of a run that is slow from its start, else, unless
+// it is of such a run itself, of the oldest. Were the last ones kept instead, a worker with
+// many runs would count as slow once some of those that take long by themselves come last in a report.
+func (w *Worker) slotFor(added *observation) *observation {
+	var free, weak, oldest *observation
 	for i := range w.runs {
 		o := &w.runs[i]
-		if o.at != 0 && o.run == r.ID {
-			at = o
-			break
+		switch {
+		case o.at != 0 && o.run == added.run:
+			return o
+		case !counts(added.at, o.at, o.log):
+			free = o
+		case o.weak() && (weak == nil || o.at < weak.at):
+			weak = o
 		}
-		if o.at < at.at {
-			at = o
+		if oldest == nil || o.at < oldest.at {
+			oldest = o
 		}
 	}
-	*at = observation{at: now.UnixNano(), log: logOf(r.Slowdown), rise: int16(1000 * logOf(r.Rise)), run: r.ID}
-	w.evidenceAt, w.since = at.at, r.Since.UnixNano()
 	switch {
-	case at.log < recoveredLog:
-		w.forget(func(o *observation) bool { return o.log >= recoveredLog })
-	case at.risen(0):
-		w.forget(func(o *observation) bool { return o.log < recoveredLog })
+	case free != nil:
+		return free
+	case weak != nil:
+		return weak
+	case added.weak():
+		return nil
+	default:
+		return oldest
 	}
 }
 
-// risen reports whether the run has become slow while it ran, by more than the pool. pool
-// is the logarithm of the pool's median slowdown.
-func (o *observation) risen(pool float32) bool {
-	return o.log >= slowLog && float32(o.rise)/1000-pool >= slowLog
-}
+// weak reports whether it is of a run that isn't normal and may take long by itself.
+func (o *observation) weak() bool { return o.log >= recoveredLog && !o.risen(0) }
 
 // forget drops those of the observations made before the last one began to be measured
 // which contradict it: they say nothing of the time since. A single slow run contradicts
@@ -143,6 +169,12 @@
 // tailWindow is the period that a reported tail covers.
 const tailWindow = 500 * time.Millisecond
 
+// risen reports whether the run has become slow while it ran, by more than the pool. pool
+// is the logarithm of the pool's median slowdown.
+func (o *observation) risen(pool float32) bool {
+	return o.log >= slowLog && float32(o.rise)/1000-pool >= slowLog
+}
+
 // AddTail adds the slowdown of the worker's tails in a report: the least one over the
 // classes that it serves. unexplained is set if neighbours and load don't explain it.
 func (w *Worker) AddTail(now time.Time, slowdown float64, unexplained bool) {
@@ -165,6 +197,10 @@
 // Slow reports whether the worker counts as slow, as last judged.
 func (w *Worker) Slow() bool { return w.slow }
 
+// NeedsReports reports whether frequent reports of the worker matter: to find out soon
+// that it is slow, or no longer.
+func (w *Worker) NeedsReports() bool { return w.slow || w.doubtful }
+
 // Factor returns how many times as long tasks take on the worker as on its peers: 1
 // unless it counts as slow.
 func (w *Worker) Factor(now time.Time) float64 {
@@ -192,26 +228,37 @@
 	return at != 0 && time.Duration(now-at) <= lifetime
 }
 
-// median returns the lower median of the logarithms of the slowdowns that count, false
-// if there are none.
-func (w *Worker) median(now int64) (float32, bool) {
-	var all [maxRuns + 1]float32
+// summary describes the observations of a worker that count, as logarithms of slowdowns.
+type summary struct {
+	// known is set if there are any.
+	known bool
+	// median is the lower median, highest the highest of them.
+	median, highest float32
+}
+
+func (w *Worker) summarize(now int64) summary {
+	var all [maxRuns + 1]float32 // in ascending order
 	n := 0
+	add := func(log float32) {
+		i := n
+		for ; i > 0 && all[i-1] > log; i-- {
+			all[i] = all[i-1]
+		}
+		all[i] = log
+		n++
+	}
 	for i := range w.runs {
 		if o := &w.runs[i]; counts(now, o.at, o.log) {
-			all[n] = o.log
-			n++
+			add(o.log)
 		}
 	}
 	if counts(now, w.tailAt, w.tail) {
-		all[n] = w.tail
-		n++
+		add(w.tail)
 	}
 	if n == 0 {
-		return 0, false
+		return summary{}
 	}
-	slices.Sort(all[:n])
-	return all[(n-1)/2], true
+	return summary{known: true, median: all[(n-1)/2], highest: all[n-1]}
 }
 
 // weight returns the sum of the weights of the observations that count, given the
