--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -37,7 +37,8 @@
 }
 
 // runSlowWorkers runs serving and best-effort tasks for a while, with a quarter of the
-// workers slow for some seconds. It checks each stop because of a slow worker.
+// workers slow for some seconds. It checks each start, and each stop because of a slow
+// worker.
 func runSlowWorkers(t *testing.T, seed uint64, disabled mechanism.Set) *paceDay {
 	d := &paceDay{burst: newBurstOn(paceRig(t, disabled), seed, func(s *workload.Step) { s.DisruptionBudget = paceBudget })}
 	d.readyAfter = 600 * time.Millisecond
@@ -48,6 +49,7 @@
 				d.checkMove(o, lastMove)
 			}
 		}
+		d.checkStarts(p.Starts)
 	}
 	submit := func(seconds int) {
 		for range seconds {
@@ -76,6 +78,30 @@
 	return d
 }
 
+// checkStarts checks that no task is started while a run of it is alive, and that no worker's
+// capacity is exceeded.
+func (d *paceDay) checkStarts(starts []dispatch.StartOrder) {
+	d.t.Helper()
+	added := map[string]int64{}
+	for _, o := range starts {
+		for id, w := range d.workers {
+			if w.runs[o.Start.Task] != nil {
+				d.t.Errorf("%v is started on %s while it runs on %s", o.Start.Task, o.Worker.ID, id)
+			}
+		}
+		st := d.job(o.Start.Task.Job).Steps[o.Start.Task.Step]
+		added[o.Worker.ID] += st.Reserved().MilliCPU
+	}
+	for id, reserved := range added {
+		for _, r := range d.workers[id].runs {
+			reserved += r.step.Reserved().MilliCPU
+		}
+		if capacity := workerInfo(id).Capacity.MilliCPU; reserved > capacity {
+			d.t.Errorf("%d thousandths of a core are reserved on %s, which has %d", reserved, id, capacity)
+		}
+	}
+}
+
 // checkMove checks the order to move a run off a slow worker: one per worker and
 // cool-down, only from slow workers, and, if it serves, only while fewer others of its
 // step are away than its allowance.
