--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -122,12 +122,8 @@
 	if st.spec.LongRunning {
 		siblings = st.onWorker(w)
 	}
-	slowdown := 0.0
-	if w.pace.Slow() {
-		slowdown = w.pace.Factor(c.now)
-	}
 	return rank.Worker{
-		Slowdown:       slowdown,
+		Slowdown:       c.slowdown(w),
 		Free:           w.free,
 		Capacity:       w.info.Capacity,
 		UnusedMilliCPU: l.unusedCPU,
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -380,6 +380,14 @@
 	}
 }
 
+// slowdown returns the factor of a slow worker, 0 for others.
+func (c *cycle) slowdown(w *worker) float64 {
+	if p := c.s.pace; p == nil || p.slow == 0 || !w.pace.Slow() {
+		return 0
+	}
+	return w.pace.Factor(c.now)
+}
+
 // maxPaceChanges bounds the changes kept for TakePaceChanges.
 const maxPaceChanges = 4096
 
--- a/dispatch/pacefailures_test.go
+++ b/dispatch/pacefailures_test.go
@@ -31,8 +31,13 @@
 	moved int
 }
 
-// newServingPool returns a pool whose tasks have served for some seconds.
+// newServingPool returns a pool whose tasks, all of one step, have served for some seconds.
 func newServingPool(t *testing.T, workers, tasks int, change ...func(*workload.Step)) *servingPool {
+	return newServingJobs(t, workers, 1, tasks, change...)
+}
+
+// newServingJobs is newServingPool with several jobs of one step each.
+func newServingJobs(t *testing.T, workers, jobs, tasks int, change ...func(*workload.Step)) *servingPool {
 	p := &servingPool{
 		rig: paceRig(t, 0), workers: workers, at: map[string]dispatch.StartOrder{}, slow: map[string]bool{},
 		silent: map[string]bool{}, ended: map[string]runner.RunEnd{},
@@ -43,15 +48,17 @@
 	for i := range workers {
 		p.report(worker(i), nil, nil)
 	}
-	p.submit(queueShort, "serving", step(tasks, 9, longRunning, func(s *workload.Step) {
-		s.Image, s.TailTarget, s.MaxPerWorker = "web", servingTarget, 1
-		for _, f := range change {
-			f(s)
-		}
-	}))
+	for i := range jobs {
+		p.submit(queueShort, fmt.Sprint("serving", i), step(tasks, 9, longRunning, func(s *workload.Step) {
+			s.Image, s.TailTarget, s.MaxPerWorker = "web", servingTarget, 1
+			for _, f := range change {
+				f(s)
+			}
+		}))
+	}
 	p.ticks(12)
-	if len(p.at) != tasks {
-		t.Fatalf("%d of %d tasks run", len(p.at), tasks)
+	if len(p.at) != jobs*tasks {
+		t.Fatalf("%d of %d tasks run", len(p.at), jobs*tasks)
 	}
 	return p
 }
@@ -414,3 +421,20 @@
 		t.Errorf("%d stops once all others are known to serve, want 1", n)
 	}
 }
+
+// TestLoadIsNotSlowness lets the tails of single tasks of a step, and of all tasks of one, grow
+// because of their users. Without a peer on another worker, or with peers alike, that doesn't
+// tell a load from a slow worker, and no task may be moved because of it.
+func TestLoadIsNotSlowness(t *testing.T) {
+	for name, p := range map[string]*servingPool{
+		"one task a step": newServingJobs(t, 20, 16, 1), "two tasks a step": newServingJobs(t, 20, 8, 2),
+	} {
+		for id, o := range p.at {
+			p.slow[id] = o.Start.Task.Job == "serving0"
+		}
+		p.ticks(20)
+		if got := p.found(); len(got) > 0 || p.moved > 0 {
+			t.Errorf("%s: found %v and moved %d tasks because of their load", name, got, p.moved)
+		}
+	}
+}
