--- a/control/metrics.go
+++ b/control/metrics.go
@@ -34,8 +34,11 @@
 	detoured        prometheus.Gauge
 	// withdrawn counts submissions withdrawn in outages of the table service; outage
 	// is how long the current one has lasted.
-	withdrawn prometheus.Counter
-	outage    prometheus.Gauge
+	withdrawn   prometheus.Counter
+	outage      prometheus.Gauge
+	slowWorkers prometheus.Gauge
+	slowMoves   *prometheus.CounterVec
+	slowCopies  prometheus.Counter
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -49,10 +52,11 @@
 	m.initDomain()
 	m.initLoop()
 	m.initOutage()
+	m.initPace()
 	r.MustRegister(
 		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.detoured, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
-		m.withdrawn, m.outage,
+		m.withdrawn, m.outage, m.slowWorkers, m.slowMoves, m.slowCopies,
 	)
 	return m
 }
@@ -170,6 +174,7 @@
 func (m *Metrics) setState(s *dispatch.Summary) {
 	m.openJobs.Set(float64(s.OpenJobs))
 	m.tailsOverTarget.Set(float64(s.OverTarget))
+	m.slowWorkers.Set(float64(s.SlowWorkers))
 	m.workers.WithLabelValues("usable").Set(float64(s.Usable))
 	m.workers.WithLabelValues("silent").Set(float64(s.Suspected))
 	m.workers.WithLabelValues("awaited").Set(float64(s.AwaitingReport))
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -123,6 +123,7 @@
 		siblings = st.onWorker(w)
 	}
 	return rank.Worker{
+		Slowdown:       c.slowdown(w),
 		Free:           w.free,
 		Capacity:       w.info.Capacity,
 		UnusedMilliCPU: l.unusedCPU,
--- a/event/control.go
+++ b/event/control.go
@@ -43,5 +43,6 @@
 	DetoursChanged       = define(939, slog.LevelInfo, "workers do not answer the owner, reaching them through other hosts")
 	PoolClosed           = routine(938, slog.LevelInfo, "job refused, all availability zones with its workers are closed")
 	SubmissionsWithdrawn = define(943, slog.LevelWarn, "submissions withdrawn, the store was unavailable")
+	WorkerSpeedChanged   = routine(942, slog.LevelInfo, "worker speed judged anew")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
