fairshare, platform: guaranteed shares of queues are read and checked

Cause: a burst in one queue delays all other queues of the pool; no part said how the pool is to be shared.

Invalid shares of a pool leave those in force for that pool, with event 941; the rest is applied. preempt.Chooser chooses victims on many workers without an allocation for each. The mechanism's name is shares. Nothing uses the shares yet.

--- a/event/control.go
+++ b/event/control.go
@@ -41,5 +41,6 @@
 	OwnershipInDoubt     = define(936, slog.LevelWarn, "domain ownership in doubt, verifying it before further orders")
 	ZonesChanged         = define(937, slog.LevelInfo, "closed availability zones changed")
 	PoolClosed           = routine(938, slog.LevelInfo, "job refused, all availability zones with its workers are closed")
+	SharesRejected       = define(941, slog.LevelWarn, "guaranteed shares of a pool are invalid, keeping those in force")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
--- a/preempt/choose.go
+++ b/preempt/choose.go
@@ -1,7 +1,6 @@
 package preempt
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/fireflygate/fireflygate/infra"
@@ -12,23 +11,7 @@
 // the least work are chosen first. It returns false if ending all victims
 // doesn't free enough capacity.
 func Choose(needs, free infra.Resources, victims []Victim) (chosen []Victim, loss int64, ok bool) {
-	if needs.Fits(free) {
-		return nil, 0, true
-	}
-	order := slices.Clone(victims)
-	slices.SortStableFunc(order, func(a, b Victim) int { return cmp.Compare(a.LostWork, b.LostWork) })
-	for _, v := range order {
-		if !helps(v.Reserved, needs, free) {
-			continue
-		}
-		chosen = append(chosen, v)
-		loss += v.LostWork
-		free = free.Add(v.Reserved)
-		if needs.Fits(free) {
-			return spareUnneeded(chosen, needs, free, loss)
-		}
-	}
-	return nil, 0, false
+	return new(Chooser).Choose(needs, free, victims)
 }
 
 // helps reports whether a run reserves some of what is missing.
--- a/workload/queue.go
+++ b/workload/queue.go
@@ -21,4 +21,7 @@
 	// NeedsPermit is set if the policy service decides which workers may run
 	// a step of this queue.
 	NeedsPermit bool
+	// GuaranteedShare is the fraction of the pool's processors to which the queue is
+	// entitled whenever it has demand for them; 0 for none.
+	GuaranteedShare float64 `msgpack:",omitempty"`
 }
