dispatch: guaranteed shares decide the order of steps and what is reclaimed

Cause: a queue within its share waited behind a burst of a queue of higher priority, and preemption by priority took its runs.

Change: in pools in which a queue has a guaranteed share, the steps of queues below their shares come first, only as far as their shares go. For tasks that still fit nowhere after 150 ms, runs of queues above their shares are stopped: at most the unmet claims, at most a tenth of the pool per second, never long-running tasks or gangs, and never so that a queue falls below its own share. Preemption by priority obeys the last of these, too. Workers where capacity is being reclaimed get no starts until the runs have ended. What a queue uses are the processors that its tasks request, also best-effort ones. The rigs take the queues of an owner and pass on plans; submitSteps is submitBestEffort for any steps.

--- a/dispatch/benchlarge_test.go
+++ b/dispatch/benchlarge_test.go
@@ -33,8 +33,19 @@
 
 // BenchmarkPlanLarge plans on workers with serving tasks. In each cycle one
 // best-effort and one short job arrive, and the runs of an earlier cycle end.
-func BenchmarkPlanLarge(b *testing.B) {
+func BenchmarkPlanLarge(b *testing.B) { benchPlanLarge(b, queueShort, queueLong) }
+
+// BenchmarkPlanLargeShares is BenchmarkPlanLarge with guaranteed shares.
+func BenchmarkPlanLargeShares(b *testing.B) {
+	short, long := queueShort, queueLong
+	short.GuaranteedShare, long.GuaranteedShare = 0.5, 0.3
+	benchPlanLarge(b, short, long)
+}
+
+func benchPlanLarge(b *testing.B, queues ...workload.Queue) {
+	b.Helper()
 	r := newLargeRig()
+	r.state.SetQueues(queues)
 	numbers := map[string]uint64{}
 	var running [][]dispatch.StartOrder
 	cycle := func(i int) {
--- a/dispatch/burstrig_test.go
+++ b/dispatch/burstrig_test.go
@@ -72,8 +72,16 @@
 
 // newBurst returns workers with serving tasks and no best-effort jobs.
 func newBurst(t *testing.T, seed uint64, disabled mechanism.Set) *burst {
+	b := newIdleBurst(t, seed, disabled)
+	b.startServing()
+	return b
+}
+
+// newIdleBurst returns workers without tasks, of an owner with the given queues, the
+// usual ones if there are none.
+func newIdleBurst(t *testing.T, seed uint64, disabled mechanism.Set, queues ...workload.Queue) *burst {
 	b := &burst{
-		rig:    &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, disabled: disabled},
+		rig:    &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, disabled: disabled, queues: queues},
 		random: rand.New(rand.NewPCG(seed, 1)), effects: map[[2]string]float64{}, phase: map[string]float64{},
 		workers: map[string]*simWorker{}, ended: map[string]time.Time{}, due: map[string]time.Time{},
 		durations: map[workload.StepID]time.Duration{},
@@ -92,6 +100,11 @@
 			}
 		}
 	}
+	return b
+}
+
+// startServing starts the serving tasks.
+func (b *burst) startServing() {
 	for i := range 24 {
 		id := fmt.Sprint("serving", i)
 		b.phase[id] = b.random.Float64()
@@ -101,7 +114,6 @@
 		}))
 	}
 	b.run(5 * time.Second)
-	return b
 }
 
 // submitBestEffort submits a random best-effort job.
@@ -119,7 +131,13 @@
 			}
 		}))
 	}
-	job := &workload.Job{ID: id, Queue: queueLong.Name, Steps: steps, Submitted: b.now.UnixMilli()}
+	b.submitSteps(queueLong, id, steps)
+}
+
+// submitSteps submits a job, whose declared run times are wrong if there is noise.
+func (b *burst) submitSteps(q workload.Queue, id string, steps []workload.Step) {
+	b.t.Helper()
+	job := &workload.Job{ID: id, Queue: q.Name, Steps: steps, Submitted: b.now.UnixMilli()}
 	path := time.Duration(0)
 	for i := range steps {
 		path += steps[i].Estimate
@@ -128,8 +146,8 @@
 			steps[i].Estimate = time.Duration(float64(steps[i].Estimate) * math.Exp(b.noise*b.random.NormFloat64()))
 		}
 	}
-	b.due[id] = b.now.Add(time.Duration(queueLong.Stretch*float64(path)) + queueLong.Target)
-	b.state.Accept(b.now, b.now.UnixMilli(), job, queueLong)
+	b.due[id] = b.now.Add(time.Duration(q.Stretch*float64(path)) + q.Target)
+	b.state.Accept(b.now, b.now.UnixMilli(), job, q)
 	b.jobs = append(b.jobs, job)
 	b.flush()
 }
@@ -226,6 +244,7 @@
 
 // execute carries out the orders of a plan.
 func (b *burst) execute(p dispatch.Plan) {
+	b.sawPlan(p)
 	for _, o := range p.Stops {
 		c := b.workers[o.Worker.ID]
 		if r := c.runs[o.Stop.Task]; r != nil && r.number == o.Stop.Run {
--- a/dispatch/faultsimorders_test.go
+++ b/dispatch/faultsimorders_test.go
@@ -60,6 +60,7 @@
 
 // sendOrders sends the orders of a plan.
 func (s *faultSim) sendOrders(p dispatch.Plan) {
+	s.sawPlan(p)
 	state := s.state
 	slices.SortFunc(p.Stops, func(a, b dispatch.StopOrder) int { return cmp.Compare(a.Stop.Run, b.Stop.Run) })
 	for _, o := range p.Stops {
--- a/dispatch/faultworker_test.go
+++ b/dispatch/faultworker_test.go
@@ -42,6 +42,8 @@
 	startedAt time.Time
 	duration  time.Duration
 	fails     bool
+	// stopped is set by a test that has seen a stop order.
+	stopped bool
 	// unguarded makes its worker accept it whatever its capacity.
 	unguarded bool
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -30,6 +30,10 @@
 	// unfinishedOccurrences counts occurrences with unfinished steps.
 	unfinishedOccurrences int
 	finishedAt            time.Time
+	// shared is its queue in a pool with guaranteed shares, nil in other pools, as of
+	// sharedVersion of the shares.
+	shared        *sharedQueue
+	sharedVersion uint64
 	// dirty is set while the job's progress isn't durable, urgent while a
 	// caller waits for that.
 	dirty, urgent bool
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -81,7 +81,7 @@
 		return
 	}
 	o := &simOwner{
-		rig:  &rig{t: s.t, now: s.now, rows: s.rows, startedAt: s.startedAt},
+		rig:  &rig{t: s.t, now: s.now, rows: s.rows, startedAt: s.startedAt, queues: s.queues},
 		host: h, record: record, version: version, committedAt: begun,
 		polling: map[string]bool{}, nextPoll: map[string]time.Time{},
 	}
@@ -183,6 +183,7 @@
 
 // sendPlan sends the orders of an owner's plan.
 func (s *ownerSim) sendPlan(o *simOwner, p dispatch.Plan) {
+	s.sawPlan(p)
 	slices.SortFunc(p.Stops, func(a, b dispatch.StopOrder) int { return cmp.Compare(a.Stop.Run, b.Stop.Run) })
 	for _, order := range p.Stops {
 		s.orderBy(o, order.Worker.ID, func(w *faultWorker) runner.Status { return w.stop(order.Stop) }, func(status runner.Status) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,6 +15,8 @@
 type waitingStep struct {
 	entry queue.Entry
 	step  *step
+	// tried is set once a cycle has placed what fits of a step in a pool with shares.
+	tried bool
 }
 
 // Plan returns the orders to give now.
@@ -36,13 +38,9 @@
 	c.starts = s.releaseHeldStarts(now)
 	list := s.waitingSteps(now)
 	c.computeCapacity(list)
-	for _, w := range list {
-		if c.startLimitReached() {
-			p.StartLimitReached = true
-			break
-		}
-		c.placeStep(w.step)
-	}
+	c.computeShares(list)
+	p.StartLimitReached = !c.placeSteps(list)
+	c.recordClaims(p.StartLimitReached)
 	if !c.startLimitReached() {
 		c.copySlowRuns()
 	}
@@ -116,6 +114,12 @@
 	maxStarts int
 	pools     map[string]*poolCapacity
 	demand    *bestEffortDemand
+	// shares holds the pools in which a queue has a guaranteed share, nil if there are
+	// none. claiming is the queue whose claim is being met, nil in between.
+	shares   map[string]*sharedPool
+	claiming *sharedQueue
+	// reclaimAttempts counts the steps for which runs to reclaim were sought.
+	reclaimAttempts int
 	// preemptAttempts counts the steps for which victims were sought.
 	preemptAttempts int
 	// shortlistBuffer is the storage of the last shortlist, for reuse.
@@ -176,7 +180,7 @@
 		if !c.safeToStart(t) || !c.headroomAllows(t) {
 			continue
 		}
-		if c.startLimitReached() {
+		if c.startLimitReached() || c.claiming.met() {
 			return
 		}
 		if t.suspect() {
@@ -272,6 +276,7 @@
 		p.free -= r.reserved.MilliCPU
 	}
 	t.attach(r)
+	c.countStart(t.step)
 	t.step.job.breakdown.Starts++
 	c.s.markDirty(t.step.job)
 	permit, _ := t.step.permitFor(c.now, w)
@@ -302,8 +307,15 @@
 	}
 	var best *worker
 	needs := st.spec.Reserved()
+	// In a pool with shares many steps of the queues above theirs wait, for which loads
+	// aren't computed. Elsewhere they are, since they are cached and later choices depend on
+	// when that was.
+	shared := c.sharedQueueOf(st) != nil
 	for _, w := range c.workers {
-		if c.reserved[w.index] || !c.allowed(st, w) || c.atPerWorkerLimit(st, w) || !needs.Fits(c.load(w).eventuallyFree) {
+		if shared && (best != nil && w.free.MilliCPU <= best.free.MilliCPU || !needs.Fits(w.eventuallyFree())) {
+			continue
+		}
+		if c.reserved[w.index] || !c.allowed(st, w) || c.atPerWorkerLimit(st, w) || (!shared && !needs.Fits(c.load(w).eventuallyFree)) {
 			continue
 		}
 		if best == nil || w.free.MilliCPU > best.free.MilliCPU {
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/mechanism"
@@ -29,8 +28,11 @@
 	if st.blockedSince.IsZero() {
 		st.blockedSince = c.now
 	}
+	if c.reclaim(st) {
+		return
+	}
 	if c.s.cfg.Disabled.Has(mechanism.Preemption) || st.spec.BestEffort || c.preemptAttempts >= preemptAttemptsPerCycle || c.now.Sub(st.blockedSince) < preemptAfter ||
-		c.now.Before(st.nextPreempt) {
+		c.now.Before(st.nextPreempt) || c.nothingLent(st) {
 		return
 	}
 	c.preemptAttempts++
@@ -43,7 +45,7 @@
 			continue
 		}
 		chosen, loss, ok := preempt.Choose(st.spec.Reserved(), w.free, c.victims(st, w))
-		if ok && len(chosen) > 0 && (at == nil || loss < leastLoss) {
+		if ok && len(chosen) > 0 && c.allLent(w, chosen) && (at == nil || loss < leastLoss) {
 			best, at, leastLoss = chosen, w, loss
 		}
 	}
@@ -52,10 +54,11 @@
 	}
 	st.nextPreempt = c.now.Add(preemptWait)
 	c.reserveWorker(at)
-	runs := slices.Clone(at.runsByNumber)
-	for _, v := range best {
+	runs := runsOf(at, best)
+	c.recordPreempted(at, runs)
+	for _, r := range runs {
 		c.s.Stats.Preempted++
-		c.s.orderStop(c.now, runs[v.ID], Preempted)
+		c.s.orderStop(c.now, r, Preempted)
 	}
 }
 
@@ -66,7 +69,7 @@
 	for i, r := range w.runsByNumber {
 		spec := r.task.step.spec
 		if r.phase != running || spec.LongRunning || spec.Gang ||
-			r.task.step.job.queue.Priority <= st.job.queue.Priority {
+			r.task.step.job.queue.Priority <= st.job.queue.Priority || !c.isLent(r) {
 			continue
 		}
 		all = append(all, preempt.Victim{ID: i, Reserved: r.reserved, LostWork: r.unsavedWork(c.now)})
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -37,6 +37,31 @@
 	jobs []*workload.Job
 	// ends is the last number given to an end by endSome.
 	ends uint64
+	// queues are those of each owner, queueShort and queueLong if it is nil.
+	queues []workload.Queue
+	// planned is called with each plan of the simulations; it may be nil.
+	planned func(dispatch.Plan)
+	// orders describes the orders that recordOrders was called with.
+	orders []string
+}
+
+// sawPlan passes a plan on to planned.
+func (r *rig) sawPlan(p dispatch.Plan) {
+	if r.planned != nil {
+		r.planned(p)
+	}
+}
+
+// recordOrders records the orders of a plan, of which the stops are in no order.
+func (r *rig) recordOrders(p dispatch.Plan) {
+	first := len(r.orders)
+	for _, o := range p.Stops {
+		r.orders = append(r.orders, fmt.Sprint(r.sinceStart(), " stop ", o.Stop.Task, o.Stop.Run, " on ", o.Worker.ID, ": ", o.Cause))
+	}
+	slices.Sort(r.orders[first:])
+	for _, o := range p.Starts {
+		r.orders = append(r.orders, fmt.Sprint(r.sinceStart(), " start ", o.Start.Task, o.Start.Run, " on ", o.Worker.ID))
+	}
 }
 
 const (
@@ -75,7 +100,11 @@
 		Epoch: epoch, Lease: testLease, Retention: time.Minute,
 		NoCapacityPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Disabled: r.disabled,
 	})
-	r.state.SetQueues([]workload.Queue{queueShort, queueLong})
+	queues := r.queues
+	if queues == nil {
+		queues = []workload.Queue{queueShort, queueLong}
+	}
+	r.state.SetQueues(queues)
 }
 
 // takeOver replaces the State with that of the next owner, which restores the
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -83,7 +83,17 @@
 	givenUp   []GivenUpJob
 	// outages holds when workers became unresponsive lately.
 	outages []outage
-	Stats   Stats
+	// shares holds the pools in which a queue has a guaranteed share, nil if there are none
+	// or sharesChanged is set; sharesVersion counts its changes.
+	shares        map[string]*sharedPool
+	sharesChanged bool
+	sharesVersion uint64
+	// claims holds the claims of queues below their guaranteed shares, reclaims what was
+	// reclaimed lately or is being stopped for them, see reclaim.go.
+	claims        map[string]*claim
+	reclaims      []reclaimed
+	reclaimBuffer reclaimBuffer
+	Stats         Stats
 }
 
 // New returns the state of a domain without jobs or workers.
@@ -95,6 +105,7 @@
 		queues:         map[string]workload.Queue{},
 		jobs:           map[string]*job{},
 		workers:        map[string]*worker{},
+		claims:         map[string]*claim{},
 		awaitingReport: map[string]*worker{},
 		crashedUnder:   map[uint32][]*task{}, inheritedRuns: map[uint32][]*task{},
 		nextRun: cfg.Epoch << epochShift, topToken: cfg.Epoch << epochShift,
@@ -116,6 +127,7 @@
 			j.queue = q
 		}
 	}
+	s.shares, s.sharesChanged = nil, true
 }
 
 // SetBounds replaces the retention of jobs and the bound on tails.
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -8,4 +8,7 @@
 	GivenUp                                                    uint64
 	Done, FailedRuns, StoppedRuns, LostRuns                    uint64
 	ExpiredRuns, Copies, Evictions, Preempted, BestEffortMoved uint64
+	// Reclaimed counts the runs stopped for queues below their guaranteed shares,
+	// ReclaimedMilliCPU their requested processors, in thousandths of a core.
+	Reclaimed, ReclaimedMilliCPU uint64
 }
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -33,6 +33,8 @@
 	// blockedSince is when a task of it first fitted nowhere, nextPreempt when
 	// it may preempt other runs again.
 	blockedSince, nextPreempt time.Time
+	// nextReclaim is when lent capacity may be reclaimed for it again.
+	nextReclaim time.Time
 	// blockedBy counts steps that must be done first.
 	blockedBy int
 }
--- a/dispatch/stopcause.go
+++ b/dispatch/stopcause.go
@@ -19,13 +19,15 @@
 	Duplicate
 	// UnknownTask: its task isn't known.
 	UnknownTask
+	// Reclaimed: a queue below its guaranteed share needs the capacity.
+	Reclaimed
 	stopCauseCount
 )
 
 // stopCauseNames holds the names of the causes in logs, in the order of the
 // constants. They stay as they are when a constant is renamed.
 var stopCauseNames = [stopCauseCount]string{
-	"job over", "task done", "tail too long", "preempted", "worker leaves", "duplicate", "no such task",
+	"job over", "task done", "tail too long", "preempted", "worker leaves", "duplicate", "no such task", "reclaimed",
 }
 
 // String returns the cause as it appears in logs.
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -26,7 +26,10 @@
 	Free, MaxFree infra.Resources
 	// OverTarget counts serving tasks whose tail is over its target.
 	OverTarget int
-	Stats      Stats
+	// Shares describes the queues of the pools in which one has a guaranteed share, in
+	// order of pool and name.
+	Shares []QueueShare
+	Stats  Stats
 }
 
 // summarize returns a summary of the domain and the cause of each waiting step.
@@ -54,6 +57,8 @@
 	list := s.waitingSteps(now)
 	c := newCycle(s, now)
 	c.computeCapacity(list)
+	c.computeShares(list)
+	sum.Shares = c.queueShares()
 	for _, wt := range list {
 		wait := c.waitOf(wt.step)
 		byStep[wt.step] = wait.cause
@@ -103,5 +108,6 @@
 		slog.Int("over_target", s.OverTarget), slog.Uint64("starts", s.Stats.Starts), slog.Uint64("done", s.Stats.Done),
 		slog.Uint64("failed_runs", s.Stats.FailedRuns), slog.Uint64("lost_runs", s.Stats.LostRuns),
 		slog.Uint64("refused_starts", s.Stats.StartsRefused), slog.Uint64("preempted", s.Stats.Preempted), slog.Uint64("fillers_moved", s.Stats.BestEffortMoved),
+		slog.Uint64("reclaimed", s.Stats.Reclaimed),
 	)
 }
