--- a/control/metrics.go
+++ b/control/metrics.go
@@ -31,6 +31,7 @@
 	traffic         *prometheus.GaugeVec
 	zonesClosed     prometheus.Gauge
 	startsHeldBack  prometheus.Counter
+	shares          shareMetrics
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -38,7 +39,7 @@
 
 // NewMetrics returns metrics registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
-	m := &Metrics{}
+	m := &Metrics{shares: newShareMetrics()}
 	m.initRequests()
 	m.initOwnership()
 	m.initDomain()
@@ -47,6 +48,7 @@
 		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
 	)
+	r.MustRegister(m.shares.collectors()...)
 	return m
 }
 
@@ -150,6 +152,7 @@
 func (m *Metrics) setState(s *dispatch.Summary) {
 	m.openJobs.Set(float64(s.OpenJobs))
 	m.tailsOverTarget.Set(float64(s.OverTarget))
+	m.shares.set(s)
 	m.workers.WithLabelValues("usable").Set(float64(s.Usable))
 	m.workers.WithLabelValues("silent").Set(float64(s.Suspected))
 	m.workers.WithLabelValues("awaited").Set(float64(s.AwaitingReport))
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -312,10 +312,10 @@
 	// when that was.
 	shared := c.sharedQueueOf(st) != nil
 	for _, w := range c.workers {
-		if shared && (best != nil && w.free.MilliCPU <= best.free.MilliCPU || !needs.Fits(w.eventuallyFree())) {
+		if c.reserved[w.index] || shared && (best != nil && w.free.MilliCPU <= best.free.MilliCPU || !needs.Fits(w.eventuallyFree())) {
 			continue
 		}
-		if c.reserved[w.index] || !c.allowed(st, w) || c.atPerWorkerLimit(st, w) || (!shared && !needs.Fits(c.load(w).eventuallyFree)) {
+		if !c.allowed(st, w) || c.atPerWorkerLimit(st, w) || (!shared && !needs.Fits(c.load(w).eventuallyFree)) {
 			continue
 		}
 		if best == nil || w.free.MilliCPU > best.free.MilliCPU {
--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -143,17 +143,19 @@
 // guarantees, and against a preemption by priority that does so.
 func TestReclaimLeavesShares(t *testing.T) {
 	for _, c := range []struct {
-		name      string
-		claimant  float64
-		wantStops int
+		name            string
+		claimant, share float64
+		least, most     int
 	}{
-		{"claim", 0.25, 1}, // 12 cores, of which 8 are lent
-		{"no claim", 0, 1},
+		{"claim", 0.25, 0.75, 1, 3}, // 12 of 48 cores are lent, three runs
+		{"no claim", 0, 0.75, 1, 3},
+		{"claim of less than a run", 0.04, 0.96, 0, 0}, // not quite 2 cores are lent
+		{"less than a run is lent", 0, 0.96, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t, 3)
 			short, steady := queueShort, queueSteady
-			short.GuaranteedShare, steady.GuaranteedShare = c.claimant, 0.75 // 36 of 48 cores
+			short.GuaranteedShare, steady.GuaranteedShare = c.claimant, c.share
 			r.state.SetQueues([]workload.Queue{short, steady})
 			r.submit(steady, "steady", step(12, 4))
 			r.plan()
@@ -164,16 +166,76 @@
 				r.advance(testTick)
 				stops += len(r.state.Plan(r.now).Stops)
 			}
-			if stops > 3 {
-				t.Errorf("%d runs of 4 cores stopped, of which 3 are lent", stops)
-			}
-			if stops < c.wantStops {
-				t.Errorf("%d runs stopped, want at least %d", stops, c.wantStops)
+			if stops < c.least || stops > c.most {
+				t.Errorf("%d runs of 4 cores stopped, want %d to %d", stops, c.least, c.most)
 			}
 		})
 	}
 }
 
+// TestReclaimedCapacityIsKept guards against other tasks that take, in parts, the capacity
+// of a worker where runs are being stopped for a larger task.
+func TestReclaimedCapacityIsKept(t *testing.T) {
+	r := newSharedRig(t, 5) // of 80 cores
+	r.submit(queueShort, "old", step(2, 7, func(s *workload.Step) { s.Label = "rack-" + worker(0) }))
+	r.plan()
+	r.advance(time.Second)
+	r.submit(queueShort, "burst", step(8, 7))
+	starts := r.plan()
+	r.submit(queueSteady, "steady", step(1, 9))
+	stop := r.reclaim()[0]
+	r.submit(queueShort, "small", step(9, 2))
+	for range 3 {
+		r.advance(testTick)
+		for _, o := range r.plan() {
+			if o.Worker.ID == stop.Worker.ID {
+				t.Errorf("%v started where capacity is being reclaimed", o.Start.Task)
+			}
+		}
+	}
+	r.report(stop.Worker.ID, nil, []runner.RunEnd{end(1, byStop(starts, stop), runner.EndStopped)})
+	if got := jobsOf(r.plan()); !strings.HasPrefix(got, "steady") {
+		t.Errorf("%q started, want the task for which capacity was reclaimed", got)
+	}
+}
+
+// TestReclaimOnlyWhereItHelps guards against runs that are stopped although the task may
+// not start on their worker.
+func TestReclaimOnlyWhereItHelps(t *testing.T) {
+	r := newRig(t, 5)
+	steady := queueSteady
+	steady.NeedsPermit = true
+	r.state.SetQueues([]workload.Queue{queueShort, steady})
+	r.submit(queueShort, "burst", step(20, 4))
+	r.plan()
+	r.submit(steady, "steady", step(4, 4))
+	r.wantNoOrders(2 * time.Second) // no worker is permitted
+}
+
+// TestInheritedRunsAreUsed guards against reclaiming for a queue whose runs a new owner
+// doesn't know yet, as their worker hasn't reported to it.
+func TestInheritedRunsAreUsed(t *testing.T) {
+	r := newRig(t, 20)
+	r.setShare(0.05) // 16 of 320 cores
+	r.submit(queueSteady, "steady", step(4, 4, func(s *workload.Step) { s.Label = "rack-" + worker(0) }))
+	r.submit(queueShort, "burst", step(76, 4))
+	starts := r.plan()
+	r.flush()
+	r.takeOver(r.roster()...)
+	r.members(20)
+	for i := 1; i < 20; i++ {
+		var runs []runner.ActiveRun
+		for _, o := range starts {
+			if o.Worker.ID == worker(i) {
+				runs = append(runs, active(o))
+			}
+		}
+		r.report(worker(i), runs, nil)
+	}
+	r.submit(queueSteady, "more", step(4, 4))
+	r.wantNoOrders(2 * time.Second)
+}
+
 // TestOwnerLostWhileReclaiming guards against a task on two workers and against a share
 // that isn't held, if the owner is lost while runs are being stopped, with stops that
 // were carried out and stops that were not.
