dispatch: runs of ended jobs aren't subtracted from what a queue uses

Cause: a job that ended while its runs were being reclaimed no longer counted as used, but its runs were still subtracted, so that the queue seemed to use less than it did until their ends were reported.

Change: only runs of open jobs are subtracted.

Measured: TestJobEndsWhileReclaimed failed before (4 of 8 cores) and passes.

--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -369,3 +369,22 @@
 		t.Errorf("%s started, want only the queue of higher priority", got)
 	}
 }
+
+// TestJobEndsWhileReclaimed guards against a queue that counts as using less than it does
+// while runs of its ended jobs are being stopped.
+func TestJobEndsWhileReclaimed(t *testing.T) {
+	r := newSharedRig(t, 3)
+	r.submit(queueShort, "first", step(10, 4))
+	r.plan()
+	r.submit(queueShort, "second", step(2, 4))
+	r.plan()
+	r.submit(queueSteady, "steady", step(3, 4))
+	stop := r.reclaim()[0]
+	r.state.Cancel(r.now, stop.Stop.Task.Job)
+	want := map[string]int64{"first": 8000, "second": 40_000}[stop.Stop.Task.Job]
+	for _, q := range r.state.AttributeTime(r.now).Shares {
+		if q.Queue == queueShort.Name && q.Used != want {
+			t.Errorf("%d used after the end of %s, want %d", q.Used, stop.Stop.Task.Job, want)
+		}
+	}
+}
--- a/dispatch/reclaimed.go
+++ b/dispatch/reclaimed.go
@@ -32,7 +32,7 @@
 	c.s.reclaims = slices.DeleteFunc(c.s.reclaims, func(r reclaimed) bool {
 		stopping := r.stopping()
 		for _, run := range r.runs {
-			if run.mayBeAlive() {
+			if run.mayBeAlive() && !run.task.step.job.state.Final() { // those of ended jobs don't count anyway
 				c.countStopped(run)
 			}
 		}
