--- a/control/metrics.go
+++ b/control/metrics.go
@@ -39,6 +39,7 @@
 	slowWorkers prometheus.Gauge
 	slowMoves   *prometheus.CounterVec
 	slowCopies  prometheus.Counter
+	shares      shareMetrics
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -46,7 +47,7 @@
 
 // NewMetrics returns metrics registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
-	m := &Metrics{}
+	m := &Metrics{shares: newShareMetrics()}
 	m.initRequests()
 	m.initOwnership()
 	m.initDomain()
@@ -58,6 +59,7 @@
 		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.detoured, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
 		m.withdrawn, m.outage, m.slowWorkers, m.slowMoves, m.slowCopies,
 	)
+	r.MustRegister(m.shares.collectors()...)
 	return m
 }
 
@@ -175,6 +177,7 @@
 	m.openJobs.Set(float64(s.OpenJobs))
 	m.tailsOverTarget.Set(float64(s.OverTarget))
 	m.slowWorkers.Set(float64(s.SlowWorkers))
+	m.shares.set(s)
 	m.workers.WithLabelValues("usable").Set(float64(s.Usable))
 	m.workers.WithLabelValues("silent").Set(float64(s.Suspected))
 	m.workers.WithLabelValues("awaited").Set(float64(s.AwaitingReport))
--- a/dispatch/benchlarge_test.go
+++ b/dispatch/benchlarge_test.go
@@ -47,6 +47,15 @@
 // best-effort and one short job arrive, and the runs of an earlier cycle end.
 func BenchmarkPlanLarge(b *testing.B) { benchPlanLarge(b, newLargeRig()) }
 
+// BenchmarkPlanLargeShares is BenchmarkPlanLarge with guaranteed shares.
+func BenchmarkPlanLargeShares(b *testing.B) {
+	short, long := queueShort, queueLong
+	short.GuaranteedShare, long.GuaranteedShare = 0.5, 0.3
+	r := newLargeRig()
+	r.state.SetQueues([]workload.Queue{short, long})
+	benchPlanLarge(b, r)
+}
+
 // benchPlanLarge is BenchmarkPlanLarge on a pool with serving tasks.
 func benchPlanLarge(b *testing.B, r *rig) {
 	b.Helper()
--- a/dispatch/burstrig_test.go
+++ b/dispatch/burstrig_test.go
@@ -83,7 +83,13 @@
 
 // newBurst returns workers with serving tasks and no best-effort jobs.
 func newBurst(t *testing.T, seed uint64, disabled mechanism.Set) *burst {
-	return newBurstOn(&rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, disabled: disabled}, seed)
+	return newBurstOn(newBurstRig(t, disabled), seed)
+}
+
+// newBurstRig returns a rig without a State whose owners have the given queues, the usual
+// ones if there are none.
+func newBurstRig(t *testing.T, disabled mechanism.Set, queues ...workload.Queue) *rig {
+	return &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, disabled: disabled, queues: queues}
 }
 
 // newIdleBurst returns workers without tasks, on a rig without a State.
@@ -106,6 +112,13 @@
 // newBurstOn is newBurst on a rig without a State, with changes of the serving steps.
 func newBurstOn(r *rig, seed uint64, change ...func(*workload.Step)) *burst {
 	b := newIdleBurst(r, seed)
+	b.startServing(change...)
+	return b
+}
+
+// startServing draws the effects of best-effort images on serving ones, and starts the
+// serving tasks.
+func (b *burst) startServing(change ...func(*workload.Step)) {
 	for f := range burstBestEffortImages {
 		for s := range burstServingImages {
 			b.effects[[2]string{fmt.Sprint("batch", f), fmt.Sprint("serve", s)}] = lowImpactEffect
@@ -126,7 +139,6 @@
 		}))
 	}
 	b.run(5 * time.Second)
-	return b
 }
 
 // submitBestEffort submits a random best-effort job.
@@ -144,7 +156,13 @@
 			}
 		}))
 	}
-	job := &workload.Job{ID: id, Queue: queueLong.Name, Steps: steps, Submitted: b.now.UnixMilli()}
+	b.submitSteps(queueLong, id, steps)
+}
+
+// submitSteps submits a job, whose declared run times are wrong if there is noise.
+func (b *burst) submitSteps(q workload.Queue, id string, steps []workload.Step) {
+	b.t.Helper()
+	job := &workload.Job{ID: id, Queue: q.Name, Steps: steps, Submitted: b.now.UnixMilli()}
 	path := time.Duration(0)
 	for i := range steps {
 		path += steps[i].Estimate
@@ -153,8 +171,8 @@
 			steps[i].Estimate = time.Duration(float64(steps[i].Estimate) * math.Exp(b.noise*b.random.NormFloat64()))
 		}
 	}
-	b.due[id] = b.now.Add(time.Duration(queueLong.Stretch*float64(path)) + queueLong.Target)
-	b.state.Accept(b.now, b.now.UnixMilli(), job, queueLong)
+	b.due[id] = b.now.Add(time.Duration(q.Stretch*float64(path)) + q.Target)
+	b.state.Accept(b.now, b.now.UnixMilli(), job, q)
 	b.jobs = append(b.jobs, job)
 	b.flush()
 }
@@ -259,6 +277,7 @@
 
 // execute carries out the orders of a plan.
 func (b *burst) execute(p dispatch.Plan) {
+	b.sawPlan(p)
 	for _, o := range p.Stops {
 		c := b.workers[o.Worker.ID]
 		if r := c.runs[o.Stop.Task]; r != nil && r.number == o.Stop.Run {
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -11,4 +11,7 @@
 	// ServingMovedOffSlow and BestEffortMovedOffSlow count runs stopped since their
 	// worker is slow, SlowCopies those of Copies that were started for that reason.
 	ServingMovedOffSlow, BestEffortMovedOffSlow, SlowCopies uint64
+	// Reclaimed counts the runs stopped for queues below their guaranteed shares,
+	// ReclaimedMilliCPU their requested processors, in thousandths of a core.
+	Reclaimed, ReclaimedMilliCPU uint64
 }
--- a/dispatch/stopcause.go
+++ b/dispatch/stopcause.go
@@ -21,6 +21,8 @@
 	UnknownTask
 	// SlowWorker: its worker is slow, and it ends or serves sooner elsewhere.
 	SlowWorker
+	// Reclaimed: a queue below its guaranteed share needs the capacity.
+	Reclaimed
 	stopCauseCount
 )
 
@@ -28,7 +30,7 @@
 // constants. They stay as they are when a constant is renamed.
 var stopCauseNames = [stopCauseCount]string{
 	"job over", "task done", "tail too long", "preempted", "worker leaves", "duplicate", "no such task",
-	"slow worker",
+	"slow worker", "reclaimed",
 }
 
 // String returns the cause as it appears in logs.
--- a/event/control.go
+++ b/event/control.go
@@ -44,5 +44,6 @@
 	PoolClosed           = routine(938, slog.LevelInfo, "job refused, all availability zones with its workers are closed")
 	SubmissionsWithdrawn = define(943, slog.LevelWarn, "submissions withdrawn, the store was unavailable")
 	WorkerSpeedChanged   = routine(942, slog.LevelInfo, "worker speed judged anew")
+	SharesRejected       = define(941, slog.LevelWarn, "guaranteed shares of a pool are invalid, keeping those in force")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
--- a/mechanism/set.go
+++ b/mechanism/set.go
@@ -58,6 +58,8 @@
 	// WorkerPace: slow workers are treated like others, and copies of speculative
 	// tasks are decided by declared run times.
 	WorkerPace
+	// Shares: the guaranteed shares of queues are ignored.
+	Shares
 	mechanismCount
 )
 
@@ -65,7 +67,7 @@
 var names = [mechanismCount]string{
 	"hope", "kept-room", "headroom", "preemption", "pacing", "moving", "foresight", "pairs", "classes",
 	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons", "run-times", "least-work",
-	"pace",
+	"pace", "shares",
 }
 
 // Set is a set of mechanisms. The zero value is empty.
