admission: the decision, the rate and the retry queue

A burst of 2.5 times the load is accepted in full by a full pool, and callers that can't be served learn it only by waiting. The pure package decides from the work ahead, the rate at which it is completed and whether the pool is full; the objective of a job moves to workload, so that admission and dispatch share it.

Measured: the package's tests pass.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -103,13 +103,13 @@
 
 // objective returns when an occurrence should be complete.
 func (j *job) objective(o *occurrence) time.Time {
-	return o.due.Add(time.Duration(j.queue.Stretch*float64(j.criticalPath())) + j.queue.Target)
+	return o.due.Add(j.queue.Objective(j.criticalPath()))
 }
 
 // expiry returns the time from which a completed occurrence has no value to its
 // caller: three times as long after its due time as its objective.
 func (j *job) expiry(o *occurrence) time.Time {
-	return o.due.Add(3 * j.objective(o).Sub(o.due))
+	return o.due.Add(workload.ExpiryFactor * j.objective(o).Sub(o.due))
 }
 
 // task returns a task by its ID, or nil if the job has no such task.
