dispatch: what a new job would find

Admission needs the work ahead of a new job, the rate and whether its tasks would wait for capacity, for each pool and priority to which it applies. The work ahead is counted at most every 100 ms and kept up in between; the cause of a wait is looked for at most every 100 ms for each class while one waits. The mechanism is named admission.

--- /dev/null
+++ b/dispatch/backlog.go
@@ -0,0 +1,297 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fireflygate/fireflygate/admission"
+	"github.com/fireflygate/fireflygate/mechanism"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// backlogs holds the backlog of each class of queues to which admission applies, in order
+// of pool and priority. It is empty if there are none.
+type backlogs struct {
+	all []*backlog
+	// aheadAt is when the work ahead was last counted.
+	aheadAt time.Time
+}
+
+// backlog is what the jobs of one pool and priority compete with: the queues of the pool
+// with the same or a higher priority.
+type backlog struct {
+	pool     string
+	priority int
+	// ahead is the remaining work, in core-milliseconds, of the open jobs that haven't
+	// expired and end by themselves.
+	ahead int64
+	// completed is the work completed since the last cycle, in core-milliseconds.
+	completed int64
+	rate      admission.Rate
+	retries   admission.RetryQueue
+	// blocked is a step that waits for lack of capacity, as of causeAt, nil if none does.
+	blocked *step
+	causeAt time.Time
+	// fullSince is the first of the latest cycles in a row after which a task waited for
+	// lack of capacity, zero if none did after the last one, at cycleAt.
+	fullSince, cycleAt time.Time
+}
+
+const (
+	// fullAfter is how long tasks must wait for lack of capacity until a pool is full.
+	fullAfter = time.Second
+	// maxCycleGap is the time between two planning cycles from which the earlier ones say
+	// nothing: the owner couldn't plan, such as during an outage of the store.
+	maxCycleGap = time.Second
+	// backlogInterval is how long the count of the work ahead and the cause of a wait are
+	// reused, since both visit all jobs or workers. Accepted and completed work is added
+	// and subtracted in between.
+	backlogInterval = 100 * time.Millisecond
+	// maxCauseChecks bounds the steps of which the cause is found in one cycle, each of
+	// which visits all workers.
+	maxCauseChecks = 4
+)
+
+// setQueues selects the classes of queues to which admission applies: those of queues with
+// a latency objective whose pool also serves a queue of another priority. What was
+// observed of a class that remains is kept.
+func (b *backlogs) setQueues(queues map[string]workload.Queue) {
+	old := b.all
+	b.all, b.aheadAt = nil, time.Time{}
+	for _, q := range queues {
+		if !admission.HasObjective(&q) || b.of(&q) != nil || !sharesPool(queues, &q) {
+			continue
+		}
+		next := &backlog{pool: q.Pool, priority: q.Priority}
+		if i := slices.IndexFunc(old, func(l *backlog) bool { return l.is(&q) }); i >= 0 {
+			next = old[i]
+		}
+		b.all = append(b.all, next)
+	}
+	slices.SortFunc(b.all, func(l, m *backlog) int {
+		return cmp.Or(cmp.Compare(l.pool, m.pool), cmp.Compare(l.priority, m.priority))
+	})
+}
+
+// sharesPool reports whether the pool of a queue also serves a queue of another priority.
+func sharesPool(queues map[string]workload.Queue, q *workload.Queue) bool {
+	for _, other := range queues {
+		if other.Pool == q.Pool && other.Priority != q.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// of returns the backlog of a queue's class, nil if admission doesn't apply to it.
+func (b *backlogs) of(q *workload.Queue) *backlog {
+	for _, l := range b.all {
+		if l.is(q) {
+			return l
+		}
+	}
+	return nil
+}
+
+func (l *backlog) is(q *workload.Queue) bool { return l.pool == q.Pool && l.priority == q.Priority }
+
+// includes reports whether the jobs of a queue come before new jobs of the class.
+func (l *backlog) includes(q *workload.Queue) bool {
+	return l.pool == q.Pool && q.Priority <= l.priority
+}
+
+// taskCompleted records that a task of a step is done.
+func (b *backlogs) taskCompleted(now time.Time, st *step) {
+	j := st.job
+	if len(b.all) == 0 || j.longRunning {
+		return
+	}
+	work := st.work(1)
+	counted := !now.After(j.expiry(st.occurrence))
+	for _, l := range b.all {
+		if l.includes(&j.queue) {
+			l.completed += work
+			if counted {
+				l.ahead -= work
+			}
+		}
+	}
+}
+
+// jobAccepted records that a job was accepted.
+func (b *backlogs) jobAccepted(now time.Time, j *job) {
+	if len(b.all) == 0 || j.longRunning {
+		return
+	}
+	work := j.workAhead(now)
+	for _, l := range b.all {
+		if l.includes(&j.queue) {
+			l.ahead += work
+		}
+	}
+}
+
+// workAhead returns the remaining work of the job's occurrences that are due and haven't
+// expired, in core-milliseconds.
+func (j *job) workAhead(now time.Time) int64 {
+	var sum int64
+	for _, o := range j.occurrences {
+		if o.due.After(now) {
+			break
+		}
+		if o.unfinishedSteps > 0 && !now.After(j.expiry(o)) {
+			sum += o.remainingWork()
+		}
+	}
+	return sum
+}
+
+// countBacklogs counts the work ahead of all classes, at most once per backlogInterval.
+func (s *State) countBacklogs(now time.Time) {
+	b := &s.backlogs
+	if len(b.all) == 0 || (!b.aheadAt.IsZero() && now.Sub(b.aheadAt) < backlogInterval) {
+		return
+	}
+	b.aheadAt = now
+	for _, l := range b.all {
+		l.ahead = 0
+	}
+	for _, j := range s.open {
+		b.jobAccepted(now, j)
+	}
+}
+
+// ObserveCapacity records, after a planning cycle, which classes of queues lack capacity
+// and the rate at which their work was completed.
+func (s *State) ObserveCapacity(now time.Time) {
+	var c *cycle
+	for _, l := range s.backlogs.all {
+		if now.Sub(l.cycleAt) > maxCycleGap {
+			l.fullSince = time.Time{}
+		}
+		l.cycleAt = now
+		switch {
+		case !s.lacksCapacity(now, l, &c):
+			l.fullSince = time.Time{}
+		case l.fullSince.IsZero():
+			l.fullSince = now
+		}
+		l.rate.Observe(now, l.completed, l.full(now))
+		l.completed = 0
+	}
+}
+
+// full reports whether after every planning cycle of the last second a task waited for lack
+// of capacity.
+func (l *backlog) full(now time.Time) bool {
+	return !l.fullSince.IsZero() && l.cycleAt.Sub(l.fullSince) >= fullAfter && now.Sub(l.cycleAt) <= maxCycleGap
+}
+
+// lacksCapacity reports whether a task of a class of queues waits for lack of capacity. It
+// creates the cycle c when it has to find the cause of a wait.
+func (s *State) lacksCapacity(now time.Time, l *backlog, c **cycle) bool {
+	if l.blocked != nil && l.blocked.fitsNowhere() && now.Sub(l.causeAt) < backlogInterval {
+		return true
+	}
+	last := l.blocked
+	l.blocked = nil
+	checks := 0
+	check := func(st *step) bool {
+		if checks >= maxCauseChecks || !st.fitsNowhere() || now.Sub(st.otherCauseAt) < backlogInterval {
+			return false
+		}
+		if *c == nil {
+			*c = newCycle(s, now)
+		}
+		checks++
+		if !(*c).waitOf(st).cause.lackOfCapacity() {
+			st.otherCauseAt = now
+			return false
+		}
+		l.blocked, l.causeAt = st, now
+		return true
+	}
+	if last != nil && l.includes(&last.job.queue) && check(last) {
+		return true
+	}
+	for _, j := range s.open {
+		if checks >= maxCauseChecks {
+			return false
+		}
+		if !j.rowStored || !l.includes(&j.queue) {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o.due.After(now) {
+				break
+			}
+			if slices.ContainsFunc(o.steps, check) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fitsNowhere reports whether a task of the step waits that fitted nowhere when it was last
+// tried.
+func (s *step) fitsNowhere() bool {
+	return s.ready() && !s.blockedSince.IsZero() && !s.job.state.Final()
+}
+
+// lackOfCapacity reports whether more capacity would end the wait.
+func (c WaitCause) lackOfCapacity() bool {
+	switch c {
+	case NoProcessors, NoMemory, ReservedCapacity, WouldInterfere:
+		return true
+	default:
+		return false
+	}
+}
+
+// Admit decides on a new job. It accepts the jobs to which admission doesn't apply; now and
+// wallNow are the current time on the monotonic clock and, in milliseconds, on the wall
+// clock.
+func (s *State) Admit(now time.Time, wallNow int64, spec *workload.Job, q workload.Queue) admission.Decision {
+	l := s.backlogs.of(&q)
+	if l == nil || admission.Exempt(spec, &q) {
+		return admission.Decision{}
+	}
+	load := s.load(now, l)
+	if !load.Known() {
+		return admission.Decision{}
+	}
+	job := admission.NewJob(now, wallNow, spec, &q, s.expectedIn(q))
+	d := admission.Decide(now, load, job)
+	if d.Verdict == admission.Refuse {
+		d.RetryAfter = l.retries.Assign(now, d, load, job)
+	}
+	return d
+}
+
+// load returns what a new job of a class of queues would find.
+func (s *State) load(now time.Time, l *backlog) admission.Load {
+	s.countBacklogs(now)
+	return admission.Load{Ahead: max(l.ahead, 0), Rate: l.rate.PerSecond(), Full: l.full(now)}
+}
+
+// Loads calls f with the load of each queue to which admission applies.
+func (s *State) Loads(now time.Time, f func(queue string, l admission.Load)) {
+	if len(s.backlogs.all) == 0 {
+		return
+	}
+	for _, q := range s.queues {
+		if l := s.backlogs.of(&q); l != nil && admission.HasObjective(&q) {
+			f(q.Name, s.load(now, l))
+		}
+	}
+}
+
+// admissionQueues returns the queues to which admission may apply.
+func (s *State) admissionQueues() map[string]workload.Queue {
+	if s.cfg.Disabled.Has(mechanism.Admission) {
+		return nil
+	}
+	return s.queues
+}
--- a/dispatch/burstrig_test.go
+++ b/dispatch/burstrig_test.go
@@ -104,9 +104,14 @@
 	return b
 }
 
-// submitBestEffort submits a random best-effort job.
+// submitBestEffort submits a random best-effort job, which is accepted.
 func (b *burst) submitBestEffort(id string) {
 	b.t.Helper()
+	b.accept(b.newBestEffort(id))
+}
+
+// newBestEffort returns a random best-effort job and records when it is due.
+func (b *burst) newBestEffort(id string) *workload.Job {
 	image := fmt.Sprint("batch", b.random.IntN(burstBestEffortImages))
 	var steps []workload.Step
 	for i := range 1 + b.random.IntN(2) {
@@ -129,6 +134,12 @@
 		}
 	}
 	b.due[id] = b.now.Add(time.Duration(queueLong.Stretch*float64(path)) + queueLong.Target)
+	return job
+}
+
+// accept accepts and commits a best-effort job.
+func (b *burst) accept(job *workload.Job) {
+	b.t.Helper()
 	b.state.Accept(b.now, b.now.UnixMilli(), job, queueLong)
 	b.jobs = append(b.jobs, job)
 	b.flush()
@@ -148,6 +159,7 @@
 		}
 		b.flush()
 		b.execute(b.state.Plan(b.now))
+		b.state.ObserveCapacity(b.now)
 		for id := range b.due {
 			if state, ok := b.state.JobState(id); ok && state == workload.Complete && b.ended[id].IsZero() {
 				b.ended[id] = b.now
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -153,6 +153,9 @@
 
 // completeTask marks a task done and stops its other runs.
 func (s *State) completeTask(now time.Time, t *task) {
+	if !t.done {
+		s.backlogs.taskCompleted(now, t.step)
+	}
 	t.step.markDone(t)
 	if t.step.spec.Gang {
 		return // the rest of the gang ends by itself
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -83,7 +83,9 @@
 	givenUp   []GivenUpJob
 	// outages holds when workers became unresponsive lately.
 	outages []outage
-	Stats   Stats
+	// backlogs holds what admission knows of each class of queues.
+	backlogs backlogs
+	Stats    Stats
 }
 
 // New returns the state of a domain without jobs or workers.
@@ -107,6 +109,7 @@
 	for _, q := range queues {
 		s.queues[q.Name] = q
 	}
+	s.backlogs.setQueues(s.admissionQueues())
 	s.runTimes.Forget(func(name string) bool {
 		_, ok := s.queues[name]
 		return ok
@@ -135,6 +138,7 @@
 	}
 	s.jobs[spec.ID] = j
 	s.open = append(s.open, j)
+	s.backlogs.jobAccepted(now, j)
 	s.markDirty(j)
 	s.Stats.Accepted++
 }
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -33,6 +33,9 @@
 	// blockedSince is when a task of it first fitted nowhere, nextPreempt when
 	// it may preempt other runs again.
 	blockedSince, nextPreempt time.Time
+	// otherCauseAt is when its tasks were last found to wait for something else than
+	// capacity.
+	otherCauseAt time.Time
 	// blockedBy counts steps that must be done first.
 	blockedBy int
 }
--- a/mechanism/set.go
+++ b/mechanism/set.go
@@ -55,6 +55,8 @@
 	LearnedRunTimes
 	// LeastWork: steps that can still be on time are queued by their latest start.
 	LeastWork
+	// Admission: jobs are accepted regardless of the backlog in a full pool.
+	Admission
 	mechanismCount
 )
 
@@ -62,6 +64,7 @@
 var names = [mechanismCount]string{
 	"hope", "kept-room", "headroom", "preemption", "pacing", "moving", "foresight", "pairs", "classes",
 	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons", "run-times", "least-work",
+	"admission",
 }
 
 // Set is a set of mechanisms. The zero value is empty.
