control: refuse jobs that would expire before there is capacity

The owner refuses such a job at once, with a retry delay from a virtual queue, after the check for closed zones; a known job is never refused. It publishes the loads of queues in its answers to pings. While it can't be reached, another host refuses by them if they are at most 3 s old on a clock that includes pauses. Other causes of refusals but the unavailable store are counted as well.

--- a/control/export_test.go
+++ b/control/export_test.go
@@ -21,3 +21,10 @@
 	defer n.payloadCache.mu.Unlock()
 	n.payloadCache.byJob, n.payloadCache.byAge = nil, nil
 }
+
+// KnownLoads returns the number of queues of which the owner told the load.
+func (n *Node) KnownLoads() int {
+	n.loads.mu.Lock()
+	defer n.loads.mu.Unlock()
+	return len(n.loads.byName)
+}
--- a/control/follow.go
+++ b/control/follow.go
@@ -20,6 +20,7 @@
 	s := suspicion{reason: "no owner is known", terminated: true}
 	if leader.Host != "" && !leader.Resigned {
 		s = n.watchLeader(ctx, leader)
+		n.loads.setSuspected(true)
 	}
 	if ctx.Err() != nil {
 		return
@@ -83,11 +84,13 @@
 		Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offeredCores(), Zone: n.opts.Zone,
 		ClosedZones: toldClosedZones(n.ClosedZones()),
 	}
+	sentAt := boottime()
 	res := n.client.Call(ctx, leader.Host, methodPing, q, &r)
 	n.setHosts(r.Hosts)
 	n.hearClosedZones(r.ClosedZones, leader.Host)
 	if r.Owner {
 		n.relaysPerZone.Store(int64(r.Relays))
+		n.loads.hear(r.Loads, sentAt)
 	}
 	return r, res.Kind
 }
--- a/control/forward.go
+++ b/control/forward.go
@@ -66,6 +66,9 @@
 	start := time.Now()
 	defer func() { n.opts.Metrics.request(string(m), out.Result, time.Since(start)) }()
 	for {
+		if refusal, refused := n.refuseUnreachable(&tracker, request); refused {
+			return refusal
+		}
 		owner, leader, changed := n.current()
 		r, mayHaveRun := reply{Result: ResultNotOwner}, false
 		switch {
--- a/control/messages.go
+++ b/control/messages.go
@@ -50,6 +50,8 @@
 	Hosts []string `msgpack:"h,omitempty"`
 	// ClosedZones is the newest set known to the pinged host, nil if it knows none.
 	ClosedZones *closedzones.Set `msgpack:"x,omitempty"`
+	// Loads are the loads of queues at the owner, nil if there are none.
+	Loads *loadSummary `msgpack:"l,omitempty"`
 }
 
 // status returns the host's ownership status.
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -31,6 +31,11 @@
 	traffic         *prometheus.GaugeVec
 	zonesClosed     prometheus.Gauge
 	startsHeldBack  prometheus.Counter
+	backlogWork     *prometheus.GaugeVec
+	backlogWait     *prometheus.GaugeVec
+	acceptedLate    *prometheus.CounterVec
+	refusals        *prometheus.CounterVec
+	retryDelay      prometheus.Histogram
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -43,9 +48,11 @@
 	m.initOwnership()
 	m.initDomain()
 	m.initLoop()
+	m.initAdmission()
 	r.MustRegister(
 		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
+		m.backlogWork, m.backlogWait, m.acceptedLate, m.refusals, m.retryDelay,
 	)
 	return m
 }
@@ -183,4 +190,5 @@
 	}
 	m.owner.Set(0)
 	m.setState(&dispatch.Summary{})
+	m.clearLoads()
 }
--- a/control/node.go
+++ b/control/node.go
@@ -49,6 +49,8 @@
 	candidates election.Candidates
 	// closedZones is the newest set of closed zones known.
 	closedZones closedzones.Set
+	// loads holds the loads of queues that the last owner reported.
+	loads knownLoads
 	// payloadCache holds the payloads of jobs whose starts this host relays.
 	payloadCache payloadCache
 	// relays is the number of relays per zone reported by the last owner.
@@ -177,6 +179,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leader, n.owner = r, o
+	n.loads.setSuspected(false)
 	if newest := max(n.maxEpoch, n.hint.Epoch); o != nil && newest > r.Epoch {
 		o.quit(errors.Wrapf(election.ErrDeposed, "epoch %d has an owner", newest))
 	}
--- a/control/owner.go
+++ b/control/owner.go
@@ -46,6 +46,8 @@
 	// starts at the last summary.
 	backlog       flow.Backlog
 	startsCounted uint64
+	// loads is the last summary of the loads of queues, nil before the first.
+	loads atomic.Pointer[loadSummary]
 	// plannedAt is when the last plan was made; startLimitReached is set if the
 	// limit on starts in flight cut that plan short.
 	plannedAt         time.Time
@@ -255,6 +257,7 @@
 		done = o.loop.add(planning, done)
 		o.loop.planned(p.StartLimitReached)
 		o.plannedAt, o.startLimitReached = now, p.StartLimitReached
+		o.observeCapacity(now)
 		o.issueOrders(p)
 		o.requestPermits(now)
 		done = o.loop.add(issuingOrders, done)
--- a/control/requests.go
+++ b/control/requests.go
@@ -40,8 +40,9 @@
 }
 
 // submit accepts a job and answers once it is durable. It refuses a new job
-// while the table service is unavailable or too many starts are queued. It sets
-// the time of submission in spec if there is none.
+// while the table service is unavailable, if it would expire before there is
+// capacity for it, or if too many starts are queued. It sets the time of submission
+// in spec if there is none.
 func (o *Owner) submit(ctx context.Context, spec *workload.Job, q workload.Queue) reply {
 	return o.runOnLoop(ctx, func(answer chan reply) {
 		if o.state.JobStored(spec.ID) {
@@ -54,12 +55,18 @@
 			return
 		}
 		if !spec.Timed() && !o.state.HasJob(spec.ID) && o.state.AllClosed(q) {
+			o.opts.Metrics.refused(q.Name, refusedClosed)
 			event.PoolClosed.Log(o.opts.Log, slog.String("job", spec.ID), slog.String("queue", q.Name))
 			answer <- reply{Result: ResultRefused, RetryAfterMS: maxRetryAfter.Milliseconds()}
 			return
 		}
+		if r, refused := o.refuseForCapacity(spec, q); refused {
+			answer <- r
+			return
+		}
 		if tasksAhead := o.state.TasksAhead(q); !o.state.HasJob(spec.ID) {
 			if retryAfter, refuse := o.backlog.Refuse(tasksAhead); refuse {
+				o.opts.Metrics.refused(q.Name, refusedStarts)
 				event.StartBacklogFull.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int("starts_before", tasksAhead), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
 				answer <- reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
 				return
--- a/control/serve.go
+++ b/control/serve.go
@@ -58,6 +58,7 @@
 		r.Owner, r.Epoch, r.Version = true, o.epoch, o.committedVersion.Load()
 		r.CommitAgeMS = o.commitAge().Milliseconds()
 		r.Relays = int(o.relaysPerZone.Load())
+		r.Loads = o.toldLoads()
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/event/control.go
+++ b/event/control.go
@@ -41,5 +41,6 @@
 	OwnershipInDoubt     = define(936, slog.LevelWarn, "domain ownership in doubt, verifying it before further orders")
 	ZonesChanged         = define(937, slog.LevelInfo, "closed availability zones changed")
 	PoolClosed           = routine(938, slog.LevelInfo, "job refused, all availability zones with its workers are closed")
+	CapacityExhausted    = routine(940, slog.LevelInfo, "job refused, it would expire before the pool has capacity for it")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
