control: only an owner without an answer is unreachable

While the owner's commits failed other hosts suspected it, and would have refused jobs by its summary although it answers and decides. The last ping now tells.

Measured: control's tests pass, plainly and with the race detector.

--- a/control/admission.go
+++ b/control/admission.go
@@ -117,8 +117,8 @@
 	byName map[string]admission.Load
 	// at is a boottime before which the loads weren't newer.
 	at time.Duration
-	// suspected is set while the owner doesn't answer.
-	suspected bool
+	// unanswered is set if the last ping of the owner got no answer.
+	unanswered bool
 	// retries holds the virtual queue of this host's refused callers, by queue.
 	retries map[string]*admission.RetryQueue
 }
@@ -139,11 +139,11 @@
 	}
 }
 
-// setSuspected records whether the owner doesn't answer.
-func (k *knownLoads) setSuspected(suspected bool) {
+// setUnanswered records whether the last ping of the owner got no answer.
+func (k *knownLoads) setUnanswered(unanswered bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.suspected = suspected
+	k.unanswered = unanswered
 }
 
 // decide decides on a job by the last loads. It accepts the job if they are older than
@@ -195,5 +195,5 @@
 	}
 	n.loads.mu.Lock()
 	defer n.loads.mu.Unlock()
-	return leader.Host == "" || n.loads.suspected
+	return leader.Host == "" || n.loads.unanswered
 }
--- a/control/admission_test.go
+++ b/control/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/mechanism"
+	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -94,7 +96,7 @@
 			n := newTestNode(memtable.New())
 			n.setLeader(leader, nil)
 			n.loads.hear(&loadSummary{Queues: []queueLoad{c.loads}, AgeMS: c.atOwner.Milliseconds()}, boottime()-c.age)
-			n.loads.setSuspected(true)
+			n.loads.setUnanswered(true)
 			if c.change != nil {
 				c.change(n)
 			}
@@ -131,6 +133,31 @@
 	})
 }
 
+// TestUnreachableOwner guards against refusals by a summary while the owner answers, although
+// its commits fail, and against none while it doesn't.
+func TestUnreachableOwner(t *testing.T) {
+	n, other := newTestNode(memtable.New()), newTestNode(memtable.New())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() { _ = other.Server().Serve(t.Context(), ln) }()
+	leader := election.Record{Host: "b", Address: ln.Addr().String(), Epoch: 1}
+	n.setLeader(leader, nil)
+	if _, res := n.ping(t.Context(), leader); res != outcome.Answered || n.ownerUnreachable() {
+		t.Errorf("ping: %v, owner unreachable: %v; want an answer", res, n.ownerUnreachable())
+	}
+	gone := election.Record{Host: "c", Address: "127.0.0.1:1", Epoch: 2}
+	n.setLeader(gone, nil)
+	if n.ownerUnreachable() {
+		t.Error("a new owner counts as unreachable before its first ping")
+	}
+	if _, res := n.ping(t.Context(), gone); res == outcome.Answered || !n.ownerUnreachable() {
+		t.Errorf("ping: %v, owner unreachable: %v; want no answer", res, n.ownerUnreachable())
+	}
+}
+
 // TestSummaryIsOptional guards against pings that hosts of the previous release can't read,
 // and against relying on their answers, which have no summary.
 func TestSummaryIsOptional(t *testing.T) {
--- a/control/follow.go
+++ b/control/follow.go
@@ -20,7 +20,6 @@
 	s := suspicion{reason: "no owner is known", terminated: true}
 	if leader.Host != "" && !leader.Resigned {
 		s = n.watchLeader(ctx, leader)
-		n.loads.setSuspected(true)
 	}
 	if ctx.Err() != nil {
 		return
@@ -86,6 +85,7 @@
 	}
 	sentAt := boottime()
 	res := n.client.Call(ctx, leader.Host, methodPing, q, &r)
+	n.loads.setUnanswered(res.Kind != outcome.Answered)
 	n.setHosts(r.Hosts)
 	n.hearClosedZones(r.ClosedZones, leader.Host)
 	if r.Owner {
--- a/control/node.go
+++ b/control/node.go
@@ -179,7 +179,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leader, n.owner = r, o
-	n.loads.setSuspected(false)
+	n.loads.setUnanswered(false)
 	if newest := max(n.maxEpoch, n.hint.Epoch); o != nil && newest > r.Epoch {
 		o.quit(errors.Wrapf(election.ErrDeposed, "epoch %d has an owner", newest))
 	}
