Merge: admission by available capacity

Changed at the merge: a job is compared with the work that comes before it in the queue order, late work of its own priority only if it would be late itself.

--- a/control/metrics.go
+++ b/control/metrics.go
@@ -34,12 +34,17 @@
 	detoured        prometheus.Gauge
 	// withdrawn counts submissions withdrawn in outages of the table service; outage
 	// is how long the current one has lasted.
-	withdrawn   prometheus.Counter
-	outage      prometheus.Gauge
-	slowWorkers prometheus.Gauge
-	slowMoves   *prometheus.CounterVec
-	slowCopies  prometheus.Counter
-	shares      shareMetrics
+	withdrawn    prometheus.Counter
+	outage       prometheus.Gauge
+	slowWorkers  prometheus.Gauge
+	slowMoves    *prometheus.CounterVec
+	slowCopies   prometheus.Counter
+	shares       shareMetrics
+	backlogWork  *prometheus.GaugeVec
+	backlogWait  *prometheus.GaugeVec
+	acceptedLate *prometheus.CounterVec
+	refusals     *prometheus.CounterVec
+	retryDelay   prometheus.Histogram
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -52,12 +57,14 @@
 	m.initOwnership()
 	m.initDomain()
 	m.initLoop()
+	m.initAdmission()
 	m.initOutage()
 	m.initPace()
 	r.MustRegister(
 		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.detoured, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
 		m.withdrawn, m.outage, m.slowWorkers, m.slowMoves, m.slowCopies,
+		m.backlogWork, m.backlogWait, m.acceptedLate, m.refusals, m.retryDelay,
 	)
 	r.MustRegister(m.shares.collectors()...)
 	return m
@@ -211,4 +218,5 @@
 	}
 	m.owner.Set(0)
 	m.setState(&dispatch.Summary{})
+	m.clearLoads()
 }
--- a/control/ping.go
+++ b/control/ping.go
@@ -50,11 +50,14 @@
 		Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offeredCores(), Zone: n.opts.Zone,
 		ClosedZones: toldClosedZones(n.ClosedZones()),
 	}
+	sentAt := boottime()
 	res := n.client.Call(ctx, leader.Host, methodPing, q, &r)
+	n.loads.setUnanswered(res.Kind != outcome.Answered)
 	n.setHosts(r.Hosts)
 	n.hearClosedZones(r.ClosedZones, leader.Host)
 	if r.Owner {
 		n.relaysPerZone.Store(int64(r.Relays))
+		n.loads.hear(r.Loads, sentAt)
 	}
 	return r, res.Kind
 }
--- a/control/requests.go
+++ b/control/requests.go
@@ -73,8 +73,9 @@
 }
 
 // submitBefore accepts a job and answers once it is durable. It refuses a new job
-// while the table service is unavailable or too many starts are queued. It sets
-// the time of submission in spec if there is none. deadline is the end of the
+// while the table service is unavailable, if it would expire before there is
+// capacity for it, or if too many starts are queued. It sets the time of
+// submission in spec if there is none. deadline is the end of the
 // caller's time limit, zero if unknown; the context of a forwarded request ends
 // sooner, with this attempt.
 func (o *Owner) submitBefore(ctx context.Context, spec *workload.Job, q workload.Queue, deadline time.Time) reply {
@@ -90,12 +91,18 @@
 			return
 		}
 		if !spec.Timed() && !o.state.HasJob(spec.ID) && o.state.AllClosed(q) {
+			o.opts.Metrics.refused(q.Name, refusedClosed)
 			event.PoolClosed.Log(o.opts.Log, slog.String("job", spec.ID), slog.String("queue", q.Name))
 			answer <- reply{Result: ResultRefused, RetryAfterMS: maxRetryAfter.Milliseconds()}
 			return
 		}
+		if r, refused := o.refuseForCapacity(spec, q); refused {
+			answer <- r
+			return
+		}
 		if tasksAhead := o.state.TasksAhead(q); !o.state.HasJob(spec.ID) {
 			if retryAfter, refuse := o.backlog.Refuse(tasksAhead); refuse {
+				o.opts.Metrics.refused(q.Name, refusedStarts)
 				event.StartBacklogFull.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int("starts_before", tasksAhead), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
 				answer <- reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
 				return
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -95,7 +95,9 @@
 	claims        map[string]*claim
 	reclaims      []reclaimed
 	reclaimBuffer reclaimBuffer
-	Stats         Stats
+	// backlogs holds what admission knows of each class of queues.
+	backlogs backlogs
+	Stats    Stats
 }
 
 // New returns the state of a domain without jobs or workers.
@@ -121,6 +123,7 @@
 	for _, q := range queues {
 		s.queues[q.Name] = q
 	}
+	s.backlogs.setQueues(s.admissionQueues())
 	s.runTimes.Forget(func(name string) bool {
 		_, ok := s.queues[name]
 		return ok
@@ -150,6 +153,7 @@
 	}
 	s.jobs[spec.ID] = j
 	s.open = append(s.open, j)
+	s.backlogs.jobAccepted(now, j)
 	s.markDirty(j)
 	s.Stats.Accepted++
 }
--- a/dispatch/step.go
+++ b/dispatch/step.go
@@ -39,6 +39,9 @@
 	blockedSince, nextPreempt time.Time
 	// nextReclaim is when lent capacity may be reclaimed for it again.
 	nextReclaim time.Time
+	// otherCauseAt is when its tasks were last found to wait for something else than
+	// capacity.
+	otherCauseAt time.Time
 	// blockedBy counts steps that must be done first.
 	blockedBy int
 }
--- a/event/control.go
+++ b/event/control.go
@@ -45,5 +45,6 @@
 	SubmissionsWithdrawn = define(943, slog.LevelWarn, "submissions withdrawn, the store was unavailable")
 	WorkerSpeedChanged   = routine(942, slog.LevelInfo, "worker speed judged anew")
 	SharesRejected       = define(941, slog.LevelWarn, "guaranteed shares of a pool are invalid, keeping those in force")
+	CapacityExhausted    = routine(940, slog.LevelInfo, "job refused, it would expire before the pool has capacity for it")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
 )
--- a/mechanism/set.go
+++ b/mechanism/set.go
@@ -60,6 +60,8 @@
 	WorkerPace
 	// Shares: the guaranteed shares of queues are ignored.
 	Shares
+	// Admission: jobs are accepted regardless of the backlog in a full pool.
+	Admission
 	mechanismCount
 )
 
@@ -68,6 +70,7 @@
 	"hope", "kept-room", "headroom", "preemption", "pacing", "moving", "foresight", "pairs", "classes",
 	"bounded-first", "tail-stop", "copies", "suspects", "room-pause", "lessons", "run-times", "least-work",
 	"pace", "shares",
+	"admission",
 }
 
 // Set is a set of mechanisms. The zero value is empty.
