--- a/election/slowtable_test.go
+++ b/election/slowtable_test.go
@@ -27,7 +27,7 @@
 		s.busy <- struct{}{}
 		defer func() { <-s.busy }()
 		s.executed++
-		time.Sleep(s.duration)
+		<-time.After(s.duration)
 		done <- s.Table.Commit(context.WithoutCancel(ctx), tx)
 	}()
 	select {
