dispatch: interference and oversized jobs are no lack of capacity

The tasks that made the pool count as full waited since they would harm serving tasks; those of other images fit, so later jobs overtook them. Ruled out: the change of the row's refresh (no owner was lost), the store.

Only a want of processors, memory or reserved capacity counts now. Jobs that need more than any worker of their pool has count neither as waiting nor as backlog, as many such jobs at once would refuse all others.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -105,7 +105,7 @@
 // taskCompleted records that a task of a step is done.
 func (b *backlogs) taskCompleted(now time.Time, st *step) {
 	j := st.job
-	if len(b.all) == 0 || j.longRunning {
+	if len(b.all) == 0 || j.longRunning || j.oversized {
 		return
 	}
 	work := st.work(1)
@@ -130,7 +130,7 @@
 
 // jobAccepted records that a job was accepted.
 func (b *backlogs) jobAccepted(now time.Time, j *job) {
-	if len(b.all) == 0 || j.longRunning {
+	if len(b.all) == 0 || j.longRunning || j.oversized {
 		return
 	}
 	for _, o := range j.occurrences {
@@ -221,7 +221,7 @@
 		if checks >= maxCauseChecks {
 			return false
 		}
-		if !j.rowStored || !l.includes(&j.queue) {
+		if !j.rowStored || j.oversized || !l.includes(&j.queue) {
 			continue
 		}
 		for _, o := range j.occurrences {
@@ -236,16 +236,36 @@
 	return false
 }
 
+// exceedsWorkers reports whether a step of the job needs more than any worker of its pool
+// has. It doesn't while no worker of the pool is known.
+func (s *State) exceedsWorkers(j *job) bool {
+	known := false
+	fits := make([]bool, len(j.spec.Steps))
+	for _, w := range s.workers {
+		if w.info.Pool != j.queue.Pool {
+			continue
+		}
+		known = true
+		for i := range fits {
+			st := &j.spec.Steps[i]
+			fits[i] = fits[i] || (w.info.HasLabel(st.Label) && st.Needs.Fits(w.info.Capacity))
+		}
+	}
+	return known && slices.Contains(fits, false)
+}
+
 // fitsNowhere reports whether a task of the step waits that fitted nowhere when it was last
 // tried.
 func (s *step) fitsNowhere() bool {
 	return s.ready() && !s.blockedSince.IsZero() && !s.job.state.Final()
 }
 
-// lackOfCapacity reports whether more capacity would end the wait.
+// lackOfCapacity reports whether more capacity would end the wait of any task. A task that
+// would interfere with serving tasks isn't counted: those of other images may fit, so that
+// later jobs are served before it.
 func (c WaitCause) lackOfCapacity() bool {
 	switch c {
-	case NoProcessors, NoMemory, ReservedCapacity, WouldInterfere:
+	case NoProcessors, NoMemory, ReservedCapacity:
 		return true
 	default:
 		return false
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -20,6 +20,9 @@
 	// collected is set once a batch contains the job. The batch may be sent, and
 	// applied, at any time from then on.
 	collected bool
+	// oversized is set if, as it was accepted, one of its steps needed more than any worker
+	// of its pool has. It waits for a larger worker, and not for capacity.
+	oversized bool
 	// longRunning is set for jobs with long-running tasks, which end only when
 	// cancelled.
 	longRunning bool
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -148,6 +148,7 @@
 		return
 	}
 	j := newJob(now, wallNow, spec, q, s.expectedIn(q))
+	j.oversized = s.exceedsWorkers(j)
 	if j.longRunning {
 		s.longRunningAcceptedAt = now
 	}
