--- a/admission/decision.go
+++ b/admission/decision.go
@@ -7,7 +7,7 @@
 
 // The verdicts.
 const (
-	// Accept: the job is expected to be on time, or there is nothing to expect.
+	// Accept: the job is expected to be on time, or nothing is known that says otherwise.
 	Accept Verdict = iota
 	// AcceptLate: the job is expected to end after its objective, which still has some
 	// value to its caller.
@@ -39,18 +39,18 @@
 	RetryAfter time.Duration
 }
 
-// MinRetryAfter and MaxRetryAfter bound retry delays. Callers wait whole seconds, and
-// hardly any has more than some seconds left.
+// MinRetryAfter and MaxRetryAfter bound retry delays. Retry-After has whole seconds, and
+// few callers have more than some seconds left.
 const (
 	MinRetryAfter = time.Second
 	MaxRetryAfter = 8 * time.Second
 )
 
-// Decide decides on a new job. A job that ends on time after the work which comes before
-// it is accepted. One that would be late comes after all other work; it is refused if it
-// would then end after it has expired, and only if the pool is full and the rate is known.
-// RetryAfter is then the time in which the backlog drains so far that a job submitted
-// anew would be useful; RetryQueue keeps callers apart that would return together.
+// Decide decides on a new job. It accepts all jobs unless the pool is full and the rate is
+// known. A job that would end on time after the work that comes before it is accepted. A
+// job that would be late comes after all other work, and is refused if it would then end
+// after its expiry. RetryAfter is the time until the backlog has drained so far that a
+// newly submitted job would be useful; RetryQueue spreads the callers refused together.
 func Decide(now time.Time, l Load, j Job) Decision {
 	if !l.Known() {
 		return Decision{}
--- a/admission/load.go
+++ b/admission/load.go
@@ -10,8 +10,8 @@
 	// Ahead is the remaining work, in core-milliseconds, of the open jobs with the same
 	// or a higher priority in the same pool.
 	Ahead int64
-	// Late is the part of Ahead that comes after a new job which can be on time, as it is
-	// late already.
+	// Late is the part of Ahead that is late already, and so comes after a new job that
+	// can be on time.
 	Late int64
 	// Rate is the work, in core-milliseconds per second, that these queues complete; 0
 	// if unknown.
@@ -20,8 +20,8 @@
 	Full bool
 }
 
-// maxWait bounds expected waits, which are infinite at a rate near zero. No job is useful
-// after as long.
+// maxWait bounds expected waits, so that a rate near zero doesn't overflow them. No job is
+// useful after such a wait.
 const maxWait = 24 * time.Hour
 
 // Known reports whether the load says how long a new job would wait.
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -28,16 +28,18 @@
 	rateMemory = 3 * time.Second
 	// minObserved is the time covered by samples from which the rate counts as known.
 	minObserved = 2 * time.Second
-	// maxWindow is the duration of a window from which it isn't used: nothing was
+	// maxWindow is the longest window that gives a sample. In a longer one nothing was
 	// observed for a while, such as during an outage.
 	maxWindow = 2 * time.Second
-	// forgetAfter is the time without completed work in a full pool after which the rate
-	// is unknown again: runs are so long that their ends don't show a rate.
+	// forgetAfter is the time since work was last completed after which the rate is
+	// unknown again once the pool is full: either runs are so long that their ends don't
+	// show a rate, or the pool was idle.
 	forgetAfter = 10 * time.Second
 )
 
 // Observe records the work completed since the last call, in core-milliseconds, and whether
-// the pool is full. While it isn't, the work shows the demand, which the rate is at least.
+// the pool is full. While the pool isn't full, the work shows the demand, which is a lower
+// bound of the rate.
 func (r *Rate) Observe(now time.Time, completed int64, full bool) {
 	if completed > 0 {
 		r.lastEnd = now
