--- a/control/outage.go
+++ b/control/outage.go
@@ -10,17 +10,18 @@
 	"github.com/fireflygate/fireflygate/event"
 )
 
-// storeUnavailableAfter is the duration of a commit from which new jobs are refused,
-// unless the commit before took more than half of it: a store that is slow still accepts
-// jobs in time. Then it is twice that duration, up to maxStoreUnavailableAfter, which
-// leaves callers some time of their usual limits to retry.
 const (
-	storeUnavailableAfter    = time.Second
+	// storeUnavailableAfter is the shortest duration of a commit from which the table
+	// service counts as unavailable and new jobs are refused. It is longer after a slow
+	// commit, as a table service that is only slow still accepts jobs in time.
+	storeUnavailableAfter = time.Second
+	// maxStoreUnavailableAfter bounds that duration. It leaves callers with a time limit
+	// of 3 s some time to retry.
 	maxStoreUnavailableAfter = 2 * time.Second
 )
 
-// unavailableAfter returns the duration of a commit from which the store counts as
-// unavailable, given how long the commit before took.
+// unavailableAfter returns the duration of a commit from which the table service counts
+// as unavailable, given how long the previous commit took.
 func unavailableAfter(last time.Duration) time.Duration {
 	return min(max(storeUnavailableAfter, 2*last), maxStoreUnavailableAfter)
 }
@@ -58,7 +59,7 @@
 		o.opts.Metrics.withdrawn.Inc()
 		for _, w := range o.waiters[id] {
 			retryAfter := retryAfterOutage(lasted, id, timeLeft(now, w.deadline))
-			w.answer <- reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
+			w.answer <- refusal(retryAfter)
 		}
 		delete(o.waiters, id)
 	}
@@ -88,11 +89,11 @@
 }
 
 // retryAfterOutage returns the retry delay of a caller whose submission of a job is
-// refused after an outage has lasted for some time: as long as that, within
-// minRetryAfter and maxRetryAfter, plus up to half of it by the job's ID, so that
-// callers don't return together. If it is longer than left, what is left of the
-// caller's time limit, it is shortened to the whole seconds of that, since callers are
-// told whole seconds, rounded up. It is never below minRetryAfter.
+// refused in an outage: the duration of the outage so far, within minRetryAfter and
+// maxRetryAfter, plus up to half of that by the job's ID, so that callers don't return
+// together. left is what is left of the caller's time limit. A delay above it is cut to
+// the whole seconds in left, since callers are told whole seconds, rounded up. The delay
+// is never below minRetryAfter.
 func retryAfterOutage(lasted time.Duration, id string, left time.Duration) time.Duration {
 	delay := min(max(lasted, minRetryAfter), maxRetryAfter)
 	h := fnv.New32a()
--- /dev/null
+++ b/control/refuse.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/workload"
+)
+
+// minRetryAfter and maxRetryAfter bound the retry delays of callers that are refused for
+// reasons other than lack of capacity. In an outage of the table service up to half of
+// the delay is added, see retryAfterOutage.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 4 * time.Second
+)
+
+// Causes of refusals in metrics.
+const (
+	// refusedCapacity: the owner refused the job for lack of capacity.
+	refusedCapacity = "capacity"
+	// refusedSummary: another host refused it by the owner's last summary.
+	refusedSummary = "capacity_summary"
+	// refusedClosed: all availability zones with workers of its pool are closed.
+	refusedClosed = "zones_closed"
+	// refusedStarts: too many task starts are waiting.
+	refusedStarts = "start_backlog"
+)
+
+// refuse returns the reply to a new job that is refused: while the table service is
+// unavailable, if all availability zones with its workers are closed, if it would expire
+// before there is capacity for it, or if too many task starts are waiting. It returns
+// false if the job may be accepted. deadline is the end of the caller's time limit, zero
+// if unknown.
+func (o *Owner) refuse(spec *workload.Job, q workload.Queue, deadline time.Time) (reply, bool) {
+	if lasted, unavailable := o.storeUnavailable(); unavailable {
+		retryAfter := retryAfterOutage(lasted, spec.ID, timeLeft(time.Now(), deadline))
+		event.StoreUnavailable.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
+		return refusal(retryAfter), true
+	}
+	if !spec.Timed() && o.state.AllClosed(q) {
+		o.opts.Metrics.refused(q.Name, refusedClosed)
+		event.PoolClosed.Log(o.opts.Log, slog.String("job", spec.ID), slog.String("queue", q.Name))
+		return refusal(maxRetryAfter), true
+	}
+	if r, refused := o.refuseForCapacity(spec, q); refused {
+		return r, true
+	}
+	tasksAhead := o.state.TasksAhead(q)
+	if retryAfter, refuse := o.backlog.Refuse(tasksAhead); refuse {
+		o.opts.Metrics.refused(q.Name, refusedStarts)
+		event.StartBacklogFull.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int("starts_before", tasksAhead), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
+		return refusal(retryAfter), true
+	}
+	return reply{}, false
+}
+
+// refusal returns the reply to a refused caller that may return after a delay.
+func refusal(retryAfter time.Duration) reply {
+	return reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
+}
--- a/control/requests.go
+++ b/control/requests.go
@@ -72,39 +72,19 @@
 	return o.submitBefore(ctx, spec, q, deadline)
 }
 
-// submitBefore accepts a job and answers once it is durable. It refuses a new job
-// while the table service is unavailable, if it would expire before there is
-// capacity for it, or if too many starts are queued. It sets the time of
-// submission in spec if there is none. deadline is the end of the
-// caller's time limit, zero if unknown; the context of a forwarded request ends
-// sooner, with this attempt.
+// submitBefore accepts a job, unless it is new and refuse refuses it, and answers once
+// it is durable. It sets the time of submission in spec if there is none. deadline is
+// the end of the caller's time limit, zero if unknown; the context of a forwarded
+// request ends sooner, with this attempt.
 func (o *Owner) submitBefore(ctx context.Context, spec *workload.Job, q workload.Queue, deadline time.Time) reply {
 	return o.runOnLoop(ctx, func(answer chan reply) {
 		if o.state.JobStored(spec.ID) {
 			answer <- reply{Result: ResultDone}
 			return
 		}
-		if lasted, unavailable := o.storeUnavailable(); unavailable && !o.state.HasJob(spec.ID) {
-			retryAfter := retryAfterOutage(lasted, spec.ID, timeLeft(time.Now(), deadline))
-			event.StoreUnavailable.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
-			answer <- reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
-			return
-		}
-		if !spec.Timed() && !o.state.HasJob(spec.ID) && o.state.AllClosed(q) {
-			o.opts.Metrics.refused(q.Name, refusedClosed)
-			event.PoolClosed.Log(o.opts.Log, slog.String("job", spec.ID), slog.String("queue", q.Name))
-			answer <- reply{Result: ResultRefused, RetryAfterMS: maxRetryAfter.Milliseconds()}
-			return
-		}
-		if r, refused := o.refuseForCapacity(spec, q); refused {
-			answer <- r
-			return
-		}
-		if tasksAhead := o.state.TasksAhead(q); !o.state.HasJob(spec.ID) {
-			if retryAfter, refuse := o.backlog.Refuse(tasksAhead); refuse {
-				o.opts.Metrics.refused(q.Name, refusedStarts)
-				event.StartBacklogFull.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int("starts_before", tasksAhead), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
-				answer <- reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
+		if !o.state.HasJob(spec.ID) {
+			if r, refused := o.refuse(spec, q, deadline); refused {
+				answer <- r
 				return
 			}
 		}
@@ -117,12 +97,6 @@
 	})
 }
 
-// minRetryAfter and maxRetryAfter bound the retry delay of refused callers.
-const (
-	minRetryAfter = time.Second
-	maxRetryAfter = 4 * time.Second
-)
-
 // cancel cancels a job and answers once the cancellation is durable.
 func (o *Owner) cancel(ctx context.Context, id string) reply {
 	return o.runOnLoop(ctx, func(answer chan reply) {
@@ -168,7 +142,7 @@
 func (o *Owner) answerUnknownJob(id string) reply {
 	if age := o.commitAge(); age > election.StaleAfter {
 		event.UnknownJobRefused.Log(o.opts.Log, slog.String("job", id), slog.Int64("commit_age_ms", age.Milliseconds()))
-		return reply{Result: ResultRefused, RetryAfterMS: minRetryAfter.Milliseconds()}
+		return refusal(minRetryAfter)
 	}
 	return reply{Result: ResultNotFound}
 }
