--- a/control/commit.go
+++ b/control/commit.go
@@ -54,9 +54,10 @@
 // commit writes a batch together with the owner's row, in which it updates the
 // number of processors. Once the batch is durable, the loop marks it as flushed,
 // replies to waiters and runs afterCommit. If the commit fails, as it does when
-// the owner has been deposed, the owner quits. If the store counts as unavailable
-// meanwhile, the loop withdraws submissions at once: hosts that forwarded them wait for only 0.2 s
-// longer, and a cycle may be 0.1 s away.
+// the owner has been deposed, the owner quits. If the table service counts as
+// unavailable meanwhile, the loop withdraws submissions at once rather than in its next
+// cycle, which may be 0.1 s away: hosts that forwarded them wait only until
+// forwardTimeout.
 func (o *Owner) commit(b *dispatch.Batch) {
 	outage := time.AfterFunc(unavailableAfter(o.commitDuration), func() { o.post(o.withdrawInOutage) })
 	defer outage.Stop()
--- a/control/follow.go
+++ b/control/follow.go
@@ -70,7 +70,7 @@
 			n.setLeader(record, nil)
 			return true
 		}
-		// The row is known since the read; the ping in between may have taken its timeout.
+		// The version counts from the read, as the ping since then may have taken pingTimeout.
 		s.version, s.since = version, readAt
 		if record.Host == "" {
 			s.since = s.since.Add(-suspectTimeout) // no owner to wait for
--- a/control/options.go
+++ b/control/options.go
@@ -71,8 +71,8 @@
 	pingInterval = 300 * time.Millisecond
 	// pingTimeout bounds the wait for the answer to a ping.
 	pingTimeout = 500 * time.Millisecond
-	// latePing is how long an answer to a ping takes at most while the owner and the
-	// network are sound; after that the owner's row is read.
+	// latePing is the time without an answer to a ping after which the owner's row is
+	// read. Answers of a healthy owner arrive sooner.
 	latePing = pingTimeout / 2
 	// suspectTimeout is how long the owner's row must stay unchanged before a
 	// takeover: two heartbeat intervals and a slow commit.
--- a/control/pace.go
+++ b/control/pace.go
@@ -17,7 +17,7 @@
 		Name: "fireflygate_slow_worker_moves_total", Help: "Tasks moved off slow workers, by kind.",
 	}, []string{"kind"})
 	m.slowCopies = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "fireflygate_slow_worker_copies_total", Help: "Copies of tasks started since the first run is on a slow worker.",
+		Name: "fireflygate_slow_worker_copies_total", Help: "Copies of tasks started because the first run is on a slow worker.",
 	})
 }
 
--- a/control/ping.go
+++ b/control/ping.go
@@ -62,9 +62,9 @@
 	return r, res.Kind
 }
 
-// pingWatchingRow is ping, and reads the owner's row when the answer is late. If the owner
-// doesn't answer at all, the row has been under observation for longer, so that the owner
-// is replaced sooner. It updates the version and the time in s.
+// pingWatchingRow pings the owner and, when the answer is late, also reads the owner's row
+// into s. If the owner doesn't answer at all, the time in which its row must stay unchanged
+// has then begun before the ping's timeout, so that the owner is replaced sooner.
 func (n *Node) pingWatchingRow(ctx context.Context, leader election.Record, s *suspicion) (pingReply, outcome.Kind) {
 	var r pingReply
 	var res outcome.Kind
--- a/election/handover.go
+++ b/election/handover.go
@@ -38,8 +38,9 @@
 
 // ShouldSkipLoad reports whether a new owner should hand the domain over before it
 // has loaded the state: a weak host takes so long to load a large domain that leases
-// lapse meanwhile. Nothing is interrupted then, so the stronger host needn't have been
-// available for long; if it didn't accept an earlier handover, the owner loads.
+// expire meanwhile. An owner that hasn't loaded the state gives no orders that a handover
+// could interrupt, so the stronger host needn't have been available for long. If a
+// stronger host didn't accept an earlier handover, the owner loads the state.
 func (s *HandoverState) ShouldSkipLoad() bool {
 	return s.strongerAvailable() && !s.PredecessorHandedOver && s.CommitAge <= StaleAfter
 }
--- a/election/reference.go
+++ b/election/reference.go
@@ -3,8 +3,8 @@
 import "time"
 
 // referenceRetention is how long a new owner keeps the takeover reference of its
-// predecessor. It exceeds candidateTTL and the time in which each host that is
-// available has pinged the owner, also one that still waits for an earlier owner.
+// predecessor. It exceeds candidateTTL and the time within which each available host
+// has pinged the new owner, including hosts that still wait for an earlier one.
 const referenceRetention = 5 * time.Second
 
 // ReferenceCores returns the number of processors that an owner records as the
--- a/peer/client.go
+++ b/peer/client.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// Redial ends the backoff after a failed dial, so that the next call to the host dials:
-// the host is known to have been up since.
+// Redial ends the backoff after a failed dial, so that the next call to the host dials at
+// once. It is for callers that know that the host has been up since that dial.
 func (c *Client) Redial(host string) {
 	c.mu.Lock()
 	l := c.links[host]
--- a/relay/detours.go
+++ b/relay/detours.go
@@ -10,11 +10,11 @@
 
 const (
 	// detourDuration is how long a worker is reached through other hosts before its
-	// owner tries the usual path again: that costs an order timeout while the path is
-	// still cut.
+	// owner tries the usual path again. A shorter time would waste more order timeouts
+	// while the path is still cut.
 	detourDuration = 10 * time.Second
-	// detourHostsPerZone is the number of hosts per availability zone that carry
-	// detours, those with most processors first.
+	// detourHostsPerZone is the number of hosts per availability zone that relay orders
+	// on detours, those with most processors first.
 	detourHostsPerZone = 2
 	// detourHostsPerRound is the number of hosts that are tried for a worker before
 	// the usual path is tried again.
@@ -23,7 +23,8 @@
 
 // Detours chooses the hosts through which an owner reaches workers that don't answer on
 // the usual path, which is direct or through their relay. The owner's link to them may
-// be cut while other hosts still reach them; without a detour all runs there would lapse.
+// be cut while other hosts still reach them; without a detour the leases of all runs there
+// would expire.
 // The zero value has no hosts.
 type Detours struct {
 	table   *Table
@@ -43,11 +44,11 @@
 	return d.lost >= detourHostsPerRound || !now.Before(d.until)
 }
 
-// SetHosts replaces the hosts that can carry detours.
+// SetHosts replaces the hosts that can relay orders on detours.
 func (d *Detours) SetHosts(hosts []Host) { d.table = NewTable(hosts, detourHostsPerZone) }
 
-// Addresses returns the addresses of the hosts that can carry detours, none while no
-// worker needs one.
+// Addresses returns the addresses of the hosts that can relay orders on detours, none
+// while no worker needs a detour.
 func (d *Detours) Addresses() []string {
 	if len(d.workers) == 0 || d.table == nil {
 		return nil
@@ -66,7 +67,7 @@
 		d.workers = map[string]*detour{}
 	}
 	if w := d.workers[worker]; w != nil && !w.onUsualPath(now) {
-		return false // the answer to an order of before the round was awaited for long
+		return false // the order was sent before the round began
 	}
 	d.workers[worker] = &detour{until: now.Add(detourDuration)}
 	return len(d.workers) == 1
