control, election, admission: faults found in review

- After an outage the next one was noticed late, as its first commit's time counted the outage (TestOutageDoesntSlowNextOne fails with it): the interval follows the last attempt that was applied.
- A handover before the load was logged once for each scan and its end not at all.

--- a/admission/retryqueue_test.go
+++ b/admission/retryqueue_test.go
@@ -28,3 +28,21 @@
 		t.Errorf("after all slots have passed: %v, want %v", got, refused.RetryAfter)
 	}
 }
+
+// TestLongRetryQueueKeepsCallersApart guards against callers that return at the same moment
+// because the virtual queue is longer than the longest delay.
+func TestLongRetryQueueKeepsCallersApart(t *testing.T) {
+	load := admission.Load{Ahead: 99_000_000, Rate: 1_000_000, Full: true}
+	job := admission.Job{Work: 4_000_000}
+	now := time.Unix(1000, 0)
+	var q admission.RetryQueue
+	last := time.Time{}
+	for i := range 20 {
+		returns := now.Add(q.Assign(now, admission.Decision{RetryAfter: admission.MaxRetryAfter}, load, job))
+		if !returns.After(last) {
+			t.Errorf("caller %d returns at the same time as the one before", i)
+		}
+		last = returns
+		now = now.Add(10 * time.Millisecond)
+	}
+}
--- a/control/handover.go
+++ b/control/handover.go
@@ -41,7 +41,6 @@
 // loaded.
 func (o *Owner) checkLoad() error {
 	if s := o.handoverState(); s.ShouldSkipLoad() {
-		event.HandoverStarted.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Float64("cores", s.Cores), slog.Float64("best", s.BestCores), slog.Bool("loaded", false))
 		return errLoadSkipped
 	}
 	return nil
@@ -50,6 +49,8 @@
 // handOverUnloaded gives the domain up before the state was loaded. The owner has given
 // no orders and no leases.
 func (o *Owner) handOverUnloaded(ctx context.Context, previous election.Record) {
+	s := o.handoverState()
+	event.HandoverStarted.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Float64("cores", s.Cores), slog.Float64("best", s.BestCores), slog.Bool("loaded", false))
 	o.committer.MarkHandedOver()
 	o.committer.KeepRosterEpochs(previous.RosterEpochs)
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -218,5 +218,6 @@
 	}
 	m.owner.Set(0)
 	m.setState(&dispatch.Summary{})
+	m.detoured.Set(0)
 	m.clearLoads()
 }
--- a/control/owner.go
+++ b/control/owner.go
@@ -38,10 +38,8 @@
 	config    Config
 	// closedZones returns the newest set of closed zones known to this host.
 	closedZones func() closedzones.Set
-	// committing is set while a commit is in flight; commitDuration is how long the last
-	// one took.
-	committing     bool
-	commitDuration time.Duration
+	// committing is set while a commit is in flight.
+	committing bool
 	// lastCommit, summarizedAt and steppedAt are when the last commit, summary and
 	// step began.
 	lastCommit   time.Time
--- a/control/relays.go
+++ b/control/relays.go
@@ -205,10 +205,10 @@
 		q.PayloadSum, q.Payload = payloadSum(payload), ""
 	}
 	q.Worker, q.Address = w.ID, w.Address
-	rep, sent := r.call(ctx, address, q)
+	rep, sent := r.call(ctx, path, q)
 	if rep != nil && rep.NoPayload {
 		q.PayloadSum, q.Payload = 0, payload
-		rep, sent = r.call(ctx, address, q)
+		rep, sent = r.call(ctx, path, q)
 	}
 	if !sent {
 		if path.detour {
@@ -220,13 +220,14 @@
 	return rep, true
 }
 
-// call makes one call to a relay; a nil reply means that the outcome is
+// call makes one call to the host of a path; a nil reply means that the outcome is
 // unknown.
-func (r *relays) call(ctx context.Context, address string, q *relayRequest) (rep *relayReply, sent bool) {
+func (r *relays) call(ctx context.Context, path route, q *relayRequest) (rep *relayReply, sent bool) {
 	rep = new(relayReply)
-	res := r.client.Call(ctx, address, methodRelay, q, rep)
-	// A relay that can't reach workers counts as unresponsive.
-	r.recordAnswer(address, res.Kind == outcome.Answered && (rep.NoPayload || rep.Status != runner.Unknown))
+	res := r.client.Call(ctx, path.via, methodRelay, q, rep)
+	// A relay that can't reach workers counts as unresponsive. That a worker on a detour
+	// doesn't answer says nothing about the host.
+	r.recordAnswer(path.via, res.Kind == outcome.Answered && (path.detour || rep.NoPayload || rep.Status != runner.Unknown))
 	switch res.Kind {
 	case outcome.Answered:
 		return rep, true
--- a/control/session.go
+++ b/control/session.go
@@ -113,7 +113,7 @@
 			o.post(func() { o.handleLatePoll(s, p, a) })
 		}
 	})
-	if a.answer.Status == runner.Unknown {
+	if a.answer.Status == runner.Unknown && ctx.Err() == nil { // the session hasn't ended
 		o.relays.recordOrder(p.worker.ID, route{}, false)
 	}
 	return a, rt
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -72,6 +72,7 @@
 	switch err := o.load(); {
 	case errors.Is(err, errLoadSkipped):
 		o.handOverUnloaded(ctx, previous)
+		event.OwnershipLost.Log(n.opts.Log, slog.Any("epoch", o.epoch), slog.Any("err", context.Cause(o.ctx)))
 		close(o.stopped)
 		n.setLeader(election.Record{}, nil)
 		return
--- a/election/attempts.go
+++ b/election/attempts.go
@@ -10,6 +10,8 @@
 // attempt is the result of one attempt of a commit.
 type attempt struct {
 	result infra.CommitResult
+	// took is the time from its start to its result.
+	took time.Duration
 	// failedFast is set if the attempt ended before its timeout.
 	failedFast bool
 }
@@ -55,11 +57,12 @@
 	}
 	t.pending++
 	tx := infra.Transaction{Conditions: []infra.Condition{{Key: OwnerKey, Version: version}}, Writes: t.writes}
+	begun := time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, attemptTimeout)
 		defer cancel()
 		res := t.table.Commit(ctx, tx)
-		t.results <- attempt{result: res, failedFast: ctx.Err() == nil}
+		t.results <- attempt{result: res, took: time.Since(begun), failedFast: ctx.Err() == nil}
 	}()
 }
 
--- a/election/committer.go
+++ b/election/committer.go
@@ -32,7 +32,8 @@
 	table   infra.Table
 	record  Record
 	version uint64
-	// lastDuration is how long the last commit took.
+	// lastDuration is how long the last attempt that was applied took. An outage before
+	// it doesn't count, as the next one may be as sudden.
 	lastDuration time.Duration
 	// Sleep waits after a refused or immediately failed attempt; tests replace it.
 	Sleep func(ctx context.Context, d time.Duration)
@@ -139,7 +140,7 @@
 }
 
 // repeatIntervalAfter returns the time between two attempts of a commit, given how long
-// the commit before took. A table service that answers slowly executes the transactions
+// the last attempt that was applied took. A table service that answers slowly executes the transactions
 // of an owner one after another, so that each attempt made before the answer to the
 // first one could come delays the next commit, which then takes twice as long.
 func repeatIntervalAfter(last time.Duration) time.Duration {
@@ -158,8 +159,6 @@
 		return err
 	}
 	tries := newAttempts(ctx, c.table, append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...), repeatIntervalAfter(c.lastDuration))
-	begun := time.Now()
-	defer func() { c.lastDuration = time.Since(begun) }()
 	defer tries.cancel()
 	tries.start(c.version)
 	for {
@@ -185,7 +184,7 @@
 func (c *Committer) handleAttempt(ctx context.Context, a attempt) (done bool, err error) {
 	switch a.result.Status {
 	case infra.CommitApplied:
-		c.version = a.result.Version
+		c.version, c.lastDuration = a.result.Version, a.took
 		return true, nil
 	case infra.CommitConflict:
 		done, err = c.resolveConflict(a.result.Conflicts)
--- a/election/slowtable_test.go
+++ b/election/slowtable_test.go
@@ -59,3 +59,22 @@
 		}
 	})
 }
+
+// TestOutageDoesntSlowNextOne guards against a second outage that is noticed late because
+// the commit before it lasted through the first one.
+func TestOutageDoesntSlowNextOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &silentTable{Table: memtable.New()}
+		c := newOwner(t, table, "a")
+		for _, silence := range []time.Duration{4 * time.Second, time.Second} {
+			start := time.Now()
+			table.silentUntil = start.Add(silence)
+			if err := c.Commit(t.Context(), write("k", "v")); err != nil {
+				t.Fatal(err)
+			}
+			if late := time.Since(start) - silence; late > 700*time.Millisecond {
+				t.Errorf("after %v of silence the commit was applied %v late, want at most 0.7 s", silence, late)
+			}
+		}
+	})
+}
