--- a/pace/baseline.go
+++ b/pace/baseline.go
@@ -9,9 +9,10 @@
 	// maxImages bounds the images that are tracked. Beyond it all are learned anew,
 	// which takes seconds.
 	maxImages = 1024
-	// minSamples is the number of runs of an image after which its baseline is used.
+	// minSamples is the number of measurements, of which a run may give several, after
+	// which the baseline of an image is used.
 	minSamples = 20
-	// baselineStep is the adaptation of a baseline per run.
+	// baselineStep is the least adaptation of a baseline per measurement.
 	baselineStep = 0.05
 	// maxSpread is the largest median deviation, as a logarithm, with which a baseline
 	// is used: a slowdown of SlowFactor is then twice the standard deviation.
@@ -28,7 +29,7 @@
 	samples           int
 }
 
-// Slowdown adds the time that a task of an image takes and the expected one. It returns
+// Slowdown records the time that a task of an image takes and the expected one. It returns
 // how many times as long the task takes as the image's tasks usually do, false if that
 // isn't known.
 func (b *Baselines) Slowdown(image string, taken, expected time.Duration) (float64, bool) {
--- a/pace/judge.go
+++ b/pace/judge.go
@@ -56,10 +56,10 @@
 }
 
 // judge updates the worker's factor and whether it counts as slow, which it returns.
-// pool is the logarithm of the pool's slowdown. heard is the time since which
-// half of the pool has been measured, 0 if it is too little. A worker becomes slow only
-// if there was evidence against it before: if the whole pool slows down, the first to
-// report it would else count as slow.
+// pool is the logarithm of the pool's slowdown. heard is when the last measurements of half
+// of the workers had begun, 0 if there are fewer than minPeers. A worker becomes slow only
+// if it was doubtful by then: otherwise, if the whole pool slowed down, the first workers to
+// report that would count as slow.
 func (w *Worker) judge(now int64, s summary, pool float32, heard int64) bool {
 	if s.known && heard != 0 {
 		w.log = clamp(s.median - pool)
--- a/pace/worker.go
+++ b/pace/worker.go
@@ -31,13 +31,13 @@
 const (
 	// priorWeight assumes that one worker in 50 is slow.
 	priorWeight = -3.9
-	// runWeight is that of a slow run. One run in 33 takes seven times as long and is
-	// therefore present seven times as long: of all running tasks nearly one in five. That
-	// would be 1.66; with 1.4 seven such runs are needed rather than six, which one worker
-	// of a large pool has every few minutes.
+	// runWeight is that of a slow run. One run in 33 takes seven times as long, so that
+	// nearly one in five of the runs present at a time is such a run. That gives 1.66, with
+	// which six such runs are enough; one worker of a large pool has six by chance every few
+	// minutes. With 1.4 seven are needed.
 	runWeight = 1.4
-	// changeWeight is that of a run that became slow while it ran, which runs that take
-	// long by themselves don't. One in a hundred is allowed for pauses.
+	// changeWeight is that of a run that became slow while it ran. Runs that take long by
+	// themselves are slow from their start; one run in a hundred is assumed to pause.
 	changeWeight = 4.5
 	// tailWeight is that of a slow tail; tailReports of them outweigh the prior as
 	// required.
@@ -53,9 +53,9 @@
 // has no evidence.
 type Worker struct {
 	runs [maxRuns]observation
-	// tailAt is when the last tail was observed, evidenceAt when anything last was and
-	// since when that began to be measured; onsetAt is when the worker became doubtful,
-	// 0 if it isn't. All are in Unix nanoseconds.
+	// tailAt is when the last tail was observed. evidenceAt is when the last observation of
+	// any kind was made, since when its measurement began. onsetAt is when the worker became
+	// doubtful, 0 if it isn't. All are in Unix nanoseconds.
 	tailAt, evidenceAt, since, onsetAt int64
 	// tail is the logarithm of the slowdown of the last tail, log that of the worker's
 	// factor at evidenceAt.
@@ -63,8 +63,8 @@
 	// slowTails counts the last slow tails in a row.
 	slowTails uint8
 	slow      bool
-	// doubtful is set if the evidence against it is too little to count it as slow, and
-	// more than a single slow run.
+	// doubtful is set if there is more evidence against it than a single slow run. It may be
+	// too little for the worker to count as slow.
 	doubtful bool
 }
 
@@ -120,10 +120,11 @@
 	}
 }
 
-// slotFor returns where to keep an observation: in place of the run's previous one or of one
-// that no longer counts, else of the oldest of a run that is slow from its start, else, unless
-// it is of such a run itself, of the oldest. Were the last ones kept instead, a worker with
-// many runs would count as slow once some of those that take long by themselves come last in a report.
+// slotFor returns the slot for an observation, nil to drop it. In order of preference the
+// slot is that of the run's previous observation, one whose observation no longer counts,
+// that of the oldest weak observation and, unless the added one is weak, the oldest. If the
+// latest observations were kept instead, a worker with many runs would count as slow whenever
+// its report lists runs that take long by themselves last.
 func (w *Worker) slotFor(added *observation) *observation {
 	var free, weak, oldest *observation
 	for i := range w.runs {
@@ -155,9 +156,8 @@
 // weak reports whether it is of a run that isn't normal and may take long by itself.
 func (o *observation) weak() bool { return o.log >= recoveredLog && !o.risen(0) }
 
-// forget drops those of the observations made before the last one began to be measured
-// which contradict it: they say nothing of the time since. A single slow run contradicts
-// nothing unless it became slow while it ran.
+// forget drops the observations that contradict the last one and were made before its
+// measurement began, as they are outdated.
 func (w *Worker) forget(contradicts func(*observation) bool) {
 	for i := range w.runs {
 		if o := &w.runs[i]; o.at < w.since && contradicts(o) {
@@ -197,8 +197,8 @@
 // Slow reports whether the worker counts as slow, as last judged.
 func (w *Worker) Slow() bool { return w.slow }
 
-// NeedsReports reports whether frequent reports of the worker matter: to find out soon
-// that it is slow, or no longer.
+// NeedsReports reports whether the worker should report frequently, since it is slow or
+// may be.
 func (w *Worker) NeedsReports() bool { return w.slow || w.doubtful }
 
 // Factor returns how many times as long tasks take on the worker as on its peers: 1
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -4,7 +4,7 @@
 // left free, which counts 0 to 1. In decreasing order: an earlier failure of
 // the task on the worker, a suspect worker, remote data, which makes a task
 // take 2 to 3 times as long, a slow worker, interference, and a poor fit. A slow
-// worker often takes as many times as long, but only for seconds.
+// worker weighs less than remote data, as it is often slow for only a few seconds.
 //
 // Using one more worker for serving tasks makes it unavailable to most
 // best-effort tasks, which outweighs spreading the tasks of a step. Mixing
