--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -53,12 +53,18 @@
 }
 
 // behind reports whether the rest of a run is expected to take longer than a
-// copy. That is assumed of a run on a suspected worker.
+// copy. That is assumed of a run on a suspected worker. If the speed of workers is
+// tracked, the normal run time of the step's tasks takes the place of the declared one, and
+// a run on a slow worker is judged by the worker's factor, from its start.
 func (c *cycle) behind(r *run) bool {
+	estimate := r.task.step.spec.Estimate
 	if c.s.pace != nil {
-		return c.behindExpected(r)
+		estimate = c.s.normalTime(c.now, r.task.step)
+		if estimate > 0 && r.worker.pace.Slow() {
+			_, remaining := c.s.remaining(c.now, r)
+			return remaining > time.Duration(copyFactor*float64(estimate))
+		}
 	}
-	estimate := r.task.step.spec.Estimate
 	elapsed := c.now.Sub(r.startedAt)
 	if estimate == 0 || elapsed < time.Duration(copyAfter*float64(estimate)) {
 		return false
@@ -70,26 +76,3 @@
 	remaining := elapsed * time.Duration(100-percent) / time.Duration(percent)
 	return remaining > time.Duration(copyFactor*float64(estimate)) && elapsed > estimate
 }
-
-// behindExpected is behind by the normal run time of the step's tasks in place of the
-// declared one. A run on a slow worker is judged by the worker's factor, from its start.
-func (c *cycle) behindExpected(r *run) bool {
-	expected := c.s.normalTime(c.now, r.task.step)
-	elapsed := c.now.Sub(r.startedAt)
-	if expected == 0 {
-		return false
-	}
-	if r.worker.pace.Slow() {
-		_, here := c.s.remaining(c.now, r)
-		return here > time.Duration(copyFactor*float64(expected))
-	}
-	if elapsed < time.Duration(copyAfter*float64(expected)) {
-		return false
-	}
-	if r.worker.suspected {
-		return true
-	}
-	percent := max(r.percent, 1)
-	remaining := elapsed * time.Duration(100-percent) / time.Duration(percent)
-	return remaining > time.Duration(copyFactor*float64(expected)) && elapsed > expected
-}
