--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/fireflygate/fireflygate/admission"
-	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -42,8 +41,8 @@
 const (
 	// fullAfter is how long tasks must wait for lack of capacity until a pool is full.
 	fullAfter = time.Second
-	// maxCycleGap is the time between two planning cycles from which the earlier ones say
-	// nothing: the owner couldn't plan, such as during an outage of the store.
+	// maxCycleGap is the time between two planning cycles beyond which the earlier ones no
+	// longer count: the owner couldn't plan, such as during an outage of the store.
 	maxCycleGap = time.Second
 	// backlogInterval is how long the count of the work ahead and the cause of a wait are
 	// reused, since both visit all jobs or workers. Accepted and completed work is added
@@ -163,137 +162,3 @@
 		b.jobAccepted(now, j)
 	}
 }
-
-// ObserveCapacity records, after a planning cycle, which classes of queues lack capacity
-// and the rate at which their work was completed.
-func (s *State) ObserveCapacity(now time.Time) {
-	var c *cycle
-	for _, l := range s.backlogs.all {
-		if now.Sub(l.cycleAt) > maxCycleGap {
-			l.fullSince = time.Time{}
-		}
-		l.cycleAt = now
-		switch {
-		case !s.lacksCapacity(now, l, &c):
-			l.fullSince = time.Time{}
-		case l.fullSince.IsZero():
-			l.fullSince = now
-		}
-		l.rate.Observe(now, l.completed, l.full(now))
-		l.completed = 0
-	}
-}
-
-// full reports whether after every planning cycle of the last second a task waited for lack
-// of capacity.
-func (l *backlog) full(now time.Time) bool {
-	return !l.fullSince.IsZero() && l.cycleAt.Sub(l.fullSince) >= fullAfter && now.Sub(l.cycleAt) <= maxCycleGap
-}
-
-// lacksCapacity reports whether a task of a class of queues waits for lack of capacity. It
-// creates the cycle c when it has to find the cause of a wait.
-func (s *State) lacksCapacity(now time.Time, l *backlog, c **cycle) bool {
-	if l.blocked != nil && l.blocked.fitsNowhere() && now.Sub(l.causeAt) < backlogInterval {
-		return true
-	}
-	last := l.blocked
-	l.blocked = nil
-	checks := 0
-	check := func(st *step) bool {
-		if checks >= maxCauseChecks || !st.fitsNowhere() || now.Sub(st.otherCauseAt) < backlogInterval {
-			return false
-		}
-		if *c == nil {
-			*c = newCycle(s, now)
-		}
-		checks++
-		if !(*c).waitOf(st).cause.lackOfCapacity() {
-			st.otherCauseAt = now
-			return false
-		}
-		l.blocked, l.causeAt = st, now
-		return true
-	}
-	if last != nil && l.includes(&last.job.queue) && check(last) {
-		return true
-	}
-	for _, j := range s.open {
-		if checks >= maxCauseChecks {
-			return false
-		}
-		if !j.rowStored || !l.includes(&j.queue) {
-			continue
-		}
-		for _, o := range j.occurrences {
-			if o.due.After(now) {
-				break
-			}
-			if slices.ContainsFunc(o.steps, check) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// fitsNowhere reports whether a task of the step waits that fitted nowhere when it was last
-// tried.
-func (s *step) fitsNowhere() bool {
-	return s.ready() && !s.blockedSince.IsZero() && !s.job.state.Final()
-}
-
-// lackOfCapacity reports whether more capacity would end the wait.
-func (c WaitCause) lackOfCapacity() bool {
-	switch c {
-	case NoProcessors, NoMemory, ReservedCapacity, WouldInterfere:
-		return true
-	default:
-		return false
-	}
-}
-
-// Admit decides on a new job. It accepts the jobs to which admission doesn't apply; now and
-// wallNow are the current time on the monotonic clock and, in milliseconds, on the wall
-// clock.
-func (s *State) Admit(now time.Time, wallNow int64, spec *workload.Job, q workload.Queue) admission.Decision {
-	l := s.backlogs.of(&q)
-	if l == nil || admission.Exempt(spec, &q) {
-		return admission.Decision{}
-	}
-	load := s.load(now, l)
-	if !load.Known() {
-		return admission.Decision{}
-	}
-	job := admission.NewJob(now, wallNow, spec, &q, s.expectedIn(q))
-	d := admission.Decide(now, load, job)
-	if d.Verdict == admission.Refuse {
-		d.RetryAfter = l.retries.Assign(now, d, load, job)
-	}
-	return d
-}
-
-// load returns what a new job of a class of queues would find.
-func (s *State) load(now time.Time, l *backlog) admission.Load {
-	s.countBacklogs(now)
-	return admission.Load{Ahead: max(l.ahead, 0), Late: max(l.late, 0), Rate: l.rate.PerSecond(), Full: l.full(now)}
-}
-
-// Loads calls f with the load of each queue to which admission applies.
-func (s *State) Loads(now time.Time, f func(queue string, l admission.Load)) {
-	if len(s.backlogs.all) == 0 {
-		return
-	}
-	for _, q := range s.queues {
-		if l := s.backlogs.of(&q); l != nil && admission.HasObjective(&q) {
-			f(q.Name, s.load(now, l))
-		}
-	}
-}
-
-// admissionQueues returns the queues to which admission may apply.
-func (s *State) admissionQueues() map[string]workload.Queue {
-	if s.cfg.Disabled.Has(mechanism.Admission) {
-		return nil
-	}
-	return s.queues
-}
--- /dev/null
+++ b/dispatch/poolfull.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// ObserveCapacity records, after a planning cycle, which classes of queues lack capacity
+// and the rate at which their work was completed.
+func (s *State) ObserveCapacity(now time.Time) {
+	var c *cycle
+	for _, l := range s.backlogs.all {
+		if now.Sub(l.cycleAt) > maxCycleGap {
+			l.fullSince = time.Time{}
+		}
+		l.cycleAt = now
+		switch {
+		case !s.lacksCapacity(now, l, &c):
+			l.fullSince = time.Time{}
+		case l.fullSince.IsZero():
+			l.fullSince = now
+		}
+		l.rate.Observe(now, l.completed, l.full(now))
+		l.completed = 0
+	}
+}
+
+// full reports whether after every planning cycle of the last second a task waited for lack
+// of capacity.
+func (l *backlog) full(now time.Time) bool {
+	return !l.fullSince.IsZero() && l.cycleAt.Sub(l.fullSince) >= fullAfter && now.Sub(l.cycleAt) <= maxCycleGap
+}
+
+// lacksCapacity reports whether a task of a class of queues waits for lack of capacity. It
+// creates the cycle c when it has to find the cause of a wait.
+func (s *State) lacksCapacity(now time.Time, l *backlog, c **cycle) bool {
+	if l.blocked != nil && l.blocked.fitsNowhere() && now.Sub(l.causeAt) < backlogInterval {
+		return true
+	}
+	last := l.blocked
+	l.blocked = nil
+	checks := 0
+	check := func(st *step) bool {
+		if checks >= maxCauseChecks || !st.fitsNowhere() || now.Sub(st.otherCauseAt) < backlogInterval {
+			return false
+		}
+		if *c == nil {
+			*c = newCycle(s, now)
+		}
+		checks++
+		if !(*c).waitOf(st).cause.lackOfCapacity() {
+			st.otherCauseAt = now
+			return false
+		}
+		l.blocked, l.causeAt = st, now
+		return true
+	}
+	if last != nil && l.includes(&last.job.queue) && check(last) {
+		return true
+	}
+	for _, j := range s.open {
+		if checks >= maxCauseChecks {
+			return false
+		}
+		if !j.rowStored || !l.includes(&j.queue) {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o.due.After(now) {
+				break
+			}
+			if slices.ContainsFunc(o.steps, check) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fitsNowhere reports whether a task of the step waits that fitted nowhere when it was last
+// tried.
+func (s *step) fitsNowhere() bool {
+	return s.ready() && !s.blockedSince.IsZero() && !s.job.state.Final()
+}
+
+// lackOfCapacity reports whether more capacity would end the wait.
+func (c WaitCause) lackOfCapacity() bool {
+	switch c {
+	case NoProcessors, NoMemory, ReservedCapacity, WouldInterfere:
+		return true
+	default:
+		return false
+	}
+}
