--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -10,14 +10,14 @@
 	// since is when a cycle first left part of the claim unmet, zero if the last one
 	// met it.
 	since time.Time
-	// nextReclaim is when runs may be sought for it again.
+	// nextReclaim is when capacity may be reclaimed for it again.
 	nextReclaim time.Time
 	// unmetAt is the last cycle that left part of it unmet.
 	unmetAt time.Time
 }
 
-// recordClaims records which claims the cycle has left unmet. If the limit of starts was
-// reached, that isn't known.
+// recordClaims records which claims the cycle has left unmet. It changes nothing if the
+// limit of starts was reached, as steps were then left untried.
 func (c *cycle) recordClaims(limitReached bool) {
 	if limitReached {
 		return
--- a/dispatch/lent.go
+++ b/dispatch/lent.go
@@ -4,8 +4,8 @@
 	"github.com/fireflygate/fireflygate/preempt"
 )
 
-// isLent reports whether a run's queue uses so much more than its guaranteed share that
-// it stays at its share without the run. It returns true in pools without shares.
+// isLent reports whether a run's queue doesn't fall below its guaranteed share without the
+// run. It returns true in pools without shares.
 func (c *cycle) isLent(r *run) bool {
 	q := c.sharedQueueOf(r.task.step)
 	return q == nil || q.pool.Lent(q.index) >= r.task.step.spec.Needs.MilliCPU
@@ -27,7 +27,8 @@
 	return true
 }
 
-// allLent reports whether no queue falls below its guaranteed share without the victims.
+// allLent reports whether no queue falls below its guaranteed share without all of the
+// victims. It returns true in pools without shares.
 func (c *cycle) allLent(w *worker, victims []preempt.Victim) bool {
 	if c.shares[w.info.Pool] == nil {
 		return true
@@ -55,10 +56,10 @@
 	}
 }
 
-// countStopped counts a run being stopped as no longer used by its queue.
+// countStopped subtracts a run that is being stopped from what its queue uses.
 func (c *cycle) countStopped(r *run) { c.countUse(r, -1) }
 
-// countUse changes what a run's queue uses by n times the run.
+// countUse adds n times what a run requests to what its queue uses.
 func (c *cycle) countUse(r *run, n int64) {
 	if q := c.sharedQueueOf(r.task.step); q != nil {
 		q.pool.Reclaimed(q.index, -n*r.task.step.spec.Needs.MilliCPU)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -309,9 +309,9 @@
 	}
 	var best *worker
 	needs := st.spec.Reserved()
-	// In a pool with shares many steps of the queues above theirs wait, for which loads
-	// aren't computed. Elsewhere they are, since they are cached and later choices depend on
-	// when that was.
+	// In a pool with shares, many steps of queues above their shares wait. Computing the loads
+	// of workers for each of them is too slow. Elsewhere loads are computed as without shares:
+	// they are cached, and later choices depend on when they were computed.
 	shared := c.sharedQueueOf(st) != nil
 	for _, w := range c.workers {
 		if c.reserved[w.index] || shared && (best != nil && w.free.MilliCPU <= best.free.MilliCPU || !needs.Fits(w.eventuallyFree())) {
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -46,8 +46,9 @@
 	return found
 }
 
-// reclaimFrom stops runs of a queue, which request at most loan, for tasks of the step, on
-// one worker for each, where the least work is lost. It returns false if it stops none.
+// reclaimFrom stops runs of a queue that together request at most loan. For each task of the
+// step it stops runs on one worker, first where the least work is lost. It returns false if
+// it stops none.
 func (c *cycle) reclaimFrom(st *step, lender *sharedQueue, loan int64, b *reclaimBudget) bool {
 	buffer := &c.s.reclaimBuffer
 	buffer.candidates = buffer.candidates[:0]
@@ -79,8 +80,8 @@
 }
 
 // chooseReclaimed returns the runs of a queue on a worker that must be stopped for a task
-// of the step. Best-effort tasks reserve no processors; runs that request as many are
-// stopped for one.
+// of the step. As best-effort tasks reserve no processors, requested ones are compared for
+// these.
 func (c *cycle) chooseReclaimed(st *step, w *worker, lender *sharedQueue) ([]preempt.Victim, int64, bool) {
 	b := &c.s.reclaimBuffer
 	b.victims = b.victims[:0]
@@ -144,7 +145,7 @@
 // stopReclaimed stops runs on a worker for a task of the step.
 func (c *cycle) stopReclaimed(st *step, w *worker, victims []preempt.Victim, milliCPU int64) {
 	runs := runsOf(w, victims)
-	c.reserved[w.index] = true
+	c.reserved[w.index] = true // not by reserveWorker, whose limit is for reservations without stops
 	c.s.reclaims = append(c.s.reclaims, reclaimed{
 		at: c.now, worker: w, runs: runs, pool: st.job.queue.Pool, queue: st.job.queue.Name,
 		milliCPU: milliCPU,
--- a/dispatch/reclaimbudget.go
+++ b/dispatch/reclaimbudget.go
@@ -16,9 +16,9 @@
 // spent reports whether nothing is left to reclaim.
 func (b *reclaimBudget) spent() bool { return b.tasks <= 0 || b.wanted <= 0 || b.limit <= 0 }
 
-// reclaimable returns what may be reclaimed for a step now. Only whole tasks within the
-// claim count. Runs are stopped as long as those being stopped don't cover the claim; the
-// last ones may exceed it, since a run can't be stopped in part.
+// reclaimable returns what may be reclaimed for a step now: for as many whole tasks as the
+// claim covers. Runs are stopped until those being stopped cover the claim; the last ones may
+// exceed it, since a run can't be stopped in part.
 func (c *cycle) reclaimable(q *sharedQueue, st *step) reclaimBudget {
 	claim, lastSecond := q.pool.Claim(q.index), int64(0)
 	b := reclaimBudget{wanted: claim, tasks: int(min(claim/max(st.spec.Needs.MilliCPU, 1), int64(st.idle)))}
--- a/dispatch/reclaimed.go
+++ b/dispatch/reclaimed.go
@@ -24,15 +24,15 @@
 // mayBeAlive reports whether the run isn't known to have ended.
 func (r *run) mayBeAlive() bool { return slices.Contains(r.task.runs, r) }
 
-// pruneReclaims forgets what was reclaimed more than a second ago and has ended. Runs that
-// are being stopped no longer count as used by their queues, else others of a queue would
-// be stopped that are within its share. Workers where capacity is being reclaimed get no
-// starts meanwhile, which would take it in parts.
+// pruneReclaims forgets the entries older than a second whose runs have all ended. Runs
+// that are being stopped no longer count as used by their queues. Otherwise a queue would
+// seem to exceed its share by them, and more of its runs would be stopped. Workers where
+// capacity is being reclaimed get no starts until then, as smaller tasks would take it.
 func (c *cycle) pruneReclaims() {
 	c.s.reclaims = slices.DeleteFunc(c.s.reclaims, func(r reclaimed) bool {
 		stopping := r.stopping()
 		for _, run := range r.runs {
-			if run.mayBeAlive() && !run.task.step.job.state.Final() { // those of ended jobs don't count anyway
+			if run.mayBeAlive() && !run.task.step.job.state.Final() { // countUsage leaves out ended jobs
 				c.countStopped(run)
 			}
 		}
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -73,9 +73,9 @@
 }
 
 // EarlyPolls returns the workers to poll although a long poll is pending there,
-// and records that they are polled now. These are workers where a best-effort
-// task is new next to serving tasks or a tail is long, or that are or may be slow, and
-// whose last report is older than its window.
+// and records that they are polled now. These are workers whose last report is older than
+// its window, and where a best-effort task is new next to serving tasks, a tail is long, the
+// worker is or may be slow, or a move waits for the report.
 func (s *State) EarlyPolls(now time.Time) []string {
 	var ids []string
 	for id, w := range s.workers {
--- a/dispatch/sharedpool.go
+++ b/dispatch/sharedpool.go
@@ -7,8 +7,8 @@
 	"github.com/fireflygate/fireflygate/fairshare"
 )
 
-// sharedPool is a pool in which a queue has a guaranteed share. It is kept between the
-// cycles, each of which computes its contents anew.
+// sharedPool is a pool in which a queue has a guaranteed share. It is reused by each cycle,
+// which computes its contents anew.
 type sharedPool struct {
 	fairshare.Pool
 	// queues are those of the pool, in the order of Pool.Queues.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -12,10 +12,10 @@
 	return st.job.shared
 }
 
-// computeShares computes what each queue uses and wants of the pools in which one has a
-// guaranteed share. What a queue uses are the processors that its tasks with a run
-// request. That is so for best-effort tasks as well, which reserve none: their queue is
-// entitled to a part of the pool's processors, reserved or not.
+// computeShares computes, for pools in which a queue has a guaranteed share, what each queue
+// uses and wants. A queue uses the processors that its tasks with a run request. Best-effort
+// tasks count too, although they reserve none, as a share is a part of the pool's processors,
+// reserved or not.
 func (c *cycle) computeShares(waiting []*waitingStep) {
 	if c.shares = c.s.sharedPools(); c.shares == nil {
 		clear(c.s.claims)
@@ -136,8 +136,9 @@
 }
 
 // placeSteps places the waiting steps in queue order. In pools with shares, the steps of
-// queues below their shares come first, as far as their shares go; each pool keeps its
-// places among the others'. It returns false if the limit of starts left steps untried.
+// queues below their shares come first until the shares are reached. Each place of a pool's
+// step in the list is used for the step that is next in that pool. It returns false if the
+// limit of starts left steps untried.
 func (c *cycle) placeSteps(list []*waitingStep) bool {
 	for _, w := range list {
 		if c.startLimitReached() {
@@ -149,7 +150,7 @@
 			c.placeStep(w.step)
 		}
 	}
-	for _, w := range list { // steps placed in part take two places
+	for _, w := range list { // a step whose queue reaches its share takes two places
 		if p := c.shares[w.step.job.queue.Pool]; p != nil {
 			for !p.done() {
 				if c.startLimitReached() {
