--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -108,7 +108,8 @@
 	now     time.Time
 	workers []*worker
 	// reserved marks the workers, by index, whose capacity is reserved for a
-	// step that fits nowhere yet; reservedCount counts them.
+	// step that fits nowhere yet; reservedCount counts them, except for those where
+	// capacity is being reclaimed.
 	reserved      []bool
 	reservedCount int
 	starts        []StartOrder
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -145,7 +145,7 @@
 // stopReclaimed stops runs on a worker for a task of the step.
 func (c *cycle) stopReclaimed(st *step, w *worker, victims []preempt.Victim, milliCPU int64) {
 	runs := runsOf(w, victims)
-	c.reserved[w.index] = true // not by reserveWorker, whose limit is for reservations without stops
+	c.reserved[w.index] = true // without reservedCount
 	c.s.reclaims = append(c.s.reclaims, reclaimed{
 		at: c.now, worker: w, runs: runs, pool: st.job.queue.Pool, queue: st.job.queue.Name,
 		milliCPU: milliCPU,
--- a/fairshare/resolve.go
+++ b/fairshare/resolve.go
@@ -35,6 +35,24 @@
 // are invalid keeps the shares of before for the queues that it still has; rejections,
 // one for each such pool, are in order of the queues.
 func Resolve(queues []workload.Queue, wanted map[string]float64, before []workload.Queue) (map[string]float64, []Rejection) {
+	rejections := reject(queues, wanted)
+	inForce := maps.Clone(wanted)
+	for _, q := range queues {
+		if !slices.ContainsFunc(rejections, func(r Rejection) bool { return r.Pool == q.Pool }) {
+			continue
+		}
+		delete(inForce, q.Name)
+		same := func(old workload.Queue) bool { return old.Name == q.Name && old.Pool == q.Pool }
+		if i := slices.IndexFunc(before, same); i >= 0 && before[i].GuaranteedShare > 0 {
+			inForce[q.Name] = before[i].GuaranteedShare
+		}
+	}
+	return inForce, rejections
+}
+
+// reject returns a rejection for each pool whose wanted shares are invalid, in order of the
+// queues.
+func reject(queues []workload.Queue, wanted map[string]float64) []Rejection {
 	rejected := map[string]bool{}
 	sums := map[string]float64{}
 	seen := map[string]bool{}
@@ -56,18 +74,7 @@
 		}
 		rejected[q.Pool] = true
 	}
-	inForce := maps.Clone(wanted)
-	for _, q := range queues {
-		if !rejected[q.Pool] {
-			continue
-		}
-		delete(inForce, q.Name)
-		same := func(old workload.Queue) bool { return old.Name == q.Name && old.Pool == q.Pool }
-		if i := slices.IndexFunc(before, same); i >= 0 && before[i].GuaranteedShare > 0 {
-			inForce[q.Name] = before[i].GuaranteedShare
-		}
-	}
-	return inForce, rejections
+	return rejections
 }
 
 // ParseShare returns the share that a text in JSON sets, NaN if it isn't a number.
