--- a/control/outage.go
+++ b/control/outage.go
@@ -33,6 +33,15 @@
 	return lasted, lasted >= storeUnavailableAfter
 }
 
+// commitOverdueAfter is the duration of a commit from which it is overdue: many times that
+// on a sound table service.
+const commitOverdueAfter = storeUnavailableAfter / 2
+
+// commitOverdue reports whether the commit in flight takes unusually long.
+func (o *Owner) commitOverdue(now time.Time) bool {
+	return o.committing && now.Sub(o.lastCommit) >= commitOverdueAfter
+}
+
 // withdrawInOutage withdraws the jobs that wait for their first commit if the
 // table service is unavailable, and refuses their callers. Jobs in the commit in
 // flight stay, as that may still be applied.
--- a/control/owner.go
+++ b/control/owner.go
@@ -263,6 +263,7 @@
 	o.flush(now)
 	done := o.loop.add(flushing, now)
 	if o.ownershipValid() && !o.refused() && !o.resigning && o.planDue(now) {
+		o.state.SetCommitOverdue(o.commitOverdue(now))
 		p := o.state.PlanAtMost(now, o.traffic.AvailableStarts())
 		done = o.loop.add(planning, done)
 		o.loop.planned(p.StartLimitReached)
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// TestManyOtherWaitsHideNoLackOfCapacity guards against a full pool that never counts as
+// full since more steps wait for another cause than are checked in a cycle.
+func TestManyOtherWaitsHideNoLackOfCapacity(t *testing.T) {
+	r := newZoneRig(t, 1)
+	for i := range 24 {
+		r.submit(queueLong, fmt.Sprint("limited", i), step(3, 1, func(s *workload.Step) { s.MaxPerWorker = 1 }))
+	}
+	r.submit(queueLong, "large", step(9, 10))
+	r.cycles(4 * time.Second)
+	if l, _ := r.loadOf(queueLong); !l.Full {
+		t.Error("the pool isn't full though tasks wait for processors")
+	}
+}
+
 // callerLimit is the time limit of a submission with its retries.
 const callerLimit = 3 * time.Second
 
--- a/dispatch/cpulimit.go
+++ b/dispatch/cpulimit.go
@@ -157,7 +157,7 @@
 				continue
 			}
 			w.lastActionAt = now
-			if action.Kind == colocate.Migrate {
+			if action.Kind == colocate.Migrate && !s.commitOverdue {
 				s.Stats.BestEffortMoved++
 				s.orderStop(now, r, TailTooLong)
 				continue
--- a/dispatch/cpulimit_test.go
+++ b/dispatch/cpulimit_test.go
@@ -134,3 +134,20 @@
 		t.Errorf("CPU limit %d ordered by the next owner, want 100", got)
 	}
 }
+
+// TestTailDuringOutagePauses guards against a best-effort task that is stopped because of a
+// long tail while the store is away: it couldn't start again until the store is back.
+func TestTailDuringOutagePauses(t *testing.T) {
+	for _, overdue := range []bool{false, true} {
+		r, serving, bestEffort := startBestEffort(t)
+		r.advance(1500 * time.Millisecond)
+		begun := halfDone(bestEffort)
+		begun.Percent = 10
+		r.report(worker(0), []runner.ActiveRun{withTail(serving, 90), begun}, nil)
+		r.state.SetCommitOverdue(overdue)
+		p := r.state.Plan(r.now)
+		if paused := len(p.CPULimits) == 1 && p.CPULimits[0].CPULimit.Percent == 0; paused != overdue || (len(p.Stops) == 0) != overdue {
+			t.Errorf("commit overdue %v: %d stops, CPU limits %v; want it paused only then, else stopped", overdue, len(p.Stops), p.CPULimits)
+		}
+	}
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -69,6 +69,8 @@
 	outcomes     []JobOutcome
 	// confirmation tracks the commits that were applied.
 	confirmation confirmation
+	// commitOverdue is set while a commit takes unusually long.
+	commitOverdue bool
 	// refusedToken is what RefusedToken returns.
 	refusedToken RefusedToken
 	// losses holds what TakeWorkerLosses returns next.
@@ -136,6 +138,10 @@
 	s.shares, s.sharesChanged = nil, true
 }
 
+// SetCommitOverdue records whether the commit in flight takes unusually long. Tasks whose
+// stop can wait aren't stopped then, as they couldn't start again until it is applied.
+func (s *State) SetCommitOverdue(overdue bool) { s.commitOverdue = overdue }
+
 // SetBounds replaces the retention of jobs and the bound on tails.
 func (s *State) SetBounds(retention, tailBound time.Duration) {
 	s.cfg.Retention, s.cfg.TailBound = retention, tailBound
