control: only loads of full pools are told to other hosts

The owner sent the loads of all queues, most of them idle, with each answer to a ping, and set their gauges ten times a second; since the last change it also cleared them each time, as queues are listed in random order.

Only queues that something may be refused for are told, gauges are set with the summary of each second.

--- a/control/admissionmetrics.go
+++ b/control/admissionmetrics.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/fireflygate/fireflygate/admission"
+)
 
 // initAdmission creates the metrics of the admission of jobs.
 func (m *Metrics) initAdmission() {
@@ -23,9 +27,9 @@
 }
 
 // setQueueLoad sets the gauges of a queue's load.
-func (m *Metrics) setQueueLoad(l *queueLoad) {
-	m.backlogWork.WithLabelValues(l.Queue).Set(float64(l.Ahead) / 1000)
-	m.backlogWait.WithLabelValues(l.Queue).Set(l.load().Wait().Seconds())
+func (m *Metrics) setQueueLoad(queue string, l admission.Load) {
+	m.backlogWork.WithLabelValues(queue).Set(float64(l.Ahead) / 1000)
+	m.backlogWait.WithLabelValues(queue).Set(l.Wait().Seconds())
 }
 
 // clearLoads clears the gauges of all queues' loads.
--- a/control/loadsummary.go
+++ b/control/loadsummary.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/admission"
@@ -36,27 +35,34 @@
 	madeAt time.Time
 }
 
-// observeCapacity records the capacity after a planning cycle, and publishes the loads of
-// queues to metrics and other hosts once per loadsInterval.
+// observeCapacity records the capacity after a planning cycle, and once per loadsInterval
+// publishes the loads of queues in full pools to other hosts. By other loads nothing is
+// refused, and a configuration may have many queues.
 func (o *Owner) observeCapacity(now time.Time) {
 	o.state.ObserveCapacity(now)
-	last := o.loads.Load()
-	if last != nil && now.Sub(last.madeAt) < loadsInterval {
+	if last := o.loads.Load(); last != nil && now.Sub(last.madeAt) < loadsInterval {
 		return
 	}
 	s := &loadSummary{at: boottime(), madeAt: now}
 	o.state.Loads(now, func(queue string, l admission.Load) {
-		s.Queues = append(s.Queues, queueLoad{Queue: queue, Ahead: l.Ahead, Late: l.Late, Rate: l.Rate, Full: l.Full})
+		if l.Known() {
+			s.Queues = append(s.Queues, queueLoad{Queue: queue, Ahead: l.Ahead, Late: l.Late, Rate: l.Rate, Full: l.Full})
+		}
 	})
-	if last != nil && !slices.EqualFunc(last.Queues, s.Queues, func(a, b queueLoad) bool { return a.Queue == b.Queue }) {
-		o.opts.Metrics.clearLoads() // of queues to which admission no longer applies
-	}
-	for i := range s.Queues {
-		o.opts.Metrics.setQueueLoad(&s.Queues[i])
-	}
 	o.loads.Store(s)
 }
 
+// recordLoads sets the gauges of the loads of queues, and clears those of queues that have
+// no load any more.
+func (o *Owner) recordLoads(now time.Time) {
+	o.opts.Metrics.clearLoads()
+	o.state.Loads(now, func(queue string, l admission.Load) {
+		if l.Ahead > 0 {
+			o.opts.Metrics.setQueueLoad(queue, l)
+		}
+	})
+}
+
 // toldLoads returns the loads of queues for an answer to a ping, nil if there are none.
 func (o *Owner) toldLoads() *loadSummary {
 	s := o.loads.Load()
--- a/control/summary.go
+++ b/control/summary.go
@@ -26,6 +26,7 @@
 	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum),
 		slog.Any("traffic", traffic), slog.Any("loop", o.loop), slog.Int64("commit_age_ms", o.commitAge().Milliseconds()))
 	o.opts.Metrics.setLoad(traffic, &o.loop)
+	o.recordLoads(now)
 	o.backlog.Observe(int(sum.Stats.Starts-o.startsCounted), o.loop.overloaded()) //nolint:gosec // of a second
 	o.startsCounted = sum.Stats.Starts
 	o.scaleRelays(now, sum.Workers)
