--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -244,7 +244,7 @@
 func TestAdmissionInFullPool(t *testing.T) {
 	type result struct{ accepted, onTime, served, refusals int }
 	run := func(disabled mechanism.Set) (sum result) {
-		for seed := range uint64(2) {
+		for seed := range uint64(8) {
 			f, _ := runFullPool(t, seed, disabled, false)
 			sum.accepted += len(f.accepted)
 			sum.refusals += len(f.refusedAt)
