--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -174,7 +174,7 @@
 	refusedAt []int
 }
 
-// newJob returns a batch job of the page's shape, in proportion to the workers. It reserves
+// newJob returns a job like those of a typical batch queue, in proportion to the workers. It reserves
 // its processors, so that its tasks wait for capacity and not because of interference.
 func (f *fullPool) newJob(id string) *workload.Job {
 	const runTime = 2200 * time.Millisecond
