control, election: an attempt to acquire the domain logs its effort

Cause: event 904 said only that the deadline was exceeded. Whether the store refused the attempt, answered too late or never, and how many transactions it was sent, decides between the hypotheses of docs/incidents/no-owner-in-a-slow-store.md. Change: events 903 and 904 tell the time, the transactions sent, and how many were answered or refused. No change of behaviour.

--- a/control/takeover.go
+++ b/control/takeover.go
@@ -23,15 +23,23 @@
 	c, err := election.Acquire(attempt, n.opts.Table, self, previous, version)
 	cancel()
 	if err != nil {
-		event.OwnershipNotAcquired.Log(n.opts.Log, slog.Any("epoch", previous.Epoch+1), slog.Any("err", err))
+		event.OwnershipNotAcquired.Log(n.opts.Log, slog.Any("epoch", previous.Epoch+1), slog.Any("err", err),
+			slog.Uint64("version", version), slog.Any("effort", effortFields(c.Effort())))
 		return false
 	}
 	event.OwnershipAcquired.Log(n.opts.Log, slog.Any("epoch", c.Record().Epoch), slog.Any("before", previous.Host),
-		slog.Float64("cores", self.Cores), slog.Float64("best", previous.Cores), slog.Any("earlier", epochs(c.Record().Earlier)))
+		slog.Float64("cores", self.Cores), slog.Float64("best", previous.Cores), slog.Any("earlier", epochs(c.Record().Earlier)),
+		slog.Any("effort", effortFields(c.Effort())))
 	n.lead(ctx, c, previous, begun)
 	return true
 }
 
+// effortFields returns, for the log, what an attempt to acquire the domain took.
+func effortFields(e election.Effort) slog.Value {
+	return slog.GroupValue(slog.Int64("ms", e.Took.Milliseconds()), slog.Int("attempts", e.Attempts),
+		slog.Int("answered", e.Answered), slog.Int("refused", e.Refused))
+}
+
 // epochs returns, for the log, the epochs of the owners that may still give orders.
 func epochs(owners []election.EarlierOwner) []uint64 {
 	var all []uint64
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -34,12 +34,10 @@
 }
 
 // Acquire commits an owner's row for self in the epoch after that of previous,
-// and returns the Committer of the new owner. previous and version are the
-// results of Read; if the row has changed since, Acquire returns ErrDeposed.
+// and returns the Committer of the new owner, which also tells the effort of a failed
+// attempt. previous and version are the results of Read; if the row has changed since,
+// Acquire returns ErrDeposed.
 func Acquire(ctx context.Context, table infra.Table, self, previous Record, version uint64) (*Committer, error) {
 	c := NewCommitter(table, Successor(&previous, self), version)
-	if err := c.Commit(ctx, nil); err != nil {
-		return nil, err
-	}
-	return c, nil
+	return c, c.Commit(ctx, nil)
 }
--- a/election/attempts.go
+++ b/election/attempts.go
@@ -32,6 +32,8 @@
 	interval time.Duration
 	// repeatAt is when another attempt is due if no result has settled the commit.
 	repeatAt time.Time
+	// effort counts the attempts.
+	effort Effort
 }
 
 // maxAttemptsPending bounds the attempts in flight: those of attemptTimeout, of which
@@ -56,6 +58,7 @@
 		return
 	}
 	t.pending++
+	t.effort.Attempts++
 	tx := infra.Transaction{Conditions: []infra.Condition{{Key: OwnerKey, Version: version}}, Writes: t.writes}
 	begun := time.Now()
 	go func() {
@@ -75,6 +78,7 @@
 	select {
 	case a := <-t.results:
 		t.pending--
+		t.effort.count(a.result.Status)
 		return a, true
 	case <-timer.C:
 	case <-t.ctx.Done():
--- a/election/committer.go
+++ b/election/committer.go
@@ -35,6 +35,8 @@
 	// lastDuration is how long the last attempt that was applied took. An outage before
 	// it doesn't count, as the next one may be as sudden.
 	lastDuration time.Duration
+	// effort describes the last commit.
+	effort Effort
 	// Sleep waits after a refused or immediately failed attempt; tests replace it.
 	Sleep func(ctx context.Context, d time.Duration)
 }
@@ -69,6 +71,13 @@
 	return c.version
 }
 
+// Effort returns what the last commit took, also if it failed.
+func (c *Committer) Effort() Effort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.effort
+}
+
 // SetCores sets the reference for takeovers that later commits record.
 func (c *Committer) SetCores(cores float64) {
 	c.mu.Lock()
@@ -160,6 +169,11 @@
 	}
 	tries := newAttempts(ctx, c.table, append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...), repeatIntervalAfter(c.lastDuration))
 	defer tries.cancel()
+	begun := time.Now()
+	defer func() {
+		c.effort = tries.effort
+		c.effort.Took = time.Since(begun)
+	}()
 	tries.start(c.version)
 	for {
 		a, ok := tries.next()
