--- a/control/announce.go
+++ b/control/announce.go
@@ -34,7 +34,7 @@
 			addresses = append(addresses, e.Address)
 		}
 	}
-	client := peer.NewClient(peer.Options{Host: n.opts.Host, UserTimeout: peerUserTimeout, HandshakeTimeout: pingTimeout, AcceptAnyHost: true}, newRand())
+	client := peer.NewClient(peer.Options{Host: n.opts.Host, UserTimeout: peerUserTimeout, HandshakeTimeout: pingTimeout, AcceptAnyHost: true, Dial: n.opts.Dial}, newRand())
 	defer client.Close()
 	names := map[string]string{}
 	for _, address := range addresses {
--- a/control/node.go
+++ b/control/node.go
@@ -76,7 +76,7 @@
 func peerOptions(o *Options) peer.Options {
 	return peer.Options{
 		Host: o.Host, Log: o.Log, UserTimeout: peerUserTimeout, HandshakeTimeout: pingTimeout,
-		MaxBackoff: peerMaxBackoff, AcceptAnyHost: true,
+		MaxBackoff: peerMaxBackoff, AcceptAnyHost: true, Dial: o.Dial,
 	}
 }
 
--- a/control/options.go
+++ b/control/options.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"context"
 	"log/slog"
+	"net"
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
@@ -30,6 +32,8 @@
 	Policy  runner.Policy
 	Log     *slog.Logger
 	Metrics *Metrics
+	// Dial opens connections to other hosts; nil dials with TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Retention is how long an ended job can be queried.
 	Retention time.Duration
 	// MaxLease bounds the leases that workers grant.
--- a/election/committer.go
+++ b/election/committer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +27,9 @@
 // Committer commits an owner's writes one after another. It is safe for
 // concurrent use.
 type Committer struct {
-	mu      sync.Mutex
+	// lock holds a token while a commit is in flight or a field is used. Unlike a
+	// sync.Mutex, it may be waited for in virtual time.
+	lock    chan struct{}
 	table   infra.Table
 	record  Record
 	version uint64
@@ -44,9 +45,11 @@
 // NewCommitter returns a Committer for the ownership record, whose row has the
 // given version.
 func NewCommitter(table infra.Table, record Record, version uint64) *Committer {
-	return &Committer{table: table, record: record, version: version, Sleep: sleep}
+	return &Committer{lock: make(chan struct{}, 1), table: table, record: record, version: version, Sleep: sleep}
 }
 
+func (c *Committer) unlock() { <-c.lock }
+
 // sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -59,59 +62,59 @@
 
 // Record returns the owner's row, including changes not committed yet.
 func (c *Committer) Record() Record {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	return c.record
 }
 
 // Version returns the version of the owner's row after the last known commit.
 func (c *Committer) Version() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	return c.version
 }
 
 // Effort returns what the last commit took, also if it failed.
 func (c *Committer) Effort() Effort {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	return c.effort
 }
 
 // SetCores sets the reference for takeovers that later commits record.
 func (c *Committer) SetCores(cores float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	c.record.Cores = cores
 }
 
 // SetEarlier sets the earlier owners that later commits list.
 func (c *Committer) SetEarlier(earlier []EarlierOwner) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	c.record.Earlier = earlier
 }
 
 // MarkHandedOver makes later commits record that the owner is handing the
 // domain over to a stronger host.
 func (c *Committer) MarkHandedOver() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	c.record.HandedOver = true
 }
 
 // KeepRosterEpochs makes later commits record the same about the roster as the row of
 // the previous owner did. Only an owner that has given no leases may call it.
 func (c *Committer) KeepRosterEpochs(previous bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	c.record.RosterEpochs = previous
 }
 
 // Resign commits that the owner has stopped. Refresh does nothing afterwards.
 func (c *Committer) Resign(ctx context.Context) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	c.record.Resigned = true
 	return c.commit(ctx, nil)
 }
@@ -119,10 +122,12 @@
 // Refresh commits the owner's row alone, unless another commit is in flight or
 // the owner has resigned. It reports whether it tried.
 func (c *Committer) Refresh(ctx context.Context) (bool, error) {
-	if !c.mu.TryLock() {
+	select {
+	case c.lock <- struct{}{}:
+	default:
 		return false, nil
 	}
-	defer c.mu.Unlock()
+	defer c.unlock()
 	if c.record.Resigned {
 		return false, nil
 	}
@@ -134,16 +139,16 @@
 // host owns the domain and they never will be, and the context's error if the
 // outcome is unknown.
 func (c *Committer) Commit(ctx context.Context, writes []infra.Write) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	return c.commit(ctx, writes)
 }
 
 // CommitRosterEpochs is Commit for writes with which the roster tells in which epochs
 // workers got leases. The owner's row says so from then on.
 func (c *Committer) CommitRosterEpochs(ctx context.Context, writes []infra.Write) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.lock <- struct{}{}
+	defer c.unlock()
 	c.record.RosterEpochs = true
 	return c.commit(ctx, writes)
 }
@@ -160,7 +165,7 @@
 // before it is repeated: more than twice, so that one needless attempt causes no others.
 const slowCommitFactor = 3
 
-// commit implements Commit; c.mu must be held.
+// commit implements Commit; c.lock must be held.
 func (c *Committer) commit(ctx context.Context, writes []infra.Write) error {
 	c.record.Seq++
 	value, err := c.record.Encode()
--- a/peer/client.go
+++ b/peer/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +17,6 @@
 // concurrent use.
 type Client struct {
 	opts        Options
-	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	lateReplies atomic.Uint64
 
 	randMu sync.Mutex
@@ -31,8 +29,7 @@
 // NewClient returns a client without peers. The random source provides the
 // jitter of reconnections; the client serializes access to it.
 func NewClient(o Options, r *rand.Rand) *Client {
-	var d net.Dialer
-	return &Client{opts: o.withDefaults(), dial: d.DialContext, rand: r, links: map[string]*link{}}
+	return &Client{opts: o.withDefaults(), rand: r, links: map[string]*link{}}
 }
 
 // SetPeers replaces the known peers, given as IP:port by host name. It closes
--- a/peer/faults_test.go
+++ b/peer/faults_test.go
@@ -230,8 +230,8 @@
 	defer c.Close()
 	c.SetPeers(map[string]string{"b": address})
 	dials := 0
-	dial := c.dial
-	c.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := c.opts.Dial
+	c.opts.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		dials++
 		if dials == 1 {
 			return nil, errors.New("refused")
--- a/peer/link.go
+++ b/peer/link.go
@@ -121,7 +121,7 @@
 	o := l.client.opts
 	ctx, cancel := context.WithTimeout(ctx, o.HandshakeTimeout)
 	defer cancel()
-	raw, err := l.client.dial(ctx, "tcp", l.address)
+	raw, err := l.client.opts.Dial(ctx, "tcp", l.address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", l.address)
 	}
--- a/peer/options.go
+++ b/peer/options.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"log/slog"
+	"net"
 	"time"
 )
 
@@ -28,6 +30,8 @@
 	// AcceptAnyHost makes a client skip the check of the peer's host name, for
 	// callers that know peers by address only.
 	AcceptAnyHost bool
+	// Dial opens a client's connections; nil dials with TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// TLS, if set, returns the configuration for mutual authentication. It is
 	// called for each new connection, so that renewed certificates take effect
 	// without a restart.
@@ -66,6 +70,9 @@
 	if o.MaxBackoff == 0 {
 		o.MaxBackoff = defaultMaxBackoff
 	}
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
