control: loading the state has a limit for its progress, not for its whole time

A domain whose state takes longer to load than 8 s, as the 41,000 jobs of the size to come may in a slow store, could never be owned: each owner gave up, and the next began anew. Its row was refreshed for 10 s at most.

Change: a load ends after 8 s without progress (a page of rows, 32 jobs); while it makes progress, the owner's row is refreshed.

--- a/control/load.go
+++ b/control/load.go
@@ -21,16 +21,23 @@
 	// jobsPerLoadCheck is the number of jobs restored between two checks whether a
 	// stronger host should own the domain: some 20 ms of a weak host's processor.
 	jobsPerLoadCheck = 32
-	// loadTimeout bounds loading the state; it allows for a slow table service.
-	loadTimeout = 8 * time.Second
+	// loadStallTimeout bounds the time in which loading the state makes no progress. The
+	// load itself isn't bounded: a large domain on a slow table service would otherwise
+	// have no owner at all.
+	loadStallTimeout = 8 * time.Second
 )
 
+// errLoadStalled is the cause of the end of a load that makes no progress.
+var errLoadStalled = errors.New("loading the state makes no progress")
+
 // load loads the durable state of earlier owners. It stops with errLoadSkipped if it
 // finds that the domain should be handed over instead.
 func (o *Owner) load() error {
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(o.ctx)
+	defer cancel(nil)
+	o.recordLoadProgress()
+	go o.endStalledLoad(ctx, cancel)
 	rows, err := o.scanAll(ctx, dispatch.ProgressPrefix, dispatch.JobPrefix, dispatch.RosterPrefix)
 	if err != nil {
 		return err
@@ -42,6 +49,7 @@
 	}
 	for i, row := range jobs {
 		if i%jobsPerLoadCheck == 0 {
+			o.recordLoadProgress()
 			if err := o.checkLoad(); err != nil {
 				return err
 			}
@@ -59,6 +67,26 @@
 	return nil
 }
 
+// recordLoadProgress records that the load goes on.
+func (o *Owner) recordLoadProgress() { o.loadedAt.Store(int64(boottime())) }
+
+// endStalledLoad ends a load that makes no progress. It returns when the load has ended.
+func (o *Owner) endStalledLoad(ctx context.Context, cancel context.CancelCauseFunc) {
+	t := time.NewTicker(loadStallTimeout / 8)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		if boottime()-time.Duration(o.loadedAt.Load()) >= loadStallTimeout {
+			cancel(errLoadStalled)
+			return
+		}
+	}
+}
+
 // restoreJob restores a job from its rows. Jobs whose rows can't be decoded are
 // skipped.
 func (o *Owner) restoreJob(row infra.Row, progress map[string]infra.Row) {
@@ -133,9 +161,10 @@
 	for {
 		rows, err := o.opts.Table.Scan(ctx, prefix, after, scanPageSize)
 		if err != nil {
-			return nil, errors.Wrapf(err, "scan %s", prefix)
+			return nil, errors.Wrapf(errors.CombineErrors(err, context.Cause(ctx)), "scan %s", prefix)
 		}
 		all = append(all, rows...)
+		o.recordLoadProgress()
 		if err := o.checkLoad(); err != nil {
 			return nil, err
 		}
--- a/control/owner.go
+++ b/control/owner.go
@@ -75,6 +75,8 @@
 	committedAt atomic.Int64
 	// cycleAt is the boottime at which the last cycle of the loop began.
 	cycleAt atomic.Int64
+	// loadedAt is the boottime of the last progress in loading the state.
+	loadedAt atomic.Int64
 	// committedVersion is the version of the owner's row after the last applied
 	// commit.
 	committedVersion atomic.Uint64
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -22,7 +22,9 @@
 	for {
 		select {
 		case <-t.C:
-			if !election.RefreshDue(o.commitAge(), boottime()-time.Duration(o.cycleAt.Load())) {
+			now, cycleAt := boottime(), time.Duration(o.cycleAt.Load())
+			progressAt := max(cycleAt, time.Duration(o.loadedAt.Load()))
+			if !election.RefreshDue(o.commitAge(), now-cycleAt, now-progressAt) {
 				continue
 			}
 			if err := o.refresh(); err != nil {
--- a/election/refresh.go
+++ b/election/refresh.go
@@ -10,14 +10,14 @@
 	// A loop that cycles commits the row by itself; on a slow table service a refresh
 	// would only delay its next commit, for which callers wait.
 	minCycleAge = 200 * time.Millisecond
-	// maxCycleTime is the longest plausible cycle of the owner's loop, including
-	// the time to load the state. A loop that takes longer counts as stuck, and
-	// other hosts may take the domain over.
-	maxCycleTime = 10 * time.Second
+	// maxProgressAge is the age of the last progress of the owner's loop, or of its load of
+	// the state, from which it counts as stuck, and other hosts may take the domain over.
+	maxProgressAge = 10 * time.Second
 )
 
-// RefreshDue reports whether the owner's row needs a refresh, given the time
-// since its last commit and since the last cycle of its loop.
-func RefreshDue(commitAge, cycleAge time.Duration) bool {
-	return commitAge >= refreshAfter && cycleAge >= minCycleAge && cycleAge < maxCycleTime
+// RefreshDue reports whether the owner's row needs a refresh, given the time since its
+// last commit, since the last cycle of its loop, and since the last progress of that or
+// of the load before it.
+func RefreshDue(commitAge, cycleAge, progressAge time.Duration) bool {
+	return commitAge >= refreshAfter && cycleAge >= minCycleAge && progressAge < maxProgressAge
 }
