control: an owner with late commits is asked again before it is replaced

Change: a host that waits for an owner's late commits takes two unanswered pings, not one, as a sign that it is gone, and event 900 tells whether it waits.

--- a/control/follow.go
+++ b/control/follow.go
@@ -22,8 +22,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	event.OwnerSuspected.Log(n.opts.Log, slog.String("host", leader.Host), slog.Uint64("epoch", leader.Epoch),
-		slog.String("why", s.reason), slog.Uint64("version", s.version))
+	n.logSuspicion(&leader, &s)
 	n.replace(ctx, s)
 }
 
@@ -59,7 +58,9 @@
 	switch {
 	case row.err != nil:
 		event.OwnerReadFailed.Log(n.opts.Log, slog.Any("err", row.err))
-		s.since = time.Time{}
+		if rows.unavailable(row) {
+			s.since = time.Time{} // the owner's commits may have failed as well
+		}
 		n.askPeers(ctx)
 		return false
 	case n.resume(ctx, row):
@@ -75,7 +76,7 @@
 		// The version counts from the read, as the ping since then may have taken pingTimeout.
 		s.version, s.since = row.version, readAt
 		if record.Host == "" {
-			s.since = s.since.Add(-suspectTimeout) // no owner to wait for
+			s.since = s.since.Add(-suspectTimeout - slowReadFactor*row.took) // no owner to wait for
 		}
 	}
 	if n.ownerRecovered(ctx, record, s) {
@@ -87,6 +88,12 @@
 	return !time.Now().Before(s.takeoverAt) && n.takeOver(ctx, s, row)
 }
 
+// logSuspicion logs why an owner is suspected, and whether its commits are waited for.
+func (n *Node) logSuspicion(leader *election.Record, s *suspicion) {
+	event.OwnerSuspected.Log(n.opts.Log, slog.String("host", leader.Host), slog.Uint64("epoch", leader.Epoch),
+		slog.String("why", s.reason), slog.Uint64("version", s.version), slog.Bool("store_answers", s.ownerWaits))
+}
+
 // ownerRecovered asks an owner whose commits were late about them, and reports whether
 // they no longer are. It updates s.
 func (n *Node) ownerRecovered(ctx context.Context, record election.Record, s *suspicion) bool {
@@ -95,11 +102,27 @@
 	}
 	r, res := n.ping(ctx, record)
 	a := r.status()
-	reason, _ := a.SuspectReason(&record)
-	s.ownerWaits, s.askedAt = res == outcome.Answered && a.CommitsLate(&record), time.Now()
-	return res == outcome.Answered && reason == ""
+	s.askedAt = time.Now()
+	switch {
+	case res == outcome.Unknown && time.Since(s.waitsAt) < maxUnansweredPings:
+		return false
+	case res != outcome.Answered:
+		s.reason, s.ownerWaits = "no answer", false
+	default:
+		s.reason, _ = a.SuspectReason(&record)
+		s.ownerWaits, s.waitsAt = a.CommitsLate(&record), time.Now()
+	}
+	if !s.ownerWaits && s.reason != "" {
+		n.logSuspicion(&record, s)
+	}
+	return s.reason == ""
 }
 
+// maxUnansweredPings is the time without an answer to pings after which an owner whose
+// commits were late counts as one that doesn't answer: two pings, since such an owner is
+// also busy.
+const maxUnansweredPings = 2 * (pingInterval + pingTimeout)
+
 // followOwner makes the host follow another owner.
 func (n *Node) followOwner(r election.Record) {
 	n.setLeader(r, nil)
--- a/control/rowreader.go
+++ b/control/rowreader.go
@@ -29,6 +29,9 @@
 	pending int
 	// lastBegun is the start of the last read that was answered. Earlier ones are ignored.
 	lastBegun time.Time
+	// answeredAt is when that read was answered, and lastTook how long it took.
+	answeredAt time.Time
+	lastTook   time.Duration
 }
 
 const (
@@ -50,7 +53,7 @@
 func (r *rowReader) read(ctx context.Context) rowRead {
 	if r.pending < maxReads {
 		r.pending++
-		go r.begin(context.WithoutCancel(ctx))
+		go r.begin(ctx)
 	}
 	timeout := time.NewTimer(rowTimeout)
 	defer timeout.Stop()
@@ -62,7 +65,7 @@
 				continue
 			}
 			if a.err == nil {
-				r.lastBegun = a.begun
+				r.lastBegun, r.answeredAt, r.lastTook = a.begun, time.Now(), a.took
 			}
 			return a
 		case <-timeout.C:
@@ -73,6 +76,15 @@
 	}
 }
 
+// unavailable reports whether a failed read shows that the store doesn't answer this host,
+// rather than slowly. Another read is then answered before long.
+func (r *rowReader) unavailable(failed rowRead) bool {
+	return !errors.Is(failed.err, errRowUnanswered) || time.Since(r.answeredAt) >= rowTimeout+slowAnswers*r.lastTook
+}
+
+// slowAnswers is the number of answers of a slow store within which one comes.
+const slowAnswers = 2
+
 // begin reads the row and delivers the result, which never blocks.
 func (r *rowReader) begin(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lateReadTimeout)
--- a/control/suspicion.go
+++ b/control/suspicion.go
@@ -19,9 +19,9 @@
 	// try without it, zero if it needn't.
 	lockAt, unlockedAt time.Time
 	// ownerWaits is set if the owner is alive and the store answers it, though its commits
-	// are late. askedAt is when it last said so.
-	ownerWaits bool
-	askedAt    time.Time
+	// are late. askedAt is when it was last asked, waitsAt when it last said so.
+	ownerWaits       bool
+	askedAt, waitsAt time.Time
 }
 
 // nextPoll returns the time until the next read of the owner's row: rowPollInterval, or
