control: hosts that reach no other host wait also if their number is unknown

Change: they wait for 30 hosts at least. A host without seeds has nobody to wait for and asks only itself.

--- a/control/takeoverlock.go
+++ b/control/takeoverlock.go
@@ -27,8 +27,11 @@
 	// lockHostRetry.
 	lockTimeout   = 300 * time.Millisecond
 	lockHostRetry = 2 * time.Second
-	// maxUnlockedDelay bounds the delay of hosts that reach no other host.
+	// maxUnlockedDelay bounds the delay of hosts that reach no other host, and
+	// minUnlockedHosts is the least number of hosts for which they wait: after a restart
+	// of all hosts the number may be unknown.
 	maxUnlockedDelay = 10 * time.Second
+	minUnlockedHosts = 30
 )
 
 // takeoverLock is a node's part in the advisory lock: the one that it keeps for others,
@@ -75,8 +78,8 @@
 	// address is that of the host that keeps the lock.
 	address string
 	held    bool
-	// shared is set if other hosts ask the same host. A host that reaches no other one
-	// keeps a lock that nobody else asks for.
+	// shared is set if other hosts ask the same host, or there are none. A host that
+	// reaches no other one keeps a lock that nobody else asks for.
 	shared bool
 }
 
@@ -98,7 +101,8 @@
 		n.lock.skip(address)
 	}
 	held := n.requestLock(ctx, n.opts.Address, version, false) == lockHeld
-	return lockResult{address: n.opts.Address, held: held, shared: slices.Contains(n.opts.Seeds, n.opts.Address)}
+	shared := len(n.opts.Seeds) == 0 || slices.Contains(n.opts.Seeds, n.opts.Address)
+	return lockResult{address: n.opts.Address, held: held, shared: shared}
 }
 
 // lockAnswer is a host's answer to a request for the advisory lock.
@@ -150,7 +154,7 @@
 // unlockedDelay returns how long a host waits that reaches no other host and so has to try
 // without the lock: a random time in which each of the hosts could commit once.
 func unlockedDelay(hosts int, readTime time.Duration) time.Duration {
-	window := min(time.Duration(hosts)*slowReadFactor*readTime, maxUnlockedDelay)
+	window := min(time.Duration(max(hosts, minUnlockedHosts))*slowReadFactor*readTime, maxUnlockedDelay)
 	return time.Duration(rand.Int64N(int64(window) + 1)) //nolint:gosec // nothing secret
 }
 
