--- a/integration/lifecycle.go
+++ b/integration/lifecycle.go
@@ -42,7 +42,27 @@
 // waits until it is ready. It fails the test if the old one logged a data race.
 func (s *Site) Restart(h *Host) {
 	s.t.Helper()
-	s.reportLog(h.Name, h.current())
-	s.must(h.start(s.programs.Gate))
-	s.WaitUntil(h.Name+" ready", h.Ready)
+	s.restart(h)
+}
+
+// RestartAll kills all entry hosts and starts them again together, and waits until all
+// are ready.
+func (s *Site) RestartAll() {
+	s.t.Helper()
+	for _, h := range s.Hosts {
+		s.Kill(h)
+	}
+	s.restart(s.Hosts...)
+}
+
+// restart starts the processes of entry hosts and waits until all are ready.
+func (s *Site) restart(hosts ...*Host) {
+	s.t.Helper()
+	for _, h := range hosts {
+		s.reportLog(h.Name, h.current())
+		s.must(h.start(s.programs.Gate))
+	}
+	for _, h := range hosts {
+		s.WaitUntil(h.Name+" ready", h.Ready)
+	}
 }
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -107,8 +107,12 @@
 	return faults
 }
 
-// runSchedule injects and clears two overlapping faults under load, twice. The
-// seed selects the faults, their victims and the load.
+// closingEvery is the number of schedules of which one ends with the loss of all hosts.
+const closingEvery = 3
+
+// runSchedule injects and clears two overlapping faults under load, twice, and on some
+// seeds kills all entry hosts afterwards. The seed selects the faults, their victims and
+// the load.
 func runSchedule(t *testing.T, seed uint64) {
 	const rounds = 2
 	rng := rand.New(rand.NewPCG(seed, 0))
@@ -141,6 +145,11 @@
 		}
 		s.WaitShardsHeld()
 	}
+	if closes := rng.IntN(closingEvery) == 0; closes {
+		t.Logf("seed %d: all hosts killed at the end", seed)
+		s.RestartAll()
+		s.WaitShardsHeld()
+	}
 	tr.Await("answers after the faults", 100, Answered)
 	tr.Stop()
 	t.Log(CountOutcomes(tr.Ended(), Any))
