control, election: hosts judge by their own reads whether the store answers the owner

What callers saw (trial, 300 hosts of 0.4 processors, 3,000 workers): an owner whose processor is too busy to commit stayed for 6 s and more without a commit, acknowledging nothing, though the store was well. Cause: it counted the store as answering by the duration of its own last answer, which a busy processor makes long. Change: it tells the age of the last answer, and the host that suspects it compares that with its own reads. Such an owner is replaced as before. Tests: TestCommitsLate; those of succession pass.

--- a/control/follow.go
+++ b/control/follow.go
@@ -79,6 +79,7 @@
 			s.since = s.since.Add(-suspectTimeout - slowReadFactor*row.took) // no owner to wait for
 		}
 	}
+	s.readTime = row.took
 	if n.ownerRecovered(ctx, record, s) {
 		n.setLeader(record, nil)
 		return true
@@ -94,12 +95,13 @@
 		slog.String("why", s.reason), slog.Uint64("version", s.version), slog.Bool("store_answers", s.ownerWaits))
 }
 
-// ownerRecovered asks an owner whose commits were late about them, and reports whether
+// ownerRecovered asks a live owner whose commits were late about them, and reports whether
 // they no longer are. It updates s.
 func (n *Node) ownerRecovered(ctx context.Context, record election.Record, s *suspicion) bool {
-	if !s.ownerWaits || time.Since(s.askedAt) < pingInterval {
+	if s.reason != election.ReasonCommitsFail || time.Since(s.askedAt) < pingInterval {
 		return false
 	}
+	waited := s.ownerWaits
 	r, res := n.ping(ctx, record)
 	a := r.status()
 	s.askedAt = time.Now()
@@ -110,9 +112,9 @@
 		s.reason, s.ownerWaits = "no answer", false
 	default:
 		s.reason, _ = a.SuspectReason(&record)
-		s.ownerWaits, s.waitsAt = a.CommitsLate(&record), time.Now()
+		s.ownerWaits, s.waitsAt = a.CommitsLate(&record, s.readTime), time.Now()
 	}
-	if !s.ownerWaits && s.reason != "" {
+	if waited && !s.ownerWaits && s.reason != "" {
 		n.logSuspicion(&record, s)
 	}
 	return s.reason == ""
--- a/control/messages.go
+++ b/control/messages.go
@@ -41,8 +41,9 @@
 	Incarnation string `msgpack:"i"`
 	// CommitAgeMS is the age of the owner's last commit in milliseconds.
 	CommitAgeMS int64 `msgpack:"a"`
-	// StoreAnswers is set if the store answers the owner, also if its commits are late.
-	StoreAnswers bool `msgpack:"s,omitempty"`
+	// AnswerAgeMS is the time since the store last answered the owner in milliseconds, at
+	// least 1. It is 0 from hosts of earlier releases.
+	AnswerAgeMS int64 `msgpack:"s,omitempty"`
 	// Version is the version of the owner's row after that commit.
 	Version uint64 `msgpack:"v"`
 	// Relays is the number of relays per availability zone.
@@ -60,7 +61,7 @@
 func (r *pingReply) status() election.Status {
 	return election.Status{
 		Incarnation: r.Incarnation, Owner: r.Owner, Epoch: r.Epoch, CommitAge: time.Duration(r.CommitAgeMS) * time.Millisecond,
-		StoreAnswers: r.StoreAnswers,
+		AnswerAge: time.Duration(r.AnswerAgeMS) * time.Millisecond,
 	}
 }
 
--- a/control/serve.go
+++ b/control/serve.go
@@ -55,7 +55,8 @@
 	r := pingReply{Incarnation: n.opts.Incarnation}
 	if o != nil && o.ctx.Err() == nil {
 		r.Owner, r.Epoch, r.Version = true, o.epoch, o.committedVersion.Load()
-		r.CommitAgeMS, r.StoreAnswers = o.commitAge().Milliseconds(), o.committer.Answering()
+		r.CommitAgeMS = o.commitAge().Milliseconds()
+		r.AnswerAgeMS = max(o.committer.AnswerAge().Milliseconds(), 1)
 		r.Relays = int(o.relaysPerZone.Load())
 		r.Loads = o.toldLoads()
 	}
--- a/control/suspicion.go
+++ b/control/suspicion.go
@@ -22,6 +22,8 @@
 	// are late. askedAt is when it was last asked, waitsAt when it last said so.
 	ownerWaits       bool
 	askedAt, waitsAt time.Time
+	// readTime is the duration of the last read of the row, 0 if unknown.
+	readTime time.Duration
 }
 
 // nextPoll returns the time until the next read of the owner's row: rowPollInterval, or
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -50,6 +50,9 @@
 }
 
 const (
+	// slowAnswerFactor is the multiple of a read's duration that is added to the time for
+	// which a table service may answer nothing.
+	slowAnswerFactor = 3
 	// commitReads is how many times as long as a read a commit takes, or a little more.
 	commitReads = 2
 	// acquireSilence is the time without any answer after which a host gives its attempt
--- a/election/committer.go
+++ b/election/committer.go
@@ -45,7 +45,7 @@
 	// maxSilence is the time without an answer after which a commit is given up, 0 if it
 	// isn't.
 	maxSilence time.Duration
-	// answers tells whether the table service answers.
+	// answers tells when the table service last answered.
 	answers answers
 	// Sleep waits after a refused or immediately failed attempt; tests replace it.
 	Sleep func(ctx context.Context, d time.Duration)
@@ -55,7 +55,7 @@
 // given version.
 func NewCommitter(table infra.Table, record Record, version uint64) *Committer {
 	c := &Committer{lock: make(chan struct{}, 1), table: table, record: record, version: version, Sleep: sleep}
-	c.answers.record(0)
+	c.answers.record()
 	return c
 }
 
@@ -92,9 +92,9 @@
 	return c.effort
 }
 
-// Answering reports whether the table service answers this host, also if commits are
-// late.
-func (c *Committer) Answering() bool { return c.answers.recent() }
+// AnswerAge returns the time since the table service last answered a commit, or a read
+// while a commit was late.
+func (c *Committer) AnswerAge() time.Duration { return c.answers.age() }
 
 // SetHosts sets the reference for takeovers and the number of known hosts that later
 // commits record.
@@ -206,7 +206,7 @@
 		}
 		if ok {
 			if a.answered {
-				c.answers.record(a.took)
+				c.answers.record()
 			}
 			done, err := c.handleAttempt(ctx, a)
 			if done || err != nil {
--- a/election/status.go
+++ b/election/status.go
@@ -15,8 +15,8 @@
 	Epoch uint64
 	// CommitAge is the age of the host's last commit as owner.
 	CommitAge time.Duration
-	// StoreAnswers is set if the table service answers the owner's reads or commits.
-	StoreAnswers bool
+	// AnswerAge is the time since the table service last answered the owner, 0 if unknown.
+	AnswerAge time.Duration
 }
 
 // Owns reports whether the host is the owner that the row names.
@@ -24,6 +24,9 @@
 	return s.Owner && s.Incarnation == row.Incarnation && s.Epoch == row.Epoch
 }
 
+// ReasonCommitsFail is why a live owner is suspected.
+const ReasonCommitsFail = "its commits fail"
+
 // SuspectReason compares a host's status with the owner's row that names the
 // host. It returns why the row must be read again, empty if it needn't, and
 // whether the process that acquired the domain has terminated. A live process
@@ -36,13 +39,21 @@
 	case !s.Owns(row):
 		return "no longer the owner", false
 	case s.CommitAge > StaleAfter:
-		return "its commits fail", false
+		return ReasonCommitsFail, false
 	}
 	return "", false
 }
 
+// answeringFor is the age of the last answer up to which a table service that is well
+// counts as answering. It exceeds the interval of heartbeat commits, and that of reads
+// during a late commit.
+const answeringFor = 900 * time.Millisecond
+
 // CommitsLate reports whether the owner that the row names is alive and only its commits
 // are late: the table service answers it, so another host's commits would be as late.
-func (s *Status) CommitsLate(row *Record) bool {
-	return s.Owns(row) && s.StoreAnswers && s.CommitAge > StaleAfter
+// readTime is the duration of a read by this host, 0 if unknown. The owner's own reads
+// don't count, since they also take long if its processor is busy.
+func (s *Status) CommitsLate(row *Record, readTime time.Duration) bool {
+	answers := s.AnswerAge > 0 && s.AnswerAge < answeringFor+slowAnswerFactor*readTime
+	return s.Owns(row) && answers && s.CommitAge > StaleAfter
 }
--- a/election/status_test.go
+++ b/election/status_test.go
@@ -29,3 +29,28 @@
 		}
 	}
 }
+
+// TestCommitsLate guards against an owner that is replaced though the table service
+// answers it, and against one that is waited for though it is cut off or too busy.
+func TestCommitsLate(t *testing.T) {
+	row := election.Record{Incarnation: "i", Epoch: 3}
+	owner := election.Status{Incarnation: "i", Owner: true, Epoch: 3, CommitAge: 2 * time.Second}
+	for name, c := range map[string]struct {
+		answerAge, readTime time.Duration
+		epoch               uint64
+		want                bool
+	}{
+		"answers late commits":         {200 * time.Millisecond, 4 * time.Millisecond, 3, true},
+		"answers nothing":              {time.Second, 4 * time.Millisecond, 3, false},
+		"answers slowly":               {time.Second, 300 * time.Millisecond, 3, true},
+		"the host's read time unknown": {200 * time.Millisecond, 0, 3, true},
+		"an earlier release":           {0, 300 * time.Millisecond, 3, false},
+		"a former owner":               {200 * time.Millisecond, 4 * time.Millisecond, 2, false},
+	} {
+		s := owner
+		s.AnswerAge, s.Epoch = c.answerAge, c.epoch
+		if got := s.CommitsLate(&row, c.readTime); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
