control: no attempt on a row that has just been replaced

Change: only an attempt whose outcome is unknown releases the lock. After any other one the row has a newer version, and hosts that know it get the lock at once. Test: TestNoAttemptOnAnEarlierRow, 2 transactions on the code before, now none.

--- a/control/succession_rig_test.go
+++ b/control/succession_rig_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/internal/pipenet"
@@ -123,24 +124,25 @@
 
 // Get implements infra.Table.
 func (s *pacedStore) Get(ctx context.Context, keys ...string) ([]infra.Row, error) {
-	if err := s.awaitRead(ctx); err != nil {
+	if err := s.awaitHalf(ctx); err != nil {
 		return nil, err
 	}
-	return s.Table.Get(ctx, keys...)
+	rows, err := s.Table.Get(ctx, keys...)
+	return rows, errors.CombineErrors(err, s.awaitHalf(ctx))
 }
 
 // Scan implements infra.Table.
 func (s *pacedStore) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
-	if err := s.awaitRead(ctx); err != nil {
+	if err := errors.CombineErrors(s.awaitHalf(ctx), s.awaitHalf(ctx)); err != nil {
 		return nil, err
 	}
 	return s.Table.Scan(ctx, prefix, after, limit)
 }
 
-// awaitRead waits for the time of an answer.
-func (s *pacedStore) awaitRead(ctx context.Context) error {
+// awaitHalf waits for half of the time of an answer.
+func (s *pacedStore) awaitHalf(ctx context.Context) error {
 	s.mu.Lock()
-	wait := s.pace.read
+	wait := s.pace.read / 2
 	s.mu.Unlock()
 	select {
 	case <-time.After(wait):
@@ -194,7 +196,7 @@
 func rigAddress(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
 
 // addNode adds a host with a new incarnation.
-func (d *domainRig) addNode(i int) {
+func (d *domainRig) addNode(i int) *rigNode {
 	name := fmt.Sprintf("h%d", i)
 	n := &rigNode{listener: pipenet.Listen(), Node: NewNode(Options{
 		Host: name, Address: rigAddress(i), Incarnation: fmt.Sprint(name, "-", d.rng.Uint64()), Seeds: d.seeds, Cores: 1,
@@ -204,6 +206,7 @@
 	n.SetConfig(Config{Version: 1, Queues: []workload.Queue{{Name: "q", Pool: "pool"}}})
 	d.nodes = append(d.nodes, n)
 	d.byAddress[rigAddress(i)] = n
+	return n
 }
 
 // dial opens a connection to a host.
@@ -223,9 +226,12 @@
 // usualRoundTrip is the time to open a connection.
 const usualRoundTrip = 3 * time.Millisecond
 
-// startAll starts all hosts within a tenth of a second.
+// startAll starts all hosts that have no cancel function within a tenth of a second.
 func (d *domainRig) startAll() {
 	for _, n := range d.nodes {
+		if n.cancel != nil {
+			continue
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		n.cancel = cancel
 		delay := time.Duration(d.rng.Int64N(int64(100 * time.Millisecond)))
@@ -279,3 +285,19 @@
 	}
 	return false
 }
+
+// epoch returns the latest epoch of an owner, 0 if there is none.
+func (d *domainRig) epoch() uint64 {
+	epoch, _ := d.owner()
+	return epoch
+}
+
+// storeLostOwner stores the row of an owner that no longer exists.
+func (d *domainRig) storeLostOwner() {
+	row := election.Record{Host: "lost", Address: "10.9.0.1:1", Incarnation: "lost", Epoch: 1, Cores: 1, Hosts: len(d.nodes)}
+	value, err := row.Encode()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.store.Put(election.OwnerKey, value)
+}
--- a/control/succession_test.go
+++ b/control/succession_test.go
@@ -81,12 +81,12 @@
 		d.store.setPace(lateStore)
 		d.startAll()
 		d.runFor(ownerWithin)
-		epoch, _ := d.owner()
+		epoch := d.epoch()
 		if epoch == 0 {
 			t.Fatalf("no owner after %v", ownerWithin)
 		}
 		d.runFor(staysFor)
-		if now, _ := d.owner(); now != epoch {
+		if now := d.epoch(); now != epoch {
 			t.Errorf("the owner of epoch %d was replaced by epoch %d", epoch, now)
 		}
 	})
@@ -102,7 +102,7 @@
 		epoch := d.actingEpoch()
 		d.store.setPace(losingStore)
 		d.runFor(trouble)
-		if now, _ := d.owner(); epoch == 0 || now != epoch {
+		if now := d.epoch(); epoch == 0 || now != epoch {
 			t.Errorf("the owner of epoch %d was replaced by epoch %d, whose commits are as late", epoch, now)
 		}
 	})
@@ -131,7 +131,7 @@
 		d.store.setPace(slowStore)
 		d.startAll()
 		d.runFor(ownerWithin)
-		if epoch, _ := d.owner(); epoch == 0 {
+		if d.epoch() == 0 {
 			t.Errorf("no owner after %v; %d transactions wait in the store", ownerWithin, d.store.waiting())
 		}
 	})
@@ -150,13 +150,35 @@
 		d.store.setPace(storePace{read: 800 * time.Millisecond, transaction: 100 * time.Millisecond})
 		d.startAll()
 		d.runFor(loadsWithin)
-		epoch, _ := d.owner()
+		epoch := d.epoch()
 		if epoch != 1 || !d.loaded() {
 			t.Errorf("after %v the owner of epoch %d has loaded the state: %v; want that of epoch 1 to have", loadsWithin, epoch, d.loaded())
 		}
 	})
 }
 
+// TestNoAttemptOnAnEarlierRow guards against hosts that try one after another to replace a
+// row that has just changed, since they read it before.
+func TestNoAttemptOnAnEarlierRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomainRig(t, 2, rand.New(rand.NewPCG(1, 0)))
+		defer d.stop()
+		d.storeLostOwner()
+		late := d.addNode(len(d.nodes))
+		late.cancel = func() {}
+		earlier := newRowReader(d.store).read(t.Context())
+		d.startAll()
+		for d.epoch() == 0 {
+			d.runFor(time.Millisecond)
+		}
+		before := d.store.transactions()
+		late.takeOver(t.Context(), &suspicion{}, earlier)
+		if sent := d.store.transactions() - before; sent > 0 {
+			t.Errorf("%d transactions to replace a row that has changed, want none", sent)
+		}
+	})
+}
+
 // runFor lets virtual time pass.
 func (d *domainRig) runFor(span time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), span)
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -39,7 +39,10 @@
 	}
 	begun := boottime()
 	c, err := n.acquire(ctx, lock, row)
-	n.requestLock(ctx, lock.address, row.version, true)
+	if err != nil && !errors.Is(err, election.ErrDeposed) {
+		n.requestLock(ctx, lock.address, row.version, true)
+	}
+	// Otherwise the row has changed, and the lock keeps hosts from it that don't know yet.
 	if err != nil {
 		event.OwnershipNotAcquired.Log(n.opts.Log, slog.Any("epoch", row.record.Epoch+1), slog.Any("err", err),
 			slog.Uint64("version", row.version), slog.Any("effort", effortFields(c.Effort())))
