control, peer: an owner that opens no connection in time counts as silent, not as gone

Cause (a trial with logs): each new owner was replaced 0.6 to 0.9 s after its takeover. All hosts connect to it at once, and a connection that wasn't opened within 0.5 s counted like one that is refused: as a sign that its process has terminated, after which the next host waits 0.15 s only. Four owners in 4 s. Change: only a refused connection is such a sign. Otherwise the owner counts as one that doesn't answer, and its row must stay unchanged for 0.9 s. A host that loses power without refusing connections is replaced up to 0.75 s later if no connection to it was open.

--- a/control/ping.go
+++ b/control/ping.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/outcome"
+	"github.com/fireflygate/fireflygate/peer"
 )
 
 // watchLeader pings the owner until there is a reason to suspect it, and
@@ -53,6 +56,9 @@
 	}
 	sentAt := boottime()
 	res := n.client.Call(ctx, leader.Host, methodPing, q, &r)
+	if errors.Is(res.Err, peer.ErrDialTimeout) {
+		res.Kind = outcome.Unknown // all hosts connect to a new owner at once, so it may be busy
+	}
 	n.loads.setUnanswered(res.Kind != outcome.Answered)
 	n.setHosts(r.Hosts)
 	n.hearClosedZones(r.ClosedZones, leader.Host)
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -7,6 +7,9 @@
 	ErrUnknownPeer = errors.New("peer: unknown host")
 	// ErrUnreachable is returned when there is no connection to the host.
 	ErrUnreachable = errors.New("peer: not connected")
+	// ErrDialTimeout is the ErrUnreachable of a connection that wasn't opened in time,
+	// rather than refused: the host may be alive and busy.
+	ErrDialTimeout = errors.Wrap(ErrUnreachable, "no connection in time")
 	// ErrBusy is returned when the limit on requests in flight or on queued
 	// frames is reached.
 	ErrBusy = errors.New("peer: too many requests")
--- a/peer/link.go
+++ b/peer/link.go
@@ -54,7 +54,7 @@
 		select {
 		case <-dialing:
 		case <-ctx.Done():
-			return nil, errors.Wrap(ErrUnreachable, ctx.Err().Error())
+			return nil, unreachable(ctx.Err())
 		}
 	}
 }
@@ -75,7 +75,7 @@
 		return nil, l.dialing, nil
 	}
 	if time.Now().Before(l.retryAt) {
-		return nil, nil, errors.Wrapf(ErrUnreachable, "in backoff after a failed dial: %v", l.lastErr)
+		return nil, nil, errors.Wrap(unreachable(l.lastErr), "in backoff after a failed dial")
 	}
 	l.dialing = make(chan struct{})
 	return nil, nil, nil
@@ -97,7 +97,7 @@
 		l.lastErr = err
 		l.retryAt = time.Now().Add(l.client.jitter(l.retryBackoff.NextBackOff()))
 		event.PeerDialFailed.Log(l.client.opts.Log, slog.String("peer", l.host), slog.Any("error", err))
-		return nil, errors.Wrap(ErrUnreachable, err.Error())
+		return nil, unreachable(err)
 	}
 	l.retryBackoff.Reset()
 	l.conn = newClientConn(raw, l.client.opts, &l.client.lateReplies, l.logConnectionLost)
@@ -105,6 +105,14 @@
 	return l.conn, nil
 }
 
+// unreachable returns the ErrUnreachable or ErrDialTimeout of a failed dial.
+func unreachable(cause error) error {
+	if timeout := net.Error(nil); errors.As(cause, &timeout) && timeout.Timeout() {
+		return errors.Wrap(ErrDialTimeout, cause.Error())
+	}
+	return errors.Wrap(ErrUnreachable, cause.Error())
+}
+
 // endBackoff lets the next caller dial at once.
 func (l *link) endBackoff() {
 	l.mu.Lock()
