election: a commit that is lost as the store recovers is repeated soon

Change: once a read takes a quarter of the slowest one before, the store has recovered, and the last attempt is repeated by its pace.

--- a/election/attempts.go
+++ b/election/attempts.go
@@ -38,9 +38,12 @@
 	pending, reading int
 	// interval is the time between two attempts.
 	interval time.Duration
-	// repeatAt is when another attempt is due if no result has settled the commit, and
-	// readAt when another read is.
-	repeatAt, readAt time.Time
+	// startedAt is the start of the last attempt. repeatAt is when another one is due if no
+	// result has settled the commit, and readAt when another read is.
+	startedAt, repeatAt, readAt time.Time
+	// slowestRead is the duration of the slowest read of this commit and of the last read
+	// of the commit before it, lastRead that of the last read of this one.
+	slowestRead, lastRead time.Duration
 	// answeredAt is when the table service last answered, first the start of the commit.
 	answeredAt time.Time
 	// effort counts the attempts.
@@ -79,7 +82,8 @@
 // start begins another attempt, on the condition that the owner's row has a version,
 // unless maxAttemptsPending are in flight. The next one is due after the interval.
 func (t *attempts) start(version uint64) {
-	t.version, t.repeatAt = version, time.Now().Add(t.interval)
+	t.version, t.startedAt = version, time.Now()
+	t.repeatAt = t.startedAt.Add(t.interval)
 	if t.pending == maxAttemptsPending {
 		return
 	}
@@ -159,6 +163,26 @@
 	}
 	t.reading--
 	if a.answered {
-		t.interval = max(t.interval, repeatIntervalAfter(commitReads*a.took))
+		t.adjustInterval(a.took)
+	}
+}
+
+// recoveredFactor is how many times as fast as the slowest read a read is once a slow table
+// service has recovered.
+const recoveredFactor = 4
+
+// adjustInterval adjusts the interval to the duration of a read. While the table service is
+// slow, the attempts may take as long. Once it has recovered, the last attempt is repeated
+// soon, since it may have been lost.
+func (t *attempts) adjustInterval(read time.Duration) {
+	t.lastRead, t.slowestRead = read, max(t.slowestRead, read)
+	interval := repeatIntervalAfter(commitReads * read)
+	if recoveredFactor*read >= t.slowestRead {
+		t.interval = max(t.interval, interval)
+		return
+	}
+	t.interval = interval
+	if at := t.startedAt.Add(interval); at.Before(t.repeatAt) {
+		t.repeatAt = at
 	}
 }
--- a/election/committer.go
+++ b/election/committer.go
@@ -40,6 +40,8 @@
 	// lastDuration is how long the last attempt that was applied took. An outage before
 	// it doesn't count, as the next one may be as sudden.
 	lastDuration time.Duration
+	// lastRead is how long the last read took during the last commit, 0 if there was none.
+	lastRead time.Duration
 	// effort describes the last commit.
 	effort Effort
 	// maxSilence is the time without an answer after which a commit is given up, 0 if it
@@ -191,8 +193,9 @@
 	tries := newAttempts(ctx, c.table, append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...), repeatIntervalAfter(c.lastDuration))
 	defer tries.cancel()
 	begun := time.Now()
+	tries.slowestRead = c.lastRead
 	defer func() {
-		c.effort = tries.effort
+		c.effort, c.lastRead = tries.effort, tries.lastRead
 		c.effort.Took = time.Since(begun)
 	}()
 	tries.start(c.version)
--- a/election/slowtable_test.go
+++ b/election/slowtable_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
+	"github.com/fireflygate/fireflygate/internal/pause"
 )
 
 // serialTable is a table that executes one transaction at a time, each for a while, and
@@ -78,3 +80,53 @@
 		}
 	})
 }
+
+// recoveringTable is a slowTable that loses commits until it recovers.
+type recoveringTable struct {
+	slowTable
+	recovered atomic.Bool
+}
+
+// Commit implements infra.Table.
+func (r *recoveringTable) Commit(ctx context.Context, tx infra.Transaction) infra.CommitResult {
+	if !r.recovered.Load() {
+		<-ctx.Done()
+		return infra.CommitResult{Status: infra.CommitUnknown}
+	}
+	return r.slowTable.Commit(ctx, tx)
+}
+
+// TestLostAttemptIsRepeatedAfterRecovery guards against an owner whose commit is lost as a
+// slow table service recovers, and is repeated only after the time of a slow commit.
+func TestLostAttemptIsRepeatedAfterRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slow, fast, maxDelay = 800 * time.Millisecond, 4 * time.Millisecond, 1300 * time.Millisecond
+		table := &recoveringTable{}
+		delay := slow // of the commits before
+		table.slowTable = slowTable{Table: memtable.New(), delay: func() time.Duration {
+			if table.recovered.Load() {
+				return delay
+			}
+			return slow
+		}}
+		table.recovered.Store(true)
+		c := newOwner(t, table, "a")
+		for range 2 { // so that the pace is known
+			if err := c.Commit(t.Context(), write("k", "v")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		table.recovered.Store(false)
+		delay = fast
+		recovery := time.AfterFunc(slow, func() { table.recovered.Store(true) })
+		defer recovery.Stop()
+		begun := time.Now()
+		if err := c.Commit(t.Context(), write("k", "w")); err != nil {
+			t.Fatal(err)
+		}
+		if late := time.Since(begun) - slow; late > maxDelay {
+			t.Errorf("the commit was applied %v after the table service had recovered, want at most %v", late, maxDelay)
+		}
+		pause.For(t.Context(), time.Minute) // until all attempts have ended
+	})
+}
