election: a lost commit is repeated once a read tells that it wasn't applied

Submissions are refused while a commit takes over a second. Change: if the commit before and the first read, 0.3 s after the attempt, were fast and the row is unchanged, the attempt is repeated then. In a slow store nothing changes. Test: TestLostAttemptIsRepeatedSoon fails on the code before (0.7 s).

--- a/control/succession_rig_test.go
+++ b/control/succession_rig_test.go
@@ -186,7 +186,7 @@
 	clock := func() time.Duration { return time.Minute + time.Since(began) }
 	virtualClock.Store(&clock)
 	d := &domainRig{t: t, rng: rng, byAddress: map[string]*rigNode{}}
-	d.store = &pacedStore{Table: memtable.New(), rng: rng, pace: usualStore}
+	d.store = &pacedStore{Table: memtable.New(), rng: rand.New(rand.NewPCG(rng.Uint64(), 0)), pace: usualStore}
 	for i := range min(hosts, maxSeeds) {
 		d.seeds = append(d.seeds, rigAddress(i))
 	}
--- a/election/attempts.go
+++ b/election/attempts.go
@@ -44,6 +44,8 @@
 	// slowestRead is the duration of the slowest read of this commit and of the last read
 	// of the commit before it, lastRead that of the last read of this one.
 	slowestRead, lastRead time.Duration
+	// usual is how long the last attempt of an earlier commit that was applied took.
+	usual time.Duration
 	// answeredAt is when the table service last answered, first the start of the commit.
 	answeredAt time.Time
 	// effort counts the attempts.
@@ -171,12 +173,21 @@
 // service has recovered.
 const recoveredFactor = 4
 
+// fastAnswer is the duration of the first read and of the commit before up to which the
+// table service is well. An attempt that such a read doesn't tell of is most likely lost.
+const fastAnswer = firstReadAfter / 10
+
 // adjustInterval adjusts the interval to the duration of a read. While the table service is
 // slow, the attempts may take as long. Once it has recovered, the last attempt is repeated
-// soon, since it may have been lost.
+// soon, since it may have been lost; so is the first one, if the first read is fast.
 func (t *attempts) adjustInterval(read time.Duration) {
+	first := t.lastRead == 0
 	t.lastRead, t.slowestRead = read, max(t.slowestRead, read)
 	interval := repeatIntervalAfter(commitReads * read)
+	if first && max(read, t.usual) < fastAnswer && t.effort.Attempts == 1 {
+		t.repeatAt = time.Now()
+		return
+	}
 	if recoveredFactor*read >= t.slowestRead {
 		t.interval = max(t.interval, interval)
 		return
--- a/election/committer.go
+++ b/election/committer.go
@@ -193,7 +193,7 @@
 	tries := newAttempts(ctx, c.table, append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...), repeatIntervalAfter(c.lastDuration))
 	defer tries.cancel()
 	begun := time.Now()
-	tries.slowestRead = c.lastRead
+	tries.slowestRead, tries.usual = c.lastRead, c.lastDuration
 	defer func() {
 		c.effort, c.lastRead = tries.effort, tries.lastRead
 		c.effort.Took = time.Since(begun)
--- a/election/lateanswer_test.go
+++ b/election/lateanswer_test.go
@@ -199,3 +199,20 @@
 		pause.For(t.Context(), 2*time.Hour) // until the attempts have ended
 	})
 }
+
+// TestLostAttemptIsRepeatedSoon guards against an owner that accepts nothing for most of a
+// second whenever a table service that is well loses an answer and the write.
+func TestLostAttemptIsRepeatedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &silentTable{Table: memtable.New()}
+		c := newOwner(t, table, "a")
+		begun := time.Now()
+		table.silentUntil = begun.Add(time.Millisecond)
+		if err := c.Commit(t.Context(), write("k", "v")); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took > 400*time.Millisecond {
+			t.Errorf("the commit took %v, want it repeated once a read tells that it wasn't applied", took)
+		}
+	})
+}
