--- a/control/follow.go
+++ b/control/follow.go
@@ -92,7 +92,7 @@
 // logSuspicion logs why an owner is suspected, and whether its commits are waited for.
 func (n *Node) logSuspicion(leader *election.Record, s *suspicion) {
 	event.OwnerSuspected.Log(n.opts.Log, slog.String("host", leader.Host), slog.Uint64("epoch", leader.Epoch),
-		slog.String("why", s.reason), slog.Uint64("version", s.version), slog.Bool("store_answers", s.ownerWaits))
+		slog.String("why", s.reason), slog.Uint64("version", s.version), slog.Bool("store_answers", s.commitsLate))
 }
 
 // ownerRecovered asks a live owner whose commits were late about them, and reports whether
@@ -101,20 +101,20 @@
 	if s.reason != election.ReasonCommitsFail || time.Since(s.askedAt) < pingInterval {
 		return false
 	}
-	waited := s.ownerWaits
+	waited := s.commitsLate
 	r, res := n.ping(ctx, record)
 	a := r.status()
 	s.askedAt = time.Now()
 	switch {
-	case res == outcome.Unknown && time.Since(s.waitsAt) < maxUnansweredPings:
+	case res == outcome.Unknown && time.Since(s.answeredAt) < maxUnansweredPings:
 		return false
 	case res != outcome.Answered:
-		s.reason, s.ownerWaits = "no answer", false
+		s.reason, s.commitsLate = "no answer", false
 	default:
 		s.reason, _ = a.SuspectReason(&record)
-		s.ownerWaits, s.waitsAt = a.CommitsLate(&record, s.readTime), time.Now()
+		s.commitsLate, s.answeredAt = a.CommitsLate(&record, s.readTime), time.Now()
 	}
-	if waited && !s.ownerWaits && s.reason != "" {
+	if waited && !s.commitsLate && s.reason != "" {
 		n.logSuspicion(&record, s)
 	}
 	return s.reason == ""
@@ -154,7 +154,7 @@
 	_, _ = h.Write([]byte(n.opts.Host)) // never fails
 	jitter := time.Duration(h.Sum32()%jitterSteps) * jitterStep
 	switch {
-	case s.ownerWaits:
+	case s.commitsLate:
 		return lateCommitTimeout + jitter
 	case s.terminated:
 		return terminatedTimeout + jitter
--- a/control/ping.go
+++ b/control/ping.go
@@ -28,7 +28,7 @@
 		}
 		a := r.status()
 		s.reason, s.terminated = a.SuspectReason(&leader)
-		s.ownerWaits, s.askedAt, s.waitsAt = a.CommitsLate(&leader, s.readTime), time.Now(), time.Now()
+		s.commitsLate, s.askedAt, s.answeredAt = a.CommitsLate(&leader, s.readTime), time.Now(), time.Now()
 		if a.Owns(&leader) {
 			s.version, s.since = r.Version, time.Now().Add(-a.CommitAge)
 		}
--- a/control/suspicion.go
+++ b/control/suspicion.go
@@ -18,10 +18,10 @@
 	// lockAt is when to ask for the advisory lock again, and unlockedAt when the host may
 	// try without it, zero if it needn't.
 	lockAt, unlockedAt time.Time
-	// ownerWaits is set if the owner is alive and the store answers it, though its commits
-	// are late. askedAt is when it was last asked, waitsAt when it last said so.
-	ownerWaits       bool
-	askedAt, waitsAt time.Time
+	// commitsLate is set if the owner is alive and the store answers it, though its commits
+	// are late. askedAt is when it was last asked, answeredAt when it last answered.
+	commitsLate         bool
+	askedAt, answeredAt time.Time
 	// readTime is the duration of the last read of the row, 0 if unknown.
 	readTime time.Duration
 }
