--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -144,3 +144,49 @@
 		t.Error("an owner may give orders after its resignation")
 	}
 }
+
+// TestLateAttemptCounts guards against a row that names a host which doesn't act, since its
+// attempt to acquire the domain took effect after it was given up.
+func TestLateAttemptCounts(t *testing.T) {
+	previous := election.Record{Host: "b", Incarnation: "b", Epoch: 4}
+	late := election.Successor(&previous, election.Record{Host: "a", Incarnation: "a"})
+	resigned, other := late, late
+	resigned.Resigned, other.Incarnation = true, "another process"
+	for name, c := range map[string]struct {
+		row     election.Record
+		attempt attempted
+		want    bool
+	}{
+		"given up":                 {late, attempted{previous: previous, open: true}, true},
+		"led and lost":             {late, attempted{previous: previous}, false},
+		"resigned":                 {resigned, attempted{previous: previous, open: true}, false},
+		"of another process":       {other, attempted{previous: previous, open: true}, false},
+		"of an attempt before one": {late, attempted{previous: late, open: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := memtable.New()
+				value, err := c.row.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				table.Put(election.OwnerKey, value)
+				n := newTestNode(table)
+				n.attempted = c.attempt
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var epoch uint64
+				n.opts.OwnershipChanged = func(owner bool) {
+					if owner {
+						epoch = late.Epoch
+						cancel()
+					}
+				}
+				row := newRowReader(table).read(ctx)
+				if got := n.resume(ctx, row); got != c.want || got != (epoch == late.Epoch) {
+					t.Errorf("resumed: %v in epoch %d, want %v", got, epoch, c.want)
+				}
+			})
+		})
+	}
+}
