--- a/election/slowtable_test.go
+++ b/election/slowtable_test.go
@@ -102,13 +102,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const slow, fast, maxDelay = 800 * time.Millisecond, 4 * time.Millisecond, 1300 * time.Millisecond
 		table := &recoveringTable{}
-		delay := slow // of the commits before
-		table.slowTable = slowTable{Table: memtable.New(), delay: func() time.Duration {
-			if table.recovered.Load() {
-				return delay
-			}
-			return slow
-		}}
+		var delay atomic.Int64
+		delay.Store(int64(slow))
+		table.slowTable = slowTable{Table: memtable.New(), delay: func() time.Duration { return time.Duration(delay.Load()) }}
 		table.recovered.Store(true)
 		c := newOwner(t, table, "a")
 		for range 2 { // so that the pace is known
@@ -117,8 +113,10 @@
 			}
 		}
 		table.recovered.Store(false)
-		delay = fast
-		recovery := time.AfterFunc(slow, func() { table.recovered.Store(true) })
+		recovery := time.AfterFunc(slow, func() {
+			delay.Store(int64(fast))
+			table.recovered.Store(true)
+		})
 		defer recovery.Stop()
 		begun := time.Now()
 		if err := c.Commit(t.Context(), write("k", "w")); err != nil {
