--- /dev/null
+++ b/review/_cases/reborn.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"os"
+	"time"
+)
+
+func init() { cases["reborn"] = reborn }
+
+// reborn crashes one of eight minions for a second. It comes back under the ID that it had,
+// with born as the pages say, and its counts start anew.
+func reborn(s *site, trouble bool) error {
+	s.bornField = true
+	s.putManifest(3, queue{name: "r-plan", prefix: "/plan01/", attempts: 3})
+	if err := s.addMinions(8, 4); err != nil {
+		return err
+	}
+	bounds := map[string]any{ // where they differ on deskbook-guj-grown
+		"contact_ms": 4000, "ack_ms": 6000, "catch_up_s": 6, "drain_ms": 3000, "config_apply_ms": 3000, "max_stretch_ms": 6000, "recover_s": 15,
+		"stop_ms": 900, "gang_ms": 4000, "cancel_ms": 4000, "remote_factor": 2, "save_s": 2, "restore_ms": 600, "notice_ms": 5500, "harm_ms": 4500,
+	}
+	if err := s.startEdges(3, bounds); err != nil {
+		return err
+	}
+	if err := s.awaitReady(20 * time.Second); err != nil {
+		return err
+	}
+	long := map[string]bool{}
+	s.workOf = func(_ *minion, task string, _ uint64) work {
+		if j, _ := s.spec(task); long[j.ID] {
+			return work{4 * time.Second, "done"}
+		}
+		return work{400 * time.Millisecond, "done"}
+	}
+	var jobs []*job
+	for range 4 {
+		j := s.newJob("r-plan", step{Count: 32, CPU: 4000, MemMB: 4000, EstimateMS: 400})
+		jobs = append(jobs, j)
+		if !s.submit(j, 10*time.Second) {
+			return errNotAccepted
+		}
+	}
+	time.Sleep(4 * time.Second)
+	j := s.newJob("r-plan", step{Count: 32, CPU: 8000, MemMB: 8000, EstimateMS: 4000})
+	long[j.ID] = true
+	jobs = append(jobs, j)
+	if !s.submit(j, 10*time.Second) {
+		return errNotAccepted
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		m := s.minions[3]
+		id := m.id
+		m.crash()
+		time.Sleep(time.Second)
+		if os.Getenv("NEW_ID") != "" {
+			id += "b" // to compare: under another ID
+		}
+		if err := m.begin(id); err != nil {
+			return err
+		}
+	}
+	after := s.newJob("r-plan", step{Count: 64, CPU: 4000, MemMB: 4000, EstimateMS: 400})
+	if !s.submit(after, 10*time.Second) {
+		return errNotAccepted
+	}
+	jobs = append(jobs, after)
+	s.judgeLost(jobs, 30*time.Second)
+	return nil
+}
