--- a/review/_cases/minion.go
+++ b/review/_cases/minion.go
@@ -204,6 +204,7 @@
 			answer(w, http.StatusOK, a)
 		})
 	}
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	handle("/v1/run-start", m.start)
 	handle("/v1/run-stop", m.stop)
 	handle("/v1/pace", func(*order) string { return "" })
--- a/review/_cases/reborn.go
+++ b/review/_cases/reborn.go
@@ -10,7 +10,7 @@
 // reborn crashes one of eight minions for a second. It comes back under the ID that it had,
 // with born as the pages say, and its counts start anew.
 func reborn(s *site, trouble bool) error {
-	s.bornField = true
+	s.bornField, s.healthContract = true, true
 	s.putManifest(3, queue{name: "r-plan", prefix: "/plan01/", attempts: 3})
 	if err := s.addMinions(8, 4); err != nil {
 		return err
--- a/review/_cases/site.go
+++ b/review/_cases/site.go
@@ -117,12 +117,14 @@
 	edges     []*edge
 	minions   []*minion
 	queues    []queue
-	bornField bool
-	quiet     bool // starts and ends aren't recorded one by one
-	mu        sync.Mutex
-	jobs      map[string]*job
-	next      int
-	client    *http.Client
+	bornField bool // entries and answers have the field born
+	// healthContract adds "health" to the contracts in the settings.
+	healthContract bool
+	quiet          bool // starts and ends aren't recorded one by one
+	mu             sync.Mutex
+	jobs           map[string]*job
+	next           int
+	client         *http.Client
 	// workOf says what a run does; ticket checks the ticket of a start; listed is told of
 	// ends in answers.
 	workOf func(m *minion, task string, run uint64) work
@@ -253,7 +255,11 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "node_name = %q\nrole = \"entry\"\nmachine_class = \"edge\"\nserves = [\"edge\",\"control\"]\nip = %q\nzone = %q\nregion = \"bergamo\"\n", e.name, e.ip, e.zone)
 	fmt.Fprintf(&b, "port_range = [7720,7735]\nseeds = [%s]\nbootstrap = true\nfault_counted = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1100\n", strings.Join(seeds, ","))
-	fmt.Fprintf(&b, "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"platform\",\"advice\",\"upkeep\",\"sharing\"]\norders = \"invoke\"\n")
+	health := ""
+	if s.healthContract {
+		health = "\"health\","
+	}
+	fmt.Fprintf(&b, "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",%s\"sched\",\"platform\",\"advice\",\"upkeep\",\"sharing\"]\norders = \"invoke\"\n", health)
 	if s.adviceAt != "" {
 		fmt.Fprintf(&b, "advice = %q\n", s.adviceAt)
 	}
