--- a/review/_cases/reborn.go
+++ b/review/_cases/reborn.go
@@ -41,6 +41,13 @@
 		}
 	}
 	time.Sleep(4 * time.Second)
+	idle := os.Getenv("IDLE") != "" // to compare: the minion runs nothing as it crashes
+	if trouble && idle {
+		if err := s.crashAndReturn(s.minions[3]); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
 	j := s.newJob("r-plan", step{Count: 32, CPU: 8000, MemMB: 8000, EstimateMS: 4000})
 	long[j.ID] = true
 	jobs = append(jobs, j)
@@ -48,15 +55,8 @@
 		return errNotAccepted
 	}
 	time.Sleep(1500 * time.Millisecond)
-	if trouble {
-		m := s.minions[3]
-		id := m.id
-		m.crash()
-		time.Sleep(time.Second)
-		if os.Getenv("NEW_ID") != "" {
-			id += "b" // to compare: under another ID
-		}
-		if err := m.begin(id); err != nil {
+	if trouble && !idle {
+		if err := s.crashAndReturn(s.minions[3]); err != nil {
 			return err
 		}
 	}
@@ -66,5 +66,22 @@
 	}
 	jobs = append(jobs, after)
 	s.judgeLost(jobs, 30*time.Second)
+	if o := s.owner(); o != nil && os.Getenv("THEN_KILL") != "" { // to see what a new owner does
+		before := j.doneTasks()
+		s.rec.logf("process of %s, the owner, is killed; %d tasks of job %s have ended done", o.name, before, j.ID)
+		_ = o.cmd.Process.Kill()
+		time.Sleep(12 * time.Second)
+	}
 	return nil
 }
+
+// crashAndReturn crashes a minion, which is back after a second under the ID that it had.
+func (s *site) crashAndReturn(m *minion) error {
+	id := m.id
+	m.crash()
+	time.Sleep(time.Second)
+	if os.Getenv("NEW_ID") != "" {
+		id += "b" // to compare: under another ID
+	}
+	return m.begin(id)
+}
