runner: the incarnation of a worker reaches the owner

The users' platform tells, with each entry and each list of runs, when the worker's process was started (born). Nothing read it, so that neither logs nor state could tell a worker that has started again under its ID from the life before. It is decoded as runner.Incarnation in entries and answers, kept on the roster, and passed on by relays. No decision uses it yet.

Rows and messages that are encoded as arrays can't get a field, as other releases couldn't decode them: relays answer by a second method, with an envelope. An owner of this release sends an order itself where the relay is of an earlier one, which refuses the method.

Ruled out: telling lives by the registry's sequence, which only counts within one.

--- a/control/relayorder.go
+++ b/control/relayorder.go
@@ -12,8 +12,13 @@
 	"github.com/fireflygate/fireflygate/workload"
 )
 
-// methodRelay asks a host to relay an order to a worker.
-const methodRelay peer.Method = "c"
+// methodRelay asks a host to relay an order to a worker; the answer is a relayedAnswer. A
+// host of an earlier release doesn't know it, so that the owner sends the order itself.
+// methodRelayPlain is the method of earlier releases, whose answer is a relayReply.
+const (
+	methodRelay      peer.Method = "d"
+	methodRelayPlain peer.Method = "c"
+)
 
 // orderKind is the kind of a relayed order.
 type orderKind uint8
@@ -67,7 +72,16 @@
 	return workload.TaskID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index}
 }
 
-// relayReply is the worker's answer to a relayed order.
+// relayedAnswer is the answer to a relayed order with the life of the worker that gave it.
+type relayedAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Reply       relayReply
+	Incarnation runner.Incarnation
+}
+
+// relayReply is the worker's answer to a relayed order. Its fields can't change, as other
+// releases couldn't decode it.
 type relayReply struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
@@ -78,6 +92,8 @@
 	Err       string
 	Active    []activeRun
 	Ends      []runEnd
+	// incarnation is the life that answered, sent in a relayedAnswer.
+	incarnation runner.Incarnation
 }
 
 // activeRun is an active run and runEnd an ended run in a worker's report.
@@ -104,7 +120,7 @@
 
 // newRelayReply returns the reply that carries a worker's answer and report.
 func newRelayReply(a runner.Answer, rep *runner.Report) *relayReply {
-	r := &relayReply{Status: a.Status, ClockMS: a.ClockMS}
+	r := &relayReply{Status: a.Status, ClockMS: a.ClockMS, incarnation: a.Incarnation}
 	if a.Err != nil {
 		r.Err = a.Err.Error()
 	}
@@ -121,7 +137,7 @@
 
 // answer returns the worker's answer.
 func (r *relayReply) answer() runner.Answer {
-	a := runner.Answer{Status: r.Status, ClockMS: r.ClockMS}
+	a := runner.Answer{Status: r.Status, ClockMS: r.ClockMS, Incarnation: r.incarnation}
 	if r.Err != "" {
 		a.Err = errors.New(r.Err)
 	}
@@ -175,6 +191,14 @@
 // handleRelayedOrders registers the handler of relayed orders.
 func (n *Node) handleRelayedOrders() {
 	n.server.Handle(methodRelay, func(ctx context.Context, _ string, decode func(any) error) (any, error) {
+		var q relayRequest
+		if err := decode(&q); err != nil {
+			return nil, err
+		}
+		rep := n.executeRelayed(ctx, &q)
+		return &relayedAnswer{Reply: *rep, Incarnation: rep.incarnation}, nil
+	})
+	n.server.Handle(methodRelayPlain, func(ctx context.Context, _ string, decode func(any) error) (any, error) {
 		var q relayRequest
 		if err := decode(&q); err != nil {
 			return nil, err
--- a/control/relays.go
+++ b/control/relays.go
@@ -223,8 +223,10 @@
 // call makes one call to the host of a path; a nil reply means that the outcome is
 // unknown.
 func (r *relays) call(ctx context.Context, path route, q *relayRequest) (rep *relayReply, sent bool) {
-	rep = new(relayReply)
-	res := r.client.Call(ctx, path.via, methodRelay, q, rep)
+	answered := new(relayedAnswer)
+	res := r.client.Call(ctx, path.via, methodRelay, q, answered)
+	rep = &answered.Reply
+	rep.incarnation = answered.Incarnation
 	// A relay that can't reach workers counts as unresponsive. That a worker on a detour
 	// doesn't answer says nothing about the host.
 	r.recordAnswer(path.via, res.Kind == outcome.Answered && (path.detour || rep.NoPayload || rep.Status != runner.Unknown))
--- a/runner/answer.go
+++ b/runner/answer.go
@@ -52,6 +52,8 @@
 	// ClockMS is the worker's monotonic clock in milliseconds; 0 if the answer
 	// has none.
 	ClockMS int64
+	// Incarnation is the life of the worker that answered, if the answer tells it.
+	Incarnation Incarnation
 	// Err is the cause if the status is Unknown or Invalid.
 	Err error
 }
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -6,11 +6,12 @@
 	"github.com/fireflygate/fireflygate/infra"
 )
 
-// Worker is one incarnation of a worker process, as the membership list
-// describes it.
+// Worker is a worker as the membership list describes it.
 type Worker struct {
-	// ID identifies the incarnation; a restarted worker has a new ID.
+	// ID identifies the worker. One that starts again has a new ID or a new Incarnation.
 	ID string `msgpack:"i"`
+	// Incarnation is the life that the entry is of.
+	Incarnation Incarnation `msgpack:"b,omitempty"`
 	// Address is the IP:port that orders are sent to.
 	Address string `msgpack:"a"`
 	// Pool is the name of the worker's pool.
