dispatch: findings where a report disagrees with the owner's state

New in the log:

- 926 has the number of the end and the life of the worker that listed it;
- 946 each acknowledgment that is sent, with number and life;
- 947 a finding, counted by fireflygate_report_findings_total: the end of a task that isn't known, an end that is skipped though its run is held as alive, and a run that a report omits although its start was confirmed before the report was requested (once a run).

Orders carry the life that they are made for (runner.Addressee).

--- a/control/metrics.go
+++ b/control/metrics.go
@@ -16,6 +16,7 @@
 	duration        *prometheus.HistogramVec
 	orders          *prometheus.CounterVec
 	ends            *prometheus.CounterVec
+	findings        *prometheus.CounterVec
 	commits         *prometheus.HistogramVec
 	owner           prometheus.Gauge
 	waiting         *prometheus.GaugeVec
@@ -63,7 +64,7 @@
 	m.initOutage()
 	m.initPace()
 	r.MustRegister(
-		m.requests, m.duration, m.orders, m.ends, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
+		m.requests, m.duration, m.orders, m.ends, m.findings, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
 		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.detoured, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
 		m.withdrawn, m.outage, m.slowWorkers, m.slowMoves, m.slowCopies,
 		m.short, m.cpuSeconds,
@@ -88,6 +89,9 @@
 	m.ends = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "fireflygate_run_ends_total", Help: "Ends of runs that workers reported, by how.",
 	}, []string{"how"})
+	m.findings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "fireflygate_report_findings_total", Help: "Disagreements between workers' reports and the owner's state, by finding.",
+	}, []string{"finding"})
 }
 
 // initOwnership creates the metrics of the domain's ownership and its commits.
--- a/control/orders.go
+++ b/control/orders.go
@@ -95,6 +95,7 @@
 	}
 	renewal.WaitMS = 0
 	s.token.Store(renewal.Token)
+	o.logAcknowledgment(s, &renewal)
 	p := poll{worker: w, renewal: renewal}
 	o.enqueue(id, func(ctx context.Context) {
 		if ctx.Err() != nil {
@@ -199,6 +200,7 @@
 	}
 	s.polling = true
 	s.token.Store(renewal.Token)
+	o.logAcknowledgment(s, &renewal)
 	s.polls <- poll{worker: info, renewal: renewal}
 	return true
 }
@@ -240,7 +242,9 @@
 func (o *Owner) handleReport(now time.Time, p poll, a pollAnswer) {
 	for _, e := range o.state.HandleReport(now, p.worker.ID, p.renewal, a.answer, a.report) {
 		o.opts.Metrics.ends.WithLabelValues(e.Kind.String()).Inc()
-		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", p.worker.ID), slog.Any("how", e.Kind))
+		event.RunEnded.Log(o.opts.Log, slog.Any("task", e.Task), slog.Any("run", e.Run), slog.Any("worker", p.worker.ID), slog.Any("how", e.Kind),
+			slog.Uint64("number", e.Number), slog.Any("incarnation", a.answer.Incarnation))
 	}
+	o.logFindings()
 	o.verifyIfRefused()
 }
--- a/control/session.go
+++ b/control/session.go
@@ -18,6 +18,9 @@
 	cancel context.CancelFunc
 	// token is the newest fencing token; starts with an older one aren't sent.
 	token atomic.Uint64
+	// acknowledged is the last acknowledgment that was logged. It is confined to the
+	// owner's loop.
+	acknowledged acknowledgment
 	// awaitingLate is set while a poll is in progress whose answer is also used if it
 	// comes late. There is one at a time, which bounds the connections to a worker that
 	// doesn't answer.
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -27,7 +27,7 @@
 	// carried out reports no end, so its reservation is released here.
 	switch a.Status {
 	case runner.Done:
-		r.markConfirmed()
+		r.markConfirmed(now)
 		s.markStarted(r.task.step.job)
 		s.Stats.Starts++
 	case runner.Unknown:
--- a/dispatch/cpulimit.go
+++ b/dispatch/cpulimit.go
@@ -214,7 +214,7 @@
 func (r *run) cpuLimitOrder(now time.Time) CPULimitOrder {
 	r.cpuLimitSetAt, r.cpuLimitUnconfirmed = now, false
 	return CPULimitOrder{
-		Worker: r.worker.info, Snapshot: r.worker.snapshot(now),
+		Worker: r.worker.info, To: r.worker.addressee(now), Snapshot: r.worker.snapshot(now),
 		CPULimit: runner.CPULimit{Task: r.task.id(), Run: r.number, Percent: r.cpuLimit, Token: r.worker.token},
 	}
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -5,6 +5,7 @@
 // StartOrder is an order to start a run on a worker.
 type StartOrder struct {
 	Worker runner.Worker
+	To     runner.Addressee
 	Start  runner.Start
 	// Snapshot is what was known of the worker when it was chosen.
 	Snapshot WorkerSnapshot
@@ -17,6 +18,7 @@
 // StopOrder is an order to stop a run on a worker.
 type StopOrder struct {
 	Worker   runner.Worker
+	To       runner.Addressee
 	Stop     runner.Stop
 	Cause    StopCause
 	Snapshot WorkerSnapshot
@@ -25,6 +27,7 @@
 // CPULimitOrder is an order to change the CPU limit of a run on a worker.
 type CPULimitOrder struct {
 	Worker   runner.Worker
+	To       runner.Addressee
 	CPULimit runner.CPULimit
 	Snapshot WorkerSnapshot
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -294,7 +294,7 @@
 	c.s.markDirty(t.step.job)
 	permit, _ := t.step.permitFor(c.now, w)
 	order := StartOrder{
-		Worker: w.info, Snapshot: snapshot, Prior: t.priorRun(c.now), Sending: r.sending,
+		Worker: w.info, To: w.addressee(c.now), Snapshot: snapshot, Prior: t.priorRun(c.now), Sending: r.sending,
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
 			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -36,7 +36,7 @@
 	if w == nil {
 		return runner.Worker{}, runner.Renewal{}, false
 	}
-	o := runner.Renewal{Token: w.token, Acknowledged: w.acknowledged}
+	o := runner.Renewal{To: w.addressee(now), Token: w.token, Acknowledged: w.acknowledged}
 	if extend && !w.suspected && w.leasable {
 		// A suspected worker gets no lease: each one sent would delay the time
 		// at which its runs are known to have ended.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -40,6 +40,7 @@
 	s.learnFromTails(now, w)
 	w.paceReportAt, w.reportWanted = now, false
 	if len(rep.Ends) < runner.MaxEnds {
+		s.findOmitted(w, &sent, &rep)
 		s.resolveUncertain(now, w, sent.Token, rep.Active)
 		s.markReported(now, w)
 	}
@@ -77,6 +78,9 @@
 	var newEnds []runner.RunEnd
 	for _, e := range ends {
 		if e.Number <= w.lastEnd {
+			if r := w.runs[e.Task]; r != nil && r.number == e.Run {
+				s.find(EndSkipped, w, e.Task, e.Run, e.Number)
+			}
 			continue
 		}
 		w.lastEnd = e.Number
@@ -99,14 +103,12 @@
 		}
 		s.releaseRun(now, r, EndReported)
 	}
-	j := s.jobs[e.Task.Job]
-	if j == nil {
-		return
-	}
-	t := j.task(e.Task)
+	t := s.taskByID(e.Task)
 	if t == nil {
+		s.find(EndOfUnknownTask, w, e.Task, e.Run, e.Number)
 		return
 	}
+	j := t.step.job
 	t.lastEndedRun = max(t.lastEndedRun, e.Run)
 	if t.done || j.state.Final() {
 		return
@@ -209,7 +211,7 @@
 		if r == nil {
 			continue
 		}
-		r.markConfirmed()
+		r.markConfirmed(now)
 		s.markStarted(r.task.step.job)
 		if r.unproven() {
 			s.markDirty(r.task.step.job) // a later owner must not take it for one that has just started
@@ -243,18 +245,14 @@
 // duplicate. It returns nil for a run that is known to have ended, and for a run
 // of an unknown task, which it stops.
 func (s *State) adopt(now time.Time, w *worker, a *runner.ActiveRun) *run {
-	j := s.jobs[a.Task.Job]
-	var t *task
-	if j != nil {
-		t = j.task(a.Task)
-	}
+	t := s.taskByID(a.Task)
 	if t != nil && a.Run <= t.lastEndedRun {
 		return nil // this report was sent before that of its end
 	}
 	if t == nil {
 		w.unknownRun = true
 		s.stops = append(s.stops, StopOrder{
-			Worker: w.info, Stop: runner.Stop{Task: a.Task, Run: a.Run, Token: w.token},
+			Worker: w.info, To: w.addressee(now), Stop: runner.Stop{Task: a.Task, Run: a.Run, Token: w.token},
 			Cause: UnknownTask, Snapshot: w.snapshot(now),
 		})
 		return nil
@@ -262,10 +260,10 @@
 	if old := w.runs[a.Task]; old != nil {
 		s.releaseRun(now, old, ReplacedThere) // a worker has one run of a task at a time
 	}
-	s.markStarted(j)
+	s.markStarted(t.step.job)
 	r := &run{
 		task: t, number: a.Run, token: w.token, worker: w, phase: running,
-		confirmed: true, reported: true, startedAt: now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU,
+		confirmed: true, confirmedAt: now, reported: true, startedAt: now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU,
 		cpuLimitUnconfirmed: t.step.spec.BestEffort, // an earlier owner may have limited it
 	}
 	w.limitUnconfirmed = w.limitUnconfirmed || r.cpuLimitUnconfirmed
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -34,6 +34,10 @@
 	// confirmed is set once the start is known to have been carried out. Before
 	// that, a run being stopped may never have existed and would report no end.
 	confirmed bool
+	// confirmedAt is when it was first confirmed. omitted is set once a later report has
+	// listed neither the run nor its end.
+	confirmedAt time.Time
+	omitted     bool
 	// reported is set once a report of its worker has included it.
 	reported bool
 	// held is set while its start is withheld, stored once its location is durable.
@@ -83,8 +87,10 @@
 }
 
 // markConfirmed records that the worker carried the start out.
-func (r *run) markConfirmed() {
-	r.confirmed = true
+func (r *run) markConfirmed(now time.Time) {
+	if !r.confirmed {
+		r.confirmed, r.confirmedAt = true, now
+	}
 	if r.phase == ordered || r.phase == uncertain {
 		r.phase = running
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -83,6 +83,8 @@
 	refusedToken RefusedToken
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
+	// findings holds what TakeFindings returns next.
+	findings []Finding
 	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
 	// its loss. inheritedRuns holds, by the same hash, the tasks of which a run may be
 	// alive on a worker of an earlier owner that hasn't reported.
@@ -297,7 +299,7 @@
 	r.stopOrderedAt, r.stopCause = now, cause
 	s.markChanged(r.worker)
 	s.stops = append(s.stops, StopOrder{
-		Worker:   r.worker.info,
+		Worker: r.worker.info, To: r.worker.addressee(now),
 		Stop:     runner.Stop{Task: r.task.id(), Run: r.number, Token: r.worker.token},
 		Cause:    cause,
 		Snapshot: r.worker.snapshot(now),
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -53,6 +53,14 @@
 	checkpoint string
 }
 
+// taskByID returns a task, nil if it isn't known.
+func (s *State) taskByID(id workload.TaskID) *task {
+	if j := s.jobs[id.Job]; j != nil {
+		return j.task(id)
+	}
+	return nil
+}
+
 func (t *task) id() workload.TaskID {
 	return workload.TaskID{
 		Job: t.step.job.spec.ID, Occurrence: t.step.occurrence.index, Step: t.step.index, Index: t.index,
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -118,6 +118,11 @@
 	return w.clock + int64(float64(elapsed.Milliseconds())*(1-maxClockDrift))
 }
 
+// addressee returns the life that an order made now is for.
+func (w *worker) addressee(now time.Time) runner.Addressee {
+	return runner.Addressee{Incarnation: w.info.Incarnation, Clock: w.clockLowerBound(now), At: now}
+}
+
 // setClock records a reading of the worker's clock, unless an earlier one implies a
 // later time: an answer may arrive long after the reading.
 func (w *worker) setClock(now time.Time, clock int64) {
--- a/runner/order.go
+++ b/runner/order.go
@@ -43,6 +43,7 @@
 // Renewal renews the lease of all runs on a worker, acknowledges reported ends
 // and requests the worker's report.
 type Renewal struct {
+	To    Addressee
 	Token uint64
 	// Acknowledged is the number of the last end that is durable. The worker
 	// drops ends up to and including it.
