dispatch: ends are recorded by number, in any order

Callers saw a job that stands still though all its tasks have ended (LOST).

Cause: the owner took the highest number of a worker's ends for the set of all below it. Of ends listed as 3, 2, 1 the first was recorded, the others counted as known, and all three were acknowledged.

Change: the numbers of the recorded ends are a set (endNumbers). Acknowledged is the highest number below which none is missing: all listed ones if the list is below its maximum length and so complete, else those without a gap.

Why it holds: an end that is listed later has a higher number than all that a complete list could have held, so what such a list lacks was acknowledged before.

--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -169,15 +169,16 @@
 	return locations
 }
 
-// unacknowledged returns, by worker, the last recorded end if it isn't durable.
+// unacknowledged returns, by worker, the number up to which ends may be acknowledged, if they
+// aren't durable.
 func (s *State) unacknowledged() map[string]uint64 {
 	var ends map[string]uint64
 	for id, w := range s.workers {
-		if w.lastEnd > w.acknowledged {
+		if w.ends.prefix > w.acknowledged {
 			if ends == nil {
 				ends = map[string]uint64{}
 			}
-			ends[id] = w.lastEnd
+			ends[id] = w.ends.prefix
 		}
 	}
 	return ends
@@ -241,5 +242,5 @@
 // HasUnflushedChanges reports whether any change isn't durable yet.
 func (s *State) HasUnflushedChanges() bool {
 	return len(s.dirty) > 0 || len(s.dirtyRosterParts) > 0 ||
-		slices.ContainsFunc(s.byID(), func(w *worker) bool { return w.lastEnd > w.acknowledged })
+		slices.ContainsFunc(s.byID(), func(w *worker) bool { return w.ends.prefix > w.acknowledged })
 }
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -23,7 +23,7 @@
 	if w == nil || !w.inRoster {
 		return false
 	}
-	pollAtOnce := w.lastEnd == w.acknowledged && (w.leasable || !w.reported)
+	pollAtOnce := w.ends.prefix == w.acknowledged && (w.leasable || !w.reported)
 	return pollAtOnce || now.Sub(w.polledAt) >= unflushedPollInterval
 }
 
@@ -42,7 +42,7 @@
 		// at which its runs are known to have ended.
 		o.LeaseUntil = s.leaseFor(now, w)
 	}
-	if w.leasable && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.lastEnd == w.acknowledged {
+	if w.leasable && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.ends.prefix == w.acknowledged {
 		o.WaitMS = longPoll.Milliseconds()
 		if s.needsFrequentPolls(now, w) {
 			o.WaitMS = tailWindow.Milliseconds()
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -77,16 +77,17 @@
 func (s *State) recordEnds(now time.Time, w *worker, ends []runner.RunEnd) []runner.RunEnd {
 	var newEnds []runner.RunEnd
 	for _, e := range ends {
-		if e.Number <= w.lastEnd {
+		if w.ends.has(e.Number) {
 			if r := w.runs[e.Task]; r != nil && r.number == e.Run {
 				s.find(EndSkipped, w, e.Task, e.Run, e.Number)
 			}
 			continue
 		}
-		w.lastEnd = e.Number
+		w.ends.add(e.Number)
 		s.recordEnd(now, w, e)
 		newEnds = append(newEnds, e)
 	}
+	w.ends.settle(ends)
 	return newEnds
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -63,8 +63,10 @@
 	// unknownRun is set while its last report includes a run of an unknown task, which
 	// is being stopped and takes capacity of unknown size.
 	unknownRun bool
-	// lastEnd is the last recorded end, acknowledged the last durable one.
-	lastEnd, acknowledged uint64
+	// ends holds the numbers of its recorded ends. acknowledged is the number up to which
+	// they are durable.
+	ends         endNumbers
+	acknowledged uint64
 	// refusesWrongly is set once it has refused this owner's newest token although the
 	// owner wasn't replaced, until it answers. Its refusals then count as no answer.
 	refusesWrongly bool
