dispatch: each life of a worker is a value of its own

Callers saw jobs that stand still for good (LOST), and tasks that are started again after their end as done was acknowledged (TWICE), both under one owner.

Cause: a worker that starts again may keep its ID. All that the owner kept by ID was then compared across lives: the numbers of ends (new ends counted as recorded and were acknowledged), the runs (those of the ended life stayed), the clock (leases were given by a clock that the new life doesn't have), the token that it has seen, its health, pace and pauses, tickets, and crashes (an answer of the next life took a crash back). Only an answer with another ID ended a life.

Change: what belongs to a life is in a struct of its own (life), which is replaced as a whole. An order carries the life that it is made for (runner.Addressee). An answer to an order for the current life that names another incarnation, or whose clock shows less than it can have shown when the order was made, begins a new life. An answer to an order for an earlier life begins none, since answers overtake each other; incarnations are compared for equality only.

A new life ends nothing by itself, since it isn't known which life carried out a start. The token is raised, and its first complete report under the raised token decides: what it lists goes on, what it doesn't is over. Until then the worker gets no starts, and its lease counts as the longest that it grants.

A batch makes the ends of the life durable that listed them. An acknowledgment is sent only until the worker has it, only while no start is under way, and a start after it has a higher token. Otherwise the call itself could make a worker that has just started again forget the end of a run that nobody has seen: with this rule that run's start would have been answered before, or the worker refuses the acknowledgment.

--- a/control/metrics.go
+++ b/control/metrics.go
@@ -27,6 +27,7 @@
 	takeovers       prometheus.Counter
 	losses          *prometheus.CounterVec
 	givenUp         prometheus.Counter
+	newLives        prometheus.Counter
 	loopSeconds     *prometheus.CounterVec
 	short           prometheus.Gauge
 	cpuSeconds      *prometheus.CounterVec
@@ -65,7 +66,7 @@
 	m.initPace()
 	r.MustRegister(
 		m.requests, m.duration, m.orders, m.ends, m.findings, m.commits, m.owner, m.takeovers, m.waiting, m.openJobs, m.workers, m.tailsOverTarget,
-		m.losses, m.givenUp, m.zonesClosed, m.startsHeldBack, m.detoured, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
+		m.losses, m.givenUp, m.newLives, m.zonesClosed, m.startsHeldBack, m.detoured, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
 		m.withdrawn, m.outage, m.slowWorkers, m.slowMoves, m.slowCopies,
 		m.short, m.cpuSeconds,
 		m.backlogWork, m.backlogWait, m.acceptedLate, m.refusals, m.retryDelay,
@@ -125,6 +126,9 @@
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "fireflygate_workers_lost_total", Help: "Workers lost with runs, by cause.",
 	}, []string{"cause"})
+	m.newLives = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflygate_workers_started_again_total", Help: "Workers that have started again under their IDs.",
+	})
 	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "fireflygate_jobs_given_up_total", Help: "Jobs that failed because too many workers crashed under one of their tasks.",
 	})
--- a/control/orders.go
+++ b/control/orders.go
@@ -46,6 +46,9 @@
 	issuedAt := boottime()
 	o.traffic.StartIssued()
 	s.Sending.Queue()
+	if session != nil {
+		session.raiseToken(s.Start.Token)
+	}
 	queued := o.enqueue(s.Worker.ID, func(ctx context.Context) {
 		a, rt := runner.Answer{Status: runner.NotSent}, flow.RoundTrip{}
 		if o.maySend(ctx, session, &s, issuedAt) {
@@ -216,7 +219,7 @@
 		o.traffic.observe(now, rt)
 	}
 	s.nextPoll = now.Add(o.traffic.PollInterval(now))
-	if a.Status != runner.Done {
+	if overtaken := a.Status == runner.Fenced && p.renewal.Token < s.token.Load(); a.Status != runner.Done && !overtaken {
 		s.nextPoll = now.Add(max(pollRetryInterval, o.traffic.orderTimeout()))
 		event.WorkerPollFailed.Log(o.opts.Log, slog.Any("worker", p.worker.ID), slog.Any("status", a.Status), slog.Any("err", a.Err))
 	}
--- a/control/session.go
+++ b/control/session.go
@@ -51,6 +51,13 @@
 	return s
 }
 
+// raiseToken records the token of an order that is queued, unless a later one is known.
+func (s *session) raiseToken(token uint64) {
+	if token > s.token.Load() {
+		s.token.Store(token)
+	}
+}
+
 // runOrders runs queued orders in sequence. Those that are left when the session ends
 // run with the ended context, so that each is answered without being sent.
 func (s *session) runOrders(ctx context.Context) {
--- a/control/summary.go
+++ b/control/summary.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// logLosses logs and counts the workers that were lost with runs, and the jobs given up
-// because of such losses.
+// logLosses logs and counts the workers that were lost with runs or have started again, and
+// the jobs given up because of such losses.
 func (o *Owner) logLosses() {
 	for _, l := range o.state.TakeWorkerLosses() {
 		o.opts.Metrics.losses.WithLabelValues(l.Cause.String()).Inc()
@@ -51,6 +51,11 @@
 			slog.Bool("reported", l.Reported), slog.Int64("unresponsive_ms", l.Unresponsive.Milliseconds()),
 			slog.Int64("commit_age_ms", o.commitAge().Milliseconds()))
 	}
+	for _, l := range o.state.TakeNewLives() {
+		o.opts.Metrics.newLives.Inc()
+		event.WorkerStartedAgain.Log(o.opts.Log, slog.String("worker", l.Worker), slog.Any("before", l.Before),
+			slog.Any("incarnation", l.Since), slog.Int("runs", l.Runs))
+	}
 	for _, j := range o.state.TakeGivenUpJobs() {
 		o.opts.Metrics.givenUp.Inc()
 		event.JobGivenUp.Log(o.opts.Log, slog.String("job", j.Job), slog.String("reason", j.Reason))
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -15,18 +15,23 @@
 	if w == nil {
 		return false
 	}
-	w.setClock(now, a.ClockMS)
-	if a.Status == runner.Fenced {
-		s.recordFenced(now, w, o.Start.Token)
+	from := s.originOf(now, w, o.To, a)
+	if from != unknownLife {
+		s.recordStartAnswer(now, w, o, a)
 	}
 	r := w.runs[o.Start.Task]
 	if r == nil || r.number != o.Start.Run || r.confirmed || r.phase == uncertain {
-		return false // a report has already resolved this start
+		return from == begunLife // a report has already resolved this start
 	}
 	// The run may have been ordered to stop meanwhile. A start that was never
 	// carried out reports no end, so its reservation is released here.
 	switch a.Status {
 	case runner.Done:
+		if from == unknownLife {
+			r.phase = uncertain // the next report of the current life tells
+			return false
+		}
+		r.life = w.number
 		r.markConfirmed(now)
 		s.markStarted(r.task.step.job)
 		s.Stats.Starts++
@@ -34,9 +39,9 @@
 		s.Stats.StartsUnknown++
 		r.phase = uncertain
 		s.markUnresponsive(now, w)
-		return s.raiseToken(w)
+		return s.raiseToken(w, r.token)
 	case runner.Restarted:
-		s.HandleRestart(now, w.info.ID)
+		s.endRestarted(now, w, o.To)
 	case runner.NotSent:
 		s.Stats.StartsRefused++
 		s.releaseRun(now, r, NotSent)
@@ -44,7 +49,19 @@
 		s.Stats.StartsRefused++
 		s.handleRefusal(now, w, r, a.Status)
 	}
-	return false
+	return from == begunLife
+}
+
+// recordStartAnswer records what the current life's answer to a start says of the worker.
+func (s *State) recordStartAnswer(now time.Time, w *worker, o StartOrder, a runner.Answer) {
+	w.setClock(now, a.ClockMS)
+	switch a.Status {
+	case runner.Fenced:
+		s.recordFenced(now, w, o.Start.Token)
+	case runner.Done:
+		w.tokenSeen = max(w.tokenSeen, o.Start.Token)
+	default:
+	}
 }
 
 // handleRefusal releases the reservation of a refused start and, depending on
@@ -64,27 +81,43 @@
 	}
 }
 
-// raiseToken raises the worker's fencing token. Once the worker has seen the new
-// token, it refuses all earlier orders that haven't been carried out. raiseToken
-// does nothing and returns false if the worker hasn't seen the current token.
-func (s *State) raiseToken(w *worker) bool {
-	if w.token != w.tokenSeen {
-		return false // already raised
+// raiseToken raises the worker's fencing token above that of an order that wasn't answered.
+// Once the worker has seen the new token, it refuses all earlier orders that haven't been
+// carried out. raiseToken does nothing and returns false if the token is higher already.
+func (s *State) raiseToken(w *worker, unanswered uint64) bool {
+	if w.token > unanswered {
+		return false
 	}
 	w.token++
 	s.topToken = max(s.topToken, w.token)
 	return true
 }
 
+// startToken returns the token for a start, which is higher than that of any renewal that
+// acknowledges ends. If the worker has started again meanwhile, such a renewal would make it
+// forget the end of this run; but after the start it refuses the renewal.
+func (s *State) startToken(w *worker) uint64 {
+	s.raiseToken(w, w.acknowledgedUnder)
+	return w.token
+}
+
 // HandleStopAnswer applies the answer to a stop order. The end of the run
 // itself arrives with a report.
 func (s *State) HandleStopAnswer(now time.Time, o StopOrder, a runner.Answer) {
 	w := s.workers[o.Worker.ID]
-	if w == nil {
+	if w == nil || s.originOf(now, w, o.To, a) == unknownLife {
 		return
 	}
 	w.setClock(now, a.ClockMS)
 	if a.Status == runner.Restarted {
+		s.endRestarted(now, w, o.To)
+	}
+}
+
+// endRestarted handles the answer of an incarnation with another ID, unless the order was
+// made for an earlier life of the worker, which may have been at another address.
+func (s *State) endRestarted(now time.Time, w *worker, to runner.Addressee) {
+	if to.Life == w.number {
 		s.HandleRestart(now, w.info.ID)
 	}
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -13,6 +13,8 @@
 	Epoch uint64
 	// Lease is how far a renewal extends a worker's lease.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
 	// Retention is how long a finished job can still be queried.
 	Retention time.Duration
 	// TailBound is how long best-effort tasks may keep a serving task's tail
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/fireflygate/fireflygate/workload"
@@ -35,7 +36,7 @@
 
 // crash is the loss of a worker under a run of a task.
 type crash struct {
-	// worker is the hash of the worker's ID.
+	// worker identifies the life that was lost, see crashHash.
 	worker uint32
 	// early is set if the worker had accepted the start and not reported the run yet.
 	early bool
@@ -43,6 +44,15 @@
 	restarted bool
 }
 
+// crashHash identifies the worker's current life in crashes: a worker that has started again
+// has crashed, though it answers.
+func (w *worker) crashHash() uint32 {
+	if w.incarnation == 0 {
+		return w.hash
+	}
+	return workerHash(w.info.ID + "/" + strconv.FormatInt(int64(w.incarnation), 10))
+}
+
 // crashRecord returns the task that holds the crashes of t: a gang counts as one task.
 func (t *task) crashRecord() *task {
 	if t.step.spec.Gang {
@@ -157,11 +167,11 @@
 	}
 }
 
-// blamed returns the runs that may have crashed their worker by the given time: those
+// blamed returns those of a worker's runs that may have crashed it by the given time: those
 // that aren't proven. Runs whose start was withheld aren't among them.
-func (w *worker) blamed(at time.Time) []*run {
+func blamed(runs []*run, at time.Time) []*run {
 	var young []*run
-	for _, r := range w.runsByNumber {
+	for _, r := range runs {
 		if !r.held && at.Sub(r.startedAt) < provenAfter {
 			young = append(young, r)
 		}
--- a/dispatch/finding.go
+++ b/dispatch/finding.go
@@ -59,7 +59,7 @@
 func (s *State) find(kind FindingKind, w *worker, task workload.TaskID, run, number uint64) {
 	if len(s.findings) < maxFindings {
 		s.findings = append(s.findings, Finding{
-			Kind: kind, Worker: w.info.ID, Incarnation: w.info.Incarnation, Task: task, Run: run, Number: number,
+			Kind: kind, Worker: w.info.ID, Incarnation: w.incarnation, Task: task, Run: run, Number: number,
 		})
 	}
 }
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -33,8 +33,14 @@
 	jobs []batchJob
 	// roster holds the workers in the roster parts that it writes.
 	roster []rosterEntry
-	// ends holds, by worker, the last end that is durable once the batch is.
-	ends map[string]uint64
+	// ends holds the ends that are durable once the batch is.
+	ends []durableEnds
+}
+
+// durableEnds says up to which number the ends of a life of a worker are durable.
+type durableEnds struct {
+	life   *life
+	number uint64
 }
 
 // rosterEntry is a worker as a batch writes it to the roster.
@@ -169,16 +175,12 @@
 	return locations
 }
 
-// unacknowledged returns, by worker, the number up to which ends may be acknowledged, if they
-// aren't durable.
-func (s *State) unacknowledged() map[string]uint64 {
-	var ends map[string]uint64
-	for id, w := range s.workers {
+// unacknowledged returns the recorded ends that may be acknowledged and aren't durable.
+func (s *State) unacknowledged() []durableEnds {
+	var ends []durableEnds
+	for _, w := range s.workers {
 		if w.ends.prefix > w.acknowledged {
-			if ends == nil {
-				ends = map[string]uint64{}
-			}
-			ends[id] = w.ends.prefix
+			ends = append(ends, durableEnds{w.life, w.ends.prefix})
 		}
 	}
 	return ends
@@ -232,10 +234,8 @@
 			w.leasable = w.leasable || e.leasedIn == s.cfg.Epoch
 		}
 	}
-	for id, n := range b.ends {
-		if w := s.workers[id]; w != nil {
-			w.acknowledged = max(w.acknowledged, n)
-		}
+	for _, e := range b.ends {
+		e.life.acknowledged = max(e.life.acknowledged, e.number)
 	}
 }
 
--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -41,7 +41,7 @@
 	for _, w := range s.workers {
 		if row := parts[w.rosterPart()]; row != nil {
 			row.Workers = append(row.Workers, RosterWorker{
-				Worker:   runner.Worker{ID: w.info.ID, Incarnation: w.info.Incarnation, Address: w.info.Address, Capacity: w.info.Capacity},
+				Worker:   runner.Worker{ID: w.info.ID, Incarnation: w.incarnation, Address: w.info.Address, Capacity: w.info.Capacity},
 				LeasedIn: w.leasedIn,
 			})
 			b.roster = append(b.roster, rosterEntry{w.info.ID, w.leasedIn})
--- a/dispatch/heldstart.go
+++ b/dispatch/heldstart.go
@@ -46,8 +46,9 @@
 			r.task.step.job.urgent = true
 			return false
 		}
-		r.held, r.token, r.startedAt = false, r.worker.token, now
-		h.order.Start.Token, h.order.Start.LeaseUntil = r.worker.token, s.leaseFor(now, r.worker)
+		w := r.worker
+		r.held, r.token, r.life, r.startedAt = false, s.startToken(w), w.number, now
+		h.order.To, h.order.Start.Token, h.order.Start.LeaseUntil = w.addressee(now), r.token, s.leaseFor(now, w)
 		starts = append(starts, h.order)
 		return true
 	})
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -92,7 +92,7 @@
 // returning worker would refuse orders under a lower token than it has seen.
 func (s *State) addWorker(m runner.Worker) *worker {
 	w := &worker{
-		info: m, hash: workerHash(m.ID), free: m.Capacity, runs: map[workload.TaskID]*run{},
+		life: s.newLife(m.Incarnation), info: m, hash: workerHash(m.ID), free: m.Capacity, runs: map[workload.TaskID]*run{},
 		token: s.topToken,
 	}
 	s.workers[m.ID], s.sortedWorkers = w, nil
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -24,17 +24,19 @@
 
 // permits holds the policy service's decisions on a step.
 type permits struct {
-	// granted holds permits by worker. denied holds workers that may not run
-	// the step, which is final.
+	// granted holds permits by worker. denied holds, by worker, the number of the life
+	// that may not run the step, which is final for that life.
 	granted map[string]permit
-	denied  map[string]bool
+	denied  map[string]uint64
 	// nextRequest is when the next request may be made.
 	nextRequest time.Time
 }
 
-// permit is the text of a permit and the end of its validity.
+// permit is the text of a permit, the worker's life that it is valid for, and the end of
+// its validity.
 type permit struct {
 	text  string
+	life  uint64
 	until time.Time
 }
 
@@ -42,6 +44,8 @@
 type PermitRequest struct {
 	Step    workload.StepID
 	Workers []string
+	// lives holds the numbers of the workers' lives.
+	lives []uint64
 }
 
 func (s *step) id() workload.StepID {
@@ -56,7 +60,7 @@
 		return "", true
 	}
 	t, ok := s.permits.granted[w.info.ID]
-	return t.text, ok && now.Add(permitMargin).Before(t.until)
+	return t.text, ok && t.life == w.number && now.Add(permitMargin).Before(t.until)
 }
 
 // NextPermitRequest returns the next request for the policy service: for the
@@ -106,7 +110,7 @@
 	}
 	var candidates []*worker
 	for _, w := range c.workers {
-		if !c.allowed(st, w) || st.permits.denied[w.info.ID] {
+		if !c.allowed(st, w) || st.permits.denied[w.info.ID] == w.number {
 			continue
 		}
 		if _, ok := st.permitFor(c.now, w); ok {
@@ -123,7 +127,7 @@
 	slices.SortStableFunc(candidates, func(a, b *worker) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
 	q := PermitRequest{Step: st.id()}
 	for _, w := range candidates[:min(len(candidates), max(permitBatch, min(2*st.idle, maxPermitBatch)))] {
-		q.Workers = append(q.Workers, w.info.ID)
+		q.Workers, q.lives = append(q.Workers, w.info.ID), append(q.lives, w.number)
 	}
 	return q, true
 }
@@ -145,14 +149,14 @@
 		return
 	}
 	if st.permits.granted == nil {
-		st.permits.granted, st.permits.denied = map[string]permit{}, map[string]bool{}
+		st.permits.granted, st.permits.denied = map[string]permit{}, map[string]uint64{}
 	}
 	st.allTriedAt = time.Time{} // it may fit where only a permit was missing
-	for _, id := range q.Workers {
+	for i, id := range q.Workers {
 		if text, ok := p.Tickets[id]; ok {
-			st.permits.granted[id] = permit{text: text, until: now.Add(p.Valid)}
+			st.permits.granted[id] = permit{text: text, life: q.lives[i], until: now.Add(p.Valid)}
 		} else {
-			st.permits.denied[id] = true
+			st.permits.denied[id] = q.lives[i]
 		}
 	}
 }
--- a/dispatch/rackoutage.go
+++ b/dispatch/rackoutage.go
@@ -40,10 +40,17 @@
 			return false
 		}
 		for _, other := range s.workers {
-			if other.unresponsiveSince.IsZero() && other != w && !other.knownSince.After(at) && other.info.HasLabel(label) {
-				return false
+			if other.silentAt(at) || other == w || other.knownSince.After(at) || !other.info.HasLabel(label) {
+				continue
 			}
+			return false
 		}
 		return true
 	})
 }
+
+// silentAt reports whether the worker doesn't answer, or has started again under its ID and
+// its life before became unresponsive within outageWindow of the given time.
+func (l *life) silentAt(at time.Time) bool {
+	return !l.unresponsiveSince.IsZero() || l.restarted && at.Sub(l.silentBefore).Abs() <= outageWindow
+}
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/runner"
@@ -36,7 +37,10 @@
 	if w == nil {
 		return runner.Worker{}, runner.Renewal{}, false
 	}
-	o := runner.Renewal{To: w.addressee(now), Token: w.token, Acknowledged: w.acknowledged}
+	o := runner.Renewal{To: w.addressee(now), Token: w.token}
+	if w.acknowledged > w.delivered && !w.startUnanswered() {
+		o.Acknowledged, w.acknowledgedUnder = w.acknowledged, w.token
+	}
 	if extend && !w.suspected && w.leasable {
 		// A suspected worker gets no lease: each one sent would delay the time
 		// at which its runs are known to have ended.
@@ -51,6 +55,14 @@
 	return w.info, o, true
 }
 
+// startUnanswered reports whether a start is under way of which it isn't known whether this
+// life of the worker has carried it out. Until then no ends are acknowledged: a worker that
+// has started again may have carried it out and ended it, under a number that was listed in
+// the life before, and would forget that end.
+func (w *worker) startUnanswered() bool {
+	return slices.ContainsFunc(w.runsByNumber, func(r *run) bool { return !r.confirmed && !r.held })
+}
+
 // needsFrequentPolls reports whether the worker's next report is wanted soon, because of its
 // tails or its speed.
 func (s *State) needsFrequentPolls(now time.Time, w *worker) bool {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -16,8 +16,11 @@
 	if w == nil {
 		return nil
 	}
-	w.setClock(now, a.ClockMS)
 	w.polledAt = now
+	if s.originOf(now, w, sent.To, a) != currentLife || sent.To.Life != w.number {
+		return nil // the next poll gets the runs of the new life
+	}
+	w.setClock(now, a.ClockMS)
 	switch {
 	case a.Status == runner.Done:
 	case a.Status == runner.Restarted:
@@ -32,15 +35,17 @@
 	}
 	w.markResponsive()
 	w.refusesWrongly, w.refusedAt = false, time.Time{}
-	s.forgetCrash(w.hash)
+	s.forgetCrash(w.crashHash())
 	s.markChanged(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
+	w.delivered = max(w.delivered, sent.Acknowledged)
 	ends := s.recordEnds(now, w, rep.Ends)
 	s.recordActive(now, w, rep.Active)
 	s.learnFromTails(now, w)
 	w.paceReportAt, w.reportWanted = now, false
 	if len(rep.Ends) < runner.MaxEnds {
 		s.findOmitted(w, &sent, &rep)
+		s.endEarlierLives(now, w)
 		s.resolveUncertain(now, w, sent.Token, rep.Active)
 		s.markReported(now, w)
 	}
@@ -52,8 +57,7 @@
 // one got no answer.
 func (s *State) raiseTokenIfUncertain(w *worker) {
 	for _, r := range w.runsByNumber {
-		if r.phase == uncertain && r.token == w.token {
-			s.raiseToken(w)
+		if r.phase == uncertain && s.raiseToken(w, r.token) {
 			return
 		}
 	}
@@ -212,6 +216,7 @@
 		if r == nil {
 			continue
 		}
+		r.life = w.number
 		r.markConfirmed(now)
 		s.markStarted(r.task.step.job)
 		if r.unproven() {
@@ -263,7 +268,7 @@
 	}
 	s.markStarted(t.step.job)
 	r := &run{
-		task: t, number: a.Run, token: w.token, worker: w, phase: running,
+		task: t, number: a.Run, token: w.token, worker: w, life: w.number, phase: running,
 		confirmed: true, confirmedAt: now, reported: true, startedAt: now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU,
 		cpuLimitUnconfirmed: t.step.spec.BestEffort, // an earlier owner may have limited it
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -30,7 +30,10 @@
 	// token is the fencing token of the start order.
 	token  uint64
 	worker *worker
-	phase  phase
+	// life is the number of the worker's life in which it was last known to be, or for
+	// which it was ordered.
+	life  uint64
+	phase phase
 	// confirmed is set once the start is known to have been carried out. Before
 	// that, a run being stopped may never have existed and would report no end.
 	confirmed bool
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -66,6 +66,10 @@
 	copiesCheckedAt time.Time
 	// removedWorkers counts the workers removed so far.
 	removedWorkers uint64
+	// lives counts the lives of workers known so far; newLives holds what TakeNewLives
+	// returns next.
+	lives    uint64
+	newLives []NewLife
 	// demand is the demand of best-effort tasks, computed at demandAt.
 	demand   *bestEffortDemand
 	demandAt time.Time
--- a/dispatch/workerloss.go
+++ b/dispatch/workerloss.go
@@ -77,31 +77,39 @@
 	return losses
 }
 
-// dropLostRuns ends all runs of a worker, keeps their checkpoints, and records the
-// crash with the tasks that may have caused it.
+// dropLostRuns ends all runs of a worker, with those that earlier owners may have started.
 func (s *State) dropLostRuns(now time.Time, w *worker, cause LossCause) {
+	s.dropRuns(now, w, slices.Clone(w.runsByNumber), cause)
+}
+
+// dropRuns ends lost runs of a worker, keeps their checkpoints, and records the crash with
+// the tasks that may have caused it.
+func (s *State) dropRuns(now time.Time, w *worker, runs []*run, cause LossCause) {
 	inherited := s.inheritedRuns[w.hash]
 	delete(s.inheritedRuns, w.hash)
-	if len(w.runs) == 0 && len(inherited) == 0 {
+	if len(runs) == 0 && len(inherited) == 0 {
 		return
 	}
-	loss := WorkerLoss{Worker: w.info.ID, Cause: cause, Runs: len(w.runs) + len(inherited), Reported: w.reported}
-	if !w.unresponsiveSince.IsZero() {
-		loss.Unresponsive = now.Sub(w.unresponsiveSince)
+	at := w.unresponsiveSince
+	if at.IsZero() {
+		at = w.silentBefore
+	}
+	loss := WorkerLoss{Worker: w.info.ID, Cause: cause, Runs: len(runs) + len(inherited), Reported: w.reported}
+	if !at.IsZero() {
+		loss.Unresponsive = now.Sub(at)
 	}
 	for _, t := range inherited {
 		if len(t.runs) == 0 {
 			t.recordOver(now, cause.evidence(), w.info.ID, 0)
 		}
 	}
-	at := w.unresponsiveSince
 	if at.IsZero() {
 		at = now
 		s.recordOutage(w, at)
 	}
 	loss.WithRack = s.lostWithRack(w, at)
-	blamed := w.blamed(at)
-	for _, r := range slices.Clone(w.runsByNumber) {
+	blamed := blamed(runs, at)
+	for _, r := range runs {
 		s.Stats.LostRuns++
 		if !r.reported && len(loss.Unreported) < maxLossTasks {
 			loss.Unreported = append(loss.Unreported, r.task.id())
@@ -124,7 +132,7 @@
 // those that an earlier owner started.
 func (s *State) recordCrashes(now time.Time, w *worker, cause LossCause, runs []*run, inherited []*task) {
 	s.pruneCrashes()
-	c := crash{worker: w.hash, restarted: cause == Restarted}
+	c := crash{worker: w.crashHash(), restarted: cause == Restarted}
 	for _, r := range runs {
 		c.early = r.confirmed && !r.reported
 		s.recordCrash(now, r.task, c)
--- a/event/control.go
+++ b/event/control.go
@@ -48,6 +48,7 @@
 	OwnershipResumed     = define(944, slog.LevelInfo, "domain ownership resumed from a late commit")
 	EndsAcknowledged     = routine(946, slog.LevelInfo, "ends acknowledged to their worker")
 	ReportDisagrees      = routine(947, slog.LevelWarn, "report disagrees with the owner's state")
+	WorkerStartedAgain   = routine(948, slog.LevelInfo, "worker started again under its ID")
 	OwnerShort           = define(945, slog.LevelInfo, "owner's shortage of processor changed")
 	SubmissionsWithdrawn = define(943, slog.LevelWarn, "submissions withdrawn, the store was unavailable")
 	OutcomeUnknown       = routine(928, slog.LevelWarn, "request abandoned, its outcome is unknown")
