dispatch: a crash is of one life of a worker

Callers see a job whose task crashes its workers without end: workers that start again under their IDs answer, and each answer took their crash back.

Cause: crashes were kept by the worker's ID, and an answer under the ID counts as proof that the worker was only cut off. Change: they are kept by the life that was lost; only that life takes its crash back.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -44,13 +45,28 @@
 	restarted bool
 }
 
-// crashHash identifies the worker's current life in crashes: a worker that has started again
-// has crashed, though it answers.
-func (w *worker) crashHash() uint32 {
-	if w.incarnation == 0 {
+// crashHash identifies a life of the worker in crashes: a worker that has started again has
+// crashed, though it answers.
+func (w *worker) crashHash(life runner.Incarnation) uint32 {
+	if life == 0 {
 		return w.hash
 	}
-	return workerHash(w.info.ID + "/" + strconv.FormatInt(int64(w.incarnation), 10))
+	return workerHash(w.info.ID + "/" + strconv.FormatInt(int64(life), 10))
+}
+
+// lostLife returns the incarnation in which runs that are lost now were alive.
+func (l *life) lostLife() runner.Incarnation {
+	if l.restarted && !l.reported {
+		return l.before
+	}
+	return l.incarnation
+}
+
+// forgetCrashOf removes the current life of a worker from the crashes of all tasks.
+func (s *State) forgetCrashOf(w *worker) {
+	if w.incarnation != 0 || !w.restarted {
+		s.forgetCrash(w.crashHash(w.incarnation))
+	}
 }
 
 // crashRecord returns the task that holds the crashes of t: a gang counts as one task.
--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -49,6 +49,8 @@
 	// later than at silentBefore.
 	restarted    bool
 	silentBefore time.Time
+	// before is the incarnation of that life.
+	before runner.Incarnation
 	// unknownRun is set while its last report includes a run of an unknown task, which
 	// is being stopped and takes capacity of unknown size.
 	unknownRun bool
@@ -111,4 +113,3 @@
 func (l *life) extendLease(until int64) {
 	l.leaseUntil, l.leaseOverAt = max(l.leaseUntil, until), time.Time{}
 }
-
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -35,7 +35,7 @@
 	}
 	w.markResponsive()
 	w.refusesWrongly, w.refusedAt = false, time.Time{}
-	s.forgetCrash(w.crashHash())
+	s.forgetCrashOf(w)
 	s.markChanged(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
 	w.delivered = max(w.delivered, sent.Acknowledged)
--- a/dispatch/workerloss.go
+++ b/dispatch/workerloss.go
@@ -132,7 +132,7 @@
 // those that an earlier owner started.
 func (s *State) recordCrashes(now time.Time, w *worker, cause LossCause, runs []*run, inherited []*task) {
 	s.pruneCrashes()
-	c := crash{worker: w.crashHash(), restarted: cause == Restarted}
+	c := crash{worker: w.crashHash(w.lostLife()), restarted: cause == Restarted}
 	for _, r := range runs {
 		c.early = r.confirmed && !r.reported
 		s.recordCrash(now, r.task, c)
