control: jobs of a removed queue get permits

Cause: the owner asked the policy service only while a queue of the newest configuration needs permits; jobs of a removed queue keep its policy and are meant to go on. Change: the state decides by its open jobs; the flag in control is gone.

Ruled out: the state's own search for the next request, which finds such jobs.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/internal/memtable"
 	"github.com/fireflygate/fireflygate/internal/pause"
+	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -37,6 +38,8 @@
 	cores float64
 	// ownershipChanged, if set, is the callback of hosts started from now on.
 	ownershipChanged func(owner bool)
+	// policy is the policy service of hosts started from now on, nil if there is none.
+	policy runner.Policy
 	// clients are the worker clients by host name.
 	clients map[string]*countingClient
 }
@@ -78,8 +81,8 @@
 		Host: name, Address: h.address, Incarnation: fmt.Sprintf("%s-%d", name, c.incarnations), Seeds: seeds, Cores: c.cores,
 		Table: table, Workers: c.clients[name], Zone: testZone, Members: c.fleet, Log: c.log,
 		Metrics:          control.NewMetrics(prometheus.NewRegistry()),
-		OwnershipChanged: c.ownershipChanged,
-		Retention:        time.Minute, MaxLease: 10 * time.Second, TailBound: 4 * time.Second,
+		OwnershipChanged: c.ownershipChanged, Policy: c.policy,
+		Retention: time.Minute, MaxLease: 10 * time.Second, TailBound: 4 * time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.kill = func() {
@@ -106,11 +109,17 @@
 
 // submit submits a job repeatedly until it is accepted.
 func (c *cluster) submit(h *host, j *workload.Job) {
+	c.t.Helper()
+	c.submitTo(h, testQueue, j)
+}
+
+// submitTo is submit for a job of another queue.
+func (c *cluster) submitTo(h *host, q workload.Queue, j *workload.Job) {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		if out := h.node.Submit(ctx, j, testQueue); out.Result == control.ResultDone {
+		if out := h.node.Submit(ctx, j, q); out.Result == control.ResultDone {
 			return
 		}
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -135,7 +135,6 @@
 	}
 	o.config = c
 	o.state.SetQueues(c.Queues)
-	o.updateNeedsPermits(c)
 }
 
 // catchUp applies the configuration and the bounds that were set between the owner's creation
--- a/control/owner.go
+++ b/control/owner.go
@@ -91,9 +91,8 @@
 	// committedVersion is the version of the owner's row after the last applied
 	// commit.
 	committedVersion atomic.Uint64
-	// requestingPermits is set while a request to the policy service is in flight,
-	// needsPermits if any queue needs permits.
-	requestingPermits, needsPermits bool
+	// requestingPermits is set while a request to the policy service is in flight.
+	requestingPermits bool
 	// A resigning owner starts nothing; a closed one accepts no requests; a released
 	// one gives no orders and renews no leases.
 	resigning, closed bool
@@ -152,7 +151,6 @@
 	o.cpuUsed = readCPUTime()
 	o.setEarlierOrders()
 	o.state.SetQueues(cfg.Queues)
-	o.updateNeedsPermits(cfg)
 	o.committedAt.Store(int64(acquiredAt))
 	o.cycleAt.Store(int64(o.ownedSince))
 	o.committedVersion.Store(c.Version())
--- a/control/permits.go
+++ b/control/permits.go
@@ -14,7 +14,7 @@
 
 // requestPermits sends the next permit request, one at a time.
 func (o *Owner) requestPermits(now time.Time) {
-	if o.requestingPermits || o.opts.Policy == nil || !o.needsPermits {
+	if o.requestingPermits || o.opts.Policy == nil {
 		return
 	}
 	q, ok := o.state.NextPermitRequest(now)
@@ -34,11 +34,3 @@
 		})
 	}()
 }
-
-// updateNeedsPermits records whether any queue needs permits.
-func (o *Owner) updateNeedsPermits(c Config) {
-	o.needsPermits = false
-	for i := range c.Queues {
-		o.needsPermits = o.needsPermits || c.Queues[i].NeedsPermit
-	}
-}
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -68,6 +68,9 @@
 // next, so that its permits arrive in time. Only one request should be in
 // flight.
 func (s *State) NextPermitRequest(now time.Time) (PermitRequest, bool) {
+	if !slices.ContainsFunc(s.open, func(j *job) bool { return j.queue.NeedsPermit }) {
+		return PermitRequest{}, false
+	}
 	c := newCycle(s, now)
 	for _, w := range s.waitingSteps(now) {
 		if q, ok := c.permitRequest(w.step); ok {
