dispatch: the end of a copy says nothing of the run beside it

A listed run whose number wasn't above the highest ended one of its task counted as ended. Of a speculative task a run with a lower number may be alive on another worker; a new owner that heard of the end of the copy first ignored it.

Change: the numbers of the ended runs are kept, the last 16 of a task. Only a late report lists one of them as alive, and that arrives within seconds.

--- a/dispatch/paceruns.go
+++ b/dispatch/paceruns.go
@@ -61,7 +61,7 @@
 	}
 	normal := p.s.normalTime(p.now, st)
 	started := r.startedAt
-	if r.sending == nil || r.task.lastEndedRun != 0 {
+	if r.sending == nil || len(r.task.endedRuns) > 0 {
 		started = time.Time{} // it began earlier, or may have resumed
 	}
 	r.progress.Continue(r.task.leastPerPercent)
@@ -99,7 +99,7 @@
 func (s *State) observeEnd(now time.Time, r *run) {
 	t, w := r.task, r.worker
 	st := t.step
-	if s.pace == nil || st.spec.LongRunning || r.sending == nil || t.lastEndedRun != 0 || t.checkpoint != "" || !r.comparable() {
+	if s.pace == nil || st.spec.LongRunning || r.sending == nil || len(t.endedRuns) > 0 || t.checkpoint != "" || !r.comparable() {
 		return
 	}
 	if r.limited() || !r.cpuLimitSetAt.IsZero() || r.progress.Measured() || w.unusedCPU(now) < 0 {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -101,7 +101,7 @@
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
 		if e.Kind == runner.EndDone {
 			s.observeEnd(now, r)
-			s.learnRunTime(r.task.step, now.Sub(r.startedAt), r.task.lastEndedRun == 0 && !w.pace.Slow())
+			s.learnRunTime(r.task.step, now.Sub(r.startedAt), len(r.task.endedRuns) == 0 && !w.pace.Slow())
 		}
 		if r.task.step.spec.BestEffort {
 			w.rememberEnded(now, r)
@@ -114,7 +114,7 @@
 		return
 	}
 	j := t.step.job
-	t.lastEndedRun = max(t.lastEndedRun, e.Run)
+	t.recordEnded(e.Run)
 	if t.done || j.state.Final() {
 		return
 	}
@@ -252,7 +252,7 @@
 // of an unknown task, which it stops.
 func (s *State) adopt(now time.Time, w *worker, a *runner.ActiveRun) *run {
 	t := s.taskByID(a.Task)
-	if t != nil && a.Run <= t.lastEndedRun {
+	if t != nil && t.hasEnded(a.Run) {
 		return nil // this report was sent before that of its end
 	}
 	if t == nil {
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -42,8 +42,9 @@
 	lost bool
 	// ranBefore is the last run that counts as over.
 	ranBefore ranBefore
-	// lastEndedRun is the highest run number known to have ended.
-	lastEndedRun uint64
+	// endedRuns holds the numbers of the runs last known to have ended, at most
+	// maxEndedRuns. Of a speculative task a run with a lower number may be alive.
+	endedRuns []uint64
 	// perPercent is the time for one percent of it, in milliseconds, as last measured;
 	// 0 if it wasn't.
 	perPercent float32
@@ -67,6 +68,24 @@
 	}
 }
 
+// maxEndedRuns bounds the ended runs kept of a task. A report that still lists one as alive
+// was made before its end and arrives within seconds.
+const maxEndedRuns = 16
+
+// recordEnded records that a run is known to have ended.
+func (t *task) recordEnded(number uint64) {
+	if t.hasEnded(number) {
+		return
+	}
+	if len(t.endedRuns) == maxEndedRuns {
+		t.endedRuns = slices.Delete(t.endedRuns, 0, 1)
+	}
+	t.endedRuns = append(t.endedRuns, number)
+}
+
+// hasEnded reports whether a run is known to have ended.
+func (t *task) hasEnded(number uint64) bool { return slices.Contains(t.endedRuns, number) }
+
 // attach adds a run that may be alive.
 func (t *task) attach(r *run) {
 	if len(t.runs) == 0 && !t.done {
--- a/dispatch/withdrawjob.go
+++ b/dispatch/withdrawjob.go
@@ -35,6 +35,6 @@
 		return false
 	}
 	seen := false
-	j.eachTask(func(t *task) { seen = seen || t.started || t.lastEndedRun > 0 })
+	j.eachTask(func(t *task) { seen = seen || t.started || len(t.endedRuns) > 0 })
 	return !seen
 }
