election: an owner that loses most workers stops giving orders

Cause: the new owner waits for workers that don't answer until all leases are over that the previous owner may have given. An owner that can't commit gives orders for 20 s, and only an answer of its host shortens that, which a machine that was removed never gives.

Change: an owner whose last commit is 3 s old gives orders only while more than half of the workers that the durable roster may name have accepted one made in the last 5 s. Once more than half of the inherited roster has reported to a new owner, they refuse the previous one's token, so that it has lost them and stops within 5 s. Both majorities are of workers on the committed roster, so that they share one: the old owner counts as members also workers that it has added or removed and whose roster part may not be durable. A worker that has started again since the last applied commit doesn't count, as its new life knows no token. The owner's row says that its owner keeps to the rule, for releases that don't. After a pause of the process earlier acceptances don't count.

Weighed: a shorter validity for all (ends runs where the store is away), the membership list (a worker that is cut off from the store leaves it too), the word of other hosts (hosts that are gone never give it).

--- a/control/owner.go
+++ b/control/owner.go
@@ -102,6 +102,12 @@
 	stalledAt, refusedAt atomic.Int64
 	// refusedToken is the refusal for which a verification was last required.
 	refusedToken dispatch.RefusedToken
+	// acceptedUntil is the boottime until which most workers accept this owner's orders as
+	// far as is known.
+	acceptedUntil atomic.Int64
+	// predecessor is the epoch of the previous owner if that needs a majority of workers to
+	// give orders without commits, until they have reported to this one; 0 otherwise.
+	predecessor uint64
 	// earlier tracks until when the owners before this one may give orders.
 	earlier *election.EarlierOwners
 	// rosterEpochsKnown is set if the previous owner's row says that the roster tells in
@@ -170,7 +176,7 @@
 // recent enough, it needn't verify its ownership first, and it has neither ended nor
 // is about to give the domain up.
 func (o *Owner) ownershipValid() bool {
-	return o.commitAge() < election.Validity && !o.unverified() && !o.released.Load() && o.ctx.Err() == nil
+	return o.commitAge() < election.Validity && o.accepted() && !o.unverified() && !o.released.Load() && o.ctx.Err() == nil
 }
 
 // commitAge returns the time since the last applied commit began.
@@ -232,6 +238,8 @@
 	at := boottime()
 	o.verifyAfterStall(at)
 	o.endIfRefused(at)
+	o.updateAcceptance(now, at)
+	o.boundPredecessor(at)
 	o.cycleAt.Store(int64(at))
 	if o.handOver() {
 		o.pollWorkers(now) // renews the leases of running tasks until the handover is committed
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -110,6 +110,9 @@
 	// The load that made the previous owner use relays persists.
 	o.relayScaler.Restore(int(n.relaysPerZone.Load()))
 	o.rosterEpochsKnown = previous.RosterEpochs
+	if previous.NeedsMajority {
+		o.predecessor = previous.Epoch
+	}
 	o.inheritedReference, o.inheritedHosts = previous.Cores, previous.Hosts
 	o.predecessorHandedOver = previous.Resigned && previous.HandedOver && previous.Cores > opts.Cores
 	go n.announceOwnership(o.ctx, c.Record(), func(e election.EarlierOwner) {
--- a/control/verification.go
+++ b/control/verification.go
@@ -43,6 +43,7 @@
 		return
 	}
 	o.stalledAt.Store(int64(now))
+	o.state.ForgetAcceptances()
 	event.OwnershipInDoubt.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.String("why", "the process stood still"),
 		slog.Int64("stalled_ms", stalled.Milliseconds()))
 }
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -33,6 +33,8 @@
 	jobs []batchJob
 	// roster holds the workers in the roster parts that it writes.
 	roster []rosterEntry
+	// removed counts, by part of the roster that it writes, the workers removed before.
+	removed map[int]int
 	// ends holds the ends that are durable once the batch is.
 	ends []durableEnds
 }
@@ -234,6 +236,9 @@
 			w.leasable = w.leasable || e.leasedIn == s.cfg.Epoch
 		}
 	}
+	for part, n := range b.removed {
+		s.removedUnwritten[part] -= n
+	}
 	for _, e := range b.ends {
 		e.life.acknowledged = max(e.life.acknowledged, e.number)
 	}
--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -47,7 +47,9 @@
 			b.roster = append(b.roster, rosterEntry{w.info.ID, w.leasedIn})
 		}
 	}
+	b.removed = map[int]int{}
 	for part, row := range parts {
+		b.removed[part] = s.removedUnwritten[part]
 		write := infra.Write{Key: RosterPrefix + strconv.Itoa(part), Delete: len(row.Workers) == 0}
 		if !write.Delete {
 			value, err := msgpack.Marshal(row)
--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -45,6 +45,9 @@
 	// since its last answer failed, zero if it is responsive.
 	suspected         bool
 	unresponsiveSince time.Time
+	// acceptedAt is when the latest renewal was made that it has carried out. since is when
+	// it began, zero if no earlier life is known.
+	acceptedAt, since time.Time
 	// restarted is set if this owner has known an earlier life of the worker, which ended no
 	// later than at silentBefore.
 	restarted    bool
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -113,6 +113,7 @@
 	}
 	w.inheritedUntil = s.inheritedUntil(w.leasedIn)
 	s.awaitingReport[m.ID] = w
+	s.roster.inherited++
 }
 
 // EachWorker visits the IDs of all workers that may get orders, in order, from the one
@@ -153,6 +154,7 @@
 	delete(s.workers, w.info.ID)
 	s.sortedWorkers = nil
 	s.removedWorkers++
+	s.removedUnwritten[w.rosterPart()]++
 	s.dirtyRosterParts[w.rosterPart()] = true
 }
 
--- a/dispatch/newlife.go
+++ b/dispatch/newlife.go
@@ -63,7 +63,7 @@
 func (s *State) beginLife(now time.Time, w *worker, a runner.Answer) {
 	before := w.life
 	w.life = s.newLife(a.Incarnation)
-	w.restarted, w.before, w.silentBefore = true, before.incarnation, before.unresponsiveSince
+	w.restarted, w.since, w.before, w.silentBefore = true, now, before.incarnation, before.unresponsiveSince
 	if w.silentBefore.IsZero() {
 		w.silentBefore = now
 		s.recordOutage(w, now)
--- a/dispatch/ownerscenarios_test.go
+++ b/dispatch/ownerscenarios_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -335,3 +336,32 @@
 	s.replacedBy(s.hosts[1])
 	s.wantRestartWithin(restartBound)
 }
+
+// TestTaskRestartsSoonAfterOwnerGone guards against a long wait for an owner that never
+// answers, though most of its workers have reported to its successor.
+func TestTaskRestartsSoonAfterOwnerGone(t *testing.T) {
+	s, w := newScenario(t, 3, 3)
+	s.loseWorker(w)
+	s.hosts[0].remove()
+	s.replacedBy(s.hosts[1])
+	s.wantRestartWithin(election.AcceptanceWindow + soonRestart)
+}
+
+// TestTaskRunsOnceAcrossOwnersCutOffWithItsWorker guards against a second run of a task whose
+// worker is reached only by an owner that nobody and nothing else reaches: it must stop
+// renewing that lease before its successor, to which most workers have reported, takes the run
+// as over.
+func TestTaskRunsOnceAcrossOwnersCutOffWithItsWorker(t *testing.T) {
+	s, w := newScenario(t, 3, 4)
+	s.reachedOnlyBy(w, s.hosts[0], s.now.Add(forever))
+	for _, other := range s.workers {
+		if other != w {
+			s.cutFromWorker(s.hosts[0], other, s.now.Add(forever))
+		}
+	}
+	s.isolate(s.hosts[0], forever)
+	s.replacedBy(s.hosts[1])
+	s.wantRestartWithin(election.AcceptanceWindow + soonRestart)
+	s.run(restartBound)
+	s.wantRestart()
+}
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -46,16 +46,20 @@
 	// commit did.
 	committedAt, commitBegan time.Time
 	committing               bool
-	membersReadAt            time.Time
-	polling                  map[string]bool
-	nextPoll                 map[string]time.Time
+	// majorityReported is set once most workers of the inherited roster have reported.
+	majorityReported bool
+	membersReadAt    time.Time
+	polling          map[string]bool
+	nextPoll         map[string]time.Time
 	// done holds the tasks whose successful end it has recorded.
 	done []workload.TaskID
 }
 
 // valid reports whether the owner issues orders.
 func (o *simOwner) valid(now time.Time) bool {
-	return now.Sub(o.committedAt) < ownerValidity && !o.unverified(now)
+	age := now.Sub(o.committedAt)
+	accepted := age < election.MinorityValidity || now.Sub(o.state.MajorityAcceptedAt()) < election.AcceptanceWindow
+	return age < ownerValidity && accepted && !o.unverified(now)
 }
 
 // unverified reports whether the owner stood still and gives no orders until a commit is
@@ -68,6 +72,7 @@
 func (o *simOwner) verifyAfterStall(now time.Time) {
 	if !o.steppedAt.IsZero() && now.Sub(o.steppedAt) >= election.StaleAfter {
 		o.stalledAt = now
+		o.state.ForgetAcceptances()
 	}
 	o.steppedAt = now
 }
@@ -154,6 +159,12 @@
 	if o.ended {
 		return
 	}
+	if !o.majorityReported && o.state.ReportedByMajority() {
+		o.majorityReported = true
+		if o.earlier.ReplacedAtMajority(o.epoch-1, o.sinceStart()) {
+			o.setEarlierOrders()
+		}
+	}
 	if o.host.reachesStore(s.now) && s.storeUp() && s.now.Sub(o.membersReadAt) >= membersInterval {
 		o.membersReadAt = s.now
 		o.state.SetMembers(s.now, s.members.list(s.now, s.workers))
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -38,6 +38,9 @@
 	s.forgetCrashOf(w)
 	s.markChanged(w)
 	w.tokenSeen = max(w.tokenSeen, sent.Token)
+	if sent.To.At.After(w.acceptedAt) {
+		w.acceptedAt = sent.To.At
+	}
 	w.delivered = max(w.delivered, sent.Acknowledged)
 	ends := s.recordEnds(now, w, rep.Ends)
 	s.recordActive(now, w, rep.Active)
@@ -73,6 +76,9 @@
 	w.reported = true
 	s.markLeased(w)
 	w.extendLease(w.clockLowerBound(now) + s.cfg.Lease.Milliseconds())
+	if s.awaitingReport[w.info.ID] != nil {
+		s.roster.reported++
+	}
 	delete(s.awaitingReport, w.info.ID)
 	delete(s.inheritedRuns, w.hash)
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -66,6 +66,11 @@
 	copiesCheckedAt time.Time
 	// removedWorkers counts the workers removed so far.
 	removedWorkers uint64
+	// removedUnwritten counts, by part of the roster, the removed workers that the durable
+	// roster may still name.
+	removedUnwritten map[int]int
+	// roster describes the inherited roster.
+	roster rosterSize
 	// lives counts the lives of workers known so far; newLives holds what TakeNewLives
 	// returns next.
 	lives    uint64
@@ -127,7 +132,7 @@
 		cfg:      cfg,
 		model:    colocate.NewModelWithout(cfg.Disabled),
 		pace:     newPaceState(&cfg),
-		headroom: map[string]*headroom.Tracker{}, dirtyRosterParts: map[int]bool{},
+		headroom: map[string]*headroom.Tracker{}, dirtyRosterParts: map[int]bool{}, removedUnwritten: map[int]int{},
 		queues:         map[string]workload.Queue{},
 		jobs:           map[string]*job{},
 		workers:        map[string]*worker{},
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -28,7 +28,7 @@
 // owner doesn't let other weak hosts follow it without a delay.
 func Successor(previous *Record, self Record) Record {
 	self.Epoch, self.Seq, self.Resigned = previous.Epoch+1, 0, false
-	self.ListsEarlier, self.RosterEpochs = true, false
+	self.ListsEarlier, self.NeedsMajority, self.RosterEpochs = true, true, false
 	self.Cores, self.Hosts = max(self.Cores, previous.Cores), previous.Hosts
 	self.Earlier = earlierOwners(previous, &self)
 	return self
--- a/election/earlierowner.go
+++ b/election/earlierowner.go
@@ -11,6 +11,19 @@
 // workers that only it can reach.
 const Validity = 20 * time.Second
 
+// MinorityValidity is how long after the start of its last applied commit an owner gives
+// orders whether or not workers accept them. Later it gives them only while more than half of
+// the workers have accepted an order made within AcceptanceWindow. An owner that is cut off
+// with a few workers so stops before Validity.
+const MinorityValidity = 3 * time.Second
+
+// AcceptanceWindow is how long an accepted order counts as accepted. It spans two long polls.
+const AcceptanceWindow = 5 * time.Second
+
+// acceptanceSlack covers the time between an owner's look at its clocks and the order that
+// follows.
+const acceptanceSlack = 250 * time.Millisecond
+
 // maxClockDrift is how much slower than another host's the clock of a host may run.
 const maxClockDrift = 0.02
 
--- a/election/earlierowners.go
+++ b/election/earlierowners.go
@@ -63,3 +63,20 @@
 	}
 	return false
 }
+
+// ReplacedAtMajority records that more than half of the workers of an owner's roster have
+// accepted orders of its successor by now. As they refuse the owner's orders from then on, it
+// gives none after AcceptanceWindow if it needs a majority. It returns whether that is sooner
+// than what was known.
+func (e *EarlierOwners) ReplacedAtMajority(epoch uint64, now time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	until := now + withDrift(max(AcceptanceWindow, MinorityValidity)) + acceptanceSlack
+	for i := range e.pending {
+		if p := &e.pending[i]; p.Epoch == epoch && p.until > until {
+			p.until = until
+			return true
+		}
+	}
+	return false
+}
--- a/election/record.go
+++ b/election/record.go
@@ -33,6 +33,9 @@
 	// RosterEpochs is set once the roster tells in which epochs workers got leases, those
 	// of this owner included.
 	RosterEpochs bool `msgpack:"l,omitempty"`
+	// NeedsMajority is set by owners that give orders without commits only while most
+	// workers accept them (see MinorityValidity).
+	NeedsMajority bool `msgpack:"m,omitempty"`
 	// ListsEarlier is set by owners that keep Earlier.
 	ListsEarlier bool `msgpack:"k,omitempty"`
 	// Earlier lists the owners before this one that may still give orders, or leases of
