dispatch: the progress of a large job fits a row

Cause: the locations of the runs take 11 bytes each, so that the job's progress outgrew a row of 64 KB. The store refused every commit with it, and the owner repeated it without end.

Change: more than 4,000 locations are packed, in some 3 bytes each, with the workers in a table. Fewer are written as before, so that other releases read them.

Weighed: rows of their own for more locations (no bound, but the batch, the load and the removal of jobs then handle sets of rows), a limit on a job's runs (tasks that last would wait for good). The bound that remains, some 16,000 runs of one job on 4,300 workers, is above what the target size runs of all jobs of such a pool.

--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -31,6 +31,9 @@
 	Reason string `msgpack:"w,omitempty"`
 	// Running lists the workers where runs may be alive.
 	Running []RunLocation `msgpack:"r,omitempty"`
+	// PackedRunning holds them instead if they are more than maxPlainLocations, see
+	// packLocations. DecodeProgressRow unpacks it to Running.
+	PackedRunning []byte `msgpack:"b,omitempty"`
 	// Unproven lists those of Running whose task is suspect and whose worker hasn't
 	// reported the run.
 	Unproven []RunLocation `msgpack:"u,omitempty"`
@@ -158,6 +161,9 @@
 			row.Crashed = append(row.Crashed, t.crashedWorkers())
 		}
 	})
+	if len(row.Running) > maxPlainLocations {
+		row.Running, row.PackedRunning = nil, packLocations(row.Running)
+	}
 	return row
 }
 
@@ -278,5 +284,12 @@
 	if err := msgpack.Unmarshal(value, &row); err != nil {
 		return nil, errors.Wrap(err, "decode progress row")
 	}
+	if len(row.PackedRunning) > 0 {
+		packed, err := unpackLocations(row.PackedRunning)
+		if err != nil {
+			return nil, errors.Wrap(err, "decode progress row")
+		}
+		row.Running, row.PackedRunning = append(row.Running, packed...), nil
+	}
 	return &row, nil
 }
