dispatch: acknowledgments aren't withheld without end

Seen in a test: with a start to a worker under way at each poll, none of 792 ends was acknowledged in 20 s of simulated time. A worker lists at most 500 ends, so that it would list no later ones and jobs would stand still.

Cause: a renewal acknowledges nothing while a start isn't answered, and nothing bounds how long that lasts. A busy worker whose round trip is long beside the time between two starts always has one under way.

Change: once acknowledgments were withheld for a second, the worker gets no new starts until a renewal acknowledges. A renewal that withholds them isn't held by the worker. The comment on acknowledgedUnder says what the code does.

Evidence: TestEndsAreAcknowledgedThoughStartsGoOn fails before (792 of 792 ends listed) and passes now; go test ./dispatch ./control passes.

Why it holds: the starts under way are answered within a round trip each, or get no answer, which a poll under a raised token resolves.

--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -32,9 +32,12 @@
 	// they are durable, and delivered that up to which it is known to have forgotten them.
 	ends                    endNumbers
 	acknowledged, delivered uint64
-	// acknowledgedUnder is the token of the last renewal that acknowledges ends, unless
-	// that was answered; 0 if none is under way.
+	// acknowledgedUnder is the token of the last renewal that acknowledges ends, answered or
+	// not; 0 if there was none.
 	acknowledgedUnder uint64
+	// withheldSince is the first renewal since the last acknowledging one that couldn't
+	// acknowledge its ends, as a start was under way; zero if there was none.
+	withheldSince time.Time
 	// refusesWrongly is set once it has refused this owner's newest token although the
 	// owner wasn't replaced, until it answers. Its refusals then count as no answer.
 	refusesWrongly bool
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -38,15 +38,16 @@
 		return runner.Worker{}, runner.Renewal{}, false
 	}
 	o := runner.Renewal{To: w.addressee(now), Token: w.token}
-	if w.acknowledged > w.delivered && !w.startUnanswered() {
-		o.Acknowledged, w.acknowledgedUnder = w.acknowledged, w.token
+	if w.acknowledged > w.delivered {
+		o.Acknowledged = s.acknowledge(now, w)
 	}
 	if extend && !w.suspected && w.leasable {
 		// A suspected worker gets no lease: each one sent would delay the time
 		// at which its runs are known to have ended.
 		o.LeaseUntil = s.leaseFor(now, w)
 	}
-	if w.leasable && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.ends.prefix == w.acknowledged {
+	if w.leasable && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.ends.prefix == w.acknowledged &&
+		w.withheldSince.IsZero() {
 		o.WaitMS = longPoll.Milliseconds()
 		if s.needsFrequentPolls(now, w) {
 			o.WaitMS = tailWindow.Milliseconds()
@@ -55,6 +56,31 @@
 	return w.info, o, true
 }
 
+// maxWithheld is how long acknowledgments may be withheld from a worker before it gets no
+// new starts. The starts under way are answered meanwhile, within a round trip each.
+// Otherwise a busy worker far away would always have one under way, and once it lists
+// runner.MaxEnds ends, it lists no later ones.
+const maxWithheld = time.Second
+
+// acknowledge returns the number up to which a renewal acknowledges the worker's ends, 0 if
+// that has to wait for the answer to a start.
+func (s *State) acknowledge(now time.Time, w *worker) uint64 {
+	if !w.startUnanswered() {
+		w.acknowledgedUnder, w.withheldSince = w.token, time.Time{}
+		return w.acknowledged
+	}
+	if w.withheldSince.IsZero() {
+		w.withheldSince = now
+	}
+	return 0
+}
+
+// startsWait reports whether the worker gets no new starts, as its ends have to be
+// acknowledged first.
+func (l *life) startsWait(now time.Time) bool {
+	return !l.withheldSince.IsZero() && now.Sub(l.withheldSince) >= maxWithheld
+}
+
 // startUnanswered reports whether a start is under way of which it isn't known whether this
 // life of the worker has carried it out. Until then no ends are acknowledged: a worker that
 // has started again may have carried it out and ended it, under a number that was listed in
--- /dev/null
+++ b/dispatch/withheldacknowledgment_test.go
@@ -0,0 +1,36 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fireflygate/fireflygate/dispatch"
+	"github.com/fireflygate/fireflygate/runner"
+)
+
+// TestEndsAreAcknowledgedThoughStartsGoOn guards against a worker whose ends are never
+// acknowledged, as a start to it is always under way: its list would reach its maximum length,
+// and later ends wouldn't be listed any more.
+func TestEndsAreAcknowledgedThoughStartsGoOn(t *testing.T) {
+	life := newLifeRig(t)
+	life.submit(queueShort, "job", step(1000, 2))
+	var running, underWay []dispatch.StartOrder
+	longest := 0
+	for range 200 {
+		for _, o := range running {
+			life.end(o, runner.EndDone)
+		}
+		life.poll() // the starts of the last tick aren't answered yet
+		longest = max(longest, len(life.ends))
+		for _, o := range underWay {
+			life.start(o)
+		}
+		running, underWay = underWay, life.state.PlanAtMost(life.now, 4).Starts
+	}
+	if life.lastEnd < 200 {
+		t.Errorf("%d runs ended in 20 s, want more", life.lastEnd)
+	}
+	if atMost := int(2 * time.Second / testTick * 8); longest > atMost {
+		t.Errorf("%d ends weren't acknowledged, want at most %d", longest, atMost)
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -74,7 +74,7 @@
 // usableIfOpen reports whether new tasks may go to the worker if its zone is open. While its
 // entry is of another life, its capacity isn't known.
 func (w *worker) usableIfOpen(now time.Time) bool {
-	return w.listed && w.reported && !w.info.Incarnation.Differs(w.incarnation) && !w.suspected && w.unresponsiveSince.IsZero() && !w.info.Draining && !w.unknownRun && now.After(w.pausedUntil)
+	return w.listed && w.reported && !w.info.Incarnation.Differs(w.incarnation) && !w.suspected && w.unresponsiveSince.IsZero() && !w.info.Draining && !w.unknownRun && now.After(w.pausedUntil) && !w.startsWait(now)
 }
 
 // eventuallyFree returns what is free once every run that ends by itself has.
