--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -279,7 +279,7 @@
 // adds the start order to the plan.
 func (c *cycle) start(t *task, w *worker, number uint64) {
 	r := &run{
-		task: t, number: number, token: c.s.startToken(w), worker: w, life: w.life.number, phase: ordered,
+		task: t, number: number, token: c.s.startToken(w), worker: w, life: w.number, phase: ordered,
 		startedAt: c.now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU, separate: t.suspect(),
 		sending: new(Sending),
 	}
