dispatch: a worker that has started again keeps its address

Seen in a test: a task was taken for over and could have been started again while it ran. A worker had started again under its ID and carried a start out; before its first report, a registry entry with another address replaced the address at which it had answered, and the answer of the worker at that address (421) counted as the end of its runs.

Cause: an entry may change the address of a worker that hasn't reported, as such a worker held no runs. Since a new life begins unreported, one that holds runs also hasn't.

Change: the address of a worker that has started again stays until its leases are over, as that of one that has reported.

Evidence: TestReturnedWorkerKeepsItsAddress fails before and passes now.

Why it holds: restarted is part of the life and stays with it; a worker that is removed and listed again has a new life without it.

--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -47,11 +47,12 @@
 }
 
 // addressConflicts reports whether an entry changes the address of a worker
-// that may hold runs. An incarnation keeps its address; another incarnation's
-// answer at a wrong address would count as the end of those runs.
+// that may hold runs, which one that has started again under its ID also may before it
+// reports. An incarnation keeps its address; another incarnation's answer at a wrong
+// address would count as the end of those runs.
 func (s *State) addressConflicts(m *runner.Worker) bool {
 	w := s.workers[m.ID]
-	return w != nil && w.info.Address != m.Address && (w.reported || s.awaitingReport[m.ID] != nil)
+	return w != nil && w.info.Address != m.Address && (w.reported || w.restarted || s.awaitingReport[m.ID] != nil)
 }
 
 // rejectEntry handles an entry that can't be used. Its worker gets no new tasks.
