dispatch: a start that crashes its worker unanswered counts

Seen in a test: a task whose start crashed its worker before the answer was started again without end (67 workers crashed in 20 s of simulated time), if the workers started again under their IDs.

Cause: of an earlier life's runs, only confirmed ones counted as lost with it. A start without an answer counted as never carried out. Before, a worker that started again had a new ID, whose answer (421) counts all runs as lost, answered or not.

Change: a start that got no answer, made before the life before fell silent, counts as lost with it.

Evidence: TestUnansweredCrashOfReturnedWorkerCounts fails before and passes now, with four crashes as for a start that was answered; go test ./dispatch passes.

Why it holds: a worker that crashes under a start is found unresponsive no earlier than the start is sent. As with a 421, starts sent to it before it was found unresponsive count too.

--- a/dispatch/newlife.go
+++ b/dispatch/newlife.go
@@ -83,13 +83,14 @@
 
 // endEarlierLives ends the runs of earlier lives that a complete report of this one doesn't
 // list. The report is under a token that is higher than those of all orders for earlier lives,
-// so that none of their starts can be carried out any more.
+// so that none of their starts can be carried out any more. Those that got no answer before
+// the life before fell silent count as lost like the others, as they may have crashed it.
 func (s *State) endEarlierLives(now time.Time, w *worker) {
 	var lost []*run
 	for _, r := range slices.Clone(w.runsByNumber) {
 		switch {
 		case r.life == w.number:
-		case r.confirmed:
+		case r.confirmed, r.phase == uncertain && !r.startedAt.After(w.silentBefore):
 			lost = append(lost, r)
 		default:
 			s.releaseRun(now, r, StartFenced)
