dispatch: an unanswered start counts the longest lease

Seen in a test: a task was started again after 6.5 s although its run could last for 10 s. Its start had got no answer; the worker had started again under its ID before it carried the start out, and answered nothing afterwards.

Cause: a start gives a lease by the clock of the life that it was made for. On the clock of the next life it ends far in the future, so that the worker cuts it to its longest lease (MaxLease, 10 s), while the owner counts Lease (6 s). Once a new life is known its leases count as MaxLease; here no answer ever showed it.

Change: when the lease of a silent worker is over, runs whose start was never confirmed stay until one of MaxLease would be over too, and a commit confirmed the ownership since. Other runs end as before: a start that was answered is known to be of a life whose clock is known.

Why it holds: a worker grants no more than MaxLease from the moment at which it carries an order out. Orders that are carried out late, after the owner counted them, may still last longer by that delay.

--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -28,6 +28,9 @@
 	// leaseOverAt is when its leases were found to be over, zero if they weren't since
 	// the last was given.
 	leaseOverAt time.Time
+	// longestOverAt is the same for leases that a later life may have cut to the longest one,
+	// see longestLeaseOver.
+	longestOverAt time.Time
 	// ends holds the numbers of its recorded ends. acknowledged is the number up to which
 	// they are durable, and delivered that up to which it is known to have forgotten them.
 	ends                    endNumbers
@@ -114,5 +117,5 @@
 
 // extendLease records a lease that an order gives, or may have given.
 func (l *life) extendLease(until int64) {
-	l.leaseUntil, l.leaseOverAt = max(l.leaseUntil, until), time.Time{}
+	l.leaseUntil, l.leaseOverAt, l.longestOverAt = max(l.leaseUntil, until), time.Time{}, time.Time{}
 }
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -193,7 +193,7 @@
 	for _, w := range s.byID() {
 		id := w.info.ID
 		if !w.leaseExpired(now) {
-			w.leaseOverAt = time.Time{}
+			w.leaseOverAt, w.longestOverAt = time.Time{}, time.Time{}
 			continue
 		}
 		unreported := s.awaitingReport[id] != nil && !w.reported
@@ -202,7 +202,7 @@
 				continue
 			}
 			delete(s.awaitingReport, id)
-			s.dropLostRuns(now, w, LeaseExpired)
+			s.dropRuns(now, w, s.expiredRuns(now, w), LeaseExpired)
 		}
 		s.removeIfExpired(w, now)
 	}
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -33,6 +33,8 @@
 	startedAt time.Time
 	// disabled names the policy mechanisms that are switched off.
 	disabled mechanism.Set
+	// maxLease is the longest lease that workers grant, 0 if the State isn't told.
+	maxLease time.Duration
 	// workerPace is set if the State learns the speed of workers.
 	workerPace bool
 	// jobs holds the submitted jobs.
@@ -99,7 +101,7 @@
 func (r *rig) startOwner(epoch uint64) {
 	r.epoch = epoch
 	r.state = dispatch.New(dispatch.Config{
-		Epoch: epoch, Lease: testLease, Retention: time.Minute,
+		Epoch: epoch, Lease: testLease, MaxLease: r.maxLease, Retention: time.Minute,
 		NoCapacityPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Disabled: r.disabled,
 		WorkerPace: r.workerPace,
 	})
