dispatch, control: ends of a job that can't be decoded are kept

Callers were told that the job doesn't exist (410), and a submission that arrived again replaced its rows.

Cause: an end of a task that isn't known is acknowledged. A job whose rows can't be decoded was taken for one that doesn't exist.

Change: ends of such jobs that are done or failed are written to ends/ID, in a batch no later than the one after which they are acknowledged. An owner that can decode the job applies them, and deletes the row with the job's next change. Until then, requests for the state and cancels are refused, and a submission is answered as accepted.

Evidence: TestEndsOfUnreadableJobAreKept starts three tasks again if nothing is kept, and one (the failed one) now. TestLoadAppliesEndsOfUnreadableOwner and TestUnreadableJobExists guard the load and the requests. go test ./dispatch ./control passes.

Why it holds: ends count as durable only with a batch after which no change is left, and the ends of such jobs are among the changes. The row is deleted in the transaction that writes the job's progress. A take-over reads one page more.

--- a/control/load.go
+++ b/control/load.go
@@ -38,15 +38,12 @@
 	defer cancel(nil)
 	o.recordLoadProgress()
 	go o.endStalledLoad(ctx, cancel)
-	rows, err := o.scanAll(ctx, dispatch.ProgressPrefix, dispatch.JobPrefix, dispatch.RosterPrefix)
+	rows, err := o.scanAll(ctx, dispatch.ProgressPrefix, dispatch.JobPrefix, dispatch.RosterPrefix, dispatch.EndsPrefix)
 	if err != nil {
 		return err
 	}
-	progress, jobs, roster := rows[0], rows[1], rows[2]
-	byJob := make(map[string]infra.Row, len(progress))
-	for _, row := range progress {
-		byJob[strings.TrimPrefix(row.Key, dispatch.ProgressPrefix)] = row
-	}
+	jobs, roster := rows[1], rows[2]
+	progress, ends := byJob(rows[0], dispatch.ProgressPrefix), byJob(rows[3], dispatch.EndsPrefix)
 	for i, row := range jobs {
 		if i%jobsPerLoadCheck == 0 {
 			o.recordLoadProgress()
@@ -54,7 +51,7 @@
 				return err
 			}
 		}
-		o.restoreJob(row, byJob)
+		o.restoreJob(row, progress, ends)
 	}
 	if err := o.loadEstimates(ctx); err != nil {
 		return err
@@ -87,20 +84,48 @@
 	}
 }
 
+// byJob returns rows by the IDs of their jobs, which follow the prefix of their keys.
+func byJob(rows []infra.Row, prefix string) map[string]infra.Row {
+	found := make(map[string]infra.Row, len(rows))
+	for _, row := range rows {
+		found[strings.TrimPrefix(row.Key, prefix)] = row
+	}
+	return found
+}
+
 // restoreJob restores a job from its rows. Jobs whose rows can't be decoded are
-// skipped.
-func (o *Owner) restoreJob(row infra.Row, progress map[string]infra.Row) {
+// skipped; ends of their runs are kept for a release that can.
+func (o *Owner) restoreJob(row infra.Row, progress, ends map[string]infra.Row) {
+	id := strings.TrimPrefix(row.Key, dispatch.JobPrefix)
+	recorded := o.decodeEnds(ends[id])
 	job, err := dispatch.DecodeJobRow(row.Value)
 	var p *dispatch.ProgressRow
-	if found, ok := progress[strings.TrimPrefix(row.Key, dispatch.JobPrefix)]; ok && err == nil {
+	if found, ok := progress[id]; ok && err == nil {
 		p, err = dispatch.DecodeProgressRow(found.Value)
 	}
 	if err != nil {
 		event.RowUnreadable.Log(o.opts.Log, slog.Any("key", row.Key), slog.Any("err", err))
+		o.state.SkipJob(id, recorded)
 		return
 	}
 	now := time.Now()
 	o.state.RestoreJob(now, now.UnixMilli(), job, p)
+	if recorded != nil {
+		o.state.RestoreEnds(now, id, recorded)
+	}
+}
+
+// decodeEnds decodes a row of ends, nil if there is none or it can't be decoded.
+func (o *Owner) decodeEnds(row infra.Row) *dispatch.EndsRow {
+	if row.Key == "" {
+		return nil
+	}
+	ends, err := dispatch.DecodeEndsRow(row.Value)
+	if err != nil {
+		event.RowUnreadable.Log(o.opts.Log, slog.String("key", row.Key), slog.Any("err", err))
+		return nil
+	}
+	return ends
 }
 
 // restoreRoster restores the workers on which runs may be alive from their rows, and
--- a/control/requests.go
+++ b/control/requests.go
@@ -78,7 +78,7 @@
 // request ends sooner, with this attempt.
 func (o *Owner) submitBefore(ctx context.Context, spec *workload.Job, q workload.Queue, deadline time.Time) reply {
 	return o.runOnLoop(ctx, func(answer chan reply) {
-		if o.state.JobStored(spec.ID) {
+		if o.state.JobStored(spec.ID) || o.state.JobUnreadable(spec.ID) {
 			answer <- reply{Result: ResultDone}
 			return
 		}
@@ -138,8 +138,12 @@
 
 // answerUnknownJob returns the reply for a job that this owner doesn't know. If
 // its last commit is old, another owner may have taken over and accepted the
-// job, so the request is refused.
+// job, so the request is refused. So is one for a job whose rows can't be decoded: it
+// exists.
 func (o *Owner) answerUnknownJob(id string) reply {
+	if o.state.JobUnreadable(id) {
+		return refusal(minRetryAfter)
+	}
 	if age := o.commitAge(); age > election.StaleAfter {
 		event.UnknownJobRefused.Log(o.opts.Log, slog.String("job", id), slog.Int64("commit_age_ms", age.Milliseconds()))
 		return refusal(minRetryAfter)
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -107,7 +107,7 @@
 	}
 	var remaining []*job
 	for _, j := range s.dirty {
-		if len(b.Writes)+2 > limit || !include(j) {
+		if len(b.Writes)+j.maxWrites() > limit || !include(j) {
 			remaining = append(remaining, j)
 			continue
 		}
@@ -117,13 +117,25 @@
 		j.dirty, j.urgent = false, false
 	}
 	s.dirty = remaining
-	if len(s.dirty) == 0 {
+	complete, err := s.flushUnreadable(b, limit)
+	if err != nil {
+		return nil, err
+	}
+	if len(s.dirty) == 0 && complete {
 		b.ends = s.unacknowledged()
 		s.flushExpired(now, b, limit)
 	}
 	return b, nil
 }
 
+// maxWrites is the maximum number of writes of addJob.
+func (j *job) maxWrites() int {
+	if j.hasEndsRow {
+		return 3
+	}
+	return 2
+}
+
 // addJob writes a job's progress and, the first time, its row. The run
 // locations in the row count as durable from now on: a later owner may read
 // them before this one learns that the commit succeeded.
@@ -142,6 +154,10 @@
 		}
 		b.Writes = append(b.Writes, infra.Write{Key: ProgressPrefix + j.spec.ID, Value: value})
 	}
+	if j.hasEndsRow {
+		b.Writes = append(b.Writes, infra.Write{Key: EndsPrefix + j.spec.ID, Delete: true})
+		j.hasEndsRow = false
+	}
 	locations := j.locations()
 	for t, workers := range locations {
 		t.locations = appendMissing(t.locations, workers)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -20,6 +20,8 @@
 	// collected is set once a batch contains the job. The batch may be sent, and
 	// applied, at any time from then on.
 	collected bool
+	// hasEndsRow is set while the store has a row of ends that was applied to the job.
+	hasEndsRow bool
 	// oversized is set if, as it was accepted, one of its steps needed more than any worker
 	// of its pool has. It waits for a larger worker, and not for capacity.
 	oversized bool
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -111,6 +111,7 @@
 	t := s.taskByID(e.Task)
 	if t == nil {
 		s.find(EndOfUnknownTask, w, e.Task, e.Run, e.Number)
+		s.recordUnreadable(&e)
 		return
 	}
 	j := t.step.job
@@ -179,6 +180,11 @@
 // one task.
 func (s *State) taskFailed(now time.Time, w *worker, t *task, number uint64) {
 	t.failedOn = append(t.failedOn, w.info.ID)
+	s.countFailure(now, t, number)
+}
+
+// countFailure counts a failed run as an attempt, once.
+func (s *State) countFailure(now time.Time, t *task, number uint64) {
 	if t.step.spec.LongRunning {
 		return
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -89,6 +89,8 @@
 	losses []WorkerLoss
 	// findings holds what TakeFindings returns next.
 	findings []Finding
+	// unreadable holds the jobs of earlier owners whose rows can't be decoded.
+	unreadable map[string]*unreadableJob
 	// crashedUnder holds, by the hash of a lost worker's ID, the tasks that record
 	// its loss. inheritedRuns holds, by the same hash, the tasks of which a run may be
 	// alive on a worker of an earlier owner that hasn't reported.
@@ -130,6 +132,7 @@
 		headroom: map[string]*headroom.Tracker{}, dirtyRosterParts: map[int]bool{},
 		queues:         map[string]workload.Queue{},
 		jobs:           map[string]*job{},
+		unreadable:     map[string]*unreadableJob{},
 		workers:        map[string]*worker{},
 		claims:         map[string]*claim{},
 		awaitingReport: map[string]*worker{},
