--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -33,7 +33,7 @@
 	startedAt time.Time
 	// disabled names the policy mechanisms that are switched off.
 	disabled mechanism.Set
-	// maxLease is the longest lease that workers grant, 0 if there is no limit.
+	// maxLease is the longest lease that workers grant, 0 if the State isn't told.
 	maxLease time.Duration
 	// workerPace is set if the State learns the speed of workers.
 	workerPace bool
