ownership: a session of an earlier process ends no later one

Callers that repeat a non-idempotent request at another host were told that its outcome is lost while the request still ran: the claimant's host had just started again. A host claims keys as soon as it is ready, which may be before the first commit of its session.

Cause: Alive compared incarnations for inequality and took any other one, or a missing row, for a later process. The session row of a host that starts again is that of the process before until its first renewal is applied. Change: Alive gets the version of the row that the process wrote. Only a session whose incarnation was first seen at a later version of the table replaces the process. A session of before, or none, proves nothing until one session after the question: by then the process has opened its own or has ended.

Ruled out: claims only after the session is open, which refuses requests at each start; order by time of day, which jumps.

Why it holds: versions are those of the whole table. A row of a process is written before any of a later one under its host's name, except for a commit that is applied after its sender's end; that one is told by the time. Left: the last renewal of an ended process, applied after the claim of the next and read by a host that never read that session before, still counts as later until the next process opens its session.

Before: TestProcessWithoutSessionIsAlive failed in both cases (b-2 counts as dead). After: it passes, with TestProcessThatNeverOpensItsSessionIsDead as the other bound, and all tests of ownership, ownerdriver, booking and gate (-race).

--- a/booking/claim.go
+++ b/booking/claim.go
@@ -137,7 +137,7 @@
 	}
 	found, neverRan := existingOutcome{}, b.isUndispatched(held)
 	if !neverRan {
-		found, neverRan = b.askOrReread(ctx, key, held)
+		found, neverRan = b.askOrReread(ctx, key, held, current.Version)
 	}
 	if neverRan {
 		return b.remove(ctx, key, current.Version), existingOutcome{refusal: notRun(ReasonStoreUnavailable, defaultRetryAfter)}
--- a/booking/options.go
+++ b/booking/options.go
@@ -33,10 +33,11 @@
 	Objects infra.Objects
 	// Peers calls claimants on other entry hosts; nil if there are none.
 	Peers peer.Transport
-	// Alive reports whether a claimant's session may still be live. It may
+	// Alive reports whether the session of a claimant, whose claim has the given
+	// version, may still be live or may not be open yet. It may
 	// return true for a while after the session has ended, but never false
 	// while the session is live.
-	Alive func(host, incarnation string) bool
+	Alive func(host, incarnation string, version uint64) bool
 	// Window returns how long outcomes are kept.
 	Window func() time.Duration
 	// InlineBody is the largest body stored in the row, in bytes. Larger bodies
--- a/booking/replay.go
+++ b/booking/replay.go
@@ -25,10 +25,10 @@
 
 // askOrReread returns the outcome of an unfinished claim of another process, or
 // reports that the claimant never ran the request. It asks the claimant if that
-// may be alive, and otherwise reads the row again.
-func (b *Registry) askOrReread(ctx context.Context, key string, held row) (found existingOutcome, neverRan bool) {
+// may be alive, and otherwise reads the row again. version is that of the claim's row.
+func (b *Registry) askOrReread(ctx context.Context, key string, held row, version uint64) (found existingOutcome, neverRan bool) {
 	reason, after := ReasonLost, time.Duration(0)
-	if b.opt.Alive(held.Host, held.Incarnation) {
+	if b.opt.Alive(held.Host, held.Incarnation, version) {
 		reason, after = ReasonInProgress, defaultRetryAfter
 		reply, ok := b.askClaimant(ctx, key, held)
 		if ok && reply.NeverRan {
--- a/ownership/alive.go
+++ b/ownership/alive.go
@@ -13,12 +13,12 @@
 	asked, until time.Time
 }
 
-// Alive reports whether a process may still run. It returns false only if a
-// later process of its host has replaced it, or if its session has lapsed
-// according to a read sent after the first call for this process; true if
-// nothing is known. For a process of another host it opens or extends an
-// inquiry, so that the host's session row is read.
-func (m *Machine) Alive(now time.Time, host, incarnation string) (bool, []Action) {
+// Alive reports whether a process may still run that wrote a row of the given
+// version. It returns false only if a later process of its host has replaced it, or
+// if its session has lapsed according to a read sent after the first call for this
+// process; true if nothing is known. For a process of another host it opens or
+// extends an inquiry, so that the host's session row is read.
+func (m *Machine) Alive(now time.Time, host, incarnation string, version uint64) (bool, []Action) {
 	if host == m.cfg.Host {
 		isReplaced := incarnation != m.cfg.Incarnation && m.session.written && !m.session.replaced
 		return !isReplaced, nil
@@ -36,14 +36,19 @@
 	if o == nil || o.readSentAt.Before(q.asked) {
 		return true, actions
 	}
-	if o.version == 0 {
-		// A session row is deleted only long after the session has lapsed.
+	lapse := m.cfg.lapseTime(o.bounds)
+	switch {
+	case o.version != 0 && o.incarnation == "":
+		return true, actions // the row can't be decoded
+	case o.version != 0 && o.incarnation == incarnation:
+		return o.readSentAt.Before(o.versionSince.Add(lapse)), actions
+	case o.version != 0 && o.incarnationVersion > version:
 		return false, actions
+	default:
+		// The session is of an earlier process, or was deleted. The process asked about
+		// has written its row before it opened its session, or it has ended.
+		return o.readSentAt.Before(q.asked.Add(lapse)), actions
 	}
-	if o.incarnation != incarnation {
-		return o.incarnation == "", actions
-	}
-	return o.readSentAt.Before(o.versionSince.Add(m.cfg.lapseTime(o.bounds))), actions
 }
 
 // inquiredHosts returns the hosts with open inquiries, and deletes expired
--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -16,8 +16,10 @@
 	bounds   Bounds
 	// versionSince is when this version was first seen.
 	versionSince time.Time
-	// incarnationSince is when this incarnation was first seen.
-	incarnationSince time.Time
+	// incarnationSince is when this incarnation was first seen, incarnationVersion the
+	// version of the row then.
+	incarnationSince   time.Time
+	incarnationVersion uint64
 	// readSentAt is when the row was last read, by a request sent at readSentAt.
 	readAt, readSentAt time.Time
 }
@@ -71,6 +73,7 @@
 	}
 	o.incarnation = value.Incarnation
 	o.incarnationSince = now
+	o.incarnationVersion = row.Version
 }
 
 // shardSeen handles a shard's row, read by a request sent at sentAt. It adopts
