batch: random runs with workers that start again and list runs in any order

The fake workers of the tests never began another life, so that no random run compared numbers of two lives. Now a worker can start again under its name and address: its incarnation, clock, sequence numbers and all that it has received are new. It can list its runs in the opposite order, too. The random faults ask for both.

--- a/batch/soak_test.go
+++ b/batch/soak_test.go
@@ -82,8 +82,8 @@
 // injectSoakFault causes at most one random fault and returns the shard's owner
 // after it.
 func injectSoakFault(r *rig, rnd *rand.Rand, n *node, step int) *node {
-	worker := fmt.Sprint("w", rnd.IntN(soakWorkers))
-	switch rnd.IntN(9) {
+	worker := r.members[rnd.IntN(soakWorkers)].Address
+	switch rnd.IntN(12) {
 	case 0:
 		r.workers.set(worker, func(w *fakeWorker) { w.cut = !w.cut })
 	case 1:
@@ -106,6 +106,10 @@
 		r.own(n)
 		r.advanceTime(time.Duration(rnd.IntN(3000)) * time.Millisecond)
 		old.kill()
+	case 8:
+		r.workers.restart(worker)
+	case 9:
+		r.workers.set(worker, func(w *fakeWorker) { w.newestFirst = !w.newestFirst })
 	}
 	return n
 }
@@ -113,7 +117,7 @@
 // clearFaults clears all faults.
 func clearFaults(r *rig) {
 	r.table.Set(func(f *memtable.Faults) { *f = memtable.Faults{} })
-	for i := range soakWorkers {
-		r.workers.set(fmt.Sprint("w", i), func(w *fakeWorker) { w.cut, w.loseReplies, w.loseCheckpoints = false, 0, false })
+	for address := range r.workers.hosts {
+		r.workers.set(address, func(w *fakeWorker) { w.cut, w.loseReplies, w.loseCheckpoints, w.newestFirst = false, 0, false, false })
 	}
 }
--- a/batch/workers_test.go
+++ b/batch/workers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -29,7 +30,10 @@
 
 // fakeWorker is one worker host.
 type fakeWorker struct {
-	name        string
+	name string
+	// life counts the lives of the worker under its name. Sequence numbers, the clock and
+	// all that a life has received are its own.
+	life        int
 	startedAt   time.Time
 	ownerEpoch  uint64
 	leaseUntil  time.Time
@@ -48,6 +52,17 @@
 	cutAfterLostReply bool          // becomes unreachable with the next lost reply
 	lag               time.Duration // delay of an exchange in flight
 	slowStop          time.Duration // from lease expiry to the end of the run
+	newestFirst       bool          // lists the runs in the opposite order
+}
+
+// incarnation identifies the life of the worker.
+func (w *fakeWorker) incarnation() string { return fmt.Sprint(w.name, "#", w.life) }
+
+// beginLife resets all that belongs to one life.
+func (w *fakeWorker) beginLife() {
+	w.life++
+	w.startedAt, w.ownerEpoch, w.leaseUntil, w.seq = time.Now(), 0, time.Time{}, 0
+	w.runs, w.newestEpoch, w.tombstones = map[infra.RunID]*fakeRun{}, map[string]uint64{}, map[infra.RunID]bool{}
 }
 
 // fakeWorkers implements infra.Workers with fake workers by address.
@@ -63,13 +78,40 @@
 func newFakeWorkers(names ...string) *fakeWorkers {
 	f := &fakeWorkers{hosts: map[string]*fakeWorker{}}
 	for _, n := range names {
-		f.hosts[n] = &fakeWorker{
-			name: n, startedAt: time.Now(), runs: map[infra.RunID]*fakeRun{}, newestEpoch: map[string]uint64{}, tombstones: map[infra.RunID]bool{},
-		}
+		f.add(n, n)
 	}
 	return f
 }
 
+// add adds an idle worker at an address. One of the same name at another address is
+// another machine.
+func (f *fakeWorkers) add(name, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &fakeWorker{name: name}
+	for _, other := range f.hosts {
+		if other.name == name {
+			w.life = max(w.life, other.life)
+		}
+	}
+	w.beginLife()
+	f.hosts[address] = w
+}
+
+// restart ends all runs of a worker, which starts again under its name and address.
+func (f *fakeWorkers) restart(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.hosts[address]
+	f.advance(w, time.Now())
+	for _, r := range w.runs {
+		if r.report.State == infra.RunRunning {
+			f.end(w, r, infra.RunExpired, time.Now())
+		}
+	}
+	w.beginLife()
+}
+
 // set changes a worker's faults.
 func (f *fakeWorkers) set(name string, change func(*fakeWorker)) {
 	f.mu.Lock()
@@ -110,8 +152,9 @@
 func (f *fakeWorkers) apply(w *fakeWorker, x infra.Exchange) infra.ExchangeReply {
 	now := time.Now()
 	clockMS := now.Sub(w.startedAt).Milliseconds()
-	if x.Incarnation == "" && x.Starts() || x.Incarnation != "" && clockMS > x.ValidUntilMS {
-		return infra.ExchangeReply{Stale: true, Incarnation: w.name, ClockMS: clockMS}
+	other := x.Incarnation != "" && (x.Incarnation != w.incarnation() || clockMS > x.ValidUntilMS)
+	if other || x.Incarnation == "" && x.Starts() {
+		return infra.ExchangeReply{Stale: true, Incarnation: w.incarnation(), ClockMS: clockMS}
 	}
 	if x.OwnerEpoch < w.ownerEpoch {
 		f.refused++
@@ -126,13 +169,16 @@
 		f.order(w, o, now)
 	}
 	f.advance(w, now)
-	reply := infra.ExchangeReply{Seq: w.seq, FullList: x.Since == 0, Incarnation: w.name, ClockMS: clockMS}
+	reply := infra.ExchangeReply{Seq: w.seq, FullList: x.Since == 0, Incarnation: w.incarnation(), ClockMS: clockMS}
 	for _, r := range w.runs {
 		if x.Since == 0 || r.seq > x.Since {
 			reply.Runs = append(reply.Runs, r.report)
 		}
 	}
 	slices.SortFunc(reply.Runs, func(a, b infra.RunReport) int { return strings.Compare(a.Run.Job, b.Run.Job) })
+	if w.newestFirst {
+		slices.Reverse(reply.Runs)
+	}
 	return reply
 }
 
