batch: runs at a worker's earlier address go on until their leases end

Callers could see a job in two places: a worker is listed at another address, where another machine has its name, and the job is started again at once while the machine at the address before, which may only be cut off, still runs it.

Cause: the worker's name stood for the machine. The list of runs of the one at the new address, which has none, was compared with the records of runs at the old one, which then counted as over. Orders for them went to the new machine as well: a start under way would have run there a second time.

Change: the record of a start holds the address that it is sent to. Runs at another address than the worker's get no orders, and count as over only when leases given there have ended: by the last answer from there, or under a new owner by the time of the take-over. What an owner knows of one life of a worker (incarnation, clock, sequence, comparison of lists) is a value that is replaced as a whole. A reply that arrives from the earlier address still tells of ends. Records are encoded as maps; those of earlier releases have no address and are handled as before.

Ruled out: waiting for all runs that a list lacks after a take-over, which delays the restart after each crash of a worker; keeping the address in memory only, which the next owner doesn't know.

--- a/batch/shard.go
+++ b/batch/shard.go
@@ -216,7 +216,7 @@
 func (s *Shard) worker(now time.Time, name string) *worker {
 	w := s.workers[name]
 	if w == nil {
-		w = newWorker(name, now)
+		w = newWorker(name, now, now.Add(s.leaseExpiryDelay()))
 		s.workers[name] = w
 	}
 	return w
--- a/batch/shard_exchange.go
+++ b/batch/shard_exchange.go
@@ -60,6 +60,9 @@
 		m.exchange.Incarnation = w.incarnation
 		m.exchange.ValidUntilMS = w.validUntilMS(now, s.limits.clockRate)
 	}
+	if w.awaitsRuns() {
+		m.exchange.Since = 0 // their end is found by full lists
+	}
 	if w.reconciled {
 		m.exchange.Orders = s.orders(w, m.cpuLimits)
 	}
@@ -76,6 +79,9 @@
 		out = append(out, infra.Order{Kind: kind, Run: run})
 	}
 	for id, j := range w.jobs {
+		if w.hasElsewhere(j) {
+			continue
+		}
 		if o, ok := s.orderFor(j); ok {
 			out = append(out, o)
 		}
@@ -125,6 +131,10 @@
 		s.fenced = true
 		return
 	}
+	if m.address != w.member.Address {
+		s.handleEarlierReply(now, w, reply)
+		return
+	}
 	w.recordIncarnation(now, reply)
 	s.exchangesNeeded = s.exchangesNeeded || w.exchangeNow
 	if reply.Stale {
@@ -149,6 +159,18 @@
 	s.updatePlannerHost(now, w)
 }
 
+// handleEarlierReply handles a reply from an address that the worker isn't listed at any
+// more: only what it says of runs is of use.
+func (s *Shard) handleEarlierReply(now time.Time, w *worker, reply infra.ExchangeReply) {
+	s.requestExchange(w)
+	if !s.ready || reply.Stale {
+		return
+	}
+	for _, r := range reply.Runs {
+		s.handleReport(now, w, r)
+	}
+}
+
 // requestFullList requests the full list of runs if a stop was acknowledged but
 // the end of its run was not reported. The start may never have arrived, and can
 // no longer take effect.
@@ -187,14 +209,17 @@
 }
 
 // reconcile compares the worker's full list of runs with the records. A run that
-// was sent and is not on the list has ended.
+// was sent and is not on the list has ended, or ends with its lease if it is at an
+// earlier address.
 func (s *Shard) reconcile(now time.Time, w *worker, runs []infra.RunReport) {
 	present := make(map[infra.RunID]struct{}, len(runs))
 	for _, r := range runs {
 		present[r.Run] = struct{}{}
 	}
 	for _, j := range w.jobs {
-		if _, ok := present[j.rec.RunID()]; !ok && j.sent {
+		_, listed := present[j.rec.RunID()]
+		elsewhere := w.hasElsewhere(j)
+		if !listed && (j.sent || elsewhere) && (!elsewhere || !now.Before(w.elsewhereUntil)) {
 			s.expireRun(now, w, j)
 		}
 	}
--- a/batch/shard_plan.go
+++ b/batch/shard_plan.go
@@ -71,8 +71,12 @@
 func (s *Shard) start(now time.Time, j *job, a placement.Action) {
 	host := a.Host
 	w := s.workers[host]
-	next, t := j.rec.Start(host, a.Resources)
-	if w == nil || t != task.Applied || j.committing || !w.health.admit(now, j.rec.Spec.ID) {
+	if w == nil {
+		s.undoPlannedStart(now, j)
+		return
+	}
+	next, t := j.rec.Start(host, w.member.Address, a.Resources)
+	if t != task.Applied || j.committing || !w.health.admit(now, j.rec.Spec.ID) {
 		s.undoPlannedStart(now, j)
 		return
 	}
--- a/batch/shard_urgent.go
+++ b/batch/shard_urgent.go
@@ -17,7 +17,7 @@
 		return false
 	}
 	host := placed.Host
-	next, _ := task.New(spec).Start(host, placed.Resources)
+	next, _ := task.New(spec).Start(host, s.workers[host].member.Address, placed.Resources)
 	s.committingUrgent[spec.ID] = struct{}{}
 	s.startsInFlight++
 	c := submissionChange(s.name, next)
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -16,7 +16,7 @@
 		listed[m.Name] = struct{}{}
 		w := s.worker(now, m.Name)
 		if w.member.Address != "" && w.member.Address != m.Address {
-			w.reconciled, w.lastSeq = false, 0
+			s.endLife(w)
 		}
 		w.member, w.listed = m, true
 		s.updatePlannerHost(now, w)
@@ -30,6 +30,16 @@
 	s.planNeeded = true
 }
 
+// endLife forgets the life of a worker that is listed at another address. Its runs at
+// the address before may go on until their leases end.
+func (s *Shard) endLife(w *worker) {
+	w.life = life{}
+	if until := w.lastAnswered.Add(s.leaseExpiryDelay()); until.After(w.elsewhereUntil) {
+		w.elsewhereUntil = until
+	}
+	s.requestExchange(w)
+}
+
 // lostRunsGraceDivisor is the divisor of the task lease that gives the time to
 // wait for a worker's report after its leases have expired.
 const lostRunsGraceDivisor = 2
--- a/batch/soak_test.go
+++ b/batch/soak_test.go
@@ -82,8 +82,9 @@
 // injectSoakFault causes at most one random fault and returns the shard's owner
 // after it.
 func injectSoakFault(r *rig, rnd *rand.Rand, n *node, step int) *node {
-	worker := r.members[rnd.IntN(soakWorkers)].Address
-	switch rnd.IntN(12) {
+	moved := rnd.IntN(soakWorkers)
+	worker := r.members[moved].Address
+	switch rnd.IntN(13) {
 	case 0:
 		r.workers.set(worker, func(w *fakeWorker) { w.cut = !w.cut })
 	case 1:
@@ -109,6 +110,8 @@
 	case 8:
 		r.workers.restart(worker)
 	case 9:
+		r.moveWorker(n, moved)
+	case 10:
 		r.workers.set(worker, func(w *fakeWorker) { w.newestFirst = !w.newestFirst })
 	}
 	return n
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -19,16 +19,10 @@
 	// took over. Leases expire at the latest taskLease after it: unanswered
 	// exchanges since then extend no lease beyond that time.
 	lastAnswered time.Time
-	// incarnation is the worker's incarnation in the last reply, clockMS its
-	// clock in that reply, and clockReadAt when the reply arrived.
-	incarnation string
-	clockMS     int64
-	clockReadAt time.Time
-	// lastSeq is the sequence number of the last handled reply.
-	lastSeq uint64
-	// reconciled is set once the full list of runs was compared with the
-	// records.
-	reconciled bool
+	life
+	// elsewhereUntil is until when runs at earlier addresses of the worker may go on:
+	// their leases may not be over, and the machine at its address knows nothing of them.
+	elsewhereUntil time.Time
 	// leasesExpired is set once the leases have certainly expired.
 	leasesExpired bool
 	// exchangeInFlight is set while an exchange is in flight; exchangeNow
@@ -44,13 +38,31 @@
 	knownToPlanner bool
 }
 
-// newWorker returns a worker that is not yet reconciled.
-func newWorker(name string, now time.Time) *worker {
+// newWorker returns a worker that is not yet reconciled. Leases of earlier owners may
+// last until leasesUntil.
+func newWorker(name string, now, leasesUntil time.Time) *worker {
 	return &worker{
-		name:         name,
-		jobs:         map[string]*job{},
-		lastAnswered: now,
-		extraOrders:  map[infra.RunID]infra.OrderKind{},
-		nextExchange: now,
+		name:           name,
+		jobs:           map[string]*job{},
+		lastAnswered:   now,
+		elsewhereUntil: leasesUntil,
+		extraOrders:    map[infra.RunID]infra.OrderKind{},
+		nextExchange:   now,
 	}
 }
+
+// hasElsewhere reports whether the run of an active job is at an earlier address of the
+// worker: its orders can't be given there, and mustn't be given to another machine.
+func (w *worker) hasElsewhere(j *job) bool {
+	return j.rec.Address != "" && j.rec.Address != w.member.Address
+}
+
+// awaitsRuns reports whether the worker has runs at earlier addresses.
+func (w *worker) awaitsRuns() bool {
+	for _, j := range w.jobs {
+		if w.hasElsewhere(j) {
+			return true
+		}
+	}
+	return false
+}
--- a/batch/worker_incarnation.go
+++ b/batch/worker_incarnation.go
@@ -6,14 +6,29 @@
 	"github.com/fireflygate/fireflygate/infra"
 )
 
+// life is what an owner knows of one life of a worker: a process at an address. None of
+// it says anything of another life.
+type life struct {
+	// incarnation is the worker's incarnation in the last reply, clockMS its
+	// clock in that reply, and clockReadAt when the reply arrived.
+	incarnation string
+	clockMS     int64
+	clockReadAt time.Time
+	// lastSeq is the sequence number of the last handled reply.
+	lastSeq uint64
+	// reconciled is set once the full list of runs was compared with the
+	// records.
+	reconciled bool
+}
+
 // recordIncarnation records the incarnation of the worker that replied. A new
 // incarnation must be reconciled, because it has no state of earlier ones. A
 // stale exchange is repeated immediately, and the first one is followed by
 // another immediately, since it has renewed no lease.
 func (w *worker) recordIncarnation(now time.Time, reply infra.ExchangeReply) {
 	first := w.incarnation == ""
-	if !first && w.incarnation != reply.Incarnation {
-		w.reconciled, w.lastSeq = false, 0
+	if w.incarnation != reply.Incarnation {
+		w.life = life{}
 	}
 	w.incarnation, w.clockMS, w.clockReadAt = reply.Incarnation, reply.ClockMS, now
 	w.exchangeNow = w.exchangeNow || reply.Stale || first
--- a/task/record.go
+++ b/task/record.go
@@ -16,6 +16,9 @@
 	Epoch uint64 `msgpack:"e,omitempty"`
 	// Worker is the worker of the run of Epoch while the state is active.
 	Worker string `msgpack:"w,omitempty"`
+	// Address is the address of Worker that the start of that run is sent to, empty in
+	// records of earlier releases. At another address another machine has its name.
+	Address string `msgpack:"wa,omitempty"`
 	// Reserved is the reservation of that run on Worker while the state is
 	// active. It may differ from the declared size.
 	Reserved infra.Resources `msgpack:"rv,omitempty"`
@@ -70,7 +73,7 @@
 // doneMS, to LostMS.
 func (r Record) endRun(doneMS int64) Record {
 	r.LostMS += max(0, doneMS-r.DoneMS)
-	r.Worker = ""
+	r.Worker, r.Address = "", ""
 	r.Reserved = infra.Resources{}
 	return r
 }
@@ -78,7 +81,7 @@
 // finish makes the record terminal.
 func (r Record) finish(s State, reason string, nowMS int64) Record {
 	r.State = s
-	r.Worker = ""
+	r.Worker, r.Address = "", ""
 	r.Reserved = infra.Resources{}
 	r.Reason = reason
 	r.FinishedUnixMS = nowMS
--- a/task/record_transitions.go
+++ b/task/record_transitions.go
@@ -9,15 +9,15 @@
 	growthDenominator = 4
 )
 
-// Start begins the run of the next epoch on worker with the given reservation;
-// zero reserves the declared size. Legal when pending.
-func (r Record) Start(worker string, reserved infra.Resources) (Record, Transition) {
+// Start begins the run of the next epoch on worker at its address with the given
+// reservation; zero reserves the declared size. Legal when pending.
+func (r Record) Start(worker, address string, reserved infra.Resources) (Record, Transition) {
 	if r.State != Pending {
 		return r, Illegal
 	}
 	r.State = Starting
 	r.Epoch++
-	r.Worker = worker
+	r.Worker, r.Address = worker, address
 	r.Reserved = reserved
 	r.Reason = ""
 	return r, Applied
--- a/task/record_transitions_test.go
+++ b/task/record_transitions_test.go
@@ -40,7 +40,7 @@
 }
 
 func (l *recordMachine) start(t *rapid.T) {
-	next, tr := l.rec.Start(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "worker"), infra.Resources{})
+	next, tr := l.rec.Start(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "worker"), "", infra.Resources{})
 	checkpoint := l.rec.Checkpoint
 	l.apply(t, next, tr)
 	if tr != Applied {
@@ -112,7 +112,7 @@
 }
 
 func TestEvictionKeepsCheckpoint(t *testing.T) {
-	r, _ := New(Spec{ID: "j"}).Start("a", infra.Resources{})
+	r, _ := New(Spec{ID: "j"}).Start("a", "", infra.Resources{})
 	r, tr := r.Stopped(1, "cp1", 400, 1)
 	if tr != Applied || r.State != Pending || r.Checkpoint != "cp1" || r.Evictions != 1 {
 		t.Fatalf("after eviction: %+v %v", r, tr)
@@ -120,7 +120,7 @@
 	if _, tr := r.Stopped(1, "cp0", 1, 1); tr == Applied {
 		t.Error("a second stop of the same run was applied")
 	}
-	r, _ = r.Start("b", infra.Resources{})
+	r, _ = r.Start("b", "", infra.Resources{})
 	r, _ = r.LeaseExpired(2, 900, 1)
 	if r.Checkpoint != "cp1" || r.LostMS != 500 {
 		t.Errorf("after lease expiry: checkpoint %q, lost %d ms; want cp1 and 500 ms", r.Checkpoint, r.LostMS)
@@ -130,7 +130,7 @@
 func TestKillRaisesMemoryFloor(t *testing.T) {
 	spec := Spec{ID: "j", Resources: infra.Resources{MemoryMB: 100}}
 	for reserved, want := range map[int64]int64{0: 150, 60: 90, 400: 600} {
-		r, _ := New(spec).Start("a", infra.Resources{MemoryMB: reserved})
+		r, _ := New(spec).Start("a", "", infra.Resources{MemoryMB: reserved})
 		r, _ = r.Killed(1, "memory", 0, testKills, 1)
 		if got := r.SpecWithFloor(); got.Floor.MemoryMB != want || got.Resources != spec.Resources {
 			t.Errorf("%d MB reserved: floor %d MB after a kill, want %d; declared size %+v, want it unchanged", reserved, got.Floor.MemoryMB, want, got.Resources)
