routing: another address begins another life of an endpoint

Callers waited or were refused although a healthy endpoint had free slots: one that is listed at another address stayed ejected for failures of the machine that had its name before, and results of requests still in flight there ejected it again. A cold machine got its full number of requests at once.

Cause: latency, failures, ejection and slow start were kept by the endpoint's name. Change: they are a value of their own (life), replaced as a whole when the address changes; a slot holds the life that it was taken in, and a result counts for that one only. The new life is in slow start, as an added endpoint is.

Slots in use stay counted by name, so that an endpoint which is only listed at another address of the same machine isn't given more than it holds.

--- a/routing/choice_bench_test.go
+++ b/routing/choice_bench_test.go
@@ -109,5 +109,5 @@
 	b := free[r.IntN(len(free))]
 	b.inUse++
 	b.writing++
-	return &Slot{backend: b, writing: true}
+	return &Slot{backend: b, life: b.life, writing: true}
 }
--- a/routing/health.go
+++ b/routing/health.go
@@ -9,11 +9,11 @@
 const tailFactor = 3
 
 // Observe records the result of a request, and reports whether it caused the
-// endpoint to be ejected.
+// endpoint to be ejected. A request at an earlier address says nothing of the endpoint.
 func (p *Pool) Observe(now time.Time, s *Slot, r Result) (ejected bool) {
 	b := s.backend
 	g := p.services[b.Service]
-	if g == nil {
+	if g == nil || s.life != b.life {
 		return false
 	}
 	b.observe(r, tailFactor*g.meanLatency())
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -37,8 +37,9 @@
 }
 
 // SetEndpoints replaces the list of endpoints. Endpoints that stay in the list
-// keep their slots in use and their statistics. Endpoints added after the first
-// list are in slow start.
+// keep their slots in use, and their statistics while they have the same address.
+// Endpoints added after the first list, and those at another address, are in slow
+// start.
 func (p *Pool) SetEndpoints(now time.Time, endpoints []Endpoint) {
 	for _, b := range p.byName {
 		b.removed = true
@@ -55,12 +56,10 @@
 	if !known {
 		b = newBackend(e)
 		p.byName[e.Name] = b
-		if p.started {
-			b.slowStartAt = now
-		}
 	}
-	b.Endpoint = e
-	b.removed = false
+	if moved := b.list(e); p.started && (moved || !known) {
+		b.slowStartAt = now
+	}
 }
 
 // rebuildServices deletes removed endpoints that are idle, and groups the rest
@@ -120,7 +119,7 @@
 	chosen := pickBetter(g.free, rng)
 	chosen.inUse++
 	chosen.writing++
-	return &Slot{backend: chosen, writing: true}
+	return &Slot{backend: chosen, life: chosen.life, writing: true}
 }
 
 // pickBetter draws two candidates and returns the one with the lower score.
--- a/routing/pool_test.go
+++ b/routing/pool_test.go
@@ -88,6 +88,10 @@
 				list[i].Leaving = rapid.Bool().Draw(t, "leaving")
 				p.SetEndpoints(now, list[rapid.IntRange(0, 2).Draw(t, "from"):])
 			},
+			"move": func(t *rapid.T) {
+				list[rapid.IntRange(0, 2).Draw(t, "i")].Address = rapid.SampledFrom(names).Draw(t, "address")
+				p.SetEndpoints(now, list)
+			},
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
--- a/routing/slot.go
+++ b/routing/slot.go
@@ -5,7 +5,9 @@
 // Slot is the permission to send one request to one endpoint. It counts against
 // the endpoint until it is released.
 type Slot struct {
-	backend  *backend
+	backend *backend
+	// life is that of the endpoint when the slot was taken.
+	life     *life
 	writing  bool
 	released bool
 }
