standin: workers and endpoints return under their names

Tests couldn't see a number of one life compared with one of another: the sequence numbers of the stand-in worker went on after a crash, from the time of day, and an endpoint had no other life.

A restarted worker now has another incarnation; its clock and its sequence numbers start anew, and it knows nothing of what it received before. With any_order it lists its runs in random order. A restarted endpoint aborts its requests and numbers those of the next life anew. POST /restart does both with the same address. Records of requests tell the life, since the checker counted those of an ended life for the next: slots in use by name, not by what bears it.

The random runs and the tests of faults ask for them: TestSoak, TestWorkerFaults and TestEndpointFaults.

Before: "slots of another life" of TestCheckers failed with slots counted by name; TestRestartedEndpointCountsItsOwnRequests is of the new ability only.

--- a/check/record.go
+++ b/check/record.go
@@ -67,7 +67,9 @@
 	Endpoint string `json:"endpoint"`
 	// Zone is the endpoint's availability zone, if known.
 	Zone string `json:"zone,omitempty"`
-	// Serial identifies the request at the endpoint.
+	// Life counts the lives of the endpoint under its name, 0 if unknown. Serial
+	// identifies the request within one.
+	Life   uint64 `json:"life,omitempty"`
 	Serial uint64 `json:"serial"`
 	// Request is the value of the Fireflygate-Request-Id header.
 	Request string `json:"request"`
@@ -83,6 +85,7 @@
 // RequestEnded records that an endpoint stopped processing a request.
 type RequestEnded struct {
 	Endpoint string `json:"endpoint"`
+	Life     uint64 `json:"life,omitempty"`
 	Serial   uint64 `json:"serial"`
 	// CallerDisconnected is set if the connection closed before the request ended.
 	CallerDisconnected bool `json:"caller_gone,omitempty"`
--- a/check/run_test.go
+++ b/check/run_test.go
@@ -53,6 +53,8 @@
 	inZone.RunBegan.Zone, inOtherZone.RunBegan.Zone = "z", "y"
 	requestInZone := requestBegan("a", "")
 	requestInZone.RequestBegan.Zone = "z"
+	inNextLife := requestBegan("b", "")
+	inNextLife.RequestBegan.Life = 1
 	otherJob := runBegan("w", 1, "")
 	otherJob.RunBegan.Run.Job = "k"
 	type records = []check.Record
@@ -63,6 +65,7 @@
 		good, bad records
 	}{
 		{"slots", check.SlotLimit, records{requestBegan("a", ""), requestEnded(), requestBegan("b", "")}, records{requestBegan("a", ""), requestBegan("b", "")}},
+		{"slots of another life", check.SlotLimit, records{requestBegan("a", ""), inNextLife}, records{inNextLife, inNextLife}},
 		{"capacity", check.CapacityLimit, records{runBegan("w", 1, ""), runEnded("w", 1, "stopped"), otherJob}, records{runBegan("w", 1, ""), otherJob}},
 		{"one place", check.SinglePlacement, records{runBegan("w", 1, ""), runEnded("w", 1, "stopped"), runBegan("v", 2, "")}, records{runBegan("w", 1, ""), runBegan("v", 2, "")}},
 		{"epochs", check.ResumedOnce, records{runBegan("w", 1, ""), runEnded("w", 1, "stopped"), runBegan("w", 2, "")}, records{runBegan("w", 2, ""), runEnded("w", 2, "stopped"), runBegan("w", 2, "")}},
--- a/integration/batch_worker_test.go
+++ b/integration/batch_worker_test.go
@@ -34,6 +34,16 @@
 			func(s *Site) { s.Control("revive", standin.Target{Name: victim}) }, true,
 			longJobs,
 		},
+		{
+			"Restarted", func(s *Site) { s.Control("restart", standin.Target{Name: victim}) },
+			func(*Site) {}, true,
+			longJobs,
+		},
+		{
+			"ListsInAnyOrder", func(s *Site) { s.WorkerFaults(victim, standin.WorkerFaults{AnyOrder: true}) },
+			func(s *Site) { s.WorkerFaults(victim, standin.WorkerFaults{}) }, false,
+			smallJobs([2]int64{100, 1000}),
+		},
 		{
 			"PausedPastItsLease", func(s *Site) { s.WorkerFaults(victim, standin.WorkerFaults{Paused: true}) },
 			func(s *Site) { s.WorkerFaults(victim, standin.WorkerFaults{}) }, true,
--- a/integration/endpoint_test.go
+++ b/integration/endpoint_test.go
@@ -90,6 +90,12 @@
 			},
 			0.9, false,
 		},
+		{
+			"Restarts",
+			func(s *Site, e string) { s.Control("restart", standin.Target{Name: e}) },
+			func(s *Site, e string) { s.Control("restart", standin.Target{Name: e}) },
+			0.9, false,
+		},
 		selfFault("CutsAnswers", standin.EndpointFaults{CutNext: 1000}, 0.9),
 		selfFault("Slow", standin.EndpointFaults{SlowFactor: 10}, 0.99),
 		selfFault("FailsAll", standin.EndpointFaults{FailAll: true}, 0.9),
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -96,6 +96,12 @@
 		workerFault("worker hangs", standin.WorkerFaults{Hang: true}),
 		workerFault("worker fails starts", standin.WorkerFaults{FailStarts: true}),
 		workerFault("worker loses answers", standin.WorkerFaults{LoseNext: 20}),
+		workerFault("worker lists in any order", standin.WorkerFaults{AnyOrder: true}),
+		{
+			name:  "worker restarts",
+			begin: func(s *Site, v victims) { s.Control("restart", standin.Target{Name: v.worker}) },
+			end:   func(s *Site, v victims) { s.Control("restart", standin.Target{Name: v.worker}) },
+		},
 	}
 	for _, f := range endpointFaults() {
 		faults = append(faults, siteFault{
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -15,15 +15,13 @@
 // enforce its slot limit, so that its records show overruns.
 type Endpoint struct {
 	config EndpointConfig
-	closed chan struct{}
-	once   sync.Once
 
 	mu      sync.Mutex
+	life    *endpointLife
 	faults  EndpointFaults
 	changed chan struct{}
 	leaving bool
 	random  *rand.Rand
-	serial  uint64
 	stats   EndpointStats
 	conns   map[net.Conn]struct{}
 }
@@ -32,7 +30,7 @@
 func NewEndpoint(config EndpointConfig) *Endpoint {
 	return &Endpoint{
 		config:  config,
-		closed:  make(chan struct{}),
+		life:    newEndpointLife(1),
 		changed: make(chan struct{}),
 		random:  rand.New(rand.NewPCG(config.Work.Seed, 0)),
 		conns:   map[net.Conn]struct{}{},
@@ -72,28 +70,41 @@
 func (e *Endpoint) Stats() EndpointStats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.stats
+	s := e.stats
+	s.Running = e.life.running
+	return s
 }
 
 // Close aborts all requests, as a crash would.
 func (e *Endpoint) Close() {
-	e.once.Do(func() { close(e.closed) })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life.end()
+}
+
+// Restart aborts all requests and begins another life of the endpoint under its name,
+// whose requests are numbered anew.
+func (e *Endpoint) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life.end()
+	e.life = newEndpointLife(e.life.number + 1)
 }
 
 // begin starts a request and records it; ok is false if it is refused.
 func (e *Endpoint) begin(in *endpointRequest) (ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	full := e.stats.Running >= e.config.Slots
+	full := e.life.running >= e.config.Slots
 	if e.faults.Refuse || (full && e.faults.RefuseOverrun) {
 		e.stats.Refused++
 		return false
 	}
-	e.serial++
-	in.serial = e.serial
+	e.life.serial++
+	e.life.running++
+	in.life, in.serial = e.life, e.life.serial
 	e.stats.Began++
-	e.stats.Running++
-	e.stats.Peak = max(e.stats.Peak, e.stats.Running)
+	e.stats.Peak = max(e.stats.Peak, e.life.running)
 	if full {
 		e.stats.Overruns++
 	}
@@ -108,13 +119,13 @@
 func (e *Endpoint) end(in *endpointRequest, callerDisconnected bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.stats.Running--
+	in.life.running--
 	e.stats.Ended++
 	if callerDisconnected {
 		e.stats.Orphans++
 	}
 	e.config.Recorder.Add(check.Record{RequestEnded: &check.RequestEnded{
-		Endpoint: e.config.Name, Serial: in.serial, CallerDisconnected: callerDisconnected,
+		Endpoint: e.config.Name, Life: in.life.number, Serial: in.serial, CallerDisconnected: callerDisconnected,
 	}})
 }
 
@@ -146,14 +157,14 @@
 	return true
 }
 
-// work blocks for d and while the Hang fault is set, or until the endpoint is
-// closed. It ignores the caller's disconnection.
-func (e *Endpoint) work(d time.Duration) {
+// work blocks for d and while the Hang fault is set, or until the life that the request
+// is of has ended. It ignores the caller's disconnection.
+func (e *Endpoint) work(l *endpointLife, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-e.closed:
+	case <-l.closed:
 		return
 	}
 	for {
@@ -163,7 +174,7 @@
 		}
 		select {
 		case <-changed:
-		case <-e.closed:
+		case <-l.closed:
 			return
 		}
 	}
--- a/standin/endpoint_http.go
+++ b/standin/endpoint_http.go
@@ -38,18 +38,18 @@
 		refuse(w)
 		return
 	}
-	e.work(e.workTime(in))
+	e.work(in.life, e.workTime(in))
 	// The slot is released before the response is sent, so that the receiver of
 	// the response can reuse it.
 	e.end(in, r.Context().Err() != nil)
 	e.reply(w, in)
 }
 
-// reply writes the response, truncated or aborted if the faults or Close ask for
-// it.
+// reply writes the response, truncated or aborted if the faults or the end of the life
+// ask for it.
 func (e *Endpoint) reply(w http.ResponseWriter, in *endpointRequest) {
 	select {
-	case <-e.closed:
+	case <-in.life.closed:
 		abortResponse()
 	default:
 	}
--- a/standin/endpoint_request.go
+++ b/standin/endpoint_request.go
@@ -36,6 +36,9 @@
 
 // endpointRequest is a parsed request to an endpoint.
 type endpointRequest struct {
+	// life is the life of the endpoint that processes the request, serial its number
+	// there.
+	life    *endpointLife
 	serial  uint64
 	request string
 	call    string
@@ -86,6 +89,7 @@
 	return &check.RequestBegan{
 		Endpoint:   c.Name,
 		Zone:       c.Zone,
+		Life:       in.life.number,
 		Serial:     in.serial,
 		Request:    in.request,
 		Call:       in.call,
--- a/standin/machine.go
+++ b/standin/machine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/fireflygate/fireflygate/check"
@@ -32,26 +33,27 @@
 	// closedEpochs the highest epoch of each job that may no longer start.
 	highestEpochs map[string]uint64
 	closedEpochs  map[string]uint64
-	// firstSeq is the value of seq at the last restart, restartedAt its time. A
-	// Since below firstSeq belongs to an earlier incarnation.
-	firstSeq    uint64
+	// life counts the lives of the worker under its name, restartedAt is when this one
+	// began. All above is of this life.
+	life        uint64
 	restartedAt time.Time
-	nextSample  time.Time
+	// random is the order of the runs with the AnyOrder fault.
+	random     *rand.Rand
+	nextSample time.Time
 	// sampled and reported are the tail latencies of the last and of the previous
 	// sample; the previous one is reported.
 	sampled, reported map[string]float64
 }
 
-// newMachine returns an idle worker. Its sequence numbers start at the current time
-// in microseconds, which distinguishes them from those of earlier incarnations.
+// newMachine returns an idle worker in its first life. Sequence numbers and the clock
+// start anew with each life: only the incarnation tells lives apart.
 func newMachine(config WorkerConfig, now time.Time) *machine {
-	seq := uint64(max(now.UnixMicro(), 1))
 	return &machine{
 		config:        config,
 		now:           now,
-		seq:           seq,
-		firstSeq:      seq,
+		life:          1,
 		restartedAt:   now,
+		random:        rand.New(rand.NewPCG(1, 1)),
 		highestEpochs: map[string]uint64{},
 		closedEpochs:  map[string]uint64{},
 		nextSample:    now.Add(config.Lag),
@@ -67,6 +69,15 @@
 	m.faults = f
 }
 
+// restart simulates a crash after which the worker is up again under its name. Faults
+// stay.
+func (m *machine) restart(now time.Time) {
+	m.advance(now)
+	faults := m.faults
+	m.crash()
+	m.faults = faults
+}
+
 // crash simulates a crash: all runs end and the state is reset.
 func (m *machine) crash() {
 	for _, r := range m.runs {
@@ -75,8 +86,7 @@
 		}
 	}
 	fresh := newMachine(m.config, m.now)
-	fresh.seq = max(fresh.seq, m.seq+1)
-	fresh.firstSeq = fresh.seq
+	fresh.life, fresh.random = m.life+1, m.random
 	*m = *fresh
 }
 
--- a/standin/machine_exchange.go
+++ b/standin/machine_exchange.go
@@ -1,9 +1,9 @@
 package standin
 
 import (
+	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
@@ -39,8 +39,11 @@
 	return x.Incarnation != m.incarnation() || m.clockMS() > x.ValidUntilMS
 }
 
-// incarnation identifies the period since the last restart.
-func (m *machine) incarnation() string { return strconv.FormatUint(m.firstSeq, 36) }
+// incarnation identifies the life of the worker. The time tells it from those of another
+// process of this program, the count from others of the same time.
+func (m *machine) incarnation() string {
+	return fmt.Sprintf("%x-%d", m.restartedAt.UnixMicro(), m.life)
+}
 
 // clockMS returns the time since the last restart, in milliseconds.
 func (m *machine) clockMS() int64 { return m.now.Sub(m.restartedAt).Milliseconds() }
@@ -52,15 +55,18 @@
 }
 
 // reply returns the runs that changed after the sequence number since, or all runs
-// if since is of another incarnation.
+// if since is 0 or can't be of this life.
 func (m *machine) reply(since uint64) infra.ExchangeReply {
-	whole := since < m.firstSeq || since > m.seq
+	whole := since == 0 || since > m.seq
 	reply := m.withHeader(infra.ExchangeReply{FullList: whole, LatencyMS: maps.Clone(m.reported)})
 	for _, r := range m.runs {
 		if whole || r.seq > since {
 			reply.Runs = append(reply.Runs, r.report())
 		}
 	}
+	if m.faults.AnyOrder {
+		m.random.Shuffle(len(reply.Runs), func(i, j int) { reply.Runs[i], reply.Runs[j] = reply.Runs[j], reply.Runs[i] })
+	}
 	return reply
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -183,6 +183,36 @@
 	return errors.Newf("no worker is named %q", name)
 }
 
+// Restart ends the process of a worker or an endpoint, which starts again at once under
+// its name and address: its connections break, and all that it knew is lost.
+func (p *Platform) Restart(name string) error {
+	restart := p.restartOf(name)
+	if restart == nil {
+		return errors.Newf("no worker or endpoint is named %q", name)
+	}
+	if err := p.SetUnreachable(name, true); err != nil {
+		return err
+	}
+	restart()
+	return p.SetUnreachable(name, false)
+}
+
+// restartOf returns the function that begins another life of a worker or an endpoint, nil
+// if there is none of that name.
+func (p *Platform) restartOf(name string) func() {
+	for _, w := range p.Workers {
+		if w.Name() == name {
+			return w.Restart
+		}
+	}
+	for _, e := range p.Endpoints {
+		if e.Name() == name {
+			return e.Restart
+		}
+	}
+	return nil
+}
+
 // Addresses returns the addresses of all stand-ins.
 func (p *Platform) Addresses() Addresses {
 	a := Addresses{
--- a/standin/platform_control.go
+++ b/standin/platform_control.go
@@ -33,13 +33,14 @@
 	return errors.Newf("no endpoint is named %q", name)
 }
 
-// controlHandler serves /unreachable, /kill, /revive, /leave, /return and
-// /entry-host.
+// controlHandler serves /unreachable, /kill, /revive, /restart, /leave, /return
+// and /entry-host.
 func (p *Platform) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	serveControl(mux, "POST /unreachable", func(t Target) error { return p.SetUnreachable(t.Name, t.Down) })
 	serveControl(mux, "POST /kill", func(t Target) error { return p.KillWorker(t.Name) })
 	serveControl(mux, "POST /revive", func(t Target) error { return p.ReviveWorker(t.Name) })
+	serveControl(mux, "POST /restart", func(t Target) error { return p.Restart(t.Name) })
 	serveControl(mux, "POST /leave", func(t Target) error { return p.SetLeaving(t.Name, true) })
 	serveControl(mux, "POST /return", func(t Target) error { return p.SetLeaving(t.Name, false) })
 	serveChange(mux, "POST /entry-host", p.PutEntryHost)
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -177,6 +177,46 @@
 	}
 }
 
+// TestRestartedEndpointCountsItsOwnRequests guards against a checker that counts requests
+// of an ended life for the next: a restarted endpoint has all its slots again.
+func TestRestartedEndpointCountsItsOwnRequests(t *testing.T) {
+	p, recorder, client := start(t)
+	name := p.Endpoints[0].Name()
+	url := "http://" + p.Addresses().Others[name] + "/"
+	p.Endpoints[0].Set(standin.EndpointFaults{Hang: true})
+	aborted := make(chan error)
+	go func() {
+		resp, err := client.Post(url, "", strings.NewReader("before"))
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		aborted <- err
+	}()
+	for p.Endpoints[0].Stats().Began == 0 {
+		runtime.Gosched()
+	}
+	if err := p.Restart(name); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-aborted; err == nil {
+		t.Error("the request before the restart was answered")
+	}
+	p.Endpoints[0].Set(standin.EndpointFaults{})
+	resp, err := client.Post(url, "", strings.NewReader("after"))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("request after the restart: %v, %v", resp, err)
+	}
+	if err := resp.Body.Close(); err != nil {
+		t.Error(err)
+	}
+	if s := p.Endpoints[0].Stats(); s.Began != 2 || s.Running != 0 || s.Overruns != 0 {
+		t.Errorf("stats %+v, want two requests, none of them running or above the slots", s)
+	}
+	if report := check.Run(recorder.Records()); len(report.Violations) != 0 {
+		t.Errorf("violations: %+v", report.Violations)
+	}
+}
+
 func TestMembersLag(t *testing.T) {
 	p, _, client := start(t)
 	members := httpclient.NewMembers(p.Addresses().Members, client)
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -46,6 +46,17 @@
 // Set replaces the faults at the system clock's time.
 func (w *Worker) Set(f WorkerFaults) { w.SetAt(time.Now(), f) }
 
+// RestartAt ends all runs at the time now and begins another life of the worker under its
+// name: incarnation, clock, sequence numbers and all that it has received are new.
+func (w *Worker) RestartAt(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machine.restart(now)
+}
+
+// Restart is RestartAt at the system clock's time.
+func (w *Worker) Restart() { w.RestartAt(time.Now()) }
+
 // Faults returns the current faults.
 func (w *Worker) Faults() WorkerFaults {
 	f, _ := w.get()
--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -17,6 +17,8 @@
 	FailStarts bool `json:"fail_starts,omitempty"`
 	// RefuseStarts refuses every start.
 	RefuseStarts bool `json:"refuse_starts,omitempty"`
+	// AnyOrder lists the runs in random order.
+	AnyOrder bool `json:"any_order,omitempty"`
 	// SlowFactor divides the speed of all runs; 0 means 1.
 	SlowFactor float64 `json:"slow_factor,omitempty"`
 }
