batch: a worker that knows a higher epoch doesn't end its shard

Callers got no_shard_ready for all jobs of a shard, until its next change of owner, because of one worker: one that is listed with another rack or zone belongs to another shard, and refuses the epochs of that shard's owner as long as those of the shard before were higher.

Cause: an epoch counts within one shard, but a worker compares those of all that it was listed in. The owner took the refusal as proof of a newer owner and gave the shard up. Change: a refusal makes the worker unschedulable and asks the table, by a commit of nothing on the condition of the shard's row. A newer owner fences the shard as before; otherwise only the worker is left out, until it starts again and so forgets the epochs.

Ruled out: naming the shard beside the epoch in an exchange, as workers decide on a refusal and those in use don't know the field.

Why it holds: every write of an owner depends on the shard's row, and exchanges are sent under a valid grant only. The refusal was an early sign.

Before: TestWorkerWithEpochsOfAnotherShard failed (submit j: not_run no_shard_ready).

--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -41,6 +41,34 @@
 	}
 }
 
+// TestWorkerWithEpochsOfAnotherShard guards against a shard that is given up for a worker
+// which is listed with another rack or zone: it has received the epochs of another shard's
+// owners, which say nothing of this one.
+func TestWorkerWithEpochsOfAnotherShard(t *testing.T) {
+	bubble(t, 2, func(r *rig) {
+		r.workers.set("w0", func(w *fakeWorker) { w.ownerEpoch = 100 })
+		n := r.node("a")
+		r.own(n)
+		r.advanceTime(3 * time.Second)
+		if r.workers.refused == 0 {
+			t.Fatal("the worker has refused no exchange")
+		}
+		r.submit(n, spec("j", time.Second))
+		r.advanceTime(5 * time.Second)
+		r.expectState(n, "j", task.Done)
+		if runs := r.expectRuns(1); len(runs) == 1 && runs[0].worker != "w1" {
+			t.Errorf("the job ran on %s, want the worker that takes orders", runs[0].worker)
+		}
+		r.workers.restart("w0")
+		r.advanceTime(3 * time.Second)
+		r.submit(n, spec("k", time.Second))
+		r.advanceTime(5 * time.Second)
+		if runs := r.workers.runsOf("k"); len(runs) != 1 || runs[0].worker != "w0" {
+			t.Errorf("runs %+v, want one at the worker that takes orders again", runs)
+		}
+	})
+}
+
 func TestStaleOwnerIsRefusedByWorkers(t *testing.T) {
 	bubble(t, 1, func(r *rig) {
 		a := r.started(time.Hour)
--- a/batch/shard.go
+++ b/batch/shard.go
@@ -88,6 +88,8 @@
 	changes []change
 	// commitsInFlight is the number of changes without a result.
 	commitsInFlight int
+	// verifying is set while a commit of verifyOwnership is in flight.
+	verifying bool
 	// startsInFlight is the number of starts without a commit result.
 	startsInFlight int
 	// ready is set once the records are replayed.
--- a/batch/shard_commit.go
+++ b/batch/shard_commit.go
@@ -23,6 +23,16 @@
 	s.changes = append(s.changes, c)
 }
 
+// verifyOwnership commits nothing on the condition of the shard's row, which fences the
+// shard if it has another owner. One such commit is in flight at a time.
+func (s *Shard) verifyOwnership() {
+	if s.verifying {
+		return
+	}
+	s.verifying = true
+	s.submitCommit(change{urgent: true, done: func(time.Time, infra.CommitResult) { s.verifying = false }})
+}
+
 // checkFence fences the shard if a conflict shows that another host owns it, or
 // if the result is unknown. A conflict because this host rewrote the shard's row
 // while the commit was in flight counts as not applied.
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -52,6 +52,8 @@
 		return "gone"
 	case w.member.State == infra.Leaving:
 		return "leaving"
+	case w.refuses:
+		return "refuses"
 	case w.leasesExpired || now.Sub(w.lastAnswered) > unreachableIntervals*s.limits.Exchange.D():
 		return "unreachable"
 	case !w.reconciled:
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -23,6 +23,8 @@
 	// elsewhereUntil is until when runs at earlier addresses of the worker may go on:
 	// their leases may not be over, and the machine at its address knows nothing of them.
 	elsewhereUntil time.Time
+	// refuses is set while the worker refuses exchanges because of a higher epoch.
+	refuses bool
 	// leasesExpired is set once the leases have certainly expired.
 	leasesExpired bool
 	// exchangeInFlight is set while an exchange is in flight; exchangeNow
--- a/event/batch.go
+++ b/event/batch.go
@@ -13,7 +13,7 @@
 	WorkerReconciled    = define(510, slog.LevelInfo, "worker state reconciled")
 	WorkerSuspected     = define(511, slog.LevelWarn, "worker suspected, it does not respond")
 	WorkerLeaseExpired  = define(512, slog.LevelWarn, "worker lease expired, its runs have ended")
-	WorkerRefused       = define(513, slog.LevelWarn, "worker rejected exchange, a newer owner exists")
+	WorkerRefused       = define(513, slog.LevelWarn, "worker rejected exchange, it knows a higher epoch")
 	WorkerQuarantined   = define(514, slog.LevelWarn, "worker quarantined, distinct jobs failed in succession")
 	WorkerProbed        = define(515, slog.LevelInfo, "quarantined worker given one job as a probe")
 	QuarantineEnded     = define(516, slog.LevelInfo, "worker quarantine ended")
