batch: a worker's quarantine is of the machine at its address

Callers waited although a machine was free: it is listed under the name of one that failed all runs, and stayed in the quarantine of that one. Failures that were reported from the address before counted for it as well.

Cause: health was kept by the worker's name. Change: it begins anew with the address, and a failure counts only for the machine that the run's start was sent to. A process that starts again at the same address stays in quarantine: it is on the machine that failed.

Before: TestMovedWorkerLeavesItsQuarantine failed (j is pending, want done). After: it passes, with all tests of batch (-race).

--- a/batch/address_test.go
+++ b/batch/address_test.go
@@ -1,11 +1,13 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/fireflygate/fireflygate/infra"
+	"github.com/fireflygate/fireflygate/settings"
 	"github.com/fireflygate/fireflygate/task"
 )
 
@@ -78,3 +80,23 @@
 		r.expectState(n, "k", task.Done)
 	})
 }
+
+// TestMovedWorkerLeavesItsQuarantine guards against a machine without work because the one
+// that had its name before failed all runs.
+func TestMovedWorkerLeavesItsQuarantine(t *testing.T) {
+	bubble(t, 1, func(r *rig) {
+		n := r.node("a")
+		r.own(n)
+		r.advanceTime(2 * time.Second)
+		r.workers.set("w0", func(w *fakeWorker) { w.failAll = true })
+		for i := range 2 * settings.Default().Batch.QuarantineAfter {
+			r.submit(n, spec(fmt.Sprint("bad", i), time.Second))
+		}
+		r.advanceTime(10 * time.Second)
+		r.moveWorker(n, 0)
+		r.advanceTime(3 * time.Second)
+		r.submit(n, spec("j", time.Second))
+		r.advanceTime(5 * time.Second)
+		r.expectState(n, "j", task.Done)
+	})
+}
--- a/batch/shard_report.go
+++ b/batch/shard_report.go
@@ -46,7 +46,7 @@
 		event.TransitionRejected.Log(s.log, slog.String("job", r.Run.Job), slog.String("state", j.rec.State.String()))
 		return
 	}
-	if r.State == infra.RunFailed {
+	if r.State == infra.RunFailed && !w.hasElsewhere(j) {
 		// Counted before it is durable, or the worker would get more jobs meanwhile.
 		s.updateHealth(now, w, r.Run.Job, r.State)
 	}
--- a/batch/shard_workers.go
+++ b/batch/shard_workers.go
@@ -31,9 +31,11 @@
 }
 
 // endLife forgets the life of a worker that is listed at another address. Its runs at
-// the address before may go on until their leases end.
+// the address before may go on until their leases end. The failures there say nothing of
+// the machine at the new address, while those of a process say much of the next one at the
+// same address.
 func (s *Shard) endLife(w *worker) {
-	w.life = life{}
+	w.life, w.health = life{}, health{}
 	if until := w.lastAnswered.Add(s.leaseExpiryDelay()); until.After(w.elsewhereUntil) {
 		w.elsewhereUntil = until
 	}
