election: a candidate's time of availability is of one process

Callers wait for a change of owner that ends at once: the domain is handed over to a stronger host that keeps failing soon after its start. Only hosts that have been available for a second are meant to get it.

Cause: hosts were observed by address, and a host that starts again within two seconds keeps the time of its first process. A late ping of a process that was stopping removed the one that followed it, too. Change: a ping tells the process (Life, a checksum of the incarnation, 11 bytes); another one begins the time anew, and a process removes only itself. Pings are encoded as maps; hosts of earlier releases tell none and are handled as before.

Before: TestRestartingCandidate, with the comparison of lives left out, failed (available for 4.5s, want 500ms; the late ping removes the host). After: it passes, with all tests of election and control (-race).

--- a/control/messages.go
+++ b/control/messages.go
@@ -29,6 +29,9 @@
 	// stopping and neither accepts the domain nor relays orders.
 	Cores float64 `msgpack:"c"`
 	Zone  string  `msgpack:"z"`
+	// Life is the checksum of the pinging process's incarnation, 0 from hosts of earlier
+	// releases.
+	Life uint64 `msgpack:"l,omitempty"`
 	// ClosedZones is the newest set known to the pinging host, nil if it knows none.
 	ClosedZones *closedzones.Set `msgpack:"x,omitempty"`
 }
--- a/control/ping.go
+++ b/control/ping.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	var r pingReply
 	q := pingRequest{
-		Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offeredCores(), Zone: n.opts.Zone,
+		Epoch: leader.Epoch, Address: n.opts.Address, Hosts: n.hostCount(), Cores: n.offeredCores(), Zone: n.opts.Zone, Life: election.LifeOf(n.opts.Incarnation),
 		ClosedZones: toldClosedZones(n.ClosedZones()),
 	}
 	sentAt := boottime()
--- a/control/serve.go
+++ b/control/serve.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/peer"
 )
 
@@ -17,7 +18,7 @@
 		}
 		n.addHost(q.Address)
 		n.hearClosedZones(q.ClosedZones, q.Address)
-		n.candidates.Observe(q.Address, q.Zone, q.Cores, boottime())
+		n.candidates.Observe(election.Candidate{Address: q.Address, Zone: q.Zone, Cores: q.Cores, Life: q.Life}, boottime())
 		return n.newPingReply(q.Hosts), nil
 	})
 	serve(n.server, methodSubmit, n, submitForwarded)
--- a/control/skippedload_test.go
+++ b/control/skippedload_test.go
@@ -29,7 +29,7 @@
 	defer cancel()
 	go n.lead(ctx, c, previous, boottime())
 	synctest.Wait() // the state is being loaded
-	n.candidates.Observe("strong", "zone", strongCores, boottime())
+	n.candidates.Observe(election.Candidate{Address: "strong", Zone: "zone", Cores: strongCores}, boottime())
 	close(slow.open)
 	synctest.Wait()
 	row, _, err = election.Read(t.Context(), table)
--- a/election/candidates.go
+++ b/election/candidates.go
@@ -21,18 +21,16 @@
 
 // candidate is a host that could take the domain over or relay orders.
 type candidate struct {
-	cores float64
-	zone  string
-	// lastSeen is the time of the last ping, firstSeen that of the first one after
-	// the host's last gap of more than candidateTTL.
+	Candidate
+	// lastSeen is the time of the last ping, firstSeen that of the first one of this
+	// life after the last gap of more than candidateTTL.
 	firstSeen, lastSeen time.Duration
 }
 
-// Observe records a ping at the monotonic time now from the host with the given
-// address, availability zone and number of processors. A host with 0 processors
+// Observe records a ping of a host at the monotonic time now. A host with 0 processors
 // no longer accepts the domain and is removed, as are hosts that haven't pinged
 // for candidateTTL.
-func (c *Candidates) Observe(address, zone string, cores float64, now time.Duration) {
+func (c *Candidates) Observe(host Candidate, now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for other, old := range c.byAddress {
@@ -40,18 +38,21 @@
 			delete(c.byAddress, other)
 		}
 	}
-	if cores <= 0 {
-		delete(c.byAddress, address)
+	old, found := c.byAddress[host.Address]
+	if host.Cores <= 0 {
+		if found && !host.anotherLife(old.Candidate) {
+			delete(c.byAddress, host.Address)
+		}
 		return
 	}
 	if c.byAddress == nil {
 		c.byAddress = map[string]candidate{}
 	}
 	firstSeen := now
-	if old, found := c.byAddress[address]; found {
+	if found && !host.anotherLife(old.Candidate) {
 		firstSeen = old.firstSeen
 	}
-	c.byAddress[address] = candidate{cores: cores, zone: zone, firstSeen: firstSeen, lastSeen: now}
+	c.byAddress[host.Address] = candidate{Candidate: host, firstSeen: firstSeen, lastSeen: now}
 }
 
 // RelayHosts returns the available hosts, which may relay orders.
@@ -61,7 +62,7 @@
 	var all []relay.Host
 	for address, h := range c.byAddress {
 		if now-h.lastSeen <= candidateTTL {
-			all = append(all, relay.Host{Address: address, Zone: h.zone, Cores: h.cores})
+			all = append(all, relay.Host{Address: address, Zone: h.Zone, Cores: h.Cores})
 		}
 	}
 	return all
@@ -74,11 +75,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range c.byAddress {
-		if now-h.lastSeen > candidateTTL || h.cores < cores {
+		if now-h.lastSeen > candidateTTL || h.Cores < cores {
 			continue
 		}
-		if h.cores > cores {
-			cores, seenFor = h.cores, 0
+		if h.Cores > cores {
+			cores, seenFor = h.Cores, 0
 		}
 		seenFor = max(seenFor, now-h.firstSeen)
 	}
