dispatch: the roster holds the address at which a worker gets orders

Seen in a test: a worker that was on the durable roster got another address by a later entry before its first report, and then orders there, while the roster kept the old address. A later owner would ask there; another worker's answer (421) counts as the end of all runs of this one, which go on.

Cause: a change of the address didn't change the roster. A batch that was collected with the old address also counted for the new one.

Change: a changed address is written to the roster, and the worker gets no orders before that is durable.

Evidence: TestRosterHoldsAddressOfOrders fails before, and with only one half of the change; go test ./dispatch ./control passes.

Why it holds: a worker's address changes in one place only, and a batch puts a worker on the roster only with the address that it holds.

--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -45,8 +45,8 @@
 
 // rosterEntry is a worker as a batch writes it to the roster.
 type rosterEntry struct {
-	id       string
-	leasedIn uint64
+	id, address string
+	leasedIn    uint64
 }
 
 // batchJob is a job as a batch writes it.
@@ -246,7 +246,7 @@
 	}
 	for _, e := range b.roster {
 		if w := s.workers[e.id]; w != nil {
-			w.inRoster = true
+			w.inRoster = w.inRoster || e.address == w.info.Address
 			w.leasable = w.leasable || e.leasedIn == s.cfg.Epoch
 		}
 	}
--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -44,7 +44,7 @@
 				Worker:   runner.Worker{ID: w.info.ID, Incarnation: w.incarnation, Address: w.info.Address, Capacity: w.info.Capacity},
 				LeasedIn: w.leasedIn,
 			})
-			b.roster = append(b.roster, rosterEntry{w.info.ID, w.leasedIn})
+			b.roster = append(b.roster, rosterEntry{w.info.ID, w.info.Address, w.leasedIn})
 		}
 	}
 	for part, row := range parts {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -78,6 +78,11 @@
 		s.markChanged(w)
 	}
 	w.listed = true
+	if w.info.Address != m.Address {
+		// A later owner asks at the address of the roster, and another worker may be at the old one.
+		w.inRoster = false
+		s.dirtyRosterParts[w.rosterPart()] = true
+	}
 	used := w.info.Capacity.Sub(w.free)
 	wasDraining := w.info.Draining
 	w.info = m
