dispatch: the listed end of a held run is recorded, whatever its number

Seen in a test: a job stood still although the ends of all its runs were listed and none was acknowledged. The worker had listed the newest 500 of 600 ends in its first list, and the oldest 500 in the next one.

Cause: of a full first list, the numbers below the lowest count as acknowledged by an earlier owner, so that the ends listed later were skipped.

Change: the end of a run that the owner holds as alive is recorded also if its number counts as recorded.

Evidence: TestSkippedEndOfHeldRunIsRecorded fails before and passes now; go test ./dispatch ./control ./event passes.

Why it holds: a run has one end, its number is never given twice, and the report is of the worker's current life. What remains: a worker with more than 500 ends that lists the newest first and forgets the others before it lists them; no number tells that they were never listed.

--- a/dispatch/finding.go
+++ b/dispatch/finding.go
@@ -16,7 +16,7 @@
 	// know. Nothing of it is recorded.
 	EndOfUnknownTask FindingKind = iota
 	// EndSkipped: the report lists the end of a run that the owner holds as alive, under a
-	// number that counts as recorded.
+	// number that counts as recorded. The end is recorded all the same.
 	EndSkipped
 	// RunOmitted: a report that was requested after a run had started lists neither the
 	// run nor its end.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -82,12 +82,13 @@
 	var newEnds []runner.RunEnd
 	for _, e := range ends {
 		if w.ends.has(e.Number) {
-			if r := w.runs[e.Task]; r != nil && r.number == e.Run {
-				s.find(EndSkipped, w, e.Task, e.Run, e.Number)
+			if r := w.runs[e.Task]; r == nil || r.number != e.Run {
+				continue
 			}
-			continue
+			s.find(EndSkipped, w, e.Task, e.Run, e.Number) // the number is wrong, the run has ended
+		} else {
+			w.ends.add(e.Number)
 		}
-		w.ends.add(e.Number)
 		s.recordEnd(now, w, e)
 		newEnds = append(newEnds, e)
 	}
