dispatch: jobs end in the calm after the faults

The simulation of acknowledged ends goes on without faults and new jobs for two minutes, after which all accepted jobs must have ended.

--- a/dispatch/acknowledgedends_test.go
+++ b/dispatch/acknowledgedends_test.go
@@ -37,7 +37,8 @@
 }
 
 // TestForgottenEndsAreStored guards against jobs that stand still and tasks that are started
-// again after they have ended as done: a worker forgot ends that weren't stored.
+// again after they have ended as done: a worker forgot ends that weren't stored. In the calm
+// that follows, all jobs have to end.
 func TestForgottenEndsAreStored(t *testing.T) {
 	seeds := []uint64{37, 57, 98} // found faults that few seeds find
 	for seed := range uint64(16) {
@@ -49,6 +50,16 @@
 			for range 1500 {
 				s.step()
 			}
+			s.calm = true
+			for range 1200 {
+				s.step()
+			}
+			for i := range s.jobs {
+				id := fmt.Sprint("job", 1+i)
+				if state, ok := s.owner().state.JobState(id); ok && !state.Final() {
+					t.Errorf("%s is %v after the calm, %d runs are active", id, state, len(s.life.active))
+				}
+			}
 			if s.forgotten < 100 {
 				t.Errorf("%d ends were forgotten, want more", s.forgotten)
 			}
--- a/dispatch/acksim_test.go
+++ b/dispatch/acksim_test.go
@@ -37,6 +37,8 @@
 	jobs           int
 	// later holds what happens later.
 	later []laterEvent
+	// calm is set once there are no more faults and submissions.
+	calm bool
 	// forgotten counts the ends that were checked.
 	forgotten int
 }
@@ -60,6 +62,9 @@
 
 func (s *ackSim) chance(share float64) bool { return s.random.Float64() < share }
 
+// fault is chance for what happens only before the calm.
+func (s *ackSim) fault(share float64) bool { return !s.calm && s.chance(share) }
+
 // after makes something happen within a duration.
 func (s *ackSim) after(most time.Duration, do func()) {
 	at := s.owner().now.Add(time.Duration(s.random.Int64N(int64(most))))
@@ -97,10 +102,10 @@
 			e.do()
 		}
 	}
-	if s.chance(0.01) {
+	if s.fault(0.01) {
 		s.startLife()
 	}
-	if s.chance(0.01) {
+	if s.fault(0.01) {
 		s.replaceOwner()
 	}
 	for len(s.life.active) > 0 && s.chance(0.4) {
@@ -120,7 +125,7 @@
 	s.life.active = slices.Delete(s.life.active, i, i+1)
 	s.life.lastEnd++
 	kind := runner.EndDone
-	if s.chance(0.1) {
+	if s.fault(0.1) {
 		kind = runner.EndFailed
 	}
 	s.life.ends = append(s.life.ends, runner.RunEnd{Number: s.life.lastEnd, Task: a.Task, Run: a.Run, Kind: kind})
--- a/dispatch/acksimorders_test.go
+++ b/dispatch/acksimorders_test.go
@@ -13,14 +13,14 @@
 func (s *ackSim) act(o *ackOwner) {
 	o.state.SetMembers(o.now, []runner.Worker{workerInfo(worker(0))})
 	s.commit(o)
-	if o == s.owner() && s.chance(0.2) {
+	if o == s.owner() && s.fault(0.2) {
 		s.jobs++
 		job := &workload.Job{
 			ID: fmt.Sprint("job", s.jobs), Queue: queueShort.Name, Steps: []workload.Step{step(1+s.random.IntN(3), 2)}, Submitted: o.now.UnixMilli(),
 		}
 		o.state.Accept(o.now, o.now.UnixMilli(), job, queueShort)
 	}
-	if o == s.owner() && s.jobs > 0 && s.chance(0.02) {
+	if o == s.owner() && s.jobs > 0 && s.fault(0.02) {
 		o.state.Cancel(o.now, fmt.Sprint("job", 1+s.random.IntN(s.jobs)))
 	}
 	for _, start := range o.state.Plan(o.now).Starts {
@@ -51,13 +51,15 @@
 		}
 	}
 	switch x := s.random.Float64(); {
+	case s.calm:
+		carryOut()
 	case x < 0.05:
 	case x < 0.15:
 		s.after(4*time.Second, carryOut)
 	default:
 		carryOut()
 	}
-	late, lost := s.random.Int64N(int64(time.Second)), s.chance(0.1)
+	late, lost := s.random.Int64N(int64(time.Second)), s.fault(0.1)
 	s.after(time.Duration(1+late), func() {
 		if lost {
 			answer = runner.Answer{Status: runner.Unknown}
@@ -69,11 +71,11 @@
 // poll sends a renewal, which may be carried out and answered late, or lost.
 func (s *ackSim) poll(o *ackOwner) {
 	_, renewal, ok := o.state.Renewal(o.now, worker(0), true)
-	if !ok || s.chance(0.05) {
+	if !ok || s.fault(0.05) {
 		return
 	}
 	late := 50 * time.Millisecond
-	if s.chance(0.1) {
+	if s.fault(0.1) {
 		late = 4 * time.Second
 	}
 	s.after(late, func() {
@@ -84,7 +86,7 @@
 			s.random.Shuffle(len(report.Ends), func(i, j int) { report.Ends[i], report.Ends[j] = report.Ends[j], report.Ends[i] })
 		}
 		switch {
-		case s.chance(0.05): // the answer is lost
+		case s.fault(0.05): // the answer is lost
 			o.state.HandleReport(o.now, worker(0), renewal, runner.Answer{Status: runner.Unknown}, runner.Report{})
 		default:
 			s.after(late, func() { o.state.HandleReport(o.now, worker(0), renewal, answer, report) })
@@ -112,7 +114,7 @@
 	}
 	o.batch, o.applied, o.began = b, false, o.now
 	late := 50 * time.Millisecond
-	if s.chance(0.1) {
+	if s.fault(0.1) {
 		late = 3 * time.Second
 	}
 	s.after(late, func() {
