dispatch: starts go on once the ends were delivered

Seen in a test: a worker got no starts after a renewal had to withhold an acknowledgment, although an earlier renewal delivered it meanwhile.

Cause: a fault in "acknowledgments aren't withheld without end": only an acknowledging renewal ended the wait, and with nothing left to acknowledge there was none.

Change: the worker waits only while an acknowledgment is due, and a renewal with nothing to acknowledge ends the wait too.

Evidence: TestStartsGoOnOnceEndsWereDelivered fails before and passes now; go test ./dispatch ./control passes.

Why it holds: a wait needs an end that is durable and not delivered, and then each renewal either acknowledges it or finds a start under way.

--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -38,9 +38,7 @@
 		return runner.Worker{}, runner.Renewal{}, false
 	}
 	o := runner.Renewal{To: w.addressee(now), Token: w.token}
-	if w.acknowledged > w.delivered {
-		o.Acknowledged = s.acknowledge(now, w)
-	}
+	o.Acknowledged = s.acknowledge(now, w)
 	if extend && !w.suspected && w.leasable {
 		// A suspected worker gets no lease: each one sent would delay the time
 		// at which its runs are known to have ended.
@@ -63,22 +61,26 @@
 const maxWithheld = time.Second
 
 // acknowledge returns the number up to which a renewal acknowledges the worker's ends, 0 if
-// that has to wait for the answer to a start.
+// it has forgotten them or that has to wait for the answer to a start.
 func (s *State) acknowledge(now time.Time, w *worker) uint64 {
-	if !w.startUnanswered() {
-		w.acknowledgedUnder, w.withheldSince = w.token, time.Time{}
-		return w.acknowledged
-	}
-	if w.withheldSince.IsZero() {
-		w.withheldSince = now
+	switch {
+	case w.acknowledged <= w.delivered:
+		w.withheldSince = time.Time{}
+		return 0
+	case w.startUnanswered():
+		if w.withheldSince.IsZero() {
+			w.withheldSince = now
+		}
+		return 0
 	}
-	return 0
+	w.acknowledgedUnder, w.withheldSince = w.token, time.Time{}
+	return w.acknowledged
 }
 
 // startsWait reports whether the worker gets no new starts, as its ends have to be
 // acknowledged first.
 func (l *life) startsWait(now time.Time) bool {
-	return !l.withheldSince.IsZero() && now.Sub(l.withheldSince) >= maxWithheld
+	return !l.withheldSince.IsZero() && l.acknowledged > l.delivered && now.Sub(l.withheldSince) >= maxWithheld
 }
 
 // startUnanswered reports whether a start is under way of which it isn't known whether this
--- a/dispatch/withheldacknowledgment_test.go
+++ b/dispatch/withheldacknowledgment_test.go
@@ -34,3 +34,29 @@
 		t.Errorf("%d ends weren't acknowledged, want at most %d", longest, atMost)
 	}
 }
+
+// TestStartsGoOnOnceEndsWereDelivered guards against a worker that gets no starts any more: an
+// earlier renewal had acknowledged its ends while a later one had to withhold that.
+func TestStartsGoOnOnceEndsWereDelivered(t *testing.T) {
+	life := newLifeRig(t)
+	life.submit(queueShort, "job", step(1, 2))
+	for _, o := range life.startAll() {
+		life.end(o, runner.EndDone)
+	}
+	life.poll()
+	_, acknowledging, _ := life.state.Renewal(life.now, worker(0), true)
+	life.submit(queueShort, "next", step(1, 2))
+	starts := life.state.Plan(life.now).Starts
+	if _, o, _ := life.state.Renewal(life.now, worker(0), true); acknowledging.Acknowledged != 1 || o.Acknowledged != 0 {
+		t.Fatalf("ends up to %d and %d are acknowledged, want 1 and 0", acknowledging.Acknowledged, o.Acknowledged)
+	}
+	life.state.HandleReport(life.now, worker(0), acknowledging, life.answer(runner.Done), life.renew(acknowledging))
+	for _, o := range starts {
+		life.start(o)
+	}
+	life.advance(5 * time.Second)
+	life.submit(queueShort, "last", step(1, 2))
+	if len(life.state.Plan(life.now).Starts) != 1 {
+		t.Error("nothing starts before the next poll, want one start")
+	}
+}
