dispatch: an unresponsive worker gets no acknowledgments

Callers see a task that is started again after its end as done was acknowledged (TWICE), if a worker starts again under its ID and gets orders, but none of its answers arrive.

Cause: no ends are acknowledged while a start is unanswered, as the next life may have carried it out. But once the lease is over, the run of that start counts as over, and the next renewal acknowledges durable ends of the life before. The new life, under the same numbers, forgets the end of the run, which nobody has seen.

Change: ends are acknowledged only while the worker is responsive. A run without an answer ends without a report only with the lease of a worker that isn't; the answer that makes it responsive again tells its life.

--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -38,7 +38,7 @@
 		return runner.Worker{}, runner.Renewal{}, false
 	}
 	o := runner.Renewal{To: w.addressee(now), Token: w.token}
-	if w.acknowledged > w.delivered && !w.startUnanswered() {
+	if w.acknowledged > w.delivered && w.unresponsiveSince.IsZero() && !w.startUnanswered() {
 		o.Acknowledged, w.acknowledgedUnder = w.acknowledged, w.token
 	}
 	if extend && !w.suspected && w.leasable {
@@ -58,7 +58,8 @@
 // startUnanswered reports whether a start is under way of which it isn't known whether this
 // life of the worker has carried it out. Until then no ends are acknowledged: a worker that
 // has started again may have carried it out and ended it, under a number that was listed in
-// the life before, and would forget that end.
+// the life before, and would forget that end. An unanswered start that ended with the lease of
+// an unresponsive worker is such a start until the worker answers.
 func (w *worker) startUnanswered() bool {
 	return slices.ContainsFunc(w.runsByNumber, func(r *run) bool { return !r.confirmed && !r.held })
 }
