dispatch: a run belongs to a new life once a report lists it

Callers see a job that stands still for good (LOST), if a worker starts again under its ID twice within a second or so.

Cause: the life between has only answered a start. That answer begins a life by its clock, but doesn't tell the incarnation. If the next life's clock shows more when it first reports than that late answer did when it arrived, it was taken for the same life, with its incarnation. The run counted as confirmed in it, so that a report which doesn't list the run ended nothing.

Change: the answer that shows a new life confirms the run, but doesn't count it to that life. The first complete report under the raised token does if it lists the run; if not, the run is over.

Why it holds: a new life gets no starts before it has reported, so that until then no run is counted to it, whichever life reports.

TestRunOfLifeWithoutReportStartsAgain failed before (started 0 times again, want once), passes after.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -31,7 +31,11 @@
 			r.phase = uncertain // the next report of the current life tells
 			return false
 		}
-		r.life = w.number
+		// A life that this answer has shown may be over already. The answer doesn't tell its
+		// incarnation, so the next report alone says whether the life that gives it has the run.
+		if from == currentLife {
+			r.life = w.number
+		}
 		r.markConfirmed(now)
 		s.markStarted(r.task.step.job)
 		s.Stats.Starts++
