dispatch: simulated workers start again under their IDs

The simulations of one owner and of chains of owners get workers that crash and return under their IDs, at once or after up to 8 s, often several times. Each life has its own clock, numbers of ends, token and incarnation, which goes up or down; a lease is cut to a maximum by the life's own clock; some lives have another address. Entries on the membership list lag. Orders for one life are carried out by the next, up to 12 s late; answers are lost, or arrive up to 2 s late. Reports list ends in any order. A report of more than runner.MaxEnds ends isn't played, as that number isn't reached.

New check, beside those of the simulations: no renewal makes a worker forget an end as done or failed that the committed rows don't hold.

One case is left out and counted: a start that an earlier life has refused under a higher token, or whose run the newest owner has given up otherwise, and that arrives at a life which has seen no token. No owner can prevent that.

The existing tests draw the same random numbers as before.

--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/fireflygate/fireflygate/workload"
 )
 
 // PlanCompared places the waiting tasks as Plan does, except for gangs. It
@@ -41,6 +43,15 @@
 	return w.info.ID
 }
 
+// MayHoldRun reports whether a run may be alive on a worker as far as the State knows.
+func (s *State) MayHoldRun(worker string, id workload.TaskID, number uint64) bool {
+	if s.awaitingReport[worker] != nil {
+		return true // an earlier owner may have started it
+	}
+	w := s.workers[worker]
+	return w != nil && w.runs[id] != nil && w.runs[id].number == number
+}
+
 // HeldWorkers returns the workers of the starts that wait for the store.
 func (s *State) HeldWorkers() []string {
 	var ids []string
--- a/dispatch/ownersimfaults_test.go
+++ b/dispatch/ownersimfaults_test.go
@@ -44,6 +44,9 @@
 		s.faultHost(h)
 	}
 	for _, w := range s.alive() {
+		if s.returns != nil && s.chance(returnFault) {
+			s.disturbLife(w)
+		}
 		if s.chance(workerFault) {
 			s.faultWorkerAtRandom(w)
 		}
