dispatch: the lease of a next life is waited for

A task runs in two places for a while, if a worker starts again under its ID, its next life carries out an order for the life before, and then it doesn't answer.

Cause: the order's lease is a time on the clock of the life before. The next life cuts it to MaxLease by its own clock, which may be longer than Lease, by which the owner and its successors count.

Change: a worker is waited for MaxLease if the membership list names a life that the owner doesn't know and that isn't the one before, or if the owner before knew that it had started again less than MaxLease ago. The roster tells the latter; the field is left out if unset, and earlier releases ignore it.

Cost: only where workers grant more than 6 s, and only for workers that don't answer: runs on one whose next life is listed, or that a change of owner follows, start again by the difference later. Other lost workers are waited for as before (TestLostWorkerIsWaitedForNoLonger).

Left: a next life that no list and no owner knew in time, and an order that it carries out seconds late. The lease then begins when nobody can tell.

--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -96,7 +96,7 @@
 // once the batch is durable, and deletes expired jobs.
 func (s *State) flush(now time.Time, limit int, include func(*job) bool) (*Batch, error) {
 	b := &Batch{}
-	if err := s.flushRoster(b); err != nil {
+	if err := s.flushRoster(now, b); err != nil {
 		return nil, err
 	}
 	s.claimRosterEpochs(now, b)
--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -26,7 +26,7 @@
 const maxRosterWrites = 32
 
 // flushRoster writes the parts of the roster that have changed, at most maxRosterWrites.
-func (s *State) flushRoster(b *Batch) error {
+func (s *State) flushRoster(now time.Time, b *Batch) error {
 	if len(s.dirtyRosterParts) == 0 {
 		return nil
 	}
@@ -42,7 +42,7 @@
 		if row := parts[w.rosterPart()]; row != nil {
 			row.Workers = append(row.Workers, RosterWorker{
 				Worker:   runner.Worker{ID: w.info.ID, Incarnation: w.incarnation, Address: w.info.Address, Capacity: w.info.Capacity},
-				LeasedIn: w.leasedIn,
+				LeasedIn: w.leasedIn, NewLife: s.inNewLife(now, w),
 			})
 			b.roster = append(b.roster, rosterEntry{w.info.ID, w.leasedIn})
 		}
@@ -61,6 +61,11 @@
 	return nil
 }
 
+// inNewLife reports whether a worker has started again under its ID shortly before.
+func (s *State) inNewLife(now time.Time, w *worker) bool {
+	return (w.restarted && now.Sub(w.begunAt) < LongestLease(s.cfg.MaxLease)) || (w.inheritedNewLife && !w.reported)
+}
+
 // estimatesInterval is the minimum time between two writes of the interference
 // estimates. An owner that begins without them tries one best-effort task a second
 // on each worker.
--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -46,9 +46,9 @@
 	suspected         bool
 	unresponsiveSince time.Time
 	// restarted is set if this owner has known an earlier life of the worker, which ended no
-	// later than at silentBefore.
-	restarted    bool
-	silentBefore time.Time
+	// later than at silentBefore. begunAt is when this owner learned of this one.
+	restarted             bool
+	silentBefore, begunAt time.Time
 	// before is the incarnation of that life.
 	before runner.Incarnation
 	// unknownRun is set while its last report includes a run of an unknown task, which
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -106,7 +106,7 @@
 func (s *State) InheritWorker(m RosterWorker, epochsKnown bool) {
 	w := s.addWorker(m.Worker)
 	w.inRoster = true
-	w.leasedIn = m.LeasedIn
+	w.leasedIn, w.inheritedNewLife = m.LeasedIn, m.NewLife
 	if !epochsKnown {
 		w.leasedIn = 0
 		s.dirtyRosterParts[w.rosterPart()] = true
@@ -147,7 +147,7 @@
 // removeIfExpired removes an unlisted worker, also from the roster, once no run
 // can be alive there. ExpireLeases first records the loss of one that never reported.
 func (s *State) removeIfExpired(w *worker, now time.Time) {
-	if w.listed || len(w.runs) > 0 || !w.leaseExpired(now) || s.awaitingReport[w.info.ID] != nil {
+	if w.listed || len(w.runs) > 0 || !w.leaseExpired(now, s.leaseExcess()) || s.awaitingReport[w.info.ID] != nil {
 		return
 	}
 	delete(s.workers, w.info.ID)
@@ -191,7 +191,7 @@
 func (s *State) ExpireLeases(now time.Time) {
 	for _, w := range s.byID() {
 		id := w.info.ID
-		if !w.leaseExpired(now) {
+		if !w.leaseExpired(now, s.leaseExcess()) {
 			w.leaseOverAt = time.Time{}
 			continue
 		}
--- a/dispatch/newlife.go
+++ b/dispatch/newlife.go
@@ -63,7 +63,7 @@
 func (s *State) beginLife(now time.Time, w *worker, a runner.Answer) {
 	before := w.life
 	w.life = s.newLife(a.Incarnation)
-	w.restarted, w.before, w.silentBefore = true, before.incarnation, before.unresponsiveSince
+	w.restarted, w.begunAt, w.before, w.silentBefore = true, now, before.incarnation, before.unresponsiveSince
 	if w.silentBefore.IsZero() {
 		w.silentBefore = now
 		s.recordOutage(w, now)
@@ -81,6 +81,12 @@
 	}
 }
 
+// leaseExcess returns how much longer than by the clock of one life a lease may last in the next
+// life, which cuts it to MaxLease by its own clock.
+func (s *State) leaseExcess() time.Duration {
+	return max(0, LongestLease(s.cfg.MaxLease)-LongestLease(s.cfg.Lease))
+}
+
 // endEarlierLives ends the runs of earlier lives that a complete report of this one doesn't
 // list. The report is under a token that is higher than those of all orders for earlier lives,
 // so that none of their starts can be carried out any more.
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -128,6 +128,8 @@
 	// LeasedIn is the latest epoch whose owner may have given it a lease or a start, 0
 	// if unknown.
 	LeasedIn uint64 `msgpack:"e,omitempty"`
+	// NewLife is set if it had started again under its ID shortly before.
+	NewLife bool `msgpack:"n,omitempty"`
 }
 
 // progress returns the durable form of the job's progress.
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -143,7 +143,7 @@
 	}
 	rows := r.rosterRows()
 	for _, id := range roster {
-		row := dispatch.RosterWorker{Worker: workerInfo(id), LeasedIn: rows[id].LeasedIn}
+		row := dispatch.RosterWorker{Worker: workerInfo(id), LeasedIn: rows[id].LeasedIn, NewLife: rows[id].NewLife}
 		if w := rows[id].Worker; w.Incarnation != 0 {
 			row.Incarnation, row.Address = w.Incarnation, w.Address
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -39,6 +39,9 @@
 	// owner's row doesn't say yet that the roster does.
 	leasedIn uint64
 	leasable bool
+	// inheritedNewLife is set if an earlier owner knew that it had started again shortly
+	// before.
+	inheritedNewLife bool
 	// inheritedUntil is when all leases from an earlier owner have expired.
 	inheritedUntil time.Time
 	free           infra.Resources
@@ -56,16 +59,27 @@
 	drainingAt                        time.Time
 }
 
-// leaseExpired reports whether no run can be alive at the worker unless its
-// lease is renewed.
-func (w *worker) leaseExpired(now time.Time) bool {
-	if now.Before(w.inheritedUntil) && !w.reported {
+// leaseExpired reports whether no run can be alive at the worker unless its lease is renewed.
+// A life that isn't known may hold its lease for excess longer.
+func (w *worker) leaseExpired(now time.Time, excess time.Duration) bool {
+	if !w.mayBeAnotherLife() {
+		excess = 0
+	}
+	if now.Before(w.inheritedUntil.Add(excess)) && !w.reported {
 		return false
 	}
 	if w.leaseUntil == 0 {
 		return true
 	}
-	return !w.clockAt.IsZero() && w.clockLowerBound(now) > w.leaseUntil+leaseExpiryMargin.Milliseconds()
+	return !w.clockAt.IsZero() && w.clockLowerBound(now) > w.leaseUntil+(excess+leaseExpiryMargin).Milliseconds()
+}
+
+// mayBeAnotherLife reports whether orders may have been carried out by a life of the worker that
+// has started shortly before and hasn't answered this owner: the membership list names it, or an
+// earlier owner knew of it.
+func (w *worker) mayBeAnotherLife() bool {
+	named := w.info.Incarnation.Differs(w.incarnation) && w.info.Incarnation != w.before
+	return named || (w.inheritedNewLife && !w.reported)
 }
 
 // usable reports whether new tasks may go to the worker.
