--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -52,7 +52,7 @@
 	suspected         bool
 	unresponsiveSince time.Time
 	// acceptedAt is when the latest renewal was made that it has carried out. since is when
-	// it began, zero if no earlier life is known.
+	// this owner learned of the life, zero if it knew no earlier one.
 	acceptedAt, since time.Time
 	// restarted is set if this owner has known an earlier life of the worker, which ended no
 	// later than at silentBefore.
