dispatch: a worker that is listed again gets a higher token

Callers see a job that stands still, or a task that is started again after its end as done was acknowledged, if a worker starts again under its ID while it is off the membership list.

Cause: once the lease of an unlisted worker is over, the owner forgets it. A worker that is listed again began with the newest token of all workers, which may be the one that it had. Late orders to the life before then pass: a renewal makes the new life forget ends that nobody has seen, a start is carried out after it was given up.

Change: the token of a removed worker is used up. Tokens within an epoch increase by one a removal; 16 million suffice.

TestListedAgainUnderAHigherToken failed before (the same token), passes after.

--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -150,6 +150,9 @@
 	if w.listed || len(w.runs) > 0 || !w.leaseExpired(now, s.leaseExcess()) || s.awaitingReport[w.info.ID] != nil {
 		return
 	}
+	// Orders to it may still be carried out. If it is listed again, they are refused once it
+	// has seen its next token.
+	s.topToken = max(s.topToken, w.token+1)
 	delete(s.workers, w.info.ID)
 	s.sortedWorkers = nil
 	s.removedWorkers++
