--- a/dispatch/forgottenends_test.go
+++ b/dispatch/forgottenends_test.go
@@ -13,7 +13,8 @@
 func (s *faultSim) checkForgotten(w *faultWorker, o runner.Renewal) {
 	for _, e := range w.ends {
 		if e.Number <= o.Acknowledged && !s.committedEnd(e) {
-			s.t.Fatalf("%s forgets end %d, run %d of %v, %v, which isn't in the committed rows\n%s", w.describe(), e.Number, e.Run, e.Task, e.Kind, s.traceOf(e.Task))
+			s.t.Fatalf("%s forgets end %d, run %d of %v, %v, which isn't in the committed rows: a renewal for life %d of it made at %v under token %d, it has seen %d\n%s",
+				w.describe(), e.Number, e.Run, e.Task, e.Kind, o.To.Incarnation, o.To.At.Sub(s.startedAt), o.Token, w.token, s.traceOf(e.Task))
 		}
 	}
 }
--- a/dispatch/returns_test.go
+++ b/dispatch/returns_test.go
@@ -16,9 +16,10 @@
 	returnFirstSeed = flag.Uint64("dispatch.return-first-seed", 0, "first seed of these tests")
 )
 
-// failedReturnSeeds are further seeds, of three lines, failedReturnOwnerSeeds of two. They fail if
-// an unresponsive worker gets acknowledgments, if a run counts to a life that has only answered
-// its start, and if no next life's lease is waited for after a change of owner.
+// failedReturnSeeds and failedReturnOwnerSeeds are further seeds, of three lines each. They fail if
+// an unresponsive worker gets acknowledgments, and if a run counts to a life that has only answered
+// its start; the third line with one owner if no next life's lease is waited for after a change of
+// owner, that with chains of owners if a worker is listed again under the token that it had.
 var (
 	failedReturnSeeds = []uint64{
 		229, 360, 510, 675, 723,
@@ -28,6 +29,7 @@
 	failedReturnOwnerSeeds = []uint64{
 		89, 454,
 		321, 430,
+		3631,
 	}
 )
 
