--- a/batch/shard.go
+++ b/batch/shard.go
@@ -88,6 +88,8 @@
 	changes []change
 	// commitsInFlight is the number of changes without a result.
 	commitsInFlight int
+	// verifying is set while a commit of verifyOwnership is in flight.
+	verifying bool
 	// startsInFlight is the number of starts without a commit result.
 	startsInFlight int
 	// ready is set once the records are replayed.
@@ -216,7 +218,7 @@
 func (s *Shard) worker(now time.Time, name string) *worker {
 	w := s.workers[name]
 	if w == nil {
-		w = newWorker(name, now)
+		w = newWorker(name, now, now.Add(s.leaseExpiryDelay()))
 		s.workers[name] = w
 	}
 	return w
--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -28,13 +28,19 @@
 	// leaseOverAt is when its leases were found to be over, zero if they weren't since
 	// the last was given.
 	leaseOverAt time.Time
+	// longestOverAt is the same for leases that a later life may have cut to the longest one,
+	// see longestLeaseOver.
+	longestOverAt time.Time
 	// ends holds the numbers of its recorded ends. acknowledged is the number up to which
 	// they are durable, and delivered that up to which it is known to have forgotten them.
 	ends                    endNumbers
 	acknowledged, delivered uint64
-	// acknowledgedUnder is the token of the last renewal that acknowledges ends, unless
-	// that was answered; 0 if none is under way.
+	// acknowledgedUnder is the token of the last renewal that acknowledges ends, answered or
+	// not; 0 if there was none.
 	acknowledgedUnder uint64
+	// withheldSince is the first renewal since the last acknowledging one that couldn't
+	// acknowledge its ends, as a start was under way; zero if there was none.
+	withheldSince time.Time
 	// refusesWrongly is set once it has refused this owner's newest token although the
 	// owner wasn't replaced, until it answers. Its refusals then count as no answer.
 	refusesWrongly bool
@@ -114,5 +120,5 @@
 
 // extendLease records a lease that an order gives, or may have given.
 func (l *life) extendLease(until int64) {
-	l.leaseUntil, l.leaseOverAt = max(l.leaseUntil, until), time.Time{}
+	l.leaseUntil, l.leaseOverAt, l.longestOverAt = max(l.leaseUntil, until), time.Time{}, time.Time{}
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -88,12 +88,13 @@
 	var newEnds []runner.RunEnd
 	for _, e := range ends {
 		if w.ends.has(e.Number) {
-			if r := w.runs[e.Task]; r != nil && r.number == e.Run {
-				s.find(EndSkipped, w, e.Task, e.Run, e.Number)
+			if r := w.runs[e.Task]; r == nil || r.number != e.Run {
+				continue
 			}
-			continue
+			s.find(EndSkipped, w, e.Task, e.Run, e.Number) // the number is wrong, the run has ended
+		} else {
+			w.ends.add(e.Number)
 		}
-		w.ends.add(e.Number)
 		s.recordEnd(now, w, e)
 		newEnds = append(newEnds, e)
 	}
@@ -117,6 +118,7 @@
 	t := s.taskByID(e.Task)
 	if t == nil {
 		s.find(EndOfUnknownTask, w, e.Task, e.Run, e.Number)
+		s.recordUnreadable(&e)
 		return
 	}
 	j := t.step.job
@@ -185,6 +187,11 @@
 // one task.
 func (s *State) taskFailed(now time.Time, w *worker, t *task, number uint64) {
 	t.failedOn = append(t.failedOn, w.info.ID)
+	s.countFailure(now, t, number)
+}
+
+// countFailure counts a failed run as an attempt, once.
+func (s *State) countFailure(now time.Time, t *task, number uint64) {
 	if t.step.spec.LongRunning {
 		return
 	}
