dispatch: runs of an ended life are no finding

Only runs of the current life count.

Before: TestRunsOfEndedLifeStartAgain with the new check failed (four findings, want none). After: it passes.

--- a/dispatch/finding.go
+++ b/dispatch/finding.go
@@ -64,11 +64,11 @@
 	}
 }
 
-// findOmitted records the runs that a complete report lists neither as active nor as ended
-// although their start was confirmed before it was requested, each run once.
+// findOmitted records the runs of the current life that a complete report lists neither as
+// active nor as ended although their start was confirmed before it was requested, each run once.
 func (s *State) findOmitted(w *worker, sent *runner.Renewal, rep *runner.Report) {
 	for _, r := range w.runsByNumber {
-		if r.omitted || !r.confirmed || r.confirmedAt.IsZero() || !r.confirmedAt.Before(sent.To.At) {
+		if r.omitted || r.life != w.number || !r.confirmed || r.confirmedAt.IsZero() || !r.confirmedAt.Before(sent.To.At) {
 			continue
 		}
 		id := r.task.id()
--- a/dispatch/newlife_test.go
+++ b/dispatch/newlife_test.go
@@ -140,6 +140,7 @@
 		second.poll()
 		again += len(second.startAll())
 	}
+	second.wantFindings() // that runs of an ended life are missing is nothing to report
 	if len(before) != 4 || again != 4 {
 		t.Errorf("%d starts in the first life and %d in the second, want 4 each", len(before), again)
 	}
