--- a/dispatch/innocentjobs_test.go
+++ b/dispatch/innocentjobs_test.go
@@ -9,9 +9,12 @@
 	"github.com/fireflygate/fireflygate/workload"
 )
 
-// innocentSeeds are seeds in which a job is given up with a worker among the losses that
-// was only cut off.
-var innocentSeeds = []uint64{32, 1003, 1061, 1507, 1728, 1804}
+// innocentSeeds are seeds of two lines: in the first a job was given up with a worker among the
+// losses that was only cut off, in the second all its workers crash by themselves.
+var innocentSeeds = []uint64{
+	32, 1003, 1061, 1507, 1728, 1804,
+	269, 345, 477,
+}
 
 const (
 	// crashesBeforeCutOff is the number of workers that crash under a task before one is
