--- a/control/acceptance.go
+++ b/control/acceptance.go
@@ -11,31 +11,65 @@
 // accepted reports whether the owner may give orders by what workers accept: its last commit
 // is recent, or most workers have accepted its orders lately.
 func (o *Owner) accepted() bool {
-	return o.commitAge() < election.MinorityValidity || boottime() < time.Duration(o.acceptedUntil.Load())
+	at := time.Duration(o.acceptedAt.Load())
+	return o.commitAge() < election.MinorityValidity || (at > 0 && boottime() < at+election.AcceptanceWindow)
 }
 
-// updateAcceptance records until when most workers accept this owner's orders. at is the
-// boottime of now.
-func (o *Owner) updateAcceptance(now time.Time, at time.Duration) {
+// updateAcceptance records when most workers still accepted this owner's orders.
+func (o *Owner) updateAcceptance() {
+	o.forgetIfSuspended()
 	if o.commitAge() < election.MinorityValidity/2 {
 		return // the last commit decides
 	}
-	until := time.Duration(0)
-	if accepted := o.state.MajorityAcceptedAt(); !accepted.IsZero() {
-		until = at - now.Sub(accepted) + election.AcceptanceWindow
+	at, accepted := time.Duration(0), o.state.MajorityAcceptedAt()
+	if !accepted.IsZero() {
+		at = boottime() - time.Since(accepted)
 	}
-	o.acceptedUntil.Store(int64(until))
+	o.acceptedAt.Store(int64(at))
 }
 
-// boundPredecessor shortens the time for which the previous owner may give orders, once most
-// of the workers that it knew have reported to this owner.
-func (o *Owner) boundPredecessor(at time.Duration) {
-	if o.predecessor == 0 || !o.state.ReportedByMajority() {
+// forgetIfSuspended forgets what workers have accepted before the host was suspended, since
+// Go's clock doesn't count that time.
+func (o *Owner) forgetIfSuspended() {
+	suspended := boottime() - o.ownedSince - time.Since(o.startedAt)
+	if suspended > o.suspended+maxClockStep {
+		o.state.ForgetAcceptances()
+	}
+	o.suspended = suspended
+}
+
+// maxClockStep is the most by which two readings of clocks in sequence may differ while the
+// host isn't suspended.
+const maxClockStep = 20 * time.Millisecond
+
+// leaseLeft returns how long a lease that the owner gives now may last; it is negative if it
+// may give none.
+func (o *Owner) leaseLeft() time.Duration {
+	if !o.ownershipValid() {
+		return 0
+	}
+	return o.leaseLimit() - boottime()
+}
+
+// leaseLimit returns the boottime at which leases end that the owner gives now at the latest.
+func (o *Owner) leaseLimit() time.Duration {
+	return election.LeaseLimit(time.Duration(o.committedAt.Load()), o.epochsDurable.Load(), time.Duration(o.acceptedAt.Load()))
+}
+
+// boundEarlierOwners shortens the time for which earlier owners may give orders and leases,
+// once most of the workers that they knew have reported to this owner.
+func (o *Owner) boundEarlierOwners(at time.Duration) {
+	if len(o.unbounded) == 0 || !o.state.ReportedByMajority() {
 		return
 	}
-	epoch := o.predecessor
-	o.predecessor = 0
-	if o.earlier.ReplacedAtMajority(epoch, at) {
-		event.EarlierOwnerBounded.Log(o.opts.Log, slog.Uint64("epoch", epoch), slog.Int("awaited", o.setEarlierOrders()))
+	var bounded []uint64
+	for _, epoch := range o.unbounded {
+		if o.earlier.ReplacedAtMajority(epoch, at) {
+			bounded = append(bounded, epoch)
+		}
+	}
+	o.unbounded = nil
+	if len(bounded) > 0 {
+		event.EarlierOwnersBounded.Log(o.opts.Log, slog.Any("epochs", bounded), slog.Int("awaited", o.setEarlierOrders()))
 	}
 }
--- a/control/acknowledgedcommit_test.go
+++ b/control/acknowledgedcommit_test.go
@@ -27,7 +27,7 @@
 func reportEnds(t *testing.T, o *Owner, ends ...runner.RunEnd) uint64 {
 	t.Helper()
 	now := time.Now()
-	_, renewal, ok := o.state.Renewal(now, "w", true)
+	_, renewal, ok := o.state.Renewal(now, "w", lease)
 	if !ok {
 		t.Fatal("the worker isn't known")
 	}
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	successor := election.Successor(&row, election.Record{Host: "b", Incarnation: "b"})
+	successor := election.Successor(&row, election.Record{Host: "b", Incarnation: "b"}, 0)
 	value, err := successor.Encode()
 	if err != nil {
 		t.Fatal(err)
--- a/control/commit.go
+++ b/control/commit.go
@@ -73,6 +73,9 @@
 		o.quit(errors.Wrap(err, "commit"))
 		return
 	}
+	if b.RosterEpochs {
+		o.epochsDurable.Store(true)
+	}
 	o.recordCommit(start)
 	o.post(func() {
 		o.endOutage(true)
@@ -89,6 +92,9 @@
 
 // commitBatch writes a batch together with the owner's row.
 func (o *Owner) commitBatch(ctx context.Context, b *dispatch.Batch) error {
+	if b.RosterChanged {
+		o.committer.MarkRosterChanged()
+	}
 	if b.RosterEpochs {
 		return o.committer.CommitRosterEpochs(ctx, b.Writes)
 	}
@@ -98,8 +104,9 @@
 // recordCommit records the version of the owner's row after an applied commit,
 // and the boottime start at which that commit began.
 func (o *Owner) recordCommit(start time.Duration) {
-	o.committedVersion.Store(o.committer.Version())
+	// A host that learns of the version must not take it for older than it is.
 	o.committedAt.Store(int64(start))
+	o.committedVersion.Store(o.committer.Version())
 }
 
 // notifyDurable responds to the waiters of jobs whose changes are durable.
--- a/control/earlierowners.go
+++ b/control/earlierowners.go
@@ -26,7 +26,11 @@
 	at, now := boottime(), time.Now()
 	var all []dispatch.EarlierOrders
 	for _, e := range o.earlier.List(at) {
-		all = append(all, dispatch.EarlierOrders{Epoch: e.Epoch, End: now.Add(time.Duration(e.OrdersMS) * time.Millisecond)})
+		orders := dispatch.EarlierOrders{Epoch: e.Epoch, End: now.Add(time.Duration(e.OrdersMS) * time.Millisecond)}
+		if e.LeasesMS != 0 {
+			orders.LeasesEnd = now.Add(time.Duration(e.LeasesMS) * time.Millisecond)
+		}
+		all = append(all, orders)
 	}
 	return o.state.SetEarlierOrders(all)
 }
--- a/control/orders.go
+++ b/control/orders.go
@@ -91,7 +91,7 @@
 // be waiting there, for a recent report or to learn which unanswered starts were
 // carried out. Queued starts with an older token aren't sent any more.
 func (o *Owner) pollNow(id string) {
-	w, renewal, ok := o.state.Renewal(time.Now(), id, o.ownershipValid())
+	w, renewal, ok := o.state.Renewal(time.Now(), id, o.leaseLeft())
 	s := o.sessions[id]
 	if !ok || s == nil {
 		return
@@ -197,7 +197,7 @@
 	if s.polling || now.Before(s.nextPoll) || !o.state.RenewalReady(now, id) {
 		return false
 	}
-	info, renewal, ok := o.state.Renewal(now, id, o.ownershipValid())
+	info, renewal, ok := o.state.Renewal(now, id, o.leaseLeft())
 	if !ok {
 		return false
 	}
--- a/control/owner.go
+++ b/control/owner.go
@@ -102,23 +102,29 @@
 	stalledAt, refusedAt atomic.Int64
 	// refusedToken is the refusal for which a verification was last required.
 	refusedToken dispatch.RefusedToken
-	// acceptedUntil is the boottime until which most workers accept this owner's orders as
-	// far as is known.
-	acceptedUntil atomic.Int64
-	// predecessor is the epoch of the previous owner if that needs a majority of workers to
-	// give orders without commits, until they have reported to this one; 0 otherwise.
-	predecessor uint64
+	// acceptedAt is the boottime at which most workers still accepted this owner's orders as
+	// far as is known, 0 if that isn't known.
+	acceptedAt atomic.Int64
+	// unbounded holds the epochs of earlier owners that need a majority of workers to give
+	// orders without commits, until most of these have reported to this owner.
+	unbounded []uint64
 	// earlier tracks until when the owners before this one may give orders.
 	earlier *election.EarlierOwners
 	// rosterEpochsKnown is set if the previous owner's row says that the roster tells in
 	// which epochs workers got leases.
 	rosterEpochsKnown bool
+	// epochsDurable is set once this owner's row, as applied, says the same.
+	epochsDurable atomic.Bool
 	// afterCommit, if set, runs on the loop after the commit in flight.
 	afterCommit func()
 	// candidates are the hosts that ping this owner; ownedSince is the boottime at
 	// which the ownership began.
 	candidates *election.Candidates
 	ownedSince time.Duration
+	// startedAt is ownedSince on Go's clock, suspended the time for which the host was
+	// suspended since, as last determined.
+	startedAt time.Time
+	suspended time.Duration
 	// inheritedReference is the takeover reference of the previous owner's row,
 	// inheritedHosts the number of hosts in it.
 	inheritedReference float64
@@ -145,7 +151,7 @@
 	o := &Owner{
 		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: row.Epoch,
 		events: make(chan func(), maxQueuedFuncs), sessions: map[string]*session{}, traffic: newTraffic(),
-		waiters: map[string][]waiter{}, stopped: make(chan struct{}), ownedSince: boottime(), candidates: new(election.Candidates),
+		waiters: map[string][]waiter{}, stopped: make(chan struct{}), ownedSince: boottime(), startedAt: time.Now(), candidates: new(election.Candidates),
 	}
 	o.relays = newRelays(&o.opts)
 	o.closedZones = func() closedzones.Set { return closedzones.Set{} }
@@ -238,8 +244,8 @@
 	at := boottime()
 	o.verifyAfterStall(at)
 	o.endIfRefused(at)
-	o.updateAcceptance(now, at)
-	o.boundPredecessor(at)
+	o.updateAcceptance()
+	o.boundEarlierOwners(at)
 	o.cycleAt.Store(int64(at))
 	if o.handOver() {
 		o.pollWorkers(now) // renews the leases of running tasks until the handover is committed
@@ -286,7 +292,7 @@
 	done := o.loop.add(flushing, now)
 	if o.ownershipValid() && !o.refused() && !o.resigning && o.planDue(now) {
 		o.state.SetCommitOverdue(o.commitOverdue(now))
-		p := o.state.PlanWithin(now, dispatch.PlanLimits{Starts: o.traffic.AvailableStarts(), Visits: o.overload.Limit()})
+		p := o.state.PlanWithin(now, dispatch.PlanLimits{Starts: o.traffic.AvailableStarts(), Visits: o.overload.Limit(), Lease: o.leaseLeft()})
 		planned := done
 		done = o.loop.add(planning, done)
 		o.loop.cycles.add(&p)
--- a/control/suspicion.go
+++ b/control/suspicion.go
@@ -26,6 +26,14 @@
 	readTime time.Duration
 }
 
+// unchangedFor returns for how long the owner's row is known to have had a version.
+func (s *suspicion) unchangedFor(version uint64) time.Duration {
+	if version != s.version || s.since.IsZero() {
+		return 0
+	}
+	return max(time.Since(s.since), 0)
+}
+
 // nextPoll returns the time until the next read of the owner's row: rowPollInterval, or
 // less if the host may take the domain over before.
 func (s *suspicion) nextPoll(now time.Time) time.Duration {
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	begun := boottime()
-	c, err := n.acquire(ctx, lock, row)
+	c, err := n.acquire(ctx, lock, row, s.unchangedFor(row.version))
 	if err != nil && !errors.Is(err, election.ErrDeposed) {
 		n.requestLock(ctx, lock.address, row.version, true)
 	}
@@ -56,14 +56,15 @@
 	return true
 }
 
-// acquire commits the row of the next owner while the host holds the advisory lock.
-func (n *Node) acquire(ctx context.Context, lock lockResult, row rowRead) (*election.Committer, error) {
+// acquire commits the row of the next owner while the host holds the advisory lock. The row that
+// it replaces has been unchanged for some time.
+func (n *Node) acquire(ctx context.Context, lock lockResult, row rowRead, unchanged time.Duration) (*election.Committer, error) {
 	self := election.Record{Host: n.opts.Host, Address: n.opts.Address, Incarnation: n.opts.Incarnation, Cores: n.opts.Cores}
 	ctx, cancel := context.WithTimeout(ctx, election.MaxAcquireTime)
 	defer cancel()
 	go n.keepLock(ctx, lock.address, row.version, cancel)
 	n.attempted = attempted{previous: row.record, open: true}
-	return election.Acquire(ctx, n.opts.Table, self, row.record, row.version, row.took)
+	return election.Acquire(ctx, n.opts.Table, self, row.record, row.version, unchanged, row.took)
 }
 
 // resume leads the domain if the row names this host by an attempt that was given up and
@@ -110,9 +111,7 @@
 	// The load that made the previous owner use relays persists.
 	o.relayScaler.Restore(int(n.relaysPerZone.Load()))
 	o.rosterEpochsKnown = previous.RosterEpochs
-	if previous.NeedsMajority {
-		o.predecessor = previous.Epoch
-	}
+	o.unbounded = previous.BoundByMajority()
 	o.inheritedReference, o.inheritedHosts = previous.Cores, previous.Hosts
 	o.predecessorHandedOver = previous.Resigned && previous.HandedOver && previous.Cores > opts.Cores
 	go n.announceOwnership(o.ctx, c.Record(), func(e election.EarlierOwner) {
--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := election.Acquire(t.Context(), table, election.Record{Host: "a", Incarnation: "a"}, previous, version, 0)
+	c, err := election.Acquire(t.Context(), table, election.Record{Host: "a", Incarnation: "a"}, previous, version, 0, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,7 +149,7 @@
 // attempt to acquire the domain took effect after it was given up.
 func TestLateAttemptCounts(t *testing.T) {
 	previous := election.Record{Host: "b", Incarnation: "b", Epoch: 4}
-	late := election.Successor(&previous, election.Record{Host: "a", Incarnation: "a"})
+	late := election.Successor(&previous, election.Record{Host: "a", Incarnation: "a"}, 0)
 	resigned, other := late, late
 	resigned.Resigned, other.Incarnation = true, "another process"
 	for name, c := range map[string]struct {
@@ -190,3 +190,25 @@
 		})
 	}
 }
+
+// TestLeasesShrinkWithoutCommits guards against an owner that can't commit and gives leases that
+// a successor doesn't wait for.
+func TestLeasesShrinkWithoutCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newTestOwner(t, memtable.New())
+		o.epochsDurable.Store(true)
+		const age = 2 * time.Second
+		o.committedAt.Store(int64(boottime() - age))
+		if got, most := o.leaseLeft(), election.CommitLease-age; got <= 0 || got > most {
+			t.Errorf("%v after the last commit leases last %v, want at most %v", age, got, most)
+		}
+		o.committedAt.Store(int64(boottime() - 2*election.CommitLease))
+		if got := o.leaseLeft(); got > 0 {
+			t.Errorf("leases last %v without commits and acceptances, want none", got)
+		}
+		o.acceptedAt.Store(int64(boottime()))
+		if got := o.leaseLeft(); got <= 0 || got > election.MajorityLease {
+			t.Errorf("leases last %v while most workers accept orders, want at most %v", got, election.MajorityLease)
+		}
+	})
+}
--- a/control/withdrawnstart_test.go
+++ b/control/withdrawnstart_test.go
@@ -18,7 +18,7 @@
 		o := newTestOwner(t, memtable.New())
 		w := runner.Worker{ID: "w", Address: "127.0.0.1:1", Pool: "pool"}
 		o.setMembers([]runner.Worker{w})
-		_, renewal, _ := o.state.Renewal(time.Now(), w.ID, false)
+		_, renewal, _ := o.state.Renewal(time.Now(), w.ID, 0)
 		s := o.startSession(w.ID)
 		s.token.Store(renewal.Token)
 		o.sessions[w.ID] = s
--- a/dispatch/acksimorders_test.go
+++ b/dispatch/acksimorders_test.go
@@ -70,7 +70,7 @@
 
 // poll sends a renewal, which may be carried out and answered late, or lost.
 func (s *ackSim) poll(o *ackOwner) {
-	_, renewal, ok := o.state.Renewal(o.now, worker(0), true)
+	_, renewal, ok := o.state.Renewal(o.now, worker(0), testLease)
 	if !ok || s.fault(0.05) {
 		return
 	}
--- a/dispatch/earlierorders.go
+++ b/dispatch/earlierorders.go
@@ -3,10 +3,20 @@
 import "time"
 
 // EarlierOrders says until when the owner of an earlier epoch may give orders. Leases
-// that it gave are over LongestLease later.
+// that it gave are over LongestLease later, and at LeasesEnd unless that is zero.
 type EarlierOrders struct {
-	Epoch uint64
-	End   time.Time
+	Epoch          uint64
+	End, LeasesEnd time.Time
+}
+
+// leasesEnd returns when the leases are over that the owner may have given, each for lease at
+// most.
+func (o *EarlierOrders) leasesEnd(lease time.Duration) time.Time {
+	end := o.End.Add(LongestLease(lease))
+	if o.LeasesEnd.IsZero() || end.Before(o.LeasesEnd) {
+		return end
+	}
+	return o.LeasesEnd
 }
 
 // SetEarlierOrders replaces what is known of earlier owners' orders. An owner that
@@ -25,12 +35,9 @@
 func (s *State) inheritedUntil(epoch uint64) time.Time {
 	var end time.Time
 	for _, o := range s.earlierOrders {
-		if (epoch == 0 || o.Epoch <= epoch) && o.End.After(end) {
-			end = o.End
+		if over := o.leasesEnd(s.cfg.Lease); (epoch == 0 || o.Epoch <= epoch) && over.After(end) {
+			end = over
 		}
 	}
-	if end.IsZero() {
-		return end
-	}
-	return end.Add(LongestLease(s.cfg.Lease))
+	return end
 }
--- a/dispatch/earlierowners_test.go
+++ b/dispatch/earlierowners_test.go
@@ -43,7 +43,7 @@
 // renew lets an owner renew a worker's lease.
 func (r *rig) renew(owner *dispatch.State, w *faultWorker) {
 	r.t.Helper()
-	_, renewal, ok := owner.Renewal(r.now, w.info.ID, true)
+	_, renewal, ok := owner.Renewal(r.now, w.info.ID, testLease)
 	if !ok {
 		r.t.Fatalf("worker %s isn't known", w.info.ID)
 	}
--- a/dispatch/faultsimorders_test.go
+++ b/dispatch/faultsimorders_test.go
@@ -143,7 +143,7 @@
 // owner was replaced meanwhile.
 func (s *faultSim) poll(id string, done func()) {
 	state := s.state
-	to, renewal, ok := state.Renewal(s.now, id, true)
+	to, renewal, ok := state.Renewal(s.now, id, testLease)
 	if !ok {
 		done()
 		return
--- a/dispatch/finding_test.go
+++ b/dispatch/finding_test.go
@@ -32,7 +32,7 @@
 func TestOmittedRunIsFound(t *testing.T) {
 	r := newRig(t, 1)
 	r.submit(queueShort, "job", step(1, 4))
-	_, before, _ := r.state.Renewal(r.now, worker(0), true)
+	_, before, _ := r.state.Renewal(r.now, worker(0), testLease)
 	start := r.plan()[0]
 	r.state.HandleReport(r.now, worker(0), before, runner.Answer{Status: runner.Done, ClockMS: r.clock()}, runner.Report{})
 	r.wantFindings() // the report may have been made before the start
--- a/dispatch/firstreportclock_test.go
+++ b/dispatch/firstreportclock_test.go
@@ -21,12 +21,12 @@
 	r.members(2)
 	r.report(otherWorker(id), nil, nil)
 
-	_, renewal, _ := r.state.Renewal(r.now, id, true)
+	_, renewal, _ := r.state.Renewal(r.now, id, testLease)
 	r.state.HandleReport(r.now, id, renewal, runner.Answer{Status: runner.Unhealthy, ClockMS: r.clock()}, runner.Report{})
 	r.advance(3 * time.Second)
 	lease := r.clock() + testLease.Milliseconds() // the earlier owner renews it now
 	r.advance(time.Millisecond)
-	_, renewal, _ = r.state.Renewal(r.now, id, true)
+	_, renewal, _ = r.state.Renewal(r.now, id, testLease)
 	read := r.clock()
 	r.advance(latency)
 	r.state.HandleReport(r.now, id, renewal, runner.Answer{Status: runner.Done, ClockMS: read},
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -29,6 +29,9 @@
 	// RosterEpochs is set if the owner's row must say from this commit on that the roster
 	// tells in which epochs workers got leases.
 	RosterEpochs bool
+	// RosterChanged is set if the owner's row must say from this commit on that this owner
+	// may have added workers to the roster or removed some.
+	RosterChanged bool
 	// jobs holds the jobs of the batch with the states that it writes.
 	jobs []batchJob
 	// roster holds the workers in the roster parts that it writes.
@@ -97,7 +100,7 @@
 // If no changed job remains, it also collects the ends that may be acknowledged
 // once the batch is durable, and deletes expired jobs.
 func (s *State) flush(now time.Time, limit int, include func(*job) bool) (*Batch, error) {
-	b := &Batch{}
+	b := &Batch{RosterChanged: s.roster.changed}
 	if err := s.flushRoster(now, b); err != nil {
 		return nil, err
 	}
--- a/dispatch/heldstart.go
+++ b/dispatch/heldstart.go
@@ -31,8 +31,8 @@
 }
 
 // releaseHeldStarts returns the held starts whose locations are durable, with current
-// leases and tokens. It drops those whose run has ended or is to be stopped.
-func (s *State) releaseHeldStarts(now time.Time) []StartOrder {
+// leases of at most the given duration, and current tokens. It drops those whose run has ended or is to be stopped.
+func (s *State) releaseHeldStarts(now time.Time, lease time.Duration) []StartOrder {
 	var starts []StartOrder
 	s.heldStarts = slices.DeleteFunc(s.heldStarts, func(h heldStart) bool {
 		r := h.run
@@ -48,7 +48,7 @@
 		}
 		w := r.worker
 		r.held, r.token, r.life, r.startedAt = false, s.startToken(w), w.number, now
-		h.order.To, h.order.Start.Token, h.order.Start.LeaseUntil = w.addressee(now), r.token, s.leaseFor(now, w)
+		h.order.To, h.order.Start.Token, h.order.Start.LeaseUntil = w.addressee(now), r.token, s.leaseFor(now, w, lease)
 		starts = append(starts, h.order)
 		return true
 	})
--- a/dispatch/heldstart_test.go
+++ b/dispatch/heldstart_test.go
@@ -24,7 +24,7 @@
 		r.t.Fatalf("%d starts, want one", len(starts))
 	}
 	crashed := starts[0].Worker.ID
-	_, renewal, _ := r.state.Renewal(r.now, crashed, true)
+	_, renewal, _ := r.state.Renewal(r.now, crashed, testLease)
 	r.state.HandleReport(r.now, crashed, renewal, runner.Answer{Status: runner.Restarted}, runner.Report{})
 	for i := range workers {
 		if id := worker(i); id != crashed && r.state.HasWorker(id) {
--- a/dispatch/lateanswer_test.go
+++ b/dispatch/lateanswer_test.go
@@ -12,7 +12,7 @@
 func TestOutdatedPollShowsWorkerIsAlive(t *testing.T) {
 	r := newRig(t, 1)
 	r.submit(queueShort, "job", step(1, 4))
-	_, outdated, _ := r.state.Renewal(r.now, worker(0), true)
+	_, outdated, _ := r.state.Renewal(r.now, worker(0), testLease)
 	start := r.state.Plan(r.now).Starts[0]
 	r.state.HandleStartAnswer(r.now, start, runner.Answer{Status: runner.Unknown}) // raises the token
 	if r.state.Responsive(worker(0)) {
@@ -22,7 +22,7 @@
 	if !r.state.Responsive(worker(0)) {
 		t.Error("a worker that refused an outdated poll counts as unresponsive")
 	}
-	_, current, _ := r.state.Renewal(r.now, worker(0), true)
+	_, current, _ := r.state.Renewal(r.now, worker(0), testLease)
 	if current.LeaseUntil == 0 {
 		t.Error("the next poll doesn't renew its leases")
 	}
@@ -36,13 +36,13 @@
 // arrives late doesn't replace a newer one.
 func TestLateClockReadingShortensNoLease(t *testing.T) {
 	r := newRig(t, 1)
-	_, late, _ := r.state.Renewal(r.now, worker(0), true)
+	_, late, _ := r.state.Renewal(r.now, worker(0), testLease)
 	read := r.clock()
 	r.advance(2 * time.Second)
 	r.report(worker(0), nil, nil)
-	_, before, _ := r.state.Renewal(r.now, worker(0), true)
+	_, before, _ := r.state.Renewal(r.now, worker(0), testLease)
 	r.state.HandleReport(r.now, worker(0), late, runner.Answer{Status: runner.Done, ClockMS: read}, runner.Report{ClockMS: read})
-	if _, after, _ := r.state.Renewal(r.now, worker(0), true); after.LeaseUntil < before.LeaseUntil {
+	if _, after, _ := r.state.Renewal(r.now, worker(0), testLease); after.LeaseUntil < before.LeaseUntil {
 		t.Errorf("lease until %d ms after a late reading, want at least the %d ms before it", after.LeaseUntil, before.LeaseUntil)
 	}
 }
--- a/dispatch/leasedin_test.go
+++ b/dispatch/leasedin_test.go
@@ -84,7 +84,7 @@
 
 // renewsLease reports whether a poll of a worker extends its lease.
 func (r *rig) renewsLease(id string) bool {
-	_, o, _ := r.state.Renewal(r.now, id, true)
+	_, o, _ := r.state.Renewal(r.now, id, testLease)
 	return o.LeaseUntil != 0
 }
 
--- /dev/null
+++ b/dispatch/losttasks_test.go
@@ -0,0 +1,66 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The users' rules count a long-running task as lost that hasn't run for judgedFor, beginning
+// restartGrace after its last run and calmBefore after the last disturbance at the earliest.
+const (
+	restartGrace = 6 * time.Second
+	judgedFor    = 3 * time.Second
+	calmBefore   = 4 * time.Second
+)
+
+// lostOwner is an owner whose host is lost for good, and the time since the loss of its
+// predecessor, or that of the task's worker.
+type lostOwner struct {
+	after time.Duration
+	// leads is set if the time counts from when the owner began to lead.
+	leads bool
+}
+
+// TestLostTasksStartAgainInTime guards against a task that stands still for too long after its
+// worker and one owner's host after the other are lost for good: each successor waited for
+// leases that no owner could have given any more.
+func TestLostTasksStartAgainInTime(t *testing.T) {
+	const first, second = 0, 1
+	for name, owners := range map[string][]lostOwner{
+		"at once":                     {{after: 0}},
+		"after half a second":         {{after: 500 * time.Millisecond}},
+		"after 1 s":                   {{after: time.Second}},
+		"two owners, at once":         {first: {after: 0}, second: {after: 0, leads: true}},
+		"two owners, 0.3 s apart":     {first: {after: time.Second}, second: {after: 300 * time.Millisecond, leads: true}},
+		"two owners, 1 s apart":       {first: {after: time.Second}, second: {after: time.Second, leads: true}},
+		"two owners, 3 s apart":       {first: {after: time.Second}, second: {after: 3 * time.Second, leads: true}},
+		"two owners after 3 s":        {first: {after: 3 * time.Second}, second: {after: time.Second, leads: true}},
+		"three owners, each at once":  {{after: 0}, {after: 0, leads: true}, {after: 0, leads: true}},
+		"three owners, 0.5 s apart":   {{after: time.Second}, {after: 500 * time.Millisecond, leads: true}, {after: 500 * time.Millisecond, leads: true}},
+		"three owners, 1.5 s between": {{after: 0}, {after: 1500 * time.Millisecond, leads: true}, {after: 1500 * time.Millisecond, leads: true}},
+	} {
+		for phase := range 4 { // of the owner's commits and of its polls
+			t.Run(fmt.Sprintf("%s, phase %d", name, phase), func(t *testing.T) {
+				s, w := newScenario(t, len(owners)+2, 8)
+				s.store.prompt = true
+				s.run(time.Duration(phase) * testTick)
+				lostAt := s.now
+				s.loseWorker(w)
+				for i, o := range owners {
+					if o.leads {
+						s.replacedBy(s.hosts[i])
+					}
+					s.run(o.after)
+					s.hosts[i].remove()
+				}
+				due := s.now.Add(calmBefore + judgedFor)
+				if fromLoss := lostAt.Add(restartGrace + judgedFor); fromLoss.After(due) {
+					due = fromLoss
+				}
+				s.only = s.hosts[len(owners)]
+				s.wantRestartWithin(due.Sub(s.now))
+			})
+		}
+	}
+}
--- a/dispatch/majority.go
+++ b/dispatch/majority.go
@@ -6,8 +6,12 @@
 )
 
 // rosterSize is the size of the roster that earlier owners have left, and how many of its
-// workers have reported to this owner.
-type rosterSize struct{ inherited, reported int }
+// workers have reported to this owner. changed is set once this owner has added workers or
+// removed some.
+type rosterSize struct {
+	inherited, reported int
+	changed             bool
+}
 
 // ReportedByMajority reports whether more than half of the workers on the roster that this
 // owner has inherited have reported to it. They refuse the orders of earlier owners from then
--- a/dispatch/majority_test.go
+++ b/dispatch/majority_test.go
@@ -65,7 +65,7 @@
 	second := newTestLife(first.rig, 2)
 	for range 3 {
 		second.advance(testTick)
-		_, o, _ := second.state.Renewal(second.now, worker(0), true)
+		_, o, _ := second.state.Renewal(second.now, worker(0), testLease)
 		second.state.HandleReport(second.now, worker(0), o, second.answer(runner.Done), second.renew(o))
 	}
 	if got := second.acceptedSince(); got >= 0 {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -71,7 +71,7 @@
 	w := s.workers[m.ID]
 	if w == nil {
 		w = s.addWorker(m)
-		w.knownSince = now
+		w.knownSince, s.roster.changed = now, true
 		s.markLeased(w)
 	}
 	if !w.listed || w.info.Capacity != m.Capacity || w.info.Draining != m.Draining {
@@ -163,6 +163,7 @@
 	delete(s.workers, w.info.ID)
 	s.sortedWorkers = nil
 	s.removedWorkers++
+	s.roster.changed = true
 	s.removedUnwritten[w.rosterPart()]++
 	s.dirtyRosterParts[w.rosterPart()] = true
 }
--- a/dispatch/membership_test.go
+++ b/dispatch/membership_test.go
@@ -120,7 +120,7 @@
 		moved.Address = "10.0.0.2:80"
 		waited := r.waitForStart(id, func() {
 			r.state.SetMembers(r.now, []runner.Worker{workerInfo(otherWorker(id)), moved})
-			w, o, ok := r.state.Renewal(r.now, id, true)
+			w, o, ok := r.state.Renewal(r.now, id, testLease)
 			if ok && w.Address == moved.Address {
 				r.state.HandleReport(r.now, id, o, runner.Answer{Status: runner.Restarted}, runner.Report{})
 			}
@@ -131,7 +131,7 @@
 		r.state.SetMembers(r.now, []runner.Worker{moved})
 		r.advance(testTick)
 		r.state.SetMembers(r.now, []runner.Worker{moved})
-		if w, _, ok := r.state.Renewal(r.now, id, true); !ok || w.Address != moved.Address {
+		if w, _, ok := r.state.Renewal(r.now, id, testLease); !ok || w.Address != moved.Address {
 			t.Errorf("inherited %v: at %q after its leases expired, want the address of its entry", inherited, w.Address)
 		}
 	}
--- a/dispatch/mixedreleases_test.go
+++ b/dispatch/mixedreleases_test.go
@@ -21,7 +21,7 @@
 	r.advance(time.Minute)
 	const renewedBy = 3 // an owner of an earlier release, which has renewed the worker's lease just now
 	row := election.Record{Host: "c", Address: "c", Incarnation: "c", Epoch: renewedBy}
-	row = election.Successor(&row, election.Record{Host: "d", Address: "d", Incarnation: "d"}) // it ends at once
+	row = election.Successor(&row, election.Record{Host: "d", Address: "d", Incarnation: "d"}, 0) // it ends at once
 	r.startOwner(row.Epoch + 1)
 	r.state.SetEarlierOrders([]dispatch.EarlierOrders{{Epoch: renewedBy, End: r.now}, {Epoch: row.Epoch, End: r.now}})
 	epochs := r.rosterEpochs()
--- a/dispatch/newlife_test.go
+++ b/dispatch/newlife_test.go
@@ -61,7 +61,7 @@
 // poll polls the worker once and commits what follows.
 func (l *testLife) poll() {
 	l.t.Helper()
-	_, o, ok := l.state.Renewal(l.now, worker(0), true)
+	_, o, ok := l.state.Renewal(l.now, worker(0), testLease)
 	if !ok {
 		l.t.Fatal("the worker isn't known")
 	}
--- a/dispatch/newlifelease_test.go
+++ b/dispatch/newlifelease_test.go
@@ -69,7 +69,7 @@
 // knew of the next life, and of its lease.
 func TestLeaseOfInheritedNextLifeIsWaitedFor(t *testing.T) {
 	r, id := newLeaseRig(t, runner.Unknown)
-	_, o, _ := r.state.Renewal(r.now, id, true)
+	_, o, _ := r.state.Renewal(r.now, id, testLease)
 	r.state.HandleReport(r.now, id, o, runner.Answer{Status: runner.Done, ClockMS: r.clock(), Incarnation: 2}, runner.Report{ClockMS: r.clock()})
 	r.flush()
 	r.takeOver(worker(0), worker(1))
@@ -83,7 +83,7 @@
 // again, after two changes of owner: it has reported to the first of the new owners.
 func TestLeaseOfReportedNextLifeIsForgotten(t *testing.T) {
 	r, id := newLeaseRig(t, runner.Unknown)
-	_, o, _ := r.state.Renewal(r.now, id, true)
+	_, o, _ := r.state.Renewal(r.now, id, testLease)
 	r.state.HandleReport(r.now, id, o, runner.Answer{Status: runner.Done, ClockMS: r.clock(), Incarnation: 2}, runner.Report{ClockMS: r.clock()})
 	r.flush()
 	r.takeOver(worker(0), worker(1))
--- a/dispatch/newlifeorders_test.go
+++ b/dispatch/newlifeorders_test.go
@@ -13,7 +13,7 @@
 // arrive after the first one of the next.
 func TestLateAnswerOfEndedLifeBeginsNone(t *testing.T) {
 	first := newLifeRig(t)
-	_, late, _ := first.state.Renewal(first.now, worker(0), true)
+	_, late, _ := first.state.Renewal(first.now, worker(0), testLease)
 	answer, report := first.answer(runner.Done), first.renew(late)
 	second := newTestLife(first.rig, 2)
 	second.poll()
@@ -41,7 +41,7 @@
 	for _, o := range first.startAll() {
 		first.end(o, runner.EndDone)
 	}
-	_, o, _ := first.state.Renewal(first.now, worker(0), true)
+	_, o, _ := first.state.Renewal(first.now, worker(0), testLease)
 	first.state.HandleReport(first.now, worker(0), o, first.answer(runner.Done), first.renew(o))
 	batch, err := first.state.Flush(first.now, 98)
 	if err != nil {
@@ -49,10 +49,10 @@
 	}
 	second := newTestLife(first.rig, 2)
 	second.advance(testTick)
-	_, o, _ = second.state.Renewal(second.now, worker(0), true)
+	_, o, _ = second.state.Renewal(second.now, worker(0), testLease)
 	second.state.HandleReport(second.now, worker(0), o, second.answer(runner.Done), second.renew(o))
 	second.apply(batch)
-	if _, o, _ = second.state.Renewal(second.now, worker(0), true); o.Acknowledged != 0 {
+	if _, o, _ = second.state.Renewal(second.now, worker(0), testLease); o.Acknowledged != 0 {
 		t.Errorf("ends up to %d are acknowledged to a life that has listed none", o.Acknowledged)
 	}
 }
@@ -64,7 +64,7 @@
 	second := newTestLife(first.rig, 2)
 	second.advance(testTick)
 	second.poll()
-	_, o, _ := second.state.Renewal(second.now, worker(0), true)
+	_, o, _ := second.state.Renewal(second.now, worker(0), testLease)
 	if latest := second.clock() + testLease.Milliseconds(); o.LeaseUntil <= second.clock() || o.LeaseUntil > latest {
 		t.Errorf("lease until %d on a clock at %d, want at most %d", o.LeaseUntil, second.clock(), latest)
 	}
@@ -77,7 +77,7 @@
 	first := newLifeRig(t)
 	second := newTestLife(first.rig, 2)
 	second.submit(queueShort, "job", step(1, 2))
-	_, o, _ := second.state.Renewal(second.now, worker(0), true)
+	_, o, _ := second.state.Renewal(second.now, worker(0), testLease)
 	answer, early := second.answer(runner.Done), second.renew(o)
 	second.advance(testTick)
 	if len(second.startAll()) != 1 {
@@ -101,15 +101,15 @@
 	for _, o := range first.startAll() {
 		first.end(o, runner.EndDone)
 	}
-	_, listing, _ := first.state.Renewal(first.now, worker(0), true)
+	_, listing, _ := first.state.Renewal(first.now, worker(0), testLease)
 	first.state.HandleReport(first.now, worker(0), listing, first.answer(runner.Done), first.renew(listing))
 	first.submit(queueShort, "next", step(1, 2)) // makes the end durable too
 	start := first.state.Plan(first.now).Starts[0]
-	if _, o, _ := first.state.Renewal(first.now, worker(0), true); o.Acknowledged != 0 {
+	if _, o, _ := first.state.Renewal(first.now, worker(0), testLease); o.Acknowledged != 0 {
 		t.Error("ends are acknowledged while a start is under way")
 	}
 	first.start(start)
-	_, acknowledging, _ := first.state.Renewal(first.now, worker(0), true)
+	_, acknowledging, _ := first.state.Renewal(first.now, worker(0), testLease)
 	if acknowledging.Acknowledged != 1 {
 		t.Errorf("ends up to %d are acknowledged after the answer, want 1", acknowledging.Acknowledged)
 	}
--- a/dispatch/newlifeunanswered_test.go
+++ b/dispatch/newlifeunanswered_test.go
@@ -15,7 +15,7 @@
 	for _, o := range first.startAll() {
 		first.end(o, runner.EndDone)
 	}
-	_, listing, _ := first.state.Renewal(first.now, worker(0), true)
+	_, listing, _ := first.state.Renewal(first.now, worker(0), testLease)
 	first.state.HandleReport(first.now, worker(0), listing, first.answer(runner.Done), first.renew(listing))
 	first.submit(queueShort, "next", step(1, 2)) // makes the end durable too
 	start := first.state.Plan(first.now).Starts[0]
@@ -25,7 +25,7 @@
 	second.end(start, runner.EndDone)
 	for elapsed := testTick; elapsed < 3*testLease; elapsed += testTick {
 		second.advance(testTick)
-		_, o, _ := second.state.Renewal(second.now, worker(0), true)
+		_, o, _ := second.state.Renewal(second.now, worker(0), testLease)
 		second.renew(o)
 		second.state.HandleReport(second.now, worker(0), o, runner.Answer{}, runner.Report{})
 		second.flush()
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -112,7 +112,7 @@
 // cycle runs a planning cycle and the work of its orders, which take simulated time.
 func (o *slowOwner) cycle() {
 	o.endRuns()
-	limits := dispatch.PlanLimits{Starts: o.starts.Available(), Visits: o.limit.Limit()}
+	limits := dispatch.PlanLimits{Starts: o.starts.Available(), Visits: o.limit.Limit(), Lease: testLease}
 	begun := o.now
 	p := o.state.PlanWithin(begun, limits)
 	took := o.work(float64(p.Visits + p.UrgentVisits + o.workers/unitsPerChecked))
@@ -268,7 +268,7 @@
 	for range 100 {
 		r.advance(time.Millisecond)
 		r.report(worker(0), running, nil) // a change, after which each step is tried again
-		for _, o := range r.state.PlanWithin(r.now, dispatch.PlanLimits{Starts: 8, Visits: 2}).Starts {
+		for _, o := range r.state.PlanWithin(r.now, dispatch.PlanLimits{Starts: 8, Visits: 2, Lease: testLease}).Starts {
 			r.state.HandleStartAnswer(r.now, o, runner.Answer{Status: runner.Done, ClockMS: r.clock()})
 			if o.Start.Task.Job == "fits" {
 				return
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -46,7 +47,11 @@
 	// commit did.
 	committedAt, commitBegan time.Time
 	committing               bool
-	// majorityReported is set once most workers of the inherited roster have reported.
+	// epochsDurable is set once its row, as applied, says that the roster tells the epochs.
+	epochsDurable bool
+	// majorityReported is set once most workers of the inherited roster have reported. They
+	// then bound the owners of the epochs in boundable.
+	boundable        []uint64
 	majorityReported bool
 	membersReadAt    time.Time
 	polling          map[string]bool
@@ -62,6 +67,18 @@
 	return age < ownerValidity && accepted && !o.unverified(now)
 }
 
+// lease returns how long a lease that the owner gives now may last.
+func (o *simOwner) lease(now time.Time) time.Duration {
+	if !o.valid(now) {
+		return 0
+	}
+	var accepted time.Duration
+	if at := o.state.MajorityAcceptedAt(); !at.IsZero() {
+		accepted = at.Sub(o.startedAt)
+	}
+	return election.LeaseLimit(o.committedAt.Sub(o.startedAt), o.epochsDurable, accepted) - o.sinceStart()
+}
+
 // unverified reports whether the owner stood still and gives no orders until a commit is
 // applied.
 func (o *simOwner) unverified(now time.Time) bool {
@@ -78,9 +95,9 @@
 }
 
 // lead makes a host the owner that the record describes, with the committed rows, unless
-// it has heard of a later one. The commit that acquired the domain began at begun;
-// rosterEpochs tells whether the roster has the epochs of leases.
-func (s *ownerSim) lead(h *simHost, record election.Record, rosterEpochs bool, version uint64, begun time.Time) {
+// it has heard of a later one. The commit that acquired the domain began at begun
+// and replaced the row previous.
+func (s *ownerSim) lead(h *simHost, record, previous election.Record, version uint64, begun time.Time) {
 	if h.heardEpoch > record.Epoch {
 		h.acquiring = false
 		return
@@ -88,12 +105,12 @@
 	o := &simOwner{
 		rig:  &rig{t: s.t, now: s.now, rows: s.rows, startedAt: s.startedAt, queues: s.queues, maxLease: s.maxLease},
 		host: h, record: record, version: version, committedAt: begun,
-		polling: map[string]bool{}, nextPoll: map[string]time.Time{},
+		boundable: previous.BoundByMajority(), polling: map[string]bool{}, nextPoll: map[string]time.Time{},
 	}
 	o.startOwner(record.Epoch)
 	o.earlier = election.NewEarlierOwners(&record, o.sinceStart())
 	o.setEarlierOrders()
-	o.epochsKnown = rosterEpochs
+	o.epochsKnown = previous.RosterEpochs
 	o.restore(s.roster()...)
 	h.owner, h.acquiring = o, false
 	if s.store.row.SameOwnership(&record) {
@@ -161,8 +178,10 @@
 	}
 	if !o.majorityReported && o.state.ReportedByMajority() {
 		o.majorityReported = true
-		if o.earlier.ReplacedAtMajority(o.epoch-1, o.sinceStart()) {
-			o.setEarlierOrders()
+		for _, epoch := range o.boundable {
+			if o.earlier.ReplacedAtMajority(epoch, o.sinceStart()) {
+				o.setEarlierOrders()
+			}
 		}
 	}
 	if o.host.reachesStore(s.now) && s.storeUp() && s.now.Sub(o.membersReadAt) >= membersInterval {
@@ -171,7 +190,7 @@
 	}
 	s.beginCommit(o)
 	if o.valid(s.now) && !o.refused() {
-		s.sendPlan(o, o.state.Plan(s.now))
+		s.sendPlan(o, o.state.PlanWithin(s.now, dispatch.PlanLimits{Starts: math.MaxInt, Visits: math.MaxInt, Lease: o.lease(s.now)}))
 	}
 	s.traceLosses(o)
 	if o.unverified(s.now) {
@@ -245,7 +264,7 @@
 
 // pollBy polls a worker for an owner and calls done after the answer or the timeout.
 func (s *ownerSim) pollBy(o *simOwner, id string, done func()) {
-	to, renewal, ok := o.state.Renewal(s.now, id, o.valid(s.now))
+	to, renewal, ok := o.state.Renewal(s.now, id, o.lease(s.now))
 	if !ok {
 		done()
 		return
--- a/dispatch/ownersimstore_test.go
+++ b/dispatch/ownersimstore_test.go
@@ -28,6 +28,8 @@
 	// commitDelay is the time that each commit takes to arrive, in addition to a
 	// random one.
 	commitDelay time.Duration
+	// prompt is set while commits and their answers take much less than a tick.
+	prompt bool
 }
 
 // simCommit is a commit of an owner, with all its attempts.
@@ -56,6 +58,9 @@
 	o.record.Seq++
 	o.record.RosterEpochs = o.record.RosterEpochs || b.RosterEpochs
 	o.record.Earlier = o.earlier.List(o.sinceStart())
+	if b.RosterChanged {
+		o.record.RosterOf = o.epoch
+	}
 	c := &simCommit{owner: o, batch: b, began: s.now}
 	if len(b.Writes) < simBatchWrites-1 { // it holds all changes
 		c.done, o.done = o.done, nil
@@ -71,7 +76,7 @@
 		retry()
 		return
 	}
-	s.after(s.store.commitDelay+s.between(0, 3*testTick), func() {
+	s.afterTransit(s.store.commitDelay, func() {
 		if !s.storeUp() {
 			retry()
 			return
@@ -81,10 +86,19 @@
 			retry()
 			return
 		}
-		s.after(s.between(0, 3*testTick), s.onOwner(c.owner, func() { s.committed(c, applied) }))
+		s.afterTransit(0, s.onOwner(c.owner, func() { s.committed(c, applied) }))
 	})
 }
 
+// afterTransit calls f once a commit or its answer has arrived, which is delayed.
+func (s *ownerSim) afterTransit(delay time.Duration, f func()) {
+	if s.store.prompt {
+		f()
+		return
+	}
+	s.after(delay+s.between(0, 3*testTick), f)
+}
+
 // tryApply applies a commit if the owner's row has the version that its owner knows,
 // and reports whether this or an earlier attempt was applied.
 func (s *ownerSim) tryApply(c *simCommit) bool {
@@ -119,6 +133,7 @@
 	}
 	o.version++
 	o.committedAt, o.committing = c.began, false
+	o.epochsDurable = o.record.RosterEpochs
 	o.state.ConfirmOwnership(c.began)
 	o.state.MarkFlushed(c.batch)
 }
@@ -141,21 +156,21 @@
 
 // newRecord returns the owner's row with which a host takes the domain over, as
 // election.Acquire does.
-func newRecord(h *simHost, previous election.Record) election.Record {
-	return election.Successor(&previous, election.Record{Host: h.name, Address: h.name, Incarnation: h.id()})
+func newRecord(h *simHost, previous election.Record, unchanged time.Duration) election.Record {
+	return election.Successor(&previous, election.Record{Host: h.name, Address: h.name, Incarnation: h.id()}, unchanged)
 }
 
 // acquire commits a host's ownership on the condition that the owner's row is
 // unchanged. Its answer may be lost.
 func (s *ownerSim) acquire(h *simHost) {
 	previous, version := s.store.row, s.store.version
-	record := newRecord(h, previous)
+	record := newRecord(h, previous, s.now.Sub(h.seenSince))
 	begun := s.now
 	h.acquiring = true
 	answer := func(applied bool) {
 		h.acquiring = false
 		if applied {
-			s.lead(h, record, previous.RosterEpochs, version+1, begun)
+			s.lead(h, record, previous, version+1, begun)
 		}
 	}
 	s.after(s.between(0, 2*testTick), func() {
--- a/dispatch/pacefailures_test.go
+++ b/dispatch/pacefailures_test.go
@@ -235,7 +235,7 @@
 func TestDoubtfulWorkersArePolled(t *testing.T) {
 	p := newServingPool(t, 16, 16)
 	waitMS := func(id string) int64 {
-		_, o, _ := p.state.Renewal(p.now, id, true)
+		_, o, _ := p.state.Renewal(p.now, id, testLease)
 		return o.WaitMS
 	}
 	slow := p.makeSlow(1)[0]
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -24,7 +24,7 @@
 
 // PlanAtMost is Plan with at most maxStarts starts.
 func (s *State) PlanAtMost(now time.Time, maxStarts int) Plan {
-	return s.PlanWithin(now, PlanLimits{Starts: maxStarts, Visits: math.MaxInt})
+	return s.PlanWithin(now, PlanLimits{Starts: maxStarts, Visits: math.MaxInt, Lease: s.cfg.Lease})
 }
 
 // PlanWithin ends the runs whose leases have expired and returns the orders to
@@ -40,8 +40,8 @@
 	var p Plan
 	p.CPULimits = s.adjustCPULimits(now)
 	c := newCycle(s, now)
-	c.maxStarts, c.maxVisits = limits.Starts, limits.Visits
-	c.starts = s.releaseHeldStarts(now)
+	c.maxStarts, c.maxVisits, c.lease = limits.Starts, limits.Visits, limits.Lease
+	c.starts = s.releaseHeldStarts(now, limits.Lease)
 	list := s.waitingSteps(now)
 	c.computeCapacity(list)
 	c.computeShares(list)
@@ -128,6 +128,8 @@
 	// maxStarts bounds starts, maxVisits the visits of workers in searches. visits counts
 	// those made for other than urgent steps.
 	maxStarts, maxVisits, visits int
+	// lease is the longest lease that a start gives.
+	lease time.Duration
 	// visitsLeft holds what is left to each pool of the limit on visits, nil without a
 	// limit. visitLimitReached is set once a step was left untried for want of visits.
 	visitsLeft        map[string]int
@@ -297,7 +299,7 @@
 		Worker: w.info, To: w.addressee(c.now), Snapshot: snapshot, Prior: t.priorRun(c.now), Sending: r.sending,
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
-			LeaseUntil: c.s.leaseFor(c.now, w), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
+			LeaseUntil: c.s.leaseFor(c.now, w, c.lease), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
 		},
 	}
 	if t.crashed() || t.mayHaveEnded() {
--- a/dispatch/planlimits.go
+++ b/dispatch/planlimits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/fireflygate/fireflygate/queue"
 )
@@ -14,6 +15,8 @@
 	// math.MaxInt for no limit. With a limit, urgent steps come first, which it doesn't
 	// bound, and searches visit only some of the workers that a step fits on.
 	Visits int
+	// Lease is the longest lease that a start gives.
+	Lease time.Duration
 }
 
 const (
--- a/dispatch/refusedtoken_test.go
+++ b/dispatch/refusedtoken_test.go
@@ -23,12 +23,12 @@
 func TestPollRefusedByWorkerShowsSuccessor(t *testing.T) {
 	r := newRig(t, 1)
 	r.submit(queueShort, "job", step(1, 4))
-	_, outdated, _ := r.state.Renewal(r.now, worker(0), true)
+	_, outdated, _ := r.state.Renewal(r.now, worker(0), testLease)
 	start := r.state.Plan(r.now).Starts[0]
 	r.state.HandleStartAnswer(r.now, start, runner.Answer{Status: runner.Unknown}) // raises the token
 	r.state.HandleReport(r.now, worker(0), outdated, fenced, runner.Report{})
 	r.wantRefused("a poll sent before the token was raised", dispatch.RefusedToken{})
-	_, newest, _ := r.state.Renewal(r.now, worker(0), true)
+	_, newest, _ := r.state.Renewal(r.now, worker(0), testLease)
 	r.state.HandleReport(r.now, worker(0), newest, fenced, runner.Report{})
 	r.wantRefused("a poll under the newest token", dispatch.RefusedToken{Worker: worker(0), Token: newest.Token, Workers: 1})
 }
@@ -55,7 +55,7 @@
 func TestReturningWorkerShowsNoSuccessor(t *testing.T) {
 	r := newRig(t, 2)
 	r.submit(queueShort, "job", step(1, 4, longRunning))
-	_, outdated, _ := r.state.Renewal(r.now, worker(0), true)
+	_, outdated, _ := r.state.Renewal(r.now, worker(0), testLease)
 	start := r.state.Plan(r.now).Starts[0]
 	r.state.HandleStartAnswer(r.now, start, runner.Answer{Status: runner.Unknown})
 	r.state.HandleRestart(r.now, worker(0))
@@ -75,7 +75,7 @@
 	r := newRig(t, 1)
 	refuse := func() {
 		r.advance(testTick)
-		_, o, _ := r.state.Renewal(r.now, worker(0), true)
+		_, o, _ := r.state.Renewal(r.now, worker(0), testLease)
 		r.state.HandleReport(r.now, worker(0), o, fenced, runner.Report{})
 	}
 	refuse()
--- a/dispatch/relistedtoken_test.go
+++ b/dispatch/relistedtoken_test.go
@@ -11,7 +11,7 @@
 // second time, and an acknowledgment make it forget ends that nobody has seen.
 func TestListedAgainUnderAHigherToken(t *testing.T) {
 	r := newRig(t, 1)
-	_, late, _ := r.state.Renewal(r.now, worker(0), true)
+	_, late, _ := r.state.Renewal(r.now, worker(0), testLease)
 	r.state.HandleReport(r.now, worker(0), late, runner.Answer{}, runner.Report{})
 	r.state.SetMembers(r.now, nil)
 	r.advance(2 * testLease)
@@ -21,7 +21,7 @@
 		t.Fatal("the worker isn't removed")
 	}
 	r.members(1)
-	if _, o, _ := r.state.Renewal(r.now, worker(0), true); o.Token <= late.Token {
+	if _, o, _ := r.state.Renewal(r.now, worker(0), testLease); o.Token <= late.Token {
 		t.Errorf("token %d after the worker is listed again, want more than %d", o.Token, late.Token)
 	}
 }
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -15,6 +15,10 @@
 	// whose ends aren't durable, or whose lease can't be extended yet. It answers such
 	// polls at once.
 	unflushedPollInterval = 500 * time.Millisecond
+	// shortLease is how much shorter than usual the leases are of an owner that polls
+	// workers often, as it can't commit: it needs to know that most of them still accept its
+	// orders, and short leases have to be renewed sooner.
+	shortLease = time.Second
 )
 
 // RenewalReady reports whether a worker should be polled now: at once if all
@@ -29,25 +33,25 @@
 }
 
 // Renewal returns the next renewal for a worker, false if it isn't known. The
-// lease is extended only if extend is set, the worker isn't suspected and this owner
-// may give it leases (see markLeased); the new end of the lease counts from now on,
-// whether the worker answers or not.
-func (s *State) Renewal(now time.Time, id string, extend bool) (runner.Worker, runner.Renewal, bool) {
+// lease is extended by at most the given duration, and only if that is positive, the worker
+// isn't suspected and this owner may give it leases (see markLeased); the new end of the lease
+// counts from now on, whether the worker answers or not.
+func (s *State) Renewal(now time.Time, id string, lease time.Duration) (runner.Worker, runner.Renewal, bool) {
 	w := s.workers[id]
 	if w == nil {
 		return runner.Worker{}, runner.Renewal{}, false
 	}
 	o := runner.Renewal{To: w.addressee(now), Token: w.token}
 	o.Acknowledged = s.acknowledge(now, w)
-	if extend && !w.suspected && w.leasable {
+	if lease > 0 && !w.suspected && w.leasable {
 		// A suspected worker gets no lease: each one sent would delay the time
 		// at which its runs are known to have ended.
-		o.LeaseUntil = s.leaseFor(now, w)
+		o.LeaseUntil = s.leaseFor(now, w, lease)
 	}
 	if w.leasable && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.ends.prefix == w.acknowledged &&
 		w.withheldSince.IsZero() {
 		o.WaitMS = longPoll.Milliseconds()
-		if s.needsFrequentPolls(now, w) {
+		if s.needsFrequentPolls(now, w) || lease < s.cfg.Lease-shortLease {
 			o.WaitMS = tailWindow.Milliseconds()
 		}
 	}
@@ -106,12 +110,13 @@
 }
 
 // leaseFor returns the end of the lease for an order given now, on the worker's
-// clock, and records it; 0 if the worker's clock isn't known.
-func (s *State) leaseFor(now time.Time, w *worker) int64 {
+// clock, and records it; 0 if the worker's clock isn't known. The lease lasts for at most the
+// given duration.
+func (s *State) leaseFor(now time.Time, w *worker, lease time.Duration) int64 {
 	if w.clockAt.IsZero() {
 		return 0
 	}
-	until := w.clockLowerBound(now) + s.cfg.Lease.Milliseconds()
+	until := w.clockLowerBound(now) + min(lease, s.cfg.Lease).Milliseconds()
 	w.extendLease(until)
 	return until
 }
--- a/dispatch/replacedownerloss_test.go
+++ b/dispatch/replacedownerloss_test.go
@@ -23,7 +23,7 @@
 // restarted answers an owner's polls of the first worker by another incarnation.
 func (r *replacedOwner) restarted(owner *dispatch.State) {
 	id := r.worker.info.ID
-	if _, renewal, ok := owner.Renewal(r.now, id, true); ok {
+	if _, renewal, ok := owner.Renewal(r.now, id, testLease); ok {
 		owner.HandleReport(r.now, id, renewal, runner.Answer{Status: runner.Restarted}, runner.Report{})
 	}
 }
--- a/dispatch/replacedownerstartsagain_test.go
+++ b/dispatch/replacedownerstartsagain_test.go
@@ -54,7 +54,7 @@
 // poll polls a worker for an owner, and passes on the answer.
 func (r *rig) poll(owner *dispatch.State, w *faultWorker) {
 	r.t.Helper()
-	_, renewal, ok := owner.Renewal(r.now, w.info.ID, true)
+	_, renewal, ok := owner.Renewal(r.now, w.info.ID, testLease)
 	if !ok {
 		r.t.Fatalf("worker %s isn't known", w.info.ID)
 	}
@@ -64,7 +64,7 @@
 
 // pollUnanswered polls a worker for an owner that it doesn't answer.
 func (r *rig) pollUnanswered(owner *dispatch.State, id string) {
-	if _, renewal, ok := owner.Renewal(r.now, id, true); ok {
+	if _, renewal, ok := owner.Renewal(r.now, id, testLease); ok {
 		owner.HandleReport(r.now, id, renewal, runner.Answer{Status: runner.Unknown}, runner.Report{})
 	}
 }
--- a/dispatch/returnedaddress_test.go
+++ b/dispatch/returnedaddress_test.go
@@ -21,7 +21,7 @@
 	wrong := workerInfo(worker(0))
 	wrong.Address = "10.0.0.9:80"
 	second.state.SetMembers(second.now, []runner.Worker{wrong})
-	w, o, ok := second.state.Renewal(second.now, worker(0), true)
+	w, o, ok := second.state.Renewal(second.now, worker(0), testLease)
 	if !ok || w.Address != workerInfo(worker(0)).Address {
 		t.Errorf("polled at %s (known: %v), want the address at which it has answered", w.Address, ok)
 	}
--- a/dispatch/returning_test.go
+++ b/dispatch/returning_test.go
@@ -38,7 +38,7 @@
 // renewalToken returns the fencing token of the next poll of a worker.
 func (r *rig) renewalToken(id string) uint64 {
 	r.t.Helper()
-	_, o, ok := r.state.Renewal(r.now, id, true)
+	_, o, ok := r.state.Renewal(r.now, id, testLease)
 	if !ok {
 		r.t.Fatalf("worker %s isn't known", id)
 	}
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -236,7 +236,7 @@
 // returns the ends that were new.
 func (r *rig) report(id string, active []runner.ActiveRun, ends []runner.RunEnd) []runner.RunEnd {
 	r.t.Helper()
-	_, o, ok := r.state.Renewal(r.now, id, true)
+	_, o, ok := r.state.Renewal(r.now, id, testLease)
 	if !ok {
 		r.t.Fatalf("worker %s isn't known", id)
 	}
@@ -247,7 +247,7 @@
 // noAnswer polls a worker and handles the poll as unanswered.
 func (r *rig) noAnswer(id string) {
 	r.t.Helper()
-	_, o, ok := r.state.Renewal(r.now, id, true)
+	_, o, ok := r.state.Renewal(r.now, id, testLease)
 	if !ok {
 		return
 	}
--- a/dispatch/rigowners_test.go
+++ b/dispatch/rigowners_test.go
@@ -33,7 +33,11 @@
 func (r *rig) setEarlierOrders() {
 	var all []dispatch.EarlierOrders
 	for _, e := range r.earlier.List(r.sinceStart()) {
-		all = append(all, dispatch.EarlierOrders{Epoch: e.Epoch, End: r.now.Add(time.Duration(e.OrdersMS) * time.Millisecond)})
+		orders := dispatch.EarlierOrders{Epoch: e.Epoch, End: r.now.Add(time.Duration(e.OrdersMS) * time.Millisecond)}
+		if e.LeasesMS != 0 {
+			orders.LeasesEnd = r.now.Add(time.Duration(e.LeasesMS) * time.Millisecond)
+		}
+		all = append(all, orders)
 	}
 	r.state.SetEarlierOrders(all)
 }
--- a/dispatch/settle_test.go
+++ b/dispatch/settle_test.go
@@ -20,7 +20,7 @@
 		r.advance(c.after)
 		r.report(worker(0), []runner.ActiveRun{withTail(serving, 13), running}, nil)
 		r.flush()
-		_, renewal, ok := r.state.Renewal(r.now, worker(0), true)
+		_, renewal, ok := r.state.Renewal(r.now, worker(0), testLease)
 		if wait := time.Duration(renewal.WaitMS) * time.Millisecond; !ok || wait != c.wait {
 			t.Errorf("the next poll may be held for %v, want %v", wait, c.wait)
 		}
--- a/dispatch/skippedend_test.go
+++ b/dispatch/skippedend_test.go
@@ -24,7 +24,7 @@
 		life.end(o, runner.EndDone)
 	}
 	for _, listed := range [][]runner.RunEnd{life.ends[tasks-runner.MaxEnds:], life.ends[:runner.MaxEnds]} {
-		_, o, _ := life.state.Renewal(life.now, worker(0), true)
+		_, o, _ := life.state.Renewal(life.now, worker(0), testLease)
 		life.state.HandleReport(life.now, worker(0), o, life.answer(runner.Done), runner.Report{ClockMS: life.clock(), Ends: slices.Clone(listed)})
 		life.advance(testTick)
 	}
--- a/dispatch/slowlink_test.go
+++ b/dispatch/slowlink_test.go
@@ -245,7 +245,7 @@
 // pollWorker polls a worker. mayHold says whether this is a long poll.
 func (s *linkSim) pollWorker(w *faultWorker, mayHold bool) {
 	id := w.info.ID
-	_, renewal, ok := s.state.Renewal(s.now, id, true)
+	_, renewal, ok := s.state.Renewal(s.now, id, testLease)
 	if !ok {
 		return
 	}
--- a/dispatch/state_test.go
+++ b/dispatch/state_test.go
@@ -81,7 +81,7 @@
 		if p := r.state.Plan(r.now); len(p.Starts) != 0 {
 			t.Fatalf("placed again while the start may still be carried out: %v", p.Starts)
 		}
-		_, renewal, _ := r.state.Renewal(r.now, o.Worker.ID, true)
+		_, renewal, _ := r.state.Renewal(r.now, o.Worker.ID, testLease)
 		if renewal.Token <= o.Start.Token {
 			t.Fatalf("polled under token %d, want more than the %d of the start", renewal.Token, o.Start.Token)
 		}
--- a/dispatch/suspicion_test.go
+++ b/dispatch/suspicion_test.go
@@ -48,7 +48,7 @@
 			r.noAnswer(worker(i))
 		}
 		for i := range outageWorkers {
-			if _, renewal, _ := r.state.Renewal(r.now, worker(i), true); renewal.LeaseUntil == 0 {
+			if _, renewal, _ := r.state.Renewal(r.now, worker(i), testLease); renewal.LeaseUntil == 0 {
 				t.Fatalf("after %v the lease of worker %d isn't renewed", waited, i)
 			}
 		}
@@ -102,7 +102,7 @@
 		r.noAnswer(worker(i))
 	}
 	for i := range rack {
-		if _, renewal, _ := r.state.Renewal(r.now, worker(i), true); renewal.LeaseUntil != 0 {
+		if _, renewal, _ := r.state.Renewal(r.now, worker(i), testLease); renewal.LeaseUntil != 0 {
 			t.Errorf("the lease of unresponsive worker %d is renewed", i)
 		}
 	}
--- a/dispatch/unreadablejob_test.go
+++ b/dispatch/unreadablejob_test.go
@@ -36,7 +36,7 @@
 // acknowledgesNext reports up to which number the next renewal of worker 0 acknowledges ends.
 func (r *rig) acknowledgesNext() uint64 {
 	r.t.Helper()
-	_, o, ok := r.state.Renewal(r.now, worker(0), true)
+	_, o, ok := r.state.Renewal(r.now, worker(0), testLease)
 	if !ok {
 		r.t.Fatal("the worker isn't known")
 	}
--- a/dispatch/urgent_test.go
+++ b/dispatch/urgent_test.go
@@ -59,7 +59,7 @@
 		t.Errorf("urgent %v, unflushed %v after the urgent part is durable", r.state.HasUrgentChanges(), r.state.HasUnflushedChanges())
 	}
 	for _, o := range starts {
-		if _, renewal, _ := r.state.Renewal(r.now, o.Worker.ID, true); renewal.Acknowledged != 0 {
+		if _, renewal, _ := r.state.Renewal(r.now, o.Worker.ID, testLease); renewal.Acknowledged != 0 {
 			t.Errorf("ends of %s are acknowledged while progress isn't durable", o.Worker.ID)
 		}
 	}
--- a/dispatch/withheldacknowledgment_test.go
+++ b/dispatch/withheldacknowledgment_test.go
@@ -45,10 +45,10 @@
 		life.end(o, runner.EndDone)
 	}
 	life.poll()
-	_, acknowledging, _ := life.state.Renewal(life.now, worker(0), true)
+	_, acknowledging, _ := life.state.Renewal(life.now, worker(0), testLease)
 	life.submit(queueShort, "next", step(1, 2))
 	starts := life.state.Plan(life.now).Starts
-	if _, o, _ := life.state.Renewal(life.now, worker(0), true); acknowledging.Acknowledged != 1 || o.Acknowledged != 0 {
+	if _, o, _ := life.state.Renewal(life.now, worker(0), testLease); acknowledging.Acknowledged != 1 || o.Acknowledged != 0 {
 		t.Fatalf("ends up to %d and %d are acknowledged, want 1 and 0", acknowledging.Acknowledged, o.Acknowledged)
 	}
 	life.state.HandleReport(life.now, worker(0), acknowledging, life.answer(runner.Done), life.renew(acknowledging))
--- a/election/committer.go
+++ b/election/committer.go
@@ -113,6 +113,14 @@
 	c.record.Earlier = earlier
 }
 
+// MarkRosterChanged makes later commits record that this owner may have changed which workers
+// the roster names.
+func (c *Committer) MarkRosterChanged() {
+	c.lock <- struct{}{}
+	defer c.unlock()
+	c.record.RosterOf = c.record.Epoch
+}
+
 // MarkHandedOver makes later commits record that the owner is handing the
 // domain over to a stronger host.
 func (c *Committer) MarkHandedOver() {
--- a/election/earlierowner.go
+++ b/election/earlierowner.go
@@ -1,9 +1,6 @@
 package election
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Validity is how long after the start of its last applied commit an owner gives
 // orders. It spans an outage of the table service, during which nobody can replace
@@ -44,6 +41,14 @@
 	// may give orders, in milliseconds. It is negative or 0 if the owner had stopped
 	// that long before.
 	OrdersMS int64 `msgpack:"m"`
+	// LimitsLeases is set if the owner gave leases within LeaseLimit. CommitAgeMS is then the
+	// least time between the start of its last commit and the commit of the row that lists
+	// it, and LeasesMS how long after that its last lease may last, 0 if unknown; both in
+	// milliseconds. RosterEpochs is what its row said.
+	LimitsLeases bool  `msgpack:"b,omitempty"`
+	RosterEpochs bool  `msgpack:"r,omitempty"`
+	CommitAgeMS  int64 `msgpack:"c,omitempty"`
+	LeasesMS     int64 `msgpack:"l,omitempty"`
 }
 
 // Stopped reports whether the owner gives no more orders.
@@ -54,11 +59,16 @@
 const maxEarlierOwners = 32
 
 // earlierOwners returns the owners that a row lists by which self replaces the owner
-// of the row previous: those of that row and its own owner. An owner that has resigned
-// gives no more orders. Neither does an earlier owner of the same process, nor one at
-// the same address, whose process has terminated.
-func earlierOwners(previous, self *Record) []EarlierOwner {
-	all := slices.Clone(previous.Earlier)
+// of the row previous, whose commit began at least age before: those of that row and its own
+// owner. An owner that has resigned gives no more orders. Neither does an earlier owner of the
+// same process, nor one at the same address, whose process has terminated.
+func earlierOwners(previous, self *Record, age time.Duration) []EarlierOwner {
+	var all []EarlierOwner
+	for _, e := range previous.Earlier {
+		if older, listed := e.after(age); listed {
+			all = append(all, older)
+		}
+	}
 	if previous.Host != "" && !previous.ListsEarlier && previous.Epoch > 1 {
 		// Unknown, as the previous owner is of a release that lists nobody.
 		all = append(all, EarlierOwner{Epoch: previous.Epoch - 1, OrdersMS: withDrift(Validity).Milliseconds()})
@@ -66,7 +76,7 @@
 	if previous.Host != "" {
 		all = append(all, EarlierOwner{
 			Host: previous.Host, Address: previous.Address, Incarnation: previous.Incarnation, Epoch: previous.Epoch,
-			OrdersMS: withDrift(Validity).Milliseconds(),
+			OrdersMS: withDrift(Validity).Milliseconds(), LimitsLeases: previous.LimitsLeases, RosterEpochs: previous.RosterEpochs, CommitAgeMS: age.Milliseconds(),
 		})
 	}
 	for i := range all {
@@ -86,7 +96,26 @@
 // merge returns an unnamed owner that stands for both: it may have given leases since
 // the earlier epoch, and may give orders until the later time.
 func (e *EarlierOwner) merge(other *EarlierOwner) EarlierOwner {
-	return EarlierOwner{Epoch: min(e.Epoch, other.Epoch), OrdersMS: max(e.OrdersMS, other.OrdersMS)}
+	merged := EarlierOwner{Epoch: min(e.Epoch, other.Epoch), OrdersMS: max(e.OrdersMS, other.OrdersMS)}
+	if e.LeasesMS != 0 && other.LeasesMS != 0 {
+		merged.LeasesMS = max(e.LeasesMS, other.LeasesMS)
+	}
+	return merged
+}
+
+// after returns the owner as a row lists it that is committed at least age later, and whether
+// its leases may still last then.
+func (e EarlierOwner) after(age time.Duration) (older EarlierOwner, listed bool) {
+	ms := age.Milliseconds()
+	if e.LeasesMS != 0 && e.LeasesMS <= ms {
+		return EarlierOwner{}, false
+	}
+	if e.LeasesMS != 0 {
+		e.LeasesMS -= ms
+	}
+	e.OrdersMS -= ms
+	e.CommitAgeMS += ms
+	return e, true
 }
 
 // withDrift returns the longest time that passes here while d passes on another
--- a/election/earlierowners.go
+++ b/election/earlierowners.go
@@ -17,6 +17,24 @@
 type pendingOwner struct {
 	EarlierOwner
 	until time.Duration
+	// committed is the latest time at which its last commit can have begun, leases when its
+	// last lease is over, 0 if unknown.
+	committed, leases time.Duration
+}
+
+// limitLeases records that most workers have refused the owner's orders since a time at the
+// latest, or that it has given none since. It returns whether its leases are known to be over
+// sooner than before.
+func (p *pendingOwner) limitLeases(since time.Duration) bool {
+	if !p.LimitsLeases {
+		return false
+	}
+	end := leasesEnd(p.committed, p.RosterEpochs, since)
+	if p.leases != 0 && p.leases <= end {
+		return false
+	}
+	p.leases = end
+	return true
 }
 
 // NewEarlierOwners returns the earlier owners that a row lists whose commit was
@@ -24,7 +42,15 @@
 func NewEarlierOwners(row *Record, now time.Duration) *EarlierOwners {
 	e := &EarlierOwners{}
 	for _, o := range row.Earlier {
-		e.pending = append(e.pending, pendingOwner{o, now + time.Duration(o.OrdersMS)*time.Millisecond})
+		p := pendingOwner{EarlierOwner: o, until: now + time.Duration(o.OrdersMS)*time.Millisecond}
+		p.committed = now - time.Duration(o.CommitAgeMS)*time.Millisecond
+		if o.LeasesMS != 0 {
+			p.leases = now + time.Duration(o.LeasesMS)*time.Millisecond
+		}
+		if p.until <= now {
+			p.limitLeases(p.until)
+		}
+		e.pending = append(e.pending, p)
 	}
 	return e
 }
@@ -36,9 +62,13 @@
 	var all []EarlierOwner
 	for _, p := range e.pending {
 		left := p.until - now
-		if left <= -leaseRetention {
+		if left <= -leaseRetention || (p.leases != 0 && p.leases <= now) {
 			continue
 		}
+		if p.leases != 0 {
+			p.LeasesMS = (p.leases - now + time.Millisecond).Milliseconds()
+		}
+		p.CommitAgeMS = time.Duration(float64(now-p.committed) * (1 - maxClockDrift)).Milliseconds()
 		if left > 0 {
 			left += time.Millisecond // rounded up
 		} else {
@@ -58,6 +88,7 @@
 	for i := range e.pending {
 		if p := &e.pending[i]; p.Epoch == epoch && p.until > now {
 			p.until = now
+			p.limitLeases(now)
 			return true
 		}
 	}
@@ -66,17 +97,22 @@
 
 // ReplacedAtMajority records that more than half of the workers of an owner's roster have
 // accepted orders of its successor by now. As they refuse the owner's orders from then on, it
-// gives none after AcceptanceWindow if it needs a majority. It returns whether that is sooner
-// than what was known.
+// gives none after AcceptanceWindow if it needs a majority, and its leases are over by
+// LeaseLimit. It returns whether that is sooner than what was known.
 func (e *EarlierOwners) ReplacedAtMajority(epoch uint64, now time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	until := now + withDrift(max(AcceptanceWindow, MinorityValidity)) + acceptanceSlack
+	sooner := false
 	for i := range e.pending {
-		if p := &e.pending[i]; p.Epoch == epoch && p.until > until {
-			p.until = until
-			return true
+		p := &e.pending[i]
+		if p.Epoch != epoch {
+			continue
 		}
+		if p.until > until {
+			p.until, sooner = until, true
+		}
+		sooner = p.limitLeases(now) || sooner
 	}
-	return false
+	return sooner
 }
--- a/election/earlierrelease_test.go
+++ b/election/earlierrelease_test.go
@@ -15,8 +15,8 @@
 // TestOwnerBeforeEarlierReleaseIsWaitedFor guards against a successor that forgets the owner
 // which an owner of an earlier release has replaced, as that one doesn't list it.
 func TestOwnerBeforeEarlierReleaseIsWaitedFor(t *testing.T) {
-	first := election.Successor(&election.Record{}, election.Record{Host: "a", Address: "a", Incarnation: "a"})
-	third := election.Successor(earlierRelease(&first, "b"), election.Record{Host: "c", Address: "c", Incarnation: "c"})
+	first := election.Successor(&election.Record{}, election.Record{Host: "a", Address: "a", Incarnation: "a"}, 0)
+	third := election.Successor(earlierRelease(&first, "b"), election.Record{Host: "c", Address: "c", Incarnation: "c"}, 0)
 	e := election.NewEarlierOwners(&third, 0)
 	e.Stopped(2, 0) // its host has answered
 	for _, o := range e.List(0) {
--- a/election/record.go
+++ b/election/record.go
@@ -36,6 +36,11 @@
 	// NeedsMajority is set by owners that give orders without commits only while most
 	// workers accept them (see MinorityValidity).
 	NeedsMajority bool `msgpack:"m,omitempty"`
+	// LimitsLeases is set by owners that give leases within LeaseLimit.
+	LimitsLeases bool `msgpack:"b,omitempty"`
+	// RosterOf is the epoch of the last owner that may have added workers to the roster or
+	// removed some, 0 if unknown.
+	RosterOf uint64 `msgpack:"t,omitempty"`
 	// ListsEarlier is set by owners that keep Earlier.
 	ListsEarlier bool `msgpack:"k,omitempty"`
 	// Earlier lists the owners before this one that may still give orders, or leases of
