election, control, dispatch: the owner's row names workers that get no leases

Cause: the first owner knows when the leases of a silent worker are over, since it gives it none. Its successor knew only that this owner may have given leases to the worker, and waited from the owner's last commit; a third one, whose predecessor had lived for less than a second, waited from that one's.

Change: each commit names the workers that haven't answered for 0.6 s, with the time until all leases that any owner may have given them are over. A named worker gets no lease and no start until a commit without it is applied, even if it answers. The successor copies the list into its first row, less the age of the row, so that a chain of owners that end at once loses nothing. Workers with an unanswered start, or that may have started again, aren't named, since a life that nobody knows may hold its lease for longer. Names are hashes; of two workers with one hash neither counts as named.

Weighed: times in the roster's rows, which would have to be written again and again as they don't run on; naming after one unanswered poll, which would take leases from living workers where connections are reset as the store goes away.

An owner that gives named workers leases or starts fails TestUnleasedWorkerGetsNoLease and TestUnconfirmedCommitKeepsWorkerUnleased.

--- a/control/commit.go
+++ b/control/commit.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		panic("control: can't encode state: " + err.Error())
 	}
-	if len(b.Writes) == 0 && !b.RosterEpochs && !rowDue {
+	if len(b.Writes) == 0 && !b.RosterEpochs && !b.UnleasedChanged && !rowDue {
 		o.state.MarkFlushed(b)
 		return
 	}
@@ -67,7 +67,7 @@
 	o.committer.SetHosts(election.ReferenceCores(o.opts.Cores, best, o.inheritedReference, start-o.ownedSince),
 		election.ReferenceHosts(hosts, o.inheritedHosts, start-o.ownedSince))
 	o.committer.SetEarlier(o.earlier.List(start))
-	err := o.commitBatch(o.ctx, b)
+	err := o.commitBatch(o.ctx, b, began)
 	o.opts.Metrics.commit(err, boottime()-start)
 	if err != nil {
 		o.quit(errors.Wrap(err, "commit"))
@@ -90,8 +90,9 @@
 	})
 }
 
-// commitBatch writes a batch together with the owner's row.
-func (o *Owner) commitBatch(ctx context.Context, b *dispatch.Batch) error {
+// commitBatch writes a batch together with the owner's row in a commit that began at a time.
+func (o *Owner) commitBatch(ctx context.Context, b *dispatch.Batch, began time.Time) error {
+	o.committer.SetUnleased(unleasedIn(b, began))
 	if b.RosterChanged {
 		o.committer.MarkRosterChanged()
 	}
@@ -101,6 +102,15 @@
 	return o.committer.Commit(ctx, b.Writes)
 }
 
+// unleasedIn returns the workers that the row of a commit names as those that get no leases.
+func unleasedIn(b *dispatch.Batch, began time.Time) []election.UnleasedWorker {
+	var workers []election.UnleasedWorker
+	for _, u := range b.Unleased {
+		workers = append(workers, election.NewUnleasedWorker(u.Worker, u.LeaseEnd.Sub(began)))
+	}
+	return workers
+}
+
 // recordCommit records the version of the owner's row after an applied commit,
 // and the boottime start at which that commit began.
 func (o *Owner) recordCommit(start time.Duration) {
--- a/control/earlierowners.go
+++ b/control/earlierowners.go
@@ -20,6 +20,17 @@
 	event.EarlierOwnerStopped.Log(o.opts.Log, slog.String("host", e.Host), slog.Uint64("epoch", e.Epoch), slog.Int("awaited", awaited))
 }
 
+// inheritedUnleased returns the workers that the row names with which this owner acquired the
+// domain. Its commit began before the owner was created.
+func (o *Owner) inheritedUnleased() []dispatch.UnleasedWorker {
+	var workers []dispatch.UnleasedWorker
+	for _, u := range o.committer.Record().Unleased {
+		end := o.startedAt.Add(time.Duration(u.LeasesMS) * time.Millisecond)
+		workers = append(workers, dispatch.UnleasedWorker{Worker: u.Worker, LeaseEnd: end})
+	}
+	return workers
+}
+
 // setEarlierOrders passes on until when earlier owners may give orders. It returns the
 // number of inherited workers that haven't reported.
 func (o *Owner) setEarlierOrders() int {
--- a/control/load.go
+++ b/control/load.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	event.StateLoaded.Log(o.opts.Log, slog.Any("epoch", o.epoch), slog.Any("jobs", len(jobs)), slog.Any("workers", workers), slog.Any("ms", time.Since(start).Milliseconds()))
+	event.StateLoaded.Log(o.opts.Log, slog.Any("epoch", o.epoch), slog.Any("jobs", len(jobs)), slog.Any("workers", workers), slog.Int("unleased", len(o.committer.Record().Unleased)), slog.Any("ms", time.Since(start).Milliseconds()))
 	return nil
 }
 
@@ -142,6 +142,7 @@
 		}
 		workers += len(roster.Workers)
 	}
+	o.state.InheritUnleased(o.inheritedUnleased())
 	return workers, nil
 }
 
--- a/control/resign.go
+++ b/control/resign.go
@@ -49,14 +49,15 @@
 // contained are left to the next owner; callers that wait for other changes beyond it
 // get an unknown outcome.
 func (o *Owner) commitRemaining(ctx context.Context) {
-	b, err := o.state.Flush(time.Now(), maxBatchWrites)
+	now := time.Now()
+	b, err := o.state.Flush(now, maxBatchWrites)
 	if err != nil {
 		panic("control: can't encode state: " + err.Error())
 	}
 	o.committing, o.closed = true, true
-	o.lastCommit = time.Now()
+	o.lastCommit = now
 	go func() {
-		if err := o.commitBatch(ctx, b); err != nil {
+		if err := o.commitBatch(ctx, b, now); err != nil {
 			event.ResignFailed.Log(o.opts.Log, slog.Any("err", err))
 			o.quit(errors.Wrap(err, "last commit"))
 			return
--- a/dispatch/earlierorders.go
+++ b/dispatch/earlierorders.go
@@ -25,7 +25,7 @@
 func (s *State) SetEarlierOrders(all []EarlierOrders) int {
 	s.earlierOrders = all
 	for _, w := range s.awaitingReport {
-		w.inheritedUntil = s.inheritedUntil(w.leasedIn)
+		w.inheritedUntil = s.inheritedEnd(w)
 	}
 	return len(s.awaitingReport)
 }
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -32,6 +32,10 @@
 	// RosterChanged is set if the owner's row must say from this commit on that this owner
 	// may have added workers to the roster or removed some.
 	RosterChanged bool
+	// Unleased holds the workers that the owner's row names from this commit on as those that
+	// get no leases. UnleasedChanged is set if they are others than before.
+	Unleased        []UnleasedWorker
+	UnleasedChanged bool
 	// jobs holds the jobs of the batch with the states that it writes.
 	jobs []batchJob
 	// roster holds the workers in the roster parts that it writes.
@@ -105,6 +109,7 @@
 		return nil, err
 	}
 	s.claimRosterEpochs(now, b)
+	s.collectUnleased(now, b)
 	if s.estimatesChanged && now.Sub(s.estimatesFlushedAt) >= estimatesInterval {
 		if err := s.flushEstimates(now, b); err != nil {
 			return nil, err
@@ -255,6 +260,7 @@
 			w.leasable = w.leasable || e.leasedIn == s.cfg.Epoch
 		}
 	}
+	s.markUnleased(b)
 	for part, n := range b.removed {
 		s.removedUnwritten[part] -= n
 	}
--- a/dispatch/heldstart.go
+++ b/dispatch/heldstart.go
@@ -39,7 +39,7 @@
 		switch {
 		case !slices.Contains(r.task.runs, r):
 			return true
-		case r.phase == stopping || !r.worker.usable(now):
+		case r.phase == stopping || !r.worker.usable(now) || !r.worker.mayLease():
 			s.releaseRun(now, r, NotSent)
 			return true
 		case !r.stored:
--- a/dispatch/innocentjobs_test.go
+++ b/dispatch/innocentjobs_test.go
@@ -13,7 +13,7 @@
 // losses that was only cut off, in the second all its workers crash by themselves.
 var innocentSeeds = []uint64{
 	32, 1003, 1061, 1507, 1728, 1804,
-	269, 345, 477,
+	269, 273, 310, 345, 477, 559, 763,
 }
 
 const (
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -117,7 +117,7 @@
 		w.leasedIn = 0
 		s.dirtyRosterParts[w.rosterPart()] = true
 	}
-	w.inheritedUntil = s.inheritedUntil(w.leasedIn)
+	w.inheritedUntil = s.inheritedEnd(w)
 	s.awaitingReport[m.ID] = w
 	s.roster.inherited++
 }
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -112,6 +112,11 @@
 	o.setEarlierOrders()
 	o.epochsKnown = previous.RosterEpochs
 	o.restore(s.roster()...)
+	var unleased []dispatch.UnleasedWorker
+	for _, u := range record.Unleased {
+		unleased = append(unleased, dispatch.UnleasedWorker{Worker: u.Worker, LeaseEnd: s.now.Add(time.Duration(u.LeasesMS) * time.Millisecond)})
+	}
+	o.state.InheritUnleased(unleased)
 	h.owner, h.acquiring = o, false
 	if s.store.row.SameOwnership(&record) {
 		s.state = o.state
--- a/dispatch/ownersimstore_test.go
+++ b/dispatch/ownersimstore_test.go
@@ -61,6 +61,10 @@
 	if b.RosterChanged {
 		o.record.RosterOf = o.epoch
 	}
+	o.record.Unleased = nil
+	for _, u := range b.Unleased {
+		o.record.Unleased = append(o.record.Unleased, election.NewUnleasedWorker(u.Worker, u.LeaseEnd.Sub(s.now)))
+	}
 	c := &simCommit{owner: o, batch: b, began: s.now}
 	if len(b.Writes) < simBatchWrites-1 { // it holds all changes
 		c.done, o.done = o.done, nil
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -160,7 +160,7 @@
 		workers: make([]*worker, 0, len(s.workers)), maxStarts: math.MaxInt, maxVisits: math.MaxInt,
 	}
 	for _, w := range s.byID() {
-		if w.usable(now) && w.inRoster && w.leasable && !w.clockAt.IsZero() {
+		if w.usable(now) && w.inRoster && w.mayLease() && !w.clockAt.IsZero() {
 			c.workers = append(c.workers, w)
 		}
 	}
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -28,7 +28,8 @@
 	if w == nil || !w.inRoster {
 		return false
 	}
-	pollAtOnce := w.ends.prefix == w.acknowledged && (w.leasable || !w.reported)
+	leasable := w.mayLease() || !w.reported || !w.unresponsiveSince.IsZero()
+	pollAtOnce := w.ends.prefix == w.acknowledged && leasable
 	return pollAtOnce || now.Sub(w.polledAt) >= unflushedPollInterval
 }
 
@@ -43,12 +44,12 @@
 	}
 	o := runner.Renewal{To: w.addressee(now), Token: w.token}
 	o.Acknowledged = s.acknowledge(now, w)
-	if lease > 0 && !w.suspected && w.leasable {
+	if lease > 0 && !w.suspected && w.mayLease() {
 		// A suspected worker gets no lease: each one sent would delay the time
 		// at which its runs are known to have ended.
 		o.LeaseUntil = s.leaseFor(now, w, lease)
 	}
-	if w.leasable && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.ends.prefix == w.acknowledged &&
+	if w.mayLease() && w.reported && w.unresponsiveSince.IsZero() && w.token == w.tokenSeen && w.ends.prefix == w.acknowledged &&
 		w.withheldSince.IsZero() {
 		o.WaitMS = longPoll.Milliseconds()
 		if s.needsFrequentPolls(now, w) || lease < s.cfg.Lease-shortLease {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -39,6 +39,11 @@
 	// owner's row doesn't say yet that the roster does.
 	leasedIn uint64
 	leasable bool
+	// unleased is set while the owner's row may name the worker as one that gets no leases.
+	// unleasedEnd is when its leases are over by the row that the owner has inherited, zero if
+	// that doesn't name it.
+	unleased    bool
+	unleasedEnd time.Time
 	// inheritedNewLife is set if an earlier owner knew that it had started again shortly
 	// before.
 	inheritedNewLife bool
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -35,7 +35,7 @@
 	}
 	self.Cores, self.Hosts = max(self.Cores, previous.Cores), previous.Hosts
 	age := time.Duration(float64(unchanged) * (1 - maxClockDrift))
-	self.Earlier = earlierOwners(previous, &self, age)
+	self.Earlier, self.Unleased = earlierOwners(previous, &self, age), unleasedAfter(previous.Unleased, age)
 	return self
 }
 
--- a/election/committer.go
+++ b/election/committer.go
@@ -113,6 +113,13 @@
 	c.record.Earlier = earlier
 }
 
+// SetUnleased sets the workers that later commits name as those that get no leases.
+func (c *Committer) SetUnleased(workers []UnleasedWorker) {
+	c.lock <- struct{}{}
+	defer c.unlock()
+	c.record.Unleased = workers
+}
+
 // MarkRosterChanged makes later commits record that this owner may have changed which workers
 // the roster names.
 func (c *Committer) MarkRosterChanged() {
--- a/election/record.go
+++ b/election/record.go
@@ -41,6 +41,8 @@
 	// RosterOf is the epoch of the last owner that may have added workers to the roster or
 	// removed some, 0 if unknown.
 	RosterOf uint64 `msgpack:"t,omitempty"`
+	// Unleased names workers that don't answer and get no leases.
+	Unleased []UnleasedWorker `msgpack:"u,omitempty"`
 	// ListsEarlier is set by owners that keep Earlier.
 	ListsEarlier bool `msgpack:"k,omitempty"`
 	// Earlier lists the owners before this one that may still give orders, or leases of
