--- a/control/acceptance.go
+++ b/control/acceptance.go
@@ -42,8 +42,8 @@
 // host isn't suspended.
 const maxClockStep = 20 * time.Millisecond
 
-// leaseLeft returns how long a lease that the owner gives now may last; it is negative if it
-// may give none.
+// leaseLeft returns how long a lease that the owner gives now may last; it isn't positive if
+// the owner may give none.
 func (o *Owner) leaseLeft() time.Duration {
 	if !o.ownershipValid() {
 		return 0
--- a/dispatch/heldstart.go
+++ b/dispatch/heldstart.go
@@ -31,7 +31,8 @@
 }
 
 // releaseHeldStarts returns the held starts whose locations are durable, with current
-// leases of at most the given duration, and current tokens. It drops those whose run has ended or is to be stopped.
+// leases of at most the given duration, and current tokens. It drops those whose run has
+// ended or is to be stopped, and those to a worker that may get no starts any more.
 func (s *State) releaseHeldStarts(now time.Time, lease time.Duration) []StartOrder {
 	var starts []StartOrder
 	s.heldStarts = slices.DeleteFunc(s.heldStarts, func(h heldStart) bool {
--- a/dispatch/unleased.go
+++ b/dispatch/unleased.go
@@ -20,7 +20,7 @@
 }
 
 // collectUnleased adds to a batch the workers that the owner's row is to name. They get no
-// leases from now on, and again once a commit without them is applied.
+// leases from now on until a commit without them is applied.
 func (s *State) collectUnleased(now time.Time, b *Batch) {
 	for _, w := range s.byID() {
 		end, unleased := w.unleasedUntil(now)
@@ -36,6 +36,9 @@
 // markUnleased records that the owner's row names the workers of an applied batch, and no
 // others.
 func (s *State) markUnleased(b *Batch) {
+	if !b.UnleasedChanged {
+		return
+	}
 	named := make(map[uint32]bool, len(b.Unleased))
 	for _, u := range b.Unleased {
 		named[u.Worker] = true
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -24,8 +24,9 @@
 }
 
 // Successor returns the owner's row by which self replaces the owner of the row
-// previous, which is known to have been unchanged for some time. It keeps the number of hosts, and the larger reference for takeovers, so that the row of a weak
-// owner doesn't let other weak hosts follow it without a delay.
+// previous, which is known to have been unchanged for some time. It keeps the number of hosts,
+// and the larger reference for takeovers, so that the row of a weak owner doesn't let other weak
+// hosts follow it without a delay.
 func Successor(previous *Record, self Record, unchanged time.Duration) Record {
 	self.Epoch, self.Seq, self.Resigned = previous.Epoch+1, 0, false
 	self.ListsEarlier, self.NeedsMajority, self.LimitsLeases, self.RosterEpochs = true, true, true, false
@@ -42,8 +43,8 @@
 // Acquire commits an owner's row for self in the epoch after that of previous,
 // and returns the Committer of the new owner, which also tells the effort of a failed
 // attempt. previous and version are the results of Read, which took readTime; the row is known
-// to have been unchanged for some time. If it has changed since, Acquire returns ErrDeposed. It returns ErrSilent if the table
-// service stops answering. After any other error than ErrDeposed the row may still be
+// to have been unchanged for some time. If it has changed since, Acquire returns ErrDeposed. It
+// returns ErrSilent if the table service stops answering. After any other error than ErrDeposed the row may still be
 // written, and the host resumes the ownership when it finds itself in it (Resume).
 func Acquire(ctx context.Context, table infra.Table, self, previous Record, version uint64, unchanged, readTime time.Duration) (*Committer, error) {
 	c := NewCommitter(table, Successor(&previous, self, unchanged), version)
