pipenet: dialing ends with the listener

Cause: the HTTP client dials in the background for a call that another connection serves; if the test ends first, nothing accepts that connection, and Dial blocked for ever. No fault of the product: only tests use the listener.

Change: Dial also ends once the listener is closed; the caller then reads EOF.

--- a/internal/pipenet/listener.go
+++ b/internal/pipenet/listener.go
@@ -38,9 +38,13 @@
 func (l *Listener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // Dial returns the caller's end of a new connection. It blocks until Accept is
-// called.
+// called. Once the listener is closed, the other end of the connection is closed too.
 func (l *Listener) Dial() net.Conn {
 	caller, server := net.Pipe()
-	l.conns <- server
+	select {
+	case l.conns <- server:
+	case <-l.closed:
+		_ = server.Close() // always nil
+	}
 	return caller
 }
