--- a/dispatch/losttasks_test.go
+++ b/dispatch/losttasks_test.go
@@ -26,7 +26,6 @@
 // worker and one owner's host after the other are lost for good: each successor waited for
 // leases that no owner could have given any more.
 func TestLostTasksStartAgainInTime(t *testing.T) {
-	const first, second = 0, 1
 	for name, owners := range map[string][]lostOwner{
 		"at once":                     {{after: 0}},
 		"after half a second":         {{after: 500 * time.Millisecond}},
@@ -34,11 +33,11 @@
 		"after 2 s":                   {{after: 2 * time.Second}},
 		"after 3 s":                   {{after: 3 * time.Second}},
 		"after 5 s":                   {{after: 5 * time.Second}},
-		"two owners, at once":         {first: {after: 0}, second: {after: 0, leads: true}},
-		"two owners, 0.3 s apart":     {first: {after: time.Second}, second: {after: 300 * time.Millisecond, leads: true}},
-		"two owners, 1 s apart":       {first: {after: time.Second}, second: {after: time.Second, leads: true}},
-		"two owners, 3 s apart":       {first: {after: time.Second}, second: {after: 3 * time.Second, leads: true}},
-		"two owners after 3 s":        {first: {after: 3 * time.Second}, second: {after: time.Second, leads: true}},
+		"two owners, at once":         {{after: 0}, {after: 0, leads: true}},
+		"two owners, 0.3 s apart":     {{after: time.Second}, {after: 300 * time.Millisecond, leads: true}},
+		"two owners, 1 s apart":       {{after: time.Second}, {after: time.Second, leads: true}},
+		"two owners, 3 s apart":       {{after: time.Second}, {after: 3 * time.Second, leads: true}},
+		"two owners after 3 s":        {{after: 3 * time.Second}, {after: time.Second, leads: true}},
 		"three owners, each at once":  {{after: 0}, {after: 0, leads: true}, {after: 0, leads: true}},
 		"three owners, 0.5 s apart":   {{after: time.Second}, {after: 500 * time.Millisecond, leads: true}, {after: 500 * time.Millisecond, leads: true}},
 		"three owners, 1.5 s between": {{after: 0}, {after: 1500 * time.Millisecond, leads: true}, {after: 1500 * time.Millisecond, leads: true}},
