control: log which long-running tasks stand still, and by which check

Callers saw long-running tasks without a run for longer than the rule allows, and no line of any process told why: 912 counts waiting tasks by cause, without names, and not at all those that wait for leases.

919 (WARN) names a task once it has had no run that works for 3 s: job, task, last worker and run, since when, the check that stops it, what is left of that, and the epochs of the owners whose leases it waits for. The owner looks once a second, in its summary; a task that runs costs two comparisons.

--- a/cmd/fireflygate-edge/explainday.go
+++ b/cmd/fireflygate-edge/explainday.go
@@ -13,7 +13,7 @@
 )
 
 // explainDayCommand reports from log lines how jobs that missed their objective
-// spent their time.
+// spent their time, and which long-running tasks stood still.
 type explainDayCommand struct{}
 
 // Name implements subcommands.Command.
@@ -21,12 +21,12 @@
 
 // Synopsis implements subcommands.Command.
 func (*explainDayCommand) Synopsis() string {
-	return "report from hosts' log lines why jobs missed their objectives, and the owner's bottlenecks"
+	return "report from hosts' log lines why jobs missed their objectives, the owner's bottlenecks, and long-running tasks that stood still"
 }
 
 // Usage implements subcommands.Command.
 func (*explainDayCommand) Usage() string {
-	return "explain-day [FILE...]\nReads standard input if no file is given. Exits 1 if no line is about a job.\n"
+	return "explain-day [FILE...]\nReads standard input if no file is given. Exits 1 if no line is about a job that ended or a task that stood still.\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -40,12 +40,14 @@
 		return subcommands.ExitUsageError
 	}
 	rows := trace.SummarizeJobs(records)
-	if err := errors.CombineErrors(trace.WriteJobSummaries(os.Stdout, rows), trace.WriteBottlenecks(os.Stdout, trace.Bottlenecks(records))); err != nil {
+	standing, unnamed := trace.StandingTasks(records)
+	err = errors.CombineErrors(trace.WriteJobSummaries(os.Stdout, rows), trace.WriteBottlenecks(os.Stdout, trace.Bottlenecks(records)))
+	if err = errors.CombineErrors(err, trace.WriteStandingTasks(os.Stdout, standing, unnamed)); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	fmt.Fprintf(os.Stderr, "%d lines; %d were no log records\n", len(records), unread)
-	if len(rows) == 0 {
+	if len(rows) == 0 && len(standing) == 0 {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
--- a/control/summary.go
+++ b/control/summary.go
@@ -29,6 +29,7 @@
 	o.opts.Metrics.addCPUTime(spent)
 	event.DomainState.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.Any("state", sum),
 		slog.Any("traffic", traffic), slog.Any("loop", o.loop), slog.Any("cpu", spent), slog.Bool("short_of_processor", o.short), slog.Int64("commit_age_ms", o.commitAge().Milliseconds()))
+	o.logStandingTasks()
 	o.opts.Metrics.setLoad(traffic, &o.loop)
 	o.recordLoads(now)
 	o.scaleRelays(now, sum.Workers)
@@ -41,6 +42,22 @@
 	}
 }
 
+// logStandingTasks logs the long-running tasks that were found to stand, and those that run again.
+func (o *Owner) logStandingTasks() {
+	found := o.state.TakeStandingTasks()
+	for i := range found.Standing {
+		t := &found.Standing[i]
+		event.TaskStands.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.String("job", t.Task.Job), slog.String("task", t.Task.String()),
+			slog.Int64("for_ms", t.For.Milliseconds()), slog.String("check", string(t.Check)), slog.Int64("left_ms", t.Left.Milliseconds()),
+			slog.Any("epochs", t.Epochs), slog.String("worker", t.Worker), slog.Uint64("run", t.Run), slog.Int("more", found.More))
+	}
+	for i := range found.Resumed {
+		t := &found.Resumed[i]
+		event.TaskRunsAgain.Log(o.opts.Log, slog.Uint64("epoch", o.epoch), slog.String("job", t.Task.Job), slog.String("task", t.Task.String()),
+			slog.Int64("stood_ms", t.For.Milliseconds()), slog.String("worker", t.Worker), slog.Uint64("run", t.Run))
+	}
+}
+
 // logLosses logs and counts the workers that were lost with runs or have started again, and
 // the jobs given up because of such losses.
 func (o *Owner) logLosses() {
--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -105,6 +105,13 @@
 	return l.clock + int64(float64(elapsed.Milliseconds())*(1-maxClockDrift))
 }
 
+// leaseOverBy returns when the leases are over that this owner has given, by a reading of the
+// worker's clock.
+func (l *life) leaseOverBy() time.Time {
+	left := time.Duration(l.leaseUntil-l.clock)*time.Millisecond + leaseExpiryMargin
+	return l.clockAt.Add(time.Duration(float64(left) / (1 - maxClockDrift)))
+}
+
 // addressee returns the life that an order made now is for.
 func (l *life) addressee(now time.Time) runner.Addressee {
 	return runner.Addressee{Life: l.number, Incarnation: l.incarnation, Clock: l.clockLowerBound(now), At: now}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -92,6 +92,10 @@
 	refusedToken RefusedToken
 	// losses holds what TakeWorkerLosses returns next.
 	losses []WorkerLoss
+	// standing holds the long-running tasks without a run that works, standingFound what
+	// TakeStandingTasks returns next.
+	standing      map[*task]*standing
+	standingFound StandingTasks
 	// findings holds what TakeFindings returns next.
 	findings []Finding
 	// unreadable holds the jobs of earlier owners whose rows can't be decoded.
@@ -140,6 +144,7 @@
 		unreadable:     map[string]*unreadableJob{},
 		workers:        map[string]*worker{},
 		claims:         map[string]*claim{},
+		standing:       map[*task]*standing{},
 		awaitingReport: map[string]*worker{},
 		crashedUnder:   map[uint32][]*task{}, inheritedRuns: map[uint32][]*task{},
 		nextRun: cfg.Epoch << epochShift, topToken: cfg.Epoch << epochShift,
--- a/dispatch/timebreakdown.go
+++ b/dispatch/timebreakdown.go
@@ -43,9 +43,10 @@
 }
 
 // AttributeTime adds the time since the last call to the breakdowns of the open
-// jobs and returns a summary of the domain.
+// jobs, finds long-running tasks that stand, and returns a summary of the domain.
 func (s *State) AttributeTime(now time.Time) Summary {
 	sum, causes := s.summarize(now)
+	s.standingFound = s.findStanding(now, causes)
 	elapsed := now.Sub(s.attributedAt)
 	if s.attributedAt.IsZero() {
 		elapsed = 0
--- a/dispatch/unleased.go
+++ b/dispatch/unleased.go
@@ -68,8 +68,7 @@
 	if w.clockAt.IsZero() {
 		return time.Time{}, false
 	}
-	left := time.Duration(w.leaseUntil-w.clock)*time.Millisecond + leaseExpiryMargin
-	if over := w.clockAt.Add(time.Duration(float64(left) / (1 - maxClockDrift))); over.After(end) {
+	if over := w.leaseOverBy(); over.After(end) {
 		end = over
 	}
 	return end, true
--- a/event/control.go
+++ b/event/control.go
@@ -2,7 +2,7 @@
 
 import "log/slog"
 
-// Events 900 to 949: control of a scheduling domain.
+// Events 900 to 949 and 970 to 979: control of a scheduling domain.
 var (
 	OwnerSuspected       = define(900, slog.LevelWarn, "domain owner suspected of failure")
 	OwnerFollowed        = define(901, slog.LevelInfo, "following the domain owner")
@@ -32,6 +32,8 @@
 	UnknownJobRefused    = routine(930, slog.LevelInfo, "request refused, job unknown and the owner's commits are failing")
 	StoreUnavailable     = routine(929, slog.LevelInfo, "job refused, the store is unavailable")
 	RelaysChanged        = define(917, slog.LevelInfo, "relay hosts for the owner's orders changed")
+	TaskStands           = define(919, slog.LevelWarn, "long-running task stands still")
+	TaskRunsAgain        = define(970, slog.LevelInfo, "long-running task runs again")
 	RelayUnresponsive    = define(918, slog.LevelWarn, "relay does not respond, rerouting its orders")
 	StartBacklogFull     = routine(932, slog.LevelInfo, "job refused, too many task starts are waiting")
 	JobEnded             = define(931, slog.LevelInfo, "job ended or expired")
--- a/event/platform.go
+++ b/event/platform.go
@@ -2,7 +2,7 @@
 
 import "log/slog"
 
-// Events 950 to 999: the users' platform.
+// Events 950 to 969: the users' platform.
 var (
 	StoreCallFailed      = define(950, slog.LevelWarn, "call to the store failed")
 	MemberEntryMalformed = define(951, slog.LevelError, "membership entry is malformed, worker not usable")
