election: a successor takes the age of the last commit from the store's clock

Cause: a successor counts the leases of the lost owner from when it first saw the last version of the owner's row. If the owner commits between two pings, that is up to half a second after the commit: the next ping, and the quarter of a second after which the row is read.

Change: answers of the store tell its steady clock, which all hosts share. The owner's row carries the latest time that this clock can have shown when the commit began; a new owner compares it with the clock in the answer to its own first commit. Hosts' clocks count suspended time. Rows without a clock, as those of earlier releases, and a clock that goes back bound nothing: the time for which the row was seen unchanged counts as before.

--- a/control/earlierowners.go
+++ b/control/earlierowners.go
@@ -20,6 +20,15 @@
 	event.EarlierOwnerStopped.Log(o.opts.Log, slog.String("host", e.Host), slog.Uint64("epoch", e.Epoch), slog.Int("awaited", awaited))
 }
 
+// boundReplacedCommit takes over from the table service's clock when the last commit of the owner
+// before began, which is known more closely from it than from how long its row was seen unchanged.
+func (o *Owner) boundReplacedCommit(previous *election.Record) {
+	if at, known := o.committer.ReplacedCommit(previous); known {
+		o.earlier.CommittedBefore(previous.Epoch, at)
+		o.setEarlierOrders()
+	}
+}
+
 // inheritedUnleased returns the workers that the row names with which this owner acquired the
 // domain. Its commit began before the owner was created.
 func (o *Owner) inheritedUnleased() []dispatch.UnleasedWorker {
--- a/control/skippedload_test.go
+++ b/control/skippedload_test.go
@@ -21,7 +21,7 @@
 	n := newTestNode(slow)
 	n.opts.Cores = weakCores
 	self := election.Record{Host: "a", Incarnation: "a", Cores: weakCores}
-	c, err := election.Acquire(t.Context(), table, self, previous, 0, 0, 0)
+	c, err := election.Acquire(t.Context(), table, self, election.Replaced{Record: previous}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -64,7 +64,8 @@
 	defer cancel()
 	go n.keepLock(ctx, lock.address, row.version, cancel)
 	n.attempted = attempted{previous: row.record, open: true}
-	return election.Acquire(ctx, n.opts.Table, self, row.record, row.version, unchanged, row.took)
+	replaced := election.Replaced{Record: row.record, Version: row.version, Unchanged: unchanged, ReadTime: row.took}
+	return election.Acquire(ctx, n.opts.Table, self, replaced, boottime)
 }
 
 // resume leads the domain if the row names this host by an attempt that was given up and
@@ -77,7 +78,7 @@
 	}
 	n.attempted.open = false
 	event.OwnershipResumed.Log(n.opts.Log, slog.Any("epoch", row.record.Epoch), slog.Any("before", a.previous.Host))
-	n.lead(ctx, election.Resume(n.opts.Table, row.record, row.version), a.previous, row.begunAt)
+	n.lead(ctx, election.Resume(n.opts.Table, row.record, row.version, boottime), a.previous, row.begunAt)
 	return true
 }
 
@@ -105,6 +106,7 @@
 	opts := n.opts
 	n.mu.Unlock()
 	o := newOwner(ctx, opts, c, *n.config.Load(), acquiredAt)
+	o.boundReplacedCommit(&previous)
 	o.closedZones = n.ClosedZones
 	defer o.relays.close()
 	o.candidates = &n.candidates
--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := election.Acquire(t.Context(), table, election.Record{Host: "a", Incarnation: "a"}, previous, version, 0, 0)
+	c, err := election.Acquire(t.Context(), table, election.Record{Host: "a", Incarnation: "a"}, election.Replaced{Record: previous, Version: version}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -109,6 +109,7 @@
 	}
 	o.startOwner(record.Epoch)
 	o.earlier = election.NewEarlierOwners(&record, o.sinceStart())
+	s.boundReplacedCommit(o, &previous)
 	o.setEarlierOrders()
 	o.epochsKnown = previous.RosterEpochs
 	o.restore(s.roster()...)
--- a/dispatch/ownersimstore_test.go
+++ b/dispatch/ownersimstore_test.go
@@ -44,6 +44,21 @@
 // storeUp reports whether the store answers.
 func (s *ownerSim) storeUp() bool { return !s.now.Before(s.storeDownUntil) }
 
+// storeClock returns the store's clock, which all hosts share.
+func (s *ownerSim) storeClock() time.Duration { return time.Hour + s.now.Sub(s.startedAt) }
+
+// boundReplacedCommit takes over from the store's clock when the last commit of the replaced owner
+// began, as control.Owner does.
+func (s *ownerSim) boundReplacedCommit(o *simOwner, previous *election.Record) {
+	if previous.Clock == 0 {
+		return
+	}
+	age := s.storeClock() - time.Duration(previous.Clock)*time.Millisecond - s.between(0, testTick)
+	if age > 0 {
+		o.earlier.CommittedBefore(previous.Epoch, o.sinceStart()-age)
+	}
+}
+
 // beginCommit begins a commit if the owner has changes or its row is due.
 func (s *ownerSim) beginCommit(o *simOwner) {
 	due := o.state.HasUnflushedChanges() || o.state.AwaitsConfirmation() || o.unverified(s.now)
@@ -61,6 +76,7 @@
 	if b.RosterChanged {
 		o.record.RosterOf = o.epoch
 	}
+	o.record.Clock = (s.storeClock() + s.between(0, testTick)).Milliseconds() // it is known within an answer
 	o.record.Unleased = nil
 	for _, u := range b.Unleased {
 		o.record.Unleased = append(o.record.Unleased, election.NewUnleasedWorker(u.Worker, u.LeaseEnd.Sub(s.now)))
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -40,16 +40,26 @@
 	return self
 }
 
-// Acquire commits an owner's row for self in the epoch after that of previous,
+// Replaced is the owner's row that another one replaces. Record and Version are the results of
+// Read, which took ReadTime.
+type Replaced struct {
+	Record  Record
+	Version uint64
+	// Unchanged is how long the row is known to have been unchanged.
+	Unchanged, ReadTime time.Duration
+}
+
+// Acquire commits an owner's row for self in the epoch after that of the replaced one,
 // and returns the Committer of the new owner, which also tells the effort of a failed
-// attempt. previous and version are the results of Read, which took readTime; the row is known
-// to have been unchanged for some time. If it has changed since, Acquire returns ErrDeposed. It
+// attempt. now returns this host's clock, see Committer.Now. If the replaced row has changed since
+// it was read, Acquire returns ErrDeposed. It
 // returns ErrSilent if the table service stops answering. After any other error than ErrDeposed the row may still be
 // written, and the host resumes the ownership when it finds itself in it (Resume).
-func Acquire(ctx context.Context, table infra.Table, self, previous Record, version uint64, unchanged, readTime time.Duration) (*Committer, error) {
-	c := NewCommitter(table, Successor(&previous, self, unchanged), version)
-	c.lastDuration = commitReads * readTime
-	c.maxSilence = acquireSilence + slowAnswerFactor*readTime
+func Acquire(ctx context.Context, table infra.Table, self Record, r Replaced, now func() time.Duration) (*Committer, error) {
+	c := NewCommitter(table, Successor(&r.Record, self, r.Unchanged), r.Version)
+	c.Now = now
+	c.lastDuration = commitReads * r.ReadTime
+	c.maxSilence = acquireSilence + slowAnswerFactor*r.ReadTime
 	err := c.Commit(ctx, nil)
 	c.maxSilence = 0
 	return c, err
@@ -71,6 +81,8 @@
 
 // Resume returns the Committer of an owner whose attempt to acquire the domain was
 // given up and has taken effect later, as its row, read at a version, tells.
-func Resume(table infra.Table, row Record, version uint64) *Committer {
-	return NewCommitter(table, row, version)
+func Resume(table infra.Table, row Record, version uint64, now func() time.Duration) *Committer {
+	c := NewCommitter(table, row, version)
+	c.Now = now
+	return c
 }
--- a/election/attempts.go
+++ b/election/attempts.go
@@ -19,6 +19,8 @@
 	read bool
 	// answered is set if the table service answered.
 	answered bool
+	// clock is what the answer tells of the table service's clock.
+	clock clockReading
 }
 
 // attempts makes the attempts of one commit. An earlier attempt goes on when another
@@ -50,6 +52,8 @@
 	answeredAt time.Time
 	// effort counts the attempts.
 	effort Effort
+	// now returns this host's clock; it may be nil.
+	now func() time.Duration
 }
 
 const (
@@ -96,9 +100,16 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
+		var clock clockReading
+		if t.now != nil {
+			clock.sent = t.now()
+		}
 		res := t.table.Commit(ctx, tx)
+		if t.now != nil {
+			clock.shared, clock.received = res.Clock, t.now()
+		}
 		answered := res.Status == infra.CommitApplied || res.Status == infra.CommitConflict
-		t.results <- attempt{result: res, took: time.Since(begun), failedFast: ctx.Err() == nil, answered: answered}
+		t.results <- attempt{result: res, took: time.Since(begun), failedFast: ctx.Err() == nil, answered: answered, clock: clock}
 	}()
 }
 
--- a/election/committer.go
+++ b/election/committer.go
@@ -49,6 +49,11 @@
 	maxSilence time.Duration
 	// answers tells when the table service last answered.
 	answers answers
+	// clock is its last reading of the table service's clock.
+	clock clockReading
+	// Now returns this host's clock, which also counts while the host is suspended. Without it
+	// the rows tell no time.
+	Now func() time.Duration
 	// Sleep waits after a refused or immediately failed attempt; tests replace it.
 	Sleep func(ctx context.Context, d time.Duration)
 }
@@ -201,6 +206,7 @@
 // commit implements Commit; c.lock must be held.
 func (c *Committer) commit(ctx context.Context, writes []infra.Write) error {
 	c.record.Seq++
+	c.record.Clock = c.latestClock().Milliseconds()
 	value, err := c.record.Encode()
 	if err != nil {
 		return err
@@ -208,7 +214,7 @@
 	tries := newAttempts(ctx, c.table, append([]infra.Write{{Key: OwnerKey, Value: value}}, writes...), repeatIntervalAfter(c.lastDuration))
 	defer tries.cancel()
 	begun := time.Now()
-	tries.slowestRead, tries.usual = c.lastRead, c.lastDuration
+	tries.slowestRead, tries.usual, tries.now = c.lastRead, c.lastDuration, c.Now
 	defer func() {
 		c.effort, c.lastRead = tries.effort, tries.lastRead
 		c.effort.Took = time.Since(begun)
@@ -226,6 +232,9 @@
 			if a.answered {
 				c.answers.record()
 			}
+			if a.clock.shared > 0 {
+				c.clock = a.clock
+			}
 			done, err := c.handleAttempt(ctx, a)
 			if done || err != nil {
 				return err
@@ -237,6 +246,23 @@
 	}
 }
 
+// latestClock returns the latest time that the table service's clock can show now, 0 if that isn't
+// known.
+func (c *Committer) latestClock() time.Duration {
+	if c.Now == nil {
+		return 0
+	}
+	return c.clock.latestAt(c.Now())
+}
+
+// ReplacedCommit returns the latest time at which the last commit of the owner can have begun
+// whose row this one's has replaced, on this host's clock; false if the rows don't tell.
+func (c *Committer) ReplacedCommit(previous *Record) (at time.Duration, known bool) {
+	c.lock <- struct{}{}
+	defer c.unlock()
+	return c.clock.since(time.Duration(previous.Clock) * time.Millisecond)
+}
+
 // handleAttempt handles the result of an attempt. It returns true if the commit was
 // applied, and an error if it never will be or ctx has ended. After an attempt that
 // failed before its timeout it waits for retryDelay.
--- a/election/committer_test.go
+++ b/election/committer_test.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := election.Acquire(context.Background(), table, election.Record{Host: host, Incarnation: host}, previous, version, 0, 0)
+	c, err := election.Acquire(context.Background(), table, election.Record{Host: host, Incarnation: host}, election.Replaced{Record: previous, Version: version}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -151,7 +151,7 @@
 	}
 	acquired := 0
 	for _, host := range []string{"a", "b"} {
-		_, err := election.Acquire(ctx, table, election.Record{Host: host, Incarnation: host}, previous, version, 0, 0)
+		_, err := election.Acquire(ctx, table, election.Record{Host: host, Incarnation: host}, election.Replaced{Record: previous, Version: version}, nil)
 		switch {
 		case err == nil:
 			acquired++
--- a/election/earlierowners.go
+++ b/election/earlierowners.go
@@ -95,6 +95,23 @@
 	return false
 }
 
+// CommittedBefore records that the last commit of the owner of an epoch began at a time at the
+// latest.
+func (e *EarlierOwners) CommittedBefore(epoch uint64, at time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range e.pending {
+		p := &e.pending[i]
+		if p.Epoch != epoch || p.committed <= at {
+			continue
+		}
+		p.committed = at
+		if p.leases != 0 {
+			p.limitLeases(p.until)
+		}
+	}
+}
+
 // ReplacedAtMajority records that more than half of the workers of an owner's roster have
 // accepted orders of its successor by now. As they refuse the owner's orders from then on, it
 // gives none after AcceptanceWindow if it needs a majority, and its leases are over by
--- a/election/earlierowners_test.go
+++ b/election/earlierowners_test.go
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	self := election.Record{Host: host, Address: host, Incarnation: incarnation}
-	c, err := election.Acquire(context.Background(), table, self, previous, version, 0, 0)
+	c, err := election.Acquire(context.Background(), table, self, election.Replaced{Record: previous, Version: version}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/election/lateanswer_test.go
+++ b/election/lateanswer_test.go
@@ -192,7 +192,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := &slowTable{Table: memtable.New(), delay: func() time.Duration { return time.Hour }}
 		begun := time.Now()
-		_, err := election.Acquire(t.Context(), table, election.Record{Host: "a", Incarnation: "a"}, election.Record{}, 0, 0, 0)
+		_, err := election.Acquire(t.Context(), table, election.Record{Host: "a", Incarnation: "a"}, election.Replaced{}, nil)
 		if took := time.Since(begun); !errors.Is(err, election.ErrSilent) || took > 3*time.Second {
 			t.Errorf("attempt ended after %v with %v, want ErrSilent within 3 s", took, err)
 		}
--- a/election/record.go
+++ b/election/record.go
@@ -41,6 +41,9 @@
 	// RosterOf is the epoch of the last owner that may have added workers to the roster or
 	// removed some, 0 if unknown.
 	RosterOf uint64 `msgpack:"t,omitempty"`
+	// Clock is the latest time that the table service's clock can have shown when the commit of
+	// the row began, in milliseconds; 0 if unknown.
+	Clock int64 `msgpack:"w,omitempty"`
 	// Unleased names workers that don't answer and get no leases.
 	Unleased []UnleasedWorker `msgpack:"u,omitempty"`
 	// ListsEarlier is set by owners that keep Earlier.
--- a/election/reference_test.go
+++ b/election/reference_test.go
@@ -43,7 +43,7 @@
 			t.Errorf("takeover %d: reference %v, want 0.8", i, previous.Cores)
 		}
 		name := string(rune('a' + i))
-		if _, err := election.Acquire(t.Context(), table, election.Record{Host: name, Incarnation: name, Cores: cores}, previous, version, 0, 0); err != nil {
+		if _, err := election.Acquire(t.Context(), table, election.Record{Host: name, Incarnation: name, Cores: cores}, election.Replaced{Record: previous, Version: version}, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/infra/table.go
+++ b/infra/table.go
@@ -1,6 +1,9 @@
 package infra
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Row is one row of the table service.
 type Row struct {
@@ -54,6 +57,9 @@
 	Version uint64 `json:"version,omitempty"`
 	// Conflicts lists the current rows whose conditions failed.
 	Conflicts []Row `json:"conflicts,omitempty"`
+	// Clock is the reading of the service's steady clock, which all hosts share, when it
+	// answered; 0 if it tells none.
+	Clock time.Duration `json:"-"`
 }
 
 // Table is the platform's transactional table service. Implementations are safe
