election, control, dispatch: leases of 4.8 s, and rows that tell the limits of leases

What callers saw: with the owner's host lost within some seconds of workers, long-running tasks of those ran again 5.6 s (killed) to 7.2 s (silent) after its loss.

Cause: leases of 6 s, whose last one may be given as both are lost; with 2% of drift, a margin and the commits that follow that alone is over 6.4 s. And a successor bounds an owner that doesn't answer by the 4.5 s that leases last after most workers accepted them, counted from when these have reported to it, 1.3 to 1.8 s after the loss.

Change: a lease lasts 4.8 s at most, 5.2 s after the owner's last commit (5.2 in place of 6.4) and 3.6 s after the acceptance by most workers (in place of 4.5). Polls are held for 1.5 s in place of 2 s, so that 3.2 s of a lease are left when the owner is lost (4 s before). As limits may change again, the owner's row tells its own, and the list of earlier owners theirs; owners whose rows don't tell them keep to those of the release before, which a successor of this release waits for (TestLeasesOfEarlierReleaseLast). An owner of that release waits longer than it needs for one of this.

Ruled out: to know each worker's lease at the successor. With 6 s a lease that was given right before the loss can't be over in 6 s, whatever the successor knows.

Three tests had the 2 s of the longest poll as a figure; the rig of the State keeps its lease of 6 s, the simulation of owners uses the product's.

--- a/control/acknowledgedcommit_test.go
+++ b/control/acknowledgedcommit_test.go
@@ -27,7 +27,7 @@
 func reportEnds(t *testing.T, o *Owner, ends ...runner.RunEnd) uint64 {
 	t.Helper()
 	now := time.Now()
-	_, renewal, ok := o.state.Renewal(now, "w", lease)
+	_, renewal, ok := o.state.Renewal(now, "w", election.Lease)
 	if !ok {
 		t.Fatal("the worker isn't known")
 	}
--- a/control/options.go
+++ b/control/options.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/runner"
@@ -63,14 +64,11 @@
 
 // Intervals and timeouts. A host suspects an unresponsive owner after
 // pingInterval + pingTimeout and takes over after a further suspectTimeout,
-// 1.7 s in all. Leases are renewed at least every 2 s, the longest poll, and so
-// have more than 2 s left at a takeover.
+// 1.7 s in all. Leases are renewed at least every 1.5 s, the longest poll, and so
+// have more than 1.5 s left at a takeover.
 const (
-	// lease is the duration of workers' leases: long enough for a takeover, short
-	// enough to start the tasks of a failed worker elsewhere soon.
-	lease = 6 * time.Second
 	// heartbeatInterval is the longest time between two commits of an owner.
-	heartbeatInterval = 400 * time.Millisecond
+	heartbeatInterval = election.CommitLease - election.Lease
 	// pingInterval is the interval at which other hosts ping the owner.
 	pingInterval = 300 * time.Millisecond
 	// pingTimeout bounds the wait for the answer to a ping.
--- a/control/owner.go
+++ b/control/owner.go
@@ -157,7 +157,7 @@
 	o.closedZones = func() closedzones.Set { return closedzones.Set{} }
 	o.earlier = election.NewEarlierOwners(&row, o.ownedSince)
 	o.state = dispatch.New(dispatch.Config{
-		Epoch: o.epoch, Lease: min(lease, opts.MaxLease), MaxLease: opts.MaxLease,
+		Epoch: o.epoch, Lease: min(election.Lease, opts.MaxLease), MaxLease: opts.MaxLease,
 		Retention: opts.Retention, NoCapacityPause: noCapacityPause, TailBound: opts.TailBound, WorkerPace: opts.WorkerPace, Disabled: opts.Disabled,
 	})
 	o.cpuUsed = readCPUTime()
--- a/dispatch/losttasks_test.go
+++ b/dispatch/losttasks_test.go
@@ -12,6 +12,11 @@
 	restartGrace = 6 * time.Second
 	judgedFor    = 3 * time.Second
 	calmBefore   = 4 * time.Second
+	// restartAim is the aim for the time from the last loss until the task runs again, which
+	// leaves a margin to the rule. Here the commits and the start that follow the end of the
+	// leases take a tick each, restartTicks in all, where they take milliseconds.
+	restartAim   = 6 * time.Second
+	restartTicks = 3 * testTick
 )
 
 // lostOwner is an owner whose host is lost for good, and the time since the loss of its
@@ -60,6 +65,9 @@
 				if fromLoss := lostAt.Add(restartGrace + judgedFor); fromLoss.After(due) {
 					due = fromLoss
 				}
+				if aim := s.now.Add(restartAim + restartTicks); aim.Before(due) {
+					due = aim
+				}
 				s.only = s.hosts[len(owners)]
 				s.wantRestartWithin(due.Sub(s.now))
 			})
--- a/dispatch/ownersim_test.go
+++ b/dispatch/ownersim_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/runner"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -53,7 +54,7 @@
 func idleOwnerSim(t *testing.T, seed uint64) *ownerSim {
 	return &ownerSim{
 		faultSim: &faultSim{
-			rig:    &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}},
+			rig:    &rig{t: t, now: time.Unix(1000, 0), rows: map[string][]byte{}, lease: election.Lease},
 			random: rand.New(rand.NewPCG(seed, 11)), durablyDone: map[workload.TaskID]bool{}, noFaults: true,
 		},
 		members:      simMembers{entries: map[string]*memberEntry{}},
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -103,7 +103,7 @@
 		return
 	}
 	o := &simOwner{
-		rig:  &rig{t: s.t, now: s.now, rows: s.rows, startedAt: s.startedAt, queues: s.queues, maxLease: s.maxLease},
+		rig:  &rig{t: s.t, now: s.now, rows: s.rows, startedAt: s.startedAt, queues: s.queues, lease: s.lease, maxLease: s.maxLease},
 		host: h, record: record, version: version, committedAt: begun,
 		boundable: previous.BoundByMajority(), polling: map[string]bool{}, nextPoll: map[string]time.Time{},
 	}
--- a/dispatch/pacefailures_test.go
+++ b/dispatch/pacefailures_test.go
@@ -246,8 +246,8 @@
 		}
 	}
 	for _, id := range p.busy() {
-		if got := waitMS(id); id != slow && got != 2000 {
-			t.Errorf("normal worker %s may hold its answer for %d ms, want 2000", id, got)
+		if got := waitMS(id); id != slow && got != 1500 {
+			t.Errorf("normal worker %s may hold its answer for %d ms, want 1500", id, got)
 		}
 	}
 	p.advance(700 * time.Millisecond)
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -9,8 +9,8 @@
 
 const (
 	// longPoll is how long a worker may hold its answer to a renewal until a
-	// run ends; the maximum that the worker protocol allows.
-	longPoll = 2 * time.Second
+	// run ends. A lease has at least 3 s left when the owner is lost.
+	longPoll = 1500 * time.Millisecond
 	// unflushedPollInterval is the minimum time between two polls of a worker
 	// whose ends aren't durable, or whose lease can't be extended yet. It answers such
 	// polls at once.
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -33,8 +34,9 @@
 	startedAt time.Time
 	// disabled names the policy mechanisms that are switched off.
 	disabled mechanism.Set
-	// maxLease is the longest lease that workers grant, 0 if the State isn't told.
-	maxLease time.Duration
+	// lease is the duration of leases, maxLease the longest one that workers grant, 0 if the
+	// State isn't told.
+	lease, maxLease time.Duration
 	// workerPace is set if the State learns the speed of workers.
 	workerPace bool
 	// jobs holds the submitted jobs.
@@ -101,7 +103,7 @@
 func (r *rig) startOwner(epoch uint64) {
 	r.epoch = epoch
 	r.state = dispatch.New(dispatch.Config{
-		Epoch: epoch, Lease: testLease, Retention: time.Minute,
+		Epoch: epoch, Lease: cmp.Or(r.lease, testLease), Retention: time.Minute,
 		NoCapacityPause: 250 * time.Millisecond, TailBound: 4 * time.Second, Disabled: r.disabled,
 		WorkerPace: r.workerPace, MaxLease: r.maxLease,
 	})
--- a/dispatch/settle_test.go
+++ b/dispatch/settle_test.go
@@ -16,7 +16,7 @@
 	running.Percent, running.Usage = 10, 1000
 	for _, c := range []struct {
 		after, wait time.Duration
-	}{{400 * time.Millisecond, 500 * time.Millisecond}, {200 * time.Millisecond, 2 * time.Second}} {
+	}{{400 * time.Millisecond, 500 * time.Millisecond}, {200 * time.Millisecond, 1500 * time.Millisecond}} {
 		r.advance(c.after)
 		r.report(worker(0), []runner.ActiveRun{withTail(serving, 13), running}, nil)
 		r.flush()
--- a/election/acquire.go
+++ b/election/acquire.go
@@ -30,7 +30,7 @@
 func Successor(previous *Record, self Record, unchanged time.Duration) Record {
 	self.Epoch, self.Seq, self.Resigned = previous.Epoch+1, 0, false
 	self.ListsEarlier, self.NeedsMajority, self.LimitsLeases, self.RosterEpochs = true, true, true, false
-	self.RosterOf = previous.RosterOf
+	self.Limits, self.RosterOf = &ownLimits, previous.RosterOf
 	if previous.Epoch == 0 {
 		self.RosterOf = self.Epoch
 	}
--- a/election/earlierowner.go
+++ b/election/earlierowner.go
@@ -41,14 +41,15 @@
 	// may give orders, in milliseconds. It is negative or 0 if the owner had stopped
 	// that long before.
 	OrdersMS int64 `msgpack:"m"`
-	// LimitsLeases is set if the owner gave leases within LeaseLimit. CommitAgeMS is then the
+	// LimitsLeases is set if the owner gave leases within Limits. CommitAgeMS is then the
 	// least time between the start of its last commit and the commit of the row that lists
 	// it, and LeasesMS how long after that its last lease may last, 0 if unknown; both in
 	// milliseconds. RosterEpochs is what its row said.
-	LimitsLeases bool  `msgpack:"b,omitempty"`
-	RosterEpochs bool  `msgpack:"r,omitempty"`
-	CommitAgeMS  int64 `msgpack:"c,omitempty"`
-	LeasesMS     int64 `msgpack:"l,omitempty"`
+	LimitsLeases bool         `msgpack:"b,omitempty"`
+	Limits       *LeaseLimits `msgpack:"v,omitempty"`
+	RosterEpochs bool         `msgpack:"r,omitempty"`
+	CommitAgeMS  int64        `msgpack:"c,omitempty"`
+	LeasesMS     int64        `msgpack:"l,omitempty"`
 }
 
 // Stopped reports whether the owner gives no more orders.
@@ -76,7 +77,7 @@
 	if previous.Host != "" {
 		all = append(all, EarlierOwner{
 			Host: previous.Host, Address: previous.Address, Incarnation: previous.Incarnation, Epoch: previous.Epoch,
-			OrdersMS: withDrift(Validity).Milliseconds(), LimitsLeases: previous.LimitsLeases, RosterEpochs: previous.RosterEpochs, CommitAgeMS: age.Milliseconds(),
+			OrdersMS: withDrift(Validity).Milliseconds(), LimitsLeases: previous.LimitsLeases, Limits: previous.Limits, RosterEpochs: previous.RosterEpochs, CommitAgeMS: age.Milliseconds(),
 		})
 	}
 	for i := range all {
--- a/election/earlierowners.go
+++ b/election/earlierowners.go
@@ -29,7 +29,7 @@
 	if !p.LimitsLeases {
 		return false
 	}
-	end := leasesEnd(p.committed, p.RosterEpochs, since)
+	end := p.Limits.stated().leasesEnd(p.committed, p.RosterEpochs, since)
 	if p.leases != 0 && p.leases <= end {
 		return false
 	}
--- a/election/leaselimit.go
+++ b/election/leaselimit.go
@@ -7,46 +7,81 @@
 // limits bound how long after that time a lease may last, so that a successor knows until
 // when it has to wait for workers that don't answer, whatever became of the owner.
 const (
+	// Lease is the longest lease: long enough for a takeover, and so short that the tasks of a
+	// worker that is lost together with the owner run again within 6 s.
+	Lease = 4800 * time.Millisecond
 	// CommitLease limits leases that rest on the last applied commit: a full lease, given
 	// as long after the commit's start as the next one usually begins.
-	CommitLease = 6400 * time.Millisecond
+	CommitLease = Lease + 400*time.Millisecond
 	// FirstCommitLease replaces it until the owner's row says that the roster tells the epochs:
 	// by then a successor counts a worker that this owner hasn't reached as one that it has
 	// just given a lease.
-	FirstCommitLease = CommitLease - time.Second
+	FirstCommitLease = CommitLease - firstCommitDeduction
 	// MajorityLease limits leases that rest on the acceptance of orders by most workers. It
-	// spans several of the short polls of an owner that can't commit.
-	MajorityLease = 4500 * time.Millisecond
+	// spans several of the short polls of an owner that can't commit, and ends no later than
+	// CommitLease does at an owner that is replaced at once.
+	MajorityLease = 3600 * time.Millisecond
 )
 
+// firstCommitDeduction is how much shorter than CommitLease FirstCommitLease is.
+const firstCommitDeduction = time.Second
+
+// LeaseLimits are the limits to which an owner keeps, in milliseconds.
+type LeaseLimits struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	CommitMS   int64
+	MajorityMS int64
+}
+
+// ownLimits are the limits of this release, unstatedLimits those of releases whose rows don't tell
+// them.
+var (
+	ownLimits      = LeaseLimits{CommitMS: CommitLease.Milliseconds(), MajorityMS: MajorityLease.Milliseconds()}
+	unstatedLimits = LeaseLimits{CommitMS: 6400, MajorityMS: 4500}
+)
+
+// stated returns the limits that a row tells, or those of releases whose rows don't.
+func (l *LeaseLimits) stated() *LeaseLimits {
+	if l == nil {
+		return &unstatedLimits
+	}
+	return l
+}
+
 // leaseMargin covers clocks rounded to milliseconds and late timers of workers.
 const leaseMargin = 100 * time.Millisecond
 
 // commitLease returns the limit of leases that rest on the last applied commit. rosterEpochs
 // tells whether the owner's row has said that the roster tells the epochs.
-func commitLease(rosterEpochs bool) time.Duration {
-	if rosterEpochs {
-		return CommitLease
+func (l *LeaseLimits) commitLease(rosterEpochs bool) time.Duration {
+	limit := time.Duration(l.CommitMS) * time.Millisecond
+	if !rosterEpochs {
+		limit -= firstCommitDeduction
 	}
-	return FirstCommitLease
+	return limit
+}
+
+// majorityLease returns the limit of leases that rest on the acceptance by most workers.
+func (l *LeaseLimits) majorityLease() time.Duration {
+	return time.Duration(l.MajorityMS) * time.Millisecond
 }
 
 // LeaseLimit returns the end of the longest lease that an owner may give, whose last applied
 // commit began at committed. rosterEpochs is set once its row, as applied, says that the roster
 // tells the epochs. Most workers accepted its orders at accepted, 0 if that isn't known.
 func LeaseLimit(committed time.Duration, rosterEpochs bool, accepted time.Duration) time.Duration {
-	limit := committed + commitLease(rosterEpochs)
+	limit := committed + ownLimits.commitLease(rosterEpochs)
 	if accepted > 0 {
-		limit = max(limit, accepted+MajorityLease)
+		limit = max(limit, accepted+ownLimits.majorityLease())
 	}
 	return limit
 }
 
-// leasesEnd returns when all leases are over of an owner that kept to LeaseLimit, whose last
+// leasesEnd returns when all leases are over of an owner that kept to the limits, whose last
 // commit began by committed, and whose orders most workers refused from accepted on. Clocks of
 // the owner and of its workers may be slow.
-func leasesEnd(committed time.Duration, rosterEpochs bool, accepted time.Duration) time.Duration {
-	return max(committed+withDrift(commitLease(rosterEpochs)), accepted+withDrift(MajorityLease)) + leaseMargin
+func (l *LeaseLimits) leasesEnd(committed time.Duration, rosterEpochs bool, accepted time.Duration) time.Duration {
+	return max(committed+withDrift(l.commitLease(rosterEpochs)), accepted+withDrift(l.majorityLease())) + leaseMargin
 }
 
 // BoundByMajority returns the epochs of the owners that give no orders once most workers of the
--- a/election/leaselimit_test.go
+++ b/election/leaselimit_test.go
@@ -110,3 +110,36 @@
 		t.Errorf("after an earlier release: %v, want %v", got, want)
 	}
 }
+
+// TestLeasesOfEarlierReleaseLast guards against a successor of this release that doesn't wait for
+// the longer leases of an owner of a release whose rows don't tell its limits.
+func TestLeasesOfEarlierReleaseLast(t *testing.T) {
+	const now, longLease, tolerance = time.Minute, 6400 * time.Millisecond, 350 * time.Millisecond
+	first := successorOf(&election.Record{}, "a", 0)
+	first.RosterEpochs, first.Limits = true, nil
+	second := successorOf(&first, "b", time.Second)
+	e := election.NewEarlierOwners(&second, now)
+	e.Stopped(1, now)
+	if got, want := leasesOf(e, 1, now), longLease-time.Second; got < want || got > want+tolerance {
+		t.Errorf("leases last %v, want %v or slightly more", got, want)
+	}
+}
+
+// TestRowTellsLimits guards against limits that a row or the list of earlier owners loses on its way
+// to the next owner.
+func TestRowTellsLimits(t *testing.T) {
+	first := successorOf(&election.Record{}, "a", 0)
+	second := successorOf(&first, "b", 0)
+	value, err := second.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := election.Decode(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := election.LeaseLimits{CommitMS: election.CommitLease.Milliseconds(), MajorityMS: election.MajorityLease.Milliseconds()}
+	if read.Limits == nil || *read.Limits != want || read.Earlier[0].Limits == nil || *read.Earlier[0].Limits != want {
+		t.Errorf("read limits %v and of the owner before %v, want %v", read.Limits, read.Earlier[0].Limits, want)
+	}
+}
--- a/election/record.go
+++ b/election/record.go
@@ -38,6 +38,8 @@
 	NeedsMajority bool `msgpack:"m,omitempty"`
 	// LimitsLeases is set by owners that give leases within LeaseLimit.
 	LimitsLeases bool `msgpack:"b,omitempty"`
+	// Limits are the limits that they keep to, nil in rows of releases that don't tell them.
+	Limits *LeaseLimits `msgpack:"v,omitempty"`
 	// RosterOf is the epoch of the last owner that may have added workers to the roster or
 	// removed some, 0 if unknown.
 	RosterOf uint64 `msgpack:"t,omitempty"`
