dispatch: half of the workers bound an earlier owner

What callers saw: with half of the workers lost together with the owner's host, their tasks stood for 26.5 s.

Cause: an owner without commits needs more than half of the workers, and a successor took it for one that has them until more than half had reported to itself. With exactly half on each side neither has more.

Change: once half of the inherited roster has reported, the rest can't be most of the workers that the earlier owner counts: it counts at least the durable roster, and only workers on it can have accepted an order.

With more than half of the workers lost in the same second as the owner's host the wait stays, as the owner may have them.

--- a/control/acceptance.go
+++ b/control/acceptance.go
@@ -59,7 +59,7 @@
 // boundEarlierOwners shortens the time for which earlier owners may give orders and leases,
 // once most of the workers that they knew have reported to this owner.
 func (o *Owner) boundEarlierOwners(at time.Duration) {
-	if len(o.unbounded) == 0 || !o.state.ReportedByMajority() {
+	if len(o.unbounded) == 0 || !o.state.LeftNoMajority() {
 		return
 	}
 	var bounded []uint64
--- a/dispatch/losttasks_test.go
+++ b/dispatch/losttasks_test.go
@@ -74,3 +74,27 @@
 		}
 	}
 }
+
+// TestTasksOfHalfTheWorkersStartAgainInTime guards against a task that stands still for half a
+// minute after half of the workers are lost with the owner's host: a successor to which the other
+// half has reported took the owner for one that most workers may obey.
+func TestTasksOfHalfTheWorkersStartAgainInTime(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Second} {
+		for phase := range 4 {
+			t.Run(fmt.Sprintf("after %v, phase %d", after, phase), func(t *testing.T) {
+				const workers = 8
+				s, w := newScenario(t, 3, workers)
+				s.store.prompt = true
+				s.run(time.Duration(phase) * testTick)
+				s.loseWorker(w)
+				for _, other := range s.alive()[:workers/2-1] {
+					s.loseWorker(other)
+				}
+				s.run(after)
+				s.hosts[0].remove()
+				s.only = s.hosts[1]
+				s.wantRestartWithin(restartAim + restartTicks)
+			})
+		}
+	}
+}
--- a/dispatch/majority.go
+++ b/dispatch/majority.go
@@ -13,10 +13,10 @@
 	changed             bool
 }
 
-// ReportedByMajority reports whether more than half of the workers on the roster that this
-// owner has inherited have reported to it. They refuse the orders of earlier owners from then
-// on, unless they start again.
-func (s *State) ReportedByMajority() bool { return 2*s.roster.reported > s.roster.inherited }
+// LeftNoMajority reports whether half of the workers on the roster that this owner has
+// inherited, or more, have reported to it. They refuse the orders of earlier owners from then
+// on, unless they start again, so that no more than half accept these.
+func (s *State) LeftNoMajority() bool { return 2*s.roster.reported >= s.roster.inherited }
 
 // MajorityAcceptedAt returns the latest time at or after which more than half of the workers
 // that the durable roster may name have been given a renewal that they carried out under this
--- a/dispatch/majority_test.go
+++ b/dispatch/majority_test.go
@@ -77,15 +77,17 @@
 	}
 }
 
-// TestReportedByMajority checks that an inherited roster counts as reported once most of its
-// workers have.
-func TestReportedByMajority(t *testing.T) {
-	r := newRig(t, 3)
-	r.takeOver(worker(0), worker(1), worker(2))
-	for i := range 3 {
-		if got, want := r.state.ReportedByMajority(), i > 1; got != want {
-			t.Errorf("after %d of 3 reports: %v, want %v", i, got, want)
+// TestLeftNoMajority guards against an earlier owner that counts as bounded while most workers
+// may accept its orders, and against one that doesn't although half of them refuse these.
+func TestLeftNoMajority(t *testing.T) {
+	for _, c := range []struct{ workers, enough int }{{3, 2}, {4, 2}, {5, 3}} {
+		r := newRig(t, c.workers)
+		r.takeOver(r.roster()...)
+		for i := range c.workers {
+			if got, want := r.state.LeftNoMajority(), i >= c.enough; got != want {
+				t.Errorf("after %d of %d reports: %v, want %v", i, c.workers, got, want)
+			}
+			r.report(worker(i), nil, nil)
 		}
-		r.report(worker(i), nil, nil)
 	}
 }
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -49,7 +49,7 @@
 	committing               bool
 	// epochsDurable is set once its row, as applied, says that the roster tells the epochs.
 	epochsDurable bool
-	// majorityReported is set once most workers of the inherited roster have reported. They
+	// majorityReported is set once half of the inherited roster or more has reported. These workers
 	// then bound the owners of the epochs in boundable.
 	boundable        []uint64
 	majorityReported bool
@@ -182,7 +182,7 @@
 	if o.ended {
 		return
 	}
-	if !o.majorityReported && o.state.ReportedByMajority() {
+	if !o.majorityReported && o.state.LeftNoMajority() {
 		o.majorityReported = true
 		for _, epoch := range o.boundable {
 			if o.earlier.ReplacedAtMajority(epoch, o.sinceStart()) {
