dispatch: a lost long-running task starts on a worker that has just answered

Cause: a worker that vanishes is found silent when its poll ends, up to 1.5 s and a timeout later; until then it gets starts. The wait that follows is needed, the start isn't.

Change: a step of which a long-running task was lost is placed on workers only that have answered a poll within 0.6 s. Others with the room are polled in the same cycle, and count from their answer on; meanwhile nothing is stopped or reserved for the step. The wait for the longest lease stays as it is (TestUnansweredStartCountsLongestLease).

TestLostTaskStartsOnWorkerThatAnswers failed before. TestCheckOfWorkersPreemptsNothing fails if the step preempts while it waits for an answer.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -20,7 +20,15 @@
 	if _, ok := st.permitFor(c.now, w); !ok {
 		return false
 	}
-	return c.hasUnusedCPU(st, w) && !c.atPerWorkerLimit(st, w)
+	if !c.hasUnusedCPU(st, w) || c.atPerWorkerLimit(st, w) {
+		return false
+	}
+	if c.restarting && !w.answeredLately(c.now) {
+		w.wantAnswer()
+		c.checkPending = true
+		return false
+	}
+	return true
 }
 
 // hasUnusedCPU reports whether a best-effort task would find enough unused
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -142,6 +142,9 @@
 	claiming *sharedQueue
 	// reclaimAttempts counts the steps for which runs to reclaim were sought.
 	reclaimAttempts int
+	// restarting is set while a step is placed of which a long-running task was lost, and
+	// checkPending once that passed over a worker that hasn't answered lately.
+	restarting, checkPending bool
 	// preemptAttempts counts the steps for which victims were sought.
 	preemptAttempts int
 	// shortlistBuffer is the storage of the last shortlist, for reuse.
@@ -193,6 +196,8 @@
 		c.placeGang(st)
 		return
 	}
+	c.restarting, c.checkPending = st.spec.LongRunning && st.waitsForRestart(), false
+	defer func() { c.restarting = false }()
 	var list *shortlist // built when the first task needs it
 	for i := range st.tasks {
 		t := &st.tasks[i]
@@ -218,6 +223,9 @@
 			list = c.shortlist(st)
 		}
 		w := list.bestFor(t)
+		if w == nil && c.checkPending {
+			return
+		}
 		if w == nil {
 			c.freeUpCapacity(st)
 			c.reserveCapacity(st)
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -101,7 +101,7 @@
 // needsFrequentPolls reports whether the worker's next report is wanted soon, because of its
 // tails or its speed.
 func (s *State) needsFrequentPolls(now time.Time, w *worker) bool {
-	if (w.pace.NeedsReports() || w.reportWanted) && len(w.runs) > 0 {
+	if w.answerWanted || ((w.pace.NeedsReports() || w.reportWanted) && len(w.runs) > 0) {
 		return true
 	}
 	if w.counts.serving == 0 || w.counts.bestEffort == 0 {
@@ -125,7 +125,7 @@
 // EarlyPolls returns the workers to poll although a long poll is pending there,
 // and records that they are polled now. These are workers whose last report is older than
 // its window, and where a best-effort task is new next to serving tasks, a tail is long, the
-// worker is or may be slow, or a move waits for the report.
+// worker is or may be slow, or a move or a restart waits for the report.
 func (s *State) EarlyPolls(now time.Time) []string {
 	var ids []string
 	for _, w := range s.byID() {
@@ -142,6 +142,11 @@
 	return ids
 }
 
+// restartCheckAge is the age of the last answer of a worker up to which a long-running task that
+// was lost starts there unchecked. A start that a silent worker doesn't answer delays the task by
+// the longest lease.
+const restartCheckAge = earlyPollAge
+
 // earlyPollAge is the age of the last report from which a worker may need an
 // early poll: the report's window and a round trip.
 const earlyPollAge = 600 * time.Millisecond
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -14,7 +14,7 @@
 	if w == nil {
 		return nil
 	}
-	w.polledAt = now
+	w.polledAt, w.answerWanted = now, false
 	if s.originOf(now, w, sent.To, a) != currentLife || sent.To.Life != w.number {
 		return nil // the next poll gets the runs of the new life
 	}
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -27,6 +27,9 @@
 // recordTried records that a task of the step fits on none of the workers whose
 // last change has at least the count since, 0 for all workers.
 func (c *cycle) recordTried(st *step, since uint64) {
+	if c.checkPending {
+		return // it may fit on a worker that hasn't answered lately
+	}
 	if since == 0 {
 		st.allTriedAt = c.now
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -58,6 +58,8 @@
 	load *workerLoad
 	// polledAt is when its last poll ended, with or without an answer.
 	polledAt time.Time
+	// answerWanted is set until its next poll ends, if a task waits to know that it answers.
+	answerWanted bool
 	// earlyPolledAt is when it last got an early poll, earlyPollCheckedAt when
 	// the need for one was last checked.
 	earlyPolledAt, earlyPollCheckedAt time.Time
@@ -96,6 +98,16 @@
 	return w.listed && w.reported && !w.info.Incarnation.Differs(w.incarnation) && !w.suspected && w.unresponsiveSince.IsZero() && !w.info.Draining && !w.unknownRun && now.After(w.pausedUntil) && !w.startsWait(now)
 }
 
+// answeredLately reports whether the worker has answered a poll within restartCheckAge.
+func (w *worker) answeredLately(now time.Time) bool { return now.Sub(w.polledAt) < restartCheckAge }
+
+// wantAnswer has the worker polled in this cycle.
+func (w *worker) wantAnswer() {
+	if !w.answerWanted {
+		w.answerWanted, w.earlyPollCheckedAt = true, time.Time{}
+	}
+}
+
 // eventuallyFree returns what is free once every run that ends by itself has.
 func (w *worker) eventuallyFree() infra.Resources { return w.free.Add(w.counts.finiteReserved) }
 
