queue, dispatch: lost long-running tasks start before all other work

For ten seconds 100 to 260 lost tasks wait for processors or fit and aren't started: queues of a higher priority come first, and an owner that is short of processor places the urgent steps before all others, of which these aren't.

Change: restarts come before the queues' priorities, and are placed with the urgent steps while visits are limited. They hold their capacity for good, and are as many as the loss took.

Evidence: TestLostTaskStartsFirst (both cases) failed before; TestCompare has the new order.

--- a/dispatch/planlimits.go
+++ b/dispatch/planlimits.go
@@ -74,15 +74,17 @@
 	return max(minSampled, sampledPerTask*st.idle)
 }
 
-// placeUrgent places the urgent steps that are still useful, in queue order. A step of a
-// pool with shares waits for its turn if its queue isn't below its share.
+// placeUrgent places the steps with lost long-running tasks and the urgent steps that are still
+// useful, in queue order. A step of a pool with shares waits for its turn if its queue isn't below
+// its share.
 func (c *cycle) placeUrgent(list []*waitingStep) {
 	for _, w := range list {
 		st := w.step
 		if c.startLimitReached() {
 			return
 		}
-		if !isUrgent(st.spec) || queue.TimelinessOf(&w.entry, c.now) == queue.Expired {
+		useful := isUrgent(st.spec) && queue.TimelinessOf(&w.entry, c.now) != queue.Expired
+		if !useful && !w.entry.Restart {
 			continue
 		}
 		q := c.sharedQueueOf(st)
--- a/queue/order.go
+++ b/queue/order.go
@@ -94,8 +94,8 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
-// CompareArrival orders two entries by priority, then restarts of long-running
-// tasks, then arrival. It is the baseline that Compare is measured against.
+// CompareArrival orders two entries by restarts of long-running tasks, then priority,
+// then arrival. It is the baseline that Compare is measured against.
 func CompareArrival(a, b *Entry, _ time.Time) int {
 	if c := compareUrgency(a, b); c != 0 {
 		return c
@@ -103,15 +103,17 @@
 	return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
 }
 
-// compareUrgency orders by priority, then restarts of long-running tasks.
+// compareUrgency orders restarts of long-running tasks before all others, and these by priority. A
+// long-running task may not stay away for long, however full the pool is with work of other queues.
 func compareUrgency(a, b *Entry) int {
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 || a.Restart == b.Restart {
-		return c
-	}
-	if a.Restart {
+	switch {
+	case a.Restart == b.Restart:
+		return cmp.Compare(a.Priority, b.Priority)
+	case a.Restart:
 		return -1
+	default:
+		return 1
 	}
-	return 1
 }
 
 // compareLongRunning puts first starts of long-running tasks before other
