dispatch: an owner that hears most workers doesn't suspect itself

Cause: an owner that finds a third of the workers unresponsive takes its own processor or link for the cause and goes on renewing their leases for 2.5 s, whatever the others say. Each renewal to a worker that is gone delays its tasks by another lease.

Change: the owner asks the other workers at once, beside the long polls that are pending there. Once as many have answered since the first fell silent as are silent, its processor and link work, and the silent ones get no more leases. Where few answer, as with a full link, it suspects itself as before (TestMassOutageKeepsLeases, TestSlowLink, TestDelaysStartNothingAgain).

TestMassLossBesideAnswersIsSuspected and TestMassLossAsksOtherWorkers failed before.

--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -129,7 +129,8 @@
 func (s *State) EarlyPolls(now time.Time) []string {
 	var ids []string
 	for _, w := range s.byID() {
-		if w.suspected || !w.reported || now.Sub(w.polledAt) < earlyPollAge || now.Sub(w.earlyPolledAt) < earlyPollAge ||
+		recent := now.Sub(w.polledAt) < earlyPollAge && !w.answerWanted
+		if w.suspected || !w.reported || recent || now.Sub(w.earlyPolledAt) < earlyPollAge ||
 			now.Sub(w.earlyPollCheckedAt) < earlyPollCheckInterval {
 			continue
 		}
--- a/dispatch/suspicion.go
+++ b/dispatch/suspicion.go
@@ -10,7 +10,8 @@
 	// massOutageShare is the share of responsive workers that must become
 	// unresponsive within massOutageGrace for the owner to suspect its own
 	// processor or link; massOutageMin is their minimum number. The loss of one
-	// rack or availability zone stays below.
+	// rack or availability zone stays below. If as many workers have answered since the
+	// first of them became unresponsive, its processor and link work.
 	massOutageShare = 1.0 / 3
 	massOutageMin   = 8
 )
@@ -33,22 +34,36 @@
 // markResponsive records that a worker answered.
 func (w *worker) markResponsive() { w.suspected, w.unresponsiveSince = false, time.Time{} }
 
-// suspectsItself reports whether so many workers became unresponsive lately
-// that the owner's own processor or link is the likely cause. If so, it clears
-// the suspicion of those workers.
+// suspectsItself reports whether so many workers became unresponsive lately, while few
+// answered, that the owner's own processor or link is the likely cause. If so, it clears
+// the suspicion of those workers. It asks the others whether they answer.
 func (s *State) suspectsItself(now time.Time) bool {
-	var unresponsive []*worker
-	responsive := 0
+	var unresponsive, responsive []*worker
+	onset := now
 	for _, w := range s.workers {
 		switch {
 		case !w.listed || !w.reported:
 		case w.unresponsiveSince.IsZero():
-			responsive++
+			responsive = append(responsive, w)
 		case now.Sub(w.unresponsiveSince) < massOutageGrace:
 			unresponsive = append(unresponsive, w)
+			if w.unresponsiveSince.Before(onset) {
+				onset = w.unresponsiveSince
+			}
 		}
 	}
-	if len(unresponsive) < massOutageMin || float64(len(unresponsive)) <= massOutageShare*float64(len(unresponsive)+responsive) {
+	if len(unresponsive) < massOutageMin || float64(len(unresponsive)) <= massOutageShare*float64(len(unresponsive)+len(responsive)) {
+		return false
+	}
+	answered := 0
+	for _, w := range responsive {
+		if w.polledAt.After(onset) {
+			answered++
+		} else {
+			w.wantAnswer()
+		}
+	}
+	if answered >= len(unresponsive) {
 		return false
 	}
 	for _, w := range unresponsive {
--- a/dispatch/suspicion_test.go
+++ b/dispatch/suspicion_test.go
@@ -92,6 +92,44 @@
 	t.Error("no run of the terminated workers started elsewhere")
 }
 
+// TestMassLossBesideAnswersIsSuspected guards against long-running tasks that stand for over 9 s
+// after more than a third of the workers are lost: the owner went on renewing their leases for
+// 2.5 s, though all other workers answered it.
+func TestMassLossBesideAnswersIsSuspected(t *testing.T) {
+	r, at := startEverywhere(t)
+	const lost = 12
+	for range 2 {
+		r.advance(pollInterval)
+		for i := range outageWorkers {
+			if i < lost {
+				r.noAnswer(worker(i))
+			} else {
+				r.report(worker(i), []runner.ActiveRun{active(at[worker(i)])}, nil)
+			}
+		}
+	}
+	for i := range lost {
+		r.noAnswer(worker(i))
+		if _, renewal, _ := r.state.Renewal(r.now, worker(i), testLease); renewal.LeaseUntil != 0 {
+			t.Errorf("the lease of unresponsive worker %d is renewed", i)
+		}
+	}
+}
+
+// TestMassLossAsksOtherWorkers guards against an owner that waits for the end of long polls to learn
+// that its processor and link work.
+func TestMassLossAsksOtherWorkers(t *testing.T) {
+	r, _ := startEverywhere(t)
+	const lost = 12
+	r.advance(pollInterval)
+	for i := range lost {
+		r.noAnswer(worker(i))
+	}
+	if polls := r.state.EarlyPolls(r.now); len(polls) != outageWorkers-lost {
+		t.Errorf("%d workers are asked, want the %d others", len(polls), outageWorkers-lost)
+	}
+}
+
 // TestRackOutageIsSuspected checks that leases aren't renewed when only a rack
 // of workers becomes unresponsive.
 func TestRackOutageIsSuspected(t *testing.T) {
