dispatch: longer leases of owners of the release before are waited for

With the limits that rows tell, a successor knew until when the leases of an earlier owner are over by its commits, but took each of them for no longer than its own: 4.8 s, where an owner of the release before gave 6 s. While a deployment is being upgraded, a task whose worker is lost then could start elsewhere a second before the end of its lease. Found by reading the change to the leases.

Rows tell the longest lease as well. A successor counts it where an earlier owner has stopped, and after a worker's first report, which may hold such a lease still. TestLongerLeaseOfEarlierReleaseIsWaitedFor (a worker that reports first, and one that doesn't) and TestLeasesOfEarlierReleaseLast guard it.

--- a/control/earlierowners.go
+++ b/control/earlierowners.go
@@ -46,7 +46,7 @@
 	at, now := boottime(), time.Now()
 	var all []dispatch.EarlierOrders
 	for _, e := range o.earlier.List(at) {
-		orders := dispatch.EarlierOrders{Epoch: e.Epoch, End: now.Add(time.Duration(e.OrdersMS) * time.Millisecond)}
+		orders := dispatch.EarlierOrders{Epoch: e.Epoch, End: now.Add(time.Duration(e.OrdersMS) * time.Millisecond), Lease: e.LongestLease()}
 		if e.LeasesMS != 0 {
 			orders.LeasesEnd = now.Add(time.Duration(e.LeasesMS) * time.Millisecond)
 		}
--- a/dispatch/mixedreleases_test.go
+++ b/dispatch/mixedreleases_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/election"
+	"github.com/fireflygate/fireflygate/runner"
 )
 
 // TestRosterEpochsAfterEarlierReleaseNeedRewrite guards against epochs on the roster that are
@@ -33,3 +34,27 @@
 		t.Errorf("the worker was given up %v after its lease of %v was renewed", testTick, testLease)
 	}
 }
+
+// TestLongerLeaseOfEarlierReleaseIsWaitedFor guards against a task that runs twice since an owner of
+// the release before gave its worker a longer lease than this owner gives, both where the worker
+// reports to this owner before it falls silent and where it doesn't.
+func TestLongerLeaseOfEarlierReleaseIsWaitedFor(t *testing.T) {
+	const longer = testLease + 2*time.Second
+	for _, reports := range []bool{false, true} {
+		r := newRig(t, 2)
+		r.submit(queueShort, "job", step(1, 4, longRunning))
+		start := r.plan()[0]
+		id := start.Worker.ID
+		r.flush()
+		r.takeOver(worker(0), worker(1))
+		r.members(2)
+		r.state.SetEarlierOrders([]dispatch.EarlierOrders{{Epoch: 1, End: r.now, Lease: longer}})
+		if reports {
+			r.report(id, []runner.ActiveRun{active(start)}, nil)
+		}
+		r.report(otherWorker(id), nil, nil)
+		if waited := r.waitForStart(id, func() {}); waited < longer {
+			t.Errorf("reported %v: the task starts elsewhere after %v, while a lease may last for %v", reports, waited, longer)
+		}
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -65,15 +65,14 @@
 }
 
 // markReported records the first report to this owner. Orders of an earlier
-// owner have no effect from now on, and none gave a lease longer than one given
-// now.
+// owner have no effect from now on, and none gave a lease longer than longestLease from now.
 func (s *State) markReported(now time.Time, w *worker) {
 	if w.reported {
 		return
 	}
 	w.reported = true
 	s.markLeased(w)
-	w.extendLease(w.clockLowerBound(now) + s.cfg.Lease.Milliseconds())
+	w.extendLease(w.clockLowerBound(now) + s.longestLease().Milliseconds())
 	if s.awaitingReport[w.info.ID] != nil {
 		s.roster.reported++
 	}
--- a/dispatch/rigowners_test.go
+++ b/dispatch/rigowners_test.go
@@ -34,6 +34,9 @@
 	var all []dispatch.EarlierOrders
 	for _, e := range r.earlier.List(r.sinceStart()) {
 		orders := dispatch.EarlierOrders{Epoch: e.Epoch, End: r.now.Add(time.Duration(e.OrdersMS) * time.Millisecond)}
+		if r.lease != 0 { // the rig's own leases are longer than those that the rows tell
+			orders.Lease = e.LongestLease()
+		}
 		if e.LeasesMS != 0 {
 			orders.LeasesEnd = r.now.Add(time.Duration(e.LeasesMS) * time.Millisecond)
 		}
--- a/election/earlierowners.go
+++ b/election/earlierowners.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// ReplacedAtMajority records that more than half of the workers of an owner's roster have
+// ReplacedAtMajority records that half of the workers of an owner's roster, or more, have
 // accepted orders of its successor by now. As they refuse the owner's orders from then on, it
 // gives none after AcceptanceWindow if it needs a majority, and its leases are over by
 // LeaseLimit. It returns whether that is sooner than what was known.
--- a/election/leaselimit.go
+++ b/election/leaselimit.go
@@ -28,16 +28,17 @@
 
 // LeaseLimits are the limits to which an owner keeps, in milliseconds.
 type LeaseLimits struct {
-	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
-	CommitMS   int64
-	MajorityMS int64
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	// LeaseMS is the longest lease, CommitMS that of CommitLease and MajorityMS that of
+	// MajorityLease.
+	LeaseMS, CommitMS, MajorityMS int64
 }
 
 // ownLimits are the limits of this release, unstatedLimits those of releases whose rows don't tell
 // them.
 var (
-	ownLimits      = LeaseLimits{CommitMS: CommitLease.Milliseconds(), MajorityMS: MajorityLease.Milliseconds()}
-	unstatedLimits = LeaseLimits{CommitMS: 6400, MajorityMS: 4500}
+	ownLimits      = LeaseLimits{LeaseMS: Lease.Milliseconds(), CommitMS: CommitLease.Milliseconds(), MajorityMS: MajorityLease.Milliseconds()}
+	unstatedLimits = LeaseLimits{LeaseMS: 6000, CommitMS: 6400, MajorityMS: 4500}
 )
 
 // stated returns the limits that a row tells, or those of releases whose rows don't.
@@ -51,6 +52,11 @@
 // leaseMargin covers clocks rounded to milliseconds and late timers of workers.
 const leaseMargin = 100 * time.Millisecond
 
+// LongestLease returns the longest lease that the owner gave.
+func (e *EarlierOwner) LongestLease() time.Duration {
+	return time.Duration(e.Limits.stated().LeaseMS) * time.Millisecond
+}
+
 // commitLease returns the limit of leases that rest on the last applied commit. rosterEpochs
 // tells whether the owner's row has said that the roster tells the epochs.
 func (l *LeaseLimits) commitLease(rosterEpochs bool) time.Duration {
