dispatch: long-running jobs are not given up for crashed workers

The users' page has long-running tasks restarted however they end, and exempts them from the limit of attempts; only ends failed count as attempts. So the give-up has no ground for them.

Change: such a task is never given up. After as many crashes it starts 2 s after the last loss at the earliest, alone as any suspect; its record keeps the last four losses.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -13,7 +13,8 @@
 const (
 	// maxEarlyCrashes is the number of workers that may crash under a task's runs
 	// before they report them; maxCrashes is the number that may crash under its runs
-	// at any time. With the last of them the task, and so its job, is given up. Callers
+	// at any time. With the last of them the task, and so its job, is given up, unless it is
+	// long-running: those are started again however they end, but crashPause later. Callers
 	// are promised at most two starts after the third crash. The early limit is lower,
 	// as a crash right after a start says more about the task; the other leaves one
 	// start for a crash that goes unnoticed as the owner changes.
@@ -24,6 +25,10 @@
 	// on it. Otherwise a long-running task would be given up once it has outlived a few
 	// workers.
 	provenAfter = 10 * time.Second
+	// crashPause is the least time from the loss of a worker to the next start of a long-running
+	// task under which too many workers have crashed, so that one that crashes them all takes its
+	// time.
+	crashPause = 2 * time.Second
 	// maxExhaustedHold bounds how long a task is held that is exhausted while a worker
 	// among its crashes may have been cut off only.
 	maxExhaustedHold = 6 * time.Second
@@ -97,12 +102,21 @@
 	return t.earlyCrashes() > 0 || len(t.crashRecord().crashes) > 1
 }
 
-// exhausted reports whether so many workers have crashed under the task that it is
-// given up.
-func (t *task) exhausted() bool {
+// manyCrashes reports whether too many workers have crashed under the task.
+func (t *task) manyCrashes() bool {
 	return t.earlyCrashes() >= maxEarlyCrashes || len(t.crashRecord().crashes) >= maxCrashes
 }
 
+// exhausted reports whether so many workers have crashed under the task that it is
+// given up, which a long-running one never is.
+func (t *task) exhausted() bool { return !t.step.spec.LongRunning && t.manyCrashes() }
+
+// pausedAfterCrash reports whether a long-running task starts later, as too many workers have
+// crashed under it.
+func (t *task) pausedAfterCrash(now time.Time) bool {
+	return t.step.spec.LongRunning && t.manyCrashes() && now.Sub(t.ranBefore.at) < crashPause
+}
+
 // recordCrash records a crash of a worker under a run of the task, once per worker. If
 // that was one too many, the task isn't started until giveUpJobs decides about it.
 func (s *State) recordCrash(now time.Time, t *task, c crash) {
@@ -111,6 +125,9 @@
 	if t.done || j.state.Final() || known {
 		return
 	}
+	if t.step.spec.LongRunning && len(record.crashes) == maxCrashes {
+		record.crashes = slices.Delete(record.crashes, 0, 1) // there may be any number
+	}
 	record.crashes = append(record.crashes, c)
 	s.crashedUnder[c.worker] = append(s.crashedUnder[c.worker], record)
 	s.markDirty(j)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -247,7 +247,7 @@
 // since a later owner relies on these; safeToStart makes that change urgent.
 func (c *cycle) safeToStart(t *task) bool {
 	j := t.step.job
-	if t.exhausted() {
+	if t.exhausted() || t.pausedAfterCrash(c.now) {
 		return false
 	}
 	if j.inherited && !t.inheritanceResolved {
--- a/dispatch/standing.go
+++ b/dispatch/standing.go
@@ -158,7 +158,7 @@
 	}
 	found := StandingTask{Worker: t.ranBefore.worker, Run: t.ranBefore.run}
 	switch {
-	case t.exhausted():
+	case t.exhausted(), t.pausedAfterCrash(now):
 		found.Check = CheckCrashes
 	case t.step.job.inherited && !t.inheritanceResolved:
 		s.checkOfInherited(now, t, &found)
