election, dispatch, control: earlier owners are bounded though the roster has changed

Cause: the owner of epoch 4 was killed as eleven workers were joining. That of epoch 5 bounded it by the reports of most workers, added the new ones to the roster, and was lost 10 ms later, before a row told the bound. To that of epoch 6 the owner of epoch 4 had another roster, and so counted as one that most of its workers may obey, for 20 s and a lease.

Change: the row's list of earlier owners says how many workers were on the roster that each left, and how many have been removed since. Whoever obeys such an owner was on its roster: it has not reported to the new owner, or was removed. So the owner is bounded once those are half of its roster or fewer, whatever was added. Rows of releases that don't tell the size bound as before. Removals count from the commit that makes them, whether it is applied or not.

Tests: TestLostTasksStartAgainAfterRosterChanged failed before in each phase; TestMajorityBoundsOwnerOfKnownRoster, TestLeavesNoMajority (added and removed workers).

--- a/control/acceptance.go
+++ b/control/acceptance.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/fireflygate/fireflygate/election"
@@ -59,16 +60,16 @@
 // boundEarlierOwners shortens the time for which earlier owners may give orders and leases,
 // once most of the workers that they knew have reported to this owner.
 func (o *Owner) boundEarlierOwners(at time.Duration) {
-	if len(o.unbounded) == 0 || !o.state.LeftNoMajority() {
-		return
-	}
 	var bounded []uint64
-	for _, epoch := range o.unbounded {
-		if o.earlier.ReplacedAtMajority(epoch, at) {
-			bounded = append(bounded, epoch)
+	o.unbounded = slices.DeleteFunc(o.unbounded, func(b election.MajorityBound) bool {
+		if !o.state.LeavesNoMajority(b.Workers, b.Removed) {
+			return false
 		}
-	}
-	o.unbounded = nil
+		if o.earlier.ReplacedAtMajority(b.Epoch, at) {
+			bounded = append(bounded, b.Epoch)
+		}
+		return true
+	})
 	if len(bounded) > 0 {
 		event.EarlierOwnersBounded.Log(o.opts.Log, slog.Any("epochs", bounded), slog.Int("awaited", o.setEarlierOrders()))
 	}
--- a/control/commit.go
+++ b/control/commit.go
@@ -66,7 +66,6 @@
 	hosts := 1 + len(o.candidates.RelayHosts(start))
 	o.committer.SetHosts(election.ReferenceCores(o.opts.Cores, best, o.inheritedReference, start-o.ownedSince),
 		election.ReferenceHosts(hosts, o.inheritedHosts, start-o.ownedSince))
-	o.committer.SetEarlier(o.earlier.List(start))
 	err := o.commitBatch(o.ctx, b, began)
 	o.opts.Metrics.commit(err, boottime()-start)
 	if err != nil {
@@ -92,6 +91,8 @@
 
 // commitBatch writes a batch together with the owner's row in a commit that began at a time.
 func (o *Owner) commitBatch(ctx context.Context, b *dispatch.Batch, began time.Time) error {
+	o.earlier.WorkersRemoved(b.RemovedWorkers())
+	o.committer.SetEarlier(o.earlier.List(boottime()))
 	o.committer.SetUnleased(unleasedIn(b, began))
 	if b.RosterChanged {
 		o.committer.MarkRosterChanged()
--- a/control/load.go
+++ b/control/load.go
@@ -143,6 +143,11 @@
 		workers += len(roster.Workers)
 	}
 	o.state.InheritUnleased(o.inheritedUnleased())
+	for _, b := range o.unbounded {
+		if b.Workers == 0 {
+			o.earlier.LeftRoster(b.Epoch, workers)
+		}
+	}
 	return workers, nil
 }
 
--- a/control/owner.go
+++ b/control/owner.go
@@ -105,9 +105,9 @@
 	// acceptedAt is the boottime at which most workers still accepted this owner's orders as
 	// far as is known, 0 if that isn't known.
 	acceptedAt atomic.Int64
-	// unbounded holds the epochs of earlier owners that need a majority of workers to give
-	// orders without commits, until most of these have reported to this owner.
-	unbounded []uint64
+	// unbounded holds the earlier owners that need a majority of workers to give orders without
+	// commits, until too few are left that haven't reported to this owner.
+	unbounded []election.MajorityBound
 	// earlier tracks until when the owners before this one may give orders.
 	earlier *election.EarlierOwners
 	// rosterEpochsKnown is set if the previous owner's row says that the roster tells in
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -46,6 +46,15 @@
 	ends []durableEnds
 }
 
+// RemovedWorkers returns the number of workers that the batch removes from the roster.
+func (b *Batch) RemovedWorkers() int {
+	removed := 0
+	for _, n := range b.removed {
+		removed += n
+	}
+	return removed
+}
+
 // durableEnds says up to which number the ends of a life of a worker are durable.
 type durableEnds struct {
 	life   *life
--- a/dispatch/losttasks_test.go
+++ b/dispatch/losttasks_test.go
@@ -98,3 +98,27 @@
 		}
 	}
 }
+
+// TestLostTasksStartAgainAfterRosterChanged guards against a task that stands still for 25 s after two
+// owners are lost, as the second, which reached no worker, has added one to the roster: the first
+// counted as one that most workers may obey.
+func TestLostTasksStartAgainAfterRosterChanged(t *testing.T) {
+	for phase := range 4 {
+		t.Run(fmt.Sprint("phase ", phase), func(t *testing.T) {
+			s, w := newScenario(t, 4, 8)
+			s.store.prompt = true
+			s.run(time.Duration(phase) * testTick)
+			s.loseWorker(w)
+			for _, other := range s.alive() {
+				s.cutFromWorker(s.hosts[1], other, s.now.Add(forever))
+			}
+			s.hosts[0].remove()
+			s.replacedBy(s.hosts[1])
+			s.addWorkerInRack()
+			s.runUntil(5*time.Second, "the second owner has changed the roster", func() bool { return s.store.row.RosterOf == s.store.row.Epoch })
+			s.hosts[1].remove()
+			s.only = s.hosts[2]
+			s.wantRestartWithin(restartAim + restartTicks)
+		})
+	}
+}
--- a/dispatch/majority.go
+++ b/dispatch/majority.go
@@ -13,10 +13,16 @@
 	changed             bool
 }
 
-// LeftNoMajority reports whether half of the workers on the roster that this owner has
-// inherited, or more, have reported to it. They refuse the orders of earlier owners from then
-// on, unless they start again, so that no more than half accept these.
-func (s *State) LeftNoMajority() bool { return 2*s.roster.reported >= s.roster.inherited }
+// LeavesNoMajority reports whether most workers of an earlier owner's roster refuse its orders, or
+// half of them. Those on the inherited roster that have reported to this owner do, unless they start
+// again. The earlier roster had a number of workers, 0 if it is the inherited one, of which some may
+// have been removed since.
+func (s *State) LeavesNoMajority(workers, removed int) bool {
+	if workers == 0 {
+		workers = s.roster.inherited
+	}
+	return 2*(s.roster.inherited-s.roster.reported+removed) <= workers
+}
 
 // MajorityAcceptedAt returns the latest time at or after which more than half of the workers
 // that the durable roster may name have been given a renewal that they carried out under this
--- a/dispatch/majority_test.go
+++ b/dispatch/majority_test.go
@@ -77,15 +77,23 @@
 	}
 }
 
-// TestLeftNoMajority guards against an earlier owner that counts as bounded while most workers
+// TestLeavesNoMajority guards against an earlier owner that counts as bounded while most workers
 // may accept its orders, and against one that doesn't although half of them refuse these.
-func TestLeftNoMajority(t *testing.T) {
-	for _, c := range []struct{ workers, enough int }{{3, 2}, {4, 2}, {5, 3}} {
+func TestLeavesNoMajority(t *testing.T) {
+	for _, c := range []struct{ workers, before, removed, enough int }{
+		{workers: 3, enough: 2},
+		{workers: 4, enough: 2},
+		{workers: 5, enough: 3},
+		{workers: 5, before: 4, enough: 3},             // one was added: two may obey it
+		{workers: 5, before: 2, enough: 4},             // three were added: one may obey it
+		{workers: 5, before: 6, removed: 1, enough: 3}, // two and the removed one may obey it
+		{workers: 5, before: 6, removed: 4, enough: 6}, // of four removed ones all may
+	} {
 		r := newRig(t, c.workers)
 		r.takeOver(r.roster()...)
 		for i := range c.workers {
-			if got, want := r.state.LeftNoMajority(), i >= c.enough; got != want {
-				t.Errorf("after %d of %d reports: %v, want %v", i, c.workers, got, want)
+			if got, want := r.state.LeavesNoMajority(c.before, c.removed), i >= c.enough; got != want {
+				t.Errorf("after %d reports, %+v: %v, want %v", i, c, got, want)
 			}
 			r.report(worker(i), nil, nil)
 		}
--- a/dispatch/ownersimowner_test.go
+++ b/dispatch/ownersimowner_test.go
@@ -49,13 +49,11 @@
 	committing               bool
 	// epochsDurable is set once its row, as applied, says that the roster tells the epochs.
 	epochsDurable bool
-	// majorityReported is set once half of the inherited roster or more has reported. These workers
-	// then bound the owners of the epochs in boundable.
-	boundable        []uint64
-	majorityReported bool
-	membersReadAt    time.Time
-	polling          map[string]bool
-	nextPoll         map[string]time.Time
+	// boundable are the earlier owners that are bounded once few enough workers are left to them.
+	boundable     []election.MajorityBound
+	membersReadAt time.Time
+	polling       map[string]bool
+	nextPoll      map[string]time.Time
 	// done holds the tasks whose successful end it has recorded.
 	done []workload.TaskID
 }
@@ -113,6 +111,11 @@
 	o.setEarlierOrders()
 	o.epochsKnown = previous.RosterEpochs
 	o.restore(s.roster()...)
+	for _, b := range o.boundable {
+		if b.Workers == 0 {
+			o.earlier.LeftRoster(b.Epoch, len(s.roster()))
+		}
+	}
 	var unleased []dispatch.UnleasedWorker
 	for _, u := range record.Unleased {
 		unleased = append(unleased, dispatch.UnleasedWorker{Worker: u.Worker, LeaseEnd: s.now.Add(time.Duration(u.LeasesMS) * time.Millisecond)})
@@ -182,14 +185,15 @@
 	if o.ended {
 		return
 	}
-	if !o.majorityReported && o.state.LeftNoMajority() {
-		o.majorityReported = true
-		for _, epoch := range o.boundable {
-			if o.earlier.ReplacedAtMajority(epoch, o.sinceStart()) {
-				o.setEarlierOrders()
-			}
+	o.boundable = slices.DeleteFunc(o.boundable, func(b election.MajorityBound) bool {
+		if !o.state.LeavesNoMajority(b.Workers, b.Removed) {
+			return false
 		}
-	}
+		if o.earlier.ReplacedAtMajority(b.Epoch, o.sinceStart()) {
+			o.setEarlierOrders()
+		}
+		return true
+	})
 	if o.host.reachesStore(s.now) && s.storeUp() && s.now.Sub(o.membersReadAt) >= membersInterval {
 		o.membersReadAt = s.now
 		o.state.SetMembers(s.now, s.members.list(s.now, s.workers))
--- a/dispatch/ownersimstore_test.go
+++ b/dispatch/ownersimstore_test.go
@@ -72,6 +72,7 @@
 	o.committing, o.commitBegan = true, s.now
 	o.record.Seq++
 	o.record.RosterEpochs = o.record.RosterEpochs || b.RosterEpochs
+	o.earlier.WorkersRemoved(b.RemovedWorkers())
 	o.record.Earlier = o.earlier.List(o.sinceStart())
 	if b.RosterChanged {
 		o.record.RosterOf = o.epoch
--- a/election/earlierowner.go
+++ b/election/earlierowner.go
@@ -50,6 +50,10 @@
 	RosterEpochs bool         `msgpack:"r,omitempty"`
 	CommitAgeMS  int64        `msgpack:"c,omitempty"`
 	LeasesMS     int64        `msgpack:"l,omitempty"`
+	// Workers is the size of the roster that it has left, 0 if unknown, and Removed the number of
+	// workers that later owners may have removed from the roster.
+	Workers int `msgpack:"n,omitempty"`
+	Removed int `msgpack:"d,omitempty"`
 }
 
 // Stopped reports whether the owner gives no more orders.
--- a/election/earlierowners.go
+++ b/election/earlierowners.go
@@ -95,6 +95,27 @@
 	return false
 }
 
+// LeftRoster records the size of the roster that the owner of an epoch has left.
+func (e *EarlierOwners) LeftRoster(epoch uint64, workers int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range e.pending {
+		if p := &e.pending[i]; p.Epoch == epoch {
+			p.Workers, p.Removed = workers, 0
+		}
+	}
+}
+
+// WorkersRemoved records that a commit which lists the owners from now on removes workers from the
+// roster.
+func (e *EarlierOwners) WorkersRemoved(workers int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range e.pending {
+		e.pending[i].Removed += workers
+	}
+}
+
 // CommittedBefore records that the last commit of the owner of an epoch began at a time at the
 // latest.
 func (e *EarlierOwners) CommittedBefore(epoch uint64, at time.Duration) {
--- a/election/leaselimit.go
+++ b/election/leaselimit.go
@@ -90,18 +90,31 @@
 	return max(committed+withDrift(l.commitLease(rosterEpochs)), accepted+withDrift(l.majorityLease())) + leaseMargin
 }
 
-// BoundByMajority returns the epochs of the owners that give no orders once most workers of the
-// roster refuse them that the row's owner has left: the row's owner, and those before it that
-// knew the same workers.
-func (r *Record) BoundByMajority() []uint64 {
-	var epochs []uint64
+// MajorityBound is an earlier owner that gives no orders once its workers can't be most of those on
+// the roster that it has left.
+type MajorityBound struct {
+	Epoch uint64
+	// Workers is the size of that roster, 0 if it is the one that the row's owner has left, and
+	// Removed the number of workers removed from the roster since, which may still obey it.
+	Workers, Removed int
+}
+
+// BoundByMajority returns the owners that give no orders without most workers of their roster: the
+// row's owner, those before it that knew the same workers, and those of which the size of the roster
+// is known.
+func (r *Record) BoundByMajority() []MajorityBound {
+	var bounds []MajorityBound
 	for _, e := range r.Earlier {
-		if e.LimitsLeases && r.RosterOf != 0 && e.Epoch >= r.RosterOf {
-			epochs = append(epochs, e.Epoch)
+		switch {
+		case !e.LimitsLeases:
+		case r.RosterOf != 0 && e.Epoch >= r.RosterOf:
+			bounds = append(bounds, MajorityBound{Epoch: e.Epoch})
+		case e.Workers > 0:
+			bounds = append(bounds, MajorityBound{Epoch: e.Epoch, Workers: e.Workers, Removed: e.Removed})
 		}
 	}
 	if r.NeedsMajority {
-		epochs = append(epochs, r.Epoch)
+		bounds = append(bounds, MajorityBound{Epoch: r.Epoch})
 	}
-	return epochs
+	return bounds
 }
--- a/election/leaselimit_test.go
+++ b/election/leaselimit_test.go
@@ -96,21 +96,38 @@
 func TestMajorityBoundsOwnersOfOneRoster(t *testing.T) {
 	first := successorOf(&election.Record{}, "a", 0)
 	second := successorOf(&first, "b", 0)
-	if got, want := second.BoundByMajority(), []uint64{1, 2}; !slices.Equal(got, want) {
+	if got, want := second.BoundByMajority(), []election.MajorityBound{{Epoch: 1}, {Epoch: 2}}; !slices.Equal(got, want) {
 		t.Errorf("with the roster of epoch 1: %v, want %v", got, want)
 	}
 	second.RosterOf = 2
 	third := successorOf(&second, "c", 0)
-	if got, want := third.BoundByMajority(), []uint64{2, 3}; !slices.Equal(got, want) {
+	if got, want := third.BoundByMajority(), []election.MajorityBound{{Epoch: 2}, {Epoch: 3}}; !slices.Equal(got, want) {
 		t.Errorf("with the roster of epoch 2: %v, want %v", got, want)
 	}
 	older := earlierRelease(&third, "d")
 	after := successorOf(older, "e", 0)
-	if got, want := after.BoundByMajority(), []uint64{5}; !slices.Equal(got, want) {
+	if got, want := after.BoundByMajority(), []election.MajorityBound{{Epoch: 5}}; !slices.Equal(got, want) {
 		t.Errorf("after an earlier release: %v, want %v", got, want)
 	}
 }
 
+// TestMajorityBoundsOwnerOfKnownRoster guards against a wait of 25 s for the leases of an owner that is
+// gone, as a later one, which has ended too, has changed the roster.
+func TestMajorityBoundsOwnerOfKnownRoster(t *testing.T) {
+	first := successorOf(&election.Record{}, "a", 0)
+	second := successorOf(&first, "b", 0)
+	e := election.NewEarlierOwners(&second, 0)
+	e.LeftRoster(1, 25)
+	e.WorkersRemoved(2)
+	e.WorkersRemoved(1)
+	second.RosterOf, second.Earlier = 2, e.List(0)
+	third := successorOf(&second, "c", 0)
+	want := []election.MajorityBound{{Epoch: 1, Workers: 25, Removed: 3}, {Epoch: 2}, {Epoch: 3}}
+	if got := third.BoundByMajority(); !slices.Equal(got, want) {
+		t.Errorf("bounds %v, want %v", got, want)
+	}
+}
+
 // TestLeasesOfEarlierReleaseLast guards against a successor of this release that doesn't wait for
 // the longer leases of an owner of a release whose rows don't tell its limits.
 func TestLeasesOfEarlierReleaseLast(t *testing.T) {
