--- a/queue/order.go
+++ b/queue/order.go
@@ -95,7 +95,7 @@
 }
 
 // CompareArrival orders two entries by restarts of long-running tasks, then priority,
-// then arrival. It is the baseline that Compare is measured against.
+// then arrival, without regard to timeliness.
 func CompareArrival(a, b *Entry, _ time.Time) int {
 	if c := compareUrgency(a, b); c != 0 {
 		return c
