ingress, platform: one budget for what all callers make a host hold

Callers saw an entry host end for want of memory, or without descriptors for the store and the workers, while other clients held back the ends of their requests, sent headers without end or read no responses.

Cause: every limit was that of one request.

Package ingress charges connections, requests, longer headers and bodies to one budget: a quarter of memory_mb, half of the descriptors without the 200 for files. Requests without progress lose their places first, then idle connections; only then is a request refused, with 503 and Retry-After, before it has run. The last quarter is for small requests alone. Receive buffers are 16 KB. Refusals are counted by cause and logged once a second.

Ruled out: a limit on bytes held that stops reading, as that moves them into the kernel; the memory limit of the Go runtime, which is a target.

Why it holds: each byte that a caller makes the process keep is charged before it is kept, and what isn't read is bounded by buffers times connections.

--- a/control/metrics_test.go
+++ b/control/metrics_test.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/fireflygate/fireflygate/control"
+	"github.com/fireflygate/fireflygate/ingress"
 	"github.com/fireflygate/fireflygate/logsink"
 	"github.com/fireflygate/fireflygate/platform"
 )
@@ -39,6 +40,8 @@
 	c := &collectors{names: map[string]bool{}}
 	control.NewMetrics(c)
 	(&logsink.Stats{}).Register(c)
+	ingress.NewReport(nil, c)
+	ingress.RegisterUsage(nil, c)
 	platform.NewConfigWatch("", nil, nil, nil, nil).Register(c)
 	page, err := os.ReadFile("../docs/METRICS-DOMAIN.md")
 	if err != nil {
--- a/event/lifecycle.go
+++ b/event/lifecycle.go
@@ -17,5 +17,7 @@
 	StoreRecovered          = define(111, slog.LevelInfo, "table service responds again")
 	MembersStale            = define(112, slog.LevelWarn, "membership list is stale")
 	ProcessPaused           = define(113, slog.LevelWarn, "process was paused")
-	InvariantViolated       = define(199, slog.LevelError, "invariant violated, stopping the process")
+	// CallersLimited is logged at most once a second.
+	CallersLimited    = define(114, slog.LevelWarn, "callers refused or disconnected because of a limit")
+	InvariantViolated = define(199, slog.LevelError, "invariant violated, stopping the process")
 )
--- /dev/null
+++ b/ingress/limits.go
@@ -0,0 +1,83 @@
+package ingress
+
+import "time"
+
+// Limits bound what all callers together make a process hold.
+type Limits struct {
+	// Connections is the largest number of open connections.
+	Connections int
+	// Bytes is the memory that connections and requests may hold.
+	Bytes int64
+}
+
+const (
+	// memoryShare is the part of the process's memory that callers may hold. The role
+	// itself, such as the owner of a large domain, needs most of the rest.
+	memoryShare = 4
+	// fileDescriptors is the part of the descriptors that is reserved for files.
+	fileDescriptors = 200
+	// descriptorShare is the part of the other descriptors that callers may hold. The
+	// rest is for the store, peers, workers and operators.
+	descriptorShare = 2
+
+	// ReceiveBuffer is the size of the kernel's receive buffer of a caller's connection
+	// in bytes. What is received and unread counts as memory of the process.
+	ReceiveBuffer = 16 << 10
+	// connectionBytes is what an open connection holds without a request: its goroutine
+	// and its buffers.
+	connectionBytes = 8 << 10
+	// requestBytes is what a small request holds in addition: its header and body up to
+	// freeBytes each, the goroutine's larger stack and the receive buffer.
+	requestBytes = 16<<10 + ReceiveBuffer
+	// freeBytes is how much of a header or a body is included in requestBytes.
+	freeBytes = 4 << 10
+	// headerFactor is what a byte of a longer header holds: it is kept in a buffer and
+	// as strings, both of which grow by copying.
+	headerFactor = 4
+	// bodyFactor is what a byte of a longer body holds: it is copied once.
+	bodyFactor = 2
+	// largeShare is the part of the bytes, in quarters, that longer headers and bodies
+	// may hold. Small requests find room when large ones have used theirs up.
+	largeShare = 3
+)
+
+// LimitsFor returns the limits of a process that may use memory, in bytes, and a number
+// of descriptors.
+func LimitsFor(memory int64, descriptors int) Limits {
+	return Limits{
+		Connections: max((descriptors-fileDescriptors)/descriptorShare, 1),
+		Bytes:       max(memory/memoryShare, 2*(connectionBytes+requestBytes)),
+	}
+}
+
+// large returns the bytes up to which longer headers and bodies may grow.
+func (l Limits) large() int64 { return l.Bytes / 4 * largeShare }
+
+// RequestLimits are the limits of a single request.
+type RequestLimits struct {
+	// HeaderBytes is the size of a header.
+	HeaderBytes int
+	// HeaderTime is how long a header may take from its first byte, IdleTime how long a
+	// connection is kept without a request.
+	HeaderTime, IdleTime time.Duration
+}
+
+const (
+	// stallTime is the time without progress after which a request loses its place if
+	// others need it.
+	stallTime = time.Second
+	// idleGrace is the same for a connection without a request.
+	idleGrace = 250 * time.Millisecond
+	// progressBytes is how much a client must send in stallTime for its request to
+	// make progress.
+	progressBytes = 4 << 10
+	// responseTime is how long a client may take to read a part of a response that
+	// fills the buffers between.
+	responseTime = 5 * time.Second
+	// maxClosing is the number of connections that may lose their places at once. A new
+	// connection beyond them is refused.
+	maxClosing = 64
+	// RetryAfter is when a refused request may be sent again: by then clients that
+	// stall have lost their places.
+	RetryAfter = stallTime
+)
