gate, gateway: callers and operators share budgets; jobs and configurations are bounded

Jobs and configurations were decoded from the body, with neither a size nor a time limit; calls were bounded one by one, and connections by address alone. The header that is inspected for both lengths was kept between requests.

Both listeners take their places from package ingress: callers from a quarter of the new settings host.memory_mb (1024) and half of host.max_descriptors (4096), operators from a small budget of their own, so that they reach a host beside a crowd. Jobs have 64 KB, configurations 1 MB; both are read whole before they are decoded. An encrypted connection counts 40 KB more. The Go runtime gets 0.6 of the memory as its soft limit.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/subcommands"
@@ -15,6 +16,10 @@
 	"github.com/fireflygate/fireflygate/standin/httpclient"
 )
 
+// memoryShare is the fraction of the process's memory that is set as soft memory limit of
+// the Go runtime. The rest is for kernel buffers and the program itself.
+const memoryShare = 0.6
+
 type serveCommand struct {
 	config  string
 	logJSON bool
@@ -43,6 +48,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Host.MemoryMB<<20)))
 	g, err := gate.New(s, newDeps(s, newLogger(c.logJSON)))
 	if err != nil {
 		return fail(err)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -18,6 +18,7 @@
 	"github.com/fireflygate/fireflygate/booking"
 	"github.com/fireflygate/fireflygate/configstore"
 	"github.com/fireflygate/fireflygate/gateway"
+	"github.com/fireflygate/fireflygate/ingress"
 	"github.com/fireflygate/fireflygate/journal"
 	"github.com/fireflygate/fireflygate/outcome"
 	"github.com/fireflygate/fireflygate/ownerdriver"
@@ -48,6 +49,8 @@
 	drainRequested chan struct{}
 	drainOnce      sync.Once
 
+	callersBudget   *ingress.Budget
+	operatorsBudget *ingress.Budget
 	peers           *peer.Client
 	peerServer      *peer.Server
 	journal         *journal.Journal
@@ -83,6 +86,7 @@
 	if err := g.buildAccess(); err != nil {
 		return nil, err
 	}
+	g.buildBudgets()
 	g.buildPeers()
 	g.store = &configstore.Store{Table: deps.Table, Objects: deps.Objects, Now: time.Now}
 	g.watcher = configstore.NewWatcher(g.store, local, deps.Log)
--- a/gate/listeners.go
+++ b/gate/listeners.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflygate/fireflygate/ingress"
 	"github.com/fireflygate/fireflygate/settings"
 )
 
@@ -23,8 +24,9 @@
 	for _, one := range []struct {
 		address string
 		to      *net.Listener
-	}{{h.Listen, &l.Callers}, {h.Operators, &l.Operators}, {h.Peer, &l.Peers}} {
-		*one.to, err = net.Listen("tcp", one.address)
+		listen  func(string) (net.Listener, error)
+	}{{h.Listen, &l.Callers, ingress.Listen}, {h.Operators, &l.Operators, ingress.Listen}, {h.Peer, &l.Peers, listenTCP}} {
+		*one.to, err = one.listen(one.address)
 		if err != nil {
 			l.Close()
 			return Listeners{}, errors.Wrap(err, "listen")
@@ -33,6 +35,8 @@
 	return l, nil
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 // Close closes the listeners that are open.
 func (l Listeners) Close() {
 	for _, one := range []net.Listener{l.Callers, l.Operators, l.Peers} {
--- a/gate/run.go
+++ b/gate/run.go
@@ -13,6 +13,7 @@
 	"github.com/fireflygate/fireflygate/configstore"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/gateway"
+	"github.com/fireflygate/fireflygate/ingress"
 )
 
 // servers are the HTTP servers of a host.
@@ -49,14 +50,15 @@
 func (g *Gate) serve(ctx context.Context, wg *sync.WaitGroup, l Listeners) servers {
 	s := servers{
 		callers:   gateway.NewServer(g.callersHandler()),
-		operators: &http.Server{Handler: g.operatorsHandler(), ReadHeaderTimeout: operatorTimeout},
+		operators: g.newOperatorServer(),
 	}
 	if g.guard == nil {
 		event.OperatorPortOpen.Log(g.deps.Log, slog.String("address", l.Operators.Addr().String()))
 	}
 	callers := gateway.LimitConnections(l.Callers, func() int { return g.watcher.Calls().ConnectionsPerCaller })
-	g.goServe(wg, func() error { return gateway.Serve(s.callers, g.withTLS(callers)) })
-	g.goServe(wg, func() error { return s.operators.Serve(g.withTLS(l.Operators)) })
+	g.goServe(wg, func() error { return gateway.Serve(s.callers, g.withTLS(callers), g.callersBudget) })
+	operators := ingress.NewListener(g.withTLS(l.Operators), g.operatorsBudget, gateway.RefuseHeader)
+	g.goServe(wg, func() error { return s.operators.Serve(operators) })
 	g.goServe(wg, func() error { return g.peerServer.Serve(ctx, l.Peers) })
 	return s
 }
--- a/gate/servers.go
+++ b/gate/servers.go
@@ -19,6 +19,7 @@
 	operationsserver "github.com/fireflygate/fireflygate/gen/http/operations/server"
 	"github.com/fireflygate/fireflygate/gen/jobs"
 	"github.com/fireflygate/fireflygate/gen/operations"
+	"github.com/fireflygate/fireflygate/ingress"
 	"github.com/fireflygate/fireflygate/outcome"
 )
 
@@ -31,6 +32,37 @@
 // operatorTimeout bounds the time to read the headers of an operator's request.
 const operatorTimeout = 10 * time.Second
 
+// Limits of the bodies that callers and operators send, in bytes.
+const (
+	maxJobBytes    = 64 << 10
+	maxConfigBytes = 1 << 20
+)
+
+// operatorIdleTimeout closes idle connections of operators.
+const operatorIdleTimeout = 2 * time.Minute
+
+// newOperatorServer returns the HTTP server for operators.
+func (g *Gate) newOperatorServer() *http.Server {
+	return &http.Server{
+		Handler:           ingress.Handler(g.operatorsHandler(), ingress.Options{BodyTime: gateway.BodyTime, Refuse: gateway.Refuse}),
+		ReadHeaderTimeout: operatorTimeout, IdleTimeout: operatorIdleTimeout,
+		ConnContext: ingress.ConnContext, ConnState: ingress.Track,
+	}
+}
+
+// buildBudgets creates the budgets of callers and of operators.
+func (g *Gate) buildBudgets() {
+	const mb = 1 << 20
+	report := ingress.NewReport(g.deps.Log, g.registry)
+	h := g.local.Host
+	callers := ingress.LimitsFor(h.MemoryMB*mb, h.MaxDescriptors)
+	operators := ingress.OperatorLimitsFor(h.MemoryMB * mb)
+	callers.TLS, operators.TLS = g.identity != nil, g.identity != nil
+	g.callersBudget = ingress.NewBudget(callers, gateway.RequestLimits(), report.Observe)
+	g.operatorsBudget = ingress.NewBudget(operators, gateway.RequestLimits(), report.Observe)
+	ingress.RegisterUsage(g.callersBudget, g.registry)
+}
+
 // callersHandler serves calls and jobs.
 func (g *Gate) callersHandler() http.Handler {
 	mux := goahttp.NewMuxer()
@@ -40,6 +72,7 @@
 	c.Mount(mux)
 	service := &jobsService{manager: g.batch, watcher: g.watcher}
 	j := jobsserver.New(jobs.NewEndpoints(service), mux, dec, enc, nil, formatProblem)
+	j.Use(ingress.WithBody(maxJobBytes, gateway.Refuse))
 	j.Mount(mux)
 	g.mountHealth(func(path string, h http.HandlerFunc) { mux.Handle(http.MethodGet, path, h) })
 	return g.rejectWhileStarting(mux)
@@ -73,6 +106,7 @@
 	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
 	service := &configsService{store: g.store, watcher: g.watcher, accept: g.configSync.accept, hasZone: g.hasZone, log: g.deps.Log}
 	c := configsserver.New(configs.NewEndpoints(service), mux, dec, enc, nil, formatProblem)
+	c.Use(ingress.WithBody(maxConfigBytes, gateway.Refuse))
 	c.Mount(mux)
 	o := operationsserver.New(operations.NewEndpoints(&operationsService{gate: g}), mux, dec, enc, nil, formatProblem)
 	o.Mount(mux)
--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -40,7 +40,7 @@
 func (c *callerConn) resetHeader() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.header = c.header[:0]
+	c.header = nil // it isn't kept between requests
 	c.headerComplete = false
 }
 
--- a/gateway/httpcall.go
+++ b/gateway/httpcall.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflygate/fireflygate/ingress"
 	"github.com/fireflygate/fireflygate/outcome"
 )
 
@@ -23,30 +25,27 @@
 
 type httpCallKey struct{}
 
-// readBody reads the complete body, limited in time and size. It sets refusal to
-// NotRun, which applies if reading fails.
-func (c *httpCall) readBody(body io.Reader, limit int64) ([]byte, error) {
+// readBody reads the complete body, limited in time and size. It sets refusal to the
+// response if reading fails.
+func (c *httpCall) readBody(limit int64) ([]byte, error) {
 	c.refusal = outcome.Refusal{Kind: outcome.NotRun}
-	if c.request.ContentLength > limit {
-		return nil, badRequest("the body is larger than calls.max_body")
-	}
 	if c.request.Body == http.NoBody {
 		return nil, nil
 	}
-	// The error is ignored: response recorders and some wrappers don't support
-	// deadlines.
-	_ = c.control.SetReadDeadline(c.arrived.Add(bodyTimeout))
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	// Clear the deadline: the server keeps reading to detect that the caller
-	// disconnects.
-	_ = c.control.SetReadDeadline(time.Time{})
+	// The memory is returned to the budget at the end of the request.
+	data, _, err := ingress.ReadBody(c.request, limit)
+	var refused *ingress.RefusedError
 	switch {
-	case err != nil:
+	case err == nil:
+		return data, nil
+	case !errors.As(err, &refused):
 		return nil, badRequest("the body was not read whole")
-	case int64(len(data)) > limit:
+	case refused.Cause == ingress.CauseBodySize:
 		return nil, badRequest("the body is larger than calls.max_body")
+	default:
+		c.refusal = notRun(string(refused.Cause), ingress.RetryAfter)
+		return nil, newProblem(c.refusal)
 	}
-	return data, nil
 }
 
 // writeHeaders sets the response headers and returns the response status.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fireflygate/fireflygate/ingress"
 	"github.com/fireflygate/fireflygate/internal/spareconn"
 )
 
@@ -25,7 +26,7 @@
 // LimitConnections.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           RejectAmbiguous(handler),
+		Handler:           ingress.Handler(RejectAmbiguous(handler), ingress.Options{BodyTime: BodyTime, Refuse: Refuse}),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxRequestHeader,
@@ -34,9 +35,11 @@
 	}
 }
 
-// Serve serves callers on a listener until the server is shut down. A connection
-// that hasn't carried a request yet is kept as long as any other idle one.
-func Serve(server *http.Server, l net.Listener) error {
+// Serve serves callers on a listener until the server is shut down. Their connections
+// have places in the budget. A connection that hasn't carried a request yet is kept as
+// long as any other idle one.
+func Serve(server *http.Server, l net.Listener, b *ingress.Budget) error {
+	l = ingress.NewListener(l, b, RefuseHeader)
 	limits := spareconn.Limits{Idle: callerIdleTimeout, Header: headerTimeout}
 	return server.Serve(spareconn.NewListener(l, limits))
 }
@@ -44,6 +47,7 @@
 // connContext stores the caller's connection in the context for
 // RejectAmbiguous.
 func connContext(ctx context.Context, c net.Conn) context.Context {
+	ctx = ingress.ConnContext(ctx, c)
 	if caller, ok := callerConnOf(c); ok {
 		return context.WithValue(ctx, callerConnKey{}, caller)
 	}
@@ -55,12 +59,16 @@
 	if spare, ok := c.(*spareconn.Conn); ok {
 		c = spare.NetConn()
 	}
+	if limited, ok := c.(*ingress.Conn); ok {
+		c = limited.NetConn()
+	}
 	caller, ok := c.(*callerConn)
 	return caller, ok
 }
 
 // connState resets the header inspection when a connection becomes idle.
 func connState(c net.Conn, s http.ConnState) {
+	ingress.Track(c, s)
 	if caller, ok := callerConnOf(c); ok && s == http.StateIdle {
 		caller.resetHeader()
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -29,7 +29,7 @@
 	if !ok {
 		return nil, nil, badRequest("the call did not come over HTTP")
 	}
-	data, err := call.readBody(body, s.gateway.callSettings().MaxBody)
+	data, err := call.readBody(s.gateway.callSettings().MaxBody)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/gateway/unusedconn_test.go
+++ b/gateway/unusedconn_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fireflygate/fireflygate/ingress"
 	"github.com/fireflygate/fireflygate/internal/pause"
 	"github.com/fireflygate/fireflygate/internal/pipenet"
 )
@@ -54,7 +55,8 @@
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	ln := pipenet.Listen()
-	go func() { _ = Serve(server, LimitConnections(ln, func() int { return 0 })) }()
+	budget := ingress.NewBudget(ingress.Limits{Connections: 10, Bytes: 1 << 20}, RequestLimits(), nil)
+	go func() { _ = Serve(server, LimitConnections(ln, func() int { return 0 }), budget) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return ln.Dial()
 }
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -45,13 +45,13 @@
 func (b *Budget) admit(c *Conn, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.open-b.closing >= b.limits.Connections || b.used+connectionBytes > b.limits.Bytes {
-		if b.closing >= maxClosing || !b.evictOne(now) {
+	if b.open-b.closing >= b.limits.Connections || b.used+b.limits.connection() > b.limits.Bytes {
+		if b.closing >= MaxClosing || !b.evictOne(now) {
 			return false
 		}
 	}
 	b.open++
-	b.charge(c, connectionBytes)
+	b.charge(c, b.limits.connection())
 	c.enter(idle, now)
 	return true
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -342,7 +342,7 @@
 					c.post(size, rng.IntN(size)*rng.IntN(2))
 				}
 				pause.For(t.Context(), time.Duration(rng.IntN(400))*time.Millisecond)
-				if n, bytes := s.Usage(); n > l.Connections+maxClosing || bytes > l.Bytes+maxClosing*connectionBytes {
+				if n, bytes := s.Usage(); n > l.Connections+MaxClosing || bytes > l.Bytes+MaxClosing*connectionBytes {
 					t.Fatalf("seed %d: %d connections and %d bytes, want at most %+v", seed, n, bytes, l)
 				}
 			}
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -8,6 +8,8 @@
 	Connections int
 	// Bytes is the memory that connections and requests may hold.
 	Bytes int64
+	// TLS is set if connections are encrypted, which takes more memory.
+	TLS bool
 }
 
 const (
@@ -26,6 +28,9 @@
 	// connectionBytes is what an open connection holds without a request: its goroutine
 	// and its buffers.
 	connectionBytes = 8 << 10
+	// tlsBytes is what an encrypted connection holds in addition: its state and its
+	// records.
+	tlsBytes = 40 << 10
 	// requestBytes is what a small request holds in addition: its header and body up to
 	// freeBytes each, the goroutine's larger stack and the receive buffer.
 	requestBytes = 16<<10 + ReceiveBuffer
@@ -50,6 +55,27 @@
 	}
 }
 
+// Operator limits are a small part of the process's, so that operators reach it beside a
+// crowd of callers.
+const (
+	operatorConnections = 64
+	operatorMemoryShare = 16
+)
+
+// OperatorLimitsFor returns the limits of operators of a process that may use memory, in
+// bytes. They come on top of those of callers.
+func OperatorLimitsFor(memory int64) Limits {
+	return Limits{Connections: operatorConnections, Bytes: memory / operatorMemoryShare}
+}
+
+// connection returns what an open connection holds without a request.
+func (l Limits) connection() int64 {
+	if l.TLS {
+		return connectionBytes + tlsBytes
+	}
+	return connectionBytes
+}
+
 // large returns the bytes up to which longer headers and bodies may grow.
 func (l Limits) large() int64 { return l.Bytes / 4 * largeShare }
 
@@ -74,9 +100,9 @@
 	// responseTime is how long a client may take to read a part of a response that
 	// fills the buffers between.
 	responseTime = 5 * time.Second
-	// maxClosing is the number of connections that may lose their places at once. A new
+	// MaxClosing is the number of connections that may lose their places at once. A new
 	// connection beyond them is refused.
-	maxClosing = 64
+	MaxClosing = 64
 	// RetryAfter is when a refused request may be sent again: by then clients that
 	// stall have lost their places.
 	RetryAfter = stallTime
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -12,7 +12,7 @@
 
 // Listen listens for callers. Their connections have small receive buffers, as what the
 // kernel receives counts as memory of the process.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
+func Listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		control := raw.Control(func(fd uintptr) {
@@ -20,7 +20,7 @@
 		})
 		return errors.CombineErrors(control, err)
 	}}
-	ln, err := config.Listen(ctx, "tcp", address)
+	ln, err := config.Listen(context.Background(), "tcp", address)
 	return ln, errors.Wrap(err, "listen for callers")
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -47,7 +48,7 @@
 func (c *Conn) endRequest() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.budget.charge(c, connectionBytes-c.charged)
+	c.budget.charge(c, c.budget.limits.connection()-c.charged)
 	c.enter(idle, time.Now())
 }
 
@@ -182,5 +183,31 @@
 func (c *Conn) releaseBody() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.budget.charge(c, min(connectionBytes+requestBytes-c.charged, 0))
+	c.budget.charge(c, min(c.budget.limits.connection()+requestBytes-c.charged, 0))
+}
+
+// WithBody returns a middleware that reads the body of each request, which may have limit
+// bytes, before the next handler. refuse responds to a request that wasn't read whole.
+func WithBody(limit int64, refuse func(http.ResponseWriter, *http.Request, *RefusedError)) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Body == http.NoBody {
+				next.ServeHTTP(w, r)
+				return
+			}
+			text, release, err := ReadBody(r, limit)
+			defer release()
+			var refused *RefusedError
+			switch {
+			case errors.As(err, &refused):
+				refuse(w, r, refused)
+				return
+			case err != nil:
+				w.WriteHeader(http.StatusBadRequest) // the caller has disconnected
+				return
+			}
+			r.Body = io.NopCloser(bytes.NewReader(text))
+			next.ServeHTTP(w, r)
+		})
+	}
 }
--- a/settings/default.go
+++ b/settings/default.go
@@ -6,8 +6,10 @@
 func Default() Settings {
 	return Settings{
 		Host: Host{
-			DrainDelay:   Duration(2 * time.Second),
-			DrainTimeout: Duration(time.Minute),
+			MemoryMB:       1024,
+			MaxDescriptors: 4096,
+			DrainDelay:     Duration(2 * time.Second),
+			DrainTimeout:   Duration(time.Minute),
 		},
 		Platform: Platform{
 			Timeout:         Duration(2 * time.Second),
--- a/settings/host.go
+++ b/settings/host.go
@@ -16,6 +16,12 @@
 	// Secret is the file that holds the operators' credential. If empty,
 	// requests need none, and the operators' port must be on loopback.
 	Secret string `toml:"secret"`
+	// MemoryMB is the memory that the process may use, in MB. Callers may hold a
+	// quarter of it; see OPERATORS.md.
+	MemoryMB int64 `toml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may use.
+	// Callers may hold half of them, without 200 for files.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// DrainDelay is how long a draining host goes on taking requests, until
 	// the balancer has noticed that it is not ready.
 	DrainDelay Duration `toml:"drain_delay"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -7,6 +7,12 @@
 	"time"
 )
 
+// The smallest limits of a host with which it can serve.
+const (
+	minMemoryMB    = 64
+	minDescriptors = 256
+)
+
 // reporter is called with the dotted key of each invalid value and the expected
 // value.
 type reporter func(key, want string)
@@ -48,6 +54,12 @@
 	if h.Secret == "" && !loopback(h.Operators) {
 		report("host.secret", "expected a file with the operators' credential, since host.operators is not on loopback")
 	}
+	if h.MemoryMB < minMemoryMB {
+		report("host.memory_mb", "expected at least 64")
+	}
+	if h.MaxDescriptors < minDescriptors {
+		report("host.max_descriptors", "expected at least 256")
+	}
 	positive(report, "host.drain_timeout", h.DrainTimeout)
 	if h.DrainDelay < 0 || h.DrainDelay >= h.DrainTimeout {
 		report("host.drain_delay", "expected a duration shorter than host.drain_timeout")
