control, dispatch: the owner bounds the memory of the jobs that it accepts

Cause: what a job may cost was bounded one by one. An owner keeps some 360 bytes for each task of all jobs, those included that have ended and can still be queried, and nothing bounded their sum.

The state counts what its jobs need; a new job beyond a quarter of the owner's memory is refused with 503 and a retry time, not run. Jobs over 64 KB of state leave the last quarter of that to the others. Event 971, and cause owner_memory of fireflygate_jobs_refused_total.

Why it holds: jobs enter and leave the state in two functions, which count.

Open: a host with less memory that takes the domain over holds what its predecessor accepted.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -38,6 +38,8 @@
 	cores float64
 	// ownershipChanged, if set, is the callback of hosts started from now on.
 	ownershipChanged func(owner bool)
+	// stateBytes is the limit of the state of jobs of hosts started from now on.
+	stateBytes int64
 	// policy is the policy service of hosts started from now on, nil if there is none.
 	policy runner.Policy
 	// clients are the worker clients by host name.
@@ -81,7 +83,7 @@
 		Host: name, Address: h.address, Incarnation: fmt.Sprintf("%s-%d", name, c.incarnations), Seeds: seeds, Cores: c.cores,
 		Table: table, Workers: c.clients[name], Zone: testZone, Members: c.fleet, Log: c.log,
 		Metrics:          control.NewMetrics(prometheus.NewRegistry()),
-		OwnershipChanged: c.ownershipChanged, Policy: c.policy,
+		OwnershipChanged: c.ownershipChanged, Policy: c.policy, StateBytes: c.stateBytes,
 		Retention: time.Minute, MaxLease: 10 * time.Second, TailBound: 4 * time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/control/options.go
+++ b/control/options.go
@@ -42,6 +42,9 @@
 	// TailBound is how long a serving task's tail may exceed its target because of
 	// interference.
 	TailBound time.Duration
+	// StateBytes is how much memory the state of jobs may need at the owner; 0 for no
+	// limit.
+	StateBytes int64
 	// WorkerPace is set where workers may be slow while they report that they are
 	// healthy.
 	WorkerPace bool
--- a/control/refuse.go
+++ b/control/refuse.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -26,12 +27,14 @@
 	refusedClosed = "zones_closed"
 	// refusedOutage: the table service is unavailable.
 	refusedOutage = "store_unavailable"
+	// refusedMemory: the owner has no memory for the job.
+	refusedMemory = "owner_memory"
 	// refusedStarts: too many task starts are waiting.
 	refusedStarts = "start_backlog"
 )
 
 // refuse returns the reply to a new job that is refused: while the table service is
-// unavailable, if all availability zones with its workers are closed, if it would expire
+// unavailable, if this host has no memory for its state, if all availability zones with its workers are closed, if it would expire
 // before there is capacity for it, or if too many task starts are waiting. It returns
 // false if the job may be accepted. deadline is the end of the caller's time limit, zero
 // if unknown.
@@ -42,6 +45,9 @@
 		event.StoreUnavailable.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
 		return refusal(retryAfter), true
 	}
+	if r, refused := o.refuseForMemory(spec, q); refused {
+		return r, true
+	}
 	if !spec.Timed() && o.state.AllClosed(q) {
 		o.opts.Metrics.refused(q.Name, refusedClosed)
 		event.PoolClosed.Log(o.opts.Log, slog.String("job", spec.ID), slog.String("queue", q.Name))
@@ -60,6 +66,29 @@
 	return reply{}, false
 }
 
+// Jobs whose state needs more than smallJobBytes may not use the last quarter of the
+// memory for the state of jobs. So ordinary jobs find room beside a few huge ones.
+const smallJobBytes = 64 << 10
+
+// refuseForMemory returns the reply to a new job that is refused since this host has no
+// memory for its state, and false for one that isn't.
+func (o *Owner) refuseForMemory(spec *workload.Job, q workload.Queue) (reply, bool) {
+	limit := o.opts.StateBytes
+	if limit == 0 {
+		return reply{}, false
+	}
+	held, needed := o.state.HeldBytes(), dispatch.JobBytes(spec)
+	if needed > smallJobBytes {
+		limit -= limit / 4
+	}
+	if held+needed <= limit {
+		return reply{}, false
+	}
+	o.opts.Metrics.refused(q.Name, refusedMemory)
+	event.OwnerMemoryFull.Log(o.opts.Log, slog.String("job", spec.ID), slog.Int64("held_bytes", held), slog.Int64("job_bytes", needed))
+	return refusal(maxRetryAfter), true
+}
+
 // refusal returns the reply to a refused caller that may return after a delay.
 func refusal(retryAfter time.Duration) reply {
 	return reply{Result: ResultRefused, RetryAfterMS: retryAfter.Milliseconds()}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -237,7 +237,7 @@
 			return
 		}
 		if j.state.Final() && j.durable == j.state && now.Sub(j.finishedAt) > s.cfg.Retention && !j.hasRuns() {
-			delete(s.jobs, id)
+			s.removeJob(id)
 			b.Writes = append(b.Writes,
 				infra.Write{Key: JobPrefix + id, Delete: true}, infra.Write{Key: ProgressPrefix + id, Delete: true})
 		}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -248,7 +248,7 @@
 	if progress != nil {
 		j.restore(now, *progress)
 	}
-	s.jobs[row.Job.ID] = j
+	s.addJob(j)
 	if !j.state.Final() {
 		s.open = append(s.open, j)
 		s.indexWorkers(j)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -17,6 +17,8 @@
 	cfg    Config
 	queues map[string]workload.Queue
 	jobs   map[string]*job
+	// heldBytes is about how much memory the jobs need.
+	heldBytes int64
 	// open holds the jobs that haven't ended, in order of acceptance.
 	open    []*job
 	workers map[string]*worker
@@ -190,7 +192,7 @@
 	if j.longRunning {
 		s.longRunningAcceptedAt = now
 	}
-	s.jobs[spec.ID] = j
+	s.addJob(j)
 	s.open = append(s.open, j)
 	s.backlogs.jobAccepted(now, j)
 	s.markDirty(j)
--- a/dispatch/withdrawjob.go
+++ b/dispatch/withdrawjob.go
@@ -19,7 +19,7 @@
 			return false
 		}
 		withdrawn = append(withdrawn, j.spec.ID)
-		delete(s.jobs, j.spec.ID)
+		s.removeJob(j.spec.ID)
 		return true
 	})
 	if len(withdrawn) > 0 {
--- a/dispatch/withdrawjob_test.go
+++ b/dispatch/withdrawjob_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/runner"
@@ -121,3 +122,31 @@
 	r.state.Cancel(r.now, "cancelled")
 	r.wantWithdrawn("waiting")
 }
+
+// TestHeldBytesFollowJobs guards against memory that stays counted for jobs that are gone.
+func TestHeldBytesFollowJobs(t *testing.T) {
+	r := newRig(t, 1)
+	r.accept("kept")
+	r.flush()
+	held := r.state.HeldBytes()
+	if held <= 0 {
+		t.Fatalf("%d bytes are held for a job", held)
+	}
+	r.accept("withdrawn")
+	r.accept("withdrawn")
+	if n := r.state.HeldBytes(); n != 2*held {
+		t.Errorf("%d bytes are held for two jobs, %d for one", n, held)
+	}
+	r.wantWithdrawn("withdrawn")
+	r.takeOver(worker(0))
+	if n := r.state.HeldBytes(); n != held {
+		t.Errorf("the next owner holds %d bytes, want %d", n, held)
+	}
+	r.state.Cancel(r.now, "kept")
+	r.flush()
+	r.advance(time.Hour)
+	r.flush()
+	if n := r.state.HeldBytes(); n != 0 {
+		t.Errorf("%d bytes are held after the last job", n)
+	}
+}
--- a/event/control.go
+++ b/event/control.go
@@ -51,6 +51,7 @@
 	EndsAcknowledged     = routine(946, slog.LevelInfo, "ends acknowledged to their worker")
 	ReportDisagrees      = routine(947, slog.LevelWarn, "report disagrees with the owner's state")
 	WorkerStartedAgain   = routine(948, slog.LevelInfo, "worker started again under its ID")
+	OwnerMemoryFull      = routine(971, slog.LevelInfo, "job refused, the owner has no memory for its state")
 	EarlierOwnersBounded = define(949, slog.LevelInfo, "earlier owners have lost most workers")
 	OwnerShort           = define(945, slog.LevelInfo, "owner's shortage of processor changed")
 	SubmissionsWithdrawn = define(943, slog.LevelWarn, "submissions withdrawn, the store was unavailable")
--- a/internal/crowd/script.go
+++ b/internal/crowd/script.go
@@ -117,10 +117,15 @@
 
 // Repeat sends a request with a body again and again, and reads the responses.
 func Repeat(r Request, text string) Script {
-	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", r.head(), len(text), text)
+	return RepeatEach(func() Request { return r }, text)
+}
+
+// RepeatEach is Repeat with a request that may differ each time.
+func RepeatEach(next func() Request, text string) Script {
 	return func(conn net.Conn, pass func()) {
 		in := bufio.NewReader(conn)
 		for {
+			whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", next().head(), len(text), text)
 			// The response may come before the host has read the whole request.
 			sent := make(chan bool, 1)
 			go func() { sent <- send(conn, whole) }()
