--- a/workload/step.go
+++ b/workload/step.go
@@ -65,8 +65,8 @@
 
 // validate checks the step, which is at the given index in its job.
 func (s *Step) validate(position int) error {
-	if s.Tasks <= 0 {
-		return errors.Newf("%d tasks, want at least 1", s.Tasks)
+	if s.Tasks <= 0 || s.Tasks > MaxTasks {
+		return errors.Newf("%d tasks, want 1 to %d", s.Tasks, MaxTasks)
 	}
 	if s.Needs.MilliCPU < 0 || s.Needs.MemoryMB < 0 || s.Needs.Accelerators < 0 {
 		return errors.New("negative resource request")
