dispatch: a lost long-running task whose start no row tells comes first, too

Cause: a successor takes a task for one that never ran unless a row, or a report of a run that is alive, tells otherwise. Lost tasks start before all other work and aren't held back by headroom; those that never ran do neither. Two ways lead there: the worker reports the end of a run that this owner doesn't know, which set the job as started and not the task; and the worker is lost with the owner.

The end of a run now marks its task. When a worker of an earlier owner is lost before it has reported, long-running tasks without a location count as started, in order of acceptance, as many as it had capacity for beside the runs of which rows tell. So tasks that can't have run there get no advantage (TestOnlyAsManyTasksCountAsStarted).

TestUntoldLostTaskStartsFirst fails in both cases without the change: other work starts in place of the lost task.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -53,6 +53,10 @@
 		return
 	}
 	s.markStarted(j)
+	t.started = true // the start may be one of an earlier owner that no row tells
+	if t.ranBefore.evidence == NoPriorRun {
+		t.recordOver(now, EndReported, w.info.ID, e.Run)
+	}
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -60,3 +60,17 @@
 	}
 	return ids
 }
+
+// StartedTasks counts the tasks of a job that count as started.
+func (s *State) StartedTasks(id string) int {
+	n := 0
+	s.jobs[id].eachTask(func(t *task) {
+		if t.started {
+			n++
+		}
+	})
+	return n
+}
+
+// AwaitedReports counts the workers of earlier owners that may still have runs of them.
+func (s *State) AwaitedReports() int { return len(s.awaitingReport) }
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -179,6 +179,7 @@
 		if s.awaitingReport[id] != nil {
 			delete(s.awaitingReport, id)
 			s.awaitedLostAt = now
+			s.assumeStarts(w)
 		}
 		s.removeIfExpired(w, now)
 	}
@@ -212,6 +213,9 @@
 			if !s.leaseOver(now, w) {
 				continue
 			}
+			if unreported {
+				s.assumeStarts(w)
+			}
 			delete(s.awaitingReport, id)
 			s.dropRuns(now, w, s.expiredRuns(now, w), LeaseExpired)
 		}
