ingress: a connection's place is free once its descriptor is

Close returned the place before it closed the connection. Closing an encrypted connection may wait 5 s for a client that doesn't read, so that as many descriptors as such clients were held beyond the limit.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -162,7 +162,7 @@
 }
 
 // respond writes the response to a request that wasn't read whole. The caller may have
-// disconnected, and no longer than responseTime is waited for it.
+// disconnected, and no longer than refusalTime is waited for it.
 func (c *Conn) respond(cause Cause) {
 	if c.refusal == nil {
 		return
@@ -255,8 +255,9 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The place is free once the descriptor is.
 func (c *Conn) Close() error {
+	err := c.Conn.Close()
 	c.once.Do(func() { c.budget.release(c) })
-	return c.Conn.Close()
+	return err
 }
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -32,7 +32,7 @@
 	// records.
 	tlsBytes = 40 << 10
 	// requestBytes is what a small request holds in addition: its header and body up to
-	// freeBytes each, the goroutine's larger stack and the receive buffer.
+	// freeBytes each, the larger stack of the goroutine and the receive buffer.
 	requestBytes = 16<<10 + ReceiveBuffer
 	// freeBytes is how much of a header or a body is included in requestBytes.
 	freeBytes = 4 << 10
