--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -13,13 +13,13 @@
 }
 
 const (
-	// memoryShare is the part of the process's memory that callers may hold. The role
-	// itself, such as the owner of a large domain, needs most of the rest.
+	// Callers may hold one part in memoryShare of the process's memory. The role itself,
+	// such as the owner of a large domain, needs most of the rest.
 	memoryShare = 4
 	// fileDescriptors is the part of the descriptors that is reserved for files.
 	fileDescriptors = 200
-	// descriptorShare is the part of the other descriptors that callers may hold. The
-	// rest is for the store, peers, workers and operators.
+	// Callers may hold one part in descriptorShare of the other descriptors. The rest is
+	// for the store, peers, workers and operators.
 	descriptorShare = 2
 
 	// ReceiveBuffer is the size of the kernel's receive buffer of a caller's connection
@@ -55,8 +55,8 @@
 	}
 }
 
-// Operator limits are a small part of the process's, so that operators reach it beside a
-// crowd of callers.
+// Operators may have a few connections and one part in operatorMemoryShare of the
+// process's memory, so that they reach it beside a crowd of callers.
 const (
 	operatorConnections = 64
 	operatorMemoryShare = 16
