--- a/gateway/httpcall.go
+++ b/gateway/httpcall.go
@@ -16,7 +16,6 @@
 type httpCall struct {
 	request *http.Request
 	arrived time.Time
-	control *http.ResponseController
 	// response is the endpoint's response, if there is one.
 	response *Response
 	// refusal is the reason if the request was refused.
--- a/gateway/middleware.go
+++ b/gateway/middleware.go
@@ -14,7 +14,6 @@
 		call := &httpCall{
 			request: r,
 			arrived: time.Now(),
-			control: http.NewResponseController(w),
 		}
 		ctx := context.WithValue(r.Context(), httpCallKey{}, call)
 		next.ServeHTTP(&responseWriter{ResponseWriter: w, call: call}, r.WithContext(ctx))
