--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -16,8 +16,8 @@
 	// Callers may hold one part in memoryShare of the process's memory. The role itself,
 	// such as the owner of a large domain, needs most of the rest.
 	memoryShare = 4
-	// fileDescriptors is the part of the descriptors that is reserved for files.
-	fileDescriptors = 200
+	// FileDescriptors is the part of the descriptors that is reserved for files.
+	FileDescriptors = 200
 	// Callers may hold one part in descriptorShare of the other descriptors. The rest is
 	// for the store, peers, workers and operators.
 	descriptorShare = 2
@@ -50,7 +50,7 @@
 // of descriptors.
 func LimitsFor(memory int64, descriptors int) Limits {
 	return Limits{
-		Connections: max((descriptors-fileDescriptors)/descriptorShare, 1),
+		Connections: max((descriptors-FileDescriptors)/descriptorShare, 1),
 		Bytes:       max(memory/memoryShare, 2*(connectionBytes+requestBytes)),
 	}
 }
