--- a/review/_standins2/main.go
+++ b/review/_standins2/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -48,6 +50,13 @@
 		return exitCantRun
 	}
 	defer s.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		s.close()
+		os.Exit(exitCantRun)
+	}()
 	if err := play(s, trouble); err != nil {
 		rec.add("can't run: %v", err)
 		return exitCantRun
--- a/review/_standins2/minion.go
+++ b/review/_standins2/minion.go
@@ -20,8 +20,10 @@
 	id, rack, zone, address string
 	cpu, mem                int64
 	judge                   *judge
-	started                 time.Time
-	server                  *http.Server
+	// oneWay is how long a message to or from the minion takes.
+	oneWay  time.Duration
+	started time.Time
+	server  *http.Server
 
 	mu       sync.Mutex
 	token    uint64
@@ -124,6 +126,8 @@
 				http.Error(w, err.Error(), http.StatusBadRequest)
 				return
 			}
+			time.Sleep(m.oneWay)
+			defer time.Sleep(m.oneWay)
 			reason := m.execute(&o, f)
 			switch {
 			case reason != "":
--- a/review/_standins2/site.go
+++ b/review/_standins2/site.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -45,6 +46,7 @@
 	minions          []*minion
 	hosts            []*host
 	ended            chan struct{}
+	closing          sync.Once
 	client           *http.Client
 }
 
@@ -76,7 +78,9 @@
 }
 
 // close ends all processes that the case has started.
-func (s *site) close() {
+func (s *site) close() { s.closing.Do(s.end) }
+
+func (s *site) end() {
 	close(s.ended)
 	for _, h := range s.hosts {
 		_ = h.cmd.Process.Kill()
