--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
 cd "$here/../.." || exit 2
 [ -x target/standins2 ] && [ -x target/fireflygate-edge ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/standins2 cancel target/fireflygate-edge "$here/record.txt"
+exec target/standins2 estimates target/fireflygate-edge "$here/record.txt"
