--- a/event/journal.go
+++ b/event/journal.go
@@ -9,4 +9,5 @@
 	JournalResolved        = define(602, slog.LevelInfo, "journal: outcome of a commit without an answer determined by reading back")
 	JournalOverflow        = define(603, slog.LevelWarn, "journal: queue full, entry not applied")
 	JournalInvalidConflict = define(604, slog.LevelError, "journal: conflict names no row of the commit")
+	JournalRejected        = define(605, slog.LevelError, "journal: entry rejected by the table for good, not applied")
 )
--- a/infra/table.go
+++ b/infra/table.go
@@ -46,8 +46,11 @@
 	// CommitConflict: a condition failed; nothing was written.
 	CommitConflict
 	// CommitNotApplied: the service refused the transaction; nothing was
-	// written.
+	// written. The same transaction may be applied later.
 	CommitNotApplied
+	// CommitRejected: the service will never apply the transaction, for example since a
+	// value is too large; nothing was written.
+	CommitRejected
 )
 
 // CommitResult is the table's answer to a transaction.
@@ -60,6 +63,8 @@
 	// Clock is the reading of the service's steady clock, which all hosts share, when it
 	// answered; 0 if it tells none.
 	Clock time.Duration `json:"-"`
+	// Reason is what the service said of a transaction whose Status is CommitRejected.
+	Reason string `json:"reason,omitempty"`
 }
 
 // Table is the platform's transactional table service. Implementations are safe
--- a/internal/memtable/table.go
+++ b/internal/memtable/table.go
@@ -20,6 +20,8 @@
 	version uint64
 	held    []infra.Transaction
 
+	// limits are enforced on transactions.
+	limits infra.TableLimits
 	// The current faults; see Set.
 	faults Faults
 	stats  Stats
@@ -37,6 +39,8 @@
 	// HoldCommits is the number of commits that return an unknown status and
 	// are applied only by DeliverHeld.
 	HoldCommits int
+	// Reject names the keys whose writes are rejected for good; nil for none.
+	Reject func(key string) bool
 }
 
 // Stats counts requests.
@@ -51,10 +55,16 @@
 	Reads int
 	// LargestRows is the largest number of rows written by one transaction.
 	LargestRows int
+	// Rejected counts transactions rejected for good, and Rejection is the reason of the last.
+	Rejected  int
+	Rejection string
 }
 
-// New returns an empty table.
-func New() *Table { return &Table{rows: map[string]infra.Row{}} }
+// New returns an empty table with the default limits.
+func New() *Table { return &Table{rows: map[string]infra.Row{}, limits: infra.DefaultTableLimits()} }
+
+// Limits implements infra.LimitedTable.
+func (t *Table) Limits() infra.TableLimits { return t.limits }
 
 // Set changes the faults for later requests.
 func (t *Table) Set(f func(*Faults)) {
@@ -109,6 +119,9 @@
 	case t.faults.Down:
 		t.stats.Refused++
 		return infra.CommitResult{Status: infra.CommitNotApplied}
+	case t.rejection(&tx) != "":
+		t.stats.Rejected, t.stats.Rejection = t.stats.Rejected+1, t.rejection(&tx)
+		return infra.CommitResult{Status: infra.CommitRejected, Reason: t.stats.Rejection}
 	case t.faults.HoldCommits > 0:
 		t.faults.HoldCommits--
 		t.held = append(t.held, tx)
@@ -122,6 +135,19 @@
 	}
 }
 
+// rejection returns why a transaction is rejected for good, empty if it isn't. t.mu must be held.
+func (t *Table) rejection(tx *infra.Transaction) string {
+	if err := t.limits.Check(tx); err != nil {
+		return err.Error()
+	}
+	for i := range tx.Writes {
+		if key := tx.Writes[i].Key; t.faults.Reject != nil && t.faults.Reject(key) {
+			return "writes of " + key + " are rejected"
+		}
+	}
+	return ""
+}
+
 // apply commits a transaction if its conditions hold. t.mu must be held.
 func (t *Table) apply(tx infra.Transaction) infra.CommitResult {
 	t.stats.Commits++
--- a/journal/batch.go
+++ b/journal/batch.go
@@ -1,6 +1,27 @@
 package journal
 
-import "github.com/fireflygate/fireflygate/infra"
+import (
+	"math"
+
+	"github.com/fireflygate/fireflygate/infra"
+)
+
+// groupLimits bounds what a group takes beside the journal's own row.
+type groupLimits struct {
+	// entries is the number of conditions and writes, bytes their size as they are sent.
+	entries, bytes int
+}
+
+// ownRowBytes bounds what the journal's own row takes in a transaction.
+const ownRowBytes = 1 << 10
+
+// newGroupLimits returns the limits in a transaction of a table service.
+func newGroupLimits(l infra.TableLimits) groupLimits {
+	return groupLimits{entries: l.Entries - 2, bytes: l.TransactionBytes - ownRowBytes}
+}
+
+// unlimited is the limit of a group that is rebuilt from another one.
+var unlimited = groupLimits{entries: math.MaxInt, bytes: math.MaxInt}
 
 // group is a set of entries committed in one transaction.
 type group struct {
@@ -12,8 +33,9 @@
 	// blocked holds the rows written by deferred entries; later entries that
 	// touch them are deferred too, which preserves the order of writes.
 	blocked map[string]struct{}
-	rows    int
-	bytes   int
+	// rows counts the writes, needed the conditions and writes.
+	rows, needed int
+	bytes        int
 	// maybeApplied is set while the outcome of an attempt is unknown. Such an attempt
 	// may still take effect, so its entries can't be reported as not applied.
 	maybeApplied bool
@@ -29,9 +51,9 @@
 
 // add adds the entry if it fits and conflicts with no other entry of the
 // transaction. It reports whether the entry was added.
-func (g *group) add(e *Entry, maxRows, maxBytes int) bool {
-	size := e.size()
-	full := len(g.entries) > 0 && (g.rows+len(e.Writes) > maxRows || g.bytes+size > maxBytes)
+func (g *group) add(e *Entry, maxRows int, limits groupLimits) bool {
+	size, needed := e.size(), e.rowsNeeded()
+	full := len(g.entries) > 0 && (g.rows+len(e.Writes) > maxRows || g.needed+needed > limits.entries || g.bytes+size > limits.bytes)
 	if full || !g.compatible(e) {
 		g.block(e)
 		return false
@@ -44,6 +66,7 @@
 	}
 	g.entries = append(g.entries, e)
 	g.rows += len(e.Writes)
+	g.needed += needed
 	g.bytes += size
 	return true
 }
--- a/journal/batcher.go
+++ b/journal/batcher.go
@@ -5,8 +5,6 @@
 )
 
 const (
-	// maxBytes bounds the keys and values written by one transaction.
-	maxBytes = 1 << 20
 	// slowStartRows is the row limit of the first transaction after a failed one.
 	slowStartRows = 16
 	// slowStartGrowth multiplies the row limit after each success.
@@ -15,6 +13,7 @@
 
 // batcher queues entries and forms groups. It has no clock and no lock.
 type batcher struct {
+	limits   groupLimits
 	maxRows  int
 	maxQueue int
 	rows     int
@@ -24,8 +23,8 @@
 	queuedWrites map[string]int
 }
 
-func newBatcher(maxRows, maxQueue int) *batcher {
-	return &batcher{maxRows: maxRows, maxQueue: maxQueue, rows: maxRows, queuedWrites: map[string]int{}}
+func newBatcher(limits groupLimits, maxRows, maxQueue int) *batcher {
+	return &batcher{limits: limits, maxRows: maxRows, maxQueue: maxQueue, rows: maxRows, queuedWrites: map[string]int{}}
 }
 
 // setMaxRows changes the row limit of a transaction. A lower limit in force after
@@ -76,7 +75,7 @@
 
 // full reports whether the queue has at least as many entries as a transaction
 // may have rows.
-func (b *batcher) full() bool { return b.len() >= b.rows }
+func (b *batcher) full() bool { return b.len() >= min(b.rows, b.limits.entries) }
 
 // next removes the next group from the queue; nil if the queue is empty.
 func (b *batcher) next() *group {
@@ -97,7 +96,7 @@
 		if g.rows >= b.rows {
 			return append(rest, queue[i:]...)
 		}
-		if g.add(e, b.rows, maxBytes) {
+		if g.add(e, b.rows, b.limits) {
 			moved(e)
 			continue
 		}
--- a/journal/entry.go
+++ b/journal/entry.go
@@ -23,13 +23,22 @@
 	Done func(infra.CommitResult)
 }
 
-// size returns the total bytes of the written keys and values.
+// size bounds what the entry takes in a transaction, in bytes.
 func (e *Entry) size() int {
-	n := 0
-	for _, w := range e.Writes {
-		n += len(w.Key) + len(w.Value)
+	tx := infra.Transaction{Conditions: e.Conditions, Writes: e.Writes}
+	return tx.SentBytes()
+}
+
+// rowsNeeded returns the number of the entry's conditions and writes.
+func (e *Entry) rowsNeeded() int { return len(e.Conditions) + len(e.Writes) }
+
+// keys returns the keys of the rows that the entry writes.
+func (e *Entry) keys() []string {
+	var keys []string
+	for i := range e.Writes {
+		keys = append(keys, e.Writes[i].Key)
 	}
-	return n
+	return keys
 }
 
 func (e *Entry) expired(now time.Time) bool {
--- a/journal/finish.go
+++ b/journal/finish.go
@@ -20,6 +20,9 @@
 	if g := j.inFlight; g != nil {
 		finish(g.entries, infra.CommitResult{Status: abandonedStatus(g)})
 	}
+	for _, g := range j.divided {
+		rest = append(rest, g.entries...)
+	}
 	finish(rest, infra.CommitResult{Status: infra.CommitNotApplied})
 }
 
@@ -78,6 +81,8 @@
 		return "conflict"
 	case infra.CommitNotApplied:
 		return "not_applied"
+	case infra.CommitRejected:
+		return "rejected"
 	default:
 		return "unknown"
 	}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -54,6 +54,8 @@
 
 	// The fields below are used by the goroutine of Run only.
 	inFlight *group
+	// divided holds the parts of a rejected group that are committed next.
+	divided []*group
 	// number is the number of the last applied commit, version the version of the
 	// journal's row.
 	number  uint64
@@ -83,7 +85,7 @@
 		key:     keyPrefix + c.Incarnation,
 		metrics: newMetrics(c.Registerer),
 		wake:    make(chan struct{}, 1),
-		queue:   newBatcher(c.Settings.CommitRows, c.MaxQueue),
+		queue:   newBatcher(newGroupLimits(infra.LimitsOf(c.Table)), c.Settings.CommitRows, c.MaxQueue),
 		backoff: b,
 		results: make(chan attemptResult, 1),
 	}
--- a/journal/run.go
+++ b/journal/run.go
@@ -85,6 +85,9 @@
 	if j.attempting || now.Before(j.due()) {
 		return
 	}
+	if j.inFlight == nil && len(j.divided) > 0 {
+		j.inFlight, j.divided = j.divided[0], j.divided[1:]
+	}
 	if j.inFlight == nil {
 		j.inFlight = j.nextGroup()
 	}
@@ -120,10 +123,7 @@
 
 // regroup rebuilds the group in flight after entries were removed from it.
 func (j *Journal) regroup() {
-	g := newGroup()
-	for _, e := range j.inFlight.entries {
-		g.add(e, math.MaxInt, math.MaxInt)
-	}
+	g := groupOf(j.inFlight.entries)
 	g.maybeApplied = j.inFlight.maybeApplied
 	j.inFlight = g
 	if len(g.entries) == 0 {
@@ -131,6 +131,15 @@
 	}
 }
 
+// groupOf returns a group of entries that were in one group before.
+func groupOf(entries []*Entry) *group {
+	g := newGroup()
+	for _, e := range entries {
+		g.add(e, math.MaxInt, unlimited)
+	}
+	return g
+}
+
 // attempt sends the group as commit number n and, if the reply is lost, reads the
 // journal's row. It runs on its own goroutine.
 func (j *Journal) attempt(ctx context.Context, g *group, n, version uint64) {
@@ -166,6 +175,8 @@
 		j.conflicted(a.result)
 	case infra.CommitNotApplied:
 		j.scheduleRetry()
+	case infra.CommitRejected:
+		j.rejected(a.result)
 	default:
 		j.handleUnknown(a)
 	}
@@ -226,6 +237,23 @@
 	j.started = time.Time{}
 }
 
+// rejected handles a group that the table service will never apply. It divides the group, so that
+// only the entries fail that are rejected by themselves.
+func (j *Journal) rejected(r infra.CommitResult) {
+	g := j.inFlight
+	j.inFlight = nil
+	j.recovered()
+	j.started = time.Time{}
+	if len(g.entries) == 1 {
+		e := g.entries[0]
+		event.JournalRejected.Log(j.config.Log, slog.Any("keys", e.keys()), slog.Int("bytes", e.size()), slog.String("answer", r.Reason))
+		e.Done(infra.CommitResult{Status: infra.CommitNotApplied})
+		return
+	}
+	middle := len(g.entries) / 2
+	j.divided = append([]*group{groupOf(g.entries[:middle]), groupOf(g.entries[middle:])}, j.divided...)
+}
+
 // ownConflict handles an unexpected version of the journal's row: either an earlier
 // attempt of the same commit was applied late, or the row hasn't been read yet.
 func (j *Journal) ownConflict(own infra.Row) {
--- a/settings/batch.go
+++ b/settings/batch.go
@@ -8,7 +8,8 @@
 	// entries nor enough rows for a full commit are waiting, the minimum is
 	// at least 100 ms, and up to 250 ms if the table is slow.
 	CommitDelay Duration `toml:"commit_delay"`
-	// CommitRows is the largest number of rows in one commit.
+	// CommitRows is the largest number of rows in one commit. Beside the journal's own
+	// row, the table service takes 98.
 	CommitRows int `toml:"commit_rows"`
 	// Headroom is the share of each worker's processors kept free for
 	// latency-critical tasks.
--- a/settings/default.go
+++ b/settings/default.go
@@ -37,7 +37,7 @@
 		Batch: Batch{
 			Exchange:        Duration(time.Second),
 			CommitDelay:     Duration(20 * time.Millisecond),
-			CommitRows:      256,
+			CommitRows:      98,
 			Headroom:        0.1,
 			MaxFailures:     3,
 			QuarantineAfter: 3,
--- a/standin/httpclient/table.go
+++ b/standin/httpclient/table.go
@@ -29,7 +29,7 @@
 	switch {
 	case a.unprocessed:
 		return infra.CommitResult{Status: infra.CommitNotApplied}
-	case a.err != nil, result.Status > infra.CommitNotApplied:
+	case a.err != nil, result.Status > infra.CommitRejected:
 		return infra.CommitResult{Status: infra.CommitUnknown}
 	default:
 		return result
--- a/standin/table.go
+++ b/standin/table.go
@@ -16,13 +16,15 @@
 	rows    map[string]infra.Row
 	keys    []string
 	commits uint64
+	// limits are enforced on transactions.
+	limits infra.TableLimits
 }
 
 var _ infra.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{injector: newInjector(), rows: map[string]infra.Row{}}
+	return &Table{injector: newInjector(), rows: map[string]infra.Row{}, limits: infra.DefaultTableLimits()}
 }
 
 // Commit applies a transaction if all its conditions hold.
@@ -65,6 +67,9 @@
 }
 
 func (t *Table) commit(tx infra.Transaction) infra.CommitResult {
+	if err := t.limits.Check(&tx); err != nil {
+		return infra.CommitResult{Status: infra.CommitRejected, Reason: err.Error()}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var conflicts []infra.Row
