dispatch, control, election: rows within the store's limits, and a rejected row stops no other

Cause: the row of a job's progress listed each failed run, lost worker and run location without a bound in bytes (95,630 bytes here), and the committer repeated a transaction that the store never takes as if its outcome were unknown; each successor collected the same row.

Change: limits come from the store's client (row_bytes of the settings). Progress that doesn't fit a row goes to pages, each true alone, with a header that earlier releases can't decode, so that they skip the job. Batches count bytes; parts of the roster, rows of new jobs, ends and the owner's row are bounded.

Why it holds: TestProgressOfLargestJobsFitsRows fills all lists of the largest accepted jobs (one step, 64 steps, 10,000 occurrences) at once, with 1, 3 and 17 attempts; without pages it fails, as does TestFailedRunsOfLargeJobDoNotStopOthers ("the value of progress/large has 95630 bytes").

--- a/control/commit.go
+++ b/control/commit.go
@@ -66,13 +66,13 @@
 	hosts := 1 + len(o.candidates.RelayHosts(start))
 	o.committer.SetHosts(election.ReferenceCores(o.opts.Cores, best, o.inheritedReference, start-o.ownedSince),
 		election.ReferenceHosts(hosts, o.inheritedHosts, start-o.ownedSince))
-	err := o.commitBatch(o.ctx, b, began)
+	parts, err := o.commitParts(o.ctx, b, began)
 	o.opts.Metrics.commit(err, boottime()-start)
 	if err != nil {
 		o.quit(errors.Wrap(err, "commit"))
 		return
 	}
-	if b.RosterEpochs {
+	if parts.rosterEpochs {
 		o.epochsDurable.Store(true)
 	}
 	o.recordCommit(start)
@@ -80,8 +80,7 @@
 		o.endOutage(true)
 		o.committing = false
 		o.state.ConfirmOwnership(began)
-		o.state.MarkFlushed(b)
-		o.notifyDurable()
+		o.handleCommitted(parts)
 		if f := o.afterCommit; f != nil {
 			o.afterCommit = nil
 			f()
@@ -89,6 +88,68 @@
 	})
 }
 
+// handleCommitted marks the applied parts of a batch as durable and sets aside those that the
+// table service rejects for good.
+func (o *Owner) handleCommitted(p committedParts) {
+	for _, b := range p.applied {
+		if b.Unlisted > 0 {
+			event.RosterFull.Log(o.opts.Log, slog.Int("workers", b.Unlisted))
+		}
+		o.state.MarkFlushed(b)
+	}
+	for _, r := range p.rejected {
+		keys, largest := r.batch.Keys()
+		event.RowsRejected.Log(o.opts.Log, slog.Any("keys", keys), slog.Int("largest_bytes", largest), slog.Any("err", r.err))
+		o.opts.Metrics.rowsRejected.Add(float64(len(keys)))
+		if id := o.state.SetAside(time.Now(), r.batch); id != "" {
+			o.notifyWaiters(id, refusal(maxRetryAfter))
+		}
+	}
+	o.notifyDurable()
+}
+
+// committedParts are the parts of a batch after its commit.
+type committedParts struct {
+	applied []*dispatch.Batch
+	// rejected holds the parts that the table service will never apply.
+	rejected []rejectedBatch
+	// rosterEpochs is set if the owner's row now says that the roster tells the epochs.
+	rosterEpochs bool
+}
+
+// rejectedBatch is a batch with the answer of the table service.
+type rejectedBatch struct {
+	batch *dispatch.Batch
+	err   error
+}
+
+// commitParts commits a batch that began at a time. If the table service rejects it for good, it
+// commits its halves, and so on until only the parts are left that are rejected by themselves.
+func (o *Owner) commitParts(ctx context.Context, b *dispatch.Batch, began time.Time) (done committedParts, err error) {
+	waiting := []*dispatch.Batch{b}
+	for len(waiting) > 0 {
+		part := waiting[0]
+		waiting = waiting[1:]
+		if len(done.rejected) > 0 {
+			part.Withhold()
+		}
+		err := o.commitBatch(ctx, part, began)
+		switch {
+		case err == nil:
+			done.applied = append(done.applied, part)
+			done.rosterEpochs = done.rosterEpochs || part.RosterEpochs
+		case !errors.Is(err, election.ErrRejected) || len(part.Writes) == 0:
+			return done, err
+		case part.Divisible():
+			first, second := part.Split()
+			waiting = append([]*dispatch.Batch{first, second}, waiting...)
+		default:
+			done.rejected = append(done.rejected, rejectedBatch{part, err})
+		}
+	}
+	return done, nil
+}
+
 // commitBatch writes a batch together with the owner's row in a commit that began at a time.
 func (o *Owner) commitBatch(ctx context.Context, b *dispatch.Batch, began time.Time) error {
 	o.earlier.WorkersRemoved(b.RemovedWorkers())
--- a/control/heldworkers_test.go
+++ b/control/heldworkers_test.go
@@ -44,6 +44,8 @@
 
 // List implements Members.
 func (h *heldWorkers) List(context.Context) ([]runner.Worker, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	var all []runner.Worker
 	for _, id := range h.order {
 		all = append(all, runner.Worker{
--- a/control/load.go
+++ b/control/load.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -38,12 +40,12 @@
 	defer cancel(nil)
 	o.recordLoadProgress()
 	go o.endStalledLoad(ctx, cancel)
-	rows, err := o.scanAll(ctx, dispatch.ProgressPrefix, dispatch.JobPrefix, dispatch.RosterPrefix, dispatch.EndsPrefix)
+	rows, err := o.scanAll(ctx, dispatch.ProgressPrefix, dispatch.JobPrefix, dispatch.RosterPrefix, dispatch.EndsPrefix, dispatch.PagesPrefix)
 	if err != nil {
 		return err
 	}
 	jobs, roster := rows[1], rows[2]
-	progress, ends := byJob(rows[0], dispatch.ProgressPrefix), byJob(rows[3], dispatch.EndsPrefix)
+	stored := storedJobs{progress: byJob(rows[0], dispatch.ProgressPrefix), ends: byJob(rows[3], dispatch.EndsPrefix), pages: pagesByJob(rows[4])}
 	for i, row := range jobs {
 		if i%jobsPerLoadCheck == 0 {
 			o.recordLoadProgress()
@@ -51,7 +53,10 @@
 				return err
 			}
 		}
-		o.restoreJob(row, progress, ends)
+		o.restoreJob(row, &stored)
+	}
+	for id, pages := range stored.pages { // of no job
+		o.state.RestorePages(id, slices.Collect(maps.Keys(pages)))
 	}
 	if err := o.loadEstimates(ctx); err != nil {
 		return err
@@ -93,15 +98,38 @@
 	return found
 }
 
+// storedJobs holds rows about jobs by their IDs, pages of progress also by their numbers.
+type storedJobs struct {
+	progress, ends map[string]infra.Row
+	pages          map[string]map[int][]byte
+}
+
+// pagesByJob returns the values of pages of progress by their jobs and numbers.
+func pagesByJob(rows []infra.Row) map[string]map[int][]byte {
+	found := map[string]map[int][]byte{}
+	for _, row := range rows {
+		id, page, ok := dispatch.ParsePageKey(row.Key)
+		if !ok {
+			continue
+		}
+		if found[id] == nil {
+			found[id] = map[int][]byte{}
+		}
+		found[id][page] = row.Value
+	}
+	return found
+}
+
 // restoreJob restores a job from its rows. Jobs whose rows can't be decoded are
 // skipped; ends of their runs are kept for a release that can.
-func (o *Owner) restoreJob(row infra.Row, progress, ends map[string]infra.Row) {
+func (o *Owner) restoreJob(row infra.Row, stored *storedJobs) {
 	id := strings.TrimPrefix(row.Key, dispatch.JobPrefix)
-	recorded := o.decodeEnds(ends[id])
+	recorded, pages := o.decodeEnds(stored.ends[id]), stored.pages[id]
+	delete(stored.pages, id)
 	job, err := dispatch.DecodeJobRow(row.Value)
 	var p *dispatch.ProgressRow
-	if found, ok := progress[id]; ok && err == nil {
-		p, err = dispatch.DecodeProgressRow(found.Value)
+	if found, ok := stored.progress[id]; ok && err == nil {
+		p, err = dispatch.DecodeProgress(&job.Job, found.Value, pages)
 	}
 	if err != nil {
 		event.RowUnreadable.Log(o.opts.Log, slog.Any("key", row.Key), slog.Any("err", err))
@@ -110,6 +138,9 @@
 	}
 	now := time.Now()
 	o.state.RestoreJob(now, now.UnixMilli(), job, p)
+	if !p.Paged() {
+		o.state.RestorePages(id, slices.Collect(maps.Keys(pages)))
+	}
 	if recorded != nil {
 		o.state.RestoreEnds(now, id, recorded)
 	}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -49,6 +49,8 @@
 	acceptedLate *prometheus.CounterVec
 	refusals     *prometheus.CounterVec
 	retryDelay   prometheus.Histogram
+	// rowsRejected counts rows that the table service has rejected for good.
+	rowsRejected prometheus.Counter
 }
 
 // latencyBuckets range from a millisecond to a few seconds.
@@ -69,7 +71,7 @@
 		m.losses, m.givenUp, m.newLives, m.zonesClosed, m.startsHeldBack, m.detoured, m.planDuration, m.loopSeconds, m.tickDelay, m.traffic,
 		m.withdrawn, m.outage, m.slowWorkers, m.slowMoves, m.slowCopies,
 		m.short, m.cpuSeconds,
-		m.backlogWork, m.backlogWait, m.acceptedLate, m.refusals, m.retryDelay,
+		m.backlogWork, m.backlogWait, m.acceptedLate, m.refusals, m.retryDelay, m.rowsRejected,
 	)
 	r.MustRegister(m.shares.collectors()...)
 	return m
@@ -104,6 +106,9 @@
 	m.owner = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "fireflygate_domain_owner", Help: "1 while this host owns the domain.",
 	})
+	m.rowsRejected = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflygate_rows_rejected_total", Help: "Rows that the table service has rejected for good.",
+	})
 	m.takeovers = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "fireflygate_takeovers_total", Help: "Times that this host took the domain over.",
 	})
--- a/control/owner.go
+++ b/control/owner.go
@@ -11,6 +11,7 @@
 	"github.com/fireflygate/fireflygate/election"
 	"github.com/fireflygate/fireflygate/event"
 	"github.com/fireflygate/fireflygate/flow"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/overload"
 	"github.com/fireflygate/fireflygate/relay"
 	"github.com/fireflygate/fireflygate/runner"
@@ -159,6 +160,7 @@
 	o.state = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: min(election.Lease, opts.MaxLease), MaxLease: opts.MaxLease,
 		Retention: opts.Retention, NoCapacityPause: noCapacityPause, TailBound: opts.TailBound, WorkerPace: opts.WorkerPace, Disabled: opts.Disabled,
+		Limits: infra.LimitsOf(opts.Table),
 	})
 	o.cpuUsed = readCPUTime()
 	o.setEarlierOrders()
--- a/control/refuse.go
+++ b/control/refuse.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflygate/fireflygate/dispatch"
 	"github.com/fireflygate/fireflygate/event"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/workload"
 )
 
@@ -29,12 +30,14 @@
 	refusedOutage = "store_unavailable"
 	// refusedMemory: the owner has no memory for the job.
 	refusedMemory = "owner_memory"
+	// refusedSize: the job's row is larger than a row may be.
+	refusedSize = "job_size"
 	// refusedStarts: too many task starts are waiting.
 	refusedStarts = "start_backlog"
 )
 
 // refuse returns the reply to a new job that is refused: while the table service is
-// unavailable, if this host has no memory for its state, if all availability zones with its workers are closed, if it would expire
+// unavailable, if this host has no memory for its state or the store no row for it, if all availability zones with its workers are closed, if it would expire
 // before there is capacity for it, or if too many task starts are waiting. It returns
 // false if the job may be accepted. deadline is the end of the caller's time limit, zero
 // if unknown.
@@ -48,6 +51,11 @@
 	if r, refused := o.refuseForMemory(spec, q); refused {
 		return r, true
 	}
+	if err := dispatch.CheckSize(spec, q, infra.LimitsOf(o.opts.Table)); err != nil {
+		o.opts.Metrics.refused(q.Name, refusedSize)
+		event.JobTooLarge.Log(o.opts.Log, slog.String("job", spec.ID), slog.Any("err", err))
+		return refusal(maxRetryAfter), true
+	}
 	if !spec.Timed() && o.state.AllClosed(q) {
 		o.opts.Metrics.refused(q.Name, refusedClosed)
 		event.PoolClosed.Log(o.opts.Log, slog.String("job", spec.ID), slog.String("queue", q.Name))
--- a/control/resign.go
+++ b/control/resign.go
@@ -57,15 +57,15 @@
 	o.committing, o.closed = true, true
 	o.lastCommit = now
 	go func() {
-		if err := o.commitBatch(ctx, b, now); err != nil {
+		parts, err := o.commitParts(ctx, b, now)
+		if err != nil {
 			event.ResignFailed.Log(o.opts.Log, slog.Any("err", err))
 			o.quit(errors.Wrap(err, "last commit"))
 			return
 		}
 		o.post(func() {
 			o.endOutage(true)
-			o.state.MarkFlushed(b)
-			o.notifyDurable()
+			o.handleCommitted(parts)
 			o.released.Store(true) // its successor doesn't wait for orders after the resignation
 			go o.releaseDomain(ctx)
 		})
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -1,9 +1,14 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/fireflygate/fireflygate/admission"
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/workload"
 )
@@ -28,6 +33,41 @@
 	return d
 }
 
+// What a job's row takes at most besides names and the payload, for each step and dependency.
+const (
+	fixedRowBytes      = 1 << 10
+	stepRowBytes       = 256
+	dependencyRowBytes = 9
+)
+
+// jobRowBytes bounds the size of a job's row, without encoding it.
+func jobRowBytes(spec *workload.Job, q *workload.Queue) int {
+	size := fixedRowBytes + len(spec.ID) + len(spec.Queue) + len(spec.Payload) + len(q.Name) + len(q.Pool)
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		size += stepRowBytes + dependencyRowBytes*len(s.After) + len(s.Label) + len(s.DataRack) + len(s.Image)
+	}
+	return size
+}
+
+// CheckSize returns an error for a new job whose row would be larger than the table service
+// takes: long names in many steps.
+func CheckSize(spec *workload.Job, q workload.Queue, limits infra.TableLimits) error {
+	if jobRowBytes(spec, &q) <= limits.RowBytes {
+		return nil
+	}
+	row := JobRow{Job: *spec, Queue: q}
+	row.Job.Submitted = math.MaxInt64 // it may not be set yet
+	value, err := msgpack.Marshal(row)
+	if err != nil {
+		return errors.Wrap(err, "encode job row")
+	}
+	if len(value) > limits.RowBytes {
+		return errors.Newf("the job takes %d bytes, want %d at most", len(value), limits.RowBytes)
+	}
+	return nil
+}
+
 // load returns what a new job of a class of queues would find.
 func (s *State) load(now time.Time, l *backlog) admission.Load {
 	s.countBacklogs(now)
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflygate/fireflygate/infra"
 	"github.com/fireflygate/fireflygate/mechanism"
 )
 
@@ -23,6 +24,8 @@
 	// NoCapacityPause is how long a worker that refused a start for lack of
 	// capacity gets no new tasks.
 	NoCapacityPause time.Duration
+	// Limits are those of the table service; zero fields stand for the defaults.
+	Limits infra.TableLimits
 	// WorkerPace is set where workers may be slow while they report that they are
 	// healthy; their speed is then learned.
 	WorkerPace bool
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -19,65 +19,13 @@
 	ProgressPrefix = "progress/"
 	// RosterPrefix begins the key of a part of the roster; its number follows.
 	RosterPrefix = "roster/"
+	// PagesPrefix begins the key of a page of a job's progress; the job's ID, a slash and the
+	// page's number follow.
+	PagesPrefix = "pages/"
 	// EstimatesKey is the key of the interference estimates.
 	EstimatesKey = "lessons"
 )
 
-// Batch is a set of changes that are committed together.
-type Batch struct {
-	Writes []infra.Write
-	// RosterEpochs is set if the owner's row must say from this commit on that the roster
-	// tells in which epochs workers got leases.
-	RosterEpochs bool
-	// RosterChanged is set if the owner's row must say from this commit on that this owner
-	// may have added workers to the roster or removed some.
-	RosterChanged bool
-	// Unleased holds the workers that the owner's row names from this commit on as those that
-	// get no leases. UnleasedChanged is set if they are others than before.
-	Unleased        []UnleasedWorker
-	UnleasedChanged bool
-	// jobs holds the jobs of the batch with the states that it writes.
-	jobs []batchJob
-	// roster holds the workers in the roster parts that it writes.
-	roster []rosterEntry
-	// removed counts, by part of the roster that it writes, the workers removed before.
-	removed map[int]int
-	// ends holds the ends that are durable once the batch is.
-	ends []durableEnds
-}
-
-// RemovedWorkers returns the number of workers that the batch removes from the roster.
-func (b *Batch) RemovedWorkers() int {
-	removed := 0
-	for _, n := range b.removed {
-		removed += n
-	}
-	return removed
-}
-
-// durableEnds says up to which number the ends of a life of a worker are durable.
-type durableEnds struct {
-	life   *life
-	number uint64
-}
-
-// rosterEntry is a worker as a batch writes it to the roster.
-type rosterEntry struct {
-	id, address string
-	leasedIn    uint64
-}
-
-// batchJob is a job as a batch writes it.
-type batchJob struct {
-	job   *job
-	state workload.State
-	// locations holds, by task, the hashes of the workers of its runs.
-	locations map[*task][]uint32
-}
-
-// Empty reports whether the batch changes nothing.
-func (b *Batch) Empty() bool { return len(b.Writes) == 0 && len(b.ends) == 0 && !b.RosterEpochs }
-
 // Flush collects the changes that must become durable, in at most limit writes.
 // The caller commits the batch and passes it to MarkFlushed, or discards the
 // State.
@@ -94,7 +42,9 @@
 
 // needsUrgentFlush reports whether a caller may wait for the job's change to
 // become durable.
-func (j *job) needsUrgentFlush() bool { return j.urgent || !j.rowStored || j.state.Final() }
+func (j *job) needsUrgentFlush() bool {
+	return j.flushable() && (j.urgent || !j.rowStored || j.state.Final())
+}
 
 // HasUrgentChanges reports whether FlushUrgent would collect anything.
 func (s *State) HasUrgentChanges() bool {
@@ -113,7 +63,7 @@
 // If no changed job remains, it also collects the ends that may be acknowledged
 // once the batch is durable, and deletes expired jobs.
 func (s *State) flush(now time.Time, limit int, include func(*job) bool) (*Batch, error) {
-	b := &Batch{RosterChanged: s.roster.changed}
+	b := &Batch{RosterChanged: s.roster.changed, left: newWriteBudget(s.limits(), limit)}
 	if err := s.flushRoster(now, b); err != nil {
 		return nil, err
 	}
@@ -124,90 +74,97 @@
 			return nil, err
 		}
 	}
-	var remaining []*job
-	for _, j := range s.dirty {
-		if len(b.Writes)+j.maxWrites() > limit || !include(j) {
-			remaining = append(remaining, j)
-			continue
-		}
-		if err := b.addJob(j); err != nil {
-			return nil, err
-		}
-		j.dirty, j.urgent = false, false
+	complete, err := s.flushJobs(now, b, include)
+	if err != nil {
+		return nil, err
 	}
-	s.dirty = remaining
-	complete, err := s.flushUnreadable(b, limit)
+	unreadableComplete, err := s.flushUnreadable(b)
 	if err != nil {
 		return nil, err
 	}
-	if len(s.dirty) == 0 && complete {
+	if complete && unreadableComplete {
 		b.ends = s.unacknowledged()
-		s.flushExpired(now, b, limit)
+		s.flushExpired(now, b)
 	}
 	return b, nil
 }
 
-// maxWrites is the maximum number of writes of addJob.
-func (j *job) maxWrites() int {
-	if j.hasEndsRow {
-		return 3
+// flushJobs collects the changed jobs for which include returns true. It returns false if a
+// changed job remains, not counting those that are set aside, whose ends it collects instead.
+func (s *State) flushJobs(now time.Time, b *Batch, include func(*job) bool) (complete bool, err error) {
+	complete = true
+	var remaining []*job
+	for _, j := range s.dirty {
+		if !j.aside.until.IsZero() && !now.Before(j.aside.until) {
+			j.aside.until = time.Time{}
+		}
+		if j.aside.waits(now, j.state) {
+			remaining = append(remaining, j)
+			written, err := s.flushEndsOf(b, j)
+			if err != nil {
+				return false, err
+			}
+			complete = complete && written
+			continue
+		}
+		collected := false
+		if include(j) {
+			if collected, err = s.collectJob(b, j); err != nil {
+				return false, err
+			}
+		}
+		if !collected {
+			remaining, complete = append(remaining, j), false
+			continue
+		}
+		j.dirty, j.urgent = false, false
 	}
-	return 2
+	s.dirty = remaining
+	return complete, nil
 }
 
-// addJob writes a job's progress and, the first time, its row. The run
-// locations in the row count as durable from now on: a later owner may read
-// them before this one learns that the commit succeeded.
-func (b *Batch) addJob(j *job) error {
+// limits returns the limits of the table service.
+func (s *State) limits() infra.TableLimits { return s.cfg.Limits.OrDefault() }
+
+// collectJob writes a job's progress and, the first time, its row. It returns false if the
+// batch has no room for all of it.
+func (s *State) collectJob(b *Batch, j *job) (complete bool, err error) {
+	f := &batchJob{job: j, state: j.state, deletesEnds: j.hasEndsRow}
+	var writes []infra.Write
 	if !j.rowStored {
 		value, err := msgpack.Marshal(JobRow{Job: *j.spec, Queue: j.queue})
 		if err != nil {
-			return errors.Wrap(err, "encode job row")
+			return false, errors.Wrap(err, "encode job row")
 		}
-		b.Writes = append(b.Writes, infra.Write{Key: JobPrefix + j.spec.ID, Value: value})
+		writes = append(writes, infra.Write{Key: JobPrefix + j.spec.ID, Value: value})
+	}
+	if j.hasEndsRow {
+		writes = append(writes, infra.Write{Key: EndsPrefix + j.spec.ID, Delete: true})
 	}
+	if j.pages.active && !j.state.Final() {
+		return s.collectPages(b, f, writes)
+	}
+	f.stateWritten, f.complete = true, true
 	if j.rowStored || j.state != workload.Queued {
 		value, err := msgpack.Marshal(j.progress())
 		if err != nil {
-			return errors.Wrap(err, "encode progress row")
+			return false, errors.Wrap(err, "encode progress row")
+		}
+		if len(value) > s.limits().RowBytes {
+			j.pages.begin(s.limits())
+			return s.collectPages(b, f, writes)
 		}
-		b.Writes = append(b.Writes, infra.Write{Key: ProgressPrefix + j.spec.ID, Value: value})
+		writes = append(writes, infra.Write{Key: ProgressPrefix + j.spec.ID, Value: value})
 	}
-	if j.hasEndsRow {
-		b.Writes = append(b.Writes, infra.Write{Key: EndsPrefix + j.spec.ID, Delete: true})
-		j.hasEndsRow = false
+	if !b.add(batchUnit{job: f}, writes...) {
+		return false, nil
 	}
-	locations := j.locations()
-	for t, workers := range locations {
-		t.locations = appendMissing(t.locations, workers)
+	j.hasEndsRow = false
+	if !j.state.Final() {
+		j.eachTask(f.collectTask)
 	}
-	b.jobs = append(b.jobs, batchJob{j, j.state, locations})
 	j.collected = true
-	return nil
-}
-
-// appendMissing appends the hashes that aren't in the list yet.
-func appendMissing(hashes, more []uint32) []uint32 {
-	for _, hash := range more {
-		if !slices.Contains(hashes, hash) {
-			hashes = append(hashes, hash)
-		}
-	}
-	return hashes
-}
-
-// locations returns, by task, the hashes of the workers of the job's runs.
-func (j *job) locations() map[*task][]uint32 {
-	if j.state.Final() {
-		return nil
-	}
-	locations := map[*task][]uint32{}
-	j.eachTask(func(t *task) {
-		for _, r := range t.runs {
-			locations[t] = append(locations[t], r.worker.hash)
-		}
-	})
-	return locations
+	return true, nil
 }
 
 // unacknowledged returns the recorded ends that may be acknowledged and aren't durable.
@@ -226,24 +183,29 @@
 const expiredFlushInterval = 500 * time.Millisecond
 
 // flushExpired removes jobs that finished more than Retention ago, and deletes
-// their rows.
-func (s *State) flushExpired(now time.Time, b *Batch, limit int) {
+// their rows and those that no job has.
+func (s *State) flushExpired(now time.Time, b *Batch) {
 	if now.Sub(s.expiredFlushedAt) < expiredFlushInterval {
 		return
 	}
 	s.expiredFlushedAt = now
 	for id, j := range s.jobs {
-		if len(b.Writes)+2 > limit {
-			return
+		if !j.state.Final() || j.durable != j.state || now.Sub(j.finishedAt) <= s.cfg.Retention || j.hasRuns() {
+			continue
 		}
-		if j.state.Final() && j.durable == j.state && now.Sub(j.finishedAt) > s.cfg.Retention && !j.hasRuns() {
-			s.removeJob(id)
-			b.Writes = append(b.Writes,
-				infra.Write{Key: JobPrefix + id, Delete: true}, infra.Write{Key: ProgressPrefix + id, Delete: true})
+		if !j.deletePages(b) || !b.add(batchUnit{}, deletionOf(JobPrefix+id), deletionOf(ProgressPrefix+id)) {
+			return
 		}
+		s.removeJob(id)
+	}
+	for len(s.orphans) > 0 && b.add(batchUnit{}, deletionOf(s.orphans[0])) {
+		s.orphans = s.orphans[1:]
 	}
 }
 
+// deletionOf returns the write that deletes a row.
+func deletionOf(key string) infra.Write { return infra.Write{Key: key, Delete: true} }
+
 // hasRuns reports whether a run of the job may be alive.
 func (j *job) hasRuns() bool {
 	found := false
@@ -255,31 +217,49 @@
 // start, workers that it added to the roster may get orders, and the ends that it
 // covers are acknowledged to their workers.
 func (s *State) MarkFlushed(b *Batch) {
-	for _, f := range b.jobs {
-		f.job.rowStored = true
-		f.job.durable = f.state
-		f.job.eachTask(func(t *task) {
-			t.locations = f.locations[t]
-			t.markStored(t.locations)
-		})
+	for _, f := range b.jobs() {
+		f.markFlushed()
 	}
-	for _, e := range b.roster {
-		if w := s.workers[e.id]; w != nil {
-			w.inRoster = w.inRoster || e.address == w.info.Address
-			w.leasable = w.leasable || e.leasedIn == s.cfg.Epoch
+	for i := range b.units {
+		if r := b.units[i].roster; r != nil {
+			s.markListed(r)
 		}
 	}
 	s.markUnleased(b)
-	for part, n := range b.removed {
-		s.removedUnwritten[part] -= n
-	}
 	for _, e := range b.ends {
 		e.life.acknowledged = max(e.life.acknowledged, e.number)
 	}
 }
 
+// markFlushed records that what a batch wrote of the job is durable.
+func (f *batchJob) markFlushed() {
+	j := f.job
+	j.rowStored = true
+	if f.stateWritten {
+		j.durable = f.state
+	}
+	if f.state.Final() {
+		j.eachTask(func(t *task) { t.locations = nil })
+	}
+	j.pages.markStored(f)
+	if f.complete {
+		j.aside = setAside{}
+	}
+}
+
+// markListed records that a part of the roster is durable.
+func (s *State) markListed(r *batchRoster) {
+	for _, e := range r.workers {
+		if w := s.workers[e.id]; w != nil {
+			w.inRoster = w.inRoster || e.address == w.info.Address
+			w.leasable = w.leasable || e.leasedIn == s.cfg.Epoch
+		}
+	}
+	s.removedUnwritten[r.part] -= r.removed
+}
+
 // HasUnflushedChanges reports whether any change isn't durable yet.
 func (s *State) HasUnflushedChanges() bool {
-	return len(s.dirty) > 0 || len(s.dirtyRosterParts) > 0 ||
+	return slices.ContainsFunc(s.dirty, (*job).flushable) || len(s.dirtyRosterParts) > 0 ||
 		slices.ContainsFunc(s.byID(), func(w *worker) bool { return w.ends.prefix > w.acknowledged })
 }
--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,54 +15,109 @@
 	"github.com/fireflygate/fireflygate/runner"
 )
 
-// rosterParts is the number of rows that hold the roster. It keeps a row below
-// the 64 KB limit with 20,000 workers, and a change of one worker rewrites only
+// rosterParts is the number of rows that hold the roster. A change of one worker rewrites only
 // one row.
 const rosterParts = 64
 
 // rosterPart returns the part of the roster that holds a worker.
 func (w *worker) rosterPart() int { return int(w.hash % rosterParts) }
 
-// maxRosterWrites bounds the parts of the roster in one batch. With 20,000 workers these
-// are 0.8 MB, below the 1 MB limit of a transaction.
-const maxRosterWrites = 32
-
-// flushRoster writes the parts of the roster that have changed, at most maxRosterWrites.
+// flushRoster writes the parts of the roster that have changed, as far as there is room in the
+// batch.
 func (s *State) flushRoster(now time.Time, b *Batch) error {
+	s.collectRosterAside(now)
 	if len(s.dirtyRosterParts) == 0 {
 		return nil
 	}
-	parts := map[int]*RosterRow{}
-	for part := range s.dirtyRosterParts {
-		if len(parts) == maxRosterWrites {
-			break
+	members := map[int][]*worker{}
+	for _, w := range s.byID() {
+		if part := w.rosterPart(); s.dirtyRosterParts[part] {
+			members[part] = append(members[part], w)
+		}
+	}
+	for part := range rosterParts {
+		if !s.dirtyRosterParts[part] {
+			continue
+		}
+		written, err := s.flushRosterPart(now, b, part, members[part])
+		if err != nil {
+			return err
+		}
+		if !written {
+			return nil
 		}
-		parts[part] = &RosterRow{}
 		delete(s.dirtyRosterParts, part)
 	}
-	for _, w := range s.workers {
-		if row := parts[w.rosterPart()]; row != nil {
-			row.Workers = append(row.Workers, RosterWorker{
-				Worker:   runner.Worker{ID: w.info.ID, Incarnation: w.incarnation, Address: w.info.Address, Capacity: w.info.Capacity},
-				LeasedIn: w.leasedIn, NewLife: s.inNewLife(now, w),
-			})
-			b.roster = append(b.roster, rosterEntry{w.info.ID, w.info.Address, w.leasedIn})
+	return nil
+}
+
+// collectRosterAside marks the parts of the roster as changed that were rejected and are due
+// again, and no others of those that were rejected.
+func (s *State) collectRosterAside(now time.Time) {
+	for part, due := range s.rosterAside {
+		if now.Before(due) {
+			delete(s.dirtyRosterParts, part)
+			continue
+		}
+		s.dirtyRosterParts[part] = true
+		delete(s.rosterAside, part)
+	}
+}
+
+// flushRosterPart writes a part of the roster with its workers. It returns false if there is no
+// room for it in the batch.
+func (s *State) flushRosterPart(now time.Time, b *Batch, part int, workers []*worker) (bool, error) {
+	u := &batchRoster{part: part, removed: s.removedUnwritten[part]}
+	write := infra.Write{Key: RosterPrefix + strconv.Itoa(part), Delete: len(workers) == 0}
+	unlisted := 0
+	if !write.Delete {
+		value, listed, err := s.encodeRosterPart(now, workers)
+		if err != nil {
+			return false, err
+		}
+		write.Value, unlisted = value, len(workers)-len(listed)
+		for _, w := range listed {
+			u.workers = append(u.workers, rosterEntry{w.info.ID, w.info.Address, w.leasedIn})
 		}
 	}
-	b.removed = map[int]int{}
-	for part, row := range parts {
-		b.removed[part] = s.removedUnwritten[part]
-		write := infra.Write{Key: RosterPrefix + strconv.Itoa(part), Delete: len(row.Workers) == 0}
-		if !write.Delete {
-			value, err := msgpack.Marshal(row)
-			if err != nil {
-				return errors.Wrap(err, "encode roster row")
-			}
-			write.Value = value
+	if !b.add(batchUnit{roster: u}, write) {
+		return false, nil
+	}
+	b.Unlisted += unlisted
+	return true, nil
+}
+
+// encodeRosterPart returns the value of a part of the roster, and the workers that it lists. If
+// there is no room in a row for all of them, those are left out, and get no orders, that aren't
+// listed yet.
+func (s *State) encodeRosterPart(now time.Time, workers []*worker) (value []byte, listed []*worker, err error) {
+	slices.SortStableFunc(workers, func(a, b *worker) int {
+		return cmp.Compare(btoi(b.inRoster), btoi(a.inRoster))
+	})
+	row := RosterRow{}
+	for _, w := range workers {
+		row.Workers = append(row.Workers, RosterWorker{
+			Worker:   runner.Worker{ID: w.info.ID, Incarnation: w.incarnation, Address: w.info.Address, Capacity: w.info.Capacity},
+			LeasedIn: w.leasedIn, NewLife: s.inNewLife(now, w),
+		})
+	}
+	most := s.limits().RowBytes
+	for {
+		value, err = msgpack.Marshal(&row)
+		if err != nil || len(value) <= most || len(row.Workers) == 0 {
+			return value, workers[:len(row.Workers)], errors.Wrap(err, "encode roster row")
 		}
-		b.Writes = append(b.Writes, write)
+		fits := min(len(row.Workers)*most/len(value), len(row.Workers)-1)
+		row.Workers = row.Workers[:fits]
 	}
-	return nil
+}
+
+// btoi returns 1 for true.
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // inNewLife reports whether a worker has started again under its ID shortly before.
@@ -73,14 +130,16 @@
 // on each worker.
 const estimatesInterval = 4 * time.Second
 
-// flushEstimates writes the interference estimates.
+// flushEstimates writes the interference estimates. If there is no room for them in the batch,
+// they are left to a later one.
 func (s *State) flushEstimates(now time.Time, b *Batch) error {
 	value, err := msgpack.Marshal(s.model.Export())
 	if err != nil {
 		return errors.Wrap(err, "encode interference estimates")
 	}
-	b.Writes = append(b.Writes, infra.Write{Key: EstimatesKey, Value: value})
-	s.estimatesChanged, s.estimatesFlushedAt = false, now
+	if b.add(batchUnit{estimates: true}, infra.Write{Key: EstimatesKey, Value: value}) {
+		s.estimatesChanged, s.estimatesFlushedAt = false, now
+	}
 	return nil
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -22,6 +22,10 @@
 	collected bool
 	// hasEndsRow is set while the store has a row of ends that was applied to the job.
 	hasEndsRow bool
+	// pages tells of the rows that hold its progress where one row can't.
+	pages progressPages
+	// aside is set while the table service rejects its progress.
+	aside setAside
 	// oversized is set if, as it was accepted, one of its steps needed more than any worker
 	// of its pool has. It waits for a larger worker, and not for capacity.
 	oversized bool
--- a/dispatch/packedlocations.go
+++ b/dispatch/packedlocations.go
@@ -87,13 +87,34 @@
 
 // number reads a number below 2^31.
 func (u *unpacker) number() int {
+	n := u.number64()
+	if n >= 1<<31 {
+		u.malformed, u.rest = true, nil
+		return 0
+	}
+	return int(n) //nolint:gosec // below 2^31
+}
+
+// number64 reads a number.
+func (u *unpacker) number64() uint64 {
 	n, size := binary.Uvarint(u.rest)
-	if size <= 0 || n >= 1<<31 {
+	if size <= 0 {
 		u.malformed, u.rest = true, nil
 		return 0
 	}
 	u.rest = u.rest[size:]
-	return int(n) //nolint:gosec // below 2^31
+	return n
+}
+
+// byte reads a byte.
+func (u *unpacker) byte() byte {
+	if len(u.rest) == 0 {
+		u.malformed = true
+		return 0
+	}
+	b := u.rest[0]
+	u.rest = u.rest[1:]
+	return b
 }
 
 // count reads the number of items that follow, of size bytes each or more.
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -37,6 +37,8 @@
 	// Unproven lists those of Running whose task is suspect and whose worker hasn't
 	// reported the run.
 	Unproven []RunLocation `msgpack:"u,omitempty"`
+	// pages describes the pages that it was decoded from, nil if it was in one row.
+	pages *storedPages
 }
 
 // RunLocation says that a run of a task may be alive on a worker. It is encoded
@@ -218,6 +220,9 @@
 			t.unprovenOn = append(t.unprovenOn, l.WorkerHash)
 		}
 	}
+	if p := row.pages; p != nil {
+		j.pages = progressPages{active: true, tasks: p.tasks, headerStored: true, stored: p.sums}
+	}
 	j.state, j.durable, j.reason = row.State, row.State, row.Reason
 	if row.State.Final() {
 		j.finishedAt = now
@@ -248,6 +253,7 @@
 	if progress != nil {
 		j.restore(now, *progress)
 	}
+	j.eachTask((*task).markRestored)
 	s.addJob(j)
 	if !j.state.Final() {
 		s.open = append(s.open, j)
@@ -255,6 +261,26 @@
 	}
 }
 
+// markRestored records that the progress that the task has is durable.
+func (t *task) markRestored() { t.doneStored, t.failedStored = t.done, len(t.failed) }
+
+// RestorePages tells of pages in the store that hold no progress in force of a job, which an
+// owner has written before it lost the domain or the job ended. They are deleted with the job,
+// or at once if there is no such job.
+func (s *State) RestorePages(id string, pages []int) {
+	j := s.jobs[id]
+	for _, page := range pages {
+		switch {
+		case j == nil:
+			s.orphans = append(s.orphans, pageKey(id, page))
+		case j.pages.stored == nil:
+			j.pages.stored = map[int]uint64{page: 0}
+		default:
+			j.pages.stored[page] = 0
+		}
+	}
+}
+
 // indexWorkers indexes a restored job's tasks by the workers lost under them and by
 // those where runs may be alive, and lists those under which too many were lost.
 func (s *State) indexWorkers(j *job) {
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// ownerRowBytes is the size of the owner's row in commits of a rig.
+const ownerRowBytes = 16 << 10
+
 const (
 	pool     = "pool"
 	testTick = 100 * time.Millisecond
@@ -135,13 +138,7 @@
 		if err != nil {
 			r.t.Fatal(err)
 		}
-		var progress *dispatch.ProgressRow
-		if v, ok := r.rows[dispatch.ProgressPrefix+job.Job.ID]; ok {
-			if progress, err = dispatch.DecodeProgressRow(v); err != nil {
-				r.t.Fatal(err)
-			}
-		}
-		r.state.RestoreJob(r.now, r.now.UnixMilli(), job, progress)
+		r.state.RestoreJob(r.now, r.now.UnixMilli(), job, r.progress(&job.Job))
 	}
 	rows := r.rosterRows()
 	for _, id := range roster {
@@ -153,6 +150,26 @@
 	}
 }
 
+// progress returns the committed progress of a job, nil if there is none.
+func (r *rig) progress(job *workload.Job) *dispatch.ProgressRow {
+	r.t.Helper()
+	value, ok := r.rows[dispatch.ProgressPrefix+job.ID]
+	if !ok {
+		return nil
+	}
+	pages := map[int][]byte{}
+	for key, text := range r.rows {
+		if id, page, ok := dispatch.ParsePageKey(key); ok && id == job.ID {
+			pages[page] = text
+		}
+	}
+	progress, err := dispatch.DecodeProgress(job, value, pages)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return progress
+}
+
 // sinceStart returns the time since the workers' clocks started.
 func (r *rig) sinceStart() time.Duration { return r.now.Sub(r.startedAt) }
 
@@ -215,8 +232,14 @@
 	r.state.MarkFlushed(b)
 }
 
-// write writes the rows of a batch.
+// write writes the rows of a batch, which the store takes only within its limits.
 func (r *rig) write(b *dispatch.Batch) {
+	r.t.Helper()
+	owner := infra.Write{Key: election.OwnerKey, Value: make([]byte, ownerRowBytes)}
+	tx := infra.Transaction{Conditions: []infra.Condition{{Key: election.OwnerKey}}, Writes: append([]infra.Write{owner}, b.Writes...)}
+	if err := infra.DefaultTableLimits().Check(&tx); err != nil {
+		r.t.Fatalf("the store rejects a batch: %v", err)
+	}
 	for _, w := range b.Writes {
 		if w.Delete {
 			delete(r.rows, w.Key)
--- a/dispatch/rosterepochs.go
+++ b/dispatch/rosterepochs.go
@@ -27,7 +27,7 @@
 		s.firstFlushAt = now
 	}
 	waits := len(s.awaitingReport) > 0 && now.Sub(s.firstFlushAt) < rosterEpochsDelay
-	if s.rosterEpochs || waits || len(s.dirtyRosterParts) > 0 {
+	if s.rosterEpochs || waits || len(s.dirtyRosterParts) > 0 || len(s.rosterAside) > 0 {
 		return
 	}
 	s.rosterEpochs, b.RosterEpochs = true, true
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -49,7 +49,12 @@
 	dirty       []*job
 	// dirtyRosterParts holds the parts of the roster to write again.
 	dirtyRosterParts map[int]bool
-	stops            []StopOrder
+	// rosterAside holds the parts that the table service has rejected, with the times from
+	// which they may be written again.
+	rosterAside map[int]time.Time
+	// orphans holds the keys of rows that belong to no job.
+	orphans []string
+	stops   []StopOrder
 	// model estimates the interference of best-effort tasks with serving tasks.
 	model *colocate.Model
 	// estimatesChanged is set if the model has changed since
@@ -140,7 +145,7 @@
 		cfg:      cfg,
 		model:    colocate.NewModelWithout(cfg.Disabled),
 		pace:     newPaceState(&cfg),
-		headroom: map[string]*headroom.Tracker{}, dirtyRosterParts: map[int]bool{}, removedUnwritten: map[int]int{},
+		headroom: map[string]*headroom.Tracker{}, dirtyRosterParts: map[int]bool{}, rosterAside: map[int]time.Time{}, removedUnwritten: map[int]int{},
 		queues:         map[string]workload.Queue{},
 		jobs:           map[string]*job{},
 		unreadable:     map[string]*unreadableJob{},
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -19,6 +19,10 @@
 	runs []*run
 	// failed holds the numbers of the runs that failed.
 	failed []uint64
+	// doneStored is set once it is durably done, and failedStored is the number of its
+	// failed runs that are durable.
+	doneStored   bool
+	failedStored int
 	// failedOn holds the workers of those runs, as far as this owner knows.
 	failedOn []string
 	// crashes holds the workers lost under runs of the task; of a gang, the first task
--- a/dispatch/unreadablejob.go
+++ b/dispatch/unreadablejob.go
@@ -16,10 +16,16 @@
 // couldn't decode; the job's ID follows. An owner that can decode them applies the ends.
 const EndsPrefix = "ends/"
 
-// maxUnreadableEnds bounds the ends that are kept of such a job, so that their row stays
-// below the limit of 64 KB. Its runs are stopped once they are reported, so that few end by
-// themselves.
-const maxUnreadableEnds = 2000
+// endRowBytes bounds the size of an end in the row of ends, and endsRowBytes what that row
+// needs besides.
+const (
+	endRowBytes  = 40
+	endsRowBytes = 64
+)
+
+// maxEnds is the number of ends that are kept of such a job, so that they fit a row. Its runs
+// are stopped once they are reported, so that few end by themselves.
+func (s *State) maxEnds() int { return (s.limits().RowBytes - endsRowBytes) / endRowBytes }
 
 // EndsRow is the durable form of the ends of a job whose rows the owner couldn't decode.
 type EndsRow struct {
@@ -61,7 +67,7 @@
 // acknowledged, nothing else tells a later owner that the task is done.
 func (s *State) recordUnreadable(e *runner.RunEnd) {
 	j := s.unreadable[e.Task.Job]
-	if j == nil || (e.Kind != runner.EndDone && e.Kind != runner.EndFailed) || len(j.ends) >= maxUnreadableEnds {
+	if j == nil || (e.Kind != runner.EndDone && e.Kind != runner.EndFailed) || len(j.ends) >= s.maxEnds() {
 		return
 	}
 	row := EndRow{Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: e.Task.Index, Run: e.Run, Failed: e.Kind == runner.EndFailed}
@@ -70,21 +76,20 @@
 	}
 }
 
-// flushUnreadable writes the ends of unreadable jobs. It returns false if the limit leaves
-// some to a later batch.
-func (s *State) flushUnreadable(b *Batch, limit int) (bool, error) {
+// flushUnreadable writes the ends of unreadable jobs. It returns false if there is no room in
+// the batch for some.
+func (s *State) flushUnreadable(b *Batch) (bool, error) {
 	for id, j := range s.unreadable {
 		if !j.dirty {
 			continue
 		}
-		if len(b.Writes) >= limit {
-			return false, nil
-		}
 		value, err := msgpack.Marshal(EndsRow{j.ends})
 		if err != nil {
 			return false, errors.Wrap(err, "encode ends of an unreadable job")
 		}
-		b.Writes = append(b.Writes, infra.Write{Key: EndsPrefix + id, Value: value})
+		if !b.add(batchUnit{endsOf: id}, infra.Write{Key: EndsPrefix + id, Value: value}) {
+			return false, nil
+		}
 		j.dirty = false
 	}
 	return true, nil
--- a/election/attempts.go
+++ b/election/attempts.go
@@ -108,7 +108,7 @@
 		if t.now != nil {
 			clock.shared, clock.received = res.Clock, t.now()
 		}
-		answered := res.Status == infra.CommitApplied || res.Status == infra.CommitConflict
+		answered := res.Status == infra.CommitApplied || res.Status == infra.CommitConflict || res.Status == infra.CommitRejected
 		t.results <- attempt{result: res, took: time.Since(begun), failedFast: ctx.Err() == nil, answered: answered, clock: clock}
 	}()
 }
--- a/election/committer.go
+++ b/election/committer.go
@@ -13,6 +13,10 @@
 // outcome of the commit is unknown.
 var ErrSilent = errors.New("election: no answer from the table service")
 
+// ErrRejected is returned when the table service will never apply the writes, for example
+// since a value is too large. Nothing was written.
+var ErrRejected = errors.New("election: the table service rejects the writes")
+
 // ErrDeposed is returned when another host owns the domain.
 var ErrDeposed = errors.New("election: another host owns the domain")
 
@@ -49,6 +53,10 @@
 	maxSilence time.Duration
 	// answers tells when the table service last answered.
 	answers answers
+	// rowBytes is the largest value of a row that the table service takes.
+	rowBytes int
+	// foundSeq is the sequence number in the owner's row as a conflict last showed it.
+	foundSeq uint64
 	// clock is its last reading of the table service's clock.
 	clock clockReading
 	// Now returns this host's clock, which also counts while the host is suspended. Without it
@@ -61,7 +69,10 @@
 // NewCommitter returns a Committer for the ownership record, whose row has the
 // given version.
 func NewCommitter(table infra.Table, record Record, version uint64) *Committer {
-	c := &Committer{lock: make(chan struct{}, 1), table: table, record: record, version: version, Sleep: sleep}
+	c := &Committer{
+		lock: make(chan struct{}, 1), table: table, record: record, version: version, Sleep: sleep,
+		rowBytes: infra.LimitsOf(table).RowBytes,
+	}
 	c.answers.record()
 	return c
 }
@@ -174,12 +185,31 @@
 
 // Commit applies writes together with the owner's row and retries until the
 // outcome is known. It returns nil if they were applied, ErrDeposed if another
-// host owns the domain and they never will be, and the context's error if the
-// outcome is unknown.
+// host owns the domain and they never will be, ErrRejected if the table service will
+// never apply them, and the context's error if the outcome is unknown.
 func (c *Committer) Commit(ctx context.Context, writes []infra.Write) error {
 	c.lock <- struct{}{}
 	defer c.unlock()
-	return c.commit(ctx, writes)
+	return c.commitOrReject(ctx, writes)
+}
+
+// commitOrReject is commit, which in addition makes sure of a rejection: an attempt whose
+// answer was lost may have been applied, or be applied later. The owner's row, committed
+// alone, tells whether one was, and keeps the others from being applied.
+func (c *Committer) commitOrReject(ctx context.Context, writes []infra.Write) error {
+	rejected := c.commit(ctx, writes)
+	if !errors.Is(rejected, ErrRejected) || c.effort.Attempts == 1 || len(writes) == 0 {
+		return rejected
+	}
+	seq := c.record.Seq
+	c.foundSeq = 0
+	if err := c.commit(ctx, nil); err != nil {
+		return err
+	}
+	if c.foundSeq == seq {
+		return nil
+	}
+	return rejected
 }
 
 // CommitRosterEpochs is Commit for writes with which the roster tells in which epochs
@@ -187,8 +217,13 @@
 func (c *Committer) CommitRosterEpochs(ctx context.Context, writes []infra.Write) error {
 	c.lock <- struct{}{}
 	defer c.unlock()
+	before := c.record.RosterEpochs
 	c.record.RosterEpochs = true
-	return c.commit(ctx, writes)
+	err := c.commitOrReject(ctx, writes)
+	if errors.Is(err, ErrRejected) {
+		c.record.RosterEpochs = before
+	}
+	return err
 }
 
 // repeatIntervalAfter returns the time between two attempts of a commit, given how long
@@ -207,7 +242,7 @@
 func (c *Committer) commit(ctx context.Context, writes []infra.Write) error {
 	c.record.Seq++
 	c.record.Clock = c.latestClock().Milliseconds()
-	value, err := c.record.Encode()
+	value, err := c.record.encodeWithin(c.rowBytes)
 	if err != nil {
 		return err
 	}
@@ -278,6 +313,8 @@
 		}
 	case infra.CommitNotApplied:
 		c.Sleep(ctx, retryDelay)
+	case infra.CommitRejected:
+		return false, errors.Wrap(ErrRejected, a.result.Reason)
 	case infra.CommitUnknown:
 		if a.failedFast { // e.g. connection refused
 			c.Sleep(ctx, retryDelay)
@@ -303,7 +340,7 @@
 		if !found.SameOwnership(&c.record) {
 			return false, errors.Wrapf(ErrDeposed, "epoch %d is owned by %s", found.Epoch, found.Host)
 		}
-		c.version = row.Version
+		c.version, c.foundSeq = row.Version, found.Seq
 		return found.Seq == c.record.Seq, nil
 	}
 	return false, errors.Wrap(ErrDeposed, "owner row not found")
--- a/election/effort.go
+++ b/election/effort.go
@@ -21,7 +21,7 @@
 	switch s {
 	case infra.CommitApplied, infra.CommitConflict:
 		e.Answered++
-	case infra.CommitNotApplied:
+	case infra.CommitNotApplied, infra.CommitRejected:
 		e.Refused++
 	case infra.CommitUnknown:
 	}
--- a/election/record.go
+++ b/election/record.go
@@ -66,6 +66,18 @@
 	return value, errors.Wrap(err, "encode owner row")
 }
 
+// encodeWithin returns the stored value of the row in at most the given number of bytes. Where
+// the names of hosts are long, it lists the first earlier owners as one.
+func (r *Record) encodeWithin(most int) ([]byte, error) {
+	value, err := r.Encode()
+	for err == nil && len(value) > most && len(r.Earlier) > 1 {
+		merged := r.Earlier[0].merge(&r.Earlier[1])
+		r.Earlier = append([]EarlierOwner{merged}, r.Earlier[2:]...)
+		value, err = r.Encode()
+	}
+	return value, err
+}
+
 // Decode decodes the stored value of the owner's row.
 func Decode(value []byte) (Record, error) {
 	var r Record
--- a/workload/job.go
+++ b/workload/job.go
@@ -11,7 +11,7 @@
 	// MaxSteps is the largest number of steps of one job.
 	MaxSteps = 64
 	// MaxTasks is the largest number of tasks of one job over all steps and
-	// occurrences. It keeps the job's progress within one row of the table.
+	// occurrences. It bounds the job's state at the owner and the rows of its progress.
 	MaxTasks = 20_000
 	// MaxRepeats is the largest number of occurrences of one job.
 	MaxRepeats = 10_000
@@ -42,6 +42,29 @@
 // Occurrences returns the number of times the steps run, at least one.
 func (j *Job) Occurrences() int { return max(j.Repeats, 1) }
 
+// TotalTasks returns the number of tasks over all steps and occurrences.
+func (j *Job) TotalTasks() int { return j.tasksPerOccurrence() * j.Occurrences() }
+
+func (j *Job) tasksPerOccurrence() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Tasks
+	}
+	return n
+}
+
+// TaskAt returns the ID of the task at a position, from 0 to below TotalTasks, in the order of
+// occurrences, steps and indexes.
+func (j *Job) TaskAt(position int) TaskID {
+	each := j.tasksPerOccurrence()
+	id := TaskID{Job: j.ID, Occurrence: position / each, Index: position % each}
+	for id.Index >= j.Steps[id.Step].Tasks {
+		id.Index -= j.Steps[id.Step].Tasks
+		id.Step++
+	}
+	return id
+}
+
 // Timed reports whether the job's occurrences have due times.
 func (j *Job) Timed() bool { return j.Repeats > 0 }
 
