interference: estimates fit a row

Cause: the row of interference estimates, 64 classes of 24 pairs, is larger than a row where names of images are long (up to 256 bytes: over 400 KB), and is part of each batch that is due; the rejected transaction was repeated.

Change: interference.Encode keeps the pairs that were observed last in each class, as many as fit. The format is unchanged.

--- a/dispatch/flushroster.go
+++ b/dispatch/flushroster.go
@@ -130,12 +130,12 @@
 // on each worker.
 const estimatesInterval = 4 * time.Second
 
-// flushEstimates writes the interference estimates. If there is no room for them in the batch,
-// they are left to a later one.
+// flushEstimates writes the interference estimates, as many as fit a row. If there is no room
+// for them in the batch, they are left to a later one.
 func (s *State) flushEstimates(now time.Time, b *Batch) error {
-	value, err := msgpack.Marshal(s.model.Export())
+	value, err := interference.Encode(s.model.Export(), s.limits().RowBytes)
 	if err != nil {
-		return errors.Wrap(err, "encode interference estimates")
+		return err
 	}
 	if b.add(batchUnit{estimates: true}, infra.Write{Key: EstimatesKey, Value: value}) {
 		s.estimatesChanged, s.estimatesFlushedAt = false, now
--- a/interference/export.go
+++ b/interference/export.go
@@ -27,6 +27,8 @@
 type PairWeight struct {
 	BatchClass string `msgpack:"o"`
 	Weight     Weight `msgpack:"w"`
+	// lastSeen is the time at which the pair was last observed, on the clock of its class.
+	lastSeen uint64
 }
 
 // Export returns the estimates in order of class. Covariances between weights
@@ -39,7 +41,7 @@
 			e.Common = append(e.Common, s.weight(i))
 		}
 		for batchClass, p := range s.pairs {
-			e.Pairs = append(e.Pairs, PairWeight{BatchClass: batchClass, Weight: s.weight(p.feature)})
+			e.Pairs = append(e.Pairs, PairWeight{BatchClass: batchClass, Weight: s.weight(p.feature), lastSeen: p.lastSeen})
 		}
 		slices.SortFunc(e.Pairs, func(a, b PairWeight) int { return strings.Compare(a.BatchClass, b.BatchClass) })
 		all = append(all, e)
