control: stops and starts to one worker go out in several lanes, none is dropped

Cause: orders to a worker went out one after another, 256 at most waited, and stops beyond that were dropped without a count until a later report. Ruled out: a longer queue alone (1,000 stops at 3 ms take 3 s).

Change: stops and starts wait in sets of their own; stops first, one per run; extra lanes send them while those that wait would take over 100 ms by the measured round trip, at most 31 for a worker and 256 in all, none for a worker that doesn't answer. A stop that is refused for its token is sent again at once. Other orders keep their sequence; dropped ones are counted.

--- a/control/orders.go
+++ b/control/orders.go
@@ -24,21 +24,6 @@
 	}
 }
 
-// enqueue queues an order for a worker; it returns false if the queue is full
-// or the worker has no session.
-func (o *Owner) enqueue(worker string, f func(context.Context)) bool {
-	s := o.sessions[worker]
-	if s == nil {
-		return false
-	}
-	select {
-	case s.orders <- f:
-		return true
-	default:
-		return false
-	}
-}
-
 // issueStart queues a start. A start that has become outdated in the queue, or was
 // withdrawn by the state, isn't sent.
 func (o *Owner) issueStart(s dispatch.StartOrder) {
@@ -46,10 +31,12 @@
 	issuedAt := boottime()
 	o.traffic.StartIssued()
 	s.Sending.Queue()
-	if session != nil {
-		session.raiseToken(s.Start.Token)
+	if session == nil {
+		o.handleStartAnswer(s, runner.Answer{Status: runner.Unhealthy}, flow.RoundTrip{})
+		return
 	}
-	queued := o.enqueue(s.Worker.ID, func(ctx context.Context) {
+	session.raiseToken(s.Start.Token)
+	session.orders.pushStart(func(ctx context.Context) answered {
 		a, rt := runner.Answer{Status: runner.NotSent}, flow.RoundTrip{}
 		if o.maySend(ctx, session, &s, issuedAt) {
 			a, rt = o.traffic.send(ctx, 0, func(ctx context.Context) runner.Answer {
@@ -57,17 +44,24 @@
 			})
 		}
 		o.post(func() { o.handleStartAnswer(s, a, rt) })
+		return newAnswered(a.Status, rt)
 	})
-	if !queued {
-		o.handleStartAnswer(s, runner.Answer{Status: runner.Unhealthy}, flow.RoundTrip{})
-	}
+	session.notify()
+}
+
+// newAnswered describes an order whose worker gave an answer with the given status.
+func newAnswered(status runner.Status, rt flow.RoundTrip) answered {
+	return answered{sent: rt.Duration > 0, ok: status != runner.Unknown}
 }
 
 // maySend decides, right before a queued start is sent, whether it is still to be sent.
 // If it returns true, the state counts the start as sent.
 func (o *Owner) maySend(ctx context.Context, session *session, s *dispatch.StartOrder, issuedAt time.Duration) bool {
-	return ctx.Err() == nil && session.token.Load() == s.Start.Token && o.ownershipValid() && !o.refused() &&
-		boottime()-issuedAt < o.traffic.maxStartDelay() && s.Sending.Begin()
+	inTime := boottime()-issuedAt < o.traffic.maxStartDelay()
+	if !inTime || ctx.Err() != nil || session.token.Load() != s.Start.Token || !o.ownershipValid() || o.refused() {
+		return false
+	}
+	return s.Sending.Begin()
 }
 
 // handleStartAnswer handles the answer to a start. It polls the worker if it is
@@ -100,25 +94,41 @@
 	s.token.Store(renewal.Token)
 	o.logAcknowledgment(s, &renewal)
 	p := poll{worker: w, renewal: renewal}
-	o.enqueue(id, func(ctx context.Context) {
+	queued := s.orders.push(func(ctx context.Context) answered {
 		if ctx.Err() != nil {
-			return // the session has ended
+			return answered{} // the session has ended
 		}
 		a, rt := o.sendPoll(ctx, s, p)
 		o.post(func() { o.handlePoll(s, p, a, rt) })
+		return newAnswered(a.answer.Status, rt)
 	})
+	if !queued {
+		o.opts.Metrics.order("look", runner.NotSent)
+	}
+	s.notify()
 }
 
-// issueStop queues a stop.
+// issueStop queues a stop, unless one of the same run waits.
 func (o *Owner) issueStop(s dispatch.StopOrder) {
-	o.issueOrder(s.Worker.ID, "stop", func(ctx context.Context) runner.Answer {
-		return o.relays.Stop(ctx, s.Worker, s.Stop)
-	}, func(a runner.Answer) {
-		event.StopAnswered.Log(o.opts.Log, slog.Any("task", s.Stop.Task), slog.Uint64("run", s.Stop.Run),
-			slog.String("worker", s.Worker.ID), slog.String("cause", s.Cause.String()), slog.Any("known", s.Snapshot),
-			slog.Any("status", a.Status), slog.Any("err", a.Err))
-		o.state.HandleStopAnswer(time.Now(), s, a)
+	session := o.sessions[s.Worker.ID]
+	if session == nil {
+		o.handleStopAnswer(s, runner.Answer{Status: runner.NotSent})
+		return
+	}
+	session.orders.pushStop(runKey{s.Stop.Task, s.Stop.Run}, func(ctx context.Context) answered {
+		return o.sendOrder(ctx, "stop", func(ctx context.Context) runner.Answer {
+			return o.relays.Stop(ctx, s.Worker, s.Stop)
+		}, func(a runner.Answer) { o.handleStopAnswer(s, a) })
 	})
+	session.notify()
+}
+
+// handleStopAnswer handles the answer to a stop.
+func (o *Owner) handleStopAnswer(s dispatch.StopOrder, a runner.Answer) {
+	event.StopAnswered.Log(o.opts.Log, slog.Any("task", s.Stop.Task), slog.Uint64("run", s.Stop.Run),
+		slog.String("worker", s.Worker.ID), slog.String("cause", s.Cause.String()), slog.Any("known", s.Snapshot),
+		slog.Any("status", a.Status), slog.Any("err", a.Err))
+	o.state.HandleStopAnswer(time.Now(), s, a)
 }
 
 // issueCPULimit queues a change of a run's CPU limit.
@@ -136,18 +146,25 @@
 // issueOrder queues an order for a worker and handles the answer on the loop.
 // An order that can't be queued counts as refused, so that a later cycle
 // repeats it.
-func (o *Owner) issueOrder(id, kind string, order func(context.Context) runner.Answer, answered func(runner.Answer)) {
-	queued := o.enqueue(id, func(ctx context.Context) {
-		a, rt := o.traffic.send(ctx, 0, order)
-		o.opts.Metrics.order(kind, a.Status)
-		o.post(func() {
-			o.traffic.observe(time.Now(), rt)
-			answered(a)
-		})
-	})
-	if !queued {
-		answered(runner.Answer{Status: runner.Unhealthy})
+func (o *Owner) issueOrder(id, kind string, order func(context.Context) runner.Answer, handle func(runner.Answer)) {
+	s := o.sessions[id]
+	if s == nil || !s.orders.push(func(ctx context.Context) answered { return o.sendOrder(ctx, kind, order, handle) }) {
+		o.opts.Metrics.order(kind, runner.NotSent)
+		handle(runner.Answer{Status: runner.Unhealthy})
+		return
 	}
+	s.notify()
+}
+
+// sendOrder sends an order and handles the answer on the loop.
+func (o *Owner) sendOrder(ctx context.Context, kind string, order func(context.Context) runner.Answer, handle func(runner.Answer)) answered {
+	a, rt := o.traffic.send(ctx, 0, order)
+	o.opts.Metrics.order(kind, a.Status)
+	o.post(func() {
+		o.traffic.observe(time.Now(), rt)
+		handle(a)
+	})
+	return newAnswered(a.Status, rt)
 }
 
 // pollWorkers starts the polls that are due and ends the sessions of removed
--- a/control/owner.go
+++ b/control/owner.go
@@ -26,7 +26,9 @@
 	events    chan func()
 	state     *dispatch.State
 	sessions  map[string]*session
-	traffic   *traffic
+	// extraLanes bounds the goroutines that send orders besides one for each session.
+	extraLanes chan struct{}
+	traffic    *traffic
 	// relays sends orders to workers; relayScaler decides how many relays to use.
 	relays      *relays
 	relayScaler relay.Scaler
@@ -152,6 +154,7 @@
 	o := &Owner{
 		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: row.Epoch,
 		events: make(chan func(), maxQueuedFuncs), sessions: map[string]*session{}, traffic: newTraffic(),
+		extraLanes: make(chan struct{}, maxExtraLanes),
 		waiters: map[string][]waiter{}, stopped: make(chan struct{}), ownedSince: boottime(), startedAt: time.Now(), candidates: new(election.Candidates),
 	}
 	o.relays = newRelays(&o.opts)
--- a/control/queuedstart_test.go
+++ b/control/queuedstart_test.go
@@ -137,7 +137,7 @@
 		queued := 0
 		onLoop(o, func() {
 			if s := o.sessions[worker]; s != nil {
-				queued = len(s.orders)
+				queued = s.orders.waiting()
 			}
 		})
 		return holds(queued)
--- a/control/session.go
+++ b/control/session.go
@@ -10,11 +10,16 @@
 )
 
 // session exchanges messages with one worker. One goroutine sends orders in
-// sequence, another polls for reports; each uses its own connection.
+// sequence, another polls for reports; each uses its own connection. While many stops or starts
+// wait, extra lanes send them as well.
 type session struct {
 	id     string
-	orders chan func(context.Context)
-	polls  chan poll
+	orders *orderQueue
+	// wake holds a value if the goroutine that sends orders has to look at the queue.
+	wake chan struct{}
+	// extraLanes bounds the extra lanes of all sessions.
+	extraLanes chan struct{}
+	polls      chan poll
 	cancel context.CancelFunc
 	// token is the newest fencing token; starts with an older one aren't sent.
 	token atomic.Uint64
@@ -37,14 +42,11 @@
 	renewal runner.Renewal
 }
 
-// maxQueuedOrders bounds the orders queued for one worker.
-const maxQueuedOrders = 256
-
 // startSession starts the goroutines of a session.
 func (o *Owner) startSession(id string) *session {
 	ctx, cancel := context.WithCancel(o.ctx)
 	s := &session{
-		id: id, orders: make(chan func(context.Context), maxQueuedOrders), polls: make(chan poll, 1), cancel: cancel,
+		id: id, orders: newOrderQueue(), wake: make(chan struct{}, 1), extraLanes: o.extraLanes, polls: make(chan poll, 1), cancel: cancel,
 	}
 	go s.runOrders(ctx)
 	go o.runPolls(ctx, s)
@@ -58,33 +60,62 @@
 	}
 }
 
-// runOrders runs queued orders in sequence. Those that are left when the session ends
+// notify makes the session look at its queue of orders.
+func (s *session) notify() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runOrders sends queued orders in sequence. Those that are left when the session ends
 // run with the ended context, so that each is answered without being sent.
 func (s *session) runOrders(ctx context.Context) {
 	for {
 		select {
-		case f := <-s.orders:
-			f(ctx)
+		case <-s.wake:
 		case <-ctx.Done():
-			s.abandonOrders(ctx)
+			s.sendQueued(ctx, false)
 			return
 		}
+		s.sendQueued(ctx, false)
 	}
 }
 
-// abandonOrders runs the orders left in the queue. Nothing queues orders for an ended
-// session.
-func (s *session) abandonOrders(ended context.Context) {
-	for {
+// sendQueued sends queued orders until none is left for it. An extra lane also ends if the
+// worker's answers allow fewer.
+func (s *session) sendQueued(ctx context.Context, extra bool) {
+	for !extra || (ctx.Err() == nil && !s.orders.surplus()) {
+		o, ok := s.orders.take(extra)
+		if !ok {
+			return
+		}
+		s.startLanes(ctx)
+		begun := time.Now()
+		a := o.send(ctx)
+		s.orders.observe(a, time.Since(begun))
+	}
+}
+
+// startLanes starts extra lanes if many stops or starts wait.
+func (s *session) startLanes(ctx context.Context) {
+	for range s.orders.addLanes() {
 		select {
-		case f := <-s.orders:
-			f(ended)
+		case s.extraLanes <- struct{}{}:
+			go s.runLane(ctx)
 		default:
-			return
+			s.orders.removeLane()
 		}
 	}
 }
 
+// runLane is an extra lane.
+func (s *session) runLane(ctx context.Context) {
+	s.sendQueued(ctx, true)
+	s.orders.removeLane()
+	<-s.extraLanes
+}
+
 // runPolls sends the polls that the owner's loop requests.
 func (o *Owner) runPolls(ctx context.Context, s *session) {
 	for {
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -113,8 +113,16 @@
 		return
 	}
 	w.setClock(now, a.ClockMS)
-	if a.Status == runner.Restarted {
+	switch a.Status {
+	case runner.Restarted:
 		s.endRestarted(now, w, o.To)
+	case runner.Fenced:
+		// The worker's token was raised while the stop waited.
+		if r := w.runs[o.Stop.Task]; r != nil && r.number == o.Stop.Run && r.phase == stopping && o.Stop.Token < w.token {
+			r.stopOrderedAt = time.Time{}
+			s.orderStop(now, r, r.stopCause)
+		}
+	default:
 	}
 }
 
