control, dispatch: the starts of a gang are sent all or not at all

Cause: a start that had waited for 5/6 of the order timeout behind others wasn't sent, also if other members of its gang had been, and a refused member left the others waiting for gang_ms.

Change: the members' starts share a GangStart: once one is sent, the others are, however long they waited; if one may not be sent first, none is. If a member is refused, the others are stopped (cause "gang incomplete").

--- a/control/manyorders_test.go
+++ b/control/manyorders_test.go
@@ -122,6 +122,24 @@
 	}
 }
 
+// TestGangOfManyMembersStartsWhole guards against a gang that never comes together: the starts of
+// its members went out one after another, those that waited too long weren't sent, and the first
+// ones waited in vain.
+func TestGangOfManyMembersStartsWhole(t *testing.T) {
+	for _, members := range []int{150, 200, 400, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			o, workers := startDistant(t, 4*time.Millisecond, "w0")
+			submitSmall(t, o, 1, workload.Step{Tasks: members, Gang: true})
+			begun := time.Now()
+			within(t, 3*time.Second, "all members run", func() bool { return workers.running() == members })
+			t.Logf("%d members run after %v", members, time.Since(begun))
+			if n := len(workers.startsAt("w0")); n != members {
+				t.Errorf("%d starts, want %d", n, members)
+			}
+		})
+	}
+}
+
 // TestSilentWorkerGetsOneOrderAtATime guards against many connections that wait for a worker which
 // doesn't answer.
 func TestSilentWorkerGetsOneOrderAtATime(t *testing.T) {
@@ -145,3 +163,47 @@
 		}
 	})
 }
+
+// TestRefusedMemberStopsItsGang guards against members of a gang that wait in vain, and end alone,
+// since the start of another one was refused.
+func TestRefusedMemberStopsItsGang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, workers := startDistant(t, 4*time.Millisecond, "w0", "w1")
+		refusing := &refusingWorkers{distantWorkers: workers}
+		onLoop(o, func() { o.relays.direct = refusing })
+		submitSmall(t, o, 1, workload.Step{Tasks: 20, Gang: true})
+		within(t, 2*time.Second, "the gang runs whole", func() bool { return workers.running() == 20 })
+		refusing.mu.Lock()
+		defer refusing.mu.Unlock()
+		for id, w := range workers.workers {
+			for _, run := range w.active {
+				if run.Run == refusing.refused {
+					t.Errorf("a member of the refused run is at work on %s", id)
+				}
+			}
+		}
+	})
+}
+
+// refusingWorkers refuse the fifth start.
+type refusingWorkers struct {
+	*distantWorkers
+	starts int
+	// refused is the number of the run of which a member was refused.
+	refused uint64
+}
+
+// Start implements runner.Client.
+func (r *refusingWorkers) Start(ctx context.Context, at runner.Worker, o runner.Start) runner.Answer {
+	r.mu.Lock()
+	r.starts++
+	refuse := r.starts == 5
+	if refuse {
+		r.refused = o.Run
+	}
+	r.mu.Unlock()
+	if refuse {
+		return runner.Answer{Status: runner.NoCapacity, ClockMS: r.answer().ClockMS}
+	}
+	return r.distantWorkers.Start(ctx, at, o)
+}
--- a/control/orders.go
+++ b/control/orders.go
@@ -55,13 +55,15 @@
 }
 
 // maySend decides, right before a queued start is sent, whether it is still to be sent.
-// If it returns true, the state counts the start as sent.
+// If it returns true, the state counts the start as sent. A member of a gang is sent however
+// long it was queued if another one was.
 func (o *Owner) maySend(ctx context.Context, session *session, s *dispatch.StartOrder, issuedAt time.Duration) bool {
-	inTime := boottime()-issuedAt < o.traffic.maxStartDelay()
+	inTime := boottime()-issuedAt < o.traffic.maxStartDelay() || s.Gang.Begun()
 	if !inTime || ctx.Err() != nil || session.token.Load() != s.Start.Token || !o.ownershipValid() || o.refused() {
+		s.Gang.Abandon()
 		return false
 	}
-	return s.Sending.Begin()
+	return s.Sending.Begin() && s.Gang.Begin()
 }
 
 // handleStartAnswer handles the answer to a start. It polls the worker if it is
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -49,9 +49,11 @@
 	case runner.NotSent:
 		s.Stats.StartsRefused++
 		s.releaseRun(now, r, NotSent)
+		s.stopGang(now, r.task.step, r.number)
 	default:
 		s.Stats.StartsRefused++
 		s.handleRefusal(now, w, r, a.Status)
+		s.stopGang(now, r.task.step, r.number)
 	}
 	return from == begunLife
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fireflygate/fireflygate/mechanism"
 	"github.com/fireflygate/fireflygate/rank"
@@ -172,10 +173,25 @@
 		return
 	}
 	c.s.nextRun++
-	checkpoint := gangCheckpoint(st)
+	checkpoint, gang := gangCheckpoint(st), new(GangStart)
 	for i := range st.tasks {
 		st.tasks[i].checkpoint = checkpoint
-		c.start(&st.tasks[i], placed[i], c.s.nextRun)
+		c.startMember(&st.tasks[i], placed[i], c.s.nextRun, gang)
+	}
+}
+
+// stopGang stops the members of a gang's run of which one member wasn't started, so that they
+// don't wait for it in vain.
+func (s *State) stopGang(now time.Time, st *step, number uint64) {
+	if !st.spec.Gang {
+		return
+	}
+	for i := range st.tasks {
+		for _, r := range slices.Clone(st.tasks[i].runs) {
+			if r.number == number {
+				s.orderStop(now, r, GangIncomplete)
+			}
+		}
 	}
 }
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -13,6 +13,8 @@
 	Prior PriorRun
 	// Sending is shared by the sender and the State, which may withdraw the order.
 	Sending *Sending
+	// Gang is shared by the members of a gang, nil for other tasks.
+	Gang *GangStart
 }
 
 // StopOrder is an order to stop a run on a worker.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -287,7 +287,10 @@
 
 // start adds a run of the task to the worker, which reserves its capacity, and
 // adds the start order to the plan.
-func (c *cycle) start(t *task, w *worker, number uint64) {
+func (c *cycle) start(t *task, w *worker, number uint64) { c.startMember(t, w, number, nil) }
+
+// startMember is start for a member of a gang, nil for other tasks.
+func (c *cycle) startMember(t *task, w *worker, number uint64, gang *GangStart) {
 	r := &run{
 		task: t, number: number, token: c.s.startToken(w), worker: w, life: w.number, phase: ordered,
 		startedAt: c.now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU, separate: t.suspect(),
@@ -304,7 +307,7 @@
 	c.s.markDirty(t.step.job)
 	permit, _ := t.step.permitFor(c.now, w)
 	order := StartOrder{
-		Worker: w.info, To: w.addressee(c.now), Snapshot: snapshot, Prior: t.priorRun(c.now), Sending: r.sending,
+		Worker: w.info, To: w.addressee(c.now), Snapshot: snapshot, Prior: t.priorRun(c.now), Sending: r.sending, Gang: gang,
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
 			LeaseUntil: c.s.leaseFor(c.now, w, c.lease), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
--- a/dispatch/stopcause.go
+++ b/dispatch/stopcause.go
@@ -23,6 +23,8 @@
 	SlowWorker
 	// Reclaimed: a queue below its guaranteed share needs the capacity.
 	Reclaimed
+	// GangIncomplete: another member of its gang wasn't started.
+	GangIncomplete
 	stopCauseCount
 )
 
@@ -30,7 +32,7 @@
 // constants. They stay as they are when a constant is renamed.
 var stopCauseNames = [stopCauseCount]string{
 	"job over", "task done", "tail too long", "preempted", "worker leaves", "duplicate", "no such task",
-	"slow worker", "reclaimed",
+	"slow worker", "reclaimed", "gang incomplete",
 }
 
 // String returns the cause as it appears in logs.
