dispatch, colocate: a job that fills doesn't wait without bound beside idle processors

Cause: a best-effort task started only where the slack of all serving tasks lets it use all of its processors, and nothing bounded how long a job waited for such a worker.

--- a/colocate/actions.go
+++ b/colocate/actions.go
@@ -182,19 +182,19 @@
 // little work, else paused.
 func (t *BestEffortTask) throttleOrMigrate(percent int) Action {
 	switch {
+	case t.CPULimit == 0:
+		return Action{}
 	case percent >= minCPULimit:
 		return Action{Kind: SetCPULimit, CPULimit: percent}
 	case t.Resumable || t.ProgressPercent < restartPercent:
 		return Action{Kind: Migrate}
-	case t.CPULimit == 0:
-		return Action{}
 	default:
 		return Action{Kind: SetCPULimit}
 	}
 }
 
 // resumeOne adds an action that removes the CPU limit of one best-effort task, if
-// the slack of all serving tasks allows it.
+// the slack of all serving tasks allows it, or else raises that of a paused one to the least.
 func (m *Model) resumeOne(now time.Time, w *Worker, actions []Action) {
 	if w.minSlack() < resumeSlack {
 		return
@@ -206,9 +206,12 @@
 		}
 		rest := *w
 		rest.BestEffort = slices.Delete(slices.Clone(w.BestEffort), i, i+1)
-		if m.ImpactOf(m.SlackBudgets(now, &rest), t.Image, t.CPUShare).Shortfall <= 0 {
-			actions[i] = Action{Kind: SetCPULimit, CPULimit: fullCPU}
-			return
+		budgets := m.SlackBudgets(now, &rest)
+		for _, limit := range []int{fullCPU, minCPULimit} {
+			if limit > t.CPULimit && m.ImpactOf(budgets, t.Image, t.CPUShare*float64(limit)/fullCPU).Shortfall <= 0 {
+				actions[i] = Action{Kind: SetCPULimit, CPULimit: limit}
+				return
+			}
 		}
 	}
 }
--- a/control/owner.go
+++ b/control/owner.go
@@ -155,7 +155,7 @@
 		opts: opts, ctx: ctx, quit: quit, committer: c, config: cfg, epoch: row.Epoch,
 		events: make(chan func(), maxQueuedFuncs), sessions: map[string]*session{}, traffic: newTraffic(),
 		extraLanes: make(chan struct{}, maxExtraLanes),
-		waiters: map[string][]waiter{}, stopped: make(chan struct{}), ownedSince: boottime(), startedAt: time.Now(), candidates: new(election.Candidates),
+		waiters:    map[string][]waiter{}, stopped: make(chan struct{}), ownedSince: boottime(), startedAt: time.Now(), candidates: new(election.Candidates),
 	}
 	o.relays = newRelays(&o.opts)
 	o.closedZones = func() closedzones.Set { return closedzones.Set{} }
--- a/control/session.go
+++ b/control/session.go
@@ -20,7 +20,7 @@
 	// extraLanes bounds the extra lanes of all sessions.
 	extraLanes chan struct{}
 	polls      chan poll
-	cancel context.CancelFunc
+	cancel     context.CancelFunc
 	// token is the newest fencing token; starts with an older one aren't sent.
 	token atomic.Uint64
 	// acknowledged is the last acknowledgment that was logged. It is confined to the
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -58,7 +58,7 @@
 		if l.serving == 0 {
 			return 0, true
 		}
-		impact := l.impactOf(c, st)
+		impact := l.impactOf(c, st, fullCPU)
 		return impact.Effect, impact.Shortfall <= 0
 	case st.class != "":
 		return c.s.model.EffectOn(&c.s.colocation(c.now, w).Worker, st.class), true
@@ -176,7 +176,7 @@
 	checkpoint, gang := gangCheckpoint(st), new(GangStart)
 	for i := range st.tasks {
 		st.tasks[i].checkpoint = checkpoint
-		c.startMember(&st.tasks[i], placed[i], c.s.nextRun, gang)
+		c.startRun(&st.tasks[i], placed[i], c.s.nextRun, startOptions{gang: gang, cpuLimit: fullCPU})
 	}
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -42,6 +42,9 @@
 	// unfinishedOccurrences counts occurrences with unfinished steps.
 	unfinishedOccurrences int
 	finishedAt            time.Time
+	// idleSince is when a planning cycle first found it without a run at work, zero if it had
+	// one. Only jobs with waiting best-effort tasks are looked at.
+	idleSince time.Time
 	// shared is its queue in a pool with guaranteed shares, nil in other pools, as of
 	// sharedVersion of the shares.
 	shared        *sharedQueue
--- a/dispatch/life.go
+++ b/dispatch/life.go
@@ -70,7 +70,9 @@
 	// reportSum is a checksum of the last report's figures, to detect a
 	// repeated one.
 	lastActionAt time.Time
-	reportSum    int64
+	// limitedStartAt is when a best-effort run last started there at a low CPU limit.
+	limitedStartAt time.Time
+	reportSum      int64
 	// recentlyEnded holds best-effort runs that the tails may still reflect.
 	recentlyEnded []endedTask
 	// pace is what is known of its speed, paceReportAt when its last report was
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -54,6 +54,7 @@
 	p.StartLimitReached, p.VisitLimitReached = !allTried && c.startLimitReached(), c.visitLimitReached
 	c.recordClaims(!allTried)
 	if allTried && !c.startLimitReached() {
+		c.startLimited(list)
 		c.copySlowRuns()
 		c.moveOffSlowWorkers()
 	}
@@ -287,15 +288,28 @@
 
 // start adds a run of the task to the worker, which reserves its capacity, and
 // adds the start order to the plan.
-func (c *cycle) start(t *task, w *worker, number uint64) { c.startMember(t, w, number, nil) }
+func (c *cycle) start(t *task, w *worker, number uint64) {
+	c.startRun(t, w, number, startOptions{cpuLimit: fullCPU})
+}
+
+// startOptions are what starts differ in.
+type startOptions struct {
+	// gang is shared by the members of a gang, nil for other tasks.
+	gang *GangStart
+	// cpuLimit is the run's CPU limit, in percent. It is ordered once the start is answered.
+	cpuLimit int
+}
 
-// startMember is start for a member of a gang, nil for other tasks.
-func (c *cycle) startMember(t *task, w *worker, number uint64, gang *GangStart) {
+// startRun is start with options.
+func (c *cycle) startRun(t *task, w *worker, number uint64, options startOptions) {
 	r := &run{
 		task: t, number: number, token: c.s.startToken(w), worker: w, life: w.number, phase: ordered,
-		startedAt: c.now, reserved: t.step.spec.Reserved(), cpuLimit: fullCPU, separate: t.suspect(),
+		startedAt: c.now, reserved: t.step.spec.Reserved(), cpuLimit: options.cpuLimit, separate: t.suspect(),
 		sending: new(Sending),
 	}
+	if r.cpuLimit < fullCPU {
+		r.cpuLimitUnconfirmed, w.limitUnconfirmed = true, true
+	}
 	snapshot := w.snapshot(c.now)
 	w.addRun(r)
 	if p := c.pools[w.info.Pool]; p != nil {
@@ -307,7 +321,7 @@
 	c.s.markDirty(t.step.job)
 	permit, _ := t.step.permitFor(c.now, w)
 	order := StartOrder{
-		Worker: w.info, To: w.addressee(c.now), Snapshot: snapshot, Prior: t.priorRun(c.now), Sending: r.sending, Gang: gang,
+		Worker: w.info, To: w.addressee(c.now), Snapshot: snapshot, Prior: t.priorRun(c.now), Sending: r.sending, Gang: options.gang,
 		Start: runner.Start{
 			Task: t.id(), Run: number, Payload: t.step.job.spec.Payload,
 			LeaseUntil: c.s.leaseFor(c.now, w, c.lease), Token: w.token, Checkpoint: t.checkpoint, Permit: permit,
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -71,6 +71,8 @@
 	colocated colocation
 	// copiesCheckedAt is when a cycle last looked for runs to copy.
 	copiesCheckedAt time.Time
+	// limitedCheckedAt is when a cycle last looked for jobs that wait for a limited start.
+	limitedCheckedAt time.Time
 	// removedWorkers counts the workers removed so far.
 	removedWorkers uint64
 	// removedUnwritten counts, by part of the roster, the removed workers that the durable
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -11,6 +11,8 @@
 	// ServingMovedOffSlow and BestEffortMovedOffSlow count runs stopped since their
 	// worker is slow, SlowCopies those of Copies that were started for that reason.
 	ServingMovedOffSlow, BestEffortMovedOffSlow, SlowCopies uint64
+	// LimitedStarts counts best-effort runs started at a low CPU limit.
+	LimitedStarts uint64
 	// Reclaimed counts the runs stopped for queues below their guaranteed shares,
 	// ReclaimedMilliCPU their requested processors, in thousandths of a core.
 	Reclaimed, ReclaimedMilliCPU uint64
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -113,7 +113,7 @@
 		slog.Int64("free_memory_mb", s.Free.MemoryMB), slog.Int64("most_free_milli_cpu", s.MaxFree.MilliCPU),
 		slog.Int("over_target", s.OverTarget), slog.Uint64("starts", s.Stats.Starts), slog.Uint64("done", s.Stats.Done),
 		slog.Uint64("failed_runs", s.Stats.FailedRuns), slog.Uint64("lost_runs", s.Stats.LostRuns),
-		slog.Uint64("refused_starts", s.Stats.StartsRefused), slog.Uint64("preempted", s.Stats.Preempted), slog.Uint64("fillers_moved", s.Stats.BestEffortMoved),
+		slog.Uint64("refused_starts", s.Stats.StartsRefused), slog.Uint64("preempted", s.Stats.Preempted), slog.Uint64("fillers_moved", s.Stats.BestEffortMoved), slog.Uint64("limited_starts", s.Stats.LimitedStarts),
 		slog.Uint64("reclaimed", s.Stats.Reclaimed),
 	)
 }
--- a/dispatch/workerload.go
+++ b/dispatch/workerload.go
@@ -79,11 +79,11 @@
 	return l
 }
 
-// impactOf returns the impact of one more best-effort task of the step.
-func (l *workerLoad) impactOf(c *cycle, st *step) colocate.Impact {
+// impactOf returns the impact of one more best-effort task of the step at a CPU limit.
+func (l *workerLoad) impactOf(c *cycle, st *step, cpuLimit int) colocate.Impact {
 	if l.budgets == nil {
 		l.budgets = c.s.model.SlackBudgets(c.now, &c.s.colocation(c.now, l.w).Worker)
 	}
-	share := float64(st.spec.Needs.MilliCPU) / float64(max(l.w.info.Capacity.MilliCPU, 1))
+	share := float64(st.spec.Needs.MilliCPU) / float64(max(l.w.info.Capacity.MilliCPU, 1)) * float64(cpuLimit) / fullCPU
 	return c.s.model.ImpactOf(l.budgets, st.spec.Image, share)
 }
