dispatch, control: an ended job costs a few hundred bytes, and one queue leaves memory to others

Cause: a job counted 4 KB and 512 bytes a task until it couldn't be queried any more (status_s, 120 s after its end), and any queue could take all.

Change: 2 s after its end a job is replaced by its state, reason, queue and time. The next owner does so at once from 1,000 jobs on. Rows are deleted in as many batches as it takes, without a pause between. One queue has three quarters of the memory where there are others (no call names a client account).

No crowd was played with processes yet.

--- a/control/refuse.go
+++ b/control/refuse.go
@@ -75,7 +75,8 @@
 }
 
 // Jobs whose state needs more than smallJobBytes may not use the last quarter of the
-// memory for the state of jobs. So ordinary jobs find room beside a few huge ones.
+// memory for the state of jobs. So ordinary jobs find room beside a few huge ones. Neither may the
+// jobs of one queue, so that those of others find room beside them.
 const smallJobBytes = 64 << 10
 
 // refuseForMemory returns the reply to a new job that is refused since this host has no
@@ -86,10 +87,12 @@
 		return reply{}, false
 	}
 	held, needed := o.state.HeldBytes(), dispatch.JobBytes(spec)
+	reserve := limit / 4
 	if needed > smallJobBytes {
-		limit -= limit / 4
+		limit -= reserve
 	}
-	if held+needed <= limit {
+	queueFull := len(o.config.Queues) > 1 && o.state.HeldBytesOf(q.Name)+needed > o.opts.StateBytes-reserve
+	if held+needed <= limit && !queueFull {
 		return reply{}, false
 	}
 	o.opts.Metrics.refused(q.Name, refusedMemory)
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -42,6 +42,9 @@
 		s.releaseRun(now, r, EndReported)
 	}
 	t := s.taskByID(e.Task)
+	if t == nil && s.HasJob(e.Task.Job) {
+		return // its job has ended
+	}
 	if t == nil {
 		s.find(EndOfUnknownTask, w, e.Task, e.Run, e.Number)
 		s.recordUnreadable(&e)
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -182,21 +182,22 @@
 // jobs. It is short beside the retention.
 const expiredFlushInterval = 500 * time.Millisecond
 
-// flushExpired removes jobs that finished more than Retention ago, and deletes
-// their rows and those that no job has.
+// flushExpired deletes the pages of ended jobs, the rows of jobs that ended more than Retention
+// ago, and those that no job has. It keeps less of ended jobs in memory.
 func (s *State) flushExpired(now time.Time, b *Batch) {
 	if now.Sub(s.expiredFlushedAt) < expiredFlushInterval {
 		return
 	}
 	s.expiredFlushedAt = now
-	for id, j := range s.jobs {
-		if !j.state.Final() || j.durable != j.state || now.Sub(j.finishedAt) <= s.cfg.Retention || j.hasRuns() {
-			continue
-		}
-		if !j.deletePages(b) || !b.add(batchUnit{}, deletionOf(JobPrefix+id), deletionOf(ProgressPrefix+id)) {
+	for _, j := range s.jobs {
+		if j.state.Final() && j.durable == j.state && !j.hasRuns() && !j.deletePages(b) {
 			return
 		}
-		s.removeJob(id)
+	}
+	s.compactEnded(now)
+	if !s.forgetEnded(now, b) {
+		s.expiredFlushedAt = time.Time{} // the next batch goes on
+		return
 	}
 	for len(s.orphans) > 0 && b.add(batchUnit{}, deletionOf(s.orphans[0])) {
 		s.orphans = s.orphans[1:]
--- a/dispatch/heldbytes.go
+++ b/dispatch/heldbytes.go
@@ -24,17 +24,28 @@
 // that have ended and can still be queried.
 func (s *State) HeldBytes() int64 { return s.heldBytes }
 
+// HeldBytesOf returns how much of that is for the jobs of a queue.
+func (s *State) HeldBytesOf(queue string) int64 { return s.heldByQueue[queue] }
+
+// hold counts memory that the jobs of a queue need.
+func (s *State) hold(queue string, bytes int64) {
+	s.heldBytes += bytes
+	if s.heldByQueue[queue] += bytes; s.heldByQueue[queue] == 0 {
+		delete(s.heldByQueue, queue)
+	}
+}
+
 // addJob adds a job to those known.
 func (s *State) addJob(j *job) {
 	s.removeJob(j.spec.ID)
 	s.jobs[j.spec.ID] = j
-	s.heldBytes += JobBytes(j.spec)
+	s.hold(j.queue.Name, JobBytes(j.spec))
 }
 
 // removeJob removes a job from those known, if it is one.
 func (s *State) removeJob(id string) {
 	if j := s.jobs[id]; j != nil {
 		delete(s.jobs, id)
-		s.heldBytes -= JobBytes(j.spec)
+		s.hold(j.queue.Name, -JobBytes(j.spec))
 	}
 }
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -248,6 +248,10 @@
 	if !ok {
 		q = row.Queue
 	}
+	if progress != nil && progress.State.Final() && len(s.jobs) >= maxWholeRestored {
+		s.keepEnded(row.Job.ID, endedJob{state: progress.State, reason: progress.Reason, queue: q.Name, finishedAt: now})
+		return
+	}
 	j := newJob(now, wallNow, &row.Job, q, s.expectedIn(q))
 	j.rowStored, j.inherited = true, true
 	if progress != nil {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -17,8 +17,13 @@
 	cfg    Config
 	queues map[string]workload.Queue
 	jobs   map[string]*job
-	// heldBytes is about how much memory the jobs need.
-	heldBytes int64
+	// ended holds the jobs that ended a while ago, endedOrder their IDs in the order of their
+	// ends.
+	ended      map[string]endedJob
+	endedOrder []string
+	// heldBytes is about how much memory the jobs need, heldByQueue by their queues.
+	heldBytes   int64
+	heldByQueue map[string]int64
 	// open holds the jobs that haven't ended, in order of acceptance.
 	open    []*job
 	workers map[string]*worker
@@ -148,8 +153,9 @@
 		model:    colocate.NewModelWithout(cfg.Disabled),
 		pace:     newPaceState(&cfg),
 		headroom: map[string]*headroom.Tracker{}, dirtyRosterParts: map[int]bool{}, rosterAside: map[int]time.Time{}, removedUnwritten: map[int]int{},
-		queues:         map[string]workload.Queue{},
-		jobs:           map[string]*job{},
+		queues: map[string]workload.Queue{},
+		jobs:   map[string]*job{},
+		ended:  map[string]endedJob{}, heldByQueue: map[string]int64{},
 		unreadable:     map[string]*unreadableJob{},
 		workers:        map[string]*worker{},
 		claims:         map[string]*claim{},
@@ -191,7 +197,7 @@
 // Accept adds a job. It is accepted once a flush that holds it is durable. A
 // job that is already known isn't changed.
 func (s *State) Accept(now time.Time, wallNow int64, spec *workload.Job, q workload.Queue) {
-	if s.jobs[spec.ID] != nil {
+	if s.HasJob(spec.ID) {
 		return
 	}
 	j := newJob(now, wallNow, spec, q, s.expectedIn(q))
@@ -210,7 +216,7 @@
 func (s *State) Cancel(now time.Time, id string) bool {
 	j := s.jobs[id]
 	if j == nil {
-		return false
+		return s.HasJob(id)
 	}
 	if !j.state.Final() {
 		s.finish(now, j, workload.Cancelled)
@@ -222,6 +228,9 @@
 // once it is durable. It returns false if the job isn't known or its row isn't
 // durable yet.
 func (s *State) JobState(id string) (workload.State, bool) {
+	if e, ok := s.ended[id]; ok {
+		return e.state, true
+	}
 	j := s.jobs[id]
 	if j == nil || !j.rowStored {
 		return workload.Queued, false
@@ -237,16 +246,21 @@
 	if j := s.jobs[id]; j != nil {
 		return j.reason
 	}
-	return ""
+	return s.ended[id].reason
 }
 
 // HasJob reports whether the job is known, durable or not.
-func (s *State) HasJob(id string) bool { return s.jobs[id] != nil }
+func (s *State) HasJob(id string) bool {
+	_, ended := s.ended[id]
+	return ended || s.jobs[id] != nil
+}
 
 // JobStored reports whether the job's row is durable.
 func (s *State) JobStored(id string) bool {
-	j := s.jobs[id]
-	return j != nil && j.rowStored
+	if j := s.jobs[id]; j != nil {
+		return j.rowStored
+	}
+	return s.HasJob(id)
 }
 
 // JobFlushed reports whether no change of the job waits to become durable.
