dispatch: pages of progress take turns, and a rejected batch claims nothing

Found by reading the change: a page that changes with each batch kept those after it from being written while batches were full; starts of a gang whose first member finds no session were sent all the same, after their stops; and a claim about the roster that was withheld with a rejected batch wasn't repeated.

Change: a batch begins with the page for which the last one had no room, and the header is written once each page was. The other members' starts are abandoned. The claim is taken back.

Evidence: TestPagesThatChangeAgainDontKeepOthersWaiting (fails before: the pages after the tenth aren't written). The other two have no test of their own.

--- a/control/commit.go
+++ b/control/commit.go
@@ -105,6 +105,9 @@
 			o.notifyWaiters(id, refusal(maxRetryAfter))
 		}
 	}
+	if p.unclaimed {
+		o.state.UnclaimRosterEpochs()
+	}
 	o.notifyDurable()
 }
 
@@ -113,8 +116,9 @@
 	applied []*dispatch.Batch
 	// rejected holds the parts that the table service will never apply.
 	rejected []rejectedBatch
-	// rosterEpochs is set if the owner's row now says that the roster tells the epochs.
-	rosterEpochs bool
+	// rosterEpochs is set if the owner's row now says that the roster tells the epochs,
+	// unclaimed if the batch was to say so and the row doesn't.
+	rosterEpochs, unclaimed bool
 }
 
 // rejectedBatch is a batch with the answer of the table service.
@@ -126,6 +130,7 @@
 // commitParts commits a batch that began at a time. If the table service rejects it for good, it
 // commits its halves, and so on until only the parts are left that are rejected by themselves.
 func (o *Owner) commitParts(ctx context.Context, b *dispatch.Batch, began time.Time) (done committedParts, err error) {
+	claims := b.RosterEpochs
 	waiting := []*dispatch.Batch{b}
 	for len(waiting) > 0 {
 		part := waiting[0]
@@ -147,6 +152,7 @@
 			done.rejected = append(done.rejected, rejectedBatch{part, err})
 		}
 	}
+	done.unclaimed = claims && !done.rosterEpochs
 	return done, nil
 }
 
--- a/control/orders.go
+++ b/control/orders.go
@@ -32,6 +32,7 @@
 	o.traffic.StartIssued()
 	s.Sending.Queue()
 	if session == nil {
+		s.Gang.Abandon()
 		o.handleStartAnswer(s, runner.Answer{Status: runner.Unhealthy}, flow.RoundTrip{})
 		return
 	}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -151,7 +151,7 @@
 			return false, errors.Wrap(err, "encode progress row")
 		}
 		if len(value) > s.limits().RowBytes {
-			j.pages.begin(s.limits())
+			j.pages.begin(s.limits(), j.spec.TotalTasks())
 			return s.collectPages(b, f, writes)
 		}
 		writes = append(writes, infra.Write{Key: ProgressPrefix + j.spec.ID, Value: value})
--- a/dispatch/progresspage_test.go
+++ b/dispatch/progresspage_test.go
@@ -202,6 +202,30 @@
 	}
 }
 
+// TestPagesThatChangeAgainDontKeepOthersWaiting guards against pages that are never written, since
+// those before them change with each batch and take all of its room.
+func TestPagesThatChangeAgainDontKeepOthersWaiting(t *testing.T) {
+	spec := largestJobs()["one step"]
+	s, j := fullState(t, spec, maxPagedFailures)
+	written := map[string]bool{}
+	for range 40 {
+		b, err := s.Flush(time.Unix(1000, 0), 98)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, w := range b.Writes {
+			written[w.Key] = true
+		}
+		s.MarkFlushed(b)
+		j.eachTask(func(x *task) { x.failed[0]++ })
+		s.markDirty(j)
+	}
+	pages := (workload.MaxTasks + j.pages.tasks - 1) / j.pages.tasks
+	if !written[ProgressPrefix+spec.ID] || len(written) != pages+1 {
+		t.Errorf("%d of %d rows are written, the header: %v", len(written), pages+1, written[ProgressPrefix+spec.ID])
+	}
+}
+
 // TestEarlierReleaseSkipsPagedProgress guards against a release without pages that takes the
 // header for progress and starts all tasks again: it has to skip the job.
 func TestEarlierReleaseSkipsPagedProgress(t *testing.T) {
--- a/dispatch/setaside.go
+++ b/dispatch/setaside.go
@@ -48,7 +48,6 @@
 		switch u := &b.units[i]; {
 		case u.roster != nil:
 			s.rosterAside[u.roster.part] = now.Add(setAsideRetry)
-			s.rosterEpochs = s.rosterEpochs && !b.RosterEpochs
 		case u.estimates:
 			s.estimatesChanged, s.estimatesFlushedAt = true, now.Add(setAsideRetry)
 		case u.endsOf != "":
@@ -60,6 +59,10 @@
 	return withdrawn
 }
 
+// UnclaimRosterEpochs records that the owner's row doesn't say that the roster tells the epochs,
+// since a part of the batch that said so was rejected. A later batch says so again.
+func (s *State) UnclaimRosterEpochs() { s.rosterEpochs = false }
+
 // rejectEnds handles that the row with the ends of a job is rejected.
 func (s *State) rejectEnds(id string) {
 	if j := s.jobs[id]; j != nil {
@@ -77,6 +80,7 @@
 		return j.spec.ID
 	}
 	j.hasEndsRow = j.hasEndsRow || f.deletesEnds
+	j.pages.rejected(s.limits(), j.spec.TotalTasks())
 	j.aside = setAside{until: now.Add(setAsideRetry), in: f.state}
 	s.markDirty(j)
 	return ""
--- a/dispatch/unreadablejob.go
+++ b/dispatch/unreadablejob.go
@@ -100,6 +100,7 @@
 func (s *State) RestoreEnds(now time.Time, id string, row *EndsRow) {
 	j := s.jobs[id]
 	if j == nil {
+		s.orphans = append(s.orphans, EndsPrefix+id) // it has ended
 		return
 	}
 	j.hasEndsRow = true
