booking, slo: deletions and counts fit a transaction

Operators of serve would have seen: rows of bookings of over 49 expired ones a page are never deleted, and burn counts of over 98 objectives never written, since the store takes 100 entries.

The test table of booking enforces the limits.

--- a/booking/registry_test.go
+++ b/booking/registry_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -237,3 +239,23 @@
 		t.Errorf("swept %d expired rows, want 1", n)
 	}
 }
+
+// TestSweepOfManyRows guards against expired rows that are never deleted, since those of one page
+// are more than the table takes in one transaction.
+func TestSweepOfManyRows(t *testing.T) {
+	const rows = 250
+	r := newHarness()
+	r.do(t, r.a, outcome.Answered, "")
+	r.flush(t)
+	for key, row := range maps.Clone(r.table.rows) {
+		for i := range rows - 1 {
+			row.Key = fmt.Sprintf("%s%03d", key, i)
+			r.table.rows[row.Key] = row
+		}
+	}
+	r.now.Store(time.Hour.Milliseconds() + 1)
+	n, err := r.a.Sweep(t.Context(), "s", rate.NewLimiter(rate.Inf, 1), func(string) bool { return true })
+	if err != nil || n != rows {
+		t.Errorf("swept %d of %d expired rows, error %v", n, rows, err)
+	}
+}
--- a/booking/sweep.go
+++ b/booking/sweep.go
@@ -11,8 +11,9 @@
 	"github.com/fireflygate/fireflygate/infra"
 )
 
-// sweepPage is the maximum number of rows per scan and of deletions per commit.
-const sweepPage = 100
+// sweepPage is the maximum number of rows per scan and of deletions per commit. Each takes a
+// condition and a write of the 100 that a transaction holds.
+const sweepPage = 48
 
 // Sweep removes the claims of a service that are older than the window, and
 // returns how many it removed. limiter bounds the scans per second. assigned
--- a/booking/table_test.go
+++ b/booking/table_test.go
@@ -40,6 +40,9 @@
 }
 
 func (t *table) Commit(_ context.Context, conditions []infra.Condition, writes []infra.Write) infra.CommitResult {
+	if err := infra.DefaultTableLimits().Check(&infra.Transaction{Conditions: conditions, Writes: writes}); err != nil {
+		return infra.CommitResult{Status: infra.CommitRejected, Reason: err.Error()}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f := noFault
--- a/slo/tracker.go
+++ b/slo/tracker.go
@@ -129,9 +129,16 @@
 	t.mu.Lock()
 	counts := t.recorder.Flush(t.now(), closing)
 	t.mu.Unlock()
-	if len(counts) == 0 {
-		return
+	for part := range slices.Chunk(counts, commitRows) {
+		t.write(ctx, part)
 	}
+}
+
+// commitRows bounds the rows of one commit, of which the table service takes 100.
+const commitRows = 90
+
+// write writes counts. If that fails, they are part of the next flush.
+func (t *Tracker) write(ctx context.Context, counts []burn.HourCounts) {
 	writes := make([]infra.Write, 0, len(counts))
 	for _, s := range counts {
 		writes = append(writes, infra.Write{Key: countsKey(s), Value: encode(s)})
@@ -216,8 +223,8 @@
 				writes = append(writes, infra.Write{Key: row.Key, Delete: true})
 			}
 		}
-		if len(writes) > 0 {
-			t.committer.Commit(ctx, nil, writes)
+		for part := range slices.Chunk(writes, commitRows) {
+			t.committer.Commit(ctx, nil, part)
 		}
 	}
 }
