--- a/booking/table_test.go
+++ b/booking/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 
@@ -133,11 +134,12 @@
 	defer t.mu.Unlock()
 	var rows []infra.Row
 	for k, r := range t.rows {
-		if strings.HasPrefix(k, prefix) && k > after && len(rows) < limit {
+		if strings.HasPrefix(k, prefix) && k > after {
 			rows = append(rows, r)
 		}
 	}
-	return rows, nil
+	slices.SortFunc(rows, func(a, b infra.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
 }
 
 // objects is an in-memory object store.
