--- /dev/null
+++ b/review/_standins3/minion.go
@@ -0,0 +1,517 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Figures of the minions, as in the bounds.
+const (
+	holdMax   = 10 * time.Second
+	stopTime  = 100 * time.Millisecond
+	gangWait  = 3 * time.Second
+	saveEvery = time.Second
+	maxEnds   = 500
+)
+
+// minion is one life of a worker.
+type minion struct {
+	w       *world
+	id      string
+	address string
+	rack    string
+	cpu     int
+	memMB   int
+	born    time.Time
+	server  *http.Server
+
+	mu sync.Mutex
+	// dark is set if it answers nothing, gone once it has ended.
+	dark, gone bool
+	token      uint64
+	until      int64
+	runs       map[string]*taskRun
+	// highest is the highest run of a task that was there.
+	highest map[string]uint64
+	ends    []end
+	nextEnd uint64
+	// listed counts the ends by how.
+	listed map[string]int
+	ended  chan struct{}
+	// onStart, if set, is called with each start before it is handled.
+	onStart func(task string)
+}
+
+// taskRun is a run of a task.
+type taskRun struct {
+	m          *minion
+	task       string
+	run        uint64
+	cpu, memMB int
+	spec       *step
+	startedAt  time.Time
+	stopping   bool
+	percent    int
+	gang       *gangRun
+	// usage is the last figure of its entry in the list of runs.
+	usage int
+}
+
+// end is an end that a minion lists.
+type end struct {
+	n    uint64
+	task string
+	run  uint64
+	how  string
+	save string
+}
+
+// gangRun is one run of a gang.
+type gangRun struct {
+	members map[string]*taskRun
+	whole   bool
+	count   int
+}
+
+// addMinions adds minions, with a number of them on each rack.
+func (w *world) addMinions(n, perRack, cpu, memMB int) error {
+	for i := range n {
+		if _, err := w.addMinion(fmt.Sprintf("r1-%d", i/perRack+1), cpu, memMB); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addMinion adds a minion and registers it in the store.
+func (w *world) addMinion(rack string, cpu, memMB int) (*minion, error) {
+	ln, err := listen(w.ip())
+	if err != nil {
+		return nil, err
+	}
+	return w.startMinion(ln, rack, cpu, memMB), nil
+}
+
+// restart starts a minion again at its address after a time, as another one, and removes
+// the entry of the one before.
+func (m *minion) restart(after time.Duration) {
+	time.AfterFunc(after, func() {
+		ln, err := net.Listen("tcp", m.address)
+		if err != nil {
+			m.w.note("minion %s can't start again: %v", m.id, err)
+			return
+		}
+		again := m.w.startMinion(ln, m.rack, m.cpu, m.memMB)
+		m.w.store.remove("servers", m.id)
+		m.w.note("minion %s starts again as %s", m.id, again.id)
+	})
+}
+
+// startMinion starts a minion that serves a listener.
+func (w *world) startMinion(ln net.Listener, rack string, cpu, memMB int) *minion {
+	w.mu.Lock()
+	id := fmt.Sprintf("i-%08x", 0x1000+len(w.minions))
+	m := &minion{
+		w: w, id: id, address: ln.Addr().String(), rack: rack, cpu: cpu, memMB: memMB, born: time.Now(),
+		runs: map[string]*taskRun{}, highest: map[string]uint64{}, listed: map[string]int{}, ended: make(chan struct{}),
+	}
+	w.minions = append(w.minions, m)
+	w.mu.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/run-start", m.serve(m.start))
+	mux.HandleFunc("POST /v1/run-stop", m.serve(m.stop))
+	mux.HandleFunc("POST /v1/hold", m.serve(m.hold))
+	mux.HandleFunc("POST /v1/pace", m.serve(m.pace))
+	m.server = &http.Server{Handler: mux}
+	go func() { _ = m.server.Serve(ln) }()
+	go m.work()
+	m.register("ready")
+	return m
+}
+
+// register writes its entry.
+func (m *minion) register(state string) {
+	m.w.store.put("servers", m.id, map[string]any{
+		"service": serviceName, "address": m.address, "zone": "citta-alta", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
+		"capacity": map[string]int{"cpu": m.cpu, "mem_mb": m.memMB, "gpu": 0}, "labels": []string{"a", m.rack}, "clock_ms": m.clock(), "sequence": 1,
+	})
+}
+
+// clock returns its steady clock in milliseconds.
+func (m *minion) clock() int64 { return time.Since(m.born).Milliseconds() + 1 }
+
+// crash ends the minion: its runs end with it, and its port has no listener.
+func (m *minion) crash() {
+	m.mu.Lock()
+	if m.gone {
+		m.mu.Unlock()
+		return
+	}
+	m.gone = true
+	m.mu.Unlock()
+	_ = m.server.Close()
+	m.w.leaveGangs(m)
+}
+
+// vanish makes the minion lose its power: its runs end with it, and it answers nothing.
+func (m *minion) vanish() {
+	m.mu.Lock()
+	m.dark, m.gone = true, true
+	m.mu.Unlock()
+	m.w.leaveGangs(m)
+}
+
+// forget removes its entry, as the store does after three ping intervals of silence.
+func (m *minion) forget() {
+	time.AfterFunc(3300*time.Millisecond, func() { m.w.store.remove("servers", m.id) })
+}
+
+// order is the body of any order.
+type order struct {
+	Task       string `json:"task"`
+	Run        uint64 `json:"run_id"`
+	Spec       string `json:"spec"`
+	Until      int64  `json:"until_ms"`
+	Token      uint64 `json:"fencing_token"`
+	Checkpoint string `json:"checkpoint"`
+	LastSeen   uint64 `json:"last_seen"`
+	WaitMS     int64  `json:"wait_ms"`
+	Percent    int    `json:"percent"`
+}
+
+// serve returns a handler of orders. A dark minion answers none.
+func (m *minion) serve(handle func(http.ResponseWriter, *order)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var o order
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			rw.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if f := m.onStart; f != nil && strings.HasSuffix(r.URL.Path, "run-start") {
+			f(o.Task)
+		}
+		m.mu.Lock()
+		dark := m.dark
+		m.mu.Unlock()
+		if dark {
+			<-r.Context().Done()
+			return
+		}
+		if r.Header.Get("X-Expect-Instance") != m.id {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		handle(rw, &o)
+	}
+}
+
+// reply sends an answer with the clock.
+func (m *minion) reply(rw http.ResponseWriter, status int, body map[string]any) {
+	if body == nil {
+		body = map[string]any{}
+	}
+	body["clock_ms"] = m.clock()
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	_ = json.NewEncoder(rw).Encode(body)
+}
+
+// refuse refuses an order.
+func (m *minion) refuse(rw http.ResponseWriter, reason string) {
+	m.reply(rw, http.StatusConflict, map[string]any{"reason": reason})
+}
+
+// extend takes a lease; m.mu must be held.
+func (m *minion) extend(until int64) {
+	m.until = max(m.until, min(until, m.clock()+holdMax.Milliseconds()))
+}
+
+// fenced reports whether a token is too low; m.mu must be held.
+func (m *minion) fenced(token uint64) bool {
+	if token < m.token {
+		return true
+	}
+	m.token = token
+	return false
+}
+
+func (m *minion) start(rw http.ResponseWriter, o *order) {
+	s := m.w.stepOf(o.Task)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch r := m.runs[o.Task]; {
+	case m.fenced(o.Token):
+		m.refuse(rw, "fence")
+		return
+	case s == nil:
+		m.w.note("minion %s: start of unknown task %s", m.id, o.Task)
+		m.reply(rw, http.StatusBadRequest, nil)
+		return
+	case r != nil && r.run == o.Run:
+		m.extend(o.Until)
+		m.reply(rw, http.StatusOK, nil)
+		return
+	case o.Run <= m.highest[o.Task]:
+		m.extend(o.Until)
+		m.refuse(rw, "old")
+		return
+	case o.Until <= m.clock():
+		m.refuse(rw, "late")
+		return
+	case r != nil || !m.fits(s):
+		m.extend(o.Until)
+		m.refuse(rw, "room")
+		return
+	}
+	m.extend(o.Until)
+	m.highest[o.Task] = o.Run
+	r := &taskRun{m: m, task: o.Task, run: o.Run, cpu: s.CPU, memMB: s.MemMB, spec: s, startedAt: time.Now()}
+	m.runs[o.Task] = r
+	m.w.note("minion %s: starts %s run %d", m.id, o.Task, o.Run)
+	if s.Gang {
+		m.w.joinGang(r)
+	}
+	m.reply(rw, http.StatusOK, nil)
+}
+
+// fits reports whether there is room for a task of a step; m.mu must be held.
+func (m *minion) fits(s *step) bool {
+	cpu, mem := s.CPU, s.MemMB
+	for _, r := range m.runs {
+		cpu, mem = cpu+r.cpu, mem+r.memMB
+	}
+	return cpu <= m.cpu && mem <= m.memMB
+}
+
+func (m *minion) stop(rw http.ResponseWriter, o *order) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fenced(o.Token) {
+		m.refuse(rw, "fence")
+		return
+	}
+	m.highest[o.Task] = max(m.highest[o.Task], o.Run)
+	if r := m.runs[o.Task]; r != nil && r.run == o.Run && !r.stopping {
+		r.stopping = true
+		m.w.note("minion %s: stops %s run %d", m.id, o.Task, o.Run)
+		time.AfterFunc(stopTime, func() { m.end(r, "stopped") })
+	}
+	m.reply(rw, http.StatusOK, nil)
+}
+
+func (m *minion) pace(rw http.ResponseWriter, o *order) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fenced(o.Token) {
+		m.refuse(rw, "fence")
+		return
+	}
+	m.reply(rw, http.StatusOK, nil)
+}
+
+func (m *minion) hold(rw http.ResponseWriter, o *order) {
+	m.mu.Lock()
+	if m.fenced(o.Token) {
+		m.refuse(rw, "fence")
+		m.mu.Unlock()
+		return
+	}
+	if o.Until > 0 {
+		m.extend(o.Until)
+	}
+	for len(m.ends) > 0 && m.ends[0].n <= o.LastSeen {
+		m.ends = m.ends[1:]
+	}
+	ended, wait := m.ended, o.WaitMS > 0 && len(m.ends) == 0
+	m.mu.Unlock()
+	if wait {
+		select {
+		case <-ended:
+		case <-time.After(time.Duration(o.WaitMS) * time.Millisecond):
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dark {
+		return
+	}
+	active, finished := [][]any{}, [][]any{}
+	for _, r := range m.runs {
+		active = append(active, []any{r.task, r.run, "", r.percent, r.usage})
+	}
+	for _, e := range m.ends[:min(len(m.ends), maxEnds)] {
+		finished = append(finished, []any{e.n, e.task, e.run, e.how, e.save})
+	}
+	m.reply(rw, http.StatusOK, map[string]any{"active": active, "finished": finished})
+}
+
+// end ends a run unless it has ended.
+func (m *minion) end(r *taskRun, how string) {
+	m.mu.Lock()
+	if m.gone || m.runs[r.task] != r {
+		m.mu.Unlock()
+		return
+	}
+	delete(m.runs, r.task)
+	m.nextEnd++
+	m.listed[how]++
+	m.ends = append(m.ends, end{n: m.nextEnd, task: r.task, run: r.run, how: how})
+	close(m.ended)
+	m.ended = make(chan struct{})
+	m.mu.Unlock()
+	m.w.note("minion %s: %s run %d ends %s", m.id, r.task, r.run, how)
+	m.w.taskEnded(r, how)
+}
+
+// work lets the runs work until the minion ends.
+func (m *minion) work() {
+	for range time.Tick(20 * time.Millisecond) {
+		m.mu.Lock()
+		if m.gone {
+			m.mu.Unlock()
+			return
+		}
+		lapsed := m.until > 0 && m.clock() > m.until
+		var over []*taskRun
+		var how []string
+		for _, r := range m.runs {
+			switch {
+			case lapsed:
+				over, how = append(over, r), append(how, "lapsed")
+			case r.stopping:
+			case r.gang != nil:
+				if h := m.w.gangEnd(r); h != "" {
+					over, how = append(over, r), append(how, h)
+				}
+			case r.spec.LongRunning:
+				if time.Since(r.startedAt) >= r.spec.work {
+					r.percent = 100
+				}
+			default:
+				done := time.Since(r.startedAt)
+				r.percent = int(min(99, 100*done/max(r.spec.work, 1)))
+				if done >= r.spec.work {
+					over, how = append(over, r), append(how, "done")
+				}
+			}
+		}
+		m.mu.Unlock()
+		for i, r := range over {
+			m.end(r, how[i])
+		}
+	}
+}
+
+// stepOf returns the step of a task, nil if no client has sent it.
+func (w *world) stepOf(task string) *step {
+	parts := strings.Split(task, ".")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := w.jobs[parts[0]]
+	if j == nil || len(parts) != 4 {
+		return nil
+	}
+	n, err := strconv.Atoi(parts[2])
+	if err != nil || n >= len(j.Steps) {
+		return nil
+	}
+	return &j.Steps[n]
+}
+
+// gangKey identifies a run of a gang.
+func gangKey(r *taskRun) string {
+	return r.task[:strings.LastIndexByte(r.task, '.')] + "/" + strconv.FormatUint(r.run, 10)
+}
+
+// joinGang adds a run to its gang, which works from the moment when all are present.
+func (w *world) joinGang(r *taskRun) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g := w.gangs[gangKey(r)]
+	if g == nil {
+		g = &gangRun{members: map[string]*taskRun{}, count: r.spec.Count}
+		w.gangs[gangKey(r)] = g
+	}
+	r.gang = g
+	g.members[r.task] = r
+	if len(g.members) == g.count {
+		g.whole = true
+		for _, member := range g.members {
+			member.startedAt = time.Now()
+		}
+	}
+}
+
+// gangEnd returns how a member ends now, empty if it goes on.
+func (w *world) gangEnd(r *taskRun) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g, ran := r.gang, time.Since(r.startedAt)
+	switch {
+	case g.whole && len(g.members) < g.count && ran < r.spec.work:
+		return "broken"
+	case g.whole && ran >= r.spec.work:
+		return "done"
+	case !g.whole && ran >= gangWait:
+		return "alone"
+	}
+	if g.whole {
+		r.percent = int(min(99, 100*ran/max(r.spec.work, 1)))
+	}
+	return ""
+}
+
+// taskEnded removes an ended run from its gang, unless it is done.
+func (w *world) taskEnded(r *taskRun, how string) {
+	if r.gang == nil || how == "done" {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(r.gang.members, r.task)
+}
+
+// leaveGangs removes the runs of a minion that has ended from their gangs.
+func (w *world) leaveGangs(m *minion) {
+	m.mu.Lock()
+	runs := make([]*taskRun, 0, len(m.runs))
+	for _, r := range m.runs {
+		runs = append(runs, r)
+	}
+	m.mu.Unlock()
+	for _, r := range runs {
+		w.taskEnded(r, "lost")
+	}
+}
+
+// running returns the number of runs of a task on minions that are up.
+func (w *world) running(task string) int {
+	n := 0
+	for _, m := range w.minions {
+		m.mu.Lock()
+		if !m.gone && m.runs[task] != nil {
+			n++
+		}
+		m.mu.Unlock()
+	}
+	return n
+}
+
+// minionOf returns the minion that runs a task, nil if none does.
+func (w *world) minionOf(task string) *minion {
+	for _, m := range w.minions {
+		m.mu.Lock()
+		found := !m.gone && m.runs[task] != nil
+		m.mu.Unlock()
+		if found {
+			return m
+		}
+	}
+	return nil
+}
