--- a/review/_standins3/client.go
+++ b/review/_standins3/client.go
@@ -36,6 +36,8 @@
 	LongRunning   bool   `json:"long_running,omitempty"`
 	AntiAffinity  int    `json:"anti_affinity,omitempty"`
 	Image         string `json:"image,omitempty"`
+	TargetMS      int64  `json:"target_ms,omitempty"`
+	Fill          bool   `json:"fill_count,omitempty"`
 	Miss          *int   `json:"miss_allowance,omitempty"`
 	// work is how long a task works.
 	work time.Duration
--- a/review/_standins3/minion.go
+++ b/review/_standins3/minion.go
@@ -44,8 +44,8 @@
 	// listed counts the ends by how.
 	listed map[string]int
 	ended  chan struct{}
-	// onStart, if set, is called with each start before it is handled.
-	onStart func(task string)
+	// tail is the tail of the tasks that serve there, in milliseconds.
+	tail int
 }
 
 // taskRun is a run of a task.
@@ -59,8 +59,9 @@
 	stopping   bool
 	percent    int
 	gang       *gangRun
-	// usage is the last figure of its entry in the list of runs.
-	usage int
+	// paced is the share at which it works, in percent; worked is how long it has worked.
+	paced  int
+	worked time.Duration
 }
 
 // end is an end that a minion lists.
@@ -193,9 +194,6 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if f := m.onStart; f != nil && strings.HasSuffix(r.URL.Path, "run-start") {
-			f(o.Task)
-		}
 		m.mu.Lock()
 		dark := m.dark
 		m.mu.Unlock()
@@ -271,7 +269,7 @@
 	}
 	m.extend(o.Until)
 	m.highest[o.Task] = o.Run
-	r := &taskRun{m: m, task: o.Task, run: o.Run, cpu: s.CPU, memMB: s.MemMB, spec: s, startedAt: time.Now()}
+	r := &taskRun{m: m, task: o.Task, run: o.Run, cpu: s.CPU, memMB: s.MemMB, spec: s, startedAt: time.Now(), paced: 100}
 	m.runs[o.Task] = r
 	m.w.note("minion %s: starts %s run %d", m.id, o.Task, o.Run)
 	if s.Gang {
@@ -280,11 +278,27 @@
 	m.reply(rw, http.StatusOK, nil)
 }
 
+// reserved returns the processors that a task takes from its minion's room.
+func (s *step) reserved() int {
+	if s.Fill {
+		return 0
+	}
+	return s.CPU
+}
+
+// figure returns the last entry of a run in the list of runs; m.mu must be held.
+func (r *taskRun) figure() int {
+	if r.spec.TargetMS == 0 {
+		return r.cpu * r.paced / 100
+	}
+	return r.m.tail
+}
+
 // fits reports whether there is room for a task of a step; m.mu must be held.
 func (m *minion) fits(s *step) bool {
-	cpu, mem := s.CPU, s.MemMB
+	cpu, mem := s.reserved(), s.MemMB
 	for _, r := range m.runs {
-		cpu, mem = cpu+r.cpu, mem+r.memMB
+		cpu, mem = cpu+r.spec.reserved(), mem+r.memMB
 	}
 	return cpu <= m.cpu && mem <= m.memMB
 }
@@ -300,6 +314,9 @@
 	if r := m.runs[o.Task]; r != nil && r.run == o.Run && !r.stopping {
 		r.stopping = true
 		m.w.note("minion %s: stops %s run %d", m.id, o.Task, o.Run)
+		if r.percent == 100 && r.spec.LongRunning {
+			m.w.noteChange(change{r.spec, r.task, false})
+		}
 		time.AfterFunc(stopTime, func() { m.end(r, "stopped") })
 	}
 	m.reply(rw, http.StatusOK, nil)
@@ -312,6 +329,10 @@
 		m.refuse(rw, "fence")
 		return
 	}
+	if r := m.runs[o.Task]; r != nil && r.run == o.Run {
+		r.paced = o.Percent
+		m.w.note("minion %s: paces %s run %d to %d percent", m.id, o.Task, o.Run, o.Percent)
+	}
 	m.reply(rw, http.StatusOK, nil)
 }
 
@@ -343,7 +364,7 @@
 	}
 	active, finished := [][]any{}, [][]any{}
 	for _, r := range m.runs {
-		active = append(active, []any{r.task, r.run, "", r.percent, r.usage})
+		active = append(active, []any{r.task, r.run, "", r.percent, r.figure()})
 	}
 	for _, e := range m.ends[:min(len(m.ends), maxEnds)] {
 		finished = append(finished, []any{e.n, e.task, e.run, e.how, e.save})
@@ -371,7 +392,8 @@
 
 // work lets the runs work until the minion ends.
 func (m *minion) work() {
-	for range time.Tick(20 * time.Millisecond) {
+	const tick = 20 * time.Millisecond
+	for range time.Tick(tick) {
 		m.mu.Lock()
 		if m.gone {
 			m.mu.Unlock()
@@ -390,13 +412,14 @@
 					over, how = append(over, r), append(how, h)
 				}
 			case r.spec.LongRunning:
-				if time.Since(r.startedAt) >= r.spec.work {
+				if r.percent < 100 && time.Since(r.startedAt) >= r.spec.work {
 					r.percent = 100
+					m.w.noteChange(change{r.spec, r.task, true})
 				}
 			default:
-				done := time.Since(r.startedAt)
-				r.percent = int(min(99, 100*done/max(r.spec.work, 1)))
-				if done >= r.spec.work {
+				r.worked += tick * time.Duration(r.paced) / 100
+				r.percent = int(min(99, 100*r.worked/max(r.spec.work, 1)))
+				if r.worked >= r.spec.work {
 					over, how = append(over, r), append(how, "done")
 				}
 			}
@@ -515,3 +538,10 @@
 	}
 	return nil
 }
+
+// noteChange adds a change of a lasting task.
+func (w *world) noteChange(c change) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.changes = append(w.changes, c)
+}
--- a/review/_standins3/world.go
+++ b/review/_standins3/world.go
@@ -22,6 +22,15 @@
 	minions []*minion
 	jobs    map[string]*job
 	gangs   map[string]*gangRun
+	// changes holds when lasting tasks began to work and were ordered to stop.
+	changes []change
+}
+
+// change says that a lasting task is at work from now on, or was ordered to stop.
+type change struct {
+	step   *step
+	task   string
+	atWork bool
 }
 
 // newWorld returns a world with a store, which keeps its record in a file.
