--- a/review/_standins3/client.go
+++ b/review/_standins3/client.go
@@ -35,6 +35,7 @@
 	Speculative   bool   `json:"speculative,omitempty"`
 	LongRunning   bool   `json:"long_running,omitempty"`
 	AntiAffinity  int    `json:"anti_affinity,omitempty"`
+	Label         string `json:"requirements,omitempty"`
 	Image         string `json:"image,omitempty"`
 	TargetMS      int64  `json:"target_ms,omitempty"`
 	Fill          bool   `json:"fill_count,omitempty"`
