--- a/review/_standins3/host.go
+++ b/review/_standins3/host.go
@@ -58,6 +58,17 @@
 harm_ms = 4000
 `
 
+// grownBounds turns the bounds into those of a grown deployment whose minions may start again
+// under their IDs.
+var grownBounds = strings.NewReplacer(
+	"contact_ms = 3000", "contact_ms = 4000", "ack_ms = 4000", "ack_ms = 6000", "catch_up_s = 4", "catch_up_s = 6",
+	"drain_ms = 2000", "drain_ms = 3000", "config_apply_ms = 2000", "config_apply_ms = 3000",
+	"max_stretch_ms = 5000", "max_stretch_ms = 6000", "recover_s = 12", "recover_s = 15", "stop_ms = 200", "stop_ms = 900",
+	"gang_ms = 3000", "gang_ms = 4000", "cancel_ms = 3000", "cancel_ms = 4000", "remote_factor = 3", "remote_factor = 2",
+	"save_s = 1", "save_s = 2", "restore_ms = 250", "restore_ms = 600", "notice_ms = 4500", "notice_ms = 5500",
+	"harm_ms = 4000", "harm_ms = 4500",
+)
+
 // startHosts starts a number of entry hosts and waits until all are ready.
 func (w *world) startHosts(n int) error {
 	for i := range n {
@@ -138,6 +149,9 @@
 cross_shard = false
 history_s = 20
 `, h.name, h.ip, strings.Join(seeds, ","), h.frontend, h.ready, h.peer, bounds, h.w.store.address)
+	if h.w.returns {
+		text = grownBounds.Replace(text)
+	}
 	dir := filepath.Join(h.w.dir, h.name)
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
--- a/review/_standins3/minion.go
+++ b/review/_standins3/minion.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +47,14 @@
 	ended  chan struct{}
 	// tail is the tail of the tasks that serve there, in milliseconds.
 	tail int
+	// next is the life that follows under the same ID, returns whether the minion tells when it
+	// was born, as one that may start again under its ID.
+	next    *minion
+	returns bool
+	// startLate, if set, is how much later the next start is carried out; it gets no answer.
+	startLate time.Duration
+	// late is called once a start is carried out late.
+	late func(o *order)
 }
 
 // taskRun is a run of a task.
@@ -119,16 +128,16 @@
 	w.mu.Lock()
 	id := fmt.Sprintf("i-%08x", 0x1000+len(w.minions))
 	m := &minion{
-		w: w, id: id, address: ln.Addr().String(), rack: rack, cpu: cpu, memMB: memMB, born: time.Now(),
+		w: w, id: id, address: ln.Addr().String(), rack: rack, cpu: cpu, memMB: memMB, born: time.Now().Add(-w.uptime), returns: w.returns,
 		runs: map[string]*taskRun{}, highest: map[string]uint64{}, listed: map[string]int{}, ended: make(chan struct{}),
 	}
 	w.minions = append(w.minions, m)
 	w.mu.Unlock()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", m.serve(m.start))
-	mux.HandleFunc("POST /v1/run-stop", m.serve(m.stop))
-	mux.HandleFunc("POST /v1/hold", m.serve(m.hold))
-	mux.HandleFunc("POST /v1/pace", m.serve(m.pace))
+	mux.HandleFunc("POST /v1/run-start", m.serve((*minion).start))
+	mux.HandleFunc("POST /v1/run-stop", m.serve((*minion).stop))
+	mux.HandleFunc("POST /v1/hold", m.serve((*minion).hold))
+	mux.HandleFunc("POST /v1/pace", m.serve((*minion).pace))
 	m.server = &http.Server{Handler: mux}
 	go func() { _ = m.server.Serve(ln) }()
 	go m.work()
@@ -138,10 +147,14 @@
 
 // register writes its entry.
 func (m *minion) register(state string) {
-	m.w.store.put("servers", m.id, map[string]any{
+	entry := map[string]any{
 		"service": serviceName, "address": m.address, "zone": "citta-alta", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
 		"capacity": map[string]int{"cpu": m.cpu, "mem_mb": m.memMB, "gpu": 0}, "labels": []string{"a", m.rack}, "clock_ms": m.clock(), "sequence": 1,
-	})
+	}
+	if m.returns {
+		entry["born"] = m.born.UnixMilli()
+	}
+	m.w.store.put("servers", m.id, entry)
 }
 
 // clock returns its steady clock in milliseconds.
@@ -173,6 +186,41 @@
 	time.AfterFunc(3300*time.Millisecond, func() { m.w.store.remove("servers", m.id) })
 }
 
+// reborn makes the minion crash behind a cut and start again under its ID: its runs end with
+// it, and the new life knows nothing of before. It answers nothing until the cut ends.
+func (m *minion) reborn(cut time.Duration) *minion {
+	again := &minion{
+		w: m.w, id: m.id, address: m.address, rack: m.rack, cpu: m.cpu, memMB: m.memMB, born: time.Now(), returns: true, dark: true,
+		runs: map[string]*taskRun{}, highest: map[string]uint64{}, listed: map[string]int{}, ended: make(chan struct{}), server: m.server,
+	}
+	m.mu.Lock()
+	m.dark, m.gone, m.next = true, true, again
+	m.mu.Unlock()
+	m.w.leaveGangs(m)
+	m.w.mu.Lock()
+	m.w.minions = append(m.w.minions, again)
+	m.w.mu.Unlock()
+	go again.work()
+	again.register("ready")
+	time.AfterFunc(cut, func() {
+		again.mu.Lock()
+		again.dark = false
+		again.mu.Unlock()
+		m.w.note("minion %s: the cut ends", m.id)
+	})
+	return again
+}
+
+// current returns the life that an order meets now.
+func (m *minion) current() *minion {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.next != nil {
+		return m.next
+	}
+	return m
+}
+
 // order is the body of any order.
 type order struct {
 	Task       string `json:"task"`
@@ -187,13 +235,14 @@
 }
 
 // serve returns a handler of orders. A dark minion answers none.
-func (m *minion) serve(handle func(http.ResponseWriter, *order)) http.HandlerFunc {
+func (m *minion) serve(handle func(*minion, http.ResponseWriter, *order)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var o order
 		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		m := m.current()
 		m.mu.Lock()
 		dark := m.dark
 		m.mu.Unlock()
@@ -205,16 +254,46 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		handle(rw, &o)
+		if strings.HasSuffix(r.URL.Path, "/run-start") && m.leaveUnanswered(&o) {
+			<-r.Context().Done()
+			return
+		}
+		handle(m, rw, &o)
 	}
 }
 
+// leaveUnanswered reports whether a start isn't answered, but carried out later, by the life
+// that is there then.
+func (m *minion) leaveUnanswered(o *order) bool {
+	m.mu.Lock()
+	late, called := m.startLate, m.late
+	m.startLate = 0
+	m.mu.Unlock()
+	if late == 0 {
+		return false
+	}
+	m.w.note("minion %s: a start of %s run %d, until_ms %d at clock %d, token %d, isn't answered", m.id, o.Task, o.Run, o.Until, m.clock(), o.Token)
+	time.AfterFunc(late, func() {
+		now := m.current()
+		answer := httptest.NewRecorder()
+		now.start(answer, o)
+		m.w.note("minion %s: the start is carried out late, at clock %d: %d %s", m.id, now.clock(), answer.Code, strings.TrimSpace(answer.Body.String()))
+	})
+	if called != nil {
+		go called(o)
+	}
+	return true
+}
+
 // reply sends an answer with the clock.
 func (m *minion) reply(rw http.ResponseWriter, status int, body map[string]any) {
 	if body == nil {
 		body = map[string]any{}
 	}
 	body["clock_ms"] = m.clock()
+	if m.returns {
+		body["born"] = m.born.UnixMilli()
+	}
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(status)
 	_ = json.NewEncoder(rw).Encode(body)
--- a/review/_standins3/world.go
+++ b/review/_standins3/world.go
@@ -14,6 +14,10 @@
 	begun   time.Time
 	network string
 	nextIP  int
+	// returns is set if minions may start again under their IDs, uptime is how long they run
+	// already.
+	returns bool
+	uptime  time.Duration
 
 	mu      sync.Mutex
 	record  *os.File
