--- a/review/_standins3/minion.go
+++ b/review/_standins3/minion.go
@@ -351,6 +351,7 @@
 	r := &taskRun{m: m, task: o.Task, run: o.Run, cpu: s.CPU, memMB: s.MemMB, spec: s, startedAt: time.Now(), paced: 100}
 	m.runs[o.Task] = r
 	m.w.note("minion %s: starts %s run %d", m.id, o.Task, o.Run)
+	m.w.noteStart(o.Task)
 	if s.Gang {
 		m.w.joinGang(r)
 	}
@@ -426,6 +427,9 @@
 		m.extend(o.Until)
 	}
 	for len(m.ends) > 0 && m.ends[0].n <= o.LastSeen {
+		if m.ends[0].how == "done" {
+			m.w.noteDone(m.ends[0].task)
+		}
 		m.ends = m.ends[1:]
 	}
 	ended, wait := m.ended, o.WaitMS > 0 && len(m.ends) == 0
@@ -618,6 +622,23 @@
 	return nil
 }
 
+// noteDone notes that the owner has taken note of an end as done.
+func (w *world) noteDone(task string) {
+	w.note("the end of %s as done is taken note of", task)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noted[task] = true
+}
+
+// noteStart notes a start of a task of which an end as done was taken note of.
+func (w *world) noteStart(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.noted[task] {
+		w.again++
+	}
+}
+
 // noteChange adds a change of a lasting task.
 func (w *world) noteChange(c change) {
 	w.mu.Lock()
--- a/review/_standins3/world.go
+++ b/review/_standins3/world.go
@@ -28,6 +28,10 @@
 	gangs   map[string]*gangRun
 	// changes holds when lasting tasks began to work and were ordered to stop.
 	changes []change
+	// noted holds the tasks of which an end as done was taken note of, again counts the starts
+	// after that.
+	noted map[string]bool
+	again int
 }
 
 // change says that a lasting task is at work from now on, or was ordered to stop.
@@ -49,7 +53,7 @@
 	}
 	pid := os.Getpid()
 	w := &world{
-		dir: dir, begun: time.Now(), record: record, jobs: map[string]*job{}, gangs: map[string]*gangRun{},
+		dir: dir, begun: time.Now(), record: record, jobs: map[string]*job{}, gangs: map[string]*gangRun{}, noted: map[string]bool{},
 		network: fmt.Sprintf("127.%d.%d.", 64+pid%128, pid/128%256),
 	}
 	w.store, err = newStore(w)
